--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Tasks for people and CI. `make demo` shows the system, `make test` checks it.
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint
+GO ?= go
+SEEDS ?= 3
+
+.PHONY: setup build fmt lint unit race test
+
+setup: $(LINT)
+
+$(LINT):
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+build:
+	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
+
+fmt: $(LINT)
+	$(LINT) fmt
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run
+
+unit:
+	$(GO) test ./...
+
+test: lint unit
