feat: client towards engines and plain services

Cause: the daemon needs to start, resume and cancel streams, give orders and forward plain calls, and to say with proof whether a byte was written. Ruled out: httptrace hooks alone. WroteHeaders fires before the flush, and net/http repeats a written request on another connection when it bears an Idempotency-Key or its method is idempotent; no hook can stop that. Change: connections count their writes and can be sealed. A request that was written is never written again by the transport; one that was not is sealed before ErrNotSent is said, so that no late write follows. Figures: with the mechanism off (transport alone) POST, DELETE and GET with an idempotency key each run more than once at the endpoint when a reused connection breaks; with it on each runs once (go test ./internal/endpoint -run NeverRepeats). Conclusion: an error is ErrNotSent or ErrCut by what was written, not by guess.

--- /dev/null
+++ b/internal/endpoint/call.go
@@ -0,0 +1,172 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const problemLimit = 16 << 10 // bytes
+
+// Call is one attempt of a model request.
+type Call struct {
+	// Attempt is the attempt's own id.
+	Attempt string
+	// Path is the endpoint's path, PathChat when empty.
+	Path string
+	// Header holds further headers.
+	Header http.Header
+	// Body is the JSON body.
+	Body []byte
+	// Priority is written into the body; lower is more urgent.
+	Priority int
+}
+
+// Start sends an attempt and returns its answer, whatever its status below 400.
+func (c *Client) Start(ctx context.Context, addr string, call Call) (*Stream, error) {
+	body, err := withPriority(call.Body, call.Priority)
+	if err != nil {
+		return nil, stepError("start", addr, errors.Join(ErrNotSent, err))
+	}
+	path := call.Path
+	if path == "" {
+		path = PathChat
+	}
+	request, err := newRequest(ctx, http.MethodPost, addr, path)
+	if err != nil {
+		return nil, stepError("start", addr, errors.Join(ErrNotSent, err))
+	}
+	copyHeader(request.Header, call.Header)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(HeaderRequest, call.Attempt)
+	setBody(request, bytes.NewReader(body), int64(len(body)))
+	return c.open("start", addr, request, 0)
+}
+
+// Resume asks for what follows event number after of an attempt.
+func (c *Client) Resume(ctx context.Context, addr, attempt string, after uint64) (*Stream, error) {
+	request, err := newRequest(ctx, http.MethodGet, addr, PathStream+url.PathEscape(attempt))
+	if err != nil {
+		return nil, stepError("resume", addr, errors.Join(ErrNotSent, err))
+	}
+	request.Header.Set(HeaderLastEvent, strconv.FormatUint(after, 10))
+	return c.open("resume", addr, request, after)
+}
+
+func (c *Client) open(step, addr string, request *http.Request, after uint64) (*Stream, error) {
+	response, x, err := c.send(step, addr, request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		defer closeBody(response)
+		return nil, x.fail(refusal(response))
+	}
+	return c.newStream(x, response, after), nil
+}
+
+// Cancel stops an attempt and tells whether it had begun to run. ErrGone proves
+// nothing: the attempt may have ended, or be still on its way.
+func (c *Client) Cancel(ctx context.Context, addr, attempt string) (bool, error) {
+	var reply Cancelled
+	err := c.ask(ctx, "cancel", addr, http.MethodDelete, PathStream+url.PathEscape(attempt), nil, &reply)
+	return reply.Ran, err
+}
+
+// refusal turns an answer of status 400 or above into an error.
+func refusal(response *http.Response) error {
+	data, _ := io.ReadAll(io.LimitReader(response.Body, problemLimit))
+	var problem Problem
+	_ = json.Unmarshal(data, &problem)
+	detail := problem.Error
+	cause := &StatusError{
+		Status:  response.StatusCode,
+		Code:    detail.Code,
+		Message: detail.Message,
+		Retry:   retryAfter(response.Header),
+	}
+	if sentinel := refusalKind(response.StatusCode, detail.Code); sentinel != nil {
+		return fmt.Errorf("%w: %w", sentinel, cause)
+	}
+	return cause
+}
+
+func refusalKind(status int, code string) error {
+	switch {
+	case status == http.StatusServiceUnavailable && code == CodeLeaving:
+		return ErrLeaving
+	case status == http.StatusNotFound && code == CodeNoModel:
+		return ErrNoModel
+	case status == http.StatusNotFound && code == CodeGone:
+		return ErrGone
+	case status == http.StatusConflict && code == CodeStale:
+		return ErrStale
+	case status == http.StatusInsufficientStorage:
+		return ErrMemory
+	default:
+		return nil
+	}
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// withPriority returns the body with its priority set. A priority of the
+// caller's own is removed.
+func withPriority(body []byte, priority int) ([]byte, error) {
+	trimmed := bytes.TrimSpace(body)
+	if len(trimmed) < 2 || trimmed[0] != '{' || trimmed[len(trimmed)-1] != '}' {
+		return nil, errors.New("body is not a JSON object")
+	}
+	if bytes.Contains(trimmed, []byte(`"priority"`)) {
+		return replacePriority(trimmed, priority)
+	}
+	head := trimmed[:len(trimmed)-1]
+	result := make([]byte, 0, len(head)+len(`,"priority":}`)+20)
+	result = append(result, head...)
+	if len(bytes.TrimSpace(head)) > 1 {
+		result = append(result, ',')
+	}
+	result = append(result, `"priority":`...)
+	result = strconv.AppendInt(result, int64(priority), 10)
+	return append(result, '}'), nil
+}
+
+func replacePriority(body []byte, priority int) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	fields["priority"] = strconv.AppendInt(nil, int64(priority), 10)
+	return json.Marshal(fields)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+}
+
+// setBody sets a body that the transport cannot read twice.
+func setBody(request *http.Request, body io.Reader, length int64) {
+	request.Body = io.NopCloser(body)
+	request.ContentLength = length
+	request.GetBody = nil
+}
+
+func closeBody(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, problemLimit)
+	_ = response.Body.Close()
+}
--- /dev/null
+++ b/internal/endpoint/call_test.go
@@ -0,0 +1,219 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func stream(w http.ResponseWriter, text string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, text)
+}
+
+func TestStartReadsEventsUpToTheEndMarker(t *testing.T) {
+	var body, attempt string
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		body, attempt = string(data), r.Header.Get(HeaderRequest)
+		stream(w, "id: 1\ndata: {\"a\":1}\n\n: note\n\nid: 2\r\ndata: x\r\ndata: y\r\n\r\ndata: [DONE]\n\n")
+	})
+	client := New()
+	defer client.Close()
+	s, err := client.Start(t.Context(), addr, Call{Attempt: "r/1", Body: []byte(`{"model":"m"}`), Priority: 2})
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	first, err := s.Next()
+	require.NoError(t, err)
+	second, err := s.Next()
+	require.NoError(t, err)
+	_, err = s.Next()
+	require.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, Event{Sequence: 1, Data: []byte(`{"a":1}`)}, first)
+	assert.Equal(t, Event{Sequence: 2, Data: []byte("x\ny")}, second)
+	assert.JSONEq(t, `{"model":"m","priority":2}`, body)
+	assert.Equal(t, "r/1", attempt)
+}
+
+func TestStreamCutAtAnyByteIsNeverWhole(t *testing.T) {
+	text := "id: 1\ndata: {\"a\":1}\n\nid: 2\ndata: {\"b\":2}\n\ndata: [DONE]\n\n"
+	marker := strings.Index(text, "[DONE]") + len("[DONE]\n\n")
+	for cut := range marker {
+		addr := serve(t, func(w http.ResponseWriter, _ *http.Request) { stream(w, text[:cut]) })
+		client := New()
+		s, err := client.Start(t.Context(), addr, Call{Body: []byte(`{}`)})
+		require.NoError(t, err)
+		for err == nil {
+			_, err = s.Next()
+		}
+		require.ErrorIs(t, err, ErrCut, "cut at %d", cut)
+		require.ErrorContains(t, err, "start "+addr)
+		require.NoError(t, s.Close())
+		client.Close()
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		status int
+		code   string
+		want   error
+		notRun bool
+	}{
+		{http.StatusServiceUnavailable, CodeLeaving, ErrLeaving, true},
+		{http.StatusNotFound, CodeNoModel, ErrNoModel, true},
+		{http.StatusNotFound, CodeGone, ErrGone, false},
+		{http.StatusConflict, CodeStale, ErrStale, false},
+		{http.StatusInsufficientStorage, CodeMemory, ErrMemory, false},
+		{http.StatusServiceUnavailable, "busy", nil, false},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("%d %s", tc.status, tc.code), func(t *testing.T) {
+			addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", "3")
+				w.WriteHeader(tc.status)
+				_, _ = fmt.Fprintf(w, `{"error":{"code":%q,"message":"no"}}`, tc.code)
+			})
+			client := New()
+			defer client.Close()
+			_, err := client.Start(t.Context(), addr, Call{Body: []byte(`{}`)})
+			var status *StatusError
+			require.ErrorAs(t, err, &status)
+			assert.Equal(t, 3*time.Second, status.Retry)
+			assert.Equal(t, tc.notRun, NotRun(err))
+			if tc.want != nil {
+				assert.ErrorIs(t, err, tc.want)
+			}
+		})
+	}
+}
+
+func TestNotSentIsSaidOnlyWhenNothingWasWritten(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refused := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	closing := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	client := New()
+	defer client.Close()
+
+	_, err = client.Start(t.Context(), refused, Call{Body: []byte(`{}`)})
+	require.ErrorIs(t, err, ErrNotSent)
+	require.NotErrorIs(t, err, ErrCut)
+
+	_, err = client.Start(t.Context(), closing, Call{Body: []byte(`{}`)})
+	require.ErrorIs(t, err, ErrCut)
+	require.NotErrorIs(t, err, ErrNotSent)
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = client.Start(ended, closing, Call{Body: []byte(`{}`)})
+	require.ErrorIs(t, err, ErrNotSent)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+// countRuns sends a request with an idempotency key over a connection that was
+// used before, and counts how often the endpoint runs it.
+func countRuns(t *testing.T, client *Client, method string) (int64, error) {
+	t.Helper()
+	var runs atomic.Int64
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			return
+		}
+		runs.Add(1)
+		hijacker, ok := w.(http.Hijacker)
+		if !ok {
+			panic("no hijacker")
+		}
+		raw, _, _ := hijacker.Hijack()
+		_ = raw.Close()
+	})
+	warm, err := client.Forward(t.Context(), addr, ForwardCall{Method: http.MethodGet, Path: "/warm"})
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, warm.Body)
+	require.NoError(t, warm.Body.Close())
+	header := http.Header{"Idempotency-Key": {"k"}}
+	response, err := client.Forward(t.Context(), addr, ForwardCall{Method: method, Path: "/orders", Header: header})
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	return runs.Load(), err
+}
+
+func TestForwardNeverRepeatsAWrittenRequest(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodDelete, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			client := New()
+			defer client.Close()
+			runs, err := countRuns(t, client, method)
+			require.ErrorIs(t, err, ErrCut)
+			assert.Equal(t, int64(1), runs)
+
+			plain := New(func(s *settings) { s.replay = true })
+			defer plain.Close()
+			runs, _ = countRuns(t, plain, method)
+			assert.Greater(t, runs, int64(1), "the transport alone repeats the request")
+		})
+	}
+}
+
+func TestForwardStreamsBothWays(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Connection", r.Header.Get("X-Hop"))
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.Copy(w, r.Body)
+	})
+	client := New()
+	defer client.Close()
+	call := ForwardCall{
+		Method: http.MethodPut,
+		Path:   "/echo?q=1",
+		Header: http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:   strings.NewReader("payload"),
+		Length: -1,
+	}
+	response, err := client.Forward(t.Context(), addr, call)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "payload", string(data))
+	assert.Equal(t, http.StatusAccepted, response.StatusCode)
+	assert.Empty(t, response.Header.Get("X-Connection"))
+}
+
+func TestWithPriority(t *testing.T) {
+	cases := []struct{ body, want string }{
+		{`{}`, `{"priority":1}`},
+		{` { } `, `{ "priority":1}`},
+		{`{"a":1}`, `{"a":1,"priority":1}`},
+		{`{"priority":-9,"a":1}`, `{"a":1,"priority":1}`},
+	}
+	for _, tc := range cases {
+		got, err := withPriority([]byte(tc.body), 1)
+		require.NoError(t, err)
+		assert.Equal(t, tc.want, string(got))
+	}
+	for _, body := range []string{"", "[]", `"x"`, "}"} {
+		_, err := withPriority([]byte(body), 1)
+		require.Error(t, err)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,145 @@
+// Package endpoint speaks to model engines and plain services.
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	defaultConnections = 1024
+	defaultIdle        = 64
+	defaultIdleTimeout = 30 * time.Second
+	defaultDialTimeout = 2 * time.Second
+	defaultEventLimit  = 1 << 20 // bytes
+	defaultBodyLimit   = 8 << 20 // bytes
+	tracerName         = "github.com/chiveramp/chiveramp/internal/endpoint"
+)
+
+type settings struct {
+	connections int
+	idle        int
+	idleTimeout time.Duration
+	dialTimeout time.Duration
+	eventLimit  int
+	bodyLimit   int64
+	replay      bool
+	tracers     trace.TracerProvider
+}
+
+// Option changes a Client under construction.
+type Option func(*settings)
+
+// WithConnections bounds the connections to one endpoint.
+func WithConnections(most int) Option {
+	return func(s *settings) { s.connections = most }
+}
+
+// WithIdle bounds the unused connections kept to one endpoint, and for how long.
+func WithIdle(most int, keep time.Duration) Option {
+	return func(s *settings) { s.idle, s.idleTimeout = most, keep }
+}
+
+// WithDialTimeout bounds the time to open a connection.
+func WithDialTimeout(most time.Duration) Option {
+	return func(s *settings) { s.dialTimeout = most }
+}
+
+// WithLimits bounds one event and one whole body, in bytes.
+func WithLimits(event int, body int64) Option {
+	return func(s *settings) { s.eventLimit, s.bodyLimit = event, body }
+}
+
+// WithTracerProvider sets where spans go. The default is the process's provider.
+func WithTracerProvider(provider trace.TracerProvider) Option {
+	return func(s *settings) { s.tracers = provider }
+}
+
+// Client speaks to endpoints over one pool of connections.
+type Client struct {
+	settings  settings
+	transport *http.Transport
+	client    *http.Client
+	tracer    trace.Tracer
+	carrier   propagation.TraceContext
+}
+
+// New returns a client.
+func New(opts ...Option) *Client {
+	s := settings{
+		connections: defaultConnections,
+		idle:        defaultIdle,
+		idleTimeout: defaultIdleTimeout,
+		dialTimeout: defaultDialTimeout,
+		eventLimit:  defaultEventLimit,
+		bodyLimit:   defaultBodyLimit,
+		tracers:     otel.GetTracerProvider(),
+	}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	transport := newTransport(s)
+	return &Client{
+		settings:  s,
+		transport: transport,
+		client:    &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		tracer:    s.tracers.Tracer(tracerName),
+	}
+}
+
+// Close ends the unused connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// exchange is one request on its way to an endpoint.
+type exchange struct {
+	step string
+	addr string
+	span trace.Span
+}
+
+func (x exchange) fail(err error) error {
+	x.span.RecordError(err)
+	x.span.SetStatus(codes.Error, x.step)
+	x.span.End()
+	return stepError(x.step, x.addr, err)
+}
+
+// send sends one request at most once and returns the answer's head.
+func (c *Client) send(step, addr string, request *http.Request) (*http.Response, exchange, error) {
+	ctx, span := c.tracer.Start(request.Context(), "endpoint."+step,
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("server.address", addr)))
+	x := exchange{step: step, addr: addr, span: span}
+	d := &delivery{replay: c.settings.replay}
+	request = request.WithContext(d.trace(ctx))
+	c.carrier.Inject(ctx, propagation.HeaderCarrier(request.Header))
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, x, x.fail(d.failure(err))
+	}
+	span.SetAttributes(attribute.Int("http.response.status_code", response.StatusCode))
+	return response, x, nil
+}
+
+// NotRun tells whether an error proves that the request did not run.
+func NotRun(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrLeaving) || errors.Is(err, ErrNoModel)
+}
+
+func newRequest(ctx context.Context, method, addr, path string) (*http.Request, error) {
+	return http.NewRequestWithContext(ctx, method, "http://"+addr+path, http.NoBody)
+}
--- /dev/null
+++ b/internal/endpoint/forward.go
@@ -0,0 +1,75 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"go.opentelemetry.io/otel/trace"
+)
+
+// ForwardCall is one request for a plain service.
+type ForwardCall struct {
+	Method string
+	// Path holds the path and query, escaped as on the wire.
+	Path   string
+	Header http.Header
+	// Body is streamed; nil when there is none.
+	Body io.Reader
+	// Length is the body's bytes, -1 when unknown.
+	Length int64
+}
+
+// Forward sends a request to a plain service at most once and returns the
+// answer, whatever its status. The receiver closes the body; reading it fails
+// when the answer is cut.
+func (c *Client) Forward(ctx context.Context, addr string, call ForwardCall) (*http.Response, error) {
+	request, err := newRequest(ctx, call.Method, addr, call.Path)
+	if err != nil {
+		return nil, stepError("forward", addr, errors.Join(ErrNotSent, err))
+	}
+	copyHeader(request.Header, call.Header)
+	stripHopHeaders(request.Header)
+	if _, ok := request.Header["User-Agent"]; !ok {
+		request.Header["User-Agent"] = nil
+	}
+	if call.Body != nil && call.Length != 0 {
+		setBody(request, call.Body, call.Length)
+	}
+	response, x, err := c.send("forward", addr, request)
+	if err != nil {
+		return nil, err
+	}
+	stripHopHeaders(response.Header)
+	response.Body = &tracedBody{ReadCloser: response.Body, span: x.span}
+	return response, nil
+}
+
+// tracedBody ends the span when the answer is given back.
+type tracedBody struct {
+	io.ReadCloser
+	span trace.Span
+}
+
+// Close closes the body and ends the span.
+func (b *tracedBody) Close() error {
+	b.span.End()
+	return b.ReadCloser.Close()
+}
+
+// stripHopHeaders removes the headers that concern one connection only.
+func stripHopHeaders(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	} {
+		header.Del(name)
+	}
+}
