feat: platform store over Consul's HTTP API, its stand-in and a fake

Cause: every part that keeps or agrees on something needs the platform's key-value service, and tests need its faults. Ruled out: Consul's own client module (refused by the registry); single-key PUT ?cas= for Swap, which answers only true or false, so that the new version would need a second call. All writes go through /v1/txn, whose answer has the version and the fence: one call each. Change: platform.HTTP with calls counted by kind; a write is called "unavailable" only when no connection was got or the status proves that nothing was applied (4xx, "No cluster leader", rate limit), else "uncertain". Stand-in with faults down, cut, slow, lost reply, lost write, list lag, rates. platformtest.Fake runs the same client against the same handler without a socket, so that fakes and client can't drift apart.

--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,189 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	// maxReply limits how much of an answer is read, in bytes.
+	maxReply = 64 << 20
+	// maxWrites limits the writes of one Commit.
+	maxWrites = 64
+)
+
+var _ Store = (*HTTP)(nil)
+
+// HTTP is a Store over Consul's HTTP API.
+type HTTP struct {
+	address string
+	token   string
+	client  *http.Client
+	counter *Counter
+
+	mu     sync.Mutex
+	absent map[string]uint64 // index to wait on for keys that were absent
+}
+
+// Option configures an HTTP store.
+type Option func(*HTTP)
+
+// WithClient sets the HTTP client, for instance one with TLS.
+func WithClient(client *http.Client) Option {
+	return func(h *HTTP) { h.client = client }
+}
+
+// WithToken sends an access token with each call.
+func WithToken(token string) Option {
+	return func(h *HTTP) { h.token = token }
+}
+
+// WithRegistry counts calls as "store.calls.<kind>" in a metrics registry.
+func WithRegistry(registry metrics.Registry) Option {
+	return func(h *HTTP) { h.counter = NewCounter(registry) }
+}
+
+// NewHTTP returns a store at address, a host:port or a URL.
+func NewHTTP(address string, opts ...Option) *HTTP {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	h := &HTTP{
+		address: strings.TrimSuffix(address, "/"),
+		client:  &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()},
+		counter: NewCounter(nil),
+		absent:  make(map[string]uint64),
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
+}
+
+// Calls returns how many calls were made, by kind.
+func (h *HTTP) Calls() Calls {
+	return h.counter.Calls()
+}
+
+// Close drops idle connections.
+func (h *HTTP) Close() {
+	h.client.CloseIdleConnections()
+}
+
+// request is one call to the API.
+type request struct {
+	kind   Kind
+	method string
+	path   string
+	query  url.Values
+	body   any
+}
+
+// reply is a whole answer of the API.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send makes one call. Errors carry the kind of call and the store's address.
+func (h *HTTP) send(ctx context.Context, r request) (reply, error) {
+	h.counter.Add(r.kind)
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := h.build(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return reply{}, fmt.Errorf("store %s %s: %w: %w", h.address, r.kind, ErrUnavailable, err)
+	}
+	res, err := h.client.Do(req)
+	if err != nil {
+		return reply{}, fmt.Errorf("store %s %s: %w: %w", h.address, r.kind, lost(r.kind, sent.Load()), err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	if err != nil {
+		return reply{}, fmt.Errorf("store %s %s: %w: %w", h.address, r.kind, lost(r.kind, true), err)
+	}
+	if err := refused(r.kind, res.StatusCode, body); err != nil {
+		return reply{}, fmt.Errorf("store %s %s: %w", h.address, r.kind, err)
+	}
+	return reply{status: res.StatusCode, header: res.Header, body: body}, nil
+}
+
+func (h *HTTP) build(ctx context.Context, r request) (*http.Request, error) {
+	var body io.Reader
+	if r.body != nil {
+		data, err := json.Marshal(r.body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	target := h.address + r.path
+	if len(r.query) > 0 {
+		target += "?" + r.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, target, body)
+	if err != nil {
+		return nil, err
+	}
+	if h.token != "" {
+		req.Header.Set("X-Consul-Token", h.token)
+	}
+	return req, nil
+}
+
+// lost names the error of a call that got no answer.
+func lost(kind Kind, sent bool) error {
+	if kind.Reads() || !sent {
+		return ErrUnavailable
+	}
+	return ErrUncertain
+}
+
+// refused names the error of an answer whose status is not one the caller reads itself.
+func refused(kind Kind, status int, body []byte) error {
+	switch status {
+	case http.StatusOK, http.StatusNotFound, http.StatusConflict:
+		return nil
+	}
+	text := strings.TrimSpace(string(body[:min(len(body), 200)]))
+	if kind.Reads() || status < http.StatusInternalServerError || neverApplied(text) {
+		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, text)
+	}
+	return fmt.Errorf("%w: status %d: %s", ErrUncertain, status, text)
+}
+
+// neverApplied reports whether a server error proves that nothing was written.
+func neverApplied(text string) bool {
+	return strings.Contains(text, "No cluster leader") ||
+		strings.Contains(text, "rate limit exceeded")
+}
+
+// decode reads an answer's JSON. An answer that can't be read leaves a write uncertain.
+func (h *HTTP) decode(kind Kind, body []byte, into any) error {
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("store %s %s: %w: %w", h.address, kind, lost(kind, true), err)
+	}
+	return nil
+}
+
+// keyPath returns the path of a key with its segments escaped.
+func keyPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return "/v1/kv/" + strings.Join(segments, "/")
+}
--- /dev/null
+++ b/internal/platform/platformtest/fake.go
@@ -0,0 +1,102 @@
+// Package platformtest has an in-memory platform.Store for tests: the real
+// client against the stand-in's handler, without a socket.
+package platformtest
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/platform"
+	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
+)
+
+var _ platform.Store = (*Fake)(nil)
+
+// Fake is a Store with the stand-in's faults. Several clients may share one
+// stand-in by Client.
+type Fake struct {
+	*platform.HTTP
+	server *standin.Server
+
+	mu          sync.Mutex
+	unreachable bool
+	before      func(path string)
+}
+
+// New returns a store without faults.
+func New(opts ...standin.Option) *Fake {
+	return newFake(standin.NewServer(opts...))
+}
+
+// NewWithClock returns a store whose leases go by clock, and whose slow calls don't sleep.
+func NewWithClock(clock func() time.Time, opts ...standin.Option) *Fake {
+	base := []standin.Option{standin.WithClock(clock), standin.WithSleep(func(time.Duration) {})}
+	return New(append(base, opts...)...)
+}
+
+// Client returns another client of the same stand-in, with its own calls and reachability.
+func (f *Fake) Client() *Fake {
+	return newFake(f.server)
+}
+
+func newFake(server *standin.Server) *Fake {
+	f := &Fake{server: server}
+	f.HTTP = platform.NewHTTP("fake", platform.WithClient(&http.Client{Transport: f}))
+	return f
+}
+
+// Server returns the stand-in, for its faults, members and counts.
+func (f *Fake) Server() *standin.Server {
+	return f.server
+}
+
+// SetUnreachable makes every call of this client fail before it is sent.
+func (f *Fake) SetUnreachable(unreachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable = unreachable
+}
+
+// SetBefore sets a function that runs before each request of this client.
+func (f *Fake) SetBefore(before func(path string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.before = before
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f *Fake) RoundTrip(req *http.Request) (res *http.Response, err error) {
+	f.mu.Lock()
+	unreachable, before := f.unreachable, f.before
+	f.mu.Unlock()
+	if before != nil {
+		before(req.URL.Path)
+	}
+	if unreachable {
+		return nil, io.ErrClosedPipe
+	}
+	if trace := httptrace.ContextClientTrace(req.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			if r != http.ErrAbortHandler { //nolint:errorlint // the value that net/http panics with
+				panic(r)
+			}
+			res, err = nil, io.ErrUnexpectedEOF
+		}
+	}()
+	if req.Body == nil {
+		req.Body = http.NoBody
+	}
+	recorder := httptest.NewRecorder()
+	f.server.Handler().ServeHTTP(recorder, req)
+	if err := req.Context().Err(); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
--- /dev/null
+++ b/internal/platform/write.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/chiveramp/chiveramp/internal/platform/wire"
+)
+
+// Swap implements Store.
+func (h *HTTP) Swap(ctx context.Context, w Write) (Version, error) {
+	results, err := h.txn(ctx, KindSwap, writeOps([]Write{w}))
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", w.Key, err)
+	}
+	if w.Delete {
+		return 0, nil
+	}
+	if len(results) == 0 {
+		return 0, fmt.Errorf("store %s swap %s: %w: empty answer", h.address, w.Key, ErrUncertain)
+	}
+	return Version(results[len(results)-1].KV.ModifyIndex), nil
+}
+
+// Commit implements Store.
+func (h *HTTP) Commit(ctx context.Context, writes ...Write) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	if len(writes) > maxWrites {
+		return fmt.Errorf("store %s commit: %w: %d writes, at most %d", h.address, ErrUnavailable, len(writes), maxWrites)
+	}
+	if _, err := h.txn(ctx, KindCommit, writeOps(writes)); err != nil {
+		return fmt.Errorf("%s and %d more: %w", writes[0].Key, len(writes)-1, err)
+	}
+	return nil
+}
+
+// Acquire implements Store. Taking a key again with the same lease keeps its fence.
+func (h *HTTP) Acquire(ctx context.Context, key string, value []byte, id LeaseID) (Entry, error) {
+	op := wire.TxnOp{KV: wire.TxnKV{Verb: wire.VerbLock, Key: key, Value: value, Session: string(id)}}
+	results, err := h.txn(ctx, KindAcquire, []wire.TxnOp{op})
+	if err != nil {
+		return Entry{}, fmt.Errorf("%s: %w", key, err)
+	}
+	if len(results) == 0 {
+		return Entry{}, fmt.Errorf("store %s acquire %s: %w: empty answer", h.address, key, ErrUncertain)
+	}
+	e := entryOf(results[0].KV)
+	e.Value = value
+	return e, nil
+}
+
+// writeOps puts the guards of the writes before the writes, each guard once.
+func writeOps(writes []Write) []wire.TxnOp {
+	type guard struct {
+		key    string
+		holder LeaseID
+	}
+	seen := make(map[guard]bool)
+	var ops []wire.TxnOp
+	for _, w := range writes {
+		g := guard{key: w.Guard, holder: w.Holder}
+		if w.Holder == "" || seen[g] {
+			continue
+		}
+		seen[g] = true
+		check := wire.TxnKV{Verb: wire.VerbCheckSession, Key: w.Guard, Session: string(w.Holder)}
+		ops = append(ops, wire.TxnOp{KV: check})
+	}
+	for _, w := range writes {
+		op := wire.TxnKV{Verb: wire.VerbCAS, Key: w.Key, Value: w.Value, Index: uint64(w.Expect)}
+		if w.Delete {
+			op.Verb, op.Value = wire.VerbDeleteCAS, nil
+		}
+		ops = append(ops, wire.TxnOp{KV: op})
+	}
+	return ops
+}
+
+// txn applies all operations or none.
+func (h *HTTP) txn(ctx context.Context, kind Kind, ops []wire.TxnOp) ([]wire.TxnResult, error) {
+	r, err := h.send(ctx, request{kind: kind, method: http.MethodPut, path: "/v1/txn", body: ops})
+	if err != nil {
+		return nil, err
+	}
+	var answer wire.TxnReply
+	if err := h.decode(kind, r.body, &answer); err != nil {
+		return nil, err
+	}
+	if r.status == http.StatusOK && len(answer.Errors) == 0 {
+		return answer.Results, nil
+	}
+	return nil, fmt.Errorf("store %s %s: %w", h.address, kind, rolledBack(answer.Errors))
+}
+
+// rolledBack names the error of a transaction that was not applied.
+func rolledBack(errs []wire.TxnError) error {
+	what := "no reason given"
+	if len(errs) > 0 {
+		what = errs[0].What
+	}
+	if strings.Contains(what, "invalid session") {
+		return fmt.Errorf("%w: %s", ErrNotFound, what)
+	}
+	return fmt.Errorf("%w: %s", ErrConflict, what)
+}
--- /dev/null
+++ b/internal/standin/platform/admin.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"net/http"
+
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+// CallsReply answers GET /standin/calls.
+type CallsReply struct {
+	Calls   platform.Calls `json:"calls"`
+	Reads   uint64         `json:"reads"`
+	Writes  uint64         `json:"writes"`
+	Refused uint64         `json:"refused"`
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if read(w, r, &faults) {
+		s.SetFaults(faults)
+		reply(w, http.StatusOK, faults)
+	}
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.Faults())
+}
+
+func (s *Server) putMember(w http.ResponseWriter, r *http.Request) {
+	var member Member
+	if !read(w, r, &member) {
+		return
+	}
+	if member.Service == "" || member.Name == "" {
+		http.Error(w, "service and name are needed", http.StatusBadRequest)
+		return
+	}
+	s.SetMember(member)
+	reply(w, http.StatusOK, member)
+}
+
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
+	calls := s.Calls()
+	reply(w, http.StatusOK, CallsReply{
+		Calls:   calls,
+		Reads:   calls.Reads(),
+		Writes:  calls.Writes(),
+		Refused: s.Refused(),
+	})
+}
