--- /dev/null
+++ b/internal/core/admit/options.go
@@ -0,0 +1,102 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Shares holds one share of the slots for each rank, each 0 to 1, 1 in sum at most.
+type Shares struct {
+	Urgent   float64
+	Standard float64
+	Bulk     float64
+}
+
+func (s Shares) of(level int) float64 {
+	switch level {
+	case fleet.RankUrgent.Level():
+		return s.Urgent
+	case fleet.RankStandard.Level():
+		return s.Standard
+	default:
+		return s.Bulk
+	}
+}
+
+// Speed describes how fast the endpoint works.
+type Speed struct {
+	// Prefill is the rate at which prompts are read, in tokens a second; zero when unknown.
+	Prefill float64
+	// Step is the time for one token of a lone answer.
+	Step time.Duration
+	// Each is what every further running answer adds to the time for one token.
+	Each time.Duration
+}
+
+func (s Speed) prefill(tokens int) time.Duration {
+	if s.Prefill <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / s.Prefill * float64(time.Second))
+}
+
+func (s Speed) step(running int) time.Duration {
+	return s.Step + time.Duration(running)*s.Each
+}
+
+// Defaults of a Queue.
+const (
+	DefaultSlots      = 32
+	DefaultDepth      = 1024
+	DefaultProfileCap = 0.5
+	DefaultJitter     = 0.25
+)
+
+// DefaultFloors are the floors of a Queue that is given none.
+func DefaultFloors() Shares {
+	return Shares{Urgent: 0.25, Standard: 0.2, Bulk: 0.1}
+}
+
+// Option changes a Queue under construction.
+type Option func(*Queue)
+
+// Slots sets how many requests may run at once.
+func Slots(n int) Option {
+	return func(q *Queue) { q.slots = max(n, 1) }
+}
+
+// Depth sets how many requests of one rank may wait.
+func Depth(n int) Option {
+	return func(q *Queue) { q.depth = max(n, 1) }
+}
+
+// Floors sets the share of the slots that each rank keeps in a flood of another.
+func Floors(s Shares) Option {
+	return func(q *Queue) { q.floors = s }
+}
+
+// ProfileCap sets the share of the slots beyond which a profile yields to others of its rank.
+func ProfileCap(share float64) Option {
+	return func(q *Queue) { q.cap = share }
+}
+
+// WithSpeed sets the speed of the endpoint.
+func WithSpeed(s Speed) Option {
+	return func(q *Queue) { q.speed = s }
+}
+
+// WithBreaker sets after how many failures in a row the endpoint rests, and for how long.
+func WithBreaker(failures int, rest time.Duration) Option {
+	return func(q *Queue) { q.breaker = newBreaker(failures, rest) }
+}
+
+// Jitter sets the share by which each Retry-After is spread.
+func Jitter(share float64) Option {
+	return func(q *Queue) { q.jitter = share }
+}
+
+// Seed sets the seed of the jitter.
+func Seed(seed uint64) Option {
+	return func(q *Queue) { q.seed = seed }
+}
--- /dev/null
+++ b/internal/core/route/link.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Sizes of a request on the link between regions, in bytes for each token.
+const (
+	promptBytes = 5
+	answerBytes = 60
+)
+
+// rankCount is the number of ranks.
+const rankCount = 3
+
+// LinkBudget bounds the bytes that each rank may send over the link between
+// regions. A rank may use the budget of less urgent ranks as well as its own.
+type LinkBudget struct {
+	// Urgent, Standard and Bulk are in bytes a second.
+	Urgent   float64
+	Standard float64
+	Bulk     float64
+	// Burst is how many seconds' worth may be used at once.
+	Burst time.Duration
+}
+
+// link keeps one token bucket for each rank.
+type link struct {
+	limited bool
+	rates   [rankCount]float64
+	levels  [rankCount]float64
+	burst   time.Duration
+	last    time.Time
+	used    float64
+}
+
+func newLink(b LinkBudget) link {
+	l := link{limited: true, rates: [rankCount]float64{b.Urgent, b.Standard, b.Bulk}, burst: b.Burst}
+	for i, rate := range l.rates {
+		l.levels[i] = rate * b.Burst.Seconds()
+	}
+	return l
+}
+
+// LinkBytes returns the bytes that choices have put on the link so far, as estimated from lengths.
+func (r *Router) LinkBytes() float64 { return r.link.used }
+
+func linkBytes(req *Request) float64 {
+	return float64(req.Prompt*promptBytes + req.Tokens*answerBytes)
+}
+
+// allows reports whether the rank has budget for the request.
+func (l *link) allows(now time.Time, req *Request) bool {
+	if !l.limited {
+		return true
+	}
+	l.refill(now)
+	return l.available(req.Rank.Level()) >= linkBytes(req)
+}
+
+func (l *link) available(level int) float64 {
+	sum := 0.0
+	for i := level; i < rankCount; i++ {
+		sum += l.levels[i]
+	}
+	return sum
+}
+
+func (l *link) refill(now time.Time) {
+	elapsed := now.Sub(l.last)
+	l.last = now
+	if elapsed <= 0 {
+		return
+	}
+	elapsed = min(elapsed, l.burst)
+	for i, rate := range l.rates {
+		l.levels[i] = min(l.levels[i]+rate*elapsed.Seconds(), rate*l.burst.Seconds())
+	}
+}
+
+// charge takes the request's bytes from its rank's bucket, then from less urgent ones.
+func (l *link) charge(now time.Time, req *Request, to fleet.Place) {
+	if req.Place.Region == to.Region {
+		return
+	}
+	bytes := linkBytes(req)
+	l.used += bytes
+	if !l.limited {
+		return
+	}
+	l.refill(now)
+	for i := req.Rank.Level(); i < rankCount && bytes > 0; i++ {
+		part := min(bytes, l.levels[i])
+		l.levels[i] -= part
+		bytes -= part
+	}
+}
--- /dev/null
+++ b/internal/core/route/options.go
@@ -0,0 +1,68 @@
+package route
+
+import "time"
+
+// Costs turns what is known of a candidate into time to first token.
+type Costs struct {
+	// Own is the wait caused by one request that the report does not yet contain.
+	Own time.Duration
+	// Running is the delay caused by one request that runs or waits there.
+	Running time.Duration
+	// Prefill is the rate at which prompts are read, in tokens a second; zero ignores prompts.
+	Prefill float64
+	// Centre and Region are the times to another data centre or region and back.
+	Centre time.Duration
+	Region time.Duration
+	// Adapter is the time to load an adapter while at most AdapterLimit loads are in flight.
+	Adapter      time.Duration
+	AdapterLimit int
+	// Tie is the difference below which candidates count as equal.
+	Tie time.Duration
+}
+
+// DefaultCosts are the costs of a Router that is given none.
+func DefaultCosts() Costs {
+	return Costs{
+		Own:          8 * time.Millisecond,
+		Running:      2 * time.Millisecond,
+		Prefill:      8000,
+		Centre:       2 * time.Millisecond,
+		Region:       40 * time.Millisecond,
+		Adapter:      8 * time.Millisecond,
+		AdapterLimit: 55,
+		Tie:          2 * time.Millisecond,
+	}
+}
+
+func (c *Costs) prefill(tokens int) time.Duration {
+	if c.Prefill <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / c.Prefill * float64(time.Second))
+}
+
+// adapter predicts an adapter load beside others; beyond the limit it takes proportionally longer.
+func (c *Costs) adapter(inFlight int) time.Duration {
+	if inFlight < c.AdapterLimit {
+		return c.Adapter
+	}
+	return c.Adapter * time.Duration(inFlight+1) / time.Duration(max(c.AdapterLimit, 1))
+}
+
+// Option changes a Router under construction.
+type Option func(*Router)
+
+// WithCosts sets the costs.
+func WithCosts(c Costs) Option {
+	return func(r *Router) { r.costs = c }
+}
+
+// WithLink sets the budget of the link between regions.
+func WithLink(b LinkBudget) Option {
+	return func(r *Router) { r.link = newLink(b) }
+}
+
+// Seed sets the seed of random choices.
+func Seed(seed uint64) Option {
+	return func(r *Router) { r.seed = seed }
+}
--- /dev/null
+++ b/internal/core/route/prefix.go
@@ -0,0 +1,127 @@
+package route
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// BlockTokens is the length of one cached block of a prompt.
+const BlockTokens = 64
+
+// Defaults of a Prefixes index.
+const (
+	DefaultExpiry   = 2 * time.Minute
+	DefaultBlocks   = 1 << 14
+	distrustDivisor = 4
+)
+
+// Block is the chained hash of a prompt up to the end of one block: equal
+// blocks mean equal text from the start of the prompt.
+type Block uint64
+
+// Prefixes is an approximate index of which endpoint has cached which blocks.
+// Cache events come late and with gaps, so each entry expires, and entries of
+// an endpoint whose events had a gap expire sooner. It is not safe for concurrent use.
+type Prefixes struct {
+	expiry time.Duration
+	limit  int
+	views  map[fleet.Endpoint]*view
+}
+
+// view is what is known of one endpoint.
+type view struct {
+	sequence uint64
+	blocks   map[Block]time.Time
+	doubt    time.Time
+}
+
+// NewPrefixes returns an empty index that keeps at most limit blocks of an
+// endpoint, each until expiry after it was last seen.
+func NewPrefixes(expiry time.Duration, limit int) *Prefixes {
+	return &Prefixes{expiry: expiry, limit: max(limit, 1), views: make(map[fleet.Endpoint]*view)}
+}
+
+// Sent notes that a prompt was sent to the endpoint, which will cache it.
+func (p *Prefixes) Sent(now time.Time, e fleet.Endpoint, blocks []Block) {
+	v := p.view(e)
+	for _, b := range blocks {
+		v.blocks[b] = now
+	}
+	p.trim(now, v)
+}
+
+// Event notes a cache event: blocks that the endpoint stored and dropped.
+// A sequence number out of step means that events were lost.
+func (p *Prefixes) Event(now time.Time, e fleet.Endpoint, sequence uint64, stored, dropped []Block) {
+	v := p.view(e)
+	if v.sequence != 0 && sequence != v.sequence+1 {
+		v.doubt = now
+	}
+	v.sequence = sequence
+	for _, b := range stored {
+		v.blocks[b] = now
+	}
+	for _, b := range dropped {
+		delete(v.blocks, b)
+	}
+	p.trim(now, v)
+}
+
+// Forget drops all that is known of an endpoint.
+func (p *Prefixes) Forget(e fleet.Endpoint) {
+	delete(p.views, e)
+}
+
+// Match returns how many tokens of the prompt the endpoint has probably cached.
+func (p *Prefixes) Match(now time.Time, e fleet.Endpoint, blocks []Block) int {
+	v, ok := p.views[e]
+	if !ok {
+		return 0
+	}
+	count := 0
+	for _, b := range blocks {
+		seen, ok := v.blocks[b]
+		if !ok || !p.fresh(now, v, seen) {
+			break
+		}
+		count++
+	}
+	return count * BlockTokens
+}
+
+func (p *Prefixes) fresh(now time.Time, v *view, seen time.Time) bool {
+	age := now.Sub(seen)
+	if seen.Before(v.doubt) {
+		return age < p.expiry/distrustDivisor
+	}
+	return age < p.expiry
+}
+
+func (p *Prefixes) view(e fleet.Endpoint) *view {
+	v, ok := p.views[e]
+	if !ok {
+		v = &view{blocks: make(map[Block]time.Time)}
+		p.views[e] = v
+	}
+	return v
+}
+
+// trim keeps a view within its limit: stale blocks go first, then any.
+func (p *Prefixes) trim(now time.Time, v *view) {
+	if len(v.blocks) <= p.limit {
+		return
+	}
+	for b, seen := range v.blocks {
+		if !p.fresh(now, v, seen) {
+			delete(v.blocks, b)
+		}
+	}
+	target := p.limit - p.limit/distrustDivisor
+	for b := range v.blocks {
+		if len(v.blocks) <= target {
+			return
+		}
+		delete(v.blocks, b)
+	}
+}
