feat: membership, at-most-once claims, document revisions and suspects

Cause: the dispatch path needs to know who dispatches, who may run a request once, which profile document is in force and which request kills endpoints. Ruled out: a member list in the store with a watch per instance (one call per instance and change at 420 instances); leases per claim (a lapse would let a second run in); store indexes as revisions (they restart after a restore). Change: pure cores member, once, revision, suspect and their shells claim and document over platform.Store. Conclusion: API to build on; behaviour under faults is not proved yet.

--- /dev/null
+++ b/internal/claim/upkeep.go
@@ -0,0 +1,87 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+// SweepBatch is how many records one commit of a sweep removes.
+const SweepBatch = 64
+
+// Settle tries again the ends of claims that the store could not take before, and
+// returns how many are left. It stops at the first failure, to spare a store that is down.
+func (c *Claims) Settle(ctx context.Context) (int, error) {
+	for path, record := range c.unsettled() {
+		err := c.settle(ctx, path, record)
+		if err != nil && !errors.Is(err, ErrNotHeld) {
+			return c.Pending(), fmt.Errorf("settle claims: %w", err)
+		}
+		c.settled(path, record)
+	}
+	return c.Pending(), nil
+}
+
+// Pending returns how many ends of claims wait for the store.
+func (c *Claims) Pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
+func (c *Claims) unsettled() map[string]once.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make(map[string]once.Record, len(c.pending))
+	for path, record := range c.pending {
+		list[path] = record
+	}
+	return list
+}
+
+func (c *Claims) settled(path string, record once.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending[path].Claim == record.Claim {
+		delete(c.pending, path)
+	}
+}
+
+// Sweep removes records that have outlived their retention, a batch a commit, and
+// returns how many it removed. One instance at a time should sweep; two do no harm.
+func (c *Claims) Sweep(ctx context.Context) (int, error) {
+	entries, err := c.store.List(ctx, once.Prefix)
+	if err != nil {
+		return 0, fmt.Errorf("sweep claims: list: %w", err)
+	}
+	removed := 0
+	var batch []platform.Write
+	for _, e := range entries {
+		if c.expired(e) {
+			batch = append(batch, platform.Write{Key: e.Key, Expect: e.Version, Delete: true})
+		}
+		if len(batch) == SweepBatch {
+			if err := c.store.Commit(ctx, batch...); err != nil {
+				return removed, fmt.Errorf("sweep claims: commit: %w", err)
+			}
+			removed += len(batch)
+			batch = batch[:0]
+		}
+	}
+	if len(batch) == 0 {
+		return removed, nil
+	}
+	if err := c.store.Commit(ctx, batch...); err != nil {
+		return removed, fmt.Errorf("sweep claims: commit: %w", err)
+	}
+	return removed + len(batch), nil
+}
+
+// expired keeps a record that can't be read: it may guard a key.
+func (c *Claims) expired(e platform.Entry) bool {
+	record, err := once.Decode(e.Value)
+	return err == nil && record.Sweepable(c.now(), c.retention)
+}
--- /dev/null
+++ b/internal/core/member/options.go
@@ -0,0 +1,62 @@
+package member
+
+import "time"
+
+// Defaults of a view.
+const (
+	DefaultInterval = 500 * time.Millisecond
+	DefaultExchange = 2 * time.Second
+	DefaultForget   = 10 * time.Minute
+
+	suspectMissed = 3
+	deadMissed    = 6
+	watchers      = 2
+	speakers      = 2
+	probeRounds   = 8
+	retiredKept   = 8
+)
+
+type settings struct {
+	interval time.Duration
+	exchange time.Duration
+	forget   time.Duration
+	suspect  int
+	dead     int
+	pause    bool
+	sticky   bool
+}
+
+// Option changes a view at construction.
+type Option func(*settings)
+
+// WithInterval sets the time between two heartbeats.
+func WithInterval(d time.Duration) Option {
+	return func(s *settings) { s.interval = d }
+}
+
+// WithExchange sets the time between two exchanges with another data centre.
+func WithExchange(d time.Duration) Option {
+	return func(s *settings) { s.exchange = d }
+}
+
+// WithMissed sets how many intervals without news make a peer suspected and dead.
+func WithMissed(suspected, dead int) Option {
+	return func(s *settings) { s.suspect, s.dead = suspected, dead }
+}
+
+// WithForget sets how long a dead peer is remembered.
+func WithForget(d time.Duration) Option {
+	return func(s *settings) { s.forget = d }
+}
+
+func defaults() settings {
+	return settings{
+		interval: DefaultInterval,
+		exchange: DefaultExchange,
+		forget:   DefaultForget,
+		suspect:  suspectMissed,
+		dead:     deadMissed,
+		pause:    true,
+		sticky:   true,
+	}
+}
--- /dev/null
+++ b/internal/core/member/record.go
@@ -0,0 +1,69 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// record is what a view keeps of one peer.
+type record struct {
+	peer  Peer
+	state State
+	// heard is when the last news of this incarnation came.
+	heard time.Time
+	// listed says that the platform's latest list names the peer as live.
+	listed bool
+	// hash is the peer's share of every rendezvous score.
+	hash uint64
+	// left are incarnations that were seen leaving, retired those replaced by a newer one.
+	left    []string
+	retired []string
+}
+
+func newRecord(p Peer) *record {
+	return &record{peer: p, state: StateListed, hash: xxhash.Sum64String(string(p.Instance))}
+}
+
+// remember appends to a short list without repeats, dropping the oldest.
+func remember(list []string, incarnation string) []string {
+	if slices.Contains(list, incarnation) {
+		return list
+	}
+	list = append(list, incarnation)
+	if len(list) > retiredKept {
+		list = slices.Delete(list, 0, 1)
+	}
+	return list
+}
+
+// stale says whether news of an incarnation is older than what is known.
+func (r *record) stale(p Peer) bool {
+	if slices.Contains(r.retired, p.Incarnation) {
+		return true
+	}
+	return r.state != StateListed && p.Incarnation == r.peer.Incarnation && p.Sequence < r.peer.Sequence
+}
+
+// replace takes news of a peer, retiring the incarnation it supersedes.
+func (r *record) replace(p Peer, sticky bool) {
+	if p.Incarnation != r.peer.Incarnation && r.state != StateListed {
+		r.retired = remember(r.retired, r.peer.Incarnation)
+	}
+	if sticky && slices.Contains(r.left, p.Incarnation) {
+		p.Leaving = true
+	}
+	if p.Leaving {
+		r.left = remember(r.left, p.Incarnation)
+	}
+	r.peer = p
+}
+
+// heardState is the state of a peer that was heard just now.
+func (r *record) heardState() State {
+	if r.peer.Leaving {
+		return StateLeaving
+	}
+	return StateLive
+}
--- /dev/null
+++ b/internal/core/revision/revision.go
@@ -0,0 +1,165 @@
+// Package revision decides which profile document an instance holds in force.
+//
+// The revision is a counter inside the stored value, raised by each accepted apply.
+// It is never the store's own index, which may start again after a restore.
+package revision
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Errors of documents.
+var (
+	// ErrStale: the expected revision is not the one in force.
+	ErrStale = errors.New("revision is not the expected one")
+	// ErrBehind: a higher revision was heard of than could be read.
+	ErrBehind = errors.New("a higher revision is in force elsewhere")
+	// ErrFork: two different documents carry the same revision.
+	ErrFork = errors.New("two documents with one revision")
+	// ErrMalformed: a stored document can't be read.
+	ErrMalformed = errors.New("malformed document")
+)
+
+// Document is one profile document.
+type Document struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	// Apply is unique for each apply; it tells two documents of one revision apart.
+	Apply string `cbor:"2,keyasint"`
+	Text  []byte `cbor:"3,keyasint"`
+	// Trail names the applies before this one, newest first, so that an operator
+	// whose reply was lost learns that its apply was accepted and followed by another.
+	Trail []Mark `cbor:"4,keyasint,omitempty"`
+}
+
+// Mark names one accepted apply.
+type Mark struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Apply    string `cbor:"2,keyasint"`
+}
+
+// trailLimit is how many earlier applies a document names.
+const trailLimit = 32
+
+// Accepted returns the revision that an apply got, if this document is that apply
+// or names it in its trail.
+func (d Document) Accepted(apply string) (uint64, bool) {
+	for _, m := range append([]Mark{{Revision: d.Revision, Apply: d.Apply}}, d.Trail...) {
+		if m.Apply == apply {
+			return m.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// next returns the document that follows with a given revision.
+func (d Document) next(rev uint64, apply string, text []byte) Document {
+	next := Document{Revision: rev, Apply: apply, Text: text}
+	if d.Revision > 0 {
+		next.Trail = append([]Mark{{Revision: d.Revision, Apply: d.Apply}}, d.Trail...)
+	}
+	next.Trail = next.Trail[:min(len(next.Trail), trailLimit)]
+	return next
+}
+
+// Encode returns the stored form.
+func (d Document) Encode() ([]byte, error) {
+	raw, err := cbor.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("encode document %d: %w", d.Revision, err)
+	}
+	return raw, nil
+}
+
+// Decode reads a stored document.
+func Decode(raw []byte) (Document, error) {
+	var d Document
+	if err := cbor.Unmarshal(raw, &d); err != nil {
+		return Document{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if d.Revision == 0 {
+		return Document{}, fmt.Errorf("%w: no revision", ErrMalformed)
+	}
+	return d, nil
+}
+
+// Ledger holds the document in force at one instance. It is not safe for
+// concurrent use.
+type Ledger struct {
+	current Document
+	heard   uint64
+	rising  bool
+}
+
+// Option changes a ledger at construction.
+type Option func(*Ledger)
+
+// New returns a ledger without a document.
+func New(opts ...Option) *Ledger {
+	l := &Ledger{rising: true}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Ready says whether a document is in force. An instance without one takes no work.
+func (l *Ledger) Ready() bool {
+	return l.current.Revision > 0
+}
+
+// Current returns the document in force, false before the first.
+func (l *Ledger) Current() (Document, bool) {
+	return l.current, l.Ready()
+}
+
+// Hear notes a revision that another instance has in force.
+func (l *Ledger) Hear(revision uint64) {
+	l.heard = max(l.heard, revision)
+}
+
+// Behind says whether a higher revision was heard of than is in force.
+func (l *Ledger) Behind() bool {
+	return l.heard > l.current.Revision
+}
+
+// Offer puts a document in force if its revision is higher. It returns true when
+// the document in force changed, and ErrFork for another document of the same revision.
+func (l *Ledger) Offer(d Document) (bool, error) {
+	l.Hear(d.Revision)
+	if d.Revision == l.current.Revision && d.Apply != l.current.Apply {
+		return false, fmt.Errorf("revision %d, applies %s and %s: %w", d.Revision, l.current.Apply, d.Apply, ErrFork)
+	}
+	if l.rising && d.Revision <= l.current.Revision {
+		return false, nil
+	}
+	changed := d.Apply != l.current.Apply
+	l.current = d
+	return changed, nil
+}
+
+// Plan returns the document to write for an apply that expects a revision, given
+// what the store holds (zero when it holds none).
+//
+// The store may hold a lower revision than the one in force, after a restore from a
+// backup; the next revision is counted from the highest that is known.
+func (l *Ledger) Plan(expect uint64, id string, text []byte, stored Document) (Document, error) {
+	base := max(stored.Revision, l.current.Revision)
+	if l.heard > base {
+		return Document{}, fmt.Errorf("revision %d heard, %d read: %w", l.heard, base, ErrBehind)
+	}
+	if expect != base {
+		return Document{}, fmt.Errorf("revision %d expected, %d in force: %w", expect, base, ErrStale)
+	}
+	if stored.Revision < base {
+		stored = l.current
+	}
+	return stored.next(base+1, id, text), nil
+}
+
+// Repair returns the document in force when the store holds a lower one.
+func (l *Ledger) Repair(stored Document) (Document, bool) {
+	return l.current, l.Ready() && !l.Behind() && stored.Revision < l.current.Revision
+}
--- /dev/null
+++ b/internal/document/apply.go
@@ -0,0 +1,82 @@
+package document
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/chiveramp/chiveramp/internal/core/revision"
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+const applyTries = 4
+
+// Apply writes a new document if the expected revision is the one in force (zero
+// for the first), and returns its revision. It answers only once the write is known
+// to have taken effect; ErrUncertain means that this could not be found out.
+func (d *Documents) Apply(ctx context.Context, expect uint64, text []byte) (uint64, error) {
+	if len(text) > SizeLimit {
+		return 0, fmt.Errorf("apply: %d bytes: %w", len(text), ErrTooLarge)
+	}
+	id := d.id()
+	uncertain := false
+	for range applyTries {
+		stored, version, err := d.read(ctx)
+		if err != nil {
+			return 0, applyError(err, uncertain)
+		}
+		if rev, ok := stored.Accepted(id); ok {
+			return rev, d.accepted(stored)
+		}
+		doc, err := d.plan(expect, id, text, stored)
+		if err != nil {
+			return 0, applyError(err, uncertain && !errors.Is(err, revision.ErrStale))
+		}
+		err = d.write(ctx, doc, version)
+		if err == nil || (errors.Is(err, platform.ErrUncertain) && !d.readBack) {
+			return doc.Revision, d.accepted(doc)
+		}
+		if errors.Is(err, platform.ErrUnavailable) {
+			return 0, applyError(err, uncertain)
+		}
+		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
+	}
+	return 0, applyError(platform.ErrConflict, uncertain)
+}
+
+// applyError says that an earlier write may have taken effect.
+func applyError(err error, uncertain bool) error {
+	if uncertain {
+		return fmt.Errorf("apply: %w: %w", platform.ErrUncertain, err)
+	}
+	return fmt.Errorf("apply: %w", err)
+}
+
+func (d *Documents) read(ctx context.Context) (revision.Document, platform.Version, error) {
+	entry, err := d.store.Get(ctx, Key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return revision.Document{}, 0, nil
+	}
+	if err != nil {
+		return revision.Document{}, 0, fmt.Errorf("read %s: %w", Key, err)
+	}
+	doc, err := revision.Decode(entry.Value)
+	if err != nil {
+		return revision.Document{}, 0, fmt.Errorf("read %s: %w", Key, err)
+	}
+	return doc, entry.Version, nil
+}
+
+func (d *Documents) plan(expect uint64, id string, text []byte, stored revision.Document) (revision.Document, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ledger.Plan(expect, id, text, stored)
+}
+
+// accepted puts a document that the store is known to hold in force here.
+func (d *Documents) accepted(doc revision.Document) error {
+	if err := d.offer(doc); err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/document/watch.go
@@ -0,0 +1,43 @@
+package document
+
+import (
+	"context"
+	"errors"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+// errWoken: the wait was ended because Run has something else to do.
+var errWoken = errors.New("woken")
+
+// waitStore waits for a change at the store. A higher revision heard from a peer,
+// or a changed role, ends the wait early.
+func (d *Documents) waitStore(ctx context.Context, after platform.Version) (platform.Entry, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	group, waiting := errgroup.WithContext(ctx)
+	done := make(chan struct{})
+	group.Go(func() error {
+		select {
+		case <-d.wake:
+			cancel(errWoken)
+		case <-done:
+		case <-waiting.Done():
+		}
+		return nil
+	})
+	entry, err := d.store.Wait(waiting, Key, after, d.wait)
+	close(done)
+	if waitErr := group.Wait(); waitErr != nil {
+		return platform.Entry{}, waitErr
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errWoken) {
+		return platform.Entry{}, errWoken
+	}
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{Key: Key}, nil
+	}
+	return entry, err
+}
