feat: placement planner

Change: internal/core/place. A view goes in, moves come out: models without a copy first (most work for their size), then copies where work is late by marginal gain against the cost of the move and of what is displaced, then a second data centre where memory is free. Room is made by unloads only, the load follows in a later round once they were seen. A young copy stays, the last copy is never proposed for unload, loads pending are bounded. With the minimum stay off, a copy that came a minute ago is dropped again. Conclusion: first usable version; thresholds still to be measured.

--- /dev/null
+++ b/internal/core/place/demand.go
@@ -0,0 +1,72 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// Time constants of the two averages.
+const (
+	DefaultFast = 30 * time.Second
+	DefaultSlow = 10 * time.Minute
+)
+
+// Demand keeps a fast and a slow average of the rate of work.
+type Demand struct {
+	fast rate
+	slow rate
+}
+
+// NewDemand returns a Demand with the two time constants.
+func NewDemand(fast, slow time.Duration) *Demand {
+	return &Demand{fast: rate{constant: fast}, slow: rate{constant: slow}}
+}
+
+// Add notes work, in seconds of one accelerator.
+func (d *Demand) Add(now time.Time, work float64) {
+	d.fast.add(now, work)
+	d.slow.add(now, work)
+}
+
+// Fast returns the fast average, in accelerators.
+func (d *Demand) Fast(now time.Time) float64 { return d.fast.at(now) }
+
+// Slow returns the slow average, in accelerators.
+func (d *Demand) Slow(now time.Time) float64 { return d.slow.at(now) }
+
+// rate is a sum that decays with its time constant.
+type rate struct {
+	constant time.Duration
+	sum      float64
+	last     time.Time
+	first    time.Time
+}
+
+func (r *rate) add(now time.Time, work float64) {
+	if r.first.IsZero() {
+		r.first, r.last = now, now
+	}
+	r.decay(now)
+	r.sum += work
+}
+
+func (r *rate) decay(now time.Time) {
+	elapsed := now.Sub(r.last)
+	if elapsed <= 0 {
+		return
+	}
+	r.sum *= math.Exp(-elapsed.Seconds() / r.constant.Seconds())
+	r.last = now
+}
+
+// at returns the rate. While less than the time constant has passed since the
+// first work, the sum is divided by what it can have gathered so far.
+func (r *rate) at(now time.Time) float64 {
+	if r.first.IsZero() {
+		return 0
+	}
+	r.decay(now)
+	known := max(now.Sub(r.first), time.Second).Seconds()
+	constant := r.constant.Seconds()
+	return r.sum / (constant * (1 - math.Exp(-known/constant)))
+}
--- /dev/null
+++ b/internal/core/place/place_test.go
@@ -0,0 +1,174 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func endpoint(i, centre int, models ...fleet.Model) EndpointView {
+	return EndpointView{
+		Endpoint: fleet.Endpoint(fmt.Sprintf("e%03d", i)),
+		Place:    fleet.Place{Region: "sask", DataCentre: fleet.DataCentre(fmt.Sprintf("s%d", centre))},
+		Memory:   64 * gib,
+		Used:     int64(len(models)) * 16 * gib,
+		Models:   models,
+	}
+}
+
+func model(name fleet.Model, demand float64) ModelView {
+	return ModelView{Model: name, Bytes: 16 * gib, Fast: demand, Slow: demand}
+}
+
+func TestUnreachableComesFirst(t *testing.T) {
+	v := View{
+		Endpoints: []EndpointView{endpoint(0, 1, "hot"), endpoint(1, 1)},
+		Models:    []ModelView{model("hot", 3), model("lost", 0)},
+	}
+	moves := New().Plan(start, v)
+	require.NotEmpty(t, moves)
+	require.Equal(t, Move{Kind: KindLoad, Model: "lost", Endpoint: "e001", Reason: ReasonUnreachable}, moves[0])
+}
+
+func TestDeadEndpointsDoNotCount(t *testing.T) {
+	dead := endpoint(0, 1, "a")
+	dead.Dead = true
+	moves := New().Plan(start, View{
+		Endpoints: []EndpointView{dead, endpoint(1, 1)},
+		Models:    []ModelView{model("a", 0.1)},
+	})
+	require.Equal(t, []Move{{Kind: KindLoad, Model: "a", Endpoint: "e001", Reason: ReasonUnreachable}}, moves)
+}
+
+func TestRoomIsMadeWithoutDroppingALastCopy(t *testing.T) {
+	v := View{
+		Endpoints: []EndpointView{endpoint(0, 1, "a", "b", "c", "d"), endpoint(1, 1, "a", "e", "f", "g")},
+		Models: []ModelView{
+			model("a", 0.1), model("b", 0.1), model("c", 0.1), model("d", 0.1),
+			model("e", 0.1), model("f", 0.1), model("g", 0.1), model("lost", 0.1),
+		},
+	}
+	moves := New().Plan(start, v)
+	require.Len(t, moves, 1)
+	require.Equal(t, KindUnload, moves[0].Kind)
+	require.Equal(t, fleet.Model("a"), moves[0].Model)
+	require.Equal(t, fleet.Model("lost"), moves[0].For)
+}
+
+func TestHotModelGetsACopy(t *testing.T) {
+	v := View{
+		Endpoints: []EndpointView{endpoint(0, 1, "a"), endpoint(1, 2, "b"), endpoint(2, 2, "b")},
+		Models:    []ModelView{model("a", 1.6), model("b", 0.2)},
+	}
+	moves := New().Plan(start, v)
+	require.NotEmpty(t, moves)
+	require.Equal(t, KindLoad, moves[0].Kind)
+	require.Equal(t, fleet.Model("a"), moves[0].Model)
+	require.Equal(t, ReasonDemand, moves[0].Reason)
+}
+
+func TestCalmFleetIsLeftAlone(t *testing.T) {
+	v := View{
+		Endpoints: []EndpointView{endpoint(0, 1, "a", "b"), endpoint(1, 2, "a", "b")},
+		Models:    []ModelView{model("a", 0.4), model("b", 0.3)},
+	}
+	require.Empty(t, New().Plan(start, v))
+}
+
+func TestLoadsAtOnceAreBounded(t *testing.T) {
+	v := View{}
+	for i := range 20 {
+		v.Endpoints = append(v.Endpoints, endpoint(i, i%2))
+		v.Models = append(v.Models, model(fleet.Model(fmt.Sprint(i)), 0.1))
+	}
+	v.Endpoints[0].Pending = []Pending{{Kind: KindLoad, Model: "0"}}
+	require.Len(t, New(AtOnce(4)).Plan(start, v), 3)
+}
+
+func TestYoungCopiesStay(t *testing.T) {
+	tests := []struct {
+		name  string
+		stay  time.Duration
+		moves bool
+	}{
+		{name: "min stay on", stay: 3 * time.Minute, moves: false},
+		{name: "min stay off", stay: 0, moves: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := New(MinStay(tt.stay))
+			one := endpoint(1, 1, "b")
+			one.Memory = 32 * gib
+			v := View{
+				Endpoints: []EndpointView{endpoint(0, 1, "a", "b"), one},
+				Models:    []ModelView{model("a", 1.2), model("b", 0.01)},
+			}
+			first := p.Plan(start, v)
+			require.Contains(t, first, Move{Kind: KindLoad, Model: "a", Endpoint: "e001", Reason: ReasonDemand})
+			v.Endpoints[1].Models = []fleet.Model{"a", "b"}
+			v.Endpoints[1].Used = 32 * gib
+			v.Models = append(v.Models, model("c", 1.8))
+			v.Endpoints[0].Models = []fleet.Model{"a", "b", "c"}
+			v.Endpoints[0].Used = 64 * gib
+			v.Models[0] = model("a", 0)
+			v.Models[1] = model("b", 0.2)
+			second := p.Plan(start.Add(time.Minute), v)
+			dropped := Move{Kind: KindUnload, Model: "a", Endpoint: "e001", Reason: ReasonRoom, For: "c"}
+			if tt.moves {
+				require.Contains(t, second, dropped)
+			} else {
+				require.NotContains(t, second, dropped)
+			}
+		})
+	}
+}
+
+func TestDemandFollowsARise(t *testing.T) {
+	d := NewDemand(DefaultFast, DefaultSlow)
+	now := start
+	for range 3600 {
+		now = now.Add(time.Second)
+		d.Add(now, 0.1)
+	}
+	require.InDelta(t, 0.1, d.Fast(now), 0.01)
+	require.InDelta(t, 0.1, d.Slow(now), 0.01)
+	for range 60 {
+		now = now.Add(time.Second)
+		d.Add(now, 1)
+	}
+	require.InDelta(t, 0.9, d.Fast(now), 0.1)
+	require.Less(t, d.Slow(now), 0.3)
+}
+
+func benchmarkView(endpoints, models int) View {
+	v := View{}
+	for i := range models {
+		m := model(fleet.Model(fmt.Sprintf("m%03d", i)), 0.3*float64(i%7))
+		v.Models = append(v.Models, m)
+	}
+	for i := range endpoints {
+		a := v.Models[i%models].Model
+		b := v.Models[(i*7+3)%models].Model
+		c := v.Models[(i*13+5)%models].Model
+		v.Endpoints = append(v.Endpoints, endpoint(i, i%3, a, b, c))
+	}
+	return v
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{60, 200, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := benchmarkView(n, n*760/600)
+			b.ReportAllocs()
+			for b.Loop() {
+				New().Plan(start, v)
+			}
+		})
+	}
+}
