--- /dev/null
+++ b/internal/inifile/file.go
@@ -0,0 +1,153 @@
+// Package inifile reads INI text strictly: unknown sections, unknown keys,
+// repeated keys and values of the wrong kind are errors of one line.
+package inifile
+
+import (
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// File is parsed INI text.
+type File struct {
+	name     string
+	sections []Section
+}
+
+// Section is one section of a file.
+type Section struct {
+	file  string
+	name  string
+	pairs []pair
+}
+
+type pair struct {
+	key    string
+	values []string
+}
+
+// Parse reads text. The name stands for the text in errors.
+func Parse(name string, text []byte) (File, error) {
+	raw, err := ini.LoadSources(options(), text)
+	if err != nil {
+		return File{}, &Error{File: name, Given: oneLine(err.Error()), Want: "lines of the form key = value under [section]"}
+	}
+	f := File{name: name}
+	for _, s := range raw.Sections() {
+		if s.Name() == ini.DefaultSection {
+			if keys := s.Keys(); len(keys) > 0 {
+				return File{}, &Error{File: name, Given: fmt.Sprintf("key %q before any section", keys[0].Name()), Want: "a [section] line first"}
+			}
+			continue
+		}
+		f.sections = append(f.sections, newSection(name, s))
+	}
+	return f, nil
+}
+
+func options() ini.LoadOptions {
+	return ini.LoadOptions{
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		IgnoreContinuation:         true,
+		KeyValueDelimiters:         "=",
+	}
+}
+
+func newSection(file string, s *ini.Section) Section {
+	section := Section{file: file, name: s.Name()}
+	for _, k := range s.Keys() {
+		section.pairs = append(section.pairs, pair{key: k.Name(), values: k.ValueWithShadows()})
+	}
+	return section
+}
+
+// Name returns the name that stands for the text in errors.
+func (f File) Name() string { return f.name }
+
+// Sections returns the sections in the order of the text.
+func (f File) Sections() []Section { return f.sections }
+
+// Name returns the section's full name.
+func (s Section) Name() string { return s.name }
+
+// Kind returns the first word of the section's name and its quoted label, as
+// in [profile "chat"]. The label is empty when there is none.
+func (s Section) Kind() (kind, label string) {
+	kind, rest, found := strings.Cut(s.name, " ")
+	if !found {
+		return kind, ""
+	}
+	rest = strings.TrimSpace(rest)
+	if len(rest) < 2 || rest[0] != '"' || rest[len(rest)-1] != '"' {
+		return s.name, ""
+	}
+	return kind, rest[1 : len(rest)-1]
+}
+
+// Fault returns an error at a key of this section, or of the whole section when key is empty.
+func (s Section) Fault(key, given, want string) error {
+	return &Error{File: s.file, Section: s.name, Key: key, Given: given, Want: want}
+}
+
+// Decode sets the fields from the section's keys and checks that all keys are
+// known and that all needed ones are there.
+func (s Section) Decode(fields []Field) error {
+	known := make(map[string]Field, len(fields))
+	for _, f := range fields {
+		known[f.Key] = f
+	}
+	seen := make(map[string]bool, len(s.pairs))
+	for _, p := range s.pairs {
+		f, found := known[p.key]
+		if !found {
+			return s.Fault(oneLine(p.key), "unknown key", "one of "+keyNames(fields))
+		}
+		if err := s.set(f, p); err != nil {
+			return err
+		}
+		seen[p.key] = true
+	}
+	return s.missing(fields, seen)
+}
+
+func (s Section) set(f Field, p pair) error {
+	if len(p.values) > 1 {
+		return s.Fault(p.key, fmt.Sprintf("given %d times", len(p.values)), "it once")
+	}
+	value := ""
+	if len(p.values) == 1 {
+		value = strings.TrimSpace(p.values[0])
+	}
+	if !f.set(value) {
+		return s.Fault(p.key, fmt.Sprintf("got %q", value), f.Want)
+	}
+	return nil
+}
+
+func (s Section) missing(fields []Field, seen map[string]bool) error {
+	for _, f := range fields {
+		if f.Needed && !seen[f.Key] {
+			return s.Fault(f.Key, "missing", f.Want)
+		}
+	}
+	return nil
+}
+
+// Missing checks a section that the text does not have: its first needed field is the error.
+func Missing(file, section string, fields []Field) error {
+	return Section{file: file, name: section}.missing(fields, nil)
+}
+
+func keyNames(fields []Field) string {
+	names := make([]string, 0, len(fields))
+	for _, f := range fields {
+		names = append(names, f.Key)
+	}
+	return strings.Join(names, ", ")
+}
+
+func oneLine(text string) string {
+	return strings.Join(strings.Fields(text), " ")
+}
--- /dev/null
+++ b/internal/timer/queue.go
@@ -0,0 +1,42 @@
+package timer
+
+import "time"
+
+// entry is one subscription. A zero interval means it is called once.
+type entry struct {
+	at        time.Time
+	wait      time.Duration
+	interval  time.Duration
+	jitter    time.Duration
+	fn        func(now time.Time)
+	index     int
+	cancelled bool
+}
+
+// queue is a heap of entries, the earliest first.
+type queue []*entry
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push adds an entry, for package heap.
+func (q *queue) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*q)
+	*q = append(*q, e)
+}
+
+// Pop removes the last entry, for package heap.
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	e.index = -1
+	return e
+}
--- /dev/null
+++ b/internal/timer/timer.go
@@ -0,0 +1,160 @@
+// Package timer runs functions at times and intervals that parts of the system
+// subscribe to. One goroutine serves all subscriptions, so a function must not block.
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Clock gives the time and wakes the service.
+type Clock interface {
+	// Now returns the present time.
+	Now() time.Time
+	// Wake returns a channel that receives once the wait is over, and a function that gives the wait up.
+	Wake(wait time.Duration) (<-chan time.Time, func())
+}
+
+// idle bounds the wait of a service without subscriptions.
+const idle = time.Hour
+
+// Service calls subscribers at their times.
+type Service struct {
+	clock   Clock
+	random  func() float64
+	mu      sync.Mutex
+	queue   queue
+	changed chan struct{}
+}
+
+// Option changes how a Service is built.
+type Option func(*Service)
+
+// WithRandom sets the source of jitter, numbers from 0 up to 1.
+func WithRandom(random func() float64) Option {
+	return func(s *Service) { s.random = random }
+}
+
+// New returns a service on a clock. Nothing is called before Start.
+func New(clock Clock, options ...Option) *Service {
+	s := &Service{clock: clock, random: rand.Float64, changed: make(chan struct{}, 1)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Start runs the service in the group until the context ends.
+func (s *Service) Start(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error {
+		s.run(ctx)
+		return nil
+	})
+}
+
+// Now returns the clock's present time.
+func (s *Service) Now() time.Time { return s.clock.Now() }
+
+// Every calls fn after each interval plus a random part of jitter, until cancelled.
+func (s *Service) Every(interval, jitter time.Duration, fn func(now time.Time)) (cancel func()) {
+	return s.add(&entry{interval: interval, jitter: jitter, fn: fn})
+}
+
+// After calls fn once when the wait is over, unless cancelled before.
+func (s *Service) After(wait time.Duration, fn func(now time.Time)) (cancel func()) {
+	return s.add(&entry{wait: wait, fn: fn})
+}
+
+func (s *Service) add(e *entry) func() {
+	now := s.clock.Now()
+	s.mu.Lock()
+	e.at = now.Add(s.delay(e))
+	heap.Push(&s.queue, e)
+	s.mu.Unlock()
+	s.notify()
+	return func() { s.remove(e) }
+}
+
+func (s *Service) delay(e *entry) time.Duration {
+	if e.interval == 0 {
+		return e.wait
+	}
+	return e.interval + time.Duration(s.random()*float64(e.jitter))
+}
+
+func (s *Service) remove(e *entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.cancelled = true
+	if e.index >= 0 {
+		heap.Remove(&s.queue, e.index)
+	}
+}
+
+func (s *Service) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) run(ctx context.Context) {
+	for {
+		s.Fire()
+		wake, stop := s.clock.Wake(s.untilNext())
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-s.changed:
+		case <-wake:
+		}
+		stop()
+	}
+}
+
+func (s *Service) untilNext() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue) == 0 {
+		return idle
+	}
+	return max(s.queue[0].at.Sub(s.clock.Now()), 0)
+}
+
+// Fire calls all that is due now. Tests may call it instead of Start.
+func (s *Service) Fire() {
+	now := s.clock.Now()
+	for {
+		e := s.due(now)
+		if e == nil {
+			return
+		}
+		e.fn(now)
+		s.again(e, now)
+	}
+}
+
+func (s *Service) due(now time.Time) *entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue) == 0 || s.queue[0].at.After(now) {
+		return nil
+	}
+	return heap.Pop(&s.queue).(*entry)
+}
+
+func (s *Service) again(e *entry, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.interval == 0 || e.cancelled {
+		return
+	}
+	e.at = now.Add(s.delay(e))
+	heap.Push(&s.queue, e)
+}
--- /dev/null
+++ b/pkg/config/fields.go
@@ -0,0 +1,132 @@
+package config
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/inifile"
+)
+
+// section lists the keys of one section, bound to a Config.
+type section struct {
+	name   string
+	fields []inifile.Field
+}
+
+const (
+	leastBeat    = 50 * time.Millisecond
+	leastLease   = time.Second
+	leastTimeout = 10 * time.Millisecond
+	leastBody    = 1 << 10
+	mostCount    = 1 << 20
+)
+
+func sections(c *Config) []section {
+	return []section{
+		{"instance", instanceFields(&c.Instance)},
+		{"caller", callerFields(&c.Caller)},
+		{"peer", peerFields(&c.Peer)},
+		{"operator", operatorFields(&c.Operator)},
+		{"platform", platformFields(&c.Platform)},
+		{"endpoint", endpointFields(&c.Endpoint)},
+		{"weights", weightsFields(&c.Weights)},
+		{"limits", limitsFields(&c.Limits)},
+		{"log", logFields(&c.Log)},
+		{"trace", traceFields(&c.Trace)},
+		{"metrics", []inifile.Field{inifile.Address("listen", &c.Metrics.Listen)}},
+	}
+}
+
+func instanceFields(i *Instance) []inifile.Field {
+	return []inifile.Field{
+		inifile.Name("name", &i.Name).Must(),
+		inifile.Name("region", &i.Region).Must(),
+		inifile.Name("datacentre", &i.Datacentre).Must(),
+		inifile.Name("incarnation", &i.Incarnation),
+	}
+}
+
+func callerFields(c *Caller) []inifile.Field {
+	return []inifile.Field{
+		inifile.Address("listen", &c.Listen).Must(),
+		inifile.HostPort("advertise", &c.Advertise),
+		inifile.Size("body", &c.Body, leastBody),
+		inifile.Size("header", &c.Header, leastBody),
+		inifile.Count("connections", &c.Connections, 1, mostCount),
+		inifile.Duration("idle", &c.Idle, time.Second),
+		inifile.Duration("keep", &c.Keep, 100*time.Millisecond),
+	}
+}
+
+func peerFields(p *Peer) []inifile.Field {
+	return append([]inifile.Field{
+		inifile.Address("listen", &p.Listen).Must(),
+		inifile.HostPort("advertise", &p.Advertise),
+		inifile.Duration("beat", &p.Beat, leastBeat),
+		inifile.HostPorts("seeds", &p.Seeds),
+	}, tlsFields(&p.TLS)...)
+}
+
+func operatorFields(o *Operator) []inifile.Field {
+	return append([]inifile.Field{
+		inifile.Address("listen", &o.Listen).Must(),
+		inifile.Text("token", &o.Token).Must().Saying("a secret of 16 bytes or more, or file:PATH of one"),
+	}, tlsFields(&o.TLS)...)
+}
+
+func tlsFields(t *TLS) []inifile.Field {
+	const want = "the path of a PEM file"
+	return []inifile.Field{
+		inifile.Text("cert", &t.Cert).Saying(want),
+		inifile.Text("key", &t.Key).Saying(want),
+		inifile.Text("ca", &t.CA).Saying(want),
+	}
+}
+
+func platformFields(p *Platform) []inifile.Field {
+	return []inifile.Field{
+		inifile.URL("address", &p.Address).Must(),
+		inifile.Duration("lease", &p.Lease, leastLease),
+		inifile.Duration("timeout", &p.Timeout, leastTimeout),
+		inifile.Names("endpoints", &p.Endpoints, nil),
+		inifile.Name("instances", &p.Instances),
+	}
+}
+
+func endpointFields(e *Endpoint) []inifile.Field {
+	return []inifile.Field{
+		inifile.Count("slots", &e.Slots, 1, mostCount),
+		inifile.Duration("timeout", &e.Timeout, leastTimeout),
+		inifile.Names("checks", &e.Checks, nil),
+	}
+}
+
+func weightsFields(w *Weights) []inifile.Field {
+	return []inifile.Field{
+		inifile.Rate("rate", &w.Rate),
+		inifile.Count("slots", &w.Slots, 1, mostCount),
+	}
+}
+
+func limitsFields(l *Limits) []inifile.Field {
+	return []inifile.Field{
+		inifile.Count("streams", &l.Streams, 1, mostCount),
+		inifile.Count("retries", &l.Retries, 0, 100),
+		inifile.Duration("drain", &l.Drain, 0),
+		inifile.Duration("resume", &l.Resume, 0),
+		inifile.Size("replay", &l.Replay, 0),
+	}
+}
+
+func logFields(l *Log) []inifile.Field {
+	return []inifile.Field{
+		inifile.Choice("level", &l.Level, LevelDebug, LevelInfo, LevelWarn, LevelError),
+		inifile.Choice("format", &l.Format, FormatLogfmt, FormatJSON),
+	}
+}
+
+func traceFields(t *Trace) []inifile.Field {
+	return []inifile.Field{
+		inifile.URL("endpoint", &t.Endpoint),
+		inifile.Share("sample", &t.Sample),
+	}
+}
--- /dev/null
+++ b/pkg/config/load.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/chiveramp/chiveramp/internal/inifile"
+)
+
+const (
+	filePrefix = "file:"
+	leastToken = 16 // bytes
+)
+
+// Load reads and checks the settings in a file. An error is one line that
+// names file, section, key, what was given and what is allowed.
+func Load(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, &inifile.Error{File: path, Given: fmt.Sprintf("can't read: %v", err), Want: "a readable INI file"}
+	}
+	return Parse(path, text)
+}
+
+// Parse checks settings already read. The name stands for the text in errors.
+func Parse(name string, text []byte) (Config, error) {
+	file, err := inifile.Parse(name, text)
+	if err != nil {
+		return Config{}, err
+	}
+	c := Default()
+	c.File = name
+	if err := decode(&c, file); err != nil {
+		return Config{}, err
+	}
+	if err := c.complete(); err != nil {
+		return Config{}, err
+	}
+	return c, nil
+}
+
+func decode(c *Config, file inifile.File) error {
+	known := sections(c)
+	seen := make(map[string]bool, len(known))
+	for _, s := range file.Sections() {
+		i := slices.IndexFunc(known, func(k section) bool { return k.name == s.Name() })
+		if i < 0 {
+			return s.Fault("", "unknown section", "one of "+sectionNames(known))
+		}
+		if err := s.Decode(known[i].fields); err != nil {
+			return err
+		}
+		seen[s.Name()] = true
+	}
+	for _, k := range known {
+		if seen[k.name] {
+			continue
+		}
+		if err := inifile.Missing(c.File, k.name, k.fields); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sectionNames(known []section) string {
+	names := make([]string, 0, len(known))
+	for _, k := range known {
+		names = append(names, k.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// complete fills what follows from other keys and checks keys against each other.
+func (c *Config) complete() error {
+	if err := c.advertise("caller", c.Caller.Listen, &c.Caller.Advertise); err != nil {
+		return err
+	}
+	if err := c.advertise("peer", c.Peer.Listen, &c.Peer.Advertise); err != nil {
+		return err
+	}
+	if err := c.checkTLS("peer", c.Peer.TLS, true); err != nil {
+		return err
+	}
+	if err := c.checkTLS("operator", c.Operator.TLS, false); err != nil {
+		return err
+	}
+	if err := c.readToken(); err != nil {
+		return err
+	}
+	return c.checkTimes()
+}
+
+func (c *Config) fault(section, key, given, want string) error {
+	return &inifile.Error{File: c.File, Section: section, Key: key, Given: given, Want: want}
+}
+
+func (c *Config) advertise(section, listen string, to *string) error {
+	if *to != "" {
+		return nil
+	}
+	a, err := netip.ParseAddrPort(listen)
+	if err != nil || a.Addr().IsUnspecified() || a.Port() == 0 {
+		return c.fault(section, "advertise", fmt.Sprintf("missing while listen is %s", listen), "host:port that others can reach")
+	}
+	*to = listen
+	return nil
+}
+
+func (c *Config) checkTLS(section string, t TLS, mutual bool) error {
+	const want = "cert and key together"
+	switch {
+	case t.Cert != "" && t.Key == "":
+		return c.fault(section, "key", "missing", want)
+	case t.Key != "" && t.Cert == "":
+		return c.fault(section, "cert", "missing", want)
+	case t.CA != "" && t.Cert == "":
+		return c.fault(section, "cert", "missing while ca is given", want)
+	case mutual && t.Cert != "" && t.CA == "":
+		return c.fault(section, "ca", "missing", "the CA that instances are signed by")
+	}
+	return nil
+}
+
+func (c *Config) readToken() error {
+	if path, found := strings.CutPrefix(c.Operator.Token, filePrefix); found {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return c.fault("operator", "token", fmt.Sprintf("can't read: %v", err), "file:PATH of a readable file")
+		}
+		c.Operator.Token = strings.TrimSpace(string(text))
+	}
+	if n := len(c.Operator.Token); n < leastToken {
+		return c.fault("operator", "token", fmt.Sprintf("got %d bytes", n), fmt.Sprintf("a secret of %d bytes or more", leastToken))
+	}
+	return nil
+}
+
+func (c *Config) checkTimes() error {
+	if c.Platform.Lease < 2*c.Platform.Timeout {
+		return c.fault("platform", "lease", "got "+c.Platform.Lease.String(), "twice timeout or more")
+	}
+	for _, s := range c.Endpoint.Checks {
+		if !slices.Contains(c.Platform.Endpoints, s) {
+			return c.fault("endpoint", "checks", fmt.Sprintf("got %q", s), "services listed in [platform] endpoints")
+		}
+	}
+	return nil
+}
+
+// Listen opens the listener that a section's key names. A port in use is an
+// error of the same one-line form as Load's.
+func (c Config) Listen(ctx context.Context, section, key, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, c.fault(section, key, fmt.Sprintf("got %q: %v", address, err), "a free IP:port of this machine")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/pkg/profile/defaults.go
@@ -0,0 +1,24 @@
+package profile
+
+import "time"
+
+// The values that hold where a document says nothing.
+const (
+	defaultDeadline = time.Minute
+	defaultRank     = RankStandard
+	defaultCap      = 1.0
+	defaultRetries  = 1
+	defaultCopies   = 1
+)
+
+func newProfile(name string) Profile {
+	return Profile{Name: name, Rank: defaultRank, Deadline: defaultDeadline, Cap: defaultCap, Retries: defaultRetries}
+}
+
+func newModel(name string) Model {
+	return Model{Name: name, Copies: defaultCopies}
+}
+
+func newService(name string) Service {
+	return Service{Name: name}
+}
--- /dev/null
+++ b/pkg/profile/diff.go
@@ -0,0 +1,85 @@
+package profile
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Change is one difference between two documents.
+type Change struct {
+	// Section is the full name of the section, such as profile "chat".
+	Section string `json:"section"`
+	// Key is empty when the whole section was added or removed.
+	Key string `json:"key,omitempty"`
+	// From and To are the values before and after.
+	From string `json:"from,omitempty"`
+	To   string `json:"to,omitempty"`
+	// Kind says what happened.
+	Kind ChangeKind `json:"kind"`
+}
+
+// ChangeKind says what happened to a section or key.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	ChangeAdded   ChangeKind = "added"
+	ChangeRemoved ChangeKind = "removed"
+	ChangeSet     ChangeKind = "set"
+)
+
+// String returns the change as one line.
+func (c Change) String() string {
+	if c.Key == "" {
+		return fmt.Sprintf("[%s] %s", c.Section, c.Kind)
+	}
+	return fmt.Sprintf("[%s] %s: %s -> %s", c.Section, c.Key, orNone(c.From), orNone(c.To))
+}
+
+// Diff returns what changes from a to b, in the order of the canonical form.
+func Diff(a, b Document) []Change {
+	before, after := a.parts(), b.parts()
+	var changes []Change
+	for _, p := range before {
+		if _, found := named(after, p.name); !found {
+			changes = append(changes, Change{Section: p.name, Kind: ChangeRemoved})
+		}
+	}
+	for _, p := range after {
+		old, found := named(before, p.name)
+		if !found {
+			changes = append(changes, Change{Section: p.name, Kind: ChangeAdded})
+			continue
+		}
+		changes = append(changes, old.diff(p)...)
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return strings.Compare(a.Section, b.Section) })
+	return changes
+}
+
+func (p part) diff(after part) []Change {
+	var changes []Change
+	for i, f := range p.fields {
+		from, to := f.Value(), after.fields[i].Value()
+		if from != to {
+			changes = append(changes, Change{Section: p.name, Key: f.Key, From: from, To: to, Kind: ChangeSet})
+		}
+	}
+	return changes
+}
+
+func named(parts []part, name string) (part, bool) {
+	i := slices.IndexFunc(parts, func(p part) bool { return p.name == name })
+	if i < 0 {
+		return part{}, false
+	}
+	return parts[i], true
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "(none)"
+	}
+	return value
+}
--- /dev/null
+++ b/pkg/profile/fields.go
@@ -0,0 +1,91 @@
+package profile
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/inifile"
+)
+
+// The kinds of section in a document.
+const (
+	kindProfile = "profile"
+	kindModel   = "model"
+	kindService = "service"
+)
+
+const (
+	mostRetries  = 10
+	mostCopies   = 1 << 16
+	mostAdapters = 10_000
+)
+
+func profileFields(p *Profile) []inifile.Field {
+	return []inifile.Field{
+		inifile.Name("class", &p.Class).Must(),
+		inifile.Choice("rank", &p.Rank, fleet.Ranks()...).Must(),
+		inifile.Duration("first", &p.First, 0),
+		inifile.Duration("gap", &p.Gap, 0),
+		inifile.Duration("deadline", &p.Deadline, time.Millisecond),
+		inifile.Names("models", &p.Models, isPattern).Saying("a comma list of models, each a name or a prefix with * at its end"),
+		inifile.Names("services", &p.Services, nil),
+		inifile.Number("cap", &p.Cap, math.SmallestNonzeroFloat64, 1).Saying("a share above 0, 1 at most"),
+		inifile.Count("retries", &p.Retries, 0, mostRetries),
+	}
+}
+
+func modelFields(m *Model) []inifile.Field {
+	return []inifile.Field{
+		inifile.Size("bytes", &m.Bytes, 1).Must(),
+		inifile.Size("adapter", &m.Adapter, 0),
+		inifile.Size("cache", &m.Cache, 0),
+		inifile.Name("service", &m.Service).Must(),
+		inifile.Count("copies", &m.Copies, 1, mostCopies),
+		inifile.Custom("adapters", "a comma list of names, or a count up to "+strconv.Itoa(mostAdapters),
+			func(text string) bool { return setAdapters(m, text) },
+			func() string { return formatAdapters(m.Adapters) }),
+		inifile.Names("versions", &m.Versions, nil),
+	}
+}
+
+func serviceFields(s *Service) []inifile.Field {
+	return []inifile.Field{inifile.Truth("repeat", &s.Repeat).Must()}
+}
+
+func isPattern(text string) bool {
+	prefix, found := strings.CutSuffix(text, "*")
+	return inifile.IsName(prefix) || found && prefix == ""
+}
+
+// setAdapters takes a list of names, or a count that stands for the names 1, 2 and so on.
+func setAdapters(m *Model, text string) bool {
+	if count, err := strconv.Atoi(text); err == nil {
+		if count < 0 || count > mostAdapters {
+			return false
+		}
+		m.Adapters = numbered(count)
+		return true
+	}
+	list, valid := inifile.Split(text, inifile.IsName)
+	m.Adapters = list
+	return valid
+}
+
+func numbered(count int) []string {
+	var names []string
+	for i := range count {
+		names = append(names, strconv.Itoa(i+1))
+	}
+	return names
+}
+
+func formatAdapters(names []string) string {
+	if len(names) > 0 && slices.Equal(names, numbered(len(names))) {
+		return strconv.Itoa(len(names))
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/pkg/profile/format.go
@@ -0,0 +1,66 @@
+package profile
+
+import (
+	"strings"
+
+	"github.com/chiveramp/chiveramp/internal/inifile"
+)
+
+// part is one section of a document with its keys bound to their values.
+type part struct {
+	name   string
+	fields []inifile.Field
+}
+
+func (d Document) parts() []part {
+	var parts []part
+	for _, p := range d.profiles {
+		parts = append(parts, part{sectionName(kindProfile, p.Name), profileFields(&p)})
+	}
+	for _, m := range d.models {
+		parts = append(parts, part{sectionName(kindModel, m.Name), modelFields(&m)})
+	}
+	for _, s := range d.services {
+		parts = append(parts, part{sectionName(kindService, s.Name), serviceFields(&s)})
+	}
+	return parts
+}
+
+// String returns the document in its canonical form: profiles, models and
+// services by name, keys in a fixed order, keys at their default left out.
+func (d Document) String() string {
+	var b strings.Builder
+	for i, p := range d.parts() {
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		b.WriteString("[" + p.name + "]\n")
+		p.write(&b)
+	}
+	return b.String()
+}
+
+func (p part) write(b *strings.Builder) {
+	standard := defaultsOf(p.name)
+	for i, f := range p.fields {
+		if !f.Needed && f.Value() == standard[i].Value() {
+			continue
+		}
+		b.WriteString(f.Key + " = " + f.Value() + "\n")
+	}
+}
+
+func defaultsOf(section string) []inifile.Field {
+	kind, _, _ := strings.Cut(section, " ")
+	switch kind {
+	case kindProfile:
+		p := newProfile("")
+		return profileFields(&p)
+	case kindModel:
+		m := newModel("")
+		return modelFields(&m)
+	default:
+		s := newService("")
+		return serviceFields(&s)
+	}
+}
