feat: memory ledger of an endpoint and residence of a model

Ruled out: freeing a lost order's memory by a timer (a delayed order may still arrive); freeing at the acceptance of an unload (the engine still holds it). Change: pure ledger: an order is charged from Reserve on and freed only by what the endpoint shows. Endpoint that refuses old fences: a state with a newer fence settles older orders, since the same state shows those that were accepted. One that ignores them: only the seen change or a new incarnation. A late second unload bars a load of the same model. KV cache beyond what was reserved counts by the reported use. Residence.Remove has to leave counted copies elsewhere. CBOR records with a schema number. Mechanism off (tests in the same tables): without reservation 24 GiB show free where 10 GiB may still be loaded; without the fence check the same at an engine that ignores fences; without the seen unload a 20 GiB load is granted beside 20 GiB still resident.

--- /dev/null
+++ b/internal/core/ledger/ledger_test.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+const gib = int64(1) << 30
+
+func load(id string, fence fleet.Fence, model fleet.Model, bytes int64) Order {
+	return Order{ID: id, Fence: fence, Kind: KindLoad, Model: model, Bytes: bytes}
+}
+
+func unload(id string, fence fleet.Fence, model fleet.Model) Order {
+	return Order{ID: id, Fence: fence, Kind: KindUnload, Model: model}
+}
+
+func state(checks bool, fence fleet.Fence, residents ...Resident) State {
+	return State{Incarnation: "i1", Fence: fence, Checks: checks, Memory: 24 * gib, Models: residents}
+}
+
+func ready(model fleet.Model, bytes int64) Resident {
+	return Resident{Model: model, Bytes: bytes, State: PhaseReady}
+}
+
+func TestUnseenEndpointTakesNoOrder(t *testing.T) {
+	l := New("e1")
+	require.ErrorIs(t, l.Reserve(load("o1", 1, "a", gib)), ErrUnseen)
+}
+
+func TestReserveChargesVersionsAdaptersAndCache(t *testing.T) {
+	l := New("e1")
+	s := state(false, 0, ready("a@1", 10*gib))
+	s.Used = 12 * gib // the KV cache has outgrown what was reserved
+	l.Observe(s)
+	require.Equal(t, 12*gib, l.Free())
+	require.NoError(t, l.Reserve(load("o1", 1, "a@2", 10*gib)))
+	require.ErrorIs(t, l.Reserve(load("o2", 1, "b", 3*gib)), ErrNoRoom)
+	adapter := Order{ID: "o3", Fence: 1, Kind: KindLoadAdapter, Model: "a@1", Adapter: "x", Bytes: 2 * gib}
+	require.NoError(t, l.Reserve(adapter))
+	require.Zero(t, l.Free())
+}
+
+// TestLostOrder is the rule of each kind of endpoint for an order that got no answer.
+func TestLostOrder(t *testing.T) {
+	tests := []struct {
+		name   string
+		checks bool
+		fence  fleet.Fence // shown afterwards
+		shown  []Resident
+		opts   []Option
+		free   int64
+	}{
+		{"refuses old fences, newer accepted", true, 2, nil, nil, 24 * gib},
+		{"refuses old fences, none newer", true, 1, nil, nil, 14 * gib},
+		{"refuses old fences, newer accepted after it", true, 2, []Resident{ready("a", 10*gib)}, nil, 14 * gib},
+		{"ignores fences, newer accepted", false, 2, nil, nil, 14 * gib},
+		{"ignores fences, seen", false, 1, []Resident{ready("a", 10*gib)}, nil, 14 * gib},
+		{"mechanism off: reservation", false, 1, nil, []Option{WithoutReservation()}, 24 * gib},
+		{"mechanism off: fence check", false, 2, nil, []Option{WithoutFenceCheck()}, 24 * gib},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New("e1", tt.opts...)
+			l.Observe(state(tt.checks, 0))
+			require.NoError(t, l.Reserve(load("o1", 1, "a", 10*gib)))
+			l.Lost("o1")
+			l.Observe(state(tt.checks, tt.fence, tt.shown...))
+			require.Equal(t, tt.free, l.Free())
+		})
+	}
+}
+
+func TestNewIncarnationReleases(t *testing.T) {
+	l := New("e1")
+	l.Observe(state(false, 0))
+	require.NoError(t, l.Reserve(load("o1", 1, "a", 10*gib)))
+	l.Observe(State{Incarnation: "i2", Memory: 24 * gib})
+	require.Empty(t, l.Unsettled())
+	require.Equal(t, 24*gib, l.Free())
+}
+
+func TestUnloadFreesOnlyWhenSeen(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		var opts []Option
+		if off {
+			opts = append(opts, WithoutSeenUnload())
+		}
+		l := New("e1", opts...)
+		l.Observe(state(false, 0, ready("a", 20*gib)))
+		require.NoError(t, l.Reserve(unload("o1", 1, "a")))
+		l.Accepted("o1")
+		err := l.Reserve(load("o2", 1, "b", 20*gib))
+		require.Equal(t, off, err == nil, "mechanism off: %v", off)
+		if off {
+			continue
+		}
+		require.ErrorIs(t, err, ErrNoRoom)
+		l.Observe(state(false, 1, Resident{Model: "a", Bytes: 20 * gib, State: PhaseUnloading}))
+		require.ErrorIs(t, l.Reserve(load("o2", 1, "b", 20*gib)), ErrNoRoom)
+		l.Observe(state(false, 1))
+		require.NoError(t, l.Reserve(load("o2", 1, "b", 20*gib)))
+	}
+}
+
+func TestLateUnloadBarsALoadOfTheSameModel(t *testing.T) {
+	l := New("e1")
+	l.Observe(state(false, 0, ready("a", 20*gib)))
+	require.NoError(t, l.Reserve(unload("o1", 1, "a")))
+	require.NoError(t, l.Reserve(unload("o2", 1, "a")))
+	l.Observe(state(false, 0))
+	require.Len(t, l.Unsettled(), 1)
+	require.ErrorIs(t, l.Reserve(load("o3", 1, "a", 20*gib)), ErrBusy)
+	require.NoError(t, l.Reserve(load("o4", 1, "b", 24*gib)))
+}
+
+func TestFailedLoadIsFreedByTheStateThatShowsIt(t *testing.T) {
+	l := New("e1")
+	l.Observe(state(false, 0))
+	require.NoError(t, l.Reserve(load("o1", 1, "a", 20*gib)))
+	l.Accepted("o1")
+	require.Equal(t, 4*gib, l.Free())
+	l.Observe(state(false, 1))
+	require.Equal(t, 24*gib, l.Free())
+}
+
+func TestRecordSurvivesTheStore(t *testing.T) {
+	l := New("e1")
+	l.Observe(state(false, 0, ready("a", 10*gib)))
+	require.NoError(t, l.Reserve(load("o1", 1, "b", 10*gib)))
+	data, err := l.Encode()
+	require.NoError(t, err)
+	again, err := Decode("e1", data)
+	require.NoError(t, err)
+	require.Equal(t, l.Holdings(), again.Holdings())
+	require.ErrorIs(t, again.Reserve(load("o2", 2, "c", 1)), ErrUnseen)
+	same, err := again.Encode()
+	require.NoError(t, err)
+	require.Equal(t, data, same)
+	_, err = Decode("e2", data)
+	require.ErrorIs(t, err, ErrSchema)
+}
+
+func TestResidenceKeepsCopies(t *testing.T) {
+	all := func(Copy) bool { return true }
+	full := NewResidence("m").
+		Add(Copy{Endpoint: "e1", DataCentre: "d1"}).
+		Add(Copy{Endpoint: "e2", DataCentre: "d1"}).
+		Add(Copy{Endpoint: "e3", DataCentre: "d2"})
+	tests := []struct {
+		name    string
+		remove  fleet.Endpoint
+		centres int
+		counts  func(Copy) bool
+		fail    bool
+	}{
+		{"one of two in a data centre", "e1", 2, all, false},
+		{"only one in a data centre", "e3", 2, all, true},
+		{"narrow", "e3", 1, all, false},
+		{"others not seen", "e1", 1, func(c Copy) bool { return c.Endpoint == "e1" }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			left, err := full.Remove(tt.remove, tt.centres, tt.counts)
+			require.Equal(t, tt.fail, err != nil)
+			require.Equal(t, tt.fail, left.Has(tt.remove))
+			data, err := left.Encode()
+			require.NoError(t, err)
+			again, err := DecodeResidence(data)
+			require.NoError(t, err)
+			require.Equal(t, left, again)
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/ledger/residence.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// ErrLastCopy means that removing the copy would leave too few others.
+var ErrLastCopy = errors.New("too few copies would be left")
+
+// Copy is a promise that an endpoint serves a model.
+type Copy struct {
+	Endpoint   fleet.Endpoint   `cbor:"1,keyasint"`
+	DataCentre fleet.DataCentre `cbor:"2,keyasint"`
+	Region     fleet.Region     `cbor:"3,keyasint"`
+}
+
+// Residence names the promised copies of one model.
+type Residence struct {
+	model  fleet.Model
+	copies []Copy // by endpoint
+}
+
+// ResidencePrefix is the prefix of the keys of all residences.
+const ResidencePrefix = "residence/"
+
+// ResidenceKey returns the store's key of a model's residence.
+func ResidenceKey(model fleet.Model) string {
+	return ResidencePrefix + string(model)
+}
+
+// NewResidence returns the residence of a model without copies.
+func NewResidence(model fleet.Model) Residence {
+	return Residence{model: model}
+}
+
+// Model returns whose copies they are.
+func (r Residence) Model() fleet.Model { return r.model }
+
+// Copies returns the promised copies, by endpoint.
+func (r Residence) Copies() []Copy { return slices.Clone(r.copies) }
+
+// Has reports whether the endpoint's copy is promised.
+func (r Residence) Has(endpoint fleet.Endpoint) bool {
+	return slices.ContainsFunc(r.copies, func(c Copy) bool { return c.Endpoint == endpoint })
+}
+
+// Add returns the residence with a copy more.
+func (r Residence) Add(c Copy) Residence {
+	if r.Has(c.Endpoint) {
+		return r
+	}
+	r.copies = append(slices.Clone(r.copies), c)
+	slices.SortFunc(r.copies, func(a, b Copy) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return r
+}
+
+// Strike returns the residence without a copy that is lost already.
+func (r Residence) Strike(endpoint fleet.Endpoint) Residence {
+	r.copies = slices.DeleteFunc(slices.Clone(r.copies), func(c Copy) bool { return c.Endpoint == endpoint })
+	return r
+}
+
+// Remove returns the residence without a copy that is to be unloaded. The
+// copies for which counts is true have to be left in that many data centres,
+// one at least.
+func (r Residence) Remove(endpoint fleet.Endpoint, centres int, counts func(Copy) bool) (Residence, error) {
+	left := make(map[fleet.DataCentre]bool)
+	for _, c := range r.copies {
+		if c.Endpoint != endpoint && counts(c) {
+			left[c.DataCentre] = true
+		}
+	}
+	if len(left) < max(1, centres) {
+		return r, fmt.Errorf("model %s on %s: %w: in %d data centres, want %d", r.model, endpoint, ErrLastCopy, len(left), max(1, centres))
+	}
+	return r.Strike(endpoint), nil
+}
+
+// residenceRecord is the stored form of a residence.
+type residenceRecord struct {
+	Schema int         `cbor:"1,keyasint"`
+	Model  fleet.Model `cbor:"2,keyasint"`
+	Copies []Copy      `cbor:"3,keyasint"`
+}
+
+// Encode returns the stored form.
+func (r Residence) Encode() ([]byte, error) {
+	data, err := encoding.Marshal(residenceRecord{Schema: schema, Model: r.model, Copies: r.copies})
+	if err != nil {
+		return nil, fmt.Errorf("encode residence of %s: %w", r.model, err)
+	}
+	return data, nil
+}
+
+// DecodeResidence reads a stored residence.
+func DecodeResidence(data []byte) (Residence, error) {
+	var rr residenceRecord
+	if err := cbor.Unmarshal(data, &rr); err != nil {
+		return Residence{}, fmt.Errorf("decode residence: %w", err)
+	}
+	if rr.Schema != schema {
+		return Residence{}, fmt.Errorf("decode residence of %s: %w: %d", rr.Model, ErrSchema, rr.Schema)
+	}
+	return Residence{model: rr.Model, copies: rr.Copies}, nil
+}
