fix: keep errors from broken files on one printable line

Ruled out: cleaning each part of the error by itself; one place is enough.

Change: inifile.Error maps unprintable runes to '?'.

--- a/internal/inifile/error.go
+++ b/internal/inifile/error.go
@@ -1,6 +1,11 @@
 package inifile
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
 
 // Error is one fault in a settings file or document. It prints as one line.
 type Error struct {
@@ -18,7 +23,7 @@
 
 // Error returns the fault as one line.
 func (e *Error) Error() string {
-	return fmt.Sprintf("%s: %s%s, want %s", e.File, e.place(), e.Given, e.Want)
+	return printable(fmt.Sprintf("%s: %s%s, want %s", e.File, e.place(), e.Given, e.Want))
 }
 
 func (e *Error) place() string {
@@ -30,3 +35,13 @@
 	}
 	return fmt.Sprintf("[%s] %s: ", e.Section, e.Key)
 }
+
+// printable keeps text from a broken file from moving the cursor or ending the line.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r == utf8.RuneError || !unicode.IsPrint(r) {
+			return '?'
+		}
+		return r
+	}, text)
+}
