--- /dev/null
+++ b/internal/operator/callerror.go
@@ -0,0 +1,103 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/chiveramp/chiveramp/internal/inifile"
+)
+
+// Code names the kind of a problem.
+type Code string
+
+// The kinds of problem.
+const (
+	CodeInvalid     Code = "invalid"
+	CodeTooLarge    Code = "too-large"
+	CodeDenied      Code = "denied"
+	CodeTooMany     Code = "too-many"
+	CodeNotFound    Code = "not-found"
+	CodeConflict    Code = "conflict"
+	CodeUnavailable Code = "unavailable"
+	CodeUncertain   Code = "uncertain"
+	CodeInternal    Code = "internal"
+)
+
+// CallError is the body of every answer that is not a success.
+type CallError struct {
+	Code Code `json:"code"`
+	// Step is the stage at which the problem arose.
+	Step    string `json:"step"`
+	Message string `json:"message"`
+	// Expected, Revision and Author are set for conflicts.
+	Expected uint64 `json:"expected,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Author   string `json:"author,omitempty"`
+}
+
+// Error returns the problem as one line.
+func (p *CallError) Error() string {
+	return fmt.Sprintf("%s: %s (%s)", p.Step, p.Message, p.Code)
+}
+
+// Unwrap returns the sentinel or typed error that the problem stands for.
+func (p *CallError) Unwrap() error {
+	switch p.Code {
+	case CodeNotFound:
+		return ErrNotFound
+	case CodeUnavailable:
+		return ErrUnavailable
+	case CodeUncertain:
+		return ErrUncertain
+	case CodeConflict:
+		return &ConflictError{Expected: p.Expected, Revision: p.Revision, Author: p.Author}
+	default:
+		return nil
+	}
+}
+
+func (p *CallError) status() int {
+	switch p.Code {
+	case CodeInvalid:
+		return http.StatusBadRequest
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeDenied:
+		return http.StatusUnauthorized
+	case CodeTooMany:
+		return http.StatusTooManyRequests
+	case CodeNotFound:
+		return http.StatusNotFound
+	case CodeConflict:
+		return http.StatusConflict
+	case CodeUnavailable, CodeUncertain:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// newCallError classifies an error of a step.
+func newCallError(step string, err error) *CallError {
+	p := &CallError{Code: CodeInternal, Step: step, Message: err.Error()}
+	var conflict *ConflictError
+	var fault *inifile.Error
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &conflict):
+		p.Code = CodeConflict
+		p.Expected, p.Revision, p.Author = conflict.Expected, conflict.Revision, conflict.Author
+	case errors.As(err, &fault):
+		p.Code = CodeInvalid
+	case errors.As(err, &tooLarge):
+		p.Code = CodeTooLarge
+	case errors.Is(err, ErrNotFound):
+		p.Code = CodeNotFound
+	case errors.Is(err, ErrUnavailable):
+		p.Code = CodeUnavailable
+	case errors.Is(err, ErrUncertain):
+		p.Code = CodeUncertain
+	}
+	return p
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,223 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
+
+	"github.com/chiveramp/chiveramp/internal/certs"
+	"github.com/chiveramp/chiveramp/pkg/config"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+const (
+	// bodyLimit leaves room for the JSON quoting of the largest document, bytes.
+	bodyLimit    = 2*profile.Limit + 4096
+	headerLimit  = 16 << 10 // bytes
+	headerWait   = 5 * time.Second
+	bodyWait     = 30 * time.Second
+	idleWait     = time.Minute
+	defaultRate  = 50  // requests a second
+	defaultBurst = 100 // requests
+)
+
+// Server answers operators over HTTP.
+type Server struct {
+	backend Backend
+	token   [sha256.Size]byte
+	limiter *rate.Limiter
+	logger  log.Logger
+}
+
+// Option changes how a Server is built.
+type Option func(*Server)
+
+// WithToken sets the secret that operators must present. Without it every call is denied.
+func WithToken(token string) Option {
+	return func(s *Server) { s.token = sha256.Sum256([]byte(token)) }
+}
+
+// WithRate bounds the calls a second and at once.
+func WithRate(perSecond float64, burst int) Option {
+	return func(s *Server) { s.limiter = rate.NewLimiter(rate.Limit(perSecond), burst) }
+}
+
+// WithLogger sets the log of changes and denials.
+func WithLogger(l log.Logger) Option {
+	return func(s *Server) { s.logger = l }
+}
+
+// NewServer returns the handler of the operators' API.
+func NewServer(b Backend, options ...Option) http.Handler {
+	s := &Server{
+		backend: b,
+		limiter: rate.NewLimiter(defaultRate, defaultBurst),
+		logger:  log.NewNopLogger(),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s.guard(s.routes())
+}
+
+// NewHTTPServer wraps the handler with the limits and TLS files of the settings.
+func NewHTTPServer(c config.Operator, h http.Handler) (*http.Server, error) {
+	t, err := certs.Server(c.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("operator listener %s: %w", c.Listen, err)
+	}
+	return &http.Server{
+		Addr:              c.Listen,
+		Handler:           h,
+		TLSConfig:         t,
+		ReadHeaderTimeout: headerWait,
+		ReadTimeout:       bodyWait,
+		IdleTimeout:       idleWait,
+		MaxHeaderBytes:    headerLimit,
+	}, nil
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/document", s.document)
+	mux.HandleFunc("PUT /v1/document", s.apply)
+	mux.HandleFunc("GET /v1/status", s.status)
+	mux.HandleFunc("GET /v1/profiles", s.profiles)
+	mux.HandleFunc("GET /v1/requests/{request}", s.explain)
+	mux.HandleFunc("POST /v1/instances/{instance}/drain", s.drain)
+	mux.HandleFunc("/", s.unknown)
+	return mux
+}
+
+// guard bounds the rate and checks the token before any other work.
+func (s *Server) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.limiter.Allow() {
+			w.Header().Set("Retry-After", "1")
+			s.fail(w, r, &CallError{Code: CodeTooMany, Step: "guard", Message: "too many calls from operators"})
+			return
+		}
+		if !s.allowed(r) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			s.fail(w, r, &CallError{Code: CodeDenied, Step: "guard", Message: "token missing or wrong"})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, bodyLimit)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// allowed compares digests in constant time, so neither length nor content leaks.
+func (s *Server) allowed(r *http.Request) bool {
+	given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found || given == "" {
+		return false
+	}
+	digest := sha256.Sum256([]byte(given))
+	return subtle.ConstantTimeCompare(digest[:], s.token[:]) == 1
+}
+
+func (s *Server) document(w http.ResponseWriter, r *http.Request) {
+	d, err := s.backend.Document(r.Context())
+	s.answer(w, r, "document", d, err)
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	const step = "apply"
+	e, err := readEdit(r)
+	if err != nil {
+		s.fail(w, r, asInvalid(step, err))
+		return
+	}
+	if _, err := profile.Parse("document", []byte(e.Text)); err != nil {
+		s.fail(w, r, newCallError(step, err))
+		return
+	}
+	result, err := s.backend.Apply(r.Context(), e)
+	if err == nil {
+		_ = level.Info(s.logger).Log("msg", "document applied", "revision", result.Revision, "author", e.Author)
+	}
+	s.answer(w, r, step, result, err)
+}
+
+func readEdit(r *http.Request) (Edit, error) {
+	var e Edit
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&e); err != nil {
+		return Edit{}, fmt.Errorf("read edit: %w", err)
+	}
+	return e, nil
+}
+
+// asInvalid treats every error but a large body as bad input.
+func asInvalid(step string, err error) *CallError {
+	p := newCallError(step, err)
+	if p.Code != CodeTooLarge {
+		p.Code = CodeInvalid
+	}
+	return p
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	v, err := s.backend.Status(r.Context())
+	s.answer(w, r, "status", v, err)
+}
+
+func (s *Server) profiles(w http.ResponseWriter, r *http.Request) {
+	v, err := s.backend.Profiles(r.Context())
+	s.answer(w, r, "profiles", v, err)
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	v, err := s.backend.Explain(r.Context(), r.PathValue("request"))
+	s.answer(w, r, "explain", v, err)
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("instance")
+	v, err := s.backend.Drain(r.Context(), name)
+	if err == nil {
+		_ = level.Info(s.logger).Log("msg", "instance drained", "drained", name)
+	}
+	s.answer(w, r, "drain", v, err)
+}
+
+func (s *Server) unknown(w http.ResponseWriter, r *http.Request) {
+	s.fail(w, r, &CallError{Code: CodeNotFound, Step: "route", Message: fmt.Sprintf("no %s %s", r.Method, r.URL.Path)})
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, step string, v any, err error) {
+	if err != nil {
+		s.fail(w, r, newCallError(step, err))
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, p *CallError) {
+	_ = level.Warn(s.logger).Log("msg", "operator call failed", "code", p.Code, "step", p.Step, "err", p.Message, "peer", r.RemoteAddr)
+	writeJSON(w, p.status(), p)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// AsCallError returns the problem inside an error, if there is one.
+func AsCallError(err error) (*CallError, bool) {
+	var p *CallError
+	found := errors.As(err, &p)
+	return p, found
+}
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,237 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/pkg/config"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+const (
+	token = "0123456789abcdef"
+	text  = "[profile \"chat\"]\nclass = chat\nrank = urgent\nservices = stock\n[service \"stock\"]\nrepeat = yes\n"
+)
+
+// stub answers every call with fixed values, or with err.
+type stub struct {
+	err   error
+	edits []Edit
+}
+
+func (s *stub) Document(context.Context) (Document, error) {
+	return Document{Revision: 3, Author: "ana", Text: text}, s.err
+}
+
+func (s *stub) Apply(_ context.Context, e Edit) (ApplyResult, error) {
+	s.edits = append(s.edits, e)
+	return ApplyResult{Revision: e.Expect + 1, InForce: []string{"a1"}, Behind: []string{"b1"}}, s.err
+}
+
+func (s *stub) Status(context.Context) (Status, error) {
+	return Status{Instance: "a1", Revision: 3}, s.err
+}
+
+func (s *stub) Profiles(context.Context) ([]ProfileReport, error) {
+	return []ProfileReport{{Profile: "chat", Requests: 4, Met: 3}}, s.err
+}
+
+func (s *stub) Explain(_ context.Context, request string) (Trail, error) {
+	return Trail{Request: request}, s.err
+}
+
+func (s *stub) Drain(_ context.Context, instance string) (DrainResult, error) {
+	return DrainResult{Instance: instance, State: StateLeaving}, s.err
+}
+
+func serve(t *testing.T, b Backend, options ...Option) (*httptest.Server, *Client) {
+	t.Helper()
+	server := httptest.NewServer(NewServer(b, append([]Option{WithToken(token)}, options...)...))
+	t.Cleanup(server.Close)
+	client := NewClient([]string{strings.TrimPrefix(server.URL, "http://")}, WithBearer(token))
+	t.Cleanup(client.Close)
+	return server, client
+}
+
+func TestClientAndServer(t *testing.T) {
+	ctx := context.Background()
+	b := &stub{}
+	_, c := serve(t, b)
+	d, err := c.Document(ctx)
+	require.NoError(t, err)
+	assert.Equal(t, Document{Revision: 3, Author: "ana", Text: text}, d)
+	r, err := c.Apply(ctx, Edit{Expect: 3, Author: "bo", Text: text})
+	require.NoError(t, err)
+	assert.Equal(t, ApplyResult{Revision: 4, InForce: []string{"a1"}, Behind: []string{"b1"}}, r)
+	assert.Equal(t, []Edit{{Expect: 3, Author: "bo", Text: text}}, b.edits)
+	s, err := c.Status(ctx)
+	require.NoError(t, err)
+	assert.Equal(t, "a1", s.Instance)
+	p, err := c.Profiles(ctx)
+	require.NoError(t, err)
+	assert.InDelta(t, 0.75, p[0].Attainment(), 1e-9)
+	e, err := c.Explain(ctx, "a/b c")
+	require.NoError(t, err)
+	assert.Equal(t, "a/b c", e.Request)
+	x, err := c.Drain(ctx, "a1")
+	require.NoError(t, err)
+	assert.Equal(t, DrainResult{Instance: "a1", State: StateLeaving}, x)
+}
+
+func TestErrorsReachTheClient(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		code Code
+		is   error
+	}{
+		{"not found", fmt.Errorf("read: %w", ErrNotFound), CodeNotFound, ErrNotFound},
+		{"unavailable", fmt.Errorf("store: %w", ErrUnavailable), CodeUnavailable, ErrUnavailable},
+		{"uncertain", fmt.Errorf("store: %w", ErrUncertain), CodeUncertain, ErrUncertain},
+		{"other", errors.New("boom"), CodeInternal, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, c := serve(t, &stub{err: tt.err})
+			_, err := c.Status(context.Background())
+			p, found := AsCallError(err)
+			require.True(t, found)
+			assert.Equal(t, &CallError{Code: tt.code, Step: "status", Message: tt.err.Error()}, p)
+			if tt.is != nil {
+				assert.ErrorIs(t, err, tt.is)
+			}
+		})
+	}
+}
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	won := &ConflictError{Expected: 3, Revision: 4, Author: "ana"}
+	_, c := serve(t, &stub{err: fmt.Errorf("apply: %w", won)})
+	_, err := c.Apply(context.Background(), Edit{Expect: 3, Text: text})
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	assert.Equal(t, won, conflict)
+}
+
+func TestGuard(t *testing.T) {
+	tests := []struct {
+		name   string
+		header string
+		want   int
+	}{
+		{"none", "", http.StatusUnauthorized},
+		{"empty", "Bearer ", http.StatusUnauthorized},
+		{"wrong", "Bearer 0123456789abcdeX", http.StatusUnauthorized},
+		{"prefix", "Bearer 0123456789abcde", http.StatusUnauthorized},
+		{"other scheme", "Basic " + token, http.StatusUnauthorized},
+		{"right", "Bearer " + token, http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := request(t, NewServer(&stub{}, WithToken(token)), http.MethodGet, "/v1/status", tt.header, "")
+			assert.Equal(t, tt.want, w.Code, w.Body.String())
+		})
+	}
+}
+
+func TestGuardWithoutTokenDeniesAll(t *testing.T) {
+	w := request(t, NewServer(&stub{}), http.MethodGet, "/v1/status", "Bearer ", "")
+	assert.Equal(t, http.StatusUnauthorized, w.Code)
+}
+
+func TestGuardBoundsTheRate(t *testing.T) {
+	h := NewServer(&stub{}, WithToken(token), WithRate(0.001, 2))
+	var codes []int
+	for range 3 {
+		codes = append(codes, request(t, h, http.MethodGet, "/v1/status", "Bearer "+token, "").Code)
+	}
+	assert.Equal(t, []int{http.StatusOK, http.StatusOK, http.StatusTooManyRequests}, codes)
+}
+
+func TestBadEditsAreRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		body string
+		code Code
+	}{
+		{"broken JSON", `{"text":`, CodeInvalid},
+		{"unknown field", `{"texts":""}`, CodeInvalid},
+		{"not a profile", `{"text":"[profile]"}`, CodeInvalid},
+		{"too large", `{"text":"` + strings.Repeat("x", bodyLimit) + `"}`, CodeTooLarge},
+		{"document too large", `{"text":"` + strings.Repeat("x", profile.Limit+1) + `"}`, CodeInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &stub{}
+			w := request(t, NewServer(b, WithToken(token)), http.MethodPut, "/v1/document", "Bearer "+token, tt.body)
+			assert.Contains(t, w.Body.String(), `"code":"`+string(tt.code)+`","step":"apply"`)
+			assert.Empty(t, b.edits)
+		})
+	}
+}
+
+func TestUnknownPath(t *testing.T) {
+	w := request(t, NewServer(&stub{}, WithToken(token)), http.MethodPost, "/v1/models", "Bearer "+token, "")
+	assert.Equal(t, http.StatusNotFound, w.Code)
+	assert.JSONEq(t, `{"code":"not-found","step":"route","message":"no POST /v1/models"}`, w.Body.String())
+}
+
+func TestClientGoesOnToTheNextAddress(t *testing.T) {
+	server, _ := serve(t, &stub{})
+	c := NewClient([]string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")}, WithBearer(token))
+	defer c.Close()
+	s, err := c.Status(context.Background())
+	require.NoError(t, err)
+	assert.Equal(t, "a1", s.Instance)
+}
+
+func TestClientWithoutInstances(t *testing.T) {
+	c := NewClient([]string{"127.0.0.1:1"}, WithBearer(token))
+	_, err := c.Status(context.Background())
+	require.ErrorIs(t, err, ErrUnreachable)
+}
+
+// A cut answer may belong to an edit that took effect: no other instance is asked.
+func TestClientDoesNotRepeatAfterSending(t *testing.T) {
+	cut := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		panic(http.ErrAbortHandler)
+	}))
+	defer cut.Close()
+	b := &stub{}
+	server, _ := serve(t, b)
+	addresses := []string{strings.TrimPrefix(cut.URL, "http://"), strings.TrimPrefix(server.URL, "http://")}
+	c := NewClient(addresses, WithBearer(token))
+	defer c.Close()
+	_, err := c.Apply(context.Background(), Edit{Text: text})
+	require.ErrorIs(t, err, ErrUnreachable)
+	assert.Empty(t, b.edits)
+}
+
+func TestHTTPServerLimits(t *testing.T) {
+	s, err := NewHTTPServer(config.Operator{Listen: "127.0.0.1:0"}, http.NotFoundHandler())
+	require.NoError(t, err)
+	assert.Equal(t, 5*time.Second, s.ReadHeaderTimeout)
+	assert.Equal(t, 16<<10, s.MaxHeaderBytes)
+	_, err = NewHTTPServer(config.Operator{Listen: "x", TLS: config.TLS{Cert: "none", Key: "none"}}, nil)
+	require.ErrorContains(t, err, "operator listener x: server TLS: certificate none")
+}
+
+func request(t *testing.T, h http.Handler, method, path, authorization, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", authorization)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
