feat: operators' command line with golden sessions

Cause: operators drive the system by the document alone and need to see what is wrong with a late answer.

Ruled out: an editor started by `edit` (a process starts no other), so edit has two steps; waiting for instances that are not seen (they take the document before they are ready again), so they are named but don't hold up `apply`; repeating an edit whose answer was lost, so the document is read back instead.

Change: internal/operator/command (apply, check, get, diff, edit, status, profiles, explain, drain, version, completion; exit codes 0 to 4), cmd/chiveramp.

--- /dev/null
+++ b/internal/operator/command/apply.go
@@ -0,0 +1,164 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+const (
+	defaultWait  = 15 * time.Second
+	pollInterval = 200 * time.Millisecond
+)
+
+// applied is what apply prints.
+type applied struct {
+	operator.ApplyResult
+	// Lost are instances that are not seen; they take the document when they come back.
+	Lost []string `json:"lost"`
+	// Unchanged says that the same document was in force already.
+	Unchanged bool `json:"unchanged"`
+}
+
+func (p *program) applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "replace the document and wait until it is in force everywhere",
+		ArgsUsage: "FILE (- for standard input)",
+		Description: `Checks the document, replaces the one in force and waits until every
+instance has it. If another operator was faster, says whose revision won and
+changes nothing.
+
+Example:
+   chiveramp apply examples/guaiba.ini`,
+		Flags: append(applyFlags(),
+			&cli.Uint64Flag{Name: "expect", Usage: "apply only on this revision (default: the one in force now)"}),
+		Action: p.apply,
+	}
+}
+
+func applyFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "author", Usage: "who applies it", Sources: cli.EnvVars("CHIVERAMP_AUTHOR", "USER"), Value: "unknown"},
+		&cli.DurationFlag{Name: "wait", Usage: "longest wait until it is in force everywhere", Value: defaultWait},
+	}
+}
+
+func (p *program) apply(ctx context.Context, c *cli.Command) error {
+	name, text, err := p.readDocument(c)
+	if err != nil {
+		return err
+	}
+	if _, err := profile.Parse(name, text); err != nil {
+		return err
+	}
+	before, err := document(ctx, c)
+	if err != nil {
+		return err
+	}
+	expect := before.Revision
+	if c.IsSet("expect") {
+		expect = c.Uint64("expect")
+	}
+	return p.submit(ctx, c, before, operator.Edit{Expect: expect, Author: c.String("author"), Text: string(text)})
+}
+
+// submit applies the edit unless it is in force already, then waits.
+func (p *program) submit(ctx context.Context, c *cli.Command, before operator.Document, e operator.Edit) error {
+	if before.Revision > 0 && before.Text == e.Text {
+		return p.await(ctx, c, applied{ApplyResult: operator.ApplyResult{Revision: before.Revision}, Unchanged: true})
+	}
+	result, err := call(ctx, c, func(ctx context.Context, o *operator.Client) (operator.ApplyResult, error) {
+		return o.Apply(ctx, e)
+	})
+	if errors.Is(err, operator.ErrUncertain) {
+		result, err = settle(ctx, c, e, err)
+	}
+	if err != nil {
+		return err
+	}
+	return p.await(ctx, c, applied{ApplyResult: result})
+}
+
+// settle reads the document back after an uncertain outcome. Where the edit is
+// not in force, it may still take effect later, so the outcome stays uncertain.
+func settle(ctx context.Context, c *cli.Command, e operator.Edit, uncertain error) (operator.ApplyResult, error) {
+	d, err := document(ctx, c)
+	if err != nil || d.Revision <= e.Expect || d.Text != e.Text || d.Author != e.Author {
+		return operator.ApplyResult{}, uncertain
+	}
+	return operator.ApplyResult{Revision: d.Revision}, nil
+}
+
+// await asks for the status until no instance is behind, and prints where it is.
+func (p *program) await(ctx context.Context, c *cli.Command, a applied) error {
+	end := p.now().Add(c.Duration("wait"))
+	for {
+		err := a.update(ctx, c)
+		if err == nil && len(a.Behind) == 0 && len(a.InForce) > 0 {
+			return p.printApplied(c, a)
+		}
+		if !p.now().Before(end) {
+			return p.giveUp(c, a, err)
+		}
+		if err := p.pause(ctx, pollInterval); err != nil {
+			return fmt.Errorf("wait for revision %d: %w", a.Revision, err)
+		}
+	}
+}
+
+func (p *program) giveUp(c *cli.Command, a applied, err error) error {
+	if err != nil {
+		return fmt.Errorf("revision %d was accepted; %w: %w", a.Revision, errNotYet, err)
+	}
+	if err := p.printApplied(c, a); err != nil {
+		return err
+	}
+	return fmt.Errorf("revision %d: %w: %s", a.Revision, errNotYet, strings.Join(a.Behind, ", "))
+}
+
+func (a *applied) update(ctx context.Context, c *cli.Command) error {
+	s, err := call(ctx, c, func(ctx context.Context, o *operator.Client) (operator.Status, error) { return o.Status(ctx) })
+	if err != nil {
+		return err
+	}
+	a.InForce, a.Behind, a.Lost = []string{}, []string{}, []string{}
+	for _, i := range s.Instances {
+		switch {
+		case i.Revision >= a.Revision:
+			a.InForce = append(a.InForce, i.Name)
+		case i.State == operator.StateLost:
+			a.Lost = append(a.Lost, i.Name)
+		default:
+			a.Behind = append(a.Behind, i.Name)
+		}
+	}
+	slices.Sort(a.InForce)
+	slices.Sort(a.Behind)
+	slices.Sort(a.Lost)
+	return nil
+}
+
+func (p *program) printApplied(c *cli.Command, a applied) error {
+	return p.print(c, a, func(w io.Writer) {
+		if a.Unchanged {
+			linef(w, "nothing to change")
+		}
+		linef(w, "revision %d in force: %s", a.Revision, orDash(strings.Join(a.InForce, ", ")))
+		if len(a.Behind) > 0 {
+			linef(w, "not yet: %s", strings.Join(a.Behind, ", "))
+		}
+		if len(a.Lost) > 0 {
+			linef(w, "not seen: %s", strings.Join(a.Lost, ", "))
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/command/connect.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/certs"
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/pkg/config"
+)
+
+const (
+	filePrefix     = "file:"
+	defaultTimeout = 10 * time.Second
+)
+
+// outputForm is the form in which commands print.
+type outputForm string
+
+const (
+	outputText outputForm = "text"
+	outputJSON outputForm = "json"
+)
+
+func connectionFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "address", Usage: "host:port of [operator] of one or more instances, tried in order", Sources: cli.EnvVars("CHIVERAMP_ADDRESS")},
+		&cli.StringFlag{Name: "token", Usage: "the secret of [operator], or file:PATH of it", Sources: cli.EnvVars("CHIVERAMP_TOKEN")},
+		&cli.StringFlag{Name: "ca", Usage: "PEM file of the CA of the instances; turns on TLS", Sources: cli.EnvVars("CHIVERAMP_CA")},
+		&cli.StringFlag{Name: "cert", Usage: "PEM file of the operator's certificate", Sources: cli.EnvVars("CHIVERAMP_CERT")},
+		&cli.StringFlag{Name: "key", Usage: "PEM file of the certificate's key", Sources: cli.EnvVars("CHIVERAMP_KEY")},
+		&cli.DurationFlag{Name: "timeout", Usage: "longest time for one call", Value: defaultTimeout},
+		&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "text or json", Value: string(outputText)},
+	}
+}
+
+func checkOutput(ctx context.Context, c *cli.Command) (context.Context, error) {
+	switch outputForm(c.String("output")) {
+	case outputText, outputJSON:
+		return ctx, nil
+	default:
+		return ctx, badInput("--output: got %q, want text or json", c.String("output"))
+	}
+}
+
+func connect(c *cli.Command) (*operator.Client, error) {
+	addresses := c.StringSlice("address")
+	if len(addresses) == 0 {
+		return nil, badInput("--address: missing, want host:port of an instance's [operator] (or CHIVERAMP_ADDRESS)")
+	}
+	token, err := readToken(c.String("token"))
+	if err != nil {
+		return nil, err
+	}
+	options := []operator.ClientOption{operator.WithBearer(token)}
+	t, err := certs.Client(config.TLS{Cert: c.String("cert"), Key: c.String("key"), CA: c.String("ca")})
+	if err != nil {
+		return nil, badInput("%v", err)
+	}
+	if t != nil {
+		options = append(options, operator.WithTLS(t))
+	}
+	return operator.NewClient(addresses, options...), nil
+}
+
+func readToken(given string) (string, error) {
+	path, found := strings.CutPrefix(given, filePrefix)
+	if !found {
+		return given, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", badInput("--token: %v", err)
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// call connects, and bounds the time of one call.
+func call[T any](ctx context.Context, c *cli.Command, fn func(context.Context, *operator.Client) (T, error)) (T, error) {
+	client, err := connect(c)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	return fn(ctx, client)
+}
+
+// document returns the document in force, or an empty one of revision 0.
+func document(ctx context.Context, c *cli.Command) (operator.Document, error) {
+	d, err := call(ctx, c, func(ctx context.Context, o *operator.Client) (operator.Document, error) { return o.Document(ctx) })
+	if errors.Is(err, operator.ErrNotFound) {
+		return operator.Document{}, nil
+	}
+	if err != nil {
+		return operator.Document{}, err
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/operator/command/fake_test.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/operator"
+)
+
+var start = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+// fake is a system of three instances. Those in late take a new document only
+// after so many questions for the status.
+type fake struct {
+	document operator.Document
+	late     map[string]int
+	lost     map[string]bool
+	asked    int
+	refusal  error
+	written  bool // an edit takes effect in spite of the refusal
+	trails   map[string]operator.Trail
+	reports  []operator.ProfileReport
+	degraded []operator.Degradation
+	draining map[string]bool
+}
+
+func newFake() *fake {
+	return &fake{late: map[string]int{}, lost: map[string]bool{}, trails: map[string]operator.Trail{}, draining: map[string]bool{}}
+}
+
+func (f *fake) Document(context.Context) (operator.Document, error) {
+	if f.document.Revision == 0 {
+		return operator.Document{}, fmt.Errorf("read: %w", operator.ErrNotFound)
+	}
+	return f.document, nil
+}
+
+func (f *fake) Apply(_ context.Context, e operator.Edit) (operator.ApplyResult, error) {
+	if f.refusal != nil && !f.written {
+		return operator.ApplyResult{}, f.refusal
+	}
+	if e.Expect != f.document.Revision {
+		return operator.ApplyResult{}, &operator.ConflictError{Expected: e.Expect, Revision: f.document.Revision, Author: f.document.Author}
+	}
+	f.document = operator.Document{Revision: e.Expect + 1, Author: e.Author, Applied: start, Text: e.Text}
+	f.asked = 0
+	return operator.ApplyResult{Revision: f.document.Revision}, f.refusal
+}
+
+func (f *fake) Status(context.Context) (operator.Status, error) {
+	f.asked++
+	s := operator.Status{Instance: "litoral-1a", Revision: f.document.Revision, Degraded: f.degraded}
+	for i, name := range []string{"litoral-1a", "litoral-2a", "serra-1a"} {
+		s.Instances = append(s.Instances, f.instance(i, name))
+	}
+	s.Placers = []operator.PlacerStatus{
+		{Datacentre: "litoral-1", Instance: "litoral-1a", Fence: 7, Lease: 8500},
+		{Datacentre: "litoral-2"},
+	}
+	s.Dispatchers = []operator.DispatcherStatus{{Endpoint: "matcher-01", Instance: "litoral-1a", Running: 16, Queued: 3, Wait: 420}}
+	s.Endpoints = []operator.EndpointStatus{
+		{Name: "matcher-01", Service: "matcher", Datacentre: "litoral-1", State: operator.StateReady, Models: []string{"matcher-a"}, Memory: 80 << 30, Free: 12 << 30},
+		{Name: "matcher-02", Service: "matcher", Datacentre: "litoral-2", State: operator.StateLost},
+	}
+	s.Models = []operator.ModelStatus{{Name: "matcher-a", Wanted: 2, Endpoints: []string{"matcher-01"}}, {Name: "matcher-b", Wanted: 1}}
+	return s, nil
+}
+
+func (f *fake) instance(i int, name string) operator.InstanceStatus {
+	places := []string{"litoral-1", "litoral-2", "serra-1"}
+	regions := []string{"litoral-sul", "litoral-sul", "serra-gaucha"}
+	v := operator.InstanceStatus{
+		Name: name, Region: regions[i], Datacentre: places[i], Address: fmt.Sprintf("10.0.%d.1:7080", i),
+		Revision: f.document.Revision, State: operator.StateReady,
+	}
+	if f.asked <= f.late[name] && v.Revision > 0 {
+		v.Revision--
+	}
+	if f.lost[name] {
+		v.Revision, v.State = 1, operator.StateLost
+	}
+	if f.draining[name] {
+		v.State = operator.StateLeaving
+	}
+	return v
+}
+
+func (f *fake) Profiles(context.Context) ([]operator.ProfileReport, error) {
+	return f.reports, nil
+}
+
+func (f *fake) Explain(_ context.Context, request string) (operator.Trail, error) {
+	t, found := f.trails[request]
+	if !found {
+		return operator.Trail{}, fmt.Errorf("request %s: %w", request, operator.ErrNotFound)
+	}
+	return t, nil
+}
+
+func (f *fake) Drain(_ context.Context, instance string) (operator.DrainResult, error) {
+	f.draining[instance] = true
+	return operator.DrainResult{Instance: instance, State: operator.StateLeaving, Running: 4}, nil
+}
--- /dev/null
+++ b/internal/operator/command/profiles.go
@@ -0,0 +1,92 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/operator"
+)
+
+func (p *program) profilesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "profiles",
+		Usage: "show how each profile meets its targets, now",
+		Description: `Shows the share of requests within target by profile and by rank, the most
+urgent rank first, and the most frequent reason of refusals.
+
+Example:
+   chiveramp profiles`,
+		Action: p.profiles,
+	}
+}
+
+func (p *program) profiles(ctx context.Context, c *cli.Command) error {
+	if err := noArguments(c); err != nil {
+		return err
+	}
+	reports, err := call(ctx, c, func(ctx context.Context, o *operator.Client) ([]operator.ProfileReport, error) {
+		return o.Profiles(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	slices.SortFunc(reports, func(a, b operator.ProfileReport) int {
+		if d := fleet.Rank(a.Rank).Level() - fleet.Rank(b.Rank).Level(); d != 0 {
+			return d
+		}
+		return strings.Compare(a.Profile, b.Profile)
+	})
+	return p.print(c, reports, func(w io.Writer) { writeProfiles(w, reports) })
+}
+
+func writeProfiles(w io.Writer, reports []operator.ProfileReport) {
+	if len(reports) == 0 {
+		linef(w, "no request yet")
+		return
+	}
+	var rows [][]string
+	for _, r := range reports {
+		rows = append(rows, []string{
+			r.Profile, r.Rank, percent(r.Attainment()), milliseconds(r.First), target(r.Target),
+			number(r.Requests), number(r.Refused), number(r.Failed), orDash(r.Why),
+		})
+	}
+	table(w, fmt.Sprintf("profiles, last %s", milliseconds(reports[0].Window)), "PROFILE RANK ATTAINMENT FIRST TARGET REQUESTS REFUSED FAILED WHY", rows)
+	table(w, "ranks", "RANK ATTAINMENT REQUESTS REFUSED FAILED", rankRows(reports))
+}
+
+func rankRows(reports []operator.ProfileReport) [][]string {
+	var rows [][]string
+	for _, rank := range fleet.Ranks() {
+		sum := operator.ProfileReport{}
+		for _, r := range reports {
+			if r.Rank != string(rank) {
+				continue
+			}
+			sum.Requests += r.Requests
+			sum.Met += r.Met
+			sum.Refused += r.Refused
+			sum.Failed += r.Failed
+		}
+		rows = append(rows, []string{string(rank), percent(sum.Attainment()), number(sum.Requests), number(sum.Refused), number(sum.Failed)})
+	}
+	return rows
+}
+
+func target(n int64) string {
+	if n == 0 {
+		return "-"
+	}
+	return milliseconds(n)
+}
+
+func number(n int64) string {
+	return strconv.FormatInt(n, 10)
+}
