feat: placer with lease, write-ahead orders and promised copies

Cause: one placer for each data centre has to order loads and unloads so that no memory is promised twice and every model stays reachable. Ruled out: releasing lost orders by a timer; Commit of permit and record in one call (it returns no versions, so each would have to be read again); relying on another data centre's copies by the age of their record. Instead a copy elsewhere counts only if that data centre's placer holds its lease and has declared that it compared its copies with its endpoints, and the write that gives a copy up checks these leases itself (Write.Also). Change: internal/placer (Step, Run, Status), permits of the weight store, guards of several leases in one write, a pause hook in the fake. Lost orders at engines that refuse old fences are ruled out by taking the lease anew and sending an order that changes nothing; at others only what is seen, or a new incarnation, releases them. Planner is place.Planner as it stands.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -92,7 +92,7 @@
 	return func(r *rules) { r.forgetLost = true }
 }
 
-// WithoutSeenUnload frees memory when an unload is accepted.
+// WithoutSeenUnload frees memory when an unload is accepted, not when it has ended.
 func WithoutSeenUnload() Option {
 	return func(r *rules) { r.trustUnloads = true }
 }
@@ -183,6 +183,9 @@
 			used += h.charged()
 		}
 	}
+	if l.rules.trustUnloads {
+		return total
+	}
 	return max(total, used)
 }
 
--- a/internal/core/ledger/observe.go
+++ b/internal/core/ledger/observe.go
@@ -40,6 +40,9 @@
 func (l *Ledger) match(residents []Resident) {
 	shown := make(map[Item]bool, len(residents))
 	for _, r := range residents {
+		if l.rules.trustUnloads && r.State == PhaseUnloading {
+			continue
+		}
 		shown[r.Item()] = true
 		h := &l.holdings[l.ensure(r.Item())]
 		if !h.Resident() {
--- /dev/null
+++ b/internal/placer/engine.go
@@ -0,0 +1,73 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
+	"github.com/chiveramp/chiveramp/internal/core/place"
+)
+
+// ErrRefused wraps the proof that an order has not run and never will: it was
+// not sent, or the endpoint said no.
+var ErrRefused = errors.New("order refused")
+
+// Engine gives orders to endpoints. Both methods honour the context's deadline.
+type Engine interface {
+	// State reads what an endpoint holds. It shows every order accepted before the call.
+	State(ctx context.Context, endpoint fleet.Endpoint) (ledger.State, error)
+	// Order sends one order, once. Nil means accepted, ErrRefused never to run;
+	// after any other error it may still arrive, at the order's incarnation only.
+	Order(ctx context.Context, endpoint fleet.Endpoint, order ledger.Order) error
+}
+
+// Planner proposes moves; the placer decides which of them are safe.
+type Planner interface {
+	Plan(now time.Time, view place.View) []place.Move
+}
+
+// Drainer tells when an endpoint has no work left for a model whose copy is no
+// longer promised.
+type Drainer interface {
+	Drained(ctx context.Context, endpoint fleet.Endpoint, model fleet.Model) bool
+}
+
+// Target is an endpoint that the placer looks after.
+type Target struct {
+	Endpoint fleet.Endpoint
+	Place    fleet.Place
+	// Leaving endpoints get no load.
+	Leaving bool
+}
+
+// Wanted is a model that has to be reachable, with its demand.
+type Wanted struct {
+	Model fleet.Model
+	// Weights and Cache are the bytes of the model and of its share of KV cache.
+	Weights  int64
+	Cache    int64
+	Adapters []WantedAdapter
+	// Fast, Slow and Weight are as in place.ModelView.
+	Fast   float64
+	Slow   float64
+	Weight float64
+}
+
+// WantedAdapter is an adapter of a model, with its size in bytes.
+type WantedAdapter struct {
+	Adapter fleet.Adapter
+	Bytes   int64
+}
+
+// copyBytes returns the memory that one copy of the model takes.
+func (w Wanted) copyBytes() int64 {
+	return w.Weights + w.Cache
+}
+
+// Fleet names the endpoints of the placer's data centre and what they have to serve.
+type Fleet interface {
+	Targets(now time.Time) []Target
+	Wanted(now time.Time) []Wanted
+}
--- /dev/null
+++ b/internal/placer/lease.go
@@ -0,0 +1,164 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+// leasePrefix is the prefix of the keys of all placers' leases.
+const leasePrefix = "placer/"
+
+// leaseValue is the stored form of a lease's holder.
+type leaseValue struct {
+	Instance fleet.Instance `cbor:"1,keyasint"`
+	// Reconciled is set once the holder has compared every copy of its data
+	// centre with what its endpoints show. Only then may others rely on them.
+	Reconciled bool `cbor:"2,keyasint"`
+}
+
+func (v leaseValue) encode() []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // two plain fields
+	}
+	return data
+}
+
+// lease is the right to give orders in one data centre. Its end is judged by
+// the holder's own clock, counted from before the call that renewed it.
+type lease struct {
+	store    platform.Store
+	clock    func() time.Time
+	key      string
+	instance fleet.Instance
+	ttl      time.Duration
+	margin   time.Duration // by which the holder stops before the store lets go
+	pace     pace
+	trusting bool // ignores the clock; only for proofs
+
+	id         platform.LeaseID
+	fence      fleet.Fence
+	version    platform.Version
+	reconciled bool
+	until      time.Time
+}
+
+// live reports whether an order may leave now.
+func (l *lease) live() bool {
+	return l.id != "" && (l.trusting || l.clock().Before(l.until))
+}
+
+// keep renews the lease, or tries to take it when it is free.
+func (l *lease) keep(ctx context.Context, now time.Time) error {
+	if l.id != "" && !l.live() {
+		l.drop(now)
+	}
+	switch {
+	case !l.pace.ready(now):
+		return nil
+	case l.id != "":
+		return l.renew(ctx, now)
+	default:
+		return l.take(ctx, now)
+	}
+}
+
+func (l *lease) renew(ctx context.Context, now time.Time) error {
+	start := l.clock()
+	err := l.store.Renew(ctx, l.id)
+	switch {
+	case err == nil:
+		l.until = start.Add(l.ttl - l.margin)
+		l.pace.after(now, l.ttl/3)
+		return nil
+	case errors.Is(err, platform.ErrNotFound):
+		l.drop(now)
+	default:
+		l.pace.failed(now, l.ttl/4)
+	}
+	return fmt.Errorf("renew lease %s: %w", l.key, err)
+}
+
+// take reads first, so that waiting for a lease that is held costs one read.
+func (l *lease) take(ctx context.Context, now time.Time) error {
+	entry, err := l.store.Get(ctx, l.key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		l.pace.failed(now, l.pace.longest)
+		return fmt.Errorf("read lease %s: %w", l.key, err)
+	}
+	if entry.Lock != "" {
+		l.pace.after(now, l.ttl)
+		return nil
+	}
+	start := l.clock()
+	id, err := l.store.Grant(ctx, l.key, l.ttl)
+	if err != nil {
+		l.pace.failed(now, l.pace.longest)
+		return fmt.Errorf("grant lease %s: %w", l.key, err)
+	}
+	return l.acquire(ctx, now, start, id)
+}
+
+func (l *lease) acquire(ctx context.Context, now, start time.Time, id platform.LeaseID) error {
+	value := leaseValue{Instance: l.instance}.encode()
+	entry, err := l.store.Acquire(ctx, l.key, value, id)
+	if errors.Is(err, platform.ErrUncertain) {
+		entry, err = l.store.Get(ctx, l.key)
+		if err == nil && entry.Lock != id {
+			err = platform.ErrConflict
+		}
+	}
+	if err != nil {
+		l.pace.failed(now, l.pace.longest)
+		return fmt.Errorf("acquire lease %s: %w", l.key, err)
+	}
+	l.id, l.fence, l.version = id, fleet.Fence(entry.Fence), entry.Version
+	l.reconciled = false
+	l.until = start.Add(l.ttl - l.margin)
+	l.pace.after(now, l.ttl/3)
+	return nil
+}
+
+// declare tells the other data centres that this one's copies can be relied on.
+func (l *lease) declare(ctx context.Context) error {
+	value := leaseValue{Instance: l.instance, Reconciled: true}.encode()
+	w := platform.Write{Key: l.key, Value: value, Expect: l.version, Holder: l.id, Guard: l.key}
+	version, err := l.store.Swap(ctx, w)
+	if err == nil {
+		l.version, l.reconciled = version, true
+		return nil
+	}
+	entry, readErr := l.store.Get(ctx, l.key)
+	if readErr == nil && entry.Lock == l.id {
+		l.version = entry.Version // written again from there
+	}
+	return fmt.Errorf("declare lease %s: %w", l.key, err)
+}
+
+// release gives the lease back, so that neither a successor nor this placer,
+// when it needs a newer fence, has to wait for its end.
+func (l *lease) release(ctx context.Context, now time.Time) error {
+	if l.id == "" {
+		return nil
+	}
+	id := l.id
+	l.id = ""
+	l.pace.soon(now)
+	if err := l.store.Revoke(ctx, id); err != nil {
+		l.pace.failed(now, l.pace.longest)
+		return fmt.Errorf("revoke lease %s: %w", l.key, err)
+	}
+	return nil
+}
+
+func (l *lease) drop(now time.Time) {
+	l.id = ""
+	l.pace.failed(now, l.pace.longest)
+}
--- /dev/null
+++ b/internal/placer/orders.go
@@ -0,0 +1,173 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+// errNoLease means that the lease ended before an order left.
+var errNoLease = errors.New("lease ended")
+
+// outgoing is an order that is recorded and about to be sent.
+type outgoing struct {
+	node  *node
+	order ledger.Order
+	// recorded is false for orders that take no memory and change nothing.
+	recorded bool
+	err      error
+}
+
+func (p *Placer) newOrder(n *node, kind ledger.Kind, item ledger.Item, bytes int64) ledger.Order {
+	p.sequence++
+	return ledger.Order{
+		ID:          fmt.Sprintf("%s-%d-%d", p.place.DataCentre, p.lease.fence, p.sequence),
+		Fence:       p.lease.fence,
+		Kind:        kind,
+		Incarnation: n.ledger.Incarnation(),
+		Model:       item.Model,
+		Adapter:     item.Adapter,
+		Bytes:       bytes,
+	}
+}
+
+// prepare records an order and puts it into the outbox, unless the endpoint's
+// ledger forbids it. An error means that the store can't be used.
+func (p *Placer) prepare(ctx context.Context, n *node, o ledger.Order) error {
+	if !n.loaded {
+		return nil
+	}
+	next := n.ledger.Clone()
+	if err := next.Reserve(o); err != nil {
+		p.problem(err)
+		return nil
+	}
+	if p.off.writeAhead {
+		n.ledger = next
+	} else if err := p.writeRecord(ctx, n, next); err != nil {
+		n.unsent[o.ID] = true
+		if errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		return err
+	}
+	p.outbox = append(p.outbox, outgoing{node: n, order: o, recorded: true})
+	return nil
+}
+
+// dropOutbox takes back the orders that did not leave.
+func (p *Placer) dropOutbox() {
+	for _, out := range p.outbox {
+		if out.recorded {
+			out.node.unsent[out.order.ID] = true
+			out.node.ledger.Refused(out.order.ID)
+			out.node.dirty = true
+		}
+	}
+	p.outbox = nil
+}
+
+// send sends the recorded orders and notes their outcomes.
+func (p *Placer) send(ctx context.Context, now time.Time) error {
+	var group errgroup.Group
+	group.SetLimit(p.parallel)
+	for i := range p.outbox {
+		out := &p.outbox[i]
+		group.Go(func() error {
+			out.err = p.sendOne(ctx, out)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	for _, out := range p.outbox {
+		p.outcome(now, out)
+	}
+	p.outbox = nil
+	return nil
+}
+
+func (p *Placer) sendOne(ctx context.Context, out *outgoing) error {
+	ctx, cancel := context.WithTimeout(ctx, p.callTimeout)
+	defer cancel()
+	if !p.lease.live() {
+		return fmt.Errorf("%w: %w", ErrRefused, errNoLease)
+	}
+	return p.engine.Order(ctx, out.node.target.Endpoint, out.order)
+}
+
+// outcome notes what became of an order.
+func (p *Placer) outcome(now time.Time, out outgoing) {
+	o, n := out.order, out.node
+	outcome := "accepted"
+	switch {
+	case out.err == nil:
+		n.ledger.Accepted(o.ID)
+	case errors.Is(out.err, ErrRefused):
+		outcome = "refused"
+		n.ledger.Refused(o.ID)
+	default:
+		outcome = "lost"
+		n.ledger.Lost(o.ID)
+		n.lost[o.ID] = now
+	}
+	n.dirty = n.dirty || out.recorded
+	if out.err != nil {
+		p.problem(fmt.Errorf("order %s to %s: %w", o.ID, n.target.Endpoint, out.err))
+	}
+	metrics.GetOrRegisterCounter("placer.orders."+outcome, p.registry).Inc(1)
+	_ = p.logger.Log("level", "info", "step", "order", "order", o.ID, "kind", o.Kind, "item", o.Item(),
+		"endpoint", n.target.Endpoint, "outcome", outcome, "err", out.err)
+}
+
+// ruleOut settles lost orders at endpoints that refuse old fences: the lease is
+// taken anew for a newer fence, and an order that changes nothing carries it.
+func (p *Placer) ruleOut(ctx context.Context, now time.Time) error {
+	renew := false
+	for _, n := range p.ordered() {
+		if !n.fresh || !n.ledger.Checks() {
+			continue
+		}
+		oldest, waited := p.oldestLost(n, now)
+		if oldest == 0 {
+			continue
+		}
+		if oldest < p.lease.fence && n.ledger.Fence() < p.lease.fence {
+			o := p.newOrder(n, ledger.KindRole, ledger.Item{}, 0)
+			o.Role = n.ledger.Role()
+			p.outbox = append(p.outbox, outgoing{node: n, order: o})
+		}
+		renew = renew || oldest == p.lease.fence && waited > p.settleAfter
+	}
+	if !renew || len(p.outbox) > 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.callTimeout)
+	defer cancel()
+	return p.lease.release(ctx, now)
+}
+
+// oldestLost returns the lowest fence among the orders in flight, zero when
+// there are none, and how long the longest lost one has been waited for.
+func (p *Placer) oldestLost(n *node, now time.Time) (fleet.Fence, time.Duration) {
+	var oldest fleet.Fence
+	var waited time.Duration
+	for _, o := range n.ledger.Unsettled() {
+		if oldest == 0 || o.Fence < oldest {
+			oldest = o.Fence
+		}
+		if at, ok := n.lost[o.ID]; ok {
+			waited = max(waited, now.Sub(at))
+		}
+	}
+	return oldest, waited
+}
--- /dev/null
+++ b/internal/placer/pace.go
@@ -0,0 +1,40 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// pace decides when the store may be called again. After failures the pause
+// doubles and a random part of it is taken, so that those who failed together
+// don't come back together.
+type pace struct {
+	random  *rand.Rand
+	first   time.Duration
+	longest time.Duration
+
+	pause time.Duration
+	next  time.Time
+}
+
+// ready reports whether a call may be made.
+func (p *pace) ready(now time.Time) bool {
+	return !now.Before(p.next)
+}
+
+// after sets the next call after a success: the interval, less up to a fifth of it.
+func (p *pace) after(now time.Time, interval time.Duration) {
+	p.pause = 0
+	p.next = now.Add(interval - time.Duration(p.random.Int64N(int64(interval)/5+1)))
+}
+
+// failed sets the next call after a failure, at most limit later.
+func (p *pace) failed(now time.Time, limit time.Duration) {
+	p.pause = min(max(2*p.pause, p.first), p.longest)
+	p.next = now.Add(time.Duration(p.random.Int64N(int64(min(p.pause, limit)))) + time.Millisecond)
+}
+
+// soon allows a call at once.
+func (p *pace) soon(now time.Time) {
+	p.next = now
+}
--- /dev/null
+++ b/internal/placer/permits.go
@@ -0,0 +1,157 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
+	"github.com/chiveramp/chiveramp/internal/platform"
+)
+
+// loading is where an accepted or lost load was sent.
+type loading struct {
+	node *node
+	item ledger.Item
+}
+
+// permits are the loads that the region's weight store is taking, as last read.
+type permits struct {
+	ledger.Permits
+	version platform.Version
+	known   bool
+	loading map[string]loading // this data centre's loads, by order
+}
+
+// limited reports whether the weight store has limits.
+func (p *Placer) limited() bool {
+	return p.limits.Rate > 0 || p.limits.AtOnce > 0
+}
+
+func (p *Placer) readPermits(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, p.callTimeout)
+	defer cancel()
+	entry, err := p.store.Get(ctx, ledger.PermitsKey(p.place.Region))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		p.permits.Permits, p.permits.version = ledger.Permits{}, 0
+	case err != nil:
+		return fmt.Errorf("permits: %w", err)
+	default:
+		read, err := ledger.DecodePermits(entry.Value)
+		if err != nil {
+			return err
+		}
+		p.permits.Permits, p.permits.version = read, entry.Version
+	}
+	p.permits.known = true
+	return nil
+}
+
+func (p *Placer) writePermits(ctx context.Context, next ledger.Permits) error {
+	data, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.callTimeout)
+	defer cancel()
+	w := platform.Write{Key: ledger.PermitsKey(p.place.Region), Value: data, Expect: p.permits.version}
+	version, err := p.store.Swap(ctx, p.guarded(w))
+	if err != nil {
+		p.permits.known = false
+		return fmt.Errorf("permits: %w", err)
+	}
+	p.permits.Permits, p.permits.version = next, version
+	return nil
+}
+
+// settlePermits gives back the permits of loads whose outcome was seen.
+func (p *Placer) settlePermits(ctx context.Context, now time.Time) error {
+	if !p.limited() || !p.surveyed(now) {
+		return nil
+	}
+	if !p.permits.known {
+		if err := p.readPermits(ctx); err != nil {
+			return err
+		}
+	}
+	pending, lost := p.pendingOrders()
+	inFlight := func(order string) bool { return pending[order] || p.permits.stillLoading(order) }
+	next, changed := p.permits.Settle(p.place.DataCentre, inFlight, func(o string) bool { return lost[o] })
+	for id := range p.permits.loading {
+		if !inFlight(id) {
+			delete(p.permits.loading, id)
+		}
+	}
+	if !changed {
+		return nil
+	}
+	err := p.writePermits(ctx, next)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil // read and tried again in the next step
+	}
+	return err
+}
+
+// stillLoading reports whether an accepted load has not ended yet.
+func (ps *permits) stillLoading(order string) bool {
+	at, ok := ps.loading[order]
+	return ok && at.node.ledger.Holding(at.item).Phase == ledger.PhaseLoading
+}
+
+// pendingOrders returns the orders in flight, and those whose answer never came.
+func (p *Placer) pendingOrders() (pending, lost map[string]bool) {
+	pending, lost = make(map[string]bool), make(map[string]bool)
+	for _, n := range p.nodes {
+		if n.ledger == nil {
+			continue
+		}
+		for _, o := range n.ledger.Unsettled() {
+			pending[o.ID] = true
+			_, noAnswer := n.lost[o.ID]
+			lost[o.ID] = noAnswer || o.Fence < p.lease.fence
+		}
+	}
+	return pending, lost
+}
+
+// takePermit asks for a load of the weight store. It returns false, and no
+// error, when the store's limits are used up.
+func (p *Placer) takePermit(ctx context.Context, now time.Time, n *node, o ledger.Order) (bool, error) {
+	if !p.limited() {
+		return true, nil
+	}
+	if !p.permits.known {
+		if err := p.readPermits(ctx); err != nil {
+			return false, err
+		}
+	}
+	permit := ledger.Permit{Order: o.ID, DataCentre: p.place.DataCentre}
+	next, err := p.permits.Take(now, p.limits, permit)
+	if err != nil {
+		p.problem(err)
+		p.permits.known = p.permits.known && !p.shared()
+		return false, nil
+	}
+	err = p.writePermits(ctx, next)
+	if errors.Is(err, platform.ErrConflict) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	p.permits.loading[o.ID] = loading{node: n, item: o.Item()}
+	return true, nil
+}
+
+// shared reports whether another data centre holds permits, which it may have
+// given back since.
+func (p *Placer) shared() bool {
+	for _, h := range p.permits.Held() {
+		if h.DataCentre != p.place.DataCentre {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placer/session_test.go
@@ -0,0 +1,316 @@
+package placer
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
+	"github.com/chiveramp/chiveramp/internal/core/place"
+	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// event is one line of a session's script.
+type event struct {
+	second int
+	text   string
+	do     func(*world)
+}
+
+// session is a script of timed events. Its golden file has the script and every
+// order and arrival that came of it.
+type session struct {
+	name   string
+	build  func(*world)
+	script []event
+	until  int
+	// ready lists where each model has to be ready at the end.
+	ready map[fleet.Model][]fleet.Endpoint
+	// off turns off the mechanism that the session proves. Then it must break
+	// an invariant.
+	off func(*switches)
+}
+
+func (s session) play(t *testing.T, off func(*switches)) *world {
+	t.Helper()
+	w := newWorld(t)
+	s.build(w)
+	if off != nil {
+		for _, a := range w.placers {
+			off(&a.off)
+		}
+	}
+	for second := range s.until {
+		for _, e := range s.script {
+			if e.second == second {
+				w.notef("-- %s", e.text)
+				e.do(w)
+			}
+		}
+		w.advance()
+	}
+	return w
+}
+
+func TestSessions(t *testing.T) {
+	for _, s := range sessions() {
+		t.Run(s.name, func(t *testing.T) {
+			w := s.play(t, nil)
+			w.requireSafe()
+			for model, at := range s.ready {
+				require.Equal(t, at, w.ready(model), "%s\n%s", model, strings.Join(w.log, "\n"))
+			}
+			golden(t, s.name, strings.Join(w.log, "\n")+"\n")
+		})
+	}
+}
+
+// TestSessionsWithMechanismOff shows that each session fails without its mechanism.
+func TestSessionsWithMechanismOff(t *testing.T) {
+	for _, s := range sessions() {
+		if s.off == nil {
+			continue
+		}
+		t.Run(s.name, func(t *testing.T) {
+			w := s.play(t, s.off)
+			require.NotEmpty(t, w.violations, strings.Join(w.log, "\n"))
+			t.Log(w.violations[0])
+		})
+	}
+}
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", strings.ReplaceAll(name, " ", "-")+".golden")
+	if *update {
+		require.NoError(t, os.MkdirAll("testdata", 0o755))
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got)
+}
+
+func plan(name string, moves ...place.Move) func(*world) {
+	return func(w *world) { w.named(name).plan.moves = moves }
+}
+
+func planOnce(name string, moves ...place.Move) func(*world) {
+	return func(w *world) { w.named(name).plan.once = moves }
+}
+
+func pause(name string) func(*world) {
+	return func(w *world) { w.named(name).paused = true }
+}
+
+func resume(name string) func(*world) {
+	return func(w *world) { w.named(name).paused = false }
+}
+
+func fates(f ...fate) func(*world) {
+	return func(w *world) { w.fates = f }
+}
+
+func faults(f standin.Faults) func(*world) {
+	return func(w *world) { w.store.Server().SetFaults(f) }
+}
+
+func restart(name fleet.Endpoint) func(*world) {
+	return func(w *world) { w.restart(name) }
+}
+
+// one builds a data centre with one endpoint of 24 GiB and two placers.
+func one(checks bool) func(*world) {
+	return func(w *world) {
+		w.endpoint("e1", "d1", 24*gib, checks)
+		w.model("a", 14*gib, 2*gib)
+		w.model("b", 14*gib, 2*gib)
+		w.model("c", 1*gib, 1*gib)
+		w.placer("p1", "d1", false)
+		w.placer("p2", "d1", false)
+	}
+}
+
+// pair builds two data centres with an endpoint each, both holding model a, and
+// a model z that needs the memory of one of them.
+func pair(w *world) {
+	w.endpoint("e1", "d1", 24*gib, true)
+	w.endpoint("e2", "d2", 24*gib, true)
+	w.model("a", 14*gib, 2*gib)
+	w.model("z", 18*gib, 2*gib)
+	w.hold("e1", "a")
+	w.hold("e2", "a")
+	w.placer("p1", "d1", false)
+	w.placer("p2", "d2", false)
+}
+
+func roomFor(model, needs fleet.Model, at fleet.Endpoint) place.Move {
+	m := unload(model, at)
+	m.For = needs
+	return m
+}
+
+func ledgerOff(opts ...ledger.Option) func(*switches) {
+	return func(s *switches) { s.ledger = opts }
+}
+
+func sessions() []session {
+	late := []event{
+		{2, "the next order is delayed by 80 s", fates(fate{delay: 80 * time.Second})},
+		{2, "p1 plans a on e1, once", planOnce("p1", load("a", "e1"))},
+		{3, "p1 is paused", pause("p1")},
+		{30, "p2 plans c on e1", plan("p2", load("c", "e1"))},
+		{40, "p2 plans b on e1", plan("p2", load("b", "e1"))},
+		{60, "p1 goes on", resume("p1")},
+	}
+	unloads := func(w *world) {
+		w.endpoint("e1", "d1", 24*gib, false)
+		w.endpoint("e2", "d1", 24*gib, false)
+		w.model("a", 14*gib, 2*gib)
+		w.model("b", 14*gib, 2*gib)
+		w.hold("e1", "a")
+		w.hold("e2", "a")
+		w.unloadTime = 8 * time.Second
+		w.placer("p1", "d1", false)
+	}
+	return []session{
+		{
+			name: "late order at an engine that refuses old fences", build: one(true), script: late, until: 100,
+			ready: map[fleet.Model][]fleet.Endpoint{"a": nil, "b": {"e1"}, "c": {"e1"}},
+		},
+		{
+			name: "late order at an engine that ignores fences", build: one(false), script: late, until: 100,
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e1"}, "b": nil, "c": {"e1"}},
+			off:   ledgerOff(ledger.WithoutFenceCheck()),
+		},
+		{
+			name: "late order without a record", build: one(false), script: late, until: 100,
+			off: func(s *switches) { s.writeAhead = true },
+		},
+		{
+			name: "order answered late", build: one(false), until: 60,
+			script: []event{
+				{2, "the next order is delayed by 30 s", fates(fate{delay: 30 * time.Second})},
+				{2, "p1 plans a on e1, once", planOnce("p1", load("a", "e1"))},
+				{5, "p1 plans b on e1", plan("p1", load("b", "e1"))},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e1"}, "b": nil},
+			off:   ledgerOff(ledger.WithoutReservation()),
+		},
+		{
+			name: "order that never arrives at an engine that refuses old fences", build: one(true), until: 60,
+			script: []event{
+				{2, "the next order is dropped", fates(fate{dropped: true})},
+				{2, "p1 plans a on e1, once", planOnce("p1", load("a", "e1"))},
+				{5, "p1 plans b on e1", plan("p1", load("b", "e1"))},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": nil, "b": {"e1"}},
+		},
+		{
+			name: "order that never arrives at an engine that ignores fences", build: one(false), until: 4000,
+			script: []event{
+				{2, "the next order is dropped", fates(fate{dropped: true})},
+				{2, "p1 plans a on e1, once", planOnce("p1", load("a", "e1"))},
+				{5, "p1 plans b on e1", plan("p1", load("b", "e1"))},
+				{3900, "e1 restarts", restart("e1")},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": nil, "b": {"e1"}},
+		},
+		{
+			name: "order answered after a restart", build: one(false), until: 60,
+			script: []event{
+				{2, "the next order is delayed by 40 s", fates(fate{delay: 40 * time.Second})},
+				{2, "p1 plans a on e1, once", planOnce("p1", load("a", "e1"))},
+				{5, "p1 plans b on e1", plan("p1", load("b", "e1"))},
+				{20, "e1 restarts", restart("e1")},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": nil, "b": {"e1"}},
+		},
+		{
+			name: "unload not seen while the next load is due", build: unloads, until: 30,
+			script: []event{
+				{2, "p1 plans b for a on e1", plan("p1", unload("a", "e1"), load("b", "e1"))},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e2"}, "b": {"e1"}},
+			off:   ledgerOff(ledger.WithoutSeenUnload()),
+		},
+		{
+			name: "store down in the middle of a move", build: unloads, until: 160,
+			script: []event{
+				{2, "p1 plans b for a on e1", plan("p1", unload("a", "e1"), load("b", "e1"))},
+				{6, "the store goes down", faults(standin.Faults{Down: true})},
+				{90, "the store is back", faults(standin.Faults{})},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e2"}, "b": {"e1"}},
+		},
+		{
+			name: "new version beside the old", until: 40,
+			build: func(w *world) {
+				w.endpoint("e1", "d1", 24*gib, false)
+				w.endpoint("e2", "d1", 24*gib, false)
+				for _, m := range []fleet.Model{"a@1", "a@2", "a@3"} {
+					w.model(m, 9*gib, 2*gib)
+				}
+				w.hold("e1", "a@1")
+				w.hold("e2", "a@1")
+				w.placer("p1", "d1", false)
+			},
+			script: []event{
+				{2, "p1 plans a@2 and a@3 on e1", plan("p1", load("a@2", "e1"), load("a@3", "e1"))},
+				{15, "p1 plans a@3 for a@1 on e1", plan("p1", unload("a@1", "e1"), load("a@3", "e1"))},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a@1": {"e2"}, "a@2": {"e1"}, "a@3": {"e1"}},
+		},
+		{
+			name: "adapters and cache are counted", until: 30,
+			build: func(w *world) {
+				w.endpoint("e1", "d1", 24*gib, false)
+				w.model("a", 9*gib, 2*gib, "x", "y")
+				w.model("b", 8*gib, 2*gib)
+				w.model("c", 4*gib, 1*gib)
+				w.placer("p1", "d1", false)
+			},
+			script: []event{
+				{2, "p1 plans a, b and c on e1", plan("p1", load("a", "e1"), load("b", "e1"), load("c", "e1"))},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e1"}, "b": {"e1"}, "c": nil},
+			off:   func(s *switches) { s.cache = true },
+		},
+		{
+			name: "two data centres drop the last two copies", build: pair, until: 60,
+			script: []event{
+				{12, "p1 plans z for a on e1", plan("p1", roomFor("a", "z", "e1"), load("z", "e1"))},
+				{12, "p2 plans z for a on e2", plan("p2", roomFor("a", "z", "e2"), load("z", "e2"))},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e2"}, "z": {"e1"}},
+			off:   func(s *switches) { s.residence = true },
+		},
+		{
+			name: "data centre back without its models", build: pair, until: 160,
+			script: []event{
+				{20, "d2 is lost", func(w *world) { w.kill("e2"); pause("p2")(w) }},
+				{60, "p1 plans z for a on e1", plan("p1", roomFor("a", "z", "e1"), load("z", "e1"))},
+				{100, "d2 is back, its endpoint empty", func(w *world) { w.restart("e2"); resume("p2")(w) }},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e1"}, "z": nil},
+			off:   func(s *switches) { s.declared = true },
+		},
+		{
+			name: "data centre back with its old state", build: pair, until: 160,
+			script: []event{
+				{20, "d2 is cut off", func(w *world) { w.engines["e2"].down = true; pause("p2")(w) }},
+				{60, "p1 plans z for a on e1", plan("p1", roomFor("a", "z", "e1"), load("z", "e1"))},
+				{100, "d2 is back", func(w *world) { w.engines["e2"].down = false; resume("p2")(w) }},
+			},
+			ready: map[fleet.Model][]fleet.Endpoint{"a": {"e2"}, "z": {"e1"}},
+		},
+	}
+}
--- /dev/null
+++ b/internal/placer/status.go
@@ -0,0 +1,117 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
+)
+
+// MoveStatus is a move that is under way.
+type MoveStatus struct {
+	Endpoint fleet.Endpoint `json:"endpoint"`
+	Item     string         `json:"item"`
+	// Stage is draining, ordered, lost, loading or unloading.
+	Stage string `json:"stage"`
+}
+
+// EndpointStatus is the memory of one endpoint, in bytes.
+type EndpointStatus struct {
+	Endpoint fleet.Endpoint `json:"endpoint"`
+	Memory   int64          `json:"memory"`
+	Free     int64          `json:"free"`
+	Models   []fleet.Model  `json:"models"`
+	Seen     time.Time      `json:"seen"`
+}
+
+// Status is what a placer is doing.
+type Status struct {
+	DataCentre fleet.DataCentre `json:"datacentre"`
+	// Held tells that this placer holds the lease of its data centre.
+	Held       bool             `json:"held"`
+	Fence      fleet.Fence      `json:"fence"`
+	Reconciled bool             `json:"reconciled"`
+	Endpoints  []EndpointStatus `json:"endpoints"`
+	Moves      []MoveStatus     `json:"moves"`
+	// Degraded says why moves are held back, empty when none are.
+	Degraded []string `json:"degraded"`
+	// At is the time of the last step.
+	At time.Time `json:"at"`
+}
+
+// Status returns what the placer did in its last step. Safe for concurrent use.
+func (p *Placer) Status() Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.status
+	s.Endpoints = slices.Clone(s.Endpoints)
+	s.Moves = slices.Clone(s.Moves)
+	s.Degraded = slices.Clone(s.Degraded)
+	return s
+}
+
+func (p *Placer) publish(now time.Time) {
+	s := Status{
+		DataCentre: p.place.DataCentre,
+		Held:       p.lease.live(),
+		Fence:      p.lease.fence,
+		Reconciled: p.lease.reconciled,
+		Degraded:   slices.Clone(p.problems),
+		At:         now,
+	}
+	if s.Held {
+		for _, n := range p.ordered() {
+			if n.loaded {
+				s.Endpoints = append(s.Endpoints, n.status())
+				s.Moves = append(s.Moves, n.moves()...)
+			}
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status = s
+}
+
+func (n *node) status() EndpointStatus {
+	s := EndpointStatus{
+		Endpoint: n.target.Endpoint,
+		Memory:   n.ledger.Memory(),
+		Free:     n.ledger.Free(),
+		Seen:     n.seenAt,
+	}
+	for _, h := range n.ledger.Holdings() {
+		if h.Adapter == "" && h.Resident() {
+			s.Models = append(s.Models, h.Model)
+		}
+	}
+	return s
+}
+
+func (n *node) moves() []MoveStatus {
+	var moves []MoveStatus
+	for _, h := range n.ledger.Holdings() {
+		if stage := n.stage(h); stage != "" {
+			moves = append(moves, MoveStatus{Endpoint: n.target.Endpoint, Item: h.Item().String(), Stage: stage})
+		}
+	}
+	return moves
+}
+
+func (n *node) stage(h ledger.Holding) string {
+	for _, o := range h.Pending {
+		if _, ok := n.lost[o.ID]; ok {
+			return "lost"
+		}
+	}
+	switch {
+	case len(h.Pending) > 0:
+		return "ordered"
+	case h.Phase == ledger.PhaseLoading, h.Phase == ledger.PhaseUnloading:
+		return string(h.Phase)
+	case n.retired[h.Model]:
+		return "draining"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/placer/view.go
@@ -0,0 +1,84 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
+	"github.com/chiveramp/chiveramp/internal/core/place"
+)
+
+// view returns what the planner gets to see.
+func (p *Placer) view(now time.Time) place.View {
+	v := place.View{}
+	for _, n := range p.ordered() {
+		if n.loaded {
+			v.Endpoints = append(v.Endpoints, p.endpointView(now, n))
+		}
+	}
+	for _, w := range p.wanted {
+		m := place.ModelView{
+			Model:     w.Model,
+			Bytes:     w.copyBytes(),
+			Fast:      w.Fast,
+			Slow:      w.Slow,
+			Weight:    w.Weight,
+			Elsewhere: p.elsewhere(now, w.Model),
+		}
+		for _, a := range w.Adapters {
+			m.Bytes += a.Bytes
+		}
+		v.Models = append(v.Models, m)
+	}
+	return v
+}
+
+func (p *Placer) endpointView(now time.Time, n *node) place.EndpointView {
+	v := place.EndpointView{
+		Endpoint: n.target.Endpoint,
+		Place:    n.target.Place,
+		Memory:   n.ledger.Memory(),
+		Used:     n.ledger.Charged() + p.adaptersDue(n),
+		Dead:     !n.alive(now, p.lostAfter),
+		Leaving:  n.target.Leaving || n.ledger.Leaving(),
+	}
+	for _, h := range n.ledger.Holdings() {
+		if h.Adapter != "" {
+			continue
+		}
+		if h.Resident() {
+			v.Models = append(v.Models, h.Model)
+		}
+		v.Pending = append(v.Pending, n.pending(h)...)
+	}
+	return v
+}
+
+// pending returns the moves of one model that are under way. A load that got no
+// answer is not among them: its memory is charged, but the model has to be
+// loaded elsewhere.
+func (n *node) pending(h ledger.Holding) []place.Pending {
+	if h.Phase == ledger.PhaseLoading {
+		return []place.Pending{{Kind: place.KindLoad, Model: h.Model}}
+	}
+	if h.Resident() && (n.retired[h.Model] || !h.Serving()) {
+		return []place.Pending{{Kind: place.KindUnload, Model: h.Model}}
+	}
+	return nil
+}
+
+// adaptersDue returns the bytes that the adapters of the endpoint's models will
+// take and don't take yet.
+func (p *Placer) adaptersDue(n *node) int64 {
+	var due int64
+	for _, w := range p.wanted {
+		if len(w.Adapters) == 0 || n.ledger.Holding(ledger.Item{Model: w.Model}).Model == "" {
+			continue
+		}
+		for _, a := range w.Adapters {
+			if n.ledger.Holding(ledger.Item{Model: w.Model, Adapter: a.Adapter}).Model == "" {
+				due += a.Bytes
+			}
+		}
+	}
+	return due
+}
--- a/internal/platform/platformtest/fake.go
+++ b/internal/platform/platformtest/fake.go
@@ -25,6 +25,7 @@
 	mu          sync.Mutex
 	unreachable bool
 	before      func(path string)
+	after       func(path string)
 }
 
 // New returns a store without faults.
@@ -68,10 +69,18 @@
 	f.before = before
 }
 
+// SetAfter sets a function that runs after each request of this client took
+// effect and before its answer is seen, for instance to pause the caller there.
+func (f *Fake) SetAfter(after func(path string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.after = after
+}
+
 // RoundTrip implements http.RoundTripper.
 func (f *Fake) RoundTrip(req *http.Request) (res *http.Response, err error) {
 	f.mu.Lock()
-	unreachable, before := f.unreachable, f.before
+	unreachable, before, after := f.unreachable, f.before, f.after
 	f.mu.Unlock()
 	if before != nil {
 		before(req.URL.Path)
@@ -95,6 +104,9 @@
 	}
 	recorder := httptest.NewRecorder()
 	f.server.Handler().ServeHTTP(recorder, req)
+	if after != nil {
+		after(req.URL.Path)
+	}
 	if err := req.Context().Err(); err != nil {
 		return nil, err
 	}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -46,6 +46,14 @@
 	// Holder, when set, makes the write fail unless this lease holds Guard.
 	Holder LeaseID
 	Guard  string
+	// Also are further leases that have to hold their keys.
+	Also []Guard
+}
+
+// Guard is a key that a lease has to hold.
+type Guard struct {
+	Key    string
+	Holder LeaseID
 }
 
 // Store is the platform's key-value service. All methods honour the context's deadline.
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -55,20 +55,17 @@
 
 // writeOps puts the guards of the writes before the writes, each guard once.
 func writeOps(writes []Write) []wire.TxnOp {
-	type guard struct {
-		key    string
-		holder LeaseID
-	}
-	seen := make(map[guard]bool)
+	seen := make(map[Guard]bool)
 	var ops []wire.TxnOp
 	for _, w := range writes {
-		g := guard{key: w.Guard, holder: w.Holder}
-		if w.Holder == "" || seen[g] {
-			continue
+		for _, g := range append([]Guard{{Key: w.Guard, Holder: w.Holder}}, w.Also...) {
+			if g.Holder == "" || seen[g] {
+				continue
+			}
+			seen[g] = true
+			check := wire.TxnKV{Verb: wire.VerbCheckSession, Key: g.Key, Session: string(g.Holder)}
+			ops = append(ops, wire.TxnOp{KV: check})
 		}
-		seen[g] = true
-		check := wire.TxnKV{Verb: wire.VerbCheckSession, Key: w.Guard, Session: string(w.Holder)}
-		ops = append(ops, wire.TxnOp{KV: check})
 	}
 	for _, w := range writes {
 		op := wire.TxnKV{Verb: wire.VerbCAS, Key: w.Key, Value: w.Value, Index: uint64(w.Expect)}
