feat: stand-ins for engines, plain services and lines

Cause: the path needs endpoints that batch, account for memory, take orders with fencing numbers, keep, resume and cancel streams, and fail on demand. Ruled out: timers per load or per stream; residents, load reports and lags are worked out from times when they are looked at, so that one loop and no timer per item is left. An answer is a function of model, prompt and length, so that a test can check all of it.

--- /dev/null
+++ b/internal/standin/command/link.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/standin/link"
+)
+
+func linkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "link",
+		Usage: "a line between two data centres",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "to", Required: true, Usage: "`ADDRESS` at the other end"},
+			&cli.StringFlag{Name: "admin", Value: "127.0.0.1:0", Usage: "`ADDRESS` for changes at run time"},
+			&cli.DurationFlag{Name: "latency", Usage: "one-way latency"},
+			&cli.FloatFlag{Name: "rate", Usage: "bits a second each way, 0 for no limit"},
+			&cli.BoolFlag{Name: "cut", Usage: "start with the line cut"},
+		},
+		Action: runLink,
+	}
+}
+
+func runLink(ctx context.Context, c *cli.Command) error {
+	settings := link.Settings{
+		Latency: float64(c.Duration("latency")) / float64(time.Millisecond),
+		Rate:    c.Float("rate"),
+		Cut:     c.Bool("cut"),
+	}
+	server := link.New(c.String("to"), settings)
+	if err := server.Start(ctx, c.String("listen"), c.String("admin")); err != nil {
+		return err
+	}
+	ready(c, "link", server.Admin(), server.Address())
+	<-ctx.Done()
+	return server.Close()
+}
--- /dev/null
+++ b/internal/standin/command/service.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/standin/service"
+)
+
+func serviceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "a plain service",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Value: "orders", Usage: "name in answers"},
+		},
+		Action: runService,
+	}
+}
+
+func runService(ctx context.Context, c *cli.Command) error {
+	server := service.New(c.String("name"))
+	if err := server.Start(ctx, c.String("listen")); err != nil {
+		return err
+	}
+	ready(c, "service", c.String("name"), server.Address())
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+	defer cancel()
+	return server.Shutdown(stopping)
+}
--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,138 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const defaultTokens = 16
+
+// chatRequest is the part of a chat request that the engine looks at.
+type chatRequest struct {
+	Model               string          `json:"model"`
+	Messages            []Message       `json:"messages"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Priority            int             `json:"priority"`
+	Continue            bool            `json:"continue_final_message"`
+	User                json.RawMessage `json:"user"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is a message's text, given as a string or in parts.
+type Content string
+
+// UnmarshalJSON reads a string or a list of text parts.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	if len(data) > 0 && data[0] == '[' {
+		return c.readParts(data)
+	}
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return err
+	}
+	*c = Content(text)
+	return nil
+}
+
+func (c *Content) readParts(data []byte) error {
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	var text strings.Builder
+	for _, part := range parts {
+		text.WriteString(part.Text)
+	}
+	*c = Content(text.String())
+	return nil
+}
+
+func parseChat(body []byte) (chatRequest, error) {
+	var request chatRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return chatRequest{}, err
+	}
+	if request.Model == "" || len(request.Messages) == 0 {
+		return chatRequest{}, errors.New("model and messages are required")
+	}
+	return request, nil
+}
+
+// tokens returns how many tokens the answer has.
+func (r chatRequest) tokens() int {
+	switch {
+	case r.MaxCompletionTokens > 0:
+		return r.MaxCompletionTokens
+	case r.MaxTokens > 0:
+		return r.MaxTokens
+	default:
+		return defaultTokens
+	}
+}
+
+// prompt returns the text that decides the answer, and the tokens of it that
+// were generated before, which the answer continues.
+func (r chatRequest) prompt() (text string, done int) {
+	messages := r.Messages
+	last := messages[len(messages)-1]
+	if r.Continue && last.Role == "assistant" {
+		done = len(strings.Fields(string(last.Content)))
+		messages = messages[:len(messages)-1]
+	}
+	return Prompt(messages...), done
+}
+
+// Prompt returns the text of messages as the engine reads it.
+func Prompt(messages ...Message) string {
+	var text strings.Builder
+	for _, message := range messages {
+		fmt.Fprintf(&text, "%s: %s\n", message.Role, message.Content)
+	}
+	return text.String()
+}
+
+// Answer returns the whole answer of a model to a prompt, in so many tokens.
+func Answer(model, prompt string, tokens int) string {
+	var text strings.Builder
+	hash := promptHash(model, prompt)
+	for i := range tokens {
+		text.WriteString(token(hash, i))
+	}
+	return text.String()
+}
+
+// AnswerTo returns the whole answer to a single message of a user.
+func AnswerTo(model, content string, tokens int) string {
+	return Answer(model, Prompt(Message{Role: "user", Content: Content(content)}), tokens)
+}
+
+func promptHash(model, prompt string) uint64 {
+	return xxhash.Sum64String(model + "\x00" + prompt)
+}
+
+// token returns one token of an answer; the first tells the prompt's hash.
+func token(hash uint64, index int) string {
+	if index == 0 {
+		return fmt.Sprintf("h%016x", hash)
+	}
+	return " t" + strconv.Itoa(index)
+}
--- /dev/null
+++ b/internal/standin/engine/control.go
@@ -0,0 +1,199 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+)
+
+const (
+	reportEvery = 20 * time.Millisecond
+	reportsKept = 512
+)
+
+// Paths with which tests change and check an engine.
+const (
+	PathFaults = "/standin/faults"
+	PathCounts = "/standin/counts"
+)
+
+// Handler returns the engine's HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+endpoint.PathChat, s.serveChat)
+	mux.HandleFunc("GET "+endpoint.PathStream+"{attempt}", s.serveResume)
+	mux.HandleFunc("DELETE "+endpoint.PathStream+"{attempt}", s.serveCancel)
+	mux.HandleFunc("POST "+endpoint.PathOrders, s.serveOrder)
+	mux.HandleFunc("GET "+endpoint.PathState, s.serveState)
+	mux.HandleFunc("GET "+endpoint.PathLoad, s.serveLoad)
+	mux.HandleFunc("GET "+endpoint.PathEvents, s.serveEvents)
+	mux.HandleFunc("GET "+endpoint.PathModels, s.serveModels)
+	mux.HandleFunc("POST "+endpoint.PathExport, s.serveExport)
+	mux.HandleFunc("POST "+endpoint.PathImport, s.serveImport)
+	mux.HandleFunc("GET "+endpoint.PathHealth, s.serveHealth)
+	mux.HandleFunc("PUT "+PathFaults, s.serveFaults)
+	mux.HandleFunc("GET "+PathCounts, s.serveCounts)
+	return mux
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order endpoint.Order
+	if !decode(w, r, &order) {
+		return
+	}
+	faults := s.currentFaults()
+	if delay := time.Duration(faults.OrderDelay) * time.Millisecond; delay > 0 {
+		time.Sleep(delay) // takes effect late, also when the sender has gone
+	}
+	reply, refused := s.take(order)
+	if faults.OrderReplyLost {
+		panic(http.ErrAbortHandler)
+	}
+	if refused != nil {
+		refuse(w, refused.status, refused.code, "order "+order.ID+" refused")
+		return
+	}
+	if reply.Status == endpoint.OrderDone {
+		answer(w, http.StatusOK, reply)
+		return
+	}
+	answer(w, http.StatusAccepted, reply)
+}
+
+func (s *Server) serveState(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.State())
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	now := s.now()
+	s.settle(now)
+	load := s.laggingLoad(now)
+	s.mu.Unlock()
+	answer(w, http.StatusOK, load)
+}
+
+// report notes the load, for reports that lag.
+func (s *Server) report(now time.Time) {
+	if count := len(s.reports); count > 0 && now.Sub(s.reports[count-1].At) < reportEvery {
+		return
+	}
+	share := float64(s.kvTokens()*tokenBytes) / float64(max(s.state.KV, 1))
+	s.reports = append(s.reports, endpoint.Load{
+		Running: len(s.running), Waiting: len(s.waiting), KV: share, At: now,
+	})
+	if len(s.reports) > reportsKept {
+		s.reports = s.reports[len(s.reports)-reportsKept:]
+	}
+}
+
+func (s *Server) laggingLoad(now time.Time) endpoint.Load {
+	load := s.reports[0]
+	for _, report := range s.reports {
+		if now.Sub(report.At) < s.loadLag {
+			break
+		}
+		load = report
+	}
+	return load
+}
+
+func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_offset", "after is not a number")
+		return
+	}
+	s.mu.Lock()
+	events := s.cache.after(after, s.faults.EventGap, s.now())
+	s.mu.Unlock()
+	answer(w, http.StatusOK, endpoint.CacheEvents{Incarnation: s.state.Incarnation, Events: events})
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request) {
+	list := endpoint.ModelList{Object: "list", Data: []endpoint.ModelCard{}}
+	for _, r := range s.State().Models {
+		if r.State != endpoint.ResidentReady {
+			continue
+		}
+		name := string(r.Model)
+		if r.Adapter != "" {
+			name = string(r.Adapter)
+		}
+		list.Data = append(list.Data, endpoint.ModelCard{ID: name, Object: "model", OwnedBy: s.name})
+	}
+	answer(w, http.StatusOK, list)
+}
+
+// exported is the body of an export: the cached blocks of a prompt.
+type exported struct {
+	Model  string   `json:"model"`
+	Blocks []uint64 `json:"blocks"`
+}
+
+func (s *Server) serveExport(w http.ResponseWriter, r *http.Request) {
+	var query endpoint.CacheQuery
+	if !decode(w, r, &query) {
+		return
+	}
+	s.mu.Lock()
+	blocks := s.cache.holding(string(query.Model), query.Prompt)
+	s.mu.Unlock()
+	answer(w, http.StatusOK, exported{Model: string(query.Model), Blocks: blocks})
+}
+
+func (s *Server) serveImport(w http.ResponseWriter, r *http.Request) {
+	var blocks exported
+	if !decode(w, r, &blocks) {
+		return
+	}
+	s.mu.Lock()
+	for _, hash := range blocks.Blocks {
+		s.cache.store(blockKey{blocks.Model, hash}, s.now())
+	}
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if s.currentFaults().Leaving {
+		refuse(w, http.StatusServiceUnavailable, endpoint.CodeLeaving, "leaving")
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !decode(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Counts())
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func decode(w http.ResponseWriter, r *http.Request, to any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+	if err == nil {
+		err = json.Unmarshal(data, to)
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_body", err.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,283 @@
+// Package service is a small stand-in for a plain service. It counts what it
+// runs, for tests and the demonstration only.
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Paths with which tests change and check a service.
+const (
+	PathFaults = "/standin/faults"
+	PathCounts = "/standin/counts"
+)
+
+const bodyLimit = 32 << 20 // bytes
+
+// Faults are what goes wrong in a service. They can be changed at run time.
+type Faults struct {
+	// Delay is the time a call takes, milliseconds.
+	Delay int `json:"delay"`
+	// Status replaces the status of each answer; zero for none.
+	Status int `json:"status"`
+	// ReplyLost breaks the connection after the call was run, for the next calls.
+	ReplyLost int `json:"reply_lost"`
+	// CutAfter ends answers after so many bytes; zero for never.
+	CutAfter int `json:"cut_after"`
+	// Leaving makes the service refuse new calls.
+	Leaving bool `json:"leaving"`
+}
+
+// Counts is what a test checks a service by.
+type Counts struct {
+	// Total is the number of calls that ran.
+	Total int `json:"total"`
+	// Keys counts them by idempotency key, Paths by method and path.
+	Keys  map[string]int `json:"keys"`
+	Paths map[string]int `json:"paths"`
+	// Bytes is the number of body bytes that arrived.
+	Bytes int64 `json:"bytes"`
+}
+
+// Reply is the answer to a call that ran.
+type Reply struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Key     string `json:"key"`
+	Bytes   int64  `json:"bytes"`
+	// Run numbers the calls that ran, from 1.
+	Run int `json:"run"`
+}
+
+// Server is one plain service.
+type Server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+	group    errgroup.Group
+
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+}
+
+// New returns a service that does not listen yet.
+func New(name string) *Server {
+	s := &Server{name: name, counts: Counts{Keys: map[string]int{}, Paths: map[string]int{}}}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	return s
+}
+
+// Start listens on an address and serves until Close or Shutdown.
+func (s *Server) Start(ctx context.Context, address string) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", address, err)
+	}
+	s.listener = listener
+	s.group.Go(func() error { return s.http.Serve(listener) })
+	return nil
+}
+
+// Address returns the address on which the service listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Wait returns when the service has ended.
+func (s *Server) Wait() error {
+	if err := s.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close ends the service at once.
+func (s *Server) Close() error {
+	_ = s.http.Close()
+	return s.Wait()
+}
+
+// Shutdown lets running calls end, then ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Join(s.http.Shutdown(ctx), s.Wait())
+}
+
+// SetFaults changes the faults.
+func (s *Server) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Counts returns a copy of the counts.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.counts
+	counts.Keys = cloneCounts(s.counts.Keys)
+	counts.Paths = cloneCounts(s.counts.Paths)
+	return counts
+}
+
+func cloneCounts(from map[string]int) map[string]int {
+	to := make(map[string]int, len(from))
+	for name, count := range from {
+		to[name] = count
+	}
+	return to
+}
+
+// Handler returns the service's HTTP interface. A path that ends in /echo sends
+// the body back as it arrives; any other answers with a Reply.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.serveHealth)
+	mux.HandleFunc("PUT "+PathFaults, s.serveFaults)
+	mux.HandleFunc("GET "+PathCounts, s.serveCounts)
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if s.current().Leaving {
+		refuseLeaving(w)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func refuseLeaving(w http.ResponseWriter) {
+	answer(w, http.StatusServiceUnavailable, json.RawMessage(`{"error":{"code":"leaving","message":"leaving"}}`))
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Counts())
+}
+
+func (s *Server) current() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	faults := s.current()
+	if faults.Leaving {
+		refuseLeaving(w)
+		return
+	}
+	reply := s.run(r)
+	if len(r.URL.Path) >= 5 && r.URL.Path[len(r.URL.Path)-5:] == "/echo" {
+		s.echo(w, r)
+		return
+	}
+	count, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	reply.Bytes = count
+	s.addBytes(count)
+	time.Sleep(time.Duration(faults.Delay) * time.Millisecond)
+	if s.loseReply() {
+		panic(http.ErrAbortHandler)
+	}
+	s.finish(w, faults, reply)
+}
+
+// run counts one execution.
+func (s *Server) run(r *http.Request) Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.Header.Get("Idempotency-Key")
+	s.counts.Total++
+	s.counts.Paths[r.Method+" "+r.URL.Path]++
+	if key != "" {
+		s.counts.Keys[key]++
+	}
+	return Reply{Service: s.name, Method: r.Method, Path: r.URL.Path, Key: key, Run: s.counts.Total}
+}
+
+func (s *Server) addBytes(count int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Bytes += count
+}
+
+func (s *Server) loseReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.ReplyLost == 0 {
+		return false
+	}
+	s.faults.ReplyLost--
+	return true
+}
+
+func (s *Server) finish(w http.ResponseWriter, faults Faults, reply Reply) {
+	status := http.StatusOK
+	if faults.Status != 0 {
+		status = faults.Status
+	}
+	if faults.CutAfter > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(faults.CutAfter+1))
+		_, _ = w.Write(make([]byte, faults.CutAfter))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, reply)
+}
+
+// echo sends the body back piece by piece while it still arrives.
+func (s *Server) echo(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	_ = controller.EnableFullDuplex()
+	w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
+	buffer := make([]byte, 32<<10)
+	for {
+		count, err := r.Body.Read(buffer)
+		s.addBytes(int64(count))
+		if _, failed := w.Write(buffer[:count]); failed != nil {
+			return
+		}
+		_ = controller.Flush()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, status int, reply any) {
+	data, err := json.Marshal(reply)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
