test: at-most-once claims under random faults, group commit by shard

Cause: claims had no proof under kills, lost replies and late writes, and a batch with one conflicting key fell back to single writes for all of them. Change: a scheduler that lets one store call happen at a time and draws for it lost reply, lost write, late write, refusal, kill before and after; batches split in halves on a conflict.

--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -36,8 +36,8 @@
 	waiting []*ticket
 }
 
-// ticket is one write that waits for its turn. It receives either a result or,
-// with lead set, the duty to commit the next batch.
+// ticket is one write that waits for its turn. It receives a result, before it perhaps
+// the lead: the duty to commit the next batch.
 type ticket struct {
 	write platform.Write
 	done  chan result
@@ -62,59 +62,63 @@
 	s := g.shards[xxhash.Sum64String(w.Key)%uint64(len(g.shards))]
 	t := &ticket{write: w, done: make(chan result, 1)}
 	if !s.join(t) {
-		// A write that was joined may go out even if its caller stops waiting.
-		select {
-		case r := <-t.done:
-			if !r.lead {
-				return g.alone(ctx, w, r.err)
-			}
-		case <-ctx.Done():
-			if s.withdraw(t) {
-				return 0, platform.ErrUnavailable
-			}
-			r := <-t.done
-			if errors.Is(r.err, errBatch) {
-				return 0, platform.ErrUnavailable
-			}
-			if !r.lead {
-				return 0, r.err
-			}
+		r, waiting := s.await(ctx, t)
+		if !waiting {
+			return 0, platform.ErrUnavailable
+		}
+		if !r.lead {
+			return 0, r.err
 		}
 	}
 	batch := s.batch(t)
-	err := g.commit(ctx, batch)
-	s.pass(batch, t, err)
-	return g.alone(ctx, w, err)
+	g.commit(ctx, batch)
+	s.pass()
+	r := <-t.done
+	return 0, r.err
 }
 
-// commit writes a batch; a lone write keeps its caller's context.
-func (g *group) commit(ctx context.Context, batch []*ticket) error {
+// commit writes a batch and tells each ticket its result. A lone write keeps its
+// caller's context. A batch with a conflict is not written; its halves are.
+func (g *group) commit(ctx context.Context, batch []*ticket) {
 	if len(batch) == 1 {
 		_, err := g.store.Swap(ctx, batch[0].write)
-		return err
+		batch[0].done <- result{err: err}
+		return
+	}
+	err := g.together(ctx, batch)
+	if errors.Is(err, platform.ErrConflict) {
+		ctx = context.WithoutCancel(ctx)
+		g.commit(ctx, batch[:len(batch)/2])
+		g.commit(ctx, batch[len(batch)/2:])
+		return
+	}
+	for _, t := range batch {
+		t.done <- result{err: err}
 	}
+}
+
+func (g *group) together(ctx context.Context, batch []*ticket) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), groupTimeout)
 	defer cancel()
 	writes := make([]platform.Write, 0, len(batch))
 	for _, t := range batch {
 		writes = append(writes, t.write)
 	}
-	err := g.store.Commit(ctx, writes...)
-	if errors.Is(err, platform.ErrConflict) {
-		return errBatch
-	}
-	return err
+	return g.store.Commit(ctx, writes...)
 }
 
-// errBatch: some write of a batch had a conflict, so none was written.
-var errBatch = errors.New("batch conflict")
-
-// alone repeats a write by itself when its batch had a conflict.
-func (g *group) alone(ctx context.Context, w platform.Write, err error) (platform.Version, error) {
-	if !errors.Is(err, errBatch) {
-		return 0, err
+// await waits for the result or the lead. It returns false when the caller stopped
+// waiting before any batch took the ticket, so that nothing was written.
+func (s *shard) await(ctx context.Context, t *ticket) (result, bool) {
+	select {
+	case r := <-t.done:
+		return r, true
+	case <-ctx.Done():
 	}
-	return g.store.Swap(ctx, w)
+	if s.withdraw(t) {
+		return result{}, false
+	}
+	return <-t.done, true
 }
 
 // join returns true when the ticket leads at once.
@@ -161,13 +165,8 @@
 	return batch
 }
 
-// pass hands the result to a batch and the lead to the next in line.
-func (s *shard) pass(batch []*ticket, lead *ticket, err error) {
-	for _, t := range batch {
-		if t != lead {
-			t.done <- result{err: err}
-		}
-	}
+// pass hands the lead to the next in line.
+func (s *shard) pass() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.waiting) == 0 {
--- /dev/null
+++ b/internal/claim/group_test.go
@@ -0,0 +1,136 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/platform"
+	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
+)
+
+// slowStore takes a while for each write, as a store over the network does, and can
+// fail every nth write or lose its reply.
+type slowStore struct {
+	*platformtest.Fake
+	delay time.Duration
+	every int64
+	fault error
+	count atomic.Int64
+}
+
+func (s *slowStore) strike() bool {
+	time.Sleep(s.delay)
+	return s.every > 0 && s.count.Add(1)%s.every == 0
+}
+
+func (s *slowStore) Swap(ctx context.Context, w platform.Write) (platform.Version, error) {
+	strike := s.strike()
+	if strike && s.fault != platform.ErrUncertain { //nolint:errorlint // the value itself
+		return 0, s.fault
+	}
+	version, err := s.Fake.Swap(ctx, w)
+	if strike {
+		return 0, s.fault
+	}
+	return version, err
+}
+
+func (s *slowStore) Commit(ctx context.Context, writes ...platform.Write) error {
+	strike := s.strike()
+	if strike && s.fault != platform.ErrUncertain { //nolint:errorlint // the value itself
+		return s.fault
+	}
+	err := s.Fake.Commit(ctx, writes...)
+	if strike {
+		return s.fault
+	}
+	return err
+}
+
+// Claims of many callers at once run once each, whatever the store does, and the group
+// commit needs fewer writes. Copies of a key conflict, so their batches are split.
+func TestGroupCommit(t *testing.T) {
+	const keys = 200
+	tests := []struct {
+		name   string
+		opts   []Option
+		copies int
+		every  int64
+		fault  error
+		writes uint64 // most store writes for all claims
+	}{
+		{name: "single", copies: 1, writes: keys},
+		{name: "group", opts: []Option{WithGroup(1)}, copies: 1, writes: keys / 10},
+		{name: "group, copies", opts: []Option{WithGroup(1)}, copies: 3, writes: 2 * 3 * keys},
+		{name: "group, replies lost", opts: []Option{WithGroup(1)}, copies: 3, every: 3, fault: platform.ErrUncertain, writes: 4 * 3 * keys},
+		{name: "group, store refusing", opts: []Option{WithGroup(2)}, copies: 3, every: 5, fault: platform.ErrUnavailable, writes: 2 * 3 * keys},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &slowStore{Fake: platformtest.New(), delay: time.Millisecond, every: tt.every, fault: tt.fault}
+			runs := claimAll(t, New(store, tt.opts...), keys, tt.copies)
+			for key, n := range runs {
+				require.LessOrEqual(t, n, 1, key)
+			}
+			if tt.fault == nil {
+				require.Len(t, runs, keys)
+			}
+			calls := store.Server().Calls()
+			require.LessOrEqual(t, calls.Writes(), tt.writes)
+			t.Logf("%d claims of %d keys: %d granted, %d store writes, %d reads",
+				keys*tt.copies, keys, len(runs), calls.Writes(), calls.Reads())
+		})
+	}
+}
+
+func claimAll(t *testing.T, claims *Claims, keys, copies int) map[string]int {
+	t.Helper()
+	var mu sync.Mutex
+	runs := map[string]int{}
+	var group errgroup.Group
+	for i := range keys * copies {
+		group.Go(func() error {
+			key := once.Key{Profile: "shop", Text: fmt.Sprint("k", i%keys)}
+			verdict, err := claims.Claim(context.Background(), key, once.Request{ID: fmt.Sprint(i), Fingerprint: 7, Until: time.Now().Add(time.Minute)})
+			if verdict.Kind == once.KindGranted {
+				mu.Lock()
+				defer mu.Unlock()
+				runs[key.Text]++
+			}
+			return err
+		})
+	}
+	require.NoError(t, group.Wait())
+	return runs
+}
+
+// A caller that stops waiting before its write went out has written nothing.
+func TestGroupWithdrawsCancelledWrites(t *testing.T) {
+	store := &slowStore{Fake: platformtest.New(), delay: 50 * time.Millisecond}
+	g := newGroup(store, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := g.Swap(context.Background(), platform.Write{Key: "a"})
+		return err
+	})
+	require.Eventually(t, func() bool {
+		g.shards[0].mu.Lock()
+		defer g.shards[0].mu.Unlock()
+		return g.shards[0].busy
+	}, time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+	defer cancel()
+	_, err := g.Swap(ctx, platform.Write{Key: "b"})
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.NoError(t, group.Wait())
+	_, err = store.Get(context.Background(), "b")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+}
--- /dev/null
+++ b/internal/claim/schedule_test.go
@@ -0,0 +1,277 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/platform"
+	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
+)
+
+// fault is what happens to one step of an instance.
+type fault string
+
+const (
+	faultNone  fault = "none"
+	faultDown  fault = "down"       // refused, nothing written
+	faultReply fault = "lost reply" // written, no answer
+	faultWrite fault = "lost write" // not written, no answer
+	faultLate  fault = "late write" // no answer, written at a later step
+	faultKill  fault = "kill"       // the instance dies before the step
+	faultDies  fault = "dies"       // the instance dies after the step took effect
+)
+
+// call is one step that an instance is about to take.
+type call struct {
+	actor int
+	write bool
+	// run takes effect when the scheduler lets it; nil for the end of an instance.
+	run    func()
+	answer chan fault
+}
+
+// schedule lets one step happen at a time, chosen and disturbed at random, so that a
+// seed fixes the whole order of events.
+type schedule struct {
+	t       *rapid.T
+	calls   chan call
+	blocked map[int]call
+	late    []func()
+	faults  []fault
+	store   *platformtest.Fake
+
+	runs     map[string]int    // executions by key
+	attempts map[string]int    // executions by attempt
+	answers  map[string]string // first recorded answer by key
+	problems []string
+}
+
+func newSchedule(t *rapid.T, faults []fault) *schedule {
+	return &schedule{
+		t: t, calls: make(chan call), blocked: map[int]call{}, faults: faults, store: platformtest.New(),
+		runs: map[string]int{}, attempts: map[string]int{}, answers: map[string]string{},
+	}
+}
+
+// loop lets the actors step until all have ended.
+func (s *schedule) loop(actors int) {
+	for live := actors; live > 0; {
+		for len(s.blocked) < live {
+			c := <-s.calls
+			if c.run == nil {
+				live--
+				continue
+			}
+			s.blocked[c.actor] = c
+		}
+		if live > 0 {
+			s.one()
+		}
+	}
+}
+
+func (s *schedule) one() {
+	ready := make([]int, 0, len(s.blocked))
+	for actor := range 1 << 10 {
+		if _, ok := s.blocked[actor]; ok {
+			ready = append(ready, actor)
+		}
+		if len(ready) == len(s.blocked) {
+			break
+		}
+	}
+	c := s.blocked[rapid.SampledFrom(ready).Draw(s.t, "actor")]
+	if len(s.late) > 0 && rapid.Bool().Draw(s.t, "late") {
+		s.late[0]()
+		s.late = s.late[1:]
+	}
+	f := rapid.SampledFrom(s.faults).Draw(s.t, "fault")
+	delete(s.blocked, c.actor)
+	switch {
+	case f == faultKill || f == faultDown || (f == faultWrite && c.write):
+	case f == faultLate && c.write:
+		s.late = append(s.late, c.run)
+	default:
+		c.run()
+	}
+	c.answer <- f
+}
+
+// process is one instance with the fate that the schedule gives it.
+type process struct {
+	s     *schedule
+	actor int
+	dead  bool
+}
+
+// step takes one step, false when it did not take place as far as the instance knows.
+func (p *process) step(write bool, run func()) fault {
+	if p.dead {
+		return faultKill
+	}
+	c := call{actor: p.actor, write: write, run: run, answer: make(chan fault)}
+	p.s.calls <- c
+	f := <-c.answer
+	p.dead = f == faultKill || f == faultDies
+	return f
+}
+
+// write sends one write through the schedule.
+func (p *process) write(do func() error) error {
+	var err error
+	switch p.step(true, func() { err = do() }) {
+	case faultReply, faultWrite, faultLate, faultDies:
+		return platform.ErrUncertain
+	case faultDown, faultKill:
+		return platform.ErrUnavailable
+	default:
+		return err
+	}
+}
+
+// Get implements Store.
+func (p *process) Get(ctx context.Context, key string) (entry platform.Entry, err error) {
+	if f := p.step(false, func() { entry, err = p.s.store.Get(ctx, key) }); f != faultNone {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return entry, err
+}
+
+// List implements Store.
+func (p *process) List(ctx context.Context, prefix string) (list []platform.Entry, err error) {
+	p.step(false, func() { list, err = p.s.store.List(ctx, prefix) })
+	return list, err
+}
+
+// Swap implements Store.
+func (p *process) Swap(ctx context.Context, w platform.Write) (version platform.Version, err error) {
+	err = p.write(func() error {
+		var swapErr error
+		version, swapErr = p.s.store.Swap(ctx, w)
+		return swapErr
+	})
+	return version, err
+}
+
+// Commit implements Store.
+func (p *process) Commit(ctx context.Context, writes ...platform.Write) error {
+	return p.write(func() error { return p.s.store.Commit(ctx, writes...) })
+}
+
+const (
+	actors   = 3
+	resends  = 5
+	testKeys = 2
+)
+
+// caller sends the same keys again and again through one instance at a time. A killed
+// instance is followed by a new one that knows nothing.
+func (s *schedule) caller(actor int, opts ...Option) {
+	p := &process{s: s, actor: actor}
+	claims := s.instance(p, opts...)
+	for n := range resends {
+		key := once.Key{Profile: "counter", Text: fmt.Sprint("key", n%testKeys)}
+		attempt := fmt.Sprintf("a%d.%d", actor, n)
+		s.submit(p, claims, key, attempt)
+		if p.dead {
+			p = &process{s: s, actor: actor}
+			claims = s.instance(p, opts...)
+			continue
+		}
+		_, _ = claims.Settle(context.Background())
+	}
+	s.calls <- call{actor: actor}
+}
+
+func (s *schedule) instance(p *process, opts ...Option) *Claims {
+	clock := func() time.Time { return coretest.Start }
+	return New(p, append([]Option{WithClock(clock)}, opts...)...)
+}
+
+func (s *schedule) submit(p *process, claims *Claims, key once.Key, attempt string) {
+	ctx := context.Background()
+	request := once.Request{ID: attempt, Attempt: attempt, Fingerprint: 7, Until: coretest.Start.Add(time.Minute)}
+	verdict, err := claims.Claim(ctx, key, request)
+	if err != nil {
+		s.problem(p, "claim: "+err.Error())
+		return
+	}
+	switch verdict.Kind {
+	case once.KindGranted:
+		s.execute(p, claims, key, attempt, verdict.Claim)
+	case once.KindRecorded:
+		s.recorded(p, key, string(verdict.Answer.Body))
+	}
+}
+
+// execute hands the request over, gets its answer and records it. Now and then the
+// endpoint can't be reached, and the claim is given back.
+func (s *schedule) execute(p *process, claims *Claims, key once.Key, attempt, claim string) {
+	ctx := context.Background()
+	switch p.step(true, func() { s.runs[key.Text]++; s.attempts[attempt]++ }) {
+	case faultDown:
+		_ = claims.Release(ctx, key, claim)
+	case faultNone:
+		_ = claims.Finish(ctx, key, claim, once.Answer{Status: 200, Body: []byte(attempt)})
+	}
+}
+
+// recorded checks that a recorded answer is the one of the only run.
+func (s *schedule) recorded(p *process, key once.Key, answer string) {
+	p.step(false, func() {
+		first, seen := s.answers[key.Text]
+		if !seen {
+			s.answers[key.Text] = answer
+		}
+		if (seen && first != answer) || s.attempts[answer] != 1 {
+			s.problems = append(s.problems, fmt.Sprintf("key %s answered with %s", key.Text, answer))
+		}
+	})
+}
+
+func (s *schedule) problem(p *process, text string) {
+	p.step(false, func() { s.problems = append(s.problems, text) })
+}
+
+// play runs all callers to their end.
+func (s *schedule) play(opts ...Option) {
+	var group errgroup.Group
+	for actor := range actors {
+		group.Go(func() error {
+			s.caller(actor, opts...)
+			return nil
+		})
+	}
+	s.loop(actors)
+	_ = group.Wait()
+}
+
+// most returns the most executions of any key.
+func (s *schedule) most() int {
+	most := 0
+	for _, n := range s.runs {
+		most = max(most, n)
+	}
+	return most
+}
+
+var everyFault = []fault{
+	faultNone, faultNone, faultNone, faultNone, faultNone, faultNone,
+	faultDown, faultReply, faultWrite, faultLate, faultKill, faultDies,
+}
+
+func schedules(t *testing.T, faults []fault, check func(*rapid.T, *schedule), opts ...Option) {
+	t.Helper()
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSchedule(t, faults)
+		s.play(opts...)
+		check(t, s)
+	})
+}
--- a/internal/claim/upkeep.go
+++ b/internal/claim/upkeep.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/platform"
@@ -15,12 +17,12 @@
 // Settle tries again the ends of claims that the store could not take before, and
 // returns how many are left. It stops at the first failure, to spare a store that is down.
 func (c *Claims) Settle(ctx context.Context) (int, error) {
-	for path, record := range c.unsettled() {
-		err := c.settle(ctx, path, record)
+	for _, e := range c.unsettled() {
+		err := c.settle(ctx, e.path, e.record)
 		if err != nil && !errors.Is(err, ErrNotHeld) {
 			return c.Pending(), fmt.Errorf("settle claims: %w", err)
 		}
-		c.settled(path, record)
+		c.settled(e)
 	}
 	return c.Pending(), nil
 }
@@ -32,21 +34,29 @@
 	return len(c.pending)
 }
 
-func (c *Claims) unsettled() map[string]once.Record {
+// ending is a record in the state that the store is to hold.
+type ending struct {
+	path   string
+	record once.Record
+}
+
+// unsettled returns the ends that wait, by path.
+func (c *Claims) unsettled() []ending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := make(map[string]once.Record, len(c.pending))
+	list := make([]ending, 0, len(c.pending))
 	for path, record := range c.pending {
-		list[path] = record
+		list = append(list, ending{path: path, record: record})
 	}
+	slices.SortFunc(list, func(a, b ending) int { return strings.Compare(a.path, b.path) })
 	return list
 }
 
-func (c *Claims) settled(path string, record once.Record) {
+func (c *Claims) settled(e ending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending[path].Claim == record.Claim {
-		delete(c.pending, path)
+	if c.pending[e.path].Claim == e.record.Claim {
+		delete(c.pending, e.path)
 	}
 }
 
--- a/internal/core/suspect/proof_test.go
+++ b/internal/core/suspect/proof_test.go
@@ -12,16 +12,17 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
+const killer Fingerprint = 66
+
 const (
-	killer    Fingerprint = 66
-	endpoints             = 8
-	instances             = 4
-	copies                = 3 // callers that send the killer at once, each until refused
-	innocents             = 40
-	newsDelay             = 2 // steps until every instance has heard of a death
-	runSteps              = 5 // steps that an innocent request takes
-	killSteps             = 2 // steps until the killer takes its endpoint down
-	steps                 = 400
+	endpoints = 8
+	instances = 4
+	copies    = 3 // callers that send the killer at once, each until refused
+	innocents = 40
+	newsDelay = 2 // steps until every instance has heard of a death
+	runSteps  = 5 // steps that an innocent request takes
+	killSteps = 2 // steps until the killer takes its endpoint down
+	steps     = 400
 )
 
 func withoutBook(b *Book) { b.enabled = false }
--- a/internal/core/suspect/session_test.go
+++ b/internal/core/suspect/session_test.go
@@ -26,26 +26,26 @@
 	book := books[e.Field(0)]
 	switch e.Verb {
 	case "admit":
-		return []string{string(book.Admit(now, print(e.Field(1)), prints(e.Fields[2:])))}
+		return []string{string(book.Admit(now, fingerprint(e.Field(1)), fingerprints(e.Fields[2:])))}
 	case "died":
-		return show(book.Died(now, e.Field(1), prints(e.Fields[2:])))
+		return show(book.Died(now, e.Field(1), fingerprints(e.Fields[2:])))
 	case "finished":
-		book.Finished(now, print(e.Field(1)))
+		book.Finished(now, fingerprint(e.Field(1)))
 		return nil
 	default:
 		return []string{"unknown verb " + e.Verb}
 	}
 }
 
-func print(text string) Fingerprint {
+func fingerprint(text string) Fingerprint {
 	n, _ := strconv.ParseUint(text, 10, 64)
 	return Fingerprint(n)
 }
 
-func prints(texts []string) []Fingerprint {
+func fingerprints(texts []string) []Fingerprint {
 	list := make([]Fingerprint, 0, len(texts))
 	for _, text := range texts {
-		list = append(list, print(text))
+		list = append(list, fingerprint(text))
 	}
 	return list
 }
