fix: give apply the time its instance may use, drain at the right instance

Cause: the daemon answers an edit once it is in force, which may take longer than the default of one call (10 s); a drain is taken only by the instance itself, while the command asked just the first address.

Ruled out: a shorter wait in the daemon, which would end in code 4 too early; forwarding a drain between instances, which would let one instance stop another.

Example settings list the plain services among [platform] endpoints, since they are found in the same list.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -79,8 +79,8 @@
 		slots     int
 		endpoints []string
 	}{
-		{"guaiba", []string{"litoral-1a", "litoral-2a", "serra-1a"}, 3, 2, 2, 8, []string{"matcher", "board-app"}},
-		{"gopherline", []string{"manitoba-1a", "sask-1a", "sask-2a"}, 3, 2, 1.5, 7, []string{"run-designer", "shop-api"}},
+		{"guaiba", []string{"litoral-1a", "litoral-2a", "serra-1a"}, 3, 2, 2, 8, []string{"matcher", "board-app", "handover", "catalog"}},
+		{"gopherline", []string{"manitoba-1a", "sask-1a", "sask-2a"}, 3, 2, 1.5, 7, []string{"run-designer", "shop-api", "orders", "stock"}},
 	}
 	token := filepath.Join(t.TempDir(), "token")
 	require.NoError(t, os.WriteFile(token, []byte("0123456789abcdef\n"), 0o600))
--- a/internal/operator/command/apply.go
+++ b/internal/operator/command/apply.go
@@ -77,7 +77,9 @@
 	if before.Revision > 0 && before.Text == e.Text {
 		return p.await(ctx, c, applied{ApplyResult: operator.ApplyResult{Revision: before.Revision}, Unchanged: true})
 	}
-	result, err := call(ctx, c, func(ctx context.Context, o *operator.Client) (operator.ApplyResult, error) {
+	// An instance may use the wait itself before it answers.
+	timeout := c.Duration("timeout") + c.Duration("wait")
+	result, err := callAt(ctx, c, c.StringSlice("address"), timeout, func(ctx context.Context, o *operator.Client) (operator.ApplyResult, error) {
 		return o.Apply(ctx, e)
 	})
 	if errors.Is(err, operator.ErrUncertain) {
--- a/internal/operator/command/connect.go
+++ b/internal/operator/command/connect.go
@@ -48,8 +48,7 @@
 	}
 }
 
-func connect(c *cli.Command) (*operator.Client, error) {
-	addresses := c.StringSlice("address")
+func connect(c *cli.Command, addresses []string) (*operator.Client, error) {
 	if len(addresses) == 0 {
 		return nil, badInput("--address: missing, want host:port of an instance's [operator] (or CHIVERAMP_ADDRESS)")
 	}
@@ -82,13 +81,18 @@
 
 // call connects, and bounds the time of one call.
 func call[T any](ctx context.Context, c *cli.Command, fn func(context.Context, *operator.Client) (T, error)) (T, error) {
-	client, err := connect(c)
+	return callAt(ctx, c, c.StringSlice("address"), c.Duration("timeout"), fn)
+}
+
+// callAt is call with the addresses and the longest time given.
+func callAt[T any](ctx context.Context, c *cli.Command, addresses []string, timeout time.Duration, fn func(context.Context, *operator.Client) (T, error)) (T, error) {
+	client, err := connect(c, addresses)
 	if err != nil {
 		var none T
 		return none, err
 	}
 	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return fn(ctx, client)
 }
--- a/internal/operator/command/drain.go
+++ b/internal/operator/command/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/urfave/cli/v3"
@@ -15,10 +16,11 @@
 		Usage:     "make an instance leave once its requests in flight are done",
 		ArgsUsage: "INSTANCE",
 		Description: `The instance is no longer handed out to callers, passes on what it dispatches,
-finishes its requests in flight and then exits.
+finishes its requests in flight and then exits. Only the instance itself takes
+the order, so its own address must be among --address.
 
 Example:
-   chiveramp drain litoral-1a`,
+   chiveramp --address 10.1.1.11:7070 drain litoral-1a`,
 		Action: p.drain,
 	}
 }
@@ -28,9 +30,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := call(ctx, c, func(ctx context.Context, o *operator.Client) (operator.DrainResult, error) {
-		return o.Drain(ctx, name)
-	})
+	r, err := drainAt(ctx, c, name)
 	if err != nil {
 		return err
 	}
@@ -38,3 +38,24 @@
 		linef(w, "%s is %s, %d requests in flight", r.Instance, r.State, r.Running)
 	})
 }
+
+// drainAt asks each address until the instance itself answers.
+func drainAt(ctx context.Context, c *cli.Command, name string) (operator.DrainResult, error) {
+	drain := func(ctx context.Context, o *operator.Client) (operator.DrainResult, error) {
+		return o.Drain(ctx, name)
+	}
+	var failed error
+	for _, address := range c.StringSlice("address") {
+		r, err := callAt(ctx, c, []string{address}, c.Duration("timeout"), drain)
+		if err == nil || errors.Is(err, operator.ErrUncertain) {
+			return r, err
+		}
+		if failed == nil || !errors.Is(err, operator.ErrUnreachable) {
+			failed = err
+		}
+	}
+	if failed == nil {
+		_, failed = connect(c, nil)
+	}
+	return operator.DrainResult{}, failed
+}
--- a/internal/operator/command/fake_test.go
+++ b/internal/operator/command/fake_test.go
@@ -99,6 +99,9 @@
 }
 
 func (f *fake) Drain(_ context.Context, instance string) (operator.DrainResult, error) {
+	if instance == "serra-1a" {
+		return operator.DrainResult{}, fmt.Errorf("drain instance %s: ask that instance itself: %w", instance, operator.ErrNotFound)
+	}
 	f.draining[instance] = true
 	return operator.DrainResult{Instance: instance, State: operator.StateLeaving, Running: 4}, nil
 }
--- a/internal/operator/command/session_test.go
+++ b/internal/operator/command/session_test.go
@@ -86,6 +86,9 @@
 			{nil, "-o json explain r-17"},
 			{nil, "drain litoral-2a"},
 			{nil, "-o json drain litoral-2a"},
+			{nil, "drain serra-1a"},
+			{nil, "--address 127.0.0.1:1 drain litoral-2a"},
+			{nil, "--address 127.0.0.1:1,ADDRESS drain litoral-2a"},
 		}},
 		{"check", []step{
 			{nil, "check first.ini"},
@@ -142,7 +145,7 @@
 		if s.before != nil {
 			s.before(f, dir)
 		}
-		session.WriteString(runCommand(s.command))
+		session.WriteString(runCommand(strings.ReplaceAll(s.command, "ADDRESS", address)))
 	}
 	return strings.ReplaceAll(session.String(), address, "ADDRESS")
 }
