feat: assembly of one answer from several attempts

Cause: cut streams, crossed and late pieces, and endpoints that die in mid-answer must end in the whole answer or an explicit error. Ruled out: parsing every piece for its text as it passes; the text is taken from the kept pieces only when an answer has to go on elsewhere. Continuing a request that may run once only: it would be a second execution. Change: internal/core/stream. Pieces count by attempt and offset; after a cut the same endpoint is asked for what follows, another goes on from the text already sent, or the answer fails with a reason. Kept pieces are bounded by bytes and age, for callers that come back. The platform's stand-in gets its command. Over sockets answers cut at 40 byte positions, twice each, are whole and ran once. Left: an engine that dies between the finish and the end marker ends in an explicit error although all text was sent.

--- /dev/null
+++ b/internal/core/stream/chat.go
@@ -0,0 +1,213 @@
+package stream
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+var errCannotContinue = errors.New("request cannot be continued")
+
+// chatChunk is the part of a streamed chat answer that text is taken from.
+type chatChunk struct {
+	Choices []struct {
+		Index int `json:"index"`
+		Delta struct {
+			Content   string          `json:"content"`
+			Refusal   string          `json:"refusal"`
+			ToolCalls json.RawMessage `json:"tool_calls"`
+		} `json:"delta"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// chatText joins the text of chat pieces. It is not ok when they hold more
+// than one plain text that still goes on.
+func chatText(pieces []Piece) (text string, tokens int, ok bool) {
+	var joined strings.Builder
+	for _, p := range pieces {
+		content, plain := plainText(p.Data)
+		if !plain {
+			return "", 0, false
+		}
+		if content != "" {
+			tokens++
+		}
+		joined.WriteString(content)
+	}
+	return joined.String(), tokens, true
+}
+
+func plainText(data []byte) (string, bool) {
+	var chunk chatChunk
+	if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) > 1 {
+		return "", false
+	}
+	if len(chunk.Choices) == 0 {
+		return "", true
+	}
+	choice := chunk.Choices[0]
+	special := len(choice.Delta.ToolCalls) > 0 || choice.Delta.Refusal != "" || choice.Finish != nil
+	return choice.Delta.Content, choice.Index == 0 && !special
+}
+
+// ContinueBody returns the body of an attempt that goes on with a chat answer
+// from the text already sent, as engines take it: the text as the assistant's
+// message, to be continued, with what is left of the tokens.
+func ContinueBody(body []byte, text string, tokens int) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fmt.Errorf("continue: %w", err)
+	}
+	for _, name := range []string{"tools", "response_format", "logprobs"} {
+		if _, ok := fields[name]; ok {
+			return nil, fmt.Errorf("continue: %w: it has %s", errCannotContinue, name)
+		}
+	}
+	if err := addText(fields, text); err != nil {
+		return nil, err
+	}
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		if err := lessTokens(fields, name, tokens); err != nil {
+			return nil, err
+		}
+	}
+	fields["continue_final_message"] = json.RawMessage(`true`)
+	fields["add_generation_prompt"] = json.RawMessage(`false`)
+	return json.Marshal(fields)
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func addText(fields map[string]json.RawMessage, text string) error {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return fmt.Errorf("continue: messages: %w", err)
+	}
+	if string(fields["continue_final_message"]) == "true" {
+		return fmt.Errorf("continue: %w: it continues a message of its own", errCannotContinue)
+	}
+	sent, err := json.Marshal(chatMessage{Role: "assistant", Content: text})
+	if err != nil {
+		return fmt.Errorf("continue: %w", err)
+	}
+	joined, err := json.Marshal(append(messages, sent))
+	if err != nil {
+		return fmt.Errorf("continue: %w", err)
+	}
+	fields["messages"] = joined
+	return nil
+}
+
+func lessTokens(fields map[string]json.RawMessage, name string, tokens int) error {
+	raw, ok := fields[name]
+	if !ok || string(raw) == "null" {
+		return nil
+	}
+	var most int
+	if err := json.Unmarshal(raw, &most); err != nil {
+		return fmt.Errorf("continue: %s: %w", name, err)
+	}
+	if most <= tokens {
+		return fmt.Errorf("continue: %w: all %d tokens are sent", errCannotContinue, most)
+	}
+	fields[name] = json.RawMessage(fmt.Sprint(most - tokens))
+	return nil
+}
+
+// Splice makes the pieces of a continued attempt look like the first attempt's
+// to a caller: the same answer id, no second role, and usage over the whole.
+type Splice struct {
+	id      string
+	created json.RawMessage
+	tokens  int
+}
+
+// NewSplice returns a splice onto an answer that began with a piece and has so
+// many tokens already.
+func NewSplice(first []byte, tokens int) (Splice, error) {
+	var head struct {
+		ID      string          `json:"id"`
+		Created json.RawMessage `json:"created"`
+	}
+	if err := json.Unmarshal(first, &head); err != nil {
+		return Splice{}, fmt.Errorf("splice: %w", err)
+	}
+	return Splice{id: head.ID, created: head.Created, tokens: tokens}, nil
+}
+
+// Apply returns one piece of the continued attempt as the caller is to see it.
+func (s Splice) Apply(data []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, fmt.Errorf("splice: %w", err)
+	}
+	id, err := json.Marshal(s.id)
+	if err != nil {
+		return nil, fmt.Errorf("splice: %w", err)
+	}
+	fields["id"] = id
+	if s.created != nil {
+		fields["created"] = s.created
+	}
+	if err := dropRole(fields); err != nil {
+		return nil, err
+	}
+	if err := s.addUsage(fields); err != nil {
+		return nil, err
+	}
+	return json.Marshal(fields)
+}
+
+func dropRole(fields map[string]json.RawMessage) error {
+	var choices []map[string]json.RawMessage
+	if err := json.Unmarshal(fields["choices"], &choices); err != nil {
+		return fmt.Errorf("splice: choices: %w", err)
+	}
+	for _, choice := range choices {
+		var delta map[string]json.RawMessage
+		if err := json.Unmarshal(choice["delta"], &delta); err != nil {
+			return fmt.Errorf("splice: delta: %w", err)
+		}
+		delete(delta, "role")
+		trimmed, err := json.Marshal(delta)
+		if err != nil {
+			return fmt.Errorf("splice: delta: %w", err)
+		}
+		choice["delta"] = trimmed
+	}
+	joined, err := json.Marshal(choices)
+	if err != nil {
+		return fmt.Errorf("splice: choices: %w", err)
+	}
+	fields["choices"] = joined
+	return nil
+}
+
+// addUsage counts the tokens of earlier attempts as generated, not as prompt.
+func (s Splice) addUsage(fields map[string]json.RawMessage) error {
+	raw, ok := fields["usage"]
+	if !ok || string(raw) == "null" {
+		return nil
+	}
+	var usage struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+		Total      int `json:"total_tokens"`
+	}
+	if err := json.Unmarshal(raw, &usage); err != nil {
+		return fmt.Errorf("splice: usage: %w", err)
+	}
+	usage.Completion += s.tokens
+	usage.Prompt = max(0, usage.Total-usage.Completion)
+	counted, err := json.Marshal(usage)
+	if err != nil {
+		return fmt.Errorf("splice: usage: %w", err)
+	}
+	fields["usage"] = counted
+	return nil
+}
--- /dev/null
+++ b/internal/core/stream/session_test.go
@@ -0,0 +1,129 @@
+package stream
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+const (
+	sessionKeepBytes = 1 << 10
+	sessionKeepTime  = time.Minute
+)
+
+func textPiece(content string) []byte {
+	return fmt.Appendf(nil, `{"id":"x","choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}`, content)
+}
+
+var finishPiece = []byte(`{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
+
+// session replays a script: the verbs are the methods of Assembly.
+type session struct {
+	assembly *Assembly
+	guards   guards
+}
+
+func newSession(off guards) coretest.Handler {
+	s := &session{assembly: New(WithKeep(sessionKeepBytes, sessionKeepTime), WithResumes(2), WithHeld(2)), guards: off}
+	s.assembly.guards = off
+	return s.handle
+}
+
+func (s *session) handle(now time.Time, e coretest.Event) []string {
+	number, _ := strconv.ParseUint(e.Field(1), 10, 64)
+	switch e.Verb {
+	case "once":
+		s.assembly = New(WithOnce())
+		s.assembly.guards = s.guards
+	case "begin":
+		s.assembly.Begin(e.Field(0), fleet.Endpoint(e.Field(1)))
+	case "adopt":
+		have, _ := strconv.ParseUint(e.Field(2), 10, 64)
+		s.assembly.Adopt(e.Field(0), fleet.Endpoint(e.Field(1)), have)
+	case "piece":
+		return s.piece(now, Piece{Attempt: e.Field(0), Offset: number, Data: data(e.Field(2))})
+	case "end":
+		return []string{string(s.assembly.End(e.Field(0), number))}
+	case "cut":
+		return []string{describe(s.assembly.Cut(now, e.Field(0), Loss(e.Field(1))))}
+	case "since":
+		return s.since(now, e.Field(0), number)
+	}
+	return nil
+}
+
+func data(content string) []byte {
+	if content == "finish" {
+		return finishPiece
+	}
+	return textPiece(content)
+}
+
+func (s *session) piece(now time.Time, p Piece) []string {
+	passed, verdict := s.assembly.Add(now, p)
+	return append([]string{string(verdict)}, list(passed)...)
+}
+
+func (s *session) since(now time.Time, attempt string, have uint64) []string {
+	pieces, err := s.assembly.Since(now, attempt, have)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	return list(pieces)
+}
+
+func list(pieces []Piece) []string {
+	var lines []string
+	for _, p := range pieces {
+		content, _ := plainText(p.Data)
+		lines = append(lines, fmt.Sprintf("to caller %s/%d %s", p.Attempt, p.Offset, content))
+	}
+	return lines
+}
+
+func describe(d Decision) string {
+	switch d.Step {
+	case StepResume:
+		return fmt.Sprintf("resume after %d", d.After)
+	case StepContinue:
+		return fmt.Sprintf("continue from %q, %d tokens", d.Text, d.Tokens)
+	case StepFail:
+		return "fail: " + string(d.Reason)
+	default:
+		return string(d.Step)
+	}
+}
+
+func TestSessions(t *testing.T) {
+	coretest.Run(t, "*.session", func() coretest.Handler { return newSession(guards{}) })
+}
+
+func TestSessionsFailWithAMechanismOff(t *testing.T) {
+	cases := []struct {
+		name    string
+		off     guards
+		session string
+	}{
+		{"attempts", guards{noAttempts: true}, "stray.session"},
+		{"offsets", guards{noOffsets: true}, "crossed.session"},
+		{"marker", guards{noMarker: true}, "resume.session"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			want, err := os.ReadFile(filepath.Join("testdata", tc.session))
+			require.NoError(t, err)
+			got, err := coretest.Replay(want, newSession(tc.off))
+			require.NoError(t, err)
+			assert.NotEqual(t, string(want), string(got))
+		})
+	}
+}
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -15,31 +17,72 @@
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 )
 
-func TestEngineCommandServesAndEnds(t *testing.T) {
+// launch runs a command and returns the fields of its ready line, and a
+// function that ends it and returns its exit code.
+func launch(t *testing.T, args ...string) (fields []string, stop func() int) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	reader, writer := io.Pipe()
 	var group errgroup.Group
 	var code int
 	group.Go(func() error {
-		args := []string{"chiveramp-standin", "engine", "--name", "e1", "--models", "a=2GiB,b", "--checks"}
-		code = Execute(ctx, args, writer, io.Discard)
+		code = Execute(ctx, append([]string{"chiveramp-standin"}, args...), writer, io.Discard)
 		return writer.Close()
 	})
 	line, err := bufio.NewReader(reader).ReadString('\n')
 	require.NoError(t, err)
-	fields := strings.Fields(line)
-	require.Len(t, fields, 4)
-	assert.Equal(t, []string{"ready", "engine", "e1"}, fields[:3])
+	return strings.Fields(line), func() int {
+		cancel()
+		require.NoError(t, group.Wait())
+		return code
+	}
+}
+
+func TestCommandsServeAndEnd(t *testing.T) {
+	cases := []struct {
+		args []string
+		want []string
+		path string
+	}{
+		{[]string{"engine", "--name", "e1"}, []string{"ready", "engine", "e1"}, "/health"},
+		{[]string{"service", "--name", "orders"}, []string{"ready", "service", "orders"}, "/health"},
+		{[]string{"platform", "--writes", "300", "--reads", "2000"}, []string{"ready", "platform", "store"}, "/standin/calls"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.args[0], func(t *testing.T) {
+			fields, stop := launch(t, tc.args...)
+			require.Len(t, fields, 4)
+			assert.Equal(t, tc.want, fields[:3])
+			response, err := http.Get("http://" + fields[3] + tc.path)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			assert.Equal(t, http.StatusOK, response.StatusCode)
+			assert.Zero(t, stop())
+		})
+	}
+}
+
+func TestEngineCommandTakesSizes(t *testing.T) {
+	fields, stop := launch(t, "engine", "--models", "a=2GiB,b", "--checks")
 	client := endpoint.New()
 	defer client.Close()
 	state, err := client.State(t.Context(), fields[3])
 	require.NoError(t, err)
 	assert.True(t, state.Checks)
 	assert.Equal(t, int64(14<<30), state.Used)
-	cancel()
-	require.NoError(t, group.Wait())
-	assert.Zero(t, code)
+	assert.Zero(t, stop())
+}
+
+func TestLinkCommandJoins(t *testing.T) {
+	far, stopFar := launch(t, "service")
+	fields, stop := launch(t, "link", "--to", far[3], "--latency", "10ms", "--rate", "30e6")
+	began := time.Now()
+	response, err := http.Get("http://" + fields[3] + "/health")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	assert.GreaterOrEqual(t, time.Since(began), 20*time.Millisecond)
+	assert.Zero(t, stop())
+	assert.Zero(t, stopFar())
 }
 
 func TestWrongCommandLines(t *testing.T) {
--- /dev/null
+++ b/internal/standin/engine/assembly_test.go
@@ -0,0 +1,105 @@
+package engine_test
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/stream"
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+	"github.com/chiveramp/chiveramp/internal/standin/engine"
+)
+
+// reader follows an answer over real connections as the assembly decides.
+type reader struct {
+	t        *testing.T
+	client   *endpoint.Client
+	assembly *stream.Assembly
+	text     string
+}
+
+// follow reads one connection to its end and returns what the assembly decides.
+func (r *reader) follow(s *endpoint.Stream, err error) stream.Decision {
+	r.t.Helper()
+	attempt := r.assembly.Attempt()
+	for err == nil {
+		var event endpoint.Event
+		event, err = s.Next()
+		if err == nil {
+			r.take(stream.Piece{Attempt: attempt, Offset: event.Sequence - 1, Data: event.Data})
+		}
+	}
+	if s != nil {
+		_ = s.Close()
+	}
+	if errors.Is(err, io.EOF) {
+		r.assembly.End(attempt, r.assembly.Next())
+		return stream.Decision{Step: stream.StepNone}
+	}
+	return r.assembly.Cut(time.Now(), attempt, loss(err))
+}
+
+func loss(err error) stream.Loss {
+	switch {
+	case errors.Is(err, endpoint.ErrGone):
+		return stream.LossAttempt
+	case errors.Is(err, endpoint.ErrNotSent):
+		return stream.LossEndpoint
+	default:
+		return stream.LossConnection
+	}
+}
+
+func (r *reader) take(p stream.Piece) {
+	pieces, _ := r.assembly.Add(time.Now(), p)
+	for _, passed := range pieces {
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		require.NoError(r.t, json.Unmarshal(passed.Data, &chunk))
+		r.text += chunk.Choices[0].Delta.Content
+	}
+}
+
+func TestStreamCutAtManyBytesIsWholeAfterResume(t *testing.T) {
+	server, client, addr := start(t)
+	for after := 0; after < 1600; after += 41 {
+		server.SetFaults(engine.Faults{CutAfter: after, Cuts: 2, CutClean: after%2 == 0})
+		r := &reader{t: t, client: client, assembly: stream.New()}
+		attempt := "cut-" + time.Duration(after).String()
+		r.assembly.Begin(attempt, "m1")
+		decision := r.follow(client.Start(t.Context(), addr, endpoint.Call{Attempt: attempt, Body: body("x", 8)}))
+		for decision.Step == stream.StepResume {
+			decision = r.follow(client.Resume(t.Context(), addr, attempt, decision.After))
+		}
+		require.Equal(t, stream.StateWhole, r.assembly.State(), "cut after %d", after)
+		require.Equal(t, engine.AnswerTo(model, "x", 8), r.text)
+		require.Equal(t, 1, server.Counts().Requests[attempt])
+	}
+}
+
+func TestAnswerGoesOnAtAnotherEngineWhenOneDies(t *testing.T) {
+	first, client, addr := start(t, engine.WithStep(2*time.Millisecond), engine.WithFaults(engine.Faults{CutAfter: 900, Cuts: 1}))
+	_, _, otherAddr := start(t)
+	request := body("a red glove", 30)
+	r := &reader{t: t, client: client, assembly: stream.New()}
+	r.assembly.Begin("a1", "m1")
+	decision := r.follow(client.Start(t.Context(), addr, endpoint.Call{Attempt: "a1", Body: request}))
+	require.Equal(t, stream.StepResume, decision.Step)
+	require.NoError(t, first.Close())
+
+	decision = r.follow(client.Resume(t.Context(), addr, "a1", decision.After))
+	require.Equal(t, stream.StepContinue, decision.Step)
+	rest, err := stream.ContinueBody(request, decision.Text, decision.Tokens)
+	require.NoError(t, err)
+	r.assembly.Begin("a2", "m2")
+	decision = r.follow(client.Start(t.Context(), otherAddr, endpoint.Call{Attempt: "a2", Body: rest}))
+	assert.Equal(t, stream.StepNone, decision.Step)
+	assert.Equal(t, stream.StateWhole, r.assembly.State())
+	assert.Equal(t, engine.AnswerTo(model, "a red glove", 30), r.text)
+}
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -40,7 +40,7 @@
 		request: request,
 		text:    text,
 		hash:    promptHash(request.Model, text),
-		prompt:  len(strings.Fields(text)),
+		prompt:  len(strings.Fields(text)) + done,
 		next:    done,
 		last:    done + request.tokens(),
 		arrived: now,
