--- a/internal/operator/command/profiles.go
+++ b/internal/operator/command/profiles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"slices"
 	"strconv"
@@ -58,7 +57,7 @@
 			number(r.Requests), number(r.Refused), number(r.Failed), orDash(r.Why),
 		})
 	}
-	table(w, fmt.Sprintf("profiles, last %s", milliseconds(reports[0].Window)), "PROFILE RANK ATTAINMENT FIRST TARGET REQUESTS REFUSED FAILED WHY", rows)
+	table(w, "profiles, "+span(reports[0].Window), "PROFILE RANK ATTAINMENT FIRST TARGET REQUESTS REFUSED FAILED WHY", rows)
 	table(w, "ranks", "RANK ATTAINMENT REQUESTS REFUSED FAILED", rankRows(reports))
 }
 
@@ -80,6 +79,13 @@
 	return rows
 }
 
+func span(window int64) string {
+	if window == 0 {
+		return "since the start of the instance"
+	}
+	return "last " + milliseconds(window)
+}
+
 func target(n int64) string {
 	if n == 0 {
 		return "-"
