fix: a flood of wrong tokens no longer locks operators out

Cause: one rate limit stood before the check of the token, so whoever reached the listener could use up the operators' calls.

Ruled out: no limit for denied calls (each would cost a log line and an answer); a limit for each address, which is state for everybody who knocks.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -25,6 +25,7 @@
 	headerLimit  = 16 << 10 // bytes
 	headerWait   = 5 * time.Second
 	bodyWait     = 30 * time.Second
+	answerWait   = 2 * time.Minute
 	idleWait     = time.Minute
 	defaultRate  = 50  // requests a second
 	defaultBurst = 100 // requests
@@ -34,7 +35,8 @@
 type Server struct {
 	backend Backend
 	token   [sha256.Size]byte
-	limiter *rate.Limiter
+	calls   *rate.Limiter // of operators
+	denials *rate.Limiter // of everybody else
 	logger  log.Logger
 }
 
@@ -46,9 +48,13 @@
 	return func(s *Server) { s.token = sha256.Sum256([]byte(token)) }
 }
 
-// WithRate bounds the calls a second and at once.
+// WithRate bounds the calls a second and at once. Denied calls are bounded
+// apart, so that they can't use up what operators have.
 func WithRate(perSecond float64, burst int) Option {
-	return func(s *Server) { s.limiter = rate.NewLimiter(rate.Limit(perSecond), burst) }
+	return func(s *Server) {
+		s.calls = rate.NewLimiter(rate.Limit(perSecond), burst)
+		s.denials = rate.NewLimiter(rate.Limit(perSecond), burst)
+	}
 }
 
 // WithLogger sets the log of changes and denials.
@@ -58,11 +64,8 @@
 
 // NewServer returns the handler of the operators' API.
 func NewServer(b Backend, options ...Option) http.Handler {
-	s := &Server{
-		backend: b,
-		limiter: rate.NewLimiter(defaultRate, defaultBurst),
-		logger:  log.NewNopLogger(),
-	}
+	s := &Server{backend: b, logger: log.NewNopLogger()}
+	WithRate(defaultRate, defaultBurst)(s)
 	for _, o := range options {
 		o(s)
 	}
@@ -81,6 +84,7 @@
 		TLSConfig:         t,
 		ReadHeaderTimeout: headerWait,
 		ReadTimeout:       bodyWait,
+		WriteTimeout:      answerWait,
 		IdleTimeout:       idleWait,
 		MaxHeaderBytes:    headerLimit,
 	}, nil
@@ -98,21 +102,25 @@
 	return mux
 }
 
-// guard bounds the rate and checks the token before any other work.
+// guard checks the token and bounds the rate before any other work.
 func (s *Server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !s.limiter.Allow() {
-			w.Header().Set("Retry-After", "1")
-			s.fail(w, r, &CallError{Code: CodeTooMany, Step: "guard", Message: "too many calls from operators"})
-			return
+		allowed := s.allowed(r)
+		limiter := s.denials
+		if allowed {
+			limiter = s.calls
 		}
-		if !s.allowed(r) {
+		switch {
+		case !limiter.Allow():
+			w.Header().Set("Retry-After", "1")
+			writeJSON(w, http.StatusTooManyRequests, &CallError{Code: CodeTooMany, Step: "guard", Message: "too many calls"})
+		case !allowed:
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			s.fail(w, r, &CallError{Code: CodeDenied, Step: "guard", Message: "token missing or wrong"})
-			return
+		default:
+			r.Body = http.MaxBytesReader(w, r.Body, bodyLimit)
+			next.ServeHTTP(w, r)
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, bodyLimit)
-		next.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -235,3 +235,14 @@
 	h.ServeHTTP(w, r)
 	return w
 }
+
+// Whoever has no token can't use up the calls of those who have one.
+func TestFloodOfWrongTokensLeavesOperatorsAlone(t *testing.T) {
+	h := NewServer(&stub{}, WithToken(token), WithRate(0.001, 2))
+	codes := map[int]int{}
+	for range 10 {
+		codes[request(t, h, http.MethodGet, "/v1/status", "Bearer wrong", "").Code]++
+	}
+	assert.Equal(t, map[int]int{http.StatusUnauthorized: 2, http.StatusTooManyRequests: 8}, codes)
+	assert.Equal(t, http.StatusOK, request(t, h, http.MethodGet, "/v1/status", "Bearer "+token, "").Code)
+}
