feat: the caller's client

Cause: callers ask the system which address to use and connect themselves; what may be sent again, and how a cut answer is resumed, should not be worked out by each of them. Ruled out: leaving repeats to net/http. It sends a request again by itself when it bears an Idempotency-Key, to the same instance and outside the budget; the key is sent under its lower-case name, which is the same header on the wire. Resumes taking from the retry budget: a rolling restart cuts hundreds of streams at once, and a resume costs the system no second run. Change: pkg/client (ask, keep, connect, send again by outcome, resume by Last-Event-ID, retry budget). internal/sse reads events for both sides. Conclusion: not-run is retried, unknown only with the same key, a cut stream goes on at another instance.

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -1,19 +1,14 @@
 package endpoint
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
-)
 
-const (
-	readBuffer = 4 << 10 // bytes
-	slabSize   = 4 << 10 // bytes
+	"github.com/chiveramp/chiveramp/internal/sse"
 )
 
 // Event is one event of an answer.
@@ -30,13 +25,11 @@
 type Stream struct {
 	exchange exchange
 	response *http.Response
-	reader   *bufio.Reader
-	limit    int
+	events   *sse.Reader
 	body     int64
 	plain    bool
 	last     uint64
 	end      error
-	slab     []byte
 	closed   bool
 }
 
@@ -45,8 +38,7 @@
 	return &Stream{
 		exchange: x,
 		response: response,
-		reader:   bufio.NewReaderSize(response.Body, readBuffer),
-		limit:    c.settings.eventLimit,
+		events:   sse.NewReader(response.Body, c.settings.eventLimit),
 		body:     c.settings.bodyLimit,
 		plain:    !strings.HasPrefix(kind, "text/event-stream"),
 		last:     after,
@@ -109,24 +101,18 @@
 		return Event{}, err
 	}
 	if string(event.Data) == Done {
-		return Event{}, s.drain()
+		s.events.Drain()
+		return Event{}, io.EOF
 	}
 	s.last = event.Sequence
 	return event, nil
 }
 
-// drain reads up to the end of the body, so that its connection can be used
-// again, and returns io.EOF.
-func (s *Stream) drain() error {
-	_, _ = io.CopyN(io.Discard, s.reader, readBuffer)
-	return io.EOF
-}
-
 func (s *Stream) readBody() (Event, error) {
 	if s.last > 0 {
 		return Event{}, io.EOF
 	}
-	data, err := io.ReadAll(io.LimitReader(s.reader, s.body+1))
+	data, err := io.ReadAll(io.LimitReader(s.response.Body, s.body+1))
 	if err != nil {
 		return Event{}, cutError(err)
 	}
@@ -137,93 +123,24 @@
 	return Event{Sequence: 1, Data: data}, nil
 }
 
-// readEvent reads lines up to an empty one. An event that the connection's end
-// interrupts is dropped.
 func (s *Stream) readEvent() (Event, error) {
-	event := Event{Sequence: s.last + 1}
-	fields := 0
-	for {
-		line, err := s.readLine()
-		if err != nil {
-			return Event{}, cutError(err)
-		}
-		if len(line) > 0 {
-			fields++
-			s.take(&event, line)
-			if len(event.Data) > s.limit {
-				return Event{}, ErrTooLarge
-			}
-			continue
-		}
-		if event.Data != nil {
-			return event, nil
-		}
-		if fields > 0 {
-			event = Event{Sequence: s.last + 1}
-		}
-	}
-}
-
-// take adds one line to the event, as the server-sent events format says.
-func (s *Stream) take(event *Event, line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimPrefix(value, []byte(" "))
-	switch string(name) {
-	case "data":
-		event.Data = s.keep(event.Data, value)
-	case "event":
-		event.Name = string(value)
-	case "id":
-		number, err := strconv.ParseUint(string(value), 10, 64)
-		if err == nil {
-			event.Sequence = number
-		}
-	}
-}
-
-// keep copies a value into memory that is shared by several events and never
-// written twice.
-func (s *Stream) keep(before, value []byte) []byte {
-	if before != nil {
-		joined := append(bytes.Clone(before), '\n')
-		return append(joined, value...)
-	}
-	if len(value) == 0 {
-		return []byte{}
-	}
-	if len(value) > slabSize/4 {
-		return bytes.Clone(value)
-	}
-	if cap(s.slab)-len(s.slab) < len(value) {
-		s.slab = make([]byte, 0, slabSize)
-	}
-	start := len(s.slab)
-	s.slab = append(s.slab, value...)
-	return s.slab[start:len(s.slab):len(s.slab)]
-}
-
-// readLine returns one line without its end. It is valid until the next read.
-func (s *Stream) readLine() ([]byte, error) {
-	line, err := s.reader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		line, err = s.readLong(line)
+	event, err := s.events.Next()
+	if errors.Is(err, sse.ErrTooLarge) {
+		return Event{}, ErrTooLarge
 	}
 	if err != nil {
-		return nil, err
+		return Event{}, err
 	}
-	return bytes.TrimRight(line, "\r\n"), nil
+	return Event{Sequence: s.sequence(event.ID), Name: string(event.Name), Data: event.Data}, nil
 }
 
-func (s *Stream) readLong(start []byte) ([]byte, error) {
-	long := bytes.Clone(start)
-	for len(long) <= s.limit {
-		more, err := s.reader.ReadSlice('\n')
-		long = append(long, more...)
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return long, err
-		}
+// sequence returns an event's number: its id, or one more than the last.
+func (s *Stream) sequence(id []byte) uint64 {
+	number, err := strconv.ParseUint(string(id), 10, 64)
+	if err != nil {
+		return s.last + 1
 	}
-	return nil, ErrTooLarge
+	return number
 }
 
 // cutError keeps a body's early end apart from the end marker's io.EOF.
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,141 @@
+// Package sse reads server-sent events.
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+const (
+	readBuffer = 4 << 10 // bytes
+	slabSize   = 4 << 10 // bytes
+	ownSize    = slabSize / 4
+)
+
+// ErrTooLarge tells that an event is larger than the reader accepts.
+var ErrTooLarge = errors.New("event too large")
+
+// Event is one event.
+type Event struct {
+	// ID and Name are the id and type, empty when not given. They are valid
+	// until the next read.
+	ID   []byte
+	Name []byte
+	// Data is the payload. It stays valid and belongs to the receiver.
+	Data []byte
+}
+
+// Reader reads events from a stream.
+type Reader struct {
+	lines *bufio.Reader
+	limit int
+	slab  []byte
+	id    []byte
+	name  []byte
+}
+
+// NewReader returns a reader that takes events of limit bytes at most.
+func NewReader(from io.Reader, limit int) *Reader {
+	return &Reader{lines: bufio.NewReaderSize(from, readBuffer), limit: limit}
+}
+
+// Next returns the next event. An event that the end of the stream interrupts
+// is dropped; the end is io.ErrUnexpectedEOF, for the format has no end of its own.
+func (r *Reader) Next() (Event, error) {
+	r.id, r.name = r.id[:0], r.name[:0]
+	var data []byte
+	for {
+		line, err := r.line()
+		if errors.Is(err, io.EOF) {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) > 0 {
+			data = r.take(data, line)
+			if len(data) > r.limit {
+				return Event{}, ErrTooLarge
+			}
+			continue
+		}
+		if data != nil {
+			return Event{ID: r.id, Name: r.name, Data: data}, nil
+		}
+		r.id, r.name = r.id[:0], r.name[:0]
+	}
+}
+
+// Drain reads what may follow the last event, up to a buffer's size, so that
+// the connection can be used again.
+func (r *Reader) Drain() {
+	_, _ = io.CopyN(io.Discard, r.lines, readBuffer)
+}
+
+// take adds one line to the event and returns the data so far.
+func (r *Reader) take(data, line []byte) []byte {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	if len(value) > 0 && value[0] == ' ' {
+		value = value[1:]
+	}
+	switch string(name) {
+	case "data":
+		return r.keep(data, value)
+	case "event":
+		r.name = append(r.name[:0], value...)
+	case "id":
+		r.id = append(r.id[:0], value...)
+	}
+	return data
+}
+
+// keep copies a value into memory that several events share and that is never
+// written twice.
+func (r *Reader) keep(before, value []byte) []byte {
+	if before != nil {
+		joined := append(bytes.Clone(before), '\n')
+		return append(joined, value...)
+	}
+	if len(value) == 0 {
+		return []byte{}
+	}
+	if len(value) > ownSize {
+		return bytes.Clone(value)
+	}
+	if cap(r.slab)-len(r.slab) < len(value) {
+		r.slab = make([]byte, 0, slabSize)
+	}
+	start := len(r.slab)
+	r.slab = append(r.slab, value...)
+	return r.slab[start:len(r.slab):len(r.slab)]
+}
+
+// line returns one line without its end. It is valid until the next read.
+func (r *Reader) line() ([]byte, error) {
+	line, err := r.lines.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = r.longLine(line)
+	}
+	if err != nil {
+		return nil, err
+	}
+	line = line[:len(line)-1]
+	if len(line) > 0 && line[len(line)-1] == '\r' {
+		line = line[:len(line)-1]
+	}
+	return line, nil
+}
+
+func (r *Reader) longLine(start []byte) ([]byte, error) {
+	long := bytes.Clone(start)
+	for len(long) <= r.limit {
+		more, err := r.lines.ReadSlice('\n')
+		long = append(long, more...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return long, err
+		}
+	}
+	return nil, ErrTooLarge
+}
--- /dev/null
+++ b/pkg/client/request.go
@@ -0,0 +1,263 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const problemLimit = 64 << 10 // bytes
+
+// Request is one request of a caller.
+type Request struct {
+	Method string
+	// Path holds the path and query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Profile replaces the client's profile when set.
+	Profile string
+	// ID is the request's id; one is made when it is empty. A caller that
+	// starts anew goes on with an answer by the same id.
+	ID string
+	// Key makes a request that may not run twice safe to send again.
+	Key string
+	// Repeat tells that running the request twice does no harm.
+	Repeat bool
+}
+
+// Response is the head of an answer, with its body still to come.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Request is the request's id.
+	Request string
+	// Outcome says whether the request ran.
+	Outcome Outcome
+	// Instance, Dispatcher and Endpoint served the request.
+	Instance   string
+	Dispatcher string
+	Endpoint   string
+	// Tries is how often the request was sent.
+	Tries int
+
+	raw *http.Response
+}
+
+// Do sends a request and returns its answer. Requests are sent again only where
+// that is safe: when it was not run, or its key or nature allows to run it again.
+// Errors are of type *Error, or wrap ErrNoEntry or the context's error.
+func (c *Client) Do(ctx context.Context, request Request) (*Response, error) {
+	call := c.newCall(request)
+	c.budget.earn()
+	for {
+		response, err := call.try(ctx)
+		if err == nil {
+			return response, nil
+		}
+		if !call.again(ctx, err) {
+			return nil, err
+		}
+	}
+}
+
+// call is one request on its way, over all its tries.
+type call struct {
+	client  *Client
+	request Request
+	last    string // id of the last event that arrived
+	tried   map[string]bool
+	tries   int
+}
+
+func (c *Client) newCall(request Request) *call {
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	if request.Profile == "" {
+		request.Profile = c.profile
+	}
+	return &call{client: c, request: request, tried: map[string]bool{}}
+}
+
+// try sends the request once, to the best instance that was not tried before.
+func (l *call) try(ctx context.Context) (*Response, error) {
+	address, err := l.pick(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l.tries++
+	request, err := l.build(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("send %s: %w", address, err)
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	response, err := l.client.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		l.client.forget(l.request.Profile)
+		return nil, l.broken(address, connected, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) != string(OutcomeRan) {
+		return nil, l.refused(response)
+	}
+	return l.answer(response), nil
+}
+
+// pick returns an address. When all were tried the round begins again.
+func (l *call) pick(ctx context.Context) (string, error) {
+	entries, err := l.client.Entries(ctx, l.request.Profile)
+	if err != nil {
+		return "", err
+	}
+	for range 2 {
+		for _, entry := range entries {
+			if !l.tried[entry.Address] {
+				l.tried[entry.Address] = true
+				return entry.Address, nil
+			}
+		}
+		clear(l.tried)
+	}
+	return "", ErrNoEntry
+}
+
+func (l *call) build(ctx context.Context, address string) (*http.Request, error) {
+	target := l.client.scheme + "://" + address + l.request.Path
+	request, err := http.NewRequestWithContext(ctx, l.request.Method, target, bytes.NewReader(l.request.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // the client decides what is sent again
+	for name, values := range l.request.Header {
+		request.Header[http.CanonicalHeaderKey(name)] = values
+	}
+	setHeader(request.Header, HeaderProfile, l.request.Profile)
+	setHeader(request.Header, HeaderRequest, l.request.ID)
+	if l.request.Key != "" {
+		// In lower case it is the same header, but does not make net/http send
+		// the request again by itself.
+		request.Header[strings.ToLower(HeaderKey)] = []string{l.request.Key}
+	}
+	setHeader(request.Header, HeaderLastEvent, l.last)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(1, deadline.Sub(l.client.now()).Milliseconds())
+		request.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	return request, nil
+}
+
+func setHeader(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// broken is the error of a try without an answer. Without a connection nothing
+// can have been sent.
+func (l *call) broken(address string, connected bool, err error) *Error {
+	e := &Error{
+		Code: CodeConnect, Step: "send", Message: err.Error(), Peer: address,
+		Outcome: OutcomeNotRun, Request: l.request.ID, cause: err,
+	}
+	if connected {
+		e.Code, e.Outcome = CodeCut, OutcomeUnknown
+	}
+	return e
+}
+
+func (l *call) refused(response *http.Response) *Error {
+	data, _ := io.ReadAll(io.LimitReader(response.Body, problemLimit))
+	_ = response.Body.Close()
+	e := problemOf(response, data)
+	e.Request = l.request.ID
+	return e
+}
+
+func (l *call) answer(response *http.Response) *Response {
+	return &Response{
+		Status:     response.StatusCode,
+		Header:     response.Header,
+		Body:       response.Body,
+		Request:    l.request.ID,
+		Outcome:    Outcome(response.Header.Get(HeaderOutcome)),
+		Instance:   response.Header.Get(HeaderInstance),
+		Dispatcher: response.Header.Get(HeaderDispatcher),
+		Endpoint:   response.Header.Get(HeaderEndpoint),
+		Tries:      l.tries,
+		raw:        response,
+	}
+}
+
+// again decides whether to try once more, and waits for its time.
+func (l *call) again(ctx context.Context, err error) bool {
+	var e *Error
+	if !errors.As(err, &e) || ctx.Err() != nil {
+		return false
+	}
+	if l.tries >= l.client.tries || !l.allowed(e) {
+		return false
+	}
+	wait := l.wait(e)
+	if deadline, ok := ctx.Deadline(); ok && l.client.now().Add(wait).After(deadline) {
+		return false
+	}
+	if wait > l.client.longest {
+		return false
+	}
+	resumed := l.last != "" // costs the system no second run
+	if !resumed && !l.client.budget.spend() {
+		return false
+	}
+	return l.client.sleep(ctx, wait) == nil
+}
+
+// allowed tells whether the outcome lets the request be sent again.
+func (l *call) allowed(e *Error) bool {
+	if e.Status != 0 && !passing(e.Status) {
+		return false
+	}
+	switch e.Outcome {
+	case OutcomeNotRun:
+		return true
+	case OutcomeUnknown:
+		return l.last != "" || l.request.Key != "" || l.request.Repeat || safe(l.request.Method)
+	default:
+		return false
+	}
+}
+
+// passing tells whether a status is of a kind that passes.
+func passing(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusConflict, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// wait returns the time that the system asked for, or a short one, spread so
+// that callers refused together do not come back together.
+func (l *call) wait(e *Error) time.Duration {
+	if e.Retry > 0 {
+		return e.Retry + time.Duration(l.client.jitter()*float64(e.Retry)/4)
+	}
+	longest := defaultPause << min(l.tries-1, 6)
+	return time.Duration(l.client.jitter() * float64(longest))
+}
--- /dev/null
+++ b/pkg/client/stream.go
@@ -0,0 +1,164 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/chiveramp/chiveramp/internal/sse"
+)
+
+const (
+	done       = "[DONE]"
+	errorEvent = "error"
+)
+
+// Event is one event of a streamed answer.
+type Event struct {
+	// ID is the position that the system gave the event.
+	ID   string
+	Data []byte
+}
+
+// Stream is a streamed answer. It resumes by itself at another instance when it
+// is cut. It is used by one goroutine at a time.
+type Stream struct {
+	ctx      context.Context //nolint:containedctx // the answer lives as long as the call
+	call     *call
+	response *Response
+	events   *sse.Reader
+	position position
+	resumes  int // in a row, without an event between
+	end      error
+}
+
+// Stream sends a request that is answered by events, such as a chat completion
+// with "stream" set.
+func (c *Client) Stream(ctx context.Context, request Request) (*Stream, error) {
+	if request.Method == "" {
+		request.Method = http.MethodPost
+	}
+	s := &Stream{ctx: ctx, call: c.newCall(request)}
+	c.budget.earn()
+	if err := s.open(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// open tries until there is an answer, or none may be tried for any more.
+func (s *Stream) open() error {
+	for {
+		err := s.openOnce()
+		if err == nil {
+			return nil
+		}
+		if !s.call.again(s.ctx, err) {
+			return err
+		}
+	}
+}
+
+func (s *Stream) openOnce() error {
+	response, err := s.call.try(s.ctx)
+	if err != nil {
+		return err
+	}
+	if response.Status >= http.StatusBadRequest {
+		return s.call.refused(response.raw)
+	}
+	s.response = response
+	s.events = sse.NewReader(response.Body, defaultEventLimit)
+	return nil
+}
+
+// Response returns the head of the present answer.
+func (s *Stream) Response() *Response { return s.response }
+
+// Next returns the next event. It returns io.EOF only when the answer is whole,
+// and an *Error when it cannot become whole.
+func (s *Stream) Next() (Event, error) {
+	for s.end == nil {
+		raw, err := s.events.Next()
+		switch {
+		case err != nil:
+			s.end = s.resume(err)
+		case string(raw.Name) == errorEvent:
+			s.end = s.failed(raw.Data)
+		case string(raw.Data) == done:
+			s.end = io.EOF
+		case s.fresh(string(raw.ID)):
+			return Event{ID: s.call.last, Data: raw.Data}, nil
+		}
+	}
+	return Event{}, s.end
+}
+
+// Close gives the answer up if it has not ended.
+func (s *Stream) Close() error {
+	if s.end == nil {
+		s.end = context.Canceled
+	}
+	return s.response.Body.Close()
+}
+
+// fresh notes an event's position. An event that came before is not fresh.
+func (s *Stream) fresh(id string) bool {
+	next, ok := parsePosition(id)
+	if ok && next.attempt == s.position.attempt && next.number <= s.position.number {
+		return false
+	}
+	if ok {
+		s.position = next
+	}
+	if id != "" {
+		s.call.last = id
+	}
+	s.resumes = 0
+	return true
+}
+
+// resume goes on after a cut, where the system still has the answer.
+func (s *Stream) resume(err error) error {
+	_ = s.response.Body.Close()
+	cut := &Error{
+		Code: CodeCut, Step: "answer", Message: err.Error(), Outcome: OutcomeUnknown,
+		Request: s.call.request.ID, cause: err,
+	}
+	if errors.Is(err, sse.ErrTooLarge) {
+		return cut
+	}
+	s.resumes++
+	s.call.tries = s.resumes
+	if s.resumes > s.call.client.resumes || !s.call.again(s.ctx, cut) {
+		return cut
+	}
+	return s.open()
+}
+
+func (s *Stream) failed(data []byte) error {
+	e := parseProblem(data)
+	e.Request = s.call.request.ID
+	return e
+}
+
+// position is an event's id: endpoint, attempt and number.
+type position struct {
+	attempt string // with the endpoint before it
+	number  uint64
+}
+
+func parsePosition(id string) (position, bool) {
+	cut := strings.LastIndexByte(id, '/')
+	if cut < 0 {
+		return position{}, false
+	}
+	number, err := strconv.ParseUint(id[cut+1:], 10, 64)
+	if err != nil {
+		return position{}, false
+	}
+	return position{attempt: id[:cut], number: number}, true
+}
