--- /dev/null
+++ b/internal/caller/wire.go
@@ -0,0 +1,105 @@
+// Package caller speaks HTTP to callers.
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/dispatch"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// Headers towards callers. Callers' side is documented in docs/operators/callers.md.
+const (
+	HeaderProfile    = "Chiveramp-Profile"
+	HeaderRequest    = "Chiveramp-Request"
+	HeaderDeadline   = "Chiveramp-Deadline" // milliseconds left
+	HeaderOutcome    = "Chiveramp-Outcome"
+	HeaderInstance   = "Chiveramp-Instance"
+	HeaderDispatcher = "Chiveramp-Dispatcher"
+	HeaderEndpoint   = "Chiveramp-Endpoint"
+	HeaderKey        = "Idempotency-Key"
+	HeaderLast       = "Last-Event-ID"
+)
+
+// Codes of requests that the edge refuses by itself.
+const (
+	CodeTooLarge = "body-too-large"
+	CodeBadJSON  = "bad-json"
+	CodeBadValue = "bad-header"
+	CodeBusy     = "too-many-requests"
+	CodeNotFound = "not-found"
+)
+
+// Problem is the body of every error.
+type Problem struct {
+	Error Detail `json:"error"`
+}
+
+// Detail says what went wrong. Retry is in milliseconds, zero when a retry won't help.
+type Detail struct {
+	Code    string `json:"code"`
+	Step    string `json:"step"`
+	Message string `json:"message"`
+	Retry   uint32 `json:"retry_ms,omitempty"`
+	Outcome string `json:"outcome"`
+	Request string `json:"request,omitempty"`
+	// Type lets ordinary OpenAI clients show the error.
+	Type string `json:"type"`
+}
+
+func problem(request string, end *peerpb.End) Problem {
+	return Problem{Error: Detail{
+		Code:    end.Code,
+		Step:    end.Step,
+		Message: end.Message,
+		Retry:   end.Retry,
+		Outcome: end.Outcome,
+		Request: request,
+		Type:    "chiveramp_error",
+	}}
+}
+
+// status maps a code to the HTTP status that clients of the protocol expect.
+func status(code string) int {
+	switch code {
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeBadJSON, CodeBadValue, dispatch.CodeBody, dispatch.CodeRefused:
+		return http.StatusBadRequest
+	case dispatch.CodeProfile, dispatch.CodeModel, CodeNotFound:
+		return http.StatusNotFound
+	case dispatch.CodeKey, dispatch.CodeSuspect:
+		return http.StatusUnprocessableEntity
+	case dispatch.CodeRunning, dispatch.CodeUnknown:
+		return http.StatusConflict
+	case dispatch.CodeOverload, CodeBusy:
+		return http.StatusTooManyRequests
+	case dispatch.CodeLost, dispatch.CodeGone:
+		return http.StatusBadGateway
+	case dispatch.CodeDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// fail answers with an error. Nothing of an answer may have been written before.
+func fail(w http.ResponseWriter, request string, end *peerpb.End) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderOutcome, end.Outcome)
+	if end.Retry > 0 {
+		seconds := (time.Duration(end.Retry)*time.Millisecond + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(status(end.Code))
+	_ = json.NewEncoder(w).Encode(problem(request, end))
+}
+
+func refuse(code, step, message string) *peerpb.End {
+	return &peerpb.End{Outcome: string(fleet.OutcomeNotRun), Code: code, Step: step, Message: message}
+}
--- /dev/null
+++ b/internal/core/directory/directory.go
@@ -0,0 +1,205 @@
+// Package directory holds what one instance knows of the endpoints of its
+// data centre: where they are, what they serve and how busy they are.
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Row is one endpoint of the platform's list.
+type Row struct {
+	Endpoint    fleet.Endpoint
+	Service     string
+	Address     string
+	Place       fleet.Place
+	Incarnation string
+	Leaving     bool
+}
+
+// Report is a dispatcher's view of one endpoint. Wait is the predicted wait of a new request.
+type Report struct {
+	Endpoint    fleet.Endpoint
+	Incarnation string
+	Running     int
+	Queued      int
+	Wait        time.Duration
+	Leaving     bool
+	// Down endpoints did not answer their dispatcher lately.
+	Down   bool
+	Serial uint64
+	Models []fleet.Model
+}
+
+// Entry is what is known of one endpoint.
+type Entry struct {
+	Row
+	Report Report
+	// Heard is when a dispatcher last reported the endpoint.
+	Heard time.Time
+	// Own counts requests sent from here since the last report.
+	Own int
+}
+
+// Serves reports whether the endpoint has the model ready.
+func (e *Entry) Serves(model fleet.Model) bool {
+	return slices.Contains(e.Report.Models, model)
+}
+
+// Directory is safe for use by many goroutines.
+type Directory struct {
+	mu      sync.RWMutex
+	entries map[fleet.Endpoint]*Entry
+	models  map[fleet.Model][]*Entry
+	serial  uint64
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		entries: make(map[fleet.Endpoint]*Entry),
+		models:  make(map[fleet.Model][]*Entry),
+	}
+}
+
+// Serial is the serial of the platform's list last taken in.
+func (d *Directory) Serial() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.serial
+}
+
+// List takes in the platform's list. An endpoint that is missing from it is dropped.
+// A listed "live" never overrides a known "leaving" of the same incarnation.
+func (d *Directory) List(serial uint64, rows []Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.serial = max(d.serial, serial)
+	listed := make(map[fleet.Endpoint]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Endpoint] = true
+		d.put(row)
+	}
+	for id := range d.entries {
+		if !listed[id] {
+			delete(d.entries, id)
+		}
+	}
+	d.index()
+}
+
+func (d *Directory) put(row Row) {
+	known, ok := d.entries[row.Endpoint]
+	if !ok || known.Incarnation != row.Incarnation {
+		d.entries[row.Endpoint] = &Entry{Row: row}
+		return
+	}
+	row.Leaving = row.Leaving || known.Leaving
+	known.Row = row
+}
+
+// Report takes in a dispatcher's view. Reports without models keep those known under the same serial.
+func (d *Directory) Report(now time.Time, r Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[r.Endpoint]
+	if !ok {
+		return
+	}
+	changed := r.Serial != e.Report.Serial || r.Incarnation != e.Report.Incarnation
+	if !changed || (r.Models == nil && r.Incarnation == e.Report.Incarnation) {
+		r.Models = e.Report.Models
+	}
+	e.Leaving = e.Leaving || (r.Leaving && r.Incarnation == e.Incarnation)
+	e.Report, e.Heard, e.Own = r, now, 0
+	if changed {
+		d.index()
+	}
+}
+
+// Leave marks an endpoint as leaving for as long as its incarnation lasts.
+func (d *Directory) Leave(id fleet.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.entries[id]; ok {
+		e.Leaving = true
+	}
+}
+
+// Sent counts a request sent from here, until the next report covers it.
+func (d *Directory) Sent(id fleet.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.entries[id]; ok {
+		e.Own++
+	}
+}
+
+// Get returns a copy of one entry.
+func (d *Directory) Get(id fleet.Endpoint) (Entry, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	e, ok := d.entries[id]
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// All returns copies of all entries in order of their names.
+func (d *Directory) All() []Entry {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	all := make([]Entry, 0, len(d.entries))
+	for _, e := range d.entries {
+		all = append(all, *e)
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return all
+}
+
+// Each calls visit for every endpoint that serves the model, or, when model is
+// empty, for every endpoint of the service. The entry must not be kept.
+func (d *Directory) Each(model fleet.Model, service string, visit func(*Entry)) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if model != "" {
+		for _, e := range d.models[model] {
+			visit(e)
+		}
+		return
+	}
+	for _, e := range d.entries {
+		if e.Service == service {
+			visit(e)
+		}
+	}
+}
+
+// Models lists every model that some endpoint serves, in order.
+func (d *Directory) Models() []fleet.Model {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	names := make([]fleet.Model, 0, len(d.models))
+	for name := range d.models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (d *Directory) index() {
+	clear(d.models)
+	for _, e := range d.entries {
+		for _, m := range e.Report.Models {
+			d.models[m] = append(d.models[m], e)
+		}
+	}
+	for _, list := range d.models {
+		slices.SortFunc(list, func(a, b *Entry) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,91 @@
+// Package daemon is the command of chiverampd: settings in, exit code out.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+	"go.opentelemetry.io/otel"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/node"
+	"github.com/chiveramp/chiveramp/internal/telemetry"
+	"github.com/chiveramp/chiveramp/pkg/config"
+)
+
+// The exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// settingsError marks an error of the settings or of what they name.
+type settingsError struct{ error }
+
+func (e settingsError) Unwrap() error { return e.error }
+
+// Main runs the command and returns its exit code. Errors go to w, one line each.
+func Main(ctx context.Context, args []string, w io.Writer) int {
+	code := ExitOK
+	command := newCommand(w)
+	if err := command.Run(ctx, args); err != nil {
+		_, _ = fmt.Fprintf(w, "chiverampd: %v\n", err)
+		code = exitCode(err)
+	}
+	return code
+}
+
+func newCommand(w io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "chiverampd",
+		Usage:     "serve many models from few accelerators, as one instance of many alike",
+		UsageText: "chiverampd --config /etc/chiveramp/chiverampd.ini",
+		Writer:    w,
+		ErrWriter: w,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "INI file with the settings of this instance", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := config.Load(c.String("config"))
+			if err != nil {
+				return settingsError{err}
+			}
+			if c.Bool("check") {
+				return nil
+			}
+			return run(ctx, settings, w)
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+func run(ctx context.Context, c config.Config, w io.Writer) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logger := telemetry.NewLogger(w, c)
+	tracers, err := telemetry.NewTracerProvider(ctx, c)
+	if err != nil {
+		return settingsError{err}
+	}
+	otel.SetTracerProvider(tracers)
+	otel.SetTextMapPropagator(telemetry.NewPropagator())
+	group, running := errgroup.WithContext(ctx)
+	n, err := node.New(c, logger, group)
+	if err != nil {
+		return settingsError{err}
+	}
+	if err := n.Run(running); err != nil {
+		return settingsError{err}
+	}
+	err = group.Wait()
+	_ = tracers.Shutdown(context.WithoutCancel(ctx))
+	_ = level.Info(logger).Log("step", "stop", "err", err)
+	return err
+}
--- /dev/null
+++ b/internal/dispatch/adopt.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"iter"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// deathMemory is how long an endpoint's death is told only once.
+const deathMemory = 10 * time.Minute
+
+// adopt takes over the answer of an attempt whose dispatcher is gone. The
+// endpoint still has it, since engines keep a stream whose connection broke.
+func (p *Pool) adopt(ctx context.Context, resume *peerpb.Resume) (*run, *peerpb.End) {
+	entry, ok := p.endpoints.Get(fleet.Endpoint(resume.Endpoint))
+	if !ok {
+		return nil, Fail(CodeLost, "resume", "endpoint "+resume.Endpoint+" is not listed")
+	}
+	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stream, err := p.engine.Resume(running, entry.Address, resume.Attempt, resume.Offset)
+	if err != nil {
+		cancel(err)
+		return nil, p.unadopted(err)
+	}
+	r := &run{
+		Attempt: newAttempt(resume.Attempt, resume.Endpoint, p.limits.Replay, p.timers.Now),
+		pool:    p,
+		request: peer.Request{Submit: &peerpb.Submit{
+			Request: resume.Request, Attempt: resume.Attempt, Endpoint: resume.Endpoint, Stream: true,
+		}},
+		entry:  entry,
+		cancel: cancel,
+	}
+	r.base = resume.Offset
+	r.start(r.newHead(stream.Status(), contentType(stream.Header())))
+	p.keep(r)
+	p.group.Go(func() error {
+		r.follow(running, stream)
+		return nil
+	})
+	return r, nil
+}
+
+func (p *Pool) unadopted(err error) *peerpb.End {
+	if errors.Is(err, endpoint.ErrGone) {
+		return Fail(CodeGone, "resume", err.Error())
+	}
+	return Fail(CodeLost, "resume", err.Error())
+}
+
+func (p *Pool) keep(r *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempts[r.id] = r
+}
+
+// follow reads an adopted answer to its end.
+func (r *run) follow(ctx context.Context, stream *endpoint.Stream) {
+	source := &modelAnswer{ctx: ctx, run: r, stream: stream}
+	defer source.close()
+	defer r.cancel(nil)
+	for offset := r.next(); ; offset++ {
+		data, err := source.next(offset)
+		switch {
+		case errors.Is(err, io.EOF):
+			r.finish(Whole(offset))
+			return
+		case err != nil:
+			r.finish(r.broken(ctx, err))
+			return
+		case !r.add(data):
+			r.finish(Fail(CodeSlow, "answer", "the caller did not read the answer in time"))
+			return
+		}
+	}
+}
+
+// prune cancels attempts that nobody waits for and forgets old ended ones.
+func (p *Pool) prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for incarnation, at := range p.deaths {
+		if now.Sub(at) > deathMemory {
+			delete(p.deaths, incarnation)
+		}
+	}
+	kept := 0
+	for id, r := range p.attempts {
+		if r.Stalled(now) > p.limits.Idle {
+			r.abort()
+		}
+		vacant := r.Vacant(now)
+		if r.Ended() == nil {
+			if vacant > p.patience(r) {
+				r.cancel(errVacant)
+			}
+			if r.Silent(now) > p.limits.Silence {
+				r.cancel(errSilent)
+			}
+			continue
+		}
+		kept += r.Size()
+		if vacant > p.limits.Resume || (vacant > 0 && kept > p.limits.Kept) {
+			delete(p.attempts, id)
+		}
+	}
+}
+
+// patience is how long an attempt without a reader goes on: long enough for a
+// caller to come back for a stream or a claimed answer, else not at all.
+func (p *Pool) patience(r *run) time.Duration {
+	if r.request.Stream || r.claimed {
+		return p.limits.Resume
+	}
+	return 0
+}
+
+// pieces yields the parts of a recorded body as they were sent.
+func pieces(body []byte, raw bool) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		if raw {
+			yield(body)
+			return
+		}
+		for line := range bytes.Lines(body) {
+			if !yield(bytes.TrimSuffix(line, []byte(eventSeparator))) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/end.go
@@ -0,0 +1,60 @@
+// Package dispatch runs requests on the endpoints that this instance
+// dispatches: it queues them by rank, claims those that may run only once,
+// and keeps each answer long enough to be resumed.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// Codes of an End that is not whole. Operators find each in docs/operators/errors.md.
+const (
+	CodeLeaving   = "leaving"
+	CodeUnsent    = "endpoint-unreachable"
+	CodeLost      = "endpoint-lost"
+	CodeCancelled = "cancelled"
+	CodeGone      = "answer-gone"
+	CodeBody      = "bad-body"
+	CodeStore     = "store-unavailable"
+	CodeRunning   = "already-running"
+	CodeUnknown   = "outcome-unknown"
+	CodeKey       = "key-reused"
+	CodeSuspect   = "request-convicted"
+	CodeSlow      = "caller-too-slow"
+	CodeDeadline  = "deadline"
+	CodeOverload  = "overload"
+	CodeNowhere   = "no-endpoint"
+	CodeStopping  = "stopping"
+	CodeRefused   = "endpoint-refused"
+	CodeProfile   = "unknown-profile"
+	CodeModel     = "unknown-model"
+)
+
+// Whole returns the end of an answer that is complete after so many events.
+func Whole(events uint64) *peerpb.End {
+	return &peerpb.End{Outcome: string(fleet.OutcomeRan), Events: events}
+}
+
+// Refuse returns the end of a request that was not run and may be sent again after retry.
+func Refuse(code, step, message string, retry time.Duration) *peerpb.End {
+	return &peerpb.End{
+		Outcome: string(fleet.OutcomeNotRun),
+		Code:    code,
+		Step:    step,
+		Message: message,
+		Retry:   uint32(max(retry, 0).Milliseconds()),
+	}
+}
+
+// Fail returns the end of a request that may have run.
+func Fail(code, step, message string) *peerpb.End {
+	return &peerpb.End{
+		Outcome: string(fleet.OutcomeUnknown),
+		Code:    code,
+		Step:    step,
+		Message: message,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,251 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/admit"
+	"github.com/chiveramp/chiveramp/internal/core/directory"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+)
+
+const standard = fleet.RankStandard
+
+// Engine runs attempts on endpoints.
+type Engine interface {
+	Start(ctx context.Context, addr string, call endpoint.Call) (*endpoint.Stream, error)
+	Resume(ctx context.Context, addr, attempt string, after uint64) (*endpoint.Stream, error)
+	Cancel(ctx context.Context, addr, attempt string) (bool, error)
+	Forward(ctx context.Context, addr string, call endpoint.ForwardCall) (*http.Response, error)
+	State(ctx context.Context, addr string) (endpoint.State, error)
+}
+
+// Endpoints tells where endpoints are.
+type Endpoints interface {
+	Get(fleet.Endpoint) (directory.Entry, bool)
+	Leave(fleet.Endpoint)
+}
+
+// Claims makes sure that a request with an idempotency key runs at most once.
+type Claims interface {
+	Claim(context.Context, once.Key, once.Request) (once.Verdict, error)
+	Finish(ctx context.Context, key once.Key, claim string, a once.Answer) error
+	Release(ctx context.Context, key once.Key, claim string) error
+}
+
+// Suspects remembers which requests were running when endpoints died.
+type Suspects interface {
+	// Check tells whether a request is suspected or convicted.
+	Check(fingerprint uint64) (suspected, convicted bool)
+	// Died reports the death of an endpoint's incarnation with all that it ran.
+	Died(incarnation string, running []uint64)
+	// Finished reports a request that ended without a death.
+	Finished(fingerprint uint64)
+}
+
+// Trail records what was decided for a request.
+type Trail interface {
+	Note(request, step, peer, note string)
+}
+
+// Timers calls back at intervals.
+type Timers interface {
+	Now() time.Time
+	Every(interval, jitter time.Duration, fn func(now time.Time)) (cancel func())
+}
+
+// Limits bound what a Pool keeps.
+type Limits struct {
+	// Body is the largest request body, bytes.
+	Body int64
+	// Replay is the most bytes of one answer kept.
+	Replay int
+	// Kept is the most bytes of ended answers kept over all attempts.
+	Kept int
+	// Resume is how long an answer without a reader is kept.
+	Resume time.Duration
+	// Idle is how long a reader may hold back an endpoint.
+	Idle time.Duration
+	// Silence is how long an endpoint may send nothing within an answer.
+	Silence time.Duration
+}
+
+// DefaultLimits are the limits of a Pool that is given none.
+func DefaultLimits() Limits {
+	return Limits{
+		Body:   8 << 20,
+		Replay: 1 << 20,
+		Kept:   4 << 20,
+		Resume: 30 * time.Second,
+		Idle:   30 * time.Second,
+
+		Silence: 30 * time.Second,
+	}
+}
+
+// sweep is the interval at which queues and attempts are looked over.
+const sweep = 50 * time.Millisecond
+
+// Pool holds the dispatchers and attempts of one instance.
+type Pool struct {
+	self      fleet.Instance
+	system    *actor.ActorSystem
+	group     *errgroup.Group
+	timers    Timers
+	engine    Engine
+	endpoints Endpoints
+	claims    Claims
+	suspects  Suspects
+	trail     Trail
+	logger    log.Logger
+	limits    Limits
+	admission []admit.Option
+
+	mu          sync.Mutex
+	dispatchers map[fleet.Endpoint]*actor.PID
+	attempts    map[string]*run
+	deaths      map[string]time.Time // by incarnation
+	stop        func()
+}
+
+// Option changes a Pool under construction.
+type Option func(*Pool)
+
+// WithLimits sets what the pool keeps.
+func WithLimits(l Limits) Option { return func(p *Pool) { p.limits = l } }
+
+// WithAdmission sets the options of each endpoint's queue.
+func WithAdmission(opts ...admit.Option) Option { return func(p *Pool) { p.admission = opts } }
+
+// WithClaims sets where requests with a key are claimed.
+func WithClaims(c Claims) Option { return func(p *Pool) { p.claims = c } }
+
+// WithSuspects sets the memory of requests that kill endpoints.
+func WithSuspects(s Suspects) Option { return func(p *Pool) { p.suspects = s } }
+
+// WithTrail sets where decisions are recorded.
+func WithTrail(t Trail) Option { return func(p *Pool) { p.trail = t } }
+
+// WithLogger sets the log.
+func WithLogger(l log.Logger) Option { return func(p *Pool) { p.logger = l } }
+
+// New returns a pool for an instance. Its goroutines run in the group.
+func New(self fleet.Instance, group *errgroup.Group, timers Timers, engine Engine, endpoints Endpoints, opts ...Option) *Pool {
+	p := &Pool{
+		self:        self,
+		system:      actor.NewActorSystem(actor.WithLoggerFactory(silentLogger)),
+		group:       group,
+		timers:      timers,
+		engine:      engine,
+		endpoints:   endpoints,
+		claims:      nobody{},
+		suspects:    nobody{},
+		trail:       nobody{},
+		logger:      log.NewNopLogger(),
+		limits:      DefaultLimits(),
+		dispatchers: make(map[fleet.Endpoint]*actor.PID),
+		attempts:    make(map[string]*run),
+		deaths:      make(map[string]time.Time),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.stop = timers.Every(sweep, 0, p.sweep)
+	return p
+}
+
+// silentLogger drops the actor library's own log; the instance logs through go-kit.
+func silentLogger(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.DiscardHandler)
+}
+
+// Close stops the dispatchers. Attempts end by themselves.
+func (p *Pool) Close() {
+	p.stop()
+	p.system.Shutdown()
+}
+
+// InFlight returns how many attempts have not ended.
+func (p *Pool) InFlight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running := 0
+	for _, r := range p.attempts {
+		if r.Ended() == nil {
+			running++
+		}
+	}
+	return running
+}
+
+// Loads returns the load of every endpoint dispatched here lately.
+func (p *Pool) Loads(ctx context.Context, id fleet.Endpoint) (Load, error) {
+	reply := make(chan Load, 1)
+	p.system.Root.Send(p.dispatcher(id), load{now: p.timers.Now(), reply: reply})
+	select {
+	case l := <-reply:
+		return l, nil
+	case <-ctx.Done():
+		return Load{}, fmt.Errorf("load of endpoint %s: %w", id, ctx.Err())
+	}
+}
+
+// Drop stops the dispatcher of an endpoint that is gone.
+func (p *Pool) Drop(id fleet.Endpoint) {
+	p.mu.Lock()
+	pid, ok := p.dispatchers[id]
+	delete(p.dispatchers, id)
+	p.mu.Unlock()
+	if ok {
+		p.system.Root.Stop(pid)
+	}
+}
+
+func (p *Pool) dispatcher(id fleet.Endpoint) *actor.PID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pid, ok := p.dispatchers[id]
+	if !ok {
+		props := actor.PropsFromProducer(func() actor.Actor { return newDispatcher(p.admission) })
+		pid = p.system.Root.Spawn(props)
+		p.dispatchers[id] = pid
+	}
+	return pid
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	pids := make([]*actor.PID, 0, len(p.dispatchers))
+	for _, pid := range p.dispatchers {
+		pids = append(pids, pid)
+	}
+	p.mu.Unlock()
+	for _, pid := range pids {
+		p.system.Root.Send(pid, tick{now: now})
+	}
+	p.prune(now)
+}
+
+// nobody stands in for the optional parts.
+type nobody struct{}
+
+func (nobody) Claim(context.Context, once.Key, once.Request) (once.Verdict, error) {
+	return once.Verdict{}, fmt.Errorf("claim: %w", errNoClaims)
+}
+
+func (nobody) Finish(context.Context, once.Key, string, once.Answer) error { return nil }
+func (nobody) Release(context.Context, once.Key, string) error             { return nil }
+func (nobody) Check(uint64) (suspected, convicted bool)                    { return false, false }
+func (nobody) Died(string, []uint64)                                       {}
+func (nobody) Finished(uint64)                                             {}
+func (nobody) Note(_, _, _, _ string)                                      {}
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"github.com/chiveramp/chiveramp/internal/caller"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+)
+
+// entryCount is how many instances a caller is told of.
+const entryCount = 3
+
+// Entries implements caller.Fleet.
+func (n *Node) Entries(_, key string) []caller.Entry {
+	at := n.members.Self().Place
+	found := locked(n.members, func(v *member.View) []member.Peer { return v.Entries(at, key, entryCount) })
+	entries := make([]caller.Entry, 0, len(found))
+	for _, p := range found {
+		if p.Caller != "" {
+			entries = append(entries, caller.Entry{
+				Address: p.Caller, Region: p.Place.Region, DataCentre: p.Place.DataCentre, Instance: p.Instance,
+			})
+		}
+	}
+	return entries
+}
+
+// Models implements caller.Fleet. Without a profile all models are listed.
+func (n *Node) Models(name string) []string {
+	document, _ := n.Profiles()
+	profile, restricted := document.Profile(name)
+	var names []string
+	for _, m := range document.Models() {
+		if !restricted || profile.MayUse(m.Name) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+)
+
+// members shares one member view among goroutines.
+type members struct {
+	mu   sync.Mutex
+	view *member.View
+}
+
+func newMembers(self member.Peer, opts ...member.Option) *members {
+	return &members{view: member.New(self, opts...)}
+}
+
+func locked[T any](m *members, read func(*member.View) T) T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return read(m.view)
+}
+
+func (m *members) change(write func(*member.View)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	write(m.view)
+}
+
+// Self implements entry.Members.
+func (m *members) Self() member.Peer {
+	return locked(m, (*member.View).Self)
+}
+
+// Dispatcher implements entry.Members.
+func (m *members) Dispatcher(e fleet.Endpoint, at fleet.Place) (member.Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Dispatcher(e, at)
+}
+
+// Live implements entry.Members.
+func (m *members) Live(dc fleet.DataCentre) []member.Peer {
+	return locked(m, func(v *member.View) []member.Peer { return v.Live(dc) })
+}
+
+// Unreachable implements entry.Members.
+func (m *members) Unreachable(instance fleet.Instance) {
+	m.change(func(v *member.View) { v.Unreachable(instance) })
+}
+
+func (m *members) get(instance fleet.Instance) (member.Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Get(instance)
+}
+
+func (m *members) targets(now time.Time) []member.Peer {
+	return locked(m, func(v *member.View) []member.Peer { return v.Targets(now) })
+}
+
+// dispatches tells whether this instance dispatches an endpoint.
+func (m *members) dispatches(e fleet.Endpoint, at fleet.Place) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.view.Dispatcher(e, at)
+	return ok && p.Instance == m.view.Self().Instance
+}
+
+// watches tells whether this instance watches the store for its data centre.
+func (m *members) watches() bool {
+	return locked(m, func(v *member.View) bool { return v.Watcher(v.Self().Place.DataCentre) })
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,250 @@
+// Package node joins the parts of one chiverampd process.
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/chiveramp/chiveramp/internal/claim"
+	"github.com/chiveramp/chiveramp/internal/core/admit"
+	"github.com/chiveramp/chiveramp/internal/core/directory"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/retry"
+	"github.com/chiveramp/chiveramp/internal/core/revision"
+	"github.com/chiveramp/chiveramp/internal/core/trail"
+	"github.com/chiveramp/chiveramp/internal/dispatch"
+	"github.com/chiveramp/chiveramp/internal/document"
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+	"github.com/chiveramp/chiveramp/internal/entry"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/platform"
+	"github.com/chiveramp/chiveramp/internal/timer"
+	"github.com/chiveramp/chiveramp/pkg/config"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+const (
+	settlePause = 2 * time.Second
+	claimShards = 4
+)
+
+// Node is one instance.
+type Node struct {
+	config    config.Config
+	logger    log.Logger
+	registry  metrics.Registry
+	group     *errgroup.Group
+	timers    *timer.Service
+	clock     func() time.Time
+	store     platform.Store
+	members   *members
+	directory *directory.Directory
+	list      *listing
+	remote    *remote
+	documents *document.Documents
+	claims    *claim.Claims
+	suspects  *suspects
+	client    *peer.Client
+	endpoints *endpoint.Client
+	pool      *dispatch.Pool
+	gateway   *entry.Gateway
+	prober    *prober
+	trail     *trail.Trail
+
+	credentials credentials.TransportCredentials
+
+	// lifetime ends when the instance has drained.
+	lifetime context.Context
+	end      context.CancelFunc
+
+	mu       sync.Mutex
+	profiles profile.Document
+	ready    bool
+	heard    []peerTotals
+	busy     map[string]bool
+	leave    context.CancelCauseFunc
+}
+
+// New builds an instance from its settings. Its goroutines run in the group.
+func New(c config.Config, logger log.Logger, group *errgroup.Group) (*Node, error) {
+	clock := timer.System{}
+	n := &Node{
+		config:    c,
+		logger:    logger,
+		registry:  metrics.NewRegistry(),
+		group:     group,
+		timers:    timer.New(clock),
+		clock:     clock.Now,
+		directory: directory.New(),
+		remote:    newRemote(fleet.Region(c.Instance.Region)),
+		endpoints: endpoint.New(),
+		trail:     trail.New(clock.Now),
+		busy:      make(map[string]bool),
+	}
+	n.lifetime, n.end = context.WithCancel(context.Background())
+	if err := n.connect(); err != nil {
+		return nil, err
+	}
+	n.join()
+	n.serve()
+	return n, nil
+}
+
+// connect makes the clients towards the platform and the peers.
+func (n *Node) connect() error {
+	both, err := newPeerCredentials(n.config.Peer.TLS)
+	if err != nil {
+		return fmt.Errorf("peer credentials: %w", err)
+	}
+	n.credentials = both.server
+	n.client = peer.NewClient(peer.WithCredentials(both.client))
+	n.store = bounded{
+		Store: platform.NewHTTP(n.config.Platform.Address, platform.WithRegistry(n.registry)),
+		limit: n.config.Platform.Timeout,
+	}
+	n.list = &listing{instances: n.config.Platform.Instances, services: n.config.Platform.Endpoints, store: n.store}
+	return nil
+}
+
+// join makes the parts that keep the instance in step with the others.
+func (n *Node) join() {
+	n.members = newMembers(n.self(), member.WithInterval(n.config.Peer.Beat))
+	n.documents = document.New(n.store,
+		document.WithWatcher(n.members.watches),
+		document.WithPuller(puller{n}),
+	)
+	n.documents.Subscribe(n.take)
+	n.claims = claim.New(n.store, claim.WithGroup(claimShards), claim.WithClock(n.clock))
+	n.suspects = newSuspects(n.clock)
+	n.suspects.told = func() {
+		n.background(func(ctx context.Context) { n.beat(ctx, n.clock()) })
+	}
+}
+
+func (n *Node) self() member.Peer {
+	c := n.config
+	incarnation := c.Instance.Incarnation
+	if incarnation == "" {
+		incarnation = uuid.NewString()
+	}
+	return member.Peer{
+		Instance:    fleet.Instance(c.Instance.Name),
+		Place:       fleet.Place{Region: fleet.Region(c.Instance.Region), DataCentre: fleet.DataCentre(c.Instance.Datacentre)},
+		Incarnation: incarnation,
+		Address:     c.Peer.Advertise,
+		Caller:      c.Caller.Advertise,
+	}
+}
+
+// serve makes the parts that requests pass through.
+func (n *Node) serve() {
+	n.pool = dispatch.New(n.members.Self().Instance, n.group, n.timers, n.endpoints, n.directory,
+		dispatch.WithLimits(n.limits()),
+		dispatch.WithAdmission(admit.Slots(n.config.Endpoint.Slots)),
+		dispatch.WithClaims(n.claims),
+		dispatch.WithSuspects(n.suspects),
+		dispatch.WithTrail(n.trail),
+		dispatch.WithLogger(n.logger),
+	)
+	n.prober = &prober{
+		members: n.members, directory: n.directory, pool: n.pool, client: n.endpoints,
+		plain: n.plain, clock: n.clock, seen: make(map[fleet.Endpoint]*probed),
+	}
+	n.gateway = entry.New(n.members, n.directory, n.pool, n.client, n,
+		entry.WithBudget(retry.New(retry.Limit(n.config.Limits.Retries))),
+		entry.WithRemote(n.remote),
+		entry.WithTrail(n.trail),
+		entry.WithObserver(newObserver(n.registry)),
+		entry.WithClock(n.clock),
+	)
+}
+
+func (n *Node) limits() dispatch.Limits {
+	l := dispatch.DefaultLimits()
+	l.Body = n.config.Caller.Body
+	l.Replay = int(n.config.Limits.Replay)
+	l.Resume = n.config.Limits.Resume
+	l.Idle = n.config.Caller.Idle
+	l.Silence = n.config.Endpoint.Timeout
+	return l
+}
+
+// take puts a new document in force.
+func (n *Node) take(d revision.Document) {
+	parsed, err := profile.Parse(document.Key, d.Text)
+	if err != nil {
+		_ = level.Error(n.logger).Log("step", "document", "revision", d.Revision, "err", err)
+		return
+	}
+	n.mu.Lock()
+	n.profiles, n.ready = parsed, true
+	n.mu.Unlock()
+	n.members.change(func(v *member.View) { v.SetRevision(d.Revision) })
+	_ = level.Info(n.logger).Log("step", "document", "revision", d.Revision, "msg", "in force")
+}
+
+// Profiles implements entry.Documents.
+func (n *Node) Profiles() (profile.Document, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.profiles, n.ready
+}
+
+// plain tells whether a service of the platform's list is no model engine.
+func (n *Node) plain(service string) bool {
+	document, _ := n.Profiles()
+	_, ok := document.Service(service)
+	return ok
+}
+
+// Ready tells why the instance can't serve callers yet, nil when it can.
+func (n *Node) Ready() error {
+	if _, ok := n.Profiles(); !ok {
+		return fmt.Errorf("ready: no profile document in force")
+	}
+	if n.list.current() == 0 {
+		return fmt.Errorf("ready: the list of endpoints is not known")
+	}
+	return nil
+}
+
+// background runs a short task in the group; one that is running is not started twice.
+func (n *Node) background(task func(context.Context)) {
+	n.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(n.lifetime, n.config.Platform.Timeout)
+		defer cancel()
+		task(ctx)
+		return nil
+	})
+}
+
+// solo runs a task that recurs, unless its last run has not ended.
+func (n *Node) solo(name string, task func(context.Context)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.busy[name] {
+		return
+	}
+	n.busy[name] = true
+	n.group.Go(func() error {
+		defer n.idle(name)
+		task(n.lifetime)
+		return nil
+	})
+}
+
+func (n *Node) idle(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.busy[name] = false
+}
--- /dev/null
+++ b/internal/node/operatorserver.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/chiveramp/chiveramp/internal/operator"
+)
+
+// backend offers the node to operators. It is a type of its own since the sides
+// towards callers, peers and operators share names of methods.
+type backend struct{ *Node }
+
+// Profiles implements operator.Backend.
+func (b backend) Profiles(context.Context) ([]operator.ProfileReport, error) {
+	return b.profileReports(), nil
+}
+
+func (n *Node) serveOperators(l net.Listener) (*http.Server, error) {
+	if l == nil {
+		return &http.Server{ReadHeaderTimeout: headerTimeout}, nil
+	}
+	handler := operator.NewServer(backend{n}, operator.WithToken(n.config.Operator.Token), operator.WithLogger(n.logger))
+	server, err := operator.NewHTTPServer(n.config.Operator, handler)
+	if err != nil {
+		return nil, err
+	}
+	n.group.Go(func() error {
+		if server.TLSConfig != nil {
+			return served("operators", server.ServeTLS(l, "", ""))
+		}
+		return served("operators", server.Serve(l))
+	})
+	return server, nil
+}
+
+// errDrained: an operator asked the instance to leave.
+var errDrained = errors.New("drained by an operator")
+
+// stopping starts the graceful shutdown.
+func (n *Node) stopping() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leave != nil {
+		n.leave(errDrained)
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/revision"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+type peerTotals = *peerpb.TotalsRequest
+
+// Serve implements peer.Handler. A request without an endpoint comes from
+// another data centre and is placed here.
+func (n *Node) Serve(ctx context.Context, r peer.Request, sink peer.Sink) *peerpb.End {
+	if r.Endpoint == "" {
+		return n.gateway.Relay(ctx, r, sink)
+	}
+	return n.pool.Serve(ctx, r, sink)
+}
+
+// Resume implements peer.Handler.
+func (n *Node) Resume(ctx context.Context, r *peerpb.Resume, sink peer.Sink) *peerpb.End {
+	return n.pool.Resume(ctx, r, sink)
+}
+
+// List implements peer.Handler.
+func (n *Node) List(context.Context, *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	return n.list.reply(), nil
+}
+
+// Explain implements peer.Handler.
+func (n *Node) Explain(_ context.Context, r *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	reply := &peerpb.ExplainReply{}
+	for _, s := range n.trail.Steps(r.Request) {
+		reply.Steps = append(reply.Steps, &peerpb.Step{
+			Time: s.Time.UnixNano(), Instance: n.config.Instance.Name, Step: s.Step, Peer: s.Peer, Note: s.Note,
+		})
+	}
+	return reply, nil
+}
+
+// Document implements peer.Handler.
+func (n *Node) Document(_ context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	current, ok := n.documents.Current()
+	if !ok || current.Revision <= r.Revision {
+		return &peerpb.DocumentReply{}, nil
+	}
+	raw, err := cbor.Marshal(current)
+	if err != nil {
+		return nil, status.Errorf(codes.Internal, "encode document: %v", err)
+	}
+	return &peerpb.DocumentReply{Revision: current.Revision, Document: raw}, nil
+}
+
+// puller asks peers for documents.
+type puller struct{ *Node }
+
+// Pull implements document.Puller.
+func (p puller) Pull(ctx context.Context, from fleet.Instance, after uint64) (revision.Document, error) {
+	source, ok := p.members.get(from)
+	if !ok || source.Address == "" {
+		return revision.Document{}, fmt.Errorf("pull document: instance %s is not known", from)
+	}
+	reply, err := p.client.Document(ctx, source.Address, after)
+	if err != nil {
+		return revision.Document{}, err
+	}
+	if reply.Revision == 0 {
+		return revision.Document{}, nil
+	}
+	var d revision.Document
+	if err := cbor.Unmarshal(reply.Document, &d); err != nil {
+		return revision.Document{}, fmt.Errorf("decode document of instance %s: %w", from, err)
+	}
+	return d, nil
+}
+
+// readList reads the platform's list if this instance watches, or has none yet.
+func (n *Node) readList(ctx context.Context) {
+	if n.list.current() > 0 && !n.members.watches() {
+		return
+	}
+	changed, err := n.list.read(ctx, n.clock())
+	if err == nil && changed {
+		n.takeList()
+	}
+	if n.list.current() == 0 {
+		for _, seed := range n.config.Peer.Seeds {
+			n.pullList(ctx, seed)
+		}
+	}
+}
+
+func (n *Node) pullList(ctx context.Context, address string) {
+	reply, err := n.client.List(ctx, address)
+	if err == nil && n.list.adopt(reply) {
+		n.takeList()
+	}
+}
+
+func (n *Node) takeList() {
+	peers := n.list.peers()
+	n.members.change(func(v *member.View) { v.Listed(n.clock(), peers) })
+	n.directory.List(n.list.current(), n.list.endpoints(n.members.Self().Place.DataCentre))
+	n.documents.Nudge()
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chiveramp/chiveramp/internal/core/directory"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/operator"
+)
+
+// Status implements operator.Backend.
+func (n backend) Status(context.Context) (operator.Status, error) {
+	self := n.members.Self()
+	status := operator.Status{Instance: string(self.Instance), Revision: self.Revision}
+	for _, p := range locked(n.members, (*member.View).All) {
+		status.Instances = append(status.Instances, n.instanceStatus(p))
+		status.Revision = max(status.Revision, p.Revision)
+	}
+	for _, e := range n.directory.All() {
+		status.Endpoints = append(status.Endpoints, endpointStatus(e))
+		if d, ok := n.members.Dispatcher(e.Endpoint, e.Place); ok {
+			status.Dispatchers = append(status.Dispatchers, dispatcherStatus(e, d))
+		}
+	}
+	status.Models = n.modelStatus()
+	status.Degraded = n.degraded(status)
+	return status, nil
+}
+
+func (n *Node) instanceStatus(p member.Peer) operator.InstanceStatus {
+	state := operator.StateStarting
+	found := locked(n.members, func(v *member.View) member.State {
+		s, _ := v.State(p.Instance)
+		return s
+	})
+	switch found {
+	case member.StateLive:
+		state = operator.StateReady
+	case member.StateLeaving:
+		state = operator.StateLeaving
+	case member.StateSuspected, member.StateDead:
+		state = operator.StateLost
+	}
+	return operator.InstanceStatus{
+		Name: string(p.Instance), Region: string(p.Place.Region), Datacentre: string(p.Place.DataCentre),
+		Address: p.Caller, Revision: p.Revision, State: state,
+	}
+}
+
+func endpointStatus(e directory.Entry) operator.EndpointStatus {
+	state := operator.StateReady
+	switch {
+	case e.Leaving:
+		state = operator.StateLeaving
+	case e.Report.Down:
+		state = operator.StateLost
+	case e.Heard.IsZero():
+		state = operator.StateStarting
+	}
+	return operator.EndpointStatus{
+		Name: string(e.Endpoint), Service: e.Service, Datacentre: string(e.Place.DataCentre),
+		State: state, Models: names(e.Report.Models),
+	}
+}
+
+func names(models []fleet.Model) []string {
+	list := make([]string, 0, len(models))
+	for _, m := range models {
+		list = append(list, string(m))
+	}
+	return list
+}
+
+func dispatcherStatus(e directory.Entry, d member.Peer) operator.DispatcherStatus {
+	return operator.DispatcherStatus{
+		Endpoint: string(e.Endpoint), Instance: string(d.Instance),
+		Running: e.Report.Running, Queued: e.Report.Queued, Wait: e.Report.Wait.Milliseconds(),
+	}
+}
+
+func (n *Node) modelStatus() []operator.ModelStatus {
+	document, _ := n.Profiles()
+	var list []operator.ModelStatus
+	for _, m := range document.Models() {
+		target, _ := document.Resolve(m.Name)
+		status := operator.ModelStatus{Name: m.Name, Wanted: m.Copies, Endpoints: []string{}}
+		n.directory.Each(target.Loaded(), "", func(e *directory.Entry) {
+			status.Endpoints = append(status.Endpoints, string(e.Endpoint))
+		})
+		list = append(list, status)
+	}
+	return list
+}
+
+// degraded lists what does not work as it should.
+func (n *Node) degraded(s operator.Status) []operator.Degradation {
+	list := []operator.Degradation{}
+	for _, i := range s.Instances {
+		if i.State == operator.StateLost {
+			list = append(list, operator.Degradation{Part: "instance " + i.Name, Why: "no heartbeat", Since: n.clock()})
+		}
+	}
+	for _, e := range s.Endpoints {
+		if e.State == operator.StateLost {
+			list = append(list, operator.Degradation{Part: "endpoint " + e.Name, Why: "does not answer", Since: n.clock()})
+		}
+	}
+	for _, m := range s.Models {
+		if len(m.Endpoints) == 0 && len(n.remote.Centres(n.clock(), fleet.Model(m.Name), "")) == 0 {
+			list = append(list, operator.Degradation{Part: "model " + m.Name, Why: "no copy is seen serving", Since: n.clock()})
+		}
+	}
+	list = append(list, n.unreachableServices()...)
+	if err := n.Ready(); err != nil {
+		list = append(list, operator.Degradation{Part: "instance " + s.Instance, Why: err.Error(), Since: n.clock()})
+	}
+	return list
+}
+
+func (n *Node) unreachableServices() []operator.Degradation {
+	var list []operator.Degradation
+	document, _ := n.Profiles()
+	for _, s := range document.Services() {
+		here := false
+		n.directory.Each("", s.Name, func(e *directory.Entry) { here = here || (!e.Leaving && !e.Report.Down) })
+		if !here && len(n.remote.Centres(n.clock(), "", s.Name)) == 0 {
+			list = append(list, operator.Degradation{Part: "service " + s.Name, Why: "no endpoint is seen serving", Since: n.clock()})
+		}
+	}
+	return list
+}
+
+// profileReports compares each profile with its targets, from the requests that entered here.
+func (n *Node) profileReports() []operator.ProfileReport {
+	document, _ := n.Profiles()
+	reports := make(map[string]*operator.ProfileReport)
+	causes := make(map[string]int64)
+	for _, p := range document.Profiles() {
+		reports[p.Name] = &operator.ProfileReport{Profile: p.Name, Rank: string(p.Rank), Target: p.First.Milliseconds()}
+	}
+	n.registry.Each(func(name string, value any) {
+		family, labels := parseLabels(name)
+		if r, ok := reports[labels.profile]; ok {
+			count(r, family, labels.code, value, causes)
+		}
+	})
+	list := make([]operator.ProfileReport, 0, len(reports))
+	for _, r := range reports {
+		list = append(list, *r)
+	}
+	slices.SortFunc(list, func(a, b operator.ProfileReport) int { return cmp.Compare(a.Profile, b.Profile) })
+	return list
+}
+
+type labels struct {
+	profile string
+	code    string
+}
+
+func parseLabels(name string) (family string, l labels) {
+	family, rest, _ := strings.Cut(name, ";")
+	for _, label := range strings.Split(rest, ";") {
+		key, value, _ := strings.Cut(label, "=")
+		switch key {
+		case "profile":
+			l.profile = value
+		case "code":
+			l.code = value
+		}
+	}
+	return family, l
+}
+
+func count(r *operator.ProfileReport, family, code string, value any, causes map[string]int64) {
+	switch v := value.(type) {
+	case metrics.Histogram:
+		if family == "first_milliseconds" {
+			r.First = int64(v.Percentile(0.95))
+		}
+	case metrics.Counter:
+		switch family {
+		case "attained":
+			r.Met += v.Count()
+		case "requests":
+			r.Requests += v.Count()
+			countCode(r, code, v.Count(), causes)
+		}
+	}
+}
+
+func countCode(r *operator.ProfileReport, code string, n int64, causes map[string]int64) {
+	if code == codeWhole {
+		return
+	}
+	if refusals[code] {
+		r.Refused += n
+	} else {
+		r.Failed += n
+	}
+	if n > causes[r.Profile] {
+		causes[r.Profile], r.Why = n, code
+	}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,224 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// chunk is the size of one body message, in bytes.
+const chunk = 32 << 10
+
+// errBody: the caller's body could not be read to its end.
+var errBody = errors.New("read body")
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithCredentials sets the transport credentials towards peers.
+func WithCredentials(c credentials.TransportCredentials) Option {
+	return func(p *Client) { p.credentials = c }
+}
+
+// WithDialOptions adds gRPC dial options.
+func WithDialOptions(opts ...grpc.DialOption) Option {
+	return func(p *Client) { p.dial = append(p.dial, opts...) }
+}
+
+// Client keeps one connection for each peer address.
+type Client struct {
+	credentials credentials.TransportCredentials
+	dial        []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClient returns a client without connections.
+func NewClient(opts ...Option) *Client {
+	c := &Client{credentials: insecure.NewCredentials(), conns: make(map[string]*grpc.ClientConn)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Close closes all connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var errs []error
+	for address, conn := range c.conns {
+		errs = append(errs, conn.Close())
+		delete(c.conns, address)
+	}
+	return errors.Join(errs...)
+}
+
+// Forget closes the connection to a peer that has left.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+func (c *Client) peer(address string) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, ok := c.conns[address]
+	if !ok {
+		opts := append([]grpc.DialOption{grpc.WithTransportCredentials(c.credentials)}, c.dial...)
+		fresh, err := grpc.NewClient("passthrough:///"+address, opts...)
+		if err != nil {
+			return nil, fmt.Errorf("connect to peer %s: %w: %w", address, ErrNotSent, err)
+		}
+		conn = fresh
+		c.conns[address] = conn
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Beat sends a heartbeat.
+func (c *Client) Beat(ctx context.Context, address string, r *peerpb.BeatRequest) (*peerpb.BeatReply, error) {
+	return call(ctx, c, "beat", address, r, peerpb.PeerClient.Beat)
+}
+
+// Totals exchanges per-model totals.
+func (c *Client) Totals(ctx context.Context, address string, r *peerpb.TotalsRequest) (*peerpb.TotalsReply, error) {
+	return call(ctx, c, "totals", address, r, peerpb.PeerClient.Totals)
+}
+
+// List asks for the platform's list.
+func (c *Client) List(ctx context.Context, address string) (*peerpb.ListReply, error) {
+	return call(ctx, c, "list", address, &peerpb.ListRequest{}, peerpb.PeerClient.List)
+}
+
+// Explain asks what a peer decided for a request.
+func (c *Client) Explain(ctx context.Context, address, request string) (*peerpb.ExplainReply, error) {
+	return call(ctx, c, "explain", address, &peerpb.ExplainRequest{Request: request}, peerpb.PeerClient.Explain)
+}
+
+// Document asks for the profile document in force at a peer.
+func (c *Client) Document(ctx context.Context, address string, after uint64) (*peerpb.DocumentReply, error) {
+	return call(ctx, c, "document", address, &peerpb.DocumentRequest{Revision: after}, peerpb.PeerClient.Document)
+}
+
+func call[Q, A any](ctx context.Context, c *Client, step, address string, q Q, method func(peerpb.PeerClient, context.Context, Q, ...grpc.CallOption) (A, error)) (A, error) {
+	var none A
+	remote, err := c.peer(address)
+	if err != nil {
+		return none, err
+	}
+	answer, err := method(remote, ctx, q)
+	if err != nil {
+		return none, fmt.Errorf("%s peer %s: %w", step, address, err)
+	}
+	return answer, nil
+}
+
+// Serve submits a request to a peer and passes its answer to the sink.
+// The error wraps ErrNotSent or ErrCut, or is the sink's own.
+func (c *Client) Serve(ctx context.Context, address string, r Request, sink Sink) (*peerpb.End, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.open(ctx, address, &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Submit{Submit: r.Submit}})
+	if err != nil {
+		return nil, err
+	}
+	var sending errgroup.Group
+	sending.Go(func() error {
+		err := send(stream, r.Body)
+		if errors.Is(err, errBody) {
+			cancel()
+		}
+		return err
+	})
+	// The sender is not waited for: a caller that stopped sending must not hold back an answer that has ended.
+	return receive(stream, address, sink)
+}
+
+// Resume asks a peer for what follows an offset of an attempt.
+func (c *Client) Resume(ctx context.Context, address string, r *peerpb.Resume, sink Sink) (*peerpb.End, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.open(ctx, address, &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Resume{Resume: r}})
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, fmt.Errorf("resume at peer %s: %w: %w", address, ErrCut, err)
+	}
+	return receive(stream, address, sink)
+}
+
+type upstream = grpc.BidiStreamingClient[peerpb.DispatchUp, peerpb.DispatchDown]
+
+func (c *Client) open(ctx context.Context, address string, first *peerpb.DispatchUp) (upstream, error) {
+	remote, err := c.peer(address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := remote.Dispatch(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("dispatch to peer %s: %w: %w", address, ErrNotSent, err)
+	}
+	if err := stream.Send(first); err != nil {
+		return nil, fmt.Errorf("submit to peer %s: %w: %w", address, ErrCut, err)
+	}
+	return stream, nil
+}
+
+func send(stream upstream, body io.Reader) error {
+	buffer := make([]byte, chunk)
+	for body != nil {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			piece := &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Body{Body: buffer[:n]}}
+			if err := stream.Send(piece); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", errBody, err)
+		}
+	}
+	if err := stream.Send(&peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Done{Done: true}}); err != nil {
+		return err
+	}
+	return stream.CloseSend()
+}
+
+func receive(stream upstream, address string, sink Sink) (*peerpb.End, error) {
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return nil, fmt.Errorf("answer of peer %s: %w: %w", address, ErrCut, err)
+		}
+		switch kind := message.GetKind().(type) {
+		case *peerpb.DispatchDown_Head:
+			err = sink.Head(kind.Head)
+		case *peerpb.DispatchDown_Data:
+			err = sink.Data(kind.Data)
+		case *peerpb.DispatchDown_End:
+			return kind.End, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("pass on answer of peer %s: %w", address, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// Handler is what an instance offers to its peers.
+type Handler interface {
+	Beat(context.Context, *peerpb.BeatRequest) (*peerpb.BeatReply, error)
+	Totals(context.Context, *peerpb.TotalsRequest) (*peerpb.TotalsReply, error)
+	List(context.Context, *peerpb.ListRequest) (*peerpb.ListReply, error)
+	Explain(context.Context, *peerpb.ExplainRequest) (*peerpb.ExplainReply, error)
+	Document(context.Context, *peerpb.DocumentRequest) (*peerpb.DocumentReply, error)
+	// Serve runs one submitted request and returns how it ended.
+	Serve(context.Context, Request, Sink) *peerpb.End
+	// Resume goes on with an attempt after an offset.
+	Resume(context.Context, *peerpb.Resume, Sink) *peerpb.End
+}
+
+// Server adapts a Handler to the generated service.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	Handler
+}
+
+// Register adds the service of a handler to a gRPC server.
+func Register(s *grpc.Server, h Handler) {
+	peerpb.RegisterPeerServer(s, &Server{Handler: h})
+}
+
+// Beat implements the generated service.
+func (s *Server) Beat(ctx context.Context, r *peerpb.BeatRequest) (*peerpb.BeatReply, error) {
+	return s.Handler.Beat(ctx, r)
+}
+
+// Totals implements the generated service.
+func (s *Server) Totals(ctx context.Context, r *peerpb.TotalsRequest) (*peerpb.TotalsReply, error) {
+	return s.Handler.Totals(ctx, r)
+}
+
+// List implements the generated service.
+func (s *Server) List(ctx context.Context, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	return s.Handler.List(ctx, r)
+}
+
+// Explain implements the generated service.
+func (s *Server) Explain(ctx context.Context, r *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	return s.Handler.Explain(ctx, r)
+}
+
+// Document implements the generated service.
+func (s *Server) Document(ctx context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	return s.Handler.Document(ctx, r)
+}
+
+// Dispatch implements the generated service.
+func (s *Server) Dispatch(stream grpc.BidiStreamingServer[peerpb.DispatchUp, peerpb.DispatchDown]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return fmt.Errorf("receive submit: %w", err)
+	}
+	end, err := s.serve(stream, first)
+	if err != nil {
+		return err
+	}
+	return stream.Send(&peerpb.DispatchDown{Kind: &peerpb.DispatchDown_End{End: end}})
+}
+
+func (s *Server) serve(stream grpc.BidiStreamingServer[peerpb.DispatchUp, peerpb.DispatchDown], first *peerpb.DispatchUp) (*peerpb.End, error) {
+	out := sender{stream}
+	switch kind := first.GetKind().(type) {
+	case *peerpb.DispatchUp_Submit:
+		request := Request{Submit: kind.Submit, Body: &receiver{stream: stream}}
+		return s.Serve(stream.Context(), request, out), nil
+	case *peerpb.DispatchUp_Resume:
+		return s.Resume(stream.Context(), kind.Resume, out), nil
+	default:
+		return nil, status.Errorf(codes.InvalidArgument, "first message is %T: want submit or resume", kind)
+	}
+}
+
+type sender struct {
+	stream grpc.BidiStreamingServer[peerpb.DispatchUp, peerpb.DispatchDown]
+}
+
+func (s sender) Head(h *peerpb.Head) error {
+	return s.stream.Send(&peerpb.DispatchDown{Kind: &peerpb.DispatchDown_Head{Head: h}})
+}
+
+func (s sender) Data(d *peerpb.Data) error {
+	return s.stream.Send(&peerpb.DispatchDown{Kind: &peerpb.DispatchDown_Data{Data: d}})
+}
+
+// receiver reads a body from the messages that follow a submit.
+type receiver struct {
+	stream grpc.BidiStreamingServer[peerpb.DispatchUp, peerpb.DispatchDown]
+	rest   []byte
+	done   bool
+}
+
+// Read implements io.Reader. A body that stops before its end is an error, never a short body.
+func (r *receiver) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if r.done {
+			return 0, io.EOF
+		}
+		if err := r.next(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+func (r *receiver) next() error {
+	message, err := r.stream.Recv()
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("receive body: %w", io.ErrUnexpectedEOF)
+	}
+	if err != nil {
+		return fmt.Errorf("receive body: %w", err)
+	}
+	switch kind := message.GetKind().(type) {
+	case *peerpb.DispatchUp_Body:
+		r.rest = kind.Body
+	case *peerpb.DispatchUp_Done:
+		r.done = true
+	default:
+		return fmt.Errorf("receive body: unexpected %T", kind)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/process/bench_test.go
@@ -0,0 +1,307 @@
+// Package process proves promises with real processes: chiverampd on loopback,
+// stand-ins in place of the platform, engines and services.
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/internal/platform"
+	"github.com/chiveramp/chiveramp/internal/standin/engine"
+	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
+	"github.com/chiveramp/chiveramp/internal/standin/service"
+)
+
+const (
+	token   = "process-test-token"
+	patient = 20 * time.Second
+)
+
+// daemon is the path of the binary under test.
+var daemon string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "chiveramp")
+	if err != nil {
+		panic(err)
+	}
+	daemon = filepath.Join(dir, "chiverampd")
+	build := exec.Command("go", "build", "-race", "-o", daemon, "github.com/chiveramp/chiveramp/cmd/chiverampd")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// bench is a small deployment.
+type bench struct {
+	t        *testing.T
+	platform *standin.Server
+	address  string
+	services []string
+	nodes    []*instance
+	engines  []*engine.Server
+	orders   *service.Server
+}
+
+// instance is one chiverampd process.
+type instance struct {
+	name, dc, region                string
+	caller, peer, operator, metrics string
+	process                         *exec.Cmd
+	log                             *lines
+	ended                           chan struct{}
+}
+
+// lines is a log that can be read while it is written.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func newBench(t *testing.T, services ...string) *bench {
+	t.Helper()
+	server := standin.NewServer()
+	web := httptest.NewServer(server.Handler())
+	t.Cleanup(web.Close)
+	return &bench{t: t, platform: server, address: web.URL, services: services}
+}
+
+// engine starts a model engine and lists it.
+func (b *bench) engine(name, service, region, dc string, opts ...engine.Option) *engine.Server {
+	b.t.Helper()
+	e := engine.New(append([]engine.Option{engine.WithName(name)}, opts...)...)
+	require.NoError(b.t, e.Start(b.t.Context(), "127.0.0.1:0"))
+	b.t.Cleanup(func() { _ = e.Close() })
+	b.engines = append(b.engines, e)
+	b.list(service, name, e.Address(), region, dc, platform.MemberLive)
+	return e
+}
+
+// service starts a plain service and lists it.
+func (b *bench) service(name, region, dc string) *service.Server {
+	b.t.Helper()
+	s := service.New(name)
+	require.NoError(b.t, s.Start(b.t.Context(), "127.0.0.1:0"))
+	b.t.Cleanup(func() { _ = s.Close() })
+	b.list(name, name+"-"+dc, s.Address(), region, dc, platform.MemberLive)
+	return s
+}
+
+func (b *bench) list(service, name, address, region, dc string, state platform.MemberState) {
+	b.platform.SetMember(standin.Member{
+		Service: service, Name: name, Address: address, Region: region, DataCentre: dc,
+		Incarnation: "1", State: string(state),
+	})
+}
+
+// add starts one instance.
+func (b *bench) add(name, region, dc string) *instance {
+	b.t.Helper()
+	n := &instance{
+		name: name, region: region, dc: dc,
+		caller: free(b.t), peer: free(b.t), operator: free(b.t), metrics: free(b.t),
+	}
+	b.list("chiveramp", name, n.peer, region, dc, platform.MemberLive)
+	b.start(n)
+	b.nodes = append(b.nodes, n)
+	return n
+}
+
+func (b *bench) start(n *instance) {
+	b.t.Helper()
+	file := filepath.Join(b.t.TempDir(), n.name+".ini")
+	require.NoError(b.t, os.WriteFile(file, []byte(b.settings(n)), 0o600))
+	n.log, n.ended = &lines{}, make(chan struct{})
+	n.process = exec.Command(daemon, "--config", file)
+	n.process.Stderr = n.log
+	require.NoError(b.t, n.process.Start())
+	process, ended := n.process, n.ended
+	go func() { _ = process.Wait(); close(ended) }()
+	b.t.Cleanup(func() {
+		_ = process.Process.Signal(syscall.SIGCONT)
+		_ = process.Process.Kill()
+		<-ended
+		if b.t.Failed() {
+			b.t.Logf("log of %s:\n%s", n.name, n.log)
+		}
+		require.NotContains(b.t, n.log.String(), "DATA RACE")
+	})
+}
+
+func (b *bench) settings(n *instance) string {
+	var peers []string
+	for _, p := range b.nodes {
+		peers = append(peers, p.peer)
+	}
+	return fmt.Sprintf(`[instance]
+name = %s
+region = %s
+datacentre = %s
+[caller]
+listen = %s
+keep = 1s
+[peer]
+listen = %s
+beat = 200ms
+seeds = %s
+[operator]
+listen = %s
+token = %s
+[platform]
+address = %s
+endpoints = %s
+timeout = 1s
+lease = 2s
+[metrics]
+listen = %s
+[limits]
+drain = 10s
+[log]
+level = debug
+`, n.name, n.region, n.dc, n.caller, n.peer, strings.Join(peers, ","), n.operator, token,
+		b.address, strings.Join(b.services, ","), n.metrics)
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// ready waits until all instances are ready and see each other and the endpoints.
+func (b *bench) ready() {
+	b.t.Helper()
+	for _, n := range b.nodes {
+		b.eventually("ready "+n.name, func() bool { return b.status(n, len(b.nodes)) })
+	}
+}
+
+func (b *bench) status(n *instance, peers int) bool {
+	response, err := http.Get("http://" + n.metrics + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return false
+	}
+	status, err := b.operators(n).Status(b.t.Context())
+	if err != nil {
+		return false
+	}
+	live := 0
+	for _, i := range status.Instances {
+		if i.State == operator.StateReady {
+			live++
+		}
+	}
+	for _, e := range status.Endpoints {
+		if e.State != operator.StateReady {
+			return false
+		}
+	}
+	return live >= peers && len(status.Degraded) == 0
+}
+
+func (b *bench) operators(n *instance) *operator.Client {
+	return operator.NewClient([]string{n.operator}, operator.WithBearer(token))
+}
+
+// apply puts a document in force everywhere.
+func (b *bench) apply(n *instance, expect uint64, text string) operator.ApplyResult {
+	b.t.Helper()
+	b.eventually("operators' side of "+n.name, func() bool {
+		_, err := b.operators(n).Status(b.t.Context())
+		return err == nil
+	})
+	result, err := b.operators(n).Apply(b.t.Context(), operator.Edit{Expect: expect, Author: "test", Text: text})
+	require.NoError(b.t, err)
+	return result
+}
+
+func (b *bench) eventually(what string, done func() bool) {
+	b.t.Helper()
+	until := time.Now().Add(patient)
+	for !done() {
+		if time.Now().After(until) {
+			require.Fail(b.t, "not in time: "+what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	header  http.Header
+	body    []byte
+	outcome string
+}
+
+func (r reply) code() string {
+	var problem struct {
+		Error struct{ Code string }
+	}
+	_ = json.Unmarshal(r.body, &problem)
+	return problem.Error.Code
+}
+
+// send posts one request to an instance and reads the answer to its end.
+func send(ctx context.Context, address, path, body string, headers ...string) (reply, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var text bytes.Buffer
+	_, err = text.ReadFrom(response.Body)
+	r := reply{status: response.StatusCode, header: response.Header, body: text.Bytes(), outcome: response.Header.Get("Chiveramp-Outcome")}
+	if r.outcome == "" {
+		r.outcome = response.Trailer.Get("Chiveramp-Outcome")
+	}
+	return r, err
+}
+
+func chatBody(model, prompt string, stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, stream, tokens, prompt)
+}
