--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -67,7 +67,6 @@
 type Client struct {
 	settings  settings
 	transport *http.Transport
-	client    *http.Client
 	tracer    trace.Tracer
 	carrier   propagation.TraceContext
 }
@@ -90,7 +89,6 @@
 	return &Client{
 		settings:  s,
 		transport: transport,
-		client:    &http.Client{Transport: transport, CheckRedirect: keepRedirect},
 		tracer:    s.tracers.Tracer(tracerName),
 	}
 }
@@ -100,10 +98,6 @@
 	c.transport.CloseIdleConnections()
 }
 
-func keepRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // exchange is one request on its way to an endpoint.
 type exchange struct {
 	step string
@@ -112,26 +106,34 @@
 }
 
 func (x exchange) fail(err error) error {
-	x.span.RecordError(err)
-	x.span.SetStatus(codes.Error, x.step)
+	if x.span.IsRecording() {
+		x.span.SetAttributes(attribute.String("server.address", x.addr))
+		x.span.RecordError(err)
+		x.span.SetStatus(codes.Error, x.step)
+	}
 	x.span.End()
 	return stepError(x.step, x.addr, err)
 }
 
-// send sends one request at most once and returns the answer's head.
+// send sends one request at most once and returns the answer's head. It goes to
+// the transport itself: redirects and cookies are the caller's matter.
 func (c *Client) send(step, addr string, request *http.Request) (*http.Response, exchange, error) {
 	ctx, span := c.tracer.Start(request.Context(), "endpoint."+step,
-		trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("server.address", addr)))
+		trace.WithSpanKind(trace.SpanKindClient))
 	x := exchange{step: step, addr: addr, span: span}
 	d := &delivery{replay: c.settings.replay}
 	request = request.WithContext(d.trace(ctx))
 	c.carrier.Inject(ctx, propagation.HeaderCarrier(request.Header))
-	response, err := c.client.Do(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		return nil, x, x.fail(d.failure(err))
 	}
-	span.SetAttributes(attribute.Int("http.response.status_code", response.StatusCode))
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("server.address", addr),
+			attribute.Int("http.response.status_code", response.StatusCode),
+		)
+	}
 	return response, x, nil
 }
 
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -64,6 +64,7 @@
 	event, err := s.read()
 	if err != nil {
 		s.end = s.finish(err)
+		s.events.Release()
 		return Event{}, s.end
 	}
 	return event, nil
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -6,11 +6,13 @@
 	"bytes"
 	"errors"
 	"io"
+	"sync"
 )
 
 const (
 	readBuffer = 4 << 10 // bytes
 	slabSize   = 4 << 10 // bytes
+	firstSlab  = 512     // bytes
 	ownSize    = slabSize / 4
 )
 
@@ -36,9 +38,26 @@
 	name  []byte
 }
 
+var buffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
 // NewReader returns a reader that takes events of limit bytes at most.
 func NewReader(from io.Reader, limit int) *Reader {
-	return &Reader{lines: bufio.NewReaderSize(from, readBuffer), limit: limit}
+	lines, ok := buffers.Get().(*bufio.Reader)
+	if !ok {
+		lines = bufio.NewReaderSize(nil, readBuffer)
+	}
+	lines.Reset(from)
+	return &Reader{lines: lines, limit: limit}
+}
+
+// Release gives the reader's buffer back. The reader must not be used after.
+func (r *Reader) Release() {
+	if r.lines == nil {
+		return
+	}
+	r.lines.Reset(nil)
+	buffers.Put(r.lines)
+	r.lines = nil
 }
 
 // Next returns the next event. An event that the end of the stream interrupts
@@ -105,13 +124,19 @@
 		return bytes.Clone(value)
 	}
 	if cap(r.slab)-len(r.slab) < len(value) {
-		r.slab = make([]byte, 0, slabSize)
+		r.slab = make([]byte, 0, max(r.slabSize(), len(value)))
 	}
 	start := len(r.slab)
 	r.slab = append(r.slab, value...)
 	return r.slab[start:len(r.slab):len(r.slab)]
 }
 
+// slabSize returns the size of the next slab: short answers take little memory,
+// long ones few slabs.
+func (r *Reader) slabSize() int {
+	return min(max(2*cap(r.slab), firstSlab), slabSize)
+}
+
 // line returns one line without its end. It is valid until the next read.
 func (r *Reader) line() ([]byte, error) {
 	line, err := r.lines.ReadSlice('\n')
