feat: placement, draining copies and continued answers in the whole path

Cause: models stood where engines were started with them; a lost endpoint ended streams. Ruled out: taking a drained copy from the endpoint's total load (other models keep it busy for ever); sending orders over the shared connection pool (a restarted engine at the same address could get an order meant for its predecessor). Change: each instance steps the placer; the lease's holder gives orders, each on the connection on which the incarnation was read; copies about to go are told in heartbeats and drained by their dispatchers; demand by model is told in heartbeats; the entry side continues a lost stream on another endpoint from the text sent. Conclusion: placement is in the path.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(LINT) run
 
 unit:
-	$(GO) test ./...
+	$(GO) test $$($(GO) list ./... | grep -v /test/)
+	$(GO) test -count=1 ./test/...
 
 test: lint unit
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -32,7 +32,9 @@
 	// Down endpoints did not answer their dispatcher lately.
 	Down   bool
 	Serial uint64
-	Models []fleet.Model
+	// Drained are the models that were asked to drain and have nothing in flight.
+	Drained []fleet.Model
+	Models  []fleet.Model
 }
 
 // Entry is what is known of one endpoint.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -53,6 +53,19 @@
 	Finished(fingerprint uint64)
 }
 
+// Draining tells which models get nothing new on an endpoint.
+type Draining interface {
+	Draining(fleet.Endpoint, fleet.Model) bool
+}
+
+// Meter counts the work done and refused for each model.
+type Meter interface {
+	// Worked notes how long a request kept its place at an endpoint.
+	Worked(model fleet.Model, busy time.Duration)
+	// Refused notes a request that found no place.
+	Refused(model fleet.Model)
+}
+
 // Trail records what was decided for a request.
 type Trail interface {
 	Note(request, step, peer, note string)
@@ -107,6 +120,8 @@
 	claims    Claims
 	suspects  Suspects
 	trail     Trail
+	draining  Draining
+	meter     Meter
 	logger    log.Logger
 	limits    Limits
 	admission []admit.Option
@@ -136,6 +151,12 @@
 // WithTrail sets where decisions are recorded.
 func WithTrail(t Trail) Option { return func(p *Pool) { p.trail = t } }
 
+// WithDraining sets which models get nothing new on an endpoint.
+func WithDraining(d Draining) Option { return func(p *Pool) { p.draining = d } }
+
+// WithMeter sets who counts the work for each model.
+func WithMeter(m Meter) Option { return func(p *Pool) { p.meter = m } }
+
 // WithLogger sets the log.
 func WithLogger(l log.Logger) Option { return func(p *Pool) { p.logger = l } }
 
@@ -151,6 +172,8 @@
 		claims:      nobody{},
 		suspects:    nobody{},
 		trail:       nobody{},
+		draining:    nobody{},
+		meter:       nobody{},
 		logger:      log.NewNopLogger(),
 		limits:      DefaultLimits(),
 		dispatchers: make(map[fleet.Endpoint]*actor.PID),
@@ -188,6 +211,18 @@
 	return running
 }
 
+// Busy tells whether an attempt for the model runs on the endpoint.
+func (p *Pool) Busy(id fleet.Endpoint, model fleet.Model) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.attempts {
+		if r.endpoint == string(id) && r.request.Model == string(model) && r.Ended() == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Loads returns the load of every endpoint dispatched here lately.
 func (p *Pool) Loads(ctx context.Context, id fleet.Endpoint) (Load, error) {
 	reply := make(chan Load, 1)
@@ -248,4 +283,7 @@
 func (nobody) Check(uint64) (suspected, convicted bool)                    { return false, false }
 func (nobody) Died(string, []uint64)                                       {}
 func (nobody) Finished(uint64)                                             {}
+func (nobody) Draining(fleet.Endpoint, fleet.Model) bool                   { return false }
+func (nobody) Worked(fleet.Model, time.Duration)                           {}
+func (nobody) Refused(fleet.Model)                                         {}
 func (nobody) Note(_, _, _, _ string)                                      {}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -38,6 +38,7 @@
 	claimed bool
 	claim   string // id of the claim, when claimed
 	cancel  context.CancelCauseFunc
+	began   time.Time
 }
 
 var (
@@ -63,6 +64,7 @@
 	end := r.execute(ctx)
 	r.settle(ctx, end)
 	r.pool.done(r.request, end)
+	r.pool.meter.Worked(fleet.Model(r.request.Model), r.pool.timers.Now().Sub(r.began))
 	if end.Code == "" {
 		r.pool.suspects.Finished(r.request.Fingerprint)
 	}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -73,6 +73,7 @@
 		if t.granted {
 			return nil
 		}
+		p.meter.Refused(fleet.Model(request.Model))
 		p.trail.Note(request.Request, "refuse", request.Endpoint, string(t.verdict.Code))
 		return Refuse(CodeOverload, "admit", "endpoint "+request.Endpoint+": "+string(t.verdict.Code), t.verdict.RetryAfter)
 	case <-ctx.Done():
@@ -108,6 +109,9 @@
 	if entry.Leaving {
 		return Refuse(CodeLeaving, "start", "endpoint "+r.endpoint+" is leaving", 0)
 	}
+	if p.draining.Draining(entry.Endpoint, fleet.Model(r.request.Model)) {
+		return Refuse(CodeLeaving, "start", "model "+r.request.Model+" is leaving endpoint "+r.endpoint, 0)
+	}
 	r.entry = entry
 	if r.request.Key == "" {
 		return nil
@@ -183,6 +187,7 @@
 	if r.request.Deadline > 0 {
 		running, stop = context.WithDeadline(running, time.UnixMilli(r.request.Deadline))
 	}
+	r.began = p.timers.Now()
 	p.keep(r)
 	p.group.Go(func() error {
 		defer stop()
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -19,7 +19,9 @@
 	defer g.mu.Unlock()
 	g.candidates = g.candidates[:0]
 	g.directory.Each(fleet.Model(p.request.Model), p.request.Service, func(e *directory.Entry) {
-		g.candidates = append(g.candidates, candidate(e))
+		c := candidate(e)
+		c.Leaving = c.Leaving || g.draining.Draining(e.Endpoint, fleet.Model(p.request.Model))
+		g.candidates = append(g.candidates, c)
 	})
 	index, ok := g.router.Choose(g.clock(), g.routed(p), g.candidates)
 	if !ok {
@@ -87,9 +89,17 @@
 
 // again decides whether a failed try is followed by another one, and waits for it.
 func (g *Gateway) again(ctx context.Context, p *plan, t *track, end *peerpb.End) bool {
-	if !retryable(end.Code) || p.streamed || ctx.Err() != nil || !t.restart() {
+	if !retryable(end.Code) || p.streamed || ctx.Err() != nil {
 		return false
 	}
+	if !g.afford(ctx, p, end) {
+		return false
+	}
+	return t.next(p, end)
+}
+
+// afford takes a retry from the profile's budget and waits for its time.
+func (g *Gateway) afford(ctx context.Context, p *plan, end *peerpb.End) bool {
 	g.mu.Lock()
 	decision := g.budget.Failed(g.clock(), retry.Attempt{
 		Profile:    fleet.Profile(p.request.Profile),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,11 @@
 	Centres(now time.Time, model fleet.Model, service string) []fleet.DataCentre
 }
 
+// Draining tells which models get nothing new on an endpoint.
+type Draining interface {
+	Draining(fleet.Endpoint, fleet.Model) bool
+}
+
 // Trail records what was decided for a request.
 type Trail interface {
 	Note(request, step, peer, note string)
@@ -99,6 +104,7 @@
 	documents  Documents
 	remote     Remote
 	trail      Trail
+	draining   Draining
 	observer   Observer
 	clock      func() time.Time
 
@@ -126,6 +132,9 @@
 // WithObserver sets who is told how requests ended.
 func WithObserver(o Observer) Option { return func(g *Gateway) { g.observer = o } }
 
+// WithDraining sets which models get nothing new on an endpoint.
+func WithDraining(d Draining) Option { return func(g *Gateway) { g.draining = d } }
+
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.clock = now } }
 
@@ -139,6 +148,7 @@
 		documents:  docs,
 		remote:     nowhere{},
 		trail:      silent{},
+		draining:   silent{},
 		observer:   silent{},
 		clock:      time.Now,
 		router:     route.New(),
@@ -153,7 +163,7 @@
 // Serve answers one request through the sink and returns how it ended.
 func (g *Gateway) Serve(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
 	began := g.clock()
-	t := &track{sink: sink, clock: g.clock}
+	t := newTrack(sink, g.clock)
 	plan, end := g.plan(request)
 	if end != nil {
 		g.trail.Note(request.Request, "refuse", "", end.Code)
@@ -162,14 +172,14 @@
 	ctx, cancel := context.WithDeadline(ctx, plan.deadline)
 	defer cancel()
 	end = g.run(ctx, plan, t)
-	g.trail.Note(request.Request, "end", string(t.endpoint), end.Outcome+" "+end.Code)
+	g.trail.Note(request.Request, "end", string(t.assembly.Endpoint()), end.Outcome+" "+end.Code)
 	g.report(plan, t, end, began)
 	return end
 }
 
 // Relay runs a request that another instance passed on, inside this data centre only.
 func (g *Gateway) Relay(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
-	t := &track{sink: sink, clock: g.clock}
+	t := newTrack(sink, g.clock)
 	p := &plan{request: request, repeatable: !request.Once, deadline: time.UnixMilli(request.Deadline)}
 	if request.First > 0 {
 		p.first = g.clock().Add(time.Duration(request.First) * time.Millisecond)
@@ -182,10 +192,8 @@
 
 // Resume goes on with an answer that the caller has up to an offset.
 func (g *Gateway) Resume(ctx context.Context, r *peerpb.Resume, sink peer.Sink) *peerpb.End {
-	t := &track{
-		sink: sink, clock: g.clock, next: r.Offset,
-		attempt: r.Attempt, endpoint: fleet.Endpoint(r.Endpoint),
-	}
+	t := newTrack(sink, g.clock)
+	t.assembly.Adopt(r.Attempt, fleet.Endpoint(r.Endpoint), r.Offset)
 	p := &plan{request: peer.Request{Submit: &peerpb.Submit{Request: r.Request}}}
 	return g.recover(ctx, p, t)
 }
@@ -261,15 +269,15 @@
 func (g *Gateway) resume(ctx context.Context, p *plan, t *track) (*peerpb.End, error) {
 	r := &peerpb.Resume{
 		Request:  p.request.GetRequest(),
-		Attempt:  t.attempt,
-		Endpoint: string(t.endpoint),
-		Offset:   t.next,
+		Attempt:  t.assembly.Attempt(),
+		Endpoint: string(t.assembly.Endpoint()),
+		Offset:   t.assembly.Next(),
 	}
 	place := g.members.Self().Place
-	if entry, ok := g.directory.Get(t.endpoint); ok {
+	if entry, ok := g.directory.Get(t.assembly.Endpoint()); ok {
 		place = entry.Place
 	}
-	to, ok := g.members.Dispatcher(t.endpoint, place)
+	to, ok := g.members.Dispatcher(t.assembly.Endpoint(), place)
 	if !ok || to.Instance == g.members.Self().Instance {
 		return g.dispatcher.Resume(ctx, r, t), nil
 	}
@@ -293,5 +301,6 @@
 
 type silent struct{}
 
-func (silent) Note(_, _, _, _ string) {}
-func (silent) Ended(Report)           {}
+func (silent) Note(_, _, _, _ string)                    {}
+func (silent) Ended(Report)                              {}
+func (silent) Draining(fleet.Endpoint, fleet.Model) bool { return false }
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -23,7 +23,8 @@
 	deadline   time.Time
 	first      time.Time // when the first token is due
 	repeatable bool      // may run again after it may have run
-	kept       []byte    // the body, for further tries
+	original   []byte    // the body as the caller sent it
+	kept       []byte    // the body of the next try
 	streamed   bool      // the body can be sent once only
 	tried      []fleet.Endpoint
 	spent      int
@@ -114,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	p.kept = body
+	p.original, p.kept = body, body
 	p.streamed = p.request.Service != "" && p.request.Key == "" && len(body) == bufferedBytes
 	p.request.Prompt = uint32(len(body) / tokenBytes)
 	p.fingerprint()
--- a/internal/entry/track.go
+++ b/internal/entry/track.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/stream"
+	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
@@ -12,6 +14,10 @@
 // errGap: pieces of an answer are missing.
 var errGap = errors.New("pieces of the answer are missing")
 
+// attemptLimit bounds the attempts of one answer, each hop to another data
+// centre counted; the retry budget bounds them further.
+const attemptLimit = 8
+
 // Restarter is a sink that can take an answer from its beginning again, since
 // nothing of it has reached the caller yet.
 type Restarter interface {
@@ -23,43 +29,34 @@
 type track struct {
 	sink      peer.Sink
 	clock     func() time.Time
-	attempt   string
-	endpoint  fleet.Endpoint
-	next      uint64 // offset of the next piece
-	answering bool   // the head has come
-	passed    bool   // the head has been passed on
-	failed    error  // the sink's error
+	assembly  *stream.Assembly
+	splice    *stream.Splice // set while an answer is continued on another endpoint
+	answering bool           // the head of the present attempt has come
+	passed    bool           // a head has been passed on
+	origin    []byte         // first piece of the answer
+	failed    error          // the sink's error
 
 	count int
 	first time.Time
 	last  time.Time
 }
 
-// begin starts a new attempt.
-func (t *track) begin(attempt string, endpoint fleet.Endpoint) {
-	t.attempt, t.endpoint = attempt, endpoint
-	t.next, t.answering = 0, false
+func newTrack(sink peer.Sink, clock func() time.Time) *track {
+	return &track{sink: sink, clock: clock, assembly: stream.New(stream.WithAttempts(attemptLimit))}
 }
 
-// restart reports whether a new attempt may begin the answer anew.
-func (t *track) restart() bool {
-	if !t.passed {
-		return true
-	}
-	r, ok := t.sink.(Restarter)
-	if !ok || !r.Restart() {
-		return false
-	}
-	t.passed = false
-	return true
+// begin starts a new attempt. Its id may not be known before its head comes.
+func (t *track) begin(attempt string, endpoint fleet.Endpoint) {
+	t.assembly.Begin(attempt, endpoint)
+	t.answering = false
 }
 
 // Head implements peer.Sink. Only the first head of an answer reaches the caller.
 func (t *track) Head(h *peerpb.Head) error {
-	if t.attempt == "" {
-		t.attempt, t.endpoint = h.Attempt, fleet.Endpoint(h.Endpoint)
+	if t.assembly.Attempt() == "" {
+		t.assembly.Begin(h.Attempt, fleet.Endpoint(h.Endpoint))
 	}
-	if h.Attempt != t.attempt {
+	if h.Attempt != t.assembly.Attempt() {
 		return nil
 	}
 	t.answering = true
@@ -73,22 +70,80 @@
 
 // Data implements peer.Sink. Pieces of another attempt, or that came before, are dropped.
 func (t *track) Data(d *peerpb.Data) error {
-	if d.Attempt != t.attempt || d.Offset < t.next {
-		return nil
-	}
-	if d.Offset > t.next {
+	pieces, verdict := t.assembly.Add(t.clock(), stream.Piece{Attempt: d.Attempt, Offset: d.Offset, Data: d.Data})
+	if verdict == stream.VerdictFar {
 		return errGap
 	}
-	t.next++
-	t.mark()
-	t.failed = t.sink.Data(d)
+	for _, piece := range pieces {
+		if err := t.pass(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *track) pass(piece stream.Piece) error {
+	t.mark(piece.Data)
+	data := piece.Data
+	if t.splice != nil {
+		spliced, err := t.splice.Apply(data)
+		if err != nil {
+			return err
+		}
+		data = spliced
+	}
+	t.failed = t.sink.Data(&peerpb.Data{Attempt: piece.Attempt, Offset: piece.Offset, Data: data})
 	return t.failed
 }
 
-func (t *track) mark() {
+func (t *track) mark(data []byte) {
 	t.last = t.clock()
 	if t.count == 0 {
-		t.first = t.last
+		t.first, t.origin = t.last, data
 	}
 	t.count++
 }
+
+// next prepares a further attempt after a loss: from the beginning if nothing
+// has reached the caller, else from the text sent so far. It reports false when
+// neither can be done.
+func (t *track) next(p *plan, end *peerpb.End) bool {
+	if r, ok := t.sink.(Restarter); ok && t.passed {
+		t.passed = !r.Restart()
+		t.assembly = stream.New(stream.WithAttempts(attemptLimit))
+		return !t.passed
+	}
+	decision := t.assembly.Cut(t.clock(), t.assembly.Attempt(), loss(end.Code))
+	switch decision.Step {
+	case stream.StepRestart:
+		return true
+	case stream.StepContinue:
+		return t.proceed(p, decision)
+	default:
+		return false
+	}
+}
+
+func loss(code string) stream.Loss {
+	switch code {
+	case dispatch.CodeLost:
+		return stream.LossEndpoint
+	case dispatch.CodeGone:
+		return stream.LossAttempt
+	default:
+		return stream.LossUnsent
+	}
+}
+
+func (t *track) proceed(p *plan, d stream.Decision) bool {
+	body, err := stream.ContinueBody(p.original, d.Text, d.Tokens)
+	if err != nil {
+		return false
+	}
+	splice, err := stream.NewSplice(t.origin, d.Tokens)
+	if err != nil {
+		return false
+	}
+	p.kept, t.splice = body, &splice
+	return true
+}
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -53,6 +53,7 @@
 		Revision: self.Revision, Leaving: self.Leaving,
 		Loads: n.prober.loads(full), Suspects: n.suspects.news(),
 		List: n.list.current(), Remote: n.relayed(),
+		Draining: n.drains.asked(n.clock()), Demand: n.demand.own(n.clock()),
 	}
 }
 
@@ -77,6 +78,8 @@
 			n.directory.Report(now, fromLoad(l))
 		}
 	}
+	n.drains.hear(now, r.Draining)
+	n.demand.hear(now, from, r.Demand)
 	for _, t := range r.Remote {
 		n.takeTotals(now, t)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/entry"
 	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/placer"
 	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/pkg/config"
@@ -59,6 +60,9 @@
 	pool      *dispatch.Pool
 	gateway   *entry.Gateway
 	prober    *prober
+	drains    *drains
+	demand    *demand
+	placer    *placer.Placer
 	trail     *trail.Trail
 
 	credentials credentials.TransportCredentials
@@ -148,25 +152,31 @@
 
 // serve makes the parts that requests pass through.
 func (n *Node) serve() {
+	n.drains = newDrains(n.clock, n.members, n.directory, func() *dispatch.Pool { return n.pool })
+	n.demand = newDemand(n.clock, n.config.Endpoint.Slots)
 	n.pool = dispatch.New(n.members.Self().Instance, n.group, n.timers, n.endpoints, n.directory,
 		dispatch.WithLimits(n.limits()),
 		dispatch.WithAdmission(admit.Slots(n.config.Endpoint.Slots)),
 		dispatch.WithClaims(n.claims),
 		dispatch.WithSuspects(n.suspects),
 		dispatch.WithTrail(n.trail),
+		dispatch.WithDraining(n.drains),
+		dispatch.WithMeter(n.demand),
 		dispatch.WithLogger(n.logger),
 	)
 	n.prober = &prober{
 		members: n.members, directory: n.directory, pool: n.pool, client: n.endpoints,
-		plain: n.plain, clock: n.clock, seen: make(map[fleet.Endpoint]*probed),
+		plain: n.plain, drained: n.drains.drained, clock: n.clock, seen: make(map[fleet.Endpoint]*probed),
 	}
 	n.gateway = entry.New(n.members, n.directory, n.pool, n.client, n,
 		entry.WithBudget(retry.New(retry.Limit(n.config.Limits.Retries))),
 		entry.WithRemote(n.remote),
 		entry.WithTrail(n.trail),
+		entry.WithDraining(n.drains),
 		entry.WithObserver(newObserver(n.registry)),
 		entry.WithClock(n.clock),
 	)
+	n.placer = n.newPlacer()
 }
 
 func (n *Node) limits() dispatch.Limits {
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -30,6 +30,7 @@
 	pool      *dispatch.Pool
 	client    *endpoint.Client
 	plain     func(service string) bool
+	drained   func(fleet.Endpoint) []fleet.Model
 	clock     func() time.Time
 
 	mu   sync.Mutex
@@ -81,6 +82,7 @@
 		report.Running, report.Queued, report.Wait = load.Running, load.Queued, load.Wait
 	}
 	report.Leaving = report.Leaving || e.Leaving
+	report.Drained = p.drained(e.Endpoint)
 	p.note(e, report, err)
 }
 
@@ -150,14 +152,15 @@
 
 func same(a, b directory.Report) bool {
 	return a.Incarnation == b.Incarnation && a.Serial == b.Serial && a.Running == b.Running &&
-		a.Queued == b.Queued && a.Wait == b.Wait && a.Leaving == b.Leaving && a.Down == b.Down
+		a.Queued == b.Queued && a.Wait == b.Wait && a.Leaving == b.Leaving && a.Down == b.Down &&
+		slices.Equal(a.Drained, b.Drained)
 }
 
 func toLoad(r directory.Report, models bool) *peerpb.Load {
 	load := &peerpb.Load{
 		Endpoint: string(r.Endpoint), Running: uint32(r.Running), Queued: uint32(r.Queued),
 		Wait: uint32(r.Wait.Milliseconds()), Leaving: r.Leaving, Serial: r.Serial,
-		Incarnation: r.Incarnation, Down: r.Down,
+		Incarnation: r.Incarnation, Down: r.Down, Drained: names(r.Drained),
 	}
 	if models {
 		for _, m := range r.Models {
@@ -173,6 +176,9 @@
 		Queued: int(l.Queued), Wait: time.Duration(l.Wait) * time.Millisecond,
 		Leaving: l.Leaving, Serial: l.Serial, Down: l.Down,
 	}
+	for _, m := range l.Drained {
+		r.Drained = append(r.Drained, fleet.Model(m))
+	}
 	for _, m := range l.Models {
 		r.Models = append(r.Models, fleet.Model(m))
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -98,9 +98,21 @@
 	n.every("list", listPause, func(ctx context.Context, _ time.Time) { n.readList(ctx) })
 	n.every("beat", n.config.Peer.Beat, n.beat)
 	n.every("probe", probePause, func(ctx context.Context, _ time.Time) { n.prober.round(ctx) })
+	n.every("place", placePause, n.place)
 	n.every("settle", settlePause, func(ctx context.Context, _ time.Time) { _, _ = n.claims.Settle(ctx) })
 }
 
+// place takes one step of the placer. A leaving instance gives the lease back instead.
+func (n *Node) place(ctx context.Context, now time.Time) {
+	if n.members.Self().Leaving {
+		_ = n.placer.Close(ctx)
+		return
+	}
+	if n.Ready() == nil {
+		_ = n.placer.Step(ctx, now)
+	}
+}
+
 // every runs a task now and then at an interval, one run at a time.
 func (n *Node) every(name string, interval time.Duration, task func(context.Context, time.Time)) {
 	run := func(now time.Time) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -29,6 +29,7 @@
 		}
 	}
 	status.Models = n.modelStatus()
+	n.placerStatus(&status)
 	status.Degraded = n.degraded(status)
 	return status, nil
 }
@@ -84,6 +85,23 @@
 	}
 }
 
+// placerStatus adds what the own placer knows, if it holds the lease.
+func (n *Node) placerStatus(status *operator.Status) {
+	own := n.placer.Status()
+	row := operator.PlacerStatus{Datacentre: n.config.Instance.Datacentre}
+	if own.Held {
+		row.Instance, row.Fence = n.config.Instance.Name, uint64(own.Fence)
+	}
+	status.Placers = append(status.Placers, row)
+	for _, e := range own.Endpoints {
+		for i := range status.Endpoints {
+			if status.Endpoints[i].Name == string(e.Endpoint) {
+				status.Endpoints[i].Memory, status.Endpoints[i].Free = e.Memory, e.Free
+			}
+		}
+	}
+}
+
 func (n *Node) modelStatus() []operator.ModelStatus {
 	document, _ := n.Profiles()
 	var list []operator.ModelStatus
