--- a/internal/core/stream/cut.go
+++ b/internal/core/stream/cut.go
@@ -101,5 +101,5 @@
 	if a.adopted || a.kept.dropped(now) {
 		return "", 0, false
 	}
-	return chatText(a.kept.pieces)
+	return chatText(a.kept.from(0))
 }
