--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,6 @@
 
 unit:
 	$(GO) test $$($(GO) list ./... | grep -v /test/)
-	$(GO) test -count=1 ./test/...
+	$(GO) test -count=1 -parallel 4 ./test/...
 
 test: lint unit
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/chiveramp/chiveramp/internal/core/admit"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/once"
@@ -106,14 +108,14 @@
 	if !ok {
 		return Refuse(CodeUnsent, "start", "endpoint "+r.endpoint+" is not listed", 0)
 	}
-	if entry.Leaving {
+	if entry.Leaving && !switches.Off(switches.Leaving) {
 		return Refuse(CodeLeaving, "start", "endpoint "+r.endpoint+" is leaving", 0)
 	}
 	if p.draining.Draining(entry.Endpoint, fleet.Model(r.request.Model)) {
 		return Refuse(CodeLeaving, "start", "model "+r.request.Model+" is leaving endpoint "+r.endpoint, 0)
 	}
 	r.entry = entry
-	if r.request.Key == "" {
+	if r.request.Key == "" || switches.Off(switches.Claim) {
 		return nil
 	}
 	return p.claim(ctx, r, sink)
--- a/internal/dispatch/source.go
+++ b/internal/dispatch/source.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -79,6 +81,9 @@
 // kept, since it names the cause.
 func (r *run) resume(ctx context.Context, after uint64, cause error) (*endpoint.Stream, error) {
 	for range resumeTries {
+		if switches.Off(switches.Reconnect) {
+			break
+		}
 		stream, err := r.pool.engine.Resume(ctx, r.entry.Address, r.id, after)
 		if err == nil {
 			r.pool.trail.Note(r.request.Request, "resume", r.endpoint, fmt.Sprintf("after event %d", after))
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/retry"
@@ -50,7 +52,7 @@
 		Queued:   e.Report.Queued,
 		Wait:     e.Report.Wait,
 		Own:      e.Own,
-		Leaving:  e.Leaving || e.Report.Down,
+		Leaving:  (e.Leaving && !switches.Off(switches.Leaving)) || e.Report.Down,
 		Loaded:   true,
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/google/uuid"
 
 	"github.com/chiveramp/chiveramp/internal/core/directory"
@@ -244,7 +246,7 @@
 	if errors.Is(err, peer.ErrNotSent) {
 		return dispatch.Refuse(dispatch.CodeUnsent, "hop", err.Error(), 0)
 	}
-	if t.answering {
+	if t.answering && !switches.Off(switches.Resume) {
 		return g.recover(ctx, p, t)
 	}
 	return dispatch.Fail(dispatch.CodeLost, "hop", err.Error())
--- a/internal/entry/track.go
+++ b/internal/entry/track.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/stream"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
@@ -118,7 +120,7 @@
 	case stream.StepRestart:
 		return true
 	case stream.StepContinue:
-		return t.proceed(p, decision)
+		return !switches.Off(switches.Continue) && t.proceed(p, decision)
 	default:
 		return false
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -65,6 +67,9 @@
 
 // Pull implements document.Puller.
 func (p puller) Pull(ctx context.Context, from fleet.Instance, after uint64) (revision.Document, error) {
+	if switches.Off(switches.Pull) {
+		return revision.Document{}, nil
+	}
 	source, ok := p.members.get(from)
 	if !ok || source.Address == "" {
 		return revision.Document{}, fmt.Errorf("pull document: instance %s is not known", from)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/go-kit/log/level"
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
@@ -179,6 +181,10 @@
 // and callers that still use a kept address are served until it has run out.
 func (n *Node) drain(ctx context.Context, callers *http.Server) {
 	limit := n.config.Limits.Drain
+	if switches.Off(switches.Drain) {
+		_ = callers.Close()
+		return
+	}
 	_ = level.Info(n.logger).Log("step", "drain", "limit", limit)
 	n.members.change((*member.View).Leave)
 	n.beat(ctx, n.clock())
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/switches"
+
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
@@ -32,6 +34,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := suspect.Fingerprint(fingerprint)
+	if switches.Off(switches.Suspect) {
+		return false, false
+	}
 	return s.book.Suspected(s.clock(), f), s.book.Convicted(s.clock(), f)
 }
 
--- /dev/null
+++ b/internal/switches/on.go
@@ -0,0 +1,6 @@
+//go:build !proofs
+
+package switches
+
+// Off reports whether a mechanism is off.
+func Off(Mechanism) bool { return false }
--- /dev/null
+++ b/internal/switches/switches.go
@@ -0,0 +1,26 @@
+// Package switches turns single mechanisms off, so that tests can show what each
+// of them is for. Builds without the tag "proofs" have every mechanism on.
+package switches
+
+// Mechanism names one mechanism.
+type Mechanism string
+
+// The mechanisms that can be turned off.
+const (
+	// Resume asks the next dispatcher for the rest of an answer.
+	Resume Mechanism = "resume"
+	// Reconnect asks an endpoint for the rest of a cut stream.
+	Reconnect Mechanism = "reconnect"
+	// Continue goes on with an answer on another endpoint.
+	Continue Mechanism = "continue"
+	// Claim asks the store before a keyed request runs.
+	Claim Mechanism = "claim"
+	// Leaving keeps new work from endpoints that leave.
+	Leaving Mechanism = "leaving"
+	// Drain waits for requests in flight before a stop.
+	Drain Mechanism = "drain"
+	// Suspect refuses requests that kill endpoints.
+	Suspect Mechanism = "suspect"
+	// Pull takes documents from other instances.
+	Pull Mechanism = "pull"
+)
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -26,6 +26,7 @@
 	"github.com/chiveramp/chiveramp/internal/standin/engine"
 	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
 	"github.com/chiveramp/chiveramp/internal/standin/service"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 const (
@@ -42,7 +43,7 @@
 		panic(err)
 	}
 	daemon = filepath.Join(dir, "chiverampd")
-	build := exec.Command("go", "build", "-race", "-o", daemon, "github.com/chiveramp/chiveramp/cmd/chiverampd")
+	build := exec.Command("go", "build", "-race", "-tags", "proofs", "-o", daemon, "github.com/chiveramp/chiveramp/cmd/chiverampd")
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -59,6 +60,7 @@
 	services []string
 	nodes    []*instance
 	engines  []*engine.Server
+	off      switches.Mechanism // turned off in instances started from now on
 	orders   *service.Server
 }
 
@@ -94,6 +96,7 @@
 	server := standin.NewServer()
 	web := httptest.NewServer(server.Handler())
 	t.Cleanup(web.Close)
+	t.Parallel()
 	return &bench{t: t, platform: server, address: web.URL, services: services}
 }
 
@@ -145,6 +148,7 @@
 	n.log, n.ended = &lines{}, make(chan struct{})
 	n.process = exec.Command(daemon, "--config", file)
 	n.process.Stderr = n.log
+	n.process.Env = append(os.Environ(), "CHIVERAMP_OFF="+string(b.off))
 	require.NoError(b.t, n.process.Start())
 	process, ended := n.process, n.ended
 	go func() { _ = process.Wait(); close(ended) }()
