feat: batches bounded by the time between tokens, room kept in a rank

Cause: in a flood of bulk 17 to 21 in 100 urgent answers had more than 61 ms between tokens, for several models at work share the steps of an engine; a service that floods its own rank left the other services of the rank 46 in 100; a killer request was new to the system at each resend. Change: admit takes the model of a request and starts it only if tokens still come within the gap beside what runs; other ranks leave time for the most urgent floor. A profile beyond its cap leaves slots empty for others of its rank that asked lately. Floor of the urgent rank 0.35, cap 0.3. The router counts the models at work on an endpoint. The fake keeps suspects by fingerprint.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GO ?= go
 SEEDS ?= 3
 
-.PHONY: setup build fmt lint unit race test
+.PHONY: setup build fmt lint unit race test measure
 
 setup: $(LINT)
 
@@ -27,3 +27,6 @@
 	$(GO) test -count=1 -parallel 4 ./test/...
 
 test: lint unit
+
+measure:
+	$(GO) run ./cmd/chiveramp-measure
--- a/internal/core/admit/item.go
+++ b/internal/core/admit/item.go
@@ -14,6 +14,8 @@
 	ID      string
 	Rank    fleet.Rank
 	Profile fleet.Profile
+	// Model is the model asked for; it matters where several share the endpoint.
+	Model   fleet.Model
 	Arrived time.Time
 	// Deadline is when the first token is due; zero when the request has no target.
 	Deadline time.Time
--- a/internal/core/admit/lane.go
+++ b/internal/core/admit/lane.go
@@ -24,6 +24,8 @@
 	level   int
 	waiting []*entry
 	running int
+	// last is when the profile last asked.
+	last time.Time
 }
 
 func (l *lane) Len() int           { return len(l.waiting) }
@@ -53,7 +55,14 @@
 
 func (l *lane) add(e *entry)    { heap.Push(l, e) }
 func (l *lane) remove(e *entry) { heap.Remove(l, e.index) }
-func (l *lane) idle() bool      { return len(l.waiting) == 0 && l.running == 0 }
+
+// idleTime is how long a profile that asks nothing still has room kept for it.
+const idleTime = 30 * time.Second
+
+// idle reports whether a profile has nothing here and has not asked lately.
+func (l *lane) idle(now time.Time) bool {
+	return len(l.waiting) == 0 && l.running == 0 && now.Sub(l.last) > idleTime
+}
 
 // head returns the most pressing request that may start; suspects only when asked for.
 func (l *lane) head(suspects bool) *entry {
--- a/internal/core/admit/options.go
+++ b/internal/core/admit/options.go
@@ -32,6 +32,10 @@
 	Step time.Duration
 	// Each is what every further running answer adds to the time for one token.
 	Each time.Duration
+	// Pass is what every further model at work adds to the time for one token.
+	Pass time.Duration
+	// Chunk is what reading a prompt adds to the time for one token meanwhile.
+	Chunk time.Duration
 }
 
 func (s Speed) prefill(tokens int) time.Duration {
@@ -41,21 +45,24 @@
 	return time.Duration(float64(tokens) / s.Prefill * float64(time.Second))
 }
 
-func (s Speed) step(running int) time.Duration {
-	return s.Step + time.Duration(running)*s.Each
+// step returns the time for one token while answers of some models run and a prompt is read.
+func (s Speed) step(running, models int) time.Duration {
+	further := time.Duration(max(models-1, 0))
+	return s.Step + further*s.Pass + time.Duration(running)*s.Each + s.Chunk
 }
 
 // Defaults of a Queue.
 const (
 	DefaultSlots      = 32
 	DefaultDepth      = 1024
-	DefaultProfileCap = 0.5
+	DefaultProfileCap = 0.3
+	DefaultGuard      = 0.2
 	DefaultJitter     = 0.25
 )
 
 // DefaultFloors are the floors of a Queue that is given none.
 func DefaultFloors() Shares {
-	return Shares{Urgent: 0.25, Standard: 0.2, Bulk: 0.1}
+	return Shares{Urgent: 0.35, Standard: 0.2, Bulk: 0.1}
 }
 
 // Option changes a Queue under construction.
@@ -81,11 +88,27 @@
 	return func(q *Queue) { q.cap = share }
 }
 
+// Guard sets the share of the slots that a profile beyond its cap leaves empty
+// for other profiles of its rank that have asked lately.
+func Guard(share float64) Option {
+	return func(q *Queue) { q.guard = share }
+}
+
 // WithSpeed sets the speed of the endpoint.
 func WithSpeed(s Speed) Option {
 	return func(q *Queue) { q.speed = s }
 }
 
+// Gap sets the time between tokens that no start may exceed; zero sets no bound.
+func Gap(target time.Duration) Option {
+	return func(q *Queue) { q.gap = target }
+}
+
+// SpareModels sets for how many models of urgent requests other ranks leave time.
+func SpareModels(n int) Option {
+	return func(q *Queue) { q.spare = n }
+}
+
 // WithBreaker sets after how many failures in a row the endpoint rests, and for how long.
 func WithBreaker(failures int, rest time.Duration) Option {
 	return func(q *Queue) { q.breaker = newBreaker(failures, rest) }
--- a/internal/core/admit/predict.go
+++ b/internal/core/admit/predict.go
@@ -68,7 +68,7 @@
 
 // slotWait predicts the time until a slot is free for a request behind count others.
 func (q *Queue) slotWait(level, count int) time.Duration {
-	free := q.slots - q.Running()
+	free := q.capacity(level) - q.Running()
 	for l := range level {
 		free -= max(q.floor(l)-q.running[l], 0)
 	}
@@ -80,9 +80,22 @@
 	return time.Duration(float64(q.meanHold()) * float64(turns) / usable)
 }
 
+// capacity returns how many requests may run beside the models at work.
+func (q *Queue) capacity(level int) int {
+	if q.gap <= 0 || q.speed.Each <= 0 {
+		return q.slots
+	}
+	models := max(len(q.models), 1)
+	if level != fleet.RankUrgent.Level() {
+		models += q.spare
+	}
+	room := q.gap - q.speed.step(0, models)
+	return min(max(int(room/q.speed.Each), 1), q.slots)
+}
+
 // usable returns the slots that a rank can count on beside the floors of the others.
 func (q *Queue) usable(level int) float64 {
-	slots := q.slots
+	slots := q.capacity(level)
 	for l := range rankCount {
 		if l == level {
 			continue
@@ -113,7 +126,7 @@
 	if q.hold[level].known {
 		return q.hold[level].value
 	}
-	return time.Duration(typicalTokens) * q.speed.step(q.Running())
+	return time.Duration(typicalTokens) * q.speed.step(q.Running(), len(q.models))
 }
 
 // typicalTokens is the assumed length of an answer before any has ended.
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -20,9 +21,12 @@
 	depth  int
 	floors Shares
 	cap    float64
+	guard  float64
 	jitter float64
 	seed   uint64
 	speed  Speed
+	gap    time.Duration
+	spare  int
 
 	breaker  breaker
 	random   *rand.Rand
@@ -33,6 +37,8 @@
 	hold     [rankCount]average
 	prefill  [rankCount]time.Time
 	suspects int
+	// models counts the running requests of each model.
+	models map[fleet.Model]int
 }
 
 // New returns the queue of an idle endpoint.
@@ -42,9 +48,11 @@
 		depth:   DefaultDepth,
 		floors:  DefaultFloors(),
 		cap:     DefaultProfileCap,
+		guard:   DefaultGuard,
 		jitter:  DefaultJitter,
 		breaker: newBreaker(DefaultFailures, DefaultRest),
 		entries: make(map[string]*entry),
+		models:  make(map[fleet.Model]int),
 	}
 	for _, opt := range opts {
 		opt(q)
@@ -64,7 +72,7 @@
 	if code := q.refuse(now, e, level); code != "" {
 		return q.refused(now, it, code)
 	}
-	q.enqueue(e)
+	q.enqueue(now, e)
 	if q.pick(now) == e {
 		q.start(now, e)
 		return Verdict{State: StateStart}
@@ -114,6 +122,7 @@
 // deadline. None of them was run.
 func (q *Queue) Expired(now time.Time) []Refusal {
 	var out []Refusal
+	q.dropIdle(now)
 	for level := range q.lanes {
 		for i := len(q.lanes[level]) - 1; i >= 0; i-- {
 			out = q.expire(now, q.lanes[level][i], out)
@@ -181,9 +190,10 @@
 	return ""
 }
 
-func (q *Queue) enqueue(e *entry) {
+func (q *Queue) enqueue(now time.Time, e *entry) {
 	level := e.item.Rank.Level()
 	e.lane = q.laneOf(level, e.item.Profile)
+	e.lane.last = now
 	e.lane.add(e)
 	q.waiting[level]++
 	q.entries[e.item.ID] = e
@@ -208,6 +218,7 @@
 	level := e.lane.level
 	q.waiting[level]--
 	q.running[level]++
+	q.models[e.item.Model]++
 	if e.item.Suspect {
 		q.suspects++
 	}
@@ -220,6 +231,7 @@
 	if e.running {
 		e.lane.running--
 		q.running[level]--
+		q.leaveModel(e.item.Model)
 		if e.item.Suspect {
 			q.suspects--
 		}
@@ -228,20 +240,18 @@
 		q.waiting[level]--
 	}
 	delete(q.entries, e.item.ID)
-	q.dropIdle(e.lane)
 }
 
-func (q *Queue) dropIdle(l *lane) {
-	if !l.idle() {
-		return
+func (q *Queue) leaveModel(m fleet.Model) {
+	q.models[m]--
+	if q.models[m] == 0 {
+		delete(q.models, m)
 	}
-	lanes := q.lanes[l.level]
-	for i := range lanes {
-		if lanes[i] == l {
-			lanes[i] = lanes[len(lanes)-1]
-			lanes[len(lanes)-1] = nil
-			q.lanes[l.level] = lanes[:len(lanes)-1]
-			return
-		}
+}
+
+// dropIdle forgets the profiles that have asked nothing for a while.
+func (q *Queue) dropIdle(now time.Time) {
+	for level := range q.lanes {
+		q.lanes[level] = slices.DeleteFunc(q.lanes[level], func(l *lane) bool { return l.idle(now) })
 	}
 }
--- a/internal/core/route/options.go
+++ b/internal/core/route/options.go
@@ -8,6 +8,8 @@
 	Own time.Duration
 	// Running is the delay caused by one request that runs or waits there.
 	Running time.Duration
+	// Model is the delay caused by each other model at work there.
+	Model time.Duration
 	// Prefill is the rate at which prompts are read, in tokens a second; zero ignores prompts.
 	Prefill float64
 	// Centre and Region are the times to another data centre or region and back.
@@ -23,8 +25,9 @@
 // DefaultCosts are the costs of a Router that is given none.
 func DefaultCosts() Costs {
 	return Costs{
-		Own:          8 * time.Millisecond,
-		Running:      2 * time.Millisecond,
+		Own:          10 * time.Millisecond,
+		Running:      5 * time.Millisecond,
+		Model:        30 * time.Millisecond,
 		Prefill:      8000,
 		Centre:       2 * time.Millisecond,
 		Region:       40 * time.Millisecond,
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -21,6 +21,8 @@
 	Wait time.Duration
 	// Own counts the requests sent here that the report does not yet contain.
 	Own int
+	// Models counts the other models at work there; each slows all answers.
+	Models int
 	// Adapter is set when the endpoint has the adapter loaded.
 	Adapter bool
 	// Adapters counts the adapter loads in flight.
@@ -124,6 +126,7 @@
 	score := hop + c.Wait
 	score += time.Duration(c.Own) * r.costs.Own
 	score += time.Duration(c.Running+c.Queued) * r.costs.Running
+	score += time.Duration(c.Models) * r.costs.Model
 	score += r.costs.prefill(max(req.Prompt-c.Prefix, 0))
 	if req.Adapter != "" && !c.Adapter {
 		score += r.costs.adapter(c.Adapters)
--- /dev/null
+++ b/internal/measure/deployment.go
@@ -0,0 +1,194 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+const gib = int64(1) << 30
+
+// Class is one kind of work under one profile.
+type Class struct {
+	Profile fleet.Profile
+	Rank    fleet.Rank
+	// Share is the part of all requests on an ordinary day.
+	Share float64
+	// Prompt, Prefix and Tokens are mean lengths in tokens; Prefix is the part
+	// of the prompt that the requests of one group share.
+	Prompt int
+	Prefix int
+	Tokens int
+	// Groups is how many groups there are for each model.
+	Groups int
+	// First is the target for the first token; Gap that for the mean time
+	// between tokens, zero when there is none.
+	First time.Duration
+	Gap   time.Duration
+	// Patience is when the caller goes away.
+	Patience time.Duration
+}
+
+// Worth returns what an answer in time is worth, by rank.
+func Worth(r fleet.Rank) float64 {
+	switch r {
+	case fleet.RankUrgent:
+		return 8
+	case fleet.RankStandard:
+		return 3
+	default:
+		return 1
+	}
+}
+
+// Deployment is a fleet with its work.
+type Deployment struct {
+	Name string
+	// Centres lists where the endpoints stand, each with its number of accelerators.
+	Centres []Centre
+	// Models and Adapters are how many there are.
+	Models   int
+	Adapters int
+	// LoadRate and LoadsAtOnce are the limits of the weight store.
+	LoadRate    float64
+	LoadsAtOnce int
+	// AdaptersAtOnce is how many adapter loads are in flight before they slow down.
+	AdaptersAtOnce int
+	// CentreDelay, RegionDelay and CallerDelay are one-way latencies.
+	CentreDelay time.Duration
+	RegionDelay time.Duration
+	CallerDelay time.Duration
+	// LinkRate is the rate of the link between regions, in bytes a second each way.
+	LinkRate float64
+	Entries  int
+	Classes  []Class
+}
+
+// Centre is one data centre with accelerators.
+type Centre struct {
+	Place        fleet.Place
+	Accelerators int
+}
+
+// Targets of the ranks.
+const (
+	urgentFirst      = 470 * time.Millisecond
+	urgentGap        = 61 * time.Millisecond
+	standardFirst    = 2 * time.Second
+	standardGap      = 90 * time.Millisecond
+	bulkFirst        = 5 * time.Minute
+	urgentPatience   = 10 * time.Second
+	standardPatience = 30 * time.Second
+)
+
+func urgent(p fleet.Profile, share float64, prompt, prefix, tokens int) Class {
+	return Class{
+		Profile: p, Rank: fleet.RankUrgent, Share: share, Prompt: prompt, Prefix: prefix, Tokens: tokens,
+		Groups: 30, First: urgentFirst, Gap: urgentGap, Patience: urgentPatience,
+	}
+}
+
+func standard(p fleet.Profile, share float64, prompt, prefix, tokens int) Class {
+	return Class{
+		Profile: p, Rank: fleet.RankStandard, Share: share, Prompt: prompt, Prefix: prefix, Tokens: tokens,
+		Groups: 3, First: standardFirst, Gap: standardGap, Patience: standardPatience,
+	}
+}
+
+func bulk(p fleet.Profile, share float64, prompt, prefix, tokens int) Class {
+	return Class{
+		Profile: p, Rank: fleet.RankBulk, Share: share, Prompt: prompt, Prefix: prefix, Tokens: tokens,
+		Groups: 2, First: bulkFirst, Patience: bulkFirst,
+	}
+}
+
+// linkRate is thirty megabits a second.
+const linkRate = 30e6 / 8
+
+// Guaiba is the glove board: 18 runners of the matcher in three data centres.
+// The 3 runners of board-app are plain services and hold no model.
+func Guaiba() Deployment {
+	return Deployment{
+		Name: "Guaíba",
+		Centres: []Centre{
+			{Place: fleet.Place{Region: "litoral-sul", DataCentre: "litoral-sul-1"}, Accelerators: 6},
+			{Place: fleet.Place{Region: "litoral-sul", DataCentre: "litoral-sul-2"}, Accelerators: 6},
+			{Place: fleet.Place{Region: "serra-gaucha", DataCentre: "serra-gaucha-1"}, Accelerators: 6},
+		},
+		Models: 34, Adapters: 100, LoadRate: 2, LoadsAtOnce: 8, AdaptersAtOnce: 60,
+		CentreDelay: 500 * time.Microsecond, RegionDelay: 20 * time.Millisecond,
+		CallerDelay: 3 * time.Millisecond, LinkRate: linkRate, Entries: 9,
+		Classes: []Class{
+			urgent("chat-bus", 0.22, 320, 200, 90),
+			urgent("chat-school", 0.13, 300, 200, 80),
+			standard("counter", 0.25, 1700, 1400, 130),
+			standard("skishop", 0.15, 1500, 1200, 110),
+			bulk("night", 0.25, 900, 500, 220),
+		},
+	}
+}
+
+// Gopherline is the marble run assistant: 12 runners of run-designer in three
+// data centres. The 3 runners of shop-api are plain services and hold no model.
+func Gopherline() Deployment {
+	return Deployment{
+		Name: "Gopherline",
+		Centres: []Centre{
+			{Place: fleet.Place{Region: "sask", DataCentre: "sask-1"}, Accelerators: 4},
+			{Place: fleet.Place{Region: "sask", DataCentre: "sask-2"}, Accelerators: 4},
+			{Place: fleet.Place{Region: "manitoba", DataCentre: "manitoba-1"}, Accelerators: 4},
+		},
+		Models: 21, Adapters: 80, LoadRate: 1.5, LoadsAtOnce: 7, AdaptersAtOnce: 55,
+		CentreDelay: time.Millisecond, RegionDelay: 20 * time.Millisecond,
+		CallerDelay: time.Millisecond, LinkRate: linkRate, Entries: 8,
+		Classes: []Class{
+			urgent("kit-page", 0.2, 350, 200, 100),
+			urgent("shop-chat", 0.1, 280, 150, 80),
+			standard("layout", 0.25, 2000, 1600, 180),
+			standard("check", 0.2, 1600, 1300, 100),
+			bulk("notes", 0.25, 800, 400, 260),
+		},
+	}
+}
+
+// Accelerators returns how many the fleet has.
+func (d *Deployment) Accelerators() int {
+	count := 0
+	for _, c := range d.Centres {
+		count += c.Accelerators
+	}
+	return count
+}
+
+// bytesOf returns the size of one copy of a model.
+func bytesOf(model int) int64 {
+	return (14 + int64(model*5%9)) * gib
+}
+
+// popularity returns the share of the work that goes to a model on an ordinary day.
+func (d *Deployment) popularity(model int) float64 {
+	sum := 0.0
+	for i := range d.Models {
+		sum += math.Pow(float64(i+1), -zipf)
+	}
+	return math.Pow(float64(model+1), -zipf) / sum
+}
+
+// zipf is the exponent of the models' popularity.
+const zipf = 0.9
+
+func modelName(model int) fleet.Model {
+	return fleet.Model(fmt.Sprintf("model-%02d", model))
+}
+
+// meanWork returns the accelerator time of an average request, in seconds.
+func (d *Deployment) meanWork() float64 {
+	work, share := 0.0, 0.0
+	for _, c := range d.Classes {
+		work += c.Share * workOf(c.Prompt-c.Prefix/2, c.Tokens)
+		share += c.Share
+	}
+	return work / share
+}
--- /dev/null
+++ b/internal/measure/fifo.go
@@ -0,0 +1,91 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/admit"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// queue is the queue of one endpoint.
+type queue interface {
+	Offer(now time.Time, it admit.Item) admit.Verdict
+	Next(now time.Time) (admit.Item, bool)
+	Done(now time.Time, id string, end admit.End)
+	Cancel(now time.Time, id string) (wasRunning bool)
+	Expired(now time.Time) []admit.Refusal
+	Due(now time.Time) (time.Time, bool)
+	Running() int
+	Queued() int
+	Wait(now time.Time, r fleet.Rank) time.Duration
+}
+
+// fifo starts requests in the order of their arrival and refuses none.
+type fifo struct {
+	slots   int
+	waiting []admit.Item
+	running map[string]bool
+}
+
+func newFIFO(slots int) *fifo {
+	return &fifo{slots: slots, running: make(map[string]bool)}
+}
+
+// Offer implements queue.
+func (f *fifo) Offer(_ time.Time, it admit.Item) admit.Verdict {
+	if len(f.waiting) == 0 && len(f.running) < f.slots {
+		f.running[it.ID] = true
+		return admit.Verdict{State: admit.StateStart}
+	}
+	f.waiting = append(f.waiting, it)
+	return admit.Verdict{State: admit.StateQueued}
+}
+
+// Next implements queue.
+func (f *fifo) Next(time.Time) (admit.Item, bool) {
+	if len(f.waiting) == 0 || len(f.running) >= f.slots {
+		return admit.Item{}, false
+	}
+	it := f.waiting[0]
+	f.waiting = f.waiting[1:]
+	f.running[it.ID] = true
+	return it, true
+}
+
+// Done implements queue.
+func (f *fifo) Done(_ time.Time, id string, _ admit.End) { delete(f.running, id) }
+
+// Cancel implements queue.
+func (f *fifo) Cancel(_ time.Time, id string) bool {
+	if f.running[id] {
+		delete(f.running, id)
+		return true
+	}
+	for i := range f.waiting {
+		if f.waiting[i].ID == id {
+			f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+			break
+		}
+	}
+	return false
+}
+
+// Expired implements queue.
+func (f *fifo) Expired(time.Time) []admit.Refusal { return nil }
+
+// Due implements queue.
+func (f *fifo) Due(time.Time) (time.Time, bool) { return time.Time{}, false }
+
+// Running implements queue.
+func (f *fifo) Running() int { return len(f.running) }
+
+// Queued implements queue.
+func (f *fifo) Queued() int { return len(f.waiting) }
+
+// Wait implements queue.
+func (f *fifo) Wait(time.Time, fleet.Rank) time.Duration {
+	return time.Duration(len(f.waiting)) * fifoTurn
+}
+
+// fifoTurn is the assumed time between two starts at a full endpoint.
+const fifoTurn = 200 * time.Millisecond
--- /dev/null
+++ b/internal/measure/lru.go
@@ -0,0 +1,51 @@
+package measure
+
+import "container/list"
+
+// lru is a cache of keys with sizes that drops what was used longest ago.
+type lru struct {
+	limit int
+	size  int
+	order *list.List
+	items map[int]*list.Element
+}
+
+type lruItem struct {
+	key  int
+	size int
+}
+
+func newLRU(limit int) *lru {
+	return &lru{limit: limit, order: list.New(), items: make(map[int]*list.Element)}
+}
+
+// get returns the size of a key and marks it used; zero when it is absent.
+func (l *lru) get(key int) int {
+	el, ok := l.items[key]
+	if !ok {
+		return 0
+	}
+	l.order.MoveToFront(el)
+	return el.Value.(lruItem).size
+}
+
+// has reports whether a key is present.
+func (l *lru) has(key int) bool {
+	_, ok := l.items[key]
+	return ok
+}
+
+// put adds a key.
+func (l *lru) put(key, size int) {
+	if l.get(key) > 0 {
+		return
+	}
+	l.items[key] = l.order.PushFront(lruItem{key, size})
+	l.size += size
+	for l.size > l.limit && l.order.Len() > 1 {
+		back := l.order.Back()
+		item := l.order.Remove(back).(lruItem)
+		delete(l.items, item.key)
+		l.size -= item.size
+	}
+}
--- /dev/null
+++ b/internal/measure/report.go
@@ -0,0 +1,155 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Report prints one table for each scene. The first policy of a scene is the
+// one that the others are compared with.
+func Report(w io.Writer, cells []Cell) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	scene := ""
+	var first *Cell
+	for i := range cells {
+		c := &cells[i]
+		if title := c.Deployment + ": " + c.Scene; title != scene {
+			scene, first = title, c
+			if err := heading(table, w, c); err != nil {
+				return err
+			}
+		}
+		if err := line(table, c, first); err != nil {
+			return err
+		}
+	}
+	return flush(table)
+}
+
+func flush(table *tabwriter.Writer) error {
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("print report: %w", err)
+	}
+	return nil
+}
+
+// columns are the headings of a table. Rates are in per cent, by rank urgent,
+// standard, bulk; worth and answers are for each accelerator and minute.
+const columns = "policy\tworth\tspread\tratio\tof bound\tanswers\t" +
+	"urgent\tstandard\tbulk\tin flood\tothers\tlate/slow/refused urgent\tmoves\trefusals\twrong\tdeaths\tlink MB\t\n"
+
+func heading(table *tabwriter.Writer, w io.Writer, c *Cell) error {
+	if err := flush(table); err != nil {
+		return err
+	}
+	bound := c.mean(func(r *Result) float64 { return r.Bound })
+	if _, err := fmt.Fprintf(w, "\n%s: %s (%d seeds, bound %.0f)\n", c.Deployment, c.Scene, len(c.Results), bound); err != nil {
+		return fmt.Errorf("print heading: %w", err)
+	}
+	if _, err := fmt.Fprint(table, columns); err != nil {
+		return fmt.Errorf("print columns: %w", err)
+	}
+	return nil
+}
+
+func line(table *tabwriter.Writer, c, first *Cell) error {
+	worth := c.mean(func(r *Result) float64 { return r.Worth })
+	bound := c.mean(func(r *Result) float64 { return r.Bound })
+	base := first.mean(func(r *Result) float64 { return r.Worth })
+	fields := []string{
+		c.Policy,
+		fmt.Sprintf("%.0f", worth),
+		c.spread(func(r *Result) float64 { return r.Worth }),
+		fmt.Sprintf("%.2f", base/max(worth, 1e-9)),
+		fmt.Sprintf("%.0f%%", 100*worth/max(bound, 1e-9)),
+		fmt.Sprintf("%.1f", c.mean(func(r *Result) float64 { return r.Answers })),
+		c.rate(fleet.RankUrgent), c.rate(fleet.RankStandard), c.rate(fleet.RankBulk),
+		c.flood(), c.others(), c.misses(),
+		c.count(func(r *Result) float64 { return float64(r.Moves) }),
+		c.count(func(r *Result) float64 { return float64(r.Refusals) }),
+		c.count(func(r *Result) float64 { return float64(r.Wrong) }),
+		c.count(func(r *Result) float64 { return float64(r.Deaths) }),
+		c.count(func(r *Result) float64 { return r.LinkBytes / 1e6 }),
+	}
+	if _, err := fmt.Fprintln(table, strings.Join(fields, "\t")+"\t"); err != nil {
+		return fmt.Errorf("print line: %w", err)
+	}
+	return nil
+}
+
+func (c *Cell) values(of func(*Result) float64) []float64 {
+	out := make([]float64, len(c.Results))
+	for i := range c.Results {
+		out[i] = of(&c.Results[i])
+	}
+	return out
+}
+
+func (c *Cell) mean(of func(*Result) float64) float64 {
+	return stat.Mean(c.values(of), nil)
+}
+
+func (c *Cell) count(of func(*Result) float64) string {
+	return fmt.Sprintf("%.0f", c.mean(of))
+}
+
+// spread returns the least and the greatest value over the seeds.
+func (c *Cell) spread(of func(*Result) float64) string {
+	values := c.values(of)
+	least, greatest := values[0], values[0]
+	for _, v := range values {
+		least, greatest = min(least, v), max(greatest, v)
+	}
+	return fmt.Sprintf("%.0f-%.0f", least, greatest)
+}
+
+// rate returns the mean attained part of a rank and its least value over the seeds.
+func (c *Cell) rate(r fleet.Rank) string {
+	values := c.values(func(res *Result) float64 { return res.Ranks[r.Level()].Rate() })
+	least := values[0]
+	for _, v := range values {
+		least = min(least, v)
+	}
+	return fmt.Sprintf("%.1f (%.1f)", 100*stat.Mean(values, nil), 100*least)
+}
+
+// flood returns the attained part of each rank while the flood lasts.
+func (c *Cell) flood() string {
+	if c.Results[0].Flood[0].Total == 0 {
+		return "-"
+	}
+	var parts []string
+	for level := range c.Results[0].Flood {
+		rate := c.mean(func(r *Result) float64 { return r.Flood[level].Rate() })
+		parts = append(parts, fmt.Sprintf("%.0f", 100*rate))
+	}
+	return strings.Join(parts, "/")
+}
+
+// others returns the attained part of the flooding profile's rank without that profile.
+func (c *Cell) others() string {
+	if c.Results[0].Others.Total == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", 100*c.mean(func(r *Result) float64 { return r.Others.Rate() }))
+}
+
+// misses returns why urgent requests missed their targets.
+func (c *Cell) misses() string {
+	part := func(of func(*Tally) int) float64 {
+		return 100 * c.mean(func(r *Result) float64 {
+			t := &r.Ranks[0]
+			return float64(of(t)) / float64(max(t.Total, 1))
+		})
+	}
+	return fmt.Sprintf("%.1f/%.1f/%.1f",
+		part(func(t *Tally) int { return t.Late }),
+		part(func(t *Tally) int { return t.Slow }),
+		part(func(t *Tally) int { return t.Refused }))
+}
--- /dev/null
+++ b/internal/measure/run.go
@@ -0,0 +1,464 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/admit"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/retry"
+	"github.com/chiveramp/chiveramp/internal/core/route"
+)
+
+// callState says where a call stands.
+type callState string
+
+const (
+	callAway     callState = "away"
+	callSent     callState = "sent"
+	callQueued   callState = "queued"
+	callRunning  callState = "running"
+	callFinished callState = "finished"
+)
+
+// call is a request on its way through one run.
+type call struct {
+	req      *request
+	id       string
+	state    callState
+	engine   *engine
+	life     int
+	entry    int
+	hops     int
+	spent    int
+	tries    int
+	exclude  []fleet.Endpoint
+	shortest time.Duration
+	first    time.Duration
+	job      *job
+}
+
+// run is one scene under one policy.
+type run struct {
+	clock
+	deployment *Deployment
+	scene      *Scene
+	policy     *Policy
+	random     *rand.Rand
+
+	engines  []*engine
+	queues   []queue
+	ticks    []time.Duration
+	calls    []*call
+	byID     map[string]*call
+	entries  []*entry
+	reports  []report
+	prefixes *route.Prefixes
+	events   uint64
+	retries  *retry.Budget
+	placer   *placer
+	score    *score
+	link     linkModel
+	loading  int
+	suspects map[int]bool
+	convicts map[int]bool
+}
+
+// Times of the control traffic.
+const (
+	reportEvery    = 250 * time.Millisecond
+	lagReportEvery = time.Second
+	cacheEventLag  = 2 * time.Second
+	cacheEventLoss = 0.1
+)
+
+// newRun prepares a scene under a policy.
+func newRun(d *Deployment, s *Scene, p *Policy, seed uint64) *run {
+	r := &run{
+		deployment: d, scene: s, policy: p,
+		random:   rand.New(rand.NewPCG(seed, 99)),
+		byID:     make(map[string]*call),
+		prefixes: route.NewPrefixes(route.DefaultExpiry, route.DefaultBlocks),
+		retries:  retry.New(retry.Seed(seed)),
+		suspects: make(map[int]bool),
+		convicts: make(map[int]bool),
+		link:     linkModel{rate: d.LinkRate},
+	}
+	r.buildEngines(seed)
+	r.buildEntries(seed)
+	r.placer = newPlacer(r)
+	return r
+}
+
+func (r *run) buildEngines(seed uint64) {
+	for _, c := range r.deployment.Centres {
+		for range c.Accelerators {
+			i := len(r.engines)
+			e := newEngine(&r.clock, i, c.Place, r.deployment.Models)
+			e.priority = r.policy.Queue == QueueCore
+			e.onFirst, e.onDone = r.first, r.done
+			r.engines = append(r.engines, e)
+			r.queues = append(r.queues, r.newQueue(seed+uint64(i)))
+		}
+	}
+	r.ticks = make([]time.Duration, len(r.engines))
+	r.reports = make([]report, len(r.engines))
+}
+
+func (r *run) newQueue(seed uint64) queue {
+	if r.policy.Queue == QueueFIFO {
+		return newFIFO(engineSlots)
+	}
+	opts := []admit.Option{
+		admit.Slots(engineSlots),
+		admit.Seed(seed),
+		admit.WithSpeed(engineSpeed()),
+		admit.Gap(urgentGap),
+	}
+	return admit.New(append(opts, r.policy.Admit...)...)
+}
+
+// engineSpeed is what a dispatcher knows of the speed of an engine.
+func engineSpeed() admit.Speed {
+	return admit.Speed{
+		Prefill: engineReading, Step: passTime, Each: answerTime, Pass: passTime, Chunk: chunkTime / 2,
+	}
+}
+
+// engineReading is how fast an engine reads prompts, in tokens a second; part of each is cached.
+const engineReading = 9000
+
+// play runs the whole scene.
+func (r *run) play(all []*request) *score {
+	r.score = newScore(r.deployment, r.scene, all)
+	r.calls = make([]*call, len(all))
+	r.feed(all, 0)
+	r.every(r.reportTime(), r.report)
+	r.placer.begin()
+	for _, d := range r.scene.Deaths {
+		r.at(d.At, func() { r.die(r.engines[d.Engine]) })
+	}
+	r.runUntil(r.scene.Length)
+	r.score.moves = r.placer.moves
+	r.score.linkBytes = r.link.bytes
+	return r.score
+}
+
+func (r *run) every(period time.Duration, do func()) {
+	do()
+	r.after(period, func() { r.every(period, do) })
+}
+
+// feed lets requests arrive one after the other.
+func (r *run) feed(all []*request, i int) {
+	if i == len(all) {
+		return
+	}
+	r.at(all[i].arrived, func() {
+		r.arrive(all[i])
+		r.feed(all, i+1)
+	})
+}
+
+func (r *run) arrive(req *request) {
+	c := &call{req: req, id: strconv.Itoa(req.id), state: callAway}
+	r.calls[req.id] = c
+	r.byID[c.id] = c
+	r.placer.observe(req)
+	r.retries.Submitted(req.class.Profile)
+	r.after(req.class.Patience, func() { r.giveUp(c) })
+	r.after(r.deployment.CallerDelay, func() { r.submit(c) })
+}
+
+// submit begins a try of the caller at an entry instance of its data centre.
+func (r *run) submit(c *call) {
+	if c.state == callFinished {
+		return
+	}
+	c.tries++
+	c.hops, c.exclude, c.shortest = 0, nil, 0
+	c.entry = r.entryOf(c)
+	r.forward(c)
+}
+
+// forward sends a call to an endpoint.
+func (r *run) forward(c *call) {
+	if r.convicts[c.fingerprint()] {
+		r.finish(c, outcomeConvicted)
+		return
+	}
+	e := r.choose(c)
+	if e == nil {
+		r.refuse(c, noCopyWait)
+		return
+	}
+	c.engine, c.life, c.state = e, e.life, callSent
+	r.after(r.delay(c, float64(c.req.prompt*promptBytes)), func() { r.deliver(c) })
+}
+
+// noCopyWait is the time to come back when no copy of a model can serve.
+const noCopyWait = 5 * time.Second
+
+// fingerprint tells equal requests of all tries.
+func (c *call) fingerprint() int {
+	if c.req.killer {
+		return -1
+	}
+	return c.req.id
+}
+
+// deliver offers a call to the dispatcher of its endpoint.
+func (r *run) deliver(c *call) {
+	if c.state != callSent {
+		return
+	}
+	e := c.engine
+	if !e.alive || e.life != c.life || e.copies[c.req.model] != copyReady {
+		r.elsewhere(c, 0)
+		return
+	}
+	v := r.queues[e.index].Offer(r.time(), r.item(c))
+	switch v.State {
+	case admit.StateStart:
+		r.start(c)
+	case admit.StateQueued:
+		c.state = callQueued
+		r.pump(e)
+	default:
+		r.elsewhere(c, v.RetryAfter)
+	}
+}
+
+func (r *run) item(c *call) admit.Item {
+	due := c.req.due()
+	if c.tries > 1 && c.req.class.Rank != fleet.RankBulk {
+		due = r.now + c.req.class.First
+	}
+	return admit.Item{
+		ID: c.id, Rank: c.req.class.Rank, Profile: c.req.class.Profile,
+		Model:   modelName(c.req.model),
+		Arrived: r.time(), Deadline: epoch.Add(due - r.back(c)),
+		Prompt: c.req.prompt, Tokens: c.req.tokens, Suspect: r.suspects[c.fingerprint()],
+	}
+}
+
+// maxHops is how many endpoints are asked for one try.
+const maxHops = 3
+
+// elsewhere tries another endpoint, or refuses the call when all were asked.
+func (r *run) elsewhere(c *call, wait time.Duration) {
+	c.exclude = append(c.exclude, c.engine.name)
+	c.hops++
+	if wait > 0 && (c.shortest == 0 || wait < c.shortest) {
+		c.shortest = wait
+	}
+	if c.hops < maxHops && !r.policy.Without.Hops && r.hasChoice(c) {
+		r.forward(c)
+		return
+	}
+	r.refuse(c, max(c.shortest, minReturn))
+}
+
+// minReturn is the least time after which a refused caller comes back.
+const minReturn = 100 * time.Millisecond
+
+// maxTries is how often a caller sends a request.
+const maxTries = 6
+
+// refuse tells the caller that the request was not run, and when to come back.
+func (r *run) refuse(c *call, wait time.Duration) {
+	c.state = callAway
+	r.score.refusal(c.req, r.couldServe(c))
+	if c.tries >= maxTries || r.now+wait > c.req.arrived+c.req.class.Patience {
+		r.finish(c, outcomeRefused)
+		return
+	}
+	r.after(wait, func() { r.submit(c) })
+}
+
+// couldServe reports whether some endpoint could have started the call at once.
+func (r *run) couldServe(c *call) bool {
+	if r.now > c.req.due() {
+		return false
+	}
+	for _, e := range r.engines {
+		if e.alive && e.copies[c.req.model] == copyReady {
+			q := r.queues[e.index]
+			if q.Running() < engineSlots && q.Wait(r.time(), c.req.class.Rank) == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// pump starts what may start at an endpoint and gives up what is too late.
+func (r *run) pump(e *engine) {
+	q := r.queues[e.index]
+	for _, gone := range q.Expired(r.time()) {
+		r.elsewhere(r.byID[gone.Item.ID], gone.Verdict.RetryAfter)
+	}
+	for {
+		it, ok := q.Next(r.time())
+		if !ok {
+			break
+		}
+		r.start(r.byID[it.ID])
+	}
+	r.tick(e)
+}
+
+// tick wakes the queue when something in it becomes too late.
+func (r *run) tick(e *engine) {
+	due, ok := r.queues[e.index].Due(r.time())
+	if !ok {
+		return
+	}
+	at := due.Sub(epoch) + 1
+	if pending := r.ticks[e.index]; pending > r.now && pending <= at {
+		return
+	}
+	r.ticks[e.index] = at
+	r.at(at, func() { r.pump(e) })
+}
+
+// start hands a call to its engine, after its adapter was loaded.
+func (r *run) start(c *call) {
+	e := c.engine
+	c.state = callRunning
+	if e.adapters.has(c.req.adapter) {
+		e.adapters.get(c.req.adapter)
+		e.start(c)
+		return
+	}
+	r.loading++
+	life := e.life
+	r.after(r.adapterLoad(), func() {
+		r.loading--
+		if e.life != life || c.state != callRunning || c.engine != e {
+			return
+		}
+		e.adapters.put(c.req.adapter, 1)
+		e.start(c)
+	})
+}
+
+func (r *run) adapterLoad() time.Duration {
+	limit := r.deployment.AdaptersAtOnce
+	if r.loading <= limit {
+		return adapterTime
+	}
+	return adapterTime * time.Duration(r.loading) / time.Duration(limit)
+}
+
+// first notes that the first token has left the engine.
+func (r *run) first(c *call) {
+	c.first = r.now
+	r.cacheEvent(c)
+	if c.req.killer {
+		e := c.engine
+		r.after(0, func() { r.die(e) })
+	}
+}
+
+// cacheEvent tells the entries late, or never, that a prefix was cached.
+func (r *run) cacheEvent(c *call) {
+	e := c.engine.name
+	r.events++
+	sequence := r.events
+	if r.random.Float64() < cacheEventLoss {
+		return
+	}
+	block := []route.Block{route.Block(c.req.group)}
+	r.after(cacheEventLag, func() { r.prefixes.Event(r.time(), e, sequence, block, nil) })
+}
+
+// done notes that the answer is whole.
+func (r *run) done(c *call) {
+	e := c.engine
+	r.queues[e.index].Done(r.time(), c.id, admit.End{State: admit.EndWhole})
+	r.link.answer(r, c)
+	r.finish(c, r.score.judge(c, r.now, r.back(c)))
+	r.pump(e)
+}
+
+// giveUp is the caller going away.
+func (r *run) giveUp(c *call) {
+	switch c.state {
+	case callFinished:
+		return
+	case callRunning:
+		if r.now < c.req.due() || c.first > 0 {
+			return
+		}
+		c.engine.cancel(c)
+		r.queues[c.engine.index].Cancel(r.time(), c.id)
+		r.finish(c, outcomeAbandoned)
+		r.pump(c.engine)
+	case callQueued:
+		r.queues[c.engine.index].Cancel(r.time(), c.id)
+		r.finish(c, outcomeAbandoned)
+	default:
+		r.finish(c, outcomeAbandoned)
+	}
+}
+
+func (r *run) finish(c *call, o outcome) {
+	c.state = callFinished
+	delete(r.byID, c.id)
+	r.score.end(c, o)
+}
+
+// die ends an engine: what it ran is repeated within the retry budget, what waited goes elsewhere.
+func (r *run) die(e *engine) {
+	if !e.alive {
+		return
+	}
+	r.score.deaths++
+	e.die()
+	r.queues[e.index] = r.newQueue(uint64(e.index) + uint64(r.score.deaths))
+	for _, c := range r.calls {
+		if c != nil && c.engine == e && (c.state == callRunning || c.state == callQueued) {
+			r.survive(c)
+		}
+	}
+	r.after(restartTime, func() { e.alive = true })
+}
+
+// survive sends a call on whose endpoint died.
+func (r *run) survive(c *call) {
+	if c.state == callQueued {
+		r.elsewhere(c, 0)
+		return
+	}
+	if r.policy.Queue == QueueCore && !r.policy.Without.Suspects && r.convict(c) {
+		return
+	}
+	d := r.retries.Failed(r.time(), retry.Attempt{
+		Profile: c.req.class.Profile, Spent: c.spent, Outcome: fleet.OutcomeUnknown, Idempotent: true,
+	})
+	c.first, c.state = 0, callAway
+	if !d.Retry {
+		r.finish(c, outcomeFailed)
+		return
+	}
+	c.spent = d.Spent
+	c.exclude = append(c.exclude, c.engine.name)
+	r.after(d.Wait, func() {
+		if c.state == callAway {
+			r.forward(c)
+		}
+	})
+}
+
+// convict marks what ran on a dead endpoint as suspect, and ends what was the only suspect there.
+func (r *run) convict(c *call) bool {
+	if !r.suspects[c.fingerprint()] {
+		r.suspects[c.fingerprint()] = true
+		return false
+	}
+	r.convicts[c.fingerprint()] = true
+	r.finish(c, outcomeConvicted)
+	return true
+}
--- /dev/null
+++ b/internal/measure/score.go
@@ -0,0 +1,181 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// outcome says how a request ended for its caller.
+type outcome string
+
+const (
+	outcomeOpen      outcome = ""
+	outcomeAttained  outcome = "attained"
+	outcomeLate      outcome = "late"
+	outcomeSlow      outcome = "slow"
+	outcomeRefused   outcome = "refused"
+	outcomeAbandoned outcome = "abandoned"
+	outcomeFailed    outcome = "failed"
+	outcomeConvicted outcome = "convicted"
+)
+
+// score gathers the outcomes of one run.
+type score struct {
+	deployment *Deployment
+	scene      *Scene
+	requests   []*request
+	outcomes   []outcome
+	firsts     []time.Duration
+	refusals   int
+	wrong      int
+	deaths     int
+	moves      int
+	linkBytes  float64
+}
+
+func newScore(d *Deployment, s *Scene, all []*request) *score {
+	return &score{
+		deployment: d, scene: s, requests: all,
+		outcomes: make([]outcome, len(all)),
+		firsts:   make([]time.Duration, len(all)),
+	}
+}
+
+// judge compares an answer with its targets, counted from the caller's first try.
+func (s *score) judge(c *call, now, back time.Duration) outcome {
+	class := c.req.class
+	first := c.first + back - c.req.arrived
+	s.firsts[c.req.id] = first
+	gap := (now - c.first) / time.Duration(max(c.req.tokens-1, 1))
+	if first > class.First {
+		return outcomeLate
+	}
+	if class.Gap > 0 && gap > class.Gap {
+		return outcomeSlow
+	}
+	return outcomeAttained
+}
+
+func (s *score) end(c *call, o outcome) {
+	s.outcomes[c.req.id] = o
+}
+
+// refusal counts one refusal; wrong when an endpoint could have served.
+func (s *score) refusal(_ *request, wrong bool) {
+	s.refusals++
+	if wrong {
+		s.wrong++
+	}
+}
+
+// Tally counts requests of one rank.
+type Tally struct {
+	Total    int
+	Attained int
+	// Late answers had a late first token, Slow ones too much time between tokens.
+	Late    int
+	Slow    int
+	Refused int
+	// Failed requests ended without an answer.
+	Failed int
+}
+
+// Rate returns the attained part, 1 when there was nothing to do.
+func (t Tally) Rate() float64 {
+	if t.Total == 0 {
+		return 1
+	}
+	return float64(t.Attained) / float64(t.Total)
+}
+
+// Result is what one run is judged by.
+type Result struct {
+	Scene  string
+	Policy string
+	Seed   uint64
+	// Ranks is by rank over the whole scene; Flood only while the flood lasts.
+	Ranks [3]Tally
+	Flood [3]Tally
+	// Others is the flooded rank during a flood, without the flooding profile.
+	Others Tally
+	// Worth is attained worth for each accelerator and minute; Bound is what
+	// the hardware would allow with perfect knowledge.
+	Worth float64
+	Bound float64
+	// Answers is attained requests for each accelerator and minute.
+	Answers   float64
+	Moves     int
+	Deaths    int
+	Refusals  int
+	Wrong     int
+	LinkBytes float64
+}
+
+// counts reports whether a request is judged: its answer could be due within the scene.
+func (s *score) counts(r *request) bool {
+	return !r.killer && r.arrived+r.class.Patience <= s.scene.Length
+}
+
+func (s *score) result(policy string, seed uint64) Result {
+	out := Result{
+		Scene: s.scene.Name, Policy: policy, Seed: seed, Moves: s.moves, Deaths: s.deaths,
+		Refusals: s.refusals, Wrong: s.wrong, LinkBytes: s.linkBytes,
+	}
+	worth, answers := 0.0, 0
+	for i, r := range s.requests {
+		if !s.counts(r) {
+			continue
+		}
+		s.tally(&out, r, s.outcomes[i])
+		if s.outcomes[i] == outcomeAttained {
+			worth += Worth(r.class.Rank)
+			answers++
+		}
+	}
+	unit := float64(s.deployment.Accelerators()) * s.scene.Length.Minutes()
+	out.Worth = worth / unit
+	out.Answers = float64(answers) / unit
+	out.Bound = s.bound() / unit
+	return out
+}
+
+func (s *score) tally(out *Result, r *request, o outcome) {
+	level := r.class.Rank.Level()
+	add(&out.Ranks[level], o)
+	f := &s.scene.Flood
+	if f.Factor == 0 || !f.Span.holds(r.arrived) {
+		return
+	}
+	add(&out.Flood[level], o)
+	if f.Profile != "" && r.class.Profile != f.Profile && r.class.Rank == s.floodRank() {
+		add(&out.Others, o)
+	}
+}
+
+// floodRank returns the rank of the flooding work.
+func (s *score) floodRank() fleet.Rank {
+	f := &s.scene.Flood
+	for i := range s.deployment.Classes {
+		if s.deployment.Classes[i].Profile == f.Profile {
+			return s.deployment.Classes[i].Rank
+		}
+	}
+	return f.Rank
+}
+
+func add(t *Tally, o outcome) {
+	t.Total++
+	switch o {
+	case outcomeAttained:
+		t.Attained++
+	case outcomeLate:
+		t.Late++
+	case outcomeSlow:
+		t.Slow++
+	case outcomeRefused, outcomeAbandoned:
+		t.Refused++
+	case outcomeFailed, outcomeConvicted:
+		t.Failed++
+	}
+}
