test: placer under random schedules of faults

Change: rapid schedules, on two data centres with three endpoints each (half refuse old fences) that have room for two models: half of all orders late, dropped or unanswered; placers paused, also between record and order; the store down, cut, losing replies or writes; endpoints restarting and dying. Three invariants after each step: bytes used and on their way fit the memory; an unload leaves only while the model is ready elsewhere; no late unload takes a promised copy. After the faults every model must become reachable. Failed try: the second invariant was first checked when the unload arrived. Nothing can call such an order back, so what can be held is checked when it leaves, and at arrival that the copy is not promised.

--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -16,7 +16,9 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/ledger"
 	"github.com/chiveramp/chiveramp/internal/core/place"
+	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
+	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
 )
 
 const (
@@ -197,13 +199,13 @@
 }
 
 // Order implements Engine. Orders leave one at a time, so that fates are repeatable.
-func (a *actor) Order(_ context.Context, endpoint fleet.Endpoint, o ledger.Order) error {
+func (a *actor) Order(ctx context.Context, endpoint fleet.Endpoint, o ledger.Order) error {
 	w := a.world
-	w.store.SetBefore(nil)
 	w.sent++
 	w.notef("%s sends %s %s to %s fence %d", a.name, o.Kind, o.Item(), endpoint, o.Fence)
 	f := w.fate(o)
 	e := w.engines[endpoint]
+	w.checkUnload(e, o)
 	if e.down || o.Incarnation != e.process() {
 		return fmt.Errorf("%w: connection refused", ErrRefused)
 	}
@@ -213,7 +215,7 @@
 		}
 		return errNoAnswer
 	}
-	if err := w.arrive(e, o); err != nil {
+	if err := w.arrive(ctx, e, o); err != nil {
 		return err
 	}
 	if f.silent {
@@ -238,7 +240,7 @@
 }
 
 // arrive runs an order at an endpoint.
-func (w *world) arrive(e *accelerator, o ledger.Order) error {
+func (w *world) arrive(ctx context.Context, e *accelerator, o ledger.Order) error {
 	if e.checks && o.Fence < e.fence {
 		w.notef("%s refuses %s %s fence %d", e.name, o.Kind, o.Item(), o.Fence)
 		return fmt.Errorf("%w: old fence", ErrRefused)
@@ -250,7 +252,7 @@
 	case o.Kind.Loads() && r == nil:
 		e.held[item] = &resident{phase: ledger.PhaseLoading, until: w.now.Add(w.loadTime)}
 	case o.Kind.Unloads() && r != nil:
-		w.checkUnload(e, item)
+		w.checkPromise(ctx, e, o)
 		r.phase, r.until = ledger.PhaseUnloading, w.now.Add(w.unloadTime)
 	}
 	w.notef("%s accepts %s %s fence %d", e.name, o.Kind, item, o.Fence)
@@ -297,7 +299,7 @@
 			continue
 		}
 		w.notef("late: %s %s reaches %s", p.order.Kind, p.order.Item(), e.name)
-		_ = w.arrive(e, p.order)
+		_ = w.arrive(w.t.Context(), e, p.order)
 	}
 }
 
@@ -340,22 +342,45 @@
 	}
 }
 
-// checkUnload is the other invariant: a model that is unloaded is ready
-// elsewhere, unless another endpoint has just died.
-func (w *world) checkUnload(at *accelerator, item ledger.Item) {
-	if item.Adapter != "" {
+// checkUnload is the second invariant: when the unload of a model leaves, the
+// model is ready elsewhere, unless another endpoint has just died.
+func (w *world) checkUnload(at *accelerator, o ledger.Order) {
+	if o.Kind != ledger.KindUnload {
 		return
 	}
 	for _, e := range w.engines {
-		r := e.held[item]
-		if e != at && !e.down && r != nil && r.phase == ledger.PhaseReady && !e.unloading(item) {
+		r := e.held[o.Item()]
+		if e != at && !e.down && r != nil && r.phase == ledger.PhaseReady && !e.unloading(o.Item()) {
 			return
 		}
 		if e != at && !e.diedAt.IsZero() && w.now.Sub(e.diedAt) <= DefaultLostAfter+DefaultRefresh+2*tick {
 			return
 		}
 	}
-	w.violationf("%s: last copy of %s unloaded", at.name, item)
+	w.violationf("%s: last copy of %s unloaded", at.name, o.Item())
+}
+
+// checkPromise is the third invariant: no unload, however late, takes a copy
+// that is promised.
+func (w *world) checkPromise(ctx context.Context, at *accelerator, o ledger.Order) {
+	if o.Kind != ledger.KindUnload {
+		return
+	}
+	server := w.store.Server()
+	faults := server.Faults()
+	server.SetFaults(standin.Faults{})
+	entry, err := w.store.Get(ctx, ledger.ResidenceKey(o.Model))
+	server.SetFaults(faults)
+	if errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	r, decodeErr := ledger.DecodeResidence(entry.Value)
+	if err := errors.Join(err, decodeErr); err != nil {
+		w.violationf("residence of %s: %v", o.Item(), err)
+	}
+	if r.Has(at.name) {
+		w.violationf("%s: promised copy of %s unloaded", at.name, o.Item())
+	}
 }
 
 // unloading reports whether an unload of the item is on its way.
