fix: the caller's client keeps away from a dead address, and tells the outcome

Cause: after an instance dies the others go on naming its address until heartbeats are missed (2 to 4 s), so each new request tried it first, was refused the connection and spent a retry; at 60 requests a second the retry budget of 10 was gone within the first second, and requests failed with "connection refused". A stream's outcome comes in the trailer, which the client never read; its connection was closed, not kept, for the body was not read to its end.

Ruled out: not charging the budget for refused connections (each request would still wait for one, and two tries are lost); a larger budget (hides retries that do load the system).

Change: an address that did not answer goes behind the others for 5 s. After the end marker the rest of the body is read; Stream.Outcome and Response.Ended tell the outcome.

With the mechanism off (test, pause of 5 s between requests) requests fail for lack of budget; on, none of 30 does.

--- /dev/null
+++ b/internal/load/command/command.go
@@ -0,0 +1,96 @@
+// Package command holds the command line of chiveramp-load, one file for each
+// command.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/load"
+	"github.com/chiveramp/chiveramp/internal/standin/engine"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+var (
+	errUsage    = errors.New("usage")
+	errNotWhole = errors.New("not every answer was whole")
+	errAim      = errors.New("an aim was missed")
+)
+
+// Execute runs the command line and returns the exit code: 1 when an answer was
+// not whole or an aim was missed, 2 for a wrong command line.
+func Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cli.Command{
+		Name:           "chiveramp-load",
+		Usage:          "send requests to a chiveramp system and report what callers saw",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			awaitCommand(), entriesCommand(), portsCommand(), sendCommand(),
+		},
+	}
+	for _, c := range root.Commands {
+		c.OnUsageError = usageError
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	_, _ = fmt.Fprintln(stderr, "chiveramp-load:", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return fmt.Errorf("%w: %w", errUsage, err)
+}
+
+func entryFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "entry", Required: true, Usage: "`ADDRESS` of one or more instances' [caller], tried in order"}
+}
+
+func documentFlag() cli.Flag {
+	return &cli.StringFlag{Name: "document", Required: true, Usage: "`FILE` of the document in force, for the ranks of profiles"}
+}
+
+func standinFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "standin", Usage: "engines are stand-ins: check every word of their answers"}
+}
+
+func readDocument(path string) (profile.Document, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return profile.Document{}, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	document, err := profile.Parse(path, text)
+	if err != nil {
+		return profile.Document{}, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return document, nil
+}
+
+// expect returns the check of answers that the command line asks for.
+func expect(c *cli.Command) load.Expect {
+	if !c.Bool("standin") {
+		return load.SomeText
+	}
+	return func(call load.Call, text string) bool {
+		if call.Kind == load.KindService {
+			return load.SomeText(call, text)
+		}
+		return text == engine.AnswerTo(call.Target, call.Prompt, call.Tokens)
+	}
+}
--- /dev/null
+++ b/internal/load/command/ports.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/urfave/cli/v3"
+)
+
+func portsCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "ports",
+		Usage:  "print loopback addresses that nothing listens on, one a line",
+		Flags:  []cli.Flag{&cli.IntFlag{Name: "count", Value: 1, Usage: "how many"}},
+		Action: ports,
+	}
+}
+
+func ports(ctx context.Context, c *cli.Command) error {
+	var config net.ListenConfig
+	for range c.Int("count") {
+		l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("ports: %w", err)
+		}
+		defer func() { _ = l.Close() }() // held to the end, so that none comes twice
+		if _, err = fmt.Fprintln(c.Root().Writer, l.Addr()); err != nil {
+			return fmt.Errorf("ports: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/command/send.go
@@ -0,0 +1,100 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/load"
+	"github.com/chiveramp/chiveramp/pkg/client"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+const sendFlight = 256
+
+func sendCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "send",
+		Usage:     "send requests one after the other in time and show who served each",
+		ArgsUsage: "PROFILE:MODEL or PROFILE:/SERVICE/PATH ...",
+		Description: `Exit code 0 only if every answer was whole.
+
+Example:
+   chiveramp-load send --entry 10.1.1.11:7080 --document examples/guaiba.ini chat:board-citizen handover:/handover/gloves`,
+		Flags: []cli.Flag{
+			entryFlag(), documentFlag(), standinFlag(),
+			&cli.IntFlag{Name: "count", Value: 1, Usage: "requests of each kind"},
+			&cli.FloatFlag{Name: "rate", Value: 20, Usage: "requests a second, over all kinds"},
+			&cli.IntFlag{Name: "tokens", Value: 16, Usage: "length of answers"},
+			&cli.BoolFlag{Name: "whole", Usage: "ask for answers in one piece, not streamed"},
+			&cli.DurationFlag{Name: "deadline", Value: 30 * time.Second, Usage: "longest time for one request"},
+		},
+		Action: send,
+	}
+}
+
+func send(ctx context.Context, c *cli.Command) error {
+	document, err := readDocument(c.String("document"))
+	if err != nil {
+		return err
+	}
+	if c.Args().Len() == 0 || c.Float("rate") <= 0 {
+		return fmt.Errorf("%w: want PROFILE:TARGET and a rate above 0", errUsage)
+	}
+	calls, err := sendCalls(c, document)
+	if err != nil {
+		return err
+	}
+	caller := client.New(c.StringSlice("entry"))
+	defer caller.Close()
+	target := load.NewSystem(caller, expect(c))
+	out := c.Root().Writer
+	load.WriteHead(out)
+	runner := load.NewRunner(target, sendFlight, c.Duration("deadline"), func(s load.Sample) { load.WriteSample(out, s) })
+	samples := runner.Run(ctx, calls)
+	whole := load.CountWhole(samples)
+	_, _ = fmt.Fprintf(out, "%d requests, %d whole\n", len(calls), whole)
+	if whole < len(calls) {
+		return errNotWhole
+	}
+	return nil
+}
+
+// sendCalls returns the calls that the arguments ask for, in turn.
+func sendCalls(c *cli.Command, document profile.Document) ([]load.Call, error) {
+	gap := time.Duration(float64(time.Second) / c.Float("rate"))
+	var calls []load.Call
+	for round := range c.Int("count") {
+		for _, argument := range c.Args().Slice() {
+			call, err := sendCall(argument, document)
+			if err != nil {
+				return nil, err
+			}
+			call.Due = time.Duration(len(calls)) * gap
+			call.Tokens = c.Int("tokens")
+			call.Prompt = fmt.Sprintf("A red glove, number %d?", round)
+			if call.Kind == load.KindStream && c.Bool("whole") {
+				call.Kind = load.KindWhole
+			}
+			calls = append(calls, call)
+		}
+	}
+	return calls, nil
+}
+
+func sendCall(argument string, document profile.Document) (load.Call, error) {
+	name, target, found := strings.Cut(argument, ":")
+	p, known := document.Profile(name)
+	if !found || target == "" || !known {
+		return load.Call{}, fmt.Errorf("%w: got %q, want PROFILE:TARGET with a profile of the document", errUsage, argument)
+	}
+	call := load.Call{Profile: name, Rank: p.Rank, Kind: load.KindStream, Target: target}
+	if strings.HasPrefix(target, "/") {
+		call.Kind, call.Key = load.KindService, uuid.NewString()
+	}
+	return call, nil
+}
--- /dev/null
+++ b/internal/load/direct.go
@@ -0,0 +1,78 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/sse"
+	"github.com/chiveramp/chiveramp/pkg/client"
+)
+
+const (
+	endOfAnswer = "[DONE]"
+	eventLimit  = 1 << 20 // bytes
+)
+
+// Direct sends streamed calls straight to an endpoint, for comparison.
+type Direct struct {
+	address string
+	http    *http.Client
+	expect  Expect
+}
+
+// NewDirect returns a target for the endpoint at an address (host:port).
+func NewDirect(address string, h *http.Client, expect Expect) *Direct {
+	return &Direct{address: address, http: h, expect: expect}
+}
+
+// Send sends one call to the endpoint.
+func (d *Direct) Send(ctx context.Context, call Call) Sample {
+	sample, began := newSample(call), time.Now()
+	response, err := d.post(ctx, call)
+	if err != nil {
+		sample.Total = time.Since(began)
+		return sample.failed(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	events := sse.NewReader(response.Body, eventLimit)
+	var text strings.Builder
+	for sample.Outcome == "" {
+		event, err := events.Next()
+		if err != nil {
+			sample.Total = time.Since(began)
+			return sample.failed(err)
+		}
+		part := textOf(event.Data)
+		if part != "" && text.Len() == 0 {
+			sample.First = time.Since(began)
+		}
+		text.WriteString(part)
+		if string(event.Data) == endOfAnswer {
+			sample.Outcome = client.OutcomeRan
+		}
+	}
+	events.Drain()
+	sample.Total = time.Since(began)
+	return sample.judged(d.expect(call, text.String()))
+}
+
+func (d *Direct) post(ctx context.Context, call Call) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address+pathChat, bytes.NewReader(call.body()))
+	if err != nil {
+		return nil, fmt.Errorf("send %s: %w", d.address, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := d.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("send %s: %w", d.address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("send %s: status %d", d.address, response.StatusCode)
+	}
+	return response, nil
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -33,7 +33,8 @@
 	defaultBurst      = 10  // retries that can be saved up
 	defaultPause      = 50 * time.Millisecond
 	defaultLongest    = 30 * time.Second
-	defaultEventLimit = 1 << 20 // bytes
+	defaultEventLimit = 1 << 20         // bytes
+	avoidTime         = 5 * time.Second // until the system misses heartbeats too
 	dialTimeout       = 2 * time.Second
 	connections       = 64
 )
@@ -87,6 +88,7 @@
 
 	mu      sync.Mutex
 	entries map[string]*directory // by profile
+	avoided map[string]time.Time  // until when, by address
 }
 
 // New returns a client that knows some instances by address (host:port).
@@ -103,6 +105,7 @@
 		jitter:  rand.Float64,
 		seeds:   instances,
 		entries: map[string]*directory{},
+		avoided: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -313,3 +313,61 @@
 	assert.Equal(t, CodeCut, e.Code)
 	assert.Len(t, s.sent(), 4)
 }
+
+func TestDeadAddressIsNotTriedFirstAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	cases := []struct {
+		name   string
+		pause  time.Duration // between two requests
+		failed bool
+	}{
+		{"avoided", 0, false},
+		{"forgotten each time", avoidTime, true}, // as if the mechanism were off
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSystem(t, 1, answer("x"))
+			s.addresses = append([]string{dead}, s.addresses...)
+			c := s.client()
+			failed := false
+			for range 30 {
+				response, err := c.Do(t.Context(), Request{Method: "POST", Path: "/x"})
+				failed = failed || err != nil
+				if err == nil {
+					require.NoError(t, response.Body.Close())
+				}
+				s.clock = s.clock.Add(tc.pause)
+			}
+			assert.Equal(t, tc.failed, failed, "the retry budget ran out")
+		})
+	}
+}
+
+func TestOutcomeComesWithTheEndOfTheAnswer(t *testing.T) {
+	cases := []struct {
+		said, want Outcome
+	}{
+		{OutcomeRan, OutcomeRan},
+		{"", OutcomeUnknown},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.want), func(t *testing.T) {
+			s := newSystem(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Trailer", HeaderOutcome)
+				events("a", 1, 2, marker)(w, r)
+				if tc.said != "" {
+					w.Header().Set(HeaderOutcome, string(tc.said))
+				}
+			})
+			stream, err := s.client().Stream(t.Context(), Request{Path: "/v1/chat/completions"})
+			require.NoError(t, err)
+			assert.Equal(t, OutcomeUnknown, stream.Outcome())
+			_, err = read(stream)
+			require.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, tc.want, stream.Outcome())
+		})
+	}
+}
--- a/pkg/client/entries.go
+++ b/pkg/client/entries.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -88,6 +89,35 @@
 	d.until = time.Time{}
 }
 
+// avoid puts an address that did not answer behind the others for a while: the
+// system goes on naming it until heartbeats are missed, and each request that
+// tried it first would cost a retry.
+func (c *Client) avoid(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[address] = c.now().Add(avoidTime)
+}
+
+// preferred returns the entries with those to be avoided last.
+func (c *Client) preferred(entries []Entry) []Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	maps.DeleteFunc(c.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if len(c.avoided) == 0 {
+		return entries
+	}
+	var first, last []Entry
+	for _, entry := range entries {
+		if _, avoided := c.avoided[entry.Address]; avoided {
+			last = append(last, entry)
+			continue
+		}
+		first = append(first, entry)
+	}
+	return append(first, last...)
+}
+
 // askAny asks the instances known from the last answer, then the given ones.
 func (c *Client) askAny(ctx context.Context, profile string, known []Entry) (entryList, error) {
 	var addresses []string
--- a/pkg/client/request.go
+++ b/pkg/client/request.go
@@ -54,6 +54,15 @@
 	raw *http.Response
 }
 
+// Ended says whether the request ran, as told at the end of the answer. It is
+// final once the body was read to its end.
+func (r *Response) Ended() Outcome {
+	if said := r.raw.Trailer.Get(HeaderOutcome); said != "" {
+		return known(Outcome(said))
+	}
+	return known(r.Outcome)
+}
+
 // Do sends a request and returns its answer. Requests are sent again only where
 // that is safe: when it was not run, or its key or nature allows to run it again.
 // Errors are of type *Error, or wrap ErrNoEntry or the context's error.
@@ -106,6 +115,7 @@
 	response, err := l.client.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		l.client.forget(l.request.Profile)
+		l.client.avoid(address)
 		return nil, l.broken(address, connected, err)
 	}
 	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) != string(OutcomeRan) {
@@ -120,6 +130,7 @@
 	if err != nil {
 		return "", err
 	}
+	entries = l.client.preferred(entries)
 	for range 2 {
 		for _, entry := range entries {
 			if !l.tried[entry.Address] {
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -89,6 +89,7 @@
 		case string(raw.Name) == errorEvent:
 			s.end = s.failed(raw.Data)
 		case string(raw.Data) == done:
+			s.events.Drain() // for the trailers, and to use the connection again
 			s.end = io.EOF
 		case s.fresh(string(raw.ID)):
 			return Event{ID: s.call.last, Data: raw.Data}, nil
@@ -97,6 +98,9 @@
 	return Event{}, s.end
 }
 
+// Outcome says whether the request ran. It is final once Next has returned an error.
+func (s *Stream) Outcome() Outcome { return s.response.Ended() }
+
 // Close gives the answer up if it has not ended.
 func (s *Stream) Close() error {
 	if s.end == nil {
--- /dev/null
+++ b/scripts/system.sh
@@ -0,0 +1,107 @@
+# Functions that start a small system on loopback and end it. To be sourced by
+# scripts that have set `bin` and `work` (a folder of their own).
+
+token=a-token-of-this-run-only
+pids=""
+platform=""
+seeds=""
+entries=""
+operators=""
+
+# end_all ends what was started here, by process id.
+end_all() {
+    for p in $pids; do
+        kill -TERM "$p" 2>/dev/null || true
+    done
+    for p in $pids; do
+        wait "$p" 2>/dev/null || true
+    done
+    pids=""
+}
+
+# standin NAME ARGUMENTS... starts a stand-in and sets `address`.
+standin() {
+    name=$1
+    shift
+    "$bin/chiveramp-standin" "$@" >"$work/$name.out" 2>"$work/$name.err" &
+    pid=$!
+    pids="$pids $pid"
+    tries=0
+    until address=$(sed -n 's/^ready [^ ]* [^ ]* //p' "$work/$name.out") && [ -n "$address" ]; do
+        tries=$((tries + 1))
+        if [ "$tries" -gt 200 ]; then
+            echo "$name does not start:" && cat "$work/$name.err"
+            exit 1
+        fi
+        sleep 0.05
+    done
+}
+
+# start_platform OPTIONS... starts the platform and sets `platform`.
+start_platform() {
+    standin platform platform "$@"
+    platform=$address
+}
+
+# member SERVICE NAME ADDRESS REGION DATACENTRE puts a member into the platform's list.
+member() {
+    "$bin/chiveramp-standin" member --platform "$platform" --service "$1" --name "$2" \
+        --address "$3" --region "$4" --datacentre "$5"
+}
+
+# start_engine NAME SERVICE REGION DATACENTRE OPTIONS... starts a model engine and lists it.
+start_engine() {
+    e_name=$1 e_service=$2 e_region=$3 e_dc=$4
+    shift 4
+    standin "$e_name" engine --name "$e_name" "$@"
+    member "$e_service" "$e_name" "$address" "$e_region" "$e_dc"
+}
+
+# start_service NAME REGION DATACENTRE starts a plain service and lists it.
+start_service() {
+    standin "$1-$3" service --name "$1"
+    member "$1" "$1-$3" "$address" "$2" "$3"
+}
+
+# start_instance NAME REGION DATACENTRE SERVICES [LEVEL] starts a chiverampd and
+# lists it. Sets `pid`, `caller`, `operator` and `metrics`.
+start_instance() {
+    set -- "$@" info
+    # shellcheck disable=SC2046 # one word for each address
+    set -- "$1" "$2" "$3" "$4" "$5" $("$bin/chiveramp-load" ports --count 4)
+    caller=$6 peer=$7 operator=$8 metrics=$9
+    cat >"$work/$1.ini" <<END
+[instance]
+name = $1
+region = $2
+datacentre = $3
+[caller]
+listen = $caller
+keep = 1s
+[peer]
+listen = $peer
+${seeds:+seeds = $seeds}
+[operator]
+listen = $operator
+token = $token
+[platform]
+address = http://$platform
+endpoints = $4
+[log]
+level = $5
+[metrics]
+listen = $metrics
+END
+    member chiveramp "$1" "$peer" "$2" "$3"
+    "$bin/chiverampd" --config "$work/$1.ini" 2>"$work/$1.log" &
+    pid=$!
+    pids="$pids $pid"
+    seeds="${seeds:+$seeds,}$peer"
+    entries="${entries:+$entries,}$caller"
+    operators="${operators:+$operators,}$operator"
+}
+
+# operate ARGUMENTS... runs the operators' command line.
+operate() {
+    "$bin/chiveramp" --address "$operators" --token "$token" "$@"
+}
