--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -24,7 +24,6 @@
 var (
 	errUsage    = errors.New("usage")
 	errNotWhole = errors.New("not every answer was whole")
-	errAim      = errors.New("an aim was missed")
 )
 
 // Execute runs the command line and returns the exit code: 1 when an answer was
@@ -70,6 +69,10 @@
 	return &cli.BoolFlag{Name: "standin", Usage: "engines are stand-ins: check every word of their answers"}
 }
 
+func callersFlag() cli.Flag {
+	return &cli.IntFlag{Name: "callers", Value: 1, Usage: "separate callers that share the requests"}
+}
+
 func readDocument(path string) (profile.Document, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/load/command/entries.go
+++ b/internal/load/command/entries.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,15 +18,17 @@
 		Flags: []cli.Flag{
 			entryFlag(),
 			&cli.StringFlag{Name: "profile", Required: true, Usage: "`NAME` of the profile"},
+			&cli.IntFlag{Name: "least", Value: 1, Usage: "wait until there are so many"},
+			&cli.DurationFlag{Name: "timeout", Value: 20 * time.Second, Usage: "longest wait"},
 		},
 		Action: entries,
 	}
 }
 
 func entries(ctx context.Context, c *cli.Command) error {
-	caller := client.New(c.StringSlice("entry"))
-	defer caller.Close()
-	list, err := caller.Entries(ctx, c.String("profile"))
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	list, err := enoughEntries(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -35,3 +39,38 @@
 	}
 	return nil
 }
+
+// enoughEntries asks each instance until all know of as many as asked for, and
+// returns the first one's answer.
+func enoughEntries(ctx context.Context, c *cli.Command) ([]client.Entry, error) {
+	tick := time.NewTicker(awaitPause)
+	defer tick.Stop()
+	for {
+		first, least, err := askEach(ctx, c)
+		if err == nil && least >= c.Int("least") {
+			return first, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%d entries, want %d: %w", least, c.Int("least"), errors.Join(ctx.Err(), err))
+		case <-tick.C:
+		}
+	}
+}
+
+// askEach returns the first instance's answer, and the least that any one knows of.
+func askEach(ctx context.Context, c *cli.Command) (first []client.Entry, least int, err error) {
+	for i, address := range c.StringSlice("entry") {
+		caller := client.New([]string{address}) // a new one, for the last keeps its answer
+		list, err := caller.Entries(ctx, c.String("profile"))
+		caller.Close()
+		if err != nil {
+			return nil, 0, err
+		}
+		if i == 0 {
+			first, least = list, len(list)
+		}
+		least = min(least, len(list))
+	}
+	return first, least, nil
+}
--- a/internal/load/print.go
+++ b/internal/load/print.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-const rowFormat = "%-9s %-9s %-20s %-8s %-14s %-14s %-14s %9s %5s  %s\n"
+const rowFormat = "%-9s %-9s %-20s %-8s %-11s %-11s %-18s %9s %5s  %s\n"
 
 // WriteHead writes the head of a table of samples.
 func WriteHead(w io.Writer) {
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/chiveramp/chiveramp/pkg/client"
@@ -16,23 +17,37 @@
 	pathService = "/services/"
 )
 
-// System sends calls as any caller does: it asks for an entry and connects to it.
+// System sends calls as callers do: each asks for an entry and connects to it.
 type System struct {
-	client *client.Client
-	expect Expect
+	callers []*client.Client
+	turn    atomic.Uint64
+	expect  Expect
 }
 
-// NewSystem returns a target that knows some instances by address.
-func NewSystem(c *client.Client, expect Expect) *System {
-	return &System{client: c, expect: expect}
+// NewSystem returns a target for so many callers, each with its own connections,
+// retry budget and kept addresses, that know some instances by address.
+func NewSystem(callers int, instances []string, expect Expect, opts ...client.Option) *System {
+	s := &System{expect: expect}
+	for range callers {
+		s.callers = append(s.callers, client.New(instances, opts...))
+	}
+	return s
+}
+
+// Close ends the unused connections.
+func (s *System) Close() {
+	for _, c := range s.callers {
+		c.Close()
+	}
 }
 
-// Send sends one call through the system.
+// Send sends one call through the system, from the caller whose turn it is.
 func (s *System) Send(ctx context.Context, call Call) Sample {
+	caller := s.callers[s.turn.Add(1)%uint64(len(s.callers))]
 	if call.Kind == KindStream {
-		return s.stream(ctx, call)
+		return s.stream(ctx, caller, call)
 	}
-	return s.whole(ctx, call)
+	return s.whole(ctx, caller, call)
 }
 
 func (s *System) request(call Call) client.Request {
@@ -49,9 +64,9 @@
 	return request
 }
 
-func (s *System) stream(ctx context.Context, call Call) Sample {
+func (s *System) stream(ctx context.Context, caller *client.Client, call Call) Sample {
 	sample, began := newSample(call), time.Now()
-	stream, err := s.client.Stream(ctx, s.request(call))
+	stream, err := caller.Stream(ctx, s.request(call))
 	if err != nil {
 		sample.Total = time.Since(began)
 		return sample.failed(err)
@@ -77,9 +92,9 @@
 	return sample.judged(s.expect(call, text.String()))
 }
 
-func (s *System) whole(ctx context.Context, call Call) Sample {
+func (s *System) whole(ctx context.Context, caller *client.Client, call Call) Sample {
 	sample, began := newSample(call), time.Now()
-	response, err := s.client.Do(ctx, s.request(call))
+	response, err := caller.Do(ctx, s.request(call))
 	if err != nil {
 		sample.Total = time.Since(began)
 		return sample.failed(err)
@@ -107,7 +122,7 @@
 }
 
 func (s Sample) judged(whole bool) Sample {
-	s.Whole = whole && s.Outcome == client.OutcomeRan
+	s.Whole = whole && s.Outcome != client.OutcomeNotRun
 	if !s.Whole {
 		s.Code = "not-whole"
 	}
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/endpoint"
+	"github.com/chiveramp/chiveramp/internal/platform"
 )
 
 // launch runs a command and returns the fields of its ready line, and a
@@ -85,6 +86,19 @@
 	assert.Zero(t, stopFar())
 }
 
+func TestMemberCommandListsAMember(t *testing.T) {
+	fields, stop := launch(t, "platform")
+	address := fields[3]
+	args := []string{"chiveramp-standin", "member", "--platform", address, "--service", "matcher", "--name", "m1", "--address", "127.0.0.1:9", "--region", "r", "--datacentre", "d"}
+	assert.Zero(t, Execute(t.Context(), args, io.Discard, io.Discard))
+	members, err := platform.NewHTTP("http://"+address).Members(t.Context(), "matcher")
+	require.NoError(t, err)
+	require.Len(t, members, 1)
+	assert.Equal(t, "m1", members[0].Name)
+	assert.Equal(t, exitFailed, Execute(t.Context(), append(args[:6:6], "--name", ""), io.Discard, io.Discard))
+	assert.Zero(t, stop())
+}
+
 func TestWrongCommandLines(t *testing.T) {
 	cases := []struct {
 		args []string
