fix: a service's own error status is an answer, not a refusal

Cause: the outcome of an answer that is passed on piece by piece comes as a trailer. The client took a status of 400 or above without the header for a refusal of unknown outcome, and with a key sent the request again. Change: an announced outcome trailer makes the answer the endpoint's own. Process tests for the client: streams and orders with their entry killed.

--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+func TestOutcomeComesWithTheTrailer(t *testing.T) {
+	s := newSystem(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Trailer", HeaderOutcome)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "the service's own error")
+		w.Header().Set(HeaderOutcome, string(OutcomeRan))
+	})
+	response, err := s.client().Do(t.Context(), Request{Method: "POST", Path: "/services/orders/new", Key: "k"})
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, OutcomeUnknown, response.Ended())
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "the service's own error", string(data))
+	assert.Equal(t, OutcomeRan, response.Ended())
+	assert.Equal(t, http.StatusInternalServerError, response.Status)
+	assert.Len(t, s.sent(), 1)
+}
+
 func TestEntriesAreAskedOnceAndKept(t *testing.T) {
 	s := newSystem(t, 1, answer("x"))
 	c := s.client()
@@ -205,6 +224,16 @@
 	require.NoError(t, response.Body.Close())
 	assert.Equal(t, 2, response.Tries)
 
+	c := s.client(WithRetryBudget(0, 1))
+	tries := 0
+	for range 20 {
+		response, err = c.Do(t.Context(), Request{Method: "POST", Path: "/x"})
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		tries += response.Tries
+	}
+	assert.Equal(t, 21, tries, "only the first request meets the dead instance")
+
 	_, err = New([]string{dead}).Do(t.Context(), Request{Method: "POST", Path: "/x"})
 	require.ErrorIs(t, err, ErrNoEntry)
 }
--- a/pkg/client/request.go
+++ b/pkg/client/request.go
@@ -63,6 +63,16 @@
 	return known(r.Outcome)
 }
 
+// fromEndpoint tells whether an error status is the endpoint's own answer: the
+// system then says that the request ran, or will say so at the answer's end.
+func fromEndpoint(response *http.Response) bool {
+	if said := response.Header.Get(HeaderOutcome); said != "" {
+		return said == string(OutcomeRan)
+	}
+	_, promised := response.Trailer[HeaderOutcome]
+	return promised
+}
+
 // Do sends a request and returns its answer. Requests are sent again only where
 // that is safe: when it was not run, or its key or nature allows to run it again.
 // Errors are of type *Error, or wrap ErrNoEntry or the context's error.
@@ -118,7 +128,7 @@
 		l.client.avoid(address)
 		return nil, l.broken(address, connected, err)
 	}
-	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) != string(OutcomeRan) {
+	if response.StatusCode >= http.StatusBadRequest && !fromEndpoint(response) {
 		return nil, l.refused(response)
 	}
 	return l.answer(response), nil
--- /dev/null
+++ b/test/process/client_test.go
@@ -0,0 +1,165 @@
+package process
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/standin/engine"
+	"github.com/chiveramp/chiveramp/pkg/client"
+)
+
+const (
+	clientStep   = 10 * time.Millisecond
+	clientTokens = 100
+)
+
+const clientDocument = `
+[profile "chat"]
+class = chat
+rank = urgent
+deadline = 60s
+models = matcher-a
+
+[profile "orders"]
+class = order
+rank = standard
+deadline = 30s
+services = order
+
+[model "matcher-a"]
+bytes = 4GiB
+service = matcher
+
+[service "order"]
+repeat = no
+`
+
+// threeEntries is one data centre with three instances, two engines and a
+// service whose calls may not be repeated.
+func threeEntries(t *testing.T) (*bench, *client.Client) {
+	t.Helper()
+	b := newBench(t, "matcher", "order")
+	for _, name := range []string{"m1", "m2"} {
+		b.engine(name, "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithStep(clientStep))
+	}
+	b.orders = b.service("order", "south", "south-1")
+	var addresses []string
+	for _, name := range []string{"c1", "c2", "c3"} {
+		addresses = append(addresses, b.add(name, "south", "south-1").caller)
+	}
+	b.apply(b.nodes[0], 0, clientDocument)
+	b.ready()
+	c := client.New(addresses, client.WithProfile("chat"))
+	t.Cleanup(c.Close)
+	return b, c
+}
+
+// answer reads one streamed answer through the client and compares all of it.
+func answer(t *testing.T, c *client.Client, prompt string, events *atomic.Int64) error {
+	t.Helper()
+	body := []byte(chatBody("matcher-a", prompt, true, clientTokens))
+	stream, err := c.Stream(t.Context(), client.Request{Path: "/v1/chat/completions", Body: body, Repeat: true})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	text := ""
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return fmt.Errorf("%s after %q: %w", prompt, text, err)
+		}
+		events.Add(1)
+		text += delta(string(event.Data))
+	}
+	if want := engine.AnswerTo("matcher-a", prompt, clientTokens); text != want {
+		return fmt.Errorf("%s: %q, want %q", prompt, text, want)
+	}
+	return nil
+}
+
+func TestClientsAnswersAreWholeWhenInstancesAreKilled(t *testing.T) {
+	b, c := threeEntries(t)
+	entries, err := c.Entries(t.Context(), "chat")
+	require.NoError(t, err)
+	var group errgroup.Group
+	var events atomic.Int64
+	const streams = 8
+	for i := range streams {
+		group.Go(func() error { return answer(t, c, fmt.Sprint("killed ", i), &events) })
+	}
+	b.eventually("streams under way", func() bool { return events.Load() > 10*streams })
+	for _, n := range b.nodes {
+		if n.caller == entries[0].Address {
+			require.NoError(t, n.process.Process.Signal(syscall.SIGKILL))
+		}
+	}
+	require.NoError(t, group.Wait())
+}
+
+func TestClientsOrdersRunOnceWhenInstancesAreKilled(t *testing.T) {
+	b, c := threeEntries(t)
+	entries, err := c.Entries(t.Context(), "orders")
+	require.NoError(t, err)
+	var group errgroup.Group
+	const orders = 30
+	for i := range orders {
+		group.Go(func() error { return b.order(c, fmt.Sprint("key-", i)) })
+		time.Sleep(5 * time.Millisecond)
+		if i == orders/3 {
+			for _, n := range b.nodes {
+				if n.caller == entries[0].Address {
+					require.NoError(t, n.process.Process.Signal(syscall.SIGKILL))
+				}
+			}
+		}
+	}
+	require.NoError(t, group.Wait())
+	for key, count := range b.orders.Counts().Keys {
+		require.Equal(t, 1, count, key)
+	}
+}
+
+// order places one order and checks what the client is told against the count.
+// An unknown outcome claims nothing.
+func (b *bench) order(c *client.Client, key string) error {
+	response, err := c.Do(b.t.Context(), client.Request{
+		Method: http.MethodPost, Path: "/services/order/kits", Body: []byte("kit"), Profile: "orders", Key: key,
+	})
+	var failed *client.Error
+	if errors.As(err, &failed) {
+		return b.checkOutcome(key, failed)
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return nil // cut: it may have run
+	}
+	if response.Status != http.StatusOK || b.orders.Counts().Keys[key] != 1 {
+		return fmt.Errorf("%s: status %d, runs %d", key, response.Status, b.orders.Counts().Keys[key])
+	}
+	return nil
+}
+
+func (b *bench) checkOutcome(key string, failed *client.Error) error {
+	runs := b.orders.Counts().Keys[key]
+	if failed.Outcome == client.OutcomeNotRun && runs > 0 {
+		return fmt.Errorf("%s ran %d times: %w", key, runs, failed)
+	}
+	b.t.Logf("%s: runs %d: %v", key, runs, failed)
+	return nil
+}
