feat: slopes of the real parts, takeover times in virtual time

Measuring the takeover showed that a lost instance stayed a dispatcher for 10 s in the views of other data centres (420 instances, virtual time, heartbeats of 1 s). Ruled out: shorter exchanges between data centres (each is up to 21 kB at the target); extrapolating lines within the measured range (the planner is not linear: R2 0.90), so sizes within it are interpolated. Change: make slopes (internal/slopes, cmd/chiveramp-slopes) measures 29 costs and 4 trials of design changes at three sizes or more, prints fits, the cost of each role at the target, today and with the changes, store calls and takeover times. A data centre's totals that no longer name an instance suspect it at once. Without the mechanism omitted.session still hands the gone instance out.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GO ?= go
 SEEDS ?= 3
 
-.PHONY: setup build fmt lint unit race test demo speed measure
+.PHONY: setup build fmt lint unit race test demo speed measure slopes
 
 setup: $(LINT)
 
@@ -26,6 +26,10 @@
 	$(GO) test $$($(GO) list ./... | grep -v /test/)
 	$(GO) test -count=1 -parallel 4 ./test/...
 
+# slopes measures how costs grow with the fleet, and prints the target's (docs/CAPACITY.md).
+slopes:
+	$(GO) run ./cmd/chiveramp-slopes
+
 test: lint unit
 
 measure:
--- a/internal/core/member/options.go
+++ b/internal/core/member/options.go
@@ -24,6 +24,7 @@
 	dead     int
 	pause    bool
 	sticky   bool
+	omitted  bool
 }
 
 // Option changes a view at construction.
@@ -58,5 +59,6 @@
 		dead:     deadMissed,
 		pause:    true,
 		sticky:   true,
+		omitted:  true,
 	}
 }
--- a/internal/core/member/proof_test.go
+++ b/internal/core/member/proof_test.go
@@ -18,6 +18,8 @@
 func withoutPause(s *settings)  { s.pause = false }
 func withoutSticky(s *settings) { s.sticky = false }
 
+func withoutOmitted(s *settings) { s.omitted = false }
+
 // Each session must come out otherwise when its mechanism is off.
 func TestSessionsNeedTheirMechanism(t *testing.T) {
 	tests := []struct {
@@ -26,6 +28,7 @@
 		broken string
 	}{
 		{file: "frozen.session", off: withoutPause, broken: "+3601s tick\n  b/b1 live -> dead\n  c/c1 live -> dead\n"},
+		{file: "omitted.session", off: withoutOmitted, broken: "+2s entries r2 d3 caller\n  [e c d]"},
 		{file: "leaving.session", off: withoutSticky, broken: "b/b1 leaving -> live"},
 	}
 	for _, tt := range tests {
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -73,18 +73,37 @@
 	v.accept(now, r, p)
 }
 
-// Remote takes what another data centre told of its instances. News of the own
-// data centre only adds peers to talk to.
+// Remote takes what other data centres told of their instances: of each that is named,
+// all that take new work. One that is no longer named is suspected at once. News of the
+// own data centre only adds peers to talk to.
 func (v *View) Remote(now time.Time, peers []Peer) {
+	named := map[fleet.Instance]bool{}
+	told := map[fleet.DataCentre]bool{}
 	for _, p := range peers {
 		if p.Instance == v.self.peer.Instance {
 			continue
 		}
 		r := v.record(p)
-		if p.Place.DataCentre == v.self.peer.Place.DataCentre || r.stale(p) {
+		if p.Place.DataCentre == v.self.peer.Place.DataCentre {
 			continue
 		}
-		v.accept(now, r, p)
+		named[p.Instance], told[p.Place.DataCentre] = true, true
+		if !r.stale(p) {
+			v.accept(now, r, p)
+		}
+	}
+	v.omitted(told, named)
+}
+
+// omitted suspects the live instances that their data centre names no more.
+func (v *View) omitted(told map[fleet.DataCentre]bool, named map[fleet.Instance]bool) {
+	if !v.settings.omitted {
+		return
+	}
+	for _, r := range v.order {
+		if r.state == StateLive && told[r.peer.Place.DataCentre] && !named[r.peer.Instance] {
+			v.move(r, StateSuspected)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/slopes/changed.go
@@ -0,0 +1,107 @@
+package slopes
+
+import "fmt"
+
+const (
+	// fanout is how many peers an instance beats in one round, each in its turn.
+	fanout = 12.0
+	// remotePeriod is the time between two full totals of another data centre, seconds.
+	remotePeriod = 30.0
+	// livenessBytes tells which instances of a data centre live, by their rows in the list.
+	livenessBytes = 64.0
+	// probeRateChanged is how often an endpoint is asked, a second.
+	probeRateChanged = 0.5
+	// collectorChanged is the collector's growth at GOGC=50.
+	collectorChanged = 1.5
+	// endWindow is how long the ends of claims are gathered at one instance for each data
+	// centre, seconds.
+	endWindow = 0.25
+)
+
+// Changed returns the cost of each role at a target with the changes of design that
+// docs/CAPACITY.md names, from the trials.
+func (r *Report) Changed(t Target) ([]Row, error) {
+	e := &estimate{report: r}
+	near := t.Instances / t.Centres
+	endpoints := t.Runners / t.Centres
+	own := t.Runners / t.Instances
+	rows := e.everyNode(t, near, endpoints, own)
+	for i := range rows {
+		e.change(&rows[i], t, near, endpoints, own)
+	}
+	return append(rows, e.rolesChanged(t, near, endpoints)...), e.err
+}
+
+// change puts the changed cost in the place of the present one.
+func (e *estimate) change(row *Row, t Target, near, endpoints, own float64) {
+	turnover := (t.Failures + t.Restarts) * 2 / secondsADay
+	rowsOfList := t.Instances + endpoints
+	switch row.What {
+	case whatConnections:
+		row.What, row.Heap = row.What+", small buffers", e.at("trial: small connection memory", near-1)
+	case whatBeats:
+		payload := e.at("trial: compact loads bytes", own)
+		row.What = fmt.Sprintf("heartbeats on open streams, %.0f peers a round, loads by row of the list", fanout)
+		row.CPU = e.cpu("trial: stream message cpu", payload, 2*fanout*beatRate)
+		row.Bytes = 2 * e.at("trial: stream message bytes", payload) * fanout * beatRate
+	case whatDirectory:
+		row.What, row.CPU = row.What+", reported every third round", row.CPU*fanout/(near-1)
+	case whatList:
+		row.What = "platform's list of instances and own endpoints"
+		row.CPU, row.Bytes = e.cpu("list cpu", rowsOfList, turnover), e.at("list bytes", rowsOfList)*turnover
+		row.Heap = 2 * e.at("list memory", rowsOfList)
+	case whatTotals:
+		row.What = "totals packed every 30 s, liveness by row, one relay"
+		row.CPU = e.cpu("totals cpu", t.Models, (t.Centres-1)/remotePeriod)
+		row.Bytes = (t.Centres - 1) * e.perPair(t)
+		row.Heap = (t.Centres - 1) * e.at("totals bytes", t.Models)
+	case whatProbes:
+		row.What += ", every 2 s"
+		row.CPU, row.Bytes = row.CPU*probeRateChanged/probeRate, row.Bytes*probeRateChanged/probeRate
+	}
+}
+
+// perPair is what one data centre tells another, bytes a second.
+func (e *estimate) perPair(t Target) float64 {
+	return e.at("totals packed bytes", t.Models)/remotePeriod + livenessBytes/exchangePeriod
+}
+
+func (e *estimate) rolesChanged(t Target, near, endpoints float64) []Row {
+	pairs := (t.Centres - 1) * speakersEach / near
+	turnover := (t.Failures + t.Restarts) * 2 / secondsADay
+	return []Row{
+		{
+			Role: rolePlacer, What: "planner of a data centre, a round in 15 s",
+			CPU: e.cpu("plan cpu", endpoints, planRate/3), Heap: 2 * e.at("plan memory", endpoints),
+		},
+		{
+			Role: roleWatcher, What: "platform's list, own rows, waiting for changes",
+			Bytes: (t.Instances + endpoints) * listRowJSON * turnover,
+		},
+		{
+			Role: roleWatcher, What: "document handed to half of the data centre",
+			Bytes: e.at("difference bytes", t.Models) * t.Changes / secondsADay * near / watchersEach,
+		},
+		{
+			Role: roleSpeaker, What: "totals of one pair, and relayed inside",
+			CPU:   e.cpu("totals cpu", t.Models, 2/remotePeriod),
+			Bytes: 2*e.perPair(t) + e.perPair(t)*(near-1)*pairs/speakersEach,
+		},
+	}
+}
+
+// StoreChanged returns the calls to the platform's service with the ends of claims
+// gathered at one instance for each data centre.
+func (r *Report) StoreChanged(t Target) []StoreCall {
+	calls := r.Store(t)
+	for i := range calls {
+		switch calls[i].What {
+		case whatEnds:
+			calls[i].What = "ends of claims, gathered for 250 ms in each data centre"
+			calls[i].Rate = t.Centres / endWindow
+		case whatEndReads:
+			calls[i].What, calls[i].Rate = "ends of claims, versions kept from the claim", 0
+		}
+	}
+	return calls
+}
--- /dev/null
+++ b/internal/slopes/claims.go
@@ -0,0 +1,70 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/claim"
+	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/platform"
+	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
+)
+
+// storeDelay is how long the platform's service takes to answer a write.
+const storeDelay = 5 * time.Millisecond
+
+// delayed is a store that answers in milliseconds.
+type delayed struct {
+	*platformtest.Fake
+}
+
+func (d delayed) Swap(ctx context.Context, w platform.Write) (platform.Version, error) {
+	time.Sleep(storeDelay)
+	return d.Fake.Swap(ctx, w)
+}
+
+func (d delayed) Commit(ctx context.Context, writes ...platform.Write) error {
+	time.Sleep(storeDelay)
+	return d.Fake.Commit(ctx, writes...)
+}
+
+// Claims measures the store writes of claims that come at a rate at one instance.
+func Claims(r *Report) error {
+	none := []Point{{Size: 0, Cost: 0}}
+	writes := Series{Name: "claim writes a second", By: "claims a second", Unit: "calls", Points: none}
+	cpu := Series{Name: "claim cpu a second", By: "claims a second", Unit: "ns", Points: none}
+	for _, rate := range []int{10, 40, 100, 200, 400, 800, 1600} {
+		calls, cost, err := claimAt(rate)
+		if err != nil {
+			return fmt.Errorf("claim at %d a second: %w", rate, err)
+		}
+		writes.Points = append(writes.Points, Point{float64(rate), calls})
+		cpu.Points = append(cpu.Points, Point{float64(rate), cost})
+	}
+	r.Add(writes)
+	r.Add(cpu)
+	return nil
+}
+
+func claimAt(rate int) (writes, cpu float64, err error) {
+	const seconds = 1
+	store := platformtest.New()
+	claims := claim.New(delayed{store}, claim.WithGroup(1))
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	var group errgroup.Group
+	before := cpuTime()
+	for i := range rate * seconds {
+		<-ticker.C
+		group.Go(func() error {
+			key := once.Key{Profile: "orders", Text: fmt.Sprint("order-", i)}
+			_, err := claims.Claim(context.Background(), key, once.Request{ID: key.Text, Fingerprint: 1, Until: time.Now().Add(time.Minute)})
+			return err
+		})
+	}
+	err = group.Wait()
+	return float64(store.Server().Calls().Writes()) / seconds, float64(cpuTime()-before) / seconds, err
+}
--- /dev/null
+++ b/internal/slopes/documents.go
@@ -0,0 +1,96 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/chiveramp/chiveramp/internal/document"
+	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+func compress(raw []byte) ([]byte, error) {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, err
+	}
+	defer encoder.Close() //nolint:errcheck // writes to no one
+	return encoder.EncodeAll(raw, nil), nil
+}
+
+// textOf is a document with a section for each model, and a profile for every tenth.
+func textOf(models int) string {
+	var b strings.Builder
+	for i := range models {
+		if i%10 == 0 {
+			fmt.Fprintf(&b, "[profile \"service-%d\"]\nclass = chat\nrank = standard\nfirst = 470ms\ngap = 61ms\ndeadline = 30s\nmodels = model-%d*\nretries = 2\n\n", i, i)
+		}
+		fmt.Fprintf(&b, "[model \"model-%d\"]\nbytes = %dGiB\nadapter = 128MiB\ncache = 4GiB\nservice = runners\ncopies = 2\nadapters = 4\n\n", i, 7+i%11)
+	}
+	return b.String()
+}
+
+// Documents measures what one change of the profile document costs.
+func Documents(r *Report) error {
+	text := Series{Name: "document bytes", By: "models", Unit: "B"}
+	whole := Series{Name: "document packed bytes", By: "models", Unit: "B"}
+	difference := Series{Name: "difference bytes", By: "models", Unit: "B"}
+	cpu := Series{Name: "difference cpu", By: "models", Unit: "ns"}
+	parse := Series{Name: "document parse cpu", By: "models", Unit: "ns"}
+	memory := Series{Name: "document memory", By: "models", Unit: "B"}
+	for _, n := range []int{34, 190, 380, 760} {
+		size := float64(n)
+		old := textOf(n)
+		changed := strings.Replace(old, "first = 470ms", "first = 480ms", 1)
+		full, small, cost, err := change(old, changed)
+		if err != nil {
+			return fmt.Errorf("change document of %d models: %w", n, err)
+		}
+		if _, err := profile.Parse("slopes", []byte(old)); err != nil {
+			return fmt.Errorf("parse document of %d models: %w", n, err)
+		}
+		text.Points = append(text.Points, Point{size, float64(len(old))})
+		whole.Points = append(whole.Points, Point{size, float64(full)})
+		difference.Points = append(difference.Points, Point{size, float64(small)})
+		cpu.Points = append(cpu.Points, Point{size, cost})
+		parse.Points = append(parse.Points, Point{size, cpuOf(func() { _, _ = profile.Parse("slopes", []byte(old)) })})
+		memory.Points = append(memory.Points, Point{size, memoryOf(func() []any {
+			parsed, _ := profile.Parse("slopes", []byte(old))
+			return []any{parsed, []byte(old), []byte(changed)}
+		})})
+	}
+	for _, s := range []Series{text, whole, difference, cpu, parse, memory} {
+		r.Add(s)
+	}
+	return nil
+}
+
+// change applies an edit and returns the sizes of the whole document and of the
+// difference on the wire, and the processor time of taking the difference in.
+func change(old, changed string) (whole, difference int, cpu float64, err error) {
+	ctx := context.Background()
+	source, sink := document.New(platformtest.New()), document.New(platformtest.New())
+	for rev, text := range []string{old, changed} {
+		if _, err := source.Apply(ctx, uint64(rev), []byte(text)); err != nil {
+			return 0, 0, 0, err
+		}
+	}
+	if _, err := sink.Apply(ctx, 0, []byte(old)); err != nil {
+		return 0, 0, 0, err
+	}
+	full, err := source.Pack(0)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	small, err := source.Pack(1)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	if _, err := sink.Unpack(small); err != nil {
+		return 0, 0, 0, err
+	}
+	return len(full), len(small), cpuOf(func() { _, _ = sink.Unpack(small) }), nil
+}
--- /dev/null
+++ b/internal/slopes/endpoints.go
@@ -0,0 +1,189 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chiveramp/chiveramp/internal/core/directory"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/place"
+	"github.com/chiveramp/chiveramp/internal/core/route"
+	"github.com/chiveramp/chiveramp/internal/dispatch"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+const (
+	copiesEach = 8 // models resident on one endpoint
+	modelCount = 760
+	gib        = 1 << 30
+)
+
+func endpointName(i int) fleet.Endpoint {
+	return fleet.Endpoint(fmt.Sprintf("runner-00-%04d", i))
+}
+
+func modelsOn(i int) []fleet.Model {
+	var list []fleet.Model
+	for j := range copiesEach {
+		list = append(list, fleet.Model(fmt.Sprintf("model-%03d", (i*copiesEach+j)%modelCount)))
+	}
+	return list
+}
+
+func directoryOf(n int) *directory.Directory {
+	d := directory.New()
+	var rows []directory.Row
+	for i := range n {
+		rows = append(rows, directory.Row{
+			Endpoint: endpointName(i), Service: "runners", Place: peerOf(0, 0).Place,
+			Address: fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256), Incarnation: fmt.Sprintf("%08x", i),
+		})
+	}
+	d.List(1, rows)
+	for i := range n {
+		d.Report(begin, directory.Report{
+			Endpoint: endpointName(i), Incarnation: fmt.Sprintf("%08x", i), Running: 12, Serial: 1, Models: modelsOn(i),
+		})
+	}
+	return d
+}
+
+// still is a timer that never fires by itself.
+type still struct {
+	fire func(time.Time)
+}
+
+func (s *still) Now() time.Time { return begin }
+
+func (s *still) Every(_, _ time.Duration, fn func(time.Time)) func() {
+	s.fire = fn
+	return func() {}
+}
+
+// Dispatchers measures the dispatchers of endpoints and the directory of a data centre.
+func Dispatchers(r *Report) error {
+	memory := Series{Name: "dispatcher memory", By: "endpoints", Unit: "B"}
+	sweep := Series{Name: "dispatcher sweep cpu", By: "endpoints", Unit: "ns"}
+	for _, n := range []int{8, 16, 64, 256} {
+		timers := &still{}
+		var pool *dispatch.Pool
+		var failed error
+		cost := memoryOf(func() *dispatch.Pool {
+			pool = dispatch.New("entry-00-000", &errgroup.Group{}, timers, nil, directory.New())
+			for i := range n {
+				if _, err := pool.Loads(context.Background(), endpointName(i)); err != nil {
+					failed = err
+				}
+			}
+			return pool
+		})
+		if failed != nil {
+			return fmt.Errorf("start %d dispatchers: %w", n, failed)
+		}
+		memory.Points = append(memory.Points, Point{float64(n), cost})
+		sweep.Points = append(sweep.Points, Point{float64(n), cpuOf(func() {
+			timers.fire(begin)
+			for i := range n {
+				_, _ = pool.Loads(context.Background(), endpointName(i))
+			}
+		})})
+		pool.Close()
+	}
+	r.Add(memory)
+	r.Add(sweep)
+	book := Series{Name: "directory memory", By: "endpoints", Unit: "B"}
+	report := Series{Name: "directory report cpu", By: "endpoints", Unit: "ns"}
+	for _, n := range []int{150, 300, 600, 1200} {
+		book.Points = append(book.Points, Point{float64(n), memoryOf(func() *directory.Directory { return directoryOf(n) })})
+		d, i := directoryOf(n), 0
+		report.Points = append(report.Points, Point{float64(n), cpuOf(func() {
+			i++
+			d.Report(begin, directory.Report{Endpoint: endpointName(i % n), Incarnation: fmt.Sprintf("%08x", i%n), Running: i, Serial: 1, Models: modelsOn(i % n)})
+		})})
+	}
+	r.Add(book)
+	r.Add(report)
+	return nil
+}
+
+// Lists measures the platform's list as instances hand it on.
+func Lists(r *Report) {
+	bytes := Series{Name: "list bytes", By: "rows", Unit: "B"}
+	memory := Series{Name: "list memory", By: "rows", Unit: "B"}
+	cpu := Series{Name: "list cpu", By: "rows", Unit: "ns"}
+	for _, n := range []int{500, 1750, 3500, 7000} {
+		reply := listOf(n)
+		raw, _ := proto.Marshal(reply)
+		size := float64(n)
+		bytes.Points = append(bytes.Points, Point{size, float64(len(raw))})
+		memory.Points = append(memory.Points, Point{size, memoryOf(func() *peerpb.ListReply {
+			kept := &peerpb.ListReply{}
+			_ = proto.Unmarshal(raw, kept)
+			return kept
+		})})
+		cpu.Points = append(cpu.Points, Point{size, cpuOf(func() { _ = proto.Unmarshal(raw, &peerpb.ListReply{}) })})
+	}
+	r.Add(bytes)
+	r.Add(memory)
+	r.Add(cpu)
+}
+
+func listOf(n int) *peerpb.ListReply {
+	reply := &peerpb.ListReply{Serial: 1}
+	for i := range n {
+		reply.Members = append(reply.Members, &peerpb.Listed{
+			Name: string(endpointName(i)), Service: "runners", Address: fmt.Sprintf("10.%d.%d.%d:9000", i%11, i/256, i%256),
+			Region: "region-1", Datacentre: fmt.Sprintf("region-1-%02d", i%11), Incarnation: fmt.Sprintf("%08x", i),
+		})
+	}
+	return reply
+}
+
+// Choices measures the choice of an endpoint for a request.
+func Choices(r *Report) {
+	cpu := Series{Name: "route cpu", By: "candidates", Unit: "ns"}
+	for _, n := range []int{2, 8, 32, 128} {
+		router := route.New()
+		var candidates []route.Candidate
+		for i := range n {
+			candidates = append(candidates, route.Candidate{
+				Endpoint: endpointName(i), Place: peerOf(0, 0).Place, Running: i % 16, Loaded: true,
+			})
+		}
+		request := route.Request{Model: "model-001", Rank: fleet.RankStandard, Place: peerOf(0, 0).Place, Prompt: 800, Tokens: 200}
+		cpu.Points = append(cpu.Points, Point{float64(n), cpuOf(func() { router.Choose(begin, request, candidates) })})
+	}
+	r.Add(cpu)
+}
+
+// Plans measures one round of the planner of a data centre.
+func Plans(r *Report) {
+	cpu := Series{Name: "plan cpu", By: "endpoints", Unit: "ns"}
+	memory := Series{Name: "plan memory", By: "endpoints", Unit: "B"}
+	for _, n := range []int{75, 150, 300, 600} {
+		planner, v := place.New(), planView(n)
+		cpu.Points = append(cpu.Points, Point{float64(n), cpuOf(func() { planner.Plan(begin, v) })})
+		memory.Points = append(memory.Points, Point{float64(n), memoryOf(func() place.View { return planView(n) })})
+	}
+	r.Add(cpu)
+	r.Add(memory)
+}
+
+func planView(n int) place.View {
+	v := place.View{}
+	for i := range n {
+		v.Endpoints = append(v.Endpoints, place.EndpointView{
+			Endpoint: endpointName(i), Place: peerOf(0, 0).Place, Memory: 80 * gib, Used: copiesEach * 9 * gib, Models: modelsOn(i),
+		})
+	}
+	for i := range min(modelCount, n*copiesEach) {
+		v.Models = append(v.Models, place.ModelView{
+			Model: fleet.Model(fmt.Sprintf("model-%03d", i)), Bytes: 9 * gib, Fast: float64(i%40) / 40, Slow: float64(i%10) / 10, Elsewhere: 1,
+		})
+	}
+	return v
+}
--- /dev/null
+++ b/internal/slopes/takeover.go
@@ -0,0 +1,211 @@
+package slopes
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+)
+
+const (
+	// round is the time between two heartbeats at the target.
+	round = time.Second
+	// settleRounds lets all views hear of each other.
+	settleRounds = 12
+	// patience ends a simulation that doesn't come to rest, in rounds.
+	patience = 60
+	samples  = 40
+)
+
+// simulated is one instance of a fleet in virtual time.
+type simulated struct {
+	view *member.View
+	// relay are peers of other data centres heard since the last round.
+	relay []member.Peer
+	gone  bool
+}
+
+// fleetSim runs real views in virtual time; every message takes one round at most.
+type fleetSim struct {
+	now  time.Time
+	all  []*simulated
+	name map[fleet.Instance]*simulated
+}
+
+func newFleet(n int) *fleetSim {
+	s := &fleetSim{now: begin, name: map[fleet.Instance]*simulated{}}
+	var seeds []member.Peer
+	for i := range n {
+		p := peerOf(i, i%centres)
+		seeds = append(seeds, p)
+		node := &simulated{view: member.New(p, member.WithInterval(round))}
+		s.all = append(s.all, node)
+		s.name[p.Instance] = node
+	}
+	for _, node := range s.all {
+		node.view.Listed(s.now, seeds)
+	}
+	for range settleRounds {
+		s.step()
+	}
+	return s
+}
+
+func (s *fleetSim) step() {
+	s.now = s.now.Add(round)
+	for _, node := range s.all {
+		if node.gone {
+			continue
+		}
+		node.view.Tick(s.now)
+		beat, relay := node.view.Beat(), node.relay
+		node.relay = nil
+		for _, target := range node.view.Targets(s.now) {
+			s.send(node, s.name[target.Instance], beat, relay)
+		}
+	}
+}
+
+func (s *fleetSim) send(from, to *simulated, beat member.Peer, relay []member.Peer) {
+	if to.gone {
+		return
+	}
+	if to.view.Self().Place.DataCentre == beat.Place.DataCentre {
+		to.view.Observe(s.now, beat)
+		to.view.Remote(s.now, relay)
+		return
+	}
+	s.exchange(from, to)
+	s.exchange(to, from)
+}
+
+// exchange tells one side the live instances of the other's data centre.
+func (s *fleetSim) exchange(from, to *simulated) {
+	told := from.view.Live(from.view.Self().Place.DataCentre)
+	to.view.Remote(s.now, told)
+	to.relay = append(to.relay, told...)
+}
+
+// takeover removes instances and returns the time until no view that is left chooses
+// any of them as a dispatcher.
+func (s *fleetSim) takeover(lost func(member.Peer) bool) (time.Duration, error) {
+	places := map[fleet.Place]bool{}
+	for _, node := range s.all {
+		if self := node.view.Self(); lost(self) {
+			node.gone = true
+			places[self.Place] = true
+		}
+	}
+	for rounds := range patience {
+		if s.clean(places) {
+			return time.Duration(rounds) * round, nil
+		}
+		s.step()
+	}
+	return 0, fmt.Errorf("takeover not done after %d rounds", patience)
+}
+
+func (s *fleetSim) clean(places map[fleet.Place]bool) bool {
+	for _, node := range s.all {
+		if node.gone {
+			continue
+		}
+		for at := range places {
+			for i := range samples {
+				p, ok := node.view.Dispatcher(endpointName(i), at)
+				if !ok || s.name[p.Instance].gone {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// spread returns the time until every instance has a revision that some have at first.
+// Without watchers only one instance of the fleet has it, as when the others have lost
+// the store.
+func (s *fleetSim) spread(watchers bool) (time.Duration, error) {
+	const rev = 10
+	for i, node := range s.all {
+		at := node.view.Self().Place.DataCentre
+		if i == 0 || (watchers && node.view.Watcher(at)) {
+			node.view.SetRevision(rev)
+		}
+	}
+	for rounds := range patience {
+		behind := 0
+		for _, node := range s.all {
+			if !node.gone && node.view.Self().Revision < rev {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Duration(rounds) * round, nil
+		}
+		s.step()
+		s.pull()
+	}
+	return 0, fmt.Errorf("revision not everywhere after %d rounds", patience)
+}
+
+// pull lets every instance that heard of a higher revision take it.
+func (s *fleetSim) pull() {
+	for _, node := range s.all {
+		highest := uint64(0)
+		for _, p := range node.view.All() {
+			highest = max(highest, p.Revision)
+		}
+		if !node.gone {
+			node.view.SetRevision(highest)
+		}
+	}
+}
+
+// Loss is one kind of loss with how long its takeover takes.
+type Loss struct {
+	Name string
+	Time time.Duration
+}
+
+// Losses returns the times of takeovers and of a change of the document in a fleet of
+// n instances, in virtual time.
+func Losses(n int) ([]Loss, error) {
+	first := peerOf(0, 0)
+	kinds := []struct {
+		name string
+		lost func(member.Peer) bool
+	}{
+		{"an instance lost", func(p member.Peer) bool { return p.Instance == first.Instance }},
+		{"a rack lost (every fourth instance of a data centre)", rack},
+		{"a data centre lost", func(p member.Peer) bool { return p.Place.DataCentre == first.Place.DataCentre }},
+		{"a region lost", func(p member.Peer) bool { return p.Place.Region == first.Place.Region }},
+	}
+	var list []Loss
+	for _, k := range kinds {
+		took, err := newFleet(n).takeover(k.lost)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", k.name, err)
+		}
+		list = append(list, Loss{k.name, took})
+	}
+	for _, watchers := range []bool{true, false} {
+		took, err := newFleet(n).spread(watchers)
+		if err != nil {
+			return nil, fmt.Errorf("change: %w", err)
+		}
+		name := "a change of the document, store watched in each data centre"
+		if !watchers {
+			name = "a change of the document, known to one instance only"
+		}
+		list = append(list, Loss{name, took})
+	}
+	return list, nil
+}
+
+func rack(p member.Peer) bool {
+	var centre, i int
+	_, err := fmt.Sscanf(string(p.Instance), "entry-%d-%d", &centre, &i)
+	return err == nil && centre == 0 && i/centres%4 == 0
+}
--- /dev/null
+++ b/internal/slopes/target.go
@@ -0,0 +1,237 @@
+package slopes
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Target is the fleet to be carried.
+type Target struct {
+	Instances float64
+	Runners   float64
+	Models    float64
+	Centres   float64
+	Changes   float64 // of the document, a day
+	Failures  float64 // of instances, a day
+	Restarts  float64 // of instances, a day
+	Requests  float64 // a second at the peak
+	Once      float64 // share of requests that may run once only
+}
+
+// Budget is what one node may spend on control.
+type Budget struct {
+	CPU    float64 // of one core
+	Memory float64 // B
+	Bytes  float64 // B a second
+}
+
+// TwoYears returns the target of letter 1. The share of requests that may run once only
+// is not stated there; one in twenty is taken.
+func TwoYears() (Target, Budget) {
+	return Target{
+		Instances: 420, Runners: 6600, Models: 760, Centres: 11,
+		Changes: 3900, Failures: 82, Restarts: 510, Requests: 4400, Once: 0.05,
+	}, Budget{CPU: 0.02, Memory: 32e6, Bytes: 26e3}
+}
+
+// Today returns one of today's fleets.
+func Today() Target {
+	return Target{
+		Instances: 9, Runners: 21, Models: 34, Centres: 3,
+		Changes: 10, Failures: 2, Restarts: 10, Requests: 14, Once: 0.05,
+	}
+}
+
+const (
+	secondsADay = 86400
+	// beatRate, exchangePeriod, probeRate and sweepRate are those of the node's defaults.
+	beatRate       = 1.0  // a second
+	exchangePeriod = 2.0  // seconds
+	probeRate      = 2.0  // a second
+	sweepRate      = 20.0 // a second
+	listRate       = 0.5  // reads of the platform's list by each watcher a second
+	watchPeriod    = 30.0 // seconds of one waiting call
+	leaseRenewals  = 0.3  // a second for each lease
+	planRate       = 0.2  // rounds of a planner a second
+	watchersEach   = 2.0
+	speakersEach   = 2.0
+	collector      = 2.0 // heap that the collector lets grow, as a multiple of what lives
+	listRowJSON    = 220 // B, one row of the platform's list in its own form
+)
+
+// The roles, and the kinds of calls to the platform's service.
+const (
+	roleEntry      = "entry"
+	roleDispatcher = "dispatcher"
+	rolePlacer     = "placer"
+	roleWatcher    = "watcher"
+	roleSpeaker    = "speaker"
+
+	kindRead  = "read"
+	kindWrite = "write"
+)
+
+// The costs that a change of design would lower.
+const (
+	whatConnections = "connections inside the data centre"
+	whatBeats       = "heartbeats with loads, full mesh, both directions"
+	whatDirectory   = "directory of the data centre's endpoints"
+	whatList        = "platform's list handed on, all rows at each change"
+	whatTotals      = "totals of the other data centres, relayed in heartbeats"
+	whatProbes      = "probes of own endpoints"
+	whatEnds        = "ends of claims, one write each"
+	whatEndReads    = "ends of claims, read before the write"
+)
+
+// Row is the cost of one role at the target.
+type Row struct {
+	Role  string
+	What  string
+	CPU   float64 // of one core
+	Bytes float64 // B a second, both directions
+	Heap  float64 // B that live
+}
+
+// estimate works with the measured series; the first missing one is kept as the error.
+type estimate struct {
+	report *Report
+	err    error
+}
+
+func (e *estimate) at(name string, size float64) float64 {
+	series, err := e.report.Series(name)
+	if err != nil {
+		e.err = cmp.Or(e.err, err)
+		return 0
+	}
+	return series.At(size)
+}
+
+// cpu is the share of a core of something that takes a cost in ns at a rate a second.
+func (e *estimate) cpu(name string, size, rate float64) float64 {
+	return e.at(name, size) * rate / 1e9
+}
+
+// Rows returns the cost of each role at a target.
+func (r *Report) Rows(t Target) ([]Row, error) {
+	e := &estimate{report: r}
+	near := t.Instances / t.Centres
+	endpoints := t.Runners / t.Centres
+	own := t.Runners / t.Instances
+	rows := append(e.everyNode(t, near, endpoints, own), e.roles(t, near, endpoints)...)
+	return rows, e.err
+}
+
+// everyNode are the roles that all instances have.
+func (e *estimate) everyNode(t Target, near, endpoints, own float64) []Row {
+	peers := near - 1
+	turnover := (t.Failures + t.Restarts) * 2 / secondsADay
+	rowsOfList := t.Instances + t.Runners
+	changes := t.Changes / secondsADay
+	return []Row{
+		{
+			Role: roleEntry, What: "view of all instances, a round a second",
+			CPU: e.cpu("view round cpu", t.Instances, beatRate), Heap: e.at("view memory", t.Instances),
+		},
+		{
+			Role: roleEntry, What: whatConnections,
+			Heap: e.at("connection memory", peers),
+		},
+		{
+			Role: roleEntry, What: whatBeats,
+			CPU: e.cpu("beat cpu", own, peers*beatRate), Bytes: 2 * e.at("beat bytes", own) * peers * beatRate,
+		},
+		{
+			Role: roleEntry, What: whatDirectory,
+			CPU: e.cpu("directory report cpu", endpoints, endpoints*beatRate), Heap: e.at("directory memory", endpoints),
+		},
+		{
+			Role: roleEntry, What: "choice of endpoint and dispatcher, peak requests",
+			CPU: e.cpu("route cpu", 2*copiesEach, t.Requests/t.Instances) + e.cpu("dispatcher choice cpu", t.Instances, t.Requests/t.Instances),
+		},
+		{
+			Role: roleEntry, What: whatList,
+			CPU: e.cpu("list cpu", rowsOfList, turnover), Bytes: e.at("list bytes", rowsOfList) * turnover, Heap: 2 * e.at("list memory", rowsOfList),
+		},
+		{
+			Role: roleEntry, What: "profile document, a difference for each change",
+			CPU:   e.cpu("difference cpu", t.Models, changes) + e.cpu("document parse cpu", t.Models, changes),
+			Bytes: e.at("difference bytes", t.Models) * changes, Heap: 2*e.at("document memory", t.Models) + e.at("document bytes", t.Models),
+		},
+		{
+			Role: roleEntry, What: whatTotals,
+			CPU:   e.cpu("totals cpu", t.Models, (t.Centres-1)*speakersEach/exchangePeriod),
+			Bytes: e.between(t) * (t.Centres - 1) * speakersEach / exchangePeriod, Heap: 3 * e.between(t) * (t.Centres - 1),
+		},
+		{
+			Role: roleDispatcher, What: "queues and actors of own endpoints, swept 20 times a second",
+			CPU: e.cpu("dispatcher sweep cpu", own, sweepRate), Heap: e.at("dispatcher memory", own),
+		},
+		{
+			Role: roleDispatcher, What: whatProbes,
+			CPU: e.cpu("probe cpu", copiesEach, own*probeRate), Bytes: e.at("probe bytes", copiesEach) * own * probeRate,
+		},
+		{Role: roleDispatcher, What: "suspects, full book", Heap: e.at("suspect memory", 4096)},
+		{
+			Role: roleDispatcher, What: "claims of own endpoints",
+			CPU: 2 * e.at("claim cpu a second", t.Requests*t.Once/t.Instances) / 1e9,
+		},
+	}
+}
+
+// between is one message of totals with addresses.
+func (e *estimate) between(t Target) float64 {
+	return e.at("totals bytes", t.Models) + e.at("addresses bytes", t.Instances/t.Centres)
+}
+
+// roles are what few instances do on top.
+func (e *estimate) roles(t Target, near, endpoints float64) []Row {
+	pairs := (t.Centres - 1) * speakersEach / near // exchanges that one instance leads, on average
+	perPair := e.between(t) / exchangePeriod
+	return []Row{
+		{
+			Role: rolePlacer, What: "planner of a data centre, a round in 5 s",
+			CPU: e.cpu("plan cpu", endpoints, planRate), Heap: 2 * e.at("plan memory", endpoints),
+		},
+		{
+			Role: roleWatcher, What: "platform's list read every 2 s, all rows",
+			Bytes: (t.Instances + t.Runners) * listRowJSON * listRate,
+		},
+		{
+			Role: roleWatcher, What: "document handed to half of the data centre",
+			Bytes: e.at("difference bytes", t.Models) * t.Changes / secondsADay * near / watchersEach,
+		},
+		{
+			Role: roleSpeaker, What: "totals exchanged for one pair of data centres, both ways",
+			CPU: e.cpu("totals cpu", t.Models, 2/exchangePeriod), Bytes: 2 * perPair,
+		},
+		{
+			Role: roleSpeaker, What: fmt.Sprintf("the same relayed to %.0f peers, %.2f pairs an instance on average", near-1, pairs),
+			CPU: e.cpu("totals cpu", t.Models, pairs*(near-1)/exchangePeriod), Bytes: perPair * (near - 1) * pairs,
+		},
+	}
+}
+
+// StoreCall is a rate of one kind of call to the platform's service.
+type StoreCall struct {
+	What string
+	Kind string
+	Rate float64 // a second, whole fleet
+}
+
+// Store returns the calls to the platform's service at a target.
+func (r *Report) Store(t Target) []StoreCall {
+	claims := t.Requests * t.Once
+	watching := t.Centres * watchersEach
+	return []StoreCall{
+		{"watch of the document", kindRead, watching / watchPeriod},
+		{"document read again after each change", kindRead, watching * t.Changes / secondsADay},
+		{"platform's list, instances and one service", kindRead, watching * listRate * 2},
+		{"apply of a document", kindWrite, t.Changes / secondsADay},
+		{"placer leases renewed", kindWrite, t.Centres * leaseRenewals},
+		{"claims, one write each", kindWrite, claims},
+		{whatEnds, kindWrite, claims},
+		{whatEndReads, kindRead, claims},
+		{"sweep of claims, 64 a call", kindWrite, claims / 64},
+	}
+}
