test: "not sent" is true under random give-ups, and nothing is left running

Cause: ErrNotSent is what a "not-run" rests on; until now only plain cases showed it. Ruled out: showing the fault with net/http's WroteRequest hook as the rule. Change: 1000 requests of 256 KB given up within 1 ms at random; a write on its way counts as sent; after "not sent" no write follows. goleak over the tests of the endpoint client, the stand-ins and the caller's client. With the seal off the late write arrives (case "not asked").

--- /dev/null
+++ b/internal/endpoint/sent_test.go
@@ -0,0 +1,160 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	giveUpTries   = 1000
+	giveUpWorkers = 8
+	giveUpWithin  = time.Millisecond
+)
+
+// giveUpBody takes several writes, so that requests are given up between them.
+var giveUpBody = fmt.Appendf(nil, `{"model":"m","pad":%q}`, strings.Repeat("x", 256<<10))
+
+// seen collects the attempts whose first byte reached an endpoint.
+type seen struct {
+	mu       sync.Mutex
+	attempts map[string]bool
+}
+
+func (s *seen) note(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts[attempt] = true
+}
+
+// giveUp sends requests that are each given up after a random short time. It
+// returns how many were said not to be sent, and how many of those arrived.
+func giveUp(t *testing.T, send func(ctx context.Context, addr, attempt string) (notSent bool)) (said, arrived int) {
+	t.Helper()
+	s := &seen{attempts: map[string]bool{}}
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		s.note(r.Header.Get(HeaderRequest))
+		_, _ = io.Copy(io.Discard, r.Body)
+		stream(w, "data: {}\n\ndata: [DONE]\n\n")
+	})
+	var next atomic.Int64
+	var mu sync.Mutex
+	var unsent []string
+	var group errgroup.Group
+	for seed := range uint64(giveUpWorkers) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		group.Go(func() error {
+			for n := next.Add(1); n <= giveUpTries; n = next.Add(1) {
+				attempt := fmt.Sprint(n)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(random.Int64N(int64(giveUpWithin))))
+				if send(ctx, addr, attempt) {
+					mu.Lock()
+					unsent = append(unsent, attempt)
+					mu.Unlock()
+				}
+				cancel()
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	time.Sleep(50 * time.Millisecond) // late ones may still arrive
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, attempt := range unsent {
+		if s.attempts[attempt] {
+			arrived++
+		}
+	}
+	return len(unsent), arrived
+}
+
+func TestGivenUpRequestsSaidNotSentNeverArrive(t *testing.T) {
+	client := New()
+	defer client.Close()
+	said, arrived := giveUp(t, func(ctx context.Context, addr, attempt string) bool {
+		s, err := client.Start(ctx, addr, Call{Attempt: attempt, Body: giveUpBody})
+		if err == nil {
+			for err == nil {
+				_, err = s.Next()
+			}
+			_ = s.Close()
+		}
+		return errors.Is(err, ErrNotSent)
+	})
+	t.Logf("%d of %d said not sent", said, giveUpTries)
+	assert.Positive(t, said)
+	assert.Zero(t, arrived)
+}
+
+// handedOver returns a delivery whose request was handed to one end of a pipe.
+func handedOver(t *testing.T) (*delivery, *conn, net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+	c := &conn{Conn: near}
+	d := &delivery{}
+	d.gotConn(httptrace.GotConnInfo{Conn: c})
+	return d, c, far
+}
+
+func TestWriteOnItsWayCountsAsSent(t *testing.T) {
+	d, c, far := handedOver(t)
+	var group errgroup.Group
+	group.Go(func() error { _, err := c.Write([]byte("x")); return err }) // waits for the reader
+	require.Eventually(t, func() bool { return c.count() > 0 }, time.Second, time.Millisecond)
+	assert.True(t, d.wasSent())
+	_, err := far.Read(make([]byte, 1))
+	require.NoError(t, err, "it did arrive after the answer was asked for")
+	require.NoError(t, group.Wait())
+}
+
+func TestNoWriteFollowsAnAnswerThatNothingWasSent(t *testing.T) {
+	cases := []struct {
+		name  string
+		asked bool
+		err   error
+	}{
+		{"asked", true, errSealed},
+		{"not asked", false, nil}, // as if the seal were off: the late write arrives
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d, c, far := handedOver(t)
+			if tc.asked {
+				require.False(t, d.wasSent())
+			}
+			var group errgroup.Group
+			group.Go(func() error { _, _ = far.Read(make([]byte, 1)); return nil })
+			_, err := c.Write([]byte("x"))
+			require.ErrorIs(t, err, tc.err)
+			require.NoError(t, far.Close())
+			require.NoError(t, group.Wait())
+		})
+	}
+}
+
+func TestWriteThatFailedAtItsFirstByteIsNotSent(t *testing.T) {
+	d, c, far := handedOver(t)
+	require.NoError(t, far.Close())
+	_, err := c.Write([]byte("x"))
+	require.Error(t, err)
+	assert.False(t, d.wasSent())
+}
--- /dev/null
+++ b/internal/standin/service/main_test.go
@@ -0,0 +1,9 @@
+package service_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/pkg/client/main_test.go
@@ -0,0 +1,9 @@
+package client
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
