feat: make speed prints the time added and what an idle instance uses

Ruled out: measuring one way after the other in two runs (the machine's other work changes between them; turns of 4 s weigh on both alike); counting control bytes inside the daemon (would miss what is not counted there): /proc/PID/io counts all bytes of read and write calls, which is never less than what goes over sockets.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,6 @@
 
 demo: build
 	scripts/demo.sh
+
+speed: build
+	scripts/speed.sh
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -7,6 +7,7 @@
 seeds=""
 entries=""
 operators=""
+slots=16
 
 # end_all ends what was started here, by process id.
 end_all() {
@@ -27,7 +28,7 @@
     pid=$!
     pids="$pids $pid"
     tries=0
-    until address=$(sed -n 's/^ready [^ ]* [^ ]* //p' "$work/$name.out") && [ -n "$address" ]; do
+    until address=$(sed -n 's/^ready [^ ]* [^ ]* //p' "$work/$name.out" 2>/dev/null) && [ -n "$address" ]; do
         tries=$((tries + 1))
         if [ "$tries" -gt 200 ]; then
             echo "$name does not start:" && cat "$work/$name.err"
@@ -87,6 +88,8 @@
 [platform]
 address = http://$platform
 endpoints = $4
+[endpoint]
+slots = $slots
 [log]
 level = $5
 [metrics]
