fix: a restarted instance learns its endpoints' models from their dispatchers

Cause: TestRollingRestartLosesNoRequest: after a restart an instance first heard a load report that said only 'unchanged', took its serial, and then dropped the full one of the same serial; it refused every request (no-endpoint). It also handed itself out to callers before it knew anything. Ruled out: membership (all three were live in the status that the test printed). Change: a report says whether it tells the models; one that does not leaves the known ones. An instance tells its callers' address only once it is ready. Orders sent at once to all instances: once each, without claim more than once; kills, lost replies and a store that is down: never twice.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -30,11 +30,13 @@
 	Wait        time.Duration
 	Leaving     bool
 	// Down endpoints did not answer their dispatcher lately.
-	Down   bool
+	Down bool
+	// Serial rises with each change of Models.
 	Serial uint64
 	// Drained are the models that were asked to drain and have nothing in flight.
 	Drained []fleet.Model
-	Models  []fleet.Model
+	// Models are ready to be asked for; nil when the report does not tell.
+	Models []fleet.Model
 }
 
 // Entry is what is known of one endpoint.
@@ -104,7 +106,8 @@
 	known.Row = row
 }
 
-// Report takes in a dispatcher's view. Reports without models keep those known under the same serial.
+// Report takes in a dispatcher's view. A report without models, which is not the
+// same as one with none, leaves the known ones as they are.
 func (d *Directory) Report(now time.Time, r Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -112,11 +115,11 @@
 	if !ok {
 		return
 	}
-	changed := r.Serial != e.Report.Serial || r.Incarnation != e.Report.Incarnation
-	if !changed || (r.Models == nil && r.Incarnation == e.Report.Incarnation) {
-		r.Models = e.Report.Models
+	if r.Models == nil {
+		r.Models, r.Serial, r.Incarnation = e.Report.Models, e.Report.Serial, e.Report.Incarnation
 	}
-	e.Leaving = e.Leaving || (r.Leaving && r.Incarnation == e.Incarnation)
+	changed := !slices.Equal(r.Models, e.Report.Models)
+	e.Leaving = e.Leaving || r.Leaving
 	e.Report, e.Heard, e.Own = r, now, 0
 	if changed {
 		d.index()
--- /dev/null
+++ b/internal/core/directory/directory_test.go
@@ -0,0 +1,61 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func filled() *Directory {
+	d := New()
+	d.List(1, []Row{{Endpoint: "e1", Service: "matcher", Incarnation: "1"}})
+	return d
+}
+
+func TestReports(t *testing.T) {
+	tests := []struct {
+		name    string
+		reports []Report
+		want    []fleet.Model
+	}{
+		{name: "told", reports: []Report{{Serial: 3, Models: []fleet.Model{"a"}}}, want: []fleet.Model{"a"}},
+		{name: "unchanged keeps", reports: []Report{{Serial: 3, Models: []fleet.Model{"a"}}, {Serial: 3}}, want: []fleet.Model{"a"}},
+		{name: "first heard without models, told later", reports: []Report{{Serial: 3}, {Serial: 3, Models: []fleet.Model{"a"}}}, want: []fleet.Model{"a"}},
+		{name: "none is not unchanged", reports: []Report{{Serial: 3, Models: []fleet.Model{"a"}}, {Serial: 4, Models: []fleet.Model{}}}},
+		{name: "next dispatcher counts anew", reports: []Report{{Serial: 9, Models: []fleet.Model{"a"}}, {Serial: 1, Models: []fleet.Model{"b"}}}, want: []fleet.Model{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := filled()
+			for _, r := range tt.reports {
+				r.Endpoint = "e1"
+				d.Report(start, r)
+			}
+			require.Equal(t, tt.want, append([]fleet.Model(nil), d.Models()...))
+		})
+	}
+}
+
+func TestLeavingIsKeptForAnIncarnation(t *testing.T) {
+	d := filled()
+	d.Leave("e1")
+	d.List(2, []Row{{Endpoint: "e1", Service: "matcher", Incarnation: "1"}})
+	e, _ := d.Get("e1")
+	require.True(t, e.Leaving, "a late live never overrides leaving")
+	d.List(3, []Row{{Endpoint: "e1", Service: "matcher", Incarnation: "2"}})
+	e, _ = d.Get("e1")
+	require.False(t, e.Leaving, "a new incarnation starts anew")
+}
+
+func TestListDropsWhatIsGone(t *testing.T) {
+	d := filled()
+	d.Report(start, Report{Endpoint: "e1", Models: []fleet.Model{"a"}})
+	d.List(2, nil)
+	require.Empty(t, d.All())
+	require.Empty(t, d.Models())
+}
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -49,7 +49,7 @@
 	return &peerpb.BeatRequest{
 		Instance: string(self.Instance), Region: string(self.Place.Region),
 		Datacentre: string(self.Place.DataCentre), Incarnation: self.Incarnation,
-		Peer: self.Address, Caller: self.Caller, Sequence: self.Sequence,
+		Peer: self.Address, Caller: n.open(self), Sequence: self.Sequence,
 		Revision: self.Revision, Leaving: self.Leaving,
 		Loads: n.prober.loads(full), Suspects: n.suspects.news(),
 		List: n.list.current(), Remote: n.relayed(),
@@ -57,6 +57,15 @@
 	}
 }
 
+// open returns the address that callers may use. An instance that is not ready
+// tells none of its own.
+func (n *Node) open(p member.Peer) string {
+	if p.Instance == n.members.Self().Instance && n.Ready() != nil {
+		return ""
+	}
+	return p.Caller
+}
+
 // relayed returns the totals that this instance has heard itself since the last round.
 func (n *Node) relayed() []*peerpb.TotalsRequest {
 	n.mu.Lock()
@@ -154,7 +163,7 @@
 	for _, p := range n.members.Live(self.Place.DataCentre) {
 		t.Instances = append(t.Instances, &peerpb.InstanceAddress{
 			Instance: string(p.Instance), Datacentre: string(p.Place.DataCentre), Region: string(p.Place.Region),
-			Peer: p.Address, Caller: p.Caller, Incarnation: p.Incarnation, Sequence: p.Sequence,
+			Peer: p.Address, Caller: n.open(p), Incarnation: p.Incarnation, Sequence: p.Sequence,
 			Revision: p.Revision, Leaving: p.Leaving,
 		})
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -10,13 +10,14 @@
 
 // Entries implements caller.Fleet.
 func (n *Node) Entries(_, key string) []caller.Entry {
-	at := n.members.Self().Place
-	found := locked(n.members, func(v *member.View) []member.Peer { return v.Entries(at, key, entryCount) })
+	self := n.members.Self()
+	found := locked(n.members, func(v *member.View) []member.Peer { return v.Entries(self.Place, key, entryCount+1) })
 	entries := make([]caller.Entry, 0, len(found))
 	for _, p := range found {
-		if p.Caller != "" {
+		address := n.open(p)
+		if address != "" && len(entries) < entryCount {
 			entries = append(entries, caller.Entry{
-				Address: p.Caller, Region: p.Place.Region, DataCentre: p.Place.DataCentre, Instance: p.Instance,
+				Address: address, Region: p.Place.Region, DataCentre: p.Place.DataCentre, Instance: p.Instance,
 			})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 const (
 	settlePause = 2 * time.Second
 	claimShards = 4
+	// warmUp is how long an instance waits for news of endpoints that give none.
+	warmUp = 5 * time.Second
 )
 
 // Node is one instance.
@@ -47,6 +49,7 @@
 	group     *errgroup.Group
 	timers    *timer.Service
 	clock     func() time.Time
+	started   time.Time
 	store     platform.Store
 	members   *members
 	directory *directory.Directory
@@ -89,6 +92,7 @@
 		group:     group,
 		timers:    timer.New(clock),
 		clock:     clock.Now,
+		started:   clock.Now(),
 		directory: directory.New(),
 		remote:    newRemote(fleet.Region(c.Instance.Region)),
 		endpoints: endpoint.New(),
@@ -225,9 +229,22 @@
 	if n.list.current() == 0 {
 		return fmt.Errorf("ready: the list of endpoints is not known")
 	}
+	if waiting := n.unheard(); waiting != "" && n.clock().Sub(n.started) < warmUp {
+		return fmt.Errorf("ready: endpoint %s was not heard of yet", waiting)
+	}
 	return nil
 }
 
+// unheard returns an endpoint of which no dispatcher has told yet.
+func (n *Node) unheard() fleet.Endpoint {
+	for _, e := range n.directory.All() {
+		if e.Heard.IsZero() {
+			return e.Endpoint
+		}
+	}
+	return ""
+}
+
 // background runs a short task in the group; one that is running is not started twice.
 func (n *Node) background(task func(context.Context)) {
 	n.group.Go(func() error {
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -162,10 +162,8 @@
 		Wait: uint32(r.Wait.Milliseconds()), Leaving: r.Leaving, Serial: r.Serial,
 		Incarnation: r.Incarnation, Down: r.Down, Drained: names(r.Drained),
 	}
-	if models {
-		for _, m := range r.Models {
-			load.Models = append(load.Models, string(m))
-		}
+	if models && r.Models != nil {
+		load.Full, load.Models = true, names(r.Models)
 	}
 	return load
 }
@@ -179,6 +177,9 @@
 	for _, m := range l.Drained {
 		r.Drained = append(r.Drained, fleet.Model(m))
 	}
+	if l.Full {
+		r.Models = make([]fleet.Model, 0, len(l.Models))
+	}
 	for _, m := range l.Models {
 		r.Models = append(r.Models, fleet.Model(m))
 	}
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -197,19 +199,36 @@
 		b.address, strings.Join(b.services, ","), n.metrics)
 }
 
+// port is the last port given out. All stand below the range from which the
+// system takes ports for outgoing connections.
+var port atomic.Int32
+
+const firstPort = 12000
+
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+port.Add(1))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			require.NoError(t, l.Close())
+			return address
+		}
+	}
 }
 
 // ready waits until all instances are ready and see each other and the endpoints.
 func (b *bench) ready() {
 	b.t.Helper()
 	for _, n := range b.nodes {
-		b.eventually("ready "+n.name, func() bool { return b.status(n, len(b.nodes)) })
+		until := time.Now().Add(patient)
+		for !b.status(n, len(b.nodes)) {
+			if time.Now().After(until) {
+				status, err := b.operators(n).Status(b.t.Context())
+				require.Fail(b.t, "not ready: "+n.name, "%+v %v", status, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 }
 
@@ -283,6 +302,8 @@
 	return problem.Error.Code
 }
 
+func decode(r io.Reader, to any) error { return json.NewDecoder(r).Decode(to) }
+
 // send posts one request to an instance and reads the answer to its end.
 func send(ctx context.Context, address, path, body string, headers ...string) (reply, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
--- /dev/null
+++ b/test/process/once_test.go
@@ -0,0 +1,148 @@
+package process
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/standin/platform"
+	"github.com/chiveramp/chiveramp/internal/standin/service"
+	"github.com/chiveramp/chiveramp/internal/switches"
+)
+
+// order sends one kit order with a key and returns the reply; a broken connection gives an unknown outcome.
+func (b *bench) order(n *instance, key string) reply {
+	r, err := send(b.t.Context(), n.caller, "/services/order/kits", "one kit for "+key,
+		"Chiveramp-Profile", "orders", "Idempotency-Key", key, "Chiveramp-Request", "r-"+key)
+	if err != nil {
+		return reply{outcome: "unknown"}
+	}
+	return r
+}
+
+// The same order arrives at every instance at once and again afterwards.
+func TestOrderSentEverywhereRunsOnce(t *testing.T) {
+	for _, p := range proofs(switches.Claim) {
+		t.Run(p.name(), func(t *testing.T) {
+			b := southern(t, p.off)
+			b.orders.SetFaults(service.Faults{Delay: 50})
+			for round := range 3 {
+				key := fmt.Sprint("kit-", round)
+				var group errgroup.Group
+				for range 3 {
+					for _, n := range b.nodes {
+						group.Go(func() error { b.order(n, key); return nil })
+					}
+				}
+				_ = group.Wait()
+			}
+			if !p.holds {
+				require.Greater(t, b.orders.Counts().Keys["kit-0"], 1)
+				return
+			}
+			for round := range 3 {
+				key := fmt.Sprint("kit-", round)
+				require.Equal(t, 1, b.orders.Counts().Keys[key])
+				again := b.order(b.nodes[round], key)
+				require.Equal(t, "ran", again.outcome, string(again.body))
+				require.Equal(t, http.StatusOK, again.status)
+				require.Equal(t, 1, b.orders.Counts().Keys[key])
+			}
+		})
+	}
+}
+
+// Instances die while orders are on their way; callers send them again until
+// they are told an end. What was told "not run" and never sent again did not run.
+func TestOrdersRunOnceThroughKills(t *testing.T) {
+	b := southern(t, "")
+	b.orders.SetFaults(service.Faults{Delay: 30, ReplyLost: 3})
+	const orders = 40
+	var group errgroup.Group
+	group.SetLimit(8)
+	for i := range orders {
+		if i == orders/2 {
+			b.nodes[1].signal(t, syscall.SIGKILL)
+		}
+		group.Go(func() error {
+			key := fmt.Sprint("o-", i)
+			for try := range 6 {
+				if b.order(b.nodes[(i+try)%3], key).outcome == "ran" {
+					return nil
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	counts := b.orders.Counts()
+	require.GreaterOrEqual(t, len(counts.Keys), orders/2)
+	for key, n := range counts.Keys {
+		require.Equal(t, 1, n, "order %s", key)
+	}
+}
+
+func TestOrderWithTheStoreDownIsNotRun(t *testing.T) {
+	b := southern(t, "")
+	b.platform.SetFaults(platform.Faults{Down: true})
+	r := b.order(b.nodes[0], "down")
+	require.Equal(t, "not-run", r.outcome, string(r.body))
+	require.Equal(t, "store-unavailable", r.code())
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Zero(t, b.orders.Counts().Total)
+	b.requireChat(t, b.nodes[1].caller, "chat", "matcher-a", "serving goes on", true)
+
+	b.platform.SetFaults(platform.Faults{})
+	b.eventually("order after the outage", func() bool { return b.order(b.nodes[1], "down").outcome == "ran" })
+	require.Equal(t, 1, b.orders.Counts().Keys["down"])
+}
+
+func TestOrderWhoseClaimGotNoReplyRunsOnce(t *testing.T) {
+	b := southern(t, "")
+	for i := range 5 {
+		b.platform.SetFaults(platform.Faults{LoseReply: 1})
+		key := fmt.Sprint("lost-", i)
+		b.eventually(key, func() bool { return b.order(b.nodes[i%3], key).outcome == "ran" })
+		require.Equal(t, 1, b.orders.Counts().Keys[key])
+	}
+}
+
+// Told "not run" means not run: refusals under overload and deaths are counted
+// against what the service saw.
+func TestToldNotRunMeansNotRun(t *testing.T) {
+	b := southern(t, "")
+	b.orders.SetFaults(service.Faults{Delay: 20})
+	var group errgroup.Group
+	group.SetLimit(32)
+	var refused atomic.Int32
+	for i := range 120 {
+		if i == 60 {
+			b.nodes[2].signal(t, syscall.SIGKILL)
+		}
+		group.Go(func() error {
+			key := fmt.Sprint("n-", i)
+			r := b.order(b.nodes[i%3], key)
+			ran := b.orders.Counts().Keys[key]
+			if r.outcome == "not-run" {
+				refused.Add(1)
+				if ran > 0 {
+					return fmt.Errorf("order %s was told not run and ran: %s", key, r.body)
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	t.Logf("told not run: %d", refused.Load())
+	time.Sleep(200 * time.Millisecond)
+	for key, n := range b.orders.Counts().Keys {
+		require.Equal(t, 1, n, "order %s", key)
+	}
+}
