--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -58,17 +58,16 @@
 	text := authorMark + author + authorTime + n.clock().UTC().Format(time.RFC3339) + "\n" + e.Text
 	rev, err := n.documents.Apply(ctx, e.Expect, []byte(text))
 	if err != nil {
-		return operator.ApplyResult{}, n.applyError(e, err)
+		return operator.ApplyResult{}, n.applyError(ctx, e, err)
 	}
 	n.background(func(ctx context.Context) { n.beat(ctx, n.clock()) })
 	return n.awaitForce(ctx, rev), nil
 }
 
-func (n *Node) applyError(e operator.Edit, err error) error {
+func (n *Node) applyError(ctx context.Context, e operator.Edit, err error) error {
 	switch {
 	case errors.Is(err, revision.ErrStale):
-		current, _ := n.documents.Current()
-		won := toOperator(current)
+		won := toOperator(n.newer(ctx, e.Expect))
 		return &operator.ConflictError{Expected: e.Expect, Revision: won.Revision, Author: won.Author}
 	case errors.Is(err, platform.ErrUncertain):
 		return fmt.Errorf("%w: %w", operator.ErrUncertain, err)
@@ -79,6 +78,19 @@
 	}
 }
 
+// newer returns the document in force, once the one that won over a revision is here.
+func (n *Node) newer(ctx context.Context, than uint64) revision.Document {
+	ctx, cancel := context.WithTimeout(ctx, n.config.Platform.Timeout)
+	defer cancel()
+	for {
+		current, _ := n.documents.Current()
+		if current.Revision > than || ctx.Err() != nil {
+			return current
+		}
+		wait(ctx, inForcePause)
+	}
+}
+
 func (n *Node) awaitForce(ctx context.Context, rev uint64) operator.ApplyResult {
 	ctx, cancel := context.WithTimeout(ctx, inForceWait)
 	defer cancel()
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -66,6 +66,9 @@
 	orders   *service.Server
 }
 
+// memberRow is a row of the platform's list.
+type memberRow = standin.Member
+
 // instance is one chiverampd process.
 type instance struct {
 	name, dc, region                string
--- /dev/null
+++ b/test/process/config_test.go
@@ -0,0 +1,119 @@
+package process
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/internal/standin/platform"
+	"github.com/chiveramp/chiveramp/internal/switches"
+)
+
+// inForce is the target: a change is in force everywhere within it.
+const inForce = 12 * time.Second
+
+func (b *bench) revision(n *instance) uint64 {
+	status, err := b.operators(n).Status(b.t.Context())
+	if err != nil {
+		return 0
+	}
+	for _, i := range status.Instances {
+		if i.Name == n.name {
+			return i.Revision
+		}
+	}
+	return 0
+}
+
+func edited(word string) string { return oneModel + orderService + "\n; " + word + "\n" }
+
+func TestOperatorsRaceAndOneWins(t *testing.T) {
+	b := southern(t, "")
+	var group errgroup.Group
+	errs := make([]error, 3)
+	for i, n := range b.nodes {
+		group.Go(func() error {
+			_, errs[i] = b.operators(n).Apply(t.Context(), operator.Edit{Expect: 1, Author: "operator-" + n.name, Text: edited(n.name)})
+			return nil
+		})
+	}
+	_ = group.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+			continue
+		}
+		var conflict *operator.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.EqualValues(t, 2, conflict.Revision)
+		require.Contains(t, conflict.Author, "operator-")
+	}
+	require.Equal(t, 1, won)
+}
+
+// An instance frozen during a change, one killed and started anew while the store
+// is down: neither ever shows a lower revision, both come up to date.
+func TestConfigurationNeverReverts(t *testing.T) {
+	b := southern(t, "")
+	frozen, killed := b.nodes[1], b.nodes[2]
+	frozen.signal(t, syscall.SIGSTOP)
+	begun := time.Now()
+	result, err := b.operators(b.nodes[0]).Apply(t.Context(), operator.Edit{Expect: 1, Author: "a", Text: edited("two")})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, result.Revision)
+	require.Less(t, time.Since(begun), inForce+2*time.Second)
+	frozen.signal(t, syscall.SIGCONT)
+	b.eventually("frozen instance is up to date", func() bool { return b.revision(frozen) == 2 })
+
+	b.platform.SetFaults(platform.Faults{Down: true})
+	killed.signal(t, syscall.SIGKILL)
+	<-killed.ended
+	b.start(killed)
+	b.eventually("restarted instance boots from its peers", func() bool {
+		revision := b.revision(killed)
+		require.NotEqualValues(t, 1, revision, "an old revision was in force")
+		return revision == 2
+	})
+	_, err = b.operators(killed).Apply(t.Context(), operator.Edit{Expect: 2, Author: "a", Text: edited("three")})
+	require.Error(t, err)
+	b.platform.SetFaults(platform.Faults{})
+	b.eventually("apply after the outage", func() bool {
+		_, err = b.operators(killed).Apply(t.Context(), operator.Edit{Expect: 2, Author: "a", Text: edited("three")})
+		return err == nil
+	})
+	for _, n := range b.nodes {
+		b.eventually("revision 3 at "+n.name, func() bool { return b.revision(n) == 3 })
+	}
+}
+
+func TestRestartedInstanceNeedsItsPeersWhileTheStoreIsDown(t *testing.T) {
+	for _, p := range proofs(switches.Pull) {
+		t.Run(p.name(), func(t *testing.T) {
+			b := southern(t, p.off)
+			b.platform.SetFaults(platform.Faults{Down: true})
+			last := b.nodes[2]
+			last.signal(t, syscall.SIGKILL)
+			<-last.ended
+			b.start(last)
+			time.Sleep(5 * time.Second)
+			require.Equal(t, p.holds, b.revision(last) == 1)
+			if p.holds {
+				b.requireChat(t, last.caller, "chat", "matcher-a", "from peers", true)
+			}
+		})
+	}
+}
+
+func TestApplyWhoseReplyWasLostIsKnown(t *testing.T) {
+	b := southern(t, "")
+	b.platform.SetFaults(platform.Faults{LoseReply: 1})
+	result, err := b.operators(b.nodes[0]).Apply(t.Context(), operator.Edit{Expect: 1, Author: "a", Text: edited("lost")})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, result.Revision)
+	require.Empty(t, result.Behind)
+}
--- a/test/process/once_test.go
+++ b/test/process/once_test.go
@@ -16,8 +16,8 @@
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
-// order sends one kit order with a key and returns the reply; a broken connection gives an unknown outcome.
-func (b *bench) order(n *instance, key string) reply {
+// kit sends one kit order with a key and returns the reply; a broken connection gives an unknown outcome.
+func (b *bench) kit(n *instance, key string) reply {
 	r, err := send(b.t.Context(), n.caller, "/services/order/kits", "one kit for "+key,
 		"Chiveramp-Profile", "orders", "Idempotency-Key", key, "Chiveramp-Request", "r-"+key)
 	if err != nil {
@@ -37,7 +37,7 @@
 				var group errgroup.Group
 				for range 3 {
 					for _, n := range b.nodes {
-						group.Go(func() error { b.order(n, key); return nil })
+						group.Go(func() error { b.kit(n, key); return nil })
 					}
 				}
 				_ = group.Wait()
@@ -49,7 +49,7 @@
 			for round := range 3 {
 				key := fmt.Sprint("kit-", round)
 				require.Equal(t, 1, b.orders.Counts().Keys[key])
-				again := b.order(b.nodes[round], key)
+				again := b.kit(b.nodes[round], key)
 				require.Equal(t, "ran", again.outcome, string(again.body))
 				require.Equal(t, http.StatusOK, again.status)
 				require.Equal(t, 1, b.orders.Counts().Keys[key])
@@ -73,7 +73,7 @@
 		group.Go(func() error {
 			key := fmt.Sprint("o-", i)
 			for try := range 6 {
-				if b.order(b.nodes[(i+try)%3], key).outcome == "ran" {
+				if b.kit(b.nodes[(i+try)%3], key).outcome == "ran" {
 					return nil
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -92,7 +92,7 @@
 func TestOrderWithTheStoreDownIsNotRun(t *testing.T) {
 	b := southern(t, "")
 	b.platform.SetFaults(platform.Faults{Down: true})
-	r := b.order(b.nodes[0], "down")
+	r := b.kit(b.nodes[0], "down")
 	require.Equal(t, "not-run", r.outcome, string(r.body))
 	require.Equal(t, "store-unavailable", r.code())
 	require.NotEmpty(t, r.header.Get("Retry-After"))
@@ -100,7 +100,7 @@
 	b.requireChat(t, b.nodes[1].caller, "chat", "matcher-a", "serving goes on", true)
 
 	b.platform.SetFaults(platform.Faults{})
-	b.eventually("order after the outage", func() bool { return b.order(b.nodes[1], "down").outcome == "ran" })
+	b.eventually("order after the outage", func() bool { return b.kit(b.nodes[1], "down").outcome == "ran" })
 	require.Equal(t, 1, b.orders.Counts().Keys["down"])
 }
 
@@ -109,7 +109,7 @@
 	for i := range 5 {
 		b.platform.SetFaults(platform.Faults{LoseReply: 1})
 		key := fmt.Sprint("lost-", i)
-		b.eventually(key, func() bool { return b.order(b.nodes[i%3], key).outcome == "ran" })
+		b.eventually(key, func() bool { return b.kit(b.nodes[i%3], key).outcome == "ran" })
 		require.Equal(t, 1, b.orders.Counts().Keys[key])
 	}
 }
@@ -128,7 +128,7 @@
 		}
 		group.Go(func() error {
 			key := fmt.Sprint("n-", i)
-			r := b.order(b.nodes[i%3], key)
+			r := b.kit(b.nodes[i%3], key)
 			ran := b.orders.Counts().Keys[key]
 			if r.outcome == "not-run" {
 				refused.Add(1)
