feat: stand-in for the weight store

Cause: moves have to stay within the store's loads a second and at once, and an adapter's load slows down beyond a number in flight; nothing showed either. Ruled out: limits inside each engine's stand-in, since they are shared by the whole deployment. Change: internal/standin/weights with its command; engines load from it with WithWeights (--weights) and hold a model's memory while the store refuses. Conclusion: the placer's permits can now be checked against counts; not wired into the process tests yet.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -29,7 +29,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       []*cli.Command{engineCommand(), serviceCommand(), linkCommand(), memberCommand(), platformCommand()},
+		Commands:       []*cli.Command{engineCommand(), serviceCommand(), linkCommand(), memberCommand(), platformCommand(), weightsCommand()},
 	}
 	for _, c := range root.Commands {
 		c.OnUsageError = usageError
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -48,6 +48,7 @@
 		{[]string{"engine", "--name", "e1"}, []string{"ready", "engine", "e1"}, "/health"},
 		{[]string{"service", "--name", "orders"}, []string{"ready", "service", "orders"}, "/health"},
 		{[]string{"platform", "--writes", "300", "--reads", "2000"}, []string{"ready", "platform", "store"}, "/standin/calls"},
+		{[]string{"weights", "--rate", "1.5", "--at-once", "7"}, []string{"ready", "weights", "store"}, "/standin/counts"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.args[0], func(t *testing.T) {
--- a/internal/standin/command/engine.go
+++ b/internal/standin/command/engine.go
@@ -28,6 +28,7 @@
 			&cli.DurationFlag{Name: "step", Value: 5 * time.Millisecond, Usage: "time between tokens"},
 			&cli.DurationFlag{Name: "prefill", Value: time.Millisecond, Usage: "time to read 100 prompt tokens"},
 			&cli.DurationFlag{Name: "load-time", Value: time.Second, Usage: "time to load weights"},
+			&cli.StringFlag{Name: "weights", Usage: "`ADDRESS` of the weight store, in place of the load time"},
 			&cli.StringFlag{Name: "crash-on", Usage: "crash on prompts that contain the `WORD`"},
 		},
 		Action: runEngine,
@@ -77,6 +78,7 @@
 		engine.WithStep(c.Duration("step")),
 		engine.WithPrefill(c.Duration("prefill")),
 		engine.WithLoadTime(c.Duration("load-time")),
+		engine.WithWeights(c.String("weights")),
 		engine.WithFaults(engine.Faults{CrashOn: c.String("crash-on")}),
 	}
 	models, err := modelOptions(c.String("models"))
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -95,6 +95,7 @@
 	step     time.Duration
 	prefill  time.Duration
 	loadTime time.Duration
+	weights  string // address of the weight store, empty for a fixed time
 	batch    int
 	keep     time.Duration
 	loadLag  time.Duration
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/standin/engine"
+	"github.com/chiveramp/chiveramp/internal/standin/weights"
 )
 
 const model = "matcher"
@@ -185,6 +187,32 @@
 	assert.Equal(t, 2, server.Counts().Overcommits)
 }
 
+func TestLoadsComeFromTheWeightStore(t *testing.T) {
+	store := weights.New(weights.WithLimits(1000, 1), weights.WithBandwidth(1e12))
+	require.NoError(t, store.Start(t.Context(), "127.0.0.1:0"))
+	defer func() { _ = store.Close() }()
+	store.SetFaults(weights.Faults{Down: true})
+	server, client, addr := start(t, engine.WithWeights(store.Address()))
+	for _, order := range []endpoint.Order{
+		{ID: "1", Kind: endpoint.OrderLoad, Model: "b", Bytes: 1 << 30},
+		{ID: "2", Kind: endpoint.OrderLoadAdapter, Model: model, Adapter: "a1"},
+		{ID: "3", Kind: endpoint.OrderLoad, Model: "never", Bytes: 1 << 30},
+		{ID: "4", Kind: endpoint.OrderUnload, Model: "never"},
+	} {
+		reply, err := client.Order(t.Context(), addr, order)
+		require.NoError(t, err)
+		assert.Equal(t, endpoint.OrderAccepted, reply.Status)
+	}
+	require.Eventually(t, func() bool { return store.Counts().Refused > 0 }, 5*time.Second, time.Millisecond)
+	assert.Equal(t, endpoint.ResidentLoading, server.State().Models[1].State)
+	store.SetFaults(weights.Faults{})
+	require.Eventually(t, func() bool {
+		models, err := client.Models(t.Context(), addr)
+		return err == nil && slices.Equal(models, []fleet.Model{model, "b", "a1"}) && len(server.State().Models) == 3
+	}, 10*time.Second, 5*time.Millisecond)
+	assert.Equal(t, 1, store.Counts().AtOnce)
+}
+
 func TestCrashOnAWord(t *testing.T) {
 	server, client, addr := start(t, engine.WithFaults(engine.Faults{CrashOn: "poison"}))
 	s, err := client.Start(t.Context(), addr, endpoint.Call{Attempt: "a", Body: body("a poison pill", 5)})
--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -138,10 +138,14 @@
 		}
 	}
 	s.counts.Loads++
-	ready := now.Add(s.loadTime)
-	s.residents = append(s.residents, &resident{model: model, adapter: adapter, bytes: bytes, ready: ready})
+	r := &resident{model: model, adapter: adapter, bytes: bytes, ready: now.Add(s.loadTime)}
+	s.residents = append(s.residents, r)
 	s.counts.Peak = max(s.counts.Peak, s.used())
-	return status(s.loadTime == 0), nil
+	if s.weights != "" {
+		r.ready = now.Add(farAhead)
+		s.group.Go(func() error { return s.fetch(r) })
+	}
+	return status(!r.ready.After(now)), nil
 }
 
 func sizeOf(adapter fleet.Adapter) int64 {
--- /dev/null
+++ b/internal/standin/weights/weights.go
@@ -0,0 +1,240 @@
+// Package weights is a stand-in for the weight store from which engines load
+// models and adapters: limited in loads a second and loads at once. It is for
+// tests and the demonstration only.
+package weights
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+)
+
+// Paths of the store.
+const (
+	// PathModels and PathAdapters are followed by a name; the query's bytes is the size.
+	PathModels   = "/weights/models/"
+	PathAdapters = "/weights/adapters/"
+	PathCounts   = "/standin/counts"
+	PathFaults   = "/standin/faults"
+)
+
+const (
+	defaultPerSecond    = 2
+	defaultAtOnce       = 8
+	defaultBandwidth    = 4 << 30 // bytes a second of one load
+	defaultAdapterTime  = 7 * time.Millisecond
+	defaultAdapterLimit = 60
+	headerTime          = 10 * time.Second
+)
+
+// Option changes a Server under construction.
+type Option func(*Server)
+
+// WithLimits sets the loads a second and the loads at once.
+func WithLimits(perSecond float64, atOnce int) Option {
+	return func(s *Server) {
+		s.limiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		s.atOnce = atOnce
+	}
+}
+
+// WithBandwidth sets the bytes a second of one load.
+func WithBandwidth(bytes float64) Option { return func(s *Server) { s.bandwidth = bytes } }
+
+// WithAdapters sets the time of an adapter's load while no more than limit are
+// in flight; beyond, each takes proportionally longer.
+func WithAdapters(each time.Duration, limit int) Option {
+	return func(s *Server) { s.adapterTime, s.adapterLimit = each, limit }
+}
+
+// Faults are what goes wrong in the store. They can be changed at run time.
+type Faults struct {
+	// Down refuses each load.
+	Down bool `json:"down"`
+	// Slow is added to each load, milliseconds.
+	Slow int `json:"slow"`
+}
+
+// Counts is what a test checks the store by.
+type Counts struct {
+	Models   int `json:"models"`   // loads of models that ended
+	Adapters int `json:"adapters"` // loads of adapters that ended
+	Refused  int `json:"refused"`  // loads over the limits
+	AtOnce   int `json:"at_once"`  // most loads of models at once
+	InFlight int `json:"in_flight"`
+}
+
+// Server is one weight store.
+type Server struct {
+	limiter      *rate.Limiter
+	atOnce       int
+	bandwidth    float64
+	adapterTime  time.Duration
+	adapterLimit int
+
+	listener net.Listener
+	http     *http.Server
+	group    errgroup.Group
+
+	mu       sync.Mutex
+	faults   Faults
+	counts   Counts
+	adapters int // in flight
+}
+
+// New returns a store that does not listen yet.
+func New(opts ...Option) *Server {
+	s := &Server{
+		limiter:      rate.NewLimiter(defaultPerSecond, defaultPerSecond),
+		atOnce:       defaultAtOnce,
+		bandwidth:    defaultBandwidth,
+		adapterTime:  defaultAdapterTime,
+		adapterLimit: defaultAdapterLimit,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTime}
+	return s
+}
+
+// Start listens on an address and serves until Close.
+func (s *Server) Start(ctx context.Context, address string) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", address, err)
+	}
+	s.listener = listener
+	s.group.Go(func() error { return s.http.Serve(listener) })
+	return nil
+}
+
+// Address returns the address on which the store listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the store at once.
+func (s *Server) Close() error {
+	_ = s.http.Close()
+	if err := s.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// SetFaults changes the faults.
+func (s *Server) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Counts returns a copy of the counts.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Handler returns the store's HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathModels+"{name}", s.serveModel)
+	mux.HandleFunc("GET "+PathAdapters+"{name}", s.serveAdapter)
+	mux.HandleFunc("GET "+PathCounts, s.serveCounts)
+	mux.HandleFunc("PUT "+PathFaults, s.serveFaults)
+	return mux
+}
+
+func (s *Server) serveModel(w http.ResponseWriter, r *http.Request) {
+	bytes, err := strconv.ParseFloat(r.URL.Query().Get("bytes"), 64)
+	if err != nil || bytes < 0 {
+		http.Error(w, "bytes is not a number", http.StatusBadRequest)
+		return
+	}
+	slow, ok := s.beginModel()
+	if !ok {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "over the store's limits", http.StatusTooManyRequests)
+		return
+	}
+	wait(r.Context(), slow+time.Duration(bytes/s.bandwidth*float64(time.Second)))
+	s.endModel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) beginModel() (slow time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down || s.counts.InFlight >= s.atOnce || !s.limiter.Allow() {
+		s.counts.Refused++
+		return 0, false
+	}
+	s.counts.InFlight++
+	s.counts.AtOnce = max(s.counts.AtOnce, s.counts.InFlight)
+	return time.Duration(s.faults.Slow) * time.Millisecond, true
+}
+
+func (s *Server) endModel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.InFlight--
+	s.counts.Models++
+}
+
+func (s *Server) serveAdapter(w http.ResponseWriter, r *http.Request) {
+	wait(r.Context(), s.beginAdapter())
+	s.endAdapter()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) beginAdapter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adapters++
+	each := s.adapterTime + time.Duration(s.faults.Slow)*time.Millisecond
+	if s.adapters <= s.adapterLimit {
+		return each
+	}
+	return each * time.Duration(s.adapters) / time.Duration(s.adapterLimit)
+}
+
+func (s *Server) endAdapter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adapters--
+	s.counts.Adapters++
+}
+
+func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Counts())
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
