--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -142,6 +142,8 @@
 		{"unknown with a key", Request{Method: "POST", Key: "k"}, []http.HandlerFunc{refuse(502, OutcomeUnknown, "lost", 0), answer("x")}, 2, "", []time.Duration{0}},
 		{"unknown, may repeat", Request{Method: "POST", Repeat: true}, []http.HandlerFunc{refuse(502, OutcomeUnknown, "lost", 0), answer("x")}, 2, "", []time.Duration{0}},
 		{"unknown, safe method", Request{Method: "GET"}, []http.HandlerFunc{refuse(502, OutcomeUnknown, "lost", 0), answer("x")}, 2, "", []time.Duration{0}},
+		{"unknown for good", Request{Method: "POST", Key: "k"}, []http.HandlerFunc{refuse(409, OutcomeUnknown, codeUnknown, 0)}, 1, OutcomeUnknown, nil},
+		{"running, with a key", Request{Method: "POST", Key: "k"}, []http.HandlerFunc{refuse(409, OutcomeUnknown, "already-running", 20), answer("x")}, 2, "", []time.Duration{2e7}},
 		{"cut", Request{Method: "POST"}, []http.HandlerFunc{abort}, 1, OutcomeUnknown, nil},
 		{"cut with a key", Request{Method: "POST", Key: "k"}, []http.HandlerFunc{abort, answer("x")}, 2, "", []time.Duration{0}},
 		{"no outcome said", Request{Method: "POST"}, []http.HandlerFunc{refuse(503, "", "busy", 0)}, 1, OutcomeUnknown, nil},
@@ -307,6 +309,7 @@
 		{"explicit error", "", []http.HandlerFunc{events("a", 1, 2, failure)}, "12", []string{""}, "lost"},
 		{"cut before any event", "", []http.HandlerFunc{events("a", 1, 0, "")}, "", []string{""}, CodeCut},
 		{"cut before any event, with a key", "k", []http.HandlerFunc{events("a", 1, 0, ""), events("a", 1, 1, marker)}, "1", []string{"", ""}, ""},
+		{"no longer kept", "", []http.HandlerFunc{events("a", 1, 2, ""), refuse(502, OutcomeUnknown, codeGone, 0)}, "12", []string{"", "m1/a/2"}, codeGone},
 		{"gone", "", []http.HandlerFunc{events("a", 1, 2, ""), refuse(502, OutcomeRan, "gone", 0)}, "12", []string{"", "m1/a/2"}, "gone"},
 	}
 	for _, tc := range cases {
--- a/pkg/client/errors.go
+++ b/pkg/client/errors.go
@@ -25,6 +25,12 @@
 	CodeStatus  = "status"
 )
 
+// Codes of the system after which no try helps.
+const (
+	codeGone    = "answer-gone"
+	codeUnknown = "outcome-unknown"
+)
+
 // Error is why a request has no whole answer.
 type Error struct {
 	// Code and Step name the problem and where it arose.
--- a/pkg/client/request.go
+++ b/pkg/client/request.go
@@ -245,7 +245,7 @@
 
 // allowed tells whether the outcome lets the request be sent again.
 func (l *call) allowed(e *Error) bool {
-	if e.Status != 0 && !passing(e.Status) {
+	if final(e.Code) || e.Status != 0 && !passing(e.Status) {
 		return false
 	}
 	switch e.Outcome {
@@ -258,6 +258,11 @@
 	}
 }
 
+// final tells whether the system has said that another try gets the same answer.
+func final(code string) bool {
+	return code == codeGone || code == codeUnknown
+}
+
 // passing tells whether a status is of a kind that passes.
 func passing(status int) bool {
 	switch status {
