--- a/test/process/client_test.go
+++ b/test/process/client_test.go
@@ -149,8 +149,9 @@
 	if _, err = io.Copy(io.Discard, response.Body); err != nil {
 		return nil // cut: it may have run
 	}
-	if response.Status != http.StatusOK || b.orders.Counts().Keys[key] != 1 {
-		return fmt.Errorf("%s: status %d, runs %d", key, response.Status, b.orders.Counts().Keys[key])
+	runs := b.orders.Counts().Keys[key]
+	if response.Status != http.StatusOK || response.Ended() != client.OutcomeRan || runs != 1 {
+		return fmt.Errorf("%s: status %d, outcome %s, runs %d", key, response.Status, response.Ended(), runs)
 	}
 	return nil
 }
