fix: plain services are not asked as engines before a document tells them apart

Cause: TestOrderWithTheStoreDownIsNotRun counted 2 calls at the order service: GET /v1/state from instances that had no document yet and took the service for an engine. Ruled out: the order itself (its key was never counted). Change: endpoints are probed once a document is in force.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -99,11 +99,19 @@
 	})
 	n.every("list", listPause, func(ctx context.Context, _ time.Time) { n.readList(ctx) })
 	n.every("beat", n.config.Peer.Beat, n.beat)
-	n.every("probe", probePause, func(ctx context.Context, _ time.Time) { n.prober.round(ctx) })
+	n.every("probe", probePause, n.probe)
 	n.every("place", placePause, n.place)
 	n.every("settle", settlePause, func(ctx context.Context, _ time.Time) { _, _ = n.claims.Settle(ctx) })
 }
 
+// probe asks the endpoints dispatched here how they are, once the document
+// tells which of them are plain services, that must not be asked as engines.
+func (n *Node) probe(ctx context.Context, _ time.Time) {
+	if _, ok := n.Profiles(); ok {
+		n.prober.round(ctx)
+	}
+}
+
 // place takes one step of the placer. A leaving instance gives the lease back instead.
 func (n *Node) place(ctx context.Context, now time.Time) {
 	if n.members.Self().Leaving {
--- a/test/process/path_test.go
+++ b/test/process/path_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -156,6 +157,23 @@
 	}
 }
 
+// Before a document tells what a service is, the system sends it nothing.
+func TestPlainServiceIsNeverAskedAsAnEngine(t *testing.T) {
+	b := newBench(t, "matcher", "order")
+	b.engine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"))
+	b.orders = b.service("order", "south", "south-1")
+	n := b.add("s1a", "south", "south-1")
+	b.eventually("list is read", func() bool {
+		status, err := b.operators(n).Status(t.Context())
+		return err == nil && len(status.Endpoints) == 2
+	})
+	time.Sleep(2 * time.Second)
+	require.Empty(t, b.orders.Counts().Paths)
+	b.apply(n, 0, oneModel+orderService)
+	b.ready()
+	require.Empty(t, b.orders.Counts().Paths)
+}
+
 func TestBadInput(t *testing.T) {
 	b := newBench(t, "matcher")
 	b.engine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"))
