feat: experiments from a plan, with a report by rank and a plot

Cause: operators and ourselves need to see what a flood of one rank does to the others, with the same requests each time.

Ruled out: closed loops (a slow system would be asked less, and look better).

--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -36,7 +36,8 @@
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			awaitCommand(), compareCommand(), entriesCommand(), idleCommand(), portsCommand(), sendCommand(),
+			awaitCommand(), compareCommand(), entriesCommand(), idleCommand(), portsCommand(),
+			runCommand(), sendCommand(),
 		},
 	}
 	for _, c := range root.Commands {
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -108,3 +108,35 @@
 operate() {
     "$bin/chiveramp" --address "$operators" --token "$token" "$@"
 }
+
+title() { printf '\n== %s\n' "$*"; }
+
+# start_guaiba starts stand-ins for a part of examples/guaiba.ini and four
+# instances in two regions, and sets `urls` for readiness. The instances'
+# addresses and processes go to "$work/processes".
+start_guaiba() {
+    services="matcher,board-app,handover,catalog"
+    title "stand-ins: a platform, four engines, two plain services"
+    start_platform
+    start_engine matcher-1 matcher litoral-sul litoral-1 --memory 80GiB \
+        --models matcher-full@2026-09=14GiB,matcher-bus-centro=6GiB
+    start_engine matcher-2 matcher serra-norte serra-1 --memory 80GiB \
+        --models matcher-full@2026-09=14GiB,matcher-ski-pista=6GiB
+    start_engine board-1 board-app litoral-sul litoral-1 --models board-citizen=4GiB,board-clerk=4GiB
+    start_engine board-2 board-app serra-norte serra-1 --models board-citizen=4GiB,board-ski=4GiB
+    start_service handover litoral-sul litoral-1
+    start_service catalog serra-norte serra-1
+
+    title "four instances in two regions"
+    urls=""
+    for place in litoral-1a:litoral-sul:litoral-1 litoral-1b:litoral-sul:litoral-1 \
+        serra-1a:serra-norte:serra-1 serra-1b:serra-norte:serra-1; do
+        IFS=: read -r name region dc <<<"$place"
+        start_instance "$name" "$region" "$dc" "$services"
+        echo "$caller $name $pid" >>"$work/processes"
+        urls="$urls http://$metrics/ready"
+        echo "$name process $pid callers $caller operators $operator"
+    done
+    # shellcheck disable=SC2086 # one word for each URL
+    "$bin/chiveramp-load" await $(printf '%s\n' $urls | sed 's/ready$/health/')
+}
