feat: floors, caps and moves that hold in the measured floods

Cause: (1) in a flood of bulk a standard request for a model not at work had to wait until ten answers ended, for its pass over the weights did not fit beside the batch; (2) a placement that unloads to make room forgot by the next round for whom, and gave the room to a spare copy; (3) requests queued for a model that is unloaded held the unload up for minutes. Threshold of a move 0.06 accelerators. Tests assert the users' targets in short scenes, each with the mechanism off beside it.

--- a/internal/core/admit/options.go
+++ b/internal/core/admit/options.go
@@ -56,8 +56,9 @@
 	DefaultSlots      = 32
 	DefaultDepth      = 1024
 	DefaultProfileCap = 0.3
-	DefaultGuard      = 0.2
+	DefaultGuard      = 0.15
 	DefaultJitter     = 0.25
+	DefaultSpare      = 1
 )
 
 // DefaultFloors are the floors of a Queue that is given none.
@@ -104,7 +105,7 @@
 	return func(q *Queue) { q.gap = target }
 }
 
-// SpareModels sets for how many models of urgent requests other ranks leave time.
+// SpareModels sets for how many further models the least urgent rank leaves time.
 func SpareModels(n int) Option {
 	return func(q *Queue) { q.spare = n }
 }
--- a/internal/core/admit/pick.go
+++ b/internal/core/admit/pick.go
@@ -17,15 +17,16 @@
 		return nil
 	}
 	for level := range q.lanes {
-		if q.running[level] < q.floor(level) && q.mayTake(level, fleet.RankUrgent.Level()+1) {
-			if e := q.best(level); e != nil && q.inTime(e) {
-				return e
-			}
+		if q.running[level] >= q.floor(level) || !q.mayTake(level, urgentOnly) {
+			continue
+		}
+		if e := q.best(level); e != nil && q.inTime(e, urgentOnly) {
+			return e
 		}
 	}
 	for level := range q.lanes {
 		if e := q.best(level); e != nil && q.mayTake(level, level) {
-			if q.inTime(e) {
+			if q.inTime(e, level) {
 				return e
 			}
 			return nil
@@ -34,33 +35,40 @@
 	return nil
 }
 
+// urgentOnly limits the floors that are kept empty to that of the most urgent rank.
+const urgentOnly = 1
+
 // inTime reports whether tokens still come within the gap once a request has
-// started. Other ranks also leave time for the floor of the most urgent one
-// and for models that it may need.
-func (q *Queue) inTime(e *entry) bool {
+// started and the more urgent ranks below limit have filled their floors. Beyond
+// its floor the least urgent rank also leaves time for a further model.
+func (q *Queue) inTime(e *entry, limit int) bool {
 	if q.gap <= 0 || q.Running() == 0 {
 		return true
 	}
-	running, models := q.Running()+1, len(q.models)
+	running := q.Running() + 1 + q.unfilled(min(e.lane.level, limit))
+	models := len(q.models)
 	if q.models[e.item.Model] == 0 {
 		models++
 	}
-	urgent := fleet.RankUrgent.Level()
-	if e.lane.level != urgent {
-		running += max(q.floor(urgent)-q.running[urgent], 0)
+	if limit == fleet.RankBulk.Level() {
 		models += q.spare
 	}
 	return q.speed.step(running, models) <= q.gap
 }
 
+// unfilled returns the slots that the ranks more urgent than level may still take of their floors.
+func (q *Queue) unfilled(level int) int {
+	slots := 0
+	for l := range level {
+		slots += max(q.floor(l)-q.running[l], 0)
+	}
+	return slots
+}
+
 // mayTake reports whether a rank may take a slot and leave the unused floors
 // of the more urgent ranks below limit free.
 func (q *Queue) mayTake(level, limit int) bool {
-	free := q.slots - q.Running()
-	for l := 0; l < min(level, limit); l++ {
-		free -= max(q.floor(l)-q.running[l], 0)
-	}
-	return free > 0
+	return q.slots-q.Running() > q.unfilled(min(level, limit))
 }
 
 // floor returns the slots that a rank keeps.
--- a/internal/core/admit/predict.go
+++ b/internal/core/admit/predict.go
@@ -68,10 +68,7 @@
 
 // slotWait predicts the time until a slot is free for a request behind count others.
 func (q *Queue) slotWait(level, count int) time.Duration {
-	free := q.capacity(level) - q.Running()
-	for l := range level {
-		free -= max(q.floor(l)-q.running[l], 0)
-	}
+	free := q.capacity(level) - q.Running() - q.unfilled(level)
 	if count < free {
 		return 0
 	}
@@ -86,7 +83,7 @@
 		return q.slots
 	}
 	models := max(len(q.models), 1)
-	if level != fleet.RankUrgent.Level() {
+	if level == fleet.RankBulk.Level() {
 		models += q.spare
 	}
 	room := q.gap - q.speed.step(0, models)
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -49,6 +49,7 @@
 		floors:  DefaultFloors(),
 		cap:     DefaultProfileCap,
 		guard:   DefaultGuard,
+		spare:   DefaultSpare,
 		jitter:  DefaultJitter,
 		breaker: newBreaker(DefaultFailures, DefaultRest),
 		entries: make(map[string]*entry),
--- a/internal/core/place/evict.go
+++ b/internal/core/place/evict.go
@@ -105,7 +105,7 @@
 }
 
 // evict proposes the unloads that make room for a model on an endpoint.
-func (r *round) evict(u, n int32, stay bool) {
+func (r *round) evict(u, n int32, stay bool, why Reason) {
 	found, ok := r.makeRoom(u, n, stay)
 	if !ok {
 		return
@@ -114,6 +114,7 @@
 	node.fixed = true
 	for _, victim := range found.victims[:found.count] {
 		r.layout.leave(victim, n)
+		node.free += r.layout.units[victim].view.Bytes
 		r.layout.spread(&r.layout.units[victim])
 		r.moves = append(r.moves, Move{
 			Kind:     KindUnload,
@@ -123,7 +124,7 @@
 			For:      r.layout.units[u].view.Model,
 		})
 	}
-	r.layout.join(u, n, false)
-	r.layout.spread(&r.layout.units[u])
+	r.planner.intents[node.view.Endpoint] = intent{model: r.layout.units[u].view.Model, reason: why, at: r.now}
+	r.expect(u, n)
 	r.layout.loading++
 }
--- a/internal/core/place/fleetmap.go
+++ b/internal/core/place/fleetmap.go
@@ -54,18 +54,27 @@
 type layout struct {
 	nodes   []node
 	units   []unit
+	index   map[fleet.Model]int32
 	loading int
 }
 
+// find returns the unit of a model, -1 when the view has none.
+func (l *layout) find(m fleet.Model) int32 {
+	if u, ok := l.index[m]; ok {
+		return u
+	}
+	return -1
+}
+
 func newLayout(v *View, trend float64) *layout {
 	l := &layout{nodes: make([]node, len(v.Endpoints)), units: make([]unit, len(v.Models))}
-	index := make(map[fleet.Model]int32, len(v.Models))
+	l.index = make(map[fleet.Model]int32, len(v.Models))
 	for i := range v.Models {
 		l.units[i] = newUnit(&v.Models[i], trend)
-		index[v.Models[i].Model] = int32(i)
+		l.index[v.Models[i].Model] = int32(i)
 	}
 	for i := range v.Endpoints {
-		l.addNode(int32(i), &v.Endpoints[i], index)
+		l.addNode(int32(i), &v.Endpoints[i])
 	}
 	return l
 }
@@ -79,7 +88,7 @@
 	return unit{view: v, demand: max(v.Fast, v.Slow) + trend*rising, weight: weight}
 }
 
-func (l *layout) addNode(i int32, v *EndpointView, index map[fleet.Model]int32) {
+func (l *layout) addNode(i int32, v *EndpointView) {
 	n := &l.nodes[i]
 	n.view = v
 	n.usable = !v.Dead && !v.Leaving
@@ -90,7 +99,7 @@
 		}
 		n.loading++
 		l.loading++
-		if u, ok := index[p.Model]; ok && n.usable {
+		if u, ok := l.index[p.Model]; ok && n.usable {
 			l.join(u, i, false)
 		}
 	}
@@ -98,7 +107,7 @@
 		return
 	}
 	for _, m := range v.Models {
-		u, ok := index[m]
+		u, ok := l.index[m]
 		if ok && !pendingUnload(v, m) && !l.units[u].has(i) {
 			l.join(u, i, true)
 		}
--- a/internal/core/place/options.go
+++ b/internal/core/place/options.go
@@ -5,7 +5,7 @@
 // Defaults of a Planner.
 const (
 	DefaultAtOnce    = 8
-	DefaultThreshold = 0.03
+	DefaultThreshold = 0.06
 	DefaultMinStay   = 3 * time.Minute
 	DefaultHeadroom  = 0.5
 	DefaultTrend     = 1.0
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -129,6 +130,27 @@
 	}
 }
 
+func TestRoomIsKeptForWhatItWasMadeFor(t *testing.T) {
+	p := New(MinStay(0))
+	v := View{
+		Endpoints: []EndpointView{endpoint(0, 1, "a", "c", "d", "e"), endpoint(1, 1, "b", "c", "d", "e")},
+		Models: []ModelView{
+			model("a", 1.6), model("b", 0.1), model("c", 0.05), model("d", 0.05), model("e", 0.05),
+		},
+	}
+	first := p.Plan(start, v)
+	require.NotEmpty(t, first)
+	require.Equal(t, KindUnload, first[0].Kind)
+	require.Equal(t, fleet.Model("a"), first[0].For)
+	v.Endpoints[1].Models = slices.DeleteFunc(v.Endpoints[1].Models, func(m fleet.Model) bool { return m == first[0].Model })
+	v.Endpoints[1].Used -= 16 * gib
+	v.Models[0] = model("a", 0.6)
+	second := p.Plan(start.Add(5*time.Second), v)
+	want := Move{Kind: KindLoad, Model: "a", Endpoint: "e001", Reason: ReasonDemand}
+	require.Equal(t, []Move{want}, second, "the demand that fell meanwhile does not turn the move back")
+	require.NotContains(t, New(MinStay(0)).Plan(start, v), want, "without the memory of the first round")
+}
+
 func TestDemandFollowsARise(t *testing.T) {
 	d := NewDemand(DefaultFast, DefaultSlow)
 	now := start
--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -16,8 +16,20 @@
 	trend     float64
 	// loaded tells when a copy was proposed, to let it stay for a while.
 	loaded map[copyID]time.Time
+	// intents tells for which model room is being made on an endpoint.
+	intents map[fleet.Endpoint]intent
 }
 
+// intent is a load that follows once room was made for it.
+type intent struct {
+	model  fleet.Model
+	reason Reason
+	at     time.Time
+}
+
+// intentTime is how long room is kept for a load that was decided.
+const intentTime = 2 * time.Minute
+
 // copyID names one copy of a model.
 type copyID struct {
 	model    fleet.Model
@@ -33,6 +45,7 @@
 		headroom:  DefaultHeadroom,
 		trend:     DefaultTrend,
 		loaded:    make(map[copyID]time.Time),
+		intents:   make(map[fleet.Endpoint]intent),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -47,6 +60,7 @@
 	p.expire(now)
 	r := &round{planner: p, now: now, layout: newLayout(&v, p.trend)}
 	r.layout.spreadAll()
+	r.follow()
 	r.restore()
 	r.relieve()
 	r.scatter()
@@ -59,6 +73,11 @@
 			delete(p.loaded, id)
 		}
 	}
+	for e, it := range p.intents {
+		if now.Sub(it.at) > intentTime {
+			delete(p.intents, e)
+		}
+	}
 }
 
 // miss returns the work that is late on an endpoint with the given level: none
@@ -89,6 +108,36 @@
 	return r.planner.atOnce - r.layout.loading
 }
 
+// follow loads what room was made for, and keeps the room of what cannot be loaded yet.
+func (r *round) follow() {
+	for i := range r.layout.nodes {
+		n := &r.layout.nodes[i]
+		it, ok := r.planner.intents[n.view.Endpoint]
+		if !ok {
+			continue
+		}
+		u := r.layout.find(it.model)
+		if u < 0 || !n.usable || r.layout.units[u].has(int32(i)) {
+			delete(r.planner.intents, n.view.Endpoint)
+			continue
+		}
+		n.fixed = true
+		if r.permits() > 0 && r.fits(u, int32(i)) {
+			r.load(u, int32(i), it.reason)
+			delete(r.planner.intents, n.view.Endpoint)
+			continue
+		}
+		r.expect(u, int32(i))
+	}
+}
+
+// expect counts a load that follows later as a copy.
+func (r *round) expect(u, n int32) {
+	r.layout.nodes[n].free -= r.layout.units[u].view.Bytes
+	r.layout.join(u, n, false)
+	r.layout.spread(&r.layout.units[u])
+}
+
 // restore brings back models without a copy, those with most work for their size first.
 func (r *round) restore() {
 	lost := r.lost()
@@ -179,6 +228,6 @@
 		}
 	}
 	if best >= 0 {
-		r.evict(u, best, false)
+		r.evict(u, best, false, ReasonUnreachable)
 	}
 }
--- a/internal/core/place/relieve.go
+++ b/internal/core/place/relieve.go
@@ -21,7 +21,7 @@
 		if r.fits(u, n) {
 			r.load(u, n, ReasonDemand)
 		} else {
-			r.evict(u, n, true)
+			r.evict(u, n, true, ReasonDemand)
 		}
 	}
 }
@@ -79,7 +79,7 @@
 	if !node.usable || node.fixed || unit.has(n) || node.level >= 1 {
 		return 0, false
 	}
-	saved := r.saved(unit, node.level) - moveCost*float64(unit.view.Bytes)/gib
+	saved := r.saved(unit, node) - moveCost*float64(unit.view.Bytes)/gib
 	if saved < r.planner.threshold {
 		return 0, false
 	}
@@ -90,8 +90,8 @@
 	return saved - loss, ok
 }
 
-// saved returns the gain of pouring part of a model's work onto an endpoint of the given level.
-func (r *round) saved(u *unit, level float64) float64 {
+// saved returns the gain of pouring part of a model's work onto a further endpoint.
+func (r *round) saved(u *unit, n *node) float64 {
 	top, working := 0.0, 0
 	for _, h := range u.homes {
 		if h.flow > 0 {
@@ -104,12 +104,12 @@
 	}
 	top /= float64(working)
 	count := float64(working)
-	flow := min((top-level)*count/(count+1), u.demand)
+	flow := min((top-n.level)*count/(count+1), u.demand)
 	if flow <= 0 {
 		return 0
 	}
-	before := count*r.planner.miss(top) + r.planner.miss(level)
-	after := count*r.planner.miss(top-flow/count) + r.planner.miss(level+flow)
+	before := count*r.planner.miss(top) + r.planner.miss(n.level)
+	after := count*r.planner.miss(top-flow/count) + r.planner.miss(n.level+flow)
 	return u.weight * (before - after)
 }
 
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -24,14 +24,16 @@
 
 // call is a request on its way through one run.
 type call struct {
-	req      *request
-	id       string
-	state    callState
-	engine   *engine
-	life     int
-	entry    int
-	hops     int
-	spent    int
+	req    *request
+	id     string
+	state  callState
+	engine *engine
+	life   int
+	entry  int
+	hops   int
+	spent  int
+	// asked is when the caller last sent the request.
+	asked    time.Duration
 	tries    int
 	exclude  []fleet.Endpoint
 	shortest time.Duration
@@ -177,6 +179,7 @@
 		return
 	}
 	c.tries++
+	c.asked = r.now
 	c.hops, c.exclude, c.shortest = 0, nil, 0
 	c.entry = r.entryOf(c)
 	r.forward(c)
@@ -233,7 +236,7 @@
 func (r *run) item(c *call) admit.Item {
 	due := c.req.due()
 	if c.tries > 1 && c.req.class.Rank != fleet.RankBulk {
-		due = r.now + c.req.class.First
+		due = c.asked + c.req.class.First
 	}
 	return admit.Item{
 		ID: c.id, Rank: c.req.class.Rank, Profile: c.req.class.Profile,
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -97,6 +97,9 @@
 	// Ranks is by rank over the whole scene; Flood only while the flood lasts.
 	Ranks [3]Tally
 	Flood [3]Tally
+	// FloodWork is the work answered in time while the flood lasts, by rank, in
+	// seconds of one accelerator.
+	FloodWork [3]float64
 	// Others is the flooded rank during a flood, without the flooding profile.
 	Others Tally
 	// Worth is attained worth for each accelerator and minute; Bound is what
@@ -148,6 +151,9 @@
 		return
 	}
 	add(&out.Flood[level], o)
+	if o == outcomeAttained {
+		out.FloodWork[level] += r.work()
+	}
 	if f.Profile != "" && r.class.Profile != f.Profile && r.class.Rank == s.floodRank() {
 		add(&out.Others, o)
 	}
--- /dev/null
+++ b/internal/measure/targets_test.go
@@ -0,0 +1,112 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/admit"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// urgentTarget is the users' target: 95 in 100 answers of the most urgent rank in time.
+const urgentTarget = 0.95
+
+// deployments lists the fleets that the users run.
+func deployments() []Deployment {
+	return []Deployment{Guaiba(), Gopherline()}
+}
+
+// floorKept reports whether a rank got what it asked for, or at least its
+// floor's share of the work that was answered in time during the flood.
+func floorKept(t *testing.T, r Result, rank fleet.Rank, share float64) bool {
+	t.Helper()
+	sum := r.FloodWork[0] + r.FloodWork[1] + r.FloodWork[2]
+	level := rank.Level()
+	return r.Flood[level].Rate() >= urgentTarget || r.FloodWork[level] >= share*sum
+}
+
+func TestUrgentKeepsItsTargetsInAFloodOfBulk(t *testing.T) {
+	for _, d := range deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			s := shortScene(t, &d, "flood of bulk")
+			got := play(&d, s, Core())
+			require.GreaterOrEqual(t, got.Flood[0].Rate(), urgentTarget)
+			require.True(t, floorKept(t, got, fleet.RankStandard, admit.DefaultFloors().Standard))
+			require.True(t, floorKept(t, got, fleet.RankBulk, admit.DefaultFloors().Bulk))
+
+			off := Core()
+			off.Admit = []admit.Option{admit.Floors(admit.Shares{}), admit.Gap(0)}
+			require.Less(t, play(&d, s, off).Flood[0].Rate(), urgentTarget, "with floors and gap off")
+		})
+	}
+}
+
+func TestOthersKeepTheirFloorInAFloodOfUrgent(t *testing.T) {
+	for _, d := range deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			s := shortScene(t, &d, "flood of urgent")
+			got := play(&d, s, Core())
+			require.True(t, floorKept(t, got, fleet.RankStandard, admit.DefaultFloors().Standard))
+			require.True(t, floorKept(t, got, fleet.RankBulk, admit.DefaultFloors().Bulk))
+
+			off := Core()
+			off.Admit = []admit.Option{admit.Floors(admit.Shares{})}
+			require.False(t, floorKept(t, play(&d, s, off), fleet.RankStandard, admit.DefaultFloors().Standard),
+				"with floors off")
+		})
+	}
+}
+
+func TestOneServiceFloodsItselfFirst(t *testing.T) {
+	for _, d := range deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			s := shortScene(t, &d, "one service floods its rank")
+			require.GreaterOrEqual(t, play(&d, s, Core()).Others.Rate(), urgentTarget)
+
+			off := Core()
+			off.Admit = []admit.Option{admit.ProfileCap(1)}
+			require.Less(t, play(&d, s, off).Others.Rate(), urgentTarget, "with the cap off")
+		})
+	}
+}
+
+func TestUrgentKeepsItsTargetsOnAnOrdinaryDay(t *testing.T) {
+	for _, d := range deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			s := shortScene(t, &d, "ordinary day")
+			require.GreaterOrEqual(t, play(&d, s, Core()).Ranks[0].Rate(), urgentTarget)
+		})
+	}
+}
+
+func TestKillerEndsAtMostTwoEngines(t *testing.T) {
+	for _, d := range deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			s := shortScene(t, &d, "killer request")
+			got := play(&d, s, Core())
+			require.LessOrEqual(t, got.Deaths, 2)
+			require.GreaterOrEqual(t, got.Ranks[0].Rate(), urgentTarget)
+
+			off := Core()
+			off.Without.Suspects = true
+			require.Greater(t, play(&d, s, off).Deaths, 2, "with suspects off")
+		})
+	}
+}
+
+func TestNoUrgentCallerWaitsInSilence(t *testing.T) {
+	d := Gopherline()
+	s := shortScene(t, &d, "flood of urgent")
+	p := Core()
+	r := newRun(&d, s, &p, 1)
+	r.every(time.Second, func() {
+		for _, c := range r.byID {
+			if c.state == callQueued && c.req.class.Rank == fleet.RankUrgent {
+				require.Less(t, r.now-c.asked, c.req.class.First, "an answer or a refusal is due")
+			}
+		}
+	})
+	r.play(arrivals(&d, s, 1))
+}
