feat: a span for each hop, one trace from caller to endpoint

Cause: the entry's and the dispatcher's spans were not joined. Ruled out: spans for heartbeats too (at the target's size they would be 38 a second and instance and drown the requests'). Change: gRPC's OpenTelemetry handler on both sides, for requests only; a span for the attempt. Measured: TestTraceHasASpanForEachHop collects caller.request, Dispatch (sent), Dispatch (received), dispatch.attempt, endpoint.start in one trace through two processes.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -10,6 +10,8 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/admit"
@@ -123,6 +125,7 @@
 	draining  Draining
 	meter     Meter
 	logger    log.Logger
+	tracer    trace.Tracer
 	limits    Limits
 	admission []admit.Option
 
@@ -175,6 +178,7 @@
 		draining:    nobody{},
 		meter:       nobody{},
 		logger:      log.NewNopLogger(),
+		tracer:      otel.Tracer("github.com/chiveramp/chiveramp/internal/dispatch"),
 		limits:      DefaultLimits(),
 		dispatchers: make(map[fleet.Endpoint]*actor.PID),
 		attempts:    make(map[string]*run),
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -7,6 +7,9 @@
 	"io"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/chiveramp/chiveramp/internal/switches"
 
 	"github.com/chiveramp/chiveramp/internal/core/admit"
@@ -23,6 +26,17 @@
 // sink. When the caller goes away the attempt goes on for a while, so that the
 // caller can come back for the rest.
 func (p *Pool) Serve(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
+	ctx, span := p.tracer.Start(ctx, "dispatch.attempt", trace.WithAttributes(
+		attribute.String("chiveramp.attempt", request.Attempt),
+		attribute.String("chiveramp.endpoint", request.Endpoint),
+	))
+	defer span.End()
+	end := p.serve(ctx, request, sink)
+	span.SetAttributes(attribute.String("chiveramp.outcome", end.Outcome), attribute.String("chiveramp.code", end.Code))
+	return end
+}
+
+func (p *Pool) serve(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
 	r, end := p.prepare(request)
 	if end != nil {
 		return end
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -157,7 +157,7 @@
 }
 
 func (n *Node) servePeers(l net.Listener) *grpc.Server {
-	server := grpc.NewServer(grpc.Creds(n.credentials))
+	server := grpc.NewServer(grpc.Creds(n.credentials), peer.Tracing())
 	peer.Register(server, n)
 	n.group.Go(func() error {
 		if err := server.Serve(l); err != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -79,7 +80,10 @@
 	defer c.mu.Unlock()
 	conn, ok := c.conns[address]
 	if !ok {
-		opts := append([]grpc.DialOption{grpc.WithTransportCredentials(c.credentials)}, c.dial...)
+		opts := append([]grpc.DialOption{
+			grpc.WithTransportCredentials(c.credentials),
+			grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(requestsOnly))),
+		}, c.dial...)
 		fresh, err := grpc.NewClient("passthrough:///"+address, opts...)
 		if err != nil {
 			return nil, fmt.Errorf("connect to peer %s: %w: %w", address, ErrNotSent, err)
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -62,6 +62,7 @@
 	services []string
 	nodes    []*instance
 	engines  []*engine.Server
+	trace    string             // where spans go, nowhere when empty
 	off      switches.Mechanism // turned off in instances started from now on
 	orders   *service.Server
 }
@@ -168,6 +169,13 @@
 	})
 }
 
+func (b *bench) tracing() string {
+	if b.trace == "" {
+		return ""
+	}
+	return "[trace]\nendpoint = " + b.trace + "\n"
+}
+
 func (b *bench) settings(n *instance) string {
 	var peers []string
 	for _, p := range b.nodes {
@@ -198,8 +206,8 @@
 drain = 10s
 [log]
 level = debug
-`, n.name, n.region, n.dc, n.caller, n.peer, strings.Join(peers, ","), n.operator, token,
-		b.address, strings.Join(b.services, ","), n.metrics)
+%s`, n.name, n.region, n.dc, n.caller, n.peer, strings.Join(peers, ","), n.operator, token,
+		b.address, strings.Join(b.services, ","), n.metrics, b.tracing())
 }
 
 // port is the last port given out. All stand below the range from which the
--- a/test/process/stream_test.go
+++ b/test/process/stream_test.go
@@ -81,6 +81,12 @@
 	t.Helper()
 	b := newBench(t, "matcher", "order")
 	b.off = off
+	b.southernFleet()
+	return b
+}
+
+func (b *bench) southernFleet() {
+	b.t.Helper()
 	b.engine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithStep(longStep))
 	b.engine("m2", "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithStep(longStep))
 	b.orders = b.service("order", "south", "south-1")
@@ -89,7 +95,6 @@
 	}
 	b.apply(b.nodes[0], 0, oneModel+orderService)
 	b.ready()
-	return b
 }
 
 const orderService = `
--- /dev/null
+++ b/test/process/trace_test.go
@@ -0,0 +1,92 @@
+package process
+
+import (
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/protobuf/proto"
+)
+
+// span is what the test looks at of an exported span.
+type span struct {
+	id, parent, name string
+}
+
+// collected gathers spans by trace, as a collector would.
+type collected struct {
+	mu     sync.Mutex
+	traces map[string][]span
+}
+
+func (c *collected) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	var request collector.ExportTraceServiceRequest
+	if err != nil || proto.Unmarshal(body, &request) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, resource := range request.ResourceSpans {
+		for _, scope := range resource.ScopeSpans {
+			for _, s := range scope.Spans {
+				id := hex.EncodeToString(s.TraceId)
+				c.traces[id] = append(c.traces[id], span{
+					id: hex.EncodeToString(s.SpanId), parent: hex.EncodeToString(s.ParentSpanId), name: s.Name,
+				})
+			}
+		}
+	}
+}
+
+// path returns the names of the spans from the root of a trace to the deepest one.
+func (c *collected) path(trace string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var longest []string
+	for _, s := range c.traces[trace] {
+		if names := c.up(trace, s); len(names) > len(longest) {
+			longest = names
+		}
+	}
+	return longest
+}
+
+func (c *collected) up(trace string, s span) []string {
+	for _, parent := range c.traces[trace] {
+		if parent.id == s.parent {
+			return append(c.up(trace, parent), s.name)
+		}
+	}
+	return []string{s.name}
+}
+
+// One trace leads from the caller through two instances to the endpoint, with a
+// span for each hop.
+func TestTraceHasASpanForEachHop(t *testing.T) {
+	spans := &collected{traces: make(map[string][]span)}
+	web := httptest.NewServer(spans)
+	t.Cleanup(web.Close)
+	b := newBench(t, "matcher", "order")
+	b.trace = web.URL
+	b.southernFleet()
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	r, err := send(t.Context(), b.outsider().caller, "/v1/chat/completions", chatBody("matcher-a", "traced", true, 5),
+		"Chiveramp-Profile", "chat", "Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, r.status, string(r.body))
+	want := []string{
+		"caller.request",
+		"chiveramp.peer.v1.Peer/Dispatch", // sent by the entry
+		"chiveramp.peer.v1.Peer/Dispatch", // received by the dispatcher
+		"dispatch.attempt",
+		"endpoint.start",
+	}
+	b.eventually("the spans are exported", func() bool { return len(spans.path(trace)) == len(want) })
+	require.Equal(t, want, spans.path(trace))
+}
