fix: models are loaded on endpoints of their own service, with the copies asked for

Cause: make demo showed matcher models on a board endpoint: the planner knew nothing of services, and the document's 'copies' went nowhere. Ruled out: one placer for each service (two leases a data centre, and permits twice). Change: endpoints and models carry their service through placer and planner; a last step of the plan adds copies up to the least number, where memory is free and permits are left. Measured: before, matcher-glove-esporte stood on board-1 (make demo); TestServicesAndLeastCopies fails without the check, since board's endpoint has most room; after: passes. Conclusion: fixed.

--- a/internal/core/place/evict.go
+++ b/internal/core/place/evict.go
@@ -24,7 +24,7 @@
 // makeRoom finds the copies that cost least to drop; stay keeps copies that came lately.
 func (r *round) makeRoom(u, n int32, stay bool) (room, bool) {
 	node := &r.layout.nodes[n]
-	if !node.usable || node.fixed || node.loading > 0 || r.layout.units[u].has(n) {
+	if !node.usable || !r.allowed(u, n) || node.fixed || node.loading > 0 || r.layout.units[u].has(n) {
 		return room{}, false
 	}
 	need := r.layout.units[u].view.Bytes - node.free
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -194,3 +194,29 @@
 		})
 	}
 }
+
+// Models are loaded on endpoints of their own service only, even while others
+// have room, and get the copies that operators ask for where memory is free.
+func TestServicesAndLeastCopies(t *testing.T) {
+	view := View{
+		Endpoints: []EndpointView{
+			{Endpoint: "m1", Service: "matcher", Memory: 10},
+			{Endpoint: "m2", Service: "matcher", Memory: 10},
+			{Endpoint: "b1", Service: "board", Memory: 100},
+		},
+		Models: []ModelView{
+			{Model: "m", Service: "matcher", Bytes: 8, Least: 2},
+			{Model: "n", Service: "matcher", Bytes: 8, Least: 1},
+		},
+	}
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	for _, m := range New().Plan(now, view) {
+		require.NotEqual(t, fleet.Endpoint("b1"), m.Endpoint)
+	}
+	view.Models = view.Models[:1]
+	moves := New().Plan(now, view)
+	require.Len(t, moves, 2)
+	require.Equal(t, ReasonUnreachable, moves[0].Reason)
+	require.Equal(t, ReasonCopies, moves[1].Reason)
+	require.NotEqual(t, moves[0].Endpoint, moves[1].Endpoint)
+}
--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -64,6 +64,7 @@
 	r.restore()
 	r.relieve()
 	r.scatter()
+	r.complete()
 	return r.moves
 }
 
@@ -202,7 +203,13 @@
 
 func (r *round) fits(u, n int32) bool {
 	node := &r.layout.nodes[n]
-	return node.usable && node.free >= r.layout.units[u].view.Bytes && !r.layout.units[u].has(n)
+	return node.usable && r.allowed(u, n) && node.free >= r.layout.units[u].view.Bytes && !r.layout.units[u].has(n)
+}
+
+// allowed reports whether an endpoint is of the service that may load the model.
+func (r *round) allowed(u, n int32) bool {
+	service := r.layout.units[u].view.Service
+	return service == "" || service == r.layout.nodes[n].view.Service
 }
 
 func (r *round) load(u, n int32, why Reason) {
--- a/internal/core/place/relieve.go
+++ b/internal/core/place/relieve.go
@@ -76,7 +76,7 @@
 // the cost of the move and of the copies that it displaces.
 func (r *round) gain(u, n int32) (float64, bool) {
 	unit, node := &r.layout.units[u], &r.layout.nodes[n]
-	if !node.usable || node.fixed || unit.has(n) || node.level >= 1 {
+	if !node.usable || !r.allowed(u, n) || node.fixed || unit.has(n) || node.level >= 1 {
 		return 0, false
 	}
 	saved := r.saved(unit, node) - moveCost*float64(unit.view.Bytes)/gib
@@ -129,6 +129,22 @@
 	}
 }
 
+// complete adds the copies that operators ask for, where memory is free.
+func (r *round) complete() {
+	for i := range r.layout.units {
+		u := &r.layout.units[i]
+		if r.permits() <= spreadPermits {
+			return
+		}
+		if copies := len(u.homes) + u.view.Elsewhere; copies == 0 || copies >= u.view.Least {
+			continue
+		}
+		if n := r.roomiest(int32(i)); n >= 0 {
+			r.load(int32(i), n, ReasonCopies)
+		}
+	}
+}
+
 // spreadPermits is how many loads are left for demand when copies are spread.
 const spreadPermits = 2
 
--- a/internal/core/place/view.go
+++ b/internal/core/place/view.go
@@ -24,6 +24,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonSpread: all copies of the model stand in one data centre.
 	ReasonSpread Reason = "spread"
+	// ReasonCopies: the model has fewer copies than its operators ask for.
+	ReasonCopies Reason = "copies"
 	// ReasonDemand: the endpoints of the model have too much work.
 	ReasonDemand Reason = "demand"
 	// ReasonRoom: another model needs the memory.
@@ -50,6 +52,8 @@
 type EndpointView struct {
 	Endpoint fleet.Endpoint
 	Place    fleet.Place
+	// Service is what the endpoint belongs to; it loads that service's models only.
+	Service string
 	// Memory is what the endpoint has for weights, in bytes.
 	Memory int64
 	// Used is what is resident or reserved by pending moves, in bytes.
@@ -65,6 +69,10 @@
 // ModelView is what is known of one model.
 type ModelView struct {
 	Model fleet.Model
+	// Service is whose endpoints may load the model; empty for any.
+	Service string
+	// Least is how many copies there are to be, where memory is free.
+	Least int
 	// Bytes is the memory of one copy.
 	Bytes int64
 	// Fast and Slow are the demand by a fast and a slow average, in
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -111,7 +111,7 @@
 	var targets []placer.Target
 	for _, e := range w.directory.All() {
 		if !w.plain(e.Service) {
-			targets = append(targets, placer.Target{Endpoint: e.Endpoint, Place: e.Place, Leaving: e.Leaving})
+			targets = append(targets, placer.Target{Endpoint: e.Endpoint, Place: e.Place, Service: e.Service, Leaving: e.Leaving})
 		}
 	}
 	return targets
@@ -153,7 +153,7 @@
 }
 
 func wantedModel(m profile.Model, name fleet.Model, r rates) placer.Wanted {
-	result := placer.Wanted{Model: name, Weights: m.Bytes, Cache: m.Cache, Fast: r.fast, Slow: r.slow}
+	result := placer.Wanted{Model: name, Service: m.Service, Least: m.Copies, Weights: m.Bytes, Cache: m.Cache, Fast: r.fast, Slow: r.slow}
 	for _, a := range m.Adapters {
 		result.Adapters = append(result.Adapters, placer.WantedAdapter{Adapter: fleet.Adapter(a), Bytes: m.Adapter})
 	}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -38,6 +38,8 @@
 type Target struct {
 	Endpoint fleet.Endpoint
 	Place    fleet.Place
+	// Service is what the endpoint belongs to.
+	Service string
 	// Leaving endpoints get no load.
 	Leaving bool
 }
@@ -45,6 +47,10 @@
 // Wanted is a model that has to be reachable, with its demand.
 type Wanted struct {
 	Model fleet.Model
+	// Service is whose endpoints may load the model; empty for any.
+	Service string
+	// Least is how many copies there are to be, where memory is free.
+	Least int
 	// Weights and Cache are the bytes of the model and of its share of KV cache.
 	Weights  int64
 	Cache    int64
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -100,7 +100,7 @@
 	var room int64
 	for _, n := range p.ordered() {
 		h := n.ledger
-		if !n.fresh || n.target.Leaving || h.Leaving() || h.Holding(item).Item() == item {
+		if !n.fresh || n.target.Service != first.target.Service || n.target.Leaving || h.Leaving() || h.Holding(item).Item() == item {
 			continue
 		}
 		if free := h.Free(); free >= size && free > room {
--- a/internal/placer/view.go
+++ b/internal/placer/view.go
@@ -18,6 +18,8 @@
 	for _, w := range p.wanted {
 		m := place.ModelView{
 			Model:     w.Model,
+			Service:   w.Service,
+			Least:     w.Least,
 			Bytes:     w.copyBytes(),
 			Fast:      w.Fast,
 			Slow:      w.Slow,
@@ -36,6 +38,7 @@
 	v := place.EndpointView{
 		Endpoint: n.target.Endpoint,
 		Place:    n.target.Place,
+		Service:  n.target.Service,
 		Memory:   n.ledger.Memory(),
 		Used:     n.ledger.Charged() + p.adaptersDue(n),
 		Dead:     !n.alive(now, p.lostAfter),
