--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -165,6 +166,11 @@
 	return l.Clone().holdings
 }
 
+// All yields the items without copying them; they must not be changed.
+func (l *Ledger) All() iter.Seq[Holding] {
+	return slices.Values(l.holdings)
+}
+
 // Holding returns one item, the zero Holding when it is not held.
 func (l *Ledger) Holding(item Item) Holding {
 	if i, ok := l.find(item); ok {
--- a/internal/placer/copies.go
+++ b/internal/placer/copies.go
@@ -99,8 +99,9 @@
 // endpoints show. Once that is done, others are told that they can rely on them.
 func (p *Placer) reconcile(ctx context.Context, now time.Time) error {
 	whole := p.surveyed(now)
-	for _, model := range p.models() {
-		r, changed := p.corrected(now, model)
+	served := p.served()
+	for _, model := range p.models(served) {
+		r, changed := p.corrected(now, model, served[model])
 		if !changed {
 			continue
 		}
@@ -150,22 +151,14 @@
 
 // models lists the models with a promised or resident copy, from a random one
 // on, so that data centres that correct the same residences seldom collide.
-func (p *Placer) models() []fleet.Model {
-	set := make(map[fleet.Model]bool, len(p.copies.rows))
-	for m := range p.copies.rows {
-		set[m] = true
-	}
-	for _, n := range p.nodes {
-		if !n.fresh {
-			continue
-		}
-		for _, h := range n.ledger.Holdings() {
-			if h.Adapter == "" {
-				set[h.Model] = true
-			}
+func (p *Placer) models(served map[fleet.Model][]*node) []fleet.Model {
+	models := slices.Collect(maps.Keys(p.copies.rows))
+	for m := range served {
+		if _, ok := p.copies.rows[m]; !ok {
+			models = append(models, m)
 		}
 	}
-	models := slices.Sorted(maps.Keys(set))
+	slices.Sort(models)
 	if len(models) == 0 {
 		return nil
 	}
@@ -173,8 +166,24 @@
 	return slices.Concat(models[first:], models[:first])
 }
 
+// served returns where each model can be promised.
+func (p *Placer) served() map[fleet.Model][]*node {
+	served := make(map[fleet.Model][]*node, len(p.copies.rows))
+	for _, n := range p.ordered() {
+		if !n.fresh {
+			continue
+		}
+		for h := range n.ledger.All() {
+			if h.Adapter == "" && n.serving(h.Model) {
+				served[h.Model] = append(served[h.Model], n)
+			}
+		}
+	}
+	return served
+}
+
 // corrected returns a model's residence with this data centre's copies as they are.
-func (p *Placer) corrected(now time.Time, model fleet.Model) (row, bool) {
+func (p *Placer) corrected(now time.Time, model fleet.Model, served []*node) (row, bool) {
 	r := p.copies.row(model)
 	changed := false
 	for _, c := range r.Copies() {
@@ -182,8 +191,8 @@
 			r.Residence, changed = r.Strike(c.Endpoint), true
 		}
 	}
-	for _, n := range p.nodes {
-		if !n.serving(model) || r.Has(n.target.Endpoint) {
+	for _, n := range served {
+		if r.Has(n.target.Endpoint) {
 			continue
 		}
 		at := n.target.Place
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -131,6 +131,9 @@
 				delete(n.retired, model) // promised again by reconcile
 			}
 		}
+		if len(n.retired) == 0 {
+			continue
+		}
 		for _, h := range n.ledger.Holdings() {
 			if !n.retired[h.Model] || !p.unloadable(n, h) || !p.drained(ctx, n, h.Model) {
 				continue
@@ -163,7 +166,7 @@
 	if h.Adapter != "" {
 		return true
 	}
-	for _, other := range n.ledger.Holdings() {
+	for other := range n.ledger.All() {
 		if other.Model == h.Model && other.Adapter != "" {
 			return false
 		}
@@ -180,8 +183,11 @@
 func (p *Placer) loadAdapters(ctx context.Context, _ time.Time) error {
 	room := maxAdapterLoads
 	for _, w := range p.wanted {
+		if len(w.Adapters) == 0 {
+			continue
+		}
 		for _, n := range p.ordered() {
-			if len(w.Adapters) == 0 || p.left == 0 || !n.serving(w.Model) {
+			if p.left == 0 || !n.serving(w.Model) {
 				continue
 			}
 			orders := p.missing(n, w, room)
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -1,9 +1,11 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,21 +70,14 @@
 			delete(p.nodes, e)
 		}
 	}
+	p.sorted = slices.SortedFunc(maps.Values(p.nodes), func(a, b *node) int {
+		return cmp.Compare(a.target.Endpoint, b.target.Endpoint)
+	})
 }
 
 // ordered returns the nodes by endpoint, so that each step goes the same way.
 func (p *Placer) ordered() []*node {
-	nodes := make([]*node, 0, len(p.nodes))
-	for _, n := range p.nodes {
-		nodes = append(nodes, n)
-	}
-	slices.SortFunc(nodes, func(a, b *node) int {
-		if a.target.Endpoint < b.target.Endpoint {
-			return -1
-		}
-		return 1
-	})
-	return nodes
+	return p.sorted
 }
 
 // readRecords loads records that are not known yet: all of them in one call
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -53,6 +53,7 @@
 	listed   bool // the records were read since the takeover
 	left     int  // writes that can wait, left in this step
 	nodes    map[fleet.Endpoint]*node
+	sorted   []*node // by endpoint
 	copies   *copies
 	permits  *permits
 	wanted   []Wanted
@@ -147,6 +148,7 @@
 func (p *Placer) step(ctx context.Context, now time.Time) error {
 	if err := p.keepLease(ctx, now); err != nil {
 		p.problem(err)
+		_ = p.logger.Log("level", "warn", "step", "lease", "datacentre", p.place.DataCentre, "err", err)
 	}
 	if !p.lease.live() {
 		return nil
--- a/internal/placer/status.go
+++ b/internal/placer/status.go
@@ -80,7 +80,7 @@
 		Free:     n.ledger.Free(),
 		Seen:     n.seenAt,
 	}
-	for _, h := range n.ledger.Holdings() {
+	for h := range n.ledger.All() {
 		if h.Adapter == "" && h.Resident() {
 			s.Models = append(s.Models, h.Model)
 		}
@@ -90,7 +90,7 @@
 
 func (n *node) moves() []MoveStatus {
 	var moves []MoveStatus
-	for _, h := range n.ledger.Holdings() {
+	for h := range n.ledger.All() {
 		if stage := n.stage(h); stage != "" {
 			moves = append(moves, MoveStatus{Endpoint: n.target.Endpoint, Item: h.Item().String(), Stage: stage})
 		}
--- a/internal/placer/view.go
+++ b/internal/placer/view.go
@@ -44,7 +44,7 @@
 		Dead:     !n.alive(now, p.lostAfter),
 		Leaving:  n.target.Leaving || n.ledger.Leaving(),
 	}
-	for _, h := range n.ledger.Holdings() {
+	for h := range n.ledger.All() {
 		if h.Adapter != "" {
 			continue
 		}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -64,7 +64,7 @@
 
 // world is everything around the placers, in virtual time.
 type world struct {
-	t          *testing.T
+	t          testing.TB
 	now        time.Time
 	began      time.Time
 	store      *platformtest.Fake
@@ -111,7 +111,7 @@
 	return moves
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	w := &world{
 		t:          t,
