feat: adapters and cached prompts count in the choice of an endpoint

Cause: the router's fields Prefix, Adapter, Adapters and Own were never set by the entry, and engines were asked for a model by the caller's name: a request for model/adapter or for a model with versions got 404 model_not_found from each engine.

Ruled out: the engines' cache events. Their block hashes are over the engine's own tokens, and each entry would need the events of all engines (docs/design/routing.md). Orders from the entry for a missing adapter: only the holder of the lease orders.

Change: the prober reports ready adapters with the models and only when either changed, and adapter loads in flight; the directory indexes them in place. The entry asks holders of the adapter first, counts its own sends, and keeps a bounded index of prompts that it sent. The body's model becomes the engine's name. Prefixes keeps times as integers, since comparing them was half of a match.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -31,12 +31,16 @@
 	Leaving     bool
 	// Down endpoints did not answer their dispatcher lately.
 	Down bool
-	// Serial rises with each change of Models.
+	// Loading counts the adapter loads in flight there.
+	Loading int
+	// Serial rises with each change of Models or Adapters.
 	Serial uint64
 	// Drained are the models that were asked to drain and have nothing in flight.
 	Drained []fleet.Model
 	// Models are ready to be asked for; nil when the report does not tell.
 	Models []fleet.Model
+	// Adapters are ready to be asked for, in order; told together with Models.
+	Adapters []Adapted
 }
 
 // Entry is what is known of one endpoint.
@@ -59,6 +63,7 @@
 	mu      sync.RWMutex
 	entries map[fleet.Endpoint]*Entry
 	models  map[fleet.Model][]*Entry
+	adapted adapterIndex
 	serial  uint64
 }
 
@@ -67,6 +72,7 @@
 	return &Directory{
 		entries: make(map[fleet.Endpoint]*Entry),
 		models:  make(map[fleet.Model][]*Entry),
+		adapted: make(adapterIndex),
 	}
 }
 
@@ -88,8 +94,9 @@
 		listed[row.Endpoint] = true
 		d.put(row)
 	}
-	for id := range d.entries {
+	for id, e := range d.entries {
 		if !listed[id] {
+			d.adapted.change(e, nil)
 			delete(d.entries, id)
 		}
 	}
@@ -98,7 +105,11 @@
 
 func (d *Directory) put(row Row) {
 	known, ok := d.entries[row.Endpoint]
-	if !ok || known.Incarnation != row.Incarnation {
+	if ok && known.Incarnation != row.Incarnation {
+		d.adapted.change(known, nil)
+		ok = false
+	}
+	if !ok {
 		d.entries[row.Endpoint] = &Entry{Row: row}
 		return
 	}
@@ -116,8 +127,10 @@
 		return
 	}
 	if r.Models == nil {
-		r.Models, r.Serial, r.Incarnation = e.Report.Models, e.Report.Serial, e.Report.Incarnation
+		r.Models, r.Adapters = e.Report.Models, e.Report.Adapters
+		r.Serial, r.Incarnation = e.Report.Serial, e.Report.Incarnation
 	}
+	d.adapted.change(e, r.Adapters)
 	changed := !slices.Equal(r.Models, e.Report.Models)
 	e.Leaving = e.Leaving || r.Leaving
 	e.Report, e.Heard, e.Own = r, now, 0
--- a/internal/core/route/prefix.go
+++ b/internal/core/route/prefix.go
@@ -32,8 +32,8 @@
 // view is what is known of one endpoint.
 type view struct {
 	sequence uint64
-	blocks   map[Block]time.Time
-	doubt    time.Time
+	blocks   map[Block]int64 // when last seen, Unix nanoseconds
+	doubt    int64           // likewise; entries from before it may be wrong
 }
 
 // NewPrefixes returns an empty index that keeps at most limit blocks of an
@@ -46,7 +46,7 @@
 func (p *Prefixes) Sent(now time.Time, e fleet.Endpoint, blocks []Block) {
 	v := p.view(e)
 	for _, b := range blocks {
-		v.blocks[b] = now
+		v.blocks[b] = now.UnixNano()
 	}
 	p.trim(now, v)
 }
@@ -56,11 +56,11 @@
 func (p *Prefixes) Event(now time.Time, e fleet.Endpoint, sequence uint64, stored, dropped []Block) {
 	v := p.view(e)
 	if v.sequence != 0 && sequence != v.sequence+1 {
-		v.doubt = now
+		v.doubt = now.UnixNano()
 	}
 	v.sequence = sequence
 	for _, b := range stored {
-		v.blocks[b] = now
+		v.blocks[b] = now.UnixNano()
 	}
 	for _, b := range dropped {
 		delete(v.blocks, b)
@@ -80,9 +80,10 @@
 		return 0
 	}
 	count := 0
+	at := now.UnixNano()
 	for _, b := range blocks {
 		seen, ok := v.blocks[b]
-		if !ok || !p.fresh(now, v, seen) {
+		if !ok || !p.fresh(at, v, seen) {
 			break
 		}
 		count++
@@ -90,9 +91,9 @@
 	return count * BlockTokens
 }
 
-func (p *Prefixes) fresh(now time.Time, v *view, seen time.Time) bool {
-	age := now.Sub(seen)
-	if seen.Before(v.doubt) {
+func (p *Prefixes) fresh(now int64, v *view, seen int64) bool {
+	age := time.Duration(now - seen)
+	if seen < v.doubt {
 		return age < p.expiry/distrustDivisor
 	}
 	return age < p.expiry
@@ -101,7 +102,7 @@
 func (p *Prefixes) view(e fleet.Endpoint) *view {
 	v, ok := p.views[e]
 	if !ok {
-		v = &view{blocks: make(map[Block]time.Time)}
+		v = &view{blocks: make(map[Block]int64)}
 		p.views[e] = v
 	}
 	return v
@@ -113,7 +114,7 @@
 		return
 	}
 	for b, seen := range v.blocks {
-		if !p.fresh(now, v, seen) {
+		if !p.fresh(now.UnixNano(), v, seen) {
 			delete(v.blocks, b)
 		}
 	}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -19,17 +19,53 @@
 func (g *Gateway) choose(p *plan) (route.Candidate, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock()
+	adapted := g.gather(p)
+	g.match(now, p)
+	index, ok := g.pick(now, p, adapted)
+	if !ok {
+		return route.Candidate{}, false
+	}
+	chosen := g.candidates[index]
+	g.directory.Sent(chosen.Endpoint)
+	g.remember(now, p, chosen.Endpoint)
+	return chosen, true
+}
+
+// gather fills the candidates, in order of their names where a model is asked
+// for. It reports whether one of them has the adapter.
+func (g *Gateway) gather(p *plan) bool {
+	model, adapter := fleet.Model(p.request.Model), fleet.Adapter(p.request.Adapter)
+	adapted := false
 	g.candidates = g.candidates[:0]
-	g.directory.Each(fleet.Model(p.request.Model), p.request.Service, func(e *directory.Entry) {
+	g.directory.EachAdapted(model, adapter, p.request.Service, func(e *directory.Entry, has bool) {
 		c := candidate(e)
-		c.Leaving = c.Leaving || g.draining.Draining(e.Endpoint, fleet.Model(p.request.Model))
+		c.Leaving = c.Leaving || g.draining.Draining(e.Endpoint, model)
+		c.Adapter = has
+		adapted = adapted || has
 		g.candidates = append(g.candidates, c)
 	})
-	index, ok := g.router.Choose(g.clock(), g.routed(p), g.candidates)
-	if !ok {
-		return route.Candidate{}, false
+	return adapted
+}
+
+// pick prefers endpoints that have the adapter: most engines refuse a request
+// for one that is not loaded. Only when none of those may serve are the others asked.
+func (g *Gateway) pick(now time.Time, p *plan, adapted bool) (int, bool) {
+	if !adapted {
+		return g.router.Choose(now, g.routed(p), g.candidates)
+	}
+	g.offer(func(c *route.Candidate) bool { return c.Adapter })
+	if index, ok := g.router.Choose(now, g.routed(p), g.candidates); ok {
+		return index, true
+	}
+	g.offer(func(c *route.Candidate) bool { return !c.Adapter })
+	return g.router.Choose(now, g.routed(p), g.candidates)
+}
+
+func (g *Gateway) offer(fits func(*route.Candidate) bool) {
+	for i := range g.candidates {
+		g.candidates[i].Loaded = fits(&g.candidates[i])
 	}
-	return g.candidates[index], true
 }
 
 func (g *Gateway) routed(p *plan) route.Request {
@@ -52,6 +88,7 @@
 		Queued:   e.Report.Queued,
 		Wait:     e.Report.Wait,
 		Own:      e.Own,
+		Adapters: e.Report.Loading,
 		Leaving:  (e.Leaving && !switches.Off(switches.Leaving)) || e.Report.Down,
 		Loaded:   true,
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,7 @@
 	router     *route.Router
 	budget     *retry.Budget
 	candidates []route.Candidate
+	prompts    *prompts
 }
 
 // Option changes a Gateway under construction.
@@ -155,6 +156,7 @@
 		clock:      time.Now,
 		router:     route.New(),
 		budget:     retry.New(),
+		prompts:    newPrompts(),
 	}
 	for _, opt := range opts {
 		opt(g)
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/route"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -23,9 +24,11 @@
 	deadline   time.Time
 	first      time.Time // when the first token is due
 	repeatable bool      // may run again after it may have run
-	original   []byte    // the body as the caller sent it
-	kept       []byte    // the body of the next try
-	streamed   bool      // the body can be sent once only
+	name       string    // the model's name at engines, empty when the body has it
+	blocks     []route.Block
+	original   []byte // the body as the caller sent it
+	kept       []byte // the body of the next try
+	streamed   bool   // the body can be sent once only
 	tried      []fleet.Endpoint
 	spent      int
 }
@@ -63,6 +66,9 @@
 	if !ok {
 		return dispatch.Refuse(dispatch.CodeModel, "resolve", "no model "+p.request.Model, 0)
 	}
+	if name := engineName(target); name != p.request.Model {
+		p.name = name
+	}
 	p.request.Model = string(target.Loaded())
 	p.request.Adapter = target.Adapter
 	p.repeatable = p.request.Key == ""
@@ -115,10 +121,16 @@
 	if err != nil {
 		return err
 	}
+	if p.name != "" {
+		if body, err = named(body, p.name); err != nil {
+			return err
+		}
+	}
 	p.original, p.kept = body, body
 	p.streamed = p.request.Service != "" && p.request.Key == "" && len(body) == bufferedBytes
 	p.request.Prompt = uint32(len(body) / tokenBytes)
 	p.fingerprint()
+	p.block()
 	return nil
 }
 
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -76,7 +76,10 @@
 func (p *prober) probe(ctx context.Context, e directory.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	report := directory.Report{Endpoint: e.Endpoint, Incarnation: e.Report.Incarnation, Serial: e.Report.Serial, Models: e.Report.Models}
+	report := directory.Report{
+		Endpoint: e.Endpoint, Incarnation: e.Report.Incarnation, Serial: e.Report.Serial,
+		Models: e.Report.Models, Adapters: e.Report.Adapters,
+	}
 	err := p.ask(ctx, e, &report)
 	if load, loadErr := p.pool.Loads(ctx, e.Endpoint); loadErr == nil {
 		report.Running, report.Queued, report.Wait = load.Running, load.Queued, load.Wait
@@ -94,11 +97,12 @@
 	if err != nil {
 		return err
 	}
-	models := ready(state)
-	if state.Incarnation != report.Incarnation || !slices.Equal(models, report.Models) {
+	models, adapters := ready(state), adapted(state)
+	if state.Incarnation != report.Incarnation || !slices.Equal(models, report.Models) || !slices.Equal(adapters, report.Adapters) {
 		report.Serial++
 	}
 	report.Incarnation, report.Models, report.Leaving = state.Incarnation, models, state.Leaving
+	report.Adapters, report.Loading = adapters, loading(state)
 	return nil
 }
 
@@ -153,7 +157,7 @@
 func same(a, b directory.Report) bool {
 	return a.Incarnation == b.Incarnation && a.Serial == b.Serial && a.Running == b.Running &&
 		a.Queued == b.Queued && a.Wait == b.Wait && a.Leaving == b.Leaving && a.Down == b.Down &&
-		slices.Equal(a.Drained, b.Drained)
+		a.Loading == b.Loading && slices.Equal(a.Drained, b.Drained)
 }
 
 func toLoad(r directory.Report, models bool) *peerpb.Load {
@@ -161,9 +165,11 @@
 		Endpoint: string(r.Endpoint), Running: uint32(r.Running), Queued: uint32(r.Queued),
 		Wait: uint32(r.Wait.Milliseconds()), Leaving: r.Leaving, Serial: r.Serial,
 		Incarnation: r.Incarnation, Down: r.Down, Drained: names(r.Drained),
+		Loading: uint32(r.Loading),
 	}
 	if models && r.Models != nil {
 		load.Full, load.Models = true, names(r.Models)
+		load.Adapted = toAdapted(r.Adapters)
 	}
 	return load
 }
@@ -172,7 +178,8 @@
 	r := directory.Report{
 		Endpoint: fleet.Endpoint(l.Endpoint), Incarnation: l.Incarnation, Running: int(l.Running),
 		Queued: int(l.Queued), Wait: time.Duration(l.Wait) * time.Millisecond,
-		Leaving: l.Leaving, Serial: l.Serial, Down: l.Down,
+		Leaving: l.Leaving, Serial: l.Serial, Down: l.Down, Loading: int(l.Loading),
+		Adapters: fromAdapted(l.Adapted),
 	}
 	for _, m := range l.Drained {
 		r.Drained = append(r.Drained, fleet.Model(m))
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -21,6 +21,8 @@
 	Drain Mechanism = "drain"
 	// Suspect refuses requests that kill endpoints.
 	Suspect Mechanism = "suspect"
+	// Affinity prefers endpoints that have cached the start of a prompt.
+	Affinity Mechanism = "affinity"
 	// Pull takes documents from other instances.
 	Pull Mechanism = "pull"
 )
