--- a/internal/slopes/changed.go
+++ b/internal/slopes/changed.go
@@ -50,6 +50,9 @@
 		row.What = "platform's list of instances and own endpoints"
 		row.CPU, row.Bytes = e.cpu("list cpu", rowsOfList, turnover), e.at("list bytes", rowsOfList)*turnover
 		row.Heap = 2 * e.at("list memory", rowsOfList)
+	case whatDocument:
+		row.What = "profile document, a difference for each change"
+		row.Bytes = e.at("difference bytes", t.Models) * t.Changes / secondsADay
 	case whatTotals:
 		row.What = "totals packed every 30 s, liveness by row, one relay"
 		row.CPU = e.cpu("totals cpu", t.Models, (t.Centres-1)/remotePeriod)
--- a/internal/slopes/target.go
+++ b/internal/slopes/target.go
@@ -78,6 +78,7 @@
 	whatDirectory   = "directory of the data centre's endpoints"
 	whatList        = "platform's list handed on, all rows at each change"
 	whatTotals      = "totals of the other data centres, relayed in heartbeats"
+	whatDocument    = "profile document, the whole text for each change"
 	whatProbes      = "probes of own endpoints"
 	whatEnds        = "ends of claims, one write each"
 )
@@ -153,9 +154,9 @@
 			CPU: e.cpu("list cpu", rowsOfList, turnover), Bytes: e.at("list bytes", rowsOfList) * turnover, Heap: 2 * e.at("list memory", rowsOfList),
 		},
 		{
-			Role: roleEntry, What: "profile document, a difference for each change",
+			Role: roleEntry, What: whatDocument,
 			CPU:   e.cpu("difference cpu", t.Models, changes) + e.cpu("document parse cpu", t.Models, changes),
-			Bytes: e.at("difference bytes", t.Models) * changes, Heap: 2*e.at("document memory", t.Models) + e.at("document bytes", t.Models),
+			Bytes: e.at("document bytes", t.Models) * changes, Heap: 2*e.at("document memory", t.Models) + e.at("document bytes", t.Models),
 		},
 		{
 			Role: roleEntry, What: whatTotals,
@@ -198,7 +199,7 @@
 		},
 		{
 			Role: roleWatcher, What: "document handed to half of the data centre",
-			Bytes: e.at("difference bytes", t.Models) * t.Changes / secondsADay * near / watchersEach,
+			Bytes: e.at("document bytes", t.Models) * t.Changes / secondsADay * near / watchersEach,
 		},
 		{
 			Role: roleSpeaker, What: "totals exchanged for one pair of data centres, both ways",
