feat: claims stand in 256 shards, swept one at a time

Ruled out: keys that begin with the hour (a claim must be found from its key alone); an index of ages (a second write for each claim).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -48,6 +48,7 @@
 	mu      sync.Mutex
 	held    map[string]holding
 	pending map[string]once.Record
+	shard   int // swept next
 }
 
 // holding is a granted claim with the version that its record got, zero when it came
--- a/internal/claim/proof_test.go
+++ b/internal/claim/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -204,28 +205,59 @@
 	}
 }
 
-// A sweep removes what outlived its retention, many records a call.
+// A sweep removes what outlived its retention, shard by shard, many records a call. It
+// keeps younger ones and what it can't read.
 func TestSweepInBatches(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture()
-	const old, young = 150, 10
-	for range old {
-		key := once.Key{Profile: "shop", Text: uuid.NewString()}
-		_, err := f.first.Claim(ctx, key, f.request(7))
+	const old, young = 500, 10
+	claimMany(t, f, old)
+	f.now = f.now.Add(once.DefaultRetention + time.Minute)
+	claimMany(t, f, young)
+	unreadable := once.ShardPrefix(7) + "shop/unreadable"
+	_, err := f.store.Swap(ctx, platform.Write{Key: unreadable, Value: []byte("?")})
+	require.NoError(t, err)
+	before := f.store.Server().Calls()
+	removed := 0
+	for range once.Shards {
+		n, err := f.first.Sweep(ctx)
 		require.NoError(t, err)
+		removed += n
 	}
-	f.now = f.now.Add(once.DefaultRetention + time.Minute)
-	for range young {
+	require.Equal(t, old, removed)
+	after := f.store.Server().Calls()
+	require.Equal(t, uint64(once.Shards), after.Reads()-before.Reads())
+	require.LessOrEqual(t, after.Writes()-before.Writes(), uint64(once.Shards))
+	left, err := f.store.List(ctx, once.Prefix)
+	require.NoError(t, err)
+	require.Len(t, left, young+1)
+	t.Logf("a record has %d bytes, its key %d", len(left[0].Value), len(left[0].Key))
+}
+
+func claimMany(t *testing.T, f *fixture, n int) {
+	t.Helper()
+	for range n {
 		key := once.Key{Profile: "shop", Text: uuid.NewString()}
-		_, err := f.first.Claim(ctx, key, f.request(7))
+		_, err := f.first.Claim(context.Background(), key, f.request(7))
 		require.NoError(t, err)
 	}
+}
+
+// A shard with more than one batch takes one commit for each 64 records.
+func TestSweepSplitsLargeShards(t *testing.T) {
+	ctx := context.Background()
+	f := newFixture()
+	record, err := once.New("c", f.now, f.request(7)).Encode()
+	require.NoError(t, err)
+	for i := range 150 {
+		key := fmt.Sprintf("%sshop/%d", once.ShardPrefix(0), i)
+		_, err := f.store.Swap(ctx, platform.Write{Key: key, Value: record})
+		require.NoError(t, err)
+	}
+	f.now = f.now.Add(once.DefaultRetention + time.Minute)
 	before := f.store.Server().Calls().Writes()
 	removed, err := f.first.Sweep(ctx)
 	require.NoError(t, err)
-	require.Equal(t, old, removed)
+	require.Equal(t, 150, removed)
 	require.Equal(t, uint64(3), f.store.Server().Calls().Writes()-before)
-	left, err := f.store.List(ctx, once.Prefix)
-	require.NoError(t, err)
-	require.Len(t, left, young)
 }
--- a/internal/claim/upkeep.go
+++ b/internal/claim/upkeep.go
@@ -60,34 +60,36 @@
 	}
 }
 
-// Sweep removes records that have outlived their retention, a batch a commit, and
-// returns how many it removed. One instance at a time should sweep; two do no harm.
+// Sweep removes the records of the next shard that have outlived their retention, a
+// batch a commit, and returns how many it removed. After once.Shards calls all were
+// looked at. One instance at a time should sweep; two do no harm.
 func (c *Claims) Sweep(ctx context.Context) (int, error) {
-	entries, err := c.store.List(ctx, once.Prefix)
+	entries, err := c.store.List(ctx, once.ShardPrefix(c.nextShard()))
 	if err != nil {
 		return 0, fmt.Errorf("sweep claims: list: %w", err)
 	}
-	removed := 0
-	var batch []platform.Write
+	var writes []platform.Write
 	for _, e := range entries {
 		if c.expired(e) {
-			batch = append(batch, platform.Write{Key: e.Key, Expect: e.Version, Delete: true})
-		}
-		if len(batch) == SweepBatch {
-			if err := c.store.Commit(ctx, batch...); err != nil {
-				return removed, fmt.Errorf("sweep claims: commit: %w", err)
-			}
-			removed += len(batch)
-			batch = batch[:0]
+			writes = append(writes, platform.Write{Key: e.Key, Expect: e.Version, Delete: true})
 		}
 	}
-	if len(batch) == 0 {
-		return removed, nil
-	}
-	if err := c.store.Commit(ctx, batch...); err != nil {
-		return removed, fmt.Errorf("sweep claims: commit: %w", err)
+	removed := 0
+	for batch := range slices.Chunk(writes, SweepBatch) {
+		if err := c.store.Commit(ctx, batch...); err != nil {
+			return removed, fmt.Errorf("sweep claims: commit: %w", err)
+		}
+		removed += len(batch)
 	}
-	return removed + len(batch), nil
+	return removed, nil
+}
+
+func (c *Claims) nextShard() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shard := c.shard
+	c.shard = (c.shard + 1) % once.Shards
+	return shard
 }
 
 // expired keeps a record that can't be read: it may guard a key.
--- a/internal/core/once/once.go
+++ b/internal/core/once/once.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
@@ -59,9 +60,18 @@
 // Prefix is where all claims stand in the store.
 const Prefix = "once/"
 
+// Shards is how many parts the claims stand in, so that a sweep can read one at a time.
+const Shards = 256
+
+// ShardPrefix is where the claims of one shard stand.
+func ShardPrefix(shard int) string {
+	return fmt.Sprintf("%s%02x/", Prefix, shard%Shards)
+}
+
 // Path is the key's place in the store. Two different keys never share one.
 func (k Key) Path() string {
-	return Prefix + url.PathEscape(string(k.Profile)) + "/" + url.PathEscape(k.Text)
+	name := url.PathEscape(string(k.Profile)) + "/" + url.PathEscape(k.Text)
+	return ShardPrefix(int(xxhash.Sum64String(name)%Shards)) + name
 }
 
 // Expired says whether a key that carries its time of issue (UUID version 7) is
