--- a/internal/core/admit/options.go
+++ b/internal/core/admit/options.go
@@ -120,6 +120,22 @@
 	return func(q *Queue) { q.jitter = share }
 }
 
+// WaitRule says which of several waits a Retry-After names.
+type WaitRule string
+
+// The rules for a Retry-After.
+const (
+	// WaitLargest names the largest wait over all scopes that limit a request.
+	WaitLargest WaitRule = "largest"
+	// WaitSmallest names the smallest; it is there to be measured against.
+	WaitSmallest WaitRule = "smallest"
+)
+
+// RetryAfterRule sets which wait a Retry-After names.
+func RetryAfterRule(r WaitRule) Option {
+	return func(q *Queue) { q.rule = r }
+}
+
 // Seed sets the seed of the jitter.
 func Seed(seed uint64) Option {
 	return func(q *Queue) { q.seed = seed }
--- a/internal/core/admit/predict.go
+++ b/internal/core/admit/predict.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -149,10 +150,24 @@
 // that limit the request, for a try that only one of them lets through is in vain.
 func (q *Queue) refused(now time.Time, it Item, code Code) Verdict {
 	level := it.Rank.Level()
-	wait := max(q.breaker.wait(now), q.Wait(now, it.Rank), q.profileWait(level, it.Profile))
+	wait := q.rule.of(q.breaker.wait(now), q.Wait(now, it.Rank), q.profileWait(level, it.Profile))
 	return Verdict{State: StateRefused, Code: code, RetryAfter: q.spread(max(wait, minRetryAfter))}
 }
 
+// of returns the wait that the rule names; scopes that do not limit have none.
+func (r WaitRule) of(waits ...time.Duration) time.Duration {
+	if r == WaitLargest {
+		return slices.Max(waits)
+	}
+	var least time.Duration
+	for _, wait := range waits {
+		if wait > 0 && (least == 0 || wait < least) {
+			least = wait
+		}
+	}
+	return least
+}
+
 // minRetryAfter is the shortest Retry-After.
 const minRetryAfter = 100 * time.Millisecond
 
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -24,6 +24,7 @@
 	guard  float64
 	jitter float64
 	seed   uint64
+	rule   WaitRule
 	speed  Speed
 	gap    time.Duration
 	spare  int
@@ -50,6 +51,7 @@
 		cap:     DefaultProfileCap,
 		guard:   DefaultGuard,
 		spare:   DefaultSpare,
+		rule:    WaitLargest,
 		jitter:  DefaultJitter,
 		breaker: newBreaker(DefaultFailures, DefaultRest),
 		entries: make(map[string]*entry),
--- a/internal/core/admit/queue_test.go
+++ b/internal/core/admit/queue_test.go
@@ -161,6 +161,22 @@
 	require.Len(t, drain(q, later), 1)
 }
 
+func TestRetryAfterNamesTheLargestWait(t *testing.T) {
+	tests := []struct {
+		rule WaitRule
+		want time.Duration
+	}{
+		{rule: WaitLargest, want: 30 * time.Second},
+		{rule: WaitSmallest, want: 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.rule), func(t *testing.T) {
+			require.Equal(t, tt.want, tt.rule.of(30*time.Second, 0, 2*time.Second))
+		})
+	}
+	require.Equal(t, WaitLargest, New().rule)
+}
+
 func TestSuspectsRunAlone(t *testing.T) {
 	q := New(Slots(4), Floors(Shares{}))
 	for i := range 3 {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/admit"
 	"github.com/chiveramp/chiveramp/internal/core/place"
@@ -95,6 +96,12 @@
 		change("one endpoint asked", func(p *Policy) { p.Without.Hops = true }),
 		change("no floors", func(p *Policy) { p.Admit = []admit.Option{admit.Floors(admit.Shares{})} }),
 		change("no profile cap", func(p *Policy) { p.Admit = []admit.Option{admit.ProfileCap(1)} }),
+		change("smallest retry-after", func(p *Policy) {
+			p.Admit = []admit.Option{admit.RetryAfterRule(admit.WaitSmallest)}
+		}),
+		change("no gap bound", func(p *Policy) { p.Admit = []admit.Option{admit.Gap(0)} }),
+		change("no spare model", func(p *Policy) { p.Admit = []admit.Option{admit.SpareModels(0)} }),
+		change("link budget", func(p *Policy) { p.Choose = []route.Option{route.WithLink(linkBudget())} }),
 		change("no trend", func(p *Policy) { p.Plan = []place.Option{place.Trend(0)} }),
 		change("no threshold", func(p *Policy) {
 			p.Plan = []place.Option{place.Threshold(0), place.MinStay(0)}
@@ -102,6 +109,13 @@
 	}
 }
 
+// linkBudget is an eighth of the link between regions for each entry, urgent first.
+func linkBudget() route.LinkBudget {
+	return route.LinkBudget{
+		Urgent: linkRate / 16, Standard: linkRate / 32, Bulk: linkRate / 64, Burst: 2 * time.Second,
+	}
+}
+
 // errAgainst reports an unknown set of policies.
 var errAgainst = errors.New("want baselines, none or variants")
 
