test: requests for an adapter go to the engine that has it

Cause: the process test of adapters passed on naming alone; nothing showed what the choice by adapter is for. Ruled out: counting right answers with the profile's retries = 0. Change: switch adapters; one engine has no room for the adapter, and the test counts the retries in the trail. Conclusion: the choice by adapter saves the refused attempts.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -41,8 +41,8 @@
 	g.directory.EachAdapted(model, adapter, p.request.Service, func(e *directory.Entry, has bool) {
 		c := candidate(e)
 		c.Leaving = c.Leaving || g.draining.Draining(e.Endpoint, model)
-		c.Adapter = has
-		adapted = adapted || has
+		c.Adapter = has && !switches.Off(switches.Adapters)
+		adapted = adapted || c.Adapter
 		g.candidates = append(g.candidates, c)
 	})
 	return adapted
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -23,6 +23,8 @@
 	Suspect Mechanism = "suspect"
 	// Affinity prefers endpoints that have cached the start of a prompt.
 	Affinity Mechanism = "affinity"
+	// Adapters prefers endpoints that have the adapter of a request.
+	Adapters Mechanism = "adapters"
 	// Pull takes documents from other instances.
 	Pull Mechanism = "pull"
 )
--- a/test/process/affinity_test.go
+++ b/test/process/affinity_test.go
@@ -46,33 +46,59 @@
 models = matcher-*
 
 [model "matcher-a"]
-bytes = 4GiB
+bytes = 8GiB
+adapter = 256MiB
 service = matcher
 adapters = glove
 `
 
-// A request that names an adapter is answered by it, wherever it entered.
+// full is the memory of an engine that has no room beside one model and its cache.
+const full = 12 << 30
+
+// A request that names an adapter goes to the engine that has it, wherever it entered.
 func TestAffinityOfAdapters(t *testing.T) {
-	b := newBench(t, "matcher")
-	for _, name := range []string{"m1", "m2"} {
-		b.engine(name, "matcher", "south", "south-1", engine.WithModels("matcher-a"))
-	}
-	for _, name := range []string{"s1a", "s1b", "s1c"} {
-		b.add(name, "south", "south-1")
+	for _, p := range proofs(switches.Adapters) {
+		t.Run(p.name(), func(t *testing.T) {
+			b := newBench(t, "matcher")
+			b.off = p.off
+			b.engine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithMemory(full))
+			b.engine("m2", "matcher", "south", "south-1", engine.WithModels("matcher-a"))
+			for _, name := range []string{"s1a", "s1b", "s1c"} {
+				b.add(name, "south", "south-1")
+			}
+			loadAdapter(t, b.engines[1], "matcher-a", "glove")
+			b.apply(b.nodes[0], 0, adapterDocument)
+			b.ready()
+			time.Sleep(noticed)
+			retries := 0
+			for i := range affinityRequests {
+				retries += b.adapted(b.nodes[i%3], fmt.Sprint("size ", i))
+			}
+			t.Logf("retries of %d requests: %d", affinityRequests, retries)
+			require.Equal(t, p.holds, retries == 0)
+		})
 	}
-	loadAdapter(t, b.engines[1], "matcher-a", "glove")
-	b.apply(b.nodes[0], 0, adapterDocument)
-	b.ready()
-	time.Sleep(noticed)
-	for i := range 12 {
-		body := chatBody("matcher-a/glove", fmt.Sprint("size ", i), true, 20)
-		r, err := send(t.Context(), b.nodes[i%3].caller, "/v1/chat/completions", body, "Chiveramp-Profile", "chat")
-		require.NoError(t, err)
-		require.Equal(t, http.StatusOK, r.status, b.explain(r))
-		answer, whole := text(t, r.body)
-		require.True(t, whole)
-		require.Equal(t, engine.AnswerTo("matcher-a:glove", fmt.Sprint("size ", i), 20), answer)
+}
+
+// adapted asks for the adapter and returns how often an engine refused the
+// request before it was answered.
+func (b *bench) adapted(n *instance, prompt string) int {
+	b.t.Helper()
+	r, err := send(b.t.Context(), n.caller, "/v1/chat/completions", chatBody("matcher-a/glove", prompt, true, 20), "Chiveramp-Profile", "chat")
+	require.NoError(b.t, err)
+	require.Equal(b.t, http.StatusOK, r.status, b.explain(r))
+	answer, whole := text(b.t, r.body)
+	require.True(b.t, whole)
+	require.Equal(b.t, engine.AnswerTo("matcher-a:glove", prompt, 20), answer)
+	trail, err := b.operators(n).Explain(b.t.Context(), r.header.Get("Chiveramp-Request"))
+	require.NoError(b.t, err)
+	retries := 0
+	for _, s := range trail.Steps {
+		if s.Step == "retry" {
+			retries++
+		}
 	}
+	return retries
 }
 
 func loadAdapter(t *testing.T, e *engine.Server, model fleet.Model, adapter fleet.Adapter) {
