fix: moves go on while the store is slow

Cause: a new test with slow calls: at 1 s a call a step took longer than the lease, which was renewed only between steps; one order left in ten minutes and the lease was taken 22 times. At 2 s a call the lease ended while many moves were recorded, and all of them were dropped before they left. Ruled out: a longer TTL (a frozen placer would be relied on for longer); renewing in a goroutine of its own (a placer stuck in a step would look well). Change: the lease is renewed between the parts of a step; no further move is recorded when orders wait and less than half of the lease is left.

--- a/internal/placer/copies.go
+++ b/internal/placer/copies.go
@@ -118,7 +118,7 @@
 		}
 	}
 	if whole {
-		p.lease.current = now
+		p.lease.current = p.clock()
 	}
 	if !whole || p.lease.reconciled {
 		return nil
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// ending reports whether less than half of the lease is left.
+func (l *lease) ending() bool {
+	return l.until.Sub(l.clock()) < (l.ttl-l.margin)/2
+}
+
+// refresh renews the lease in a long step, when that is due.
+func (l *lease) refresh(ctx context.Context, now time.Time) error {
+	if !l.live() || !l.pace.ready(now) || l.outdated(now) {
+		return nil
+	}
+	return l.renew(ctx, now)
+}
+
 // outdated reports whether others rely on copies that were not compared lately.
 func (l *lease) outdated(now time.Time) bool {
 	return l.id != "" && l.reconciled && !l.keeping && now.Sub(l.current) > l.ttl/3
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -25,6 +25,9 @@
 		if !ok || !n.fresh {
 			continue
 		}
+		if len(p.outbox) > 0 && p.lease.ending() {
+			return nil // what is recorded has to leave in time
+		}
 		if err := p.start(ctx, now, n, m); err != nil {
 			return err
 		}
--- a/internal/placer/outage_test.go
+++ b/internal/placer/outage_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/ledger"
 	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
 )
 
@@ -171,3 +172,23 @@
 		require.Equal(t, keeping, w.named("p2").copies.holders["d1"].reconciled, "mechanism off: %v", keeping)
 	}
 }
+
+// TestSlowStore makes every call of the store take long: moves are slow, but
+// they go on, and stay safe.
+func TestSlowStore(t *testing.T) {
+	for _, slow := range []time.Duration{200 * time.Millisecond, time.Second, 2 * time.Second} {
+		w := newWorld(t)
+		for _, e := range []fleet.Endpoint{"e1", "e2", "e3"} {
+			w.endpoint(e, "d1", 24*gib, e == "e1")
+		}
+		for _, m := range []fleet.Model{"a", "b", "c", "d", "e"} {
+			w.model(m, 8*gib, 2*gib, "x")
+		}
+		p := w.placer("p1", "d1", true, WithLimits(ledger.Limits{Rate: 2, AtOnce: 4}))
+		w.store.Server().SetFaults(standin.Faults{SlowMillis: int(slow.Milliseconds())})
+		w.run(10 * time.Minute)
+		w.requireSafe()
+		t.Logf("%s a call: %d orders, fence %d", slow, w.sent, p.Status().Fence)
+		require.Empty(t, w.lost(), "%s a call\n%+v", slow, w.statuses())
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -187,6 +187,9 @@
 			p.dropOutbox()
 			return nil
 		}
+		if err := p.refreshLease(ctx); err != nil {
+			p.problem(err)
+		}
 		if err := s.run(ctx, now); err != nil {
 			p.dropOutbox()
 			return fmt.Errorf("%s: %w", s.name, err)
@@ -202,6 +205,14 @@
 	return p.lease.keep(ctx, now)
 }
 
+// refreshLease renews the lease between the parts of a step, which take long
+// while the store or endpoints are slow.
+func (p *Placer) refreshLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, p.callTimeout)
+	defer cancel()
+	return p.lease.refresh(ctx, p.clock())
+}
+
 // takeOver notices a new lease. The records are as they were left unless
 // another placer has held the lease in between.
 func (p *Placer) takeOver(now time.Time) {
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -123,7 +123,8 @@
 		unloadTime: 2 * time.Second,
 	}
 	w.now = w.began
-	w.store = platformtest.NewWithClock(func() time.Time { return w.now })
+	clock := func() time.Time { return w.now }
+	w.store = platformtest.NewWithClock(clock, standin.WithSleep(func(d time.Duration) { w.now = w.now.Add(d) }))
 	return w
 }
 
