--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,6 +66,7 @@
 // world is everything around the placers, in virtual time.
 type world struct {
 	t          testing.TB
+	mu         sync.Mutex // held during a call to an endpoint
 	now        time.Time
 	began      time.Time
 	store      *platformtest.Fake
@@ -189,6 +191,8 @@
 
 // State implements Engine.
 func (a *actor) State(_ context.Context, endpoint fleet.Endpoint) (ledger.State, error) {
+	a.world.mu.Lock()
+	defer a.world.mu.Unlock()
 	e := a.world.engines[endpoint]
 	if e.down {
 		return ledger.State{}, errNoAnswer
@@ -205,6 +209,8 @@
 // Order implements Engine. Orders leave one at a time, so that fates are repeatable.
 func (a *actor) Order(ctx context.Context, endpoint fleet.Endpoint, o ledger.Order) error {
 	w := a.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.sent++
 	w.notef("%s sends %s %s to %s fence %d", a.name, o.Kind, o.Item(), endpoint, o.Fence)
 	f := w.fate(o)
