--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -74,6 +74,8 @@
 type instance struct {
 	name, dc, region                string
 	caller, peer, operator, metrics string
+	advertise                       string // where others reach it
+	platform                        string // where it reaches the platform
 	process                         *exec.Cmd
 	log                             *lines
 	ended                           chan struct{}
@@ -136,15 +138,29 @@
 
 // add starts one instance.
 func (b *bench) add(name, region, dc string) *instance {
+	b.t.Helper()
+	n := b.plan(name, region, dc)
+	b.enter(n)
+	return n
+}
+
+// plan returns an instance that is not started yet.
+func (b *bench) plan(name, region, dc string) *instance {
 	b.t.Helper()
 	n := &instance{
-		name: name, region: region, dc: dc,
+		name: name, region: region, dc: dc, platform: b.address,
 		caller: free(b.t), peer: free(b.t), operator: free(b.t), metrics: free(b.t),
 	}
-	b.list("chiveramp", name, n.peer, region, dc, platform.MemberLive)
+	n.advertise = n.peer
+	return n
+}
+
+// enter lists and starts a planned instance.
+func (b *bench) enter(n *instance) {
+	b.t.Helper()
+	b.list("chiveramp", n.name, n.advertise, n.region, n.dc, platform.MemberLive)
 	b.start(n)
 	b.nodes = append(b.nodes, n)
-	return n
 }
 
 func (b *bench) start(n *instance) {
@@ -179,7 +195,7 @@
 func (b *bench) settings(n *instance) string {
 	var peers []string
 	for _, p := range b.nodes {
-		peers = append(peers, p.peer)
+		peers = append(peers, p.advertise)
 	}
 	return fmt.Sprintf(`[instance]
 name = %s
@@ -190,6 +206,7 @@
 keep = 1s
 [peer]
 listen = %s
+advertise = %s
 beat = 200ms
 seeds = %s
 [operator]
@@ -206,8 +223,8 @@
 drain = 10s
 [log]
 level = debug
-%s`, n.name, n.region, n.dc, n.caller, n.peer, strings.Join(peers, ","), n.operator, token,
-		b.address, strings.Join(b.services, ","), n.metrics, b.tracing())
+%s`, n.name, n.region, n.dc, n.caller, n.peer, n.advertise, strings.Join(peers, ","), n.operator, token,
+		n.platform, strings.Join(b.services, ","), n.metrics, b.tracing())
 }
 
 // port is the last port given out. All stand below the range from which the
