feat: status names the lease holders, since when things are wrong, and explain its request

Cause: status showed only the own placer, 'since' was always now, explain had no profile and no model. Ruled out: telling placers in heartbeats (the store is asked once for each status anyway). Change: placer.Holders reads the leases; degradations keep their first sighting; the entry notes profile and model; operators' connections are limited to 64.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,6 +168,7 @@
 func (g *Gateway) Serve(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
 	began := g.clock()
 	t := newTrack(sink, g.clock)
+	g.trail.Note(request.Request, "enter", request.Model+request.Service, request.Profile)
 	plan, end := g.plan(request)
 	if end != nil {
 		g.trail.Note(request.Request, "refuse", "", end.Code)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	ready    bool
 	heard    []peerTotals
 	busy     map[string]bool
+	wrong    map[string]sighting
 	leave    context.CancelCauseFunc
 }
 
@@ -98,6 +99,7 @@
 		endpoints: endpoint.New(),
 		trail:     trail.New(clock.Now),
 		busy:      make(map[string]bool),
+		wrong:     make(map[string]sighting),
 	}
 	n.lifetime, n.end = context.WithCancel(context.Background())
 	if err := n.connect(); err != nil {
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -135,7 +135,10 @@
 	}
 	slices.SortStableFunc(result.Steps, func(a, b operator.Step) int { return a.Time.Compare(b.Time) })
 	for _, s := range result.Steps {
-		if s.Step == "end" {
+		switch s.Step {
+		case "enter":
+			result.Profile, result.Model = s.Decision, s.Peer
+		case "end":
 			result.Outcome, _, _ = strings.Cut(s.Decision, " ")
 		}
 	}
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -6,9 +6,14 @@
 	"net"
 	"net/http"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/chiveramp/chiveramp/internal/operator"
 )
 
+// operatorConnections is the most connections of operators at once.
+const operatorConnections = 64
+
 // backend offers the node to operators. It is a type of its own since the sides
 // towards callers, peers and operators share names of methods.
 type backend struct{ *Node }
@@ -27,6 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l = netutil.LimitListener(l, operatorConnections)
 	n.group.Go(func() error {
 		if server.TLSConfig != nil {
 			return served("operators", server.ServeTLS(l, "", ""))
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -12,10 +13,14 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/internal/placer"
 )
 
+// wrongForgotten is after how long without a sign a degradation counts as new.
+const wrongForgotten = 5 * time.Minute
+
 // Status implements operator.Backend.
-func (n backend) Status(context.Context) (operator.Status, error) {
+func (n backend) Status(ctx context.Context) (operator.Status, error) {
 	self := n.members.Self()
 	status := operator.Status{Instance: string(self.Instance), Revision: self.Revision}
 	for _, p := range locked(n.members, (*member.View).All) {
@@ -29,8 +34,8 @@
 		}
 	}
 	status.Models = n.modelStatus()
-	n.placerStatus(&status)
 	status.Degraded = n.degraded(status)
+	n.placerStatus(ctx, &status)
 	return status, nil
 }
 
@@ -85,21 +90,48 @@
 	}
 }
 
-// placerStatus adds what the own placer knows, if it holds the lease.
-func (n *Node) placerStatus(status *operator.Status) {
-	own := n.placer.Status()
-	row := operator.PlacerStatus{Datacentre: n.config.Instance.Datacentre}
-	if own.Held {
-		row.Instance, row.Fence = n.config.Instance.Name, uint64(own.Fence)
+// placerStatus adds who holds the leases, as the store tells, and the memory
+// that the own placer knows of, if it holds one.
+func (n *Node) placerStatus(ctx context.Context, status *operator.Status) {
+	holders, err := placer.Holders(ctx, n.store)
+	if err != nil {
+		status.Degraded = append(status.Degraded, n.degradation("store", err.Error()))
+	}
+	for _, h := range holders {
+		status.Placers = append(status.Placers, operator.PlacerStatus{
+			Datacentre: string(h.DataCentre), Instance: string(h.Instance), Fence: uint64(h.Fence),
+		})
 	}
-	status.Placers = append(status.Placers, row)
-	for _, e := range own.Endpoints {
+	for _, e := range n.placer.Status().Endpoints {
 		for i := range status.Endpoints {
 			if status.Endpoints[i].Name == string(e.Endpoint) {
 				status.Endpoints[i].Memory, status.Endpoints[i].Free = e.Memory, e.Free
 			}
 		}
 	}
+	for _, why := range n.placer.Status().Degraded {
+		status.Degraded = append(status.Degraded, n.degradation("placer "+n.config.Instance.Datacentre, why))
+	}
+}
+
+// degradation notes what is wrong, with the time at which that was first seen.
+func (n *Node) degradation(part, why string) operator.Degradation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock()
+	seen, ok := n.wrong[part]
+	if !ok || now.Sub(seen.last) > wrongForgotten {
+		seen.first = now
+	}
+	seen.last = now
+	n.wrong[part] = seen
+	return operator.Degradation{Part: part, Why: why, Since: seen.first}
+}
+
+// sighting is when something wrong was first and last seen.
+type sighting struct {
+	first time.Time
+	last  time.Time
 }
 
 func (n *Node) modelStatus() []operator.ModelStatus {
@@ -121,22 +153,22 @@
 	list := []operator.Degradation{}
 	for _, i := range s.Instances {
 		if i.State == operator.StateLost {
-			list = append(list, operator.Degradation{Part: "instance " + i.Name, Why: "no heartbeat", Since: n.clock()})
+			list = append(list, n.degradation("instance "+i.Name, "no heartbeat"))
 		}
 	}
 	for _, e := range s.Endpoints {
 		if e.State == operator.StateLost {
-			list = append(list, operator.Degradation{Part: "endpoint " + e.Name, Why: "does not answer", Since: n.clock()})
+			list = append(list, n.degradation("endpoint "+e.Name, "does not answer"))
 		}
 	}
 	for _, m := range s.Models {
 		if len(m.Endpoints) == 0 && len(n.remote.Centres(n.clock(), fleet.Model(m.Name), "")) == 0 {
-			list = append(list, operator.Degradation{Part: "model " + m.Name, Why: "no copy is seen serving", Since: n.clock()})
+			list = append(list, n.degradation("model "+m.Name, "no copy is seen serving"))
 		}
 	}
 	list = append(list, n.unreachableServices()...)
 	if err := n.Ready(); err != nil {
-		list = append(list, operator.Degradation{Part: "instance " + s.Instance, Why: err.Error(), Since: n.clock()})
+		list = append(list, n.degradation("instance "+s.Instance, err.Error()))
 	}
 	return list
 }
@@ -148,7 +180,7 @@
 		here := false
 		n.directory.Each("", s.Name, func(e *directory.Entry) { here = here || (!e.Leaving && !e.Report.Down) })
 		if !here && len(n.remote.Centres(n.clock(), "", s.Name)) == 0 {
-			list = append(list, operator.Degradation{Part: "service " + s.Name, Why: "no endpoint is seen serving", Since: n.clock()})
+			list = append(list, n.degradation("service "+s.Name, "no endpoint is seen serving"))
 		}
 	}
 	return list
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -76,6 +76,7 @@
 	caller, peer, operator, metrics string
 	advertise                       string // where others reach it
 	platform                        string // where it reaches the platform
+	client                          *operator.Client
 	process                         *exec.Cmd
 	log                             *lines
 	ended                           chan struct{}
@@ -288,7 +289,11 @@
 }
 
 func (b *bench) operators(n *instance) *operator.Client {
-	return operator.NewClient([]string{n.operator}, operator.WithBearer(token))
+	if n.client == nil {
+		n.client = operator.NewClient([]string{n.operator}, operator.WithBearer(token))
+		b.t.Cleanup(n.client.Close)
+	}
+	return n.client
 }
 
 // apply puts a document in force everywhere.
