feat: documents as differences, claims swept, suspects confined to one endpoint

Cause: parts that the cores offer were not called: a restarted instance could take an old document from the first peer it met, old claims stayed for ever, copies of a suspect ran side by side at several endpoints, a profile's retries had no effect. Ruled out: bounding deaths by a wait (a copy on its way would still kill).

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 )
 
@@ -50,7 +51,7 @@
 	// Check tells whether a request is suspected or convicted.
 	Check(fingerprint uint64) (suspected, convicted bool)
 	// Died reports the death of an endpoint's incarnation with all that it ran.
-	Died(incarnation string, running []uint64)
+	Died(incarnation string, running []suspect.Run)
 	// Finished reports a request that ended without a death.
 	Finished(fingerprint uint64)
 }
@@ -285,7 +286,7 @@
 func (nobody) Finish(context.Context, once.Key, string, once.Answer) error { return nil }
 func (nobody) Release(context.Context, once.Key, string) error             { return nil }
 func (nobody) Check(uint64) (suspected, convicted bool)                    { return false, false }
-func (nobody) Died(string, []uint64)                                       {}
+func (nobody) Died(string, []suspect.Run)                                  {}
 func (nobody) Finished(uint64)                                             {}
 func (nobody) Draining(fleet.Endpoint, fleet.Model) bool                   { return false }
 func (nobody) Worked(fleet.Model, time.Duration)                           {}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -12,6 +12,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -39,6 +40,7 @@
 	claim   string // id of the claim, when claimed
 	cancel  context.CancelCauseFunc
 	began   time.Time
+	trial   bool // sent as a suspect
 }
 
 var (
@@ -237,12 +239,12 @@
 		return
 	}
 	p.deaths[incarnation] = p.timers.Now()
-	var running []uint64
+	var running []suspect.Run
 	for _, r := range p.attempts {
 		end := r.Ended()
 		ran := end == nil || end.Code == CodeLost
 		if ran && r.incarnation() == incarnation && r.request.Fingerprint != 0 {
-			running = append(running, r.request.Fingerprint)
+			running = append(running, suspect.Run{Fingerprint: suspect.Fingerprint(r.request.Fingerprint), Trial: r.trial})
 		}
 	}
 	p.mu.Unlock()
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -41,7 +41,7 @@
 	if end != nil {
 		return end
 	}
-	if end := p.turn(ctx, request); end != nil {
+	if end := p.turn(ctx, r); end != nil {
 		return end
 	}
 	if end := p.admit(ctx, r, sink); end != nil {
@@ -77,11 +77,14 @@
 }
 
 // turn waits until the endpoint's dispatcher lets the request go.
-func (p *Pool) turn(ctx context.Context, request peer.Request) *peerpb.End {
+func (p *Pool) turn(ctx context.Context, r *run) *peerpb.End {
+	request := r.request
 	reply := make(chan turn, 1)
+	item := p.item(request)
+	r.trial = item.Suspect
 	p.system.Root.Send(p.dispatcher(fleet.Endpoint(request.Endpoint)), enter{
 		now:   p.timers.Now(),
-		item:  p.item(request),
+		item:  item,
 		reply: reply,
 	})
 	select {
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -10,6 +10,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/retry"
 	"github.com/chiveramp/chiveramp/internal/core/route"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -21,6 +22,7 @@
 	defer g.mu.Unlock()
 	now := g.clock()
 	adapted := g.gather(p)
+	g.confine(p)
 	g.match(now, p)
 	index, ok := g.pick(now, p, adapted)
 	if !ok {
@@ -48,6 +50,24 @@
 	return adapted
 }
 
+// confine leaves a suspect only the one endpoint that all instances choose for
+// it, so that its copies wait for each other there.
+func (g *Gateway) confine(p *plan) {
+	if suspected, _ := g.suspects.Check(p.request.Fingerprint); !suspected {
+		return
+	}
+	usable := make([]fleet.Endpoint, 0, len(g.candidates))
+	for _, c := range g.candidates {
+		if !c.Leaving {
+			usable = append(usable, c.Endpoint)
+		}
+	}
+	trial := suspect.Trial(suspect.Fingerprint(p.request.Fingerprint), usable)
+	for i := range g.candidates {
+		g.candidates[i].Suspect = g.candidates[i].Endpoint != trial
+	}
+}
+
 // pick prefers endpoints that have the adapter: most engines refuse a request
 // for one that is not loaded. Only when none of those may serve are the others asked.
 func (g *Gateway) pick(now time.Time, p *plan, adapted bool) (int, bool) {
@@ -139,6 +159,12 @@
 
 // afford takes a retry from the profile's budget and waits for its time.
 func (g *Gateway) afford(ctx context.Context, p *plan, end *peerpb.End) bool {
+	if fleet.Outcome(end.Outcome) != fleet.OutcomeNotRun {
+		if p.repeated >= p.profile.Retries && p.request.Hops == 0 {
+			return false
+		}
+		p.repeated++
+	}
 	g.mu.Lock()
 	decision := g.budget.Failed(g.clock(), retry.Attempt{
 		Profile:    fleet.Profile(p.request.Profile),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,11 @@
 	Draining(fleet.Endpoint, fleet.Model) bool
 }
 
+// Suspects tells which requests were running when an endpoint died.
+type Suspects interface {
+	Check(fingerprint uint64) (suspected, convicted bool)
+}
+
 // Trail records what was decided for a request.
 type Trail interface {
 	Note(request, step, peer, note string)
@@ -107,6 +112,7 @@
 	remote     Remote
 	trail      Trail
 	draining   Draining
+	suspects   Suspects
 	observer   Observer
 	clock      func() time.Time
 
@@ -138,6 +144,9 @@
 // WithDraining sets which models get nothing new on an endpoint.
 func WithDraining(d Draining) Option { return func(g *Gateway) { g.draining = d } }
 
+// WithSuspects sets which requests run at one endpoint only.
+func WithSuspects(s Suspects) Option { return func(g *Gateway) { g.suspects = s } }
+
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.clock = now } }
 
@@ -152,6 +161,7 @@
 		remote:     nowhere{},
 		trail:      silent{},
 		draining:   silent{},
+		suspects:   silent{},
 		observer:   silent{},
 		clock:      time.Now,
 		router:     route.New(),
@@ -308,4 +318,5 @@
 
 func (silent) Note(_, _, _, _ string)                    {}
 func (silent) Ended(Report)                              {}
+func (silent) Check(uint64) (suspected, convicted bool)  { return false, false }
 func (silent) Draining(fleet.Endpoint, fleet.Model) bool { return false }
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -30,7 +30,8 @@
 	kept       []byte // the body of the next try
 	streamed   bool   // the body can be sent once only
 	tried      []fleet.Endpoint
-	spent      int
+	spent      int // further tries so far, over all hops
+	repeated   int // those after the request may have run
 }
 
 // plan checks a request against the profile document.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -74,3 +74,14 @@
 func (m *members) watches() bool {
 	return locked(m, func(v *member.View) bool { return v.Watcher(v.Self().Place.DataCentre) })
 }
+
+// settled tells whether every peer that may answer was heard.
+func (m *members) settled() bool {
+	return locked(m, func(v *member.View) bool { return v.Settled(time.Now()) })
+}
+
+// near tells whether an instance stands in the own data centre.
+func (m *members) near(instance fleet.Instance) bool {
+	p, ok := m.get(instance)
+	return ok && p.Place.DataCentre == m.Self().Place.DataCentre
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,8 @@
 	n.documents = document.New(n.store,
 		document.WithWatcher(n.members.watches),
 		document.WithPuller(puller{n}),
+		document.WithSettled(n.members.settled),
+		document.WithNear(n.members.near),
 	)
 	n.documents.Subscribe(n.take)
 	n.claims = claim.New(n.store, claim.WithGroup(claimShards), claim.WithClock(n.clock))
@@ -179,6 +181,7 @@
 		entry.WithRemote(n.remote),
 		entry.WithTrail(n.trail),
 		entry.WithDraining(n.drains),
+		entry.WithSuspects(n.suspects),
 		entry.WithObserver(newObserver(n.registry)),
 		entry.WithClock(n.clock),
 	)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/chiveramp/chiveramp/internal/switches"
 
-	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -51,15 +50,11 @@
 
 // Document implements peer.Handler.
 func (n *Node) Document(_ context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
-	current, ok := n.documents.Current()
-	if !ok || current.Revision <= r.Revision {
-		return &peerpb.DocumentReply{}, nil
-	}
-	raw, err := cbor.Marshal(current)
+	raw, err := n.documents.Pack(r.Revision)
 	if err != nil {
-		return nil, status.Errorf(codes.Internal, "encode document: %v", err)
+		return nil, status.Errorf(codes.Internal, "%v", err)
 	}
-	return &peerpb.DocumentReply{Revision: current.Revision, Document: raw}, nil
+	return &peerpb.DocumentReply{Document: raw}, nil
 }
 
 // puller asks peers for documents.
@@ -78,14 +73,10 @@
 	if err != nil {
 		return revision.Document{}, err
 	}
-	if reply.Revision == 0 {
+	if len(reply.Document) == 0 {
 		return revision.Document{}, nil
 	}
-	var d revision.Document
-	if err := cbor.Unmarshal(reply.Document, &d); err != nil {
-		return revision.Document{}, fmt.Errorf("decode document of instance %s: %w", from, err)
-	}
-	return d, nil
+	return p.documents.Unpack(reply.Document)
 }
 
 // readList reads the platform's list if this instance watches, or has none yet.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -23,6 +23,7 @@
 const (
 	headerTimeout = 10 * time.Second
 	drainPause    = 50 * time.Millisecond
+	sweepPause    = time.Minute
 )
 
 // listeners are the open sockets of an instance.
@@ -101,6 +102,7 @@
 	n.every("beat", n.config.Peer.Beat, n.beat)
 	n.every("probe", probePause, n.probe)
 	n.every("place", placePause, n.place)
+	n.every("sweep", sweepPause, n.sweep)
 	n.every("settle", settlePause, func(ctx context.Context, _ time.Time) { _, _ = n.claims.Settle(ctx) })
 }
 
@@ -112,6 +114,13 @@
 	}
 }
 
+// sweep removes old claims, a part of them each time, at the data centre's placer.
+func (n *Node) sweep(ctx context.Context, _ time.Time) {
+	if n.placer.Status().Held {
+		_, _ = n.claims.Sweep(ctx)
+	}
+}
+
 // place takes one step of the placer. A leaving instance gives the lease back instead.
 func (n *Node) place(ctx context.Context, now time.Time) {
 	if n.members.Self().Leaving {
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -41,13 +41,9 @@
 }
 
 // Died implements dispatch.Suspects.
-func (s *suspects) Died(incarnation string, running []uint64) {
-	fingerprints := make([]suspect.Fingerprint, 0, len(running))
-	for _, f := range running {
-		fingerprints = append(fingerprints, suspect.Fingerprint(f))
-	}
+func (s *suspects) Died(incarnation string, running []suspect.Run) {
 	s.mu.Lock()
-	s.book.Died(s.clock(), incarnation, fingerprints)
+	s.book.Blame(s.clock(), incarnation, running)
 	s.mu.Unlock()
 	s.told()
 }
