fix: a few requests in the first seconds are no demand

The moves were made in the first seconds of a scene, as after each takeover by a new placer: three requests within three seconds read as half an accelerator. Change: the averages count their first minute as a whole one. The test's requests read as 0.5 accelerators with the settling time off.

--- a/internal/core/place/demand.go
+++ b/internal/core/place/demand.go
@@ -59,6 +59,10 @@
 	r.last = now
 }
 
+// settleTime is for how long the first work is taken as spread, however soon a
+// rate is asked for: a few requests within seconds are no demand yet.
+const settleTime = time.Minute
+
 // at returns the rate. While less than the time constant has passed since the
 // first work, the sum is divided by what it can have gathered so far.
 func (r *rate) at(now time.Time) float64 {
@@ -66,7 +70,7 @@
 		return 0
 	}
 	r.decay(now)
-	known := max(now.Sub(r.first), time.Second).Seconds()
+	known := max(now.Sub(r.first), settleTime).Seconds()
 	constant := r.constant.Seconds()
 	return r.sum / (constant * (1 - math.Exp(-known/constant)))
 }
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -151,6 +151,16 @@
 	require.NotContains(t, New(MinStay(0)).Plan(start, v), want, "without the memory of the first round")
 }
 
+func TestAFewRequestsAreNoDemand(t *testing.T) {
+	d := NewDemand(DefaultFast, DefaultSlow)
+	for i := range 3 {
+		d.Add(start.Add(time.Duration(i)*time.Second), 0.5)
+	}
+	now := start.Add(3 * time.Second)
+	require.Less(t, d.Fast(now), 0.1, "1.5 s of work in 3 s would be half an accelerator")
+	require.Less(t, d.Slow(now), 0.1)
+}
+
 func TestDemandFollowsARise(t *testing.T) {
 	d := NewDemand(DefaultFast, DefaultSlow)
 	now := start
