--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -109,6 +109,12 @@
 			}
 		}
 	}
+	for _, m := range n.placer.Status().Moves {
+		if m.Stage == "lost" {
+			part := "order for " + m.Item + " at endpoint " + string(m.Endpoint)
+			status.Degraded = append(status.Degraded, n.degradation(part, "its outcome was not seen, its memory stays reserved"))
+		}
+	}
 	for _, why := range n.placer.Status().Degraded {
 		status.Degraded = append(status.Degraded, n.degradation("placer "+n.config.Instance.Datacentre, why))
 	}
