--- a/internal/load/command/compare.go
+++ b/internal/load/command/compare.go
@@ -62,7 +62,7 @@
 
 func writeComparison(w io.Writer, rate float64, straight, through *load.Way) error {
 	_, _ = fmt.Fprintf(w, "time to the first token at %g requests a second\n", rate)
-	_, _ = fmt.Fprintf(w, "%-10s %9s %9s %9s %9s %9s %9s\n", "WAY", "SENT", "WHOLE", "P50 MS", "P90 MS", "P99 MS", "LATE P99")
+	_, _ = fmt.Fprintf(w, "%-10s %9s %9s %9s %9s %9s %9s %9s\n", "WAY", "SENT", "WHOLE", "AGAIN", "P50 MS", "P90 MS", "P99 MS", "LATE P99")
 	writeWay(w, "straight", straight)
 	writeWay(w, "system", through)
 	for path, count := range through.Paths {
@@ -80,7 +80,7 @@
 }
 
 func writeWay(w io.Writer, name string, way *load.Way) {
-	_, _ = fmt.Fprintf(w, "%-10s %9d %9d %9.3f %9.3f %9.3f %9.3f\n", name, way.Sent, way.Whole,
+	_, _ = fmt.Fprintf(w, "%-10s %9d %9d %9d %9.3f %9.3f %9.3f %9.3f\n", name, way.Sent, way.Whole, way.Again,
 		inMilliseconds(way.Quantile(50)), inMilliseconds(way.Quantile(90)), inMilliseconds(way.Quantile(99)),
 		float64(way.Late.ValueAtQuantile(99))/1000)
 }
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -33,8 +33,10 @@
 // Way is what was seen on one way.
 type Way struct {
 	Sent, Whole int
-	First       *hdrhistogram.Histogram // microseconds
-	Late        *hdrhistogram.Histogram // microseconds
+	// Again counts the whole answers that took more than one try.
+	Again int
+	First *hdrhistogram.Histogram // microseconds
+	Late  *hdrhistogram.Histogram // microseconds
 	// Paths counts the whole answers by who served them.
 	Paths map[Path]int
 	// Failed are some of the samples that are not whole.
@@ -89,6 +91,9 @@
 		return
 	}
 	w.Whole++
+	if s.Tries > 1 {
+		w.Again++
+	}
 	w.Paths[Path{s.Instance, s.Dispatcher, s.Endpoint}]++
 	_ = w.First.RecordValue(max(1, min(histogramMost, s.First.Microseconds())))
 }
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -122,7 +122,7 @@
 }
 
 func (s Sample) judged(whole bool) Sample {
-	s.Whole = whole && s.Outcome != client.OutcomeNotRun
+	s.Whole = whole && s.Outcome == client.OutcomeRan
 	if !s.Whole {
 		s.Code = "not-whole"
 	}
