feat: spare copies go to the models with most work

Cause: after deaths the models that lost their only copy were those with much work, for spare copies were given in the order of names. Change: copies in a second data centre are given by worth of work.

--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -151,6 +151,17 @@
 	require.NotContains(t, New(MinStay(0)).Plan(start, v), want, "without the memory of the first round")
 }
 
+func TestSpareCopyGoesToTheModelWithMostWork(t *testing.T) {
+	other := endpoint(1, 2)
+	other.Memory = 16 * gib
+	v := View{
+		Endpoints: []EndpointView{endpoint(0, 1, "a", "b", "c"), other},
+		Models:    []ModelView{model("a", 0.05), model("b", 0.2), model("c", 0.1)},
+	}
+	want := []Move{{Kind: KindLoad, Model: "b", Endpoint: "e001", Reason: ReasonSpread}}
+	require.Equal(t, want, New().Plan(start, v))
+}
+
 func TestAFewRequestsAreNoDemand(t *testing.T) {
 	d := NewDemand(DefaultFast, DefaultSlow)
 	for i := range 3 {
--- a/internal/core/place/relieve.go
+++ b/internal/core/place/relieve.go
@@ -113,9 +113,10 @@
 	return u.weight * (before - after)
 }
 
-// scatter gives models that stand in one data centre a copy in another, where memory is free.
+// scatter gives models that stand in one data centre a copy in another, where
+// memory is free, those with most work first.
 func (r *round) scatter() {
-	for i := range r.layout.units {
+	for _, i := range r.byDemand() {
 		u := &r.layout.units[i]
 		if r.permits() <= spreadPermits {
 			return
@@ -123,12 +124,25 @@
 		if len(u.homes) == 0 || u.view.Elsewhere > 0 || r.scattered(u) {
 			continue
 		}
-		if n := r.otherCentre(int32(i)); n >= 0 {
-			r.load(int32(i), n, ReasonSpread)
+		if n := r.otherCentre(i); n >= 0 {
+			r.load(i, n, ReasonSpread)
 		}
 	}
 }
 
+// byDemand returns all models, those with most work first.
+func (r *round) byDemand() []int32 {
+	order := make([]int32, len(r.layout.units))
+	for i := range order {
+		order[i] = int32(i)
+	}
+	slices.SortStableFunc(order, func(a, b int32) int {
+		x, y := &r.layout.units[a], &r.layout.units[b]
+		return compare(y.weight*y.demand, x.weight*x.demand)
+	})
+	return order
+}
+
 // complete adds the copies that operators ask for, where memory is free.
 func (r *round) complete() {
 	for i := range r.layout.units {
