--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -10,13 +10,12 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/chiveramp/chiveramp/internal/core/admit"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // errNoClaims: the instance has no store to claim in.
--- a/internal/dispatch/source.go
+++ b/internal/dispatch/source.go
@@ -9,11 +9,10 @@
 	"net/http"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // errOrder: the endpoint sent events out of order, so the answer can't be whole.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/retry"
@@ -14,6 +12,7 @@
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // choose picks an endpoint of this data centre.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/google/uuid"
 
 	"github.com/chiveramp/chiveramp/internal/core/directory"
@@ -21,77 +19,9 @@
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
-	"github.com/chiveramp/chiveramp/pkg/profile"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
-// Members tells which instances are there.
-type Members interface {
-	Self() member.Peer
-	Dispatcher(fleet.Endpoint, fleet.Place) (member.Peer, bool)
-	// Live returns the live instances of a data centre.
-	Live(fleet.DataCentre) []member.Peer
-	Unreachable(fleet.Instance)
-}
-
-// Dispatcher runs requests on endpoints: the instance's own pool.
-type Dispatcher interface {
-	Serve(context.Context, peer.Request, peer.Sink) *peerpb.End
-	Resume(context.Context, *peerpb.Resume, peer.Sink) *peerpb.End
-}
-
-// Peers reaches other instances.
-type Peers interface {
-	Serve(ctx context.Context, address string, r peer.Request, sink peer.Sink) (*peerpb.End, error)
-	Resume(ctx context.Context, address string, r *peerpb.Resume, sink peer.Sink) (*peerpb.End, error)
-}
-
-// Documents holds the profile document in force.
-type Documents interface {
-	Profiles() (profile.Document, bool)
-}
-
-// Remote tells which other data centre serves a model or service, the best first.
-type Remote interface {
-	Centres(now time.Time, model fleet.Model, service string) []fleet.DataCentre
-}
-
-// Draining tells which models get nothing new on an endpoint.
-type Draining interface {
-	Draining(fleet.Endpoint, fleet.Model) bool
-}
-
-// Suspects tells which requests were running when an endpoint died.
-type Suspects interface {
-	Check(fingerprint uint64) (suspected, convicted bool)
-}
-
-// Trail records what was decided for a request.
-type Trail interface {
-	Note(request, step, peer, note string)
-}
-
-// Observer is told how each request ended.
-type Observer interface {
-	Ended(Report)
-}
-
-// Report is one ended request, as the profile's targets see it.
-type Report struct {
-	Profile fleet.Profile
-	Rank    fleet.Rank
-	Model   fleet.Model
-	Outcome fleet.Outcome
-	Code    string
-	// First is the time to the first piece of the answer, zero when there was none.
-	First time.Duration
-	// Gap is the mean time between pieces.
-	Gap time.Duration
-	// Target and GapTarget are the profile's.
-	Target    time.Duration
-	GapTarget time.Duration
-	Retries   int
-}
-
 const (
 	hopLimit      = 2
 	nowhereRetry  = 2 * time.Second
@@ -123,33 +53,6 @@
 	prompts    *prompts
 }
 
-// Option changes a Gateway under construction.
-type Option func(*Gateway)
-
-// WithRouter sets how endpoints are chosen.
-func WithRouter(r *route.Router) Option { return func(g *Gateway) { g.router = r } }
-
-// WithBudget sets how often requests are repeated.
-func WithBudget(b *retry.Budget) Option { return func(g *Gateway) { g.budget = b } }
-
-// WithRemote sets what is known of other data centres.
-func WithRemote(r Remote) Option { return func(g *Gateway) { g.remote = r } }
-
-// WithTrail sets where decisions are recorded.
-func WithTrail(t Trail) Option { return func(g *Gateway) { g.trail = t } }
-
-// WithObserver sets who is told how requests ended.
-func WithObserver(o Observer) Option { return func(g *Gateway) { g.observer = o } }
-
-// WithDraining sets which models get nothing new on an endpoint.
-func WithDraining(d Draining) Option { return func(g *Gateway) { g.draining = d } }
-
-// WithSuspects sets which requests run at one endpoint only.
-func WithSuspects(s Suspects) Option { return func(g *Gateway) { g.suspects = s } }
-
-// WithClock sets the clock.
-func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.clock = now } }
-
 // New returns a gateway.
 func New(members Members, dir *directory.Directory, d Dispatcher, p Peers, docs Documents, opts ...Option) *Gateway {
 	g := &Gateway{
@@ -309,14 +212,3 @@
 	defer cancel()
 	<-ctx.Done()
 }
-
-type nowhere struct{}
-
-func (nowhere) Centres(time.Time, fleet.Model, string) []fleet.DataCentre { return nil }
-
-type silent struct{}
-
-func (silent) Note(_, _, _, _ string)                    {}
-func (silent) Ended(Report)                              {}
-func (silent) Check(uint64) (suspected, convicted bool)  { return false, false }
-func (silent) Draining(fleet.Endpoint, fleet.Model) bool { return false }
--- /dev/null
+++ b/internal/entry/options.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/retry"
+	"github.com/chiveramp/chiveramp/internal/core/route"
+)
+
+// Option changes a Gateway under construction.
+type Option func(*Gateway)
+
+// WithRouter sets how endpoints are chosen.
+func WithRouter(r *route.Router) Option { return func(g *Gateway) { g.router = r } }
+
+// WithBudget sets how often requests are repeated.
+func WithBudget(b *retry.Budget) Option { return func(g *Gateway) { g.budget = b } }
+
+// WithRemote sets what is known of other data centres.
+func WithRemote(r Remote) Option { return func(g *Gateway) { g.remote = r } }
+
+// WithTrail sets where decisions are recorded.
+func WithTrail(t Trail) Option { return func(g *Gateway) { g.trail = t } }
+
+// WithObserver sets who is told how requests ended.
+func WithObserver(o Observer) Option { return func(g *Gateway) { g.observer = o } }
+
+// WithDraining sets which models get nothing new on an endpoint.
+func WithDraining(d Draining) Option { return func(g *Gateway) { g.draining = d } }
+
+// WithSuspects sets which requests run at one endpoint only.
+func WithSuspects(s Suspects) Option { return func(g *Gateway) { g.suspects = s } }
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.clock = now } }
+
+// nowhere knows no other data centre.
+type nowhere struct{}
+
+func (nowhere) Centres(time.Time, fleet.Model, string) []fleet.DataCentre { return nil }
+
+// silent stands in for the optional parts.
+type silent struct{}
+
+func (silent) Note(_, _, _, _ string)                    {}
+func (silent) Ended(Report)                              {}
+func (silent) Check(uint64) (suspected, convicted bool)  { return false, false }
+func (silent) Draining(fleet.Endpoint, fleet.Model) bool { return false }
--- a/internal/entry/prompts.go
+++ b/internal/entry/prompts.go
@@ -8,10 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/route"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 const (
--- a/internal/entry/track.go
+++ b/internal/entry/track.go
@@ -4,13 +4,12 @@
 	"errors"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/stream"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // errGap: pieces of an answer are missing.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -14,6 +12,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/revision"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 type peerTotals = *peerpb.TotalsRequest
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/go-kit/log/level"
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
@@ -17,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/caller"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/switches"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
 )
 
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -4,10 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/switches"
-
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // newsWindow is for how long a suspect is told in heartbeats after its latest death.
