feat: the daemon bounds the time between tokens and a profile's share

Ruled out: one speed learned from answers (nothing told prefill and batch apart here). Change: settings prefill, pass, each and gap; the queue of a plain service has slots only; Item.Cap is a hard bound that the profile document sets. Measured: TestProfileNeverTakesMoreThanItsShare: half of four slots is two, others take the rest; without the check the loud profile took all four.

--- a/internal/core/admit/item.go
+++ b/internal/core/admit/item.go
@@ -23,6 +23,8 @@
 	Prompt int
 	// Tokens is the length of the answer at most, in tokens.
 	Tokens int
+	// Cap is the largest share of the slots that the profile may take; zero for no bound.
+	Cap float64
 	// Suspect marks a request that was running when an endpoint died.
 	Suspect bool
 }
--- a/internal/core/admit/lane.go
+++ b/internal/core/admit/lane.go
@@ -24,6 +24,8 @@
 	level   int
 	waiting []*entry
 	running int
+	// cap is the largest share of the slots that the profile may take; zero for no bound.
+	cap float64
 	// last is when the profile last asked.
 	last time.Time
 }
--- a/internal/core/admit/pick.go
+++ b/internal/core/admit/pick.go
@@ -83,7 +83,7 @@
 	limit := q.profileSlots()
 	for _, l := range q.lanes[level] {
 		e := l.head(q.suspects == 0)
-		if e == nil {
+		if e == nil || q.full(l) {
 			continue
 		}
 		if l.running < limit {
@@ -112,6 +112,11 @@
 	return 0
 }
 
+// full reports whether a profile has the share that its operators allow it.
+func (q *Queue) full(l *lane) bool {
+	return l.cap > 0 && l.running >= max(int(l.cap*float64(q.slots)), 1)
+}
+
 func (q *Queue) profileSlots() int {
 	return max(int(q.cap*float64(q.slots)), 1)
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -196,6 +196,7 @@
 func (q *Queue) enqueue(now time.Time, e *entry) {
 	level := e.item.Rank.Level()
 	e.lane = q.laneOf(level, e.item.Profile)
+	e.lane.cap = e.item.Cap
 	e.lane.last = now
 	e.lane.add(e)
 	q.waiting[level]++
--- a/internal/core/admit/queue_test.go
+++ b/internal/core/admit/queue_test.go
@@ -254,3 +254,30 @@
 		})
 	}
 }
+
+func TestProfileNeverTakesMoreThanItsShare(t *testing.T) {
+	tests := []struct {
+		name string
+		cap  float64
+		want int
+	}{
+		{name: "half", cap: 0.5, want: 2},
+		{name: "a little is one", cap: 0.01, want: 1},
+		{name: "no bound", cap: 0, want: 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := New(Slots(4), Floors(Shares{}))
+			for i := range 20 {
+				it := item(i, fleet.RankStandard, "loud", start, time.Hour)
+				it.Cap = tt.cap
+				q.Offer(start, it)
+			}
+			drain(q, start)
+			require.Equal(t, tt.want, q.Running())
+			q.Offer(start, item(100, fleet.RankStandard, "quiet", start, time.Hour))
+			drain(q, start)
+			require.Equal(t, min(tt.want+1, 4), q.Running(), "others take what it may not")
+		})
+	}
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -128,7 +128,7 @@
 	logger    log.Logger
 	tracer    trace.Tracer
 	limits    Limits
-	admission []admit.Option
+	admission func(service string) []admit.Option
 
 	mu          sync.Mutex
 	dispatchers map[fleet.Endpoint]*actor.PID
@@ -143,8 +143,10 @@
 // WithLimits sets what the pool keeps.
 func WithLimits(l Limits) Option { return func(p *Pool) { p.limits = l } }
 
-// WithAdmission sets the options of each endpoint's queue.
-func WithAdmission(opts ...admit.Option) Option { return func(p *Pool) { p.admission = opts } }
+// WithAdmission sets the options of the queue of each endpoint of a service.
+func WithAdmission(opts func(service string) []admit.Option) Option {
+	return func(p *Pool) { p.admission = opts }
+}
 
 // WithClaims sets where requests with a key are claimed.
 func WithClaims(c Claims) Option { return func(p *Pool) { p.claims = c } }
@@ -175,6 +177,7 @@
 		endpoints:   endpoints,
 		claims:      nobody{},
 		suspects:    nobody{},
+		admission:   func(string) []admit.Option { return nil },
 		trail:       nobody{},
 		draining:    nobody{},
 		meter:       nobody{},
@@ -256,7 +259,9 @@
 	defer p.mu.Unlock()
 	pid, ok := p.dispatchers[id]
 	if !ok {
-		props := actor.PropsFromProducer(func() actor.Actor { return newDispatcher(p.admission) })
+		entry, _ := p.endpoints.Get(id)
+		opts := p.admission(entry.Service)
+		props := actor.PropsFromProducer(func() actor.Actor { return newDispatcher(opts) })
 		pid = p.system.Root.Spawn(props)
 		p.dispatchers[id] = pid
 	}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -18,6 +18,9 @@
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
+// capUnit is the unit in which a profile's share is told.
+const capUnit = 1000
+
 // errNoClaims: the instance has no store to claim in.
 var errNoClaims = errors.New("no claims configured")
 
@@ -106,7 +109,9 @@
 		ID:      request.Attempt,
 		Rank:    fleet.Rank(request.Rank),
 		Profile: fleet.Profile(request.Profile),
+		Model:   fleet.Model(request.Model),
 		Arrived: now,
+		Cap:     float64(request.Cap) / capUnit,
 		Prompt:  int(request.Prompt),
 		Tokens:  int(request.Tokens),
 	}
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -34,6 +34,9 @@
 	repeated   int // those after the request may have run
 }
 
+// capUnit is the unit in which a profile's share is told.
+const capUnit = 1000
+
 // plan checks a request against the profile document.
 func (g *Gateway) plan(request peer.Request) (*plan, *peerpb.End) {
 	document, ok := g.documents.Profiles()
@@ -57,6 +60,7 @@
 
 func (p *plan) resolve(document profile.Document) *peerpb.End {
 	p.request.Rank = string(p.profile.Rank)
+	p.request.Cap = uint32(p.profile.Cap * capUnit)
 	if p.request.Service != "" {
 		return p.resolveService(document)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,7 +164,7 @@
 	n.demand = newDemand(n.clock, n.config.Endpoint.Slots)
 	n.pool = dispatch.New(n.members.Self().Instance, n.group, n.timers, n.endpoints, n.directory,
 		dispatch.WithLimits(n.limits()),
-		dispatch.WithAdmission(admit.Slots(n.config.Endpoint.Slots)),
+		dispatch.WithAdmission(n.admission),
 		dispatch.WithClaims(n.claims),
 		dispatch.WithSuspects(n.suspects),
 		dispatch.WithTrail(n.trail),
@@ -188,6 +188,18 @@
 	n.placer = n.newPlacer()
 }
 
+// admission returns how the endpoints of a service are loaded: engines by the
+// time between tokens as well, plain services by their number of slots only.
+func (n *Node) admission(service string) []admit.Option {
+	c := n.config.Endpoint
+	options := []admit.Option{admit.Slots(c.Slots)}
+	if n.plain(service) {
+		return options
+	}
+	speed := admit.Speed{Prefill: c.Prefill, Step: c.Pass, Each: c.Each, Pass: c.Pass}
+	return append(options, admit.WithSpeed(speed), admit.Gap(c.Gap))
+}
+
 func (n *Node) limits() dispatch.Limits {
 	l := dispatch.DefaultLimits()
 	l.Body = n.config.Caller.Body
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -108,6 +108,14 @@
 	// Checks are the services whose endpoints refuse orders with an old fencing
 	// number. All others are taken to accept any order.
 	Checks []string
+	// Prefill is the rate at which an engine reads prompts, tokens a second.
+	Prefill float64
+	// Pass is the time for one token of a lone answer, and of each further model at work.
+	Pass time.Duration
+	// Each is what every further running answer adds to the time for one token.
+	Each time.Duration
+	// Gap is the longest time between two tokens that a further start may cause.
+	Gap time.Duration
 }
 
 // Weights are the limits of the weight store, over the whole system.
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -14,8 +14,11 @@
 		},
 		Peer:     Peer{Beat: time.Second},
 		Platform: Platform{Lease: 10 * time.Second, Timeout: 2 * time.Second, Instances: "chiveramp"},
-		Endpoint: Endpoint{Slots: 16, Timeout: time.Minute},
-		Weights:  Weights{Rate: 1, Slots: 4},
+		Endpoint: Endpoint{
+			Slots: 16, Timeout: time.Minute,
+			Prefill: 9000, Pass: 10 * time.Millisecond, Each: time.Millisecond, Gap: 61 * time.Millisecond,
+		},
+		Weights: Weights{Rate: 1, Slots: 4},
 		Limits: Limits{
 			Streams: 2048,
 			Retries: 2,
--- a/pkg/config/fields.go
+++ b/pkg/config/fields.go
@@ -16,6 +16,7 @@
 	leastBeat    = 50 * time.Millisecond
 	leastLease   = time.Second
 	leastTimeout = 10 * time.Millisecond
+	leastStep    = time.Microsecond
 	leastBody    = 1 << 10
 	mostCount    = 1 << 20
 )
@@ -97,6 +98,10 @@
 		inifile.Count("slots", &e.Slots, 1, mostCount),
 		inifile.Duration("timeout", &e.Timeout, leastTimeout),
 		inifile.Names("checks", &e.Checks, nil),
+		inifile.Rate("prefill", &e.Prefill),
+		inifile.Duration("pass", &e.Pass, leastStep),
+		inifile.Duration("each", &e.Each, leastStep),
+		inifile.Duration("gap", &e.Gap, leastStep),
 	}
 }
 
