perf: one shard for each of the actor library's maps

Cause: an idle instance in a group of nine resides in 33.1 to 35.1 MB, over the aim of 32 MB. Of 8.7 MB of live heap 4.1 MB were empty maps: protoactor-go keeps 1024 maps of 32 shards each for its registry of processes (pprof, inuse_space).

Ruled out: GOGC=50 (32.0 to 32.5 MB) and GOGC=25 (30.6 to 31.1 MB, with 58 to 85 ticks of processor in place of 39 to 43).

Change: one shard for each map.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/go-kit/log"
+	cmap "github.com/orcaman/concurrent-map"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -109,6 +110,10 @@
 	}
 }
 
+// The actor library keeps 1024 such maps, each of 32 shards by default: 4 MB of
+// empty maps. One shard each is enough for the few actors of an instance.
+func init() { cmap.SHARD_COUNT = 1 }
+
 // sweep is the interval at which queues and attempts are looked over.
 const sweep = 50 * time.Millisecond
 
