fix: an offset past the end of an answer is refused

Cause: a reader that joined an ended attempt past its last event was told of a whole answer without any event. Ruled out: the same offset while the attempt runs; the event may still come. Change: join refuses such an offset of an ended attempt. No speed was measured. Conclusion: pool, caller and peer still have no unit tests.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -223,7 +223,7 @@
 func (a *Attempt) join(from uint64) (*reader, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if from < a.base {
+	if from < a.base || (a.end != nil && from > a.base+uint64(len(a.pieces))) {
 		return nil, false
 	}
 	r := &reader{next: from}
