perf: a small request travels in one message, queues are looked over only when someone waits

The profile of an idle instance had 10% in ticks to empty queues; a request took three messages and a goroutine to send.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -142,6 +143,7 @@
 	ended       []ended              // the others, oldest first
 	kept        int                  // bytes of the ended ones
 	deaths      map[string]time.Time // by incarnation
+	waiting     atomic.Int64         // requests in the queues of all dispatchers
 	stop        func()
 }
 
@@ -278,6 +280,14 @@
 }
 
 func (p *Pool) sweep(now time.Time) {
+	if p.waiting.Load() > 0 {
+		p.tickAll(now)
+	}
+	p.prune(now)
+}
+
+// tickAll lets every dispatcher look over its queue.
+func (p *Pool) tickAll(now time.Time) {
 	p.mu.Lock()
 	pids := make([]*actor.PID, 0, len(p.dispatchers))
 	for _, pid := range p.dispatchers {
@@ -287,7 +297,6 @@
 	for _, pid := range pids {
 		p.system.Root.Send(pid, tick{now: now})
 	}
-	p.prune(now)
 }
 
 // nobody stands in for the optional parts.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -84,6 +84,8 @@
 // turn waits until the endpoint's dispatcher lets the request go.
 func (p *Pool) turn(ctx context.Context, r *run) *peerpb.End {
 	request := r.request
+	p.waiting.Add(1)
+	defer p.waiting.Add(-1)
 	reply := make(chan turn, 1)
 	item := p.item(request)
 	r.trial = item.Suspect
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -137,10 +137,18 @@
 func (c *Client) Serve(ctx context.Context, address string, r Request, sink Sink) (*peerpb.End, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	small, err := inline(r)
+	if err != nil {
+		return nil, fmt.Errorf("submit to peer %s: %w: %w", address, ErrNotSent, err)
+	}
 	stream, err := c.open(ctx, address, &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Submit{Submit: r.Submit}})
 	if err != nil {
 		return nil, err
 	}
+	if small {
+		_ = stream.CloseSend()
+		return receive(stream, address, sink)
+	}
 	var sending errgroup.Group
 	sending.Go(func() error {
 		err := send(stream, r.Body)
@@ -153,6 +161,21 @@
 	return receive(stream, address, sink)
 }
 
+// inline puts a body that is known to be small into the submit itself, so that
+// one message carries the request.
+func inline(r Request) (bool, error) {
+	known, ok := r.Body.(interface{ Len() int })
+	if !ok || known.Len() > chunk {
+		return false, nil
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", errBody, err)
+	}
+	r.Submit.Body, r.Whole = body, true
+	return true, nil
+}
+
 // Resume asks a peer for what follows an offset of an attempt.
 func (c *Client) Resume(ctx context.Context, address string, r *peerpb.Resume, sink Sink) (*peerpb.End, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -79,7 +79,8 @@
 	out := sender{stream}
 	switch kind := first.GetKind().(type) {
 	case *peerpb.DispatchUp_Submit:
-		request := Request{Submit: kind.Submit, Body: &receiver{stream: stream}}
+		request := Request{Submit: kind.Submit, Body: &receiver{stream: stream, rest: kind.Submit.Body, done: kind.Submit.Whole}}
+		kind.Submit.Body = nil
 		return s.Serve(stream.Context(), request, out), nil
 	case *peerpb.DispatchUp_Resume:
 		return s.Resume(stream.Context(), kind.Resume, out), nil
