fix: an event of several lines reaches the caller whole

Cause: the edge wrote an event's data behind one data: field, but an event read from an endpoint may hold newlines; the lines after the first had no field name, so clients dropped them without an error. Ruled out: the reader of endpoints' events, which joins the lines as the format says. Change: each line of an event gets its own data: field. Conclusion: a recorded answer of such events is still split on replay.

--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -55,7 +56,7 @@
 	e.line = append(e.line, '/')
 	e.line = strconv.AppendUint(e.line, d.Offset+1, 10)
 	e.line = append(e.line, "\ndata: "...)
-	e.line = append(e.line, d.Data...)
+	e.line = append(e.line, bytes.ReplaceAll(d.Data, []byte("\n"), []byte("\ndata: "))...)
 	e.line = append(e.line, "\n\n"...)
 	return e.write(e.line)
 }
