test: bodies and early ends between peers

Cause: only process tests covered the peers' streams. Change: unit tests over bufconn: a body that breaks off or lacks its marker is an error, and Serve returns when the server ends first. Ruled out as a fault: an early form of the body test hung in the test itself, as a cancel may overtake the submit, so that no handler runs; the body now fails only once the handler has begun. Conclusion: no fault found here.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,146 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// handler answers requests with a function and offers nothing else.
+type handler struct {
+	Handler
+	serve func(context.Context, Request, Sink) *peerpb.End
+}
+
+func (h handler) Serve(ctx context.Context, r Request, s Sink) *peerpb.End { return h.serve(ctx, r, s) }
+
+type discard struct{}
+
+func (discard) Head(*peerpb.Head) error { return nil }
+func (discard) Data(*peerpb.Data) error { return nil }
+
+// connect returns a client whose every address leads to the handler.
+func connect(t *testing.T, serve func(context.Context, Request, Sink) *peerpb.End) *Client {
+	t.Helper()
+	listener := bufconn.Listen(1 << 20)
+	server := grpc.NewServer()
+	Register(server, handler{serve: serve})
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	client := NewClient(WithDialOptions(grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+		return listener.DialContext(ctx)
+	})))
+	t.Cleanup(func() {
+		assert.NoError(t, client.Close())
+		server.Stop()
+		assert.NoError(t, group.Wait())
+	})
+	return client
+}
+
+func TestBodies(t *testing.T) {
+	long := strings.Repeat("0123456789", chunk/4)
+	broken := errors.New("connection reset")
+	begun := make(chan struct{})
+	tests := []struct {
+		name string
+		body io.Reader
+		want string
+		cut  bool
+	}{
+		{name: "none"},
+		{name: "empty", body: strings.NewReader("")},
+		{name: "many chunks", body: strings.NewReader(long), want: long},
+		{name: "breaks off", body: io.MultiReader(strings.NewReader("half"), failing{broken, begun}), cut: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			type result struct {
+				body string
+				err  error
+			}
+			results := make(chan result, 1)
+			client := connect(t, func(_ context.Context, r Request, _ Sink) *peerpb.End {
+				if tt.cut {
+					close(begun)
+				}
+				body, err := io.ReadAll(r.Body)
+				results <- result{body: string(body), err: err}
+				return &peerpb.End{Outcome: "ran"}
+			})
+			end, err := client.Serve(t.Context(), "peer", Request{Submit: &peerpb.Submit{}, Body: tt.body}, discard{})
+			got := <-results
+			if tt.cut {
+				require.Error(t, got.err, "a body cut short is never a short body")
+				require.ErrorIs(t, err, ErrCut)
+				return
+			}
+			require.NoError(t, got.err)
+			require.NoError(t, err)
+			assert.Equal(t, tt.want, got.body)
+			assert.Equal(t, "ran", end.Outcome)
+		})
+	}
+}
+
+// failing fails once the server has begun.
+type failing struct {
+	err   error
+	begun <-chan struct{}
+}
+
+func (f failing) Read([]byte) (int, error) {
+	<-f.begun
+	return 0, f.err
+}
+
+func TestBodyClosedWithoutItsMarkerIsAnError(t *testing.T) {
+	errs := make(chan error, 1)
+	client := connect(t, func(_ context.Context, r Request, _ Sink) *peerpb.End {
+		_, err := io.ReadAll(r.Body)
+		errs <- err
+		return &peerpb.End{}
+	})
+	stream, err := client.open(t.Context(), "peer", &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Submit{Submit: &peerpb.Submit{}}})
+	require.NoError(t, err)
+	require.NoError(t, stream.Send(&peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Body{Body: []byte("half")}}))
+	require.NoError(t, stream.CloseSend())
+	require.ErrorIs(t, <-errs, io.ErrUnexpectedEOF)
+}
+
+func TestServeReturnsWhileTheCallerStillSends(t *testing.T) {
+	client := connect(t, func(context.Context, Request, Sink) *peerpb.End {
+		return &peerpb.End{Outcome: "not-run", Code: "overload"}
+	})
+	body, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	end, err := client.Serve(ctx, "peer", Request{Submit: &peerpb.Submit{}, Body: body}, discard{})
+	require.NoError(t, err)
+	assert.Equal(t, "overload", end.Code)
+}
+
+func TestServeReturnsWhenTheServerStopsReading(t *testing.T) {
+	client := connect(t, func(context.Context, Request, Sink) *peerpb.End { return &peerpb.End{Code: "overload"} })
+	endless := io.LimitReader(zeros{}, 64<<20)
+	end, err := client.Serve(t.Context(), "peer", Request{Submit: &peerpb.Submit{}, Body: endless}, discard{})
+	require.NoError(t, err)
+	assert.Equal(t, "overload", end.Code)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
