fix: stuck callers give their place back; recorded and continued answers are exact

Cause (found by reading, by the author of the unit tests): nothing bounded the time of a request's body; a recorded answer of one piece lost its line ends, an event of several lines became several; an empty read of a service's answer was taken for its end; dispatchers of endpoints that are gone stayed; and, found here, the ids of a continued answer named the endpoint that was lost, so that a caller could not resume it at another entry. Ruled out: a read timeout for the whole body (slow but honest callers would be cut off).

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -58,13 +58,13 @@
 		sink.close(request, s.gateway.Serve(r.Context(), peer.Request{Submit: submit, Body: bytes.NewReader(body)}, sink))
 		return
 	}
-	sink := &document{header: w.Header()}
+	sink := &document{limit: s.limits.Write, header: w.Header()}
 	sink.close(w, request, s.gateway.Serve(r.Context(), peer.Request{Submit: submit, Body: bytes.NewReader(body)}, sink))
 }
 
 func (s *Server) readChat(w http.ResponseWriter, r *http.Request) ([]byte, completion, *peerpb.End) {
 	var asked completion
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Body))
+	body, err := io.ReadAll(http.MaxBytesReader(w, s.progress(w, r), s.limits.Body))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, asked, refuse(CodeTooLarge, "read body", fmt.Sprintf("body is over %d bytes", large.Limit))
--- /dev/null
+++ b/internal/caller/progress_test.go
@@ -0,0 +1,75 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// echoing is a gateway that answers a model's request with one piece.
+type echoing struct{}
+
+func (echoing) Serve(_ context.Context, _ peer.Request, sink peer.Sink) *peerpb.End {
+	if sink.Head(&peerpb.Head{Status: 200}) != nil || sink.Data(&peerpb.Data{Data: []byte(`{}`)}) != nil {
+		return &peerpb.End{Outcome: "unknown", Code: "cancelled"}
+	}
+	return &peerpb.End{Outcome: "ran", Events: 1}
+}
+
+func (echoing) Resume(context.Context, *peerpb.Resume, peer.Sink) *peerpb.End {
+	return &peerpb.End{Outcome: "unknown", Code: "answer-gone"}
+}
+
+type noFleet struct{}
+
+func (noFleet) Entries(_, _ string) []Entry { return nil }
+func (noFleet) Models(string) []string      { return nil }
+
+// A caller that never finishes its body gives its place back, and one that is
+// slow but sends on is served.
+func TestStuckBodyIsGivenUp(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	server := New("i1", echoing{}, noFleet{}, Limits{Body: 1 << 20, Streams: 1, Write: limit})
+	web := httptest.NewServer(server.Handler())
+	defer web.Close()
+	body := `{"model":"m","messages":[{}]}`
+	tests := []struct {
+		name   string
+		pauses int
+		status int
+	}{
+		{name: "stuck", status: http.StatusBadRequest},
+		{name: "slow", pauses: 4, status: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", web.Listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:5])
+			require.NoError(t, err)
+			for i := range tt.pauses {
+				time.Sleep(limit / 2)
+				part := body[5+i*len(body[5:])/tt.pauses : 5+(i+1)*len(body[5:])/tt.pauses]
+				_, err = conn.Write([]byte(part))
+				require.NoError(t, err)
+			}
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*limit)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Equal(t, tt.status, response.StatusCode)
+			require.Empty(t, server.slots, "the place is free again")
+		})
+	}
+}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -30,7 +30,7 @@
 		Headers:  forwarded(r.Header),
 		Deadline: until,
 	}
-	body := http.MaxBytesReader(w, r.Body, s.limits.Body)
+	body := http.MaxBytesReader(w, s.progress(w, r), s.limits.Body)
 	sink := &passing{w: w, control: http.NewResponseController(w), limit: s.limits.Write}
 	sink.close(request, s.gateway.Serve(r.Context(), peer.Request{Submit: submit, Body: body}, sink))
 }
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -82,7 +82,7 @@
 func (e *events) close(request string, end *peerpb.End) {
 	if !e.begun {
 		if end.Code == "" {
-			end = &peerpb.End{Outcome: end.Outcome, Code: "empty-answer", Step: "answer", Message: "the endpoint answered nothing"}
+			end = empty(end)
 		}
 		fail(e.w, request, end)
 		return
@@ -99,8 +99,14 @@
 	_ = e.write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", body))
 }
 
+// empty names the end of an answer without a head.
+func empty(end *peerpb.End) *peerpb.End {
+	return &peerpb.End{Outcome: end.Outcome, Code: CodeEmpty, Step: "answer", Message: "the endpoint answered nothing"}
+}
+
 // document gathers an answer that is sent as one piece.
 type document struct {
+	limit  time.Duration
 	header http.Header
 	head   *peerpb.Head
 	body   []byte
@@ -125,10 +131,14 @@
 }
 
 func (d *document) close(w http.ResponseWriter, request string, end *peerpb.End) {
-	if end.Code != "" || d.head == nil {
+	if d.head == nil && end.Code == "" {
+		end = empty(end)
+	}
+	if end.Code != "" {
 		fail(w, request, end)
 		return
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d.limit))
 	for _, h := range d.head.Headers {
 		d.header.Set(h.Name, h.Value)
 	}
--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -32,6 +32,7 @@
 	CodeBadValue = "bad-header"
 	CodeBusy     = "too-many-requests"
 	CodeNotFound = "not-found"
+	CodeEmpty    = "empty-answer"
 )
 
 // Problem is the body of every error.
--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"iter"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -156,18 +154,3 @@
 	}
 	return 0
 }
-
-// pieces yields the parts of a recorded body as they were sent.
-func pieces(body []byte, raw bool) iter.Seq[[]byte] {
-	return func(yield func([]byte) bool) {
-		if raw {
-			yield(body)
-			return
-		}
-		for line := range bytes.Lines(body) {
-			if !yield(bytes.TrimSuffix(line, []byte(eventSeparator))) {
-				return
-			}
-		}
-	}
-}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -69,19 +69,15 @@
 	return a.size
 }
 
-// Body returns the pieces kept, each followed by the separator, and whether that is the whole answer.
-func (a *Attempt) Body(separator string) ([]byte, bool) {
+// Pieces returns the pieces kept, and whether they are the answer from its beginning.
+func (a *Attempt) Pieces() ([][]byte, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.base > 0 {
-		return nil, false
-	}
-	body := make([]byte, 0, a.size+len(a.pieces))
+	pieces := make([][]byte, 0, len(a.pieces))
 	for _, p := range a.pieces {
-		body = append(body, p.Data...)
-		body = append(body, separator...)
+		pieces = append(pieces, p.Data)
 	}
-	return body, true
+	return pieces, a.base == 0
 }
 
 func (a *Attempt) start(head *peerpb.Head) {
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -152,7 +152,7 @@
 			assert.Equal(t, byte(i), sink.pieces[i][1])
 		}
 	}
-	_, whole := a.Body("")
+	_, whole := a.Pieces()
 	assert.False(t, whole, "the start was dropped")
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 // turn tells a request whether it may go to the endpoint now.
 type turn struct {
 	granted bool
+	gone    bool // the endpoint is no longer listed
 	verdict admit.Verdict
 }
 
@@ -59,6 +60,8 @@
 // Receive implements actor.Actor.
 func (d *Dispatcher) Receive(c actor.Context) {
 	switch m := c.Message().(type) {
+	case *actor.Stopping:
+		d.dismiss()
 	case enter:
 		d.enter(m)
 	case leave:
@@ -71,6 +74,14 @@
 	}
 }
 
+// dismiss answers all that wait: the endpoint is gone.
+func (d *Dispatcher) dismiss() {
+	for id, reply := range d.waiting {
+		delete(d.waiting, id)
+		reply <- turn{gone: true}
+	}
+}
+
 func (d *Dispatcher) enter(m enter) {
 	verdict := d.queue.Offer(m.now, m.item)
 	switch verdict.State {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -254,13 +254,18 @@
 	}
 }
 
-// Drop stops the dispatcher of an endpoint that is gone.
-func (p *Pool) Drop(id fleet.Endpoint) {
+// Retain stops the dispatchers of endpoints that are no longer listed.
+func (p *Pool) Retain() {
 	p.mu.Lock()
-	pid, ok := p.dispatchers[id]
-	delete(p.dispatchers, id)
+	var gone []*actor.PID
+	for id, pid := range p.dispatchers {
+		if _, listed := p.endpoints.Get(id); !listed {
+			gone = append(gone, pid)
+			delete(p.dispatchers, id)
+		}
+	}
 	p.mu.Unlock()
-	if ok {
+	for _, pid := range gone {
 		p.system.Root.Stop(pid)
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -24,9 +24,6 @@
 	recordLimit  = 2 * time.Second
 	cancelLimit  = 2 * time.Second
 	forwardChunk = 16 << 10 // bytes
-
-	// eventSeparator stands between the events of a recorded answer; no event holds one.
-	eventSeparator = "\n"
 )
 
 // run is an attempt with what it takes to run it.
@@ -203,23 +200,6 @@
 	}
 }
 
-func (r *run) recorded() once.Answer {
-	r.mu.Lock()
-	head := r.head
-	r.mu.Unlock()
-	kept := once.Answer{Status: int(head.Status)}
-	for _, h := range head.Headers {
-		kept.Headers = append(kept.Headers, once.Header{Name: h.Name, Value: h.Value})
-	}
-	separator := eventSeparator
-	if r.request.Service != "" {
-		separator = ""
-	}
-	body, whole := r.Body(separator)
-	kept.Body, kept.Dropped = body, !whole
-	return kept
-}
-
 // done gives the turn back to the endpoint's dispatcher.
 func (p *Pool) done(request peer.Request, end *peerpb.End) {
 	state := admit.EndWhole
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -106,6 +106,9 @@
 			p.trail.Note(request.Request, "turn", request.Endpoint, "after "+p.timers.Now().Sub(item.Arrived).Round(time.Millisecond).String())
 			return nil
 		}
+		if t.gone {
+			return Refuse(CodeUnsent, "queue", "endpoint "+request.Endpoint+" is no longer listed", 0)
+		}
 		p.meter.Refused(fleet.Model(request.Model))
 		p.trail.Note(request.Request, "refuse", request.Endpoint, string(t.verdict.Code))
 		return Refuse(CodeOverload, "admit", "endpoint "+request.Endpoint+": "+string(t.verdict.Code), t.verdict.RetryAfter)
@@ -197,30 +200,6 @@
 	}
 }
 
-// replay answers from the record of an earlier run.
-func replay(r *run, kept once.Answer, sink peer.Sink) *peerpb.End {
-	if kept.Dropped {
-		end := Fail(CodeGone, "claim", "the request ran; its answer was too large to keep")
-		end.Outcome = string(fleet.OutcomeRan)
-		return end
-	}
-	head := r.newHead(kept.Status, nil)
-	for _, h := range kept.Headers {
-		head.Headers = append(head.Headers, &peerpb.Header{Name: h.Name, Value: h.Value})
-	}
-	if err := sink.Head(head); err != nil {
-		return Fail(CodeCancelled, "replay", err.Error())
-	}
-	offset := uint64(0)
-	for piece := range pieces(kept.Body, r.request.Service != "") {
-		if err := sink.Data(&peerpb.Data{Attempt: r.id, Offset: offset, Data: piece}); err != nil {
-			return Fail(CodeCancelled, "replay", err.Error())
-		}
-		offset++
-	}
-	return Whole(offset)
-}
-
 // launch starts the attempt. Its life does not hang on the caller's, unless the
 // caller's body is still being read.
 func (p *Pool) launch(ctx context.Context, r *run) {
--- a/internal/dispatch/source.go
+++ b/internal/dispatch/source.go
@@ -136,11 +136,11 @@
 
 func (a *serviceAnswer) next(uint64) ([]byte, error) {
 	buffer := make([]byte, forwardChunk)
-	n, err := a.response.Body.Read(buffer)
+	n, err := io.ReadAtLeast(a.response.Body, buffer, 1)
 	if n > 0 {
 		return buffer[:n], nil
 	}
-	if err == nil || errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
 		return nil, io.EOF
 	}
 	return nil, fmt.Errorf("read answer: %w: %w", endpoint.ErrCut, err)
--- a/internal/entry/track.go
+++ b/internal/entry/track.go
@@ -52,7 +52,8 @@
 	t.answering = false
 }
 
-// Head implements peer.Sink. Only the first head of an answer reaches the caller.
+// Head implements peer.Sink. Only the first head of an answer reaches the caller,
+// and that of an attempt that continues it, since its pieces are resumed elsewhere.
 func (t *track) Head(h *peerpb.Head) error {
 	if t.assembly.Attempt() == "" {
 		t.assembly.Begin(h.Attempt, fleet.Endpoint(h.Endpoint))
@@ -61,7 +62,7 @@
 		return nil
 	}
 	t.answering = true
-	if t.passed {
+	if t.passed && t.splice == nil {
 		return nil
 	}
 	t.passed = true
--- /dev/null
+++ b/internal/entry/track_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/dispatch"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// taken is a sink that keeps what it gets.
+type taken struct {
+	endpoints []string
+	pieces    int
+}
+
+func (s *taken) Head(h *peerpb.Head) error { s.endpoints = append(s.endpoints, h.Endpoint); return nil }
+func (s *taken) Data(*peerpb.Data) error   { s.pieces++; return nil }
+
+// An answer that goes on at another endpoint tells the caller's side which, for
+// the ids of its events name the endpoint where they are resumed.
+func TestContinuedAnswerNamesItsEndpoint(t *testing.T) {
+	sink := &taken{}
+	track := newTrack(sink, time.Now)
+	p := &plan{
+		request:  peer.Request{Submit: &peerpb.Submit{}},
+		original: []byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`),
+	}
+	piece := []byte(`{"id":"1","choices":[{"index":0,"delta":{"content":"a"}}]}`)
+
+	track.begin("a1", "e1")
+	require.NoError(t, track.Head(&peerpb.Head{Attempt: "a1", Endpoint: "e1"}))
+	require.NoError(t, track.Data(&peerpb.Data{Attempt: "a1", Data: piece}))
+	require.True(t, track.next(p, dispatch.Fail(dispatch.CodeLost, "answer", "")))
+	track.begin("a2", "e2")
+	require.NoError(t, track.Head(&peerpb.Head{Attempt: "a2", Endpoint: "e2"}))
+	require.NoError(t, track.Data(&peerpb.Data{Attempt: "a1", Offset: 1, Data: piece}), "a late piece of the lost attempt")
+	require.NoError(t, track.Data(&peerpb.Data{Attempt: "a2", Data: piece}))
+
+	require.Equal(t, &taken{endpoints: []string{"e1", "e2"}, pieces: 2}, sink)
+	require.Contains(t, string(p.kept), "continue_final_message")
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -105,5 +105,6 @@
 	peers := n.list.peers()
 	n.members.change(func(v *member.View) { v.Listed(n.clock(), peers) })
 	n.directory.List(n.list.current(), n.list.endpoints(n.members.Self().Place.DataCentre))
+	n.pool.Retain()
 	n.documents.Nudge()
 }
