--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -87,7 +87,7 @@
 			return r.broken(ctx, err)
 		}
 		if !r.add(data) {
-			r.tell(ctx)
+			_ = r.tell(ctx)
 			return Fail(CodeSlow, "answer", "the caller did not read the answer in time")
 		}
 	}
@@ -136,7 +136,9 @@
 func (r *run) broken(ctx context.Context, err error) *peerpb.End {
 	silent := errors.Is(context.Cause(ctx), errSilent)
 	if ctx.Err() != nil && !silent {
-		r.tell(ctx)
+		if r.tell(ctx) {
+			return Refuse(CodeDeadline, "answer", "given up before the endpoint had begun it", queueRetry)
+		}
 		return given(ctx)
 	}
 	if r.request.Service == "" && (silent || r.dead(ctx)) {
@@ -165,15 +167,17 @@
 	return before != "" && state.Incarnation != before
 }
 
-// tell lets the endpoint know that nobody waits for the answer.
-func (r *run) tell(ctx context.Context) {
+// tell lets the endpoint know that nobody waits for the answer. It reports
+// whether the endpoint vouches that the attempt had not begun, and never will.
+func (r *run) tell(ctx context.Context) (unrun bool) {
 	if r.request.Service != "" {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelLimit)
 	defer cancel()
 	ran, err := r.pool.engine.Cancel(ctx, r.entry.Address, r.id)
 	r.pool.trail.Note(r.request.Request, "cancel", r.endpoint, fmt.Sprintf("ran=%t err=%v", ran, err))
+	return err == nil && !ran
 }
 
 // settle records the end of a claimed request before anybody is told of it.
