fix: times stand in the instance's own metrics; probes and placer steps once a second

Cause: chiveramp profiles showed FIRST 0s for every profile: the histograms went into the metrics library's global registry, so that neither it nor /metrics ever saw them. Change: the instance's registry; probes and steps every second in place of every half.

--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -65,7 +65,7 @@
 }
 
 func (o observer) histogram(name string) metrics.Histogram {
-	return metrics.GetOrRegister(name, func() metrics.Histogram {
+	return o.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
 	}).(metrics.Histogram)
 }
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -14,7 +14,7 @@
 	"github.com/chiveramp/chiveramp/pkg/profile"
 )
 
-const placePause = 500 * time.Millisecond
+const placePause = time.Second
 
 // newPlacer returns the placer of the own data centre. It gives orders only
 // while it holds the lease.
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	probePause   = 500 * time.Millisecond
+	probePause   = time.Second
 	probeTimeout = 2 * time.Second
 	probeAtOnce  = 8
 	probeMissed  = 2 // failures in a row that make an endpoint down
