--- /dev/null
+++ b/test/process/openai_test.go
@@ -0,0 +1,58 @@
+package process
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/standin/engine"
+)
+
+// An ordinary OpenAI client works through the system unchanged, but for the
+// header that names its profile.
+func TestOpenAIClientThroughTheSystem(t *testing.T) {
+	b := southern(t, "")
+	for _, n := range b.nodes {
+		client := openai.NewClient(
+			option.WithBaseURL("http://"+n.caller+"/v1/"),
+			option.WithAPIKey("none"),
+			option.WithHeader("Chiveramp-Profile", "chat"),
+			option.WithMaxRetries(0),
+		)
+		params := openai.ChatCompletionNewParams{
+			Model:         "matcher-a",
+			Messages:      []openai.ChatCompletionMessageParamUnion{openai.UserMessage("find a glove")},
+			MaxTokens:     openai.Int(12),
+			StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+		}
+		want := engine.AnswerTo("matcher-a", "find a glove", 12)
+
+		whole, err := client.Chat.Completions.New(t.Context(), params)
+		require.NoError(t, err)
+		require.Equal(t, want, whole.Choices[0].Message.Content)
+		require.EqualValues(t, 12, whole.Usage.CompletionTokens)
+
+		stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+		var sum openai.ChatCompletionAccumulator
+		for stream.Next() {
+			require.True(t, sum.AddChunk(stream.Current()))
+		}
+		require.NoError(t, stream.Err())
+		require.NoError(t, stream.Close())
+		require.Equal(t, want, sum.Choices[0].Message.Content)
+
+		models, err := client.Models.List(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, "matcher-a", models.Data[0].ID)
+
+		params.Model = "other"
+		_, err = client.Chat.Completions.New(t.Context(), params)
+		var refused *openai.Error
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, http.StatusNotFound, refused.StatusCode)
+		require.Equal(t, "unknown-model", refused.Code)
+	}
+}
