--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -27,7 +27,6 @@
 	CodeDeadline  = "deadline"
 	CodeOverload  = "overload"
 	CodeNowhere   = "no-endpoint"
-	CodeStopping  = "stopping"
 	CodeRefused   = "endpoint-refused"
 	CodeProfile   = "unknown-profile"
 	CodeModel     = "unknown-model"
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
-	"github.com/go-kit/log"
 	cmap "github.com/orcaman/concurrent-map"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -131,7 +130,6 @@
 	trail     Trail
 	draining  Draining
 	meter     Meter
-	logger    log.Logger
 	tracer    trace.Tracer
 	limits    Limits
 	admission func(service string) []admit.Option
@@ -173,9 +171,6 @@
 // WithMeter sets who counts the work for each model.
 func WithMeter(m Meter) Option { return func(p *Pool) { p.meter = m } }
 
-// WithLogger sets the log.
-func WithLogger(l log.Logger) Option { return func(p *Pool) { p.logger = l } }
-
 // New returns a pool for an instance. Its goroutines run in the group.
 func New(self fleet.Instance, group *errgroup.Group, timers Timers, engine Engine, endpoints Endpoints, opts ...Option) *Pool {
 	p := &Pool{
@@ -191,7 +186,6 @@
 		trail:       nobody{},
 		draining:    nobody{},
 		meter:       nobody{},
-		logger:      log.NewNopLogger(),
 		tracer:      otel.Tracer("github.com/chiveramp/chiveramp/internal/dispatch"),
 		limits:      DefaultLimits(),
 		dispatchers: make(map[fleet.Endpoint]*actor.PID),
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -192,7 +192,7 @@
 // retryable codes name faults of one endpoint or instance, not of the request.
 func retryable(code string) bool {
 	switch code {
-	case dispatch.CodeLeaving, dispatch.CodeUnsent, dispatch.CodeLost, dispatch.CodeOverload, dispatch.CodeGone, dispatch.CodeStopping:
+	case dispatch.CodeLeaving, dispatch.CodeUnsent, dispatch.CodeLost, dispatch.CodeOverload, dispatch.CodeGone:
 		return true
 	default:
 		return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,7 +170,6 @@
 		dispatch.WithTrail(n.trail),
 		dispatch.WithDraining(n.drains),
 		dispatch.WithMeter(n.demand),
-		dispatch.WithLogger(n.logger),
 	)
 	n.prober = &prober{
 		members: n.members, directory: n.directory, pool: n.pool, client: n.endpoints,
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -20,7 +20,7 @@
 var refusals = map[string]bool{
 	dispatch.CodeLeaving: true, dispatch.CodeUnsent: true, dispatch.CodeStore: true, dispatch.CodeOverload: true,
 	dispatch.CodeNowhere: true, dispatch.CodeSuspect: true, dispatch.CodeProfile: true, dispatch.CodeModel: true,
-	dispatch.CodeBody: true, dispatch.CodeRefused: true, dispatch.CodeStopping: true,
+	dispatch.CodeBody: true, dispatch.CodeRefused: true,
 }
 
 // observer counts ended requests. It implements entry.Observer.
