test: who follows a document no longer hangs on who read it first

The instance that isn't a watcher reads the store itself while it knows no peer, so it could read revision 1 before the watcher did. The store then went down, the watcher never learned the revision, and the late instance heard of it from the watcher only. Making the watcher's store unreachable at the start showed the same failure each time. Ruled out: a lost wake-up in Run, and the drop of a source before its pull; in the daemon heartbeats come from all instances and repeat the revision. Change: the test's instances tell each other all their revisions, as heartbeats do, and the two orders in which they may read it are cases of their own: each fails with the old way of telling. No wait was lengthened.

--- a/internal/document/proof_test.go
+++ b/internal/document/proof_test.go
@@ -172,23 +172,61 @@
 	return s.peers[s.own].Unpack(raw)
 }
 
+// mesh returns documents of three instances that tell each other their revisions, as
+// heartbeats do: a watcher, one that is none, and a watcher for a late start.
+func mesh(store *platformtest.Fake) peers {
+	all := peers{}
+	for _, name := range []fleet.Instance{"a", "b", "c"} {
+		watcher := WithWatcher(func() bool { return name != "b" })
+		all[name] = New(store.Client(), WithPuller(side{all, name}), watcher, WithPause(time.Millisecond))
+	}
+	for from, d := range all {
+		d.Subscribe(func(doc revision.Document) { all.tell(from, doc.Revision) })
+	}
+	return all
+}
+
+// tell tells all others the revision in force at one instance.
+func (p peers) tell(from fleet.Instance, rev uint64) {
+	for name, d := range p {
+		if name != from {
+			d.Heard(from, rev)
+		}
+	}
+}
+
 // A watcher follows the store, and an instance that is no watcher the watcher; an
-// instance started while the store is down takes the document from its peer.
+// instance started while the store is down takes the document from its peers, whichever
+// of them read it before: one without a peer reads the store too.
 func TestRunFollows(t *testing.T) {
+	cases := []struct {
+		name  string
+		blind fleet.Instance // does not reach the store before it is down
+	}{
+		{"either may read first", ""},
+		{"only the watcher read", "b"},
+		{"only the other read", "a"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) { runFollows(t, tc.blind) })
+	}
+}
+
+func runFollows(t *testing.T, blind fleet.Instance) {
+	t.Helper()
 	store := platformtest.New()
-	all := peers{}
-	all["a"] = New(store, WithPause(time.Millisecond))
-	all["b"] = New(store.Client(), WithPuller(side{all, "b"}), WithWatcher(func() bool { return false }), WithPause(time.Millisecond))
-	all["c"] = New(store.Client(), WithPuller(side{all, "c"}), WithPause(time.Millisecond))
-	all["a"].Subscribe(func(d revision.Document) {
-		all["b"].Heard("a", d.Revision)
-		all["c"].Heard("a", d.Revision)
-	})
+	all := mesh(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	run := func(name fleet.Instance) {
 		group.Go(func() error { return all[name].Run(ctx) })
 	}
+	reached := func(name fleet.Instance, reachable bool) {
+		all[name].store.(*platformtest.Fake).SetUnreachable(!reachable)
+	}
+	if blind != "" {
+		reached(blind, false)
+	}
 	run("a")
 	run("b")
 	_, err := New(store.Client()).Apply(ctx, 0, []byte("one"))
@@ -198,6 +236,9 @@
 	run("c")
 	waitFor(t, all["c"], 1)
 	store.Server().SetFaults(standin.Faults{})
+	if blind != "" {
+		reached(blind, true)
+	}
 	_, err = New(store.Client()).Apply(ctx, 1, []byte("two"))
 	require.NoError(t, err)
 	waitFor(t, all["a"], 2)
