fix: requests earn their profile new retries

Cause: found in reading. Ruled out: retries that the dispatcher or the client count; they have their own. Change: Serve notes each admitted request. With the call taken out TestRequestsEarnRetries fails where three good requests should have earned one (endpoint-lost); with it, it passes. Before: no retry after the first ten. After: one for every ten requests.

--- /dev/null
+++ b/internal/entry/budget_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/directory"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/retry"
+	"github.com/chiveramp/chiveramp/internal/dispatch"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/pkg/profile"
+)
+
+// Dispatcher makes the lone instance dispatch every endpoint.
+func (alone) Dispatcher(fleet.Endpoint, fleet.Place) (member.Peer, bool) { return alone{}.Self(), true }
+
+// flaky is a dispatcher whose endpoints lose the next requests.
+type flaky struct {
+	Dispatcher
+	lose int
+}
+
+func (f *flaky) Serve(context.Context, peer.Request, peer.Sink) *peerpb.End {
+	if f.lose > 0 {
+		f.lose--
+		return dispatch.Fail(dispatch.CodeLost, "answer", "")
+	}
+	return &peerpb.End{Outcome: string(fleet.OutcomeRan)}
+}
+
+// one is a document in force.
+type one struct{ text string }
+
+func (o one) Profiles() (profile.Document, bool) {
+	d, err := profile.Parse("document", []byte(o.text))
+	return d, err == nil
+}
+
+const retried = `
+[profile "p"]
+class = chat
+rank = urgent
+models = a
+retries = 1
+
+[model "a"]
+bytes = 1GiB
+service = s
+`
+
+// A profile that spent its retries earns new ones with its requests; before that it
+// gets none, however many of its requests fail.
+func TestRequestsEarnRetries(t *testing.T) {
+	c := &clock{time.Now()} // contexts go by the real time
+	pool := &flaky{}
+	g := serving(c, directory.Report{Endpoint: "e1"}, directory.Report{Endpoint: "e2"})
+	g.dispatcher, g.documents = pool, one{retried}
+	g.budget = retry.New(retry.Burst(2), retry.Share(0.25), retry.Backoff(0))
+	ask := func(lose int) string {
+		pool.lose = lose
+		submit := &peerpb.Submit{Profile: "p", Model: "a"}
+		body := strings.NewReader(`{"model":"a","messages":[]}`)
+		return g.Serve(context.Background(), peer.Request{Submit: submit, Body: body}, &taken{}).Code
+	}
+	for range 2 {
+		require.Empty(t, ask(1))
+	}
+	require.Equal(t, dispatch.CodeLost, ask(1), "the retries are spent")
+	for range 3 {
+		require.Empty(t, ask(0))
+	}
+	require.Empty(t, ask(1), "the requests since then earned one")
+	require.Equal(t, dispatch.CodeLost, ask(1), "it is spent")
+}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -161,6 +161,13 @@
 	return t.next(p, end)
 }
 
+// submitted earns the profile its share of a retry.
+func (g *Gateway) submitted(p *plan) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Submitted(fleet.Profile(p.request.Profile))
+}
+
 // afford takes a retry from the profile's budget and waits for its time.
 func (g *Gateway) afford(ctx context.Context, p *plan, end *peerpb.End) bool {
 	if fleet.Outcome(end.Outcome) != fleet.OutcomeNotRun {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,6 +90,7 @@
 		g.trail.Note(request.Request, "refuse", "", end.Code)
 		return end
 	}
+	g.submitted(plan)
 	ctx, cancel := context.WithDeadline(ctx, plan.deadline.Add(answerGrace))
 	defer cancel()
 	end = g.run(ctx, plan, t)
