test: golden sessions of the callers' edge; ids, keys and deadlines have limits

Writing them down showed three faults: a deadline of 2^63-1 ms overflowed into the past and ended the request at once; an id of any length up to the header's limit was kept with its decisions (512 requests of 64 KiB are the whole budget of memory); a key over 256 bytes ran into the claim and was told 'unknown', though nothing had run. Ruled out: cutting ids off, which would mix requests up. Change: TestSessions plays exchanges over HTTP and compares all that a caller sees.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -132,12 +133,12 @@
 // opens the span of the request.
 func (s *Server) limited(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		request := r.Header.Get(HeaderRequest)
-		if request == "" {
-			request = uuid.NewString()
-		}
-		w.Header().Set(HeaderRequest, request)
 		w.Header().Set(HeaderInstance, string(s.self))
+		request, end := named(w, r)
+		if end != nil {
+			fail(w, request, end)
+			return
+		}
 		select {
 		case s.slots <- struct{}{}:
 			defer func() { <-s.slots }()
@@ -155,6 +156,37 @@
 	}
 }
 
+// Limits of headers.
+const (
+	// requestLimit is the longest id of a request, bytes: decisions are kept under it.
+	requestLimit = 128
+	// keyLimit is the longest idempotency key, bytes.
+	keyLimit = 256
+	// deadlineLimit is the longest time that a caller may give, milliseconds.
+	deadlineLimit = int64(24 * time.Hour / time.Millisecond)
+)
+
+// named returns the request's id, which the answer carries too. An id or key that
+// can't be kept is refused before anything is done for it.
+func named(w http.ResponseWriter, r *http.Request) (string, *peerpb.End) {
+	request := r.Header.Get(HeaderRequest)
+	if request == "" {
+		request = uuid.NewString()
+	}
+	if end := tooLong(HeaderRequest, request, requestLimit); end != nil {
+		return "", end
+	}
+	w.Header().Set(HeaderRequest, request)
+	return request, tooLong(HeaderKey, r.Header.Get(HeaderKey), keyLimit)
+}
+
+func tooLong(header, value string, limit int) *peerpb.End {
+	if len(value) <= limit {
+		return nil
+	}
+	return refuse(CodeBadValue, "read headers", fmt.Sprintf("%s of %d bytes: want %d at most", header, len(value), limit))
+}
+
 // deadline reads the milliseconds that the caller has left.
 func deadline(r *http.Request) (int64, *peerpb.End) {
 	text := r.Header.Get(HeaderDeadline)
@@ -162,8 +194,8 @@
 		return 0, nil
 	}
 	left, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || left <= 0 {
-		return 0, refuse(CodeBadValue, "read headers", HeaderDeadline+" "+strconv.Quote(text)+": want milliseconds left, above 0")
+	if err != nil || left <= 0 || left > deadlineLimit {
+		return 0, refuse(CodeBadValue, "read headers", fmt.Sprintf("%s %.32q: want milliseconds left, 1 to %d", HeaderDeadline, text, deadlineLimit))
 	}
 	return time.Now().Add(time.Duration(left) * time.Millisecond).UnixMilli(), nil
 }
--- /dev/null
+++ b/internal/caller/session_test.go
@@ -0,0 +1,184 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+func TestMain(m *testing.M) {
+	coretest.Main(m)
+}
+
+// scripted is a gateway that answers as its session says, and tells what it was asked.
+type scripted struct {
+	fields []string // of the next answer
+	asked  []string
+	after  uint64 // events that the caller has
+}
+
+func (s *scripted) Serve(_ context.Context, r peer.Request, sink peer.Sink) *peerpb.End {
+	body, err := io.ReadAll(r.Body)
+	s.after = 0
+	s.note("serve", "profile", r.Profile, "model", r.Model, "service", r.Service, "key", r.Key,
+		"method", r.Method, "path", r.Path, "stream", strconv.FormatBool(r.Stream),
+		"tokens", strconv.Itoa(int(r.Tokens)), "body", string(body))
+	if err != nil {
+		return refuse("bad-body", "read body", err.Error())
+	}
+	return s.answer(sink)
+}
+
+func (s *scripted) Resume(_ context.Context, r *peerpb.Resume, sink peer.Sink) *peerpb.End {
+	s.after = r.Offset
+	s.note("resume", "endpoint", r.Endpoint, "attempt", r.Attempt, "offset", strconv.FormatUint(r.Offset, 10))
+	return s.answer(sink)
+}
+
+func (s *scripted) note(step string, pairs ...string) {
+	line := "to gateway: " + step
+	for pair := range slices.Chunk(pairs, 2) {
+		if pair[1] != "" && pair[1] != "0" && pair[1] != "false" {
+			line += " " + pair[0] + "=" + pair[1]
+		}
+	}
+	s.asked = append(s.asked, line)
+}
+
+// answer plays fields such as "head=200", "data=text" and "end=code,outcome,milliseconds".
+func (s *scripted) answer(sink peer.Sink) *peerpb.End {
+	end := &peerpb.End{Outcome: string(fleet.OutcomeRan)}
+	for i, field := range s.fields {
+		name, value, _ := strings.Cut(field, "=")
+		var err error
+		switch name {
+		case "head":
+			status, _ := strconv.Atoi(value)
+			err = sink.Head(&peerpb.Head{Attempt: "a1", Dispatcher: "i2", Endpoint: "e1", Status: int32(status)})
+		case "data":
+			err = sink.Data(&peerpb.Data{Attempt: "a1", Offset: s.after + uint64(i-1), Data: []byte(value)})
+		case "end":
+			parts := strings.Split(value, ",")
+			retry, _ := strconv.Atoi(parts[2])
+			end = &peerpb.End{Code: parts[0], Outcome: parts[1], Step: "answer", Message: "as scripted", Retry: uint32(retry)}
+		}
+		if err != nil {
+			return refuse("cancelled", "answer", err.Error())
+		}
+	}
+	return end
+}
+
+// few is a fleet of two entries and one model.
+type few struct{}
+
+func (few) Entries(profile, _ string) []Entry {
+	if profile == "none" {
+		return []Entry{}
+	}
+	return []Entry{
+		{Address: "10.1.1.11:7080", Region: "south", DataCentre: "south-1", Instance: "i1"},
+		{Address: "10.1.2.11:7080", Region: "south", DataCentre: "south-2", Instance: "i2"},
+	}
+}
+
+func (few) Models(string) []string { return []string{"m"} }
+
+// Whole exchanges between a caller and an instance, byte by byte as a caller sees them.
+func TestSessions(t *testing.T) {
+	coretest.Run(t, "*.session", func() coretest.Handler {
+		gateway := &scripted{}
+		handler := New("i1", gateway, few{}, Limits{Body: 256, Streams: 1, Write: time.Minute, Keep: 30 * time.Second}).Handler()
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		return func(_ time.Time, e coretest.Event) []string {
+			if e.Verb == "gateway" {
+				gateway.fields = e.Fields
+				return nil
+			}
+			gateway.asked = nil
+			seen := exchange(t, server, e)
+			return append(gateway.asked, seen...)
+		}
+	})
+}
+
+// exchange sends one request and returns what came of it. Its fields are headers such
+// as "Name:value" and the body as "body=text"; a value "bytes=N" stands for N letters.
+func exchange(t *testing.T, server *httptest.Server, e coretest.Event) []string {
+	t.Helper()
+	var body string
+	headers := http.Header{}
+	for _, field := range e.Fields[1:] {
+		if text, found := strings.CutPrefix(field, "body="); found {
+			body = spelled(t, text)
+			continue
+		}
+		name, value, _ := strings.Cut(field, ":")
+		headers.Set(name, spelled(t, value))
+	}
+	request, err := http.NewRequestWithContext(t.Context(), e.Verb, server.URL+e.Fields[0], strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header = headers
+	response, err := server.Client().Do(request)
+	require.NoError(t, err)
+	defer func() { assert.NoError(t, response.Body.Close()) }()
+	answer, err := io.ReadAll(response.Body)
+	return seen(response, answer, err)
+}
+
+// spelled returns a field's value, "bytes=N" written out.
+func spelled(t *testing.T, value string) string {
+	t.Helper()
+	count, found := strings.CutPrefix(value, "bytes=")
+	if !found {
+		return value
+	}
+	n, err := strconv.Atoi(count)
+	require.NoError(t, err)
+	return strings.Repeat("x", n)
+}
+
+// seen returns an answer as lines: status, the headers that are ours or matter, the
+// body and the trailers.
+func seen(response *http.Response, body []byte, err error) []string {
+	lines := []string{fmt.Sprintf("status %d", response.StatusCode)}
+	lines = append(lines, headerLines("", response.Header)...)
+	for line := range strings.Lines(strings.TrimRight(string(body), "\n")) {
+		lines = append(lines, "| "+strings.TrimRight(line, "\n"))
+	}
+	if err != nil {
+		return append(lines, "broken off: "+err.Error())
+	}
+	return append(lines, headerLines("trailer ", response.Trailer)...)
+}
+
+func headerLines(prefix string, header http.Header) []string {
+	var lines []string
+	for name, values := range header {
+		switch {
+		case name == "Date":
+		case name == HeaderRequest && len(values[0]) == len("00000000-0000-0000-0000-000000000000"):
+			lines = append(lines, prefix+name+": (made)")
+		default:
+			lines = append(lines, prefix+name+": "+strings.Join(values, ", "))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -178,7 +178,7 @@
 	})
 	p.trail.Note(r.request.Request, "claim", "store", string(verdict.Kind))
 	switch {
-	case errors.Is(err, once.ErrReused):
+	case errors.Is(err, once.ErrReused), errors.Is(err, once.ErrKey):
 		return Refuse(CodeKey, "claim", err.Error(), 0)
 	case err != nil:
 		return Fail(CodeStore, "claim", err.Error())
