perf: explain asks each other data centre through one instance, all at once

Cause: found in reading. explain asked every live instance one after the other: at 420 instances a connection of 90 kB (make slopes) to each, 37 MB against a budget of 32 MB, and one timeout for each that does not answer. Ready looked through and sorted all endpoints at every call, long after the warm-up that needs it. Ruled out: following only the instances named in the trail; a request that was sent again to another entry leaves steps that name nobody. Change: the asked instance asks its own data centre, whose connections exist, and one instance of each other data centre, which asks its own (a second one if the first does not answer): 10 new connections in place of 382. Ready looks at endpoints during the warm-up only.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,7 +245,15 @@
 	if n.list.current() == 0 {
 		return fmt.Errorf("ready: the list of endpoints is not known")
 	}
-	if waiting := n.unheard(); waiting != "" && n.clock().Sub(n.started) < warmUp {
+	return n.warm()
+}
+
+// warm tells of which endpoint to wait for news, for a while after the start only.
+func (n *Node) warm() error {
+	if n.clock().Sub(n.started) >= warmUp {
+		return nil
+	}
+	if waiting := n.unheard(); waiting != "" {
 		return fmt.Errorf("ready: endpoint %s was not heard of yet", waiting)
 	}
 	return nil
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -117,50 +117,6 @@
 	return result
 }
 
-// Explain implements operator.Backend: it asks every live instance.
-func (n backend) Explain(ctx context.Context, request string) (operator.Trail, error) {
-	result := operator.Trail{Request: request}
-	for _, s := range n.trail.Steps(request) {
-		result.Steps = append(result.Steps, operator.Step{
-			Time: s.Time, Instance: n.config.Instance.Name, Step: s.Step, Peer: s.Peer, Decision: s.Note,
-		})
-	}
-	for _, p := range n.members.Live("") {
-		if p.Instance != n.members.Self().Instance {
-			result.Steps = append(result.Steps, n.explainAt(ctx, p, request)...)
-		}
-	}
-	if len(result.Steps) == 0 {
-		return result, fmt.Errorf("explain request %s: %w", request, operator.ErrNotFound)
-	}
-	slices.SortStableFunc(result.Steps, func(a, b operator.Step) int { return a.Time.Compare(b.Time) })
-	for _, s := range result.Steps {
-		switch s.Step {
-		case "enter":
-			result.Profile, result.Model = s.Decision, s.Peer
-		case "end":
-			result.Outcome, _, _ = strings.Cut(s.Decision, " ")
-		}
-	}
-	return result, nil
-}
-
-func (n *Node) explainAt(ctx context.Context, p member.Peer, request string) []operator.Step {
-	ctx, cancel := context.WithTimeout(ctx, n.config.Platform.Timeout)
-	defer cancel()
-	reply, err := n.client.Explain(ctx, p.Address, request)
-	if err != nil {
-		return nil
-	}
-	steps := make([]operator.Step, 0, len(reply.Steps))
-	for _, s := range reply.Steps {
-		steps = append(steps, operator.Step{
-			Time: time.Unix(0, s.Time), Instance: s.Instance, Step: s.Step, Peer: s.Peer, Decision: s.Note,
-		})
-	}
-	return steps
-}
-
 // Drain implements operator.Backend for the own instance.
 func (n backend) Drain(_ context.Context, instance string) (operator.DrainResult, error) {
 	if fleet.Instance(instance) != n.members.Self().Instance {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -36,17 +36,6 @@
 	return n.list.reply(), nil
 }
 
-// Explain implements peer.Handler.
-func (n *Node) Explain(_ context.Context, r *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
-	reply := &peerpb.ExplainReply{}
-	for _, s := range n.trail.Steps(r.Request) {
-		reply.Steps = append(reply.Steps, &peerpb.Step{
-			Time: s.Time.UnixNano(), Instance: n.config.Instance.Name, Step: s.Step, Peer: s.Peer, Note: s.Note,
-		})
-	}
-	return reply, nil
-}
-
 // Document implements peer.Handler.
 func (n *Node) Document(_ context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	raw, err := n.documents.Pack(r.Revision)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -109,9 +109,10 @@
 	return call(ctx, c, "list", address, &peerpb.ListRequest{}, peerpb.PeerClient.List)
 }
 
-// Explain asks what a peer decided for a request.
-func (c *Client) Explain(ctx context.Context, address, request string) (*peerpb.ExplainReply, error) {
-	return call(ctx, c, "explain", address, &peerpb.ExplainRequest{Request: request}, peerpb.PeerClient.Explain)
+// Explain asks what a peer decided for a request; with relay, what its whole data
+// centre did.
+func (c *Client) Explain(ctx context.Context, address, request string, relay bool) (*peerpb.ExplainReply, error) {
+	return call(ctx, c, "explain", address, &peerpb.ExplainRequest{Request: request, Relay: relay}, peerpb.PeerClient.Explain)
 }
 
 // Document asks for the profile document in force at a peer.
--- /dev/null
+++ b/test/process/explain_test.go
@@ -0,0 +1,65 @@
+package process
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/internal/standin/engine"
+)
+
+// twoModels is a document with a model in each of two services.
+const twoModels = `
+[profile "chat"]
+class = chat
+rank = urgent
+deadline = 60s
+models = *
+
+[model "matcher-a"]
+bytes = 4GiB
+service = matcher
+
+[model "board-b"]
+bytes = 4GiB
+service = board
+`
+
+// Whichever instance an operator asks, it tells what all instances of all data centres
+// decided for a request.
+func TestExplainIsTheSameEverywhere(t *testing.T) {
+	b := newBench(t, "matcher", "board")
+	b.engine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"))
+	b.engine("b1", "board", "north", "north-1", engine.WithModels("board-b"))
+	for _, name := range []string{"s1a", "s1b"} {
+		b.add(name, "south", "south-1")
+	}
+	for _, name := range []string{"n1a", "n1b"} {
+		b.add(name, "north", "north-1")
+	}
+	b.apply(b.nodes[0], 0, twoModels)
+	b.ready()
+	instances := make(map[string]bool)
+	for i := range 8 {
+		r := b.requireChat(t, b.nodes[0].caller, "chat", "board-b", fmt.Sprint("glove ", i), false)
+		request := r.header.Get("Chiveramp-Request")
+		var first []operator.Step
+		for _, n := range b.nodes {
+			trail, err := b.operators(n).Explain(t.Context(), request)
+			require.NoError(t, err)
+			require.Equal(t, "ran", trail.Outcome)
+			if first == nil {
+				first = trail.Steps
+			}
+			require.ElementsMatch(t, first, trail.Steps, "asked at %s", n.name)
+		}
+		for _, s := range first {
+			instances[s.Instance] = true
+		}
+	}
+	require.Contains(t, instances, "s1a", "the entry")
+	require.Contains(t, instances, "n1a", "one that the requests were passed on to")
+	require.Contains(t, instances, "n1b", "another one")
+}
