--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -162,7 +162,8 @@
 	requestLimit = 128
 	// keyLimit is the longest idempotency key, bytes.
 	keyLimit = 256
-	// deadlineLimit is the longest time that a caller may give, milliseconds.
+	// deadlineLimit is the longest time that counts, milliseconds. More changes
+	// nothing: the profile's deadline comes first.
 	deadlineLimit = int64(24 * time.Hour / time.Millisecond)
 )
 
@@ -194,8 +195,9 @@
 		return 0, nil
 	}
 	left, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || left <= 0 || left > deadlineLimit {
-		return 0, refuse(CodeBadValue, "read headers", fmt.Sprintf("%s %.32q: want milliseconds left, 1 to %d", HeaderDeadline, text, deadlineLimit))
+	if err != nil || left <= 0 {
+		return 0, refuse(CodeBadValue, "read headers", fmt.Sprintf("%s %.32q: want milliseconds left, above 0", HeaderDeadline, text))
 	}
+	left = min(left, deadlineLimit)
 	return time.Now().Add(time.Duration(left) * time.Millisecond).UnixMilli(), nil
 }
--- a/internal/caller/session_test.go
+++ b/internal/caller/session_test.go
@@ -37,13 +37,25 @@
 	s.after = 0
 	s.note("serve", "profile", r.Profile, "model", r.Model, "service", r.Service, "key", r.Key,
 		"method", r.Method, "path", r.Path, "stream", strconv.FormatBool(r.Stream),
-		"tokens", strconv.Itoa(int(r.Tokens)), "body", string(body))
+		"tokens", strconv.Itoa(int(r.Tokens)), "deadline", when(r.Deadline), "body", string(body))
 	if err != nil {
 		return refuse("bad-body", "read body", err.Error())
 	}
 	return s.answer(sink)
 }
 
+// when tells on which side of now a deadline lies.
+func when(milliseconds int64) string {
+	switch {
+	case milliseconds == 0:
+		return ""
+	case time.UnixMilli(milliseconds).After(time.Now()):
+		return "ahead"
+	default:
+		return "past"
+	}
+}
+
 func (s *scripted) Resume(_ context.Context, r *peerpb.Resume, sink peer.Sink) *peerpb.End {
 	s.after = r.Offset
 	s.note("resume", "endpoint", r.Endpoint, "attempt", r.Attempt, "offset", strconv.FormatUint(r.Offset, 10))
