feat: profiles tells the attainment of the whole system over the last minutes

Ruled out: the metrics registry's own histograms (they can't be added up, and never forget); asking all instances from one (as with explain). Before and after: with the gathering off TestEveryInstanceTellsOperatorsTheSame sees 8 of 9 requests at s1a, with it 9 at all four instances in two data centres.

--- /dev/null
+++ b/internal/node/attainment.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chiveramp/chiveramp/internal/core/attain"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/entry"
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// attainment counts what became of the requests that entered here lately. It
+// implements entry.Observer.
+type attainment struct {
+	clock func() time.Time
+	next  entry.Observer
+
+	mu     sync.Mutex
+	window *attain.Window
+}
+
+// newAttainment returns a count that tells the next observer too.
+func newAttainment(clock func() time.Time, next entry.Observer) *attainment {
+	return &attainment{clock: clock, next: next, window: attain.NewWindow(clock())}
+}
+
+// Ended implements entry.Observer.
+func (a *attainment) Ended(r entry.Report) {
+	a.next.Ended(r)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.window.Note(a.clock(), attain.Ended{Profile: r.Profile, Rank: r.Rank, Kind: kindOf(r), Code: r.Code, First: r.First})
+}
+
+func kindOf(r entry.Report) attain.Kind {
+	switch {
+	case Met(r):
+		return attain.KindMet
+	case r.Code == "":
+		return attain.KindLate
+	case refusals[r.Code]:
+		return attain.KindRefused
+	default:
+		return attain.KindFailed
+	}
+}
+
+func (a *attainment) sums() []attain.Sum {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.window.Sums(a.clock())
+}
+
+// Attainment implements peer.Handler.
+func (n *Node) Attainment(ctx context.Context, r *peerpb.AttainmentRequest) (*peerpb.AttainmentReply, error) {
+	sums := n.attainment.sums()
+	if r.Relay {
+		sums = attain.Add(append(near(ctx, n, n.askSums), sums)...)
+	}
+	reply := &peerpb.AttainmentReply{}
+	for _, s := range sums {
+		row, err := toProfileSum(s)
+		if err != nil {
+			return nil, status.Errorf(codes.Internal, "attainment: %v", err)
+		}
+		reply.Sums = append(reply.Sums, row)
+	}
+	return reply, nil
+}
+
+// askSums asks one instance for its sums.
+func (n *Node) askSums(ctx context.Context, address string, relay bool) ([]attain.Sum, error) {
+	reply, err := n.client.Attainment(ctx, address, relay)
+	if err != nil {
+		return nil, err
+	}
+	sums := make([]attain.Sum, 0, len(reply.Sums))
+	for _, row := range reply.Sums {
+		s, err := fromProfileSum(row)
+		if err != nil {
+			return nil, err
+		}
+		sums = append(sums, s)
+	}
+	return sums, nil
+}
+
+func toProfileSum(s attain.Sum) (*peerpb.ProfileSum, error) {
+	times, err := s.Times()
+	if err != nil {
+		return nil, err
+	}
+	row := &peerpb.ProfileSum{
+		Profile: string(s.Profile), Rank: string(s.Rank), Requests: s.Requests,
+		Met: s.Met, Refused: s.Refused, Failed: s.Failed, Times: times,
+	}
+	for _, c := range s.Causes {
+		row.Causes = append(row.Causes, &peerpb.Cause{Code: c.Code, Count: c.Count})
+	}
+	return row, nil
+}
+
+func fromProfileSum(row *peerpb.ProfileSum) (attain.Sum, error) {
+	s := attain.Sum{
+		Profile: fleet.Profile(row.Profile), Rank: fleet.Rank(row.Rank), Requests: row.Requests,
+		Met: row.Met, Refused: row.Refused, Failed: row.Failed,
+	}
+	for _, c := range row.Causes {
+		s.Causes = append(s.Causes, attain.Cause{Code: c.Code, Count: c.Count})
+	}
+	return s, s.Restore(row.Times)
+}
+
+// profileReports compares each profile with its targets, from the requests that
+// entered lately anywhere.
+func (n *Node) profileReports(ctx context.Context) []operator.ProfileReport {
+	document, _ := n.Profiles()
+	reports := make([]operator.ProfileReport, 0, len(document.Profiles()))
+	sums := attain.Add(append(everywhere(ctx, n, n.askSums), n.attainment.sums())...)
+	for _, p := range document.Profiles() {
+		report := operator.ProfileReport{
+			Profile: p.Name, Rank: string(p.Rank), Target: p.First.Milliseconds(), Window: attain.Span.Milliseconds(),
+		}
+		byName := func(s attain.Sum, name string) int { return cmp.Compare(string(s.Profile), name) }
+		if i, found := slices.BinarySearchFunc(sums, p.Name, byName); found {
+			fill(&report, sums[i])
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+func fill(r *operator.ProfileReport, s attain.Sum) {
+	r.Requests, r.Met, r.Refused, r.Failed = s.Requests, s.Met, s.Refused, s.Failed
+	r.First, r.Why = s.Slowest().Milliseconds(), s.Why()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,7 @@
 	placer    *placer.Placer
 	trail     *trail.Trail
 
+	attainment  *attainment
 	credentials credentials.TransportCredentials
 
 	// lifetime ends when the instance has drained.
@@ -171,6 +172,7 @@
 		dispatch.WithDraining(n.drains),
 		dispatch.WithMeter(n.demand),
 	)
+	n.attainment = newAttainment(n.clock, newObserver(n.registry))
 	n.prober = &prober{
 		members: n.members, directory: n.directory, pool: n.pool, client: n.endpoints,
 		plain: n.plain, drained: n.drains.drained, clock: n.clock, seen: make(map[fleet.Endpoint]*probed),
@@ -181,7 +183,7 @@
 		entry.WithTrail(n.trail),
 		entry.WithDraining(n.drains),
 		entry.WithSuspects(n.suspects),
-		entry.WithObserver(newObserver(n.registry)),
+		entry.WithObserver(n.attainment),
 		entry.WithClock(n.clock),
 	)
 	n.placer = n.newPlacer()
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -19,8 +19,8 @@
 type backend struct{ *Node }
 
 // Profiles implements operator.Backend.
-func (b backend) Profiles(context.Context) ([]operator.ProfileReport, error) {
-	return b.profileReports(), nil
+func (b backend) Profiles(ctx context.Context) ([]operator.ProfileReport, error) {
+	return b.profileReports(ctx), nil
 }
 
 func (n *Node) serveOperators(l net.Listener) (*http.Server, error) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,14 +1,9 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
@@ -191,75 +186,3 @@
 	}
 	return list
 }
-
-// profileReports compares each profile with its targets, from the requests that entered here.
-func (n *Node) profileReports() []operator.ProfileReport {
-	document, _ := n.Profiles()
-	reports := make(map[string]*operator.ProfileReport)
-	causes := make(map[string]int64)
-	for _, p := range document.Profiles() {
-		reports[p.Name] = &operator.ProfileReport{Profile: p.Name, Rank: string(p.Rank), Target: p.First.Milliseconds()}
-	}
-	n.registry.Each(func(name string, value any) {
-		family, labels := parseLabels(name)
-		if r, ok := reports[labels.profile]; ok {
-			count(r, family, labels.code, value, causes)
-		}
-	})
-	list := make([]operator.ProfileReport, 0, len(reports))
-	for _, r := range reports {
-		list = append(list, *r)
-	}
-	slices.SortFunc(list, func(a, b operator.ProfileReport) int { return cmp.Compare(a.Profile, b.Profile) })
-	return list
-}
-
-type labels struct {
-	profile string
-	code    string
-}
-
-func parseLabels(name string) (family string, l labels) {
-	family, rest, _ := strings.Cut(name, ";")
-	for _, label := range strings.Split(rest, ";") {
-		key, value, _ := strings.Cut(label, "=")
-		switch key {
-		case "profile":
-			l.profile = value
-		case "code":
-			l.code = value
-		}
-	}
-	return family, l
-}
-
-func count(r *operator.ProfileReport, family, code string, value any, causes map[string]int64) {
-	switch v := value.(type) {
-	case metrics.Histogram:
-		if family == "first_milliseconds" {
-			r.First = int64(v.Percentile(0.95))
-		}
-	case metrics.Counter:
-		switch family {
-		case "attained":
-			r.Met += v.Count()
-		case "requests":
-			r.Requests += v.Count()
-			countCode(r, code, v.Count(), causes)
-		}
-	}
-}
-
-func countCode(r *operator.ProfileReport, code string, n int64, causes map[string]int64) {
-	if code == codeWhole {
-		return
-	}
-	if refusals[code] {
-		r.Refused += n
-	} else {
-		r.Failed += n
-	}
-	if n > causes[r.Profile] {
-		causes[r.Profile], r.Why = n, code
-	}
-}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -125,7 +125,7 @@
 type ProfileReport struct {
 	Profile string `json:"profile"`
 	Rank    string `json:"rank"`
-	// Window is the time that the report covers, milliseconds. Zero: since the start of the instance.
+	// Window is the longest time that the report looks back, milliseconds. Zero: to the start of the instance.
 	Window int64 `json:"window"`
 	// Requests counts all, Met those within target, Refused and Failed the rest by kind.
 	Requests int64 `json:"requests"`
--- a/internal/operator/command/profiles.go
+++ b/internal/operator/command/profiles.go
@@ -17,8 +17,9 @@
 	return &cli.Command{
 		Name:  "profiles",
 		Usage: "show how each profile meets its targets, now",
-		Description: `Shows the share of requests within target by profile and by rank, the most
-urgent rank first, and the most frequent reason of refusals.
+		Description: `Shows the share of requests within target by profile and by rank, over all
+instances and the last minutes, the most urgent rank first, and the most
+frequent reason of refusals.
 
 Example:
    chiveramp profiles`,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -115,6 +115,12 @@
 	return call(ctx, c, "explain", address, &peerpb.ExplainRequest{Request: request, Relay: relay}, peerpb.PeerClient.Explain)
 }
 
+// Attainment asks what became of the requests that entered at a peer lately; with
+// relay, at its whole data centre.
+func (c *Client) Attainment(ctx context.Context, address string, relay bool) (*peerpb.AttainmentReply, error) {
+	return call(ctx, c, "attainment", address, &peerpb.AttainmentRequest{Relay: relay}, peerpb.PeerClient.Attainment)
+}
+
 // Document asks for the profile document in force at a peer.
 func (c *Client) Document(ctx context.Context, address string, after uint64) (*peerpb.DocumentReply, error) {
 	return call(ctx, c, "document", address, &peerpb.DocumentRequest{Revision: after}, peerpb.PeerClient.Document)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,6 +19,7 @@
 	Totals(context.Context, *peerpb.TotalsRequest) (*peerpb.TotalsReply, error)
 	List(context.Context, *peerpb.ListRequest) (*peerpb.ListReply, error)
 	Explain(context.Context, *peerpb.ExplainRequest) (*peerpb.ExplainReply, error)
+	Attainment(context.Context, *peerpb.AttainmentRequest) (*peerpb.AttainmentReply, error)
 	Document(context.Context, *peerpb.DocumentRequest) (*peerpb.DocumentReply, error)
 	// Serve runs one submitted request and returns how it ended.
 	Serve(context.Context, Request, Sink) *peerpb.End
@@ -57,6 +58,11 @@
 	return s.Handler.Explain(ctx, r)
 }
 
+// Attainment implements the generated service.
+func (s *Server) Attainment(ctx context.Context, r *peerpb.AttainmentRequest) (*peerpb.AttainmentReply, error) {
+	return s.Handler.Attainment(ctx, r)
+}
+
 // Document implements the generated service.
 func (s *Server) Document(ctx context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	return s.Handler.Document(ctx, r)
--- a/test/process/explain_test.go
+++ b/test/process/explain_test.go
@@ -28,8 +28,8 @@
 `
 
 // Whichever instance an operator asks, it tells what all instances of all data centres
-// decided for a request.
-func TestExplainIsTheSameEverywhere(t *testing.T) {
+// decided for a request, and what became of the requests of all.
+func TestEveryInstanceTellsOperatorsTheSame(t *testing.T) {
 	b := newBench(t, "matcher", "board")
 	b.engine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"))
 	b.engine("b1", "board", "north", "north-1", engine.WithModels("board-b"))
@@ -62,4 +62,13 @@
 	require.Contains(t, instances, "s1a", "the entry")
 	require.Contains(t, instances, "n1a", "one that the requests were passed on to")
 	require.Contains(t, instances, "n1b", "another one")
+	b.requireChat(t, b.nodes[3].caller, "chat", "board-b", "glove", false)
+	for _, n := range b.nodes {
+		reports, err := b.operators(n).Profiles(t.Context())
+		require.NoError(t, err)
+		require.Len(t, reports, 1)
+		require.EqualValues(t, 9, reports[0].Requests, "asked at %s", n.name)
+		require.EqualValues(t, 9, reports[0].Met, "asked at %s", n.name)
+		require.Positive(t, reports[0].First, "asked at %s", n.name)
+	}
 }
