feat: certificates are renewed while running, operators have keys of their own

Cause: certificates were read at the start, so that each renewal was a rolling restart of all instances; one token for all operators made the author of an edit a claim, and one who leaves a new token for everybody. Ruled out: secrets in the platform's store (outages, more readers), a watch of the file system (one more library), client certificates alone as names (no way to leave one out before its end). Change: internal/reload, internal/keys, certs.Keeper; 'chiveramp token' makes a token and its key; roles view and edit; status warns of files that can't be used and of a certificate that ends within a week. docs/design/credentials.md. Mechanism off: with the swap taken out TestRenewedCertificatesAreTaken fails; with role and name taken out three cases of TestKeysSayWhoMayDoWhat fail. On: both pass. Tests changed: certs' tests open a Keeper in place of calling a function; the error of a missing file now begins 'TLS: read:', as strict as before; the case of a bad certificate left the operators' server test, for TestLoadErrors has it.

--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,150 @@
+// Package keys reads the operators' keys: who may call the operators' API, and what
+// each may do. The file holds digests, never the tokens themselves.
+package keys
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/inifile"
+)
+
+// Role is what an operator may do.
+type Role string
+
+// The roles.
+const (
+	// RoleView may look at everything and change nothing.
+	RoleView Role = "view"
+	// RoleEdit may apply documents and drain instances as well.
+	RoleEdit Role = "edit"
+)
+
+const (
+	kindKey = "key"
+	// tokenBytes is the length of a token made here, before its encoding.
+	tokenBytes = 32
+	dateForm   = time.DateOnly
+)
+
+// Key is one operator's right.
+type Key struct {
+	// Name stands for the operator in the trail of documents.
+	Name string
+	Role Role
+	// Until is the first day on which the key is no longer taken, zero for none.
+	Until time.Time
+
+	digest [sha256.Size]byte
+}
+
+// Set is a checked list of keys.
+type Set struct {
+	keys []Key
+}
+
+// Len returns how many keys there are.
+func (s Set) Len() int { return len(s.keys) }
+
+// Find returns the key that a token opens. All digests are compared in constant time,
+// so that the time tells nothing about them.
+func (s Set) Find(now time.Time, token string) (Key, bool) {
+	digest := sha256.Sum256([]byte(token))
+	var found Key
+	for _, k := range s.keys {
+		if subtle.ConstantTimeCompare(digest[:], k.digest[:]) == 1 {
+			found = k
+		}
+	}
+	return found, found.Name != "" && (found.Until.IsZero() || now.Before(found.Until))
+}
+
+// Parse reads and checks a file of keys. An error is one line that names file,
+// section, key, what was given and what is allowed.
+func Parse(name string, text []byte) (Set, error) {
+	file, err := inifile.Parse(name, text)
+	if err != nil {
+		return Set{}, err
+	}
+	var set Set
+	for _, s := range file.Sections() {
+		k, err := parseKey(s)
+		if err != nil {
+			return Set{}, err
+		}
+		if err := set.add(s, k); err != nil {
+			return Set{}, err
+		}
+	}
+	return set, nil
+}
+
+func parseKey(s inifile.Section) (Key, error) {
+	kind, label := s.Kind()
+	if kind != kindKey || !inifile.IsName(label) {
+		return Key{}, s.Fault("", "unknown section", `[key "NAME"]`)
+	}
+	k := Key{Name: label, Role: RoleView}
+	return k, s.Decode(fields(&k))
+}
+
+func fields(k *Key) []inifile.Field {
+	return []inifile.Field{
+		inifile.Custom("digest", "64 hexadecimal digits, the SHA-256 of the token",
+			func(text string) bool { return setDigest(k, text) },
+			func() string { return hex.EncodeToString(k.digest[:]) }).Must(),
+		inifile.Choice("role", &k.Role, RoleView, RoleEdit).Must(),
+		inifile.Custom("until", "a day such as 2027-01-31",
+			func(text string) bool { return setUntil(k, text) },
+			func() string { return k.Until.Format(dateForm) }),
+	}
+}
+
+func setDigest(k *Key, text string) bool {
+	raw, err := hex.DecodeString(text)
+	return err == nil && copy(k.digest[:], raw) == sha256.Size && len(raw) == sha256.Size
+}
+
+func setUntil(k *Key, text string) bool {
+	day, err := time.Parse(dateForm, text)
+	k.Until = day
+	return err == nil
+}
+
+func (s *Set) add(section inifile.Section, k Key) error {
+	for _, other := range s.keys {
+		if other.Name == k.Name {
+			return section.Fault("", "given more than once", "it once")
+		}
+		if other.digest == k.digest {
+			return section.Fault("digest", "the same as of "+other.Name, "a token of its own for each operator")
+		}
+	}
+	s.keys = append(s.keys, k)
+	return nil
+}
+
+// New makes a token, and the section of the file that lets it in.
+func New(name string, role Role, until string) (token, section string, err error) {
+	raw := make([]byte, tokenBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", "", fmt.Errorf("make token: %w", err)
+	}
+	token = base64.RawURLEncoding.EncodeToString(raw)
+	digest := sha256.Sum256([]byte(token))
+	lines := []string{fmt.Sprintf("[%s %q]", kindKey, name), "digest = " + hex.EncodeToString(digest[:]), "role = " + string(role)}
+	if until != "" {
+		lines = append(lines, "until = "+until)
+	}
+	section = strings.Join(lines, "\n") + "\n"
+	if _, err := Parse("key", []byte(section)); err != nil {
+		return "", "", err
+	}
+	return token, section, nil
+}
--- a/internal/node/credentials.go
+++ b/internal/node/credentials.go
@@ -1,23 +1,125 @@
 package node
 
 import (
-	"google.golang.org/grpc/credentials"
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/chiveramp/chiveramp/internal/certs"
+	"github.com/chiveramp/chiveramp/internal/keys"
+	"github.com/chiveramp/chiveramp/internal/operator"
+	"github.com/chiveramp/chiveramp/internal/reload"
 	"github.com/chiveramp/chiveramp/pkg/config"
 )
 
-// peerCredentials are the transport credentials of both sides of a peer connection.
-type peerCredentials struct {
-	server credentials.TransportCredentials
-	client credentials.TransportCredentials
+const (
+	// credentialPause is the time between two looks at the files of credentials.
+	credentialPause = 10 * time.Second
+	// expiryWarning is how long before its end a certificate counts as degraded.
+	expiryWarning = 7 * 24 * time.Hour
+)
+
+// secrets are the certificates and keys of one instance, renewed while it runs.
+type secrets struct {
+	peer     *certs.Keeper
+	operator *certs.Keeper
+	keys     *reload.Value[keys.Set] // nil without a file of keys
+}
+
+func newSecrets(c config.Config) (*secrets, error) {
+	s := &secrets{}
+	var err error
+	if s.peer, err = certs.Open(c.Peer.TLS); err != nil {
+		return nil, fmt.Errorf("[peer] credentials: %w", err)
+	}
+	if s.operator, err = certs.Open(c.Operator.TLS); err != nil {
+		return nil, fmt.Errorf("[operator] credentials: %w", err)
+	}
+	if c.Operator.Keys == "" {
+		return s, nil
+	}
+	s.keys, err = reload.New([]string{c.Operator.Keys}, func() (keys.Set, error) { return readKeys(c.Operator.Keys) })
+	if err != nil {
+		return nil, fmt.Errorf("[operator] keys: %w", err)
+	}
+	return s, nil
 }
 
-func newPeerCredentials(c config.TLS) (peerCredentials, error) {
-	server, err := certs.PeerServer(c)
+func readKeys(path string) (keys.Set, error) {
+	text, err := os.ReadFile(path)
 	if err != nil {
-		return peerCredentials{}, err
+		return keys.Set{}, err
+	}
+	return keys.Parse(path, text)
+}
+
+// find returns the operator's key that a token opens.
+func (s *secrets) find(token string) (keys.Key, bool) {
+	if s.keys == nil {
+		return keys.Key{}, false
+	}
+	return s.keys.Get().Find(time.Now(), token)
+}
+
+// looks are the files to look at, by the part that uses them.
+func (s *secrets) looks() []look {
+	list := []look{
+		{part: "certificate [peer]", check: s.peer.Check, failure: s.peer.Err(), expires: s.peer.Expires()},
+		{part: "certificate [operator]", check: s.operator.Check, failure: s.operator.Err(), expires: s.operator.Expires()},
+	}
+	if s.keys != nil {
+		list = append(list, look{part: "keys [operator]", check: s.keys.Check, failure: s.keys.Err()})
+	}
+	return list
+}
+
+// look is one set of files: how they are read again, and how they stood the last time.
+type look struct {
+	part    string
+	check   func() (changed bool, err error)
+	failure error
+	expires time.Time // zero without an end
+}
+
+// why tells what is wrong with the files or the certificate, empty when nothing is.
+func (l look) why(now time.Time) string {
+	if l.failure != nil {
+		return "the old one stays in use: " + l.failure.Error()
+	}
+	if !l.expires.IsZero() && l.expires.Sub(now) < expiryWarning {
+		return "ends at " + l.expires.UTC().Format(time.RFC3339)
+	}
+	return ""
+}
+
+// renew takes changed files and logs what came of it.
+func (s *secrets) renew(logger log.Logger) {
+	for _, l := range s.looks() {
+		changed, err := l.check()
+		if changed {
+			_ = level.Info(logger).Log("step", "renew", "part", l.part)
+		}
+		if err != nil {
+			_ = level.Error(logger).Log("step", "renew", "part", l.part, "err", err)
+		}
+	}
+}
+
+func (n *Node) renew(context.Context, time.Time) {
+	n.secrets.renew(n.logger)
+}
+
+// credentialStatus lists the credentials that need an operator.
+func (n *Node) credentialStatus() []operator.Degradation {
+	var list []operator.Degradation
+	for _, l := range n.secrets.looks() {
+		if why := l.why(n.clock()); why != "" {
+			list = append(list, n.degradation(l.part+" of instance "+n.config.Instance.Name, why))
+		}
 	}
-	client, err := certs.PeerClient(c)
-	return peerCredentials{server: server, client: client}, err
+	return list
 }
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -23,15 +23,16 @@
 	return b.profileReports(ctx), nil
 }
 
-func (n *Node) serveOperators(l net.Listener) (*http.Server, error) {
+func (n *Node) serveOperators(l net.Listener) *http.Server {
 	if l == nil {
-		return &http.Server{ReadHeaderTimeout: headerTimeout}, nil
+		return &http.Server{ReadHeaderTimeout: headerTimeout}
 	}
-	handler := operator.NewServer(backend{n}, operator.WithToken(n.config.Operator.Token), operator.WithLogger(n.logger))
-	server, err := operator.NewHTTPServer(n.config.Operator, handler)
-	if err != nil {
-		return nil, err
+	options := []operator.Option{operator.WithKeys(n.secrets.find), operator.WithLogger(n.logger)}
+	if token := n.config.Operator.Token; token != "" {
+		options = append(options, operator.WithToken(token))
 	}
+	handler := operator.NewServer(backend{n}, options...)
+	server := operator.NewHTTPServer(n.config.Operator.Listen, n.secrets.operator.Server(), handler)
 	l = netutil.LimitListener(l, operatorConnections)
 	n.group.Go(func() error {
 		if server.TLSConfig != nil {
@@ -39,7 +40,7 @@
 		}
 		return served("operators", server.Serve(l))
 	})
-	return server, nil
+	return server
 }
 
 // errDrained: an operator asked the instance to leave.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -48,10 +48,7 @@
 	n.timers.Start(n.lifetime, n.group)
 	callers := n.serveCallers(open.caller)
 	peers := n.servePeers(open.peer)
-	operators, err := n.serveOperators(open.operator)
-	if err != nil {
-		return err
-	}
+	operators := n.serveOperators(open.operator)
 	observers := n.serveMetrics(open.metrics)
 	n.start()
 	_ = level.Info(n.logger).Log("step", "start", "caller", n.config.Caller.Listen, "peer", n.config.Peer.Listen)
@@ -102,6 +99,7 @@
 	n.every("probe", probePause, n.probe)
 	n.every("place", placePause, n.place)
 	n.every("sweep", sweepPause, n.sweep)
+	n.every("renew", credentialPause, n.renew)
 	n.every("settle", settlePause, func(ctx context.Context, _ time.Time) { _, _ = n.claims.Settle(ctx) })
 }
 
@@ -165,7 +163,7 @@
 }
 
 func (n *Node) servePeers(l net.Listener) *grpc.Server {
-	server := grpc.NewServer(grpc.Creds(n.credentials), peer.Tracing())
+	server := grpc.NewServer(grpc.Creds(n.secrets.peer.PeerServer()), peer.Tracing())
 	peer.Register(server, n)
 	n.group.Go(func() error {
 		if err := server.Serve(l); err != nil {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -168,6 +168,7 @@
 		}
 	}
 	list = append(list, n.unreachableServices()...)
+	list = append(list, n.credentialStatus()...)
 	if err := n.Ready(); err != nil {
 		list = append(list, n.degradation("instance "+s.Instance, err.Error()))
 	}
--- a/internal/operator/callerror.go
+++ b/internal/operator/callerror.go
@@ -16,6 +16,7 @@
 	CodeInvalid     Code = "invalid"
 	CodeTooLarge    Code = "too-large"
 	CodeDenied      Code = "denied"
+	CodeForbidden   Code = "forbidden"
 	CodeTooMany     Code = "too-many"
 	CodeNotFound    Code = "not-found"
 	CodeConflict    Code = "conflict"
@@ -65,6 +66,8 @@
 		return http.StatusRequestEntityTooLarge
 	case CodeDenied:
 		return http.StatusUnauthorized
+	case CodeForbidden:
+		return http.StatusForbidden
 	case CodeTooMany:
 		return http.StatusTooManyRequests
 	case CodeNotFound:
--- a/internal/operator/command/root.go
+++ b/internal/operator/command/root.go
@@ -95,13 +95,14 @@
 		p.profilesCommand(),
 		p.explainCommand(),
 		p.drainCommand(),
+		p.tokenCommand(),
 		p.versionCommand(),
 	}
 }
 
 func rootAction(_ context.Context, c *cli.Command) error {
 	if c.Args().Present() {
-		return badInput("unknown command %q, want one of apply, check, get, diff, edit, status, profiles, explain, drain, version, completion", c.Args().First())
+		return badInput("unknown command %q, want one of apply, check, get, diff, edit, status, profiles, explain, drain, token, version, completion", c.Args().First())
 	}
 	return cli.ShowRootCommandHelp(c)
 }
--- /dev/null
+++ b/internal/operator/command/token_test.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/keys"
+)
+
+// The key that token prints lets in the token that it prints, and no other.
+func TestToken(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		want ExitCode
+		role keys.Role
+	}{
+		{name: "view", args: []string{"ana"}, role: keys.RoleView},
+		{name: "edit", args: []string{"--role", "edit", "--until", "2100-01-01", "ana"}, role: keys.RoleEdit},
+		{name: "no name", want: ExitBadInput},
+		{name: "bad name", args: []string{"a b"}, want: ExitBadInput},
+		{name: "bad role", args: []string{"--role", "all", "ana"}, want: ExitBadInput},
+		{name: "bad day", args: []string{"--until", "soon", "ana"}, want: ExitBadInput},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			args := append([]string{"chiveramp", "-o", "json", "token"}, tt.args...)
+			require.Equal(t, tt.want, Run(context.Background(), args, WithStreams(nil, &out, &errOut)), errOut.String())
+			if tt.want != ExitOK {
+				return
+			}
+			var made madeToken
+			require.NoError(t, json.Unmarshal(out.Bytes(), &made))
+			set, err := keys.Parse("keys.ini", []byte(made.Key))
+			require.NoError(t, err)
+			k, ok := set.Find(time.Now(), made.Token)
+			assert.True(t, ok)
+			assert.Equal(t, "ana", k.Name)
+			assert.Equal(t, tt.role, k.Role)
+			_, ok = set.Find(time.Now(), made.Token+"x")
+			assert.False(t, ok)
+		})
+	}
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -67,8 +67,10 @@
 type Operator struct {
 	// Listen is the IP:port of the operators' API.
 	Listen string
-	// Token is the secret that operators present, already read from its file.
+	// Token is a secret that all operators may present, already read from its file. Empty: there is none.
 	Token string
+	// Keys is the path of a file with a key for each operator. Empty: there is none.
+	Keys string
 	// TLS is used by the server when set; with a CA, clients need a certificate too.
 	TLS TLS
 }
--- a/pkg/config/fields.go
+++ b/pkg/config/fields.go
@@ -19,6 +19,7 @@
 	leastStep    = time.Microsecond
 	leastBody    = 1 << 10
 	mostCount    = 1 << 20
+	wantToken    = "a secret of 16 bytes or more, or file:PATH of one"
 )
 
 func sections(c *Config) []section {
@@ -70,7 +71,8 @@
 func operatorFields(o *Operator) []inifile.Field {
 	return append([]inifile.Field{
 		inifile.Address("listen", &o.Listen).Must(),
-		inifile.Text("token", &o.Token).Must().Saying("a secret of 16 bytes or more, or file:PATH of one"),
+		inifile.Text("token", &o.Token).Saying(wantToken),
+		inifile.Text("keys", &o.Keys).Saying("the path of an INI file of keys"),
 	}, tlsFields(&o.TLS)...)
 }
 
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -128,6 +128,12 @@
 }
 
 func (c *Config) readToken() error {
+	if c.Operator.Token == "" && c.Operator.Keys == "" {
+		return c.fault("operator", "token", "missing", wantToken+", or keys")
+	}
+	if c.Operator.Token == "" {
+		return nil
+	}
 	if path, found := strings.CutPrefix(c.Operator.Token, filePrefix); found {
 		text, err := os.ReadFile(path)
 		if err != nil {
