perf: a dispatch pool without requests is not woken

Cause: an idle instance spends its time on waking up, not on work (perf record: 51 % in system calls, 24 % in the runtime's watch, which naps 20 microseconds at a time after each wake-up). Ruled out: garbage collection (4 %), logs, spans, document watch (one long poll).

--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -59,6 +59,7 @@
 	defer p.mu.Unlock()
 	p.attempts[r.id] = r
 	p.live[r.id] = r
+	p.work()
 }
 
 // follow reads an adopted answer to its end.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -142,7 +142,8 @@
 	kept        int                  // bytes of the ended ones
 	deaths      map[string]time.Time // by incarnation
 	waiting     atomic.Int64         // requests in the queues of all dispatchers
-	stop        func()
+	rest        func()               // ends the sweeps, nil while there are none
+	closed      bool
 }
 
 // Option changes a Pool under construction.
@@ -196,7 +197,6 @@
 	for _, opt := range opts {
 		opt(p)
 	}
-	p.stop = timers.Every(sweep, 0, p.sweep)
 	return p
 }
 
@@ -207,10 +207,29 @@
 
 // Close stops the dispatchers. Attempts end by themselves.
 func (p *Pool) Close() {
-	p.stop()
+	p.mu.Lock()
+	p.closed = true
+	p.idle()
+	p.mu.Unlock()
 	p.system.Shutdown()
 }
 
+// work begins the sweeps, if there are none. An instance without requests is
+// not woken for them. The lock must be held.
+func (p *Pool) work() {
+	if p.rest == nil && !p.closed {
+		p.rest = p.timers.Every(sweep, 0, p.sweep)
+	}
+}
+
+// idle ends the sweeps. The lock must be held.
+func (p *Pool) idle() {
+	if p.rest != nil {
+		p.rest()
+		p.rest = nil
+	}
+}
+
 // InFlight returns how many attempts have not ended.
 func (p *Pool) InFlight() int {
 	p.mu.Lock()
@@ -283,6 +302,11 @@
 		p.tickAll(now)
 	}
 	p.prune(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting.Load()+int64(len(p.live)+len(p.ended)+len(p.deaths)) == 0 {
+		p.idle()
+	}
 }
 
 // tickAll lets every dispatcher look over its queue.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -84,7 +84,7 @@
 // turn waits until the endpoint's dispatcher lets the request go.
 func (p *Pool) turn(ctx context.Context, r *run) *peerpb.End {
 	request := r.request
-	p.waiting.Add(1)
+	p.queue()
 	defer p.waiting.Add(-1)
 	reply := make(chan turn, 1)
 	item := p.item(request)
@@ -118,6 +118,14 @@
 	}
 }
 
+// queue counts a request that waits for its turn.
+func (p *Pool) queue() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting.Add(1)
+	p.work()
+}
+
 // unqueued is the end of a request that was given up in the queue.
 func unqueued(ctx context.Context) *peerpb.End {
 	if ctx.Err() != nil {
