perf: the platform's list is watched, kept in part and told as differences

Cause: each instance kept all rows of the platform's list and pulled all of them at each change; watchers read all rows every 2 s.

Change: internal/listing keeps the instances and the own data centre's endpoints. Watchers wait with blocking queries of the health endpoint, one for each service, filtered by data centre; an index that falls starts anew, the end of the wait (5 minutes) is the bounded re-read. Peers pull differences from the state they name, with a digest; the whole when it isn't known. The stand-in serves index, wait, the filter and a restore, with the list's lag. Calls are counted as "watch". An incarnation that left stays leaving for 10 minutes, also when its row was missing in between, which the directory alone forgot. internal/peer/client.go: one signature; internal/slopes/{target,changed}.go: the list's rows only.

Ruled out: a serial from the time of reading (clocks differ, two watchers make two states); the first try of adopting whatever has a higher serial ended with instances that disagreed (TestListsAgreeAfterRandomFaults), a reading that was already superseded is refused now (TestSupersededReadingIsNotTaken). Each of three mechanisms was switched off and its test failed: superseded, left, behind.

Lost: a data centre that starts whole while the store is down can't take its endpoints from another data centre any more.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	store     platform.Store
 	members   *members
 	directory *directory.Directory
-	list      *listing
+	list      list
 	remote    *remote
 	documents *document.Documents
 	claims    *claim.Claims
@@ -121,7 +121,7 @@
 		Store: platform.NewHTTP(n.config.Platform.Address, platform.WithRegistry(n.registry)),
 		limit: n.config.Platform.Timeout,
 	}
-	n.list = &listing{instances: n.config.Platform.Instances, services: n.config.Platform.Endpoints, store: n.store}
+	n.list = n.newList()
 	return nil
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
-	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/revision"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -31,11 +30,6 @@
 	return n.pool.Resume(ctx, r, sink)
 }
 
-// List implements peer.Handler.
-func (n *Node) List(context.Context, *peerpb.ListRequest) (*peerpb.ListReply, error) {
-	return n.list.reply(), nil
-}
-
 // Document implements peer.Handler.
 func (n *Node) Document(_ context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	raw, err := n.documents.Pack(r.Revision)
@@ -66,34 +60,3 @@
 	}
 	return p.documents.Unpack(reply.Document)
 }
-
-// readList reads the platform's list if this instance watches, or has none yet.
-func (n *Node) readList(ctx context.Context) {
-	if n.list.current() > 0 && !n.members.watches() {
-		return
-	}
-	changed, err := n.list.read(ctx, n.clock())
-	if err == nil && changed {
-		n.takeList()
-	}
-	if n.list.current() == 0 {
-		for _, seed := range n.config.Peer.Seeds {
-			n.pullList(ctx, seed)
-		}
-	}
-}
-
-func (n *Node) pullList(ctx context.Context, address string) {
-	reply, err := n.client.List(ctx, address)
-	if err == nil && n.list.adopt(reply) {
-		n.takeList()
-	}
-}
-
-func (n *Node) takeList() {
-	peers := n.list.peers()
-	n.members.change(func(v *member.View) { v.Listed(n.clock(), peers) })
-	n.directory.List(n.list.current(), n.list.endpoints(n.members.Self().Place.DataCentre))
-	n.pool.Retain()
-	n.documents.Nudge()
-}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/caller"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/listing"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/switches"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
@@ -94,7 +95,9 @@
 		}
 		return err
 	})
-	n.every("list", listPause, func(ctx context.Context, _ time.Time) { n.readList(ctx) })
+	for _, service := range n.list.Watched() {
+		n.every("list "+service, listing.Pause, func(ctx context.Context, _ time.Time) { n.readList(ctx, service) })
+	}
 	n.every("beat", n.config.Peer.Beat, n.beat)
 	n.every("probe", probePause, n.probe)
 	n.every("place", placePause, n.place)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -68,3 +68,10 @@
 	defer cancel()
 	return b.Store.Members(ctx, service)
 }
+
+// Watch implements platform.Store. The store may take a sixteenth more than the wait.
+func (b bounded) Watch(ctx context.Context, q platform.MemberQuery) (platform.MemberList, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+q.Wait/16+b.limit)
+	defer cancel()
+	return b.Store.Watch(ctx, q)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -104,9 +104,9 @@
 	return call(ctx, c, "totals", address, r, peerpb.PeerClient.Totals)
 }
 
-// List asks for the platform's list.
-func (c *Client) List(ctx context.Context, address string) (*peerpb.ListReply, error) {
-	return call(ctx, c, "list", address, &peerpb.ListRequest{}, peerpb.PeerClient.List)
+// List asks for what a peer knows of the platform's list beyond the request.
+func (c *Client) List(ctx context.Context, address string, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	return call(ctx, c, "list", address, r, peerpb.PeerClient.List)
 }
 
 // Explain asks what a peer decided for a request; with relay, what its whole data
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -21,12 +21,13 @@
 	KindAcquire Kind = "acquire"
 	KindWait    Kind = "wait"
 	KindMembers Kind = "members"
+	KindWatch   Kind = "watch"
 )
 
 // Kinds lists every kind of call, reads first.
 func Kinds() []Kind {
 	return []Kind{
-		KindGet, KindList, KindWait, KindMembers,
+		KindGet, KindList, KindWait, KindMembers, KindWatch,
 		KindSwap, KindCommit, KindGrant, KindRenew, KindRevoke, KindAcquire,
 	}
 }
@@ -34,7 +35,7 @@
 // Reads reports whether calls of this kind count as reads.
 func (k Kind) Reads() bool {
 	switch k {
-	case KindGet, KindList, KindWait, KindMembers:
+	case KindGet, KindList, KindWait, KindMembers, KindWatch:
 		return true
 	default:
 		return false
--- a/internal/platform/members.go
+++ b/internal/platform/members.go
@@ -15,25 +15,47 @@
 // Members implements Store. A member whose check is critical is left out; one
 // in maintenance is leaving.
 func (h *HTTP) Members(ctx context.Context, service string) ([]Member, error) {
-	path := "/v1/health/service/" + url.PathEscape(service)
-	r, err := h.send(ctx, request{kind: KindMembers, method: http.MethodGet, path: path})
+	list, err := h.Watch(ctx, MemberQuery{Service: service})
+	return list.Members, err
+}
+
+// Watch implements Store with a blocking query. Consul may add a sixteenth to the wait.
+func (h *HTTP) Watch(ctx context.Context, q MemberQuery) (MemberList, error) {
+	kind, query := KindMembers, url.Values{}
+	if q.DataCentre != "" {
+		query.Set("filter", wire.FilterDataCentre+strconv.Quote(q.DataCentre))
+	}
+	if q.After > 0 {
+		kind = KindWatch
+		query.Set("index", strconv.FormatUint(q.After, 10))
+		query.Set("wait", q.Wait.String())
+	}
+	path := "/v1/health/service/" + url.PathEscape(q.Service)
+	r, err := h.send(ctx, request{kind: kind, method: http.MethodGet, path: path, query: query})
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", service, err)
+		return MemberList{}, fmt.Errorf("%s: %w", q.Service, err)
 	}
+	index, _ := strconv.ParseUint(r.header.Get(wire.HeaderIndex), 10, 64)
+	list := MemberList{Index: max(index, 1)}
 	if r.status == http.StatusNotFound {
-		return nil, nil
+		return list, nil
 	}
 	var rows []wire.ServiceEntry
-	if err := h.decode(KindMembers, r.body, &rows); err != nil {
-		return nil, fmt.Errorf("%s: %w", service, err)
+	if err := h.decode(kind, r.body, &rows); err != nil {
+		return MemberList{}, fmt.Errorf("%s: %w", q.Service, err)
 	}
+	list.Members = listed(rows)
+	return list, nil
+}
+
+func listed(rows []wire.ServiceEntry) []Member {
 	members := make([]Member, 0, len(rows))
 	for _, row := range rows {
-		if state, listed := stateOf(row.Checks); listed {
+		if state, ok := stateOf(row.Checks); ok {
 			members = append(members, memberOf(row, state))
 		}
 	}
-	return members, nil
+	return members
 }
 
 func stateOf(checks []wire.Check) (state MemberState, listed bool) {
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -78,6 +78,26 @@
 	Wait(ctx context.Context, key string, after Version, wait time.Duration) (Entry, error)
 	// Members returns the platform's lagging list of instances and endpoints.
 	Members(ctx context.Context, service string) ([]Member, error)
+	// Watch returns a part of that list once its index differs from the query's, or
+	// unchanged when the wait ends. Counts as one call.
+	Watch(ctx context.Context, q MemberQuery) (MemberList, error)
+}
+
+// MemberQuery asks for one service's part of the platform's list.
+type MemberQuery struct {
+	Service string
+	// DataCentre limits the rows to those of one, empty for all.
+	DataCentre string
+	// After is the index of the last answer; zero is answered at once.
+	After uint64
+	Wait  time.Duration
+}
+
+// MemberList is one service's part of the list with its index, which rises with
+// each change and falls only when the platform's service was restored.
+type MemberList struct {
+	Members []Member
+	Index   uint64
 }
 
 // MemberState is what the platform's list says of an instance or endpoint.
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -12,6 +12,9 @@
 // HeaderIndex carries the index to wait on in the next blocking query.
 const HeaderIndex = "X-Consul-Index"
 
+// FilterDataCentre begins the filter that limits a health list to one data centre.
+const FilterDataCentre = "Node.Datacenter == "
+
 // CheckMaintenance prefixes the check that marks a service as leaving.
 const CheckMaintenance = "_service_maintenance"
 
--- a/internal/slopes/changed.go
+++ b/internal/slopes/changed.go
@@ -27,15 +27,13 @@
 	own := t.Runners / t.Instances
 	rows := e.everyNode(t, near, endpoints, own)
 	for i := range rows {
-		e.change(&rows[i], t, near, endpoints, own)
+		e.change(&rows[i], t, near, own)
 	}
 	return append(rows, e.rolesChanged(t, near, endpoints)...), e.err
 }
 
 // change puts the changed cost in the place of the present one.
-func (e *estimate) change(row *Row, t Target, near, endpoints, own float64) {
-	turnover := (t.Failures + t.Restarts) * 2 / secondsADay
-	rowsOfList := t.Instances + endpoints
+func (e *estimate) change(row *Row, t Target, near, own float64) {
 	switch row.What {
 	case whatConnections:
 		row.What, row.Heap = row.What+", small buffers", e.at("trial: small connection memory", near-1)
@@ -46,10 +44,6 @@
 		row.Bytes = 2 * e.at("trial: stream message bytes", payload) * fanout * beatRate
 	case whatDirectory:
 		row.What, row.CPU = row.What+", reported every third round", row.CPU*fanout/(near-1)
-	case whatList:
-		row.What = "platform's list of instances and own endpoints"
-		row.CPU, row.Bytes = e.cpu("list cpu", rowsOfList, turnover), e.at("list bytes", rowsOfList)*turnover
-		row.Heap = 2 * e.at("list memory", rowsOfList)
 	case whatDocument:
 		row.What = "profile document, a difference for each change"
 		row.Bytes = e.at("difference bytes", t.Models) * t.Changes / secondsADay
@@ -71,7 +65,6 @@
 
 func (e *estimate) rolesChanged(t Target, near, endpoints float64) []Row {
 	pairs := (t.Centres - 1) * speakersEach / near
-	turnover := (t.Failures + t.Restarts) * 2 / secondsADay
 	return []Row{
 		{
 			Role: rolePlacer, What: "planner of a data centre, a round in 15 s",
@@ -79,7 +72,7 @@
 		},
 		{
 			Role: roleWatcher, What: "platform's list, own rows, waiting for changes",
-			Bytes: (t.Instances + endpoints) * listRowJSON * turnover,
+			Bytes: e.watched(t, endpoints),
 		},
 		{
 			Role: roleWatcher, What: "document handed to half of the data centre",
--- a/internal/slopes/endpoints.go
+++ b/internal/slopes/endpoints.go
@@ -6,14 +6,12 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/place"
 	"github.com/chiveramp/chiveramp/internal/core/route"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
-	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
 
 const (
@@ -110,39 +108,6 @@
 	return nil
 }
 
-// Lists measures the platform's list as instances hand it on.
-func Lists(r *Report) {
-	bytes := Series{Name: "list bytes", By: "rows", Unit: "B"}
-	memory := Series{Name: "list memory", By: "rows", Unit: "B"}
-	cpu := Series{Name: "list cpu", By: "rows", Unit: "ns"}
-	for _, n := range []int{500, 1750, 3500, 7000} {
-		reply := listOf(n)
-		raw, _ := proto.Marshal(reply)
-		size := float64(n)
-		bytes.Points = append(bytes.Points, Point{size, float64(len(raw))})
-		memory.Points = append(memory.Points, Point{size, memoryOf(func() *peerpb.ListReply {
-			kept := &peerpb.ListReply{}
-			_ = proto.Unmarshal(raw, kept)
-			return kept
-		})})
-		cpu.Points = append(cpu.Points, Point{size, cpuOf(func() { _ = proto.Unmarshal(raw, &peerpb.ListReply{}) })})
-	}
-	r.Add(bytes)
-	r.Add(memory)
-	r.Add(cpu)
-}
-
-func listOf(n int) *peerpb.ListReply {
-	reply := &peerpb.ListReply{Serial: 1}
-	for i := range n {
-		reply.Members = append(reply.Members, &peerpb.Listed{
-			Name: string(endpointName(i)), Service: "runners", Address: fmt.Sprintf("10.%d.%d.%d:9000", i%11, i/256, i%256),
-			Region: "region-1", Datacentre: fmt.Sprintf("region-1-%02d", i%11), Incarnation: fmt.Sprintf("%08x", i),
-		})
-	}
-	return reply
-}
-
 // Choices measures the choice of an endpoint for a request.
 func Choices(r *Report) {
 	cpu := Series{Name: "route cpu", By: "candidates", Unit: "ns"}
--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -34,10 +34,9 @@
 	}
 	Members(r)
 	Suspects(r)
-	Lists(r)
 	Choices(r)
 	Plans(r)
-	for _, step := range []func(*Report) error{Beats, Connections, Totals, Documents, Dispatchers, Probes, Claims, Trials} {
+	for _, step := range []func(*Report) error{Lists, Beats, Connections, Totals, Documents, Dispatchers, Probes, Claims, Trials} {
 		if err := step(r); err != nil {
 			return base, err
 		}
--- a/internal/slopes/target.go
+++ b/internal/slopes/target.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+
+	"github.com/chiveramp/chiveramp/internal/listing"
 )
 
 // Target is the fleet to be carried.
@@ -49,14 +51,12 @@
 	exchangePeriod = 2.0  // seconds
 	probeRate      = 2.0  // a second
 	sweepRate      = 20.0 // a second
-	listRate       = 0.5  // reads of the platform's list by each watcher a second
 	watchPeriod    = 30.0 // seconds of one waiting call
 	leaseRenewals  = 0.3  // a second for each lease
 	planRate       = 0.2  // rounds of a planner a second
 	watchersEach   = 2.0
 	speakersEach   = 2.0
 	collector      = 2.0 // heap that the collector lets grow, as a multiple of what lives
-	listRowJSON    = 220 // B, one row of the platform's list in its own form
 )
 
 // The roles, and the kinds of calls to the platform's service.
@@ -76,7 +76,7 @@
 	whatConnections = "connections inside the data centre"
 	whatBeats       = "heartbeats with loads, full mesh, both directions"
 	whatDirectory   = "directory of the data centre's endpoints"
-	whatList        = "platform's list handed on, all rows at each change"
+	whatList        = "platform's list, instances and own endpoints, as differences"
 	whatTotals      = "totals of the other data centres, relayed in heartbeats"
 	whatDocument    = "profile document, the whole text for each change"
 	whatProbes      = "probes of own endpoints"
@@ -125,8 +125,8 @@
 // everyNode are the roles that all instances have.
 func (e *estimate) everyNode(t Target, near, endpoints, own float64) []Row {
 	peers := near - 1
-	turnover := (t.Failures + t.Restarts) * 2 / secondsADay
-	rowsOfList := t.Instances + t.Runners
+	turnover := listChanges(t)
+	rowsOfList := t.Instances + endpoints
 	changes := t.Changes / secondsADay
 	return []Row{
 		{
@@ -151,7 +151,8 @@
 		},
 		{
 			Role: roleEntry, What: whatList,
-			CPU: e.cpu("list cpu", rowsOfList, turnover), Bytes: e.at("list bytes", rowsOfList) * turnover, Heap: 2 * e.at("list memory", rowsOfList),
+			CPU: e.cpu("list difference cpu", rowsOfList, turnover), Heap: e.at("list memory", rowsOfList),
+			Bytes: (e.at("list difference bytes", rowsOfList) + 2*e.at("beat bytes", 0)) * turnover,
 		},
 		{
 			Role: roleEntry, What: whatDocument,
@@ -194,8 +195,8 @@
 			CPU: e.cpu("plan cpu", endpoints, planRate), Heap: 2 * e.at("plan memory", endpoints),
 		},
 		{
-			Role: roleWatcher, What: "platform's list read every 2 s, all rows",
-			Bytes: (t.Instances + t.Runners) * listRowJSON * listRate,
+			Role: roleWatcher, What: "platform's list, own rows, waiting for changes",
+			Bytes: e.watched(t, endpoints),
 		},
 		{
 			Role: roleWatcher, What: "document handed to half of the data centre",
@@ -212,6 +213,18 @@
 	}
 }
 
+// watched is what a watcher reads of the platform's list: the instances at each of their
+// changes, and everything at the end of each wait.
+func (e *estimate) watched(t Target, endpoints float64) float64 {
+	instances := e.at("list read bytes", t.Instances)
+	return instances*listChanges(t) + (instances+e.at("list read bytes", endpoints))/listing.Wait.Seconds()
+}
+
+// listChanges is how often a row of an instance changes, a second: each goes and comes.
+func listChanges(t Target) float64 {
+	return (t.Failures + t.Restarts) * 2 / secondsADay
+}
+
 // StoreCall is a rate of one kind of call to the platform's service.
 type StoreCall struct {
 	What string
@@ -226,7 +239,7 @@
 	return []StoreCall{
 		{"watch of the document", kindRead, watching / watchPeriod},
 		{"document read again after each change", kindRead, watching * t.Changes / secondsADay},
-		{"platform's list, instances and one service", kindRead, watching * listRate * 2},
+		{"platform's list, instances and one service", kindRead, watching * (2/listing.Wait.Seconds() + listChanges(t))},
 		{"apply of a document", kindWrite, t.Changes / secondsADay},
 		{"placer leases renewed", kindWrite, t.Centres * leaseRenewals},
 		{"claims, one write each", kindWrite, claims},
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -39,6 +39,20 @@
 	reply(w, http.StatusOK, member)
 }
 
+// Restore is the body of PUT /standin/restore.
+type Restore struct {
+	// Changes is how many changes of the list are kept.
+	Changes int `json:"changes"`
+}
+
+func (s *Server) putRestore(w http.ResponseWriter, r *http.Request) {
+	var restore Restore
+	if read(w, r, &restore) {
+		s.RestoreMembers(restore.Changes)
+		reply(w, http.StatusOK, restore)
+	}
+}
+
 func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
 	calls := s.Calls()
 	reply(w, http.StatusOK, CallsReply{
--- a/internal/standin/platform/members.go
+++ b/internal/standin/platform/members.go
@@ -1,12 +1,16 @@
 package platform
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/platform/wire"
 )
 
@@ -32,26 +36,60 @@
 
 // members is the list of instances, whose changes show after a lag.
 type members struct {
-	mu      sync.Mutex
-	changes []change
+	mu        sync.Mutex
+	changes   []change
+	listeners chan struct{} // closed at each change, before it shows
+}
+
+func newMembers() *members {
+	return &members{listeners: make(chan struct{})}
 }
 
 func (m *members) put(visible time.Time, member Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.changes = append(m.changes, change{visible: visible, member: member})
+	m.notify()
 }
 
-// list returns what shows at the given time, in the order of first listing.
-func (m *members) list(now time.Time, service string) []Member {
+func (m *members) restore(changes int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.changes = m.changes[:min(max(changes, 0), len(m.changes))]
+	m.notify()
+}
+
+func (m *members) notify() {
+	close(m.listeners)
+	m.listeners = make(chan struct{})
+}
+
+// shown is what the list shows of one service at a time.
+type shown struct {
+	rows  []Member
+	index uint64
+	// next is in how long the next change shows, zero when none is known.
+	next    time.Duration
+	changed <-chan struct{}
+}
+
+// list returns what shows at the given time, in the order of first listing. The
+// index counts the service's changes that show.
+func (m *members) list(now time.Time, service string) shown {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := shown{index: 1, changed: m.listeners}
 	position := make(map[string]int)
 	var rows []Member
 	for _, c := range m.changes {
-		if c.member.Service != service || c.visible.After(now) {
+		if c.member.Service != service {
 			continue
 		}
+		if wait := c.visible.Sub(now); wait > 0 {
+			list.soon(wait)
+			continue
+		}
+		list.index++
 		if at, ok := position[c.member.Name]; ok {
 			rows[at] = c.member
 			continue
@@ -59,13 +97,103 @@
 		position[c.member.Name] = len(rows)
 		rows = append(rows, c.member)
 	}
-	listed := make([]Member, 0, len(rows))
 	for _, row := range rows {
 		if !row.Gone {
-			listed = append(listed, row)
+			list.rows = append(list.rows, row)
 		}
 	}
-	return listed
+	return list
+}
+
+func (l *shown) soon(wait time.Duration) {
+	if l.next == 0 || wait < l.next {
+		l.next = wait
+	}
+}
+
+// listMembers serves a service's health list, as a blocking query when an index is given.
+func (s *Server) listMembers(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	kind := platform.KindMembers
+	if query.Has("index") {
+		kind = platform.KindWatch
+	}
+	if !s.admit(w, kind) {
+		return
+	}
+	dc, err := wantedCentre(query.Get("filter"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	list, err := s.blockMembers(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f := s.Faults(); f.Down || f.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	rows := []wire.ServiceEntry{}
+	for _, m := range list.rows {
+		if dc == "" || m.DataCentre == dc {
+			rows = append(rows, m.entry())
+		}
+	}
+	w.Header().Set(wire.HeaderIndex, strconv.FormatUint(list.index, 10))
+	reply(w, http.StatusOK, rows)
+}
+
+// wantedCentre reads the one filter that is served.
+func wantedCentre(filter string) (string, error) {
+	if filter == "" {
+		return "", nil
+	}
+	text, ok := strings.CutPrefix(filter, wire.FilterDataCentre)
+	if !ok {
+		return "", fmt.Errorf("filter %q is not served", filter)
+	}
+	return strconv.Unquote(text)
+}
+
+// blockMembers returns a service's list once its index passes the asked one, when
+// the list was restored, or when the wait ends.
+func (s *Server) blockMembers(r *http.Request) (shown, error) {
+	after, service := uint64(0), r.PathValue("service")
+	query := r.URL.Query()
+	if text := query.Get("index"); text != "" {
+		index, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return shown{}, err
+		}
+		after = index
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil || wait > maxWait {
+		wait = maxWait
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	for {
+		list := s.members.list(s.clock(), service)
+		if after == 0 || list.index != after || ctx.Err() != nil {
+			return list, nil
+		}
+		pause(ctx, list.changed, list.next)
+	}
+}
+
+// pause waits for a change, for at most a time unless that is zero.
+func pause(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	if limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
 }
 
 // entry turns a member into a row of the health list.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -12,7 +12,6 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chiveramp/chiveramp/internal/platform"
-	"github.com/chiveramp/chiveramp/internal/platform/wire"
 )
 
 // maxBody limits a request's body, in bytes.
@@ -92,7 +91,7 @@
 		writes:  limiter(0),
 		reads:   limiter(0),
 		counter: platform.NewCounter(nil),
-		members: &members{},
+		members: newMembers(),
 		mux:     http.NewServeMux(),
 	}
 	for _, opt := range opts {
@@ -140,6 +139,12 @@
 	s.members.put(s.clock().Add(lag), member)
 }
 
+// RestoreMembers goes back to the list as it was after its first changes, as when
+// the platform's service is restored from a snapshot: the index falls.
+func (s *Server) RestoreMembers(changes int) {
+	s.members.restore(changes)
+}
+
 func (s *Server) routes() {
 	s.mux.HandleFunc("GET /v1/kv/{key...}", s.getKey)
 	s.mux.HandleFunc("PUT /v1/kv/{key...}", s.putKey)
@@ -151,6 +156,7 @@
 	s.mux.HandleFunc("PUT /standin/faults", s.putFaults)
 	s.mux.HandleFunc("GET /standin/faults", s.getFaults)
 	s.mux.HandleFunc("PUT /standin/members", s.putMember)
+	s.mux.HandleFunc("PUT /standin/restore", s.putRestore)
 	s.mux.HandleFunc("GET /standin/calls", s.getCalls)
 }
 
@@ -226,14 +232,3 @@
 	}
 	return true
 }
-
-func (s *Server) listMembers(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w, platform.KindMembers) {
-		return
-	}
-	rows := []wire.ServiceEntry{}
-	for _, m := range s.members.list(s.clock(), r.PathValue("service")) {
-		rows = append(rows, m.entry())
-	}
-	reply(w, http.StatusOK, rows)
-}
