fix: lists of equal sums no longer count as equal lists

Instances told the sum of their parts' serials and pulled from whoever told a higher one; two of them may each be ahead in another part by the same sum (100 and 120, 110 and 110), and then neither pulled. Ruled out: the rule for superseded readings, the digests; the failing schedule needs neither. Change: a heartbeat carries a mark of all serials, and whoever hears another one pulls; the reply holds only parts that are newer. Before: TestEachMayBeAheadInAnotherPart and the random schedules fail with the sum.

--- a/internal/listing/list.go
+++ b/internal/listing/list.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
@@ -236,8 +239,27 @@
 	return first || !s.empty()
 }
 
+// Mark names the state of all parts, zero until the whole list is known. Of two
+// instances with different marks one may lack something that the other has: each of
+// them may be ahead in another part.
+func (l *List) Mark() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var digest xxhash.Digest
+	digest.Reset()
+	var serial [8]byte
+	for _, service := range l.Watched() {
+		p := l.parts[service]
+		if p.serial == 0 {
+			return 0
+		}
+		binary.LittleEndian.PutUint64(serial[:], p.serial)
+		_, _ = digest.Write(serial[:])
+	}
+	return max(digest.Sum64(), 1)
+}
+
 // Current is zero until the whole list is known, and rises with each change of it.
-// Of two instances the one with the lower number lacks something that the other has.
 func (l *List) Current() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/listing/list_test.go
+++ b/internal/listing/list_test.go
@@ -256,13 +256,30 @@
 	})
 }
 
-// pull lets an instance that heard of a newer list take it.
+// pull lets an instance that heard of another list take what it lacks of it.
 func pull(to, from *List) {
-	if from.Current() > to.Current() {
+	if from.Mark() != to.Mark() {
 		to.Adopt(from.Reply(to.Request()))
 	}
 }
 
+// Two instances may each be ahead in another part, by the same sum: each takes what it
+// lacks.
+func TestEachMayBeAheadInAnotherPart(t *testing.T) {
+	store := newStore()
+	a, b := listOf("1", store), listOf("1", store)
+	watch(t, a, start)
+	store.set(110)
+	watch(t, b, start)
+	store.set(120, runner("r4", "d1", "1", platform.MemberLive))
+	watch(t, a, start)
+	require.Equal(t, a.Current(), b.Current(), "100 and 120, 110 and 110")
+	pull(a, b)
+	pull(b, a)
+	require.Equal(t, rows(a, start), rows(b, start))
+	require.Equal(t, map[string]bool{"r4/1": false}, rows(b, start))
+}
+
 func (f *fakeStore) change(t *rapid.T) []platform.Member {
 	var list []platform.Member
 	for n := range 5 {
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -52,7 +52,7 @@
 		Peer: self.Address, Caller: n.open(self), Sequence: self.Sequence,
 		Revision: self.Revision, Leaving: self.Leaving,
 		Loads: n.prober.loads(full), Suspects: n.suspects.news(),
-		List: n.list.current(), Remote: n.relayed(),
+		List: n.list.mark(), Remote: n.relayed(),
 		Draining: n.drains.asked(n.clock()), Demand: n.demand.own(n.clock()),
 	}
 }
@@ -92,7 +92,7 @@
 	for _, t := range r.Remote {
 		n.takeTotals(now, t)
 	}
-	if r.List > n.list.current() {
+	if r.List != 0 && r.List != n.list.mark() {
 		n.background(func(ctx context.Context) { n.pullList(ctx, r.Peer) })
 	}
 	self := n.members.Self()
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -17,8 +17,8 @@
 	return list{listing.New(c.Platform.Instances, c.Platform.Endpoints, fleet.DataCentre(c.Instance.Datacentre), n.store)}
 }
 
-func (l list) current() uint64 {
-	return l.Current()
+func (l list) mark() uint64 {
+	return l.Mark()
 }
 
 // List implements peer.Handler.
