perf: totals between data centres as fulls and differences, passed on once

Cause: every exchange carried all sums and addresses, and both speakers passed all of it on to all peers every 2 s.

Change: internal/core/totals tells a full every 40 ms for each model (30 s at most) and between fulls a difference that stands alone on its full: models whose copies went to or from zero, rows new, changed or gone, revisions. Speakers of the same rank talk to each other; the first one passes on, another only when nobody did for 4 s. An unknown full is asked for. Ruled out: differences from the last message (one loss breaks the chain), loads between fulls.

With the check of the full, of the number, of the serial, the rows gone or the changes kept off, TestDifferencesNeverLeadToAWrongState or TestSessions fails (run by hand for each).

The test of Centres hears real messages now; what it wants is as before.

--- a/internal/core/member/choice.go
+++ b/internal/core/member/choice.go
@@ -109,8 +109,15 @@
 // elected says whether the own instance is among the n rendezvous choices for a key
 // among the live of a data centre.
 func (v *View) elected(key string, dc fleet.DataCentre, n int) bool {
+	rank, ok := v.rank(key, dc)
+	return ok && rank < n
+}
+
+// rank is the place of the own instance among the rendezvous choices for a key among
+// the live of a data centre, false when it is none of them.
+func (v *View) rank(key string, dc fleet.DataCentre) (int, bool) {
 	if v.self.state != StateLive || v.self.peer.Place.DataCentre != dc {
-		return false
+		return 0, false
 	}
 	hash := xxhash.Sum64String(key)
 	own := score(v.self.hash, hash)
@@ -120,7 +127,7 @@
 			ahead++
 		}
 	}
-	return ahead < n
+	return ahead, true
 }
 
 func (v *View) best(key uint64, match func(Peer) bool) (Peer, bool) {
--- a/internal/core/member/targets.go
+++ b/internal/core/member/targets.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,29 +50,70 @@
 }
 
 // far returns the peer of another data centre to exchange totals with, when it is
-// due and the own instance is elected for that pair of data centres.
+// due and the own instance opens that exchange. Speakers of the same rank talk to each
+// other, so that each holds what the other told before.
 func (v *View) far(now time.Time, dc fleet.DataCentre) (Peer, bool) {
-	own := v.self.peer.Place.DataCentre
-	if !v.Speaker(dc) || now.Sub(v.exchange[dc]) < v.settings.exchange {
+	rank, ok := v.rank(pairKey(v.self.peer.Place.DataCentre, dc), v.self.peer.Place.DataCentre)
+	if !ok || rank >= speakers || now.Sub(v.exchange[dc]) < v.settings.exchange {
 		return Peer{}, false
 	}
-	v.exchange[dc] = now
-	rows := v.filter(func(r *record) bool { return r.peer.Place.DataCentre == dc && r.state == StateLive })
-	if len(rows) == 0 {
-		rows = v.filter(func(r *record) bool { return r.peer.Place.DataCentre == dc })
-	}
-	if len(rows) == 0 {
+	live := v.filter(func(r *record) bool { return r.peer.Place.DataCentre == dc && r.state == StateLive })
+	if len(live) > 0 && !v.opens(now, dc, rank, live) {
 		return Peer{}, false
 	}
+	v.exchange[dc] = now
+	if len(live) > 0 {
+		return v.counterpart(dc, rank, live), true
+	}
+	rows := v.filter(func(r *record) bool { return r.peer.Place.DataCentre == dc })
 	v.turn++
-	turn := xxhash.Sum64String(string(own)) + v.turn
+	turn := xxhash.Sum64String(string(v.self.peer.Place.DataCentre)) + v.turn
 	return rows[turn%uint64(len(rows))].peer, true
 }
 
+// opens says whether the own instance opens the exchange of a rank: one side does for
+// each rank, and the other one too when nothing was heard for longer than an exchange.
+func (v *View) opens(now time.Time, dc fleet.DataCentre, rank int, live []*record) bool {
+	if (rank == 0) == (v.self.peer.Place.DataCentre < dc) {
+		return true
+	}
+	var heard time.Time
+	for _, r := range live {
+		heard = later(heard, r.heard)
+	}
+	return now.Sub(heard) > v.settings.exchange+v.settings.interval
+}
+
+// counterpart returns the live instance of another data centre that speaks there with
+// a rank, or the last in order when there are fewer.
+func (v *View) counterpart(dc fleet.DataCentre, rank int, live []*record) Peer {
+	key := xxhash.Sum64String(pairKey(dc, v.self.peer.Place.DataCentre))
+	slices.SortFunc(live, func(a, b *record) int { return cmp.Compare(score(b.hash, key), score(a.hash, key)) })
+	return live[min(rank, len(live)-1)].peer
+}
+
+// Failed takes note that a peer didn't answer. An exchange with another data centre is
+// due again at once, with another one there.
+func (v *View) Failed(p Peer) {
+	v.Unreachable(p.Instance)
+	delete(v.exchange, p.Place.DataCentre)
+}
+
 // Speaker says whether the own instance exchanges totals with another data centre.
 // Each pair of data centres has two speakers on each side, chosen for the pair, so
 // that the pairs are spread over the instances.
 func (v *View) Speaker(dc fleet.DataCentre) bool {
 	own := v.self.peer.Place.DataCentre
-	return v.elected("totals/"+string(own)+"/"+string(dc), own, speakers)
+	return v.elected(pairKey(own, dc), own, speakers)
+}
+
+// First says whether the own instance is the first speaker to another data centre,
+// which passes on what it hears from there.
+func (v *View) First(dc fleet.DataCentre) bool {
+	own := v.self.peer.Place.DataCentre
+	return v.elected(pairKey(own, dc), own, 1)
+}
+
+func pairKey(from, to fleet.DataCentre) string {
+	return "totals/" + string(from) + "/" + string(to)
 }
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -88,6 +88,9 @@
 			continue
 		}
 		named[p.Instance], told[p.Place.DataCentre] = true, true
+		if p.Sequence == 0 && p.Incarnation == r.peer.Incarnation {
+			p.Sequence = r.peer.Sequence // totals tell none
+		}
 		if !r.stale(p) {
 			v.accept(now, r, p)
 		}
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -6,7 +6,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -19,7 +18,7 @@
 func (n *Node) beat(ctx context.Context, now time.Time) {
 	n.members.change(func(v *member.View) { v.Tick(now) })
 	self := locked(n.members, (*member.View).Beat)
-	request := n.beatRequest(self)
+	request := n.beatRequest(now, self)
 	var g errgroup.Group
 	for _, to := range n.members.targets(now) {
 		g.Go(func() error {
@@ -34,9 +33,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.config.Peer.Beat)
 	defer cancel()
 	if to.Place.DataCentre != self.Place.DataCentre {
-		if reply, err := n.client.Totals(ctx, to.Address, n.totals(self)); err == nil {
-			n.heardTotals(now, reply.Totals)
-		}
+		n.exchange(ctx, now, to)
 		return
 	}
 	if reply, err := n.client.Beat(ctx, to.Address, request); err == nil {
@@ -44,7 +41,7 @@
 	}
 }
 
-func (n *Node) beatRequest(self member.Peer) *peerpb.BeatRequest {
+func (n *Node) beatRequest(now time.Time, self member.Peer) *peerpb.BeatRequest {
 	full := self.Sequence%fullBeats == 0
 	return &peerpb.BeatRequest{
 		Instance: string(self.Instance), Region: string(self.Place.Region),
@@ -52,8 +49,8 @@
 		Peer: self.Address, Caller: n.open(self), Sequence: self.Sequence,
 		Revision: self.Revision, Leaving: self.Leaving,
 		Loads: n.prober.loads(full), Suspects: n.suspects.news(),
-		List: n.list.mark(), Remote: n.relayed(),
-		Draining: n.drains.asked(n.clock()), Demand: n.demand.own(n.clock()),
+		List: n.list.mark(), Passed: n.passed(now),
+		Draining: n.drains.asked(now), Demand: n.demand.own(now),
 	}
 }
 
@@ -66,15 +63,6 @@
 	return p.Caller
 }
 
-// relayed returns the totals that this instance has heard itself since the last round.
-func (n *Node) relayed() []*peerpb.TotalsRequest {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	list := n.heard
-	n.heard = nil
-	return list
-}
-
 // Beat implements peer.Handler.
 func (n *Node) Beat(ctx context.Context, r *peerpb.BeatRequest) (*peerpb.BeatReply, error) {
 	now := n.clock()
@@ -89,9 +77,7 @@
 	}
 	n.drains.hear(now, r.Draining)
 	n.demand.hear(now, from, r.Demand)
-	for _, t := range r.Remote {
-		n.takeTotals(now, t)
-	}
+	n.hearPassed(now, r.Peer, r.Passed)
 	if r.List != 0 && r.List != n.list.mark() {
 		n.background(func(ctx context.Context) { n.pullList(ctx, r.Peer) })
 	}
@@ -107,76 +93,3 @@
 		Revision: r.Revision, Leaving: r.Leaving, Sequence: r.Sequence,
 	}
 }
-
-// Totals implements peer.Handler.
-func (n *Node) Totals(_ context.Context, r *peerpb.TotalsRequest) (*peerpb.TotalsReply, error) {
-	n.heardTotals(n.clock(), r)
-	return &peerpb.TotalsReply{Totals: n.totals(n.members.Self())}, nil
-}
-
-// heardTotals takes the totals told by another data centre, to be passed on.
-func (n *Node) heardTotals(now time.Time, t *peerpb.TotalsRequest) {
-	if t.GetDatacentre() == "" {
-		return
-	}
-	n.takeTotals(now, t)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.heard = append(n.heard, t)
-}
-
-func (n *Node) takeTotals(now time.Time, t *peerpb.TotalsRequest) {
-	n.remote.hear(now, t)
-	var peers []member.Peer
-	for _, i := range t.Instances {
-		peers = append(peers, member.Peer{
-			Instance:    fleet.Instance(i.Instance),
-			Place:       fleet.Place{Region: fleet.Region(i.Region), DataCentre: fleet.DataCentre(i.Datacentre)},
-			Incarnation: i.Incarnation, Address: i.Peer, Caller: i.Caller, Sequence: i.Sequence,
-			Revision: i.Revision, Leaving: i.Leaving,
-		})
-		n.documents.Heard(fleet.Instance(i.Instance), i.Revision)
-	}
-	n.members.change(func(v *member.View) { v.Remote(now, peers) })
-}
-
-// totals sums up the own data centre for another one.
-func (n *Node) totals(self member.Peer) *peerpb.TotalsRequest {
-	sums := make(map[string]*peerpb.ModelTotal)
-	for _, e := range n.directory.All() {
-		if e.Leaving || e.Report.Down {
-			continue
-		}
-		if n.plain(e.Service) {
-			add(sums, servicePrefix+e.Service, e.Report)
-		}
-		for _, m := range e.Report.Models {
-			add(sums, string(m), e.Report)
-		}
-	}
-	t := &peerpb.TotalsRequest{
-		Datacentre: string(self.Place.DataCentre), Region: string(self.Place.Region), Revision: self.Revision,
-	}
-	for _, sum := range sums {
-		t.Models = append(t.Models, sum)
-	}
-	for _, p := range n.members.Live(self.Place.DataCentre) {
-		t.Instances = append(t.Instances, &peerpb.InstanceAddress{
-			Instance: string(p.Instance), Datacentre: string(p.Place.DataCentre), Region: string(p.Place.Region),
-			Peer: p.Address, Caller: n.open(p), Incarnation: p.Incarnation, Sequence: p.Sequence,
-			Revision: p.Revision, Leaving: p.Leaving,
-		})
-	}
-	return t
-}
-
-func add(sums map[string]*peerpb.ModelTotal, name string, r directory.Report) {
-	sum, ok := sums[name]
-	if !ok {
-		sum = &peerpb.ModelTotal{Model: name}
-		sums[name] = sum
-	}
-	sum.Copies++
-	sum.Running += uint32(r.Running)
-	sum.Queued += uint32(r.Queued)
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,6 @@
 	mu       sync.Mutex
 	profiles profile.Document
 	ready    bool
-	heard    []peerTotals
 	busy     map[string]bool
 	wrong    map[string]sighting
 	leave    context.CancelCauseFunc
@@ -95,7 +94,6 @@
 		clock:     clock.Now,
 		started:   clock.Now(),
 		directory: directory.New(),
-		remote:    newRemote(fleet.Region(c.Instance.Region)),
 		endpoints: endpoint.New(),
 		trail:     trail.New(clock.Now),
 		busy:      make(map[string]bool),
@@ -127,7 +125,9 @@
 
 // join makes the parts that keep the instance in step with the others.
 func (n *Node) join() {
-	n.members = newMembers(n.self(), member.WithInterval(n.config.Peer.Beat))
+	self := n.self()
+	n.members = newMembers(self, member.WithInterval(n.config.Peer.Beat))
+	n.remote = newRemote(self)
 	n.documents = document.New(n.store,
 		document.WithWatcher(n.members.watches),
 		document.WithPuller(puller{n}),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,8 +14,6 @@
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
-type peerTotals = *peerpb.TotalsRequest
-
 // Serve implements peer.Handler. A request without an endpoint comes from
 // another data centre and is placed here.
 func (n *Node) Serve(ctx context.Context, r peer.Request, sink peer.Sink) *peerpb.End {
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -7,7 +7,8 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
-	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/totals"
 )
 
 // remoteExpiry is how long the totals of another data centre are believed.
@@ -16,33 +17,85 @@
 // servicePrefix marks the totals of a plain service among those of models.
 const servicePrefix = "service:"
 
-type centre struct {
-	totals *peerpb.TotalsRequest
-	heard  time.Time
-}
-
-// remote keeps the totals of the other data centres. It implements entry.Remote.
+// remote shares the totals told by the own data centre and heard of the others among
+// goroutines. It implements entry.Remote.
 type remote struct {
 	region fleet.Region
 
-	mu      sync.Mutex
-	centres map[fleet.DataCentre]centre
+	mu     sync.Mutex
+	teller *totals.Teller
+	book   *totals.Book
+	// confirmed are the own fulls that others said they hold.
+	confirmed map[totals.Source]totals.ID
+}
+
+func newRemote(self member.Peer) *remote {
+	return &remote{
+		region: self.Place.Region, teller: totals.NewTeller(self), book: totals.NewBook(),
+		confirmed: make(map[totals.Source]totals.ID),
+	}
+}
+
+func (r *remote) tell(now time.Time, s totals.State, known totals.ID) []totals.Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.teller.Tell(now, s, known)
+}
+
+// holds returns the own full that another instance said it holds.
+func (r *remote) holds(other totals.Source) totals.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed[other]
+}
+
+// confirm keeps which own full another instance holds, and says whether it is the latest.
+func (r *remote) confirm(other totals.Source, held totals.ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for source, id := range r.confirmed {
+		if id != r.teller.Latest() {
+			delete(r.confirmed, source)
+		}
+	}
+	r.confirmed[other] = held
+	return held == r.teller.Latest()
+}
+
+func (r *remote) hear(now time.Time, m totals.Message) totals.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Hear(now, m)
 }
 
-func newRemote(region fleet.Region) *remote {
-	return &remote{region: region, centres: make(map[fleet.DataCentre]centre)}
+func (r *remote) hearPassed(now time.Time, m totals.Message) totals.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.HearPassed(now, m)
 }
 
-func (r *remote) hear(now time.Time, totals *peerpb.TotalsRequest) {
+func (r *remote) known(dc fleet.DataCentre, source totals.Source) totals.ID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.centres[fleet.DataCentre(totals.Datacentre)] = centre{totals: totals, heard: now}
+	return r.book.Known(dc, source)
 }
 
-type option struct {
-	dc   fleet.DataCentre
-	far  bool
-	load float64
+func (r *remote) held(dc fleet.DataCentre, source totals.Source) []totals.Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Held(dc, source)
+}
+
+func (r *remote) pass(now time.Time, first func(fleet.DataCentre) bool) []totals.Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Pass(now, first)
+}
+
+func (r *remote) instances(dc fleet.DataCentre) []member.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Instances(dc)
 }
 
 // Centres implements entry.Remote: the own region first, then the least loaded.
@@ -51,41 +104,28 @@
 	if service != "" {
 		name = servicePrefix + service
 	}
-	options := r.options(now, name)
-	slices.SortFunc(options, func(a, b option) int {
-		if a.far != b.far {
-			return cmp.Compare(flag(a.far), flag(b.far))
-		}
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.dc, b.dc))
+	r.mu.Lock()
+	options := r.book.Options(now, name, remoteExpiry)
+	r.mu.Unlock()
+	slices.SortStableFunc(options, func(a, b totals.Option) int {
+		return cmp.Or(cmp.Compare(r.far(a), r.far(b)), cmp.Compare(load(a.Sum), load(b.Sum)))
 	})
 	centres := make([]fleet.DataCentre, 0, len(options))
 	for _, o := range options {
-		centres = append(centres, o.dc)
+		centres = append(centres, o.Place.DataCentre)
 	}
 	return centres
 }
 
-func (r *remote) options(now time.Time, name string) []option {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var options []option
-	for dc, c := range r.centres {
-		if now.Sub(c.heard) > remoteExpiry {
-			continue
-		}
-		for _, t := range c.totals.Models {
-			if t.Model == name && t.Copies > 0 {
-				load := float64(t.Running+t.Queued) / float64(t.Copies)
-				options = append(options, option{dc: dc, far: fleet.Region(c.totals.Region) != r.region, load: load})
-			}
-		}
+// far is 0 in the own region, else 1.
+func (r *remote) far(o totals.Option) int {
+	if o.Place.Region == r.region {
+		return 0
 	}
-	return options
+	return 1
 }
 
-func flag(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
+// load is the work for each copy.
+func load(s totals.Sum) float64 {
+	return float64(s.Running+s.Queued) / float64(s.Copies)
 }
--- a/internal/node/remote_test.go
+++ b/internal/node/remote_test.go
@@ -7,25 +7,30 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/totals"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
 
 var noon = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
 
-func totalsOf(dc, region, model string, copies, running uint32) *peerpb.TotalsRequest {
-	return &peerpb.TotalsRequest{
-		Datacentre: dc, Region: region,
-		Models: []*peerpb.ModelTotal{{Model: model, Copies: copies, Running: running}},
+// hearState lets a remote hear a full and a difference of a data centre with one model.
+func hearState(r *remote, dc, region, model string, copies, running uint32) {
+	place := fleet.Place{Region: fleet.Region(region), DataCentre: fleet.DataCentre(dc)}
+	teller := totals.NewTeller(member.Peer{Instance: fleet.Instance(dc), Place: place})
+	sum := totals.Sum{Model: model, Copies: copies, Running: running}
+	for _, m := range teller.Tell(noon, totals.State{Place: place, Models: []totals.Sum{sum}}, totals.ID{}) {
+		r.hear(noon, m)
 	}
 }
 
 func TestCentresNearestAndLeastLoadedFirst(t *testing.T) {
-	r := newRemote("south")
-	r.hear(noon, totalsOf("north-1", "north", "m", 4, 0))
-	r.hear(noon, totalsOf("south-2", "south", "m", 1, 6))
-	r.hear(noon, totalsOf("south-3", "south", "m", 2, 6))
-	r.hear(noon, totalsOf("south-4", "south", "m", 0, 0))
-	r.hear(noon, totalsOf("south-5", "south", servicePrefix+"orders", 1, 0))
+	r := newRemote(member.Peer{Instance: "own", Place: fleet.Place{Region: "south", DataCentre: "south-1"}})
+	hearState(r, "north-1", "north", "m", 4, 0)
+	hearState(r, "south-2", "south", "m", 1, 6)
+	hearState(r, "south-3", "south", "m", 2, 6)
+	hearState(r, "south-4", "south", "m", 0, 0)
+	hearState(r, "south-5", "south", servicePrefix+"orders", 1, 0)
 	tests := []struct {
 		name    string
 		at      time.Time
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -99,11 +99,16 @@
 	return call(ctx, c, "beat", address, r, peerpb.PeerClient.Beat)
 }
 
-// Totals exchanges per-model totals.
+// Totals exchanges totals with another data centre.
 func (c *Client) Totals(ctx context.Context, address string, r *peerpb.TotalsRequest) (*peerpb.TotalsReply, error) {
 	return call(ctx, c, "totals", address, r, peerpb.PeerClient.Totals)
 }
 
+// Held asks for totals of another data centre that a peer holds.
+func (c *Client) Held(ctx context.Context, address string, r *peerpb.HeldRequest) (*peerpb.TotalsReply, error) {
+	return call(ctx, c, "held totals", address, r, peerpb.PeerClient.Held)
+}
+
 // List asks for what a peer knows of the platform's list beyond the request.
 func (c *Client) List(ctx context.Context, address string, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
 	return call(ctx, c, "list", address, r, peerpb.PeerClient.List)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 type Handler interface {
 	Beat(context.Context, *peerpb.BeatRequest) (*peerpb.BeatReply, error)
 	Totals(context.Context, *peerpb.TotalsRequest) (*peerpb.TotalsReply, error)
+	Held(context.Context, *peerpb.HeldRequest) (*peerpb.TotalsReply, error)
 	List(context.Context, *peerpb.ListRequest) (*peerpb.ListReply, error)
 	Explain(context.Context, *peerpb.ExplainRequest) (*peerpb.ExplainReply, error)
 	Attainment(context.Context, *peerpb.AttainmentRequest) (*peerpb.AttainmentReply, error)
@@ -48,6 +49,11 @@
 	return s.Handler.Totals(ctx, r)
 }
 
+// Held implements the generated service.
+func (s *Server) Held(ctx context.Context, r *peerpb.HeldRequest) (*peerpb.TotalsReply, error) {
+	return s.Handler.Held(ctx, r)
+}
+
 // List implements the generated service.
 func (s *Server) List(ctx context.Context, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
 	return s.Handler.List(ctx, r)
--- a/internal/slopes/beats.go
+++ b/internal/slopes/beats.go
@@ -8,7 +8,6 @@
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
@@ -144,54 +143,3 @@
 	r.Add(memory)
 	return nil
 }
-
-// totalsOf are the totals that one data centre tells another.
-func totalsOf(models, instances int) *peerpb.TotalsRequest {
-	t := &peerpb.TotalsRequest{Datacentre: "region-1-01", Region: "region-1", Revision: 9000}
-	for i := range models {
-		t.Models = append(t.Models, &peerpb.ModelTotal{
-			Model: fmt.Sprintf("model-%03d@%d", i, i%7+1), Copies: 2, Running: uint32(i % 200), Queued: uint32(i % 50), Rate: uint32(i * 13 % 5000),
-		})
-	}
-	for i := range instances {
-		p := peerOf(i, 1)
-		t.Instances = append(t.Instances, &peerpb.InstanceAddress{
-			Instance: string(p.Instance), Datacentre: string(p.Place.DataCentre), Region: string(p.Place.Region),
-			Peer: p.Address, Caller: p.Caller,
-		})
-	}
-	return t
-}
-
-// Totals measures what data centres tell each other.
-func Totals(r *Report) error {
-	models := Series{Name: "totals bytes", By: "models", Unit: "B"}
-	packed := Series{Name: "totals packed bytes", By: "models", Unit: "B"}
-	cpu := Series{Name: "totals cpu", By: "models", Unit: "ns"}
-	instances := Series{Name: "addresses bytes", By: "instances", Unit: "B"}
-	for _, n := range []int{50, 190, 380, 760} {
-		message := totalsOf(n, 0)
-		raw, err := proto.Marshal(message)
-		if err != nil {
-			return fmt.Errorf("encode totals: %w", err)
-		}
-		models.Points = append(models.Points, Point{float64(n), float64(len(raw))})
-		small, err := compress(raw)
-		if err != nil {
-			return fmt.Errorf("compress totals: %w", err)
-		}
-		packed.Points = append(packed.Points, Point{float64(n), float64(len(small))})
-		cpu.Points = append(cpu.Points, Point{float64(n), cpuOf(func() {
-			sent, _ := proto.Marshal(message)
-			_ = proto.Unmarshal(sent, &peerpb.TotalsRequest{})
-		})})
-	}
-	for _, n := range []int{10, 20, 38, 76} {
-		instances.Points = append(instances.Points, Point{float64(n), float64(proto.Size(totalsOf(0, n)))})
-	}
-	r.Add(models)
-	r.Add(packed)
-	r.Add(cpu)
-	r.Add(instances)
-	return nil
-}
--- a/internal/slopes/changed.go
+++ b/internal/slopes/changed.go
@@ -5,10 +5,6 @@
 const (
 	// fanout is how many peers an instance beats in one round, each in its turn.
 	fanout = 12.0
-	// remotePeriod is the time between two full totals of another data centre, seconds.
-	remotePeriod = 30.0
-	// livenessBytes tells which instances of a data centre live, by their rows in the list.
-	livenessBytes = 64.0
 	// probeRateChanged is how often an endpoint is asked, a second.
 	probeRateChanged = 0.5
 	// collectorChanged is the collector's growth at GOGC=50.
@@ -47,25 +43,14 @@
 	case whatDocument:
 		row.What = "profile document, a difference for each change"
 		row.Bytes = e.at("difference bytes", t.Models) * t.Changes / secondsADay
-	case whatTotals:
-		row.What = "totals packed every 30 s, liveness by row, one relay"
-		row.CPU = e.cpu("totals cpu", t.Models, (t.Centres-1)/remotePeriod)
-		row.Bytes = (t.Centres - 1) * e.perPair(t)
-		row.Heap = (t.Centres - 1) * e.at("totals bytes", t.Models)
 	case whatProbes:
 		row.What += ", every 2 s"
 		row.CPU, row.Bytes = row.CPU*probeRateChanged/probeRate, row.Bytes*probeRateChanged/probeRate
 	}
 }
 
-// perPair is what one data centre tells another, bytes a second.
-func (e *estimate) perPair(t Target) float64 {
-	return e.at("totals packed bytes", t.Models)/remotePeriod + livenessBytes/exchangePeriod
-}
-
 func (e *estimate) rolesChanged(t Target, near, endpoints float64) []Row {
-	pairs := (t.Centres - 1) * speakersEach / near
-	return []Row{
+	return append([]Row{
 		{
 			Role: rolePlacer, What: "planner of a data centre, a round in 15 s",
 			CPU: e.cpu("plan cpu", endpoints, planRate/3), Heap: 2 * e.at("plan memory", endpoints),
@@ -78,12 +63,7 @@
 			Role: roleWatcher, What: "document handed to half of the data centre",
 			Bytes: e.at("difference bytes", t.Models) * t.Changes / secondsADay * near / watchersEach,
 		},
-		{
-			Role: roleSpeaker, What: "totals of one pair, and relayed inside",
-			CPU:   e.cpu("totals cpu", t.Models, 2/remotePeriod),
-			Bytes: 2*e.perPair(t) + e.perPair(t)*(near-1)*pairs/speakersEach,
-		},
-	}
+	}, e.speaker(t)...)
 }
 
 // StoreChanged returns the calls to the platform's service with the ends of claims
--- a/internal/slopes/documents.go
+++ b/internal/slopes/documents.go
@@ -5,22 +5,11 @@
 	"fmt"
 	"strings"
 
-	"github.com/klauspost/compress/zstd"
-
 	"github.com/chiveramp/chiveramp/internal/document"
 	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
 	"github.com/chiveramp/chiveramp/pkg/profile"
 )
 
-func compress(raw []byte) ([]byte, error) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	if err != nil {
-		return nil, err
-	}
-	defer encoder.Close() //nolint:errcheck // writes to no one
-	return encoder.EncodeAll(raw, nil), nil
-}
-
 // textOf is a document with a section for each model, and a profile for every tenth.
 func textOf(models int) string {
 	var b strings.Builder
--- a/internal/slopes/takeover.go
+++ b/internal/slopes/takeover.go
@@ -6,6 +6,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/totals"
 )
 
 const (
@@ -22,12 +23,21 @@
 
 // simulated is one instance of a fleet in virtual time.
 type simulated struct {
-	view *member.View
-	// relay are peers of other data centres heard since the last round.
-	relay []member.Peer
-	gone  bool
+	view   *member.View
+	teller *totals.Teller
+	book   *totals.Book
+	gone   bool
 }
 
+// state is what the instance tells of its data centre.
+func (s *simulated) state() totals.State {
+	place := s.view.Self().Place
+	return totals.State{Place: place, Models: simulatedModels, Instances: s.view.Live(place.DataCentre)}
+}
+
+// simulatedModels make fulls as seldom as at the target.
+var simulatedModels = sums(760)
+
 // fleetSim runs real views in virtual time; every message takes one round at most.
 type fleetSim struct {
 	now  time.Time
@@ -41,7 +51,9 @@
 	for i := range n {
 		p := peerOf(i, i%centres)
 		seeds = append(seeds, p)
-		node := &simulated{view: member.New(p, member.WithInterval(round))}
+		node := &simulated{
+			view: member.New(p, member.WithInterval(round)), teller: totals.NewTeller(p), book: totals.NewBook(),
+		}
 		s.all = append(s.all, node)
 		s.name[p.Instance] = node
 	}
@@ -61,32 +73,55 @@
 			continue
 		}
 		node.view.Tick(s.now)
-		beat, relay := node.view.Beat(), node.relay
-		node.relay = nil
+		beat, passed := node.view.Beat(), node.book.Pass(s.now, node.view.First)
 		for _, target := range node.view.Targets(s.now) {
-			s.send(node, s.name[target.Instance], beat, relay)
+			s.send(node, s.name[target.Instance], beat, passed)
 		}
 	}
 }
 
-func (s *fleetSim) send(from, to *simulated, beat member.Peer, relay []member.Peer) {
-	if to.gone {
-		return
-	}
-	if to.view.Self().Place.DataCentre == beat.Place.DataCentre {
+func (s *fleetSim) send(from, to *simulated, beat member.Peer, passed []totals.Message) {
+	near := to.view.Self().Place.DataCentre == beat.Place.DataCentre
+	switch {
+	case to.gone && !near:
+		from.view.Failed(to.view.Self())
+	case to.gone:
+	case near:
 		to.view.Observe(s.now, beat)
-		to.view.Remote(s.now, relay)
+		for _, m := range passed {
+			s.hearPassed(from, to, m)
+		}
+	default:
+		s.exchange(from, to)
+		s.exchange(to, from)
+	}
+}
+
+func (s *fleetSim) hearPassed(from, to *simulated, m totals.Message) {
+	verdict := to.book.HearPassed(s.now, m)
+	s.heard(to, m, verdict)
+	if verdict != totals.Unknown {
 		return
 	}
-	s.exchange(from, to)
-	s.exchange(to, from)
+	for _, h := range from.book.Held(m.Place.DataCentre, m.Base.Source) {
+		s.heard(to, h, to.book.HearPassed(s.now, h))
+	}
 }
 
-// exchange tells one side the live instances of the other's data centre.
+// heard lets the view know which instances live, once a whole state was taken.
+func (s *fleetSim) heard(to *simulated, m totals.Message, verdict totals.Verdict) {
+	if verdict == totals.Taken && !m.Full() {
+		to.view.Remote(s.now, to.book.Instances(m.Place.DataCentre))
+	}
+}
+
+// exchange tells one side the totals of the other's data centre.
 func (s *fleetSim) exchange(from, to *simulated) {
-	told := from.view.Live(from.view.Self().Place.DataCentre)
-	to.view.Remote(s.now, told)
-	to.relay = append(to.relay, told...)
+	self := from.view.Self()
+	known := to.book.Known(self.Place.DataCentre, totals.SourceOf(self))
+	for _, m := range from.teller.Tell(s.now, from.state(), known) {
+		s.heard(to, m, to.book.Hear(s.now, m))
+	}
 }
 
 // takeover removes instances and returns the time until no view that is left chooses
--- /dev/null
+++ b/internal/slopes/takeover_test.go
@@ -0,0 +1,27 @@
+package slopes
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The target: a lost instance out of every view in 6 s, a change of the document in
+// force everywhere in 12 s.
+func TestLossesAreFoundInTime(t *testing.T) {
+	list, err := Losses(33)
+	require.NoError(t, err)
+	limits := map[string]time.Duration{
+		"an instance lost":   6 * time.Second,
+		string(startWatched): 12 * time.Second, string(startOne): 12 * time.Second, string(startOrphaned): 12 * time.Second,
+	}
+	found := 0
+	for _, l := range list {
+		if limit, ok := limits[l.Name]; ok {
+			require.LessOrEqual(t, l.Time, limit, l.Name)
+			found++
+		}
+	}
+	require.Len(t, limits, found)
+}
--- a/internal/slopes/target.go
+++ b/internal/slopes/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 
 	"github.com/chiveramp/chiveramp/internal/listing"
 )
@@ -55,7 +54,6 @@
 	leaseRenewals  = 0.3  // a second for each lease
 	planRate       = 0.2  // rounds of a planner a second
 	watchersEach   = 2.0
-	speakersEach   = 2.0
 	collector      = 2.0 // heap that the collector lets grow, as a multiple of what lives
 )
 
@@ -77,7 +75,7 @@
 	whatBeats       = "heartbeats with loads, full mesh, both directions"
 	whatDirectory   = "directory of the data centre's endpoints"
 	whatList        = "platform's list, instances and own endpoints, as differences"
-	whatTotals      = "totals of the other data centres, relayed in heartbeats"
+	whatTotals      = "totals of the other data centres, in heartbeats of their first speakers"
 	whatDocument    = "profile document, the whole text for each change"
 	whatProbes      = "probes of own endpoints"
 	whatEnds        = "ends of claims, one write each"
@@ -159,11 +157,7 @@
 			CPU:   e.cpu("difference cpu", t.Models, changes) + e.cpu("document parse cpu", t.Models, changes),
 			Bytes: e.at("document bytes", t.Models) * changes, Heap: 2*e.at("document memory", t.Models) + e.at("document bytes", t.Models),
 		},
-		{
-			Role: roleEntry, What: whatTotals,
-			CPU:   e.cpu("totals cpu", t.Models, (t.Centres-1)*speakersEach/exchangePeriod),
-			Bytes: e.between(t) * (t.Centres - 1) * speakersEach / exchangePeriod, Heap: 3 * e.between(t) * (t.Centres - 1),
-		},
+		e.totalsTaken(t),
 		{
 			Role: roleDispatcher, What: "queues and actors of own endpoints, swept 20 times a second",
 			CPU: e.cpu("dispatcher sweep cpu", own, sweepRate), Heap: e.at("dispatcher memory", own),
@@ -180,16 +174,9 @@
 	}
 }
 
-// between is one message of totals with addresses.
-func (e *estimate) between(t Target) float64 {
-	return e.at("totals bytes", t.Models) + e.at("addresses bytes", t.Instances/t.Centres)
-}
-
 // roles are what few instances do on top.
 func (e *estimate) roles(t Target, near, endpoints float64) []Row {
-	pairs := (t.Centres - 1) * speakersEach / near // exchanges that one instance leads, on average
-	perPair := e.between(t) / exchangePeriod
-	return []Row{
+	return append([]Row{
 		{
 			Role: rolePlacer, What: "planner of a data centre, a round in 5 s",
 			CPU: e.cpu("plan cpu", endpoints, planRate), Heap: 2 * e.at("plan memory", endpoints),
@@ -202,15 +189,7 @@
 			Role: roleWatcher, What: "document handed to half of the data centre",
 			Bytes: e.at("document bytes", t.Models) * t.Changes / secondsADay * near / watchersEach,
 		},
-		{
-			Role: roleSpeaker, What: "totals exchanged for one pair of data centres, both ways",
-			CPU: e.cpu("totals cpu", t.Models, 2/exchangePeriod), Bytes: 2 * perPair,
-		},
-		{
-			Role: roleSpeaker, What: fmt.Sprintf("the same relayed to %.0f peers, %.2f pairs an instance on average", near-1, pairs),
-			CPU: e.cpu("totals cpu", t.Models, pairs*(near-1)/exchangePeriod), Bytes: perPair * (near - 1) * pairs,
-		},
-	}
+	}, e.speaker(t)...)
 }
 
 // watched is what a watcher reads of the platform's list: the instances at each of their
