perf: an endpoint is asked every 2 s, and answered requests tell of its health

Cause: probes once a second cost 13.8 kB/s at 16 endpoints (27.6 kB/s at the earlier two), more than half of a node's 26 kB/s.

Change: each endpoint is due by itself: 2 s after a good probe, 1 s after a failed one, at once when its incarnation is new. A request that was answered meanwhile outweighs a failed probe; a plain service that answers is asked every 4 s. Loads come from the own dispatcher every second as before. A round no longer waits for its slowest probe, so a silent endpoint delays none.

Ruled out: no probe at all for a busy engine: its state also tells models and leaving. A retry at once after a refusal: a blip would make the endpoint down.

A hung endpoint: 6.5 s at worst (was 6), worked out.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,7 +161,8 @@
 func (n *Node) serve() {
 	n.drains = newDrains(n.clock, n.members, n.directory, func() *dispatch.Pool { return n.pool })
 	n.demand = newDemand(n.clock, n.config.Endpoint.Slots)
-	n.pool = dispatch.New(n.members.Self().Instance, n.group, n.timers, n.endpoints, n.directory,
+	answers := newNews(n.endpoints, n.clock)
+	n.pool = dispatch.New(n.members.Self().Instance, n.group, n.timers, answers, n.directory,
 		dispatch.WithLimits(n.limits()),
 		dispatch.WithAdmission(n.admission),
 		dispatch.WithClaims(n.claims),
@@ -173,7 +174,7 @@
 	n.attainment = newAttainment(n.clock, newObserver(n.registry))
 	n.prober = &prober{
 		members: n.members, directory: n.directory, pool: n.pool, client: n.endpoints,
-		plain: n.plain, drained: n.drains.drained, clock: n.clock, seen: make(map[fleet.Endpoint]*probed),
+		news: answers, start: n.group.Go, plain: n.plain, drained: n.drains.drained, clock: n.clock, seen: make(map[fleet.Endpoint]*probed),
 	}
 	n.gateway = entry.New(n.members, n.directory, n.pool, n.client, n,
 		entry.WithBudget(retry.New(retry.Limit(n.config.Limits.Retries))),
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
@@ -17,24 +15,47 @@
 )
 
 const (
-	probePause   = time.Second
+	// probeTick is how often the prober looks which endpoints are due.
+	probeTick = 500 * time.Millisecond
+	// probePause is the time between two probes of an endpoint that answers.
+	probePause = 2 * time.Second
+	// probeLatest is the longest time between two probes, whatever else is heard.
+	probeLatest = 4 * time.Second
+	// probeAgain is the time between two probes of one that did not.
+	probeAgain = time.Second
+	// probeFresh is how often the own loads are taken from the dispatchers.
+	probeFresh   = time.Second
 	probeTimeout = 2 * time.Second
-	probeAtOnce  = 8
+	probeAtOnce  = 64
 	probeMissed  = 2 // failures in a row that make an endpoint down
 )
 
+// asker asks endpoints how they are.
+type asker interface {
+	State(ctx context.Context, address string) (endpoint.State, error)
+	Health(ctx context.Context, address string) error
+}
+
+// loader tells what the dispatchers here have on their endpoints.
+type loader interface {
+	Loads(ctx context.Context, e fleet.Endpoint) (dispatch.Load, error)
+}
+
 // prober asks the endpoints dispatched here what they serve.
 type prober struct {
 	members   *members
 	directory *directory.Directory
-	pool      *dispatch.Pool
-	client    *endpoint.Client
+	pool      loader
+	client    asker
+	news      *news
 	plain     func(service string) bool
 	drained   func(fleet.Endpoint) []fleet.Model
 	clock     func() time.Time
+	start     func(func() error)
 
 	mu   sync.Mutex
 	seen map[fleet.Endpoint]*probed
+	busy int
 }
 
 // probed is what the last probes of one endpoint showed.
@@ -42,26 +63,77 @@
 	report directory.Report
 	missed int
 	sent   directory.Report // as last told to the others
+	asked  time.Time        // when the last probe began
+	fresh  time.Time        // when the report was last taken in
+	busy   bool
+}
+
+// due tells whether it is time to ask the endpoint. One that has just answered a
+// request may wait for longer, if a probe would tell of its health only.
+func (k *probed) due(now time.Time, unheard, answered bool) bool {
+	pause := probePause
+	switch {
+	case k.busy:
+		return false
+	case unheard:
+		pause = 0
+	case k.missed > 0:
+		pause = probeAgain
+	case answered:
+		pause = probeLatest
+	}
+	return now.Sub(k.asked) >= pause
 }
 
+// round begins the probes that are due and takes in the loads of the other endpoints.
+// It doesn't wait, so that a silent endpoint holds up no other.
 func (p *prober) round(ctx context.Context) {
-	var g errgroup.Group
-	g.SetLimit(probeAtOnce)
+	now := p.clock()
 	own := make(map[fleet.Endpoint]bool)
 	for _, e := range p.directory.All() {
 		if !p.members.dispatches(e.Endpoint, e.Place) {
 			continue
 		}
 		own[e.Endpoint] = true
-		g.Go(func() error {
-			p.probe(ctx, e)
-			return nil
-		})
+		switch {
+		case p.begin(now, e):
+			p.start(func() error {
+				p.probe(ctx, now, e)
+				return nil
+			})
+		case p.stale(now, e):
+			p.refresh(ctx, e)
+		}
 	}
-	_ = g.Wait()
 	p.forget(own)
 }
 
+// begin reports whether the endpoint is to be asked now.
+func (p *prober) begin(now time.Time, e directory.Entry) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.seen[e.Endpoint]
+	if !ok {
+		known = &probed{}
+		p.seen[e.Endpoint] = known
+	}
+	answered := p.plain(e.Service) && p.news.since(e.Address, now.Add(-probePause))
+	if p.busy >= probeAtOnce || !known.due(now, e.Heard.IsZero(), answered) {
+		return false
+	}
+	known.asked, known.busy = now, true
+	p.busy++
+	return true
+}
+
+// stale tells whether the endpoint's loads are to be taken in between two probes.
+func (p *prober) stale(now time.Time, e directory.Entry) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.seen[e.Endpoint]
+	return !known.busy && !e.Heard.IsZero() && now.Sub(known.fresh) >= probeFresh
+}
+
 // forget drops what another instance dispatches now.
 func (p *prober) forget(own map[fleet.Endpoint]bool) {
 	p.mu.Lock()
@@ -73,7 +145,7 @@
 	}
 }
 
-func (p *prober) probe(ctx context.Context, e directory.Entry) {
+func (p *prober) probe(ctx context.Context, now time.Time, e directory.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	report := directory.Report{
@@ -81,12 +153,32 @@
 		Models: e.Report.Models, Adapters: e.Report.Adapters,
 	}
 	err := p.ask(ctx, e, &report)
-	if load, loadErr := p.pool.Loads(ctx, e.Endpoint); loadErr == nil {
+	p.load(ctx, e, &report)
+	if err != nil && p.news.since(e.Address, now) && !errors.Is(err, endpoint.ErrLeaving) {
+		err = nil // it answered a request meanwhile
+	}
+	p.note(e, report, err)
+}
+
+// refresh takes in the loads of an endpoint that is not asked now.
+func (p *prober) refresh(ctx context.Context, e directory.Entry) {
+	report := e.Report
+	p.load(ctx, e, &report)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, ok := p.seen[e.Endpoint]; ok && !known.busy {
+		known.report, known.fresh = report, p.clock()
+		p.directory.Report(known.fresh, report)
+	}
+}
+
+// load puts what the own dispatcher knows into a report.
+func (p *prober) load(ctx context.Context, e directory.Entry, report *directory.Report) {
+	if load, err := p.pool.Loads(ctx, e.Endpoint); err == nil {
 		report.Running, report.Queued, report.Wait = load.Running, load.Queued, load.Wait
 	}
 	report.Leaving = report.Leaving || e.Leaving
 	report.Drained = p.drained(e.Endpoint)
-	p.note(e, report, err)
 }
 
 func (p *prober) ask(ctx context.Context, e directory.Entry, report *directory.Report) error {
@@ -121,11 +213,12 @@
 func (p *prober) note(e directory.Entry, report directory.Report, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.busy--
 	known, ok := p.seen[e.Endpoint]
 	if !ok {
-		known = &probed{}
-		p.seen[e.Endpoint] = known
+		return
 	}
+	known.busy = false
 	switch {
 	case errors.Is(err, endpoint.ErrLeaving):
 		report.Leaving, known.missed = true, 0
@@ -135,8 +228,8 @@
 		known.missed = 0
 	}
 	report.Down = known.missed >= probeMissed
-	known.report = report
-	p.directory.Report(p.clock(), report)
+	known.report, known.fresh = report, p.clock()
+	p.directory.Report(known.fresh, report)
 }
 
 // loads returns the reports that changed since they were last told, or all.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -99,7 +99,7 @@
 		n.every("list "+service, listing.Pause, func(ctx context.Context, _ time.Time) { n.readList(ctx, service) })
 	}
 	n.every("beat", n.config.Peer.Beat, n.beat)
-	n.every("probe", probePause, n.probe)
+	n.every("probe", probeTick, n.probe)
 	n.every("place", placePause, n.place)
 	n.every("sweep", sweepPause, n.sweep)
 	n.every("renew", credentialPause, n.renew)
--- a/internal/slopes/changed.go
+++ b/internal/slopes/changed.go
@@ -5,8 +5,6 @@
 const (
 	// fanout is how many peers an instance beats in one round, each in its turn.
 	fanout = 12.0
-	// probeRateChanged is how often an endpoint is asked, a second.
-	probeRateChanged = 0.5
 	// collectorChanged is the collector's growth at GOGC=50.
 	collectorChanged = 1.5
 	// endWindow is how long the ends of claims are gathered at one instance for each data
@@ -43,9 +41,6 @@
 	case whatDocument:
 		row.What = "profile document, a difference for each change"
 		row.Bytes = e.at("difference bytes", t.Models) * t.Changes / secondsADay
-	case whatProbes:
-		row.What += ", every 2 s"
-		row.CPU, row.Bytes = row.CPU*probeRateChanged/probeRate, row.Bytes*probeRateChanged/probeRate
 	}
 }
 
--- a/internal/slopes/target.go
+++ b/internal/slopes/target.go
@@ -48,7 +48,7 @@
 	// beatRate, exchangePeriod, probeRate and sweepRate are those of the node's defaults.
 	beatRate       = 1.0  // a second
 	exchangePeriod = 2.0  // seconds
-	probeRate      = 2.0  // a second
+	probeRate      = 0.5  // a second
 	sweepRate      = 20.0 // a second
 	watchPeriod    = 30.0 // seconds of one waiting call
 	leaseRenewals  = 0.3  // a second for each lease
@@ -77,7 +77,7 @@
 	whatList        = "platform's list, instances and own endpoints, as differences"
 	whatTotals      = "totals of the other data centres, in heartbeats of their first speakers"
 	whatDocument    = "profile document, the whole text for each change"
-	whatProbes      = "probes of own endpoints"
+	whatProbes      = "probes of own endpoints, every 2 s"
 	whatEnds        = "ends of claims, one write each"
 )
 
