test: the fakes plan each second and notice deaths after 10 s, as the placer does

Cause: the policies were measured with a plan each 5 s and with deaths seen at once; the daemon plans each second and counts a silent endpoint's copies for 10 s (lostAfter).

--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -92,7 +92,10 @@
 	// priority makes prompts of urgent calls go first.
 	priority bool
 
-	alive    bool
+	alive bool
+	// died is when the engine last died, had what it held then.
+	died     time.Duration
+	had      []copyState
 	life     int
 	copies   []copyState
 	used     int64
--- a/internal/measure/placer.go
+++ b/internal/measure/placer.go
@@ -10,8 +10,10 @@
 
 // Periods of placement.
 const (
-	planEvery  = 5 * time.Second
+	planEvery  = time.Second
 	chaseEvery = 10 * time.Second
+	// lostAfter is when a dead endpoint's copies no longer count.
+	lostAfter = 10 * time.Second
 	// chaseTarget is the work that the chasing placement gives one copy, in accelerators.
 	chaseTarget = 0.35
 )
@@ -160,6 +162,9 @@
 }
 
 func (p *placer) endpointView(e *engine) place.EndpointView {
+	if !e.alive && p.run.now-e.died < lostAfter {
+		return p.lastView(e)
+	}
 	v := place.EndpointView{Endpoint: e.name, Place: e.place, Memory: weightMemory, Used: e.used, Dead: !e.alive}
 	for m, state := range e.copies {
 		switch state {
@@ -175,6 +180,17 @@
 	return v
 }
 
+// lastView is what was last seen of an endpoint that has died since.
+func (p *placer) lastView(e *engine) place.EndpointView {
+	v := place.EndpointView{Endpoint: e.name, Place: e.place, Memory: weightMemory, Used: weightMemory}
+	for m, state := range e.had {
+		if state == copyReady {
+			v.Models = append(v.Models, modelName(m))
+		}
+	}
+	return v
+}
+
 // refill brings back what the initial layout wants on each endpoint.
 func (p *placer) refill() {
 	for i, models := range p.layout {
--- a/internal/measure/stop.go
+++ b/internal/measure/stop.go
@@ -1,6 +1,9 @@
 package measure
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 // cancel stops a call wherever it stands.
 func (e *engine) cancel(c *call) {
@@ -40,6 +43,7 @@
 	}
 	lost = append(lost, e.blocked...)
 	e.alive = false
+	e.died, e.had = e.clock.now, slices.Clone(e.copies)
 	e.life++
 	e.version++
 	e.reading, e.running, e.blocked = nil, nil, nil
