fix: the first document after a restart is the highest of the store and all peers

An instance without a document put in force whatever the store held, so that one which restarted beside a store just restored, before a watcher had repaired it, went back a revision. And it took its peers' document without asking the store, so that one whose accepted edit no peer had yet went back too. Ruled out: the ledger's rules; a restarted ledger knows nothing that it could compare. Change: what the store holds is an offer like a peer's; the store is read once before the first document, a store that does not answer in a second is not waited for; an instance without a document waits for the store a second at a time, so that it settles. Test calls of settle take a context now, nothing else in them changed.

--- a/internal/core/revision/revision.go
+++ b/internal/core/revision/revision.go
@@ -127,7 +127,7 @@
 	return l.heard > l.current.Revision
 }
 
-// Offer puts a document that the store held in force if its revision is higher. It
+// Offer puts a document that is known to be the newest in force if its revision is higher. It
 // returns true when the document in force changed, and ErrFork for another document of
 // the same revision.
 func (l *Ledger) Offer(d Document) (bool, error) {
@@ -143,8 +143,9 @@
 	return changed, nil
 }
 
-// OfferPeer takes a document that another instance has in force. The first one comes in
-// force only with Settle: the peer may be behind the others itself.
+// OfferPeer takes a document that another instance has in force, or one that the store
+// holds. The first one comes in force only with Settle: the peer may be behind the others
+// itself, and the store restored to an older one.
 func (l *Ledger) OfferPeer(d Document) (bool, error) {
 	if l.Ready() || !l.settling {
 		return l.Offer(d)
@@ -156,8 +157,8 @@
 	return false, nil
 }
 
-// Settle puts the highest document of the peers in force as the first one. Call it
-// once every peer that may answer was heard; a higher one heard of is waited for.
+// Settle puts the highest document offered in force as the first one. Call it once the
+// store and every peer that may answer were heard; a higher one heard of is waited for.
 func (l *Ledger) Settle() bool {
 	if l.Ready() || l.candidate.Revision == 0 || l.candidate.Revision < l.heard {
 		return false
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -49,6 +49,8 @@
 	pause    time.Duration
 	wake     chan struct{}
 	readBack bool
+	unasked  bool // tests only: the store is not asked before the first document
+	asked    bool // used by Run only
 
 	mu          sync.Mutex
 	ledger      *revision.Ledger
--- a/internal/document/proof_test.go
+++ b/internal/document/proof_test.go
@@ -69,10 +69,10 @@
 				current, _ := all[beat].Current()
 				fresh.Heard(beat, current.Revision)
 				fresh.pull(ctx)
-				fresh.settle()
+				fresh.settle(context.Background())
 			}
 			settled = true
-			fresh.settle()
+			fresh.settle(context.Background())
 			require.Equal(t, tt.want, seen)
 		})
 	}
--- a/internal/document/run.go
+++ b/internal/document/run.go
@@ -16,7 +16,7 @@
 func (d *Documents) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		d.pull(ctx)
-		d.settle()
+		d.settle(ctx)
 		if d.reads() {
 			d.watch(ctx)
 			continue
@@ -69,7 +69,7 @@
 			return fmt.Errorf("read %s: %w", Key, err)
 		}
 		stored = doc
-		if err := d.offer(doc); err != nil {
+		if err := d.change(func(l *revision.Ledger) (bool, error) { return l.OfferPeer(doc) }); err != nil {
 			return fmt.Errorf("read %s: %w", Key, err)
 		}
 	}
@@ -115,14 +115,33 @@
 	}
 }
 
-// settle puts the first document from peers in force once all of them were heard.
-func (d *Documents) settle() {
-	if !d.settled() {
+// settle puts the first document in force once all peers were heard and the store was
+// asked: either may be behind what was in force here before a restart.
+func (d *Documents) settle(ctx context.Context) {
+	if _, ready := d.Current(); ready || !d.settled() {
 		return
 	}
+	d.ask(ctx)
 	_ = d.change(func(l *revision.Ledger) (bool, error) { return l.Settle(), nil })
 }
 
+// ask reads the store once before the first document. A store that doesn't answer is not
+// waited for.
+func (d *Documents) ask(ctx context.Context) {
+	if d.asked || d.unasked {
+		return
+	}
+	d.asked = true
+	ctx, cancel := context.WithTimeout(ctx, d.pause)
+	defer cancel()
+	doc, _, err := d.read(ctx)
+	if err != nil || doc.Revision == 0 {
+		return
+	}
+	// The first document can't be a fork.
+	_ = d.change(func(l *revision.Ledger) (bool, error) { return l.OfferPeer(doc) })
+}
+
 // higher returns a peer that told a higher revision, with the one in force here.
 func (d *Documents) higher() (fleet.Instance, uint64, bool) {
 	d.mu.Lock()
--- a/internal/document/schedule_test.go
+++ b/internal/document/schedule_test.go
@@ -172,7 +172,7 @@
 func (w *world) turn(i int) {
 	d := w.all[i].docs
 	d.pull(context.Background())
-	d.settle()
+	d.settle(context.Background())
 	if !d.watcher() {
 		return
 	}
--- a/internal/document/watch.go
+++ b/internal/document/watch.go
@@ -28,7 +28,7 @@
 		}
 		return nil
 	})
-	entry, err := d.store.Wait(waiting, Key, after, d.wait)
+	entry, err := d.store.Wait(waiting, Key, after, d.idle())
 	close(done)
 	if waitErr := group.Wait(); waitErr != nil {
 		return platform.Entry{}, waitErr
