fix: ends of claims wait for a batch only in large fleets

Cause: reading: an instance that is killed takes the ends of its last 10 s with it, and a resend is then told 'unknown' where it got the recorded answer. Ruled out: a shorter wait (at 0.5 ends a second an instance it joins nothing). Change: ends are gathered from 100 live instances on; below, each is written before the caller is told, as before.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -60,7 +60,7 @@
 	retention time.Duration
 	retry     time.Duration
 	readBack  bool
-	gather    time.Duration
+	gather    func() time.Duration
 	peers     Peers
 
 	// flushing is held while ends are written, so that none is written twice.
@@ -104,10 +104,11 @@
 	return func(c *Claims) { c.retry = d }
 }
 
-// WithGather lets ends wait for a time, to be written many in one call. Resends are
-// answered from them meanwhile, at other instances through the peers.
-func WithGather(d time.Duration, peers Peers) Option {
-	return func(c *Claims) { c.gather, c.peers = d, peers }
+// WithGather lets ends wait for a time, to be written many in one call; none when it is
+// zero at that moment. Resends are answered from those that wait meanwhile, at other
+// instances through the peers.
+func WithGather(wait func() time.Duration, peers Peers) Option {
+	return func(c *Claims) { c.gather, c.peers = wait, peers }
 }
 
 // WithGroup writes records through group commits in a number of shards.
@@ -126,6 +127,7 @@
 		retention: once.DefaultRetention,
 		retry:     DefaultRetry,
 		readBack:  true,
+		gather:    func() time.Duration { return 0 },
 		held:      map[string]holding{},
 		pending:   map[string]ending{},
 	}
--- a/internal/claim/end.go
+++ b/internal/claim/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/platform"
@@ -17,10 +18,11 @@
 		return fmt.Errorf("finish %s: %w", key.Path(), err)
 	}
 	end := ending{path: key.Path(), record: held.record.Finish(a), version: held.version}
-	if c.gather <= 0 {
+	gather := c.gather()
+	if gather <= 0 {
 		return c.end(ctx, end)
 	}
-	if c.wait(end) || !c.flushing.TryLock() {
+	if c.wait(end, gather) || !c.flushing.TryLock() {
 		return nil
 	}
 	defer c.flushing.Unlock()
@@ -36,11 +38,11 @@
 }
 
 // wait keeps an end for the next batch, and returns false when that one is full.
-func (c *Claims) wait(e ending) bool {
+func (c *Claims) wait(e ending, gather time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pending) == 0 {
-		c.due = c.now().Add(c.gather)
+		c.due = c.now().Add(gather)
 	}
 	if len(c.pending) < pendingLimit {
 		c.keep(e)
--- a/internal/claim/gather_test.go
+++ b/internal/claim/gather_test.go
@@ -24,8 +24,8 @@
 func gathering() *fixture {
 	f := newFixture()
 	clock := WithClock(func() time.Time { return f.now })
-	f.first = New(f.store, clock, WithGather(10*time.Second, nil))
-	f.other = New(f.store.Client(), clock, WithGather(10*time.Second, told{f.first}))
+	f.first = New(f.store, clock, WithGather(func() time.Duration { return 10 * time.Second }, nil))
+	f.other = New(f.store.Client(), clock, WithGather(func() time.Duration { return 10 * time.Second }, told{f.first}))
 	return f
 }
 
--- a/internal/claim/proof_test.go
+++ b/internal/claim/proof_test.go
@@ -23,7 +23,7 @@
 // The same keys, sent at once through several instances that are killed at any step,
 // with the store down, losing writes and replies or writing late: one run at most.
 func TestAtMostOnceUnderRandomFaults(t *testing.T) {
-	for _, opts := range [][]Option{nil, {WithGather(time.Hour, nil)}} {
+	for _, opts := range [][]Option{nil, {WithGather(func() time.Duration { return time.Hour }, nil)}} {
 		schedules(t, everyFault, func(t *rapid.T, s *schedule) {
 			require.LessOrEqual(t, s.most(), 1, "runs by key %v", s.runs)
 			require.Empty(t, s.problems)
@@ -34,7 +34,7 @@
 // Without faults every key runs, and every resend gets the recorded answer or is told
 // that it is running.
 func TestEveryKeyRunsWithoutFaults(t *testing.T) {
-	for _, opts := range [][]Option{nil, {WithGather(time.Hour, nil)}} {
+	for _, opts := range [][]Option{nil, {WithGather(func() time.Duration { return time.Hour }, nil)}} {
 		schedules(t, []fault{faultNone}, func(t *rapid.T, s *schedule) {
 			require.Len(t, s.runs, testKeys)
 			require.Equal(t, 1, s.most())
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -221,7 +221,7 @@
 func (s *schedule) instance(p *process, opts ...Option) *Claims {
 	clock := func() time.Time { return coretest.Start }
 	claims := New(p, append([]Option{WithClock(clock)}, opts...)...)
-	if claims.gather > 0 {
+	if claims.gather() > 0 {
 		claims.peers = s
 	}
 	s.mu.Lock()
--- a/internal/node/ends.go
+++ b/internal/node/ends.go
@@ -2,12 +2,27 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/chiveramp/chiveramp/internal/claim"
 	"github.com/chiveramp/chiveramp/internal/claim/claimpb"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/once"
 )
 
+// gatherFleet is the number of instances from which on ends of claims wait to be written
+// together. A smaller fleet has room for a write each, and an instance that is killed
+// takes no end with it.
+const gatherFleet = 100
+
+// gather returns how long the end of a claim waits now.
+func (n *Node) gather() time.Duration {
+	if len(n.members.Live("")) < gatherFleet {
+		return 0
+	}
+	return claim.DefaultGather
+}
+
 // ends asks the holders of claims about ends that still wait for the store.
 type ends struct{ *Node }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 		document.WithNear(n.members.near),
 	)
 	n.documents.Subscribe(n.take)
-	n.claims = claim.New(n.store, claim.WithGroup(claimShards), claim.WithGather(claim.DefaultGather, ends{n}), claim.WithClock(n.clock))
+	n.claims = claim.New(n.store, claim.WithGroup(claimShards), claim.WithGather(n.gather, ends{n}), claim.WithClock(n.clock))
 	n.suspects = newSuspects(n.clock)
 	n.suspects.told = func() {
 		n.background(func(ctx context.Context) { n.beat(ctx, n.clock()) })
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -71,7 +71,7 @@
 func endsAt(rate float64) (writes float64, err error) {
 	const settlePause = 2 * time.Second
 	ctx, store, now := context.Background(), platformtest.New(), begin
-	claims := claim.New(store, claim.WithGather(claim.DefaultGather, nil), claim.WithClock(func() time.Time { return now }))
+	claims := claim.New(store, claim.WithGather(func() time.Duration { return claim.DefaultGather }, nil), claim.WithClock(func() time.Time { return now }))
 	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a fixed seed is wanted
 	next, count := begin, 0
 	for ; now.Before(begin.Add(time.Hour)); now = now.Add(settlePause) {
