feat: chiveramp-check looks for broken promises through every state that is reached

Cause: orders that need many exact events are missed by random schedules. Ruled out: a specification in a language of its own (a copy of the code), depth first (long counterexamples). Change: internal/explore explores breadth first within bounds; five models drive the real code (claim.Claims itself by replies; ledger.Ledger, ledger.Residence, revision.Ledger and member.View as copied values). The command lists models, runs them, turns one mechanism off and prints the shortest session; make check runs all. Small files beside others' code: claim/proof.go, member/clone.go, revision/proof.go. TestEachMechanismIsNeeded: each of 21 mechanisms off breaks its promise (go test ./internal/explore/..., 19 to 26 s). Three faults at once and an edit at an instance that has not heard stand in docs/proofs.md as not proved.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 LINT := $(BIN)/golangci-lint
 GO ?= go
 SEEDS ?= 3
+STATES ?= 600000
 
-.PHONY: setup build fmt lint unit race test demo speed measure slopes
+.PHONY: setup build fmt lint unit race test demo speed measure slopes check
 
 setup: $(LINT)
 
@@ -30,6 +31,10 @@
 slopes:
 	$(GO) run ./cmd/chiveramp-slopes
 
+# check looks for broken promises in STATES states of each model (docs/design/checking.md).
+check:
+	$(GO) run ./cmd/chiveramp-check run --states $(STATES)
+
 test: lint unit
 
 measure:
--- /dev/null
+++ b/internal/explore/command/command.go
@@ -0,0 +1,108 @@
+// Package command holds the command line of chiveramp-check, one file for each
+// command.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/explore/models"
+)
+
+// The exit codes.
+const (
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+var (
+	errUsage = errors.New("usage")
+	// errBroken: a promise did not hold.
+	errBroken = errors.New("a promise is broken")
+)
+
+// Execute runs the command line and returns the exit code: 1 when a promise did not hold,
+// 2 for a wrong command line.
+func Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cli.Command{
+		Name:           "chiveramp-check",
+		Usage:          "look for a way to break a promise, through every state that is reached",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands:       []*cli.Command{listCommand(), runCommand()},
+	}
+	for _, c := range root.Commands {
+		c.OnUsageError = usageError
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	_, _ = fmt.Fprintln(stderr, "chiveramp-check:", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitBroken
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return fmt.Errorf("%w: %w", errUsage, err)
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Value: outputText, Usage: "text or json", Validator: checkOutput}
+}
+
+func checkOutput(form string) error {
+	if form != outputText && form != outputJSON {
+		return fmt.Errorf("output %q: want %s or %s", form, outputText, outputJSON)
+	}
+	return nil
+}
+
+// show writes a value in the form that the command line asks for.
+func show(c *cli.Command, v any, text func(io.Writer) error) error {
+	w := c.Root().Writer
+	if c.String("output") == outputText {
+		return text(w)
+	}
+	out := json.NewEncoder(w)
+	out.SetIndent("", "  ")
+	return out.Encode(v)
+}
+
+// chosen returns the models named on the command line, all when none is.
+func chosen(c *cli.Command) ([]models.Model, error) {
+	if c.NArg() == 0 {
+		return models.All(), nil
+	}
+	var list []models.Model
+	for _, name := range c.Args().Slice() {
+		m, ok := models.Find(name)
+		if !ok {
+			return nil, fmt.Errorf("%w: model %q: want %s", errUsage, name, strings.Join(names(), ", "))
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func names() []string {
+	var list []string
+	for _, m := range models.All() {
+		list = append(list, m.Name)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/explore/command/list_test.go
@@ -0,0 +1,22 @@
+package command
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/explore/models"
+)
+
+func TestListNamesEveryModel(t *testing.T) {
+	code, text, _ := execute(t, "list")
+	require.Zero(t, code)
+	for _, m := range models.All() {
+		require.Contains(t, text, m.Name+": "+m.Promise)
+	}
+	_, text, _ = execute(t, "list", "--output", "json")
+	var rows []listed
+	require.NoError(t, json.Unmarshal([]byte(text), &rows))
+	require.Len(t, rows, len(models.All()))
+}
--- /dev/null
+++ b/internal/explore/command/run.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chiveramp/chiveramp/internal/explore"
+	"github.com/chiveramp/chiveramp/internal/explore/models"
+)
+
+const (
+	defaultStates = 200_000
+	defaultTime   = 5 * time.Minute
+)
+
+// report is what run prints of one model.
+type report struct {
+	Model string `json:"model"`
+	// Off is the mechanism that was turned off.
+	Off string `json:"off,omitempty"`
+	// Depth is how many steps from the start every state was checked.
+	Depth   int           `json:"depth"`
+	States  int           `json:"states"`
+	Steps   int           `json:"steps"`
+	Bound   explore.Bound `json:"bound"`
+	Seconds float64       `json:"seconds"`
+	Broken  string        `json:"broken,omitempty"`
+	Session []string      `json:"session,omitempty"`
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "explore models, all when none is named",
+		ArgsUsage: "[NAME...]",
+		Description: `Prints the shortest way to a broken promise, if there is one in the bounds.
+With --off it shows what a mechanism is for.
+
+Example:
+   chiveramp-check run claims
+   chiveramp-check run --off read-back claims`,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "depth", Usage: "most steps from the start, 0 for all"},
+			&cli.IntFlag{Name: "states", Value: defaultStates, Usage: "most states of each model"},
+			&cli.DurationFlag{Name: "time", Value: defaultTime, Usage: "longest time for each model"},
+			&cli.StringFlag{Name: "off", Usage: "turn one `MECHANISM` off"},
+			outputFlag(),
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	chosen, err := chosen(c)
+	if err != nil {
+		return err
+	}
+	off := c.String("off")
+	for _, m := range chosen {
+		if _, ok := m.Mechanism(off); off != "" && !ok {
+			return fmt.Errorf("%w: model %s has no mechanism %q", errUsage, m.Name, off)
+		}
+	}
+	var reports []report
+	var broken []string
+	for _, m := range chosen {
+		r := check(ctx, c, m)
+		reports = append(reports, r)
+		if r.Broken != "" {
+			broken = append(broken, m.Name)
+		}
+	}
+	err = show(c, reports, func(w io.Writer) error { return printReports(w, reports) })
+	if err == nil && len(broken) > 0 {
+		err = fmt.Errorf("%w: %s", errBroken, strings.Join(broken, ", "))
+	}
+	return err
+}
+
+func check(ctx context.Context, c *cli.Command, m models.Model) report {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("time"))
+	defer cancel()
+	limits := explore.Limits{Depth: c.Int("depth"), States: c.Int("states")}
+	started := time.Now()
+	result := explore.Run(ctx, m.Start(c.String("off")), limits)
+	r := report{
+		Model: m.Name, Off: c.String("off"), Depth: result.Depth, States: result.States, Steps: result.Steps,
+		Bound: result.Bound, Seconds: time.Since(started).Seconds(), Session: result.Session,
+	}
+	if result.Broken != nil {
+		r.Broken = result.Broken.Error()
+	}
+	return r
+}
+
+func printReports(w io.Writer, reports []report) error {
+	if _, err := fmt.Fprintf(w, "%-10s %6s %9s %9s %8s  %s\n", "MODEL", "DEPTH", "STATES", "STEPS", "SECONDS", "ENDED BY"); err != nil {
+		return err
+	}
+	for _, r := range reports {
+		ended := string(r.Bound)
+		if r.Broken != "" {
+			ended = r.Broken
+		}
+		line := fmt.Sprintf("%-10s %6d %9d %9d %8.1f  %s", r.Model, r.Depth, r.States, r.Steps, r.Seconds, ended)
+		if _, err := fmt.Fprintln(w, strings.Join(append([]string{line}, r.Session...), "\n  ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
