perf: from cold, models that nobody asked for don't take the loads at once

Change: a plan loads at most one model that nobody asked for; a second later it is known what is asked for.

--- a/internal/core/place/options.go
+++ b/internal/core/place/options.go
@@ -11,6 +11,7 @@
 	DefaultTrend     = 1.0
 	DefaultExposure  = 0.3
 	DefaultPatience  = time.Minute
+	DefaultUnasked   = 1
 )
 
 // Option changes a Planner under construction.
@@ -39,3 +40,7 @@
 // Patience sets how long a lost model waits for a dead endpoint to come back,
 // while making room would cost more than it brings.
 func Patience(d time.Duration) Option { return func(p *Planner) { p.patience = d } }
+
+// Unasked sets how many models that nobody asked for yet one plan may load;
+// zero sets no bound.
+func Unasked(n int) Option { return func(p *Planner) { p.unasked = n } }
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -141,6 +141,24 @@
 	require.Len(t, New(AtOnce(4)).Plan(start, v), 3)
 }
 
+// From cold, before anything was asked, small models must not take all loads at
+// once from those that are asked for a moment later.
+func TestUnaskedModelsLeaveTheLoadsToOthers(t *testing.T) {
+	cold := View{}
+	for i := range 8 {
+		cold.Endpoints = append(cold.Endpoints, endpoint(i, 1))
+		cold.Models = append(cold.Models, model(fleet.Model(fmt.Sprint(i)), 0))
+	}
+	require.Len(t, New(AtOnce(4)).Plan(start, cold), 1)
+	require.Len(t, New(AtOnce(4), Unasked(0)).Plan(start, cold), 4, "with the bound off")
+
+	cold.Models[6], cold.Models[7] = model("6", 0.2), model("7", 0.1)
+	moves := New(AtOnce(4)).Plan(start, cold)
+	require.Len(t, moves, 3)
+	require.Equal(t, fleet.Model("6"), moves[0].Model)
+	require.Equal(t, fleet.Model("7"), moves[1].Model)
+}
+
 func TestYoungCopiesStay(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -16,6 +16,7 @@
 	trend     float64
 	exposure  float64
 	patience  time.Duration
+	unasked   int
 	// loaded tells when a copy was proposed, to let it stay for a while.
 	loaded map[copyID]time.Time
 	// intents tells for which model room is being made on an endpoint.
@@ -50,6 +51,7 @@
 		trend:     DefaultTrend,
 		exposure:  DefaultExposure,
 		patience:  DefaultPatience,
+		unasked:   DefaultUnasked,
 		loaded:    make(map[copyID]time.Time),
 		intents:   make(map[fleet.Endpoint]intent),
 		lostAt:    make(map[fleet.Model]time.Time),
@@ -150,7 +152,7 @@
 func (r *round) restore() {
 	lost := r.lost()
 	r.noteLost(lost)
-	for _, u := range lost {
+	for _, u := range r.pressing(lost) {
 		if r.permits() <= 0 {
 			return
 		}
@@ -162,6 +164,19 @@
 	}
 }
 
+// pressing leaves out lost models that nobody asked for yet beyond the first
+// few: before it is known what is asked for, they would take all loads at once.
+func (r *round) pressing(lost []int32) []int32 {
+	unasked := 0
+	return slices.DeleteFunc(lost, func(u int32) bool {
+		if r.layout.units[u].demand > 0 || r.planner.unasked <= 0 {
+			return false
+		}
+		unasked++
+		return unasked > r.planner.unasked
+	})
+}
+
 // noteLost keeps since when models are lost.
 func (r *round) noteLost(lost []int32) {
 	before := r.planner.lostAt
