test: the bound that the weight store sets for a cold start

The bound of the scene counted accelerators only. Now the report also prints what is left when each model's first copy comes as early as the weight store's rate and number at once allow, the demand being known beforehand and all else without limits.

--- a/internal/measure/bound.go
+++ b/internal/measure/bound.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -70,3 +71,38 @@
 	}
 	return worth, capacity
 }
+
+// storeBound returns the worth that the weight store's limits leave from cold:
+// all else without limits, the demand known, the first copies loaded in the
+// order of their share of the work for each byte.
+func (s *score) storeBound() float64 {
+	ready := s.deployment.firstCopies()
+	worth := 0.0
+	for _, r := range s.requests {
+		if s.counts(r) && (!s.scene.Cold || ready[r.model] <= r.due()) {
+			worth += Worth(r.class.Rank)
+		}
+	}
+	return worth
+}
+
+// firstCopies returns when each model could have its first copy from cold.
+func (d *Deployment) firstCopies() []time.Duration {
+	order := make([]int, d.Models)
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(d.popularity(b)/float64(bytesOf(b)), d.popularity(a)/float64(bytesOf(a)))
+	})
+	ready := make([]time.Duration, d.Models)
+	lanes := make([]time.Duration, d.LoadsAtOnce)
+	permit := time.Duration(0)
+	for _, m := range order {
+		slices.Sort(lanes)
+		permit = max(permit, lanes[0]) + time.Duration(float64(time.Second)/d.LoadRate)
+		lanes[0] = permit + time.Duration(bytesOf(m)/gib)*loadTimePerGiB
+		ready[m] = lanes[0]
+	}
+	return ready
+}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -56,3 +56,19 @@
 	require.Contains(t, out.String(), "Gopherline: flood of bulk")
 	require.Contains(t, out.String(), "chiveramp")
 }
+
+// Loads within the weight store's limits: so many at once, and not all beginning together.
+func TestStoreBoundKeepsTheLimits(t *testing.T) {
+	d := Gopherline()
+	ready := d.firstCopies()
+	for m, end := range ready {
+		begun := end - time.Duration(bytesOf(m)/gib)*loadTimePerGiB
+		together := 0
+		for other, otherEnd := range ready {
+			if began := otherEnd - time.Duration(bytesOf(other)/gib)*loadTimePerGiB; began <= begun && begun < otherEnd {
+				together++
+			}
+		}
+		require.LessOrEqual(t, together, d.LoadsAtOnce)
+	}
+}
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -49,7 +49,11 @@
 		return err
 	}
 	bound := c.mean(func(r *Result) float64 { return r.Bound })
-	if _, err := fmt.Fprintf(w, "\n%s: %s (%d seeds, bound %.0f)\n", c.Deployment, c.Scene, len(c.Results), bound); err != nil {
+	title := fmt.Sprintf("%s: %s (%d seeds, bound %.0f", c.Deployment, c.Scene, len(c.Results), bound)
+	if store := c.mean(func(r *Result) float64 { return r.Store }); store < bound {
+		title += fmt.Sprintf(", by the weight store %.0f", store)
+	}
+	if _, err := fmt.Fprintf(w, "\n%s)\n", title); err != nil {
 		return fmt.Errorf("print heading: %w", err)
 	}
 	if _, err := fmt.Fprint(table, columns); err != nil {
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -106,6 +106,8 @@
 	// the hardware would allow with perfect knowledge.
 	Worth float64
 	Bound float64
+	// Store is what the weight store would allow, its limits being the only ones.
+	Store float64
 	// Answers is attained requests for each accelerator and minute.
 	Answers   float64
 	Moves     int
@@ -140,6 +142,7 @@
 	out.Worth = worth / unit
 	out.Answers = float64(answers) / unit
 	out.Bound = s.bound() / unit
+	out.Store = s.storeBound() / unit
 	return out
 }
 
