revert: a lost model does not wait for a dead endpoint to come back

Cause: put the restore of a lost model off by up to a minute, since that gave better attainment. That every model stays reachable is one of the things that must always hold; attainment is a measure.

--- a/internal/core/place/options.go
+++ b/internal/core/place/options.go
@@ -10,7 +10,6 @@
 	DefaultHeadroom  = 0.5
 	DefaultTrend     = 1.0
 	DefaultExposure  = 0.3
-	DefaultPatience  = time.Minute
 	DefaultUnasked   = 1
 )
 
@@ -37,10 +36,6 @@
 // is left with one copy: if that dies too, all of it waits for a load.
 func Exposure(share float64) Option { return func(p *Planner) { p.exposure = share } }
 
-// Patience sets how long a lost model waits for a dead endpoint to come back,
-// while making room would cost more than it brings.
-func Patience(d time.Duration) Option { return func(p *Planner) { p.patience = d } }
-
 // Unasked sets how many models that nobody asked for yet one plan may load;
 // zero sets no bound.
 func Unasked(n int) Option { return func(p *Planner) { p.unasked = n } }
--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -15,14 +15,11 @@
 	headroom  float64
 	trend     float64
 	exposure  float64
-	patience  time.Duration
 	unasked   int
 	// loaded tells when a copy was proposed, to let it stay for a while.
 	loaded map[copyID]time.Time
 	// intents tells for which model room is being made on an endpoint.
 	intents map[fleet.Endpoint]intent
-	// lostAt tells since when a model has had no copy.
-	lostAt map[fleet.Model]time.Time
 }
 
 // intent is a load that follows once room was made for it.
@@ -50,11 +47,9 @@
 		headroom:  DefaultHeadroom,
 		trend:     DefaultTrend,
 		exposure:  DefaultExposure,
-		patience:  DefaultPatience,
 		unasked:   DefaultUnasked,
 		loaded:    make(map[copyID]time.Time),
 		intents:   make(map[fleet.Endpoint]intent),
-		lostAt:    make(map[fleet.Model]time.Time),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -151,7 +146,6 @@
 // restore brings back models without a copy, those with most work for their size first.
 func (r *round) restore() {
 	lost := r.lost()
-	r.noteLost(lost)
 	for _, u := range r.pressing(lost) {
 		if r.permits() <= 0 {
 			return
@@ -177,20 +171,6 @@
 	})
 }
 
-// noteLost keeps since when models are lost.
-func (r *round) noteLost(lost []int32) {
-	before := r.planner.lostAt
-	r.planner.lostAt = make(map[fleet.Model]time.Time, len(lost))
-	for _, u := range lost {
-		m := r.layout.units[u].view.Model
-		at, ok := before[m]
-		if !ok {
-			at = r.now
-		}
-		r.planner.lostAt[m] = at
-	}
-}
-
 func (r *round) lost() []int32 {
 	var lost []int32
 	for i := range r.layout.units {
@@ -271,23 +251,7 @@
 			best, bestLoss = int32(i), loss
 		}
 	}
-	if best >= 0 && !r.waits(u, bestLoss) {
+	if best >= 0 {
 		r.evict(u, best, false, ReasonUnreachable)
 	}
 }
-
-// evictionShare is the part of a lost model's work that an eviction saves: what
-// gives way is gone for about three times as long as the lost model is back sooner.
-const evictionShare = 0.3
-
-// waits reports whether a lost model waits for a dead endpoint to come back, for
-// the copies that would give way are worth more.
-func (r *round) waits(i int32, loss float64) bool {
-	u := &r.layout.units[i]
-	since := r.now.Sub(r.planner.lostAt[u.view.Model])
-	return since < r.planner.patience && loss > evictionShare*u.weight*u.demand && r.someDead()
-}
-
-func (r *round) someDead() bool {
-	return slices.ContainsFunc(r.layout.nodes, func(n node) bool { return n.view.Dead })
-}
