feat: claims stand in periods whose number of shards grows with the fleet

Change: claims stand in parts, one for each period of 26 hours, under the layout that the key once-layout names, with 32 shards for each instance. A claim is one transaction: the layout is still the one seen, the key is absent from the part before, and is created in the present one. A part that is looked at no more is removed by prefix, one call a shard; nothing is read. The stand-in serves check-index, check-not-exists and delete-tree of Consul's transactions.

Ruled out: more shards each read whole (the sum of the replies isn't bounded), keys without values (they don't tell their age), a phase of preparation (the check of the layout in the transaction makes it needless).

Proof: the random schedules of internal/claim now change the number at a random place.

Tests changed: TestSweepInBatches and TestSweepSplitsLargeShards asserted that records are read and removed one by one by age; TestSweepByPeriods and TestKeyIsTakenForItsRetention take their place: what is over goes, nothing younger does at any offset, calls are counted. A record that can't be read is no longer kept for good, but for its period.

Cost: records live 26 to 58 hours (was 26 to 30).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -2,6 +2,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,8 @@
 	pendingBytes = 4 << 20
 	// askLimit is how long a holder may take to tell of an end.
 	askLimit = 500 * time.Millisecond
+	// endLimit is how many ends one commit takes.
+	endLimit = 64
 	// gatherBytes is how much of records waits for the next batch, and how much one
 	// commit takes: half of what Consul accepts, since values are sent in base64.
 	gatherBytes = 256 << 10
@@ -60,6 +63,9 @@
 	retention time.Duration
 	retry     time.Duration
 	readBack  bool
+	double    bool
+	guarded   bool
+	shards    func() int
 	gather    func() time.Duration
 	peers     Peers
 
@@ -71,12 +77,20 @@
 	pending map[string]ending
 	size    int       // bytes of the records that wait
 	due     time.Time // when they are to be written
-	shard   int       // swept next
+	layout  placed
+	sweep   progress
+}
+
+// placed is the layout as last seen in the store.
+type placed struct {
+	once.Layout
+	version platform.Version
 }
 
 // holding is a granted claim with the version that its record got, zero when it came
 // out of a commit or was read back.
 type holding struct {
+	path    string
 	record  once.Record
 	version platform.Version
 }
@@ -111,6 +125,11 @@
 	return func(c *Claims) { c.gather, c.peers = wait, peers }
 }
 
+// WithShards sets how many shards the next period gets.
+func WithShards(shards func() int) Option {
+	return func(c *Claims) { c.shards = shards }
+}
+
 // WithGroup writes records through group commits in a number of shards.
 func WithGroup(shards int) Option {
 	return func(c *Claims) { c.writer = newGroup(c.store, shards) }
@@ -128,6 +147,10 @@
 		retry:     DefaultRetry,
 		readBack:  true,
 		gather:    func() time.Duration { return 0 },
+		double:    true,
+		guarded:   true,
+		shards:    func() int { return once.Shards },
+		layout:    placed{Layout: once.First()},
 		held:      map[string]holding{},
 		pending:   map[string]ending{},
 	}
@@ -150,17 +173,18 @@
 		return once.Verdict{Kind: once.KindUnknown}, nil
 	}
 	record := once.New(c.id(), c.now(), r)
-	made, err := c.create(ctx, key.Path(), record, r)
+	made, err := c.create(ctx, key, record, r)
 	if err != nil {
 		return once.Verdict{}, fmt.Errorf("claim %s: %w", key.Path(), err)
 	}
-	c.note(key.Path(), record, made)
+	c.note(key, record, made)
 	return made.verdict, nil
 }
 
 // creation is what became of writing a new claim.
 type creation struct {
 	verdict once.Verdict
+	path    string
 	version platform.Version
 	// sent says that a write may still take effect.
 	sent bool
@@ -168,50 +192,143 @@
 
 // note remembers a granted claim, or one that may have reached the store although
 // it was given up: that one is released later.
-func (c *Claims) note(path string, record once.Record, made creation) {
+func (c *Claims) note(key once.Key, record once.Record, made creation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case made.verdict.Kind == once.KindGranted:
-		c.held[path] = holding{record: record, version: made.version}
+		c.held[key.Path()] = holding{path: made.path, record: record, version: made.version}
 	case made.verdict.Kind == once.KindRefused && made.sent && len(c.pending) < pendingLimit:
-		c.keep(ending{path: path, record: record.Release()})
+		c.keep(ending{path: made.path, record: record.Release()})
+	}
+}
+
+// place is where a key's record is to be written, as last looked at.
+type place struct {
+	layout placed
+	// version is that of the record to replace in the present part, old that of the one
+	// to remove from the part before it; zero when there is none.
+	version platform.Version
+	old     platform.Version
+}
+
+// known is the layout as last seen.
+func (c *Claims) known() placed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.layout
+}
+
+// before is the key's path in the part before the present one, empty if there is none.
+func (c *Claims) before(l placed, key once.Key) string {
+	if !c.double || l.Before.Shards == 0 {
+		return ""
 	}
+	return l.Before.Path(key)
 }
 
-// create writes the record if absent.
-func (c *Claims) create(ctx context.Context, path string, record once.Record, r once.Request) (creation, error) {
+// create writes the record if the key is free in both parts of the layout. The write
+// counts only while that layout is the one in the store.
+func (c *Claims) create(ctx context.Context, key once.Key, record once.Record, r once.Request) (creation, error) {
 	raw, err := record.Encode()
 	if err != nil {
 		return creation{}, err
 	}
-	write := platform.Write{Key: path, Value: raw}
 	granted := once.Verdict{Kind: once.KindGranted, Claim: record.Claim}
-	sent := false
+	made, at := creation{verdict: granted}, place{layout: c.known()}
 	for range claimTries {
-		version, err := c.writer.Swap(ctx, write)
+		made.path = at.layout.Present.Path(key)
+		made.version, err = c.write(ctx, key, at, raw)
 		switch {
 		case err == nil:
-			return creation{verdict: granted, version: version}, nil
+			return made, nil
 		case errors.Is(err, platform.ErrUncertain):
-			sent = true
+			made.sent = true
 		case !errors.Is(err, platform.ErrConflict):
-			return creation{verdict: once.Refused(c.retry), sent: sent}, nil
+			made.verdict = once.Refused(c.retry)
+			return made, nil
 		}
 		if !c.readBack {
-			return creation{verdict: granted, sent: sent}, nil
+			return made, nil
+		}
+		var found creation
+		found, at, err = c.look(ctx, key, record, r)
+		if err != nil || found.verdict.Kind != once.KindFree {
+			found.sent = made.sent
+			found.path = cmp.Or(found.path, made.path)
+			return found, err
 		}
-		verdict, version, err := c.look(ctx, path, record, r)
+	}
+	made.verdict = once.Refused(c.retry)
+	return made, nil
+}
+
+// write writes a new record. One that was given back in the part before is removed by
+// the same commit.
+func (c *Claims) write(ctx context.Context, key once.Key, at place, raw []byte) (platform.Version, error) {
+	w := platform.Write{Key: at.layout.Present.Path(key), Value: raw, Expect: at.version}
+	if c.guarded {
+		w.While = platform.Seen{Key: once.LayoutKey, Version: at.layout.version}
+	}
+	before := c.before(at.layout, key)
+	if at.old != 0 {
+		return 0, c.store.Commit(ctx, platform.Write{Key: before, Expect: at.old, Delete: true}, w)
+	}
+	if before != "" {
+		w.Unless = []string{before}
+	}
+	return c.writer.Swap(ctx, w)
+}
+
+// look reads the layout and the key's records back. "Free" comes with the place to write to.
+func (c *Claims) look(ctx context.Context, key once.Key, record once.Record, r once.Request) (creation, place, error) {
+	refused := creation{verdict: once.Refused(c.retry)}
+	layout, err := c.refresh(ctx)
+	if err != nil {
+		return refused, place{}, err
+	}
+	if layout == nil {
+		return refused, place{}, nil
+	}
+	at := place{layout: *layout}
+	for _, part := range []struct {
+		path    string
+		version *platform.Version
+	}{{layout.Present.Path(key), &at.version}, {c.before(*layout, key), &at.old}} {
+		if part.path == "" {
+			continue
+		}
+		verdict, version, err := c.judge(ctx, part.path, record, r)
 		if err != nil || verdict.Kind != once.KindFree {
-			return creation{verdict: verdict, sent: sent}, err
+			return creation{verdict: verdict, path: part.path}, at, err
+		}
+		*part.version = version
+	}
+	return creation{verdict: once.Verdict{Kind: once.KindFree}}, at, nil
+}
+
+// refresh reads the layout. It returns nil when the store can't tell.
+func (c *Claims) refresh(ctx context.Context) (*placed, error) {
+	layout := placed{Layout: once.First()}
+	entry, err := c.store.Get(ctx, once.LayoutKey)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		return nil, nil //nolint:nilerr // the caller is told to come back
+	default:
+		if layout.Layout, err = once.DecodeLayout(entry.Value); err != nil {
+			return nil, err
 		}
-		write.Expect = version
+		layout.version = entry.Version
 	}
-	return creation{verdict: once.Refused(c.retry), sent: sent}, nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.layout = layout
+	return &layout, nil
 }
 
-// look reads the record back. "Free" comes with the version to replace.
-func (c *Claims) look(ctx context.Context, path string, record once.Record, r once.Request) (once.Verdict, platform.Version, error) {
+// judge reads one record and tells what it means for the claimant.
+func (c *Claims) judge(ctx context.Context, path string, record once.Record, r once.Request) (once.Verdict, platform.Version, error) {
 	entry, err := c.store.Get(ctx, path)
 	if errors.Is(err, platform.ErrNotFound) {
 		return once.Verdict{Kind: once.KindFree}, 0, nil
--- a/internal/claim/end.go
+++ b/internal/claim/end.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return fmt.Errorf("finish %s: %w", key.Path(), err)
 	}
-	end := ending{path: key.Path(), record: held.record.Finish(a), version: held.version}
+	end := ending{path: held.path, record: held.record.Finish(a), version: held.version}
 	gather := c.gather()
 	if gather <= 0 {
 		return c.end(ctx, end)
@@ -47,7 +47,7 @@
 	if len(c.pending) < pendingLimit {
 		c.keep(e)
 	}
-	return len(c.pending) < groupLimit && c.size < gatherBytes
+	return len(c.pending) < endLimit && c.size < gatherBytes
 }
 
 // keep remembers an end that the store doesn't have, without its answer's body when
@@ -75,7 +75,7 @@
 	if err != nil {
 		return fmt.Errorf("release %s: %w", key.Path(), err)
 	}
-	return c.end(ctx, ending{path: key.Path(), record: held.record.Release(), version: held.version})
+	return c.end(ctx, ending{path: held.path, record: held.record.Release(), version: held.version})
 }
 
 func (c *Claims) take(path, claim string) (holding, error) {
--- a/internal/claim/gather_test.go
+++ b/internal/claim/gather_test.go
@@ -91,7 +91,7 @@
 		name              string
 		ends, size, least int
 	}{
-		{name: "many", ends: 3*groupLimit + 1, size: 1, least: 3},
+		{name: "many", ends: 3*endLimit + 1, size: 1, least: 3},
 		{name: "large", ends: 20, size: once.AnswerLimit, least: 20 / (gatherBytes/once.AnswerLimit + 1)},
 	}
 	for _, tt := range tests {
@@ -101,7 +101,7 @@
 			f.ended(t, tt.ends, tt.size)
 			writes := f.store.Server().Calls().Writes() - before - uint64(tt.ends)
 			require.GreaterOrEqual(t, writes, uint64(tt.least))
-			require.Less(t, f.first.Pending(), groupLimit)
+			require.Less(t, f.first.Pending(), endLimit)
 			require.LessOrEqual(t, f.first.size, gatherBytes)
 		})
 	}
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// groupLimit is how many writes one commit takes.
-	groupLimit   = 64
+	// groupLimit is how many claims one commit takes: with a check of each and one of
+	// the layout they are 63 operations of the 64 that Consul takes.
+	groupLimit   = 31
 	groupTimeout = 5 * time.Second
 )
 
--- a/internal/claim/proof_test.go
+++ b/internal/claim/proof_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
@@ -19,11 +18,16 @@
 
 func withoutReadBack(c *Claims) { c.readBack = false }
 func withoutUnique(c *Claims)   { c.id = func() string { return "claim" } }
+func withoutDouble(c *Claims)   { c.double = false }
+func withoutGuard(c *Claims)    { c.guarded = false }
+
+// grown is the number of shards that a schedule changes to.
+func grown(c *Claims) { c.shards = func() int { return 4 * once.Shards } }
 
 // The same keys, sent at once through several instances that are killed at any step,
 // with the store down, losing writes and replies or writing late: one run at most.
 func TestAtMostOnceUnderRandomFaults(t *testing.T) {
-	for _, opts := range [][]Option{nil, {WithGather(func() time.Duration { return time.Hour }, nil)}} {
+	for _, opts := range [][]Option{{grown}, {grown, WithGather(func() time.Duration { return time.Hour }, nil)}} {
 		schedules(t, everyFault, func(t *rapid.T, s *schedule) {
 			require.LessOrEqual(t, s.most(), 1, "runs by key %v", s.runs)
 			require.Empty(t, s.problems)
@@ -34,7 +38,7 @@
 // Without faults every key runs, and every resend gets the recorded answer or is told
 // that it is running.
 func TestEveryKeyRunsWithoutFaults(t *testing.T) {
-	for _, opts := range [][]Option{nil, {WithGather(func() time.Duration { return time.Hour }, nil)}} {
+	for _, opts := range [][]Option{{grown}, {grown, WithGather(func() time.Duration { return time.Hour }, nil)}} {
 		schedules(t, []fault{faultNone}, func(t *rapid.T, s *schedule) {
 			require.Len(t, s.runs, testKeys)
 			require.Equal(t, 1, s.most())
@@ -50,11 +54,13 @@
 	}{
 		{name: "no read back of a lost reply", off: withoutReadBack},
 		{name: "no unique claim id", off: withoutUnique},
+		{name: "no look at both numbers of shards", off: withoutDouble},
+		{name: "no check of the layout", off: withoutGuard},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			most := 0
-			schedules(t, everyFault, func(_ *rapid.T, s *schedule) { most = max(most, s.most()) }, tt.off)
+			schedules(t, everyFault, func(_ *rapid.T, s *schedule) { most = max(most, s.most()) }, grown, tt.off)
 			require.Greater(t, most, 1, "a key must have run twice")
 		})
 	}
@@ -209,59 +215,113 @@
 	}
 }
 
-// A sweep removes what outlived its retention, shard by shard, many records a call. It
-// keeps younger ones and what it can't read.
-func TestSweepInBatches(t *testing.T) {
+func claimMany(t *testing.T, f *fixture, n int) []once.Key {
+	t.Helper()
+	var keys []once.Key
+	for range n {
+		key := once.Key{Profile: "shop", Text: uuid.NewString()}
+		verdict, err := f.first.Claim(context.Background(), key, f.request(7))
+		require.NoError(t, err)
+		require.Equal(t, once.KindGranted, verdict.Kind)
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// sweepAll sweeps as often as it takes to remove a part and begin the next period.
+func (f *fixture) sweepAll(t *testing.T) (shards int) {
+	t.Helper()
+	for range sweepCalls + 1 {
+		n, err := f.first.Sweep(context.Background())
+		require.NoError(t, err)
+		shards += n
+	}
+	return shards
+}
+
+// A sweep removes what outlived its retention and nothing younger, with one write for
+// each shard and replies that don't grow with the records.
+func TestSweepByPeriods(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture()
-	const old, young = 500, 10
-	claimMany(t, f, old)
+	f.first.shards = func() int { return 512 }
+	var periods [][]once.Key
+	for range 3 {
+		periods = append(periods, claimMany(t, f, 300))
+		f.now = f.now.Add(once.DefaultRetention + time.Minute)
+		f.sweepAll(t)
+	}
+	periods = append(periods, claimMany(t, f, 300))
 	f.now = f.now.Add(once.DefaultRetention + time.Minute)
-	claimMany(t, f, young)
-	unreadable := once.ShardPrefix(7) + "shop/unreadable"
-	_, err := f.store.Swap(ctx, platform.Write{Key: unreadable, Value: []byte("?")})
-	require.NoError(t, err)
 	before := f.store.Server().Calls()
-	removed := 0
-	for range once.Shards {
-		n, err := f.first.Sweep(ctx)
-		require.NoError(t, err)
-		removed += n
-	}
-	require.Equal(t, old, removed)
+	require.Equal(t, 512, f.sweepAll(t))
 	after := f.store.Server().Calls()
-	require.Equal(t, uint64(once.Shards), after.Reads()-before.Reads())
-	require.LessOrEqual(t, after.Writes()-before.Writes(), uint64(once.Shards))
+	require.Equal(t, uint64(512+1), after.Writes()-before.Writes())
+	require.Zero(t, after.Of(platform.KindList))
 	left, err := f.store.List(ctx, once.Prefix)
 	require.NoError(t, err)
-	require.Len(t, left, young+1)
-	t.Logf("a record has %d bytes, its key %d", len(left[0].Value), len(left[0].Key))
+	require.Len(t, left, 300)
+	for i, keys := range periods {
+		for _, key := range keys {
+			verdict, err := f.other.Claim(ctx, key, f.request(7))
+			require.NoError(t, err)
+			require.Equal(t, i < 3, verdict.Kind == once.KindGranted, "period %d", i)
+		}
+	}
 }
 
-func claimMany(t *testing.T, f *fixture, n int) {
-	t.Helper()
-	for range n {
-		key := once.Key{Profile: "shop", Text: uuid.NewString()}
-		_, err := f.first.Claim(context.Background(), key, f.request(7))
+// Whenever it was claimed, a key is taken for its whole retention at least.
+func TestKeyIsTakenForItsRetention(t *testing.T) {
+	for offset := time.Duration(0); offset < 3*once.DefaultRetention; offset += 7 * time.Hour {
+		f := newFixture()
+		wait(t, f, offset)
+		key := claimMany(t, f, 1)[0]
+		wait(t, f, once.DefaultRetention)
+		verdict, err := f.other.Claim(context.Background(), key, f.request(7))
 		require.NoError(t, err)
+		require.NotEqual(t, once.KindGranted, verdict.Kind, "claimed after %s", offset)
+	}
+}
+
+// wait lets time pass, with sweeps in every hour.
+func wait(t *testing.T, f *fixture, d time.Duration) {
+	t.Helper()
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(time.Hour) {
+		f.sweepAll(t)
 	}
 }
 
-// A shard with more than one batch takes one commit for each 64 records.
-func TestSweepSplitsLargeShards(t *testing.T) {
+// A key that was given back before the number of shards changed can be claimed again,
+// once, and leaves nothing behind in the old part.
+func TestReleasedKeyMovesToTheNewPart(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture()
-	record, err := once.New("c", f.now, f.request(7)).Encode()
-	require.NoError(t, err)
-	for i := range 150 {
-		key := fmt.Sprintf("%sshop/%d", once.ShardPrefix(0), i)
-		_, err := f.store.Swap(ctx, platform.Write{Key: key, Value: record})
+	released(t, f)
+	require.NoError(t, f.first.advance(ctx, f.first.known()))
+	for _, want := range []once.Kind{once.KindGranted, once.KindRunning} {
+		verdict, err := f.other.Claim(ctx, order, f.request(7))
 		require.NoError(t, err)
+		require.Equal(t, want, verdict.Kind)
 	}
-	f.now = f.now.Add(once.DefaultRetention + time.Minute)
-	before := f.store.Server().Calls().Writes()
-	removed, err := f.first.Sweep(ctx)
+	_, err := f.store.Get(ctx, order.Path())
+	require.ErrorIs(t, err, platform.ErrNotFound)
+}
+
+// An end reaches the record where it was claimed, whatever the layout is by then.
+func TestEndAfterAChange(t *testing.T) {
+	ctx := context.Background()
+	f := newFixture()
+	claimed(t, f)
+	require.NoError(t, f.other.advance(ctx, f.other.known()))
+	require.NoError(t, f.first.Finish(ctx, order, claimID(f), once.Answer{Status: 200, Body: []byte("done")}))
+	verdict, err := f.other.Claim(ctx, order, f.request(7))
 	require.NoError(t, err)
-	require.Equal(t, 150, removed)
-	require.Equal(t, uint64(3), f.store.Server().Calls().Writes()-before)
+	require.Equal(t, once.KindRecorded, verdict.Kind)
+}
+
+func TestShardsGrowWithTheFleet(t *testing.T) {
+	tests := []struct{ instances, want int }{{0, 256}, {8, 256}, {9, 512}, {33, 2048}, {420, 16384}, {513, 32768}}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, once.ShardsFor(tt.instances))
+	}
 }
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -53,6 +53,8 @@
 	answers  map[string]string // first recorded answer by key
 	problems []string
 
+	change int // after which resend of the first actor a period begins; -1 for never
+
 	mu      sync.Mutex
 	holders map[string]*holder // by name
 }
@@ -211,6 +213,9 @@
 			continue
 		}
 		_, _ = claims.Settle(context.Background())
+		if n == s.change && actor == 0 {
+			_ = claims.advance(context.Background(), claims.known())
+		}
 		if n%2 == 1 {
 			_ = claims.Flush(context.Background())
 		}
@@ -306,6 +311,7 @@
 	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSchedule(t, faults)
+		s.change = rapid.IntRange(-1, resends-1).Draw(t, "change")
 		s.play(opts...)
 		check(t, s)
 	})
--- a/internal/claim/upkeep.go
+++ b/internal/claim/upkeep.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,8 +12,8 @@
 	"github.com/chiveramp/chiveramp/internal/platform"
 )
 
-// SweepBatch is how many records one commit of a sweep removes.
-const SweepBatch = 64
+// sweepCalls is how many sweeps remove a whole part.
+const sweepCalls = 360
 
 // recordBytes is what a record takes without its answer's body.
 const recordBytes = 512
@@ -83,7 +84,7 @@
 	size := 0
 	for _, e := range ends {
 		last := len(list) - 1
-		if last < 0 || len(list[last]) == groupLimit || size+e.size() > gatherBytes {
+		if last < 0 || len(list[last]) == endLimit || size+e.size() > gatherBytes {
 			list, size = append(list, nil), 0
 			last++
 		}
@@ -139,40 +140,70 @@
 	}
 }
 
-// Sweep removes the records of the next shard that have outlived their retention, a
-// batch a commit, and returns how many it removed. After once.Shards calls all were
-// looked at. One instance at a time should sweep; two do no harm.
+// progress is how far the sweep of a past part has come.
+type progress struct {
+	part once.Part
+	next int // the shard swept next
+}
+
+// Sweep begins a new period once the present one is over, and removes the next shards
+// of the part that is looked at no more, each by one call that names only its prefix.
+// It returns how many shards it removed. sweepCalls calls remove a whole part, and a
+// period doesn't end before. One instance at a time should sweep; two do no harm.
 func (c *Claims) Sweep(ctx context.Context) (int, error) {
-	entries, err := c.store.List(ctx, once.ShardPrefix(c.nextShard()))
-	if err != nil {
-		return 0, fmt.Errorf("sweep claims: list: %w", err)
+	layout, err := c.refresh(ctx)
+	if err != nil || layout == nil {
+		return 0, cmp.Or(err, fmt.Errorf("sweep claims: layout: %w", platform.ErrUnavailable))
 	}
-	var writes []platform.Write
-	for _, e := range entries {
-		if c.expired(e) {
-			writes = append(writes, platform.Write{Key: e.Key, Expect: e.Version, Delete: true})
+	first, last := c.portion(layout.Past)
+	for shard := first; shard < last; shard++ {
+		write := platform.Write{Key: layout.Past.Prefix(shard), Tree: true, While: layout.seen()}
+		if err := c.store.Commit(ctx, write); err != nil {
+			return shard - first, fmt.Errorf("sweep claims: shard %d: %w", shard, err)
 		}
+		c.swept(shard + 1)
 	}
-	removed := 0
-	for batch := range slices.Chunk(writes, SweepBatch) {
-		if err := c.store.Commit(ctx, batch...); err != nil {
-			return removed, fmt.Errorf("sweep claims: commit: %w", err)
-		}
-		removed += len(batch)
+	if last >= layout.Past.Shards && layout.Over(c.now(), c.retention) {
+		err = c.advance(ctx, *layout)
 	}
-	return removed, nil
+	return last - first, err
 }
 
-func (c *Claims) nextShard() int {
+func (p placed) seen() platform.Seen {
+	return platform.Seen{Key: once.LayoutKey, Version: p.version}
+}
+
+// portion returns which shards the next sweep removes.
+func (c *Claims) portion(past once.Part) (first, last int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	shard := c.shard
-	c.shard = (c.shard + 1) % once.Shards
-	return shard
+	if c.sweep.part != past {
+		c.sweep = progress{part: past}
+	}
+	each := (past.Shards + sweepCalls - 1) / sweepCalls
+	return c.sweep.next, min(c.sweep.next+each, past.Shards)
 }
 
-// expired keeps a record that can't be read: it may guard a key.
-func (c *Claims) expired(e platform.Entry) bool {
-	record, err := once.Decode(e.Value)
-	return err == nil && record.Sweepable(c.now(), c.retention)
+func (c *Claims) swept(next int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweep.next = next
+}
+
+// advance begins the next period, with as many shards as the fleet needs now. Claims
+// that go by the old layout are refused by the store from then on, and look again.
+func (c *Claims) advance(ctx context.Context, l placed) error {
+	next := l.Next(c.now(), c.shards())
+	raw, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	version, err := c.store.Swap(ctx, platform.Write{Key: once.LayoutKey, Value: raw, Expect: l.version})
+	if err != nil {
+		return fmt.Errorf("begin period %d of claims: %w", next.Present.Period, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.layout = placed{Layout: next, version: version}
+	return nil
 }
--- a/internal/core/once/once.go
+++ b/internal/core/once/once.go
@@ -8,10 +8,8 @@
 import (
 	"errors"
 	"fmt"
-	"net/url"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
@@ -60,18 +58,13 @@
 // Prefix is where all claims stand in the store.
 const Prefix = "once/"
 
-// Shards is how many parts the claims stand in, so that a sweep can read one at a time.
+// Shards is how many parts the claims of a period stand in at least.
 const Shards = 256
 
-// ShardPrefix is where the claims of one shard stand.
-func ShardPrefix(shard int) string {
-	return fmt.Sprintf("%s%02x/", Prefix, shard%Shards)
-}
-
-// Path is the key's place in the store. Two different keys never share one.
+// Path is the key's place in the store before the first period. Two different keys
+// never share one.
 func (k Key) Path() string {
-	name := url.PathEscape(string(k.Profile)) + "/" + url.PathEscape(k.Text)
-	return ShardPrefix(int(xxhash.Sum64String(name)%Shards)) + name
+	return Part{Shards: Shards}.Path(k)
 }
 
 // Expired says whether a key that carries its time of issue (UUID version 7) is
@@ -169,11 +162,6 @@
 	return r
 }
 
-// Sweepable says whether a record has outlived its retention.
-func (r Record) Sweepable(now time.Time, retention time.Duration) bool {
-	return now.Sub(r.Claimed) > retention
-}
-
 // Encode returns the stored form.
 func (r Record) Encode() ([]byte, error) {
 	raw, err := cbor.Marshal(r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/core/retry"
 	"github.com/chiveramp/chiveramp/internal/core/revision"
 	"github.com/chiveramp/chiveramp/internal/core/trail"
@@ -137,13 +138,19 @@
 		document.WithNear(n.members.near),
 	)
 	n.documents.Subscribe(n.take)
-	n.claims = claim.New(n.store, claim.WithGroup(claimShards), claim.WithGather(n.gather, ends{n}), claim.WithClock(n.clock))
+	n.claims = claim.New(n.store, claim.WithGroup(claimShards), claim.WithGather(n.gather, ends{n}),
+		claim.WithShards(n.claimParts), claim.WithClock(n.clock))
 	n.suspects = newSuspects(n.clock)
 	n.suspects.told = func() {
 		n.background(func(ctx context.Context) { n.beat(ctx, n.clock()) })
 	}
 }
 
+// claimParts is how many shards the claims of the next period get.
+func (n *Node) claimParts() int {
+	return once.ShardsFor(len(n.list.Peers()))
+}
+
 func (n *Node) self() member.Peer {
 	c := n.config
 	incarnation := c.Instance.Incarnation
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -48,6 +48,18 @@
 	Guard  string
 	// Also are further leases that have to hold their keys.
 	Also []Guard
+	// While, when set, is a key that has to be as it was seen.
+	While Seen
+	// Unless are keys that have to be absent.
+	Unless []string
+	// Tree removes every key that begins with Key; Expect is not looked at.
+	Tree bool
+}
+
+// Seen is a key at a version, zero when it is absent.
+type Seen struct {
+	Key     string
+	Version Version
 }
 
 // Guard is a key that a lease has to hold.
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -7,6 +7,11 @@
 	VerbDeleteCAS    = "delete-cas"
 	VerbCheckSession = "check-session"
 	VerbLock         = "lock"
+	// VerbCheckIndex and VerbCheckNotExists refuse the transaction, VerbDeleteTree
+	// removes all keys with a prefix.
+	VerbCheckIndex     = "check-index"
+	VerbCheckNotExists = "check-not-exists"
+	VerbDeleteTree     = "delete-tree"
 )
 
 // HeaderIndex carries the index to wait on in the next blocking query.
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -67,16 +67,44 @@
 			ops = append(ops, wire.TxnOp{KV: check})
 		}
 	}
+	ops = append(ops, conditions(writes)...)
 	for _, w := range writes {
 		op := wire.TxnKV{Verb: wire.VerbCAS, Key: w.Key, Value: w.Value, Index: uint64(w.Expect)}
 		if w.Delete {
 			op.Verb, op.Value = wire.VerbDeleteCAS, nil
 		}
+		if w.Tree {
+			op = wire.TxnKV{Verb: wire.VerbDeleteTree, Key: w.Key}
+		}
 		ops = append(ops, wire.TxnOp{KV: op})
 	}
 	return ops
 }
 
+// conditions returns the checks of keys that the writes go by, each once.
+func conditions(writes []Write) []wire.TxnOp {
+	seen := make(map[Seen]bool)
+	var ops []wire.TxnOp
+	for _, w := range writes {
+		keys := []Seen{w.While}
+		for _, key := range w.Unless {
+			keys = append(keys, Seen{Key: key})
+		}
+		for _, k := range keys {
+			if k.Key == "" || seen[k] {
+				continue
+			}
+			seen[k] = true
+			op := wire.TxnKV{Verb: wire.VerbCheckIndex, Key: k.Key, Index: uint64(k.Version)}
+			if k.Version == 0 {
+				op.Verb = wire.VerbCheckNotExists
+			}
+			ops = append(ops, wire.TxnOp{KV: op})
+		}
+	}
+	return ops
+}
+
 // txn applies all operations or none.
 func (h *HTTP) txn(ctx context.Context, kind Kind, ops []wire.TxnOp) ([]wire.TxnResult, error) {
 	r, err := h.send(ctx, request{kind: kind, method: http.MethodPut, path: "/v1/txn", body: ops})
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -1,9 +1,13 @@
 package slopes
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -12,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
+	consul "github.com/chiveramp/chiveramp/internal/platform/wire"
 )
 
 // answerBytes is the body of a recorded answer.
@@ -50,7 +55,46 @@
 	}
 	r.Add(writes)
 	r.Add(cpu)
-	return ends(r)
+	if err := ends(r); err != nil {
+		return err
+	}
+	return sweeps(r)
+}
+
+// sweeps measures the answer that removing one shard of claims gets, headers left out.
+func sweeps(r *Report) error {
+	answer := Series{Name: "sweep answer bytes", By: "records in a shard", Unit: "B"}
+	for _, n := range []int{500, 2000, 8000} {
+		size, err := sweepOf(n)
+		if err != nil {
+			return fmt.Errorf("sweep of %d records: %w", n, err)
+		}
+		answer.Points = append(answer.Points, Point{float64(n), size})
+	}
+	r.Add(answer)
+	return nil
+}
+
+func sweepOf(records int) (size float64, err error) {
+	ctx, store := context.Background(), platformtest.New()
+	part := once.Part{Period: 1, Shards: once.Shards}
+	for i := range records {
+		if _, err := store.Swap(ctx, platform.Write{Key: fmt.Sprint(part.Prefix(0), "orders/order-", i)}); err != nil {
+			return 0, err
+		}
+	}
+	ops := []consul.TxnOp{{KV: consul.TxnKV{Verb: consul.VerbDeleteTree, Key: part.Prefix(0)}}}
+	body, err := json.Marshal(ops)
+	if err != nil {
+		return 0, err
+	}
+	reply := httptest.NewRecorder()
+	store.Server().Handler().ServeHTTP(reply, httptest.NewRequestWithContext(ctx, http.MethodPut, "/v1/txn", bytes.NewReader(body)))
+	left, err := store.List(ctx, once.Prefix)
+	if err != nil || len(left) > 0 {
+		return 0, fmt.Errorf("%d records left: %w", len(left), err)
+	}
+	return float64(reply.Body.Len()), nil
 }
 
 // ends measures the store writes of the ends of claims at one instance.
--- a/internal/slopes/fit.go
+++ b/internal/slopes/fit.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -40,7 +41,11 @@
 		x, y = append(x, p.Size), append(y, p.Cost)
 	}
 	fixed, slope := stat.LinearRegression(x, y, nil, false)
-	return Line{Fixed: fixed, Slope: slope, R2: stat.RSquared(x, y, nil, fixed, slope)}
+	explained := stat.RSquared(x, y, nil, fixed, slope)
+	if math.IsNaN(explained) {
+		explained = 1 // a cost that doesn't change leaves nothing to explain
+	}
+	return Line{Fixed: fixed, Slope: slope, R2: explained}
 }
 
 // At returns the cost of a size: between the points beside it where it lies within
--- a/internal/slopes/target.go
+++ b/internal/slopes/target.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/listing"
 )
 
@@ -224,7 +225,7 @@
 		{"placer leases renewed", kindWrite, t.Centres * leaseRenewals},
 		{"claims, one write each", kindWrite, claims},
 		{whatEnds, kindWrite, t.Instances * e.at("end writes a second", claims/t.Instances)},
-		{"sweep of claims, 64 a call", kindWrite, claims / 64},
+		{"sweep of claims, a shard a call, by each placer", kindWrite, t.Centres * float64(once.ShardsFor(int(t.Instances))) / once.DefaultRetention.Seconds()},
 	}
 	return calls, e.err
 }
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/platform/memory.go
@@ -112,6 +112,9 @@
 		if !present || p.Session != op.Session {
 			return fmt.Errorf("failed session check for key %q, current session %q", op.Key, p.Session)
 		}
+	case wire.VerbCheckIndex, wire.VerbCheckNotExists:
+		return checkSeen(op, p, present)
+	case wire.VerbDeleteTree:
 	case wire.VerbLock:
 		return m.checkLock(now, op, p)
 	default:
@@ -120,6 +123,16 @@
 	return nil
 }
 
+func checkSeen(op wire.TxnKV, p wire.Pair, present bool) error {
+	if op.Verb == wire.VerbCheckNotExists && present {
+		return fmt.Errorf("key %q exists", op.Key)
+	}
+	if op.Verb == wire.VerbCheckIndex && (!present || p.ModifyIndex != op.Index) {
+		return fmt.Errorf("failed index check for key %q, current modify index %d", op.Key, p.ModifyIndex)
+	}
+	return nil
+}
+
 func (m *memory) checkLock(now time.Time, op wire.TxnKV, p wire.Pair) error {
 	if _, ok := m.sessions[op.Session]; !ok {
 		return fmt.Errorf("invalid session %q", op.Session)
@@ -143,7 +156,12 @@
 			m.deleted[op.Key] = m.index
 		}
 		return wire.Pair{}, false
-	case wire.VerbCheckSession:
+	case wire.VerbCheckNotExists:
+		return wire.Pair{}, false
+	case wire.VerbDeleteTree:
+		m.deleteTree(op.Key)
+		return wire.Pair{}, false
+	case wire.VerbCheckSession, wire.VerbCheckIndex:
 		p.Value = nil
 		return p, true
 	case wire.VerbLock:
@@ -161,6 +179,15 @@
 	return p, true
 }
 
+func (m *memory) deleteTree(prefix string) {
+	for key := range m.pairs {
+		if strings.HasPrefix(key, prefix) {
+			delete(m.pairs, key)
+			m.deleted[key] = m.index
+		}
+	}
+}
+
 func (m *memory) grant(now time.Time, name string, ttl time.Duration) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -58,6 +58,36 @@
 	require.ErrorIs(t, err, platform.ErrNotFound)
 }
 
+// A write may go by keys that it doesn't touch, and remove a whole tree.
+func TestConditionsOfWrites(t *testing.T) {
+	_, store, _ := start(t)
+	ctx := context.Background()
+	seen, err := store.Swap(ctx, platform.Write{Key: "layout", Value: []byte("1")})
+	require.NoError(t, err)
+	tests := []struct {
+		name  string
+		write platform.Write
+		want  error
+	}{
+		{"as seen", platform.Write{Key: "t/a", While: platform.Seen{Key: "layout", Version: seen}}, nil},
+		{"changed", platform.Write{Key: "t/b", While: platform.Seen{Key: "layout", Version: seen + 1}}, platform.ErrConflict},
+		{"not absent", platform.Write{Key: "t/b", While: platform.Seen{Key: "layout"}}, platform.ErrConflict},
+		{"gone", platform.Write{Key: "t/b", While: platform.Seen{Key: "none", Version: 3}}, platform.ErrConflict},
+		{"unless present", platform.Write{Key: "t/b", Unless: []string{"t/a"}}, platform.ErrConflict},
+		{"unless absent", platform.Write{Key: "t/c", Unless: []string{"t/b"}}, nil},
+		{"tree refused", platform.Write{Key: "t/", Tree: true, Unless: []string{"t/a"}}, platform.ErrConflict},
+		{"tree", platform.Write{Key: "t/", Tree: true, While: platform.Seen{Key: "layout", Version: seen}}, nil},
+	}
+	for _, tt := range tests {
+		require.ErrorIs(t, store.Commit(ctx, tt.write), tt.want, tt.name)
+	}
+	left, err := store.List(ctx, "t/")
+	require.NoError(t, err)
+	require.Empty(t, left)
+	_, err = store.Get(ctx, "layout")
+	require.NoError(t, err)
+}
+
 func TestValuesUpToOneMegabyte(t *testing.T) {
 	_, store, _ := start(t)
 	value := bytes.Repeat([]byte{7}, 1<<20)
