test: the checker's claims go through a change of the period

Cause: taking in the claims of periods: the checker's store answered the read of the layout with the claim's own record, which can't be read as one, so that a dispatcher gave up after its first conflict, and the model saw less than before while its tests passed. Ruled out: a layout that is always absent; the change of it is what can go wrong. Change: the model's store has keys, conditions and commits; one period may begin at any moment. Two mechanisms more can be turned off: the look at both parts, and the store's check of the layout.

--- a/internal/claim/proof.go
+++ b/internal/claim/proof.go
@@ -5,6 +5,18 @@
 	return func(c *Claims) { c.id = id }
 }
 
+// WithoutBothParts looks for a key in the present part only. It serves only to prove what
+// the look at the part before is for.
+func WithoutBothParts() Option {
+	return func(c *Claims) { c.double = false }
+}
+
+// WithoutLayoutCheck makes claims whatever the layout is by then. It serves only to prove
+// what the check is for.
+func WithoutLayoutCheck() Option {
+	return func(c *Claims) { c.guarded = false }
+}
+
 // WithoutReadBack takes a claim without a reply for granted. It serves only to prove
 // what the read back is for.
 func WithoutReadBack() Option {
--- a/internal/explore/models/claims.go
+++ b/internal/explore/models/claims.go
@@ -12,6 +12,7 @@
 	"github.com/chiveramp/chiveramp/internal/claim"
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/explore"
+	"github.com/chiveramp/chiveramp/internal/platform"
 )
 
 // The mechanisms of claims.
@@ -20,6 +21,8 @@
 	offUnique   = "unique-id"
 	offCompare  = "compare"
 	offUnsent   = "release-unsent"
+	offBoth     = "both-parts"
+	offLayout   = "layout-check"
 )
 
 const (
@@ -27,6 +30,8 @@
 	claimSends    = 2
 	claimFaults   = 2
 	claimDeadline = time.Minute
+	// periodShards is the number of shards of the period that begins meanwhile.
+	periodShards = 2 * once.Shards
 )
 
 var (
@@ -52,9 +57,11 @@
 			{offUnique, "each try to claim carries an id of its own"},
 			{offCompare, "the store writes a claim only over the version that was expected"},
 			{offUnsent, "a claim is given back only when nothing was sent"},
+			{offBoth, "a key is looked for in the part of the period before, too"},
+			{offLayout, "the store takes a claim only while its layout is the present one"},
 		},
 		Start: func(off string) explore.State {
-			s := &claimState{off: off, faults: claimFaults, actors: make([]dispatcher, dispatchers)}
+			s := &claimState{off: off, faults: claimFaults, periods: 1, actors: make([]dispatcher, dispatchers)}
 			for i := range s.actors {
 				s.advance(i)
 			}
@@ -74,12 +81,21 @@
 	sent  int
 }
 
+// cell is one key of the store.
+type cell struct {
+	key     string
+	version uint64
+	value   []byte
+}
+
 // claimState is the store, the endpoint and all dispatchers.
 type claimState struct {
-	off     string
-	actors  []dispatcher
-	version uint64
-	stored  []byte
+	off    string
+	actors []dispatcher
+	// index counts the store's commits; cells are its keys in order.
+	index   uint64
+	cells   []cell
+	periods int // that may still begin
 	late    []call
 	runs    []string // attempts that ran
 	told    []string // attempts whose answers were told
@@ -89,7 +105,7 @@
 // Key implements explore.State.
 func (s claimState) Key() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d %x %v %v %d %v", s.version, s.stored, s.runs, s.told, s.faults, s.late)
+	fmt.Fprintf(&b, "%d %v %d %v %v %d %v", s.index, s.cells, s.periods, s.runs, s.told, s.faults, s.late)
 	for _, a := range s.actors {
 		fmt.Fprintf(&b, "|%d %d %x", a.lives, a.sent, a.past)
 	}
@@ -123,18 +139,33 @@
 	if len(s.late) > 0 {
 		steps = append(steps, explore.Step{Name: "the delayed write arrives", Take: func() explore.State {
 			next := s.clone()
-			_ = next.swap(s.late[0])
+			_ = next.commit(s.late[0].writes)
 			next.late = slices.Clone(s.late[1:])
 			return next
 		}})
 	}
+	if s.periods > 0 {
+		steps = append(steps, explore.Step{Name: "the next period begins", Take: s.nextPeriod})
+	}
 	return steps
 }
 
+// nextPeriod changes the layout, as a sweep does.
+func (s claimState) nextPeriod() explore.State {
+	next := s.clone()
+	next.periods--
+	layout, err := once.First().Next(modelTime, periodShards).Encode()
+	if err != nil {
+		panic(err)
+	}
+	next.apply(platform.Write{Key: once.LayoutKey, Value: layout})
+	return *next
+}
+
 // untouched reports whether nothing has happened yet, so that dispatchers are alike.
 func (s claimState) untouched() bool {
 	first := s.actors[0]
-	return s.version == 0 && s.faults == claimFaults && len(first.replies) == 0
+	return s.index == 0 && s.faults == claimFaults && len(first.replies) == 0
 }
 
 func (s claimState) clone() *claimState {
@@ -171,6 +202,10 @@
 	switch s.off {
 	case offReadBack:
 		opts = append(opts, claim.WithoutReadBack())
+	case offBoth:
+		opts = append(opts, claim.WithoutBothParts())
+	case offLayout:
+		opts = append(opts, claim.WithoutLayoutCheck())
 	case offUnique:
 		opts = append(opts, claim.WithIDs(func() string { return "claim" }))
 	}
--- a/internal/explore/models/claimsteps.go
+++ b/internal/explore/models/claimsteps.go
@@ -1,12 +1,13 @@
 package models
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"slices"
 
+	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/explore"
 	"github.com/chiveramp/chiveramp/internal/platform"
 )
@@ -59,7 +60,7 @@
 	switch kind {
 	case callGet:
 		return []outcome{{text: "the store is down", err: platform.ErrUnavailable}}
-	case callSwap:
+	case callWrite:
 		return []outcome{
 			{text: "the store is down", err: platform.ErrUnavailable},
 			{text: "the reply is lost", effect: true, err: platform.ErrUncertain},
@@ -77,37 +78,83 @@
 func (c call) title() string {
 	switch c.kind {
 	case callGet:
-		return "reads the claim"
-	case callSwap:
-		return fmt.Sprintf("writes the claim over version %d", c.expect)
+		return "reads " + what(c.key)
+	case callWrite:
+		last := c.writes[len(c.writes)-1]
+		return fmt.Sprintf("writes %s over version %d", what(last.Key), last.Expect)
 	default:
 		return "runs attempt " + c.key
 	}
 }
 
+// what names a key of the store.
+func what(key string) string {
+	switch key {
+	case once.LayoutKey:
+		return "the layout"
+	case once.First().Present.Path(claimKey):
+		return "the claim"
+	default:
+		return "the claim of the next period"
+	}
+}
+
 // effect does what a call asks for.
 func (s *claimState) effect(c call) reply {
 	switch c.kind {
 	case callGet:
-		if s.version == 0 {
+		found := s.cell(c.key)
+		if found.version == 0 {
 			return reply{err: platform.ErrNotFound}
 		}
-		return reply{value: s.stored, version: s.version}
-	case callSwap:
-		return s.swap(c)
+		return reply{value: found.value, version: found.version}
+	case callWrite:
+		return s.commit(c.writes)
 	default:
 		s.runs = append(slices.Clone(s.runs), c.key)
 		return reply{}
 	}
 }
 
-func (s *claimState) swap(c call) reply {
-	if c.expect != s.version && s.off != offCompare {
-		return reply{err: platform.ErrConflict}
+// cell returns a key of the store, with version zero when it is absent.
+func (s *claimState) cell(key string) cell {
+	i := slices.IndexFunc(s.cells, func(c cell) bool { return c.key == key })
+	if i < 0 {
+		return cell{key: key}
+	}
+	return s.cells[i]
+}
+
+// commit makes all writes or none.
+func (s *claimState) commit(writes []platform.Write) reply {
+	for _, w := range writes {
+		if !s.allows(w) {
+			return reply{err: platform.ErrConflict}
+		}
+	}
+	for _, w := range writes {
+		s.apply(w)
+	}
+	return reply{version: s.index}
+}
+
+// allows tells whether the conditions of a write hold.
+func (s *claimState) allows(w platform.Write) bool {
+	if w.While.Key != "" && s.cell(w.While.Key).version != uint64(w.While.Version) {
+		return false
+	}
+	taken := slices.ContainsFunc(w.Unless, func(key string) bool { return s.cell(key).version != 0 })
+	return !taken && (s.off == offCompare || s.cell(w.Key).version == uint64(w.Expect))
+}
+
+func (s *claimState) apply(w platform.Write) {
+	s.index++
+	s.cells = slices.DeleteFunc(slices.Clone(s.cells), func(c cell) bool { return c.key == w.Key })
+	if w.Delete {
+		return
 	}
-	s.version++
-	s.stored = c.value
-	return reply{version: s.version}
+	s.cells = append(s.cells, cell{key: w.Key, version: s.index, value: w.Value})
+	slices.SortFunc(s.cells, func(a, b cell) int { return cmp.Compare(a.key, b.key) })
 }
 
 // reply gives a dispatcher its answer.
@@ -142,7 +189,7 @@
 
 // Swap implements claim.Store.
 func (t *taped) Swap(_ context.Context, w platform.Write) (platform.Version, error) {
-	r := t.tape.ask(call{kind: callSwap, key: w.Key, value: w.Value, expect: uint64(w.Expect)})
+	r := t.tape.ask(call{kind: callWrite, writes: []platform.Write{w}})
 	return platform.Version(r.version), r.err
 }
 
@@ -151,7 +198,7 @@
 	return nil, platform.ErrUnavailable
 }
 
-// Commit implements claim.Store; claims commit only in groups.
-func (*taped) Commit(context.Context, ...platform.Write) error {
-	return errors.ErrUnsupported
+// Commit implements claim.Store.
+func (t *taped) Commit(_ context.Context, writes ...platform.Write) error {
+	return t.tape.ask(call{kind: callWrite, writes: writes}).err
 }
--- a/internal/explore/models/tape.go
+++ b/internal/explore/models/tape.go
@@ -1,5 +1,7 @@
 package models
 
+import "github.com/chiveramp/chiveramp/internal/platform"
+
 // tape runs real code that calls out, one call at a time. The code is run again from its
 // beginning with the replies that it has had so far, and stops at the first call that has
 // none. So a state of running code is the list of replies, which can be kept and compared.
@@ -11,19 +13,18 @@
 
 // call is what the code asks of the world.
 type call struct {
-	kind  callKind
-	key   string
-	value []byte
-	// expect is the version that a write replaces.
-	expect uint64
+	kind callKind
+	key  string
+	// writes all take effect or none.
+	writes []platform.Write
 }
 
 type callKind string
 
 const (
-	callGet  callKind = "read"
-	callSwap callKind = "write"
-	callRun  callKind = "run"
+	callGet   callKind = "read"
+	callWrite callKind = "write"
+	callRun   callKind = "run"
 )
 
 // reply is what the world answered.
