fix: rows of the list that were taken earlier never reach the directory last

Cause: since each service has its watch, and two that end together each took the rows and handed them to the directory in two steps; the one that had taken them first could hand them over last, and the other service's endpoints were gone until the next change.

Ruled out: the digests and the adopting of parts; the list itself was whole.

Change: members and directory are brought up to the list under one lock.

--- a/internal/listing/list.go
+++ b/internal/listing/list.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return false, fmt.Errorf("watch list of %s: %w", service, err)
 	}
-	return l.take(clock(), service, list), nil
+	return l.Take(clock(), service, list), nil
 }
 
 func (l *List) index(service string) uint64 {
@@ -105,10 +105,10 @@
 	return l.cursor[service].index
 }
 
-// take takes in what the platform told. An index that fell starts the watch anew, as
+// Take takes in what the platform told. An index that fell starts the watch anew, as
 // the protocol demands. What is older than the known list is passed over for a while:
 // it is either a reader that lags, or a store that was restored.
-func (l *List) take(now time.Time, service string, list platform.MemberList) bool {
+func (l *List) Take(now time.Time, service string, list platform.MemberList) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, c := l.parts[service], l.cursor[service]
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/directory"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/listing"
@@ -10,11 +13,30 @@
 )
 
 // list is the platform's list as this instance knows it.
-type list struct{ *listing.List }
+type list struct {
+	*listing.List
+
+	taking *sync.Mutex
+}
+
+// entries is the part of the directory that the list fills.
+type entries interface {
+	All() []directory.Entry
+	List(serial uint64, rows []directory.Row)
+}
+
+// show brings the members and the directory up to the list. The services' watches end side by side:
+// each takes the rows and hands them over in one go, so that older rows never come last.
+func (l list) show(now time.Time, seen func([]member.Peer), to entries) {
+	l.taking.Lock()
+	defer l.taking.Unlock()
+	seen(l.Peers())
+	to.List(l.Current(), l.Endpoints(now, to.All()))
+}
 
 func (n *Node) newList() list {
 	c := n.config
-	return list{listing.New(c.Platform.Instances, c.Platform.Endpoints, fleet.DataCentre(c.Instance.Datacentre), n.store)}
+	return list{listing.New(c.Platform.Instances, c.Platform.Endpoints, fleet.DataCentre(c.Instance.Datacentre), n.store), &sync.Mutex{}}
 }
 
 func (l list) mark() uint64 {
@@ -51,9 +73,11 @@
 }
 
 func (n *Node) takeList() {
-	peers := n.list.Peers()
-	n.members.change(func(v *member.View) { v.Listed(n.clock(), peers) })
-	n.directory.List(n.list.Current(), n.list.Endpoints(n.clock(), n.directory.All()))
+	now := n.clock()
+	seen := func(peers []member.Peer) {
+		n.members.change(func(v *member.View) { v.Listed(now, peers) })
+	}
+	n.list.show(now, seen, n.directory)
 	n.pool.Retain()
 	n.documents.Nudge()
 }
