--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -24,6 +24,10 @@
 // much as a heartbeat.
 const window = 1 << 20
 
+// readBuffer is what a connection keeps for reading, in bytes. Most messages are smaller;
+// a larger one takes more reads. Write buffers are shared by gRPC.
+const readBuffer = 4 << 10
+
 // errBody: the caller's body could not be read to its end.
 var errBody = errors.New("read body")
 
@@ -98,6 +102,7 @@
 			grpc.WithTransportCredentials(c.credentials),
 			grpc.WithInitialWindowSize(window),
 			grpc.WithInitialConnWindowSize(window),
+			grpc.WithReadBufferSize(readBuffer),
 			grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(requestsOnly))),
 		}, c.dial...)
 		fresh, err := grpc.NewClient("passthrough:///"+address, opts...)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,9 +35,10 @@
 	Handler
 }
 
-// NewServer returns a gRPC server with the windows that the client has too.
+// NewServer returns a gRPC server with the windows and buffers that the client has too.
 func NewServer(opts ...grpc.ServerOption) *grpc.Server {
-	return grpc.NewServer(append(opts, grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window))...)
+	return grpc.NewServer(append(opts,
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window), grpc.ReadBufferSize(readBuffer))...)
 }
 
 // Register adds the service of a handler to a gRPC server.
