--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	draining   Draining
 	suspects   Suspects
 	observer   Observer
+	pacer      Pacer
 	clock      func() time.Time
 
 	mu      sync.Mutex
@@ -69,6 +70,7 @@
 		draining:   silent{},
 		suspects:   silent{},
 		observer:   silent{},
+		pacer:      silent{},
 		clock:      time.Now,
 		router:     route.New(),
 		budget:     retry.New(),
@@ -82,6 +84,7 @@
 
 // Serve answers one request through the sink and returns how it ended.
 func (g *Gateway) Serve(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
+	g.pacer.Request()
 	began := g.clock()
 	t := newTrack(sink, g.clock)
 	g.trail.Note(request.Request, "enter", request.Model+request.Service, request.Profile)
@@ -101,6 +104,7 @@
 
 // Relay runs a request that another instance passed on, inside this data centre only.
 func (g *Gateway) Relay(ctx context.Context, request peer.Request, sink peer.Sink) *peerpb.End {
+	g.pacer.Request()
 	t := newTrack(sink, g.clock)
 	p := &plan{request: request, repeatable: !request.Once, deadline: time.UnixMilli(request.Deadline)}
 	if request.First > 0 {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -32,6 +32,9 @@
 // WithSuspects sets which requests run at one endpoint only.
 func WithSuspects(s Suspects) Option { return func(g *Gateway) { g.suspects = s } }
 
+// WithPacer sets who is told of each request as it comes.
+func WithPacer(p Pacer) Option { return func(g *Gateway) { g.pacer = p } }
+
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.clock = now } }
 
@@ -44,6 +47,7 @@
 type silent struct{}
 
 func (silent) Note(_, _, _, _ string)                   {}
+func (silent) Request()                                 {}
 func (silent) Ended(Report)                             {}
 func (silent) Check(uint64) (suspected, convicted bool) { return false, false }
 func (silent) Drains(fleet.Model) []fleet.Endpoint      { return nil }
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -57,6 +57,11 @@
 	Note(request, step, peer, note string)
 }
 
+// Pacer is told of each request as it comes.
+type Pacer interface {
+	Request()
+}
+
 // Observer is told how each request ended.
 type Observer interface {
 	Ended(Report)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/chiveramp/chiveramp/internal/document"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/entry"
+	"github.com/chiveramp/chiveramp/internal/heap"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/placer"
 	"github.com/chiveramp/chiveramp/internal/platform"
@@ -193,6 +194,7 @@
 		entry.WithSuspects(n.suspects),
 		entry.WithObserver(n.attainment),
 		entry.WithClock(n.clock),
+		entry.WithPacer(heap.New(n.timers)),
 	)
 	n.placer = n.newPlacer()
 }
