--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -87,10 +88,18 @@
 	mux.HandleFunc("GET /v1/models", s.models)
 	mux.HandleFunc("POST /v1/chat/completions", s.limited(s.chat))
 	mux.HandleFunc("/services/{name}/{rest...}", s.limited(s.service))
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		fail(w, "", refuse(CodeNotFound, "route", "no "+r.Method+" "+r.URL.Path))
+	mux.HandleFunc("/", unrouted)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/") { // as of CONNECT, which the routes answer without an error of ours
+			unrouted(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
 	})
-	return mux
+}
+
+func unrouted(w http.ResponseWriter, r *http.Request) {
+	fail(w, "", refuse(CodeNotFound, "route", "no "+r.Method+" "+r.URL.Path))
 }
 
 func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -56,7 +56,7 @@
 	e.line = append(e.line, '/')
 	e.line = strconv.AppendUint(e.line, d.Offset+1, 10)
 	e.line = append(e.line, "\ndata: "...)
-	e.line = appendLines(e.line, d.Data)
+	e.line = appendLines(e.line, unixLines(d.Data))
 	e.line = append(e.line, "\n\n"...)
 	if err := e.write(e.line); err != nil {
 		return err
@@ -64,6 +64,16 @@
 	return e.flush()
 }
 
+// unixLines makes every end of a line a line feed: a lone carriage return ends a line
+// too, and what follows it would not be taken for data.
+func unixLines(data []byte) []byte {
+	if bytes.IndexByte(data, '\r') < 0 {
+		return data
+	}
+	data = bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n"))
+	return bytes.ReplaceAll(data, []byte("\r"), []byte("\n"))
+}
+
 // appendLines appends data with the field name after each line break in it.
 func appendLines(to, data []byte) []byte {
 	for {
--- a/internal/core/stream/chat.go
+++ b/internal/core/stream/chat.go
@@ -7,7 +7,10 @@
 	"strings"
 )
 
-var errCannotContinue = errors.New("request cannot be continued")
+var (
+	errCannotContinue = errors.New("request cannot be continued")
+	errNoPiece        = errors.New("null is no piece of an answer")
+)
 
 // chatChunk is the part of a streamed chat answer that text is taken from.
 type chatChunk struct {
@@ -146,6 +149,9 @@
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return nil, fmt.Errorf("splice: %w", err)
 	}
+	if fields == nil {
+		return nil, fmt.Errorf("splice: %w", errNoPiece)
+	}
 	id, err := json.Marshal(s.id)
 	if err != nil {
 		return nil, fmt.Errorf("splice: %w", err)
--- /dev/null
+++ b/internal/core/stream/fuzz_test.go
@@ -0,0 +1,56 @@
+package stream
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/coretest"
+)
+
+// FuzzContinue lets an engine die after any two pieces of an answer to any request. If
+// the answer is continued, its body is JSON that ends with the text so far, and the
+// pieces that follow have the first one's id.
+func FuzzContinue(f *testing.F) {
+	body := `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":9}`
+	for _, piece := range []string{
+		string(textPiece("a")), string(finishPiece), `{"choices":[]}`, `{"choices":null}`, "null", "[]", `{"id":1}`, "",
+		`{"id":"x","choices":[{"index":1}]}`, `{"id":"x","choices":[{"delta":null}],"usage":{"prompt_tokens":-1}}`,
+	} {
+		f.Add([]byte(body), textPiece("a"), []byte(piece))
+		f.Add([]byte(`{"messages":null,"max_tokens":1e99}`), []byte(piece), textPiece("b"))
+	}
+	f.Fuzz(func(t *testing.T, body, first, second []byte) {
+		a := New()
+		a.Begin("a1", "e1")
+		for i, data := range [][]byte{first, second} {
+			_, verdict := a.Add(coretest.Start, Piece{Attempt: "a1", Offset: uint64(i), Data: data})
+			require.Equal(t, VerdictPassed, verdict)
+		}
+		d := a.Cut(coretest.Start, "a1", LossEndpoint)
+		if d.Step != StepContinue {
+			return
+		}
+		if further, err := ContinueBody(body, d.Text, d.Tokens); err == nil {
+			var asked struct {
+				Messages []json.RawMessage `json:"messages"`
+			}
+			require.NoError(t, json.Unmarshal(further, &asked))
+			var last chatMessage
+			require.NoError(t, json.Unmarshal(asked.Messages[len(asked.Messages)-1], &last))
+			require.Equal(t, d.Text, last.Content)
+		}
+		splice, err := NewSplice(first, d.Tokens)
+		if err != nil {
+			return
+		}
+		if spliced, err := splice.Apply(second); err == nil {
+			var piece struct {
+				ID string `json:"id"`
+			}
+			require.NoError(t, json.Unmarshal(spliced, &piece))
+			require.Equal(t, splice.id, piece.ID)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sse/fuzz_test.go
@@ -0,0 +1,47 @@
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+const fuzzLimit = 64 // bytes
+
+// FuzzReader reads any stream to its end, whole and byte by byte: both give the same
+// events, none is over the limit, and the end is an error that names what it is.
+func FuzzReader(f *testing.F) {
+	for _, text := range []string{
+		"data: a\n\n", "id: 1\nevent: x\ndata: a\ndata: b\n\n", "data:\n\n", "data\r\n\r\n", ": note\n\ndata: x",
+		"id: 1\n\ndata: y\n\n", "data: " + strings.Repeat("x", fuzzLimit+1) + "\n\n", "\xff\x00\n\n", "data: a\rdata: b\n\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		whole, end := readAll(NewReader(bytes.NewReader(raw), fuzzLimit))
+		slow, slowEnd := readAll(NewReader(iotest.OneByteReader(bytes.NewReader(raw)), fuzzLimit))
+		require.Equal(t, whole, slow)
+		require.Equal(t, end, slowEnd)
+		require.True(t, errors.Is(end, io.ErrUnexpectedEOF) || errors.Is(end, ErrTooLarge), "%v", end)
+		for _, e := range whole {
+			require.LessOrEqual(t, len(e.Data), fuzzLimit)
+		}
+	})
+}
+
+func readAll(r *Reader) ([]Event, error) {
+	defer r.Release()
+	var all []Event
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return all, err
+		}
+		all = append(all, Event{ID: bytes.Clone(e.ID), Name: bytes.Clone(e.Name), Data: e.Data})
+	}
+}
