fix: an answer whose end marker alone was lost with its engine is whole

Cause: after a loss the text so far decides, and a text with a finish reason can't be continued, so the caller got an explicit error although all was sent. Ruled out: the finish reason as end marker (a parse of every event, and the usage comes after it); continuing elsewhere (an engine would go on with an ended text). Change: the entry asks stream.Assembly.Finished after a loss: one choice, all pieces at hand, finish reason last, usage there if it was asked for. The stand-in engine can crash before its marker.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,6 +131,9 @@
 		if end.Code == dispatch.CodeNowhere && last != nil {
 			return last
 		}
+		if end.Code != "" && t.whole(p, end) {
+			return dispatch.Whole(t.assembly.Next())
+		}
 		if end.Code == "" || !g.again(ctx, p, t, end) {
 			return end
 		}
--- a/internal/entry/track.go
+++ b/internal/entry/track.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// whole tells whether all of a streamed answer was passed on and only its end marker was
+// lost with the endpoint.
+func (t *track) whole(p *plan, end *peerpb.End) bool {
+	lost := end.Code == dispatch.CodeLost || end.Code == dispatch.CodeGone
+	return lost && p.request.Stream && p.request.Service == "" && t.assembly.Finished(t.clock(), p.original)
+}
+
 func loss(code string) stream.Loss {
 	switch code {
 	case dispatch.CodeLost:
--- a/internal/entry/track_test.go
+++ b/internal/entry/track_test.go
@@ -43,3 +43,33 @@
 	require.Equal(t, &taken{endpoints: []string{"e1", "e2"}, pieces: 2}, sink)
 	require.Contains(t, string(p.kept), "continue_final_message")
 }
+
+// An endpoint that dies between the finish reason and the end marker has answered all.
+func TestAnswerWithoutItsMarkerIsWhole(t *testing.T) {
+	text := `{"id":"1","choices":[{"index":0,"delta":{"content":"a"}}]}`
+	finish := `{"id":"1","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`
+	tests := []struct {
+		name   string
+		stream bool
+		code   string
+		pieces []string
+		want   bool
+	}{
+		{name: "finished", stream: true, code: dispatch.CodeLost, pieces: []string{text, finish}, want: true},
+		{name: "forgotten by the endpoint", stream: true, code: dispatch.CodeGone, pieces: []string{text, finish}, want: true},
+		{name: "in its middle", stream: true, code: dispatch.CodeLost, pieces: []string{text}},
+		{name: "not sent as events", code: dispatch.CodeLost, pieces: []string{text, finish}},
+		{name: "out of time", stream: true, code: dispatch.CodeDeadline, pieces: []string{text, finish}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			track := newTrack(&taken{}, time.Now)
+			p := &plan{request: peer.Request{Submit: &peerpb.Submit{Stream: tt.stream}}, original: []byte(`{"model":"m"}`)}
+			track.begin("a1", "e1")
+			for i, piece := range tt.pieces {
+				require.NoError(t, track.Data(&peerpb.Data{Attempt: "a1", Offset: uint64(i), Data: []byte(piece)}))
+			}
+			require.Equal(t, tt.want, track.whole(p, dispatch.Fail(tt.code, "answer", "")))
+		})
+	}
+}
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -68,7 +68,7 @@
 	w.Header().Set("Cache-Control", "no-store")
 	w.Header().Set(endpoint.HeaderRequest, started.attempt)
 	left, clean := s.takeCut()
-	out := &eventWriter{w: w, controller: http.NewResponseController(w), left: left}
+	out := &eventWriter{w: w, controller: http.NewResponseController(w), left: left, unmarked: s.unmarked()}
 	out.flush()
 	for !out.over {
 		seen, err := s.follow(r.Context(), started, after)
@@ -78,16 +78,32 @@
 		out.events(after, seen)
 		after += len(seen.events)
 	}
-	if out.err != nil && !clean {
+	if out.unmarked {
+		s.lockedCrash(started.attempt)
+	}
+	if out.unmarked || out.err != nil && !clean {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+func (s *Server) unmarked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CrashUnmarked
+}
+
+func (s *Server) lockedCrash(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crash(attempt)
+}
+
 // eventWriter writes events, up to the byte where a fault cuts the stream.
 type eventWriter struct {
 	w          io.Writer
 	controller *http.ResponseController
 	left       int // bytes until the cut, negative for none
+	unmarked   bool
 	buffer     []byte
 	over       bool
 	err        error
@@ -103,7 +119,9 @@
 		o.buffer = append(o.buffer, "\n\n"...)
 	}
 	if seen.ended {
-		o.buffer = append(o.buffer, lastEvent(seen.failure)...)
+		if !o.unmarked {
+			o.buffer = append(o.buffer, lastEvent(seen.failure)...)
+		}
 		o.over = true
 	}
 	o.write(o.buffer)
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -20,6 +20,8 @@
 	Overcommit bool `json:"overcommit"`
 	// CrashOn crashes the engine on a prompt that contains the word.
 	CrashOn string `json:"crash_on"`
+	// CrashUnmarked crashes the engine after an answer's last event, before its end marker.
+	CrashUnmarked bool `json:"crash_unmarked"`
 	// EventGap leaves out each cache event whose number it divides.
 	EventGap uint64 `json:"event_gap"`
 	// Leaving makes the engine refuse new work.
--- a/test/process/stream_test.go
+++ b/test/process/stream_test.go
@@ -239,6 +239,15 @@
 	}
 }
 
+// Each engine dies after the finish reason and before the end marker: all text was sent.
+func TestFinishedAnswerOutlivesItsEngine(t *testing.T) {
+	b := southern(t, "")
+	for _, e := range b.engines {
+		e.SetFaults(engine.Faults{CrashUnmarked: true})
+	}
+	require.Equal(t, 1, b.longAnswers(b.nodes[0], 1, func() {}))
+}
+
 func TestCutStreamsAreResumed(t *testing.T) {
 	for _, p := range proofs(switches.Reconnect) {
 		t.Run(p.name(), func(t *testing.T) {
