test: stopping bulk streams for urgent requests, and moving KV cache, measured and left out

The fakes can stop a bulk stream that has given least when an urgent request finds no slot, and go on with it later (what it gave is read again) or begin it again; and can have every prefix cached at no cost, the most that moving KV cache can bring.

--- a/cmd/chiveramp-measure/main.go
+++ b/cmd/chiveramp-measure/main.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "number of seeds"},
 			&cli.StringFlag{Name: "scene", Usage: "only scenes whose name contains this"},
 			&cli.StringFlag{Name: "against", Value: "baselines", Usage: "baselines, none or variants"},
+			&cli.StringFlag{Name: "policy", Usage: "only the policies whose name contains this, beside ours"},
 			&cli.IntFlag{Name: "parallel", Value: max(runtime.NumCPU()/2, 1), Usage: "runs at once"},
 		},
 		Action: run,
@@ -41,7 +42,7 @@
 	suite := measure.Suite{
 		Deployments: []measure.Deployment{measure.Guaiba(), measure.Gopherline()},
 		Scene:       c.String("scene"),
-		Policies:    policies,
+		Policies:    measure.Only(policies, c.String("policy")),
 		Parallel:    c.Int("parallel"),
 	}
 	for seed := range max(c.Int("seeds"), 1) {
--- a/internal/measure/answer.go
+++ b/internal/measure/answer.go
@@ -7,7 +7,9 @@
 
 // first notes that the first token has left the engine.
 func (r *run) first(c *call) {
-	c.first = r.now
+	if c.given == 0 {
+		c.first = r.now
+	}
 	r.cacheEvent(c)
 	if c.req.killer {
 		e := c.engine
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -91,6 +91,8 @@
 	place fleet.Place
 	// priority makes prompts of urgent calls go first.
 	priority bool
+	// freeCache makes every prefix cached, as if it were moved for nothing.
+	freeCache bool
 
 	alive bool
 	// died is when the engine last died, had what it held then.
@@ -169,7 +171,7 @@
 		return false
 	}
 	e.kv += kv
-	prompt := c.req.prompt - e.cache.get(c.req.group)
+	prompt := c.req.prompt + c.given - e.cached(c.req)
 	e.cache.put(c.req.group, c.req.prefix)
 	j := &job{call: c, left: float64(max(prompt, 1)) / chunkTokens, kv: kv}
 	c.job = j
@@ -177,6 +179,14 @@
 	return true
 }
 
+// cached returns how much of a prompt need not be read.
+func (e *engine) cached(r *request) int {
+	if e.freeCache {
+		return r.prefix
+	}
+	return e.cache.get(r.group)
+}
+
 func (e *engine) kvLimit() int {
 	return int((engineMemory - e.used) / gib * tokensPerGiB)
 }
@@ -250,7 +260,7 @@
 func (e *engine) beginAnswer() {
 	j := e.reading[0]
 	e.reading = e.reading[1:]
-	j.end = e.steps + float64(j.call.req.tokens-1)
+	j.end = e.steps + float64(j.call.req.tokens-j.call.given-1)
 	e.occupy(j.call.req.model, 1)
 	heap.Push(&e.running, j)
 	e.onFirst(j.call)
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/admit"
@@ -49,6 +50,10 @@
 	Admit  []admit.Option
 	Choose []route.Option
 	Plan   []place.Option
+	// Preempt says what becomes of bulk streams when urgent requests find no slot.
+	Preempt PreemptMode
+	// FreeCache lets all prefixes be cached everywhere, the most that moving KV cache can bring.
+	FreeCache bool
 	// Without switches mechanisms off, to measure what they are worth.
 	Without Without
 }
@@ -102,6 +107,13 @@
 		change("no gap bound", func(p *Policy) { p.Admit = []admit.Option{admit.Gap(0)} }),
 		change("no spare model", func(p *Policy) { p.Admit = []admit.Option{admit.SpareModels(0)} }),
 		change("link budget", func(p *Policy) { p.Choose = []route.Option{route.WithLink(linkBudget())} }),
+		change("bulk resumed", func(p *Policy) { p.Preempt = PreemptResume }),
+		change("bulk cancelled", func(p *Policy) { p.Preempt = PreemptCancel }),
+		change("bulk kept, urgent floor 0.2", func(p *Policy) { p.Admit = lowUrgentFloor() }),
+		change("bulk resumed, urgent floor 0.2", func(p *Policy) {
+			p.Admit, p.Preempt = lowUrgentFloor(), PreemptResume
+		}),
+		change("prefixes moved for nothing", func(p *Policy) { p.FreeCache = true }),
 		change("no trend", func(p *Policy) { p.Plan = []place.Option{place.Trend(0)} }),
 		change("no threshold", func(p *Policy) {
 			p.Plan = []place.Option{place.Threshold(0), place.MinStay(0)}
@@ -109,6 +121,11 @@
 	}
 }
 
+// lowUrgentFloor keeps less room empty for urgent work.
+func lowUrgentFloor() []admit.Option {
+	return []admit.Option{admit.Floors(admit.Shares{Urgent: 0.2, Standard: 0.2, Bulk: 0.1})}
+}
+
 // linkBudget is an eighth of the link between regions for each entry, urgent first.
 func linkBudget() route.LinkBudget {
 	return route.LinkBudget{
@@ -119,6 +136,17 @@
 // errAgainst reports an unknown set of policies.
 var errAgainst = errors.New("want baselines, none or variants")
 
+// Only keeps the first policy and those whose name contains a text.
+func Only(all []Policy, name string) []Policy {
+	kept := all[:1:1]
+	for _, p := range all[1:] {
+		if strings.Contains(p.Name, name) {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
+
 // Against returns the core and what it is compared with.
 func Against(name string) ([]Policy, error) {
 	switch name {
--- /dev/null
+++ b/internal/measure/preempt_test.go
@@ -0,0 +1,42 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// A stream that was stopped and resumed gives the rest of its tokens only.
+func TestStoppedStreamGoesOn(t *testing.T) {
+	tests := []struct {
+		mode PreemptMode
+		rest time.Duration
+	}{
+		{mode: PreemptResume, rest: 6 * time.Second},
+		{mode: PreemptCancel, rest: 10 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.mode), func(t *testing.T) {
+			d := Gopherline()
+			p := Core()
+			p.Preempt = tt.mode
+			r := newRun(&d, &Scene{Length: time.Minute}, &p, 1)
+			r.score = newScore(&d, r.scene, make([]*request, 1))
+			class := Class{Profile: "notes", Rank: fleet.RankBulk, First: bulkFirst}
+			step := passTime + answerTime
+			tokens := int(10 * time.Second / step)
+			c := &call{id: "0", req: &request{class: &class, prompt: 10, tokens: tokens, place: d.Centres[0].Place}}
+			r.byID[c.id] = c
+			r.forward(c)
+			r.at(4*time.Second, func() { r.preempt(c) })
+			r.at(5*time.Second, func() { r.resume(c) })
+			r.runUntil(5*time.Second + tt.rest - 200*time.Millisecond)
+			require.Equal(t, callRunning, c.state)
+			r.runUntil(5*time.Second + tt.rest + 200*time.Millisecond)
+			require.Equal(t, callFinished, c.state)
+		})
+	}
+}
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -42,7 +42,7 @@
 // columns are the headings of a table. Rates are in per cent, by rank urgent,
 // standard, bulk; worth and answers are for each accelerator and minute.
 const columns = "policy\tworth\tspread\tratio\tof bound\tanswers\t" +
-	"urgent\tstandard\tbulk\tin flood\tothers\tlate/slow/refused urgent\tmoves\trefusals\twrong\tdeaths\tlink MB\t\n"
+	"urgent\tstandard\tbulk\tin flood\tothers\tlate/slow/refused urgent\tmoves\trefusals\twrong\tdeaths\tlink MB\tstopped\t\n"
 
 func heading(table *tabwriter.Writer, w io.Writer, c *Cell) error {
 	if err := flush(table); err != nil {
@@ -80,6 +80,7 @@
 		c.count(func(r *Result) float64 { return float64(r.Wrong) }),
 		c.count(func(r *Result) float64 { return float64(r.Deaths) }),
 		c.count(func(r *Result) float64 { return r.LinkBytes / 1e6 }),
+		c.count(func(r *Result) float64 { return float64(r.Preempted) }),
 	}
 	if _, err := fmt.Fprintln(table, strings.Join(fields, "\t")+"\t"); err != nil {
 		return fmt.Errorf("print line: %w", err)
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -33,8 +33,10 @@
 	hops   int
 	spent  int
 	// asked is when the caller last sent the request.
-	asked    time.Duration
-	tries    int
+	asked time.Duration
+	tries int
+	// given is how many tokens of the answer the caller has from before the stream was stopped.
+	given    int
 	exclude  []fleet.Endpoint
 	shortest time.Duration
 	first    time.Duration
@@ -99,6 +101,7 @@
 			i := len(r.engines)
 			e := newEngine(&r.clock, i, c.Place, r.deployment.Models)
 			e.priority = r.policy.Queue == QueueCore
+			e.freeCache = r.policy.FreeCache
 			e.onFirst, e.onDone = r.first, r.done
 			r.engines = append(r.engines, e)
 			r.queues = append(r.queues, r.newQueue(seed+uint64(i)))
@@ -221,7 +224,7 @@
 		r.elsewhere(c, 0)
 		return
 	}
-	v := r.queues[e.index].Offer(r.time(), r.item(c))
+	v := r.offer(c)
 	switch v.State {
 	case admit.StateStart:
 		r.start(c)
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -30,6 +30,7 @@
 	refusals   int
 	wrong      int
 	deaths     int
+	preempted  int
 	moves      int
 	linkBytes  float64
 }
@@ -109,9 +110,11 @@
 	// Store is what the weight store would allow, its limits being the only ones.
 	Store float64
 	// Answers is attained requests for each accelerator and minute.
-	Answers   float64
-	Moves     int
-	Deaths    int
+	Answers float64
+	Moves   int
+	Deaths  int
+	// Preempted counts the bulk streams that were stopped for urgent requests.
+	Preempted int
 	Refusals  int
 	Wrong     int
 	LinkBytes float64
@@ -124,7 +127,7 @@
 
 func (s *score) result(policy string, seed uint64) Result {
 	out := Result{
-		Scene: s.scene.Name, Policy: policy, Seed: seed, Moves: s.moves, Deaths: s.deaths,
+		Scene: s.scene.Name, Policy: policy, Seed: seed, Moves: s.moves, Deaths: s.deaths, Preempted: s.preempted,
 		Refusals: s.refusals, Wrong: s.wrong, LinkBytes: s.linkBytes,
 	}
 	worth, answers := 0.0, 0
