test: an order's dispatcher ends at each step of the claim

Cause: kills at process level fell at random moments. TestOrderRunsOnceThroughADeathAtEachStep: before the claim, claimed, answered, before the end is recorded, and with the end waiting for its batch. An end that waits for its batch is lost with its process; the key stays unknown.

--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -2,6 +2,8 @@
 // of them is for. Builds without the tag "proofs" have every mechanism on.
 package switches
 
+import "fmt"
+
 // Mechanism names one mechanism.
 type Mechanism string
 
@@ -28,3 +30,20 @@
 	// Pull takes documents from other instances.
 	Pull Mechanism = "pull"
 )
+
+// Step names a place at which tests make a process end.
+type Step string
+
+// The steps of a request that runs at most once.
+const (
+	StepUnclaimed  Step = "unclaimed"
+	StepClaimed    Step = "claimed"
+	StepAnswered   Step = "answered"
+	StepUnrecorded Step = "unrecorded"
+	StepGathered   Step = "gathered"
+)
+
+// DeathKey returns the idempotency key that makes one process end at a step.
+func DeathKey(s Step, pid int) string {
+	return fmt.Sprintf("die-%s-%d", s, pid)
+}
--- /dev/null
+++ b/test/process/death_test.go
@@ -0,0 +1,68 @@
+package process
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/switches"
+)
+
+// dispatcherOf returns the instance that dispatches an endpoint, and another one.
+func (b *bench) dispatcherOf(endpoint string) (dispatcher, other *instance) {
+	b.t.Helper()
+	b.eventually("dispatcher of "+endpoint, func() bool {
+		status, err := b.operators(b.nodes[0]).Status(b.t.Context())
+		if err != nil {
+			return false
+		}
+		for _, d := range status.Dispatchers {
+			for _, n := range b.nodes {
+				if d.Endpoint == endpoint && d.Instance == n.name {
+					dispatcher = n
+				}
+			}
+		}
+		return dispatcher != nil
+	})
+	for _, n := range b.nodes {
+		if n != dispatcher {
+			other = n
+		}
+	}
+	return dispatcher, other
+}
+
+// The dispatcher of an order ends at each step of its claim. The caller sends the order
+// again: it runs once at most, and is told "ran" or "unknown", never "not run" after it ran.
+func TestOrderRunsOnceThroughADeathAtEachStep(t *testing.T) {
+	tests := []struct {
+		step switches.Step
+		runs int
+		told string // at last
+	}{
+		{switches.StepUnclaimed, 1, "ran"},
+		{switches.StepClaimed, 0, "unknown"},
+		{switches.StepAnswered, 1, "unknown"},
+		{switches.StepUnrecorded, 1, "unknown"},
+		{switches.StepGathered, 1, "unknown"}, // its end waits for the next batch,
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.step), func(t *testing.T) {
+			b := southern(t, "")
+			dispatcher, from := b.dispatcherOf("order-south-1")
+			key := switches.DeathKey(tt.step, dispatcher.process.Process.Pid)
+			b.kit(from, key)
+			<-dispatcher.ended
+			var last reply
+			b.eventually("an answer to the order", func() bool {
+				last = b.kit(from, key)
+				require.False(t, last.outcome == "not-run" && b.orders.Counts().Keys[key] > 0)
+				return last.outcome == tt.told
+			})
+			require.Equal(t, tt.runs, b.orders.Counts().Keys[key])
+			require.Equal(t, tt.told, b.kit(from, key).outcome)
+			require.Equal(t, tt.runs, b.orders.Counts().Keys[key])
+		})
+	}
+}
