--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -194,7 +194,7 @@
 	if err := r.record(ctx, end); err != nil {
 		r.pool.trail.Note(r.request.Request, "record", "store", err.Error())
 	}
-	switches.Reach(switches.StepGathered, r.request.Key)
+	switches.Reach(switches.StepRecorded, r.request.Key)
 }
 
 func (r *run) record(ctx context.Context, end *peerpb.End) error {
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -40,7 +40,7 @@
 	StepClaimed    Step = "claimed"
 	StepAnswered   Step = "answered"
 	StepUnrecorded Step = "unrecorded"
-	StepGathered   Step = "gathered"
+	StepRecorded   Step = "recorded"
 )
 
 // DeathKey returns the idempotency key that makes one process end at a step.
--- a/test/process/death_test.go
+++ b/test/process/death_test.go
@@ -45,7 +45,7 @@
 		{switches.StepClaimed, 0, "unknown"},
 		{switches.StepAnswered, 1, "unknown"},
 		{switches.StepUnrecorded, 1, "unknown"},
-		{switches.StepGathered, 1, "unknown"}, // its end waits for the next batch,
+		{switches.StepRecorded, 1, "ran"}, // its end is recorded before its caller is told
 	}
 	for _, tt := range tests {
 		t.Run(string(tt.step), func(t *testing.T) {
