--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -132,7 +132,7 @@
 	var parts []string
 	for level := range c.Results[0].Flood {
 		rate := c.mean(func(r *Result) float64 { return r.Flood[level].Rate() })
-		parts = append(parts, fmt.Sprintf("%.0f", 100*rate))
+		parts = append(parts, fmt.Sprintf("%.1f", 100*rate))
 	}
 	return strings.Join(parts, "/")
 }
