test: the dispatch pool with fakes: turns by rank, cancel in the queue, resume by offset

The pool had only tests of an attempt and of its record. A fake engine holds each request until told, a fake list has one endpoint of one slot: turns go by rank and not by arrival, a request given up in the queue is told as not run and gets no turn, a kept answer is resumed at an offset and beyond its end is gone. Not yet: cancel of a running attempt, attempt ids, the order of claims.

go test -race -count=10 -run 'Turns|CancelIn|ResumeBy|Pool' ./internal/dispatch: ok

--- /dev/null
+++ b/internal/dispatch/order_test.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/admit"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+	"github.com/chiveramp/chiveramp/internal/peer"
+	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+)
+
+// held tells which request has started and answers it when told.
+type held struct {
+	echo
+	started chan string
+	release chan struct{}
+}
+
+func (h held) Forward(ctx context.Context, addr string, call endpoint.ForwardCall) (*http.Response, error) {
+	h.started <- call.Path
+	<-h.release
+	return h.echo.Forward(ctx, addr, call)
+}
+
+// single is a pool whose endpoint takes one request at a time, with the requests sent to it.
+type single struct {
+	*Pool
+	held
+	callers errgroup.Group
+	runs    errgroup.Group
+	ends    map[string]chan *peerpb.End
+}
+
+func newSingle(t *testing.T) *single {
+	t.Helper()
+	s := &single{
+		held: held{started: make(chan string, 8), release: make(chan struct{})},
+		ends: make(map[string]chan *peerpb.End),
+	}
+	one := func(string) []admit.Option {
+		return []admit.Option{admit.Slots(1), admit.Floors(admit.Shares{}), admit.Guard(0), admit.ProfileCap(1)}
+	}
+	s.Pool = New("s-1", &s.runs, newTicks(), s.held, listed{}, WithAdmission(one))
+	t.Cleanup(func() {
+		require.NoError(t, s.callers.Wait())
+		require.NoError(t, s.runs.Wait())
+		s.Close()
+	})
+	return s
+}
+
+func (s *single) send(ctx context.Context, id string, rank fleet.Rank) {
+	end := make(chan *peerpb.End, 1)
+	s.ends[id] = end
+	request := forwarded(id, "e-1")
+	request.Rank, request.Path = string(rank), id
+	s.callers.Go(func() error {
+		end <- s.Serve(ctx, request, &recorder{})
+		return nil
+	})
+}
+
+func (s *single) queued(t *testing.T, n int) {
+	t.Helper()
+	settled(t, func() bool {
+		l, err := s.Loads(t.Context(), "e-1")
+		return err == nil && l.Queued == n
+	})
+}
+
+func TestTurnsGoByRank(t *testing.T) {
+	s := newSingle(t)
+	s.send(t.Context(), "first", fleet.RankBulk)
+	require.Equal(t, "first", <-s.started)
+	for i, rank := range []fleet.Rank{fleet.RankBulk, fleet.RankStandard, fleet.RankUrgent} {
+		s.send(t.Context(), string(rank), rank)
+		s.queued(t, i+1)
+	}
+	for _, rank := range []fleet.Rank{fleet.RankUrgent, fleet.RankStandard, fleet.RankBulk} {
+		s.release <- struct{}{}
+		require.Equal(t, string(rank), <-s.started)
+	}
+	s.release <- struct{}{}
+	for id, end := range s.ends {
+		require.Empty(t, (<-end).Code, id)
+	}
+}
+
+func TestCancelInTheQueueGivesTheTurnUp(t *testing.T) {
+	s := newSingle(t)
+	s.send(t.Context(), "first", fleet.RankStandard)
+	require.Equal(t, "first", <-s.started)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.send(ctx, "given up", fleet.RankUrgent)
+	s.queued(t, 1)
+	s.send(t.Context(), "last", fleet.RankStandard)
+	s.queued(t, 2)
+	cancel()
+	end := <-s.ends["given up"]
+	require.Equal(t, CodeCancelled, end.Code)
+	require.Equal(t, string(fleet.OutcomeNotRun), end.Outcome)
+	s.queued(t, 1)
+	s.release <- struct{}{}
+	require.Equal(t, "last", <-s.started, "what was given up has no turn")
+	s.release <- struct{}{}
+	require.Empty(t, (<-s.ends["last"]).Code)
+}
+
+func TestResumeByOffset(t *testing.T) {
+	k := newTicks()
+	var group errgroup.Group
+	p := New("s-1", &group, k, echo{}, listed{})
+	defer p.Close()
+	require.Empty(t, p.Serve(t.Context(), forwarded("a-1", "e-1"), &recorder{}).Code)
+	require.NoError(t, group.Wait())
+	tests := []struct {
+		name   string
+		resume *peerpb.Resume
+		pieces []string
+		code   string
+	}{
+		{name: "from the beginning", resume: &peerpb.Resume{Attempt: "a-1", Endpoint: "e-1"}, pieces: []string{"hello"}},
+		{name: "after the last", resume: &peerpb.Resume{Attempt: "a-1", Endpoint: "e-1", Offset: 1}},
+		{name: "beyond the end", resume: &peerpb.Resume{Attempt: "a-1", Endpoint: "e-1", Offset: 2}, code: CodeGone},
+		{name: "unknown, endpoint not listed", resume: &peerpb.Resume{Attempt: "a-2", Endpoint: "e-2"}, code: CodeLost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sink := &recorder{}
+			require.Equal(t, tt.code, p.Resume(t.Context(), tt.resume, sink).Code)
+			require.Equal(t, tt.pieces, sink.pieces)
+		})
+	}
+}
+
+var _ peer.Sink = (*recorder)(nil)
