perf: in a large data centre heartbeats go to 12 peers a round, rumours keep 3 s

Cause: all to all each second; with 38 instances 37 messages each way.

Change: up to 12 peers all to all, as before. Beyond that member.View beats three followers in the ring of names each second and 9 others in turn; a peer is suspected when two instances don't hear it and nothing newer was heard here. Who hears a rumour about itself beats everybody; so do starts, resumes, departures, new documents, deadly requests, copies to drain and totals passed on; whoever comes back is answered. Ruled out: turns alone (6 s), everyone's sequence in every heartbeat (bytes, worked out).

Found and mended, each test fails without: turns by number jumped when a peer was given up (8 of 37 suspected a live one), and a resumed instance suspected those that came to it by turn. TestMeshAgreesAfterRandomFaults runs in turns too.

--- a/internal/core/member/options.go
+++ b/internal/core/member/options.go
@@ -7,6 +7,7 @@
 	DefaultInterval = 500 * time.Millisecond
 	DefaultExchange = 2 * time.Second
 	DefaultForget   = 10 * time.Minute
+	DefaultFanout   = 12
 
 	suspectMissed = 3
 	deadMissed    = 6
@@ -14,6 +15,12 @@
 	speakers      = 2
 	probeRounds   = 8
 	retiredKept   = 8
+	// followers get every heartbeat of an instance, in a large data centre too.
+	followers = 3
+	// confirming is how many instances must not hear a peer for others to believe it.
+	confirming = 2
+	// wideRounds are the first rounds of an instance, which go to all.
+	wideRounds = 3
 )
 
 type settings struct {
@@ -22,6 +29,8 @@
 	forget   time.Duration
 	suspect  int
 	dead     int
+	fanout   int
+	rumours  bool
 	pause    bool
 	sticky   bool
 	omitted  bool
@@ -50,6 +59,11 @@
 	return func(s *settings) { s.forget = d }
 }
 
+// WithFanout sets to how many peers of the own data centre a round goes at most.
+func WithFanout(n int) Option {
+	return func(s *settings) { s.fanout = n }
+}
+
 func defaults() settings {
 	return settings{
 		interval: DefaultInterval,
@@ -57,6 +71,8 @@
 		forget:   DefaultForget,
 		suspect:  suspectMissed,
 		dead:     deadMissed,
+		fanout:   DefaultFanout,
+		rumours:  true,
 		pause:    true,
 		sticky:   true,
 		omitted:  true,
--- a/internal/core/member/proof_test.go
+++ b/internal/core/member/proof_test.go
@@ -60,12 +60,16 @@
 	cut     map[string]int
 	leaving map[string]bool // incarnations
 	inbox   [][]Peer
+	rumours [][]Rumour
 	serial  int
 }
 
-func newMesh(opts ...Option) *mesh {
-	m := &mesh{frozen: make([]int, meshSize), cut: map[string]int{}, leaving: map[string]bool{}, inbox: make([][]Peer, meshSize)}
-	for i := range meshSize {
+func newMesh(size int, opts ...Option) *mesh {
+	m := &mesh{
+		frozen: make([]int, size), cut: map[string]int{}, leaving: map[string]bool{}, inbox: make([][]Peer, size),
+		rumours: make([][]Rumour, size),
+	}
+	for i := range size {
 		m.views = append(m.views, nil)
 		m.start(i, opts...)
 	}
@@ -78,7 +82,7 @@
 	p.Incarnation = fmt.Sprintf("i%d-%d", i, m.serial)
 	m.views[i] = New(p, append([]Option{WithInterval(time.Second)}, opts...)...)
 	var seeds []Peer
-	for j := range meshSize {
+	for j := range m.frozen {
 		seeds = append(seeds, peer(fmt.Sprintf("i%d", j), "r1", "d1"))
 	}
 	m.views[i].Listed(start, seeds)
@@ -93,7 +97,8 @@
 		for _, p := range m.inbox[i] {
 			v.Observe(now, p)
 		}
-		m.inbox[i] = nil
+		v.HearRumours(m.rumours[i])
+		m.inbox[i], m.rumours[i] = nil, nil
 		v.Tick(now)
 		beat := v.Beat()
 		for _, target := range v.Targets(now) {
@@ -111,18 +116,19 @@
 	for j, v := range m.views {
 		if v.Self().Instance == target.Instance && m.cut[fmt.Sprint(from, j)] == 0 && m.cut[fmt.Sprint(j, from)] == 0 {
 			m.inbox[j] = append(m.inbox[j], beat)
+			m.rumours[j] = append(m.rumours[j], m.views[from].Rumours()...)
 		}
 	}
 }
 
 // fault draws one fault: a freeze, a cut, a restart or an instance that leaves.
 func (m *mesh) fault(t *rapid.T, opts ...Option) {
-	i := rapid.IntRange(0, meshSize-1).Draw(t, "instance")
+	i := rapid.IntRange(0, len(m.views)-1).Draw(t, "instance")
 	switch rapid.SampledFrom([]string{"freeze", "cut", "restart", "leave", "none", "none"}).Draw(t, "fault") {
 	case "freeze":
 		m.frozen[i] = rapid.IntRange(1, 30).Draw(t, "steps")
 	case "cut":
-		m.cut[fmt.Sprint(i, rapid.IntRange(0, meshSize-1).Draw(t, "other"))] = rapid.IntRange(1, 30).Draw(t, "steps")
+		m.cut[fmt.Sprint(i, rapid.IntRange(0, len(m.views)-1).Draw(t, "other"))] = rapid.IntRange(1, 30).Draw(t, "steps")
 	case "restart":
 		m.inbox[i] = nil
 		m.frozen[i] = 0
@@ -145,17 +151,32 @@
 }
 
 func TestMeshAgreesAfterRandomFaults(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+		opts []Option
+	}{
+		{name: "all to all", size: meshSize},
+		{name: "in turn", size: 2*meshSize - 1, opts: []Option{WithFanout(followers + 1)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { agrees(t, tt.size, tt.opts...) })
+	}
+}
+
+func agrees(t *testing.T, size int, opts ...Option) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
-		m := newMesh()
+		m := newMesh(size, opts...)
 		now := start
-		told := make([]map[string]bool, meshSize)
+		told := make([]map[string]bool, size)
 		for step := range meshSteps {
 			now = now.Add(time.Second)
 			if step < meshSteps-healSteps {
-				m.fault(t)
+				m.fault(t, opts...)
 			} else {
 				clear(m.cut)
-				m.frozen = make([]int, meshSize)
+				m.frozen = make([]int, size)
 			}
 			m.step(now)
 			for i, v := range m.views {
@@ -196,7 +217,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			m := newMesh(tt.opts...)
+			m := newMesh(meshSize, tt.opts...)
 			now := start
 			dead := false
 			for step := range 60 {
--- a/internal/core/member/record.go
+++ b/internal/core/member/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
 // record is what a view keeps of one peer.
@@ -13,6 +15,13 @@
 	state State
 	// heard is when the last news of this incarnation came.
 	heard time.Time
+	// answer says that the peer came back and hasn't got a heartbeat since.
+	answer bool
+	// pace is the time between the last two heartbeats heard.
+	pace time.Duration
+	// accusers are the instances that hear the peer no more, with the last sequence
+	// that they heard.
+	accusers map[fleet.Instance]uint64
 	// listed says that the platform's latest list names the peer as live.
 	listed bool
 	// hash is the peer's share of every rendezvous score.
--- a/internal/core/member/session_test.go
+++ b/internal/core/member/session_test.go
@@ -41,6 +41,8 @@
 		s.view.Listed(now, s.list(e.Fields))
 	case "unreachable":
 		s.view.Unreachable(fleet.Instance(e.Field(0)))
+	case "rumour": // instance/incarnation/sequence/by
+		s.view.HearRumours([]Rumour{rumour(e.Field(0))})
 	case "leave":
 		s.view.Leave()
 	case "tick":
@@ -51,6 +53,13 @@
 	return nil
 }
 
+func rumour(text string) Rumour {
+	parts := strings.Split(text, "/")
+	r := Rumour{Instance: fleet.Instance(parts[0]), Incarnation: parts[1], By: fleet.Instance(parts[3])}
+	_, _ = fmt.Sscan(parts[2], &r.Sequence)
+	return r
+}
+
 func (s *session) ask(now time.Time, e coretest.Event) []string {
 	switch e.Verb {
 	case "live":
--- a/internal/core/member/targets.go
+++ b/internal/core/member/targets.go
@@ -10,9 +10,9 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
-// Targets returns whom to send to in this round: a heartbeat to each peer of the
-// own data centre, and, where the own instance is elected for the pair, totals to
-// one peer of another data centre.
+// Targets returns whom to send to in this round: a heartbeat to each peer of the own
+// data centre, in a large one to some of them in turn, and, where the own instance
+// opens the exchange of a pair, totals to one peer of another data centre.
 func (v *View) Targets(now time.Time) []Peer {
 	v.round++
 	list := v.near()
@@ -24,16 +24,77 @@
 	return list
 }
 
-// near returns the peers of the own data centre. Dead ones are tried now and then,
-// so that two sides that lost each other meet again.
+// Wide makes the next round go to all peers of the own data centre, for news that
+// can't wait.
+func (v *View) Wide() { v.wide = true }
+
+// near returns the peers of the own data centre whose turn it is. Dead ones are tried
+// now and then, so that two sides that lost each other meet again.
 func (v *View) near() []Peer {
-	probe := v.round%probeRounds == 0
-	return v.collect(func(r *record) bool {
-		if r == v.self || r.peer.Place.DataCentre != v.self.peer.Place.DataCentre {
-			return false
+	rows := v.neighbours()
+	if len(rows) > v.settings.fanout && !v.wide && v.round > wideRounds {
+		rows = v.turns(rows)
+	}
+	v.wide = false
+	for _, r := range rows {
+		r.answer = false
+	}
+	if v.round%probeRounds == 0 {
+		rows = append(rows, v.filter(func(r *record) bool { return v.isNear(r) && r.state == StateDead })...)
+		slices.SortFunc(rows, func(a, b *record) int { return cmp.Compare(a.peer.Instance, b.peer.Instance) })
+	}
+	return peers(rows)
+}
+
+func (v *View) isNear(r *record) bool {
+	return r != v.self && r.peer.Place.DataCentre == v.self.peer.Place.DataCentre
+}
+
+// neighbours are the peers of the own data centre that aren't dead, by name.
+func (v *View) neighbours() []*record {
+	return v.filter(func(r *record) bool { return v.isNear(r) && r.state != StateDead })
+}
+
+// turns chooses from the peers of a large data centre those that follow the own
+// instance in the ring of names, who get every heartbeat, a share of the others, and
+// those that have to be answered.
+func (v *View) turns(rows []*record) []*record {
+	at, _ := slices.BinarySearchFunc(rows, v.self.peer.Instance, byName)
+	ring := slices.Concat(rows[at:], rows[:at])
+	list, rest := ring[:followers:followers], ring[followers:]
+	slices.SortFunc(rest, func(a, b *record) int { return cmp.Compare(a.peer.Instance, b.peer.Instance) })
+	from, found := slices.BinarySearchFunc(rest, v.cursor, byName)
+	if found {
+		from++
+	}
+	for i := range v.settings.fanout - followers {
+		list = append(list, rest[(from+i)%len(rest)])
+	}
+	v.cursor = list[len(list)-1].peer.Instance
+	for _, r := range rest {
+		if r.answer && !slices.Contains(list, r) {
+			list = append(list, r)
 		}
-		return r.state != StateDead || probe
-	})
+	}
+	return list
+}
+
+// spare is how much longer than in a small data centre a peer may stay silent, as it
+// doesn't beat the own instance every round. The rows are the own neighbours.
+func (v *View) spare(r *record, rows []*record) time.Duration {
+	if !v.isNear(r) || len(rows) <= v.settings.fanout || (r.pace <= v.settings.interval*3/2 && v.follows(r, rows)) {
+		return 0
+	}
+	share := v.settings.fanout - followers
+	rounds := (len(rows) - followers + share - 1) / share
+	return time.Duration(rounds-1) * v.settings.interval
+}
+
+// follows says whether the own instance is one of the followers of a peer.
+func (v *View) follows(r *record, rows []*record) bool {
+	from, _ := slices.BinarySearchFunc(rows, r.peer.Instance, byName)
+	self, _ := slices.BinarySearchFunc(rows, v.self.peer.Instance, byName)
+	return (self-from-1+len(rows))%len(rows) < followers
 }
 
 // others returns the other data centres known, by name.
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,7 +19,9 @@
 	ticked   time.Time
 	round    uint64
 	turn     uint64
-	listed   bool // whether any list was seen
+	listed   bool           // whether any list was seen
+	wide     bool           // whether the next round goes to all
+	cursor   fleet.Instance // whose turn it was last
 	exchange map[fleet.DataCentre]time.Time
 }
 
@@ -53,11 +56,13 @@
 // Leave marks the own instance as leaving; there is no way back.
 func (v *View) Leave() {
 	v.self.peer.Leaving = true
+	v.wide = true
 	v.move(v.self, StateLeaving)
 }
 
 // SetRevision sets the own document revision. A lower one is ignored.
 func (v *View) SetRevision(revision uint64) {
+	v.wide = v.wide || revision > v.self.peer.Revision
 	v.self.peer.Revision = max(v.self.peer.Revision, revision)
 }
 
@@ -70,6 +75,11 @@
 	if r.stale(p) {
 		return
 	}
+	r.pace = now.Sub(r.heard)
+	maps.DeleteFunc(r.accusers, func(_ fleet.Instance, sequence uint64) bool {
+		return sequence < p.Sequence || p.Incarnation != r.peer.Incarnation
+	})
+	r.answer = r.answer || (r.state != StateLive && r.state != StateLeaving)
 	v.accept(now, r, p)
 }
 
@@ -163,6 +173,7 @@
 func (v *View) Unreachable(instance fleet.Instance) {
 	r, ok := v.records[instance]
 	if ok && r != v.self && r.state == StateLive {
+		v.accuse(r, v.self.peer.Instance, r.peer.Sequence)
 		v.move(r, StateSuspected)
 	}
 }
@@ -172,9 +183,10 @@
 func (v *View) Tick(now time.Time) []Change {
 	v.forgive(now)
 	v.ticked = now
+	near := v.neighbours()
 	for _, r := range slices.Clone(v.order) {
 		if r != v.self {
-			v.judge(now, r)
+			v.judge(now, r, v.spare(r, near))
 		}
 	}
 	changes := v.changes
@@ -192,6 +204,7 @@
 	if paused <= v.settings.interval {
 		return
 	}
+	v.wide = true
 	for _, r := range v.order {
 		r.heard = r.heard.Add(paused)
 		if r.heard.After(now) {
@@ -200,8 +213,8 @@
 	}
 }
 
-func (v *View) judge(now time.Time, r *record) {
-	silent := now.Sub(r.heard)
+func (v *View) judge(now time.Time, r *record, spare time.Duration) {
+	silent := now.Sub(r.heard) - spare
 	unit := v.settings.interval
 	if r.peer.Place.DataCentre != v.self.peer.Place.DataCentre {
 		unit = v.settings.exchange
@@ -214,6 +227,7 @@
 	case silent >= time.Duration(v.settings.dead)*unit:
 		v.move(r, StateDead)
 	case r.state == StateLive && silent >= time.Duration(v.settings.suspect)*unit:
+		v.accuse(r, v.self.peer.Instance, r.peer.Sequence)
 		v.move(r, StateSuspected)
 	}
 }
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -47,6 +47,10 @@
 	r.self.Caller = n.open(self)
 	r.common = &peerpb.BeatRequest{
 		Suspects: n.suspects.news(), List: n.list.mark(), Passed: n.passed(now), Draining: n.drains.asked(now),
+		Rumours: peer.ToRumours(locked(n.members, (*member.View).Rumours)),
+	}
+	if len(r.common.Passed)+len(r.common.Draining) > 0 {
+		n.members.change((*member.View).Wide)
 	}
 	return r
 }
@@ -55,7 +59,7 @@
 func (r round) to(sender *beat.Sender) *peerpb.BeatRequest {
 	message := peer.ToBeat(sender.Next(r.self, r.reports))
 	message.Suspects, message.List = r.common.Suspects, r.common.List
-	message.Passed, message.Draining = r.common.Passed, r.common.Draining
+	message.Passed, message.Draining, message.Rumours = r.common.Passed, r.common.Draining, r.common.Rumours
 	if tellsDemand(message) {
 		message.Demand = r.demand
 	}
@@ -117,7 +121,10 @@
 // heard takes one heartbeat.
 func (n *Node) heard(from member.Peer, news []directory.Report, r *peerpb.BeatRequest) {
 	now := n.clock()
-	n.members.change(func(v *member.View) { v.Observe(now, from) })
+	n.members.change(func(v *member.View) {
+		v.Observe(now, from)
+		v.HearRumours(peer.FromRumours(r.Rumours))
+	})
 	n.documents.Heard(from.Instance, r.Revision)
 	n.suspects.merge(r.Suspects)
 	for _, report := range news {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,7 @@
 		claim.WithShards(n.claimParts), claim.WithClock(n.clock))
 	n.suspects = newSuspects(n.clock)
 	n.suspects.told = func() {
+		n.members.change((*member.View).Wide)
 		n.background(func(ctx context.Context) { n.beat(ctx, n.clock()) })
 	}
 }
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -67,6 +67,28 @@
 	return r
 }
 
+// ToRumours returns suspicions in the form for the wire.
+func ToRumours(list []member.Rumour) []*peerpb.Rumour {
+	var told []*peerpb.Rumour
+	for _, r := range list {
+		told = append(told, &peerpb.Rumour{
+			Instance: string(r.Instance), Incarnation: r.Incarnation, Sequence: r.Sequence, By: string(r.By),
+		})
+	}
+	return told
+}
+
+// FromRumours reads suspicions.
+func FromRumours(told []*peerpb.Rumour) []member.Rumour {
+	var list []member.Rumour
+	for _, r := range told {
+		list = append(list, member.Rumour{
+			Instance: fleet.Instance(r.Instance), Incarnation: r.Incarnation, Sequence: r.Sequence, By: fleet.Instance(r.By),
+		})
+	}
+	return list
+}
+
 func toLoad(l beat.Load) *peerpb.Load {
 	r := l.Report
 	load := &peerpb.Load{
--- a/internal/slopes/endpoints.go
+++ b/internal/slopes/endpoints.go
@@ -84,7 +84,9 @@
 		}
 		memory.Points = append(memory.Points, Point{float64(n), cost})
 		sweep.Points = append(sweep.Points, Point{float64(n), cpuOf(func() {
-			timers.fire(begin)
+			if timers.fire != nil { // a pool without requests is not woken
+				timers.fire(begin)
+			}
 			for i := range n {
 				_, _ = pool.Loads(context.Background(), endpointName(i))
 			}
--- a/internal/slopes/takeover.go
+++ b/internal/slopes/takeover.go
@@ -35,6 +35,13 @@
 	return totals.State{Place: place, Models: simulatedModels, Instances: s.view.Live(place.DataCentre)}
 }
 
+// hearRumours takes what another instance tells with a heartbeat.
+func (s *simulated) hearRumours(beat member.Peer, rumours []member.Rumour) {
+	if !s.gone && s.view.Self().Place.DataCentre == beat.Place.DataCentre {
+		s.view.HearRumours(rumours)
+	}
+}
+
 // simulatedModels make fulls as seldom as at the target.
 var simulatedModels = sums(760)
 
@@ -73,9 +80,13 @@
 			continue
 		}
 		node.view.Tick(s.now)
-		beat, passed := node.view.Beat(), node.book.Pass(s.now, node.view.First)
+		beat, passed, rumours := node.view.Beat(), node.book.Pass(s.now, node.view.First), node.view.Rumours()
+		if len(passed) > 0 {
+			node.view.Wide()
+		}
 		for _, target := range node.view.Targets(s.now) {
 			s.send(node, s.name[target.Instance], beat, passed)
+			s.name[target.Instance].hearRumours(beat, rumours)
 		}
 	}
 }
--- a/internal/slopes/target.go
+++ b/internal/slopes/target.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/listing"
 )
@@ -73,7 +74,7 @@
 // The costs that a change of design would lower.
 const (
 	whatConnections = "connections inside the data centre"
-	whatBeats       = "heartbeats with loads on open streams, both directions"
+	whatBeats       = "heartbeats with loads on open streams, to 12 peers a round at most"
 	whatDirectory   = "directory of the data centre's endpoints"
 	whatList        = "platform's list, instances and own endpoints, as differences"
 	whatTotals      = "totals of the other data centres, in heartbeats of their first speakers"
@@ -124,6 +125,7 @@
 // everyNode are the roles that all instances have.
 func (e *estimate) everyNode(t Target, near, endpoints, own float64) []Row {
 	peers := near - 1
+	beaten := min(peers, member.DefaultFanout)
 	turnover := listChanges(t)
 	rowsOfList := t.Instances + endpoints
 	changes := t.Changes / secondsADay
@@ -138,11 +140,11 @@
 		},
 		{
 			Role: roleEntry, What: whatBeats,
-			CPU: e.cpu("beat cpu", own, peers*beatRate), Bytes: 2 * e.at("beat bytes", own) * peers * beatRate,
+			CPU: e.cpu("beat cpu", own, beaten*beatRate), Bytes: 2 * e.at("beat bytes", own) * beaten * beatRate,
 		},
 		{
 			Role: roleEntry, What: whatDirectory,
-			CPU: e.cpu("directory report cpu", endpoints, endpoints*beatRate), Heap: e.at("directory memory", endpoints),
+			CPU: e.cpu("directory report cpu", endpoints, endpoints*beatRate*beaten/peers), Heap: e.at("directory memory", endpoints),
 		},
 		{
 			Role: roleEntry, What: "choice of endpoint and dispatcher, peak requests",
--- a/internal/slopes/totals.go
+++ b/internal/slopes/totals.go
@@ -167,6 +167,12 @@
 	}
 }
 
+// widened is what a round to all peers in each exchange costs beyond the usual ones.
+func (e *estimate) widened(t Target) float64 {
+	more := max(0, t.Instances/t.Centres-1-member.DefaultFanout)
+	return more * e.at("beat bytes", t.Runners/t.Instances) / exchangePeriod
+}
+
 // speaker are the costs of one pair of data centres at the first speaker of a side.
 func (e *estimate) speaker(t Target) []Row {
 	near := t.Instances / t.Centres
@@ -179,9 +185,9 @@
 			Bytes: e.at("exchange bytes", difference)/exchangePeriod + fulls,
 		},
 		{
-			Role: roleSpeaker, What: fmt.Sprintf("the same passed on to %.0f peers, first speaker of one pair", near-1),
+			Role: roleSpeaker, What: fmt.Sprintf("the same passed on to all %.0f peers, not only to those whose turn it is, first speaker of one pair", near-1),
 			CPU:   e.cpu("full totals cpu, taken", t.Models, 1/fullPeriod(t)),
-			Bytes: e.passed(t) * (near - 1),
+			Bytes: e.passed(t)*(near-1) + e.widened(t),
 		},
 	}
 }
