--- a/internal/core/member/wide_test.go
+++ b/internal/core/member/wide_test.go
@@ -162,3 +162,25 @@
 	}
 	require.Equal(t, 37, c.believed(4))
 }
+
+// An instance that starts is answered at once by all, not only when its turn comes.
+func TestStartedInstanceKnowsTheOthers(t *testing.T) {
+	c := newCentre(38)
+	for range 20 {
+		c.step()
+	}
+	fresh := c.views[4].Self()
+	fresh.Incarnation, fresh.Sequence = "fresh", 0
+	seeds := c.views[4].All()
+	c.views[4] = New(fresh, WithInterval(time.Second))
+	c.views[4].Listed(c.now(), seeds)
+	c.gone[4] = true // it starts after the others have noticed
+	for range 10 {
+		c.step()
+	}
+	c.gone[4] = false
+	c.step()
+	c.step()
+	require.Len(t, c.views[4].Live("d1"), 38)
+	require.Equal(t, 37, c.believed(4))
+}
