perf: the collector lets the heap grow by half only

Cause: 20 idle instances of one data centre held 34.8 MB at most (aim 32), 17 MB of them the base of the process; the rest doubles between collections.

Change: the daemon collects at 50% growth unless GOGC is set.

Ruled out: a soft memory limit: under load, when the data path needs more, it would collect all the time.

Not measured: 38 instances, and what it costs the data path.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-kit/log/level"
@@ -66,7 +68,18 @@
 	}
 }
 
+// collector lets the heap grow by half of what lives before it is collected, in percent.
+const collector = 50
+
+// boundMemory sets the collector's target, unless the environment does.
+func boundMemory() {
+	if _, set := os.LookupEnv("GOGC"); !set {
+		debug.SetGCPercent(collector)
+	}
+}
+
 func run(ctx context.Context, c config.Config, w io.Writer) error {
+	boundMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	logger := telemetry.NewLogger(w, c)
