refactor: one place sets the collector's pace

Cause: the daemon set 50 at the start and internal/heap put 100 back after the first requests, so that the saving ended with the first load. Change: internal/heap has the idle pace of 50 too, and the daemon calls it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,9 +5,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/go-kit/log/level"
@@ -15,6 +13,7 @@
 	"go.opentelemetry.io/otel"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/heap"
 	"github.com/chiveramp/chiveramp/internal/node"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
 	"github.com/chiveramp/chiveramp/pkg/config"
@@ -68,18 +67,8 @@
 	}
 }
 
-// collector lets the heap grow by half of what lives before it is collected, in percent.
-const collector = 50
-
-// boundMemory sets the collector's target, unless the environment does.
-func boundMemory() {
-	if _, set := os.LookupEnv("GOGC"); !set {
-		debug.SetGCPercent(collector)
-	}
-}
-
 func run(ctx context.Context, c config.Config, w io.Writer) error {
-	boundMemory()
+	heap.Bound()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	logger := telemetry.NewLogger(w, c)
--- a/internal/heap/heap.go
+++ b/internal/heap/heap.go
@@ -1,5 +1,5 @@
 // Package heap lets the process use more memory for garbage while requests
-// come, and so collect it less often. Idle it keeps to the runtime's default.
+// come, and so collect it less often. Idle it holds little.
 package heap
 
 import (
@@ -13,7 +13,7 @@
 
 const (
 	// usual and most bound the garbage allowed before a collection, in percent of what lives.
-	usual = 100
+	usual = 50
 	most  = 400
 	// room is the garbage that is aimed at under load, in bytes.
 	room = 64 << 20
@@ -29,6 +29,9 @@
 	Every(interval, jitter time.Duration, fn func(now time.Time)) (cancel func())
 }
 
+// Bound sets the pace of an idle process, unless the environment does.
+func Bound() { setter()(usual) }
+
 // Pacer sets how much garbage is allowed. It is safe for concurrent use.
 type Pacer struct {
 	timers Timers
