refactor: the stand-ins that speak HTTP share their listener

Change: internal/standin/web; maps.Clone. Ruled out: one type for all stand-ins; their faults and counts differ. Before and after: go test ./internal/standin/... ./internal/load/... passes; nothing of the daemon changed.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -7,16 +7,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
+	"github.com/chiveramp/chiveramp/internal/standin/web"
 )
 
 const (
@@ -101,9 +99,8 @@
 	loadLag  time.Duration
 	now      func() time.Time
 
-	listener net.Listener
-	http     *http.Server
-	group    errgroup.Group
+	web *web.Server
+
 	work     chan struct{}
 	stop     chan struct{}
 	stopOnce sync.Once
@@ -145,40 +142,33 @@
 		opt(s)
 	}
 	s.counts.Peak = s.used()
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	s.web = web.New(s.Handler())
 	return s
 }
 
 // Start listens on an address and serves until Close, Shutdown or a crash.
 func (s *Server) Start(ctx context.Context, address string) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen %s: %w", address, err)
+	if err := s.web.Start(ctx, address); err != nil {
+		return err
 	}
-	s.listener = listener
-	s.group.Go(s.runBatch)
-	s.group.Go(func() error { return s.http.Serve(listener) })
+	s.web.Go(s.runBatch)
 	return nil
 }
 
 // Address returns the address on which the engine listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.web.Address() }
 
 // Incarnation returns the id of this start of the engine.
 func (s *Server) Incarnation() string { return s.state.Incarnation }
 
 // Wait returns when the engine has ended; ErrCrashed when a request crashed it.
 func (s *Server) Wait() error {
-	err := s.group.Wait()
+	err := s.web.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashed != nil {
 		return s.crashed
 	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return err
 }
 
@@ -193,14 +183,14 @@
 	s.mu.Lock()
 	s.faults.Leaving = true
 	s.mu.Unlock()
-	err := s.http.Shutdown(ctx)
+	err := s.web.Drain(ctx)
 	s.halt()
 	return errors.Join(err, s.Wait())
 }
 
 func (s *Server) halt() {
 	s.stopOnce.Do(func() { close(s.stop) })
-	_ = s.http.Close()
+	s.web.Stop()
 }
 
 // crash ends the engine as a crash of its process does. The lock is held.
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,5 +1,7 @@
 package engine
 
+import "maps"
+
 // Faults are what goes wrong in an engine. They can be changed at run time.
 type Faults struct {
 	// CutAfter ends a stream after so many bytes, for the next Cuts streams.
@@ -60,19 +62,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts := s.counts
-	counts.Requests = cloneCounts(s.counts.Requests)
-	counts.Keys = cloneCounts(s.counts.Keys)
+	counts.Requests = maps.Clone(s.counts.Requests)
+	counts.Keys = maps.Clone(s.counts.Keys)
 	return counts
 }
 
-func cloneCounts(from map[string]int) map[string]int {
-	to := make(map[string]int, len(from))
-	for name, count := range from {
-		to[name] = count
-	}
-	return to
-}
-
 // takeCut returns after how many bytes a new stream is to be cut, -1 for never.
 func (s *Server) takeCut() (after int, clean bool) {
 	s.mu.Lock()
--- a/internal/standin/engine/fetch.go
+++ b/internal/standin/engine/fetch.go
@@ -25,7 +25,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopped := make(chan struct{})
-	s.group.Go(func() error {
+	s.web.Go(func() error {
 		defer close(stopped)
 		select {
 		case <-s.stop:
--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -143,7 +143,7 @@
 	s.counts.Peak = max(s.counts.Peak, s.used())
 	if s.weights != "" {
 		r.ready = now.Add(farAhead)
-		s.group.Go(func() error { return s.fetch(r) })
+		s.web.Go(func() error { return s.fetch(r) })
 	}
 	return status(!r.ready.After(now)), nil
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,18 +3,16 @@
 package service
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"net"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/chiveramp/chiveramp/internal/standin/web"
 )
 
 // Paths with which tests change and check a service.
@@ -63,10 +61,8 @@
 
 // Server is one plain service.
 type Server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-	group    errgroup.Group
+	name string
+	*web.Server
 
 	mu     sync.Mutex
 	faults Faults
@@ -76,44 +72,10 @@
 // New returns a service that does not listen yet.
 func New(name string) *Server {
 	s := &Server{name: name, counts: Counts{Keys: map[string]int{}, Paths: map[string]int{}}}
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	s.Server = web.New(s.Handler())
 	return s
 }
 
-// Start listens on an address and serves until Close or Shutdown.
-func (s *Server) Start(ctx context.Context, address string) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen %s: %w", address, err)
-	}
-	s.listener = listener
-	s.group.Go(func() error { return s.http.Serve(listener) })
-	return nil
-}
-
-// Address returns the address on which the service listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// Wait returns when the service has ended.
-func (s *Server) Wait() error {
-	if err := s.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-// Close ends the service at once.
-func (s *Server) Close() error {
-	_ = s.http.Close()
-	return s.Wait()
-}
-
-// Shutdown lets running calls end, then ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Join(s.http.Shutdown(ctx), s.Wait())
-}
-
 // SetFaults changes the faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
@@ -126,19 +88,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts := s.counts
-	counts.Keys = cloneCounts(s.counts.Keys)
-	counts.Paths = cloneCounts(s.counts.Paths)
+	counts.Keys = maps.Clone(s.counts.Keys)
+	counts.Paths = maps.Clone(s.counts.Paths)
 	return counts
 }
 
-func cloneCounts(from map[string]int) map[string]int {
-	to := make(map[string]int, len(from))
-	for name, count := range from {
-		to[name] = count
-	}
-	return to
-}
-
 // Handler returns the service's HTTP interface. A path that ends in /echo sends
 // the body back as it arrives; any other answers with a Reply.
 func (s *Server) Handler() http.Handler {
--- /dev/null
+++ b/internal/standin/web/web.go
@@ -0,0 +1,70 @@
+// Package web listens for the stand-ins that speak HTTP.
+package web
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const headerTime = 10 * time.Second
+
+// Server serves a handler on one address.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	group    errgroup.Group
+}
+
+// New returns a server that does not listen yet.
+func New(handler http.Handler) *Server {
+	return &Server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTime}}
+}
+
+// Start listens on an address and serves until Close, Stop or Shutdown.
+func (s *Server) Start(ctx context.Context, address string) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", address, err)
+	}
+	s.listener = listener
+	s.Go(func() error { return s.http.Serve(listener) })
+	return nil
+}
+
+// Address returns the address on which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Go runs a task that Wait waits for.
+func (s *Server) Go(task func() error) { s.group.Go(task) }
+
+// Wait returns when the server and all tasks have ended.
+func (s *Server) Wait() error {
+	if err := s.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Stop closes all connections and waits for nothing.
+func (s *Server) Stop() { _ = s.http.Close() }
+
+// Close ends the server at once and waits for its end.
+func (s *Server) Close() error {
+	s.Stop()
+	return s.Wait()
+}
+
+// Drain takes no new connections and returns when all calls have ended.
+func (s *Server) Drain(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Shutdown lets running calls end, then ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Join(s.Drain(ctx), s.Wait())
+}
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -6,16 +6,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
+
+	"github.com/chiveramp/chiveramp/internal/standin/web"
 )
 
 // Paths of the store.
@@ -81,9 +79,7 @@
 	adapterTime  time.Duration
 	adapterLimit int
 
-	listener net.Listener
-	http     *http.Server
-	group    errgroup.Group
+	*web.Server
 
 	mu       sync.Mutex
 	faults   Faults
@@ -103,34 +99,10 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTime}
+	s.Server = web.New(s.Handler())
 	return s
 }
 
-// Start listens on an address and serves until Close.
-func (s *Server) Start(ctx context.Context, address string) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen %s: %w", address, err)
-	}
-	s.listener = listener
-	s.group.Go(func() error { return s.http.Serve(listener) })
-	return nil
-}
-
-// Address returns the address on which the store listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// Close ends the store at once.
-func (s *Server) Close() error {
-	_ = s.http.Close()
-	if err := s.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // SetFaults changes the faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
