fix: a claim whose end nobody saw is not held in memory for ever

Cause: found in reading. A granted claim was forgotten by Finish or Release only; one whose request ended as unknown (endpoint lost, deadline passed) stayed in the instance's memory until its restart. Ruled out: forgetting by age; a long request may still end. Before: with the call taken out TestEveryClaimIsEnded ends 'no answer' with nothing. After: finished, released, abandoned. go test ./internal/claim ./internal/dispatch passes.

--- a/internal/claim/end.go
+++ b/internal/claim/end.go
@@ -78,6 +78,12 @@
 	return c.end(ctx, ending{path: held.path, record: held.record.Release(), version: held.version})
 }
 
+// Abandon forgets a granted claim whose end nobody saw. The record stays, so that the key
+// never runs again.
+func (c *Claims) Abandon(key once.Key, claim string) {
+	_, _ = c.take(key.Path(), claim)
+}
+
 func (c *Claims) take(path, claim string) (holding, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/claim/options.go
@@ -0,0 +1,38 @@
+package claim
+
+import "time"
+
+// Option changes claims at construction.
+type Option func(*Claims)
+
+// WithClock sets the source of the time of day.
+func WithClock(now func() time.Time) Option {
+	return func(c *Claims) { c.now = now }
+}
+
+// WithWindow sets how long a caller may resend, and how long a record is kept.
+func WithWindow(window, retention time.Duration) Option {
+	return func(c *Claims) { c.window, c.retention = window, retention }
+}
+
+// WithRetry sets what callers are told to wait while the store is down.
+func WithRetry(d time.Duration) Option {
+	return func(c *Claims) { c.retry = d }
+}
+
+// WithGather lets ends wait for a time, to be written many in one call; none when it is
+// zero at that moment. Resends are answered from those that wait meanwhile, at other
+// instances through the peers.
+func WithGather(wait func() time.Duration, peers Peers) Option {
+	return func(c *Claims) { c.gather, c.peers = wait, peers }
+}
+
+// WithShards sets how many shards the next period gets.
+func WithShards(shards func() int) Option {
+	return func(c *Claims) { c.shards = shards }
+}
+
+// WithGroup writes records through group commits in a number of shards.
+func WithGroup(shards int) Option {
+	return func(c *Claims) { c.writer = newGroup(c.store, shards) }
+}
--- a/internal/claim/proof_test.go
+++ b/internal/claim/proof_test.go
@@ -169,6 +169,18 @@
 	require.NoError(t, f.first.Finish(context.Background(), order, claimID(f), answer))
 }
 
+// A claim whose end nobody saw is forgotten here and stays taken in the store.
+func TestAbandonedClaimIsForgotten(t *testing.T) {
+	f := newFixture()
+	claimed(t, f)
+	f.first.Abandon(order, claimID(f))
+	require.Empty(t, f.first.held)
+	f.now = f.now.Add(time.Hour)
+	verdict, err := f.first.Claim(context.Background(), order, f.request(7))
+	require.NoError(t, err)
+	require.Equal(t, once.KindUnknown, verdict.Kind)
+}
+
 // An answer that the store could not take is recorded once it is back.
 func TestFinishSurvivesAnOutage(t *testing.T) {
 	ctx := context.Background()
--- /dev/null
+++ b/internal/dispatch/claim_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/endpoint"
+)
+
+// ledger grants every claim and notes how each was ended.
+type ledger struct{ ends []string }
+
+func (*ledger) Claim(context.Context, once.Key, once.Request) (once.Verdict, error) {
+	return once.Verdict{Kind: once.KindGranted, Claim: "c"}, nil
+}
+
+func (l *ledger) Finish(context.Context, once.Key, string, once.Answer) error {
+	l.ends = append(l.ends, "finished")
+	return nil
+}
+
+func (l *ledger) Release(context.Context, once.Key, string) error {
+	l.ends = append(l.ends, "released")
+	return nil
+}
+
+func (l *ledger) Abandon(once.Key, string) { l.ends = append(l.ends, "abandoned") }
+
+// failing is an endpoint that forwards with an error.
+type failing struct {
+	echo
+	err error
+}
+
+func (f failing) Forward(ctx context.Context, at string, call endpoint.ForwardCall) (*http.Response, error) {
+	if f.err != nil {
+		return nil, f.err
+	}
+	return f.echo.Forward(ctx, at, call)
+}
+
+// Every granted claim is ended in one of three ways, so that none is held for ever.
+func TestEveryClaimIsEnded(t *testing.T) {
+	tests := []struct {
+		name    string
+		err     error
+		outcome fleet.Outcome
+		want    string
+	}{
+		{name: "whole answer", outcome: fleet.OutcomeRan, want: "finished"},
+		{name: "nothing sent", err: endpoint.ErrNotSent, outcome: fleet.OutcomeNotRun, want: "released"},
+		{name: "no answer", err: io.ErrUnexpectedEOF, outcome: fleet.OutcomeUnknown, want: "abandoned"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			claims, group := &ledger{}, &errgroup.Group{}
+			pool := New("i1", group, newTicks(), failing{err: tt.err}, listed{}, WithClaims(claims))
+			defer pool.Close()
+			request := forwarded("a1", "e-1")
+			request.Key = "k"
+			end := pool.Serve(t.Context(), request, &recorder{})
+			require.NoError(t, group.Wait())
+			require.Equal(t, string(tt.outcome), end.Outcome)
+			require.Equal(t, []string{tt.want}, claims.ends)
+		})
+	}
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -45,6 +45,8 @@
 	Claim(context.Context, once.Key, once.Request) (once.Verdict, error)
 	Finish(ctx context.Context, key once.Key, claim string, a once.Answer) error
 	Release(ctx context.Context, key once.Key, claim string) error
+	// Abandon forgets a claim whose end was not seen.
+	Abandon(key once.Key, claim string)
 }
 
 // Suspects remembers which requests were running when endpoints died.
@@ -331,6 +333,7 @@
 
 func (nobody) Finish(context.Context, once.Key, string, once.Answer) error { return nil }
 func (nobody) Release(context.Context, once.Key, string) error             { return nil }
+func (nobody) Abandon(once.Key, string)                                    {}
 func (nobody) Check(uint64) (suspected, convicted bool)                    { return false, false }
 func (nobody) Died(string, []suspect.Run)                                  {}
 func (nobody) Finished(uint64)                                             {}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -204,6 +204,7 @@
 	case fleet.OutcomeRan:
 		return r.pool.claims.Finish(ctx, r.key(), r.claim, r.recorded())
 	default:
+		r.pool.claims.Abandon(r.key(), r.claim)
 		return nil
 	}
 }
