test: the whole path over TLS, with a second CA added while it runs

Cause: TLS was unit-tested only; its renewal in the daemon was shown by no process. Change: TestWholePathOverTLS: a request through two instances, a peer in clear text, one with a caller's certificate and an operator without one kept out, then a second CA in the files of running instances and a third instance that has its certificate from that one. certstest makes certificates for this and for the tests of certs; they live 30 days, since an hour counts as a certificate about to end, which this test was the first to show. Conclusion: no fault found.

--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -2,18 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -26,87 +18,24 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"github.com/chiveramp/chiveramp/internal/certs/certstest"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 	"github.com/chiveramp/chiveramp/pkg/config"
 )
 
-// authority signs the certificates of a test.
-type authority struct {
-	dir  string
-	name string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T, name string) *authority {
-	t.Helper()
-	a := &authority{dir: t.TempDir(), name: name}
-	template := template(name)
-	template.IsCA = true
-	template.BasicConstraintsValid = true
-	template.KeyUsage = x509.KeyUsageCertSign
-	a.key = newKey(t)
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
-	require.NoError(t, err)
-	a.cert, err = x509.ParseCertificate(der)
-	require.NoError(t, err)
-	writePEM(t, a.path("ca"), "CERTIFICATE", der)
-	return a
-}
-
-// issue writes a certificate for DNS names and loopback, and returns its files with the authority's.
-func (a *authority) issue(t *testing.T, file string, names ...string) config.TLS {
-	t.Helper()
-	template := template(file)
-	template.DNSNames = names
-	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
-	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	key := newKey(t)
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	require.NoError(t, err)
-	writePEM(t, a.path(file), "CERTIFICATE", der)
-	private, err := x509.MarshalECPrivateKey(key)
-	require.NoError(t, err)
-	writePEM(t, a.path(file+"-key"), "EC PRIVATE KEY", private)
-	return config.TLS{Cert: a.path(file), Key: a.path(file + "-key"), CA: a.path("ca")}
-}
-
-func (a *authority) path(file string) string { return filepath.Join(a.dir, file+".pem") }
-
-func template(name string) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(1),
-		Subject:      pkix.Name{CommonName: name},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-	}
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	return key
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-}
-
 func TestPeerCallsNeedAnInstanceCertificate(t *testing.T) {
-	ours, theirs := newAuthority(t, "ours"), newAuthority(t, "theirs")
-	server := ours.issue(t, "server", PeerName)
-	mixed := theirs.issue(t, "mixed", PeerName)
+	ours, theirs := certstest.New(t, "ours"), certstest.New(t, "theirs")
+	server := ours.Issue(t, "server", PeerName)
+	mixed := theirs.Issue(t, "mixed", PeerName)
 	mixed.CA = server.CA
 	tests := []struct {
 		name   string
 		client config.TLS
 		want   codes.Code
 	}{
-		{"instance", ours.issue(t, "client", PeerName), codes.Unimplemented}, // reached: the server has no methods
-		{"same CA, not an instance", ours.issue(t, "caller", "caller.example"), codes.Unavailable},
-		{"other CA", theirs.issue(t, "client", PeerName), codes.Unavailable},
+		{"instance", ours.Issue(t, "client", PeerName), codes.Unimplemented}, // reached: the server has no methods
+		{"same CA, not an instance", ours.Issue(t, "caller", "caller.example"), codes.Unavailable},
+		{"other CA", theirs.Issue(t, "client", PeerName), codes.Unavailable},
 		{"certificate of another CA", mixed, codes.Unavailable},
 		{"no TLS", config.TLS{}, codes.Unavailable},
 	}
@@ -119,20 +48,20 @@
 }
 
 func TestPeerClientRejectsAServerThatIsNotAnInstance(t *testing.T) {
-	ours := newAuthority(t, "ours")
-	address := servePeer(t, ours.issue(t, "server", "other.example"))
-	client := open(t, ours.issue(t, "client", PeerName))
+	ours := certstest.New(t, "ours")
+	address := servePeer(t, ours.Issue(t, "server", "other.example"))
+	client := open(t, ours.Issue(t, "client", PeerName))
 	assert.Equal(t, codes.Unavailable, status.Code(beat(t, address, client.PeerClient())))
 }
 
 // A certificate and CA that are renewed in their files count for the next connection,
 // on both sides; files that can't be used leave the old ones in use.
 func TestRenewedCertificatesAreTaken(t *testing.T) {
-	ours, next := newAuthority(t, "ours"), newAuthority(t, "next")
-	files := ours.issue(t, "server", PeerName)
+	ours, next := certstest.New(t, "ours"), certstest.New(t, "next")
+	files := ours.Issue(t, "server", PeerName)
 	server := open(t, files)
 	address := serveKeeper(t, server)
-	old, fresh := open(t, ours.issue(t, "old", PeerName)), open(t, next.issue(t, "fresh", PeerName))
+	old, fresh := open(t, ours.Issue(t, "old", PeerName)), open(t, next.Issue(t, "fresh", PeerName))
 	reached := func(client *Keeper) bool {
 		return status.Code(beat(t, address, client.PeerClient())) == codes.Unimplemented
 	}
@@ -145,16 +74,16 @@
 	require.ErrorContains(t, err, "TLS: certificate "+files.Cert)
 	require.True(t, reached(old), "the old one stays in use")
 
-	renewed := next.issue(t, "server", PeerName)
+	renewed := next.Issue(t, "server", PeerName)
 	move(t, renewed, files)
 	changed, err = server.Check()
 	require.NoError(t, err)
 	require.True(t, changed)
 	require.True(t, reached(fresh))
 	require.False(t, reached(old))
-	require.WithinDuration(t, time.Now().Add(time.Hour), server.Expires(), time.Minute)
+	require.WithinDuration(t, time.Now().Add(certstest.Life), server.Expires(), time.Minute)
 
-	move(t, next.issue(t, "old", PeerName), config.TLS{Cert: ours.path("old"), Key: ours.path("old-key"), CA: ours.path("ca")})
+	move(t, next.Issue(t, "old", PeerName), config.TLS{Cert: ours.Path("old"), Key: ours.Path("old-key"), CA: ours.Path("ca")})
 	changed, err = old.Check()
 	require.NoError(t, err)
 	require.True(t, changed)
@@ -215,8 +144,8 @@
 }
 
 func TestOperatorTLS(t *testing.T) {
-	ours, theirs := newAuthority(t, "ours"), newAuthority(t, "theirs")
-	files := ours.issue(t, "server")
+	ours, theirs := certstest.New(t, "ours"), certstest.New(t, "theirs")
+	files := ours.Issue(t, "server")
 	withoutCA := files
 	withoutCA.CA = ""
 	tests := []struct {
@@ -225,11 +154,11 @@
 		client config.TLS
 		good   bool
 	}{
-		{"client certificate", files, ours.issue(t, "client"), true},
+		{"client certificate", files, ours.Issue(t, "client"), true},
 		{"no client certificate", files, config.TLS{CA: files.CA}, false},
-		{"client of another CA", files, config.TLS{CA: files.CA, Cert: theirs.issue(t, "x").Cert, Key: theirs.path("x-key")}, false},
+		{"client of another CA", files, config.TLS{CA: files.CA, Cert: theirs.Issue(t, "x").Cert, Key: theirs.Path("x-key")}, false},
 		{"server without CA", withoutCA, config.TLS{CA: files.CA}, true},
-		{"unknown server", withoutCA, config.TLS{CA: theirs.path("ca")}, false},
+		{"unknown server", withoutCA, config.TLS{CA: theirs.Path("ca")}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -257,8 +186,8 @@
 }
 
 func TestLoadErrors(t *testing.T) {
-	ours := newAuthority(t, "ours")
-	files := ours.issue(t, "server")
+	ours := certstest.New(t, "ours")
+	files := ours.Issue(t, "server")
 	tests := []struct {
 		name  string
 		files config.TLS
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -23,12 +23,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chiveramp/chiveramp/internal/certs"
 	"github.com/chiveramp/chiveramp/internal/operator"
 	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/standin/engine"
 	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
 	"github.com/chiveramp/chiveramp/internal/standin/service"
 	"github.com/chiveramp/chiveramp/internal/switches"
+	"github.com/chiveramp/chiveramp/pkg/config"
 )
 
 const (
@@ -66,6 +68,7 @@
 	trace    string             // where spans go, nowhere when empty
 	off      switches.Mechanism // turned off in instances started from now on
 	orders   *service.Server
+	operator config.TLS // what operators show, no TLS when empty
 }
 
 // memberRow is a row of the platform's list.
@@ -77,6 +80,7 @@
 	caller, peer, operator, metrics string
 	advertise                       string // where others reach it
 	platform                        string // where it reaches the platform
+	peerTLS, operatorTLS            config.TLS
 	client                          *operator.Client
 	process                         *exec.Cmd
 	log                             *lines
@@ -218,10 +222,10 @@
 advertise = %s
 beat = 200ms
 seeds = %s
-[operator]
+%s[operator]
 listen = %s
 token = %s
-[platform]
+%s[platform]
 address = %s
 endpoints = %s
 timeout = 1s
@@ -232,10 +236,18 @@
 drain = 10s
 [log]
 level = debug
-%s`, n.name, n.region, n.dc, n.caller, n.peer, n.advertise, strings.Join(peers, ","), n.operator, token,
+%s`, n.name, n.region, n.dc, n.caller, n.peer, n.advertise, strings.Join(peers, ","), secured(n.peerTLS), n.operator, token, secured(n.operatorTLS),
 		n.platform, strings.Join(b.services, ","), n.metrics, b.tracing()+b.endpoint())
 }
 
+// secured returns the lines of a section that turn TLS on.
+func secured(t config.TLS) string {
+	if !t.Enabled() {
+		return ""
+	}
+	return fmt.Sprintf("cert = %s\nkey = %s\nca = %s\n", t.Cert, t.Key, t.CA)
+}
+
 // port is the last port given out. All stand below the range from which the
 // system takes ports for outgoing connections.
 var port atomic.Int32
@@ -298,7 +310,11 @@
 
 func (b *bench) operators(n *instance) *operator.Client {
 	if n.client == nil {
-		n.client = operator.NewClient([]string{n.operator}, operator.WithBearer(token))
+		options := []operator.ClientOption{operator.WithBearer(token)}
+		if settings, err := certs.Client(b.operator); err == nil && settings != nil {
+			options = append(options, operator.WithTLS(settings))
+		}
+		n.client = operator.NewClient([]string{n.operator}, options...)
 		b.t.Cleanup(n.client.Close)
 	}
 	return n.client
