test: an order needs a state read in its own step

Cause: the random schedules pass with the read before an order taken out, so that nothing proved it. Change: TestOrdersNeedAFreshRead: no change is told, and an endpoint that takes old orders holds a model that the placer does not know of. A switch turns the read off.

--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -215,7 +215,7 @@
 
 // ensureRead reads a quiet endpoint after all, before an order is given to it.
 func (p *Placer) ensureRead(ctx context.Context, n *node) bool {
-	if !n.read {
+	if !n.read && !p.off.unread {
 		callCtx, cancel := context.WithTimeout(ctx, p.callTimeout)
 		defer cancel()
 		state, err := p.engine.State(callCtx, n.target.Endpoint)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -75,6 +75,7 @@
 	holder     bool // writes aren't guarded by the lease
 	residence  bool // models are unloaded without asking who else has them
 	cache      bool // KV cache isn't counted
+	unread     bool // orders go to endpoints whose state was not read in this step
 	declared   bool // copies of a data centre count before it has reconciled them
 	ledger     []ledger.Option
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,27 @@
 	require.LessOrEqual(t, reads[true], 20*int(minutes*time.Minute/DefaultReread))
 	require.Greater(t, reads[false], 10*reads[true])
 }
+
+// The dispatchers tell of nothing, and an endpoint that takes old orders has got a model
+// that the placer does not know of. The next order to it is not given: its state is read
+// first, and there is no room.
+func TestOrdersNeedAFreshRead(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		w := newWorld(t)
+		w.deaf = true
+		w.endpoint("e1", "d1", 24*gib, false)
+		for _, m := range []fleet.Model{"a", "late", "next"} {
+			w.model(m, 8*gib, 2*gib)
+		}
+		w.wanted = w.wanted[:1]
+		w.hold("e1", "a")
+		p := w.placer("p1", "d1", false)
+		p.off.unread = off
+		w.run(10 * time.Second)
+		w.model("next", 8*gib, 2*gib)
+		w.hold("e1", "late")
+		p.plan.once = append(p.plan.once, load("next", "e1"))
+		w.run(10 * time.Second)
+		require.Equal(t, off, len(w.violations) > 0, "mechanism off: %v\n%s", off, strings.Join(w.log, "\n"))
+	}
+}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -84,6 +84,7 @@
 	reached    map[fleet.Model]bool
 	large      bool
 	told       bool // placers are told which endpoints changed since they read them
+	deaf       bool // no change is told
 	reads      int  // of endpoints' states
 }
 
@@ -216,6 +217,9 @@
 	a.world.mu.Lock()
 	defer a.world.mu.Unlock()
 	e := a.world.engines[endpoint]
+	if a.world.deaf {
+		return false
+	}
 	return !a.world.told || e.down || a.noted[endpoint] != e.holds()
 }
 
