refactor: the sessions' replay stands outside the core

Cause: internal/core/coretest reads files and flags, so the core seemed to. Change: the package is internal/coretest; only import paths change. Conclusion: no package under internal/core reads a file, socket or clock. make lint and make unit pass.

--- a/internal/caller/session_test.go
+++ b/internal/caller/session_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
--- a/internal/claim/proof_test.go
+++ b/internal/claim/proof_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
 	standin "github.com/chiveramp/chiveramp/internal/standin/platform"
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/once"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/platform/platformtest"
 )
--- a/internal/core/member/session_test.go
+++ b/internal/core/member/session_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 // sessions run at the instance "a" in data centre d1 of region r1. A peer is written
--- a/internal/core/once/once_test.go
+++ b/internal/core/once/once_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/core/revision/main_test.go
+++ b/internal/core/revision/main_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/core/revision/session_test.go
+++ b/internal/core/revision/session_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 // A document is written revision/apply.
--- a/internal/core/stream/bench_test.go
+++ b/internal/core/stream/bench_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 // BenchmarkAdd passes the pieces of a long answer, far more than are kept.
--- a/internal/core/stream/finish_test.go
+++ b/internal/core/stream/finish_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 func TestFinished(t *testing.T) {
--- a/internal/core/stream/fuzz_test.go
+++ b/internal/core/stream/fuzz_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 // FuzzContinue lets an engine die after any two pieces of an answer to any request. If
--- a/internal/core/stream/replay_test.go
+++ b/internal/core/stream/replay_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 func TestKeptPiecesAreBoundedByBytesAndAge(t *testing.T) {
--- a/internal/core/stream/session_test.go
+++ b/internal/core/stream/session_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 const (
--- a/internal/core/suspect/proof_test.go
+++ b/internal/core/suspect/proof_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 const killer Fingerprint = 66
--- a/internal/core/suspect/session_test.go
+++ b/internal/core/suspect/session_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 // Two books, A and B, stand for two instances; "tell" sends A's news to B and back.
--- a/internal/core/totals/proof_test.go
+++ b/internal/core/totals/proof_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 const (
--- a/internal/core/totals/session_test.go
+++ b/internal/core/totals/session_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/core/coretest"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/coretest"
 )
 
 // Sessions run between a data centre d2, where b and c tell, and one instance of
