refactor: options and a loop that nobody calls are gone

Cause: thirteen options, fleet.ParseRank and placer.Run with its ticks had no caller, most of them not even a test; the daemon steps the placer from the timer service and profiles check ranks with inifile.Choice. The memory of a connection was measured by the same lines twice. Ruled out: options that a test uses to turn a mechanism off stay.

--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -10,11 +10,6 @@
 	return func(c *Claims) { c.now = now }
 }
 
-// WithWindow sets how long a caller may resend, and how long a record is kept.
-func WithWindow(window, retention time.Duration) Option {
-	return func(c *Claims) { c.window, c.retention = window, retention }
-}
-
 // WithRetry sets what callers are told to wait while the store is down.
 func WithRetry(d time.Duration) Option {
 	return func(c *Claims) { c.retry = d }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -2,8 +2,6 @@
 // regions, data centres, instances, endpoints, models and ranks of work.
 package fleet
 
-import "fmt"
-
 // Region is a set of data centres joined by fast links.
 type Region string
 
@@ -61,16 +59,6 @@
 	}
 }
 
-// ParseRank returns the rank named by text, or an error that lists what is allowed.
-func ParseRank(text string) (Rank, error) {
-	for _, r := range Ranks() {
-		if string(r) == text {
-			return r, nil
-		}
-	}
-	return "", fmt.Errorf("rank %q: want urgent, standard or bulk", text)
-}
-
 // Outcome says whether a request ran on an endpoint.
 type Outcome string
 
--- a/internal/core/member/options.go
+++ b/internal/core/member/options.go
@@ -49,16 +49,6 @@
 	return func(s *settings) { s.exchange = d }
 }
 
-// WithMissed sets how many intervals without news make a peer suspected and dead.
-func WithMissed(suspected, dead int) Option {
-	return func(s *settings) { s.suspect, s.dead = suspected, dead }
-}
-
-// WithForget sets how long a dead peer is remembered.
-func WithForget(d time.Duration) Option {
-	return func(s *settings) { s.forget = d }
-}
-
 // WithFanout sets to how many peers of the own data centre a round goes at most.
 func WithFanout(n int) Option {
 	return func(s *settings) { s.fanout = n }
--- a/internal/core/place/options.go
+++ b/internal/core/place/options.go
@@ -25,9 +25,6 @@
 // MinStay sets how long a copy stays before it may make room for demand.
 func MinStay(d time.Duration) Option { return func(p *Planner) { p.minStay = d } }
 
-// Headroom sets the busy share above which an endpoint begins to miss targets.
-func Headroom(share float64) Option { return func(p *Planner) { p.headroom = share } }
-
 // Trend sets how far a rise of the fast average over the slow one is carried
 // forward: 1 adds the difference once more, 0 takes the fast average as it is.
 func Trend(factor float64) Option { return func(p *Planner) { p.trend = factor } }
--- a/internal/core/route/options.go
+++ b/internal/core/route/options.go
@@ -55,11 +55,6 @@
 // Option changes a Router under construction.
 type Option func(*Router)
 
-// WithCosts sets the costs.
-func WithCosts(c Costs) Option {
-	return func(r *Router) { r.costs = c }
-}
-
 // WithLink sets the budget of the link between regions.
 func WithLink(b LinkBudget) Option {
 	return func(r *Router) { r.link = newLink(b) }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -38,21 +38,6 @@
 // Option changes a Client under construction.
 type Option func(*settings)
 
-// WithConnections bounds the connections to one endpoint.
-func WithConnections(most int) Option {
-	return func(s *settings) { s.connections = most }
-}
-
-// WithIdle bounds the unused connections kept to one endpoint, and for how long.
-func WithIdle(most int, keep time.Duration) Option {
-	return func(s *settings) { s.idle, s.idleTimeout = most, keep }
-}
-
-// WithDialTimeout bounds the time to open a connection.
-func WithDialTimeout(most time.Duration) Option {
-	return func(s *settings) { s.dialTimeout = most }
-}
-
 // WithLimits bounds one event and one whole body, in bytes.
 func WithLimits(event int, body int64) Option {
 	return func(s *settings) { s.eventLimit, s.bodyLimit = event, body }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -5,15 +5,11 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/retry"
-	"github.com/chiveramp/chiveramp/internal/core/route"
 )
 
 // Option changes a Gateway under construction.
 type Option func(*Gateway)
 
-// WithRouter sets how endpoints are chosen.
-func WithRouter(r *route.Router) Option { return func(g *Gateway) { g.router = r } }
-
 // WithBudget sets how often requests are repeated.
 func WithBudget(b *retry.Budget) Option { return func(g *Gateway) { g.budget = b } }
 
--- a/internal/placer/options.go
+++ b/internal/placer/options.go
@@ -60,9 +60,6 @@
 // WithClock sets the monotonic clock that the lease goes by.
 func WithClock(clock func() time.Time) Option { return func(p *Placer) { p.clock = clock } }
 
-// WithTicks sets the times at which Run takes a step.
-func WithTicks(ticks <-chan time.Time) Option { return func(p *Placer) { p.ticks = ticks } }
-
 // WithRandom sets the source of jitter.
 func WithRandom(random *rand.Rand) Option { return func(p *Placer) { p.random = random } }
 
@@ -85,21 +82,6 @@
 	return func(p *Placer) { p.callTimeout = timeout }
 }
 
-// WithLostAfter sets how long an endpoint may show no state before its copies
-// no longer count.
-func WithLostAfter(after time.Duration) Option { return func(p *Placer) { p.lostAfter = after } }
-
-// WithRefresh sets how often the copies of other data centres are read.
-func WithRefresh(interval time.Duration) Option { return func(p *Placer) { p.refresh = interval } }
-
-// WithSettleAfter sets how long a lost order is waited for before a newer fence
-// is taken to rule it out. It decides only when, never whether, memory is free.
-func WithSettleAfter(after time.Duration) Option { return func(p *Placer) { p.settleAfter = after } }
-
-// WithAbsence sets how long a data centre may be without a placer before its
-// models are loaded elsewhere.
-func WithAbsence(after time.Duration) Option { return func(p *Placer) { p.absence = after } }
-
 // WithRetry sets the first and the longest pause after failures of the store.
 func WithRetry(first, longest time.Duration) Option {
 	return func(p *Placer) { p.retry, p.longest = first, longest }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -34,7 +34,6 @@
 	instance fleet.Instance
 	limits   ledger.Limits
 	clock    func() time.Time
-	ticks    <-chan time.Time
 	random   *rand.Rand
 	logger   log.Logger
 	registry metrics.Registry
@@ -108,23 +107,6 @@
 	return p
 }
 
-// Run takes a step at each tick until the context ends, then gives the lease back.
-func (p *Placer) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return p.Close(context.WithoutCancel(ctx))
-		case now, ok := <-p.ticks:
-			if !ok {
-				return p.Close(context.WithoutCancel(ctx))
-			}
-			if err := p.Step(ctx, now); err != nil {
-				_ = p.logger.Log("level", "warn", "step", "place", "err", err)
-			}
-		}
-	}
-}
-
 // Close gives the lease back. No order is on its way then, since each step
 // waits for the answers to its orders.
 func (p *Placer) Close(ctx context.Context) error {
--- a/internal/slopes/beats.go
+++ b/internal/slopes/beats.go
@@ -183,13 +183,15 @@
 }
 
 // Connections measures the memory of a connection to a peer and one from it.
-func Connections(r *Report) error {
-	memory := Series{Name: "connection memory", By: "peers", Unit: "B"}
+func Connections(r *Report) error { return connections(r, "connection memory") }
+
+func connections(r *Report, name string, opts ...grpc.ServerOption) error {
+	memory := Series{Name: name, By: "peers", Unit: "B"}
 	for _, peers := range []int{8, 16, 38} {
 		var failed error
 		var m *meshOf
 		cost := memoryOf(func() *meshOf {
-			m, failed = beating(peers)
+			m, failed = beating(peers, opts...)
 			return m
 		})
 		if failed != nil {
