--- /dev/null
+++ b/internal/core/balance/board.go
@@ -0,0 +1,258 @@
+// Package balance chooses the endpoint of a request by what each endpoint has
+// been given, over all instances, and bounds how often requests are sent again.
+//
+// It has no clock and no goroutine: requests, loads and the time go in,
+// decisions come out. It answers the load in which many models share few
+// accelerators, so that one long prompt delays everything beside it.
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+)
+
+// Part is a piece of a prompt that other requests may share, with the pieces before it.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Ask is what a choice depends on.
+type Ask struct {
+	Service catalog.Service
+	Model   fleet.Model
+	Adapter fleet.Adapter
+	// Parts is the prompt in order; Prompt and Output are lengths in tokens.
+	Parts  []Part
+	Prompt int
+	Output int
+	Level  int
+	Place  fleet.Place
+	// Exclude lists endpoints that were tried before.
+	Exclude []fleet.Endpoint
+}
+
+// Load is what requests in flight ask of an endpoint.
+type Load struct {
+	// Running counts requests that have not been answered whole.
+	Running int
+	// Pending are the prompt tokens of those that have not been answered at all.
+	Pending int
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	return Load{Running: l.Running + other.Running, Pending: l.Pending + other.Pending}
+}
+
+// Costs weigh what delays a request.
+type Costs struct {
+	// Token is the time to read one prompt token.
+	Token time.Duration
+	// Request is what each running request adds.
+	Request time.Duration
+	// Region and DataCentre are added for an endpoint in another one.
+	Region, DataCentre time.Duration
+	// Adapter is the time to load an adapter that the endpoint lacks.
+	Adapter time.Duration
+	// Full is added for an endpoint without room for the request.
+	Full time.Duration
+	// Load is added while an endpoint loads a model.
+	Load time.Duration
+}
+
+// DefaultCosts follow the sheets of the engines: 38 prompt tokens a millisecond,
+// and some 20 ms between regions each way.
+func DefaultCosts() Costs {
+	return Costs{
+		Token: 26 * time.Microsecond, Request: 2 * time.Millisecond,
+		Region: 60 * time.Millisecond, DataCentre: 4 * time.Millisecond,
+		Adapter: 60 * time.Millisecond, Full: time.Second, Load: 20 * time.Millisecond,
+	}
+}
+
+// Board is what an instance knows of the load of endpoints. It is not safe for concurrent use.
+type Board struct {
+	costs  Costs
+	own    map[fleet.Endpoint]Load
+	others map[fleet.Instance]map[fleet.Endpoint]Load
+	seen   map[fleet.Endpoint]*prompts
+}
+
+// Option changes a Board under construction.
+type Option func(*Board)
+
+// WithCosts sets what delays a request.
+func WithCosts(c Costs) Option { return func(b *Board) { b.costs = c } }
+
+// NewBoard returns a board without load.
+func NewBoard(opts ...Option) *Board {
+	b := &Board{
+		costs:  DefaultCosts(),
+		own:    make(map[fleet.Endpoint]Load),
+		others: make(map[fleet.Instance]map[fleet.Endpoint]Load),
+		seen:   make(map[fleet.Endpoint]*prompts),
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Started notes a request that was sent; its prompt counts until Answered.
+func (b *Board) Started(id fleet.Endpoint, a *Ask) (pending int) {
+	pending = max(0, a.Prompt-b.cached(id, a))
+	b.own[id] = b.own[id].Add(Load{Running: 1, Pending: pending})
+	b.remember(id, a)
+	return pending
+}
+
+// Answered notes the first byte of an answer: its prompt has been read.
+func (b *Board) Answered(id fleet.Endpoint, pending int) {
+	b.own[id] = b.own[id].Add(Load{Pending: -pending})
+}
+
+// Ended notes the end of a request.
+func (b *Board) Ended(id fleet.Endpoint) {
+	l := b.own[id].Add(Load{Running: -1})
+	if l == (Load{}) {
+		delete(b.own, id)
+		return
+	}
+	b.own[id] = l
+}
+
+// Own returns the load that this instance gives, by endpoint.
+func (b *Board) Own() map[fleet.Endpoint]Load {
+	own := make(map[fleet.Endpoint]Load, len(b.own))
+	for id, l := range b.own {
+		own[id] = l
+	}
+	return own
+}
+
+// Told replaces what another instance gives.
+func (b *Board) Told(from fleet.Instance, loads map[fleet.Endpoint]Load) { b.others[from] = loads }
+
+// Forget drops an instance that is gone.
+func (b *Board) Forget(from fleet.Instance) { delete(b.others, from) }
+
+// Load returns the load of an endpoint over all instances.
+func (b *Board) Load(id fleet.Endpoint) Load {
+	l := b.own[id]
+	for _, other := range b.others {
+		l = l.Add(other[id])
+	}
+	return l
+}
+
+// Choice is an endpoint that a request may go to.
+type Choice struct {
+	Endpoint *roster.Endpoint
+	// Adapter is set when the request's adapter must be loaded first.
+	Adapter bool
+	// Wait is the predicted time to the first byte.
+	Wait time.Duration
+}
+
+// Choose returns the endpoint with the shortest predicted wait; false when none serves.
+func (b *Board) Choose(now time.Time, a *Ask, group *catalog.Group, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) (Choice, bool) {
+	best, found := Choice{}, false
+	home := home(now, a, endpoints)
+	for pass := range 2 {
+		for _, e := range endpoints {
+			if !serves(now, e, a) || pass == 0 && e.Suspect(now) {
+				continue
+			}
+			c, ok := b.weigh(now, e, a, group, regions)
+			if !ok {
+				continue
+			}
+			if e.ID == home {
+				c.Wait -= b.shared(a, e.ID)
+			}
+			if !found || c.Wait < best.Wait {
+				best, found = c, true
+			}
+		}
+		if found {
+			return best, true
+		}
+	}
+	return best, found
+}
+
+// serves reports whether an endpoint can take the request now or after its adapter was loaded.
+func serves(now time.Time, e *roster.Endpoint, a *Ask) bool {
+	if e.Service != a.Service || e.Leaving || e.Lost {
+		return false
+	}
+	for _, id := range a.Exclude {
+		if id == e.ID {
+			return false
+		}
+	}
+	return a.Model == "" || e.Serves(now, a.Model, "")
+}
+
+func (b *Board) weigh(now time.Time, e *roster.Endpoint, a *Ask, group *catalog.Group, regions map[fleet.DataCentre]fleet.Region) (Choice, bool) {
+	load := b.Load(e.ID)
+	c := Choice{Endpoint: e}
+	c.Wait = time.Duration(load.Running)*b.costs.Request + time.Duration(load.Pending)*b.costs.Token
+	if uncached := a.Prompt - b.cached(e.ID, a); uncached > 0 {
+		c.Wait += time.Duration(uncached) * b.costs.Token
+	}
+	switch {
+	case e.DataCentre == a.Place.DataCentre:
+	case regions[e.DataCentre] == a.Place.Region:
+		c.Wait += b.costs.DataCentre
+	default:
+		c.Wait += b.costs.Region
+	}
+	if load.Running >= e.Slots || e.Report.Total > 0 && e.Report.Used+a.Prompt > e.Report.Total {
+		c.Wait += b.costs.Full
+	}
+	if a.Adapter != "" && !e.Serves(now, a.Model, a.Adapter) {
+		if e.Report.Busy || group.Engine == nil {
+			return c, false
+		}
+		c.Adapter = true
+		c.Wait += b.costs.Adapter
+	}
+	return c, true
+}
+
+// home is the endpoint at which all instances expect the shared start of a prompt:
+// the one with the highest hash among those that hold the model.
+func home(now time.Time, a *Ask, endpoints []*roster.Endpoint) fleet.Endpoint {
+	if len(a.Parts) < 2 {
+		return ""
+	}
+	start := string(a.Model) + "/" + string(a.Adapter) + "/" + a.Parts[len(a.Parts)-2].ID
+	var best fleet.Endpoint
+	var most uint64
+	for _, e := range endpoints {
+		if !serves(now, e, a) {
+			continue
+		}
+		if h := xxhash.Sum64String(start + "/" + string(e.ID)); best == "" || h > most {
+			best, most = e.ID, h
+		}
+	}
+	return best
+}
+
+// shared is the time that the shared start of a prompt takes to read where it
+// isn't known to be cached.
+func (b *Board) shared(a *Ask, id fleet.Endpoint) time.Duration {
+	tokens := 0
+	for _, p := range a.Parts[:len(a.Parts)-1] {
+		tokens += p.Tokens
+	}
+	return time.Duration(max(0, tokens-b.cached(id, a))) * b.costs.Token
+}
--- /dev/null
+++ b/internal/core/balance/meter.go
@@ -0,0 +1,35 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// Meter measures a rate that old arrivals count less and less for.
+type Meter struct {
+	half time.Duration
+	at   time.Time
+	sum  float64
+}
+
+// NewMeter returns a meter in which an arrival counts half after a time.
+func NewMeter(half time.Duration) *Meter { return &Meter{half: half} }
+
+// Add notes an arrival.
+func (m *Meter) Add(now time.Time, n float64) {
+	m.decay(now)
+	m.sum += n
+}
+
+// Rate returns the arrivals a second.
+func (m *Meter) Rate(now time.Time) float64 {
+	m.decay(now)
+	return m.sum * math.Ln2 / m.half.Seconds()
+}
+
+func (m *Meter) decay(now time.Time) {
+	if d := now.Sub(m.at); d > 0 && !m.at.IsZero() {
+		m.sum *= math.Exp2(-d.Seconds() / m.half.Seconds())
+	}
+	m.at = now
+}
--- /dev/null
+++ b/internal/core/copies/plan.go
@@ -0,0 +1,245 @@
+// Package copies decides which base model is loaded or unloaded where.
+//
+// It has no clock and no goroutine: endpoints, demand and what the weight store
+// allows go in, moves come out. It answers demand that moves to models with one
+// copy within seconds, and endpoints that are lost with the last copy of a model.
+package copies
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Endpoint is a model engine that takes orders.
+type Endpoint struct {
+	ID fleet.Endpoint
+	// Holds are the models that it has, Loading the one it is being given.
+	Holds   []fleet.Model
+	Loading fleet.Model
+	// Retiring are models that are about to be unloaded.
+	Retiring []fleet.Model
+	// AtHand are models whose weights it keeps in memory or on disk.
+	AtHand []fleet.Model
+	// Busy endpoints can't take an order now.
+	Busy bool
+	// Pending are the prompt tokens that wait there.
+	Pending int
+}
+
+// Move is a change of what an endpoint holds.
+type Move struct {
+	Endpoint fleet.Endpoint
+	Model    fleet.Model
+	// Unload takes the model away, else it is loaded.
+	Unload bool
+	// Cold loads come from the weight store.
+	Cold bool
+}
+
+// Limits bound how much moves at a time.
+type Limits struct {
+	// Cold is how many loads from the weight store may begin now.
+	Cold int
+	// Swaps is how many models may be on the move at once to serve demand better.
+	Swaps int
+	// Gain is how many times the demand on a copy must exceed that on the copies
+	// of the model that yields.
+	Gain float64
+	// Least is the demand below which a model gets no further copy, tokens a second.
+	Least float64
+}
+
+// Planner holds what a plan rests on.
+type planner struct {
+	engine    *catalog.Engine
+	endpoints []Endpoint
+	demand    map[fleet.Model]float64
+	limits    Limits
+	copies    map[fleet.Model]int
+	moves     []Move
+	moving    int
+}
+
+// Plan returns the next moves, at most one for an endpoint.
+func Plan(engine *catalog.Engine, endpoints []Endpoint, demand map[fleet.Model]float64, limits Limits) []Move {
+	p := &planner{
+		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, limits: limits,
+		copies: make(map[fleet.Model]int),
+	}
+	for i := range p.endpoints {
+		p.count(&p.endpoints[i])
+	}
+	p.restore()
+	p.relieve()
+	return p.moves
+}
+
+func (p *planner) count(e *Endpoint) {
+	for _, m := range e.Holds {
+		if !slices.Contains(e.Retiring, m) {
+			p.copies[m]++
+		}
+	}
+	if e.Loading != "" && !slices.Contains(e.Holds, e.Loading) {
+		p.copies[e.Loading]++
+	}
+	if e.Busy || len(e.Retiring) > 0 {
+		p.moving++
+	}
+}
+
+// restore gives each model without a copy one, those in demand first.
+func (p *planner) restore() {
+	lost := make([]catalog.Model, 0)
+	for _, m := range p.engine.Models {
+		if p.copies[m.Name] == 0 {
+			lost = append(lost, m)
+		}
+	}
+	slices.SortStableFunc(lost, func(a, b catalog.Model) int { return cmp.Compare(p.demand[b.Name], p.demand[a.Name]) })
+	for i := range lost {
+		if p.load(&lost[i]) {
+			continue
+		}
+		p.yield(&lost[i], 0)
+	}
+}
+
+// relieve gives further copies to the models with the most demand for each copy.
+func (p *planner) relieve() {
+	for p.moving < p.limits.Swaps {
+		m, ok := p.hottest()
+		if !ok {
+			return
+		}
+		if !p.load(&m) && !p.yield(&m, p.limits.Gain) {
+			return
+		}
+	}
+}
+
+// hottest returns the model with the most demand for each copy.
+func (p *planner) hottest() (catalog.Model, bool) {
+	var best catalog.Model
+	most := 0.0
+	for _, m := range p.engine.Models {
+		d := p.demand[m.Name]
+		if n := p.copies[m.Name]; n == 0 || n >= len(p.endpoints) || d < p.limits.Least {
+			continue
+		}
+		if each := d / float64(p.copies[m.Name]); each > most {
+			best, most = m, each
+		}
+	}
+	return best, most > 0
+}
+
+// load puts a model where there is room, preferring weights at hand and little work.
+func (p *planner) load(m *catalog.Model) bool {
+	var best *Endpoint
+	bestCold := false
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if !p.fits(e, m) {
+			continue
+		}
+		cold := !slices.Contains(e.AtHand, m.Name)
+		if cold && p.limits.Cold <= 0 {
+			continue
+		}
+		if best == nil || bestCold && !cold || bestCold == cold && e.Pending < best.Pending {
+			best, bestCold = e, cold
+		}
+	}
+	if best == nil {
+		return false
+	}
+	if bestCold {
+		p.limits.Cold--
+	}
+	p.moves = append(p.moves, Move{Endpoint: best.ID, Model: m.Name, Cold: bestCold})
+	best.Busy, best.Loading = true, m.Name
+	p.copies[m.Name]++
+	p.moving++
+	return true
+}
+
+func (p *planner) fits(e *Endpoint, m *catalog.Model) bool {
+	if e.Busy || slices.Contains(e.Holds, m.Name) || len(e.Retiring) > 0 {
+		return false
+	}
+	return p.used(e)+m.Memory <= p.engine.Memory
+}
+
+// used is the memory that weights take at an endpoint, with room for its adapters.
+func (p *planner) used(e *Endpoint) float64 {
+	used, adapter := 0.0, 0.0
+	for _, name := range e.Holds {
+		m, ok := p.engine.Model(name)
+		if !ok {
+			continue
+		}
+		used += m.Memory
+	}
+	for i := range p.engine.Models {
+		adapter = max(adapter, p.engine.Models[i].AdapterMemory)
+	}
+	return used + adapter*float64(p.engine.Adapters)
+}
+
+// yield takes away a spare copy to make room for a model: the one whose model
+// keeps the least demand for each copy that stays. With a gain above 0, only if
+// the model's own demand is that many times larger.
+func (p *planner) yield(m *catalog.Model, gain float64) bool {
+	var best spare
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if e.Busy || len(e.Retiring) > 0 || slices.Contains(e.Holds, m.Name) {
+			continue
+		}
+		atHand := slices.Contains(e.AtHand, m.Name)
+		if !atHand && p.limits.Cold <= 0 {
+			continue
+		}
+		for _, name := range e.Holds {
+			if p.copies[name] < 2 {
+				continue
+			}
+			s := spare{at: e, model: name, stays: p.demand[name] / float64(p.copies[name]-1), atHand: atHand}
+			if best.at == nil || s.before(best) {
+				best = s
+			}
+		}
+	}
+	if best.at == nil || gain > 0 && p.demand[m.Name]/float64(p.copies[m.Name]) < gain*best.stays {
+		return false
+	}
+	if !best.atHand {
+		p.limits.Cold--
+	}
+	p.moves = append(p.moves, Move{Endpoint: best.at.ID, Model: best.model, Unload: true})
+	best.at.Retiring = append(slices.Clone(best.at.Retiring), best.model)
+	p.copies[best.model]--
+	p.moving++
+	return true
+}
+
+// spare is a copy that could yield.
+type spare struct {
+	at    *Endpoint
+	model fleet.Model
+	// stays is the demand on each copy that would stay.
+	stays float64
+	// atHand is set where the model that needs the room loads fast.
+	atHand bool
+}
+
+func (s spare) before(other spare) bool {
+	if s.stays != other.stays {
+		return s.stays < other.stays
+	}
+	return s.atHand && !other.atHand
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os/signal"
@@ -26,6 +27,8 @@
 	ExitSettings = 2
 )
 
+var errNoConfig = errors.New(`required flag "config" not set`)
+
 // settingsError marks an error of the settings or of what they name.
 type settingsError struct{ error }
 
@@ -49,11 +52,16 @@
 		UsageText: "chiverampd --config /etc/chiveramp/chiverampd.ini",
 		Writer:    w,
 		ErrWriter: w,
+		Commands:  []*cli.Command{newGatewayCommand(w)},
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "INI file with the settings of this instance", Required: true},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			// Not marked as required: it would be so for the commands below too.
+			&cli.StringFlag{Name: "config", Usage: "INI file with the settings of this instance", Local: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Local: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if !c.IsSet("config") {
+				return errNoConfig
+			}
 			settings, err := config.Load(c.String("config"))
 			if err != nil {
 				return settingsError{err}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+	"go.opentelemetry.io/otel"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/direct"
+	"github.com/chiveramp/chiveramp/internal/heap"
+	"github.com/chiveramp/chiveramp/internal/telemetry"
+	"github.com/chiveramp/chiveramp/pkg/config"
+)
+
+// newGatewayCommand is the command of an instance on the users' platform.
+func newGatewayCommand(w io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "gateway",
+		Usage:     "serve as one instance on the users' platform, straight to its endpoints",
+		UsageText: "chiverampd gateway --config /etc/chiveramp/gateway.ini",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "INI file with the settings of this instance", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := config.LoadGateway(c.String("config"))
+			if err != nil {
+				return settingsError{err}
+			}
+			if c.Bool("check") {
+				return nil
+			}
+			return runGateway(ctx, settings, w)
+		},
+	}
+}
+
+func runGateway(ctx context.Context, c config.Gateway, w io.Writer) error {
+	heap.Bound()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	common := config.Config{Instance: c.Instance, Log: c.Log, Trace: c.Trace}
+	var writing errgroup.Group
+	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		end()
+		_ = writing.Wait() // the writer of logs returns no error
+	}()
+	logger := telemetry.NewLogger(telemetry.NewBounded(lifetime, w, &writing), common)
+	tracers, err := telemetry.NewTracerProvider(ctx, common)
+	if err != nil {
+		return settingsError{err}
+	}
+	otel.SetTracerProvider(tracers)
+	otel.SetTextMapPropagator(telemetry.NewPropagator())
+	group, running := errgroup.WithContext(ctx)
+	n := direct.New(c, logger, group)
+	if err := n.Run(running); err != nil {
+		return settingsError{err}
+	}
+	err = group.Wait()
+	_ = tracers.Shutdown(context.WithoutCancel(ctx))
+	_ = level.Info(logger).Log("step", "exit", "err", err)
+	return err
+}
--- /dev/null
+++ b/internal/direct/exchange.go
@@ -0,0 +1,201 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+)
+
+const (
+	// patience is how long the own watch may lag behind a peer before it is asked.
+	patience = 250 * time.Millisecond
+	// retireNews is how long the end of a model's copy is repeated.
+	retireNews = time.Second
+	// mostLeft bounds the leaving endpoints that are told in one beat.
+	mostLeft = 64
+)
+
+// takeRecords takes changes of the list of endpoints, or the whole of it.
+func (s *state) takeRecords(records []roster.Record, revision int64, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for i := range records {
+		r := &records[i]
+		s.newest = max(s.newest, r.Revision)
+		if known := s.roster.Get(r.ID); known != nil && !r.Removed && !r.Forged && r.Entry.Born > known.Born {
+			s.board.Emptied(r.ID)
+		}
+	}
+	if whole {
+		s.roster.Replace(now, records, revision)
+	} else {
+		s.roster.Apply(now, records, revision)
+	}
+	s.listed = true
+}
+
+// troubled notes a failed call to the store, answered a good one.
+func (s *state) troubled() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.Troubled(s.clock())
+}
+
+func (s *state) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.Answered(s.clock())
+}
+
+// members takes the store's list of instances.
+func (s *state) members(peers []member.Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Listed(s.clock(), peers)
+}
+
+// leave makes the instance leave; there is no way back.
+func (s *state) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.view.Leave()
+}
+
+// holding notes whether this instance may give orders.
+func (s *state) holding(orders bool, fence fleet.Fence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders, s.fence = orders, fence
+}
+
+// beat returns what to tell, and whom.
+func (s *state) beat() ([]member.Peer, *gossip.Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.view.Tick(now)
+	b := &gossip.Beat{
+		Place: s.place, Ready: s.readiness() == nil, Roster: s.newest,
+		Loads: s.board.Own(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
+		Rumours: s.view.Rumours(),
+	}
+	if s.catalog != nil {
+		b.Catalog = s.catalog.Version
+		s.view.SetRevision(uint64(max(0, s.catalog.Version)))
+	}
+	for _, r := range s.fresh {
+		r.Age = now.Sub(r.Report.Taken)
+		b.Reports = append(b.Reports, r)
+	}
+	s.fresh = nil
+	for _, f := range s.failed {
+		b.Failed = append(b.Failed, f)
+	}
+	clear(s.failed)
+	s.retire = slices.DeleteFunc(s.retire, func(r retirement) bool { return now.Sub(r.at) > retireNews })
+	for _, r := range s.retire {
+		b.Retiring = append(b.Retiring, gossip.Retirement{Endpoint: r.endpoint, Model: r.model})
+	}
+	b.Peer = s.view.Beat()
+	return s.view.Targets(now), b
+}
+
+// hear takes the beat of another instance.
+func (s *state) hear(b *gossip.Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.view.Observe(now, b.Peer)
+	s.view.HearRumours(b.Rumours)
+	name := b.Peer.Instance
+	if known := s.peers[name]; known != nil && known.beat.Peer.Incarnation == b.Peer.Incarnation && known.beat.Peer.Sequence > b.Peer.Sequence {
+		return
+	}
+	s.peers[name] = &peer{beat: *b, at: now}
+	s.board.Told(name, b.Loads)
+	for _, r := range b.Reports {
+		r.Report.Taken = now.Add(-r.Age)
+		s.roster.Reported(r.Endpoint, r.Report)
+	}
+	for _, l := range b.Left {
+		s.roster.Left(l.Endpoint, l.Born)
+	}
+	for _, f := range b.Failed {
+		s.roster.Failed(now, f.Endpoint, f.Born)
+	}
+	for _, r := range b.Retiring {
+		s.roster.Retiring(now, r.Endpoint, r.Model)
+	}
+}
+
+// behind returns a peer to ask if one has known more for a while.
+func (s *state) behind() (string, *gossip.Fetch, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	f := &gossip.Fetch{Roster: s.roster.Revision()}
+	if s.catalog != nil {
+		f.Catalog = s.catalog.Version
+	}
+	var ahead *peer
+	for name, p := range s.peers {
+		if s.alive(name) && (p.beat.Catalog > f.Catalog || p.beat.Roster > f.Roster) {
+			ahead = p
+		}
+	}
+	switch {
+	case ahead == nil:
+		s.lagging = time.Time{}
+		return "", nil, false
+	case s.lagging.IsZero():
+		s.lagging = now
+	}
+	if s.catalog != nil && s.listed && now.Sub(s.lagging) < patience {
+		return "", nil, false
+	}
+	return ahead.beat.Peer.Address, f, true
+}
+
+// known answers what another instance doesn't know.
+func (s *state) known(f *gossip.Fetch) *gossip.Known {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := &gossip.Known{}
+	if s.catalog != nil && s.catalog.Version > f.Catalog {
+		k.Catalog = s.catalog.Raw
+	}
+	if s.listed && s.newest > f.Roster {
+		k.Roster = s.newest
+		for _, e := range s.roster.All() {
+			k.Entries = append(k.Entries, gossip.Entry{ID: e.ID, Revision: e.Revision, Text: e.Raw})
+		}
+	}
+	return k
+}
+
+// tidy drops what is no longer true, and returns the incarnations of endpoints that are left.
+func (s *state) tidy() map[fleet.Endpoint]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.roster.Settle(now)
+	for name, p := range s.peers {
+		if now.Sub(p.at) > deadRetry {
+			s.board.Forget(name)
+		}
+	}
+	if len(s.retired) > mostLeft {
+		s.retired = s.retired[len(s.retired)-mostLeft:]
+	}
+	live := make(map[fleet.Endpoint]int64)
+	for _, e := range s.roster.All() {
+		live[e.ID] = e.Born
+	}
+	return live
+}
--- /dev/null
+++ b/internal/direct/fleet.go
@@ -0,0 +1,482 @@
+// Package direct joins the parts of an instance that sends requests straight to
+// endpoints: the gateway towards callers, the news of other instances and of the
+// store, and the orders to endpoints.
+package direct
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/internal/loader"
+)
+
+const (
+	// demandHalf is how fast demand is forgotten; it shifts within seconds.
+	demandHalf = 2 * time.Second
+	// sharedWeight and outputWeight turn parts of a request into the work of
+	// reading a token: shared parts are mostly cached, output is made in batches.
+	sharedWeight = 0.2
+	outputWeight = 2
+	// leastUrgent is the level at which work counts least for copies.
+	leastUrgent = 2
+	// urgentWeight and bulkWeight weigh demand by rank.
+	urgentWeight = 2.0
+	bulkWeight   = 0.4
+	// deadRetry is how long a peer's loads count after its last beat.
+	deadRetry = 2 * time.Second
+	// site stands for all data centres: every instance beats with every other.
+	site fleet.DataCentre = "site"
+)
+
+// peer is the last beat of another instance.
+type peer struct {
+	beat gossip.Beat
+	at   time.Time
+}
+
+// state is what the instance knows. It is safe for concurrent use.
+type state struct {
+	place   fleet.Place
+	regions map[fleet.DataCentre]fleet.Region
+	clock   func() time.Time
+
+	mu      sync.Mutex
+	catalog *catalog.Catalog
+	listed  bool // whether a list of endpoints is known
+	roster  *roster.Roster
+	board   *balance.Board
+	budget  *balance.Budget
+	view    *member.View
+	peers   map[fleet.Instance]*peer
+	demand  map[roster.Adapter]*balance.Meter
+	fresh   []gossip.Report
+	failed  map[fleet.Endpoint]gossip.Incarnation
+	retired []gossip.Incarnation
+	leaving bool
+	orders  bool
+	fence   fleet.Fence
+	retire  []retirement
+	// newest is the revision of the newest change of the list, lagging since when a
+	// peer has known more.
+	newest  int64
+	lagging time.Time
+}
+
+// retirement is a model that is about to be unloaded.
+type retirement struct {
+	endpoint fleet.Endpoint
+	model    fleet.Model
+	at       time.Time
+}
+
+func newState(self member.Peer, place fleet.Place, regions map[fleet.DataCentre]fleet.Region, budget *balance.Budget, beat time.Duration, clock func() time.Time) *state {
+	return &state{
+		place: place, regions: regions, clock: clock,
+		roster: roster.New(), board: balance.NewBoard(), budget: budget,
+		view:   member.New(self, member.WithInterval(beat)),
+		peers:  make(map[fleet.Instance]*peer),
+		demand: make(map[roster.Adapter]*balance.Meter),
+		failed: make(map[fleet.Endpoint]gossip.Incarnation),
+	}
+}
+
+// Route returns the route of a request and the version that it stands in.
+func (s *state) Route(host, path string) (*catalog.Route, int64, error) {
+	s.mu.Lock()
+	c := s.catalog
+	s.mu.Unlock()
+	if c == nil {
+		return nil, 0, gateway.ErrNoCatalog
+	}
+	r, ok := c.Match(host, path)
+	if !ok {
+		return nil, c.Version, gateway.ErrNoRoute
+	}
+	return r, c.Version, nil
+}
+
+// Limits bound what callers may send.
+func (s *state) Limits() catalog.Limits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.catalog == nil {
+		return catalog.Limits{}
+	}
+	return s.catalog.Limits
+}
+
+// Choose picks an endpoint and counts the request there until Ended.
+func (s *state) Choose(a *balance.Ask) (gateway.Target, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.catalog == nil {
+		return gateway.Target{}, gateway.ErrNoCatalog
+	}
+	group, ok := s.catalog.Group(a.Service)
+	if !ok {
+		group = &catalog.Group{Name: a.Service}
+	}
+	now := s.clock()
+	c, ok := s.board.Choose(now, a, group, s.roster.All(), s.regions)
+	if !ok {
+		return gateway.Target{}, gateway.ErrNoEndpoint
+	}
+	t := gateway.Target{
+		ID: c.Endpoint.ID, Born: c.Endpoint.Born, Address: c.Endpoint.Address, DataCentre: c.Endpoint.DataCentre,
+		Adapter: c.Adapter, Wait: c.Wait,
+	}
+	if !c.Endpoint.Report.Taken.IsZero() {
+		t.Age = now.Sub(c.Endpoint.Report.Taken)
+	}
+	t.Pending = s.board.Started(t.ID, a)
+	return t, nil
+}
+
+// Answered notes the first byte of an answer: the prompt has been read.
+func (s *state) Answered(t gateway.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Answered(t.ID, t.Pending)
+	s.roster.Served(t.ID)
+	delete(s.failed, t.ID)
+}
+
+// Ended gives a request's place back.
+func (s *state) Ended(t gateway.Target, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !answered {
+		s.board.Answered(t.ID, t.Pending)
+	}
+	s.board.Ended(t.ID)
+}
+
+// Failed notes an attempt without an answer.
+func (s *state) Failed(t gateway.Target) { s.lost(t.ID, t.Born) }
+
+func (s *state) lost(id fleet.Endpoint, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.Failed(s.clock(), id, born)
+	s.failed[id] = gossip.Incarnation{Endpoint: id, Born: born}
+}
+
+// Gone notes that another endpoint answers at the address.
+func (s *state) Gone(t gateway.Target) { s.left(t.ID, t.Born) }
+
+func (s *state) left(id fleet.Endpoint, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.Left(id, born)
+	s.retired = append(s.retired, gossip.Incarnation{Endpoint: id, Born: born})
+}
+
+// Asked counts a request and its demand for a model.
+func (s *state) Asked(a *balance.Ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.budget.Asked(now, a.Service)
+	if a.Model == "" {
+		return
+	}
+	work := workOf(a)
+	s.meter(roster.Adapter{Model: a.Model}).Add(now, work)
+	if a.Adapter != "" {
+		s.meter(roster.Adapter{Model: a.Model, Adapter: a.Adapter}).Add(now, work)
+	}
+}
+
+// Again asks whether a request may be sent once more.
+func (s *state) Again(service catalog.Service) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Members(len(s.view.All()))
+	return s.budget.Take(s.clock(), service)
+}
+
+// Missing notes that the endpoint lacks the adapter or, without one, the model.
+func (s *state) Missing(t gateway.Target, m fleet.Model, a fleet.Adapter) {
+	if m == "" {
+		return
+	}
+	s.Learned(t.ID, roster.Adapter{Model: m, Adapter: a}, false)
+}
+
+// Learned takes what a send or an order has shown.
+func (s *state) Learned(id fleet.Endpoint, what roster.Adapter, present bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.Learned(s.clock(), id, what, present)
+}
+
+// Leaving is set once the instance shuts down.
+func (s *state) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// workOf weighs what a request asks of an engine, in prompt tokens to read.
+func workOf(a *balance.Ask) float64 {
+	work := float64(outputWeight * a.Output)
+	last := a.Prompt
+	if n := len(a.Parts); n > 0 {
+		last = a.Parts[n-1].Tokens
+	}
+	work += float64(last) + sharedWeight*float64(max(0, a.Prompt-last))
+	switch {
+	case a.Level == 0:
+		return work * urgentWeight
+	case a.Level >= leastUrgent:
+		return work * bulkWeight
+	default:
+		return work
+	}
+}
+
+func (s *state) meter(what roster.Adapter) *balance.Meter {
+	m := s.demand[what]
+	if m == nil {
+		m = balance.NewMeter(demandHalf)
+		s.demand[what] = m
+	}
+	return m
+}
+
+// Demand returns tokens a second over all instances, by model and by adapter.
+func (s *state) Demand() (map[fleet.Model]float64, map[roster.Adapter]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	models, adapters := make(map[fleet.Model]float64), make(map[roster.Adapter]float64)
+	add := func(d gossip.Demand) {
+		if d.Adapter == "" {
+			models[d.Model] += d.Tokens
+			return
+		}
+		adapters[roster.Adapter{Model: d.Model, Adapter: d.Adapter}] += d.Tokens
+	}
+	for _, d := range s.ownDemand() {
+		add(d)
+	}
+	now := s.clock()
+	for _, p := range s.peers {
+		if now.Sub(p.at) > deadRetry {
+			continue
+		}
+		for _, d := range p.beat.Demand {
+			add(d)
+		}
+	}
+	return models, adapters
+}
+
+// leastDemand is the rate below which a demand isn't told, tokens a second.
+const leastDemand = 1
+
+func (s *state) ownDemand() []gossip.Demand {
+	now := s.clock()
+	var all []gossip.Demand
+	for what, m := range s.demand {
+		if rate := m.Rate(now); rate >= leastDemand {
+			all = append(all, gossip.Demand{Model: what.Model, Adapter: what.Adapter, Tokens: rate})
+		} else {
+			delete(s.demand, what)
+		}
+	}
+	return all
+}
+
+// Engines returns the services that are model engines.
+func (s *state) Engines() []*catalog.Group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []*catalog.Group
+	if s.catalog == nil {
+		return nil
+	}
+	for i := range s.catalog.Groups {
+		if s.catalog.Groups[i].Engine != nil {
+			all = append(all, &s.catalog.Groups[i])
+		}
+	}
+	return all
+}
+
+// Engine returns a service's endpoints that don't leave, as the loader sees them.
+func (s *state) Engine(service catalog.Service) []loader.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	var all []loader.Candidate
+	for _, e := range s.roster.All() {
+		if e.Service != service || e.Leaving || e.Report.Taken.IsZero() {
+			continue
+		}
+		all = append(all, loader.Candidate{
+			ID: e.ID, Born: e.Born, Address: e.Address, Report: e.Report, AtHand: e.Report.AtHand,
+			Pending: s.board.Load(e.ID).Pending, Suspect: e.Suspect(now),
+		})
+	}
+	return all
+}
+
+// Reported takes a report that this instance took.
+func (s *state) Reported(id fleet.Endpoint, r roster.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.Reported(id, r)
+	s.roster.Served(id)
+	delete(s.failed, id)
+	s.fresh = append(s.fresh, gossip.Report{Endpoint: id, Report: r})
+}
+
+// Retire has all instances send nothing more for a model to an endpoint.
+func (s *state) Retire(id fleet.Endpoint, model fleet.Model) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.roster.Retiring(now, id, model)
+	s.retire = append(s.retire, retirement{endpoint: id, model: model, at: now})
+}
+
+// probes returns the endpoints that this instance asks how they are: each is asked
+// by one live instance, in its region where there is one.
+func (s *state) probes() []roster.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var mine []roster.Endpoint
+	for _, e := range s.roster.All() {
+		if s.prober(e) == s.view.Self().Instance && s.isEngine(e.Service) {
+			mine = append(mine, *e)
+		}
+	}
+	return mine
+}
+
+func (s *state) isEngine(service catalog.Service) bool {
+	if s.catalog == nil {
+		return false
+	}
+	g, ok := s.catalog.Group(service)
+	return ok && g.Engine != nil
+}
+
+// prober is the instance that asks an endpoint how it is.
+func (s *state) prober(e *roster.Endpoint) fleet.Instance {
+	p, _ := s.view.Dispatcher(e.ID, fleet.Place{Region: s.regions[e.DataCentre]})
+	return p.Instance
+}
+
+func (s *state) alive(name fleet.Instance) bool {
+	st, ok := s.view.State(name)
+	return ok && st == member.StateLive
+}
+
+// addresses returns where callers of a place connect: instances that are ready,
+// in the caller's region where there are some.
+func (s *state) addresses(region fleet.Region, self string, ready bool) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var near, all []string
+	add := func(address string, p fleet.Place) {
+		all = append(all, address)
+		if p.Region == region {
+			near = append(near, address)
+		}
+	}
+	if ready && !s.leaving {
+		add(self, s.place)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
+		p := s.peers[name]
+		if p.beat.Ready && s.alive(name) {
+			add(p.beat.Peer.Caller, p.beat.Place)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	return all
+}
+
+// ready tells why the instance can't take requests, nil if it can.
+func (s *state) ready() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readiness()
+}
+
+func (s *state) readiness() error {
+	switch {
+	case s.leaving:
+		return errLeaving
+	case s.catalog == nil:
+		return gateway.ErrNoCatalog
+	case !s.listed:
+		return errNoList
+	}
+	return nil
+}
+
+// holder returns the instance that may give orders, as far as heard.
+func (s *state) holder() (address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var best *peer
+	for name, p := range s.peers {
+		if p.beat.Orders && s.alive(name) && (best == nil || p.beat.Fence > best.beat.Fence) {
+			best = p
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.beat.Peer.Address, true
+}
+
+// vacant reports whether nobody is heard to hold the right to give orders.
+func (s *state) vacant() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.peers {
+		if p.beat.Fence != 0 && s.alive(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// turn is the position of this instance among those that live, by name.
+func (s *state) turn() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []fleet.Instance{s.view.Self().Instance}
+	for name := range s.peers {
+		if s.alive(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Index(names, s.view.Self().Instance)
+}
+
+// take puts a configuration in force unless a newer one is. It returns whether it did.
+func (s *state) take(c *catalog.Catalog) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.catalog != nil && c.Version <= s.catalog.Version {
+		return false
+	}
+	s.catalog = c
+	return true
+}
--- /dev/null
+++ b/internal/direct/right.go
@@ -0,0 +1,154 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sys/unix"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/tenure"
+	"github.com/chiveramp/chiveramp/pkg/config"
+	"github.com/chiveramp/chiveramp/platform"
+)
+
+const (
+	// holderKey is the store's key of the instance that gives orders.
+	holderKey = "chiveramp/holder"
+	// queueStep keeps instances from trying for the right at the same moment.
+	queueStep = 600 * time.Millisecond
+)
+
+// right is the right to give orders, a lease in the store. It is safe for concurrent use.
+type right struct {
+	store  *platform.Store
+	name   string
+	ttl    time.Duration
+	call   time.Duration
+	logger log.Logger
+
+	mu     sync.Mutex
+	tenure *tenure.Tenure
+	lease  int64
+	since  time.Duration // since when nobody is heard to hold it
+	closed bool
+}
+
+func newRight(store *platform.Store, t *tenure.Tenure, c config.Gateway, logger log.Logger) *right {
+	return &right{store: store, name: c.Instance.Name, ttl: c.Orders.Lease, call: c.Store.Timeout, logger: logger, tenure: t}
+}
+
+// uptime is a clock that runs while the machine is suspended, and that nobody sets.
+func uptime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0 // no lease is ever held at this time
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Orders reports whether an order may leave now.
+func (r *right) Orders() (fleet.Fence, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tenure.Fence(), r.tenure.Orders(uptime())
+}
+
+// fence returns the fencing number while the right is held, else 0.
+func (r *right) fence() fleet.Fence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.tenure.Held(uptime()) {
+		return 0
+	}
+	return r.tenure.Fence()
+}
+
+// keep renews the right, or tries for it when nobody is heard to hold it.
+func (r *right) keep(ctx context.Context, s *state) {
+	r.mu.Lock()
+	lease, closed, held := r.lease, r.closed, r.tenure.Held(uptime())
+	r.mu.Unlock()
+	switch {
+	case closed:
+	case lease != 0:
+		r.renew(ctx, lease, held)
+	case s.ready() == nil && r.due(s):
+		r.acquire(ctx)
+	}
+}
+
+// due reports whether it is this instance's turn to try for the right.
+func (r *right) due(s *state) bool {
+	now := uptime()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !s.vacant() {
+		r.since = 0
+		return false
+	}
+	if r.since == 0 {
+		r.since = now
+	}
+	return now-r.since >= time.Duration(s.turn())*queueStep
+}
+
+func (r *right) renew(ctx context.Context, lease int64, held bool) {
+	ctx, cancel := context.WithTimeout(ctx, r.call)
+	defer cancel()
+	asked := uptime()
+	err := r.store.Renew(ctx, lease)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil && uptime()-asked < r.ttl:
+		r.tenure.Renewed(asked)
+	case errors.Is(err, platform.ErrNotFound), !held:
+		_ = r.logger.Log("step", "right lost", "fence", r.tenure.Fence(), "err", err)
+		r.tenure.Lost()
+		r.lease, r.since = 0, 0
+	}
+}
+
+func (r *right) acquire(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.call)
+	defer cancel()
+	asked := uptime()
+	lease, ttl, err := r.store.Grant(ctx, r.ttl)
+	if err == nil && ttl < r.ttl {
+		err = errors.New("the store grants shorter leases only")
+	}
+	var fence int64
+	if err == nil {
+		fence, err = r.store.Put(ctx, platform.Write{Key: holderKey, Value: []byte(r.name), Lease: lease})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || err != nil {
+		// A write whose answer was lost ends with its lease, which isn't renewed.
+		_ = r.logger.Log("step", "right refused", "err", err)
+		return
+	}
+	r.lease = lease
+	r.tenure.Acquired(uptime(), asked, fleet.Fence(fence))
+	_ = r.logger.Log("step", "right acquired", "fence", fence)
+}
+
+// release gives the right back before its end. Orders sent before count for the next holder.
+func (r *right) release(ctx context.Context) {
+	r.mu.Lock()
+	lease := r.lease
+	r.tenure.Lost()
+	r.lease, r.closed = 0, true
+	r.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.call)
+	defer cancel()
+	err := r.store.Revoke(ctx, lease)
+	_ = r.logger.Log("step", "right released", "err", err)
+}
--- /dev/null
+++ b/internal/direct/stats.go
@@ -0,0 +1,28 @@
+package direct
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+)
+
+// stats count requests by kind, rank and status.
+type stats struct{ registry metrics.Registry }
+
+func newStats(r metrics.Registry) *stats { return &stats{registry: r} }
+
+// Done notes the end of a request.
+func (s *stats) Done(route *catalog.Route, status, attempts int, first, whole time.Duration) {
+	labels := ";kind=" + string(route.Kind) + ";level=" + strconv.Itoa(route.Level)
+	metrics.GetOrRegisterCounter("requests"+labels+";status="+strconv.Itoa(status), s.registry).Inc(1)
+	if attempts > 1 {
+		metrics.GetOrRegisterCounter("repeats"+labels, s.registry).Inc(int64(attempts - 1))
+	}
+	if first > 0 {
+		metrics.GetOrRegisterTimer("first"+labels, s.registry).Update(first)
+	}
+	metrics.GetOrRegisterTimer("whole"+labels, s.registry).Update(whole)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+const (
+	// mostBody bounds a request's body until a configuration says otherwise, bytes.
+	mostBody = 4 << 20
+	// comeBack is when a refused caller may try again where nothing better is known.
+	comeBack = 500 * time.Millisecond
+	// comeBackUnready is the wait told by an instance that has no configuration.
+	comeBackUnready = 300 * time.Millisecond
+)
+
+// Clock tells the time.
+type Clock func() time.Time
+
+// Gateway answers callers. It is safe for concurrent use.
+type Gateway struct {
+	place  fleet.Place
+	codec  Codec
+	sender Sender
+	fleet  Fleet
+	clock  Clock
+	logger log.Logger
+	draw   func() float64
+	tracer trace.Tracer
+	stats  Stats
+}
+
+// Option changes a Gateway under construction.
+type Option func(*Gateway)
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l log.Logger) Option { return func(g *Gateway) { g.logger = l } }
+
+// WithStats sets where requests are counted.
+func WithStats(s Stats) Option { return func(g *Gateway) { g.stats = s } }
+
+// WithDraw sets the source of random numbers from 0 up to 1.
+func WithDraw(draw func() float64) Option { return func(g *Gateway) { g.draw = draw } }
+
+// New returns a gateway at a place.
+func New(place fleet.Place, codec Codec, sender Sender, f Fleet, clock Clock, opts ...Option) *Gateway {
+	g := &Gateway{
+		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
+		logger: log.NewNopLogger(), draw: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{},
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.clock()
+	if g.fleet.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	request, err := g.read(w, r)
+	if err != nil {
+		g.refuseRead(w, r, request, err)
+		return
+	}
+	route, version, err := g.fleet.Route(request.Host, request.Path)
+	if err != nil {
+		g.refuseRoute(w, request, err)
+		return
+	}
+	ctx, span := g.tracer.Start(r.Context(), "gateway "+route.Name)
+	defer span.End()
+	limit := route.Timeout
+	if request.Wait > 0 && (limit <= 0 || request.Wait < limit) {
+		limit = request.Wait
+	}
+	ctx, cancel := context.WithDeadline(ctx, arrived.Add(limit))
+	defer cancel()
+	j := &job{
+		gateway: g, request: request, route: route, version: version, arrived: arrived,
+		service: route.Service(g.draw()), caller: w, control: http.NewResponseController(w), after: request.After,
+	}
+	j.ask = balance.Ask{
+		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
+		Prompt: request.Prompt, Output: request.Output, Level: route.Level, Place: g.place,
+	}
+	g.fleet.Asked(&j.ask)
+	j.run(ctx)
+	j.report(ctx)
+	if j.broken {
+		// The server closes the connection, so that the answer doesn't look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// read takes the whole request, so that nothing of it is left on the connection
+// and it can be sent again.
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*Request, error) {
+	request, err := g.codec.Decode(r)
+	if err != nil {
+		return request, err
+	}
+	limit := g.fleet.Limits().Body
+	if limit <= 0 {
+		limit = mostBody
+	}
+	if r.ContentLength > int64(limit) {
+		return request, ErrTooLarge
+	}
+	if r.ContentLength == 0 {
+		return request, nil
+	}
+	body := http.MaxBytesReader(w, r.Body, int64(limit))
+	if r.ContentLength > 0 {
+		request.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(body, request.Body)
+		return request, err
+	}
+	request.Body, err = io.ReadAll(body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return request, ErrTooLarge
+	}
+	return request, err
+}
+
+func (g *Gateway) refuseRead(w http.ResponseWriter, r *http.Request, request *Request, err error) {
+	refusal := Refusal{Status: http.StatusBadRequest, Reason: err.Error()}
+	if request != nil {
+		refusal.Request = request.ID
+	}
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		refusal.Status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrMalformed):
+	case r.Context().Err() != nil:
+		return // the caller has gone
+	}
+	_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "err", err)
+	g.codec.Refuse(w, refusal)
+}
+
+func (g *Gateway) refuseRoute(w http.ResponseWriter, request *Request, err error) {
+	refusal := Refusal{Status: http.StatusNotFound, Reason: err.Error(), Request: request.ID}
+	if errors.Is(err, ErrNoCatalog) {
+		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, comeBackUnready
+	}
+	_ = g.logger.Log("step", "refuse", "id", request.ID, "status", refusal.Status, "host", request.Host, "path", request.Path, "err", err)
+	g.codec.Refuse(w, refusal)
+}
+
+// Stats count what became of requests.
+type Stats interface {
+	// Done notes the end of a request of a route.
+	Done(route *catalog.Route, status int, attempts int, first, whole time.Duration)
+}
+
+type noStats struct{}
+
+func (noStats) Done(*catalog.Route, int, int, time.Duration, time.Duration) {}
--- /dev/null
+++ b/internal/gateway/message.go
@@ -0,0 +1,146 @@
+// Package gateway serves callers: it takes a request, sends it straight to an
+// endpoint and hands the answer back, whole or not at all.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Errors of a request and its attempts.
+var (
+	// ErrUnsent: no byte of the request has left, so it has not run.
+	ErrUnsent = errors.New("not sent")
+	// ErrMalformed: the request breaks the protocol and is refused before it is passed on.
+	ErrMalformed = errors.New("malformed request")
+	// ErrTooLarge: the body is over the limit.
+	ErrTooLarge = errors.New("body too large")
+	// ErrNoCatalog: no configuration is known yet.
+	ErrNoCatalog = errors.New("no configuration yet")
+	// ErrNoRoute: no route matches host and path.
+	ErrNoRoute = errors.New("no such route")
+	// ErrNoEndpoint: no endpoint can take the request now.
+	ErrNoEndpoint = errors.New("no endpoint can take the request")
+)
+
+// Request is a caller's request, decoded.
+type Request struct {
+	// ID is the caller's own, unique to each of its attempts.
+	ID string
+	// Target is path and query as they came, Path the decoded path.
+	Method, Target, Path, Host string
+	// Header holds what is passed on.
+	Header http.Header
+	Body   []byte
+	// Wait is how long the caller waits, 0 if it doesn't say.
+	Wait    time.Duration
+	Model   fleet.Model
+	Adapter fleet.Adapter
+	// Parts is the prompt; Prompt and Output are lengths in tokens.
+	Parts          []balance.Part
+	Prompt, Output int
+	// After is the last event that the caller has of a stream, empty for all.
+	After string
+}
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	Request  *Request
+	Endpoint fleet.Endpoint
+	Born     int64
+	Address  string
+	// Left is how long the caller still waits, 0 if not known.
+	Left time.Duration
+	// Level is the rank, 0 for the most urgent.
+	Level int
+	// After is the last event already passed on.
+	After string
+}
+
+// Answer is an endpoint's answer. Its body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// NotRun: the endpoint says that the request has not run.
+	NotRun bool
+	// Misdirected: another endpoint answers at the address, or the model or
+	// adapter isn't there. The request has not run.
+	Misdirected bool
+	// Stranger: another incarnation or endpoint has the address.
+	Stranger bool
+	// Foreign: the answer belongs to another request.
+	Foreign bool
+}
+
+// Codec knows the names that callers use.
+type Codec interface {
+	// Decode reads a request without its body.
+	Decode(r *http.Request) (*Request, error)
+	// Refuse writes an answer of the system's own.
+	Refuse(w http.ResponseWriter, refusal Refusal)
+	// Pass copies an endpoint's header to the caller's.
+	Pass(to http.Header, from http.Header)
+}
+
+// Sender sends attempts to endpoints.
+type Sender interface {
+	Send(ctx context.Context, a *Attempt) (*Answer, error)
+}
+
+// Refusal is an answer of the system's own.
+type Refusal struct {
+	Status int
+	Reason string
+	// RetryAfter is when to come back, 0 if that makes no sense.
+	RetryAfter time.Duration
+	// Request is echoed when known.
+	Request string
+}
+
+// Target is a chosen endpoint.
+type Target struct {
+	ID         fleet.Endpoint
+	Born       int64
+	Address    string
+	DataCentre fleet.DataCentre
+	// Adapter is set when the request's adapter must be loaded first.
+	Adapter bool
+	// Wait is the predicted time to the first byte, Age that of the report it rests on.
+	Wait, Age time.Duration
+	// Pending is what the request's prompt counts until it is answered, in tokens.
+	Pending int
+}
+
+// Fleet is what the instance knows of routes and endpoints.
+type Fleet interface {
+	// Route returns the route of a request and the version that it stands in.
+	Route(host, path string) (*catalog.Route, int64, error)
+	// Choose picks an endpoint and counts the request there until Ended.
+	Choose(a *balance.Ask) (Target, error)
+	// Answered notes the first byte of an answer.
+	Answered(t Target)
+	// Ended gives the place back, answered if Answered was called.
+	Ended(t Target, answered bool)
+	// Failed notes an attempt without an answer, Gone that the endpoint isn't there any more.
+	Failed(t Target)
+	Gone(t Target)
+	// Asked counts a request, Again asks whether one may be sent once more.
+	Asked(a *balance.Ask)
+	Again(s catalog.Service) bool
+	// Ensure has an adapter loaded.
+	Ensure(ctx context.Context, t Target, m fleet.Model, a fleet.Adapter) error
+	// Missing notes that the endpoint lacks what the choice expected there.
+	Missing(t Target, m fleet.Model, a fleet.Adapter)
+	// Leaving is set once the instance shuts down.
+	Leaving() bool
+	// Limits bound what callers may send.
+	Limits() catalog.Limits
+}
--- /dev/null
+++ b/internal/gossip/codec.go
@@ -0,0 +1,34 @@
+// Package gossip is the protocol between instances of a site: what each knows of
+// the endpoints' load, orders to whoever may give them, and configuration for
+// instances that can't read the store. Messages are CBOR over gRPC.
+package gossip
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc/encoding"
+)
+
+const codecName = "cbor"
+
+type codec struct{}
+
+func (codec) Name() string { return codecName }
+
+func (codec) Marshal(v any) ([]byte, error) {
+	text, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return text, nil
+}
+
+func (codec) Unmarshal(text []byte, v any) error {
+	if err := cbor.Unmarshal(text, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
+
+func init() { encoding.RegisterCodec(codec{}) }
--- /dev/null
+++ b/internal/gossip/message.go
@@ -0,0 +1,100 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+)
+
+// Beat is what an instance tells the others now and then.
+type Beat struct {
+	Peer  member.Peer `cbor:"p"`
+	Place fleet.Place `cbor:"l"`
+	// Ready instances take requests.
+	Ready bool `cbor:"y"`
+	// Catalog and Roster are the versions known there.
+	Catalog int64 `cbor:"c"`
+	Roster  int64 `cbor:"r"`
+	// Loads are the requests in flight from there.
+	Loads map[fleet.Endpoint]balance.Load `cbor:"o"`
+	// Demand is what callers asked for there lately.
+	Demand []Demand `cbor:"d"`
+	// Reports are those taken there since the last beat.
+	Reports []Report `cbor:"e"`
+	// Left are incarnations of endpoints that leave, Failed those that did not answer lately.
+	Left   []Incarnation `cbor:"f"`
+	Failed []Incarnation `cbor:"x"`
+	// Orders is set where orders may be given.
+	Orders bool `cbor:"h"`
+	// Fence is the fencing number of whoever gives orders there.
+	Fence   fleet.Fence     `cbor:"n"`
+	Rumours []member.Rumour `cbor:"u"`
+	// Retiring are models about to be unloaded: nothing more goes there for them.
+	Retiring []Retirement `cbor:"t"`
+}
+
+// Retirement is the end of a copy of a model.
+type Retirement struct {
+	Endpoint fleet.Endpoint `cbor:"i"`
+	Model    fleet.Model    `cbor:"m"`
+}
+
+// Demand is a model's demand in tokens a second, with an adapter if that is given.
+type Demand struct {
+	Model   fleet.Model   `cbor:"m"`
+	Adapter fleet.Adapter `cbor:"a"`
+	Tokens  float64       `cbor:"t"`
+}
+
+// Report is an endpoint's report and its age when the beat left.
+type Report struct {
+	Endpoint fleet.Endpoint `cbor:"i"`
+	Age      time.Duration  `cbor:"g"`
+	Report   roster.Report  `cbor:"r"`
+}
+
+// Incarnation is one start of an endpoint.
+type Incarnation struct {
+	Endpoint fleet.Endpoint `cbor:"i"`
+	Born     int64          `cbor:"b"`
+}
+
+// Ack answers a beat.
+type Ack struct{}
+
+// Fetch asks for what an instance knows.
+type Fetch struct {
+	// Catalog and Roster are the versions known already.
+	Catalog int64 `cbor:"c"`
+	Roster  int64 `cbor:"r"`
+}
+
+// Entry is an endpoint's entry as it stands in the store.
+type Entry struct {
+	ID       fleet.Endpoint `cbor:"i"`
+	Revision int64          `cbor:"r"`
+	Text     []byte         `cbor:"t"`
+}
+
+// Known answers a Fetch. What isn't newer is left out.
+type Known struct {
+	Catalog []byte  `cbor:"c"`
+	Roster  int64   `cbor:"r"`
+	Entries []Entry `cbor:"e"`
+}
+
+// Ensure asks whoever gives orders to have an adapter loaded.
+type Ensure struct {
+	Endpoint fleet.Endpoint `cbor:"i"`
+	Born     int64          `cbor:"b"`
+	Model    fleet.Model    `cbor:"m"`
+	Adapter  fleet.Adapter  `cbor:"a"`
+}
+
+// Ensured answers an Ensure. Refused says why it was not done.
+type Ensured struct {
+	Refused string `cbor:"r"`
+}
--- /dev/null
+++ b/internal/loader/adapter.go
@@ -0,0 +1,170 @@
+package loader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+)
+
+// orderTries bounds how often an adapter's order is sent on a newer count of orders.
+const orderTries = 3
+
+// Ensure has an adapter loaded at an endpoint that holds its model, and returns
+// once it serves. Another adapter yields if there is no place.
+func (l *Loader) Ensure(ctx context.Context, id fleet.Endpoint, born int64, what roster.Adapter) error {
+	if _, ok := l.right.Orders(); !ok {
+		return ErrNoRight
+	}
+	c, engine, ok := l.find(id, born)
+	if !ok {
+		return fmt.Errorf("%w: not known", ErrUnavailable)
+	}
+	d := l.desk(c)
+	if err := d.enter(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer d.leave()
+	d.used[what] = l.clock()
+	if d.holds(l.clock(), c, what) {
+		return nil
+	}
+	if d.model != "" || d.retiring != "" {
+		return fmt.Errorf("%w: it is given %s", ErrUnavailable, d.model)
+	}
+	return l.adapt(ctx, d, c, engine, what)
+}
+
+func (l *Loader) find(id fleet.Endpoint, born int64) (*Candidate, *catalog.Engine, bool) {
+	for _, g := range l.site.Engines() {
+		all := l.site.Engine(g.Name)
+		for i := range all {
+			if all[i].ID == id && all[i].Born == born {
+				return &all[i], g.Engine, true
+			}
+		}
+	}
+	return nil, nil, false
+}
+
+// holds reports whether an adapter is there, by reports and accepted orders.
+func (d *desk) holds(now time.Time, c *Candidate, what roster.Adapter) bool {
+	if a, ok := d.adapters[what]; ok && now.Sub(a.at) < reportLag+c.age(now) {
+		return a.present
+	}
+	return roster.Holds(c.Report.Models, what.Model, what.Adapter)
+}
+
+// age is how old the candidate's report is.
+func (c *Candidate) age(now time.Time) time.Duration { return now.Sub(c.Report.Taken) }
+
+func (l *Loader) adapt(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
+	var err error
+	for range orderTries {
+		if !d.known || d.accepted.IsZero() {
+			if err = l.refresh(ctx, d, c); err != nil {
+				return err
+			}
+		}
+		if !d.holdsModel(c, what.Model) {
+			return fmt.Errorf("%w: it lacks %s", ErrUnavailable, what.Model)
+		}
+		if err = l.makePlace(ctx, d, c, engine, what); err == nil {
+			_, err = l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter})
+		}
+		if err == nil {
+			now := l.clock()
+			d.adapters[what] = change{at: now, present: true}
+			l.site.Learned(c.ID, what, true)
+			_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq)
+			return pause(ctx, adapterWait)
+		}
+		if !errors.Is(err, ErrBusy) || pause(ctx, reportLag/2) != nil {
+			break
+		}
+	}
+	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq, "err", err)
+	return err
+}
+
+func (d *desk) holdsModel(c *Candidate, m fleet.Model) bool {
+	return roster.Holds(c.Report.Models, m, "") && d.retiring != m
+}
+
+// makePlace unloads the adapter that was wanted longest ago if all places are taken.
+func (l *Loader) makePlace(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
+	now := l.clock()
+	held := d.held(now, c)
+	if len(held) < engine.Adapters {
+		return nil
+	}
+	_, demand := l.site.Demand()
+	var oldest roster.Adapter
+	found := false
+	for _, a := range held {
+		if a == what {
+			continue
+		}
+		if !found || d.sooner(a, oldest, demand) {
+			oldest, found = a, true
+		}
+	}
+	if !found {
+		return ErrNoPlace
+	}
+	l.site.Learned(c.ID, oldest, false)
+	done, err := l.send(ctx, d, c, Order{Unload: true, Model: oldest.Model, Adapter: oldest.Adapter})
+	if err != nil {
+		return fmt.Errorf("unload adapter %s/%s: %w", oldest.Model, oldest.Adapter, err)
+	}
+	if !done {
+		return fmt.Errorf("%w: adapter %s/%s is still in use", ErrNoPlace, oldest.Model, oldest.Adapter)
+	}
+	d.adapters[oldest] = change{at: l.clock()}
+	return nil
+}
+
+// sooner reports whether an adapter yields before another: less demand, then used longer ago.
+func (d *desk) sooner(a, b roster.Adapter, demand map[roster.Adapter]float64) bool {
+	if demand[a] != demand[b] {
+		return demand[a] < demand[b]
+	}
+	return d.used[a].Before(d.used[b])
+}
+
+// held returns the adapters that take a place: reported, on their way or ordered.
+func (d *desk) held(now time.Time, c *Candidate) []roster.Adapter {
+	set := make(map[roster.Adapter]bool)
+	for i := range c.Report.Models {
+		for _, a := range c.Report.Models[i].Adapters {
+			set[roster.Adapter{Model: c.Report.Models[i].Model, Adapter: a}] = true
+		}
+	}
+	for _, a := range c.Report.Coming {
+		set[a] = true
+	}
+	for a, change := range d.adapters {
+		if now.Sub(change.at) < reportLag+c.age(now) {
+			set[a] = change.present
+		}
+	}
+	var all []roster.Adapter
+	for a, present := range set {
+		if present {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// pause waits, or returns the context's error if that ends before.
+func pause(ctx context.Context, d time.Duration) error {
+	waiting, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-waiting.Done()
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,410 @@
+// Package loader gives endpoints their orders: which base models and adapters
+// they load. Only the instance that holds the lease for it gives orders.
+package loader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/copies"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+)
+
+const (
+	// reportWait bounds one question to an endpoint, orderWait one order.
+	reportWait = 400 * time.Millisecond
+	orderWait  = 600 * time.Millisecond
+	// reportLag is how late an endpoint's report may be about its own orders.
+	reportLag = 350 * time.Millisecond
+	// drainWait is how long instances have to stop sending to a model that is unloaded.
+	drainWait = 400 * time.Millisecond
+	// adapterWait is how long an adapter takes until it serves, once ordered.
+	adapterWait = 12 * time.Millisecond
+	// lateOrders is how long an order without an answer may still begin.
+	lateOrders = 12 * time.Second
+	// stuck is how long an accepted order may take before its endpoint is looked at anew.
+	stuck = 20 * time.Second
+)
+
+// Errors of an Ensure.
+var (
+	// ErrNoRight: this instance may not give orders now.
+	ErrNoRight = errors.New("not the holder of the right to give orders")
+	// ErrNoPlace: no adapter there can yield.
+	ErrNoPlace = errors.New("no place for a further adapter")
+	// ErrUnavailable: the endpoint can't take the order now.
+	ErrUnavailable = errors.New("endpoint can't take the order now")
+	// ErrBusy: the endpoint has another order, or has taken orders that weren't counted.
+	ErrBusy = errors.New("endpoint has another order")
+	// ErrDenied: the endpoint won't take the order.
+	ErrDenied = errors.New("order denied")
+)
+
+// Order is an order to an endpoint.
+type Order struct {
+	Endpoint fleet.Endpoint
+	Born     int64
+	Address  string
+	Unload   bool
+	Model    fleet.Model
+	Adapter  fleet.Adapter
+	// Seq is the count of accepted orders that it rests on; it has no effect at another.
+	Seq   int64
+	Fence fleet.Fence
+}
+
+// Endpoints takes orders and answers questions.
+type Endpoints interface {
+	// Order sends an order. Errors other than ErrBusy and ErrDenied leave open
+	// whether it is carried out, at once or later.
+	// Done says that it holds already, else it has been accepted and takes its time.
+	Order(ctx context.Context, o Order) (done bool, err error)
+	// Report asks an endpoint how it is.
+	Report(ctx context.Context, id fleet.Endpoint, born int64, address string) (roster.Report, error)
+}
+
+// Right says whether orders may leave now.
+type Right interface {
+	Orders() (fleet.Fence, bool)
+}
+
+// Site is what the instance knows of endpoints and demand.
+type Site interface {
+	// Engines returns the services that are model engines.
+	Engines() []*catalog.Group
+	// Engine returns copies of a service's endpoints that don't leave.
+	Engine(s catalog.Service) []Candidate
+	// Demand returns tokens a second, by model and by adapter.
+	Demand() (map[fleet.Model]float64, map[roster.Adapter]float64)
+	// Reported takes a report, Learned what an order has shown.
+	Reported(id fleet.Endpoint, r roster.Report)
+	Learned(id fleet.Endpoint, what roster.Adapter, present bool)
+	// Retire tells all instances that a model is about to be unloaded.
+	Retire(id fleet.Endpoint, model fleet.Model)
+}
+
+// Candidate is an endpoint that may get orders.
+type Candidate struct {
+	ID      fleet.Endpoint
+	Born    int64
+	Address string
+	Report  roster.Report
+	AtHand  []fleet.Model
+	Pending int
+	Suspect bool
+}
+
+// Loader gives orders while the instance holds the right to. It is safe for concurrent use.
+type Loader struct {
+	endpoints Endpoints
+	right     Right
+	site      Site
+	clock     func() time.Time
+	logger    log.Logger
+	limits    Limits
+
+	mu    sync.Mutex
+	desks map[fleet.Endpoint]*desk
+	// cold are when loads from the weight store may have begun.
+	cold  []time.Time
+	fence fleet.Fence
+	began time.Time
+}
+
+// Limits are the site's.
+type Limits struct {
+	// Window is the time over which loads from the weight store are counted, Over
+	// the factor by which their rate may be exceeded in it.
+	Window time.Duration
+	Over   float64
+	// Swaps, Gain and Least bound moves that follow demand; see copies.Limits.
+	Swaps int
+	Gain  float64
+	Least float64
+}
+
+// Option changes a Loader under construction.
+type Option func(*Loader)
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l log.Logger) Option { return func(s *Loader) { s.logger = l } }
+
+// New returns a loader.
+func New(endpoints Endpoints, right Right, site Site, clock func() time.Time, limits Limits, opts ...Option) *Loader {
+	l := &Loader{
+		endpoints: endpoints, right: right, site: site, clock: clock, limits: limits,
+		logger: log.NewNopLogger(), desks: make(map[fleet.Endpoint]*desk),
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// desk is one endpoint's orders. Its turn is taken by whoever gives one.
+type desk struct {
+	turn chan struct{}
+	born int64
+	// seq counts the orders accepted as far as known, accepted is when the last one was.
+	seq      int64
+	accepted time.Time
+	known    bool
+	// model is the base model under order, if any.
+	model  fleet.Model
+	unload bool
+	since  time.Time
+	// retiring is a model that is unloaded once instances had time to notice.
+	retiring fleet.Model
+	due      time.Time
+	// adapters are orders accepted that the reports may not show yet.
+	adapters map[roster.Adapter]change
+	used     map[roster.Adapter]time.Time
+}
+
+type change struct {
+	at      time.Time
+	present bool
+}
+
+func (l *Loader) desk(c *Candidate) *desk {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.desks[c.ID]
+	if d == nil || d.born != c.Born {
+		d = &desk{
+			turn: make(chan struct{}, 1), born: c.Born,
+			adapters: make(map[roster.Adapter]change), used: make(map[roster.Adapter]time.Time),
+		}
+		l.desks[c.ID] = d
+	}
+	return d
+}
+
+// enter waits for the desk's turn.
+func (d *desk) enter(ctx context.Context) error {
+	select {
+	case d.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (d *desk) leave() { <-d.turn }
+
+// Step gives the orders that are due. It returns whether orders may be given.
+func (l *Loader) Step(ctx context.Context) bool {
+	fence, ok := l.right.Orders()
+	if !ok {
+		return false
+	}
+	now := l.clock()
+	l.mu.Lock()
+	if fence != l.fence {
+		l.fence, l.began = fence, now
+		l.desks = make(map[fleet.Endpoint]*desk)
+		l.cold = nil
+	}
+	l.mu.Unlock()
+	for _, g := range l.site.Engines() {
+		l.place(ctx, now, g)
+	}
+	return true
+}
+
+// place follows the orders under way in a service and gives the next ones.
+func (l *Loader) place(ctx context.Context, now time.Time, g *catalog.Group) {
+	candidates := l.site.Engine(g.Name)
+	plan := make([]copies.Endpoint, 0, len(candidates))
+	byID := make(map[fleet.Endpoint]*Candidate, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		byID[c.ID] = c
+		d := l.desk(c)
+		if !d.try() {
+			continue
+		}
+		l.follow(ctx, now, d, c)
+		plan = append(plan, l.planned(now, d, c))
+		d.leave()
+	}
+	demand, _ := l.site.Demand()
+	limits := copies.Limits{Cold: l.allowed(now, g.Engine, plan), Swaps: l.limits.Swaps, Gain: l.limits.Gain, Least: l.limits.Least}
+	for _, m := range copies.Plan(g.Engine, plan, demand, limits) {
+		l.move(ctx, now, byID[m.Endpoint], m)
+	}
+}
+
+// try takes the desk's turn if nobody has it.
+func (d *desk) try() bool {
+	select {
+	case d.turn <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// follow compares what was ordered with the endpoint's reports.
+func (l *Loader) follow(ctx context.Context, now time.Time, d *desk, c *Candidate) {
+	if d.model != "" && !c.Report.Busy && c.Report.Taken.Sub(d.accepted) > reportLag && c.Report.Seq >= d.seq {
+		_ = l.logger.Log("step", "moved", "endpoint", c.ID, "model", d.model, "unload", d.unload,
+			"holds", roster.Holds(c.Report.Models, d.model, ""), "took", now.Sub(d.since))
+		d.model = ""
+	}
+	if d.model != "" && d.unload {
+		l.site.Retire(c.ID, d.model)
+	}
+	if d.model != "" && now.Sub(d.since) > stuck {
+		d.model = ""
+	}
+	if d.retiring != "" && !now.Before(d.due) {
+		model := d.retiring
+		d.retiring = ""
+		err := l.order(ctx, d, c, Order{Unload: true, Model: model})
+		_ = l.logger.Log("step", "unload", "endpoint", c.ID, "model", model, "seq", d.seq, "err", err)
+	}
+}
+
+func (l *Loader) planned(now time.Time, d *desk, c *Candidate) copies.Endpoint {
+	e := copies.Endpoint{ID: c.ID, AtHand: c.AtHand, Pending: c.Pending}
+	for _, h := range c.Report.Models {
+		e.Holds = append(e.Holds, h.Model)
+	}
+	if d.retiring != "" {
+		e.Retiring = append(e.Retiring, d.retiring)
+	}
+	if d.model != "" {
+		if d.unload {
+			e.Retiring = append(e.Retiring, d.model)
+		} else {
+			e.Loading = d.model
+		}
+	}
+	fresh := now.Sub(c.Report.Taken) < time.Second
+	e.Busy = d.model != "" || d.retiring != "" || c.Report.Busy || !fresh || c.Suspect ||
+		c.Report.Taken.Sub(d.accepted) < reportLag
+	return e
+}
+
+// allowed returns how many loads from the weight store may begin now. Orders
+// without an answer may begin late, so they count twice: when sent and after.
+func (l *Loader) allowed(now time.Time, engine *catalog.Engine, plan []copies.Endpoint) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := l.cold[:0]
+	recent := 0
+	for _, at := range l.cold {
+		if now.Sub(at) > l.limits.Window {
+			continue
+		}
+		kept = append(kept, at)
+		recent++
+	}
+	l.cold = kept
+	if now.Sub(l.began) < l.limits.Window {
+		for i := range plan {
+			if plan[i].Busy && plan[i].Loading == "" {
+				recent++ // perhaps a load of the holder before
+			}
+		}
+	}
+	// Steps aside from the stated bound: the places that the rule adds are kept for late orders.
+	return int(engine.Rate*l.limits.Window.Seconds()*l.limits.Over) - recent
+}
+
+// move begins a planned move.
+func (l *Loader) move(ctx context.Context, now time.Time, c *Candidate, m copies.Move) {
+	d := l.desk(c)
+	if !d.try() {
+		return
+	}
+	defer d.leave()
+	if m.Unload {
+		d.retiring, d.due = m.Model, now.Add(drainWait)
+		l.site.Retire(c.ID, m.Model)
+		_ = l.logger.Log("step", "retire", "endpoint", c.ID, "model", m.Model)
+		return
+	}
+	if m.Cold {
+		l.mu.Lock()
+		l.cold = append(l.cold, now)
+		l.mu.Unlock()
+	}
+	err := l.order(ctx, d, c, Order{Model: m.Model})
+	_ = l.logger.Log("step", "load", "endpoint", c.ID, "model", m.Model, "cold", m.Cold, "seq", d.seq, "err", err)
+	if m.Cold && err != nil && !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) {
+		l.mu.Lock()
+		l.cold = append(l.cold, now.Add(lateOrders/2))
+		l.mu.Unlock()
+	}
+}
+
+// order sends an order for a base model on the newest count of orders.
+func (l *Loader) order(ctx context.Context, d *desk, c *Candidate, o Order) error {
+	if !d.known || c.Report.Seq > d.seq {
+		d.seq, d.known = max(d.seq, c.Report.Seq), true
+	}
+	done, err := l.send(ctx, d, c, o)
+	if err != nil || done {
+		return err
+	}
+	d.model, d.unload, d.since = o.Model, o.Unload, l.clock()
+	if o.Unload {
+		l.site.Learned(c.ID, roster.Adapter{Model: o.Model}, false)
+	}
+	return nil
+}
+
+// send sends one order. The right is looked at right before.
+func (l *Loader) send(ctx context.Context, d *desk, c *Candidate, o Order) (done bool, err error) {
+	fence, ok := l.right.Orders()
+	if !ok {
+		return false, ErrNoRight
+	}
+	o.Endpoint, o.Born, o.Address, o.Seq, o.Fence = c.ID, c.Born, c.Address, d.seq, fence
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	done, err = l.endpoints.Order(ctx, o)
+	switch {
+	case err == nil && done && !o.Unload:
+		// It held before, so nothing was accepted.
+	case err == nil:
+		d.seq++
+		d.accepted = l.clock()
+	case errors.Is(err, ErrBusy):
+		d.known = false
+	case errors.Is(err, ErrDenied):
+	default:
+		d.known = false
+		d.accepted = l.clock() // it may have been accepted
+	}
+	return done, err
+}
+
+// refresh asks the endpoint for its newest count of orders.
+func (l *Loader) refresh(ctx context.Context, d *desk, c *Candidate) error {
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	report, err := l.endpoints.Report(ctx, c.ID, c.Born, c.Address)
+	if err != nil {
+		return err
+	}
+	if report.Born != c.Born {
+		return fmt.Errorf("%w: it has started again", ErrUnavailable)
+	}
+	report.Taken = l.clock()
+	l.site.Reported(c.ID, report)
+	c.Report = report
+	if !d.known || report.Seq > d.seq {
+		d.seq, d.known = report.Seq, true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/timer/tasks.go
@@ -0,0 +1,53 @@
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Tasks runs recurring work in a group, one run of each task at a time. It is
+// safe for concurrent use.
+type Tasks struct {
+	timers *Service
+	group  *errgroup.Group
+	ctx    context.Context
+
+	mu   sync.Mutex
+	busy map[string]bool
+}
+
+// NewTasks returns tasks that run until the context ends.
+func NewTasks(ctx context.Context, timers *Service, group *errgroup.Group) *Tasks {
+	return &Tasks{timers: timers, group: group, ctx: ctx, busy: make(map[string]bool)}
+}
+
+// Every runs a task now and then at an interval.
+func (t *Tasks) Every(name string, interval time.Duration, task func(context.Context)) {
+	run := func(time.Time) { t.Solo(name, task) }
+	run(t.timers.Now())
+	t.timers.Every(interval, interval/10, run)
+}
+
+// Solo runs a task unless it is running already or the context has ended.
+func (t *Tasks) Solo(name string, task func(context.Context)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy[name] || t.ctx.Err() != nil {
+		return
+	}
+	t.busy[name] = true
+	t.group.Go(func() error {
+		defer t.idle(name)
+		task(t.ctx)
+		return nil
+	})
+}
+
+func (t *Tasks) idle(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy[name] = false
+}
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -35,7 +35,7 @@
 	}
 	c := Default()
 	c.File = name
-	if err := decode(&c, file); err != nil {
+	if err := decode(name, sections(&c), file); err != nil {
 		return Config{}, err
 	}
 	if err := c.complete(); err != nil {
@@ -44,8 +44,7 @@
 	return c, nil
 }
 
-func decode(c *Config, file inifile.File) error {
-	known := sections(c)
+func decode(name string, known []section, file inifile.File) error {
 	seen := make(map[string]bool, len(known))
 	for _, s := range file.Sections() {
 		i := slices.IndexFunc(known, func(k section) bool { return k.name == s.Name() })
@@ -61,7 +60,7 @@
 		if seen[k.name] {
 			continue
 		}
-		if err := inifile.Missing(c.File, k.name, k.fields); err != nil {
+		if err := inifile.Missing(name, k.name, k.fields); err != nil {
 			return err
 		}
 	}
