--- a/internal/core/balance/budget.go
+++ b/internal/core/balance/budget.go
@@ -38,6 +38,9 @@
 	return &Budget{ratio: ratio, extra: extra, window: window, members: 1, counts: make(map[catalog.Service]*counts)}
 }
 
+// Bound changes what is allowed.
+func (b *Budget) Bound(ratio, extra float64) { b.ratio, b.extra = ratio, extra }
+
 // Members sets the number of instances that share the allowance. It never falls,
 // since instances that are out of sight may still use their share.
 func (b *Budget) Members(n int) { b.members = max(b.members, n) }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -85,8 +85,8 @@
 	// Cold, Disk and Warm are how long a load takes from the weight store, the
 	// endpoint's disk and its memory.
 	Cold, Disk, Warm time.Duration
-	// Adapters is the number of its adapters, AdapterMemory the size of one, MB.
-	Adapters      int
+	// Adapters are its adapters, AdapterMemory the size of one, MB.
+	Adapters      []fleet.Adapter
 	AdapterMemory float64
 }
 
--- a/internal/core/tenure/tenure.go
+++ b/internal/core/tenure/tenure.go
@@ -30,9 +30,13 @@
 }
 
 // Acquired notes the key as taken, at a revision that is the fencing number. The
-// lease's last renewal was asked for at the given time.
-func (t *Tenure) Acquired(now, asked time.Duration, fence fleet.Fence) {
+// lease was asked for at the given time. Where this machine was the holder before
+// too, nobody else can have ordered, and it goes on at once.
+func (t *Tenure) Acquired(now, asked time.Duration, fence fleet.Fence, before bool) {
 	t.fence, t.until, t.from = fence, asked+t.ttl, now+t.apart
+	if before {
+		t.from = now
+	}
 }
 
 // Renewed notes a good renewal that was asked for at the given time.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -13,6 +14,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/direct"
 	"github.com/chiveramp/chiveramp/internal/heap"
+	"github.com/chiveramp/chiveramp/internal/reload"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
 	"github.com/chiveramp/chiveramp/pkg/config"
 )
@@ -28,7 +30,8 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			settings, err := config.LoadGateway(c.String("config"))
+			path := c.String("config")
+			settings, err := reload.New([]string{path}, func() (config.Gateway, error) { return config.LoadGateway(path) })
 			if err != nil {
 				return settingsError{err}
 			}
@@ -40,7 +43,8 @@
 	}
 }
 
-func runGateway(ctx context.Context, c config.Gateway, w io.Writer) error {
+func runGateway(ctx context.Context, settings *reload.Value[config.Gateway], w io.Writer) error {
+	c := settings.Get()
 	heap.Bound()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -59,7 +63,20 @@
 	otel.SetTracerProvider(tracers)
 	otel.SetTextMapPropagator(telemetry.NewPropagator())
 	group, running := errgroup.WithContext(ctx)
-	n := direct.New(c, logger, group)
+	n := direct.New(settings, logger, group)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	group.Go(func() error {
+		for {
+			select {
+			case <-hangups:
+				n.Reload("signal")
+			case <-running.Done():
+				return nil
+			}
+		}
+	})
 	if err := n.Run(running); err != nil {
 		return settingsError{err}
 	}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -52,6 +52,13 @@
 	s.roster.Answered(s.clock())
 }
 
+// rebudget changes what may be sent once more.
+func (s *state) rebudget(share, extra float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Bound(share, extra)
+}
+
 // members takes the store's list of instances.
 func (s *state) members(peers []member.Peer) {
 	s.mu.Lock()
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -26,6 +26,8 @@
 	// reading a token: shared parts are mostly cached, output is made in batches.
 	sharedWeight = 0.2
 	outputWeight = 2
+	// usualShare is the weight of one request in the usual work of its rank.
+	usualShare = 0.02
 	// leastUrgent is the level at which work counts least for copies.
 	leastUrgent = 2
 	// urgentWeight and bulkWeight weigh demand by rank.
@@ -58,6 +60,7 @@
 	view    *member.View
 	peers   map[fleet.Instance]*peer
 	demand  map[roster.Adapter]*balance.Meter
+	works   map[int]float64 // usual work of a request, by level
 	fresh   []gossip.Report
 	failed  map[fleet.Endpoint]gossip.Incarnation
 	retired []gossip.Incarnation
@@ -84,7 +87,7 @@
 		roster: roster.New(), board: balance.NewBoard(), budget: budget,
 		view:   member.New(self, member.WithInterval(beat)),
 		peers:  make(map[fleet.Instance]*peer),
-		demand: make(map[roster.Adapter]*balance.Meter),
+		demand: make(map[roster.Adapter]*balance.Meter), works: make(map[int]float64),
 		failed: make(map[fleet.Endpoint]gossip.Incarnation),
 	}
 }
@@ -189,7 +192,7 @@
 	if a.Model == "" {
 		return
 	}
-	work := workOf(a)
+	work := s.usual(a)
 	s.meter(roster.Adapter{Model: a.Model}).Add(now, work)
 	if a.Adapter != "" {
 		s.meter(roster.Adapter{Model: a.Model, Adapter: a.Adapter}).Add(now, work)
@@ -226,6 +229,19 @@
 	return s.leaving
 }
 
+// usual is the work that a request of its rank usually asks for: sizes differ so
+// much that a few large requests would pass for a shift of demand.
+func (s *state) usual(a *balance.Ask) float64 {
+	mean, ok := s.works[a.Level]
+	work := workOf(a)
+	if !ok {
+		mean = work
+	}
+	mean += (work - mean) * usualShare
+	s.works[a.Level] = mean
+	return mean
+}
+
 // workOf weighs what a request asks of an engine, in prompt tokens to read.
 func workOf(a *balance.Ask) float64 {
 	work := float64(outputWeight * a.Output)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -22,6 +22,7 @@
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/loader"
+	"github.com/chiveramp/chiveramp/internal/reload"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
 	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/pkg/config"
@@ -34,6 +35,7 @@
 	placePause  = 200 * time.Millisecond // decides how soon a shift of demand is followed
 	rightPause  = 400 * time.Millisecond // several renewals within a lease
 	tidyPause   = 500 * time.Millisecond // bounds how long a lapsed entry is kept too long
+	reloadPause = time.Second            // settings may change without a signal
 	listPause   = 3 * time.Second        // new instances are found through their own beats before
 	headerWait  = 3 * time.Second        // a caller's header, until a configuration says otherwise
 	idleWait    = 20 * time.Second       // a caller's idle connection; longer than callers keep them
@@ -53,6 +55,7 @@
 // Node is one instance.
 type Node struct {
 	config    config.Gateway
+	settings  *reload.Value[config.Gateway]
 	logger    log.Logger
 	group     *errgroup.Group
 	registry  metrics.Registry
@@ -70,7 +73,8 @@
 }
 
 // New builds an instance from its settings. Its goroutines run in the group.
-func New(c config.Gateway, logger log.Logger, group *errgroup.Group) *Node {
+func New(settings *reload.Value[config.Gateway], logger log.Logger, group *errgroup.Group) *Node {
+	c := settings.Get()
 	clock := timer.System{}
 	place := fleet.Place{Region: fleet.Region(c.Instance.Region), DataCentre: fleet.DataCentre(c.Instance.Datacentre)}
 	self := member.Peer{
@@ -84,7 +88,7 @@
 	}
 	budget := balance.NewBudget(c.Retry.Share, float64(c.Retry.Extra), c.Retry.Window)
 	n := &Node{
-		config: c, logger: logger, group: group, registry: metrics.NewRegistry(),
+		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timer.New(clock), clock: clock.Now,
 		state:     newState(self, place, regions, budget, c.Peer.Beat, clock.Now),
 		store:     platform.NewStore(c.Store.Address),
@@ -188,6 +192,23 @@
 	n.tasks.Every("place", placePause, n.placeModels)
 	n.tasks.Every("tidy", tidyPause, n.tidy)
 	n.tasks.Every("list", listPause, n.list)
+	n.tasks.Every("reload", reloadPause, func(context.Context) { n.Reload("look") })
+}
+
+// Reload takes changed settings into use, those that can change while the process
+// runs: the bounds of retries and orders, and how it shuts down.
+func (n *Node) Reload(cause string) {
+	changed, err := n.settings.Check()
+	if err != nil {
+		_ = level.Error(n.logger).Log("step", "reload", "cause", cause, "err", err)
+		return
+	}
+	if !changed {
+		return
+	}
+	c := n.settings.Get()
+	n.state.rebudget(c.Retry.Share, float64(c.Retry.Extra))
+	_ = level.Info(n.logger).Log("step", "reload", "cause", cause)
 }
 
 // placeModels gives the orders that are due, if this instance may.
@@ -203,19 +224,19 @@
 
 // addresses answers a caller that asks where to connect.
 func (n *Node) addresses(region fleet.Region, _ fleet.DataCentre) ([]string, time.Duration) {
-	return n.state.addresses(region, n.config.Listen.Caller, n.state.ready() == nil), n.config.Drain.Keep
+	return n.state.addresses(region, n.config.Listen.Caller, n.state.ready() == nil), n.settings.Get().Drain.Keep
 }
 
 // drain leaves gracefully: everybody is told, callers that still come are served,
 // and requests in flight end.
 func (n *Node) drain(ctx context.Context, callers *http.Server) {
-	started := n.clock()
-	_ = level.Info(n.logger).Log("step", "drain", "grace", n.config.Drain.Grace)
+	started, limits := n.clock(), n.settings.Get().Drain
+	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace)
 	n.state.leave()
 	n.beat(ctx)
 	n.right.release(ctx)
-	finish := time.Duration(float64(n.config.Drain.Grace) * finishPart)
-	wait(ctx, min(keepFactor*n.config.Drain.Keep, finish/2))
+	finish := time.Duration(float64(limits.Grace) * finishPart)
+	wait(ctx, min(keepFactor*limits.Keep, finish/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(finish))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
--- a/internal/direct/right.go
+++ b/internal/direct/right.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 const (
 	// holderKey is the store's key of the instance that gives orders.
 	holderKey = "chiveramp/holder"
+	// lastKey names the machine that held it last, also after its lease.
+	lastKey = "chiveramp/last"
 	// queueStep keeps instances from trying for the right at the same moment.
 	queueStep = 600 * time.Millisecond
 )
@@ -34,11 +37,12 @@
 	tenure *tenure.Tenure
 	lease  int64
 	since  time.Duration // since when nobody is heard to hold it
+	tried  time.Duration // when this instance last tried for it, 0 before the first time
 	closed bool
 }
 
 func newRight(store *platform.Store, t *tenure.Tenure, c config.Gateway, logger log.Logger) *right {
-	return &right{store: store, name: c.Instance.Name, ttl: c.Orders.Lease, call: c.Store.Timeout, logger: logger, tenure: t}
+	return &right{store: store, name: c.Instance.Name + "@" + c.Listen.Peer, ttl: c.Orders.Lease, call: c.Store.Timeout, logger: logger, tenure: t}
 }
 
 // uptime is a clock that runs while the machine is suspended, and that nobody sets.
@@ -93,7 +97,13 @@
 	if r.since == 0 {
 		r.since = now
 	}
-	return now-r.since >= time.Duration(s.turn())*queueStep
+	// The first time at once: the machine may be the holder itself, started again.
+	turn := time.Duration(s.turn())
+	if r.tried != 0 && (now-r.since < turn*queueStep || now-r.tried < turn*queueStep) {
+		return false
+	}
+	r.tried = now
+	return true
 }
 
 func (r *right) renew(ctx context.Context, lease int64, held bool) {
@@ -117,14 +127,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.call)
 	defer cancel()
 	asked := uptime()
-	lease, ttl, err := r.store.Grant(ctx, r.ttl)
-	if err == nil && ttl < r.ttl {
-		err = errors.New("the store grants shorter leases only")
-	}
-	var fence int64
-	if err == nil {
-		fence, err = r.store.Put(ctx, platform.Write{Key: holderKey, Value: []byte(r.name), Lease: lease})
-	}
+	lease, fence, before, err := r.claim(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed || err != nil {
@@ -133,8 +136,44 @@
 		return
 	}
 	r.lease = lease
-	r.tenure.Acquired(uptime(), asked, fleet.Fence(fence))
-	_ = r.logger.Log("step", "right acquired", "fence", fence)
+	r.tenure.Acquired(uptime(), asked, fence, before)
+	_ = r.logger.Log("step", "right acquired", "fence", fence, "before", before)
+}
+
+// claim writes the holder's key unless another machine's lease on it runs. It tells
+// whether this machine was the last holder: one key outlives the lease for that.
+func (r *right) claim(ctx context.Context) (lease int64, fence fleet.Fence, before bool, err error) {
+	holder, err := r.read(ctx, holderKey)
+	if err != nil {
+		return 0, 0, false, err
+	}
+	if holder.Revision != 0 && string(holder.Value) != r.name {
+		return 0, 0, false, fmt.Errorf("held by %s", holder.Value)
+	}
+	last, err := r.read(ctx, lastKey)
+	if err != nil {
+		return 0, 0, false, err
+	}
+	lease, ttl, err := r.store.Grant(ctx, r.ttl)
+	if err == nil && ttl < r.ttl {
+		err = errors.New("the store grants shorter leases only")
+	}
+	if err != nil {
+		return 0, 0, false, err
+	}
+	revision, err := r.store.Put(ctx,
+		platform.Write{Key: holderKey, Value: []byte(r.name), Lease: lease, Guard: holder.Revision},
+		platform.Write{Key: lastKey, Value: []byte(r.name), Guard: last.Revision})
+	return lease, fleet.Fence(revision), string(last.Value) == r.name, err
+}
+
+// read returns a key, its zero value if there is none.
+func (r *right) read(ctx context.Context, key string) (platform.Item, error) {
+	item, _, err := r.store.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Item{}, nil
+	}
+	return item, err
 }
 
 // release gives the right back before its end. Orders sent before count for the next holder.
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -65,22 +65,13 @@
 func (l *Loader) adapt(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
 	var err error
 	for range orderTries {
-		if !d.known || d.accepted.IsZero() {
-			if err = l.refresh(ctx, d, c); err != nil {
-				return err
-			}
-		}
 		if !d.holdsModel(c, what.Model) {
 			return fmt.Errorf("%w: it lacks %s", ErrUnavailable, what.Model)
 		}
 		if err = l.makePlace(ctx, d, c, engine, what); err == nil {
-			_, err = l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter})
+			err = l.load(ctx, d, c, what)
 		}
 		if err == nil {
-			now := l.clock()
-			d.adapters[what] = change{at: now, present: true}
-			l.site.Learned(c.ID, what, true)
-			_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq)
 			return pause(ctx, adapterWait)
 		}
 		if !errors.Is(err, ErrBusy) || pause(ctx, reportLag/2) != nil {
@@ -91,6 +82,22 @@
 	return err
 }
 
+// load sends the order for an adapter.
+func (l *Loader) load(ctx context.Context, d *desk, c *Candidate, what roster.Adapter) error {
+	if !d.known {
+		if err := l.refresh(ctx, d, c); err != nil {
+			return err
+		}
+	}
+	if _, err := l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter}); err != nil {
+		return err
+	}
+	d.adapters[what] = change{at: l.clock(), present: true}
+	l.site.Learned(c.ID, what, true)
+	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq)
+	return nil
+}
+
 func (d *desk) holdsModel(c *Candidate, m fleet.Model) bool {
 	return roster.Holds(c.Report.Models, m, "") && d.retiring != m
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -23,6 +23,8 @@
 	orderWait  = 600 * time.Millisecond
 	// reportLag is how late an endpoint's report may be about its own orders.
 	reportLag = 350 * time.Millisecond
+	// reportFresh is the age above which an endpoint with a move under way is asked anew.
+	reportFresh = 200 * time.Millisecond
 	// drainWait is how long instances have to stop sending to a model that is unloaded.
 	drainWait = 400 * time.Millisecond
 	// adapterWait is how long an adapter takes until it serves, once ordered.
@@ -152,10 +154,12 @@
 type desk struct {
 	turn chan struct{}
 	born int64
-	// seq counts the orders accepted as far as known, accepted is when the last one was.
-	seq      int64
-	accepted time.Time
-	known    bool
+	// seq counts the orders accepted, if that is known.
+	seq   int64
+	known bool
+	// moved is when a base model's order was last accepted, or any order got no
+	// answer: reports from before tell nothing of it.
+	moved time.Time
 	// model is the base model under order, if any.
 	model  fleet.Model
 	unload bool
@@ -215,6 +219,7 @@
 	l.mu.Unlock()
 	for _, g := range l.site.Engines() {
 		l.place(ctx, now, g)
+		l.stock(ctx, now, g)
 	}
 	return true
 }
@@ -254,7 +259,12 @@
 
 // follow compares what was ordered with the endpoint's reports.
 func (l *Loader) follow(ctx context.Context, now time.Time, d *desk, c *Candidate) {
-	if d.model != "" && !c.Report.Busy && c.Report.Taken.Sub(d.accepted) > reportLag && c.Report.Seq >= d.seq {
+	if d.model != "" && (d.unload || now.Sub(d.since) > reportLag) && now.Sub(c.Report.Taken) > reportFresh {
+		if err := l.refresh(ctx, d, c); err != nil {
+			_ = l.logger.Log("step", "follow", "endpoint", c.ID, "model", d.model, "err", err)
+		}
+	}
+	if d.model != "" && !c.Report.Busy && c.Report.Taken.Sub(d.moved) > reportLag && c.Report.Seq >= d.seq {
 		_ = l.logger.Log("step", "moved", "endpoint", c.ID, "model", d.model, "unload", d.unload,
 			"holds", roster.Holds(c.Report.Models, d.model, ""), "took", now.Sub(d.since))
 		d.model = ""
@@ -290,7 +300,7 @@
 	}
 	fresh := now.Sub(c.Report.Taken) < time.Second
 	e.Busy = d.model != "" || d.retiring != "" || c.Report.Busy || !fresh || c.Suspect ||
-		c.Report.Taken.Sub(d.accepted) < reportLag
+		c.Report.Taken.Sub(d.moved) < reportLag
 	return e
 }
 
@@ -378,13 +388,15 @@
 		// It held before, so nothing was accepted.
 	case err == nil:
 		d.seq++
-		d.accepted = l.clock()
+		if o.Adapter == "" {
+			d.moved = l.clock()
+		}
 	case errors.Is(err, ErrBusy):
 		d.known = false
 	case errors.Is(err, ErrDenied):
 	default:
 		d.known = false
-		d.accepted = l.clock() // it may have been accepted
+		d.moved = l.clock() // it may have been accepted
 	}
 	return done, err
 }
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -89,7 +89,7 @@
 	gatewayBeat  = 300 * time.Millisecond
 	gatewayCall  = time.Second
 	gatewayWatch = 5 * time.Second
-	gatewayLease = 2 * time.Second
+	gatewayLease = 9 * time.Second
 	gatewayKeep  = time.Second
 )
 
