--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -30,7 +30,7 @@
 	}
 	defer d.leave()
 	d.used[what] = l.clock()
-	if d.holds(l.clock(), c, what) {
+	if d.holds(c, what) {
 		return nil
 	}
 	if d.model != "" || d.retiring != "" {
@@ -52,16 +52,13 @@
 }
 
 // holds reports whether an adapter is there, by reports and accepted orders.
-func (d *desk) holds(now time.Time, c *Candidate, what roster.Adapter) bool {
-	if a, ok := d.adapters[what]; ok && now.Sub(a.at) < reportLag+c.age(now) {
+func (d *desk) holds(c *Candidate, what roster.Adapter) bool {
+	if a, ok := d.adapters[what]; ok && a.open(c) {
 		return a.present
 	}
 	return roster.Holds(c.Report.Models, what.Model, what.Adapter)
 }
 
-// age is how old the candidate's report is.
-func (c *Candidate) age(now time.Time) time.Duration { return now.Sub(c.Report.Taken) }
-
 func (l *Loader) adapt(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
 	var err error
 	for range orderTries {
@@ -89,10 +86,15 @@
 			return err
 		}
 	}
-	if _, err := l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter}); err != nil {
+	_, err := l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter})
+	if err != nil {
+		if !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) && !errors.Is(err, ErrNoRight) {
+			// It may be on its way, and takes a place until the reports tell otherwise.
+			d.adapters[what] = change{at: l.clock(), present: true}
+		}
 		return err
 	}
-	d.adapters[what] = change{at: l.clock(), present: true}
+	d.adapters[what] = change{at: l.clock(), seq: d.seq, present: true}
 	l.site.Learned(c.ID, what, true)
 	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq)
 	return nil
@@ -104,8 +106,7 @@
 
 // makePlace unloads the adapter that was wanted longest ago if all places are taken.
 func (l *Loader) makePlace(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
-	now := l.clock()
-	held := d.held(now, c)
+	held := d.held(c)
 	if len(held) < engine.Adapters {
 		return nil
 	}
@@ -131,7 +132,7 @@
 	if !done {
 		return fmt.Errorf("%w: adapter %s/%s is still in use", ErrNoPlace, oldest.Model, oldest.Adapter)
 	}
-	d.adapters[oldest] = change{at: l.clock()}
+	d.adapters[oldest] = change{at: l.clock(), seq: d.seq}
 	return nil
 }
 
@@ -144,7 +145,7 @@
 }
 
 // held returns the adapters that take a place: reported, on their way or ordered.
-func (d *desk) held(now time.Time, c *Candidate) []roster.Adapter {
+func (d *desk) held(c *Candidate) []roster.Adapter {
 	set := make(map[roster.Adapter]bool)
 	for i := range c.Report.Models {
 		for _, a := range c.Report.Models[i].Adapters {
@@ -155,7 +156,7 @@
 		set[a] = true
 	}
 	for a, change := range d.adapters {
-		if now.Sub(change.at) < reportLag+c.age(now) {
+		if change.open(c) {
 			set[a] = change.present
 		}
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -21,8 +21,13 @@
 	// reportWait bounds one question to an endpoint, orderWait one order.
 	reportWait = 400 * time.Millisecond
 	orderWait  = 600 * time.Millisecond
-	// reportLag is how late an endpoint's report may be about its own orders.
-	reportLag = 350 * time.Millisecond
+	// reportLag is how late an endpoint's report may be about its base models, and
+	// adapterLag about its adapters: a few hundred milliseconds, twice where a place
+	// counted as free would let the endpoint run over.
+	reportLag  = 350 * time.Millisecond
+	adapterLag = 700 * time.Millisecond
+	// moveLag is how long a move may take to show before it counts as failed.
+	moveLag = time.Second
 	// reportFresh is the age above which an endpoint with a move under way is asked anew.
 	reportFresh = 200 * time.Millisecond
 	// drainWait is how long instances have to stop sending to a model that is unloaded.
@@ -174,9 +179,15 @@
 
 type change struct {
 	at      time.Time
+	seq     int64 // the count of orders with it
 	present bool
 }
 
+// open reports whether the endpoint's report may miss the change.
+func (a change) open(c *Candidate) bool {
+	return c.Report.Seq < a.seq || c.Report.Taken.Sub(a.at) < adapterLag
+}
+
 func (l *Loader) desk(c *Candidate) *desk {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -219,7 +230,7 @@
 	l.mu.Unlock()
 	for _, g := range l.site.Engines() {
 		l.place(ctx, now, g)
-		l.stock(ctx, now, g)
+		l.stock(ctx, g)
 	}
 	return true
 }
@@ -264,7 +275,7 @@
 			_ = l.logger.Log("step", "follow", "endpoint", c.ID, "model", d.model, "err", err)
 		}
 	}
-	if d.model != "" && !c.Report.Busy && c.Report.Taken.Sub(d.moved) > reportLag && c.Report.Seq >= d.seq {
+	if d.model != "" && d.shows(c) {
 		_ = l.logger.Log("step", "moved", "endpoint", c.ID, "model", d.model, "unload", d.unload,
 			"holds", roster.Holds(c.Report.Models, d.model, ""), "took", now.Sub(d.since))
 		d.model = ""
@@ -283,6 +294,15 @@
 	}
 }
 
+// shows reports whether the endpoint's report tells the end of the move under way.
+func (d *desk) shows(c *Candidate) bool {
+	after := c.Report.Taken.Sub(d.moved)
+	if c.Report.Busy || after < reportLag || c.Report.Seq < d.seq {
+		return false
+	}
+	return roster.Holds(c.Report.Models, d.model, "") != d.unload || after > moveLag && !d.unload
+}
+
 func (l *Loader) planned(now time.Time, d *desk, c *Candidate) copies.Endpoint {
 	e := copies.Endpoint{ID: c.ID, AtHand: c.AtHand, Pending: c.Pending}
 	for _, h := range c.Report.Models {
--- a/internal/loader/stock.go
+++ b/internal/loader/stock.go
@@ -12,18 +12,19 @@
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 )
 
-// stockWait bounds one round of stocking, so that it doesn't hold up the next step.
-const stockWait = 150 * time.Millisecond
+// stockWait bounds one round of stocking. It is longer than an order may take, so
+// that none is given up with its outcome unknown.
+const stockWait = orderWait + 100*time.Millisecond
 
 // stock fills free places with adapters that no endpoint has, those of models in
 // demand first, so that requests needn't wait for an order, or fail while nobody
 // may give one. Each endpoint gets one a round.
-func (l *Loader) stock(ctx context.Context, now time.Time, g *catalog.Group) {
+func (l *Loader) stock(ctx context.Context, g *catalog.Group) {
 	candidates := l.site.Engine(g.Name)
 	demand, wanted := l.site.Demand()
 	present := make(map[roster.Adapter]bool)
 	for i := range candidates {
-		for _, a := range l.desk(&candidates[i]).heldNow(now, &candidates[i]) {
+		for _, a := range l.desk(&candidates[i]).heldNow(&candidates[i]) {
 			present[a] = true
 		}
 	}
@@ -32,7 +33,7 @@
 	var group errgroup.Group
 	for i := range candidates {
 		c := &candidates[i]
-		what, ok := l.missing(now, c, g.Engine, present, demand, wanted)
+		what, ok := l.missing(c, g.Engine, present, demand, wanted)
 		if !ok {
 			continue
 		}
@@ -46,22 +47,22 @@
 }
 
 // heldNow returns the adapters that take a place, if nobody gives orders there now.
-func (d *desk) heldNow(now time.Time, c *Candidate) []roster.Adapter {
+func (d *desk) heldNow(c *Candidate) []roster.Adapter {
 	if !d.try() {
 		return nil
 	}
 	defer d.leave()
-	return d.held(now, c)
+	return d.held(c)
 }
 
 // missing returns the adapter that an endpoint with a free place should get.
-func (l *Loader) missing(now time.Time, c *Candidate, engine *catalog.Engine, present map[roster.Adapter]bool, demand map[fleet.Model]float64, wanted map[roster.Adapter]float64) (roster.Adapter, bool) {
+func (l *Loader) missing(c *Candidate, engine *catalog.Engine, present map[roster.Adapter]bool, demand map[fleet.Model]float64, wanted map[roster.Adapter]float64) (roster.Adapter, bool) {
 	d := l.desk(c)
 	if c.Suspect || c.Report.Busy || !d.try() {
 		return roster.Adapter{}, false
 	}
 	defer d.leave()
-	if d.model != "" || d.retiring != "" || len(d.held(now, c)) >= engine.Adapters {
+	if d.model != "" || d.retiring != "" || len(d.held(c)) >= engine.Adapters {
 		return roster.Adapter{}, false
 	}
 	held := slices.Clone(c.Report.Models)
@@ -94,7 +95,7 @@
 		return
 	}
 	defer d.leave()
-	if d.model != "" || d.retiring != "" || len(d.held(l.clock(), c)) >= engine.Adapters || !d.holdsModel(c, what.Model) {
+	if d.model != "" || d.retiring != "" || len(d.held(c)) >= engine.Adapters || !d.holdsModel(c, what.Model) {
 		return
 	}
 	if err := l.load(ctx, d, c, what); err != nil {
