fix: orders rest on what their endpoint last counted; three instances watch the store for all

A request for an adapter that waited for its turn rested on a report from before the wait; requests right after the right to order was acquired used desks that the next step threw away; an adapter in use keeps its place after its unload was accepted.

Ruled out: a rule that the endpoint enforces (fences): these don't check them.

Change: a candidate is read again after the wait; one place begins a new holder's books; a report older than one already seen is asked for anew; adapters that requests in flight need don't yield, and those that end keep their place. Watches wait 1 s; three instances that reach the store watch, the rest hear from beats.

--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -80,10 +80,24 @@
 type Board struct {
 	costs  Costs
 	own    map[fleet.Endpoint]Load
-	others map[fleet.Instance]map[fleet.Endpoint]Load
+	uses   map[Use]int
+	others map[fleet.Instance]news
 	seen   map[fleet.Endpoint]*prompts
 }
 
+// Use is an adapter that requests in flight need at an endpoint.
+type Use struct {
+	Endpoint fleet.Endpoint
+	Model    fleet.Model
+	Adapter  fleet.Adapter
+}
+
+// news is what another instance gives.
+type news struct {
+	loads map[fleet.Endpoint]Load
+	uses  []Use
+}
+
 // Option changes a Board under construction.
 type Option func(*Board)
 
@@ -95,7 +109,8 @@
 	b := &Board{
 		costs:  DefaultCosts(),
 		own:    make(map[fleet.Endpoint]Load),
-		others: make(map[fleet.Instance]map[fleet.Endpoint]Load),
+		uses:   make(map[Use]int),
+		others: make(map[fleet.Instance]news),
 		seen:   make(map[fleet.Endpoint]*prompts),
 	}
 	for _, opt := range opts {
@@ -109,6 +124,9 @@
 	pending = max(0, a.Prompt-b.cached(id, a))
 	b.own[id] = b.own[id].Add(Load{Running: 1, Pending: pending})
 	b.remember(id, a)
+	if a.Adapter != "" {
+		b.uses[Use{id, a.Model, a.Adapter}]++
+	}
 	return pending
 }
 
@@ -118,7 +136,11 @@
 }
 
 // Ended notes the end of a request.
-func (b *Board) Ended(id fleet.Endpoint) {
+func (b *Board) Ended(id fleet.Endpoint, a *Ask) {
+	use := Use{id, a.Model, a.Adapter}
+	if b.uses[use]--; b.uses[use] <= 0 {
+		delete(b.uses, use)
+	}
 	l := b.own[id].Add(Load{Running: -1})
 	if l == (Load{}) {
 		delete(b.own, id)
@@ -136,8 +158,36 @@
 	return own
 }
 
+// Uses returns the adapters that requests from this instance need.
+func (b *Board) Uses() []Use {
+	all := make([]Use, 0, len(b.uses))
+	for u := range b.uses {
+		all = append(all, u)
+	}
+	return all
+}
+
+// Needed returns the adapters that requests in flight need at an endpoint.
+func (b *Board) Needed(id fleet.Endpoint) []Use {
+	var all []Use
+	add := func(uses []Use) {
+		for _, u := range uses {
+			if u.Endpoint == id {
+				all = append(all, u)
+			}
+		}
+	}
+	add(b.Uses())
+	for _, n := range b.others {
+		add(n.uses)
+	}
+	return all
+}
+
 // Told replaces what another instance gives.
-func (b *Board) Told(from fleet.Instance, loads map[fleet.Endpoint]Load) { b.others[from] = loads }
+func (b *Board) Told(from fleet.Instance, loads map[fleet.Endpoint]Load, uses []Use) {
+	b.others[from] = news{loads: loads, uses: uses}
+}
 
 // Forget drops an instance that is gone.
 func (b *Board) Forget(from fleet.Instance) { delete(b.others, from) }
@@ -146,7 +196,7 @@
 func (b *Board) Load(id fleet.Endpoint) Load {
 	l := b.own[id]
 	for _, other := range b.others {
-		l = l.Add(other[id])
+		l = l.Add(other.loads[id])
 	}
 	return l
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -163,13 +163,16 @@
 	delete(r.endpoints, e.ID)
 }
 
-// Settle gives up endpoints whose entries did not come back in time.
-func (r *Roster) Settle(now time.Time) {
+// Settle gives up endpoints whose entries did not come back in time, and returns them.
+func (r *Roster) Settle(now time.Time) []*Endpoint {
+	var lost []*Endpoint
 	for _, e := range r.endpoints {
 		if !e.doubtSince.IsZero() && !r.doubted(now) {
 			r.lose(e)
+			lost = append(lost, e)
 		}
 	}
+	return lost
 }
 
 // Left notes that an incarnation of an endpoint leaves, whoever said so.
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -15,21 +15,38 @@
 	patience = 250 * time.Millisecond
 	// retireNews is how long the end of a model's copy is repeated.
 	retireNews = time.Second
+	// watchers is how many instances watch the store: one may be cut off and one die.
+	watchers = 3
+	// storeNews is how long an answer of the store tells that it is within reach.
+	storeNews = 4 * time.Second
 	// mostLeft bounds the leaving endpoints that are told in one beat.
 	mostLeft = 64
 )
 
-// takeRecords takes changes of the list of endpoints, or the whole of it.
-func (s *state) takeRecords(records []roster.Record, revision int64, whole bool) {
+// watch notes whether this instance watches the store, and returns it.
+func (s *state) watch() bool {
+	watching := s.watches()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching = watching
+	return watching
+}
+
+// takeRecords takes changes of the list of endpoints, or the whole of it. It returns
+// whether one leaves or has gone.
+func (s *state) takeRecords(records []roster.Record, revision int64, whole bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	leaves := false
 	for i := range records {
 		r := &records[i]
 		s.newest = max(s.newest, r.Revision)
-		if known := s.roster.Get(r.ID); known != nil && !r.Removed && !r.Forged && r.Entry.Born > known.Born {
+		known := s.roster.Get(r.ID)
+		if known != nil && !r.Removed && !r.Forged && r.Entry.Born > known.Born {
 			s.board.Emptied(r.ID)
 		}
+		leaves = leaves || known != nil && (r.Removed || r.Entry.Leaving && !known.Leaving)
 	}
 	if whole {
 		s.roster.Replace(now, records, revision)
@@ -37,6 +54,7 @@
 		s.roster.Apply(now, records, revision)
 	}
 	s.listed = true
+	return leaves
 }
 
 // troubled notes a failed call to the store, answered a good one.
@@ -44,12 +62,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.Troubled(s.clock())
+	s.stored = time.Time{}
 }
 
 func (s *state) answered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.Answered(s.clock())
+	s.stored = s.clock()
+}
+
+// reaches reports whether the store answered lately.
+func (s *state) reaches() bool { return !s.stored.IsZero() && s.clock().Sub(s.stored) < storeNews }
+
+// watches reports whether this instance is to watch the store for the others: a few
+// of those that reach it do, and each that doesn't tries to.
+func (s *state) watches() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.reaches() {
+		return true
+	}
+	ahead := 0
+	for name, p := range s.peers {
+		if s.alive(name) && p.beat.Store && name < s.view.Self().Instance {
+			ahead++
+		}
+	}
+	return ahead < watchers
 }
 
 // rebudget changes what may be sent once more.
@@ -88,8 +128,8 @@
 	now := s.clock()
 	s.view.Tick(now)
 	b := &gossip.Beat{
-		Place: s.place, Ready: s.readiness() == nil, Roster: s.newest,
-		Loads: s.board.Own(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
+		Place: s.place, Ready: s.readiness() == nil, Store: s.reaches(), Roster: s.newest,
+		Loads: s.board.Own(), Uses: s.board.Uses(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
 		Rumours: s.view.Rumours(),
 	}
 	if s.catalog != nil {
@@ -125,7 +165,7 @@
 		return
 	}
 	s.peers[name] = &peer{beat: *b, at: now}
-	s.board.Told(name, b.Loads)
+	s.board.Told(name, b.Loads, b.Uses)
 	for _, r := range b.Reports {
 		r.Report.Taken = now.Add(-r.Age)
 		s.roster.Reported(r.Endpoint, r.Report)
@@ -163,7 +203,7 @@
 	case s.lagging.IsZero():
 		s.lagging = now
 	}
-	if s.catalog != nil && s.listed && now.Sub(s.lagging) < patience {
+	if s.catalog != nil && s.listed && s.watching && now.Sub(s.lagging) < patience {
 		return "", nil, false
 	}
 	return ahead.beat.Peer.Address, f, true
@@ -191,7 +231,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	s.roster.Settle(now)
+	for _, e := range s.roster.Settle(now) {
+		s.retired = append(s.retired, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
+	}
 	for name, p := range s.peers {
 		if now.Sub(p.at) > deadRetry {
 			s.board.Forget(name)
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -72,6 +72,9 @@
 	// peer has known more.
 	newest  int64
 	lagging time.Time
+	// stored is when the store last answered, watching whether this instance watches it.
+	stored   time.Time
+	watching bool
 }
 
 // retirement is a model that is about to be unloaded.
@@ -154,13 +157,13 @@
 }
 
 // Ended gives a request's place back.
-func (s *state) Ended(t gateway.Target, answered bool) {
+func (s *state) Ended(t gateway.Target, a *balance.Ask, answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !answered {
 		s.board.Answered(t.ID, t.Pending)
 	}
-	s.board.Ended(t.ID)
+	s.board.Ended(t.ID, a)
 }
 
 // Failed notes an attempt without an answer.
@@ -340,12 +343,20 @@
 		}
 		all = append(all, loader.Candidate{
 			ID: e.ID, Born: e.Born, Address: e.Address, Report: e.Report, AtHand: e.Report.AtHand,
-			Pending: s.board.Load(e.ID).Pending, Suspect: e.Suspect(now),
+			Pending: s.board.Load(e.ID).Pending, Suspect: e.Suspect(now), Needed: s.needed(e.ID),
 		})
 	}
 	return all
 }
 
+func (s *state) needed(id fleet.Endpoint) []roster.Adapter {
+	var all []roster.Adapter
+	for _, u := range s.board.Needed(id) {
+		all = append(all, roster.Adapter{Model: u.Model, Adapter: u.Adapter})
+	}
+	return all
+}
+
 // Reported takes a report that this instance took.
 func (s *state) Reported(id fleet.Endpoint, r roster.Report) {
 	s.mu.Lock()
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -24,6 +24,8 @@
 	memberPrefix = "chiveramp/instances/"
 	// memberLease is how long an instance that died stays registered.
 	memberLease = 10 * time.Second
+	// listPace gathers changes of the list, most of which are reports' news too.
+	listPace = 400 * time.Millisecond
 	// storePause is the wait after a failed call to the store.
 	storePause = 200 * time.Millisecond
 	// beatWait bounds one beat, fetchWait one question to a peer for what it knows.
@@ -32,12 +34,12 @@
 	// ensureWait bounds how long a request waits for an adapter.
 	ensureWait = 1500 * time.Millisecond
 	// watchMargin is how much longer than asked for a watch may take.
-	watchMargin = time.Second
+	watchMargin = 700 * time.Millisecond
 )
 
 // followCatalog keeps the configuration up to date from the store.
 func (n *Node) followCatalog(ctx context.Context) error {
-	return n.follow(ctx, platform.CatalogKey, func(items []platform.Item, _ int64, _ bool) {
+	return n.follow(ctx, platform.CatalogKey, 0, func(items []platform.Item, _ int64, _ bool) {
 		for _, i := range items {
 			if i.Key == platform.CatalogKey && !i.Removed {
 				n.takeCatalog(i.Value, "store")
@@ -55,25 +57,34 @@
 	}
 	if n.state.take(c) {
 		_ = n.logger.Log("step", "catalog", "from", from, "version", c.Version, "routes", len(c.Routes))
+		n.tasks.Solo("beat", n.beat) // the others learn of it from this instance
 	}
 }
 
 // followRoster keeps the list of endpoints up to date from the store.
 func (n *Node) followRoster(ctx context.Context) error {
-	return n.follow(ctx, platform.EntryPrefix, func(items []platform.Item, revision int64, whole bool) {
-		n.state.takeRecords(platform.Records(items), revision, whole)
+	return n.follow(ctx, platform.EntryPrefix, listPace, func(items []platform.Item, revision int64, whole bool) {
+		if n.state.takeRecords(platform.Records(items), revision, whole) {
+			n.tasks.Solo("beat", n.beat)
+		}
 	})
 }
 
 // follow reads a prefix and then watches it, until the context ends. Take gets all
 // items at first and whenever the store has lost its history, else the changes.
-func (n *Node) follow(ctx context.Context, prefix string, take func(items []platform.Item, revision int64, whole bool)) error {
+func (n *Node) follow(ctx context.Context, prefix string, pause time.Duration, take func(items []platform.Item, revision int64, whole bool)) error {
 	revision := int64(-1)
 	for ctx.Err() == nil {
+		if revision >= 0 && !n.state.watch() {
+			// What changes meanwhile comes from those that watch.
+			wait(ctx, storePause)
+			continue
+		}
 		next, err := n.look(ctx, prefix, revision, take)
 		if err == nil {
 			revision = next
 			n.state.answered()
+			wait(ctx, pause)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -126,7 +137,9 @@
 		_ = level.Warn(n.logger).Log("step", "register", "err", err)
 	}
 	items, _, err := n.store.List(ctx, memberPrefix, true)
-	if err != nil {
+	if err == nil {
+		n.state.answered()
+	} else {
 		_ = level.Warn(n.logger).Log("step", "list instances", "err", err)
 		return
 	}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -77,7 +77,7 @@
 		j.target, j.answered = target, false
 		j.tries++
 		result, err := j.try(ctx)
-		j.gateway.fleet.Ended(target, j.answered)
+		j.gateway.fleet.Ended(target, &j.ask, j.answered)
 		if err != nil {
 			j.failure = fmt.Errorf("endpoint %s: %w", target.ID, err)
 		}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -128,7 +128,7 @@
 	// Answered notes the first byte of an answer.
 	Answered(t Target)
 	// Ended gives the place back, answered if Answered was called.
-	Ended(t Target, answered bool)
+	Ended(t Target, a *balance.Ask, answered bool)
 	// Failed notes an attempt without an answer, Gone that the endpoint isn't there any more.
 	Failed(t Target)
 	Gone(t Target)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -15,11 +15,15 @@
 	Place fleet.Place `cbor:"l"`
 	// Ready instances take requests.
 	Ready bool `cbor:"y"`
+	// Store is set where the store answered lately.
+	Store bool `cbor:"k"`
 	// Catalog and Roster are the versions known there.
 	Catalog int64 `cbor:"c"`
 	Roster  int64 `cbor:"r"`
 	// Loads are the requests in flight from there.
 	Loads map[fleet.Endpoint]balance.Load `cbor:"o"`
+	// Uses are the adapters that they need.
+	Uses []balance.Use `cbor:"q"`
 	// Demand is what callers asked for there lately.
 	Demand []Demand `cbor:"d"`
 	// Reports are those taken there since the last beat.
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -17,10 +18,12 @@
 // Ensure has an adapter loaded at an endpoint that holds its model, and returns
 // once it serves. Another adapter yields if there is no place.
 func (l *Loader) Ensure(ctx context.Context, id fleet.Endpoint, born int64, what roster.Adapter) error {
-	if _, ok := l.right.Orders(); !ok {
+	fence, ok := l.right.Orders()
+	if !ok {
 		return ErrNoRight
 	}
-	c, engine, ok := l.find(id, born)
+	l.begin(fence)
+	c, _, ok := l.find(id, born)
 	if !ok {
 		return fmt.Errorf("%w: not known", ErrUnavailable)
 	}
@@ -29,6 +32,11 @@
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer d.leave()
+	// Others may have given orders there meanwhile.
+	c, engine, ok := l.find(id, born)
+	if !ok {
+		return fmt.Errorf("%w: it has gone", ErrUnavailable)
+	}
 	d.used[what] = l.clock()
 	if d.holds(c, what) {
 		return nil
@@ -62,6 +70,9 @@
 func (l *Loader) adapt(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
 	var err error
 	for range orderTries {
+		if err = l.count(ctx, d, c); err != nil {
+			return err
+		}
 		if !d.holdsModel(c, what.Model) {
 			return fmt.Errorf("%w: it lacks %s", ErrUnavailable, what.Model)
 		}
@@ -81,11 +92,10 @@
 
 // load sends the order for an adapter.
 func (l *Loader) load(ctx context.Context, d *desk, c *Candidate, what roster.Adapter) error {
-	if !d.known {
-		if err := l.refresh(ctx, d, c); err != nil {
-			return err
-		}
+	if err := l.count(ctx, d, c); err != nil {
+		return err
 	}
+	held := fmt.Sprint(d.held(c))
 	_, err := l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter})
 	if err != nil {
 		if !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) && !errors.Is(err, ErrNoRight) {
@@ -94,9 +104,11 @@
 		}
 		return err
 	}
-	d.adapters[what] = change{at: l.clock(), seq: d.seq, present: true}
+	now := l.clock()
+	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq,
+		"held", held, "reported", c.Report.Seq, "age", now.Sub(c.Report.Taken))
+	d.adapters[what] = change{at: now, seq: d.seq, present: true}
 	l.site.Learned(c.ID, what, true)
-	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq)
 	return nil
 }
 
@@ -114,7 +126,7 @@
 	var oldest roster.Adapter
 	found := false
 	for _, a := range held {
-		if a == what {
+		if _, ending := d.ending[a]; ending || a == what || slices.Contains(c.Needed, a) {
 			continue
 		}
 		if !found || d.sooner(a, oldest, demand) {
@@ -130,6 +142,7 @@
 		return fmt.Errorf("unload adapter %s/%s: %w", oldest.Model, oldest.Adapter, err)
 	}
 	if !done {
+		d.ending[oldest], d.known = l.clock(), false
 		return fmt.Errorf("%w: adapter %s/%s is still in use", ErrNoPlace, oldest.Model, oldest.Adapter)
 	}
 	d.adapters[oldest] = change{at: l.clock(), seq: d.seq}
@@ -160,6 +173,13 @@
 			set[a] = change.present
 		}
 	}
+	for a, at := range d.ending {
+		if c.Report.Taken.Sub(at) < endingWait {
+			set[a] = true
+		} else {
+			delete(d.ending, a)
+		}
+	}
 	var all []roster.Adapter
 	for a, present := range set {
 		if present {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -36,6 +36,9 @@
 	adapterWait = 12 * time.Millisecond
 	// lateOrders is how long an order without an answer may still begin.
 	lateOrders = 12 * time.Second
+	// endingWait is how long a request may keep an adapter that is unloaded: the longest
+	// time limit of the sheets.
+	endingWait = 15 * time.Second
 	// stuck is how long an accepted order may take before its endpoint is looked at anew.
 	stuck = 20 * time.Second
 )
@@ -106,6 +109,8 @@
 	AtHand  []fleet.Model
 	Pending int
 	Suspect bool
+	// Needed are adapters that requests in flight use.
+	Needed []roster.Adapter
 }
 
 // Loader gives orders while the instance holds the right to. It is safe for concurrent use.
@@ -162,6 +167,8 @@
 	// seq counts the orders accepted, if that is known.
 	seq   int64
 	known bool
+	// base is the count of the newest report seen: an older one tells too little.
+	base int64
 	// moved is when a base model's order was last accepted, or any order got no
 	// answer: reports from before tell nothing of it.
 	moved time.Time
@@ -175,6 +182,9 @@
 	// adapters are orders accepted that the reports may not show yet.
 	adapters map[roster.Adapter]change
 	used     map[roster.Adapter]time.Time
+	// ending are adapters that are unloaded once their requests have ended. They take
+	// their places till then, and reports no longer show them.
+	ending map[roster.Adapter]time.Time
 }
 
 type change struct {
@@ -195,7 +205,7 @@
 	if d == nil || d.born != c.Born {
 		d = &desk{
 			turn: make(chan struct{}, 1), born: c.Born,
-			adapters: make(map[roster.Adapter]change), used: make(map[roster.Adapter]time.Time),
+			adapters: make(map[roster.Adapter]change), used: make(map[roster.Adapter]time.Time), ending: make(map[roster.Adapter]time.Time),
 		}
 		l.desks[c.ID] = d
 	}
@@ -220,14 +230,8 @@
 	if !ok {
 		return false
 	}
+	l.begin(fence)
 	now := l.clock()
-	l.mu.Lock()
-	if fence != l.fence {
-		l.fence, l.began = fence, now
-		l.desks = make(map[fleet.Endpoint]*desk)
-		l.cold = nil
-	}
-	l.mu.Unlock()
 	for _, g := range l.site.Engines() {
 		l.place(ctx, now, g)
 		l.stock(ctx, g)
@@ -235,6 +239,19 @@
 	return true
 }
 
+// begin forgets what was known under an earlier fencing number: others may have
+// given orders since.
+func (l *Loader) begin(fence fleet.Fence) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if fence == l.fence {
+		return
+	}
+	l.fence, l.began = fence, l.clock()
+	l.desks = make(map[fleet.Endpoint]*desk)
+	l.cold = nil
+}
+
 // place follows the orders under way in a service and gives the next ones.
 func (l *Loader) place(ctx context.Context, now time.Time, g *catalog.Group) {
 	candidates := l.site.Engine(g.Name)
@@ -380,8 +397,9 @@
 // order sends an order for a base model on the newest count of orders.
 func (l *Loader) order(ctx context.Context, d *desk, c *Candidate, o Order) error {
 	if !d.known || c.Report.Seq > d.seq {
-		d.seq, d.known = max(d.seq, c.Report.Seq), true
+		d.seq, d.known = c.Report.Seq, true
 	}
+	d.base = max(d.base, c.Report.Seq)
 	done, err := l.send(ctx, d, c, o)
 	if err != nil || done {
 		return err
@@ -421,6 +439,14 @@
 	return done, err
 }
 
+// count makes sure that the endpoint's count of orders is known.
+func (l *Loader) count(ctx context.Context, d *desk, c *Candidate) error {
+	if d.known && c.Report.Seq >= d.base {
+		return nil
+	}
+	return l.refresh(ctx, d, c)
+}
+
 // refresh asks the endpoint for its newest count of orders.
 func (l *Loader) refresh(ctx context.Context, d *desk, c *Candidate) error {
 	ctx, cancel := context.WithTimeout(ctx, reportWait)
@@ -435,6 +461,10 @@
 	report.Taken = l.clock()
 	l.site.Reported(c.ID, report)
 	c.Report = report
+	if report.Seq < d.base {
+		return fmt.Errorf("%w: its report is late", ErrUnavailable)
+	}
+	d.base = report.Seq
 	if !d.known || report.Seq > d.seq {
 		d.seq, d.known = report.Seq, true
 	}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -88,7 +88,7 @@
 const (
 	gatewayBeat  = 300 * time.Millisecond
 	gatewayCall  = time.Second
-	gatewayWatch = 5 * time.Second
+	gatewayWatch = time.Second
 	gatewayLease = 9 * time.Second
 	gatewayKeep  = time.Second
 )
