feat: what would come too late is refused at once; copies follow steady demand; each model's pace is learned

Copies of a hot model were taken away on a second's noise, and a move that got no answer held up all others for 0.6 s each.

Ruled out: longer queues, since callers leave; counting all prompts alike, since engines read urgent ones first (predicted 6.3 s, seen 2.8 s).

Change: a request is refused with a time to come back if its wait is predicted over 1.5 times its target. Waits count prompts by rank and are scaled by what each model was seen to take. A model keeps its copies for its demand over 6 s, and gets one for that over 2 s, if it is a sixth of what an endpoint reads. Moves are made side by side.

--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,22 +33,47 @@
 	Prompt int
 	Output int
 	Level  int
+	// Target is the time to the first byte that is in time.
+	Target time.Duration
 	Place  fleet.Place
 	// Exclude lists endpoints that were tried before.
 	Exclude []fleet.Endpoint
 }
 
+// levels is how many ranks are told apart; less urgent ones count as the last.
+const levels = 3
+
 // Load is what requests in flight ask of an endpoint.
 type Load struct {
 	// Running counts requests that have not been answered whole.
 	Running int
-	// Pending are the prompt tokens of those that have not been answered at all.
-	Pending int
+	// Pending is the time to read the prompts of those that have not been answered
+	// at all, by rank.
+	Pending [levels]time.Duration
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
-	return Load{Running: l.Running + other.Running, Pending: l.Pending + other.Pending}
+	l.Running += other.Running
+	for i, d := range other.Pending {
+		l.Pending[i] += d
+	}
+	return l
+}
+
+// Before returns the time to read all prompts that are at least as urgent.
+func (l Load) Before(level int) time.Duration {
+	var d time.Duration
+	for i := range min(level, levels-1) + 1 {
+		d += l.Pending[i]
+	}
+	return d
+}
+
+func pending(level int, d time.Duration) Load {
+	var l Load
+	l.Pending[min(level, levels-1)] = d
+	return l
 }
 
 // Costs weigh what delays a request.
@@ -81,6 +107,7 @@
 	costs  Costs
 	own    map[fleet.Endpoint]Load
 	uses   map[Use]int
+	paces  map[fleet.Model]float64
 	others map[fleet.Instance]news
 	seen   map[fleet.Endpoint]*prompts
 }
@@ -110,6 +137,7 @@
 		costs:  DefaultCosts(),
 		own:    make(map[fleet.Endpoint]Load),
 		uses:   make(map[Use]int),
+		paces:  make(map[fleet.Model]float64),
 		others: make(map[fleet.Instance]news),
 		seen:   make(map[fleet.Endpoint]*prompts),
 	}
@@ -120,19 +148,54 @@
 }
 
 // Started notes a request that was sent; its prompt counts until Answered.
-func (b *Board) Started(id fleet.Endpoint, a *Ask) (pending int) {
-	pending = max(0, a.Prompt-b.cached(id, a))
-	b.own[id] = b.own[id].Add(Load{Running: 1, Pending: pending})
+func (b *Board) Started(id fleet.Endpoint, a *Ask) time.Duration {
+	reading := b.reading(a, max(0, a.Prompt-b.cached(id, a)))
+	l := pending(a.Level, reading)
+	l.Running = 1
+	b.own[id] = b.own[id].Add(l)
 	b.remember(id, a)
 	if a.Adapter != "" {
 		b.uses[Use{id, a.Model, a.Adapter}]++
 	}
-	return pending
+	return reading
+}
+
+// Answered notes that a request's prompt counts no more.
+func (b *Board) Answered(id fleet.Endpoint, level int, reading time.Duration) {
+	b.own[id] = b.own[id].Add(pending(level, -reading))
 }
 
-// Answered notes the first byte of an answer: its prompt has been read.
-func (b *Board) Answered(id fleet.Endpoint, pending int) {
-	b.own[id] = b.own[id].Add(Load{Pending: -pending})
+// reading is the time that a model takes to read prompt tokens.
+func (b *Board) reading(a *Ask, tokens int) time.Duration {
+	return time.Duration(float64(tokens) * float64(b.costs.Token) * b.pace(a.Model))
+}
+
+// pace is a model's time for a prompt token as a part of the cost that is set.
+func (b *Board) pace(m fleet.Model) float64 {
+	if p, ok := b.paces[m]; ok {
+		return p
+	}
+	return 1
+}
+
+const (
+	// paceShare is the weight of one answer in a model's pace.
+	paceShare = 0.05
+	// leastPace and mostPace bound it: models of one size differ by some factor.
+	leastPace, mostPace = 0.15, 2.0
+	// leastTold is the shortest predicted wait whose outcome tells a pace.
+	leastTold = 30 * time.Millisecond
+)
+
+// Measured notes how long a request waited for its first byte, and what was
+// predicted for it, without what doesn't depend on the model.
+func (b *Board) Measured(m fleet.Model, predicted, took time.Duration) {
+	if m == "" || predicted < leastTold {
+		return
+	}
+	p := b.pace(m)
+	seen := p * min(max(float64(took)/float64(predicted), 0.25), 4)
+	b.paces[m] = min(max(p+(seen-p)*paceShare, leastPace), mostPace)
 }
 
 // Ended notes the end of a request.
@@ -206,8 +269,21 @@
 	Endpoint *roster.Endpoint
 	// Adapter is set when the request's adapter must be loaded first.
 	Adapter bool
-	// Wait is the predicted time to the first byte.
-	Wait time.Duration
+	// Wait is the predicted time to the first byte, Reading the part of it that
+	// depends on the model.
+	Wait, Reading time.Duration
+}
+
+// patience is how many times its target a request may be predicted to wait. With
+// more, a lasting flood makes all answers late, and callers leave before theirs.
+const patience = 1.5
+
+// Patience is the longest predicted wait with which a request is sent.
+func Patience(a *Ask) time.Duration {
+	if a.Model == "" || a.Target <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(patience * float64(a.Target))
 }
 
 // Choose returns the endpoint with the shortest predicted wait; false when none serves.
@@ -253,10 +329,8 @@
 func (b *Board) weigh(now time.Time, e *roster.Endpoint, a *Ask, group *catalog.Group, regions map[fleet.DataCentre]fleet.Region) (Choice, bool) {
 	load := b.Load(e.ID)
 	c := Choice{Endpoint: e}
-	c.Wait = time.Duration(load.Running)*b.costs.Request + time.Duration(load.Pending)*b.costs.Token
-	if uncached := a.Prompt - b.cached(e.ID, a); uncached > 0 {
-		c.Wait += time.Duration(uncached) * b.costs.Token
-	}
+	c.Reading = load.Before(a.Level) + b.reading(a, max(0, a.Prompt-b.cached(e.ID, a)))
+	c.Wait = time.Duration(load.Running)*b.costs.Request + c.Reading
 	switch {
 	case e.DataCentre == a.Place.DataCentre:
 	case regions[e.DataCentre] == a.Place.Region:
@@ -304,5 +378,5 @@
 	for _, p := range a.Parts[:len(a.Parts)-1] {
 		tokens += p.Tokens
 	}
-	return time.Duration(max(0, tokens-b.cached(id, a))) * b.costs.Token
+	return b.reading(a, max(0, tokens-b.cached(id, a)))
 }
--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -25,8 +26,10 @@
 	AtHand []fleet.Model
 	// Busy endpoints can't take an order now.
 	Busy bool
-	// Pending are the prompt tokens that wait there.
-	Pending int
+	// Moving is set while it loads or unloads a model for a plan.
+	Moving bool
+	// Pending is the time to read the prompts that wait there.
+	Pending time.Duration
 }
 
 // Move is a change of what an endpoint holds.
@@ -48,7 +51,7 @@
 	// Gain is how many times the demand on a copy must exceed that on the copies
 	// of the model that yields.
 	Gain float64
-	// Least is the demand below which a model gets no further copy, tokens a second.
+	// Least is the demand on each copy below which a model gets no further one, tokens a second.
 	Least float64
 }
 
@@ -57,16 +60,18 @@
 	engine    *catalog.Engine
 	endpoints []Endpoint
 	demand    map[fleet.Model]float64
+	steady    map[fleet.Model]float64
 	limits    Limits
 	copies    map[fleet.Model]int
 	moves     []Move
 	moving    int
 }
 
-// Plan returns the next moves, at most one for an endpoint.
-func Plan(engine *catalog.Engine, endpoints []Endpoint, demand map[fleet.Model]float64, limits Limits) []Move {
+// Plan returns the next moves, at most one for an endpoint. Demand is the newest,
+// steady that over a longer time; a model keeps its copies for the larger of both.
+func Plan(engine *catalog.Engine, endpoints []Endpoint, demand, steady map[fleet.Model]float64, limits Limits) []Move {
 	p := &planner{
-		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, limits: limits,
+		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, steady: steady, limits: limits,
 		copies: make(map[fleet.Model]int),
 	}
 	for i := range p.endpoints {
@@ -86,7 +91,7 @@
 	if e.Loading != "" && !slices.Contains(e.Holds, e.Loading) {
 		p.copies[e.Loading]++
 	}
-	if e.Busy || len(e.Retiring) > 0 {
+	if e.Moving {
 		p.moving++
 	}
 }
@@ -127,7 +132,8 @@
 	most := 0.0
 	for _, m := range p.engine.Models {
 		d := p.demand[m.Name]
-		if n := p.copies[m.Name]; n == 0 || n >= len(p.endpoints) || d < p.limits.Least {
+		n := p.copies[m.Name]
+		if n == 0 || n >= len(p.endpoints) || d < p.limits.Least*float64(n) {
 			continue
 		}
 		if each := d / float64(p.copies[m.Name]); each > most {
@@ -208,7 +214,7 @@
 			if p.copies[name] < 2 {
 				continue
 			}
-			s := spare{at: e, model: name, stays: p.demand[name] / float64(p.copies[name]-1), atHand: atHand}
+			s := spare{at: e, model: name, stays: max(p.demand[name], p.steady[name]) / float64(p.copies[name]-1), atHand: atHand}
 			if best.at == nil || s.before(best) {
 				best = s
 			}
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -22,6 +22,8 @@
 const (
 	// demandHalf is how fast demand is forgotten; it shifts within seconds.
 	demandHalf = 2 * time.Second
+	// steadyHalf is how fast it is forgotten for what a model keeps.
+	steadyHalf = 6 * time.Second
 	// sharedWeight and outputWeight turn parts of a request into the work of
 	// reading a token: shared parts are mostly cached, output is made in batches.
 	sharedWeight = 0.2
@@ -59,7 +61,7 @@
 	budget  *balance.Budget
 	view    *member.View
 	peers   map[fleet.Instance]*peer
-	demand  map[roster.Adapter]*balance.Meter
+	demand  map[roster.Adapter]*meters
 	works   map[int]float64 // usual work of a request, by level
 	fresh   []gossip.Report
 	failed  map[fleet.Endpoint]gossip.Incarnation
@@ -90,7 +92,7 @@
 		roster: roster.New(), board: balance.NewBoard(), budget: budget,
 		view:   member.New(self, member.WithInterval(beat)),
 		peers:  make(map[fleet.Instance]*peer),
-		demand: make(map[roster.Adapter]*balance.Meter), works: make(map[int]float64),
+		demand: make(map[roster.Adapter]*meters), works: make(map[int]float64),
 		failed: make(map[fleet.Endpoint]gossip.Incarnation),
 	}
 }
@@ -136,6 +138,9 @@
 	if !ok {
 		return gateway.Target{}, gateway.ErrNoEndpoint
 	}
+	if c.Wait > balance.Patience(a) {
+		return gateway.Target{Wait: c.Wait}, gateway.ErrOverloaded
+	}
 	t := gateway.Target{
 		ID: c.Endpoint.ID, Born: c.Endpoint.Born, Address: c.Endpoint.Address, DataCentre: c.Endpoint.DataCentre,
 		Adapter: c.Adapter, Wait: c.Wait,
@@ -143,15 +148,17 @@
 	if !c.Endpoint.Report.Taken.IsZero() {
 		t.Age = now.Sub(c.Endpoint.Report.Taken)
 	}
+	t.Reading = c.Reading
 	t.Pending = s.board.Started(t.ID, a)
 	return t, nil
 }
 
 // Answered notes the first byte of an answer: the prompt has been read.
-func (s *state) Answered(t gateway.Target) {
+func (s *state) Answered(t gateway.Target, a *balance.Ask, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.Answered(t.ID, t.Pending)
+	s.board.Answered(t.ID, a.Level, t.Pending)
+	s.board.Measured(a.Model, t.Reading, took)
 	s.roster.Served(t.ID)
 	delete(s.failed, t.ID)
 }
@@ -161,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !answered {
-		s.board.Answered(t.ID, t.Pending)
+		s.board.Answered(t.ID, a.Level, t.Pending)
 	}
 	s.board.Ended(t.ID, a)
 }
@@ -196,9 +203,9 @@
 		return
 	}
 	work := s.usual(a)
-	s.meter(roster.Adapter{Model: a.Model}).Add(now, work)
+	s.want(now, roster.Adapter{Model: a.Model}, work)
 	if a.Adapter != "" {
-		s.meter(roster.Adapter{Model: a.Model, Adapter: a.Adapter}).Add(now, work)
+		s.want(now, roster.Adapter{Model: a.Model, Adapter: a.Adapter}, work)
 	}
 }
 
@@ -263,23 +270,30 @@
 	}
 }
 
-func (s *state) meter(what roster.Adapter) *balance.Meter {
+// meters measure one demand over a short and a longer time.
+type meters struct{ newest, steady *balance.Meter }
+
+func (s *state) want(now time.Time, what roster.Adapter, work float64) {
 	m := s.demand[what]
 	if m == nil {
-		m = balance.NewMeter(demandHalf)
+		m = &meters{newest: balance.NewMeter(demandHalf), steady: balance.NewMeter(steadyHalf)}
 		s.demand[what] = m
 	}
-	return m
+	m.newest.Add(now, work)
+	m.steady.Add(now, work)
 }
 
-// Demand returns tokens a second over all instances, by model and by adapter.
-func (s *state) Demand() (map[fleet.Model]float64, map[roster.Adapter]float64) {
+// Demand returns tokens a second over all instances: by model, newest and over a
+// longer time, and by adapter.
+func (s *state) Demand() (newest, steady map[fleet.Model]float64, adapters map[roster.Adapter]float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	models, adapters := make(map[fleet.Model]float64), make(map[roster.Adapter]float64)
+	newest, steady = make(map[fleet.Model]float64), make(map[fleet.Model]float64)
+	adapters = make(map[roster.Adapter]float64)
 	add := func(d gossip.Demand) {
 		if d.Adapter == "" {
-			models[d.Model] += d.Tokens
+			newest[d.Model] += d.Tokens
+			steady[d.Model] += d.Steady
 			return
 		}
 		adapters[roster.Adapter{Model: d.Model, Adapter: d.Adapter}] += d.Tokens
@@ -296,7 +310,7 @@
 			add(d)
 		}
 	}
-	return models, adapters
+	return newest, steady, adapters
 }
 
 // leastDemand is the rate below which a demand isn't told, tokens a second.
@@ -306,8 +320,8 @@
 	now := s.clock()
 	var all []gossip.Demand
 	for what, m := range s.demand {
-		if rate := m.Rate(now); rate >= leastDemand {
-			all = append(all, gossip.Demand{Model: what.Model, Adapter: what.Adapter, Tokens: rate})
+		if rate := m.steady.Rate(now); rate >= leastDemand {
+			all = append(all, gossip.Demand{Model: what.Model, Adapter: what.Adapter, Tokens: m.newest.Rate(now), Steady: rate})
 		} else {
 			delete(s.demand, what)
 		}
@@ -343,7 +357,7 @@
 		}
 		all = append(all, loader.Candidate{
 			ID: e.ID, Born: e.Born, Address: e.Address, Report: e.Report, AtHand: e.Report.AtHand,
-			Pending: s.board.Load(e.ID).Pending, Suspect: e.Suspect(now), Needed: s.needed(e.ID),
+			Pending: s.board.Load(e.ID).Before(leastUrgent), Suspect: e.Suspect(now), Needed: s.needed(e.ID),
 		})
 	}
 	return all
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -107,9 +107,9 @@
 const (
 	// swaps, swapGain and swapLeast bound moves that follow demand: a swap costs two
 	// orders, a load and what the endpoint had read for the model that yields.
-	swaps     = 4
+	swaps     = 6
 	swapGain  = 2.0
-	swapLeast = 200.0 // tokens a second
+	swapLeast = 6000.0 // tokens a second, about a sixth of what an endpoint reads
 )
 
 // Run serves until the context ends, then shuts down gracefully.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 	mostBody = 4 << 20
 	// comeBack is when a refused caller may try again where nothing better is known.
 	comeBack = 500 * time.Millisecond
+	// mostComeBack bounds the wait told to a refused caller.
+	mostComeBack = 3 * time.Second
 	// comeBackUnready is the wait told by an instance that has no configuration.
 	comeBackUnready = 300 * time.Millisecond
 )
@@ -96,7 +98,7 @@
 	}
 	j.ask = balance.Ask{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
-		Prompt: request.Prompt, Output: request.Output, Level: route.Level, Place: g.place,
+		Prompt: request.Prompt, Output: request.Output, Level: route.Level, Target: route.Target, Place: g.place,
 	}
 	g.fleet.Asked(&j.ask)
 	j.run(ctx)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -59,7 +59,9 @@
 	started  bool // the caller has the answer's header
 	answered bool // the endpoint of this try has answered
 	after    string
+	sending  time.Time // when this try was sent
 	first    time.Duration
+	wait     time.Duration // predicted when it was refused
 	status   int
 	broken   bool
 	failure  error
@@ -71,6 +73,7 @@
 	for {
 		target, err := j.gateway.fleet.Choose(&j.ask)
 		if err != nil {
+			j.wait = target.Wait
 			j.giveUp(ctx, err)
 			return
 		}
@@ -140,6 +143,7 @@
 	defer cancel()
 	ctx, span := g.tracer.Start(ctx, "attempt")
 	defer span.End()
+	j.sending = g.clock()
 	answer, err := g.sender.Send(ctx, attempt)
 	if errors.Is(err, ErrUnsent) {
 		g.fleet.Failed(j.target)
@@ -204,7 +208,7 @@
 func (j *job) heard() {
 	if !j.answered {
 		j.answered = true
-		j.gateway.fleet.Answered(j.target)
+		j.gateway.fleet.Answered(j.target, &j.ask, j.gateway.clock().Sub(j.sending))
 	}
 }
 
@@ -288,7 +292,7 @@
 		j.broken = true
 		return
 	}
-	refusal := Refusal{Status: http.StatusServiceUnavailable, RetryAfter: comeBack, Request: j.request.ID}
+	refusal := Refusal{Status: http.StatusServiceUnavailable, RetryAfter: j.comeBack(), Request: j.request.ID}
 	switch {
 	case j.mayRun && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refusal.Status, refusal.RetryAfter = http.StatusGatewayTimeout, 0
@@ -302,6 +306,11 @@
 	j.gateway.codec.Refuse(j.caller, refusal)
 }
 
+// comeBack is when a refused caller may try again: once the work that waits is done.
+func (j *job) comeBack() time.Duration {
+	return min(max(comeBack, j.wait-j.route.Target/2), mostComeBack)
+}
+
 func (j *job) log(pairs ...any) {
 	_ = j.gateway.logger.Log(append(pairs, "id", j.request.ID)...)
 }
@@ -311,6 +320,6 @@
 	whole := j.gateway.clock().Sub(j.arrived)
 	j.gateway.stats.Done(j.route, j.status, j.sent, j.first, whole)
 	j.log("step", "end", "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
-		"status", j.status, "endpoint", j.target.ID, "tries", j.tries, "sent", j.sent, "predicted", j.target.Wait, "age", j.target.Age,
+		"status", j.status, "endpoint", j.target.ID, "tries", j.tries, "sent", j.sent, "predicted", j.target.Wait, "wait", j.wait, "age", j.target.Age,
 		"adapters", j.adapters, "first", j.first, "whole", whole, "broken", j.broken, "gone", ctx.Err(), "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -26,6 +26,8 @@
 	ErrNoCatalog = errors.New("no configuration yet")
 	// ErrNoRoute: no route matches host and path.
 	ErrNoRoute = errors.New("no such route")
+	// ErrOverloaded: the answer would come too late to be of use.
+	ErrOverloaded = errors.New("too much work is waiting")
 	// ErrNoEndpoint: no endpoint can take the request now.
 	ErrNoEndpoint = errors.New("no endpoint can take the request")
 )
@@ -115,8 +117,9 @@
 	Adapter bool
 	// Wait is the predicted time to the first byte, Age that of the report it rests on.
 	Wait, Age time.Duration
-	// Pending is what the request's prompt counts until it is answered, in tokens.
-	Pending int
+	// Reading is the part of Wait that depends on the model, Pending what the request's
+	// own prompt adds to others' waits until it is answered.
+	Reading, Pending time.Duration
 }
 
 // Fleet is what the instance knows of routes and endpoints.
@@ -125,8 +128,8 @@
 	Route(host, path string) (*catalog.Route, int64, error)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Ask) (Target, error)
-	// Answered notes the first byte of an answer.
-	Answered(t Target)
+	// Answered notes the first byte of an answer, and how long it took.
+	Answered(t Target, a *balance.Ask, took time.Duration)
 	// Ended gives the place back, answered if Answered was called.
 	Ended(t Target, a *balance.Ask, answered bool)
 	// Failed notes an attempt without an answer, Gone that the endpoint isn't there any more.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -47,10 +47,12 @@
 }
 
 // Demand is a model's demand in tokens a second, with an adapter if that is given.
+// Steady is that over a longer time.
 type Demand struct {
 	Model   fleet.Model   `cbor:"m"`
 	Adapter fleet.Adapter `cbor:"a"`
 	Tokens  float64       `cbor:"t"`
+	Steady  float64       `cbor:"s"`
 }
 
 // Report is an endpoint's report and its age when the beat left.
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -122,7 +122,7 @@
 	if len(held) < engine.Adapters {
 		return nil
 	}
-	_, demand := l.site.Demand()
+	_, _, demand := l.site.Demand()
 	var oldest roster.Adapter
 	found := false
 	for _, a := range held {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/copies"
@@ -91,8 +92,8 @@
 	Engines() []*catalog.Group
 	// Engine returns copies of a service's endpoints that don't leave.
 	Engine(s catalog.Service) []Candidate
-	// Demand returns tokens a second, by model and by adapter.
-	Demand() (map[fleet.Model]float64, map[roster.Adapter]float64)
+	// Demand returns tokens a second: by model, newest and over a longer time, and by adapter.
+	Demand() (newest, steady map[fleet.Model]float64, adapters map[roster.Adapter]float64)
 	// Reported takes a report, Learned what an order has shown.
 	Reported(id fleet.Endpoint, r roster.Report)
 	Learned(id fleet.Endpoint, what roster.Adapter, present bool)
@@ -107,7 +108,7 @@
 	Address string
 	Report  roster.Report
 	AtHand  []fleet.Model
-	Pending int
+	Pending time.Duration
 	Suspect bool
 	// Needed are adapters that requests in flight use.
 	Needed []roster.Adapter
@@ -255,24 +256,35 @@
 // place follows the orders under way in a service and gives the next ones.
 func (l *Loader) place(ctx context.Context, now time.Time, g *catalog.Group) {
 	candidates := l.site.Engine(g.Name)
-	plan := make([]copies.Endpoint, 0, len(candidates))
+	plan := make([]copies.Endpoint, len(candidates))
+	var following errgroup.Group
 	byID := make(map[fleet.Endpoint]*Candidate, len(candidates))
 	for i := range candidates {
 		c := &candidates[i]
 		byID[c.ID] = c
-		d := l.desk(c)
-		if !d.try() {
-			continue
-		}
-		l.follow(ctx, now, d, c)
-		plan = append(plan, l.planned(now, d, c))
-		d.leave()
+		following.Go(func() error {
+			d := l.desk(c)
+			if d.try() {
+				l.follow(ctx, now, d, c)
+				plan[i] = l.planned(now, d, c)
+				d.leave()
+			} else {
+				plan[i] = l.occupied(c)
+			}
+			return nil
+		})
 	}
-	demand, _ := l.site.Demand()
+	_ = following.Wait() // what failed is looked at again in the next step
+	demand, steady, _ := l.site.Demand()
 	limits := copies.Limits{Cold: l.allowed(now, g.Engine, plan), Swaps: l.limits.Swaps, Gain: l.limits.Gain, Least: l.limits.Least}
-	for _, m := range copies.Plan(g.Engine, plan, demand, limits) {
-		l.move(ctx, now, byID[m.Endpoint], m)
-	}
+	var group errgroup.Group
+	for _, m := range copies.Plan(g.Engine, plan, demand, steady, limits) {
+		group.Go(func() error {
+			l.move(ctx, now, byID[m.Endpoint], m)
+			return nil
+		})
+	}
+	_ = group.Wait() // a move that wasn't made is planned again
 }
 
 // try takes the desk's turn if nobody has it.
@@ -320,6 +332,15 @@
 	return roster.Holds(c.Report.Models, d.model, "") != d.unload || after > moveLag && !d.unload
 }
 
+// occupied is an endpoint that is being given an order.
+func (l *Loader) occupied(c *Candidate) copies.Endpoint {
+	e := copies.Endpoint{ID: c.ID, AtHand: c.AtHand, Pending: c.Pending, Busy: true}
+	for _, h := range c.Report.Models {
+		e.Holds = append(e.Holds, h.Model)
+	}
+	return e
+}
+
 func (l *Loader) planned(now time.Time, d *desk, c *Candidate) copies.Endpoint {
 	e := copies.Endpoint{ID: c.ID, AtHand: c.AtHand, Pending: c.Pending}
 	for _, h := range c.Report.Models {
@@ -335,6 +356,7 @@
 			e.Loading = d.model
 		}
 	}
+	e.Moving = d.model != "" || d.retiring != ""
 	fresh := now.Sub(c.Report.Taken) < time.Second
 	e.Busy = d.model != "" || d.retiring != "" || c.Report.Busy || !fresh || c.Suspect ||
 		c.Report.Taken.Sub(d.moved) < reportLag
--- a/internal/loader/stock.go
+++ b/internal/loader/stock.go
@@ -21,7 +21,7 @@
 // may give one. Each endpoint gets one a round.
 func (l *Loader) stock(ctx context.Context, g *catalog.Group) {
 	candidates := l.site.Engine(g.Name)
-	demand, wanted := l.site.Demand()
+	demand, _, wanted := l.site.Demand()
 	present := make(map[roster.Adapter]bool)
 	for i := range candidates {
 		for _, a := range l.desk(&candidates[i]).heldNow(&candidates[i]) {
