fix: a report is as old as its question; second copies of models with adapters

A report's time was taken when its answer had been read, up to a second after the question where the prober was cut off, so that accepted adapters seemed to be missing.

Change: reports carry the time of the question, and an accepted adapter keeps its place for 1.5 s after it. Free room goes to second copies of models with adapters, and a load goes where it holds up the least demand for adapters.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -78,6 +78,7 @@
 		p.count(&p.endpoints[i])
 	}
 	p.restore()
+	p.spread()
 	p.relieve()
 	return p.moves
 }
@@ -113,6 +114,17 @@
 	}
 }
 
+// spread uses free room for a second copy of models with adapters: they serve the
+// callers that wait, their demand rises within seconds, and a lone copy can take no
+// adapter while its endpoint loads another model.
+func (p *planner) spread() {
+	for i := range p.engine.Models {
+		if m := &p.engine.Models[i]; len(m.Adapters) > 0 && p.copies[m.Name] == 1 {
+			p.load(m)
+		}
+	}
+}
+
 // relieve gives further copies to the models with the most demand for each copy.
 func (p *planner) relieve() {
 	for p.moving < p.limits.Swaps {
@@ -146,7 +158,7 @@
 // load puts a model where there is room, preferring weights at hand and little work.
 func (p *planner) load(m *catalog.Model) bool {
 	var best *Endpoint
-	bestCold := false
+	bestCold, least := false, 0.0
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
 		if !p.fits(e, m) {
@@ -156,8 +168,9 @@
 		if cold && p.limits.Cold <= 0 {
 			continue
 		}
-		if best == nil || bestCold && !cold || bestCold == cold && e.Pending < best.Pending {
-			best, bestCold = e, cold
+		blocks := p.blocks(e)
+		if best == nil || bestCold && !cold || bestCold == cold && (blocks < least || blocks == least && e.Pending < best.Pending) {
+			best, bestCold, least = e, cold, blocks
 		}
 	}
 	if best == nil {
@@ -173,6 +186,19 @@
 	return true
 }
 
+// blocks is the demand for adapters that a load at the endpoint holds up.
+func (p *planner) blocks(e *Endpoint) float64 {
+	sum := 0.0
+	for _, name := range e.Holds {
+		m, ok := p.engine.Model(name)
+		if !ok || len(m.Adapters) == 0 || p.copies[name] == 0 {
+			continue
+		}
+		sum += max(p.demand[name], p.steady[name], p.limits.Least) / float64(p.copies[name])
+	}
+	return sum
+}
+
 func (p *planner) fits(e *Endpoint, m *catalog.Model) bool {
 	if e.Busy || slices.Contains(e.Holds, m.Name) || len(e.Retiring) > 0 {
 		return false
@@ -210,11 +236,12 @@
 		if !atHand && p.limits.Cold <= 0 {
 			continue
 		}
+		blocks := p.blocks(e)
 		for _, name := range e.Holds {
 			if p.copies[name] < 2 {
 				continue
 			}
-			s := spare{at: e, model: name, stays: max(p.demand[name], p.steady[name]) / float64(p.copies[name]-1), atHand: atHand}
+			s := spare{at: e, model: name, stays: max(p.demand[name], p.steady[name]) / float64(p.copies[name]-1), blocks: blocks, atHand: atHand}
 			if best.at == nil || s.before(best) {
 				best = s
 			}
@@ -239,13 +266,24 @@
 	model fleet.Model
 	// stays is the demand on each copy that would stay.
 	stays float64
+	// blocks is the demand for adapters that the load holds up.
+	blocks float64
 	// atHand is set where the model that needs the room loads fast.
 	atHand bool
 }
 
+// harm is what is lost if the copy yields. A load from the weight store holds up
+// adapters ten times as long as one from memory or disk.
+func (s spare) harm() float64 {
+	if s.atHand {
+		return s.stays + s.blocks/10
+	}
+	return s.stays + s.blocks
+}
+
 func (s spare) before(other spare) bool {
-	if s.stays != other.stays {
-		return s.stays < other.stays
+	if a, b := s.harm(), other.harm(); a != b {
+		return a < b
 	}
 	return s.atHand && !other.atHand
 }
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -249,6 +249,7 @@
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, probeWait)
 			defer cancel()
+			asked := n.clock() // what the report tells may be as old as the question
 			report, err := n.endpoints.Report(ctx, e.ID, e.Born, e.Address)
 			if err != nil {
 				n.state.lost(e.ID, e.Born)
@@ -260,7 +261,7 @@
 				n.state.left(e.ID, e.Born)
 				return nil
 			}
-			report.Taken = n.clock()
+			report.Taken = asked
 			n.state.Reported(e.ID, report)
 			return nil
 		})
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -86,7 +86,8 @@
 			break
 		}
 	}
-	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq, "err", err)
+	_ = l.logger.Log("step", "adapter", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "seq", d.seq,
+		"held", fmt.Sprint(d.held(c)), "reported", c.Report.Seq, "age", l.clock().Sub(c.Report.Taken), "err", err)
 	return err
 }
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -22,11 +22,11 @@
 	// reportWait bounds one question to an endpoint, orderWait one order.
 	reportWait = 400 * time.Millisecond
 	orderWait  = 600 * time.Millisecond
-	// reportLag is how late an endpoint's report may be about its base models, and
-	// adapterLag about its adapters: a few hundred milliseconds, twice where a place
-	// counted as free would let the endpoint run over.
-	reportLag  = 350 * time.Millisecond
-	adapterLag = 700 * time.Millisecond
+	// reportLag is how late an endpoint's report may be: some hundred milliseconds.
+	reportLag = 350 * time.Millisecond
+	// adapterLag is that, and the time that a beat may take to bring the report here.
+	// A place counted as free too early would let the endpoint run over.
+	adapterLag = 1500 * time.Millisecond
 	// moveLag is how long a move may take to show before it counts as failed.
 	moveLag = time.Second
 	// reportFresh is the age above which an endpoint with a move under way is asked anew.
@@ -473,6 +473,7 @@
 func (l *Loader) refresh(ctx context.Context, d *desk, c *Candidate) error {
 	ctx, cancel := context.WithTimeout(ctx, reportWait)
 	defer cancel()
+	asked := l.clock() // what the report tells may be as old as the question
 	report, err := l.endpoints.Report(ctx, c.ID, c.Born, c.Address)
 	if err != nil {
 		return err
@@ -480,7 +481,7 @@
 	if report.Born != c.Born {
 		return fmt.Errorf("%w: it has started again", ErrUnavailable)
 	}
-	report.Taken = l.clock()
+	report.Taken = asked
 	l.site.Reported(c.ID, report)
 	c.Report = report
 	if report.Seq < d.base {
