--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -38,7 +38,7 @@
 			if c.Bool("check") {
 				return nil
 			}
-			return runGateway(ctx, settings, w)
+			return runGateway(ctx, settings, os.Stdout)
 		},
 	}
 }
--- /dev/null
+++ b/test/gateway/path_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/platform/standin"
+)
+
+const whole = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+
+// Each kind of request is served through each instance; an adapter is ordered when
+// it is asked for; one instance is killed, and the others go on.
+func TestWholePath(t *testing.T) {
+	s := newSite(t)
+	serve := func(n *instance) {
+		t.Helper()
+		for _, model := range []string{"m", "n"} {
+			a := s.send(n, http.MethodPost, "/match/1", model)
+			require.NoError(t, a.err)
+			assert.Equal(t, whole, a.body)
+			assert.NotEmpty(t, a.seal)
+		}
+		a := s.send(n, http.MethodPost, "/hand/1", "")
+		assert.Equal(t, 200, a.status)
+		assert.True(t, strings.HasPrefix(a.body, "done r"))
+		assert.Equal(t, 200, s.send(n, http.MethodGet, "/look/1", "").status)
+		assert.Equal(t, 404, s.send(n, http.MethodGet, "/none/1", "").status)
+	}
+	for _, n := range s.instances {
+		serve(n)
+	}
+	s.until(func() bool { return s.send(s.instances[1], http.MethodPost, "/match/1", "m/a2").status == 200 }, "an adapter is loaded")
+	require.NoError(t, s.instances[0].process.Process.Kill())
+	<-s.instances[0].ended
+	for _, n := range s.instances[1:] {
+		serve(n)
+		s.until(func() bool { return len(s.resolve(n, "south")) == 1 }, "%s names the killed instance no more", n.name)
+	}
+	for id, n := range s.runs() {
+		assert.LessOrEqual(t, n, 1, id)
+	}
+	for _, r := range s.runners {
+		assert.False(t, r.Broken())
+	}
+}
+
+// An instance that is told to stop takes what callers still send, and cuts nothing.
+func TestStopCutsNothing(t *testing.T) {
+	s := newSite(t)
+	n := s.instances[0]
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	for range 8 {
+		wait.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := s.send(n, http.MethodPost, "/match/1", "m")
+				mu.Lock()
+				outcomes[fmt.Sprint(a.status, a.err == nil)]++
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	require.NoError(t, n.process.Process.Signal(syscall.SIGTERM))
+	s.until(func() bool { return !s.isReady(n) }, "it is no longer ready")
+	s.until(func() bool { return len(s.resolve(s.instances[1], "south")) == 1 }, "others name it no more")
+	time.Sleep(300 * time.Millisecond) // callers that keep an answer still come
+	close(stop)
+	wait.Wait()
+	<-n.ended
+	assert.Zero(t, n.process.ProcessState.ExitCode())
+	assert.Greater(t, outcomes["200 true"], 20)
+	for outcome, count := range outcomes {
+		assert.True(t, strings.HasSuffix(outcome, "true") || strings.HasPrefix(outcome, "0 "), "%s: %d", outcome, count)
+	}
+}
+
+// SIGHUP and a changed file are taken in while requests go on.
+func TestReload(t *testing.T) {
+	s := newSite(t)
+	n := s.instances[0]
+	text, err := os.ReadFile(n.file)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(n.file, append(text, "[retry]\nextra = 3\n"...), 0o600))
+	require.NoError(t, n.process.Process.Signal(syscall.SIGHUP))
+	s.until(func() bool { return strings.Contains(n.log.String(), "step=reload") }, "it says so")
+	require.NoError(t, os.WriteFile(n.file, append(text, "[nonsense]\n"...), 0o600))
+	s.until(func() bool { return strings.Contains(n.log.String(), "unknown section") }, "it tells what is wrong")
+	assert.Equal(t, 200, s.send(n, http.MethodPost, "/hand/1", "").status)
+}
+
+// A configuration reaches instances that can't read the store, and all of them
+// after the store has forgotten its history. It never goes back.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	s := newSite(t)
+	added := `,{"name":"new","host":"board.example","pathPrefix":"/new/","kind":"safe","timeoutMs":2000,"targetLatencyMs":200,"priority":2,"service":"board","maxAttempts":2}`
+	s.store.Set("op/config", fmt.Appendf(nil, configuration, 5, added))
+	s.store.Compact()
+	for _, n := range s.instances {
+		s.until(func() bool { return s.send(n, http.MethodGet, "/new/1", "").status == 200 }, "%s knows the route", n.name)
+	}
+	s.store.Set("op/config", fmt.Appendf(nil, configuration, 3, ""))
+	time.Sleep(500 * time.Millisecond)
+	for _, n := range s.instances {
+		assert.Equal(t, 200, s.send(n, http.MethodGet, "/new/1", "").status, "an older version changes nothing")
+	}
+	s.store.Fail(standin.FaultDown)
+	late := s.instances[2]
+	require.NoError(t, late.process.Process.Kill())
+	<-late.ended
+	s.start(late)
+	s.until(func() bool { return s.isReady(late) }, "it starts from its peers while the store is down")
+	assert.Equal(t, 200, s.send(late, http.MethodGet, "/new/1", "").status)
+}
+
+// Only one instance gives orders, also after the one before was frozen.
+func TestOneHolderAtATime(t *testing.T) {
+	s := newSite(t)
+	s.until(func() bool { return len(holders(s)) > 0 }, "adapters are loaded")
+	holder := holders(s)[0]
+	var frozen *instance
+	for _, n := range s.instances {
+		if n.name == holder {
+			frozen = n
+		}
+	}
+	require.NotNil(t, frozen)
+	require.NoError(t, frozen.process.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(1500 * time.Millisecond) // its lease lapses
+	other := s.instances[0]
+	if other == frozen {
+		other = s.instances[1]
+	}
+	s.store.Remove("servers/e-2")
+	s.until(func() bool { all := holders(s); return all[len(all)-1] != holder }, "another one loads the model that was lost")
+	require.NoError(t, frozen.process.Process.Signal(syscall.SIGCONT))
+	time.Sleep(time.Second)
+	all := holders(s)
+	turns := 0
+	for i := 1; i < len(all); i++ {
+		if all[i] != all[i-1] {
+			turns++
+		}
+	}
+	assert.Equal(t, 1, turns, "%v", all)
+	assert.Equal(t, 200, s.send(other, http.MethodPost, "/match/1", "n").status)
+}
+
+// holders returns who gave the orders of the first engine, in turn.
+func holders(s *site) []string {
+	_, all := s.runners["e-1"].Orders()
+	return all
+}
--- /dev/null
+++ b/test/gateway/site_test.go
@@ -0,0 +1,271 @@
+// Package gateway proves promises of chiverampd on the users' platform with real
+// processes on loopback, stand-ins in place of the store and the endpoints.
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/platform/standin"
+)
+
+const patient = 20 * time.Second
+
+// daemon is the path of the binary under test.
+var daemon string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "chiveramp")
+	if err != nil {
+		panic(err)
+	}
+	daemon = filepath.Join(dir, "chiverampd")
+	build := exec.Command("go", "build", "-race", "-o", daemon, "github.com/chiveramp/chiveramp/cmd/chiverampd")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const configuration = `{"version":%d,"routes":[
+ {"name":"match","host":"board.example","pathPrefix":"/match/","kind":"stream","timeoutMs":5000,"targetLatencyMs":800,
+  "priority":0,"service":"matcher","maxAttempts":2,"resumable":true,"gapAimMs":300},
+ {"name":"hand","host":"board.example","pathPrefix":"/hand/","kind":"unsafe","timeoutMs":2000,"targetLatencyMs":200,
+  "priority":2,"service":"board","maxAttempts":1},
+ {"name":"look","host":"board.example","pathPrefix":"/look/","kind":"safe","timeoutMs":2000,"targetLatencyMs":200,
+  "priority":2,"service":"board","maxAttempts":2}%s],
+ "services":[{"name":"matcher","maxConns":370,"engine":{"slots":64,"kvCapacity":250000,"weightsMb":220000,"adapterSlots":2,
+  "loadsPerS":2,"models":[{"name":"m","weightsMb":65000,"loadS":1,"adapters":2,"adapterMb":12},{"name":"n","weightsMb":65000,"loadS":1}]}},
+  {"name":"board","maxConns":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// site is a small deployment: three instances in two regions, two engines, two plain services.
+type site struct {
+	t         *testing.T
+	store     *standin.Store
+	runners   map[string]*standin.Runner
+	instances []*instance
+	seeds     []string
+	requests  int
+	mu        sync.Mutex
+}
+
+// instance is one chiverampd process.
+type instance struct {
+	name, zone, region                      string
+	caller, directory, ready, peer, metrics string
+	file                                    string
+	process                                 *exec.Cmd
+	log                                     *lines
+	ended                                   chan struct{}
+}
+
+// lines is a log that can be read while it is written.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore(500), runners: make(map[string]*standin.Runner)}
+	t.Cleanup(s.store.Close)
+	s.store.Set("op/config", fmt.Appendf(nil, configuration, 1, ""))
+	s.runner("e-1", "matcher", "a", "m")
+	s.runner("e-2", "matcher", "b", "m", "n")
+	s.runner("p-1", "board", "a")
+	s.runner("p-2", "board", "c")
+	for i, zone := range []string{"a", "b", "c"} {
+		n := &instance{name: "front-" + strconv.Itoa(i), zone: zone, region: map[string]string{"a": "south", "b": "south", "c": "north"}[zone]}
+		for _, to := range []*string{&n.caller, &n.directory, &n.ready, &n.peer, &n.metrics} {
+			*to = freeAddress(t)
+		}
+		s.instances = append(s.instances, n)
+		s.seeds = append(s.seeds, n.peer)
+	}
+	for _, n := range s.instances {
+		s.start(n)
+	}
+	for _, n := range s.instances {
+		s.until(func() bool { return s.isReady(n) }, "%s is ready", n.name)
+	}
+	s.until(func() bool { return len(s.resolve(s.instances[0], "south")) == 2 }, "all know each other")
+	return s
+}
+
+func (s *site) runner(id, service, zone string, models ...string) {
+	r := standin.NewRunner(id, service, zone, 2, models...)
+	s.t.Cleanup(r.Close)
+	s.runners[id] = r
+	s.store.Set(r.Entry("ready"))
+}
+
+func (s *site) start(n *instance) {
+	s.t.Helper()
+	n.file = filepath.Join(s.t.TempDir(), n.name+".ini")
+	require.NoError(s.t, os.WriteFile(n.file, []byte(s.settings(n)), 0o600))
+	n.log, n.ended = &lines{}, make(chan struct{})
+	n.process = exec.Command(daemon, "gateway", "--config", n.file)
+	n.process.Stdout, n.process.Stderr = n.log, n.log
+	require.NoError(s.t, n.process.Start())
+	process, ended := n.process, n.ended
+	go func() { _ = process.Wait(); close(ended) }()
+	s.t.Cleanup(func() {
+		_ = process.Process.Signal(syscall.SIGCONT)
+		_ = process.Process.Kill()
+		<-ended
+		if s.t.Failed() {
+			s.t.Logf("log of %s:\n%s", n.name, n.log)
+		}
+		require.NotContains(s.t, n.log.String(), "DATA RACE")
+	})
+}
+
+func (s *site) settings(n *instance) string {
+	return fmt.Sprintf(`[instance]
+name = %s
+region = %s
+datacentre = %s
+[listen]
+caller = %s
+directory = %s
+ready = %s
+peer = %s
+metrics = %s
+[peer]
+seeds = %s
+beat = 100ms
+places = a:south, b:south, c:north
+[store]
+address = %s
+[orders]
+apart = 300ms
+lease = 1s
+[drain]
+grace = 4s
+keep = 200ms
+`, n.name, n.region, n.zone, n.caller, n.directory, n.ready, n.peer, n.metrics, strings.Join(s.seeds, ", "), s.store.Address())
+}
+
+func (s *site) until(done func() bool, format string, args ...any) {
+	s.t.Helper()
+	require.Eventually(s.t, done, patient, 20*time.Millisecond, fmt.Sprintf(format, args...))
+}
+
+func (s *site) isReady(n *instance) bool {
+	status, _ := s.get("http://" + n.ready + "/ready")
+	return status == http.StatusOK
+}
+
+func (s *site) resolve(n *instance, region string) []string {
+	_, text := s.get("http://" + n.directory + "/resolve?name=board.example&region=" + region + "&zone=a")
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	_ = json.Unmarshal([]byte(text), &answer) // an instance that has gone names nobody
+	return answer.Addresses
+}
+
+func (s *site) get(url string) (int, string) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	require.NoError(s.t, err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(text)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	seal   string
+	err    error
+}
+
+// send sends a request with an id of its own to an instance.
+func (s *site) send(n *instance, method, path, model string) answer {
+	s.mu.Lock()
+	s.requests++
+	id := "r" + strconv.Itoa(s.requests)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.t.Context(), patient)
+	defer cancel()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body of " + id)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.caller+path, body)
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Host = "board.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "5000")
+	if model != "" {
+		request.Header.Set("Model", model)
+		request.Header.Set("Token-Count", "100,20")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(text), seal: response.Header.Get("Server-Seal"), err: err}
+}
+
+// runs counts the runs of each request over all endpoints.
+func (s *site) runs() map[string]int {
+	all := make(map[string]int)
+	for _, r := range s.runners {
+		for _, run := range r.Runs() {
+			all[run.Method+" "+run.ID]++
+		}
+	}
+	return all
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
