fix: a copy on its way doesn't count as one that serves; adapters on their way don't yield

Room made for a hot model was taken by a second copy of another, again and again.

Change: a copy yields only if another serves; room is kept for the model it was made for, and a copy younger than 10 s doesn't yield to demand. Only adapters that a report shows yield. Two tests of the loader took an adapter that had just been ordered for one that can yield: they now let a report show it first.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -46,6 +46,7 @@
 		loads     map[fleet.Endpoint]balance.Load
 		exclude   []fleet.Endpoint
 		want      fleet.Endpoint
+		lack      balance.Lack
 	}{
 		{name: "own data centre first", endpoints: []*roster.Endpoint{endpoint("p", "c"), endpoint("q", "a")}, want: "q"},
 		{
@@ -60,9 +61,10 @@
 			name: "less urgent work doesn't count", endpoints: []*roster.Endpoint{endpoint("p", "a"), endpoint("q", "c")},
 			loads: map[fleet.Endpoint]balance.Load{"p": {Running: 1, Pending: [3]time.Duration{0, 0, time.Minute}}}, want: "p",
 		},
-		{name: "leaving and lost get nothing", endpoints: []*roster.Endpoint{leaving, lost}, want: ""},
+		{name: "leaving and lost get nothing", endpoints: []*roster.Endpoint{leaving, lost}, lack: balance.LackModel},
 		{name: "an adapter that is there", adapter: "x", endpoints: []*roster.Endpoint{endpoint("p", "a"), endpoint("q", "a", "x")}, want: "q"},
 		{name: "no adapter onto an endpoint that loads", adapter: "x", endpoints: []*roster.Endpoint{busy, endpoint("q", "c")}, want: "q"},
+		{name: "none that can be given the adapter", adapter: "x", endpoints: []*roster.Endpoint{busy}, lack: balance.LackAdapter},
 		{name: "not again", endpoints: []*roster.Endpoint{endpoint("p", "a"), endpoint("q", "c")}, exclude: []fleet.Endpoint{"p"}, want: "q"},
 	}
 	for _, tt := range tests {
@@ -71,9 +73,9 @@
 			b.Told("other", tt.loads, nil)
 			a := ask(0, tt.adapter)
 			a.Parts, a.Exclude = nil, tt.exclude
-			c, ok := b.Choose(start, a, engine, tt.endpoints, regions)
-			require.Equal(t, tt.want != "", ok)
-			if ok {
+			c, lack := b.Choose(start, a, engine, tt.endpoints, regions)
+			require.Equal(t, tt.lack, lack)
+			if lack == balance.LackNone {
 				assert.Equal(t, tt.want, c.Endpoint.ID)
 			}
 		})
@@ -89,12 +91,12 @@
 	r.Failed(start, "p", 0)
 	b := balance.NewBoard()
 	b.Told("other", map[fleet.Endpoint]balance.Load{"q": {Running: 9, Pending: [3]time.Duration{time.Second}}}, nil)
-	c, ok := b.Choose(start, ask(0, ""), engine, r.All(), regions)
-	require.True(t, ok)
+	c, lack := b.Choose(start, ask(0, ""), engine, r.All(), regions)
+	require.Equal(t, balance.LackNone, lack)
 	assert.Equal(t, fleet.Endpoint("q"), c.Endpoint.ID)
 	r.Failed(start, "q", 0)
-	_, ok = b.Choose(start, ask(0, ""), engine, r.All(), regions)
-	assert.True(t, ok, "better a suspect than none")
+	_, lack = b.Choose(start, ask(0, ""), engine, r.All(), regions)
+	assert.Equal(t, balance.LackNone, lack, "better a suspect than none")
 }
 
 // Instances that know nothing of each other send a shared start to one endpoint.
--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -286,9 +286,22 @@
 	return time.Duration(patience * float64(a.Target))
 }
 
-// Choose returns the endpoint with the shortest predicted wait; false when none serves.
-func (b *Board) Choose(now time.Time, a *Ask, group *catalog.Group, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) (Choice, bool) {
-	best, found := Choice{}, false
+// Lack says why no endpoint was chosen.
+type Lack string
+
+// The reasons.
+const (
+	// LackNone: one was chosen.
+	LackNone Lack = ""
+	// LackModel: none that may be tried has the model.
+	LackModel Lack = "model"
+	// LackAdapter: those that have the model can't be given the adapter now.
+	LackAdapter Lack = "adapter"
+)
+
+// Choose returns the endpoint with the shortest predicted wait.
+func (b *Board) Choose(now time.Time, a *Ask, group *catalog.Group, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) (Choice, Lack) {
+	best, found, lack := Choice{}, false, LackModel
 	home := home(now, a, endpoints)
 	for pass := range 2 {
 		for _, e := range endpoints {
@@ -297,6 +310,7 @@
 			}
 			c, ok := b.weigh(now, e, a, group, regions)
 			if !ok {
+				lack = LackAdapter
 				continue
 			}
 			if e.ID == home {
@@ -307,10 +321,10 @@
 			}
 		}
 		if found {
-			return best, true
+			return best, LackNone
 		}
 	}
-	return best, found
+	return best, lack
 }
 
 // serves reports whether an endpoint can take the request now or after its adapter was loaded.
--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -22,6 +22,10 @@
 	Loading fleet.Model
 	// Retiring are models that are about to be unloaded.
 	Retiring []fleet.Model
+	// Reserved is the model that room was made for, empty if none was.
+	Reserved fleet.Model
+	// Young are models that it was given lately.
+	Young []fleet.Model
 	// AtHand are models whose weights it keeps in memory or on disk.
 	AtHand []fleet.Model
 	// Busy endpoints can't take an order now.
@@ -40,6 +44,8 @@
 	Unload bool
 	// Cold loads come from the weight store.
 	Cold bool
+	// For is the model that an unload makes room for.
+	For fleet.Model
 }
 
 // Limits bound how much moves at a time.
@@ -62,7 +68,8 @@
 	demand    map[fleet.Model]float64
 	steady    map[fleet.Model]float64
 	limits    Limits
-	copies    map[fleet.Model]int
+	ready     map[fleet.Model]int // copies that serve
+	copies    map[fleet.Model]int // those and the ones that are loaded
 	moves     []Move
 	moving    int
 }
@@ -72,12 +79,13 @@
 func Plan(engine *catalog.Engine, endpoints []Endpoint, demand, steady map[fleet.Model]float64, limits Limits) []Move {
 	p := &planner{
 		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, steady: steady, limits: limits,
-		copies: make(map[fleet.Model]int),
+		ready: make(map[fleet.Model]int), copies: make(map[fleet.Model]int),
 	}
 	for i := range p.endpoints {
 		p.count(&p.endpoints[i])
 	}
 	p.restore()
+	p.fill()
 	p.spread()
 	p.relieve()
 	return p.moves
@@ -87,11 +95,15 @@
 	for _, m := range e.Holds {
 		if !slices.Contains(e.Retiring, m) {
 			p.copies[m]++
+			p.ready[m]++
 		}
 	}
 	if e.Loading != "" && !slices.Contains(e.Holds, e.Loading) {
 		p.copies[e.Loading]++
 	}
+	if e.Reserved != "" && e.Reserved != e.Loading && !slices.Contains(e.Holds, e.Reserved) {
+		p.copies[e.Reserved]++
+	}
 	if e.Moving {
 		p.moving++
 	}
@@ -114,6 +126,22 @@
 	}
 }
 
+// fill loads the models that room was made for.
+func (p *planner) fill() {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		m, ok := p.engine.Model(e.Reserved)
+		if !ok || !p.fits(e, &m) {
+			continue
+		}
+		cold := !slices.Contains(e.AtHand, m.Name)
+		if cold && p.limits.Cold <= 0 {
+			continue
+		}
+		p.give(e, &m, cold)
+	}
+}
+
 // spread uses free room for a second copy of models with adapters: they serve the
 // callers that wait, their demand rises within seconds, and a lone copy can take no
 // adapter while its endpoint loads another model.
@@ -176,14 +204,19 @@
 	if best == nil {
 		return false
 	}
-	if bestCold {
+	p.give(best, m, bestCold)
+	return true
+}
+
+// give has an endpoint load a model.
+func (p *planner) give(e *Endpoint, m *catalog.Model, cold bool) {
+	if cold {
 		p.limits.Cold--
 	}
-	p.moves = append(p.moves, Move{Endpoint: best.ID, Model: m.Name, Cold: bestCold})
-	best.Busy, best.Loading = true, m.Name
+	p.moves = append(p.moves, Move{Endpoint: e.ID, Model: m.Name, Cold: cold})
+	e.Busy, e.Loading = true, m.Name
 	p.copies[m.Name]++
 	p.moving++
-	return true
 }
 
 // blocks is the demand for adapters that a load at the endpoint holds up.
@@ -194,7 +227,7 @@
 		if !ok || len(m.Adapters) == 0 || p.copies[name] == 0 {
 			continue
 		}
-		sum += max(p.demand[name], p.steady[name], p.limits.Least) / float64(p.copies[name])
+		sum += max(p.demand[name], p.steady[name], p.limits.Least) / float64(max(1, p.ready[name]))
 	}
 	return sum
 }
@@ -203,6 +236,9 @@
 	if e.Busy || slices.Contains(e.Holds, m.Name) || len(e.Retiring) > 0 {
 		return false
 	}
+	if e.Reserved != "" && e.Reserved != m.Name {
+		return false
+	}
 	return p.used(e)+m.Memory <= p.engine.Memory
 }
 
@@ -229,7 +265,7 @@
 	var best spare
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if e.Busy || len(e.Retiring) > 0 || slices.Contains(e.Holds, m.Name) {
+		if e.Busy || e.Reserved != "" || len(e.Retiring) > 0 || slices.Contains(e.Holds, m.Name) {
 			continue
 		}
 		atHand := slices.Contains(e.AtHand, m.Name)
@@ -238,10 +274,10 @@
 		}
 		blocks := p.blocks(e)
 		for _, name := range e.Holds {
-			if p.copies[name] < 2 {
+			if p.ready[name] < 2 || gain > 0 && slices.Contains(e.Young, name) {
 				continue
 			}
-			s := spare{at: e, model: name, stays: max(p.demand[name], p.steady[name]) / float64(p.copies[name]-1), blocks: blocks, atHand: atHand}
+			s := spare{at: e, model: name, stays: max(p.demand[name], p.steady[name]) / float64(p.ready[name]-1), blocks: blocks, atHand: atHand}
 			if best.at == nil || s.before(best) {
 				best = s
 			}
@@ -253,9 +289,11 @@
 	if !best.atHand {
 		p.limits.Cold--
 	}
-	p.moves = append(p.moves, Move{Endpoint: best.at.ID, Model: best.model, Unload: true})
+	p.moves = append(p.moves, Move{Endpoint: best.at.ID, Model: best.model, Unload: true, For: m.Name})
 	best.at.Retiring = append(slices.Clone(best.at.Retiring), best.model)
 	p.copies[best.model]--
+	p.ready[best.model]--
+	p.copies[m.Name]++ // as good as loaded
 	p.moving++
 	return true
 }
--- a/internal/core/copies/plan_test.go
+++ b/internal/core/copies/plan_test.go
@@ -61,7 +61,7 @@
 			name: "a spare copy yields to a lost model", engine: engine("a", "b", "c", "d"), limits: limits,
 			endpoints: []copies.Endpoint{holds("p", "b", "c", "d"), holds("q", "b", "c", "d")},
 			demand:    map[fleet.Model]float64{"b": 500, "c": 50, "d": 500},
-			want:      []copies.Move{{Endpoint: "p", Model: "c", Unload: true}},
+			want:      []copies.Move{{Endpoint: "p", Model: "c", Unload: true, For: "a"}},
 		},
 		{
 			name: "the last copy never yields", engine: engine("a", "b", "c", "d"), limits: limits,
@@ -71,7 +71,7 @@
 			name: "a hot model gets the copy of a cold one", engine: engine("a", "b", "c", "d"), limits: limits,
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d")},
 			demand:    map[fleet.Model]float64{"a": 9000, "b": 200, "c": 10, "d": 1},
-			want:      []copies.Move{{Endpoint: "q", Model: "c", Unload: true}},
+			want:      []copies.Move{{Endpoint: "q", Model: "c", Unload: true, For: "a"}},
 		},
 		{
 			name: "but not if that is as hot over a while", engine: engine("a", "b", "c", "d"), limits: limits,
@@ -112,6 +112,9 @@
 		for i := range rapid.IntRange(1, 5).Draw(t, "endpoints") {
 			p := copies.Endpoint{ID: fleet.Endpoint(rune('p' + i)), Busy: rapid.Bool().Draw(t, "busy")}
 			p.Holds = rapid.SliceOfNDistinct(model, 0, 3, rapid.ID).Draw(t, "holds")
+			if p.Busy && rapid.Bool().Draw(t, "loads") {
+				p.Loading = model.Draw(t, "loading")
+			}
 			p.AtHand = rapid.SliceOfNDistinct(model, 0, 3, rapid.ID).Draw(t, "at hand")
 			endpoints = append(endpoints, p)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,7 +52,7 @@
 		UsageText: "chiverampd --config /etc/chiveramp/chiverampd.ini",
 		Writer:    w,
 		ErrWriter: w,
-		Commands:  []*cli.Command{newGatewayCommand(w)},
+		Commands:  []*cli.Command{newGatewayCommand()},
 		Flags: []cli.Flag{
 			// Not marked as required: it would be so for the commands below too.
 			&cli.StringFlag{Name: "config", Usage: "INI file with the settings of this instance", Local: true},
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,7 +20,7 @@
 )
 
 // newGatewayCommand is the command of an instance on the users' platform.
-func newGatewayCommand(w io.Writer) *cli.Command {
+func newGatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "gateway",
 		Usage:     "serve as one instance on the users' platform, straight to its endpoints",
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -134,9 +134,13 @@
 		group = &catalog.Group{Name: a.Service}
 	}
 	now := s.clock()
-	c, ok := s.board.Choose(now, a, group, s.roster.All(), s.regions)
-	if !ok {
+	c, lack := s.board.Choose(now, a, group, s.roster.All(), s.regions)
+	switch lack {
+	case balance.LackModel:
 		return gateway.Target{}, gateway.ErrNoEndpoint
+	case balance.LackAdapter:
+		return gateway.Target{}, gateway.ErrNoAdapter
+	case balance.LackNone:
 	}
 	if c.Wait > balance.Patience(a) {
 		return gateway.Target{Wait: c.Wait}, gateway.ErrOverloaded
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -28,8 +28,11 @@
 	ErrNoRoute = errors.New("no such route")
 	// ErrOverloaded: the answer would come too late to be of use.
 	ErrOverloaded = errors.New("too much work is waiting")
-	// ErrNoEndpoint: no endpoint can take the request now.
+	// ErrNoEndpoint: no endpoint of the service serves the request's model, or any that
+	// does was tried.
 	ErrNoEndpoint = errors.New("no endpoint can take the request")
+	// ErrNoAdapter: endpoints have the model, and can't be given the adapter now.
+	ErrNoAdapter = errors.New("no endpoint can be given the adapter now")
 )
 
 // Request is a caller's request, decoded.
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -82,6 +82,7 @@
 		if err == nil {
 			return pause(ctx, adapterWait)
 		}
+		d.distrust()
 		if !errors.Is(err, ErrBusy) || pause(ctx, reportLag/2) != nil {
 			break
 		}
@@ -91,6 +92,16 @@
 	return err
 }
 
+// distrust forgets which adapters were unloaded: the count of orders is not what it
+// was taken for, so that one of them may be there still.
+func (d *desk) distrust() {
+	for a, change := range d.adapters {
+		if !change.present {
+			delete(d.adapters, a)
+		}
+	}
+}
+
 // load sends the order for an adapter.
 func (l *Loader) load(ctx context.Context, d *desk, c *Candidate, what roster.Adapter) error {
 	if err := l.count(ctx, d, c); err != nil {
@@ -127,7 +138,7 @@
 	var oldest roster.Adapter
 	found := false
 	for _, a := range held {
-		if _, ending := d.ending[a]; ending || a == what || slices.Contains(c.Needed, a) {
+		if a == what || slices.Contains(c.Needed, a) || !d.confirmed(c, a) {
 			continue
 		}
 		if !found || d.sooner(a, oldest, demand) {
@@ -150,6 +161,18 @@
 	return nil
 }
 
+// confirmed reports whether the endpoint's own report shows an adapter. One on its
+// way can't be told from one that isn't there: unloading either is done at once.
+func (d *desk) confirmed(c *Candidate, a roster.Adapter) bool {
+	if _, ending := d.ending[a]; ending {
+		return false
+	}
+	if change, ok := d.adapters[a]; ok && !change.present && change.open(c) {
+		return false
+	}
+	return roster.Holds(c.Report.Models, a.Model, a.Adapter)
+}
+
 // sooner reports whether an adapter yields before another: less demand, then used longer ago.
 func (d *desk) sooner(a, b roster.Adapter, demand map[roster.Adapter]float64) bool {
 	if demand[a] != demand[b] {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -37,6 +37,12 @@
 	adapterWait = 12 * time.Millisecond
 	// lateOrders is how long an order without an answer may still begin.
 	lateOrders = 12 * time.Second
+	// reserveWait is how long room is kept for the model that it was made for: an unload
+	// waits for its runs.
+	reserveWait = 8 * time.Second
+	// youngTime is how long a copy serves before it yields to demand elsewhere: twice the
+	// time of a load from the weight store.
+	youngTime = 10 * time.Second
 	// endingWait is how long a request may keep an adapter that is unloaded: the longest
 	// time limit of the sheets.
 	endingWait = 15 * time.Second
@@ -180,6 +186,11 @@
 	// retiring is a model that is unloaded once instances had time to notice.
 	retiring fleet.Model
 	due      time.Time
+	// reserved is the model that room is made for, until a time.
+	reserved fleet.Model
+	until    time.Time
+	// given is when models were loaded.
+	given map[fleet.Model]time.Time
 	// adapters are orders accepted that the reports may not show yet.
 	adapters map[roster.Adapter]change
 	used     map[roster.Adapter]time.Time
@@ -206,7 +217,7 @@
 	if d == nil || d.born != c.Born {
 		d = &desk{
 			turn: make(chan struct{}, 1), born: c.Born,
-			adapters: make(map[roster.Adapter]change), used: make(map[roster.Adapter]time.Time), ending: make(map[roster.Adapter]time.Time),
+			adapters: make(map[roster.Adapter]change), used: make(map[roster.Adapter]time.Time), given: make(map[fleet.Model]time.Time), ending: make(map[roster.Adapter]time.Time),
 		}
 		l.desks[c.ID] = d
 	}
@@ -307,6 +318,10 @@
 	if d.model != "" && d.shows(c) {
 		_ = l.logger.Log("step", "moved", "endpoint", c.ID, "model", d.model, "unload", d.unload,
 			"holds", roster.Holds(c.Report.Models, d.model, ""), "took", now.Sub(d.since))
+		if !d.unload {
+			d.given[d.model] = now
+			d.reserved = ""
+		}
 		d.model = ""
 	}
 	if d.model != "" && d.unload {
@@ -356,6 +371,14 @@
 			e.Loading = d.model
 		}
 	}
+	if d.reserved != "" && now.Before(d.until) {
+		e.Reserved = d.reserved
+	}
+	for m, at := range d.given {
+		if now.Sub(at) < youngTime {
+			e.Young = append(e.Young, m)
+		}
+	}
 	e.Moving = d.model != "" || d.retiring != ""
 	fresh := now.Sub(c.Report.Taken) < time.Second
 	e.Busy = d.model != "" || d.retiring != "" || c.Report.Busy || !fresh || c.Suspect ||
@@ -398,6 +421,7 @@
 	defer d.leave()
 	if m.Unload {
 		d.retiring, d.due = m.Model, now.Add(drainWait)
+		d.reserved, d.until = m.For, now.Add(reserveWait)
 		l.site.Retire(c.ID, m.Model)
 		_ = l.logger.Log("step", "retire", "endpoint", c.ID, "model", m.Model)
 		return
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -31,6 +31,7 @@
 	orders   int
 	lose     int // so many orders get no answer, though they are carried out
 	inUse    []roster.Adapter
+	coming   []roster.Adapter // not there yet; to unload one is done at once, and does nothing
 	ending   []roster.Adapter // unloaded once their requests have ended; reports hide them
 	known    roster.Report
 	needed   []roster.Adapter
@@ -48,9 +49,12 @@
 func (s *site) report() roster.Report {
 	m := roster.Holding{Model: "m"}
 	for _, a := range s.adapters {
+		if slices.Contains(s.coming, a) {
+			continue
+		}
 		m.Adapters = append(m.Adapters, a.Adapter)
 	}
-	return roster.Report{Models: []roster.Holding{m, {Model: "n"}}, Seq: s.seq, Taken: s.now}
+	return roster.Report{Models: []roster.Holding{m, {Model: "n"}}, Coming: s.coming, Seq: s.seq, Taken: s.now}
 }
 
 func (s *site) Order(_ context.Context, o loader.Order) (bool, error) {
@@ -62,9 +66,12 @@
 	if o.Seq != s.seq {
 		return false, loader.ErrBusy
 	}
+	what := roster.Adapter{Model: o.Model, Adapter: o.Adapter}
+	if o.Unload && slices.Contains(s.coming, what) {
+		return true, nil
+	}
 	s.seq++
 	s.orders++
-	what := roster.Adapter{Model: o.Model, Adapter: o.Adapter}
 	done := false
 	switch {
 	case !o.Unload:
@@ -158,7 +165,8 @@
 	assert.Equal(t, 2, s.orders)
 	require.NoError(t, ensure(t, l, "a1"))
 	assert.Equal(t, 2, s.orders, "it is there")
-	s.pass(time.Millisecond)
+	s.pass(time.Second)
+	s.Reported("p", s.report())
 	require.NoError(t, ensure(t, l, "a2", "a3"))
 	assert.Equal(t, []roster.Adapter{{Model: "m", Adapter: "a2"}, {Model: "m", Adapter: "a3"}}, s.adapters, "the one used longest ago yields")
 	assert.LessOrEqual(t, s.peak, s.places)
@@ -173,6 +181,9 @@
 	s.pass(300 * time.Millisecond)
 	old.Taken = s.clock()
 	s.Reported("p", old)
+	require.ErrorIs(t, ensure(t, l, "a3"), loader.ErrNoPlace, "neither is known to be there")
+	s.pass(time.Second)
+	s.Reported("p", s.report())
 	require.NoError(t, ensure(t, l, "a3"))
 	assert.LessOrEqual(t, s.peak, s.places)
 }
@@ -241,6 +252,24 @@
 	assert.LessOrEqual(t, s.peak, s.places)
 }
 
+// An adapter on its way is no place that can be freed.
+func TestAdaptersOnTheirWayDontYield(t *testing.T) {
+	s := newSite(2)
+	l := newLoader(s)
+	require.NoError(t, ensure(t, l, "a1"))
+	s.pass(2 * time.Second)
+	s.coming = []roster.Adapter{{Model: "m", Adapter: "a2"}}
+	require.NoError(t, ensure(t, l, "a2"))
+	s.needed = []roster.Adapter{{Model: "m", Adapter: "a1"}}
+	s.pass(200 * time.Millisecond)
+	s.Reported("p", s.report())
+	require.ErrorIs(t, ensure(t, l, "a3"), loader.ErrNoPlace)
+	s.pass(2 * time.Second)
+	s.Reported("p", s.report())
+	_ = ensure(t, l, "a4")
+	assert.LessOrEqual(t, s.peak, s.places)
+}
+
 func TestNoOrderWithoutTheRight(t *testing.T) {
 	s := newSite(2)
 	s.fence = 0
--- a/test/gateway/path_test.go
+++ b/test/gateway/path_test.go
@@ -39,12 +39,12 @@
 	for _, n := range s.instances {
 		serve(n)
 	}
-	s.until(func() bool { return s.send(s.instances[1], http.MethodPost, "/match/1", "m/a2").status == 200 }, "an adapter is loaded")
+	s.untilf(func() bool { return s.send(s.instances[1], http.MethodPost, "/match/1", "m/a2").status == 200 }, "an adapter is loaded")
 	require.NoError(t, s.instances[0].process.Process.Kill())
 	<-s.instances[0].ended
 	for _, n := range s.instances[1:] {
 		serve(n)
-		s.until(func() bool { return len(s.resolve(n, "south")) == 1 }, "%s names the killed instance no more", n.name)
+		s.untilf(func() bool { return len(s.resolve(n, "south")) == 1 }, "%s names the killed instance no more", n.name)
 	}
 	for id, n := range s.runs() {
 		assert.LessOrEqual(t, n, 1, id)
@@ -79,8 +79,8 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	require.NoError(t, n.process.Process.Signal(syscall.SIGTERM))
-	s.until(func() bool { return !s.isReady(n) }, "it is no longer ready")
-	s.until(func() bool { return len(s.resolve(s.instances[1], "south")) == 1 }, "others name it no more")
+	s.untilf(func() bool { return !s.isReady(n) }, "it is no longer ready")
+	s.untilf(func() bool { return len(s.resolve(s.instances[1], "south")) == 1 }, "others name it no more")
 	time.Sleep(300 * time.Millisecond) // callers that keep an answer still come
 	close(stop)
 	wait.Wait()
@@ -100,9 +100,9 @@
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(n.file, append(text, "[retry]\nextra = 3\n"...), 0o600))
 	require.NoError(t, n.process.Process.Signal(syscall.SIGHUP))
-	s.until(func() bool { return strings.Contains(n.log.String(), "step=reload") }, "it says so")
+	s.untilf(func() bool { return strings.Contains(n.log.String(), "step=reload") }, "it says so")
 	require.NoError(t, os.WriteFile(n.file, append(text, "[nonsense]\n"...), 0o600))
-	s.until(func() bool { return strings.Contains(n.log.String(), "unknown section") }, "it tells what is wrong")
+	s.untilf(func() bool { return strings.Contains(n.log.String(), "unknown section") }, "it tells what is wrong")
 	assert.Equal(t, 200, s.send(n, http.MethodPost, "/hand/1", "").status)
 }
 
@@ -114,7 +114,7 @@
 	s.store.Set("op/config", fmt.Appendf(nil, configuration, 5, added))
 	s.store.Compact()
 	for _, n := range s.instances {
-		s.until(func() bool { return s.send(n, http.MethodGet, "/new/1", "").status == 200 }, "%s knows the route", n.name)
+		s.untilf(func() bool { return s.send(n, http.MethodGet, "/new/1", "").status == 200 }, "%s knows the route", n.name)
 	}
 	s.store.Set("op/config", fmt.Appendf(nil, configuration, 3, ""))
 	time.Sleep(500 * time.Millisecond)
@@ -126,14 +126,14 @@
 	require.NoError(t, late.process.Process.Kill())
 	<-late.ended
 	s.start(late)
-	s.until(func() bool { return s.isReady(late) }, "it starts from its peers while the store is down")
+	s.untilf(func() bool { return s.isReady(late) }, "it starts from its peers while the store is down")
 	assert.Equal(t, 200, s.send(late, http.MethodGet, "/new/1", "").status)
 }
 
 // Only one instance gives orders, also after the one before was frozen.
 func TestOneHolderAtATime(t *testing.T) {
 	s := newSite(t)
-	s.until(func() bool { return len(holders(s)) > 0 }, "adapters are loaded")
+	s.untilf(func() bool { return len(holders(s)) > 0 }, "adapters are loaded")
 	holder := holders(s)[0]
 	var frozen *instance
 	for _, n := range s.instances {
@@ -149,7 +149,7 @@
 		other = s.instances[1]
 	}
 	s.store.Remove("servers/e-2")
-	s.until(func() bool { all := holders(s); return all[len(all)-1] != holder }, "another one loads the model that was lost")
+	s.untilf(func() bool { all := holders(s); return all[len(all)-1] != holder }, "another one loads the model that was lost")
 	require.NoError(t, frozen.process.Process.Signal(syscall.SIGCONT))
 	time.Sleep(time.Second)
 	all := holders(s)
--- a/test/gateway/site_test.go
+++ b/test/gateway/site_test.go
@@ -117,9 +117,9 @@
 		s.start(n)
 	}
 	for _, n := range s.instances {
-		s.until(func() bool { return s.isReady(n) }, "%s is ready", n.name)
+		s.untilf(func() bool { return s.isReady(n) }, "%s is ready", n.name)
 	}
-	s.until(func() bool { return len(s.resolve(s.instances[0], "south")) == 2 }, "all know each other")
+	s.untilf(func() bool { return len(s.resolve(s.instances[0], "south")) == 2 }, "all know each other")
 	return s
 }
 
@@ -177,9 +177,9 @@
 `, n.name, n.region, n.zone, n.caller, n.directory, n.ready, n.peer, n.metrics, strings.Join(s.seeds, ", "), s.store.Address())
 }
 
-func (s *site) until(done func() bool, format string, args ...any) {
+func (s *site) untilf(done func() bool, format string, args ...any) {
 	s.t.Helper()
-	require.Eventually(s.t, done, patient, 20*time.Millisecond, fmt.Sprintf(format, args...))
+	require.Eventuallyf(s.t, done, patient, 20*time.Millisecond, format, args...)
 }
 
 func (s *site) isReady(n *instance) bool {
