feat: a silent endpoint's request goes elsewhere; refusals tell when the model may be there

A caller refused for a model that is nowhere was told to come back after half a second, and was refused again.

Change: an attempt that may be repeated elsewhere is given up after 400 ms to 1.8 s without a first byte, by its prediction, or after four times the longest pause in time. Retry-After is 4 s for a missing model, 2 s for an adapter. The plan's choice of a spare copy stands apart.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -268,19 +268,8 @@
 		if e.Busy || e.Reserved != "" || len(e.Retiring) > 0 || slices.Contains(e.Holds, m.Name) {
 			continue
 		}
-		atHand := slices.Contains(e.AtHand, m.Name)
-		if !atHand && p.limits.Cold <= 0 {
-			continue
-		}
-		blocks := p.blocks(e)
-		for _, name := range e.Holds {
-			if p.ready[name] < 2 || gain > 0 && slices.Contains(e.Young, name) {
-				continue
-			}
-			s := spare{at: e, model: name, stays: max(p.demand[name], p.steady[name]) / float64(p.ready[name]-1), blocks: blocks, atHand: atHand}
-			if best.at == nil || s.before(best) {
-				best = s
-			}
+		if s := p.spareAt(e, m, gain); s.at != nil && (best.at == nil || s.before(best)) {
+			best = s
 		}
 	}
 	if best.at == nil || gain > 0 && p.demand[m.Name]/float64(p.copies[m.Name]) < gain*best.stays {
@@ -298,6 +287,27 @@
 	return true
 }
 
+// spareAt returns the copy at an endpoint that could yield with the least harm, if any.
+func (p *planner) spareAt(e *Endpoint, m *catalog.Model, gain float64) spare {
+	var best spare
+	atHand := slices.Contains(e.AtHand, m.Name)
+	if !atHand && p.limits.Cold <= 0 {
+		return best
+	}
+	blocks := p.blocks(e)
+	for _, name := range e.Holds {
+		if p.ready[name] < 2 || gain > 0 && slices.Contains(e.Young, name) {
+			continue
+		}
+		stays := max(p.demand[name], p.steady[name]) / float64(p.ready[name]-1)
+		s := spare{at: e, model: name, stays: stays, blocks: blocks, atHand: atHand}
+		if best.at == nil || s.before(best) {
+			best = s
+		}
+	}
+	return best
+}
+
 // spare is a copy that could yield.
 type spare struct {
 	at    *Endpoint
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -100,7 +100,7 @@
 		Window: c.Orders.Window, Over: c.Orders.Over, Swaps: swaps, Gain: swapGain, Least: swapLeast,
 	}, loader.WithLogger(logger))
 	n.gateway = gateway.New(place, platform.Callers{}, n.endpoints, routes{n.state, n}, clock.Now,
-		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)))
+		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers))
 	return n
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,12 +22,21 @@
 	mostBody = 4 << 20
 	// comeBack is when a refused caller may try again where nothing better is known.
 	comeBack = 500 * time.Millisecond
+	// comeBackModel is about the time of a load from the weight store, comeBackAdapter
+	// that of an endpoint that is busy with one for half of it.
+	comeBackModel   = 4 * time.Second
+	comeBackAdapter = 2 * time.Second
 	// mostComeBack bounds the wait told to a refused caller.
 	mostComeBack = 3 * time.Second
 	// comeBackUnready is the wait told by an instance that has no configuration.
 	comeBackUnready = 300 * time.Millisecond
 )
 
+// Timers call back once.
+type Timers interface {
+	After(wait time.Duration, fn func(now time.Time)) (cancel func())
+}
+
 // Clock tells the time.
 type Clock func() time.Time
 
@@ -42,6 +51,7 @@
 	draw   func() float64
 	tracer trace.Tracer
 	stats  Stats
+	timers Timers
 }
 
 // Option changes a Gateway under construction.
@@ -53,6 +63,9 @@
 // WithStats sets where requests are counted.
 func WithStats(s Stats) Option { return func(g *Gateway) { g.stats = s } }
 
+// WithTimers has attempts given up at silent endpoints, where another may be tried.
+func WithTimers(t Timers) Option { return func(g *Gateway) { g.timers = t } }
+
 // WithDraw sets the source of random numbers from 0 up to 1.
 func WithDraw(draw func() float64) Option { return func(g *Gateway) { g.draw = draw } }
 
--- /dev/null
+++ b/internal/gateway/silence.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+)
+
+// errSilent ends an attempt at an endpoint that says nothing.
+var errSilent = errors.New("endpoint is silent")
+
+const (
+	// leastSilence is the shortest wait for a first byte, over some round trips.
+	leastSilence = 400 * time.Millisecond
+	// mostSilence bounds it: callers leave streams after two seconds and more.
+	mostSilence = 1800 * time.Millisecond
+	// predictedFactor allows for predictions that are short of what is seen.
+	predictedFactor = 3
+	// targetFactor is how many targets a plain answer may take.
+	targetFactor = 2
+	// gapFactor is how many times the longest pause in time a stream may pause.
+	// Callers leave after eight of them.
+	gapFactor = 4
+)
+
+// silence ends an attempt when its endpoint says nothing for too long.
+type silence struct {
+	timers Timers
+	end    context.CancelCauseFunc
+	stop   func()
+}
+
+// watch returns the watch over an attempt. It does nothing where the request can't
+// be sent to another endpoint.
+func (j *job) watch(end context.CancelCauseFunc) *silence {
+	s := &silence{timers: j.gateway.timers, end: end, stop: func() {}}
+	if j.gateway.timers == nil || !j.route.Repeatable() || j.sent+1 >= j.route.Attempts {
+		s.timers = nil
+		return s
+	}
+	wait := targetFactor * j.route.Target
+	if j.route.Kind == catalog.KindStream {
+		wait = max(j.route.Target, predictedFactor*j.target.Wait+leastSilence)
+	}
+	s.expect(min(max(wait, leastSilence), mostSilence))
+	return s
+}
+
+// expect waits anew for the next byte, without end if the wait isn't set.
+func (s *silence) expect(wait time.Duration) {
+	if s.timers == nil {
+		return
+	}
+	s.stop()
+	if s.stop = func() {}; wait <= 0 {
+		return
+	}
+	s.stop = s.timers.After(wait, func(time.Time) { s.end(errSilent) })
+}
+
+func (s *silence) close() { s.stop() }
