--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 	$(LINT) run
 
 unit:
-	$(GO) test $$($(GO) list ./... | grep -v /test/)
-	$(GO) test -count=1 -parallel 4 ./test/...
+	$(GO) test $$($(GO) list ./... | grep -vE '/(test|platform/process)(/|$$)')
+	$(GO) test -count=1 -parallel 4 ./test/... ./platform/process
 
 # slopes measures how costs grow with the fleet, and prints the target's (docs/CAPACITY.md).
 slopes:
--- a/docs/check_test.go
+++ b/docs/check_test.go
@@ -24,6 +24,7 @@
 		heading string // of a section, with its name
 	}{
 		{"settings.md", config.Keys(), "## [%s]"},
+		{"gateway-settings.md", config.GatewayKeys(), "## [%s]"},
 		{"operators/profiles.md", profile.Keys(), "## [%s \"NAME\"]"},
 	}
 	for _, tt := range tests {
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -46,6 +46,7 @@
 		if known != nil && !r.Removed && !r.Forged && r.Entry.Born > known.Born {
 			s.board.Emptied(r.ID)
 		}
+		s.note(known, r)
 		leaves = leaves || known != nil && (r.Removed || r.Entry.Leaving && !known.Leaving)
 	}
 	if whole {
@@ -57,6 +58,26 @@
 	return leaves
 }
 
+// note logs a change of what is believed of an endpoint.
+func (s *state) note(known *roster.Endpoint, r *roster.Record) {
+	var now string
+	switch {
+	case r.Forged:
+		now = "forged"
+	case r.Removed && known != nil:
+		now = "removed"
+	case r.Removed:
+		return
+	case known == nil || r.Entry.Born > known.Born:
+		now = "listed"
+	case r.Entry.Leaving && !known.Leaving:
+		now = "leaving"
+	default:
+		return
+	}
+	_ = s.logger.Log("step", "endpoint", "endpoint", r.ID, "born", r.Entry.Born, "revision", r.Revision, "now", now)
+}
+
 // troubled notes a failed call to the store, answered a good one.
 func (s *state) troubled() {
 	s.mu.Lock()
@@ -126,7 +147,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	s.view.Tick(now)
+	for _, c := range s.view.Tick(now) {
+		_ = s.logger.Log("step", "peer", "peer", c.Instance, "from", c.From, "to", c.To)
+	}
 	b := &gossip.Beat{
 		Place: s.place, Ready: s.readiness() == nil, Store: s.reaches(), Roster: s.newest,
 		Loads: s.board.Own(), Uses: s.board.Uses(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
@@ -232,6 +255,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	for _, e := range s.roster.Settle(now) {
+		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not back")
 		s.retired = append(s.retired, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
 	}
 	for name, p := range s.peers {
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -49,6 +51,7 @@
 
 // state is what the instance knows. It is safe for concurrent use.
 type state struct {
+	logger  log.Logger
 	place   fleet.Place
 	regions map[fleet.DataCentre]fleet.Region
 	clock   func() time.Time
@@ -86,9 +89,9 @@
 	at       time.Time
 }
 
-func newState(self member.Peer, place fleet.Place, regions map[fleet.DataCentre]fleet.Region, budget *balance.Budget, beat time.Duration, clock func() time.Time) *state {
+func newState(self member.Peer, place fleet.Place, regions map[fleet.DataCentre]fleet.Region, budget *balance.Budget, beat time.Duration, clock func() time.Time, logger log.Logger) *state {
 	return &state{
-		place: place, regions: regions, clock: clock,
+		logger: logger, place: place, regions: regions, clock: clock,
 		roster: roster.New(), board: balance.NewBoard(), budget: budget,
 		view:   member.New(self, member.WithInterval(beat)),
 		peers:  make(map[fleet.Instance]*peer),
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -73,7 +73,7 @@
 // follow reads a prefix and then watches it, until the context ends. Take gets all
 // items at first and whenever the store has lost its history, else the changes.
 func (n *Node) follow(ctx context.Context, prefix string, pause time.Duration, take func(items []platform.Item, revision int64, whole bool)) error {
-	revision := int64(-1)
+	revision, lost := int64(-1), false
 	for ctx.Err() == nil {
 		if revision >= 0 && !n.state.watch() {
 			// What changes meanwhile comes from those that watch.
@@ -82,7 +82,10 @@
 		}
 		next, err := n.look(ctx, prefix, revision, take)
 		if err == nil {
-			revision = next
+			if lost {
+				_ = level.Info(n.logger).Log("step", "store regained", "prefix", prefix, "after", revision, "now", next)
+			}
+			revision, lost = next, false
 			n.state.answered()
 			wait(ctx, pause)
 			continue
@@ -95,7 +98,10 @@
 			continue
 		}
 		n.state.troubled()
-		_ = level.Warn(n.logger).Log("step", "follow", "prefix", prefix, "after", revision, "err", err)
+		if !lost {
+			_ = level.Warn(n.logger).Log("step", "store lost", "prefix", prefix, "after", revision, "err", err)
+		}
+		lost = true
 		wait(ctx, storePause)
 	}
 	return nil
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -90,7 +90,7 @@
 	n := &Node{
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timer.New(clock), clock: clock.Now,
-		state:     newState(self, place, regions, budget, c.Peer.Beat, clock.Now),
+		state:     newState(self, place, regions, budget, c.Peer.Beat, clock.Now, logger),
 		store:     platform.NewStore(c.Store.Address),
 		endpoints: platform.NewEndpoints(),
 		gossip:    gossip.NewClient(),
