perf: beats are packed once for all peers; shared prompts have a home in each region

Beats were encoded for each peer, with every adapter's demand.

The endpoint that instances expect a shared prompt at is one of their own region.

--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -302,7 +302,7 @@
 // Choose returns the endpoint with the shortest predicted wait.
 func (b *Board) Choose(now time.Time, a *Ask, group *catalog.Group, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) (Choice, Lack) {
 	best, found, lack := Choice{}, false, LackModel
-	home := home(now, a, endpoints)
+	home := home(now, a, endpoints, regions)
 	for pass := range 2 {
 		for _, e := range endpoints {
 			if !serves(now, e, a) || pass == 0 && e.Suspect(now) {
@@ -365,21 +365,25 @@
 	return c, true
 }
 
-// home is the endpoint at which all instances expect the shared start of a prompt:
-// the one with the highest hash among those that hold the model.
-func home(now time.Time, a *Ask, endpoints []*roster.Endpoint) fleet.Endpoint {
+// home is the endpoint at which all instances of a region expect the shared start of a
+// prompt: the one with the highest hash among those that hold the model, in the region
+// if there are some, for bytes between regions are dear.
+func home(now time.Time, a *Ask, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) fleet.Endpoint {
 	if len(a.Parts) < 2 {
 		return ""
 	}
 	start := string(a.Model) + "/" + string(a.Adapter) + "/" + a.Parts[len(a.Parts)-2].ID
 	var best fleet.Endpoint
 	var most uint64
+	near := false
 	for _, e := range endpoints {
 		if !serves(now, e, a) {
 			continue
 		}
-		if h := xxhash.Sum64String(start + "/" + string(e.ID)); best == "" || h > most {
-			best, most = e.ID, h
+		here := regions[e.DataCentre] == a.Place.Region
+		h := xxhash.Sum64String(start + "/" + string(e.ID))
+		if best == "" || here && !near || here == near && h > most {
+			best, most, near = e.ID, h, here
 		}
 	}
 	return best
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -299,11 +299,11 @@
 	adapters = make(map[roster.Adapter]float64)
 	add := func(d gossip.Demand) {
 		if d.Adapter == "" {
-			newest[d.Model] += d.Tokens
-			steady[d.Model] += d.Steady
+			newest[d.Model] += float64(d.Tokens)
+			steady[d.Model] += float64(d.Steady)
 			return
 		}
-		adapters[roster.Adapter{Model: d.Model, Adapter: d.Adapter}] += d.Tokens
+		adapters[roster.Adapter{Model: d.Model, Adapter: d.Adapter}] += float64(d.Tokens)
 	}
 	for _, d := range s.ownDemand() {
 		add(d)
@@ -321,14 +321,14 @@
 }
 
 // leastDemand is the rate below which a demand isn't told, tokens a second.
-const leastDemand = 1
+const leastDemand = 20
 
 func (s *state) ownDemand() []gossip.Demand {
 	now := s.clock()
 	var all []gossip.Demand
 	for what, m := range s.demand {
 		if rate := m.steady.Rate(now); rate >= leastDemand {
-			all = append(all, gossip.Demand{Model: what.Model, Adapter: what.Adapter, Tokens: m.newest.Rate(now), Steady: rate})
+			all = append(all, gossip.Demand{Model: what.Model, Adapter: what.Adapter, Tokens: int(m.newest.Rate(now)), Steady: int(rate)})
 		} else {
 			delete(s.demand, what)
 		}
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -199,12 +199,17 @@
 		}
 	}
 	delete(addresses, n.config.Listen.Peer)
+	packed, err := gossip.Pack(beat)
+	if err != nil {
+		_ = level.Error(n.logger).Log("step", "beat", "err", err)
+		return
+	}
 	var group errgroup.Group
 	for address := range addresses {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, beatWait)
 			defer cancel()
-			if err := n.gossip.Beat(ctx, address, beat); err != nil && ctx.Err() != nil {
+			if err := n.gossip.Beat(ctx, address, packed); err != nil && ctx.Err() != nil {
 				n.gossip.Reset(address) // the connection may be silent for good
 			}
 			return nil
@@ -238,7 +243,11 @@
 }
 
 // Beat takes the beat of another instance.
-func (n *Node) Beat(_ context.Context, b *gossip.Beat) (*gossip.Ack, error) {
+func (n *Node) Beat(_ context.Context, p *gossip.Packed) (*gossip.Ack, error) {
+	b, err := p.Unpack()
+	if err != nil {
+		return nil, err
+	}
 	n.state.hear(b)
 	return &gossip.Ack{}, nil
 }
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,81 @@
+package gossip_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+)
+
+type handler struct{ beats chan *gossip.Beat }
+
+func (h handler) Beat(_ context.Context, p *gossip.Packed) (*gossip.Ack, error) {
+	b, err := p.Unpack()
+	if err != nil {
+		return nil, err
+	}
+	h.beats <- b
+	return &gossip.Ack{}, nil
+}
+
+func (handler) Fetch(_ context.Context, f *gossip.Fetch) (*gossip.Known, error) {
+	return &gossip.Known{Catalog: []byte("text"), Roster: f.Roster + 1}, nil
+}
+
+func (handler) Ensure(_ context.Context, e *gossip.Ensure) (*gossip.Ensured, error) {
+	return &gossip.Ensured{Refused: "no " + string(e.Adapter)}, nil
+}
+
+func TestInstancesUnderstandEachOther(t *testing.T) {
+	h := handler{beats: make(chan *gossip.Beat, 1)}
+	server := gossip.NewServer(h)
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(l) })
+	t.Cleanup(server.Stop)
+	client := gossip.NewClient()
+	t.Cleanup(client.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	sent := &gossip.Beat{
+		Place: fleet.Place{Region: "south", DataCentre: "a"}, Ready: true, Catalog: 7,
+		Loads:   map[fleet.Endpoint]balance.Load{"p": {Running: 2, Pending: [3]time.Duration{1, 2, 3}}},
+		Uses:    []balance.Use{{Endpoint: "p", Model: "m", Adapter: "x"}},
+		Reports: []gossip.Report{{Endpoint: "p", Age: time.Second, Report: roster.Report{Seq: 4, Models: []roster.Holding{{Model: "m", Adapters: []fleet.Adapter{"x"}}}}}},
+		Left:    []gossip.Incarnation{{Endpoint: "q", Born: 17}},
+	}
+	packed, err := gossip.Pack(sent)
+	require.NoError(t, err)
+	require.NoError(t, client.Beat(ctx, l.Addr().String(), packed))
+	got := <-h.beats
+	got.Reports[0].Report.Taken = sent.Reports[0].Report.Taken // a zero time keeps no location
+	assert.Equal(t, sent.Loads, got.Loads)
+	assert.Equal(t, sent.Uses, got.Uses)
+	assert.Equal(t, sent.Reports, got.Reports)
+	assert.Equal(t, sent.Left, got.Left)
+	known, err := client.Fetch(ctx, l.Addr().String(), &gossip.Fetch{Roster: 3})
+	require.NoError(t, err)
+	assert.Equal(t, int64(4), known.Roster)
+	client.Reset(l.Addr().String())
+	answer, err := client.Ensure(ctx, l.Addr().String(), &gossip.Ensure{Adapter: "x"})
+	require.NoError(t, err, "a closed connection is made anew")
+	assert.Equal(t, "no x", answer.Refused)
+}
+
+func TestBrokenBeatsAreErrors(t *testing.T) {
+	for _, text := range []string{"", "nonsense", "\x01\x00"} {
+		_, err := (&gossip.Packed{Text: []byte(text)}).Unpack()
+		assert.Error(t, err, "%q", text)
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -51,8 +51,8 @@
 type Demand struct {
 	Model   fleet.Model   `cbor:"m"`
 	Adapter fleet.Adapter `cbor:"a"`
-	Tokens  float64       `cbor:"t"`
-	Steady  float64       `cbor:"s"`
+	Tokens  int           `cbor:"t"`
+	Steady  int           `cbor:"s"`
 }
 
 // Report is an endpoint's report and its age when the beat left.
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -33,7 +33,7 @@
 
 // Handler answers the other instances.
 type Handler interface {
-	Beat(ctx context.Context, b *Beat) (*Ack, error)
+	Beat(ctx context.Context, b *Packed) (*Ack, error)
 	Fetch(ctx context.Context, f *Fetch) (*Known, error)
 	Ensure(ctx context.Context, e *Ensure) (*Ensured, error)
 }
@@ -121,8 +121,8 @@
 }
 
 // Beat tells a peer how this instance is.
-func (c *Client) Beat(ctx context.Context, address string, b *Beat) error {
-	_, err := call[Beat, Ack](ctx, c, address, "Beat", b)
+func (c *Client) Beat(ctx context.Context, address string, b *Packed) error {
+	_, err := call[Packed, Ack](ctx, c, address, "Beat", b)
 	return err
 }
 
