fix: a silent endpoint is given up only where another takes the request

A stream whose endpoint had said nothing for 1.8 s was given up in the moment of its first event; the retry budget was spent, and the caller's connection was broken off.

Ruled out: a longer wait, which only moves the moment.

Change: when the wait is over, the right to one more sending is taken first, and only if an endpoint that has the model and adapter would take the request; else it waits on. Fields and options that nothing used are gone; callers' idle connections are kept 75 s, longer than any limit that operators set lets callers reuse them.

--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -125,15 +125,9 @@
 	uses  []Use
 }
 
-// Option changes a Board under construction.
-type Option func(*Board)
-
-// WithCosts sets what delays a request.
-func WithCosts(c Costs) Option { return func(b *Board) { b.costs = c } }
-
 // NewBoard returns a board without load.
-func NewBoard(opts ...Option) *Board {
-	b := &Board{
+func NewBoard() *Board {
+	return &Board{
 		costs:  DefaultCosts(),
 		own:    make(map[fleet.Endpoint]Load),
 		uses:   make(map[Use]int),
@@ -141,10 +135,6 @@
 		others: make(map[fleet.Instance]news),
 		seen:   make(map[fleet.Endpoint]*prompts),
 	}
-	for _, opt := range opts {
-		opt(b)
-	}
-	return b
 }
 
 // Started notes a request that was sent; its prompt counts until Answered.
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -82,9 +82,6 @@
 	Name fleet.Model
 	// Memory is the size of its weights, MB.
 	Memory float64
-	// Cold, Disk and Warm are how long a load takes from the weight store, the
-	// endpoint's disk and its memory.
-	Cold, Disk, Warm time.Duration
 	// Adapters are its adapters, AdapterMemory the size of one, MB.
 	Adapters      []fleet.Adapter
 	AdapterMemory float64
@@ -92,10 +89,6 @@
 
 // Engine is what the endpoints of a service share if they are model engines.
 type Engine struct {
-	// Slots is the number of requests in one batch.
-	Slots int
-	// Tokens is the size of the KV cache.
-	Tokens int
 	// Memory is the room for weights, MB; Adapters the places for adapters.
 	Memory   float64
 	Adapters int
@@ -117,17 +110,14 @@
 // Group is a service and its endpoints' common properties.
 type Group struct {
 	Name Service
-	// Connections is the most connections that one endpoint accepts from all callers.
-	Connections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	Header, Body  int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// Body is the largest body, bytes.
+	Body int
 }
 
 // Catalog is one version of the configuration. It is not changed once made.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -34,16 +34,10 @@
 	beliefs    map[Adapter]belief
 }
 
-// Option changes a Roster under construction.
-type Option func(*Roster)
-
-// WithReturn sets how long after the store's return a lapsed entry may be missing.
-func WithReturn(d time.Duration) Option { return func(r *Roster) { r.back = d } }
-
 const (
-	// defaultReturn is how long the platform gives endpoints to register again
+	// back is how long the platform gives endpoints to register again
 	// after the store was away, with room for the way.
-	defaultReturn = 2200 * time.Millisecond
+	back = 2200 * time.Millisecond
 	// suspicion is the first wait before a failed endpoint is tried again; it
 	// doubles with each further failure up to longestSuspicion.
 	suspicion        = 300 * time.Millisecond
@@ -54,7 +48,6 @@
 
 // Roster is the list of endpoints. It is not safe for concurrent use.
 type Roster struct {
-	back      time.Duration
 	endpoints map[fleet.Endpoint]*Endpoint
 	// gone remembers incarnations that left, so that late news can't bring them back.
 	gone     map[fleet.Endpoint]int64
@@ -64,12 +57,8 @@
 }
 
 // New returns an empty Roster.
-func New(opts ...Option) *Roster {
-	r := &Roster{back: defaultReturn, endpoints: make(map[fleet.Endpoint]*Endpoint), gone: make(map[fleet.Endpoint]int64)}
-	for _, opt := range opts {
-		opt(r)
-	}
-	return r
+func New() *Roster {
+	return &Roster{endpoints: make(map[fleet.Endpoint]*Endpoint), gone: make(map[fleet.Endpoint]int64)}
 }
 
 // Revision is the store's revision up to which changes are known.
@@ -90,7 +79,7 @@
 	if r.trouble.IsZero() {
 		return false
 	}
-	return r.returned.IsZero() || now.Sub(r.returned) < r.back && now.Sub(r.trouble) < r.back+shaky
+	return r.returned.IsZero() || now.Sub(r.returned) < back && now.Sub(r.trouble) < back+shaky
 }
 
 // Apply takes changes, in the store's order, up to a revision.
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -125,28 +125,47 @@
 	return s.catalog.Limits
 }
 
-// Choose picks an endpoint and counts the request there until Ended.
-func (s *state) Choose(a *balance.Ask) (gateway.Target, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// choose returns the best endpoint for a request.
+func (s *state) choose(now time.Time, a *balance.Ask) (balance.Choice, error) {
 	if s.catalog == nil {
-		return gateway.Target{}, gateway.ErrNoCatalog
+		return balance.Choice{}, gateway.ErrNoCatalog
 	}
 	group, ok := s.catalog.Group(a.Service)
 	if !ok {
 		group = &catalog.Group{Name: a.Service}
 	}
-	now := s.clock()
 	c, lack := s.board.Choose(now, a, group, s.roster.All(), s.regions)
 	switch lack {
 	case balance.LackModel:
-		return gateway.Target{}, gateway.ErrNoEndpoint
+		return c, gateway.ErrNoEndpoint
 	case balance.LackAdapter:
-		return gateway.Target{}, gateway.ErrNoAdapter
+		return c, gateway.ErrNoAdapter
 	case balance.LackNone:
 	}
 	if c.Wait > balance.Patience(a) {
-		return gateway.Target{Wait: c.Wait}, gateway.ErrOverloaded
+		return c, gateway.ErrOverloaded
+	}
+	return c, nil
+}
+
+// Elsewhere reports whether an endpoint not yet tried would take a request, and has
+// its adapter.
+func (s *state) Elsewhere(a *balance.Ask) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	c, err := s.choose(now, a)
+	return err == nil && !c.Adapter && !c.Endpoint.Suspect(now)
+}
+
+// Choose picks an endpoint and counts the request there until Ended.
+func (s *state) Choose(a *balance.Ask) (gateway.Target, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	c, err := s.choose(now, a)
+	if err != nil {
+		return gateway.Target{Wait: c.Wait}, err
 	}
 	t := gateway.Target{
 		ID: c.Endpoint.ID, Born: c.Endpoint.Born, Address: c.Endpoint.Address, DataCentre: c.Endpoint.DataCentre,
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -37,8 +37,8 @@
 	tidyPause   = 500 * time.Millisecond // bounds how long a lapsed entry is kept too long
 	reloadPause = time.Second            // settings may change without a signal
 	listPause   = 3 * time.Second        // new instances are found through their own beats before
-	headerWait  = 3 * time.Second        // a caller's header, until a configuration says otherwise
-	idleWait    = 20 * time.Second       // a caller's idle connection; longer than callers keep them
+	headerWait  = 10 * time.Second       // a caller's header; longer than the operators' limits
+	idleWait    = 75 * time.Second       // a caller's idle connection; longer than callers reuse them
 	mostHeader  = 64 << 10               // bytes of a caller's header
 	drainPause  = 50 * time.Millisecond
 	orderMargin = 500 * time.Millisecond // from the decision to order to its arrival
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -78,7 +78,7 @@
 			j.giveUp(ctx, err)
 			return
 		}
-		j.target, j.answered = target, false
+		j.target, j.answered, j.quiet = target, false, nil
 		j.tries++
 		result, err := j.try(ctx)
 		j.gateway.fleet.Ended(target, &j.ask, j.answered)
@@ -114,6 +114,8 @@
 		return true // nothing has reached an endpoint yet
 	case j.sent >= j.route.Attempts:
 		return false
+	case j.quiet != nil && j.quiet.taken.Load():
+		return true // the right to it was taken when the endpoint fell silent
 	default:
 		return j.gateway.fleet.Again(j.service)
 	}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -131,6 +131,8 @@
 	Route(host, path string) (*catalog.Route, int64, error)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Ask) (Target, error)
+	// Elsewhere reports whether an endpoint not yet tried would take the request.
+	Elsewhere(a *balance.Ask) bool
 	// Answered notes the first byte of an answer, and how long it took.
 	Answered(t Target, a *balance.Ask, took time.Duration)
 	// Ended gives the place back, answered if Answered was called.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -25,17 +27,25 @@
 	gapFactor = 4
 )
 
-// silence ends an attempt when its endpoint says nothing for too long.
+// silence ends an attempt when its endpoint says nothing for too long, and another
+// endpoint is there to take the request.
 type silence struct {
 	timers Timers
-	end    context.CancelCauseFunc
-	stop   func()
+	// other takes the right to go on elsewhere, if there is one.
+	other func() bool
+	// taken is set once it was taken.
+	taken atomic.Bool
+	end   context.CancelCauseFunc
+	stop  func()
 }
 
 // watch returns the watch over an attempt. It does nothing where the request can't
 // be sent to another endpoint.
 func (j *job) watch(end context.CancelCauseFunc) *silence {
+	ask := j.ask
+	ask.Exclude = append(slices.Clone(ask.Exclude), j.target.ID)
 	s := &silence{timers: j.gateway.timers, end: end, stop: func() {}}
+	s.other = func() bool { return j.gateway.fleet.Elsewhere(&ask) && j.gateway.fleet.Again(j.service) }
 	if j.gateway.timers == nil || !j.route.Repeatable() || j.sent+1 >= j.route.Attempts {
 		s.timers = nil
 		return s
@@ -57,7 +67,12 @@
 	if s.stop = func() {}; wait <= 0 {
 		return
 	}
-	s.stop = s.timers.After(wait, func(time.Time) { s.end(errSilent) })
+	s.stop = s.timers.After(wait, func(time.Time) {
+		if s.other() {
+			s.taken.Store(true)
+			s.end(errSilent)
+		}
+	})
 }
 
 func (s *silence) close() { s.stop() }
