fix: a beat that waited on a cut connection brings old reports

Machines are cut from each other until shortly before it; what was sent then arrives once the cut heals, and its reports were taken for as young as when they left, so that adapters ordered since seemed to be missing.

Ruled out: a restarted holder (no process had ended by then); orders carried out late (they rest on a count that has passed).

Change: a beat carries its sender's clock, one that runs while the machine sleeps; what it is later than the fastest one seen counts as age of its reports.

Figures: TestLateBeatsBringOldReports fails without it.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -151,7 +151,7 @@
 		_ = s.logger.Log("step", "peer", "peer", c.Instance, "from", c.From, "to", c.To)
 	}
 	b := &gossip.Beat{
-		Place: s.place, Ready: s.readiness() == nil, Store: s.reaches(), Roster: s.newest,
+		Place: s.place, Sent: s.uptime(), Ready: s.readiness() == nil, Store: s.reaches(), Roster: s.newest,
 		Loads: s.board.Own(), Uses: s.board.Uses(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
 		Rumours: s.view.Rumours(),
 	}
@@ -187,10 +187,17 @@
 	if known := s.peers[name]; known != nil && known.beat.Peer.Incarnation == b.Peer.Incarnation && known.beat.Peer.Sequence > b.Peer.Sequence {
 		return
 	}
-	s.peers[name] = &peer{beat: *b, at: now}
+	ahead := s.uptime() - b.Sent
+	late := time.Duration(0)
+	if known := s.peers[name]; known != nil && known.beat.Peer.Incarnation == b.Peer.Incarnation {
+		late = max(0, ahead-known.ahead)
+		ahead = min(ahead, known.ahead)
+	}
+	s.peers[name] = &peer{beat: *b, at: now, ahead: ahead}
 	s.board.Told(name, b.Loads, b.Uses)
 	for _, r := range b.Reports {
-		r.Report.Taken = now.Add(-r.Age)
+		// A beat may have waited on a connection that was cut for a while.
+		r.Report.Taken = now.Add(-r.Age - late)
 		s.roster.Reported(r.Endpoint, r.Report)
 	}
 	for _, l := range b.Left {
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -47,6 +47,8 @@
 type peer struct {
 	beat gossip.Beat
 	at   time.Time
+	// ahead is the least difference seen between the own clock and its beats' times.
+	ahead time.Duration
 }
 
 // state is what the instance knows. It is safe for concurrent use.
@@ -55,6 +57,7 @@
 	place   fleet.Place
 	regions map[fleet.DataCentre]fleet.Region
 	clock   func() time.Time
+	uptime  func() time.Duration
 
 	mu      sync.Mutex
 	catalog *catalog.Catalog
@@ -91,7 +94,7 @@
 
 func newState(self member.Peer, place fleet.Place, regions map[fleet.DataCentre]fleet.Region, budget *balance.Budget, beat time.Duration, clock func() time.Time, logger log.Logger) *state {
 	return &state{
-		logger: logger, place: place, regions: regions, clock: clock,
+		logger: logger, place: place, regions: regions, clock: clock, uptime: uptime,
 		roster: roster.New(), board: balance.NewBoard(), budget: budget,
 		view:   member.New(self, member.WithInterval(beat)),
 		peers:  make(map[fleet.Instance]*peer),
--- /dev/null
+++ b/internal/direct/state_test.go
@@ -0,0 +1,77 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+)
+
+// world is the time of an instance under test.
+type world struct{ passed time.Duration }
+
+func (w *world) now() time.Time        { return time.Unix(1_000_000, 0).Add(w.passed) }
+func (w *world) uptime() time.Duration { return time.Hour + w.passed }
+
+func newTestState(w *world) *state {
+	place := fleet.Place{Region: "south", DataCentre: "a"}
+	self := member.Peer{Instance: "one", Incarnation: "1", Place: fleet.Place{DataCentre: site}, Address: "a:1", Caller: "a:2"}
+	s := newState(self, place, map[fleet.DataCentre]fleet.Region{"a": "south"}, balance.NewBudget(0.2, 10, 10*time.Second), 300*time.Millisecond, w.now, log.NewNopLogger())
+	s.uptime = w.uptime
+	s.takeRecords([]roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Service: "s", Slots: 4, Revision: 1}}}, 1, true)
+	return s
+}
+
+func beatOf(sequence uint64, sent time.Duration, reports ...gossip.Report) *gossip.Beat {
+	return &gossip.Beat{
+		Peer: member.Peer{Instance: "two", Incarnation: "7", Sequence: sequence, Place: fleet.Place{DataCentre: site}, Address: "b:1", Caller: "b:2"},
+		Sent: sent, Reports: reports, Ready: true,
+	}
+}
+
+// A beat that waited on a cut connection doesn't make its reports young.
+func TestLateBeatsBringOldReports(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	report := func(seq int64) gossip.Report {
+		return gossip.Report{Endpoint: "p", Age: 100 * time.Millisecond, Report: roster.Report{Seq: seq}}
+	}
+	s.hear(beatOf(1, 10*time.Second, report(1)))
+	assert.Equal(t, w.now().Add(-100*time.Millisecond), s.roster.Get("p").Report.Taken)
+	w.passed = 8 * time.Second
+	s.Reported("p", roster.Report{Seq: 5, Taken: w.now().Add(-time.Second)})
+	s.hear(beatOf(2, 11*time.Second, report(2))) // left a second after the first, seven ago
+	assert.Equal(t, int64(5), s.roster.Get("p").Report.Seq)
+	s.hear(beatOf(3, 18*time.Second, report(6)))
+	assert.Equal(t, int64(6), s.roster.Get("p").Report.Seq, "in time again")
+}
+
+// A peer that is ahead is asked; one that fell silent is not named to callers.
+func TestPeersNews(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	b := beatOf(1, 0)
+	b.Catalog, b.Place = 9, fleet.Place{Region: "south", DataCentre: "a"}
+	s.hear(b)
+	address, f, ok := s.behind()
+	require.True(t, ok)
+	assert.Equal(t, "b:1", address)
+	assert.Zero(t, f.Catalog)
+	assert.Equal(t, []string{"b:2"}, s.addresses("south", "a:2", false))
+	for range 20 {
+		w.passed += 300 * time.Millisecond
+		s.beat()
+	}
+	assert.Empty(t, s.addresses("south", "a:2", false))
+	assert.Equal(t, []string{"a:2"}, s.addresses("south", "a:2", true))
+	s.leave()
+	assert.Empty(t, s.addresses("south", "a:2", true))
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -13,6 +13,8 @@
 type Beat struct {
 	Peer  member.Peer `cbor:"p"`
 	Place fleet.Place `cbor:"l"`
+	// Sent is when it left, by a clock of its sender that also runs while that is suspended.
+	Sent time.Duration `cbor:"z"`
 	// Ready instances take requests.
 	Ready bool `cbor:"y"`
 	// Store is set where the store answered lately.
