fix: a place for an adapter is checked with the report that its order's count comes from

An order without an answer was carried out seconds later; stocking looked for a free place in a report from before it, then asked for the newest count and ordered on that.

Ruled out: reports whose list is older than their count (traced: the list was the plan's, the count the question's).

Change: the place is checked after the count is known, with the same report; an order for a base model isn't given on a report older than one seen.

--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -77,7 +77,7 @@
 			return fmt.Errorf("%w: it lacks %s", ErrUnavailable, what.Model)
 		}
 		if err = l.makePlace(ctx, d, c, engine, what); err == nil {
-			err = l.load(ctx, d, c, what)
+			err = l.load(ctx, d, c, engine, what)
 		}
 		if err == nil {
 			return pause(ctx, adapterWait)
@@ -102,11 +102,15 @@
 	}
 }
 
-// load sends the order for an adapter.
-func (l *Loader) load(ctx context.Context, d *desk, c *Candidate, what roster.Adapter) error {
+// load sends the order for an adapter, if there is a place by the report that the
+// order's count comes from.
+func (l *Loader) load(ctx context.Context, d *desk, c *Candidate, engine *catalog.Engine, what roster.Adapter) error {
 	if err := l.count(ctx, d, c); err != nil {
 		return err
 	}
+	if len(d.held(c)) >= engine.Adapters {
+		return ErrNoPlace
+	}
 	held := fmt.Sprint(d.held(c))
 	_, err := l.send(ctx, d, c, Order{Model: what.Model, Adapter: what.Adapter})
 	if err != nil {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -442,6 +442,9 @@
 
 // order sends an order for a base model on the newest count of orders.
 func (l *Loader) order(ctx context.Context, d *desk, c *Candidate, o Order) error {
+	if c.Report.Seq < d.base {
+		return fmt.Errorf("%w: the plan rests on an older report", ErrUnavailable)
+	}
 	if !d.known || c.Report.Seq > d.seq {
 		d.seq, d.known = c.Report.Seq, true
 	}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -282,6 +282,19 @@
 	assert.Equal(t, 1, s.orders)
 }
 
+// An order that was carried out late is seen with the count: the place that an older
+// report shows as free is not filled on the newer count.
+func TestStockingLooksAtTheReportOfItsCount(t *testing.T) {
+	s := newSite(2)
+	s.adapters = []roster.Adapter{{Model: "m", Adapter: "a1"}}
+	s.seq = 1
+	s.Reported("p", s.report())
+	s.adapters = append(s.adapters, roster.Adapter{Model: "m", Adapter: "a2"})
+	s.seq = 2
+	newLoader(s).Step(t.Context())
+	assert.LessOrEqual(t, max(s.peak, len(s.adapters)), s.places)
+}
+
 func TestFreePlacesAreFilledAhead(t *testing.T) {
 	s := newSite(3)
 	l := newLoader(s)
--- a/internal/loader/stock.go
+++ b/internal/loader/stock.go
@@ -98,7 +98,7 @@
 	if d.model != "" || d.retiring != "" || len(d.held(c)) >= engine.Adapters || !d.holdsModel(c, what.Model) {
 		return
 	}
-	if err := l.load(ctx, d, c, what); err != nil {
+	if err := l.load(ctx, d, c, engine, what); err != nil {
 		_ = l.logger.Log("step", "stock", "endpoint", c.ID, "model", what.Model, "adapter", what.Adapter, "err", err)
 	}
 }
