--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -109,7 +109,7 @@
 	// orders, a load and what the endpoint had read for the model that yields.
 	swaps     = 6
 	swapGain  = 2.0
-	swapLeast = 6000.0 // tokens a second, about a sixth of what an endpoint reads
+	swapLeast = 3000.0 // tokens a second, about a twelfth of what an endpoint reads
 )
 
 // Run serves until the context ends, then shuts down gracefully.
