refactor: the loader's plan and orders, and the site as the loader sees it, in files of their own

Change: functions moved as they are; one constant has a name that says what it is for.

Ruled out: changes of behaviour; none is meant.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -266,7 +266,7 @@
 		s.retired = append(s.retired, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
 	}
 	for name, p := range s.peers {
-		if now.Sub(p.at) > deadRetry {
+		if now.Sub(p.at) > loadsKept {
 			s.board.Forget(name)
 		}
 	}
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -18,7 +18,6 @@
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
-	"github.com/chiveramp/chiveramp/internal/loader"
 )
 
 const (
@@ -37,8 +36,8 @@
 	// urgentWeight and bulkWeight weigh demand by rank.
 	urgentWeight = 2.0
 	bulkWeight   = 0.4
-	// deadRetry is how long a peer's loads count after its last beat.
-	deadRetry = 2 * time.Second
+	// loadsKept is how long a peer's loads count after its last beat.
+	loadsKept = 2 * time.Second
 	// site stands for all data centres: every instance beats with every other.
 	site fleet.DataCentre = "site"
 )
@@ -312,146 +311,6 @@
 	m.steady.Add(now, work)
 }
 
-// Demand returns tokens a second over all instances: by model, newest and over a
-// longer time, and by adapter.
-func (s *state) Demand() (newest, steady map[fleet.Model]float64, adapters map[roster.Adapter]float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	newest, steady = make(map[fleet.Model]float64), make(map[fleet.Model]float64)
-	adapters = make(map[roster.Adapter]float64)
-	add := func(d gossip.Demand) {
-		if d.Adapter == "" {
-			newest[d.Model] += float64(d.Tokens)
-			steady[d.Model] += float64(d.Steady)
-			return
-		}
-		adapters[roster.Adapter{Model: d.Model, Adapter: d.Adapter}] += float64(d.Tokens)
-	}
-	for _, d := range s.ownDemand() {
-		add(d)
-	}
-	now := s.clock()
-	for _, p := range s.peers {
-		if now.Sub(p.at) > deadRetry {
-			continue
-		}
-		for _, d := range p.beat.Demand {
-			add(d)
-		}
-	}
-	return newest, steady, adapters
-}
-
-// leastDemand is the rate below which a demand isn't told, tokens a second.
-const leastDemand = 20
-
-func (s *state) ownDemand() []gossip.Demand {
-	now := s.clock()
-	var all []gossip.Demand
-	for what, m := range s.demand {
-		if rate := m.steady.Rate(now); rate >= leastDemand {
-			all = append(all, gossip.Demand{Model: what.Model, Adapter: what.Adapter, Tokens: int(m.newest.Rate(now)), Steady: int(rate)})
-		} else {
-			delete(s.demand, what)
-		}
-	}
-	return all
-}
-
-// Engines returns the services that are model engines.
-func (s *state) Engines() []*catalog.Group {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []*catalog.Group
-	if s.catalog == nil {
-		return nil
-	}
-	for i := range s.catalog.Groups {
-		if s.catalog.Groups[i].Engine != nil {
-			all = append(all, &s.catalog.Groups[i])
-		}
-	}
-	return all
-}
-
-// Engine returns a service's endpoints that don't leave, as the loader sees them.
-func (s *state) Engine(service catalog.Service) []loader.Candidate {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock()
-	var all []loader.Candidate
-	for _, e := range s.roster.All() {
-		if e.Service != service || e.Leaving || e.Report.Taken.IsZero() {
-			continue
-		}
-		all = append(all, loader.Candidate{
-			ID: e.ID, Born: e.Born, Address: e.Address, Report: e.Report, AtHand: e.Report.AtHand,
-			Pending: s.board.Load(e.ID).Before(leastUrgent), Suspect: e.Suspect(now), Needed: s.needed(e.ID),
-		})
-	}
-	return all
-}
-
-func (s *state) needed(id fleet.Endpoint) []roster.Adapter {
-	var all []roster.Adapter
-	for _, u := range s.board.Needed(id) {
-		all = append(all, roster.Adapter{Model: u.Model, Adapter: u.Adapter})
-	}
-	return all
-}
-
-// Reported takes a report that this instance took.
-func (s *state) Reported(id fleet.Endpoint, r roster.Report) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.Reported(id, r)
-	s.roster.Served(id)
-	delete(s.failed, id)
-	s.fresh = append(s.fresh, gossip.Report{Endpoint: id, Report: r})
-}
-
-// Retire has all instances send nothing more for a model to an endpoint.
-func (s *state) Retire(id fleet.Endpoint, model fleet.Model) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock()
-	s.roster.Retiring(now, id, model)
-	s.retire = append(s.retire, retirement{endpoint: id, model: model, at: now})
-}
-
-// probes returns the endpoints that this instance asks how they are: each is asked
-// by one live instance, in its region where there is one.
-func (s *state) probes() []roster.Endpoint {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var mine []roster.Endpoint
-	for _, e := range s.roster.All() {
-		if s.prober(e) == s.view.Self().Instance && s.isEngine(e.Service) {
-			mine = append(mine, *e)
-		}
-	}
-	return mine
-}
-
-func (s *state) isEngine(service catalog.Service) bool {
-	if s.catalog == nil {
-		return false
-	}
-	g, ok := s.catalog.Group(service)
-	return ok && g.Engine != nil
-}
-
-// prober is the instance that asks an endpoint how it is.
-func (s *state) prober(e *roster.Endpoint) fleet.Instance {
-	p, _ := s.view.Dispatcher(e.ID, fleet.Place{Region: s.regions[e.DataCentre]})
-	return p.Instance
-}
-
-func (s *state) alive(name fleet.Instance) bool {
-	st, ok := s.view.State(name)
-	return ok && st == member.StateLive
-}
-
 // addresses returns where callers of a place connect: instances that are ready,
 // in the caller's region where there are some.
 func (s *state) addresses(region fleet.Region, self string, ready bool) []string {
