test: a log's reader that stops holds up nobody

Change: a test with a reader that never reads, and one of the last lines.

Ruled out: nothing; no code changed.

--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,54 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/telemetry"
+)
+
+// A reader that stops doesn't hold up whoever writes: lines are left out and counted.
+func TestBoundedNeverWaitsForItsReader(t *testing.T) {
+	reader, writer := io.Pipe() // nobody reads
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	b := telemetry.NewBounded(ctx, writer, &group)
+	done := make(chan struct{})
+	group.Go(func() error {
+		defer close(done)
+		for range 20_000 {
+			_, _ = b.Write([]byte("line\n"))
+		}
+		return nil
+	})
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a write waits for the reader")
+	}
+	assert.Positive(t, b.Dropped())
+	cancel()
+	require.NoError(t, reader.Close())
+	require.NoError(t, group.Wait())
+}
+
+// What was written before the end arrives, in order.
+func TestBoundedWritesItsLastLines(t *testing.T) {
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	b := telemetry.NewBounded(ctx, &out, &group)
+	_, _ = b.Write([]byte("one\n"))
+	_, _ = b.Write([]byte("two\n"))
+	cancel()
+	require.NoError(t, group.Wait())
+	assert.Equal(t, "one\ntwo\n", out.String())
+	assert.Zero(t, b.Dropped())
+}
