fix: the first holder orders at once, and endpoints that weren't asked yet hold what their entries say

Cause: an instance that takes the right to give orders for the first time ever waited 3.2 s for a holder before it, though the key of the last holder, which has no lease, showed that there was none. That was a third of the time before traffic. The wait hid another fault: endpoints without a report were left out of the plan, so that their models passed for lost.

Ruled out: that a write without an answer could bring a holder in between. Both keys are guarded by their revisions in one write.

Change: where no last holder is on record, orders may leave at once; an endpoint without a report counts with what its entry says, and as busy until it has one.

--- a/internal/direct/right.go
+++ b/internal/direct/right.go
@@ -164,7 +164,8 @@
 	revision, err := r.store.Put(ctx,
 		platform.Write{Key: holderKey, Value: []byte(r.name), Lease: lease, Guard: holder.Revision},
 		platform.Write{Key: lastKey, Value: []byte(r.name), Guard: last.Revision})
-	return lease, fleet.Fence(revision), string(last.Value) == r.name, err
+	// Where no last holder is on record nobody has ever ordered: the key has no lease.
+	return lease, fleet.Fence(revision), last.Revision == 0 || string(last.Value) == r.name, err
 }
 
 // read returns a key, its zero value if there is none.
--- a/internal/direct/site.go
+++ b/internal/direct/site.go
@@ -78,11 +78,17 @@
 	now := s.clock()
 	var all []loader.Candidate
 	for _, e := range s.roster.All() {
-		if e.Service != service || e.Leaving || e.Report.Taken.IsZero() {
+		if e.Service != service || e.Leaving {
 			continue
 		}
+		report := e.Report
+		if report.Taken.IsZero() {
+			// One that wasn't asked yet holds what its entry says; else its models would
+			// pass for lost.
+			report.Models, report.AtHand, report.Seq, report.Born = e.Models, e.AtHand, e.Seq, e.Born
+		}
 		all = append(all, loader.Candidate{
-			ID: e.ID, Born: e.Born, Address: e.Address, Report: e.Report, AtHand: e.Report.AtHand,
+			ID: e.ID, Born: e.Born, Address: e.Address, Report: report, AtHand: report.AtHand,
 			Pending: s.board.Load(e.ID).Before(leastUrgent), Suspect: e.Suspect(now), Needed: s.needed(e.ID),
 		})
 	}
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -13,6 +13,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/internal/loader"
 )
 
 // world is the time of an instance under test.
@@ -54,6 +55,29 @@
 	assert.Equal(t, int64(6), s.roster.Get("p").Report.Seq, "in time again")
 }
 
+// An endpoint that wasn't asked yet counts with what its entry says: its models aren't lost.
+func TestEntriesTellWhatEndpointsHold(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	entry := roster.Entry{ID: "q", Service: "s", Born: 5, Seq: 3, Models: []roster.Holding{{Model: "m"}}, AtHand: []fleet.Model{"m", "n"}, Revision: 2}
+	s.takeRecords([]roster.Record{{ID: "q", Revision: 2, Entry: entry}}, 2, false)
+	var found *loader.Candidate
+	for _, c := range s.Engine("s") {
+		if c.ID == "q" {
+			found = &c
+		}
+	}
+	require.NotNil(t, found)
+	assert.True(t, roster.Holds(found.Report.Models, "m", ""))
+	assert.True(t, found.Report.Taken.IsZero(), "too old for an order to rest on it")
+	assert.Equal(t, int64(3), found.Report.Seq)
+	assert.Equal(t, []fleet.Model{"m", "n"}, found.AtHand)
+	s.Reported("q", roster.Report{Seq: 4, Born: 5, Taken: w.now()})
+	for _, c := range s.Engine("s") {
+		assert.False(t, roster.Holds(c.Report.Models, "m", ""), "the report counts from then on")
+	}
+}
+
 // A peer that is ahead is asked; one that fell silent is not named to callers.
 func TestPeersNews(t *testing.T) {
 	w := &world{}
