perf: copies of prone models ahead of demand

Cause: a shift of demand lasts 5 to 6 s, and so does a load from the weight store, so that copies that are ordered when demand is seen come when the shift is over.

Change: models with adapters, and those that were in demand since the holder began, get up to three copies, from models with more copies than their demand needs. Half of the loads that the weight store allows is left for what is lost or in demand. They keep copies as if they were in demand.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -59,14 +59,24 @@
 	Gain float64
 	// Least is the demand on each copy below which a model gets no further one, tokens a second.
 	Least float64
+	// Ahead is how many copies a prone model has before there is demand for them.
+	Ahead int
+}
+
+// Demand is what callers ask for, tokens a second by model.
+type Demand struct {
+	// Newest follows a shift within seconds; Steady is that over a longer time. A model
+	// keeps its copies for the larger of both.
+	Newest, Steady map[fleet.Model]float64
+	// Prone are models whose demand may rise within seconds.
+	Prone map[fleet.Model]bool
 }
 
 // Planner holds what a plan rests on.
 type planner struct {
 	engine    *catalog.Engine
 	endpoints []Endpoint
-	demand    map[fleet.Model]float64
-	steady    map[fleet.Model]float64
+	demand    Demand
 	limits    Limits
 	ready     map[fleet.Model]int // copies that serve
 	copies    map[fleet.Model]int // those and the ones that are loaded
@@ -74,11 +84,10 @@
 	moving    int
 }
 
-// Plan returns the next moves, at most one for an endpoint. Demand is the newest,
-// steady that over a longer time; a model keeps its copies for the larger of both.
-func Plan(engine *catalog.Engine, endpoints []Endpoint, demand, steady map[fleet.Model]float64, limits Limits) []Move {
+// Plan returns the next moves, at most one for an endpoint.
+func Plan(engine *catalog.Engine, endpoints []Endpoint, demand Demand, limits Limits) []Move {
 	p := &planner{
-		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, steady: steady, limits: limits,
+		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, limits: limits,
 		ready: make(map[fleet.Model]int), copies: make(map[fleet.Model]int),
 	}
 	for i := range p.endpoints {
@@ -88,6 +97,7 @@
 	p.fill()
 	p.spread()
 	p.relieve()
+	p.prepare()
 	return p.moves
 }
 
@@ -117,7 +127,7 @@
 			lost = append(lost, m)
 		}
 	}
-	slices.SortStableFunc(lost, func(a, b catalog.Model) int { return cmp.Compare(p.demand[b.Name], p.demand[a.Name]) })
+	slices.SortStableFunc(lost, func(a, b catalog.Model) int { return cmp.Compare(p.demand.Newest[b.Name], p.demand.Newest[a.Name]) })
 	for i := range lost {
 		if p.load(&lost[i]) {
 			continue
@@ -153,6 +163,34 @@
 	}
 }
 
+// prepare gives prone models copies ahead of demand, from models with more copies than
+// their demand needs: a load from the weight store lasts as long as a shift of demand.
+// Half of what the store allows is left for models that are lost or in demand.
+func (p *planner) prepare() {
+	reserve := p.limits.Cold / 2
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		n := p.copies[m.Name]
+		if !p.demand.Prone[m.Name] || n == 0 || n >= p.limits.Ahead || p.moving >= p.limits.Swaps || p.limits.Cold <= reserve {
+			continue
+		}
+		if !p.load(m) {
+			p.yieldIf(m, func(s spare) bool {
+				return p.ready[s.model]-1 >= p.limits.Ahead && s.stays < p.limits.Least
+			})
+		}
+	}
+}
+
+// keeps is the demand for which a model keeps its copies.
+func (p *planner) keeps(m fleet.Model) float64 {
+	d := max(p.demand.Newest[m], p.demand.Steady[m])
+	if p.demand.Prone[m] {
+		d = max(d, p.limits.Least)
+	}
+	return d
+}
+
 // relieve gives further copies to the models with the most demand for each copy.
 func (p *planner) relieve() {
 	for p.moving < p.limits.Swaps {
@@ -171,7 +209,7 @@
 	var best catalog.Model
 	most := 0.0
 	for _, m := range p.engine.Models {
-		d := p.demand[m.Name]
+		d := p.demand.Newest[m.Name]
 		n := p.copies[m.Name]
 		if n == 0 || n >= len(p.endpoints) || d < p.limits.Least*float64(n) {
 			continue
@@ -227,7 +265,7 @@
 		if !ok || len(m.Adapters) == 0 || p.copies[name] == 0 {
 			continue
 		}
-		sum += max(p.demand[name], p.steady[name], p.limits.Least) / float64(max(1, p.ready[name]))
+		sum += max(p.demand.Newest[name], p.demand.Steady[name], p.limits.Least) / float64(max(1, p.ready[name]))
 	}
 	return sum
 }
@@ -262,17 +300,24 @@
 // keeps the least demand for each copy that stays. With a gain above 0, only if
 // the model's own demand is that many times larger.
 func (p *planner) yield(m *catalog.Model, gain float64) bool {
+	return p.yieldIf(m, func(s spare) bool {
+		return gain == 0 || !s.young && p.demand.Newest[m.Name]/float64(p.copies[m.Name]) >= gain*s.stays
+	})
+}
+
+// yieldIf takes away the spare copy that is missed least among those that may yield.
+func (p *planner) yieldIf(m *catalog.Model, may func(spare) bool) bool {
 	var best spare
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
 		if e.Busy || e.Reserved != "" || len(e.Retiring) > 0 || slices.Contains(e.Holds, m.Name) {
 			continue
 		}
-		if s := p.spareAt(e, m, gain); s.at != nil && (best.at == nil || s.before(best)) {
+		if s := p.spareAt(e, m, may); s.at != nil && (best.at == nil || s.before(best)) {
 			best = s
 		}
 	}
-	if best.at == nil || gain > 0 && p.demand[m.Name]/float64(p.copies[m.Name]) < gain*best.stays {
+	if best.at == nil {
 		return false
 	}
 	if !best.atHand {
@@ -288,7 +333,7 @@
 }
 
 // spareAt returns the copy at an endpoint that could yield with the least harm, if any.
-func (p *planner) spareAt(e *Endpoint, m *catalog.Model, gain float64) spare {
+func (p *planner) spareAt(e *Endpoint, m *catalog.Model, may func(spare) bool) spare {
 	var best spare
 	atHand := slices.Contains(e.AtHand, m.Name)
 	if !atHand && p.limits.Cold <= 0 {
@@ -296,12 +341,14 @@
 	}
 	blocks := p.blocks(e)
 	for _, name := range e.Holds {
-		if p.ready[name] < 2 || gain > 0 && slices.Contains(e.Young, name) {
+		if p.ready[name] < 2 {
 			continue
 		}
-		stays := max(p.demand[name], p.steady[name]) / float64(p.ready[name]-1)
-		s := spare{at: e, model: name, stays: stays, blocks: blocks, atHand: atHand}
-		if best.at == nil || s.before(best) {
+		s := spare{
+			at: e, model: name, stays: p.keeps(name) / float64(p.ready[name]-1),
+			blocks: blocks, atHand: atHand, young: slices.Contains(e.Young, name),
+		}
+		if may(s) && (best.at == nil || s.before(best)) {
 			best = s
 		}
 	}
@@ -318,6 +365,8 @@
 	blocks float64
 	// atHand is set where the model that needs the room loads fast.
 	atHand bool
+	// young is set for a copy that was loaded lately.
+	young bool
 }
 
 // harm is what is lost if the copy yields. A load from the weight store holds up
--- a/internal/core/copies/plan_test.go
+++ b/internal/core/copies/plan_test.go
@@ -23,7 +23,7 @@
 	return copies.Endpoint{ID: id, Holds: models}
 }
 
-var limits = copies.Limits{Cold: 4, Swaps: 4, Gain: 2, Least: 100}
+var limits = copies.Limits{Cold: 4, Swaps: 4, Gain: 2, Least: 100, Ahead: 2}
 
 func TestPlan(t *testing.T) {
 	lent := limits
@@ -40,6 +40,7 @@
 		endpoints []copies.Endpoint
 		demand    map[fleet.Model]float64
 		steady    map[fleet.Model]float64
+		prone     map[fleet.Model]bool
 		limits    copies.Limits
 		want      []copies.Move
 	}{
@@ -93,10 +94,38 @@
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "d")},
 			want:      []copies.Move{{Endpoint: "q", Model: "a", Cold: true}},
 		},
+		{
+			name: "a prone model gets a copy ahead of demand from one with more than it needs", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d"), holds("r", "b", "c", "d")},
+			prone:     map[fleet.Model]bool{"a": true, "c": true},
+			want:      []copies.Move{{Endpoint: "q", Model: "b", Unload: true, For: "a"}},
+		},
+		{
+			name: "but not if that is in demand", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d"), holds("r", "b", "c", "d")},
+			prone:     map[fleet.Model]bool{"a": true, "c": true},
+			demand:    map[fleet.Model]float64{"b": 300, "c": 300},
+		},
+		{
+			name: "nor if it would keep too few itself", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d")},
+			prone:     map[fleet.Model]bool{"a": true},
+		},
+		{
+			name: "nor with the last loads that the weight store allows", engine: engine("a", "b", "c", "d"), limits: copies.Limits{Cold: 0, Swaps: 4, Gain: 2, Least: 100, Ahead: 2},
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d"), holds("r", "b", "c", "d")},
+			prone:     map[fleet.Model]bool{"a": true},
+		},
+		{
+			name: "a prone model yields only to far more demand", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "c", "b", "d")},
+			demand:    map[fleet.Model]float64{"a": 150, "b": 9000},
+			prone:     map[fleet.Model]bool{"c": true},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			assert.Equal(t, tt.want, copies.Plan(tt.engine, tt.endpoints, tt.demand, tt.steady, tt.limits))
+			assert.Equal(t, tt.want, copies.Plan(tt.engine, tt.endpoints, copies.Demand{Newest: tt.demand, Steady: tt.steady, Prone: tt.prone}, tt.limits))
 		})
 	}
 }
@@ -119,6 +148,7 @@
 			endpoints = append(endpoints, p)
 		}
 		demand := rapid.MapOf(model, rapid.Float64Range(0, 1e5)).Draw(t, "demand")
+		prone := rapid.MapOf(model, rapid.Bool()).Draw(t, "prone")
 		count := make(map[fleet.Model]int)
 		room := make(map[fleet.Endpoint]int)
 		for _, p := range endpoints {
@@ -129,7 +159,7 @@
 		}
 		seen := make(map[fleet.Endpoint]bool)
 		cold := 0
-		for _, m := range copies.Plan(e, endpoints, demand, demand, limits) {
+		for _, m := range copies.Plan(e, endpoints, copies.Demand{Newest: demand, Steady: demand, Prone: prone}, limits) {
 			if seen[m.Endpoint] {
 				t.Fatalf("two orders for %s", m.Endpoint)
 			}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -97,7 +97,7 @@
 	}
 	n.right = newRight(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+apartMargin), c, logger)
 	n.loader = loader.New(platform.NewHolder(n.endpoints, c.Instance.Name), n.right, n.state, clock.Now, loader.Limits{
-		Window: c.Orders.Window, Over: c.Orders.Over, Swaps: swaps, Gain: swapGain, Least: swapLeast,
+		Window: c.Orders.Window, Over: c.Orders.Over, Swaps: swaps, Gain: swapGain, Least: swapLeast, Ahead: swapAhead,
 	}, loader.WithLogger(logger))
 	n.gateway = gateway.New(place, platform.Callers{}, n.endpoints, routes{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers))
@@ -110,6 +110,9 @@
 	swaps     = 6
 	swapGain  = 2.0
 	swapLeast = 3000.0 // tokens a second, about a twelfth of what an endpoint reads
+	// swapAhead is how many copies serve a model whose demand jumps until a load from
+	// the weight store is done: as many as a model in demand uses.
+	swapAhead = 3
 )
 
 // Run serves until the context ends, then shuts down gracefully.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -132,6 +132,8 @@
 	cold  []time.Time
 	fence fleet.Fence
 	began time.Time
+	// proven are models that were in demand.
+	proven map[fleet.Model]bool
 }
 
 // Limits are the site's.
@@ -140,10 +142,12 @@
 	// the factor by which their rate may be exceeded in it.
 	Window time.Duration
 	Over   float64
-	// Swaps, Gain and Least bound moves that follow demand; see copies.Limits.
+	// Swaps, Gain and Least bound moves that follow demand, Ahead those that go before
+	// it; see copies.Limits.
 	Swaps int
 	Gain  float64
 	Least float64
+	Ahead int
 }
 
 // Option changes a Loader under construction.
@@ -156,7 +160,7 @@
 func New(endpoints Endpoints, right Right, site Site, clock func() time.Time, limits Limits, opts ...Option) *Loader {
 	l := &Loader{
 		endpoints: endpoints, right: right, site: site, clock: clock, limits: limits,
-		logger: log.NewNopLogger(), desks: make(map[fleet.Endpoint]*desk),
+		logger: log.NewNopLogger(), desks: make(map[fleet.Endpoint]*desk), proven: make(map[fleet.Model]bool),
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -36,9 +36,12 @@
 	}
 	_ = following.Wait() // what failed is looked at again in the next step
 	demand, steady, _ := l.site.Demand()
-	limits := copies.Limits{Cold: l.allowed(now, g.Engine, plan), Swaps: l.limits.Swaps, Gain: l.limits.Gain, Least: l.limits.Least}
+	limits := copies.Limits{
+		Cold: l.allowed(now, g.Engine, plan), Swaps: l.limits.Swaps, Gain: l.limits.Gain, Least: l.limits.Least, Ahead: l.limits.Ahead,
+	}
+	asked := copies.Demand{Newest: demand, Steady: steady, Prone: l.prone(g.Engine, demand)}
 	var group errgroup.Group
-	for _, m := range copies.Plan(g.Engine, plan, demand, steady, limits) {
+	for _, m := range copies.Plan(g.Engine, plan, asked, limits) {
 		group.Go(func() error {
 			l.move(ctx, now, byID[m.Endpoint], m)
 			return nil
@@ -47,6 +50,22 @@
 	_ = group.Wait() // a move that wasn't made is planned again
 }
 
+// prone returns the models whose demand may rise within seconds: those with adapters,
+// which serve callers that wait, and those that were in demand before.
+func (l *Loader) prone(engine *catalog.Engine, demand map[fleet.Model]float64) map[fleet.Model]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make(map[fleet.Model]bool)
+	for i := range engine.Models {
+		m := &engine.Models[i]
+		if demand[m.Name] >= l.limits.Least {
+			l.proven[m.Name] = true
+		}
+		all[m.Name] = l.proven[m.Name] || len(m.Adapters) > 0
+	}
+	return all
+}
+
 // follow compares what was ordered with the endpoint's reports.
 func (l *Loader) follow(ctx context.Context, now time.Time, d *desk, c *Candidate) {
 	if d.model != "" && (d.unload || now.Sub(d.since) > reportLag) && now.Sub(c.Report.Taken) > reportFresh {
