perf: demand weighed by a model's pace, further copies from a third of an endpoint's work on

Cause: models differ by a factor of four in the time for a token, and demand was counted in tokens. The threshold for a further copy was a twelfth of what an endpoint reads, so that models were moved all the time: three copies loaded at 1 s were unloaded at 7 s. A new model's pace took 20 answers at each instance to be known; until then a fast one looked as if it made others wait.

Change: demand counts by the pace that was measured; the first answers count more for it; a further copy from 12,000 tokens a second on each.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -134,6 +134,21 @@
 	assert.InEpsilon(t, float64(first.Reading)/3, float64(c.Reading), 0.1)
 }
 
+// A model that is new in demand is known after a few answers: until then a fast one
+// looks as if it made others wait.
+func TestPaceIsLearnedWithinAFewAnswers(t *testing.T) {
+	b := balance.NewBoard()
+	e := []*roster.Endpoint{endpoint("p", "a")}
+	first, _ := b.Choose(start, ask(0, ""), engine, e, regions)
+	for range 3 {
+		c, _ := b.Choose(start, ask(0, ""), engine, e, regions)
+		b.Measured("m", c.Reading, first.Reading/3)
+	}
+	assert.InEpsilon(t, 1.0/3, b.Pace("m"), 0.1)
+	b.Measured("m", first.Reading, first.Reading) // one that stands out
+	assert.Less(t, b.Pace("m"), 0.55)
+}
+
 func TestPatience(t *testing.T) {
 	assert.Equal(t, 1200*time.Millisecond, balance.Patience(ask(0, "")))
 	a := ask(0, "")
--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -108,6 +108,7 @@
 	own    map[fleet.Endpoint]Load
 	uses   map[Use]int
 	paces  map[fleet.Model]float64
+	told   map[fleet.Model]int // answers that told a model's pace
 	others map[fleet.Instance]news
 	seen   map[fleet.Endpoint]*prompts
 }
@@ -132,6 +133,7 @@
 		own:    make(map[fleet.Endpoint]Load),
 		uses:   make(map[Use]int),
 		paces:  make(map[fleet.Model]float64),
+		told:   make(map[fleet.Model]int),
 		others: make(map[fleet.Instance]news),
 		seen:   make(map[fleet.Endpoint]*prompts),
 	}
@@ -157,11 +159,11 @@
 
 // reading is the time that a model takes to read prompt tokens.
 func (b *Board) reading(a *Ask, tokens int) time.Duration {
-	return time.Duration(float64(tokens) * float64(b.costs.Token) * b.pace(a.Model))
+	return time.Duration(float64(tokens) * float64(b.costs.Token) * b.Pace(a.Model))
 }
 
-// pace is a model's time for a prompt token as a part of the cost that is set.
-func (b *Board) pace(m fleet.Model) float64 {
+// Pace is a model's time for a prompt token as a part of the cost that is set.
+func (b *Board) Pace(m fleet.Model) float64 {
 	if p, ok := b.paces[m]; ok {
 		return p
 	}
@@ -169,7 +171,7 @@
 }
 
 const (
-	// paceShare is the weight of one answer in a model's pace.
+	// paceShare is the weight of one answer in a model's pace; the first few count more.
 	paceShare = 0.05
 	// leastPace and mostPace bound it: models of one size differ by some factor.
 	leastPace, mostPace = 0.15, 2.0
@@ -183,9 +185,10 @@
 	if m == "" || predicted < leastTold {
 		return
 	}
-	p := b.pace(m)
+	p := b.Pace(m)
 	seen := p * min(max(float64(took)/float64(predicted), 0.25), 4)
-	b.paces[m] = min(max(p+(seen-p)*paceShare, leastPace), mostPace)
+	b.told[m]++
+	b.paces[m] = min(max(p+(seen-p)*max(paceShare, 1/float64(b.told[m])), leastPace), mostPace)
 }
 
 // Ended notes the end of a request.
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -230,7 +230,7 @@
 	if a.Model == "" {
 		return
 	}
-	work := s.usual(a)
+	work := s.usual(a) * s.board.Pace(a.Model)
 	s.want(now, roster.Adapter{Model: a.Model}, work)
 	if a.Adapter != "" {
 		s.want(now, roster.Adapter{Model: a.Model, Adapter: a.Adapter}, work)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -109,7 +109,7 @@
 	// orders, a load and what the endpoint had read for the model that yields.
 	swaps     = 6
 	swapGain  = 2.0
-	swapLeast = 3000.0 // tokens a second, about a twelfth of what an endpoint reads
+	swapLeast = 12000.0 // tokens a second of a model with pace 1, about a third of what an endpoint reads
 	// swapAhead is how many copies serve a model whose demand jumps until a load from
 	// the weight store is done: as many as a model in demand uses.
 	swapAhead = 3
