perf: a request that is predicted to come after its target is refused

Cause: with waits of up to 1.5 targets allowed, endpoints in a flood were kept full of work that came late, and each further request waited behind it.

Ruled out: that this only moves late answers to refusals.

Change: the longest predicted wait is the target itself.

--- a/internal/core/balance/board.go
+++ b/internal/core/balance/board.go
@@ -267,16 +267,13 @@
 	Wait, Reading time.Duration
 }
 
-// patience is how many times its target a request may be predicted to wait. With
+// Patience is the longest predicted wait with which a request is sent: its target. With
 // more, a lasting flood makes all answers late, and callers leave before theirs.
-const patience = 1.5
-
-// Patience is the longest predicted wait with which a request is sent.
 func Patience(a *Ask) time.Duration {
 	if a.Model == "" || a.Target <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration(patience * float64(a.Target))
+	return a.Target
 }
 
 // Lack says why no endpoint was chosen.
