feat: requests with which three endpoints died are refused on the gateway's path

Ruled out: convicting after the second death, as the other path does. There one dispatcher knows all that runs at an endpoint; here each instance knows its own requests only, and would convict those that ran beside the killer. Counting broken connections alone: they break for other reasons too.

Change: a run that broke off is kept until its endpoint is known to be gone or has lived on for 15 s; a death counts for all runs that broke off there; beats tell deaths for 3 s; after three without an answer between, the request gets 400 and reaches no endpoint. It is known by method, host, path and body, so that each caller's attempt counts.

The tests failed before: the killer reached a fourth endpoint at each instance.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -153,7 +153,7 @@
 	b := &gossip.Beat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readiness() == nil, Store: s.reaches(), Roster: s.newest,
 		Loads: s.board.Own(), Uses: s.board.Uses(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
-		Rumours: s.view.Rumours(),
+		Rumours: s.view.Rumours(), Crashes: s.crashes.News(now, now.Add(-deathNews), deathsTold),
 	}
 	if s.catalog != nil {
 		b.Catalog = s.catalog.Version
@@ -206,6 +206,7 @@
 	for _, f := range b.Failed {
 		s.roster.Failed(now, f.Endpoint, f.Born)
 	}
+	s.crashes.Merge(now, b.Crashes)
 	for _, r := range b.Retiring {
 		s.roster.Retiring(now, r.Endpoint, r.Model)
 	}
@@ -265,6 +266,7 @@
 		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not back")
 		s.retired = append(s.retired, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
 	}
+	s.bury(now)
 	for name, p := range s.peers {
 		if now.Sub(p.at) > loadsKept {
 			s.board.Forget(name)
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
@@ -70,6 +71,8 @@
 	works   map[int]float64 // usual work of a request, by level
 	fresh   []gossip.Report
 	failed  map[fleet.Endpoint]gossip.Incarnation
+	broken  map[gossip.Incarnation]broken
+	crashes *suspect.Book
 	retired []gossip.Incarnation
 	leaving bool
 	orders  bool
@@ -99,6 +102,7 @@
 		peers:  make(map[fleet.Instance]*peer),
 		demand: make(map[roster.Adapter]*meters), works: make(map[int]float64),
 		failed: make(map[fleet.Endpoint]gossip.Incarnation),
+		broken: make(map[gossip.Incarnation]broken), crashes: suspect.New(),
 	}
 }
 
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -12,6 +12,8 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/loader"
 )
@@ -78,6 +80,56 @@
 	}
 }
 
+// A request with which three endpoints died is refused by every instance, whoever saw
+// the deaths; connections that break while their endpoint lives count for nothing, and
+// an answer clears a request.
+func TestRequestsThatKillEndpoints(t *testing.T) {
+	w := &world{}
+	one, two := newTestState(w), newTestState(w)
+	const killer, beside, unlucky = suspect.Fingerprint(1), suspect.Fingerprint(2), suspect.Fingerprint(3)
+	revision := int64(1)
+	dies := func(s *state, id fleet.Endpoint, runs ...suspect.Fingerprint) {
+		for _, r := range []roster.Record{
+			{ID: id, Entry: roster.Entry{ID: id, Service: "s", Born: 5}},
+			{ID: id, Removed: true},
+		} {
+			revision++
+			r.Revision, r.Entry.Revision = revision, revision
+			s.takeRecords([]roster.Record{r}, revision, false)
+			for _, f := range runs {
+				if !r.Removed {
+					s.Broke(gateway.Target{ID: id, Born: 5}, f)
+				}
+			}
+			s.tidy()
+		}
+	}
+	told := func(from, to *state) {
+		_, b := from.beat()
+		b.Peer.Instance = "other"
+		to.hear(b)
+	}
+	dies(one, "a", killer, beside)
+	dies(one, "b", killer)
+	for range 5 {
+		one.Broke(gateway.Target{ID: "p"}, unlucky) // p lives on
+	}
+	assert.False(t, one.Lethal(killer))
+	dies(two, "c", killer, beside)
+	told(two, one)
+	told(one, two)
+	for _, s := range []*state{one, two} {
+		assert.True(t, s.Lethal(killer))
+		assert.False(t, s.Lethal(beside))
+		assert.False(t, s.Lethal(unlucky))
+	}
+	one.Proved(beside)
+	dies(one, "d", unlucky)
+	dies(one, "e", unlucky)
+	one.Proved(unlucky)
+	assert.False(t, one.Lethal(unlucky))
+}
+
 // A peer that is ahead is asked; one that fell silent is not named to callers.
 func TestPeersNews(t *testing.T) {
 	w := &world{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 	j := &job{
 		gateway: g, request: request, route: route, version: version, arrived: arrived,
 		service: route.Service(g.draw()), caller: w, control: http.NewResponseController(w), after: request.After,
+		print: request.Fingerprint(),
 	}
 	j.ask = balance.Ask{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/platform"
@@ -34,6 +35,9 @@
 
 	mu                            sync.Mutex
 	open, answered, failed, asked int
+	broke                         []suspect.Fingerprint
+	proved                        []suspect.Fingerprint
+	lethal                        bool
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -78,6 +82,20 @@
 	f.failed++
 }
 
+func (f *fakeFleet) Broke(_ gateway.Target, p suspect.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broke = append(f.broke, p)
+}
+
+func (f *fakeFleet) Proved(p suspect.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proved = append(f.proved, p)
+}
+
+func (f *fakeFleet) Lethal(suspect.Fingerprint) bool { return f.lethal }
+
 func (f *fakeFleet) Elsewhere(a *balance.Ask) bool { return len(a.Exclude) < len(f.runners) }
 
 func (f *fakeFleet) Gone(gateway.Target) {}
@@ -260,6 +278,30 @@
 	assert.Zero(t, f.runs())
 }
 
+// What breaks off is noted by what was asked, not by the caller's attempt, and a request
+// with which endpoints died reaches no other.
+func TestRequestsThatCrashEndpoints(t *testing.T) {
+	f := newFleet(t, catalog.KindSafe, standin.BehaviourLost, standin.BehaviourNone)
+	url := serve(t, f)
+	for _, id := range []string{"r1", "r2"} {
+		_, err := send(t, url, http.MethodPost, map[string]string{"Request-Id": id}, "body")
+		require.NoError(t, err)
+	}
+	_, err := send(t, url, http.MethodPost, nil, "another body")
+	require.NoError(t, err)
+	require.Len(t, f.broke, 3)
+	assert.Equal(t, f.broke[0], f.broke[1])
+	assert.NotEqual(t, f.broke[0], f.broke[2])
+	assert.Equal(t, f.broke, f.proved, "each was answered by the second endpoint")
+	runs := f.runs()
+	f.lethal = true
+	answer, err := send(t, url, http.MethodPost, nil, "body")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadRequest, answer.status)
+	assert.Equal(t, runs, f.runs())
+	assert.Empty(t, answer.header.Get("Retry-After"))
+}
+
 func TestACallerThatLeavesEndsItsRun(t *testing.T) {
 	f := newFleet(t, catalog.KindStream, standin.BehaviourMute)
 	url := serve(t, f)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 )
 
 const (
@@ -52,6 +53,9 @@
 	caller  http.ResponseWriter
 	control *http.ResponseController
 
+	// print stands for the request whatever its attempt.
+	print suspect.Fingerprint
+
 	target   Target
 	tries    int // endpoints chosen
 	sent     int // endpoints that the request was sent to
@@ -72,6 +76,10 @@
 // run sends the request until the caller has an answer.
 func (j *job) run(ctx context.Context) {
 	for {
+		if j.gateway.fleet.Lethal(j.print) {
+			j.giveUp(ctx, ErrLethal)
+			return
+		}
 		target, err := j.gateway.fleet.Choose(&j.ask)
 		if err != nil {
 			j.wait = target.Wait
@@ -86,6 +94,9 @@
 			j.failure = fmt.Errorf("endpoint %s: %w", target.ID, err)
 		}
 		if result == outcomeDone {
+			if err == nil {
+				j.gateway.fleet.Proved(j.print)
+			}
 			return
 		}
 		j.ask.Exclude = append(j.ask.Exclude, target.ID)
@@ -185,10 +196,10 @@
 }
 
 // whole holds an answer until its last byte, so that a broken one is never passed on.
-func (j *job) whole(_ context.Context, answer *Answer) (outcome, error) {
+func (j *job) whole(ctx context.Context, answer *Answer) (outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, mostWhole))
 	if err != nil {
-		j.gateway.fleet.Failed(j.target)
+		j.blame(ctx)
 		return outcomeUnknown, fmt.Errorf("answer broke off: %w", err)
 	}
 	j.heard()
@@ -218,7 +229,11 @@
 // blame notes an endpoint that broke off or fell silent, unless the caller left or
 // its time was over.
 func (j *job) blame(ctx context.Context) {
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+	switch {
+	case ctx.Err() == nil:
+		j.gateway.fleet.Failed(j.target)
+		j.gateway.fleet.Broke(j.target, j.print)
+	case errors.Is(context.Cause(ctx), errSilent):
 		j.gateway.fleet.Failed(j.target)
 	}
 }
@@ -304,6 +319,8 @@
 	}
 	refusal := Refusal{Status: http.StatusServiceUnavailable, RetryAfter: j.comeBack(), Request: j.request.ID}
 	switch {
+	case errors.Is(err, ErrLethal) && !j.mayRun:
+		refusal.Status, refusal.RetryAfter = http.StatusBadRequest, 0
 	case j.mayRun && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refusal.Status, refusal.RetryAfter = http.StatusGatewayTimeout, 0
 	case j.mayRun:
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -9,9 +9,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 )
 
 // Errors of a request and its attempts.
@@ -31,6 +34,8 @@
 	// ErrNoEndpoint: no endpoint of the service serves the request's model, or any that
 	// does was tried.
 	ErrNoEndpoint = errors.New("no endpoint can take the request")
+	// ErrLethal: endpoints died while they ran the request.
+	ErrLethal = errors.New("endpoints have crashed while they ran this request")
 	// ErrNoAdapter: endpoints have the model, and can't be given the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can be given the adapter now")
 )
@@ -55,6 +60,14 @@
 	After string
 }
 
+// Fingerprint is the same for all attempts of callers at the same request.
+func (r *Request) Fingerprint() suspect.Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(r.Method + " " + r.Host + r.Target + "\n")
+	_, _ = d.Write(r.Body)
+	return suspect.Fingerprint(d.Sum64())
+}
+
 // Attempt is one sending of a request.
 type Attempt struct {
 	Request  *Request
@@ -140,6 +153,11 @@
 	// Failed notes an attempt without an answer, Gone that the endpoint isn't there any more.
 	Failed(t Target)
 	Gone(t Target)
+	// Broke notes that an endpoint broke off while it ran a request, Proved that one was
+	// answered whole. Lethal reports whether endpoints died with it, so that none may get it.
+	Broke(t Target, f suspect.Fingerprint)
+	Proved(f suspect.Fingerprint)
+	Lethal(f suspect.Fingerprint) bool
 	// Asked counts a request, Again asks whether one may be sent once more.
 	Asked(a *balance.Ask)
 	Again(s catalog.Service) bool
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 )
 
 // Beat is what an instance tells the others now and then.
@@ -40,6 +41,8 @@
 	Rumours []member.Rumour `cbor:"u"`
 	// Retiring are models about to be unloaded: nothing more goes there for them.
 	Retiring []Retirement `cbor:"t"`
+	// Crashes are requests with which endpoints died lately.
+	Crashes []suspect.Suspect `cbor:"v"`
 }
 
 // Retirement is the end of a copy of a model.
