fix: an instance that was started again doesn't use its share of the retry budget twice

Cause: shares are kept in memory. An instance that is killed after it has used its share of the fixed allowance has a whole one after its start, within the same window, and it takes itself for the only instance until it hears of others.

Ruled out: asking the others, or the store, before a repeat: the budget is to hold without either. Counting parts of an instance's own requests isn't affected.

Change: for a window after its start an instance leaves the fixed allowance alone.

Conclusion: the sum holds over restarts.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -214,6 +214,20 @@
 	assert.False(t, b.Take(start.Add(60*time.Second), "s"), "a share never grows as others fall silent")
 }
 
+// An instance that is started again doesn't use its share of the fixed allowance twice.
+func TestARestartGivesNoFurtherShare(t *testing.T) {
+	const window = 10 * time.Second
+	b := balance.NewBudget(0.2, 10, window, balance.WithStart(start))
+	assert.False(t, b.Take(start, "s"))
+	for range 50 {
+		b.Asked(start, "s")
+	}
+	assert.True(t, b.Take(start, "s"), "a part of its own requests may be repeated")
+	b = balance.NewBudget(0.2, 10, window, balance.WithStart(start))
+	assert.False(t, b.Take(start.Add(window-time.Millisecond), "s"))
+	assert.True(t, b.Take(start.Add(window), "s"))
+}
+
 func TestMeterForgets(t *testing.T) {
 	m := balance.NewMeter(2 * time.Second)
 	for i := range 200 {
--- a/internal/core/balance/budget.go
+++ b/internal/core/balance/budget.go
@@ -1,6 +1,10 @@
 package balance
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -23,7 +27,19 @@
 	extra   float64
 	window  time.Duration
 	members int
-	counts  map[catalog.Service]*counts
+	// fixed is from when the share of the fixed allowance may be used.
+	fixed  time.Time
+	counts map[catalog.Service]*counts
+}
+
+// BudgetOption changes a Budget under construction.
+type BudgetOption func(*Budget)
+
+// WithStart sets when the instance started. For a window after it, the fixed allowance
+// isn't used: the instance may have used its share before it was started again, and
+// may not know yet how many share it.
+func WithStart(now time.Time) BudgetOption {
+	return func(b *Budget) { b.fixed = now.Add(b.window) }
 }
 
 type counts struct {
@@ -34,8 +50,34 @@
 
 // NewBudget returns a budget that allows ratio times the requests of a window,
 // and extra further ones over all instances.
-func NewBudget(ratio, extra float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio, extra: extra, window: window, members: 1, counts: make(map[catalog.Service]*counts)}
+func NewBudget(ratio, extra float64, window time.Duration, opts ...BudgetOption) *Budget {
+	b := &Budget{ratio: ratio, extra: extra, window: window, members: 1, counts: make(map[catalog.Service]*counts)}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Clone returns a copy that later calls don't change.
+func (b *Budget) Clone() *Budget {
+	c := *b
+	c.counts = make(map[catalog.Service]*counts, len(b.counts))
+	for s, n := range b.counts {
+		kept := *n
+		c.counts[s] = &kept
+	}
+	return &c
+}
+
+// Print returns a text that is the same for two budgets exactly if they behave alike.
+func (b *Budget) Print() string {
+	var text strings.Builder
+	fmt.Fprint(&text, b.ratio, b.extra, b.window, b.members, b.fixed.UnixNano())
+	for _, s := range slices.Sorted(maps.Keys(b.counts)) {
+		c := b.counts[s]
+		fmt.Fprint(&text, s, c.at.UnixNano(), c.asked, c.repeated)
+	}
+	return text.String()
 }
 
 // Bound changes what is allowed.
@@ -56,7 +98,11 @@
 		asked += c.asked[i]
 		repeated += c.repeated[i]
 	}
-	if float64(repeated+1) > caution*(b.ratio*float64(asked)+b.extra/float64(b.members)) {
+	fixed := b.extra / float64(b.members)
+	if now.Before(b.fixed) {
+		fixed = 0
+	}
+	if float64(repeated+1) > caution*(b.ratio*float64(asked)+fixed) {
 		return false
 	}
 	c.repeated[0]++
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -86,7 +86,7 @@
 	for dataCentre, region := range c.Regions() {
 		regions[fleet.DataCentre(dataCentre)] = fleet.Region(region)
 	}
-	budget := balance.NewBudget(c.Retry.Share, float64(c.Retry.Extra), c.Retry.Window)
+	budget := balance.NewBudget(c.Retry.Share, float64(c.Retry.Extra), c.Retry.Window, balance.WithStart(time.Now()))
 	n := &Node{
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timer.New(clock), clock: clock.Now,
