fix: a machine that claimed the right to order and started again waits for the holder before

The key that outlives the lease named whoever claimed the right last. A machine that claimed it after another, was killed before it had waited 3.2 s, and claimed again, found its own name and ordered at once, less than the 3 s after the other's last order that must lie between.

Ruled out: more margin or a longer lease; the claim itself is the fault.

Change: a claim after another machine's writes a record that names nobody; the machine puts its name there, guarded by the record's revision, once it has waited. The model drives `tenure.Tenure` and `tenure.Alone` with freezes, restarts, lost and late writes at each step.

One more store call for each takeover.

Conclusion: mended, test without the model too.

--- a/internal/core/tenure/tenure.go
+++ b/internal/core/tenure/tenure.go
@@ -11,6 +11,23 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
+// unsettled is the record while a holder still waits for the one before it. If the new
+// one were on record already and started again, it would go on at once.
+const unsettled = "*"
+
+// Alone reports whether nobody but this machine can have ordered before: it is the last
+// holder on record, or there is none. The record has no lease.
+func Alone(last, self string) bool { return last == "" || last == self }
+
+// Record is what a machine writes as the last holder together with its claim. One that
+// isn't alone writes its own name once it may order.
+func Record(alone bool, self string) string {
+	if alone {
+		return self
+	}
+	return unsettled
+}
+
 // Tenure is this instance's right to give orders. It is not safe for concurrent use.
 type Tenure struct {
 	ttl    time.Duration
@@ -56,5 +73,12 @@
 // holder before can't have ordered within the time that keeps holders apart.
 func (t *Tenure) Orders(now time.Duration) bool { return t.Held(now) && now >= t.from }
 
+// Until returns when the lease may end at the earliest, From when the holder before can
+// no longer have ordered.
+func (t *Tenure) Until() time.Duration { return t.until }
+
+// From is documented at Until.
+func (t *Tenure) From() time.Duration { return t.from }
+
 // Fence returns the fencing number, 0 when not held.
 func (t *Tenure) Fence() fleet.Fence { return t.fence }
--- a/internal/direct/right.go
+++ b/internal/direct/right.go
@@ -36,6 +36,7 @@
 	mu     sync.Mutex
 	tenure *tenure.Tenure
 	lease  int64
+	record int64         // revision of the last holder's key, 0 once it names this machine
 	since  time.Duration // since when nobody is heard to hold it
 	tried  time.Duration // when this instance last tried for it, 0 before the first time
 	closed bool
@@ -75,7 +76,11 @@
 func (r *right) keep(ctx context.Context, s *state) {
 	r.mu.Lock()
 	lease, closed, held := r.lease, r.closed, r.tenure.Held(uptime())
+	record, orders := r.record, r.tenure.Orders(uptime())
 	r.mu.Unlock()
+	if !closed && orders && record != 0 {
+		r.settle(ctx, record)
+	}
 	switch {
 	case closed:
 	case lease != 0:
@@ -127,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.call)
 	defer cancel()
 	asked := uptime()
-	lease, fence, before, err := r.claim(ctx)
+	lease, fence, alone, err := r.claim(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed || err != nil {
@@ -135,14 +140,31 @@
 		_ = r.logger.Log("step", "right refused", "err", err)
 		return
 	}
-	r.lease = lease
-	r.tenure.Acquired(uptime(), asked, fence, before)
-	_ = r.logger.Log("step", "right acquired", "fence", fence, "before", before)
+	r.lease, r.record = lease, 0
+	if !alone {
+		r.record = int64(fence)
+	}
+	r.tenure.Acquired(uptime(), asked, fence, alone)
+	_ = r.logger.Log("step", "right acquired", "fence", fence, "alone", alone)
+}
+
+// settle puts this machine on record as the last holder, now that it has waited for the
+// one before.
+func (r *right) settle(ctx context.Context, record int64) {
+	ctx, cancel := context.WithTimeout(ctx, r.call)
+	defer cancel()
+	_, err := r.store.Put(ctx, platform.Write{Key: lastKey, Value: []byte(r.name), Guard: record})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.record == record && (err == nil || errors.Is(err, platform.ErrConflict)) {
+		r.record = 0 // a write whose answer was lost, or another holder's
+	}
+	_ = r.logger.Log("step", "right settled", "err", err)
 }
 
 // claim writes the holder's key unless another machine's lease on it runs. It tells
-// whether this machine was the last holder: one key outlives the lease for that.
-func (r *right) claim(ctx context.Context) (lease int64, fence fleet.Fence, before bool, err error) {
+// whether no other machine can have ordered lately: one key outlives the lease for that.
+func (r *right) claim(ctx context.Context) (lease int64, fence fleet.Fence, alone bool, err error) {
 	holder, err := r.read(ctx, holderKey)
 	if err != nil {
 		return 0, 0, false, err
@@ -161,11 +183,11 @@
 	if err != nil {
 		return 0, 0, false, err
 	}
+	alone = tenure.Alone(string(last.Value), r.name)
 	revision, err := r.store.Put(ctx,
 		platform.Write{Key: holderKey, Value: []byte(r.name), Lease: lease, Guard: holder.Revision},
-		platform.Write{Key: lastKey, Value: []byte(r.name), Guard: last.Revision})
-	// Where no last holder is on record nobody has ever ordered: the key has no lease.
-	return lease, fleet.Fence(revision), last.Revision == 0 || string(last.Value) == r.name, err
+		platform.Write{Key: lastKey, Value: []byte(tenure.Record(alone, r.name)), Guard: last.Revision})
+	return lease, fleet.Fence(revision), alone, err
 }
 
 // read returns a key, its zero value if there is none.
--- a/internal/direct/right_test.go
+++ b/internal/direct/right_test.go
@@ -44,3 +44,30 @@
 	_, may = claims("two")
 	assert.False(t, may, "another machine has ordered before")
 }
+
+// A machine that claimed the right after another, and started again before it had waited
+// for that one, waits once more; after its wait it is the last holder on record.
+func TestAClaimIsNoRecordOfAHolder(t *testing.T) {
+	store := standin.NewStore(10)
+	t.Cleanup(store.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	start := func(name string, apart time.Duration) *right {
+		c := config.Gateway{}
+		c.Instance.Name, c.Listen.Peer = name, name+":1"
+		c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
+		r := newRight(platform.NewStore(store.Address()), tenure.New(time.Minute, time.Second, apart), c, log.NewNopLogger())
+		r.acquire(ctx)
+		return r
+	}
+	first := start("one", time.Minute)
+	first.release(ctx)
+	start("two", time.Minute)
+	again := start("two", time.Nanosecond)
+	require.NotZero(t, again.record, "it has not waited for the first")
+	again.keep(ctx, nil)
+	require.Zero(t, again.record)
+	third := start("two", time.Minute)
+	_, may := third.Orders()
+	assert.True(t, may, "it is the last holder")
+}
--- a/internal/explore/models/models.go
+++ b/internal/explore/models/models.go
@@ -33,7 +33,7 @@
 
 // All returns every model, by name.
 func All() []Model {
-	return []Model{claims(), document(), leaving(), memory(), repeats(), residence()}
+	return []Model{claims(), document(), leaving(), memory(), orders(), repeats(), residence()}
 }
 
 // Find returns a model by name.
