fix: models of endpoints that aren't listed yet don't pass for lost; busy copies don't yield to lost models

Cause: on a first start endpoints are listed one after the other, over two seconds.

Ruled out: the order in which endpoints' reports come; entries count since.

Change: nothing is planned for base models until the list has been known for 3 s, two heartbeats and the store's lag; a copy with twice the demand that calls for a further one yields to a lost model only if no other endpoint is busy now. Tests of both failed before.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -119,6 +119,14 @@
 	}
 }
 
+// overload is how many times the demand that calls for a further copy a copy must have
+// that doesn't yield even to a lost model, while another endpoint may soon be asked.
+const overload = 2
+
+func (p *planner) someBusy() bool {
+	return slices.ContainsFunc(p.endpoints, func(e Endpoint) bool { return e.Busy })
+}
+
 // restore gives each model without a copy one, those in demand first.
 func (p *planner) restore() {
 	lost := make([]catalog.Model, 0)
@@ -132,7 +140,7 @@
 		if p.load(&lost[i]) {
 			continue
 		}
-		p.yield(&lost[i], 0)
+		p.yieldIf(&lost[i], func(s spare) bool { return s.stays < overload*p.limits.Least || !p.someBusy() })
 	}
 }
 
@@ -296,12 +304,12 @@
 	return used + adapter*float64(p.engine.Adapters)
 }
 
-// yield takes away a spare copy to make room for a model: the one whose model
-// keeps the least demand for each copy that stays. With a gain above 0, only if
-// the model's own demand is that many times larger.
+// yield takes away a spare copy to make room for a model: the one whose model keeps the
+// least demand for each copy that stays, if the demand on each copy of the model itself
+// is gain times larger.
 func (p *planner) yield(m *catalog.Model, gain float64) bool {
 	return p.yieldIf(m, func(s spare) bool {
-		return gain == 0 || !s.young && p.demand.Newest[m.Name]/float64(p.copies[m.Name]) >= gain*s.stays
+		return !s.young && p.demand.Newest[m.Name]/float64(p.copies[m.Name]) >= gain*s.stays
 	})
 }
 
--- a/internal/core/copies/plan_test.go
+++ b/internal/core/copies/plan_test.go
@@ -32,6 +32,8 @@
 	near.AtHand = []fleet.Model{"a"}
 	busy := holds("p", "b")
 	busy.Busy = true
+	waits := holds("s", "b", "c", "d")
+	waits.Busy = true
 	adapters := engine("a", "b", "c", "d")
 	adapters.Models[0].Adapters = []fleet.Adapter{"a1"}
 	tests := []struct {
@@ -94,6 +96,17 @@
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "d")},
 			want:      []copies.Move{{Endpoint: "q", Model: "a", Cold: true}},
 		},
+		{
+			name: "a copy with too much to do doesn't yield to a lost model while others are busy", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "b", "c", "d"), waits},
+			demand:    map[fleet.Model]float64{"b": 900, "c": 900, "d": 900},
+		},
+		{
+			name: "but if none is", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "b", "c", "d"), holds("q", "b", "c", "d")},
+			demand:    map[fleet.Model]float64{"b": 900, "c": 800, "d": 900},
+			want:      []copies.Move{{Endpoint: "p", Model: "c", Unload: true, For: "a"}},
+		},
 		{
 			name: "a prone model gets a copy ahead of demand from one with more than it needs", engine: engine("a", "b", "c", "d"), limits: limits,
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d"), holds("r", "b", "c", "d")},
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -54,7 +54,9 @@
 	} else {
 		s.roster.Apply(now, records, revision)
 	}
-	s.listed = true
+	if !s.listed {
+		s.listed, s.listedAt = true, now
+	}
 	return leaves
 }
 
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -62,22 +62,24 @@
 	mu      sync.Mutex
 	catalog *catalog.Catalog
 	listed  bool // whether a list of endpoints is known
-	roster  *roster.Roster
-	board   *balance.Board
-	budget  *balance.Budget
-	view    *member.View
-	peers   map[fleet.Instance]*peer
-	demand  map[roster.Adapter]*meters
-	works   map[int]float64 // usual work of a request, by level
-	fresh   []gossip.Report
-	failed  map[fleet.Endpoint]gossip.Incarnation
-	broken  map[gossip.Incarnation]broken
-	crashes *suspect.Book
-	retired []gossip.Incarnation
-	leaving bool
-	orders  bool
-	fence   fleet.Fence
-	retire  []retirement
+	// listedAt is since when.
+	listedAt time.Time
+	roster   *roster.Roster
+	board    *balance.Board
+	budget   *balance.Budget
+	view     *member.View
+	peers    map[fleet.Instance]*peer
+	demand   map[roster.Adapter]*meters
+	works    map[int]float64 // usual work of a request, by level
+	fresh    []gossip.Report
+	failed   map[fleet.Endpoint]gossip.Incarnation
+	broken   map[gossip.Incarnation]broken
+	crashes  *suspect.Book
+	retired  []gossip.Incarnation
+	leaving  bool
+	orders   bool
+	fence    fleet.Fence
+	retire   []retirement
 	// newest is the revision of the newest change of the list, lagging since when a
 	// peer has known more.
 	newest  int64
--- a/internal/direct/site.go
+++ b/internal/direct/site.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"time"
+
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
@@ -71,6 +73,18 @@
 	return all
 }
 
+// listSettles is how long endpoints that start with the instance take to be listed: two of
+// their heartbeats, and the store's lag.
+const listSettles = 3 * time.Second
+
+// Settled reports whether the list of endpoints has been known for so long that what isn't
+// there is missing.
+func (s *state) Settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed && s.clock().Sub(s.listedAt) >= listSettles
+}
+
 // Engine returns a service's endpoints that don't leave, as the loader sees them.
 func (s *state) Engine(service catalog.Service) []loader.Candidate {
 	s.mu.Lock()
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -91,6 +91,8 @@
 
 // Site is what the instance knows of endpoints and demand.
 type Site interface {
+	// Settled reports whether all endpoints are listed that run, as far as can be told.
+	Settled() bool
 	// Engines returns the services that are model engines.
 	Engines() []*catalog.Group
 	// Engine returns copies of a service's endpoints that don't leave.
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -37,7 +37,10 @@
 	needed   []roster.Adapter
 	fence    fleet.Fence
 	during   func() // runs before an order is carried out
-	stale    bool   // the endpoint answers with the report known already
+	starting bool   // other endpoints may not be listed yet
+	lost     bool   // the endpoint has lost the model n
+	loaded   []fleet.Model
+	stale    bool // the endpoint answers with the report known already
 }
 
 func newSite(places int) *site {
@@ -54,7 +57,11 @@
 		}
 		m.Adapters = append(m.Adapters, a.Adapter)
 	}
-	return roster.Report{Models: []roster.Holding{m, {Model: "n"}}, Coming: s.coming, Seq: s.seq, Taken: s.now}
+	models := []roster.Holding{m, {Model: "n"}}
+	if s.lost {
+		models = models[:1]
+	}
+	return roster.Report{Models: models, Coming: s.coming, Seq: s.seq, Taken: s.now}
 }
 
 func (s *site) Order(_ context.Context, o loader.Order) (bool, error) {
@@ -74,6 +81,8 @@
 	s.orders++
 	done := false
 	switch {
+	case o.Adapter == "":
+		s.loaded = append(s.loaded, o.Model)
 	case !o.Unload:
 		s.adapters = append(s.adapters, what)
 	case slices.Contains(s.inUse, what):
@@ -112,6 +121,8 @@
 	}}}
 }
 
+func (s *site) Settled() bool { return !s.starting }
+
 func (s *site) Engines() []*catalog.Group { return []*catalog.Group{s.group()} }
 
 func (s *site) Engine(catalog.Service) []loader.Candidate {
@@ -295,6 +306,19 @@
 	assert.LessOrEqual(t, max(s.peak, len(s.adapters)), s.places)
 }
 
+// While endpoints are still being listed, a model that none of them has isn't lost.
+func TestModelsOfEndpointsToComeAreNotLost(t *testing.T) {
+	s := newSite(1)
+	s.lost, s.starting = true, true
+	s.Reported("p", s.report())
+	l := newLoader(s)
+	l.Step(t.Context())
+	assert.Empty(t, s.loaded)
+	s.starting = false
+	l.Step(t.Context())
+	assert.Equal(t, []fleet.Model{"n"}, s.loaded)
+}
+
 func TestFreePlacesAreFilledAhead(t *testing.T) {
 	s := newSite(3)
 	l := newLoader(s)
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -35,6 +35,9 @@
 		})
 	}
 	_ = following.Wait() // what failed is looked at again in the next step
+	if !l.site.Settled() {
+		return
+	}
 	demand, steady, _ := l.site.Demand()
 	limits := copies.Limits{
 		Cold: l.allowed(now, g.Engine, plan), Swaps: l.limits.Swaps, Gain: l.limits.Gain, Least: l.limits.Least, Ahead: l.limits.Ahead,
