refactor: one copy of the tasks that recur

Cause: the product's daemon had its own copy of what internal/timer.Tasks does: run tasks at intervals, one run of each at a time.

Ruled out: a difference in time: tasks get the time at which they were due, as before.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -189,13 +189,16 @@
 func (n *Node) start(lifetime context.Context) {
 	n.group.Go(func() error { return n.followCatalog(lifetime) })
 	n.group.Go(func() error { return n.followRoster(lifetime) })
-	n.tasks.Every("beat", n.config.Peer.Beat, n.beat)
-	n.tasks.Every("probe", probePause, n.probe)
-	n.tasks.Every("right", rightPause, func(ctx context.Context) { n.right.keep(ctx, n.state) })
-	n.tasks.Every("place", placePause, n.placeModels)
-	n.tasks.Every("tidy", tidyPause, n.tidy)
-	n.tasks.Every("list", listPause, n.list)
-	n.tasks.Every("reload", reloadPause, func(context.Context) { n.Reload("look") })
+	every := func(name string, interval time.Duration, task func(context.Context)) {
+		n.tasks.Every(name, interval, func(ctx context.Context, _ time.Time) { task(ctx) })
+	}
+	every("beat", n.config.Peer.Beat, n.beat)
+	every("probe", probePause, n.probe)
+	every("right", rightPause, func(ctx context.Context) { n.right.keep(ctx, n.state) })
+	every("place", placePause, n.placeModels)
+	every("tidy", tidyPause, n.tidy)
+	every("list", listPause, n.list)
+	every("reload", reloadPause, func(context.Context) { n.Reload("look") })
 }
 
 // Reload takes changed settings into use, those that can change while the process
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,11 +77,11 @@
 	// lifetime ends when the instance has drained.
 	lifetime context.Context
 	end      context.CancelFunc
+	tasks    *timer.Tasks
 
 	mu       sync.Mutex
 	profiles profile.Document
 	ready    bool
-	busy     map[string]bool
 	wrong    map[string]sighting
 	leave    context.CancelCauseFunc
 }
@@ -100,10 +100,10 @@
 		directory: directory.New(),
 		endpoints: endpoint.New(),
 		trail:     trail.New(clock.Now),
-		busy:      make(map[string]bool),
 		wrong:     make(map[string]sighting),
 	}
 	n.lifetime, n.end = context.WithCancel(context.Background())
+	n.tasks = timer.NewTasks(n.lifetime, n.timers, n.group)
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
@@ -292,24 +292,3 @@
 		return nil
 	})
 }
-
-// solo runs a task that recurs, unless its last run has not ended.
-func (n *Node) solo(name string, task func(context.Context)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.busy[name] {
-		return
-	}
-	n.busy[name] = true
-	n.group.Go(func() error {
-		defer n.idle(name)
-		task(n.lifetime)
-		return nil
-	})
-}
-
-func (n *Node) idle(name string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.busy[name] = false
-}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -97,14 +97,14 @@
 		return err
 	})
 	for _, service := range n.list.Watched() {
-		n.every("list "+service, listing.Pause, func(ctx context.Context, _ time.Time) { n.readList(ctx, service) })
-	}
-	n.every("beat", n.config.Peer.Beat, n.beat)
-	n.every("probe", probeTick, n.probe)
-	n.every("place", placePause, n.place)
-	n.every("sweep", sweepPause, n.sweep)
-	n.every("renew", credentialPause, n.renew)
-	n.every("settle", settlePause, func(ctx context.Context, _ time.Time) { _, _ = n.claims.Settle(ctx) })
+		n.tasks.Every("list "+service, listing.Pause, func(ctx context.Context, _ time.Time) { n.readList(ctx, service) })
+	}
+	n.tasks.Every("beat", n.config.Peer.Beat, n.beat)
+	n.tasks.Every("probe", probeTick, n.probe)
+	n.tasks.Every("place", placePause, n.place)
+	n.tasks.Every("sweep", sweepPause, n.sweep)
+	n.tasks.Every("renew", credentialPause, n.renew)
+	n.tasks.Every("settle", settlePause, func(ctx context.Context, _ time.Time) { _, _ = n.claims.Settle(ctx) })
 }
 
 // probe asks the endpoints dispatched here how they are, once the document
@@ -133,17 +133,6 @@
 	}
 }
 
-// every runs a task now and then at an interval, one run at a time.
-func (n *Node) every(name string, interval time.Duration, task func(context.Context, time.Time)) {
-	run := func(now time.Time) {
-		if n.lifetime.Err() == nil {
-			n.solo(name, func(ctx context.Context) { task(ctx, now) })
-		}
-	}
-	run(n.clock())
-	n.timers.Every(interval, interval/10, run)
-}
-
 func (n *Node) serveCallers(l net.Listener) *http.Server {
 	c := n.config.Caller
 	handler := caller.New(n.members.Self().Instance, n.gateway, n, caller.Limits{
--- a/internal/timer/tasks.go
+++ b/internal/timer/tasks.go
@@ -24,9 +24,9 @@
 	return &Tasks{timers: timers, group: group, ctx: ctx, busy: make(map[string]bool)}
 }
 
-// Every runs a task now and then at an interval.
-func (t *Tasks) Every(name string, interval time.Duration, task func(context.Context)) {
-	run := func(time.Time) { t.Solo(name, task) }
+// Every runs a task now and then at an interval, with the time at which it was due.
+func (t *Tasks) Every(name string, interval time.Duration, task func(context.Context, time.Time)) {
+	run := func(now time.Time) { t.Solo(name, func(ctx context.Context) { task(ctx, now) }) }
 	run(t.timers.Now())
 	t.timers.Every(interval, interval/10, run)
 }
