test: a soak of the users' platform, with drawn faults against real processes

Cause: the process tests of this path play one fault each. Nothing put them together, or compared what callers and endpoints saw under them.

TestSoakSees turns three mechanisms off under the build tag proofs; the daemon that is shipped is unchanged by it.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 GO ?= go
 SEEDS ?= 3
 STATES ?= 600000
+SEED ?= 0
+SECONDS ?= 5
 
-.PHONY: setup build fmt lint unit race test demo speed measure slopes check
+.PHONY: soak setup build fmt lint unit race test demo speed measure slopes check
 
 setup: $(LINT)
 
@@ -40,6 +42,10 @@
 measure:
 	$(GO) run ./cmd/chiveramp-measure
 
+# soak plays faults against real processes on loopback: make soak SEED=7 SECONDS=20
+soak:
+	$(GO) test -count=1 -v -run 'TestSoak$$' ./platform/process -seed $(SEED) -seconds $(SECONDS)
+
 demo: build
 	scripts/demo.sh
 
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 const (
@@ -409,7 +410,7 @@
 func (s *state) take(c *catalog.Catalog) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.catalog != nil && c.Version <= s.catalog.Version {
+	if s.catalog != nil && c.Version <= s.catalog.Version && !switches.Off(switches.Forward) {
 		return false
 	}
 	s.catalog = c
--- a/internal/direct/right_test.go
+++ b/internal/direct/right_test.go
@@ -15,6 +15,16 @@
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
+// newTestRight is the right of an instance, which has claimed it, at a stand-in's store.
+func newTestRight(ctx context.Context, store *standin.Store, name string, apart time.Duration) *right {
+	c := config.Gateway{}
+	c.Instance.Name, c.Listen.Peer = name, name+":1"
+	c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
+	r := newRight(platform.NewStore(store.Address()), tenure.New(time.Minute, time.Second, apart), c, log.NewNopLogger())
+	r.acquire(ctx)
+	return r
+}
+
 // The first holder ever follows nobody, and one that was the last holder itself follows
 // nobody either; any other waits until the one before can't have ordered.
 func TestOnlyAFormerHolderIsWaitedFor(t *testing.T) {
@@ -22,15 +32,8 @@
 	t.Cleanup(store.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	instance := func(name string) *right {
-		c := config.Gateway{}
-		c.Instance.Name, c.Listen.Peer = name, name+":1"
-		c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
-		return newRight(platform.NewStore(store.Address()), tenure.New(time.Minute, time.Second, time.Minute), c, log.NewNopLogger())
-	}
 	claims := func(name string) (*right, bool) {
-		r := instance(name)
-		r.acquire(ctx)
+		r := newTestRight(ctx, store, name, time.Minute)
 		fence, may := r.Orders()
 		require.NotZero(t, fence, name)
 		return r, may
@@ -52,22 +55,12 @@
 	t.Cleanup(store.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	start := func(name string, apart time.Duration) *right {
-		c := config.Gateway{}
-		c.Instance.Name, c.Listen.Peer = name, name+":1"
-		c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
-		r := newRight(platform.NewStore(store.Address()), tenure.New(time.Minute, time.Second, apart), c, log.NewNopLogger())
-		r.acquire(ctx)
-		return r
-	}
-	first := start("one", time.Minute)
-	first.release(ctx)
-	start("two", time.Minute)
-	again := start("two", time.Nanosecond)
+	newTestRight(ctx, store, "one", time.Minute).release(ctx)
+	newTestRight(ctx, store, "two", time.Minute)
+	again := newTestRight(ctx, store, "two", time.Nanosecond)
 	require.NotZero(t, again.record, "it has not waited for the first")
 	again.keep(ctx, nil)
 	require.Zero(t, again.record)
-	third := start("two", time.Minute)
-	_, may := third.Orders()
+	_, may := newTestRight(ctx, store, "two", time.Minute).Orders()
 	assert.True(t, may, "it is the last holder")
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -14,6 +14,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 const (
@@ -110,14 +111,14 @@
 
 // again decides whether a failed request goes to another endpoint.
 func (j *job) again(ctx context.Context, result outcome) bool {
-	if result != outcomeNotRun {
+	if result != outcomeNotRun && !switches.Off(switches.Honest) {
 		j.mayRun = true
 	}
 	left, _ := j.left(ctx)
 	switch {
 	case ctx.Err() != nil || left < shortest:
 		return false
-	case j.mayRun && !j.route.Repeatable():
+	case j.mayRun && !j.route.Repeatable() && !switches.Off(switches.Once):
 		return false
 	case j.tries >= mostTries:
 		return false
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -29,6 +29,12 @@
 	Adapters Mechanism = "adapters"
 	// Pull takes documents from other instances.
 	Pull Mechanism = "pull"
+	// Once keeps a request that may have run, and may not run twice, from other endpoints.
+	Once Mechanism = "once"
+	// Honest says that a request has not run only where that is known.
+	Honest Mechanism = "honest"
+	// Forward keeps the newest configuration in force.
+	Forward Mechanism = "forward"
 )
 
 // Step names a place at which tests make a process end.
