fix: equal requests in flight as several endpoints die at once are not taken for a killer

Cause: found reading once more. A request was known by method, host, path and body, and refused after three deaths whatever lay between them.

Change: deaths are counted in chains: one counts only if the request was sent there after the one before had died, and after its last answer (`suspect.Chains`, which takes the place of `Book.Deaths`). The caller's address is part of what a request is known by. Beats tell when it was sent and broke off, as ages. What the tests of this change did not see, by taking the mechanism out, has tests now: half of the store's loads left, pace in demand, the list settling, prone models, young copies, old breaks, late beats, a new instance's allowance.

Conclusion: mended.

--- a/internal/core/copies/plan_test.go
+++ b/internal/core/copies/plan_test.go
@@ -32,6 +32,8 @@
 	near.AtHand = []fleet.Model{"a"}
 	busy := holds("p", "b")
 	busy.Busy = true
+	lately := holds("q", "b", "c", "d")
+	lately.Young = lately.Holds
 	waits := holds("s", "b", "c", "d")
 	waits.Busy = true
 	adapters := engine("a", "b", "c", "d")
@@ -82,6 +84,11 @@
 			demand:    map[fleet.Model]float64{"a": 9000},
 			steady:    map[fleet.Model]float64{"b": 9000, "c": 9000},
 		},
+		{
+			name: "nor a copy that was loaded lately", engine: engine("a", "b", "c", "d"), limits: limits,
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c", "d"), lately},
+			demand:    map[fleet.Model]float64{"a": 9000},
+		},
 		{
 			name: "little demand moves nothing", engine: engine("a", "b", "c", "d"), limits: limits,
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d")},
@@ -129,6 +136,12 @@
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "b", "c", "d"), holds("r", "b", "c", "d")},
 			prone:     map[fleet.Model]bool{"a": true},
 		},
+		{
+			name: "and half of what it allows is left for others", engine: engine("a", "b", "c", "d"), limits: copies.Limits{Cold: 2, Swaps: 4, Gain: 2, Least: 100, Ahead: 2},
+			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "d"), holds("r", "d")},
+			prone:     map[fleet.Model]bool{"a": true, "b": true, "c": true},
+			want:      []copies.Move{{Endpoint: "q", Model: "a", Cold: true}},
+		},
 		{
 			name: "a prone model yields only to far more demand", engine: engine("a", "b", "c", "d"), limits: limits,
 			endpoints: []copies.Endpoint{holds("p", "a", "b", "c"), holds("q", "c", "b", "d")},
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -119,15 +119,6 @@
 	return ok && e.suspect.Convicted
 }
 
-// Deaths returns how many endpoints died with a request since it last ended without.
-func (b *Book) Deaths(now time.Time, f Fingerprint) int {
-	e, ok := b.get(now, f)
-	if !ok || e.cleared {
-		return 0
-	}
-	return len(e.suspect.Endpoints)
-}
-
 // Run is one request that ran on an endpoint when it died.
 type Run struct {
 	Fingerprint Fingerprint
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,68 +11,96 @@
 )
 
 const (
-	// mostDeaths is how many endpoints may die with a request before it is refused.
-	// Fewer would refuse those that ran beside the one that kills.
+	// mostDeaths is how many endpoints may die with a request, one after the other, before
+	// it is refused. Fewer would refuse those that ran beside the one that kills.
 	mostDeaths = 3
 	// brokenKept is how long a run that broke off counts as lost by its endpoint's death:
 	// entries of dead endpoints lapse after some seconds.
 	brokenKept = 15 * time.Second
-	// deathNews is how long the requests of a death are repeated, deathsTold how many.
+	// deathNews is how long a death is repeated, deathsTold how many requests at most.
 	deathNews  = 3 * time.Second
 	deathsTold = 64
 )
 
-// broken is what ran at an incarnation of an endpoint when it broke off.
-type broken struct {
-	at   time.Time
-	runs []suspect.Fingerprint
+// run is one that broke off.
+type run struct {
+	print        suspect.Fingerprint
+	began, broke time.Time
 }
 
-// Broke notes that an endpoint broke off while it ran a request. It counts once the
-// endpoint turns out to be dead: connections break for other reasons too.
-func (s *state) Broke(t gateway.Target, f suspect.Fingerprint) {
+// told is a death that the other instances are told of since a time.
+type told struct {
+	death suspect.Death
+	since time.Time
+}
+
+// Broke notes that an endpoint broke off while it ran a request that was sent there at a
+// time. It counts once the endpoint turns out to be dead: connections break for other
+// reasons too.
+func (s *state) Broke(t gateway.Target, f suspect.Fingerprint, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	where := gossip.Incarnation{Endpoint: t.ID, Born: t.Born}
-	b := s.broken[where]
-	b.at, b.runs = s.clock(), append(b.runs, f)
-	s.broken[where] = b
+	s.broken[where] = append(s.broken[where], run{print: f, began: began, broke: s.clock()})
 }
 
 // Proved notes that a request was answered whole.
 func (s *state) Proved(f suspect.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.Finished(s.clock(), f)
+	s.crashes.Ended(s.clock(), f)
 }
 
 // Lethal reports whether endpoints have died with a request, so that no other may run it.
 func (s *state) Lethal(f suspect.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.Deaths(s.clock(), f) >= mostDeaths
+	return s.crashes.Length(s.clock(), f) >= mostDeaths
 }
 
-// bury blames what ran at endpoints that are gone for their deaths, and drops runs that
-// broke off while their endpoint lived on.
+// bury counts what ran at endpoints that are gone, and drops runs that broke off while
+// their endpoint lived on.
 func (s *state) bury(now time.Time) {
-	for where, b := range s.broken {
+	s.deaths = slices.DeleteFunc(s.deaths, func(t told) bool { return now.Sub(t.since) > deathNews })
+	for where, runs := range s.broken {
 		e := s.roster.Get(where.Endpoint)
 		switch {
 		case e == nil || e.Born > where.Born:
 			delete(s.broken, where)
-			s.died(now, where, b.runs)
-		case now.Sub(b.at) > brokenKept:
+			s.died(now, where, runs)
+		case now.Sub(runs[len(runs)-1].broke) > brokenKept:
 			delete(s.broken, where)
 		}
 	}
 }
 
-func (s *state) died(now time.Time, where gossip.Incarnation, prints []suspect.Fingerprint) {
-	runs := make([]suspect.Run, 0, len(prints))
-	for _, f := range prints {
-		runs = append(runs, suspect.Run{Fingerprint: f})
+func (s *state) died(now time.Time, where gossip.Incarnation, runs []run) {
+	incarnation := string(where.Endpoint) + "/" + strconv.FormatInt(where.Born, 10)
+	for _, r := range runs {
+		d := suspect.Death{Fingerprint: r.print, Incarnation: incarnation, Began: r.began, Broke: r.broke}
+		s.crashes.Add(d)
+		if len(s.deaths) < deathsTold {
+			s.deaths = append(s.deaths, told{death: d, since: now})
+		}
 	}
-	s.crashes.Blame(now, string(where.Endpoint)+"/"+strconv.FormatInt(where.Born, 10), runs)
 	_ = s.logger.Log("step", "died", "endpoint", where.Endpoint, "born", where.Born, "runs", len(runs))
 }
+
+// crashNews returns the deaths to tell, as ages: clocks differ.
+func (s *state) crashNews(now time.Time) []gossip.Crash {
+	var all []gossip.Crash
+	for _, t := range s.deaths {
+		d := t.death
+		all = append(all, gossip.Crash{Fingerprint: uint64(d.Fingerprint), Incarnation: d.Incarnation, Began: now.Sub(d.Began), Broke: now.Sub(d.Broke)})
+	}
+	return all
+}
+
+// hearCrash takes a death that another instance tells, in a beat that was on its way for
+// longer than usual.
+func (s *state) hearCrash(now time.Time, c gossip.Crash, late time.Duration) {
+	s.crashes.Add(suspect.Death{
+		Fingerprint: suspect.Fingerprint(c.Fingerprint), Incarnation: c.Incarnation,
+		Began: now.Add(-c.Began - late), Broke: now.Add(-c.Broke - late),
+	})
+}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -155,7 +155,7 @@
 	b := &gossip.Beat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readiness() == nil, Store: s.reaches(), Roster: s.newest,
 		Loads: s.board.Own(), Uses: s.board.Uses(), Demand: s.ownDemand(), Left: s.retired, Orders: s.orders, Fence: s.fence,
-		Rumours: s.view.Rumours(), Crashes: s.crashes.News(now, now.Add(-deathNews), deathsTold),
+		Rumours: s.view.Rumours(), Crashes: s.crashNews(now),
 	}
 	if s.catalog != nil {
 		b.Catalog = s.catalog.Version
@@ -208,7 +208,9 @@
 	for _, f := range b.Failed {
 		s.roster.Failed(now, f.Endpoint, f.Born)
 	}
-	s.crashes.Merge(now, b.Crashes)
+	for _, c := range b.Crashes {
+		s.hearCrash(now, c, late)
+	}
 	for _, r := range b.Retiring {
 		s.roster.Retiring(now, r.Endpoint, r.Model)
 	}
--- a/internal/direct/fleet.go
+++ b/internal/direct/fleet.go
@@ -74,8 +74,9 @@
 	works    map[int]float64 // usual work of a request, by level
 	fresh    []gossip.Report
 	failed   map[fleet.Endpoint]gossip.Incarnation
-	broken   map[gossip.Incarnation]broken
-	crashes  *suspect.Book
+	broken   map[gossip.Incarnation][]run
+	crashes  *suspect.Chains
+	deaths   []told
 	retired  []gossip.Incarnation
 	leaving  bool
 	orders   bool
@@ -105,7 +106,7 @@
 		peers:  make(map[fleet.Instance]*peer),
 		demand: make(map[roster.Adapter]*meters), works: make(map[int]float64),
 		failed: make(map[fleet.Endpoint]gossip.Incarnation),
-		broken: make(map[gossip.Incarnation]broken), crashes: suspect.New(),
+		broken: make(map[gossip.Incarnation][]run), crashes: suspect.NewChains(),
 	}
 }
 
--- /dev/null
+++ b/internal/direct/node_test.go
@@ -0,0 +1,25 @@
+package direct
+
+import (
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/reload"
+	"github.com/chiveramp/chiveramp/pkg/config"
+)
+
+// A new instance may have been one that has used its share of the retry budget.
+func TestANewInstanceLeavesTheFixedAllowanceAlone(t *testing.T) {
+	settings, err := reload.New(nil, func() (config.Gateway, error) {
+		c := config.DefaultGateway()
+		c.Retry.Extra = 1000
+		return c, nil
+	})
+	require.NoError(t, err)
+	n := New(settings, log.NewNopLogger(), new(errgroup.Group))
+	assert.False(t, n.state.Again("s"))
+}
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -98,7 +98,9 @@
 			s.takeRecords([]roster.Record{r}, revision, false)
 			for _, f := range runs {
 				if !r.Removed {
-					s.Broke(gateway.Target{ID: id, Born: 5}, f)
+					began := w.now()
+					w.passed += 10 * time.Millisecond
+					s.Broke(gateway.Target{ID: id, Born: 5}, f, began)
 				}
 			}
 			s.tidy()
@@ -112,7 +114,7 @@
 	dies(one, "a", killer, beside)
 	dies(one, "b", killer)
 	for range 5 {
-		one.Broke(gateway.Target{ID: "p"}, unlucky) // p lives on
+		one.Broke(gateway.Target{ID: "p"}, unlucky, w.now()) // p lives on
 	}
 	assert.False(t, one.Lethal(killer))
 	dies(two, "c", killer, beside)
@@ -130,6 +132,90 @@
 	assert.False(t, one.Lethal(unlucky))
 }
 
+// A run that broke off long before its endpoint died had nothing to do with it.
+func TestOldBreaksAreNoDeaths(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	s.Broke(gateway.Target{ID: "p"}, 4, w.now())
+	w.passed = brokenKept + time.Second
+	s.tidy()
+	s.takeRecords([]roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
+	s.tidy()
+	assert.Zero(t, s.crashes.Length(w.now(), 4))
+}
+
+// A beat that waited on a cut connection tells deaths of that long ago.
+func TestLateBeatsTellOldDeaths(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	s.hear(beatOf(1, 10*time.Second))
+	w.passed = 8 * time.Second // the next one left a second after the first, seven ago
+	b := beatOf(2, 11*time.Second)
+	b.Crashes = []gossip.Crash{{Fingerprint: 4, Incarnation: "a/1", Began: time.Second}}
+	s.hear(b)
+	s.crashes.Add(suspect.Death{Fingerprint: 4, Incarnation: "b/1", Began: w.now().Add(-6 * time.Second), Broke: w.now().Add(-500 * time.Millisecond)})
+	assert.Equal(t, 2, s.crashes.Length(w.now(), 4), "the second began after the first had died")
+}
+
+// Equal requests of many callers are in flight at several endpoints that die at once: that
+// is no request that kills them. It takes answers between into account as well.
+func TestRequestsBesideDeathsAreNotRefused(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	const lookup = suspect.Fingerprint(9)
+	revision := int64(1)
+	set := func(removed bool, ids ...fleet.Endpoint) {
+		for _, id := range ids {
+			revision++
+			s.takeRecords([]roster.Record{{ID: id, Revision: revision, Removed: removed, Entry: roster.Entry{ID: id, Service: "s", Born: 5, Revision: revision}}}, revision, false)
+		}
+	}
+	set(false, "a", "b", "c", "d")
+	began := w.now()
+	w.passed += 60 * time.Millisecond
+	for _, id := range []fleet.Endpoint{"a", "b", "c"} {
+		s.Broke(gateway.Target{ID: id, Born: 5}, lookup, began)
+	}
+	set(true, "a", "b", "c")
+	s.tidy()
+	assert.False(t, s.Lethal(lookup), "died at once")
+	s.Proved(lookup)
+	w.passed += time.Second
+	s.Broke(gateway.Target{ID: "d", Born: 5}, lookup, w.now())
+	set(true, "d")
+	s.tidy()
+	assert.False(t, s.Lethal(lookup), "answered between")
+}
+
+// What is missing from a list that was just read may be listed yet.
+func TestAListSettles(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	assert.False(t, s.Settled())
+	w.passed = listSettles - time.Millisecond
+	s.takeRecords([]roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Slots: 4, Revision: 2}}}, 2, false)
+	assert.False(t, s.Settled())
+	w.passed = listSettles
+	assert.True(t, s.Settled(), "since the first list, whatever changes")
+}
+
+// A fast model's requests are less work than a slow one's.
+func TestDemandCountsByPace(t *testing.T) {
+	w := &world{}
+	s := newTestState(w)
+	ask := func(m fleet.Model) *balance.Ask {
+		return &balance.Ask{Service: "s", Model: m, Prompt: 1000, Output: 10}
+	}
+	s.board.Measured("fast", 200*time.Millisecond, 50*time.Millisecond)
+	for range 50 {
+		s.Asked(ask("fast"))
+		s.Asked(ask("slow"))
+	}
+	newest, steady, _ := s.Demand()
+	assert.InEpsilon(t, newest["slow"]/4, newest["fast"], 0.05)
+	assert.InEpsilon(t, steady["slow"]/4, steady["fast"], 0.05)
+}
+
 // A peer that is ahead is asked; one that fell silent is not named to callers.
 func TestPeersNews(t *testing.T) {
 	w := &world{}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -82,7 +82,7 @@
 	f.failed++
 }
 
-func (f *fakeFleet) Broke(_ gateway.Target, p suspect.Fingerprint) {
+func (f *fakeFleet) Broke(_ gateway.Target, p suspect.Fingerprint, _ time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.broke = append(f.broke, p)
@@ -302,6 +302,21 @@
 	assert.Empty(t, answer.header.Get("Retry-After"))
 }
 
+func TestFingerprintsTellRequestsApart(t *testing.T) {
+	base := gateway.Request{ID: "1", Caller: "192.0.2.1", Method: "GET", Host: "board.example", Target: "/look/1?a=b"}
+	again, other := base, base
+	again.ID = "2"
+	assert.Equal(t, base.Fingerprint(), again.Fingerprint(), "another attempt")
+	other.Caller = "192.0.2.2"
+	assert.NotEqual(t, base.Fingerprint(), other.Fingerprint(), "another caller")
+	other = base
+	other.Target = "/look/2?a=b"
+	assert.NotEqual(t, base.Fingerprint(), other.Fingerprint())
+	other = base
+	other.Body = []byte("body")
+	assert.NotEqual(t, base.Fingerprint(), other.Fingerprint())
+}
+
 func TestACallerThatLeavesEndsItsRun(t *testing.T) {
 	f := newFleet(t, catalog.KindStream, standin.BehaviourMute)
 	url := serve(t, f)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -233,7 +233,7 @@
 	switch {
 	case ctx.Err() == nil:
 		j.gateway.fleet.Failed(j.target)
-		j.gateway.fleet.Broke(j.target, j.print)
+		j.gateway.fleet.Broke(j.target, j.print, j.sending)
 	case errors.Is(context.Cause(ctx), errSilent):
 		j.gateway.fleet.Failed(j.target)
 	}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -46,6 +46,8 @@
 	ID string
 	// Target is path and query as they came, Path the decoded path.
 	Method, Target, Path, Host string
+	// Caller is the address that it came from, without the port.
+	Caller string
 	// Header holds what is passed on.
 	Header http.Header
 	Body   []byte
@@ -60,10 +62,10 @@
 	After string
 }
 
-// Fingerprint is the same for all attempts of callers at the same request.
+// Fingerprint is the same for all attempts of a caller at the same request.
 func (r *Request) Fingerprint() suspect.Fingerprint {
 	d := xxhash.New()
-	_, _ = d.WriteString(r.Method + " " + r.Host + r.Target + "\n")
+	_, _ = d.WriteString(r.Caller + "\n" + r.Method + " " + r.Host + r.Target + "\n")
 	_, _ = d.Write(r.Body)
 	return suspect.Fingerprint(d.Sum64())
 }
@@ -153,9 +155,9 @@
 	// Failed notes an attempt without an answer, Gone that the endpoint isn't there any more.
 	Failed(t Target)
 	Gone(t Target)
-	// Broke notes that an endpoint broke off while it ran a request, Proved that one was
+	// Broke notes that an endpoint broke off while it ran a request sent at a time, Proved that one was
 	// answered whole. Lethal reports whether endpoints died with it, so that none may get it.
-	Broke(t Target, f suspect.Fingerprint)
+	Broke(t Target, f suspect.Fingerprint, began time.Time)
 	Proved(f suspect.Fingerprint)
 	Lethal(f suspect.Fingerprint) bool
 	// Asked counts a request, Again asks whether one may be sent once more.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,7 +7,6 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
-	"github.com/chiveramp/chiveramp/internal/core/suspect"
 )
 
 // Beat is what an instance tells the others now and then.
@@ -42,7 +41,16 @@
 	// Retiring are models about to be unloaded: nothing more goes there for them.
 	Retiring []Retirement `cbor:"t"`
 	// Crashes are requests with which endpoints died lately.
-	Crashes []suspect.Suspect `cbor:"v"`
+	Crashes []Crash `cbor:"v"`
+}
+
+// Crash is the death of an endpoint with a request in flight: how long ago that was sent
+// there, and its run broke off, when the beat left.
+type Crash struct {
+	Fingerprint uint64        `cbor:"f"`
+	Incarnation string        `cbor:"i"`
+	Began       time.Duration `cbor:"b"`
+	Broke       time.Duration `cbor:"x"`
 }
 
 // Retirement is the end of a copy of a model.
