fix(config): the retry allowance may be a fraction

Cause: the platform scales its bounds for smaller deployments and then states fractions (budgetExtra 33.157...). Change: [retry] extra is a number.

--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -60,9 +61,9 @@
 // endpoint, over all instances.
 type GatewayRetry struct {
 	// Share is the fraction of a service's requests within Window that may be retried.
-	// Extra is a fixed number of retries on top of it.
+	// Extra is the number of retries on top of it; platforms state fractions too.
 	Share  float64
-	Extra  int
+	Extra  float64
 	Window time.Duration
 }
 
@@ -179,7 +180,7 @@
 		}},
 		{"retry", []inifile.Field{
 			inifile.Share("share", &c.Retry.Share),
-			inifile.Count("extra", &c.Retry.Extra, 0, maxCount),
+			inifile.Number("extra", &c.Retry.Extra, 0, maxCount).WithWant("a number from 0 to " + strconv.Itoa(maxCount)),
 			inifile.Duration("window", &c.Retry.Window, time.Second),
 		}},
 		{"orders", []inifile.Field{
