perf(direct): only changes of the endpoint list travel; prompts are paced

Cause: (1) at 66 instances each instance fetched the complete endpoint list from a peer in every heartbeat round, since endpoints rewrite their entries every 1.2 s and each write counted as news; each choice summed the loads of all peers for each endpoint and sorted the list; the collector ran at 50 % under load too. Change: (1) a rewrite with the same contents is no change, and a peer answers with what changed since the asker's revision; loads are summed when they arrive; the list is sorted when it changes; heap.Pacer is used on this path too. (2) core/pace: the instance that probes an endpoint also schedules its prompts by rank; a prompt that would miss its target in every queue is refused at once.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -1,6 +1,9 @@
 package balance_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -238,3 +241,41 @@
 	assert.InEpsilon(t, 500, m.Rate(end), 0.05)
 	assert.InEpsilon(t, 250, m.Rate(end.Add(2*time.Second)), 0.05)
 }
+
+// The load of an endpoint is the sum over all instances, however often they report, leave
+// and return.
+func TestLoadSumsAllInstances(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 1))
+	b := balance.NewBalancer()
+	current := make(map[fleet.Instance]map[fleet.Endpoint]balance.Load)
+	uses := make(map[fleet.Instance][]balance.Use)
+	for range 5000 {
+		name := fleet.Instance(fmt.Sprint(random.IntN(60)))
+		if random.IntN(10) == 0 {
+			b.Forget(name)
+			delete(current, name)
+			delete(uses, name)
+			continue
+		}
+		loads := make(map[fleet.Endpoint]balance.Load)
+		var used []balance.Use
+		for range random.IntN(6) {
+			id := fleet.Endpoint(fmt.Sprint(random.IntN(20)))
+			loads[id] = balance.Load{Running: 1 + random.IntN(5), Pending: [3]time.Duration{time.Duration(random.IntN(9))}}
+			used = append(used, balance.Use{Endpoint: id, Model: "m", Adapter: "a"})
+		}
+		b.SetRemote(name, loads, used)
+		current[name], uses[name] = loads, used
+	}
+	for i := range 20 {
+		id := fleet.Endpoint(fmt.Sprint(i))
+		var want balance.Load
+		inUse := false
+		for name, loads := range current {
+			want = want.Add(loads[id])
+			inUse = inUse || slices.Contains(uses[name], balance.Use{Endpoint: id, Model: "m", Adapter: "a"})
+		}
+		assert.Equal(t, want, b.Load(id))
+		assert.Equal(t, inUse, len(b.AdaptersInUse(id)) == 1)
+	}
+}
--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -7,7 +7,9 @@
 package balance
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +63,15 @@
 	return l
 }
 
+// Subtract returns the load without another one that was added before.
+func (l Load) Subtract(other Load) Load {
+	l.Running -= other.Running
+	for i, d := range other.Pending {
+		l.Pending[i] -= d
+	}
+	return l
+}
+
 // PrefillAhead returns the pending prefill time of all requests at least as urgent as level.
 func (l Load) PrefillAhead(level int) time.Duration {
 	var d time.Duration
@@ -111,7 +122,11 @@
 	prefillFactors map[fleet.Model]float64
 	prefillSamples map[fleet.Model]int // answers that updated a model's prefill factor
 	remotes        map[fleet.Instance]remoteLoad
-	promptCaches   map[fleet.Endpoint]*promptCache
+	// remoteTotals and remoteUses are sums over remotes: there are hundreds of instances, and
+	// each choice reads the load of every endpoint that has the model.
+	remoteTotals map[fleet.Endpoint]Load
+	remoteUses   map[fleet.Endpoint]map[Use]int
+	promptCaches map[fleet.Endpoint]*promptCache
 }
 
 // Use is an adapter that requests in flight need at an endpoint.
@@ -136,6 +151,8 @@
 		prefillFactors: make(map[fleet.Model]float64),
 		prefillSamples: make(map[fleet.Model]int),
 		remotes:        make(map[fleet.Instance]remoteLoad),
+		remoteTotals:   make(map[fleet.Endpoint]Load),
+		remoteUses:     make(map[fleet.Endpoint]map[Use]int),
 		promptCaches:   make(map[fleet.Endpoint]*promptCache),
 	}
 }
@@ -229,38 +246,60 @@
 
 // AdaptersInUse returns the adapters that requests in flight from any instance need at an endpoint.
 func (b *Balancer) AdaptersInUse(id fleet.Endpoint) []Use {
-	var all []Use
-	add := func(uses []Use) {
-		for _, u := range uses {
-			if u.Endpoint == id {
-				all = append(all, u)
-			}
+	all := slices.Collect(maps.Keys(b.remoteUses[id]))
+	for u := range b.ownUses {
+		if u.Endpoint == id && b.remoteUses[id][u] == 0 {
+			all = append(all, u)
 		}
 	}
-	add(b.OwnUses())
-	for _, n := range b.remotes {
-		add(n.uses)
-	}
 	return all
 }
 
 // SetRemote replaces the recorded load of another instance.
 func (b *Balancer) SetRemote(from fleet.Instance, loads map[fleet.Endpoint]Load, uses []Use) {
+	b.Forget(from)
 	b.remotes[from] = remoteLoad{loads: loads, uses: uses}
+	for id, l := range loads {
+		b.remoteTotals[id] = b.remoteTotals[id].Add(l)
+	}
+	for _, u := range uses {
+		counts := b.remoteUses[u.Endpoint]
+		if counts == nil {
+			counts = make(map[Use]int)
+			b.remoteUses[u.Endpoint] = counts
+		}
+		counts[u]++
+	}
 }
 
 // Forget removes the load of an instance that has left or failed.
-func (b *Balancer) Forget(from fleet.Instance) { delete(b.remotes, from) }
-
-// Load returns the load of an endpoint over all instances.
-func (b *Balancer) Load(id fleet.Endpoint) Load {
-	l := b.ownLoads[id]
-	for _, other := range b.remotes {
-		l = l.Add(other.loads[id])
+func (b *Balancer) Forget(from fleet.Instance) {
+	previous, ok := b.remotes[from]
+	if !ok {
+		return
+	}
+	delete(b.remotes, from)
+	for id, l := range previous.loads {
+		if total := b.remoteTotals[id].Subtract(l); total == (Load{}) {
+			delete(b.remoteTotals, id)
+		} else {
+			b.remoteTotals[id] = total
+		}
+	}
+	for _, u := range previous.uses {
+		counts := b.remoteUses[u.Endpoint]
+		if counts[u]--; counts[u] <= 0 {
+			delete(counts, u)
+		}
+		if len(counts) == 0 {
+			delete(b.remoteUses, u.Endpoint)
+		}
 	}
-	return l
 }
 
+// Load returns the load of an endpoint over all instances.
+func (b *Balancer) Load(id fleet.Endpoint) Load { return b.ownLoads[id].Add(b.remoteTotals[id]) }
+
 // Choice is an endpoint for a request, with its predicted wait.
 type Choice struct {
 	Endpoint *roster.Endpoint
--- /dev/null
+++ b/internal/core/pace/pace.go
@@ -0,0 +1,59 @@
+// Package pace spreads the prompts that are sent to an endpoint over time, so that the
+// streams which run there keep their pauses short.
+//
+// It answers bursts of prompts on an endpoint that generates many streams: an engine
+// prefills prompts in pieces between the tokens of running requests, so each event of every
+// stream waits for the pieces of all prompts that are queued. Prompts that wait for a few
+// ten milliseconds before they are sent cost no stream its pause.
+//
+// The package has no clock and no goroutine: callers pass the time.
+package pace
+
+import "time"
+
+// rankCount is the number of ranks with a queue of their own; less urgent ones count as the last.
+const rankCount = 3
+
+// eventDecodeTime is how long an engine takes to generate the tokens of one event if it
+// prefills nothing meanwhile: up to nine steps of 5 to 7 ms.
+const eventDecodeTime = 65 * time.Millisecond
+
+// maxPacedGap is the longest pause between events that queued prompts can exceed: an event
+// takes at most nine steps, and each can include a piece of a prompt that takes 27 ms.
+const maxPacedGap = 250 * time.Millisecond
+
+// Applies reports whether prompts must be paced for streams whose events may be gap apart.
+func Applies(gap time.Duration) bool { return gap > eventDecodeTime && gap <= maxPacedGap }
+
+// Work returns the time that a prompt occupies in the schedule, if prefill may take only
+// the part of each gap that the tokens of an event leave.
+func Work(prefill, gap time.Duration) time.Duration {
+	return time.Duration(float64(prefill) * float64(gap) / float64(gap-eventDecodeTime))
+}
+
+// Schedule is the schedule of one endpoint's prompts. The zero value is an empty schedule.
+// It is not safe for concurrent use.
+type Schedule struct {
+	// busyUntil is, for each rank, when the scheduled prompts end that are as urgent or more.
+	busyUntil [rankCount]time.Time
+}
+
+// Reserve schedules a prompt of a rank, 0 being the most urgent, and returns how long to wait
+// before it is sent. If that is longer than limit, the prompt is not scheduled and ok is false.
+func (s *Schedule) Reserve(now time.Time, level int, work, limit time.Duration) (wait time.Duration, ok bool) {
+	rank := min(level, rankCount-1)
+	wait = max(0, s.busyUntil[rank].Sub(now))
+	if wait > limit {
+		return wait, false
+	}
+	for r := rank; r < rankCount; r++ {
+		if s.busyUntil[r].Before(now) {
+			s.busyUntil[r] = now
+		}
+		s.busyUntil[r] = s.busyUntil[r].Add(work)
+	}
+	return wait, true
+}
+
+// Idle reports whether no prompt is scheduled.
+func (s *Schedule) Idle(now time.Time) bool { return !now.Before(s.busyUntil[rankCount-1]) }
--- /dev/null
+++ b/internal/core/roster/changes_test.go
@@ -0,0 +1,104 @@
+package roster_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+)
+
+// The load of a large fleet at rest: hundreds of endpoints rewrite their entries every
+// second. Only what changes where requests go may be passed from instance to instance.
+func TestRewrittenEntriesAreNoChange(t *testing.T) {
+	changes := []struct {
+		name    string
+		change  func(e *roster.Entry)
+		changed bool
+	}{
+		{name: "same contents", change: func(*roster.Entry) {}},
+		{name: "adapter loaded", change: func(e *roster.Entry) { e.Seq, e.Models[0].Adapters = 9, []fleet.Adapter{"a1"} }},
+		{name: "model loaded", change: func(e *roster.Entry) { e.Models = append(e.Models, roster.Holding{Model: "n"}) }, changed: true},
+		{name: "leaving", change: func(e *roster.Entry) { e.Leaving = true }, changed: true},
+		{name: "moved", change: func(e *roster.Entry) { e.Address = "10.0.0.2:80" }, changed: true},
+		{name: "restarted", change: func(e *roster.Entry) { e.Born = 2 }, changed: true},
+	}
+	for _, tt := range changes {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.New()
+			first := entry("a", 1, 10, false)
+			first.Entry.Models = []roster.Holding{{Model: "m"}}
+			r.Replace(at(0), []roster.Record{first}, 10)
+			second := entry("a", 1, 20, false)
+			second.Entry.Models = []roster.Holding{{Model: "m"}}
+			tt.change(&second.Entry)
+			r.Apply(at(1), []roster.Record{second}, 25)
+			changed, removed, ok := r.ChangesSince(10)
+			require.True(t, ok)
+			assert.Empty(t, removed)
+			assert.Equal(t, tt.changed, len(changed) == 1)
+			assert.Equal(t, tt.changed, r.ChangedAt() > 10)
+		})
+	}
+}
+
+// An instance that follows another by its changes has the same endpoints as the other,
+// however far apart it asks.
+func TestFollowingByChanges(t *testing.T) {
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			source, follower := roster.New(), roster.New()
+			revision := int64(1)
+			source.Replace(at(0), nil, revision)
+			for step := range 400 {
+				revision++
+				id := fleet.Endpoint(fmt.Sprintf("e%d", random.IntN(30)))
+				change := entry(id, int64(1+step/20), revision, random.IntN(5) == 0)
+				if random.IntN(4) == 0 {
+					change = removed(id, revision)
+				}
+				source.Apply(at(step), []roster.Record{change}, revision)
+				if random.IntN(1+int(seed)) == 0 {
+					follow(t, source, follower, step)
+				}
+			}
+			follow(t, source, follower, 400)
+		})
+	}
+}
+
+func follow(t *testing.T, source, follower *roster.Roster, step int) {
+	t.Helper()
+	changed, gone, ok := source.ChangesSince(follower.Revision())
+	if !ok {
+		changed = source.All()
+	}
+	var records []roster.Record
+	for _, e := range changed {
+		records = append(records, roster.Record{ID: e.ID, Entry: e.Entry, Revision: e.Revision})
+	}
+	for id, revision := range gone {
+		records = append(records, removed(id, revision))
+	}
+	if ok {
+		follower.Apply(at(step), records, source.ChangedAt())
+	} else {
+		follower.Replace(at(step), records, source.ChangedAt())
+	}
+	require.Equal(t, summary(source), summary(follower))
+}
+
+func summary(r *roster.Roster) []string {
+	all := make(map[string]bool)
+	for _, e := range r.All() {
+		all[fmt.Sprint(e.ID, e.Born, e.Leaving)] = true
+	}
+	return slices.Sorted(maps.Keys(all))
+}
--- a/internal/core/roster/entry.go
+++ b/internal/core/roster/entry.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -48,6 +49,14 @@
 	Revision int64
 }
 
+// routesDifferently reports whether an entry differs from a previous one of the same
+// endpoint in what decides where requests go. Adapters are left out: reports show them sooner.
+func (e *Entry) routesDifferently(previous *Entry) bool {
+	return e.Service != previous.Service || e.Address != previous.Address || e.DataCentre != previous.DataCentre ||
+		e.Slots != previous.Slots || e.Leaving != previous.Leaving || e.Born != previous.Born ||
+		!slices.EqualFunc(e.Models, previous.Models, func(a, b Holding) bool { return a.Model == b.Model && a.Version == b.Version })
+}
+
 // Report is an endpoint's reply when its state is polled.
 type Report struct {
 	Models []Holding
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,14 @@
 	// missingSince is when its entry disappeared while the store could not be trusted.
 	missingSince time.Time
 	observations map[Adapter]observation
+	// changedAt is the store's revision of the last change that affects where requests go.
+	changedAt int64
+}
+
+// removal is an endpoint that was removed from the list, at a revision of the store.
+type removal struct {
+	id       fleet.Endpoint
+	revision int64
 }
 
 const (
@@ -42,6 +51,8 @@
 	// doubles with each further failure up to maxBackoff.
 	initialBackoff = 300 * time.Millisecond
 	maxBackoff     = 2 * time.Second
+	// maxRemovals is the number of removals kept for ChangesSince.
+	maxRemovals = 256
 	// failureWindow is added to registrationWindow after the store's last failed call:
 	// when that time has passed and a call has succeeded, removals are trusted again.
 	failureWindow = time.Second
@@ -50,10 +61,14 @@
 // Roster is the list of endpoints. It is not safe for concurrent use.
 type Roster struct {
 	endpoints map[fleet.Endpoint]*Endpoint
+	sorted    []*Endpoint // by ID; nil after an endpoint was added or removed
 	// departed has the start times of incarnations that were removed, so that late
 	// updates can't add them again.
 	departed       map[fleet.Endpoint]int64
 	revision       int64
+	changedAt      int64     // revision of the last change that affects where requests go
+	removals       []removal // most recent ones, oldest first
+	removalsFrom   int64     // revision from which on removals is complete
 	storeFailed    time.Time // time of the last failed call to the store
 	storeRecovered time.Time // time of the first successful call after it
 }
@@ -66,6 +81,30 @@
 // Revision is the store's revision up to which changes have been applied.
 func (r *Roster) Revision() int64 { return r.revision }
 
+// ChangedAt is the store's revision of the last change that affects where requests go:
+// endpoints rewrite their entries every second or so, mostly with the same contents.
+func (r *Roster) ChangedAt() int64 { return r.changedAt }
+
+// ChangesSince returns the endpoints that changed after a revision, and the IDs and
+// revisions of those removed. ok is false if removals that old are no longer recorded.
+func (r *Roster) ChangesSince(revision int64) (changed []*Endpoint, removed map[fleet.Endpoint]int64, ok bool) {
+	if revision < r.removalsFrom {
+		return nil, nil, false
+	}
+	for _, e := range r.All() {
+		if e.changedAt > revision {
+			changed = append(changed, e)
+		}
+	}
+	removed = make(map[fleet.Endpoint]int64)
+	for _, m := range r.removals {
+		if m.revision > revision && r.endpoints[m.id] == nil {
+			removed[m.id] = m.revision
+		}
+	}
+	return changed, removed, true
+}
+
 // RecordStoreFailure records a failed call to the store.
 func (r *Roster) RecordStoreFailure(now time.Time) {
 	r.storeFailed, r.storeRecovered = now, time.Time{}
@@ -100,6 +139,9 @@
 	if revision < r.revision {
 		return
 	}
+	if r.revision == 0 {
+		r.removalsFrom = revision // the list doesn't show what was removed before
+	}
 	listed := make(map[fleet.Endpoint]bool, len(records))
 	for i := range records {
 		listed[records[i].ID] = true
@@ -107,7 +149,7 @@
 	}
 	for id, e := range r.endpoints {
 		if !listed[id] && e.Revision <= revision {
-			r.remove(now, e)
+			r.remove(now, e, revision)
 		}
 	}
 	r.revision = revision
@@ -117,7 +159,7 @@
 	known := r.endpoints[c.ID]
 	if c.Removed {
 		if known != nil && known.Revision <= c.Revision {
-			r.remove(now, known)
+			r.remove(now, known, c.Revision)
 		}
 		return
 	}
@@ -129,31 +171,41 @@
 	}
 	switch {
 	case known == nil || c.Entry.Born > known.Born:
-		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry}
+		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry, changedAt: c.Revision}
+		r.sorted, r.changedAt = nil, max(r.changedAt, c.Revision)
 	case c.Entry.Born < known.Born || c.Revision < known.Revision:
 		return
 	default:
 		leaving := known.Leaving
+		if c.Entry.routesDifferently(&known.Entry) {
+			known.changedAt, r.changedAt = c.Revision, max(r.changedAt, c.Revision)
+		}
 		known.Entry = c.Entry
 		known.Leaving = known.Leaving || leaving
 		known.missingSince = time.Time{}
 	}
 }
 
-func (r *Roster) remove(now time.Time, e *Endpoint) {
+func (r *Roster) remove(now time.Time, e *Endpoint, revision int64) {
 	if r.storeUntrusted(now) && !e.Leaving {
 		if e.missingSince.IsZero() {
 			e.missingSince = now
 		}
 		return
 	}
-	r.markLost(e)
+	r.markLost(e, revision)
 }
 
-func (r *Roster) markLost(e *Endpoint) {
+func (r *Roster) markLost(e *Endpoint, revision int64) {
 	e.Lost = true
 	r.departed[e.ID] = e.Born
 	delete(r.endpoints, e.ID)
+	r.sorted, r.changedAt = nil, max(r.changedAt, revision)
+	r.removals = append(r.removals, removal{id: e.ID, revision: revision})
+	if n := len(r.removals) - maxRemovals; n > 0 {
+		r.removalsFrom = r.removals[n-1].revision
+		r.removals = slices.Delete(r.removals, 0, n)
+	}
 }
 
 // RemoveMissing removes endpoints whose entries did not reappear in time, and returns them.
@@ -161,7 +213,7 @@
 	var lost []*Endpoint
 	for _, e := range r.endpoints {
 		if !e.missingSince.IsZero() && !r.storeUntrusted(now) {
-			r.markLost(e)
+			r.markLost(e, r.revision)
 			lost = append(lost, e)
 		}
 	}
@@ -209,14 +261,12 @@
 // Get returns an endpoint, nil if it is not in the list.
 func (r *Roster) Get(id fleet.Endpoint) *Endpoint { return r.endpoints[id] }
 
-// All returns the endpoints in the order of their IDs.
+// All returns the endpoints in the order of their IDs. The slice must not be changed.
 func (r *Roster) All() []*Endpoint {
-	ids := slices.Sorted(maps.Keys(r.endpoints))
-	all := make([]*Endpoint, 0, len(ids))
-	for _, id := range ids {
-		all = append(all, r.endpoints[id])
+	if r.sorted == nil {
+		r.sorted = slices.SortedFunc(maps.Values(r.endpoints), func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	return all
+	return r.sorted
 }
 
 // Suspect reports whether the endpoint is avoided because of failed sends.
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -147,7 +147,10 @@
 	defer s.mu.Unlock()
 	var mine []roster.Endpoint
 	for _, e := range s.roster.All() {
-		if s.prober(e) == s.view.Self().Instance && s.isEngine(e.Service) {
+		if !s.isEngine(e.Service) {
+			continue
+		}
+		if p, ok := s.dispatcher(e); ok && p.Instance == s.view.Self().Instance {
 			mine = append(mine, *e)
 		}
 	}
@@ -162,10 +165,9 @@
 	return ok && g.Engine != nil
 }
 
-// prober returns the instance that probes an endpoint.
-func (s *state) prober(e *roster.Endpoint) fleet.Instance {
-	p, _ := s.view.Dispatcher(e.ID, fleet.Place{Region: s.regions[e.DataCentre]})
-	return p.Instance
+// dispatcher returns the instance that probes an endpoint and paces its prompts.
+func (s *state) dispatcher(e *roster.Endpoint) (member.Peer, bool) {
+	return s.view.Dispatcher(e.ID, fleet.Place{Region: s.regions[e.DataCentre]})
 }
 
 func (s *state) isLive(name fleet.Instance) bool {
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -44,7 +44,6 @@
 	departed := false
 	for i := range records {
 		r := &records[i]
-		s.newestRevision = max(s.newestRevision, r.Revision)
 		previous := s.roster.Get(r.ID)
 		if previous != nil && !r.Removed && !r.Invalid && r.Entry.Born > previous.Born {
 			s.balancer.ClearPrompts(r.ID)
@@ -160,7 +159,7 @@
 		_ = s.logger.Log("step", "peer", "peer", c.Instance, "from", c.From, "to", c.To)
 	}
 	b := &gossip.Heartbeat{
-		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.newestRevision,
+		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(),
 		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
 		Suspicions: s.view.Suspicions(), Crashes: s.crashesToSend(now),
 	}
@@ -231,7 +230,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	f := &gossip.Fetch{Roster: s.roster.Revision()}
+	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true}
 	if s.catalog != nil {
 		f.Catalog = s.catalog.Version
 	}
@@ -263,15 +262,29 @@
 	if s.catalog != nil && s.catalog.Version > f.Catalog {
 		reply.Catalog = s.catalog.Raw
 	}
-	if s.listed && s.newestRevision > f.Roster {
-		reply.Roster = s.newestRevision
-		for _, e := range s.roster.All() {
-			reply.Entries = append(reply.Entries, gossip.Entry{ID: e.ID, Revision: e.Revision, Text: e.Raw})
-		}
+	if s.listed && s.roster.ChangedAt() > f.Roster {
+		s.addEntries(reply, f)
 	}
 	return reply
 }
 
+// addEntries adds the changes to the endpoint list since the requester's revision, or the
+// complete list if the requester can't apply changes or they are no longer recorded.
+func (s *state) addEntries(reply *gossip.FetchReply, f *gossip.Fetch) {
+	reply.Roster = s.roster.ChangedAt()
+	entries, removed, ok := s.roster.ChangesSince(f.Roster)
+	if !ok || !f.Deltas {
+		entries, removed = s.roster.All(), nil
+	}
+	reply.Delta = ok && f.Deltas
+	for _, e := range entries {
+		reply.Entries = append(reply.Entries, gossip.Entry{ID: e.ID, Revision: e.Revision, Text: e.Raw})
+	}
+	for id, revision := range removed {
+		reply.Removed = append(reply.Removed, gossip.Entry{ID: id, Revision: revision})
+	}
+}
+
 // cleanUp garbage-collects expired state and returns the incarnations of the endpoints that
 // remain.
 func (s *state) cleanUp() map[fleet.Endpoint]int64 {
@@ -283,6 +296,7 @@
 		s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
 	}
 	s.recordCrashes(now)
+	s.removeIdleSchedules(now)
 	for name, p := range s.peers {
 		if now.Sub(p.receivedAt) > peerLoadRetention {
 			s.balancer.Forget(name)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -21,6 +21,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/tenure"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/internal/heap"
 	"github.com/chiveramp/chiveramp/internal/loader"
 	"github.com/chiveramp/chiveramp/internal/reload"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
@@ -86,7 +87,7 @@
 	for dataCentre, region := range c.Regions() {
 		regions[fleet.DataCentre(dataCentre)] = fleet.Region(region)
 	}
-	budget := balance.NewBudget(c.Retry.Share, float64(c.Retry.Extra), c.Retry.Window, balance.WithStart(time.Now()))
+	budget := balance.NewBudget(c.Retry.Share, c.Retry.Extra, c.Retry.Window, balance.WithStart(time.Now()))
 	n := &Node{
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timer.New(clock), clock: clock.Now,
@@ -100,7 +101,8 @@
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies,
 	}, loader.WithLogger(logger))
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
-		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers))
+		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers),
+		gateway.WithPacer(heap.New(n.timers)))
 	return n
 }
 
@@ -213,7 +215,7 @@
 		return
 	}
 	c := n.settings.Get()
-	n.state.setRetryLimits(c.Retry.Share, float64(c.Retry.Extra))
+	n.state.setRetryLimits(c.Retry.Share, c.Retry.Extra)
 	_ = level.Info(n.logger).Log("step", "reload", "cause", cause)
 }
 
--- /dev/null
+++ b/internal/direct/pacing.go
@@ -0,0 +1,113 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/pace"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+)
+
+const (
+	// admitTimeout limits the question to the instance that paces an endpoint's prompts: a
+	// round trip between regions. After it the prompt is sent unpaced.
+	admitTimeout = 60 * time.Millisecond
+	// pacerBackoff is how long an instance that didn't answer is not asked again.
+	pacerBackoff = time.Second
+)
+
+// schedules are the prompts of the endpoints that this instance paces.
+type schedules map[incarnation]*pace.Schedule
+
+// incarnation is one start of an endpoint.
+type incarnation struct {
+	id   fleet.Endpoint
+	born int64
+}
+
+// reserve schedules a prompt at an endpoint that this instance paces.
+func (s *state) reserve(a *gossip.Admit) *gossip.AdmitReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := incarnation{a.Endpoint, a.Born}
+	schedule := s.schedules[key]
+	if schedule == nil {
+		schedule = new(pace.Schedule)
+		s.schedules[key] = schedule
+	}
+	wait, ok := schedule.Reserve(s.clock(), a.Level, a.Work, a.Limit)
+	return &gossip.AdmitReply{Wait: wait, Refused: !ok}
+}
+
+// removeIdleSchedules drops the schedules that hold no prompt.
+func (s *state) removeIdleSchedules(now time.Time) {
+	for key, schedule := range s.schedules {
+		if schedule.Idle(now) {
+			delete(s.schedules, key)
+		}
+	}
+}
+
+// pacer returns the address of the instance that paces an endpoint's prompts, empty if it is
+// this one. ok is false if the endpoint is unknown or the instance did not answer lately.
+func (s *state) pacer(id fleet.Endpoint) (address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.roster.Get(id)
+	if e == nil {
+		return "", false
+	}
+	p, ok := s.dispatcher(e)
+	if !ok || s.clock().Before(s.pacerDownUntil[p.Instance]) {
+		return "", false
+	}
+	if p.Instance == s.view.Self().Instance {
+		return "", true
+	}
+	return p.Address, true
+}
+
+// pacerFailed records that the instance that paces an endpoint's prompts did not answer.
+func (s *state) pacerFailed(id fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.roster.Get(id); e != nil {
+		if p, ok := s.dispatcher(e); ok {
+			s.pacerDownUntil[p.Instance] = s.clock().Add(pacerBackoff)
+		}
+	}
+}
+
+// Admit schedules a prompt for another instance.
+func (n *Node) Admit(_ context.Context, a *gossip.Admit) (*gossip.AdmitReply, error) {
+	return n.state.reserve(a), nil
+}
+
+// Admit asks when a prompt may be sent to the target. ok is false if that is later than limit.
+// If the instance that paces the endpoint doesn't answer, the prompt may be sent at once.
+func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, gap, limit time.Duration) (wait time.Duration, ok bool) {
+	address, known := g.pacer(t.ID)
+	if !known {
+		return 0, true
+	}
+	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: pace.Work(t.PendingPrefill, gap), Limit: limit}
+	if address == "" {
+		answer := g.reserve(question)
+		return answer.Wait, !answer.Refused
+	}
+	askedAt := g.clock()
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	answer, err := g.node.gossip.Admit(ctx, address, question)
+	if err != nil {
+		g.pacerFailed(t.ID)
+		_ = level.Warn(g.node.logger).Log("step", "admit", "endpoint", t.ID, "peer", address, "err", err)
+		return 0, true
+	}
+	return max(0, answer.Wait-g.clock().Sub(askedAt)/2), !answer.Refused
+}
--- /dev/null
+++ b/internal/direct/pacing_test.go
@@ -0,0 +1,74 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+)
+
+// One instance schedules the prompts of an endpoint for all, each start of the endpoint by
+// itself. An instance that doesn't answer is not asked for a while.
+func TestPromptsOfAnEndpointArePacedByOneInstance(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	question := func(born int64) *gossip.Admit {
+		return &gossip.Admit{Endpoint: "p", Born: born, Work: 40 * time.Millisecond, Limit: 50 * time.Millisecond}
+	}
+	assert.Equal(t, &gossip.AdmitReply{}, s.reserve(question(1)))
+	assert.Equal(t, &gossip.AdmitReply{Wait: 40 * time.Millisecond}, s.reserve(question(1)))
+	assert.Equal(t, &gossip.AdmitReply{Wait: 80 * time.Millisecond, Refused: true}, s.reserve(question(1)))
+	assert.Equal(t, &gossip.AdmitReply{}, s.reserve(question(2)))
+	w.elapsed = time.Second
+	s.cleanUp()
+	assert.Empty(t, s.schedules)
+
+	address, ok := s.pacer("p")
+	assert.True(t, ok)
+	assert.Empty(t, address, "this instance is the only one")
+	s.receiveHeartbeat(heartbeatFrom(1, time.Second))
+	var remote fleet.Endpoint
+	for _, id := range []fleet.Endpoint{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"} {
+		s.applyRecords([]roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Revision: 2}}}, 2, false)
+		if address, _ := s.pacer(id); address == "b:1" {
+			remote = id
+		}
+	}
+	require.NotEmpty(t, remote, "the endpoints are divided over the instances")
+	s.pacerFailed(remote)
+	_, ok = s.pacer(remote)
+	assert.False(t, ok)
+	w.elapsed += pacerBackoff
+	_, ok = s.pacer(remote)
+	assert.True(t, ok)
+}
+
+// An instance that is behind gets what changed since, not the complete list.
+func TestFetchedListHasOnlyChanges(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	change := func(id fleet.Endpoint, revision int64, removed bool) {
+		record := roster.Record{ID: id, Revision: revision, Removed: removed}
+		if !removed {
+			record.Entry = roster.Entry{ID: id, Service: "s", Born: 1, Revision: revision, Raw: []byte(id)}
+		}
+		s.applyRecords([]roster.Record{record}, revision, false)
+	}
+	change("q", 5, false)
+	change("r", 6, false)
+	change("r", 7, true)
+	change("q", 9, false) // rewritten with the same contents
+	reply := s.answerFetch(&gossip.Fetch{Roster: 1, Deltas: true})
+	assert.Equal(t, &gossip.FetchReply{
+		Roster: 7, Delta: true, Entries: []gossip.Entry{{ID: "q", Revision: 9, Text: []byte("q")}}, Removed: []gossip.Entry{{ID: "r", Revision: 7}},
+	}, reply)
+	assert.Empty(t, s.answerFetch(&gossip.Fetch{Roster: 7, Deltas: true}))
+	complete := s.answerFetch(&gossip.Fetch{Roster: 1})
+	assert.False(t, complete.Delta)
+	assert.Len(t, complete.Entries, 2, "an instance that can't apply changes gets the complete list")
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -88,10 +88,10 @@
 	mayOrder         bool
 	fence            fleet.Fence
 	retirements      []retirement
-	// newestRevision is the revision of the newest change to the endpoint list, laggingSince
-	// the time since which a peer has had newer data.
-	newestRevision int64
-	laggingSince   time.Time
+	schedules        schedules
+	pacerDownUntil   map[fleet.Instance]time.Time // instances that didn't answer when asked for a place
+	// laggingSince is the time since which a peer has had newer data.
+	laggingSince time.Time
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
 	// watches the store.
 	storeAnsweredAt time.Time
@@ -114,6 +114,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
+		schedules: make(schedules), pacerDownUntil: make(map[fleet.Instance]time.Time),
 	}
 }
 
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -239,11 +239,14 @@
 		n.applyCatalog(answer.Catalog, address)
 	}
 	if answer.Roster > f.Roster {
-		items := make([]platform.Item, 0, len(answer.Entries))
+		items := make([]platform.Item, 0, len(answer.Entries)+len(answer.Removed))
 		for _, e := range answer.Entries {
 			items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Value: e.Text, Revision: e.Revision})
 		}
-		n.state.applyRecords(platform.Records(items), answer.Roster, true)
+		for _, e := range answer.Removed {
+			items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Revision: e.Revision, Removed: true})
+		}
+		n.state.applyRecords(platform.Records(items), answer.Roster, !answer.Delta)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,13 @@
 // Clock returns the current time.
 type Clock func() time.Time
 
+// Pacer is told of each request, to adjust the garbage collector to the load.
+type Pacer interface{ Request() }
+
+type noPacer struct{}
+
+func (noPacer) Request() {}
+
 // Gateway is the HTTP handler for callers' requests. It is safe for concurrent use.
 type Gateway struct {
 	place  fleet.Place
@@ -53,6 +60,7 @@
 	tracer trace.Tracer
 	stats  Stats
 	timers Timers
+	pacer  Pacer
 }
 
 // Option configures a Gateway.
@@ -68,6 +76,9 @@
 // if another endpoint can take the request.
 func WithTimers(t Timers) Option { return func(g *Gateway) { g.timers = t } }
 
+// WithPacer sets what is told of each request.
+func WithPacer(p Pacer) Option { return func(g *Gateway) { g.pacer = p } }
+
 // WithRandom sets the source of random numbers in [0, 1) that split traffic among services.
 func WithRandom(random func() float64) Option { return func(g *Gateway) { g.random = random } }
 
@@ -75,7 +86,7 @@
 func New(place fleet.Place, codec Codec, sender Sender, f Fleet, clock Clock, opts ...Option) *Gateway {
 	g := &Gateway{
 		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
-		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{},
+		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{}, pacer: noPacer{},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -86,6 +97,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock()
+	g.pacer.Request()
 	if g.fleet.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,8 @@
 	interrupted                      []suspect.Fingerprint
 	completed                        []suspect.Fingerprint
 	poison                           bool
+	admissionWait                    time.Duration
+	admissionRefused                 bool
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -116,6 +118,10 @@
 func (f *fakeFleet) Ensure(context.Context, gateway.Target, fleet.Model, fleet.Adapter) error {
 	return nil
 }
+
+func (f *fakeFleet) Admit(context.Context, gateway.Target, *balance.Request, time.Duration, time.Duration) (time.Duration, bool) {
+	return f.admissionWait, !f.admissionRefused
+}
 func (f *fakeFleet) Missing(gateway.Target, fleet.Model, fleet.Adapter) {}
 func (f *fakeFleet) Leaving() bool                                      { return false }
 func (f *fakeFleet) Limits() catalog.Limits                             { return catalog.Limits{MaxBodyBytes: 1 << 10} }
@@ -340,3 +346,56 @@
 	}, 400*time.Millisecond, time.Millisecond)
 	assert.Equal(t, 1, f.runs())
 }
+
+// Prompts wait for their place in the endpoint's schedule. One that would miss its target
+// is refused with the time at which to come back, and has not run.
+func TestPromptsWaitForAdmission(t *testing.T) {
+	tests := []struct {
+		name           string
+		gap            time.Duration
+		wait           time.Duration
+		refused        bool
+		leaveAfter     time.Duration
+		wantStatus     int
+		wantRuns       int
+		wantRetryAfter bool
+	}{
+		{name: "at once", gap: 150 * time.Millisecond, wantStatus: http.StatusOK, wantRuns: 1},
+		{name: "after a wait", gap: 150 * time.Millisecond, wait: 60 * time.Millisecond, wantStatus: http.StatusOK, wantRuns: 1},
+		{name: "too late everywhere", gap: 150 * time.Millisecond, wait: time.Second, refused: true, wantStatus: http.StatusServiceUnavailable, wantRetryAfter: true},
+		{name: "pauses may be long", gap: time.Second, refused: true, wantStatus: http.StatusOK, wantRuns: 1},
+		{name: "the caller leaves meanwhile", gap: 150 * time.Millisecond, wait: 300 * time.Millisecond, leaveAfter: 50 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
+			f.route.MaxEventGap, f.admissionWait, f.admissionRefused = tt.gap, tt.wait, tt.refused
+			ctx := t.Context()
+			if tt.leaveAfter > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, tt.leaveAfter)
+				defer cancel()
+			}
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, serve(t, f)+"/x", strings.NewReader("prompt"))
+			require.NoError(t, err)
+			request.Host = "board.example"
+			for name, value := range map[string]string{"Request-Id": "r1", "Model": "m", "Token-Count": "40,8"} {
+				request.Header.Set(name, value)
+			}
+			response, err := http.DefaultClient.Do(request)
+			if tt.leaveAfter > 0 {
+				require.Error(t, err)
+				assert.Eventually(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.open == 0 }, time.Second, 10*time.Millisecond)
+				assert.Zero(t, f.runs(), "nothing is sent for a caller that is gone")
+				return
+			}
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			assert.Equal(t, tt.wantStatus, response.StatusCode)
+			assert.Equal(t, tt.wantRuns, f.runs())
+			assert.Equal(t, tt.wantRetryAfter, response.Header.Get("Retry-After") != "")
+		})
+	}
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/pace"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
@@ -30,6 +31,9 @@
 	writeTimeout = 5 * time.Second
 	// minTimeLeft is the shortest time before the deadline in which another attempt is worthwhile.
 	minTimeLeft = 20 * time.Millisecond
+	// admissionMargin is what a first event takes beside its wait and its prefill: the way
+	// there and back and the steps of the engine.
+	admissionMargin = 60 * time.Millisecond
 )
 
 // outcome is the result of one attempt.
@@ -67,11 +71,14 @@
 	stall           *stallTimer
 	sentAt          time.Time // when the request was sent to the current endpoint
 	firstByte       time.Duration
+	longestPause    time.Duration // longest time between two writes of a stream's events
+	passedAt        time.Time     // when events were last passed on
 	predictedWait   time.Duration // predicted wait with which the request was refused
 	status          int
 	abortConnection bool // the answer is incomplete, so the caller's connection must be closed
 	failure         error
-	adapterOrders   int // number of adapter loads ordered for the request
+	adapterOrders   int           // number of adapter loads ordered for the request
+	admissionWait   time.Duration // how long the prompt waited for its place in the schedule
 }
 
 // run sends the request to one endpoint after another until the caller has an answer or no
@@ -84,8 +91,7 @@
 		}
 		target, err := j.gateway.fleet.Choose(&j.query)
 		if err != nil {
-			j.predictedWait = target.Wait
-			j.giveUp(ctx, err)
+			j.refuseUnplaced(ctx, target, err)
 			return
 		}
 		j.target, j.answered, j.stall = target, false, nil
@@ -110,6 +116,17 @@
 	}
 }
 
+// refuseUnplaced gives up a request for which no endpoint was chosen.
+func (j *job) refuseUnplaced(ctx context.Context, target Target, err error) {
+	if errors.Is(err, ErrNoEndpoint) && errors.Is(j.failure, ErrOverloaded) {
+		// Endpoints have the model, but their prompts are scheduled too far ahead.
+		j.giveUp(ctx, j.failure)
+		return
+	}
+	j.predictedWait = target.Wait
+	j.giveUp(ctx, err)
+}
+
 // mayRetry decides whether a failed request may be sent to another endpoint.
 func (j *job) mayRetry(ctx context.Context, result outcome) bool {
 	if result != outcomeNotRun && !switches.Off(switches.ConfirmedNotRun) {
@@ -148,6 +165,9 @@
 			return outcomeNotRun, fmt.Errorf("load adapter: %w", err)
 		}
 	}
+	if err := j.awaitAdmission(ctx); err != nil {
+		return outcomeNotRun, err
+	}
 	attempt := &Attempt{
 		Request: j.request, Endpoint: j.target.ID, Born: j.target.Born, Address: j.target.Address,
 		Level: j.route.Level, After: j.lastEvent,
@@ -176,6 +196,27 @@
 	return j.handleAnswer(ctx, answer)
 }
 
+// awaitAdmission waits until the request's prompt may be sent to the chosen endpoint. A
+// request that would wait too long to meet its target is not sent there.
+func (j *job) awaitAdmission(ctx context.Context) error {
+	if j.request.Model == "" || !pace.Applies(j.route.MaxEventGap) {
+		return nil
+	}
+	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-j.target.PendingPrefill-admissionMargin)
+	wait, ok := j.gateway.fleet.Admit(ctx, j.target, &j.query, j.route.MaxEventGap, limit)
+	if !ok {
+		j.predictedWait = wait + j.target.PendingPrefill
+		return fmt.Errorf("%w: prompts are scheduled for %s", ErrOverloaded, wait)
+	}
+	if j.admissionWait = wait; wait <= 0 {
+		return nil
+	}
+	waiting, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	<-waiting.Done()
+	return ctx.Err()
+}
+
 // handleAnswer passes an answer on to the caller, unless it means that the request must be
 // sent elsewhere.
 func (j *job) handleAnswer(ctx context.Context, answer *Answer) (outcome, error) {
@@ -294,7 +335,12 @@
 	if id, ok := lastEventID(events); ok {
 		j.lastEvent = id
 	}
-	if err := j.controller.SetWriteDeadline(j.gateway.clock().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	now := j.gateway.clock()
+	if !j.passedAt.IsZero() {
+		j.longestPause = max(j.longestPause, now.Sub(j.passedAt))
+	}
+	j.passedAt = now
+	if err := j.controller.SetWriteDeadline(now.Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
 	if _, err := j.writer.Write(events); err != nil {
@@ -360,5 +406,5 @@
 	j.gateway.stats.Done(j.route, j.status, j.sent, j.firstByte, total)
 	j.log("step", "end", "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
 		"status", j.status, "endpoint", j.target.ID, "tries", j.tries, "sent", j.sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
-		"adapters", j.adapterOrders, "first", j.firstByte, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "err", j.failure)
+		"adapters", j.adapterOrders, "admission", j.admissionWait, "first", j.firstByte, "pause", j.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "err", j.failure)
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -35,6 +35,10 @@
 	return &gossip.EnsureReply{Refused: "no " + string(e.Adapter)}, nil
 }
 
+func (handler) Admit(_ context.Context, a *gossip.Admit) (*gossip.AdmitReply, error) {
+	return &gossip.AdmitReply{Wait: a.Work, Refused: a.Work > a.Limit}, nil
+}
+
 func TestMessagesRoundTripOverGRPC(t *testing.T) {
 	h := handler{heartbeats: make(chan *gossip.Heartbeat, 1)}
 	server := gossip.NewServer(h)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -92,6 +92,8 @@
 	// Catalog and Roster are the versions that the sender already has.
 	Catalog int64 `cbor:"c"`
 	Roster  int64 `cbor:"r"`
+	// Deltas is set if the sender can apply a reply that has only changed entries.
+	Deltas bool `cbor:"d"`
 }
 
 // Entry is an endpoint's entry as stored in the platform's store.
@@ -106,6 +108,10 @@
 	Catalog []byte  `cbor:"c"`
 	Roster  int64   `cbor:"r"`
 	Entries []Entry `cbor:"e"`
+	// Delta is set if Entries and Removed are only the changes since the Fetch's revision;
+	// otherwise Entries is the complete list.
+	Delta   bool    `cbor:"d"`
+	Removed []Entry `cbor:"m"`
 }
 
 // Ensure asks the holder of the order lease to load an adapter.
@@ -120,3 +126,20 @@
 type EnsureReply struct {
 	Refused string `cbor:"r"`
 }
+
+// Admit asks the instance that paces an endpoint's prompts when one may be sent there.
+type Admit struct {
+	Endpoint fleet.Endpoint `cbor:"i"`
+	Born     int64          `cbor:"b"`
+	Level    int            `cbor:"l"`
+	// Work is the time that the prompt occupies in the schedule, Limit the longest wait.
+	Work  time.Duration `cbor:"w"`
+	Limit time.Duration `cbor:"m"`
+}
+
+// AdmitReply answers an Admit. Wait is counted from the arrival of the question. If Refused
+// is set, it is longer than the limit and the prompt was not scheduled.
+type AdmitReply struct {
+	Wait    time.Duration `cbor:"w"`
+	Refused bool          `cbor:"r"`
+}
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -30,6 +31,24 @@
 	return w
 }}
 
+// decompressor is a reusable reader with its output buffer. Instances of a large fleet
+// unpack tens of heartbeats a second, and a new reader allocates its window each time.
+type decompressor struct {
+	reader io.ReadCloser
+	text   bytes.Buffer
+}
+
+var decompressors = sync.Pool{New: func() any { return &decompressor{reader: flate.NewReader(new(bytes.Reader))} }}
+
+func (d *decompressor) reset(data []byte) error {
+	d.text.Reset()
+	resetter, ok := d.reader.(flate.Resetter)
+	if !ok {
+		return fmt.Errorf("%T can't be reset", d.reader)
+	}
+	return resetter.Reset(bytes.NewReader(data), nil)
+}
+
 // Pack encodes and compresses a heartbeat.
 func Pack(b *Heartbeat) (*PackedHeartbeat, error) {
 	text, err := cbor.Marshal(b)
@@ -54,14 +73,19 @@
 
 // Unpack decompresses and decodes a heartbeat.
 func (p *PackedHeartbeat) Unpack() (*Heartbeat, error) {
-	r := flate.NewReader(bytes.NewReader(p.Data))
-	defer func() { _ = r.Close() }() // nothing to release: the reader is in memory
-	text, err := io.ReadAll(io.LimitReader(r, maxHeartbeatBytes))
-	if err != nil {
+	d, ok := decompressors.Get().(*decompressor)
+	if !ok {
+		return nil, errors.New("unpack heartbeat: no decompressor")
+	}
+	defer decompressors.Put(d)
+	if err := d.reset(p.Data); err != nil {
+		return nil, fmt.Errorf("unpack heartbeat: %w", err)
+	}
+	if _, err := d.text.ReadFrom(io.LimitReader(d.reader, maxHeartbeatBytes)); err != nil {
 		return nil, fmt.Errorf("unpack heartbeat: %w", err)
 	}
 	b := new(Heartbeat)
-	if err := cbor.Unmarshal(text, b); err != nil {
+	if err := cbor.Unmarshal(d.text.Bytes(), b); err != nil {
 		return nil, fmt.Errorf("unpack heartbeat: %w", err)
 	}
 	return b, nil
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -38,6 +38,7 @@
 	Heartbeat(ctx context.Context, b *PackedHeartbeat) (*Ack, error)
 	Fetch(ctx context.Context, f *Fetch) (*FetchReply, error)
 	Ensure(ctx context.Context, e *Ensure) (*EnsureReply, error)
+	Admit(ctx context.Context, a *Admit) (*AdmitReply, error)
 }
 
 // NewServer returns a gRPC server for a handler.
@@ -54,6 +55,7 @@
 			unaryMethod("Beat", Handler.Heartbeat),
 			unaryMethod("Fetch", Handler.Fetch),
 			unaryMethod("Ensure", Handler.Ensure),
+			unaryMethod("Admit", Handler.Admit),
 		},
 	}, h)
 	return s
@@ -138,6 +140,11 @@
 	return invoke[Ensure, EnsureReply](ctx, c, address, "Ensure", e)
 }
 
+// Admit asks a peer when a prompt may be sent to an endpoint that it paces.
+func (c *Client) Admit(ctx context.Context, address string, a *Admit) (*AdmitReply, error) {
+	return invoke[Admit, AdmitReply](ctx, c, address, "Admit", a)
+}
+
 // Reset closes the connection to a peer, so that the next call opens a new one.
 func (c *Client) Reset(address string) {
 	c.mu.Lock()
