--- a/internal/core/member/options.go
+++ b/internal/core/member/options.go
@@ -23,8 +23,13 @@
 	// minSuspicions is how many instances must report a peer as unreachable before an
 	// instance suspects it on their reports.
 	minSuspicions = 2
-	// broadcastRounds is how many rounds after the start go to all local peers.
+	// broadcastRounds is how many rounds after the start go to broadcastFanout local peers.
 	broadcastRounds = 3
+	// broadcastFanout is to how many local peers a round goes that must not wait for the
+	// rotation. Those that it reaches pass the news on, so two rounds reach thousands.
+	broadcastFanout = 40
+	// replyFanout is how many replies to peers that became reachable a round adds at most.
+	replyFanout = 40
 )
 
 type settings struct {
--- a/internal/core/member/targets.go
+++ b/internal/core/member/targets.go
@@ -25,8 +25,8 @@
 	return list
 }
 
-// BroadcastNextRound makes the next round go to all peers of the local data centre, for
-// updates that must not wait for the rotation.
+// BroadcastNextRound makes the next round go to broadcastFanout peers of the local data
+// centre, for updates that must not wait for the rotation.
 func (v *View) BroadcastNextRound() { v.broadcast = true }
 
 // localTargets returns the peers of the local data centre that get a heartbeat in this
@@ -34,8 +34,12 @@
 // partition reconnect after it has healed.
 func (v *View) localTargets() []Peer {
 	rows := v.localPeers()
-	if len(rows) > v.settings.fanout && !v.broadcast && v.round > broadcastRounds {
-		rows = v.rotate(rows)
+	limit := v.settings.fanout
+	if v.broadcast || v.round <= broadcastRounds {
+		limit = max(limit, broadcastFanout)
+	}
+	if len(rows) > limit {
+		rows = v.rotate(rows, limit)
 	}
 	v.broadcast = false
 	for _, r := range rows {
@@ -57,25 +61,31 @@
 	return v.filter(func(r *record) bool { return v.isLocal(r) && r.state != StateDead })
 }
 
-// rotate chooses the targets of a round in a large data centre: the successors of this
-// instance in the ring of sorted names, which get every heartbeat, the next few of the
-// other peers in turn, and those that need a reply.
-func (v *View) rotate(rows []*record) []*record {
+// rotate chooses limit targets of a round in a large data centre: the successors of this
+// instance in the ring of sorted names, which get every heartbeat, and the next few of the
+// other peers in turn. Up to replyFanout of those that need a reply are added: when hundreds
+// of instances start together, the others get theirs in turn.
+func (v *View) rotate(rows []*record, limit int) []*record {
 	at, _ := slices.BinarySearchFunc(rows, v.self.peer.Instance, byName)
 	ring := slices.Concat(rows[at:], rows[:at])
 	list, others := ring[:successors:successors], ring[successors:]
 	slices.SortFunc(others, func(a, b *record) int { return cmp.Compare(a.peer.Instance, b.peer.Instance) })
+	if v.cursor == "" && len(rows) > broadcastFanout {
+		v.cursor = v.self.peer.Instance // else hundreds of instances would begin with the same peers
+	}
 	from, found := slices.BinarySearchFunc(others, v.cursor, byName)
 	if found {
 		from++
 	}
-	for i := range v.settings.fanout - successors {
+	for i := range limit - successors {
 		list = append(list, others[(from+i)%len(others)])
 	}
 	v.cursor = list[len(list)-1].peer.Instance
+	replies := 0
 	for _, r := range others {
-		if r.needsReply && !slices.Contains(list, r) {
+		if r.needsReply && replies < replyFanout && !slices.Contains(list, r) {
 			list = append(list, r)
+			replies++
 		}
 	}
 	return list
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -20,7 +20,7 @@
 	round        uint64
 	exchangeTurn uint64
 	listReceived bool           // whether any platform list was received
-	broadcast    bool           // whether the next round goes to all local peers
+	broadcast    bool           // whether the next round goes to broadcastFanout local peers
 	cursor       fleet.Instance // the last peer that the rotation reached
 	lastExchange map[fleet.DataCentre]time.Time
 }
