feat(copies): idle models make room; moves grow with the fleet

Cause: (1) the large site's small twin has 52 models for about 50 places. (2) at most six loads and unloads were under way for demand, on 9 endpoints as on 160, where the weight store allows 23 loads a second. Change: (1) an unavailable model that callers ask for takes the place of one that nobody has asked for in 20 s; (2) up to a third of the endpoints move at once. The invariant "the last copy is never evicted" is replaced by "only one without demand that isn't at risk, and only for an unavailable model in demand": as it stood, models beyond the places could never be reached.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -53,7 +53,7 @@
 	// ColdLoads is the number of loads from the weight store that may start now.
 	ColdLoads int
 	// MaxMoves is the number of loads and unloads in progress up to which moves for demand
-	// or standby copies are added.
+	// or standby copies are added; if there are more endpoints, a share of them.
 	MaxMoves int
 	// MinGain is the factor by which the demand per copy of a model must exceed that of the
 	// model that is evicted for it.
@@ -72,6 +72,8 @@
 	Recent, LongTerm map[fleet.Model]float64
 	// AtRisk are models whose demand may rise sharply within seconds.
 	AtRisk map[fleet.Model]bool
+	// InUse are models that callers have asked for lately.
+	InUse map[fleet.Model]bool
 }
 
 // planner holds the inputs and the state of one planning run.
@@ -86,12 +88,17 @@
 	activeMoves   int
 }
 
+// endpointsPerMove limits the moves of a large fleet: an endpoint that loads a model can't
+// load adapters meanwhile.
+const endpointsPerMove = 3
+
 // Plan returns the next moves, at most one per endpoint.
 func Plan(engine *catalog.Engine, endpoints []Endpoint, demand Demand, limits Limits) []Move {
 	p := &planner{
 		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, limits: limits,
 		readyCopies: make(map[fleet.Model]int), plannedCopies: make(map[fleet.Model]int),
 	}
+	p.limits.MaxMoves = max(limits.MaxMoves, len(endpoints)/endpointsPerMove)
 	for i := range p.endpoints {
 		p.countCopies(&p.endpoints[i])
 	}
@@ -131,7 +138,8 @@
 }
 
 // restoreUnavailable adds a copy of each unavailable model, which has none, those with the most
-// demand first.
+// demand first. Where endpoints hold fewer models than there are, a model that callers ask for
+// takes the memory of one that nobody does.
 func (p *planner) restoreUnavailable() {
 	unavailable := make([]catalog.Model, 0)
 	for _, m := range p.engine.Models {
@@ -141,10 +149,18 @@
 	}
 	slices.SortStableFunc(unavailable, func(a, b catalog.Model) int { return cmp.Compare(p.demand.Recent[b.Name], p.demand.Recent[a.Name]) })
 	for i := range unavailable {
-		if p.loadAnywhere(&unavailable[i]) {
+		m := &unavailable[i]
+		if p.loadAnywhere(m) {
+			continue
+		}
+		if p.evictIf(m, func(s candidate) bool {
+			return !s.last && (s.remainingDemand < overloadFactor*p.limits.MinDemand || !p.anyBusy())
+		}) {
 			continue
 		}
-		p.evictIf(&unavailable[i], func(s candidate) bool { return s.remainingDemand < overloadFactor*p.limits.MinDemand || !p.anyBusy() })
+		if p.demand.Recent[m.Name] > 0 {
+			p.evictIf(m, func(s candidate) bool { return s.last && !s.recentlyLoaded })
+		}
 	}
 }
 
@@ -189,7 +205,7 @@
 		}
 		if !p.loadAnywhere(m) {
 			p.evictIf(m, func(s candidate) bool {
-				return p.readyCopies[s.model]-1 >= p.limits.StandbyCopies && s.remainingDemand < p.limits.MinDemand
+				return !s.last && p.readyCopies[s.model]-1 >= p.limits.StandbyCopies && s.remainingDemand < p.limits.MinDemand
 			})
 		}
 	}
@@ -318,7 +334,7 @@
 // remaining copy of the evicted one.
 func (p *planner) evictForDemand(m *catalog.Model, gain float64) bool {
 	return p.evictIf(m, func(s candidate) bool {
-		return !s.recentlyLoaded && p.demand.Recent[m.Name]/float64(p.plannedCopies[m.Name]) >= gain*s.remainingDemand
+		return !s.last && !s.recentlyLoaded && p.demand.Recent[m.Name]/float64(p.plannedCopies[m.Name]) >= gain*s.remainingDemand
 	})
 }
 
@@ -351,7 +367,7 @@
 }
 
 // evictionCandidate returns the cheapest allowed copy to evict on an endpoint; its endpoint is
-// nil if there is none. The last ready copy of a model is never one.
+// nil if there is none. The last ready copy of a model is one only while callers don't ask for it.
 func (p *planner) evictionCandidate(e *Endpoint, m *catalog.Model, allowed func(candidate) bool) candidate {
 	var best candidate
 	cached := slices.Contains(e.Cached, m.Name)
@@ -360,11 +376,12 @@
 	}
 	blocked := p.blockedDemand(e)
 	for _, name := range e.Loaded {
-		if p.readyCopies[name] < 2 {
+		retained, last := p.retainedDemand(name), p.readyCopies[name] < 2
+		if last && (retained > 0 || p.demand.InUse[name]) {
 			continue
 		}
 		s := candidate{
-			endpoint: e, model: name, remainingDemand: p.retainedDemand(name) / float64(p.readyCopies[name]-1),
+			endpoint: e, model: name, last: last, remainingDemand: retained / float64(max(1, p.readyCopies[name]-1)),
 			blockedDemand: blocked, cached: cached, recentlyLoaded: slices.Contains(e.RecentlyLoaded, name),
 		}
 		if allowed(s) && (best.endpoint == nil || s.cheaperThan(best)) {
@@ -378,6 +395,8 @@
 type candidate struct {
 	endpoint *Endpoint
 	model    fleet.Model
+	// last is set if it is the last ready copy of its model.
+	last bool
 	// remainingDemand is the demand per remaining copy of its model.
 	remainingDemand float64
 	// blockedDemand is the adapter demand that the load on its endpoint would block.
--- a/internal/loader/at_risk_test.go
+++ b/internal/loader/at_risk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -18,3 +19,12 @@
 	assert.Equal(t, map[fleet.Model]bool{"a": true, "b": true, "c": false}, l.atRisk(engine, map[fleet.Model]float64{"b": 100}))
 	assert.Equal(t, map[fleet.Model]bool{"a": true, "b": true, "c": false}, l.atRisk(engine, nil), "also after the demand has ended")
 }
+
+// A model counts as in use for a while after the last request for it.
+func TestModelsInUse(t *testing.T) {
+	l := New(nil, nil, nil, nil, Limits{})
+	now := time.Unix(1_000_000, 0)
+	assert.Equal(t, map[fleet.Model]bool{"a": true, "b": true}, l.inUse(now, map[fleet.Model]float64{"a": 1, "c": 0}, map[fleet.Model]float64{"b": 2}))
+	assert.Equal(t, map[fleet.Model]bool{"a": true, "b": true}, l.inUse(now.Add(idleTime-1), map[fleet.Model]float64{"b": 1}))
+	assert.Equal(t, map[fleet.Model]bool{"a": false, "b": true}, l.inUse(now.Add(idleTime)))
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -43,6 +43,9 @@
 	// minServeTime is how long a copy serves before it may be evicted for demand elsewhere:
 	// twice the time of a load from the weight store.
 	minServeTime = 10 * time.Second
+	// idleTime is how long nobody must have asked for a model before it may lose its last copy
+	// to one that callers ask for: a few times what loading it again takes.
+	idleTime = 20 * time.Second
 	// maxRequestTime is how long a request may keep using an adapter after the order to unload
 	// it: the longest specified time limit of a request.
 	maxRequestTime = 15 * time.Second
@@ -144,6 +147,8 @@
 	fenceSince time.Time
 	// hadDemand are the models whose demand has reached Limits.MinDemand.
 	hadDemand map[fleet.Model]bool
+	// askedAt is when a model last had demand.
+	askedAt map[fleet.Model]time.Time
 }
 
 // Limits are the configured limits on loads and moves.
@@ -171,6 +176,7 @@
 	l := &Loader{
 		endpoints: endpoints, lease: lease, cluster: cluster, clock: clock, limits: limits,
 		logger: log.NewNopLogger(), orderStates: make(map[fleet.Endpoint]*orderState), hadDemand: make(map[fleet.Model]bool),
+		askedAt: make(map[fleet.Model]time.Time),
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -43,7 +43,7 @@
 	limits := copies.Limits{
 		ColdLoads: l.allowedColdLoads(now, g.Engine, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
 	}
-	planDemand := copies.Demand{Recent: demand, LongTerm: longTerm, AtRisk: l.atRisk(g.Engine, demand)}
+	planDemand := copies.Demand{Recent: demand, LongTerm: longTerm, AtRisk: l.atRisk(g.Engine, demand), InUse: l.inUse(now, demand, longTerm)}
 	var group errgroup.Group
 	for _, m := range copies.Plan(g.Engine, plan, planDemand, limits) {
 		group.Go(func() error {
@@ -70,6 +70,24 @@
 	return all
 }
 
+// inUse returns the models that callers have asked for lately.
+func (l *Loader) inUse(now time.Time, demands ...map[fleet.Model]float64) map[fleet.Model]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, demand := range demands {
+		for m, d := range demand {
+			if d > 0 {
+				l.askedAt[m] = now
+			}
+		}
+	}
+	all := make(map[fleet.Model]bool, len(l.askedAt))
+	for m, at := range l.askedAt {
+		all[m] = now.Sub(at) < idleTime
+	}
+	return all
+}
+
 // trackOrders compares the orders in progress with the endpoint's reports, and sends an unload
 // whose delay is over.
 func (l *Loader) trackOrders(ctx context.Context, now time.Time, d *orderState, c *Candidate) {
