fix(direct): what a heartbeat tells survives a rotation of seconds

Cause: at 295 instances a peer is heard once in 10 s. So the holder of the order lease was unknown to most (adapters refused), the holder had the demand of a fifth of the instances, an endpoint that once reported "busy" or "full" stayed so for seconds, and adapters known from an order were asked for again after 0.8 s. Change: heartbeats name the holder with the age of that news, for at most 3 s; each third round goes to the holder too; a report's load counts for 2 s, its models until the entry shows a later order; what an order or a request has shown counts until a later report (10 s at most, absence 3 s). TestOrderResultsOverrideDelayedReports assumed that reports come all the time: it now states both, with and without a newer report.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -387,11 +387,11 @@
 	default:
 		c.Wait += b.costs.Region
 	}
-	if load.Running >= e.Slots || e.Report.Total > 0 && e.Report.Used+a.PromptTokens > e.Report.Total {
+	if load.Running >= e.Slots || e.Occupied(now, a.PromptTokens) {
 		c.Wait += b.costs.NoCapacity
 	}
 	if a.Adapter != "" && !e.Serves(now, a.Model, a.Adapter) {
-		if e.Report.Busy || group.Engine == nil {
+		if e.Busy(now) || group.Engine == nil {
 			return c, false
 		}
 		c.LoadAdapter = true
--- a/internal/core/roster/observation.go
+++ b/internal/core/roster/observation.go
@@ -10,6 +10,14 @@
 // are some hundred milliseconds old, and arrive through an instance that polls periodically.
 const reportLag = 800 * time.Millisecond
 
+// maxPresence and maxAbsence are how long an observation counts without a newer report. In
+// a fleet of hundreds of instances reports arrive only every few seconds; a wrong absence
+// keeps requests from a copy, so it ends sooner.
+const (
+	maxPresence = 10 * time.Second
+	maxAbsence  = 3 * time.Second
+)
+
 // observation is the result of a send or an order that reports may not show yet.
 type observation struct {
 	at      time.Time
@@ -17,7 +25,7 @@
 }
 
 // RecordPresence records that the endpoint has a model or adapter, or that it lacks it.
-// This overrides reports until reportLag has passed. An empty adapter means the base model.
+// This overrides reports that were taken less than reportLag later. An empty adapter means the base model.
 func (r *Roster) RecordPresence(now time.Time, id fleet.Endpoint, what Adapter, present bool) {
 	if e := r.endpoints[id]; e != nil {
 		e.recordPresence(now, what, present)
@@ -47,7 +55,15 @@
 }
 
 func (e *Endpoint) isLoaded(now time.Time, what Adapter, reported bool) bool {
-	if o, ok := e.observations[what]; ok && now.Sub(o.at) < reportLag {
+	o, ok := e.observations[what]
+	if !ok {
+		return reported
+	}
+	age, limit := now.Sub(o.at), maxAbsence
+	if o.present {
+		limit = maxPresence
+	}
+	if age < reportLag || age < limit && e.Report.Taken.Before(o.at.Add(reportLag)) {
 		return o.present
 	}
 	return reported
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -272,10 +272,28 @@
 // Suspect reports whether the endpoint is avoided because of failed sends.
 func (e *Endpoint) Suspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
-// Holdings returns the models loaded on the endpoint, from its newest report or else its entry.
+// Holdings returns the models loaded on the endpoint, from its report or its entry, whichever
+// shows more orders.
 func (e *Endpoint) Holdings() []Holding {
-	if e.Report.Taken.IsZero() {
+	if e.Report.Taken.IsZero() || e.Seq > e.Report.Seq {
 		return e.Models
 	}
 	return e.Report.Models
 }
+
+// reportValidity is how long a report's load counts. In a fleet of hundreds of instances a
+// report may be seconds old when the next one arrives.
+const reportValidity = 2 * time.Second
+
+// Occupied reports whether a prompt exceeds the KV cache that was free when the endpoint
+// last reported.
+func (e *Endpoint) Occupied(now time.Time, promptTokens int) bool {
+	return e.reportValid(now) && e.Report.Total > 0 && e.Report.Used+promptTokens > e.Report.Total
+}
+
+// Busy reports whether the endpoint last reported that it carries out an order for a model.
+func (e *Endpoint) Busy(now time.Time) bool { return e.reportValid(now) && e.Report.Busy }
+
+func (e *Endpoint) reportValid(now time.Time) bool {
+	return e.Report.Taken.IsZero() || now.Sub(e.Report.Taken) < reportValidity
+}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -138,7 +138,39 @@
 	assert.False(t, e.Serves(at(1), "m", "y"))
 	r.RecordPresence(at(10), "a", roster.Adapter{Model: "m", Adapter: "y"}, true)
 	assert.True(t, e.Serves(at(20), "m", "y"))
+	report := func(ms int) {
+		r.RecordReport("a", roster.Report{Born: 1, Taken: at(ms), Models: []roster.Holding{{Model: "m", Adapters: []fleet.Adapter{"x"}}}})
+	}
+	assert.True(t, e.Serves(at(2000), "m", "y"), "no report has been taken since")
+	report(700)
+	assert.True(t, e.Serves(at(2000), "m", "y"), "the report may not show it yet")
+	report(900)
 	assert.False(t, e.Serves(at(2000), "m", "y"), "reports are current again")
 	r.MarkUnloading(at(3000), "a", "m")
 	assert.False(t, e.Serves(at(3001), "m", "x"))
+	assert.False(t, e.Serves(at(5900), "m", "x"), "no report has been taken since")
+	assert.True(t, e.Serves(at(6100), "m", "x"), "a wrong absence ends without a report")
+	r.RecordPresence(at(7000), "a", roster.Adapter{Model: "m", Adapter: "z"}, true)
+	assert.True(t, e.Serves(at(16900), "m", "z"))
+	assert.False(t, e.Serves(at(17100), "m", "z"), "so does a presence, later")
+}
+
+// In a fleet of hundreds of instances an endpoint's report may be seconds old. Its load no
+// longer counts then, and its entry may show newer orders.
+func TestOldReportsCountForModelsOnly(t *testing.T) {
+	r := roster.New()
+	record := entry("a", 1, 1, false)
+	r.Apply(at(0), []roster.Record{record}, 1)
+	r.RecordReport("a", roster.Report{Born: 1, Taken: at(0), Seq: 3, Busy: true, Used: 90, Total: 100, Models: []roster.Holding{{Model: "m"}}})
+	e := r.Get("a")
+	assert.True(t, e.Busy(at(1900)))
+	assert.True(t, e.Occupied(at(1900), 20))
+	assert.False(t, e.Occupied(at(1900), 10))
+	assert.False(t, e.Busy(at(2100)))
+	assert.False(t, e.Occupied(at(2100), 20))
+	assert.True(t, e.Serves(at(9000), "m", ""))
+	record.Entry.Seq, record.Entry.Models, record.Entry.Revision, record.Revision = 4, []roster.Holding{{Model: "n"}}, 2, 2
+	r.Apply(at(9000), []roster.Record{record}, 2)
+	assert.True(t, e.Serves(at(9001), "n", ""))
+	assert.False(t, e.Serves(at(9001), "m", ""), "the entry shows a later order")
 }
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -180,8 +180,9 @@
 	for _, r := range s.retirements {
 		b.Retiring = append(b.Retiring, gossip.Retirement{Endpoint: r.endpoint, Model: r.model})
 	}
+	b.Holder = s.holderNews()
 	b.Peer = s.view.Heartbeat()
-	return s.view.Targets(now), b
+	return s.withHolder(s.view.Targets(now), b.Peer.Sequence), b
 }
 
 // receiveHeartbeat applies a heartbeat from another instance.
@@ -202,6 +203,7 @@
 		clockOffset = min(clockOffset, previous.clockOffset)
 	}
 	s.peers[name] = &peer{heartbeat: *b, receivedAt: now, clockOffset: clockOffset}
+	s.receiveHolder(now, b, delay)
 	s.balancer.SetRemote(name, b.Loads, b.Uses)
 	for _, r := range b.Reports {
 		// A heartbeat may have been delayed on a connection that was cut for a while; its
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -88,6 +88,7 @@
 	mayOrder         bool
 	fence            fleet.Fence
 	retirements      []retirement
+	lastHolder       announcedHolder
 	schedules        schedules
 	pacerDownUntil   map[fleet.Instance]time.Time // instances that didn't answer when asked for a place
 	// laggingSince is the time since which a peer has had newer data.
@@ -377,35 +378,6 @@
 	return nil
 }
 
-// holder returns the address of the live peer that announces it may give orders; the
-// highest fence wins.
-func (s *state) holder() (address string, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var best *peer
-	for name, p := range s.peers {
-		if p.heartbeat.HoldsOrderLease && s.isLive(name) && (best == nil || p.heartbeat.Fence > best.heartbeat.Fence) {
-			best = p
-		}
-	}
-	if best == nil {
-		return "", false
-	}
-	return best.heartbeat.Peer.Address, true
-}
-
-// noKnownHolder reports whether no live peer announces that it holds the order lease.
-func (s *state) noKnownHolder() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, p := range s.peers {
-		if p.heartbeat.Fence != 0 && s.isLive(name) {
-			return false
-		}
-	}
-	return true
-}
-
 // position returns the position of this instance among the live ones, sorted by name.
 func (s *state) position() int {
 	s.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -38,7 +38,10 @@
 	// HoldsOrderLease is set if the sender may give orders.
 	HoldsOrderLease bool `cbor:"h"`
 	// Fence is the fencing token of the sender's order lease.
-	Fence      fleet.Fence        `cbor:"n"`
+	Fence fleet.Fence `cbor:"n"`
+	// Holder is the instance that the sender takes for the holder of the order lease, nil if
+	// it knows none. Few heartbeats of a large fleet come from the holder itself.
+	Holder     *Holder            `cbor:"j,omitempty"`
 	Suspicions []member.Suspicion `cbor:"u"`
 	// Retiring are copies of models about to be unloaded; no new requests are routed to them.
 	Retiring []Retirement `cbor:"t"`
@@ -46,6 +49,15 @@
 	Crashes []Crash `cbor:"v"`
 }
 
+// Holder names the holder of the order lease, as of Age ago.
+type Holder struct {
+	Instance fleet.Instance `cbor:"i"`
+	Address  string         `cbor:"a"`
+	Fence    fleet.Fence    `cbor:"n"`
+	MayOrder bool           `cbor:"h"`
+	Age      time.Duration  `cbor:"g"`
+}
+
 // Crash is the crash of an endpoint with a request in flight. SentAgo and FailedAgo are
 // the times since the request was sent and since its run was interrupted, at the time the
 // heartbeat was sent.
