feat(direct): the instance that probes an endpoint admits its requests

Change: the instance that probes an endpoint, and so has its newest report, answers for it: requests reported plus those admitted since hold a slot; a request that can't have its slot and its prefill within its target is tried elsewhere or refused at once. Before, only paced prompts were scheduled there. It costs one call of a few hundred bytes per request, 1 ms inside a region; if the instance doesn't answer in 60 ms, requests go unadmitted for 1 s.

--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -22,6 +22,10 @@
 // takes at most nine steps, and each can include a piece of a prompt that takes 27 ms.
 const maxPacedGap = 250 * time.Millisecond
 
+// maxAdmitted bounds the admissions that are remembered: more than an endpoint takes between
+// two reports.
+const maxAdmitted = 1024
+
 // Applies reports whether prompts must be paced for streams whose events may be gap apart.
 func Applies(gap time.Duration) bool { return gap > eventDecodeTime && gap <= maxPacedGap }
 
@@ -36,6 +40,35 @@
 type Schedule struct {
 	// busyUntil is, for each rank, when the scheduled prompts end that are as urgent or more.
 	busyUntil [rankCount]time.Time
+	// admitted are the times at which prompts were scheduled lately, in order.
+	admitted []time.Time
+}
+
+// reportLag is how old the state in an endpoint's report may be when the report is taken.
+const reportLag = 200 * time.Millisecond
+
+// Occupancy is what an endpoint reported of its requests.
+type Occupancy struct {
+	Slots int
+	// Requests counts the running and the queued ones, as of ReportedAt.
+	Requests   int
+	ReportedAt time.Time
+}
+
+// SlotWait returns how long a request waits until one of the endpoint's slots is free, if a
+// request runs for the given time: those that were reported and those admitted since hold one.
+func (s *Schedule) SlotWait(o Occupancy, run time.Duration) time.Duration {
+	if o.Slots <= 0 {
+		return 0
+	}
+	for len(s.admitted) > 0 && s.admitted[0].Before(o.ReportedAt.Add(-reportLag)) {
+		s.admitted = s.admitted[1:]
+	}
+	ahead := o.Requests + len(s.admitted) - o.Slots
+	if ahead < 0 {
+		return 0
+	}
+	return time.Duration(ahead+1) * run / time.Duration(o.Slots)
 }
 
 // Reserve schedules a prompt of a rank, 0 being the most urgent, and returns how long to wait
@@ -52,6 +85,9 @@
 		}
 		s.busyUntil[r] = s.busyUntil[r].Add(work)
 	}
+	if s.admitted = append(s.admitted, now); len(s.admitted) > maxAdmitted {
+		s.admitted = s.admitted[1:]
+	}
 	return wait, true
 }
 
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -61,6 +61,26 @@
 	}
 }
 
+// The load of more requests than an endpoint has slots: reports show them late.
+func TestSlotWait(t *testing.T) {
+	const run = 2400 * time.Millisecond
+	var s pace.Schedule
+	report := func(requests, ms int) pace.Occupancy {
+		return pace.Occupancy{Slots: 24, Requests: requests, ReportedAt: start.Add(time.Duration(ms) * time.Millisecond)}
+	}
+	assert.Zero(t, s.SlotWait(pace.Occupancy{}, run), "nothing is known")
+	assert.Zero(t, s.SlotWait(report(20, 0), run))
+	for i := range 3 {
+		_, ok := s.Reserve(start.Add(time.Duration(i)*time.Millisecond), 0, 0, 0)
+		assert.True(t, ok)
+	}
+	assert.Zero(t, s.SlotWait(report(20, 0), run))
+	assert.Equal(t, 100*time.Millisecond, s.SlotWait(report(21, 0), run), "21 reported and 3 sent since")
+	assert.Equal(t, 300*time.Millisecond, s.SlotWait(report(23, 100), run), "the report may not show those sent yet")
+	assert.Zero(t, s.SlotWait(report(23, 300), run), "the report shows them")
+	assert.Equal(t, 400*time.Millisecond, s.SlotWait(report(27, 300), run), "more wait there already")
+}
+
 func TestAppliesToShortGapsOnly(t *testing.T) {
 	for gap, want := range map[time.Duration]bool{0: false, 50 * time.Millisecond: false, 150 * time.Millisecond: true, 200 * time.Millisecond: true, 300 * time.Millisecond: false, 500 * time.Millisecond: false} {
 		assert.Equal(t, want, pace.Applies(gap), gap)
--- a/internal/direct/pacing.go
+++ b/internal/direct/pacing.go
@@ -17,6 +17,10 @@
 	// admitTimeout limits the question to the instance that paces an endpoint's prompts: a
 	// round trip between regions. After it the prompt is sent unpaced.
 	admitTimeout = 60 * time.Millisecond
+	// maxOccupancyAge is how old a report may be for the free slots that it shows: a few probes.
+	maxOccupancyAge = time.Second
+	// outputTokenTime is how long a request in a busy batch takes for each output token.
+	outputTokenTime = 10 * time.Millisecond
 	// pacerBackoff is how long an instance that didn't answer is not asked again.
 	pacerBackoff = time.Second
 )
@@ -40,10 +44,25 @@
 		schedule = new(pace.Schedule)
 		s.schedules[key] = schedule
 	}
-	wait, ok := schedule.Reserve(s.clock(), a.Level, a.Work, a.Limit)
+	now := s.clock()
+	slotWait := schedule.SlotWait(s.occupancy(now, a.Endpoint), a.Run)
+	if slotWait > a.Limit {
+		return &gossip.AdmitReply{Wait: slotWait, Refused: true}
+	}
+	wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
 	return &gossip.AdmitReply{Wait: wait, Refused: !ok}
 }
 
+// occupancy returns what an endpoint reported of its requests, the zero value if that is not
+// known or too old.
+func (s *state) occupancy(now time.Time, id fleet.Endpoint) pace.Occupancy {
+	e := s.roster.Get(id)
+	if e == nil || now.Sub(e.Report.Taken) > maxOccupancyAge {
+		return pace.Occupancy{}
+	}
+	return pace.Occupancy{Slots: e.Slots, Requests: e.Report.Running + e.Report.Queued, ReportedAt: e.Report.Taken}
+}
+
 // removeIdleSchedules drops the schedules that hold no prompt.
 func (s *state) removeIdleSchedules(now time.Time) {
 	for key, schedule := range s.schedules {
@@ -90,12 +109,12 @@
 
 // Admit asks when a prompt may be sent to the target. ok is false if that is later than limit.
 // If the instance that paces the endpoint doesn't answer, the prompt may be sent at once.
-func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, gap, limit time.Duration) (wait time.Duration, ok bool) {
+func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, work, limit time.Duration) (wait time.Duration, ok bool) {
 	address, known := g.pacer(t.ID)
 	if !known {
 		return 0, true
 	}
-	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: pace.Work(t.PendingPrefill, gap), Limit: limit}
+	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: limit}
 	if address == "" {
 		answer := g.reserve(question)
 		return answer.Wait, !answer.Refused
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -363,7 +363,8 @@
 		{name: "at once", gap: 150 * time.Millisecond, wantStatus: http.StatusOK, wantRuns: 1},
 		{name: "after a wait", gap: 150 * time.Millisecond, wait: 60 * time.Millisecond, wantStatus: http.StatusOK, wantRuns: 1},
 		{name: "too late everywhere", gap: 150 * time.Millisecond, wait: time.Second, refused: true, wantStatus: http.StatusServiceUnavailable, wantRetryAfter: true},
-		{name: "pauses may be long", gap: time.Second, refused: true, wantStatus: http.StatusOK, wantRuns: 1},
+		{name: "too late everywhere, long pauses", gap: time.Second, wait: time.Second, refused: true, wantStatus: http.StatusServiceUnavailable, wantRetryAfter: true},
+		{name: "pauses may be long", gap: time.Second, wait: time.Hour, wantStatus: http.StatusOK, wantRuns: 1},
 		{name: "the caller leaves meanwhile", gap: 150 * time.Millisecond, wait: 300 * time.Millisecond, leaveAfter: 50 * time.Millisecond},
 	}
 	for _, tt := range tests {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -196,21 +196,27 @@
 	return j.handleAnswer(ctx, answer)
 }
 
-// awaitAdmission waits until the request's prompt may be sent to the chosen endpoint. A
-// request that would wait too long to meet its target is not sent there.
+// awaitAdmission has the request admitted at the chosen endpoint. A request that would wait
+// too long to meet its target is not sent there. Where queued prompts would pause the streams
+// that run there, the request waits for its prompt's place in the schedule.
 func (j *job) awaitAdmission(ctx context.Context) error {
-	if j.request.Model == "" || !pace.Applies(j.route.MaxEventGap) {
+	if j.request.Model == "" || j.route.Target <= 0 {
 		return nil
 	}
+	work, paced := j.target.PendingPrefill, pace.Applies(j.route.MaxEventGap)
+	if paced {
+		work = pace.Work(work, j.route.MaxEventGap)
+	}
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-j.target.PendingPrefill-admissionMargin)
-	wait, ok := j.gateway.fleet.Admit(ctx, j.target, &j.query, j.route.MaxEventGap, limit)
+	wait, ok := j.gateway.fleet.Admit(ctx, j.target, &j.query, work, limit)
 	if !ok {
 		j.predictedWait = wait + j.target.PendingPrefill
-		return fmt.Errorf("%w: prompts are scheduled for %s", ErrOverloaded, wait)
+		return fmt.Errorf("%w: the wait there is %s", ErrOverloaded, wait)
 	}
-	if j.admissionWait = wait; wait <= 0 {
-		return nil
+	if !paced || wait <= 0 {
+		return ctx.Err()
 	}
+	j.admissionWait = wait
 	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	<-waiting.Done()
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -170,9 +170,9 @@
 	// takes one retry from the budget and reports whether there was one.
 	CountRequest(a *balance.Request)
 	TakeRetry(s catalog.Service) bool
-	// Admit asks when a prompt may be sent to the target, so that the streams running there
-	// keep events within the gap. ok is false if that is later than limit.
-	Admit(ctx context.Context, t Target, a *balance.Request, gap, limit time.Duration) (wait time.Duration, ok bool)
+	// Admit asks when a prompt may be sent to the target, where it occupies the engine for the
+	// time work. ok is false if that is later than limit.
+	Admit(ctx context.Context, t Target, a *balance.Request, work, limit time.Duration) (wait time.Duration, ok bool)
 	// Ensure has an adapter loaded at the target.
 	Ensure(ctx context.Context, t Target, m fleet.Model, a fleet.Adapter) error
 	// Missing records that the endpoint doesn't have the model or adapter that Choose expected
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -144,8 +144,10 @@
 	Endpoint fleet.Endpoint `cbor:"i"`
 	Born     int64          `cbor:"b"`
 	Level    int            `cbor:"l"`
-	// Work is the time that the prompt occupies in the schedule, Limit the longest wait.
+	// Work is the time that the prompt occupies in the schedule, Run how long its request will
+	// hold a slot, Limit the longest wait.
 	Work  time.Duration `cbor:"w"`
+	Run   time.Duration `cbor:"r"`
 	Limit time.Duration `cbor:"m"`
 }
 
