feat(gateway): refused callers return spread out; a restarted holder orders at once

Change: (1) Retry-After is spread over 1 to 2.5 times the wait, at most 3 s; (2) the wait for the list is left out if a live peer has run for longer. The tests' gateway takes its random numbers from the test; expectations stay.

--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -78,12 +78,25 @@
 // be listed: two of their heartbeats plus the lag of the store.
 const listSettleTime = 3 * time.Second
 
-// Settled reports whether the first endpoint list was received long enough ago that models
-// found on no endpoint count as missing.
+// settledSequence is the number of heartbeats after which a peer has run for longer than
+// listSettleTime; some are sent between the rounds.
+const settledSequence = 20
+
+// Settled reports whether models found on no endpoint count as missing: the first endpoint
+// list was received long enough ago, or this instance has joined others that run for long, as
+// after its restart.
 func (s *state) Settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listed && s.clock().Sub(s.listedAt) >= listSettleTime
+	if !s.listed || s.clock().Sub(s.listedAt) >= listSettleTime {
+		return s.listed
+	}
+	for name, p := range s.peers {
+		if p.heartbeat.Peer.Sequence >= settledSequence && s.isLive(name) {
+			return true
+		}
+	}
+	return false
 }
 
 // Candidates returns the endpoints of a service that are not leaving, in the form that the
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -240,3 +240,30 @@
 	s.leave()
 	assert.Empty(t, s.addresses("south", "a:2", true))
 }
+
+// An instance that holds the order lease and restarts gives orders again as soon as it has the
+// list, if the fleet has been running. When all start together it waits for the endpoints.
+func TestSettledAfterRestart(t *testing.T) {
+	tests := []struct {
+		name     string
+		sequence uint64
+		after    time.Duration
+		want     bool
+	}{
+		{name: "alone", after: time.Second},
+		{name: "all started together", sequence: 5, after: time.Second},
+		{name: "the others run", sequence: 40, after: 100 * time.Millisecond, want: true},
+		{name: "alone, later", after: listSettleTime, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := &testClock{}
+			s := newTestState(w)
+			if tt.sequence > 0 {
+				s.receiveHeartbeat(heartbeatFrom(tt.sequence, time.Second))
+			}
+			w.elapsed = tt.after
+			assert.Equal(t, tt.want, s.Settled())
+		})
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -40,6 +40,7 @@
 	poison                           bool
 	admissionWait                    time.Duration
 	admissionRefused                 bool
+	random                           float64
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -154,7 +155,8 @@
 	timers := timer.New(timer.System{})
 	var group errgroup.Group
 	timers.Start(t.Context(), &group)
-	g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now, gateway.WithTimers(timers))
+	g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now, gateway.WithTimers(timers),
+		gateway.WithRandom(func() float64 { return f.random }))
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
 	return server.URL
@@ -400,3 +402,30 @@
 		})
 	}
 }
+
+// Callers that are refused together in a flood are told to come back at different times, not
+// before the queued work should be done and not later than the longest delay.
+func TestRefusedCallersReturnSpreadOut(t *testing.T) {
+	tests := []struct {
+		name   string
+		random float64
+		wait   time.Duration
+		want   string
+	}{
+		{name: "first", wait: time.Second, want: "0.900"},
+		{name: "in the middle", random: 0.5, wait: time.Second, want: "1.575"},
+		{name: "last", random: 0.999, wait: time.Second, want: "2.249"},
+		{name: "a short wait", random: 0.5, wait: 10 * time.Millisecond, want: "0.875"},
+		{name: "a long wait", random: 0.5, wait: time.Minute, want: "3.000"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+			f.err, f.wait, f.random = gateway.ErrOverloaded, tt.wait, tt.random
+			r, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusServiceUnavailable, r.status)
+			assert.Equal(t, tt.want, r.header.Get("Retry-After"))
+		})
+	}
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -31,6 +31,9 @@
 	writeTimeout = 5 * time.Second
 	// minTimeLeft is the shortest time before the deadline in which another attempt is worthwhile.
 	minTimeLeft = 20 * time.Millisecond
+	// retrySpread is how far the retries of callers refused at one moment are spread, as a
+	// multiple of the wait: else a burst of them returns as a burst.
+	retrySpread = 1.5
 	// admissionMargin is what a first event takes beside its wait and its prefill: the way
 	// there and back and the steps of the engine.
 	admissionMargin = 60 * time.Millisecond
@@ -390,8 +393,8 @@
 	j.gateway.codec.Refuse(j.writer, refusal)
 }
 
-// retryAfter returns when a refused caller may try again: when the queued work should be
-// done, or when the missing model or adapter may be loaded.
+// retryAfter returns when a refused caller may try again: some time after the queued work
+// should be done, or when the missing model or adapter may be loaded.
 func (j *job) retryAfter() time.Duration {
 	switch {
 	case errors.Is(j.failure, ErrNoEndpoint) && j.request.Model != "":
@@ -399,7 +402,8 @@
 	case errors.Is(j.failure, ErrNoAdapter), j.adapterOrders > 0 && j.sent == 0:
 		return adapterLoadRetryAfter
 	}
-	return min(max(defaultRetryAfter, j.predictedWait-j.route.Target/2), maxRetryAfter)
+	wait := max(defaultRetryAfter, j.predictedWait-j.route.Target/2)
+	return min(wait+time.Duration(j.gateway.random()*retrySpread*float64(wait)), maxRetryAfter)
 }
 
 func (j *job) log(pairs ...any) {
