perf(direct): demand goes to the lease holder only; starting instances leave the watch to others

A heartbeat's largest parts, the demand by model and adapter and the adapters in use, are read by the holder of the order lease alone. At the start each instance knew few others, took itself for one of the three that watch the store, and did. Since the list of instances is read less often, the store also counted as lost after 4 s. Change: heartbeats to others than the holder leave these parts out; a started instance waits 1.5 s before it watches; a renewed registration shows that the store answers.

--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -86,6 +86,18 @@
 	return h.Address, ok && h.MayOrder
 }
 
+// holderAddress returns the address of the instance that holds the order lease, whether or
+// not it may give orders yet.
+func (s *state) holderAddress() (address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fence != 0 {
+		return s.view.Self().Address, true
+	}
+	h, ok := s.currentHolder()
+	return h.Address, ok
+}
+
 // noKnownHolder reports whether no instance is known to hold the order lease.
 func (s *state) noKnownHolder() bool {
 	s.mu.Lock()
--- a/internal/direct/holder_test.go
+++ b/internal/direct/holder_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
@@ -56,3 +57,28 @@
 	hear(func(*gossip.Heartbeat) {})
 	assert.True(t, s.noKnownHolder(), "it has released the lease")
 }
+
+// Demand and the adapters in use go to the holder of the order lease only. In a fleet of tens
+// of instances they would be most of the bytes between regions.
+func TestDemandGoesToTheHolder(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	_, ok := s.holderAddress()
+	assert.False(t, ok, "all get the demand while no holder is known")
+	b := heartbeatFrom(1, time.Hour)
+	b.Fence = 5
+	s.receiveHeartbeat(b)
+	address, ok := s.holderAddress()
+	assert.True(t, ok)
+	assert.Equal(t, "b:1", address, "also before it may give orders")
+	s.setOrderLease(false, 6)
+	address, _ = s.holderAddress()
+	assert.Equal(t, "a:1", address, "this instance itself")
+
+	b.Demand, b.Uses, b.Loads = []gossip.Demand{{Model: "m"}}, []balance.Use{{Model: "m"}}, map[fleet.Endpoint]balance.Load{"p": {Running: 1}}
+	light := b.WithoutDemand()
+	assert.Empty(t, light.Demand)
+	assert.Empty(t, light.Uses)
+	assert.Equal(t, b.Loads, light.Loads)
+	assert.Len(t, b.Demand, 1, "the heartbeat itself is unchanged")
+}
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -27,6 +27,9 @@
 	// rosterWatchPause batches changes to the endpoint list; most of them also arrive with
 	// reports, so the delay costs little.
 	rosterWatchPause = 400 * time.Millisecond
+	// watchStartDelay is how long an instance that has just started leaves it to others to watch
+	// the store: until heartbeats show who does, each of hundreds would.
+	watchStartDelay = 1500 * time.Millisecond
 	// storeRetryDelay is the delay after a failed call to the store.
 	storeRetryDelay = 200 * time.Millisecond
 	// heartbeatTimeout limits the sending of one heartbeat, fetchTimeout one request to a
@@ -77,7 +80,7 @@
 // It passes apply all items at first and whenever the store has compacted the history, else
 // the changes.
 func (n *Node) watchPrefix(ctx context.Context, prefix string, pause time.Duration, apply func(items []platform.Item, revision int64, complete bool)) error {
-	revision, storeLost := int64(-1), false
+	revision, storeLost, started := int64(-1), false, false
 	for ctx.Err() == nil {
 		if revision >= 0 && !n.state.updateWatching() {
 			// The instances that watch the store pass on the changes meanwhile.
@@ -91,6 +94,10 @@
 			}
 			revision, storeLost = next, false
 			n.state.storeAnswered()
+			if !started {
+				started = true
+				sleep(ctx, watchStartDelay)
+			}
 			sleep(ctx, pause)
 			continue
 		}
@@ -145,6 +152,8 @@
 	}
 	if err := n.register(ctx); err != nil {
 		_ = level.Warn(n.logger).Log("step", "register", "err", err)
+	} else {
+		n.state.storeAnswered()
 	}
 	if !n.state.listIsDue() {
 		return
@@ -197,23 +206,30 @@
 // while no peer is known. Afterwards it fetches newer data from a peer that has some.
 func (n *Node) sendHeartbeats(ctx context.Context) {
 	targets, heartbeat := n.state.heartbeat()
-	addresses := make(map[string]bool, len(targets))
+	holder, known := n.state.holderAddress()
+	full, err := gossip.Pack(heartbeat)
+	light := full
+	if known && err == nil {
+		light, err = gossip.Pack(heartbeat.WithoutDemand())
+	}
+	if err != nil {
+		_ = level.Error(n.logger).Log("step", "beat", "err", err)
+		return
+	}
+	payloads := make(map[string]*gossip.PackedHeartbeat, len(targets))
 	for _, p := range targets {
-		addresses[p.Address] = true
+		if payloads[p.Address] = light; p.Address == holder {
+			payloads[p.Address] = full
+		}
 	}
 	if len(targets) == 0 {
 		for _, seed := range n.config.Peer.Seeds {
-			addresses[seed] = true
+			payloads[seed] = full
 		}
 	}
-	delete(addresses, n.config.Listen.Peer)
-	payload, err := gossip.Pack(heartbeat)
-	if err != nil {
-		_ = level.Error(n.logger).Log("step", "beat", "err", err)
-		return
-	}
+	delete(payloads, n.config.Listen.Peer)
 	var group errgroup.Group
-	for address := range addresses {
+	for address, payload := range payloads {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 			defer cancel()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -49,6 +49,14 @@
 	Crashes []Crash `cbor:"v"`
 }
 
+// WithoutDemand returns a copy of the heartbeat without what only the holder of the order
+// lease needs: the demand, and the adapters in use. They are most of its bytes.
+func (b *Heartbeat) WithoutDemand() *Heartbeat {
+	light := *b
+	light.Demand, light.Uses = nil, nil
+	return &light
+}
+
 // Holder names the holder of the order lease, as of Age ago.
 type Holder struct {
 	Instance fleet.Instance `cbor:"i"`
