refactor(direct): admission in place of pacing, where an instance admits requests

Cause: the file and functions were named for pacing alone, before admission counted slots too. Measured: tests only.

--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -1,7 +1,8 @@
-// Package pace spreads the prompts that are sent to an endpoint over time, so that the
-// streams which run there keep their pauses short.
+// Package pace decides whether an endpoint admits a request in time, and spreads the prompts
+// that are sent there, so that the streams which run there keep their pauses short.
 //
-// It answers bursts of prompts on an endpoint that generates many streams: an engine
+// Admission answers floods on endpoints with few slots, sent by hundreds of instances that
+// learn each other's loads late. Pacing answers bursts of prompts on an endpoint that generates many streams: an engine
 // prefills prompts in pieces between the tokens of running requests, so each event of every
 // stream waits for the pieces of all prompts that are queued. Prompts that wait for a few
 // ten milliseconds before they are sent cost no stream its pause.
--- a/internal/direct/pacing.go
+++ b/internal/direct/admission.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	// admitTimeout limits the question to the instance that paces an endpoint's prompts: a
-	// round trip between regions. After it the prompt is sent unpaced.
+	// admitTimeout limits the question to the instance that admits an endpoint's requests: a
+	// round trip between regions. After it the request is sent without being admitted.
 	admitTimeout = 60 * time.Millisecond
 	// maxOccupancyAge is how old a report may be for the free slots that it shows: a few probes.
 	maxOccupancyAge = time.Second
 	// outputTokenTime is how long a request in a busy batch takes for each output token.
 	outputTokenTime = 10 * time.Millisecond
-	// pacerBackoff is how long an instance that didn't answer is not asked again.
-	pacerBackoff = time.Second
+	// admitterBackoff is how long an instance that didn't answer is not asked again.
+	admitterBackoff = time.Second
 )
 
-// schedules are the prompts of the endpoints that this instance paces.
+// schedules are the prompts of the endpoints whose requests this instance admits.
 type schedules map[incarnation]*pace.Schedule
 
 // incarnation is one start of an endpoint.
@@ -34,7 +34,8 @@
 	born int64
 }
 
-// reserve schedules a prompt at an endpoint that this instance paces.
+// reserve admits a request to an endpoint of this instance and schedules its prompt, unless
+// it would wait longer than its limit for a slot or for the prompts ahead.
 func (s *state) reserve(a *gossip.Admit) *gossip.AdmitReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,9 +73,9 @@
 	}
 }
 
-// pacer returns the address of the instance that paces an endpoint's prompts, empty if it is
+// admitter returns the address of the instance that admits an endpoint's requests, empty if it is
 // this one. ok is false if the endpoint is unknown or the instance did not answer lately.
-func (s *state) pacer(id fleet.Endpoint) (address string, ok bool) {
+func (s *state) admitter(id fleet.Endpoint) (address string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.roster.Get(id)
@@ -82,7 +83,7 @@
 		return "", false
 	}
 	p, ok := s.dispatcher(e)
-	if !ok || s.clock().Before(s.pacerDownUntil[p.Instance]) {
+	if !ok || s.clock().Before(s.admitterDownUntil[p.Instance]) {
 		return "", false
 	}
 	if p.Instance == s.view.Self().Instance {
@@ -91,26 +92,26 @@
 	return p.Address, true
 }
 
-// pacerFailed records that the instance that paces an endpoint's prompts did not answer.
-func (s *state) pacerFailed(id fleet.Endpoint) {
+// admitterFailed records that the instance that admits an endpoint's requests did not answer.
+func (s *state) admitterFailed(id fleet.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.roster.Get(id); e != nil {
 		if p, ok := s.dispatcher(e); ok {
-			s.pacerDownUntil[p.Instance] = s.clock().Add(pacerBackoff)
+			s.admitterDownUntil[p.Instance] = s.clock().Add(admitterBackoff)
 		}
 	}
 }
 
-// Admit schedules a prompt for another instance.
+// Admit decides on a request of another instance.
 func (n *Node) Admit(_ context.Context, a *gossip.Admit) (*gossip.AdmitReply, error) {
 	return n.state.reserve(a), nil
 }
 
 // Admit asks when a prompt may be sent to the target. ok is false if that is later than limit.
-// If the instance that paces the endpoint doesn't answer, the prompt may be sent at once.
+// If the instance that admits the endpoint's requests doesn't answer, it may be sent at once.
 func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, work, limit time.Duration) (wait time.Duration, ok bool) {
-	address, known := g.pacer(t.ID)
+	address, known := g.admitter(t.ID)
 	if !known {
 		return 0, true
 	}
@@ -124,7 +125,7 @@
 	defer cancel()
 	answer, err := g.node.gossip.Admit(ctx, address, question)
 	if err != nil {
-		g.pacerFailed(t.ID)
+		g.admitterFailed(t.ID)
 		_ = level.Warn(g.node.logger).Log("step", "admit", "endpoint", t.ID, "peer", address, "err", err)
 		return 0, true
 	}
--- a/internal/direct/pacing_test.go
+++ b/internal/direct/admission_test.go
@@ -12,9 +12,9 @@
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
-// One instance schedules the prompts of an endpoint for all, each start of the endpoint by
+// One instance admits the requests of an endpoint for all, each start of the endpoint by
 // itself. An instance that doesn't answer is not asked for a while.
-func TestPromptsOfAnEndpointArePacedByOneInstance(t *testing.T) {
+func TestOneInstanceAdmitsAnEndpointsRequests(t *testing.T) {
 	w := &testClock{}
 	s := newTestState(w)
 	question := func(born int64) *gossip.Admit {
@@ -28,26 +28,45 @@
 	s.cleanUp()
 	assert.Empty(t, s.schedules)
 
-	address, ok := s.pacer("p")
+	address, ok := s.admitter("p")
 	assert.True(t, ok)
 	assert.Empty(t, address, "this instance is the only one")
 	s.receiveHeartbeat(heartbeatFrom(1, time.Second))
 	var remote fleet.Endpoint
 	for _, id := range []fleet.Endpoint{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"} {
 		s.applyRecords([]roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Revision: 2}}}, 2, false)
-		if address, _ := s.pacer(id); address == "b:1" {
+		if address, _ := s.admitter(id); address == "b:1" {
 			remote = id
 		}
 	}
 	require.NotEmpty(t, remote, "the endpoints are divided over the instances")
-	s.pacerFailed(remote)
-	_, ok = s.pacer(remote)
+	s.admitterFailed(remote)
+	_, ok = s.admitter(remote)
 	assert.False(t, ok)
-	w.elapsed += pacerBackoff
-	_, ok = s.pacer(remote)
+	w.elapsed += admitterBackoff
+	_, ok = s.admitter(remote)
 	assert.True(t, ok)
 }
 
+// The load of more requests than an endpoint has slots, sent by many instances: it admits no
+// more than can start within their limit, by its newest report and what was admitted since.
+func TestAdmissionCountsSlots(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	question := &gossip.Admit{Endpoint: "p", Run: time.Second, Limit: 300 * time.Millisecond}
+	s.RecordReport("p", roster.Report{Running: 3, Taken: w.now()})
+	assert.False(t, s.reserve(question).Refused, "one of four slots is free")
+	assert.False(t, s.reserve(question).Refused, "the next one is free in a quarter of a second")
+	assert.Equal(t, &gossip.AdmitReply{Wait: 500 * time.Millisecond, Refused: true}, s.reserve(question))
+	w.elapsed = 500 * time.Millisecond
+	s.RecordReport("p", roster.Report{Running: 2, Taken: w.now()})
+	assert.False(t, s.reserve(question).Refused, "the report shows that they ended")
+	w.elapsed = 3 * time.Second
+	for range 20 {
+		assert.False(t, s.reserve(question).Refused, "an old report shows nothing")
+	}
+}
+
 // An instance that is behind gets what changed since, not the complete list.
 func TestFetchedListHasOnlyChanges(t *testing.T) {
 	w := &testClock{}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -94,7 +94,7 @@
 	dispatchers        map[fleet.Endpoint]member.Peer
 	dispatchersVersion uint64
 	listRounds         int                          // how often the list of instances was due in a small fleet
-	pacerDownUntil     map[fleet.Instance]time.Time // instances that didn't answer when asked for a place
+	admitterDownUntil  map[fleet.Instance]time.Time // instances that didn't answer when asked for a place
 	// laggingSince is the time since which a peer has had newer data.
 	laggingSince time.Time
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
@@ -119,7 +119,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
-		schedules: make(schedules), pacerDownUntil: make(map[fleet.Instance]time.Time),
+		schedules: make(schedules), admitterDownUntil: make(map[fleet.Instance]time.Time),
 	}
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -147,7 +147,7 @@
 	Refused string `cbor:"r"`
 }
 
-// Admit asks the instance that paces an endpoint's prompts when one may be sent there.
+// Admit asks the instance that admits an endpoint's requests when a prompt may be sent there.
 type Admit struct {
 	Endpoint fleet.Endpoint `cbor:"i"`
 	Born     int64          `cbor:"b"`
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -140,7 +140,7 @@
 	return invoke[Ensure, EnsureReply](ctx, c, address, "Ensure", e)
 }
 
-// Admit asks a peer when a prompt may be sent to an endpoint that it paces.
+// Admit asks a peer when a prompt may be sent to an endpoint whose requests it admits.
 func (c *Client) Admit(ctx context.Context, address string, a *Admit) (*AdmitReply, error) {
 	return invoke[Admit, AdmitReply](ctx, c, address, "Admit", a)
 }
