fix(gateway): a stream that broke off is not refused admission elsewhere

Cause: asked for admission before every attempt. After the first one a request's target has mostly passed, so that any wait at the next endpoint was too long: streams that stalled or broke off ended as 502 or broken, though another endpoint would have gone on with them. Change: a request that may have run is sent on whatever the wait. Measured: TestInterruptedStreamNeedsNoAdmission fails before (unexpected EOF).

--- a/internal/core/roster/observation.go
+++ b/internal/core/roster/observation.go
@@ -11,10 +11,11 @@
 const reportLag = 800 * time.Millisecond
 
 // maxPresence and maxAbsence are how long an observation counts without a newer report. In
-// a fleet of hundreds of instances reports arrive only every few seconds; a wrong absence
-// keeps requests from a copy, so it ends sooner.
+// a fleet of hundreds of instances reports arrive only every few seconds. A wrong presence
+// costs a request that is sent in vain once the adapter has been evicted, a wrong absence
+// keeps requests from a copy.
 const (
-	maxPresence = 10 * time.Second
+	maxPresence = 4 * time.Second
 	maxAbsence  = 3 * time.Second
 )
 
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -151,8 +151,8 @@
 	assert.False(t, e.Serves(at(5900), "m", "x"), "no report has been taken since")
 	assert.True(t, e.Serves(at(6100), "m", "x"), "a wrong absence ends without a report")
 	r.RecordPresence(at(7000), "a", roster.Adapter{Model: "m", Adapter: "z"}, true)
-	assert.True(t, e.Serves(at(16900), "m", "z"))
-	assert.False(t, e.Serves(at(17100), "m", "z"), "so does a presence, later")
+	assert.True(t, e.Serves(at(10900), "m", "z"))
+	assert.False(t, e.Serves(at(11100), "m", "z"), "so does a presence, later")
 }
 
 // In a fleet of hundreds of instances an endpoint's report may be seconds old. Its load no
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -40,6 +40,7 @@
 	poison                           bool
 	admissionWait                    time.Duration
 	admissionRefused                 bool
+	admissions, admitFirst           int // requests for admission, and how many are granted despite admissionRefused
 	random                           float64
 }
 
@@ -121,7 +122,10 @@
 }
 
 func (f *fakeFleet) Admit(context.Context, gateway.Target, *balance.Request, time.Duration, time.Duration) (time.Duration, bool) {
-	return f.admissionWait, !f.admissionRefused
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.admissions++
+	return f.admissionWait, !f.admissionRefused || f.admissions <= f.admitFirst
 }
 func (f *fakeFleet) Missing(gateway.Target, fleet.Model, fleet.Adapter) {}
 func (f *fakeFleet) Leaving() bool                                      { return false }
@@ -429,3 +433,15 @@
 		})
 	}
 }
+
+// A stream that broke off goes on at another endpoint, however long the wait there: its target
+// has passed, and it can't be told to come back.
+func TestInterruptedStreamNeedsNoAdmission(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourCut, standin.BehaviourNone)
+	f.admissionRefused, f.admitFirst, f.admissionWait = true, 1, time.Hour
+	r, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m", "Token-Count": "40,8"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, r.status)
+	assert.Equal(t, 2, f.runs())
+	assert.Equal(t, 2, f.admissions)
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -212,6 +212,9 @@
 	}
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-j.target.PendingPrefill-admissionMargin)
 	wait, ok := j.gateway.fleet.Admit(ctx, j.target, &j.query, work, limit)
+	if !ok && j.mayHaveRun {
+		return ctx.Err() // its target has passed, and a refusal would say that it has not run
+	}
 	if !ok {
 		j.predictedWait = wait + j.target.PendingPrefill
 		return fmt.Errorf("%w: the wait there is %s", ErrOverloaded, wait)
