feat(direct): callers of a large region connect to few instances of their data centre

Change: with more than 32 ready instances in a region, callers get 8 of their data centre, the same ones from every instance, or 32 of the region if fewer are left there; up to 32, all as before. Also: the schedule of an endpoint is kept until its reports show what was admitted.

--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -48,6 +48,9 @@
 // reportLag is how old the state in an endpoint's report may be when the report is taken.
 const reportLag = 200 * time.Millisecond
 
+// unreportedTime is how long a request may be missing from the newest report: a few probes.
+const unreportedTime = time.Second
+
 // Occupancy is what an endpoint reported of its requests.
 type Occupancy struct {
 	Slots int
@@ -92,5 +95,11 @@
 	return wait, true
 }
 
-// Idle reports whether no prompt is scheduled.
-func (s *Schedule) Idle(now time.Time) bool { return !now.Before(s.busyUntil[rankCount-1]) }
+// Idle reports whether the schedule affects no request: no prompt is scheduled, and the
+// endpoint's reports show all that were.
+func (s *Schedule) Idle(now time.Time) bool {
+	if n := len(s.admitted); n > 0 && now.Sub(s.admitted[n-1]) < unreportedTime {
+		return false
+	}
+	return !now.Before(s.busyUntil[rankCount-1])
+}
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -70,10 +70,13 @@
 	}
 	assert.Zero(t, s.SlotWait(pace.Occupancy{}, run), "nothing is known")
 	assert.Zero(t, s.SlotWait(report(20, 0), run))
+	assert.True(t, s.Idle(start))
 	for i := range 3 {
 		_, ok := s.Reserve(start.Add(time.Duration(i)*time.Millisecond), 0, 0, 0)
 		assert.True(t, ok)
 	}
+	assert.False(t, s.Idle(start.Add(900*time.Millisecond)), "the reports may not show them yet")
+	assert.True(t, s.Idle(start.Add(1100*time.Millisecond)))
 	assert.Zero(t, s.SlotWait(report(20, 0), run))
 	assert.Equal(t, 100*time.Millisecond, s.SlotWait(report(21, 0), run), "21 reported and 3 sent since")
 	assert.Equal(t, 300*time.Millisecond, s.SlotWait(report(23, 100), run), "the report may not show those sent yet")
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -230,9 +230,9 @@
 	n.endpoints.CloseExcept(n.state.cleanUp())
 }
 
-// addresses returns where callers of a region may connect, and how long they may cache it.
-func (n *Node) addresses(region fleet.Region, _ fleet.DataCentre) ([]string, time.Duration) {
-	return n.state.addresses(region, n.config.Listen.Caller, n.state.ready() == nil), n.settings.Get().Drain.Keep
+// addresses returns where callers at a place may connect, and how long they may cache it.
+func (n *Node) addresses(region fleet.Region, dataCentre fleet.DataCentre) ([]string, time.Duration) {
+	return n.state.addresses(fleet.Place{Region: region, DataCentre: dataCentre}, n.config.Listen.Caller, n.state.ready() == nil), n.settings.Get().Drain.Keep
 }
 
 // drain shuts down gracefully: it announces to peers that this instance leaves, releases the
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -4,7 +4,6 @@
 package direct
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -336,33 +335,6 @@
 	m.longTerm.Add(now, work)
 }
 
-// addresses returns the addresses that callers of a region may connect to: those of ready
-// instances in that region or, if there are none, in all regions.
-func (s *state) addresses(region fleet.Region, self string, ready bool) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var near, all []string
-	add := func(address string, p fleet.Place) {
-		all = append(all, address)
-		if p.Region == region {
-			near = append(near, address)
-		}
-	}
-	if ready && !s.leaving {
-		add(self, s.place)
-	}
-	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		p := s.peers[name]
-		if p.heartbeat.Ready && s.isLive(name) {
-			add(p.heartbeat.Peer.Caller, p.heartbeat.Place)
-		}
-	}
-	if len(near) > 0 {
-		all = near
-	}
-	return all
-}
-
 // ready returns the reason why this instance can't take requests, or nil if it can.
 func (s *state) ready() error {
 	s.mu.Lock()
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -230,15 +230,15 @@
 	require.True(t, ok)
 	assert.Equal(t, "b:1", address)
 	assert.Zero(t, f.Catalog)
-	assert.Equal(t, []string{"b:2"}, s.addresses("south", "a:2", false))
+	assert.Equal(t, []string{"b:2"}, s.addresses(fleet.Place{Region: "south"}, "a:2", false))
 	for range 20 {
 		w.elapsed += 300 * time.Millisecond
 		s.heartbeat()
 	}
-	assert.Empty(t, s.addresses("south", "a:2", false))
-	assert.Equal(t, []string{"a:2"}, s.addresses("south", "a:2", true))
+	assert.Empty(t, s.addresses(fleet.Place{Region: "south"}, "a:2", false))
+	assert.Equal(t, []string{"a:2"}, s.addresses(fleet.Place{Region: "south"}, "a:2", true))
 	s.leave()
-	assert.Empty(t, s.addresses("south", "a:2", true))
+	assert.Empty(t, s.addresses(fleet.Place{Region: "south"}, "a:2", true))
 }
 
 // An instance that holds the order lease and restarts gives orders again as soon as it has the
