fix(roster): an endpoint that leaves is a change though its report said so first

Cause: since only changes of the endpoint list travel, an entry that says "leaving" was compared with what was known of the endpoint. Change: whether the entry says so is kept apart from what is known. Measured: TestLeavingIsAChangeAfterAReport fails before in three of four cases.

--- a/internal/core/roster/changes_test.go
+++ b/internal/core/roster/changes_test.go
@@ -48,6 +48,39 @@
 	}
 }
 
+// An endpoint's own report that it leaves may arrive before its entry says so. The entry is a
+// change all the same: most instances of a large fleet don't get the report.
+func TestLeavingIsAChangeAfterAReport(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn func(r *roster.Roster)
+	}{
+		{name: "entry only", learn: func(*roster.Roster) {}},
+		{name: "after its report", learn: func(r *roster.Roster) {
+			r.RecordReport("a", roster.Report{Born: 1, Taken: at(5), Leaving: true})
+		}},
+		{name: "after a peer's word", learn: func(r *roster.Roster) { r.MarkLeaving("a", 1) }},
+		{name: "after its report and a rewrite", learn: func(r *roster.Roster) {
+			r.RecordReport("a", roster.Report{Born: 1, Taken: at(5), Leaving: true})
+			r.Apply(at(6), []roster.Record{entry("a", 1, 15, false)}, 15)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.New()
+			r.Replace(at(0), []roster.Record{entry("a", 1, 10, false)}, 10)
+			tt.learn(r)
+			r.Apply(at(10), []roster.Record{entry("a", 1, 20, true)}, 20)
+			changed, _, ok := r.ChangesSince(15)
+			require.True(t, ok)
+			assert.Len(t, changed, 1)
+			assert.Equal(t, int64(20), r.ChangedAt())
+			r.Apply(at(11), []roster.Record{entry("a", 1, 30, true)}, 30)
+			assert.Equal(t, int64(20), r.ChangedAt(), "rewritten with the same contents")
+		})
+	}
+}
+
 // An instance that follows another by its changes has the same endpoints as the other,
 // however far apart it asks.
 func TestFollowingByChanges(t *testing.T) {
--- a/internal/core/roster/entry.go
+++ b/internal/core/roster/entry.go
@@ -50,10 +50,11 @@
 }
 
 // routesDifferently reports whether an entry differs from a previous one of the same
-// endpoint in what decides where requests go. Adapters are left out: reports show them sooner.
+// endpoint in what decides where requests go, other than Leaving. Adapters are left out:
+// reports show them sooner.
 func (e *Entry) routesDifferently(previous *Entry) bool {
 	return e.Service != previous.Service || e.Address != previous.Address || e.DataCentre != previous.DataCentre ||
-		e.Slots != previous.Slots || e.Leaving != previous.Leaving || e.Born != previous.Born ||
+		e.Slots != previous.Slots || e.Born != previous.Born ||
 		!slices.EqualFunc(e.Models, previous.Models, func(a, b Holding) bool { return a.Model == b.Model && a.Version == b.Version })
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -35,6 +35,8 @@
 	observations map[Adapter]observation
 	// changedAt is the store's revision of the last change that affects where requests go.
 	changedAt int64
+	// listedLeaving is set if its entry says that it leaves; Leaving may be known sooner.
+	listedLeaving bool
 }
 
 // removal is an endpoint that was removed from the list, at a revision of the store.
@@ -171,16 +173,16 @@
 	}
 	switch {
 	case known == nil || c.Entry.Born > known.Born:
-		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry, changedAt: c.Revision}
+		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry, changedAt: c.Revision, listedLeaving: c.Entry.Leaving}
 		r.sorted, r.changedAt = nil, max(r.changedAt, c.Revision)
 	case c.Entry.Born < known.Born || c.Revision < known.Revision:
 		return
 	default:
 		leaving := known.Leaving
-		if c.Entry.routesDifferently(&known.Entry) {
+		if c.Entry.Leaving != known.listedLeaving || c.Entry.routesDifferently(&known.Entry) {
 			known.changedAt, r.changedAt = c.Revision, max(r.changedAt, c.Revision)
 		}
-		known.Entry = c.Entry
+		known.Entry, known.listedLeaving = c.Entry, c.Entry.Leaving
 		known.Leaving = known.Leaving || leaving
 		known.missingSince = time.Time{}
 	}
