fix(roster): a removal held back by one instance is not hidden from others

Cause: an instance that has lost the store holds the removals it hears of, since entries may come back. Change: an answer is complete only up to the revision before the oldest removal held back; the later changes in it are applied, and asked for again until an instance that trusts the removal answers. A removal that took effect late keeps its revision.

--- a/internal/core/roster/changes_test.go
+++ b/internal/core/roster/changes_test.go
@@ -81,6 +81,50 @@
 	}
 }
 
+// An instance that is cut from the store, and hears from peers that an endpoint was removed,
+// keeps the endpoint for a while. Others that follow it must still learn of the removal from
+// an instance that trusts it, and of later changes meanwhile.
+func TestHeldRemovalDoesNotHideItFromOthers(t *testing.T) {
+	list := []roster.Record{entry("a", 1, 10, false), entry("b", 1, 11, false)}
+	cut, sound, follower := roster.New(), roster.New(), roster.New()
+	for _, r := range []*roster.Roster{cut, sound, follower} {
+		r.Replace(at(0), list, 11)
+	}
+	cut.RecordStoreFailure(at(1))
+	changes := []roster.Record{removed("a", 20), entry("b", 1, 25, true)}
+	cut.Apply(at(2), changes, 25)
+	sound.Apply(at(2), changes, 25)
+	assert.NotNil(t, cut.Get("a"))
+	fetch := func(from *roster.Roster) {
+		changed, gone, ok := from.ChangesSince(follower.Revision())
+		require.True(t, ok)
+		var records []roster.Record
+		for _, e := range changed {
+			records = append(records, roster.Record{ID: e.ID, Entry: e.Entry, Revision: e.Revision})
+		}
+		for id, revision := range gone {
+			records = append(records, removed(id, revision))
+		}
+		follower.Apply(at(3), records, from.CompleteTo())
+	}
+	fetch(cut)
+	assert.NotNil(t, follower.Get("a"))
+	assert.True(t, follower.Get("b").Leaving, "later changes are passed on")
+	assert.Greater(t, sound.ChangedAt(), follower.Revision())
+	fetch(sound)
+	assert.Nil(t, follower.Get("a"))
+	assert.Equal(t, int64(25), follower.Revision())
+
+	cut.RecordStoreSuccess(at(4000))
+	cut.RemoveMissing(at(9000))
+	assert.Nil(t, cut.Get("a"))
+	assert.Equal(t, int64(25), cut.CompleteTo())
+	follower = roster.New()
+	follower.Replace(at(9000), list, 11)
+	fetch(cut)
+	assert.Nil(t, follower.Get("a"), "the removal keeps its revision")
+}
+
 // An instance that follows another by its changes has the same endpoints as the other,
 // however far apart it asks.
 func TestFollowingByChanges(t *testing.T) {
@@ -121,9 +165,9 @@
 		records = append(records, removed(id, revision))
 	}
 	if ok {
-		follower.Apply(at(step), records, source.ChangedAt())
+		follower.Apply(at(step), records, source.CompleteTo())
 	} else {
-		follower.Replace(at(step), records, source.ChangedAt())
+		follower.Replace(at(step), records, source.CompleteTo())
 	}
 	require.Equal(t, summary(source), summary(follower))
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -32,7 +32,9 @@
 	failures     int
 	// missingSince is when its entry disappeared while the store could not be trusted.
 	missingSince time.Time
-	observations map[Adapter]observation
+	// missingRevision is the store's revision of that removal.
+	missingRevision int64
+	observations    map[Adapter]observation
 	// changedAt is the store's revision of the last change that affects where requests go.
 	changedAt int64
 	// listedLeaving is set if its entry says that it leaves; Leaving may be known sooner.
@@ -69,7 +71,7 @@
 	departed       map[fleet.Endpoint]int64
 	revision       int64
 	changedAt      int64     // revision of the last change that affects where requests go
-	removals       []removal // most recent ones, oldest first
+	removals       []removal // most recent ones, in the order in which they took effect here
 	removalsFrom   int64     // revision from which on removals is complete
 	storeFailed    time.Time // time of the last failed call to the store
 	storeRecovered time.Time // time of the first successful call after it
@@ -87,6 +89,18 @@
 // endpoints rewrite their entries every second or so, mostly with the same contents.
 func (r *Roster) ChangedAt() int64 { return r.changedAt }
 
+// CompleteTo is the store's revision up to which an instance that applies ChangesSince has all
+// changes: not beyond a removal that is held back here, since others may trust it.
+func (r *Roster) CompleteTo() int64 {
+	complete := r.changedAt
+	for _, e := range r.endpoints {
+		if !e.missingSince.IsZero() {
+			complete = min(complete, e.missingRevision-1)
+		}
+	}
+	return complete
+}
+
 // ChangesSince returns the endpoints that changed after a revision, and the IDs and
 // revisions of those removed. ok is false if removals that old are no longer recorded.
 func (r *Roster) ChangesSince(revision int64) (changed []*Endpoint, removed map[fleet.Endpoint]int64, ok bool) {
@@ -191,7 +205,7 @@
 func (r *Roster) remove(now time.Time, e *Endpoint, revision int64) {
 	if r.storeUntrusted(now) && !e.Leaving {
 		if e.missingSince.IsZero() {
-			e.missingSince = now
+			e.missingSince, e.missingRevision = now, revision
 		}
 		return
 	}
@@ -205,7 +219,9 @@
 	r.sorted, r.changedAt = nil, max(r.changedAt, revision)
 	r.removals = append(r.removals, removal{id: e.ID, revision: revision})
 	if n := len(r.removals) - maxRemovals; n > 0 {
-		r.removalsFrom = r.removals[n-1].revision
+		for _, m := range r.removals[:n] {
+			r.removalsFrom = max(r.removalsFrom, m.revision)
+		}
 		r.removals = slices.Delete(r.removals, 0, n)
 	}
 }
@@ -215,7 +231,7 @@
 	var lost []*Endpoint
 	for _, e := range r.endpoints {
 		if !e.missingSince.IsZero() && !r.storeUntrusted(now) {
-			r.markLost(e, r.revision)
+			r.markLost(e, e.missingRevision)
 			lost = append(lost, e)
 		}
 	}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -286,7 +286,7 @@
 // addEntries adds the changes to the endpoint list since the requester's revision, or the
 // complete list if the requester can't apply changes or they are no longer recorded.
 func (s *state) addEntries(reply *gossip.FetchReply, f *gossip.Fetch) {
-	reply.Roster = s.roster.ChangedAt()
+	reply.Roster = s.roster.CompleteTo()
 	entries, removed, ok := s.roster.ChangesSince(f.Roster)
 	if !ok || !f.Deltas {
 		entries, removed = s.roster.All(), nil
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -257,7 +257,7 @@
 	if len(answer.Catalog) > 0 {
 		n.applyCatalog(answer.Catalog, address)
 	}
-	if answer.Roster > f.Roster {
+	if answer.Roster > f.Roster || len(answer.Entries)+len(answer.Removed) > 0 {
 		items := make([]platform.Item, 0, len(answer.Entries)+len(answer.Removed))
 		for _, e := range answer.Entries {
 			items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Value: e.Text, Revision: e.Revision})
