fix(roster): an answer is complete to no more than the list it comes from

Cause: an entry carries the revision of its last rewrite, which may be newer than what its list is complete to. Change: CompleteTo is limited by the revision of the list too. Measured: TestHeldRemovalDoesNotHideItFromOthers over a relay, red before.

--- a/internal/core/roster/changes_test.go
+++ b/internal/core/roster/changes_test.go
@@ -86,8 +86,8 @@
 // an instance that trusts it, and of later changes meanwhile.
 func TestHeldRemovalDoesNotHideItFromOthers(t *testing.T) {
 	list := []roster.Record{entry("a", 1, 10, false), entry("b", 1, 11, false)}
-	cut, sound, follower := roster.New(), roster.New(), roster.New()
-	for _, r := range []*roster.Roster{cut, sound, follower} {
+	cut, sound, relay, follower := roster.New(), roster.New(), roster.New(), roster.New()
+	for _, r := range []*roster.Roster{cut, sound, relay, follower} {
 		r.Replace(at(0), list, 11)
 	}
 	cut.RecordStoreFailure(at(1))
@@ -95,7 +95,7 @@
 	cut.Apply(at(2), changes, 25)
 	sound.Apply(at(2), changes, 25)
 	assert.NotNil(t, cut.Get("a"))
-	fetch := func(from *roster.Roster) {
+	fetch := func(follower, from *roster.Roster) {
 		changed, gone, ok := from.ChangesSince(follower.Revision())
 		require.True(t, ok)
 		var records []roster.Record
@@ -107,11 +107,12 @@
 		}
 		follower.Apply(at(3), records, from.CompleteTo())
 	}
-	fetch(cut)
+	fetch(relay, cut)
+	fetch(follower, relay)
 	assert.NotNil(t, follower.Get("a"))
 	assert.True(t, follower.Get("b").Leaving, "later changes are passed on")
 	assert.Greater(t, sound.ChangedAt(), follower.Revision())
-	fetch(sound)
+	fetch(follower, sound)
 	assert.Nil(t, follower.Get("a"))
 	assert.Equal(t, int64(25), follower.Revision())
 
@@ -121,7 +122,7 @@
 	assert.Equal(t, int64(25), cut.CompleteTo())
 	follower = roster.New()
 	follower.Replace(at(9000), list, 11)
-	fetch(cut)
+	fetch(follower, cut)
 	assert.Nil(t, follower.Get("a"), "the removal keeps its revision")
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -90,9 +90,10 @@
 func (r *Roster) ChangedAt() int64 { return r.changedAt }
 
 // CompleteTo is the store's revision up to which an instance that applies ChangesSince has all
-// changes: not beyond a removal that is held back here, since others may trust it.
+// changes: not beyond what this list is complete to, nor beyond a removal that is held back
+// here, since others may trust it.
 func (r *Roster) CompleteTo() int64 {
-	complete := r.changedAt
+	complete := min(r.changedAt, r.revision)
 	for _, e := range r.endpoints {
 		if !e.missingSince.IsZero() {
 			complete = min(complete, e.missingRevision-1)
