test(direct): a large configuration does not arrive over a slow link

Change: a test in virtual time with a link of 5 Mbit/s, half of the slowest instance's; the gossip client takes a dialer.

--- /dev/null
+++ b/internal/direct/slow_link_test.go
@@ -0,0 +1,178 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/internal/reload"
+	"github.com/chiveramp/chiveramp/pkg/config"
+	"github.com/chiveramp/chiveramp/platform"
+)
+
+const (
+	// manyRoutes is the size of a configuration after the operator has added routes three times.
+	manyRoutes = 4250
+	// configBound is how soon a confirmed configuration is in force at every instance (configMs
+	// of the sites of 60 machines).
+	configBound = 4 * time.Second
+	// linkRate is half of the slowest instance's link: the rest carries callers' requests.
+	linkRate = 10_000_000 / 8 / 2
+	// linkBuffer is how many bytes the link takes at once.
+	linkBuffer = 4 << 10
+)
+
+// slowLink is the link of an instance: all that arrives there shares its rate.
+type slowLink struct{ limiter *rate.Limiter }
+
+func newSlowLink(bytesPerSecond float64) *slowLink {
+	return &slowLink{rate.NewLimiter(rate.Limit(bytesPerSecond), linkBuffer)}
+}
+
+// slowListener passes what its connections write through a link.
+type slowListener struct {
+	*bufconn.Listener
+	link *slowLink
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{conn, l.link}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	link *slowLink
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		part := p[written:min(len(p), written+linkBuffer)]
+		if err := c.link.limiter.WaitN(context.Background(), len(part)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// largeConfiguration returns a configuration with many routes, whose names can't be guessed.
+func largeConfiguration(t *testing.T, version int64, routes int) []byte {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 1))
+	type route struct {
+		Name       string  `json:"name"`
+		Host       string  `json:"host"`
+		PathPrefix string  `json:"pathPrefix"`
+		Kind       string  `json:"kind"`
+		TimeoutMs  float64 `json:"timeoutMs"`
+		TargetMs   float64 `json:"targetLatencyMs"`
+		Priority   int     `json:"priority"`
+		Service    string  `json:"service"`
+		Attempts   int     `json:"maxAttempts"`
+	}
+	all := make([]route, routes)
+	for i := range all {
+		all[i] = route{
+			Name: fmt.Sprintf("r-%07x", random.Uint32()), Host: "board.example", PathPrefix: fmt.Sprintf("/%08x/", random.Uint32()),
+			Kind: "safe", TimeoutMs: 1200, TargetMs: 250, Priority: 2, Service: "board", Attempts: 2,
+		}
+	}
+	text, err := json.Marshal(map[string]any{"version": version, "routes": all, "services": []any{map[string]any{"name": "board"}}})
+	require.NoError(t, err)
+	return text
+}
+
+func newTestNode(t *testing.T, name string, dial gossip.Dialer) *Node {
+	t.Helper()
+	settings, err := reload.New(nil, func() (config.Gateway, error) {
+		c := config.DefaultGateway()
+		c.Instance.Name, c.Listen.Peer = name, name+":1"
+		return c, nil
+	})
+	require.NoError(t, err)
+	n := New(settings, log.NewNopLogger(), new(errgroup.Group))
+	n.gossip = gossip.NewClient(gossip.WithDialer(dial))
+	return n
+}
+
+func (n *Node) catalogVersion() int64 {
+	n.state.mu.Lock()
+	defer n.state.mu.Unlock()
+	if n.state.catalog == nil {
+		return 0
+	}
+	return n.state.catalog.Version
+}
+
+func applyTestCatalog(t *testing.T, n *Node, text []byte) {
+	t.Helper()
+	c, err := platform.DecodeCatalog(text)
+	require.NoError(t, err)
+	n.state.applyCatalog(c)
+}
+
+// An instance whose link is busy must get a large configuration from its peers in time: an
+// answer that comes slowly is not asked for anew from its first byte.
+func TestLargeConfigurationArrivesOverASlowLink(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first int // routes of the version that it has
+	}{
+		{"after a start", 0},
+		{"one more route", manyRoutes - 1},
+		{"many more routes", manyRoutes - 1400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(linkRate)}
+				ahead := newTestNode(t, "ahead", nil)
+				server := gossip.NewServer(ahead)
+				go func() { _ = server.Serve(listener) }()
+				defer server.Stop()
+				behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+				defer behind.gossip.Close()
+				if c.first > 0 {
+					old := largeConfiguration(t, 1, c.first)
+					applyTestCatalog(t, behind, old)
+					applyTestCatalog(t, ahead, old)
+				}
+				applyTestCatalog(t, ahead, largeConfiguration(t, 2, manyRoutes))
+				started := time.Now()
+				for sequence := uint64(1); behind.catalogVersion() < 2 && time.Since(started) < configBound; sequence++ {
+					behind.state.receiveHeartbeat(&gossip.Heartbeat{
+						Peer:    member.Peer{Instance: "ahead", Incarnation: "1", Sequence: sequence, Place: fleet.Place{DataCentre: allDataCentres}, Address: "ahead:1"},
+						Catalog: 2, Ready: true,
+					})
+					behind.sendHeartbeats(t.Context())
+					time.Sleep(behind.config.Peer.Beat)
+				}
+				assert.Equal(t, int64(2), behind.catalogVersion(), "in force after %s", time.Since(started))
+				t.Logf("in force after %s", time.Since(started))
+			})
+		})
+	}
+}
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -76,16 +76,35 @@
 	}}
 }
 
+// Dialer connects to an address.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithDialer sets how the client connects, in place of TCP.
+func WithDialer(dial Dialer) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // Client calls other instances, over one connection per address.
 type Client struct {
+	dial     Dialer
 	mu       sync.Mutex
 	conns    map[string]*grpc.ClientConn
 	received map[string]*atomic.Int64 // bytes by address
 }
 
 // NewClient returns a client; it connects to an address on the first call.
-func NewClient() *Client {
-	return &Client{conns: make(map[string]*grpc.ClientConn), received: make(map[string]*atomic.Int64)}
+func NewClient(options ...Option) *Client {
+	c := &Client{
+		dial:  tcp.NewDialer(dialTimeout).DialContext,
+		conns: make(map[string]*grpc.ClientConn), received: make(map[string]*atomic.Int64),
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Received returns how many bytes have arrived from an address. It shows how far a call came
@@ -123,11 +142,11 @@
 	if conn := c.conns[address]; conn != nil {
 		return conn, nil
 	}
-	dialer, received := tcp.NewDialer(dialTimeout), c.counter(address)
+	received := c.counter(address)
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, "tcp", a)
+			conn, err := c.dial(ctx, "tcp", a)
 			if err != nil {
 				return nil, err
 			}
