refactor(document): compression against an earlier text is a package of its own

Cause: the configuration on the users' platform is to be sent compressed too; one copy of the function. Change: internal/delta, from internal/document/pack.go.

--- a/internal/document/pack.go
+++ b/internal/document/pack.go
@@ -5,18 +5,15 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/zstd"
 
 	"github.com/chiveramp/chiveramp/internal/core/revision"
+	"github.com/chiveramp/chiveramp/internal/delta"
 )
 
 // ErrBaseMismatch means that a document was compressed against a revision that is not in force
 // at this instance.
 var ErrBaseMismatch = errors.New("document compressed against another revision")
 
-// dictionaryID is the ID of the zstd dictionary, which is the text of the base revision.
-const dictionaryID = 1
-
 // envelope is the message that carries a document to a peer. The text is compressed, with the
 // text of an earlier revision as dictionary if the peer has that one in force.
 type envelope struct {
@@ -70,20 +67,11 @@
 }
 
 func pack(doc, base revision.Document) ([]byte, error) {
-	options := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1),
-		zstd.WithLowerEncoderMem(true),
-		zstd.WithWindowSize(windowSize(len(doc.Text) + len(base.Text))),
-	}
-	if len(base.Text) > 0 {
-		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base.Text))
-	}
-	encoder, err := zstd.NewWriter(nil, options...)
+	text, err := delta.Compress(doc.Text, base.Text)
 	if err != nil {
 		return nil, err
 	}
-	defer encoder.Close() //nolint:errcheck // writes to no one
-	e := envelope{Document: doc, Base: base.Revision, Text: encoder.EncodeAll(doc.Text, nil)}
+	e := envelope{Document: doc, Base: base.Revision, Text: text}
 	e.Document.Text = nil
 	return cbor.Marshal(e)
 }
@@ -93,36 +81,17 @@
 	if err := cbor.Unmarshal(raw, &e); err != nil {
 		return revision.Document{}, err
 	}
-	options := []zstd.DOption{
-		zstd.WithDecoderConcurrency(1),
-		zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(4 * SizeLimit),
-	}
+	var base []byte
 	if e.Base != 0 {
 		if current.Revision != e.Base {
 			return revision.Document{}, fmt.Errorf("revision %d, have %d: %w", e.Base, current.Revision, ErrBaseMismatch)
 		}
-		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, current.Text))
-	}
-	decoder, err := zstd.NewReader(nil, options...)
-	if err != nil {
-		return revision.Document{}, err
+		base = current.Text
 	}
-	defer decoder.Close()
-	text, err := decoder.DecodeAll(e.Text, nil)
+	text, err := delta.Restore(e.Text, base, 4*SizeLimit)
 	if err != nil {
 		return revision.Document{}, err
 	}
 	e.Document.Text = text
 	return e.Document, nil
 }
-
-// windowSize returns the smallest power of two that is at least size, between zstd's minimum
-// and 4 MiB.
-func windowSize(size int) int {
-	w := zstd.MinWindowSize
-	for w < size && w < 4<<20 {
-		w *= 2
-	}
-	return w
-}
