fix(direct): a configuration moves between instances in parts, compressed against the one before

Cause: a configuration of 4,250 routes (727 kB) went whole to each instance within a fixed second; an answer that broke off was thrown away and asked for anew, so an instance that had fallen behind filled its link and never caught up. The request also ran inside the heartbeat round, which it held up. Evidence:: 1,000 to 1,330 kB/s into front-mb-a-3 (10 Mbit/s) from 69 s to the end, six fetches in a row broken off after 1 s, version 18 still in force. Change: a call of its own gets the next part (32 KiB) of the text, compressed against the version in force; parts stay when a call fails, the rest may come from another peer; a text that has been begun stays available while newer versions come.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -239,20 +239,16 @@
 	}
 }
 
-// peerAhead returns the address of a peer with a newer configuration or endpoint list, and
-// what to request from it. ok is false if there is none, or if the store watch may still
-// catch up on its own.
+// peerAhead returns the address of a peer with a newer endpoint list, and what to request
+// from it. ok is false if there is none, or if the store watch may still catch up on its own.
 func (s *state) peerAhead() (string, *gossip.Fetch, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true}
-	if s.catalog != nil {
-		f.Catalog = s.catalog.Version
-	}
+	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true, Parts: true}
 	var ahead *peer
 	for name, p := range s.peers {
-		if s.isLive(name) && (p.heartbeat.Catalog > f.Catalog || p.heartbeat.Roster > f.Roster) {
+		if s.isLive(name) && p.heartbeat.Roster > f.Roster {
 			ahead = p
 		}
 	}
@@ -263,19 +259,19 @@
 	case s.laggingSince.IsZero():
 		s.laggingSince = now
 	}
-	if s.catalog != nil && s.listed && s.watching && now.Sub(s.laggingSince) < maxWatchLag {
+	if s.listed && s.watching && now.Sub(s.laggingSince) < maxWatchLag {
 		return "", nil, false
 	}
 	return ahead.heartbeat.Peer.Address, f, true
 }
 
-// answerFetch returns the configuration and the endpoint list where they are newer than
-// those of the requesting instance.
+// answerFetch returns the endpoint list if it is newer than that of the requesting instance,
+// and the configuration if that one can't get it in parts.
 func (s *state) answerFetch(f *gossip.Fetch) *gossip.FetchReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &gossip.FetchReply{}
-	if s.catalog != nil && s.catalog.Version > f.Catalog {
+	if !f.Parts && s.catalog != nil && s.catalog.Version > f.Catalog {
 		reply.Catalog = s.catalog.Raw
 	}
 	if s.listed && s.roster.ChangedAt() > f.Roster {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -19,6 +19,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/tenure"
+	"github.com/chiveramp/chiveramp/internal/core/transfer"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/heap"
@@ -71,6 +72,10 @@
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
 	registrationLease int64 // store lease of this instance's registration
+	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
+	// "catalog".
+	incomingCatalog  transfer.Assembly
+	outgoingCatalogs outgoingCatalogs
 }
 
 // New creates an instance from its settings. Its goroutines run in the group.
--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -19,8 +19,10 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/transfer"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/reload"
+	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/pkg/config"
 	"github.com/chiveramp/chiveramp/platform"
 )
@@ -114,7 +116,9 @@
 		return c, nil
 	})
 	require.NoError(t, err)
-	n := New(settings, log.NewNopLogger(), new(errgroup.Group))
+	group := new(errgroup.Group)
+	n := New(settings, log.NewNopLogger(), group)
+	n.tasks = timer.NewTasks(t.Context(), n.timers, group)
 	n.gossip = gossip.NewClient(gossip.WithDialer(dial))
 	return n
 }
@@ -176,3 +180,54 @@
 		})
 	}
 }
+
+// While the operator changes a large configuration more often than it can be sent, instances
+// still get newer ones: what has been begun stays available.
+func TestQuickSuccessionOfConfigurationsReachesASlowInstance(t *testing.T) {
+	const (
+		pause    = 500 * time.Millisecond
+		versions = 20
+		slowRate = 100_000 // bytes a second: less than a new configuration within the pause
+		// maxBehind is how many versions an instance may be behind: those of configBound.
+		maxBehind = int64(configBound / pause)
+	)
+	synctest.Test(t, func(t *testing.T) {
+		listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(slowRate)}
+		ahead := newTestNode(t, "ahead", nil)
+		server := gossip.NewServer(ahead)
+		go func() { _ = server.Serve(listener) }()
+		defer server.Stop()
+		behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+		defer behind.gossip.Close()
+		for version := int64(1); version <= versions; version++ {
+			applyTestCatalog(t, ahead, largeConfiguration(t, version, manyRoutes-versions+int(version)))
+			behind.state.receiveHeartbeat(&gossip.Heartbeat{
+				Peer:    member.Peer{Instance: "ahead", Incarnation: "1", Sequence: uint64(version), Place: fleet.Place{DataCentre: allDataCentres}, Address: "ahead:1"},
+				Catalog: version, Ready: true,
+			})
+			behind.sendHeartbeats(t.Context())
+			time.Sleep(pause)
+			assert.GreaterOrEqual(t, behind.catalogVersion(), version-maxBehind, "version in force when %d is the newest", version)
+		}
+	})
+}
+
+// The rest of a configuration whose sender fails comes from another peer.
+func TestFetchGoesOnAtAnotherPeer(t *testing.T) {
+	text := largeConfiguration(t, 2, manyRoutes)
+	one, two := newTestNode(t, "one", nil), newTestNode(t, "two", nil)
+	for _, n := range []*Node{one, two} {
+		applyTestCatalog(t, n, text)
+	}
+	var assembly transfer.Assembly
+	for _, sender := range []*Node{one, two} {
+		id, offset := assembly.Next()
+		reply, err := sender.FetchCatalog(t.Context(), &gossip.FetchCatalog{Text: id, Offset: offset})
+		require.NoError(t, err)
+		require.Equal(t, offset, reply.Part.Offset)
+		_, err = assembly.Add(reply.Part)
+		require.NoError(t, err)
+	}
+	_, received := assembly.Next()
+	assert.Greater(t, received, transfer.PartBytes)
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -18,7 +18,6 @@
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
-	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 const (
@@ -67,11 +66,13 @@
 
 	mu      sync.Mutex
 	catalog *catalog.Catalog
+	// previousCatalog was active before; peers may still have it.
+	previousCatalog *catalog.Catalog
 	// newestCatalog is the highest version that a peer has announced, outdatedSince the time
 	// since which it is higher than the active one.
 	newestCatalog int64
 	outdatedSince time.Time
-	listed  bool // whether a list of endpoints has been received
+	listed        bool // whether a list of endpoints has been received
 	// listedAt is when the first list was received.
 	listedAt         time.Time
 	roster           *roster.Roster
@@ -98,7 +99,7 @@
 	dispatchersVersion uint64
 	listRounds         int                          // how often the list of instances was due in a small fleet
 	admitterDownUntil  map[fleet.Instance]time.Time // instances that didn't answer when asked for a place
-	// laggingSince is the time since which a peer has had newer data.
+	// laggingSince is the time since which a peer has had a newer endpoint list.
 	laggingSince time.Time
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
 	// watches the store.
@@ -371,37 +372,3 @@
 	slices.Sort(names)
 	return slices.Index(names, s.view.Self().Instance)
 }
-
-// applyCatalog activates a configuration unless the active one is as new or newer. It
-// returns for how long a peer had announced a newer one than the active one before, and
-// whether the configuration was activated.
-func (s *state) applyCatalog(c *catalog.Catalog) (behind time.Duration, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.catalog != nil && c.Version <= s.catalog.Version && !switches.Off(switches.NewestConfig) {
-		return 0, false
-	}
-	behind = s.outdatedFor()
-	s.catalog = c
-	if c.Version >= s.newestCatalog {
-		s.outdatedSince = time.Time{}
-	}
-	return behind, true
-}
-
-// observeCatalogVersion records the version that a peer has announced.
-func (s *state) observeCatalogVersion(now time.Time, version int64) {
-	s.newestCatalog = max(s.newestCatalog, version)
-	if (s.catalog == nil || s.catalog.Version < s.newestCatalog) && s.outdatedSince.IsZero() {
-		s.outdatedSince = now
-	}
-}
-
-// outdatedFor returns for how long a newer configuration than the active one has been known
-// to exist.
-func (s *state) outdatedFor() time.Duration {
-	if s.outdatedSince.IsZero() {
-		return 0
-	}
-	return s.clock().Sub(s.outdatedSince)
-}
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -226,10 +226,10 @@
 	b := heartbeatFrom(1, 0)
 	b.Catalog, b.Place = 9, fleet.Place{Region: "south", DataCentre: "a"}
 	s.receiveHeartbeat(b)
-	address, f, ok := s.peerAhead()
+	address, have, ok := s.catalogPeer("")
 	require.True(t, ok)
 	assert.Equal(t, "b:1", address)
-	assert.Zero(t, f.Catalog)
+	assert.Zero(t, have)
 	assert.Equal(t, []string{"b:2"}, s.addresses(fleet.Place{Region: "south"}, "a:2", false))
 	for range 20 {
 		w.elapsed += 300 * time.Millisecond
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -33,7 +33,7 @@
 	// storeRetryDelay is the delay after a failed call to the store.
 	storeRetryDelay = 200 * time.Millisecond
 	// heartbeatTimeout limits the sending of one heartbeat, fetchTimeout one request to a
-	// peer for newer data.
+	// peer for a newer list.
 	heartbeatTimeout = 600 * time.Millisecond
 	fetchTimeout     = time.Second
 	// ensureTimeout limits how long a request waits for an adapter to be loaded.
@@ -42,31 +42,6 @@
 	watchMargin = 700 * time.Millisecond
 )
 
-// watchCatalog keeps the configuration up to date from the store.
-func (n *Node) watchCatalog(ctx context.Context) error {
-	return n.watchPrefix(ctx, platform.CatalogKey, 0, func(items []platform.Item, _ int64, _ bool) {
-		for _, i := range items {
-			if i.Key == platform.CatalogKey && !i.Removed {
-				n.applyCatalog(i.Value, "store")
-			}
-		}
-	})
-}
-
-// applyCatalog decodes a configuration and activates it unless the active one is as new or
-// newer.
-func (n *Node) applyCatalog(text []byte, from string) {
-	c, err := platform.DecodeCatalog(text)
-	if err != nil {
-		_ = level.Error(n.logger).Log("step", "catalog", "from", from, "err", err)
-		return
-	}
-	if behind, ok := n.state.applyCatalog(c); ok {
-		_ = n.logger.Log("step", "catalog", "from", from, "version", c.Version, "routes", len(c.Routes), "bytes", len(text), "behind", behind)
-		n.tasks.RunIfIdle("beat", n.sendHeartbeats) // announces the new version to the peers at once
-	}
-}
-
 // watchRoster keeps the list of endpoints up to date from the store.
 func (n *Node) watchRoster(ctx context.Context) error {
 	return n.watchPrefix(ctx, platform.EntryPrefix, rosterWatchPause, func(items []platform.Item, revision int64, complete bool) {
@@ -203,7 +178,7 @@
 }
 
 // sendHeartbeats sends the state of this instance to its peers, or to the configured seeds
-// while no peer is known. Afterwards it fetches newer data from a peer that has some.
+// while no peer is known. Afterwards it fetches newer data from peers that have some.
 func (n *Node) sendHeartbeats(ctx context.Context) {
 	targets, heartbeat := n.state.heartbeat()
 	holder, known := n.state.holderAddress()
@@ -240,19 +215,23 @@
 		})
 	}
 	_ = group.Wait() // failure detection notices a peer whose heartbeats stop
+	if _, _, ok := n.state.catalogPeer(""); ok {
+		n.tasks.RunIfIdle("catalog", n.fetchCatalog)
+	}
 	if address, fetch, ok := n.state.peerAhead(); ok {
 		n.fetch(ctx, address, fetch)
 	}
 }
 
-// fetch gets a newer configuration or endpoint list from a peer and applies it.
+// fetch gets a newer endpoint list from a peer and applies it, and the configuration if the
+// request asks for it.
 func (n *Node) fetch(ctx context.Context, address string, f *gossip.Fetch) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	before := n.gossip.Received(address)
 	answer, err := n.gossip.Fetch(ctx, address, f)
 	if err != nil {
-		_ = level.Warn(n.logger).Log("step", "fetch", "peer", address, "version", f.Catalog, "received", n.gossip.Received(address)-before, "err", err)
+		_ = level.Warn(n.logger).Log("step", "fetch", "peer", address, "after", f.Roster, "received", n.gossip.Received(address)-before, "err", err)
 		return
 	}
 	if len(answer.Catalog) > 0 {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/transfer"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
@@ -31,6 +32,10 @@
 	return &gossip.FetchReply{Catalog: []byte("text"), Roster: f.Roster + 1}, nil
 }
 
+func (handler) FetchCatalog(_ context.Context, f *gossip.FetchCatalog) (*gossip.CatalogPart, error) {
+	return &gossip.CatalogPart{Part: transfer.Part{ID: f.Text, Size: f.Offset + 2, Offset: f.Offset, Data: []byte("ab")}}, nil
+}
+
 func (handler) Ensure(_ context.Context, e *gossip.Ensure) (*gossip.EnsureReply, error) {
 	return &gossip.EnsureReply{Refused: "no " + string(e.Adapter)}, nil
 }
@@ -71,6 +76,10 @@
 	known, err := client.Fetch(ctx, l.Addr().String(), &gossip.Fetch{Roster: 3})
 	require.NoError(t, err)
 	assert.Equal(t, int64(4), known.Roster)
+	id := transfer.ID{Version: 7, Base: 3, Digest: 1 << 63}
+	part, err := client.FetchCatalog(ctx, l.Addr().String(), &gossip.FetchCatalog{Have: 3, Text: id, Offset: 5})
+	require.NoError(t, err)
+	assert.Equal(t, transfer.Part{ID: id, Size: 7, Offset: 5, Data: []byte("ab")}, part.Part)
 	client.Reset(l.Addr().String())
 	reply, err := client.Ensure(ctx, l.Addr().String(), &gossip.Ensure{Adapter: "x"})
 	require.NoError(t, err, "the client reconnects after Reset")
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/transfer"
 )
 
 // Heartbeat is the state that an instance sends to its peers periodically.
@@ -107,13 +108,30 @@
 // Ack answers a heartbeat.
 type Ack struct{}
 
-// Fetch asks a peer for its configuration and its endpoint entries.
+// Fetch asks a peer for its endpoint entries, and for its configuration in one piece.
 type Fetch struct {
 	// Catalog and Roster are the versions that the sender already has.
 	Catalog int64 `cbor:"c"`
 	Roster  int64 `cbor:"r"`
 	// Deltas is set if the sender can apply a reply that has only changed entries.
 	Deltas bool `cbor:"d"`
+	// Parts is set if the sender gets the configuration by FetchCatalog.
+	Parts bool `cbor:"p"`
+}
+
+// FetchCatalog asks a peer for the next part of its configuration.
+type FetchCatalog struct {
+	// Have is the version in force at the sender, which the text may be compressed against.
+	Have int64 `cbor:"h"`
+	// Text is what the sender has begun to receive, up to Offset. The peer begins with its own
+	// if it doesn't have that one.
+	Text   transfer.ID `cbor:"t"`
+	Offset int         `cbor:"o"`
+}
+
+// CatalogPart answers a FetchCatalog. Its size is 0 if the peer has no newer configuration.
+type CatalogPart struct {
+	Part transfer.Part `cbor:"p"`
 }
 
 // Entry is an endpoint's entry as stored in the platform's store.
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -38,6 +38,7 @@
 type Handler interface {
 	Heartbeat(ctx context.Context, b *PackedHeartbeat) (*Ack, error)
 	Fetch(ctx context.Context, f *Fetch) (*FetchReply, error)
+	FetchCatalog(ctx context.Context, f *FetchCatalog) (*CatalogPart, error)
 	Ensure(ctx context.Context, e *Ensure) (*EnsureReply, error)
 	Admit(ctx context.Context, a *Admit) (*AdmitReply, error)
 }
@@ -55,6 +56,7 @@
 		Methods: []grpc.MethodDesc{
 			unaryMethod("Beat", Handler.Heartbeat),
 			unaryMethod("Fetch", Handler.Fetch),
+			unaryMethod("FetchCatalog", Handler.FetchCatalog),
 			unaryMethod("Ensure", Handler.Ensure),
 			unaryMethod("Admit", Handler.Admit),
 		},
@@ -193,6 +195,12 @@
 	return invoke[Fetch, FetchReply](ctx, c, address, "Fetch", f)
 }
 
+// FetchCatalog asks a peer for the next part of its configuration. The error has status
+// Unimplemented if the peer runs an earlier build.
+func (c *Client) FetchCatalog(ctx context.Context, address string, f *FetchCatalog) (*CatalogPart, error) {
+	return invoke[FetchCatalog, CatalogPart](ctx, c, address, "FetchCatalog", f)
+}
+
 // Ensure asks a peer that holds the order lease to load an adapter.
 func (c *Client) Ensure(ctx context.Context, address string, e *Ensure) (*EnsureReply, error) {
 	return invoke[Ensure, EnsureReply](ctx, c, address, "Ensure", e)
