--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -25,6 +25,7 @@
 	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/pkg/config"
 	"github.com/chiveramp/chiveramp/platform"
+	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
 const (
@@ -181,6 +182,47 @@
 	}
 }
 
+// An instance whose link is busy must read a large configuration from the store in time: as it
+// begins to watch, and when it changes while it watches.
+func TestLargeConfigurationIsReadFromTheStoreOverASlowLink(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		watching bool
+	}{
+		{"listed", false},
+		{"watched", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(linkRate)}
+				store := standin.NewStore(500, standin.WithListener(listener))
+				defer store.Close()
+				ctx, stop := context.WithCancel(t.Context())
+				n := newTestNode(t, "one", nil)
+				group := new(errgroup.Group)
+				n.timers.Start(ctx, group)
+				n.store = platform.NewStore("store", platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) {
+					return listener.DialContext(ctx)
+				}))
+				if c.watching {
+					store.Set(platform.CatalogKey, largeConfiguration(t, 1, 1))
+				} else {
+					store.Set(platform.CatalogKey, largeConfiguration(t, 2, manyRoutes))
+				}
+				group.Go(func() error { return n.watchCatalog(ctx) })
+				if c.watching {
+					time.Sleep(2*watchStartDelay + 400*time.Millisecond) // near the end of a watch call's wait
+					store.Set(platform.CatalogKey, largeConfiguration(t, 2, manyRoutes))
+				}
+				time.Sleep(configBound)
+				assert.Equal(t, int64(2), n.catalogVersion())
+				stop()
+				require.NoError(t, group.Wait())
+			})
+		})
+	}
+}
+
 // While the operator changes a large configuration more often than it can be sent, instances
 // still get newer ones: what has been begun stays available.
 func TestQuickSuccessionOfConfigurationsReachesASlowInstance(t *testing.T) {
