fix(platform): a read of the store ends when it stalls, not while it goes on

Cause: a list was given up after 1 s in all, a watch 0.7 s after its wait, however much had arrived, and begun anew from its first byte: 969 kB in base64 for 4,250 routes. Change: List and Watch fail when nothing arrives for the timeout of the settings (a watch: 0.7 s beyond its wait), and after 30 s in all.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -93,11 +93,12 @@
 		regions[fleet.DataCentre(dataCentre)] = fleet.Region(region)
 	}
 	budget := balance.NewBudget(c.Retry.Share, c.Retry.Extra, c.Retry.Window, balance.WithStart(time.Now()))
+	timers := timer.New(clock)
 	n := &Node{
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
-		timers: timer.New(clock), clock: clock.Now,
+		timers: timers, clock: clock.Now,
 		state:     newState(self, place, regions, budget, c.Peer.Beat, clock.Now, logger),
-		store:     platform.NewStore(c.Store.Address),
+		store:     platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout)),
 		endpoints: platform.NewEndpointClient(),
 		gossip:    gossip.NewClient(),
 	}
--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -188,20 +188,21 @@
 	for _, c := range []struct {
 		name     string
 		watching bool
+		rate     float64 // bytes a second
 	}{
-		{"listed", false},
-		{"watched", true},
+		{"listed", false, linkRate},
+		{"watched", true, linkRate / 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(linkRate)}
+				listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(c.rate)}
 				store := standin.NewStore(500, standin.WithListener(listener))
 				defer store.Close()
 				ctx, stop := context.WithCancel(t.Context())
 				n := newTestNode(t, "one", nil)
 				group := new(errgroup.Group)
 				n.timers.Start(ctx, group)
-				n.store = platform.NewStore("store", platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) {
+				n.store = platform.NewStore("store", platform.WithStallTimeout(n.timers, n.config.Store.Timeout), platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) {
 					return listener.DialContext(ctx)
 				}))
 				if c.watching {
@@ -211,7 +212,7 @@
 				}
 				group.Go(func() error { return n.watchCatalog(ctx) })
 				if c.watching {
-					time.Sleep(2*watchStartDelay + 400*time.Millisecond) // near the end of a watch call's wait
+					time.Sleep(2 * watchStartDelay)
 					store.Set(platform.CatalogKey, largeConfiguration(t, 2, manyRoutes))
 				}
 				time.Sleep(configBound)
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -38,8 +38,8 @@
 	fetchTimeout     = time.Second
 	// ensureTimeout limits how long a request waits for an adapter to be loaded.
 	ensureTimeout = 1500 * time.Millisecond
-	// watchMargin is how much longer than its requested wait a watch call may take.
-	watchMargin = 700 * time.Millisecond
+	// maxReadTime limits a read of the store that goes on, however slowly.
+	maxReadTime = 30 * time.Second
 )
 
 // watchRoster keeps the list of endpoints up to date from the store.
@@ -94,17 +94,15 @@
 }
 
 func (n *Node) listOrWatch(ctx context.Context, prefix string, revision int64, apply func([]platform.Item, int64, bool)) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
+	defer cancel()
 	if revision < 0 {
-		ctx, cancel := context.WithTimeout(ctx, n.config.Store.Timeout)
-		defer cancel()
 		items, next, err := n.store.List(ctx, prefix, false)
 		if err == nil {
 			apply(items, next, true)
 		}
 		return next, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, n.config.Store.Wait+watchMargin)
-	defer cancel()
 	items, next, err := n.store.Watch(ctx, prefix, revision, n.config.Store.Wait)
 	if err == nil {
 		apply(items, next, false)
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -51,7 +51,8 @@
 type GatewayStore struct {
 	// Address is the IP:port of the store.
 	Address string
-	// Timeout limits one call.
+	// Timeout limits one call, and in reads of lists and changes, which may be large, the time
+	// without progress.
 	Timeout time.Duration
 	// Wait is how long one watch call waits for changes.
 	Wait time.Duration
