test(standin): configurations with many routes come from the stand-in

Cause: left names of the platform's wire in a test of internal/direct (TestPlatformWireNamesStayInPackage failed there). Change: standin.Configuration.

--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -82,33 +79,6 @@
 	return written, nil
 }
 
-// largeConfiguration returns a configuration with many routes, whose names can't be guessed.
-func largeConfiguration(t *testing.T, version int64, routes int) []byte {
-	t.Helper()
-	random := rand.New(rand.NewPCG(1, 1))
-	type route struct {
-		Name       string  `json:"name"`
-		Host       string  `json:"host"`
-		PathPrefix string  `json:"pathPrefix"`
-		Kind       string  `json:"kind"`
-		TimeoutMs  float64 `json:"timeoutMs"`
-		TargetMs   float64 `json:"targetLatencyMs"`
-		Priority   int     `json:"priority"`
-		Service    string  `json:"service"`
-		Attempts   int     `json:"maxAttempts"`
-	}
-	all := make([]route, routes)
-	for i := range all {
-		all[i] = route{
-			Name: fmt.Sprintf("r-%07x", random.Uint32()), Host: "board.example", PathPrefix: fmt.Sprintf("/%08x/", random.Uint32()),
-			Kind: "safe", TimeoutMs: 1200, TargetMs: 250, Priority: 2, Service: "board", Attempts: 2,
-		}
-	}
-	text, err := json.Marshal(map[string]any{"version": version, "routes": all, "services": []any{map[string]any{"name": "board"}}})
-	require.NoError(t, err)
-	return text
-}
-
 func newTestNode(t *testing.T, name string, dial gossip.Dialer) *Node {
 	t.Helper()
 	settings, err := reload.New(nil, func() (config.Gateway, error) {
@@ -161,11 +131,11 @@
 				behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
 				defer behind.gossip.Close()
 				if c.first > 0 {
-					old := largeConfiguration(t, 1, c.first)
+					old := standin.Configuration(1, c.first)
 					applyTestCatalog(t, behind, old)
 					applyTestCatalog(t, ahead, old)
 				}
-				applyTestCatalog(t, ahead, largeConfiguration(t, 2, manyRoutes))
+				applyTestCatalog(t, ahead, standin.Configuration(2, manyRoutes))
 				started := time.Now()
 				for sequence := uint64(1); behind.catalogVersion() < 2 && time.Since(started) < configBound; sequence++ {
 					behind.state.receiveHeartbeat(&gossip.Heartbeat{
@@ -206,14 +176,14 @@
 					return listener.DialContext(ctx)
 				}))
 				if c.watching {
-					store.Set(platform.CatalogKey, largeConfiguration(t, 1, 1))
+					store.Set(platform.CatalogKey, standin.Configuration(1, 1))
 				} else {
-					store.Set(platform.CatalogKey, largeConfiguration(t, 2, manyRoutes))
+					store.Set(platform.CatalogKey, standin.Configuration(2, manyRoutes))
 				}
 				group.Go(func() error { return n.watchCatalog(ctx) })
 				if c.watching {
 					time.Sleep(2 * watchStartDelay)
-					store.Set(platform.CatalogKey, largeConfiguration(t, 2, manyRoutes))
+					store.Set(platform.CatalogKey, standin.Configuration(2, manyRoutes))
 				}
 				time.Sleep(configBound)
 				assert.Equal(t, int64(2), n.catalogVersion())
@@ -243,7 +213,7 @@
 		behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
 		defer behind.gossip.Close()
 		for version := int64(1); version <= versions; version++ {
-			applyTestCatalog(t, ahead, largeConfiguration(t, version, manyRoutes-versions+int(version)))
+			applyTestCatalog(t, ahead, standin.Configuration(version, manyRoutes-versions+int(version)))
 			behind.state.receiveHeartbeat(&gossip.Heartbeat{
 				Peer:    member.Peer{Instance: "ahead", Incarnation: "1", Sequence: uint64(version), Place: fleet.Place{DataCentre: allDataCentres}, Address: "ahead:1"},
 				Catalog: version, Ready: true,
@@ -257,7 +227,7 @@
 
 // The rest of a configuration whose sender fails comes from another peer.
 func TestFetchGoesOnAtAnotherPeer(t *testing.T) {
-	text := largeConfiguration(t, 2, manyRoutes)
+	text := standin.Configuration(2, manyRoutes)
 	one, two := newTestNode(t, "one", nil), newTestNode(t, "two", nil)
 	for _, n := range []*Node{one, two} {
 		applyTestCatalog(t, n, text)
