fix(gateway): a path is not unknown while a newer configuration is known to exist

Cause: the instance answered from its old configuration though heartbeats had named a newer one for seconds. Evidence: front-mb-a-3 at 75.856 and 77.566 s, step=refuse status=404, between its failed requests for version 22. Change: 503 with Retry-After until it has the newest version that a peer has announced. Result: TestUnknownRouteOfAnOutdatedInstance and a row of TestRefusals, both red before (no such error).

--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -131,16 +131,20 @@
 // contains it.
 func (s *state) Route(host, path string) (*catalog.Route, int64, error) {
 	s.mu.Lock()
-	c := s.catalog
+	c, outdated := s.catalog, !s.outdatedSince.IsZero()
 	s.mu.Unlock()
 	if c == nil {
 		return nil, 0, gateway.ErrNoCatalog
 	}
 	r, ok := c.Match(host, path)
-	if !ok {
+	switch {
+	case ok:
+		return r, c.Version, nil
+	case outdated:
+		return nil, c.Version, gateway.ErrOutdated
+	default:
 		return nil, c.Version, gateway.ErrNoRoute
 	}
-	return r, c.Version, nil
 }
 
 // Limits returns the configured limits on callers' requests.
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
@@ -218,6 +220,28 @@
 	assert.InEpsilon(t, longTerm["slow"]/4, longTerm["fast"], 0.05)
 }
 
+// A path that may be in a newer configuration than the one in force is not refused for good.
+func TestUnknownRouteOfAnOutdatedInstance(t *testing.T) {
+	s := newTestState(&testClock{})
+	path := func(version int64) *catalog.Catalog {
+		c := &catalog.Catalog{Version: version, Routes: []catalog.Route{{Host: "board.example", Prefix: fmt.Sprintf("/v%d/", version)}}}
+		c.Index()
+		return c
+	}
+	s.applyCatalog(path(2))
+	b := heartbeatFrom(1, 0)
+	b.Catalog = 3
+	s.receiveHeartbeat(b)
+	_, _, err := s.Route("board.example", "/v3/")
+	require.ErrorIs(t, err, gateway.ErrOutdated)
+	_, version, err := s.Route("board.example", "/v2/")
+	require.NoError(t, err)
+	assert.Equal(t, int64(2), version)
+	s.applyCatalog(path(3))
+	_, _, err = s.Route("board.example", "/v2/")
+	assert.ErrorIs(t, err, gateway.ErrNoRoute, "removed by the newest version")
+}
+
 // An instance fetches from a peer with a newer configuration, and doesn't list a peer to
 // callers after its heartbeats have stopped.
 func TestPeersAheadAndUnreachable(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,7 +29,7 @@
 	adapterLoadRetryAfter = 2 * time.Second
 	// maxRetryAfter limits a retry delay that is derived from a predicted wait.
 	maxRetryAfter = 3 * time.Second
-	// noCatalogRetryAfter is the retry delay sent while the instance has no configuration.
+	// noCatalogRetryAfter is the retry delay sent while the instance lacks a configuration.
 	noCatalogRetryAfter = 300 * time.Millisecond
 )
 
@@ -186,7 +186,7 @@
 
 func (g *Gateway) refuseRoute(w http.ResponseWriter, request *Request, err error) {
 	refusal := Refusal{Status: http.StatusNotFound, Reason: err.Error(), Request: request.ID}
-	if errors.Is(err, ErrNoCatalog) {
+	if errors.Is(err, ErrNoCatalog) || errors.Is(err, ErrOutdated) {
 		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, noCatalogRetryAfter
 	}
 	_ = g.logger.Log("step", "refuse", "id", request.ID, "status", refusal.Status, "host", request.Host, "path", request.Path, "err", err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 type fakeFleet struct {
 	runners     []*standin.Runner
 	route       *catalog.Route
+	outdated    bool
 	retryBudget int
 	err         error
 	wait        time.Duration
@@ -48,6 +49,9 @@
 	if host != "board.example" {
 		return nil, 3, gateway.ErrNoRoute
 	}
+	if f.outdated {
+		return nil, 3, gateway.ErrOutdated
+	}
 	if f.route == nil {
 		return nil, 0, gateway.ErrNoCatalog
 	}
@@ -287,6 +291,11 @@
 	answer, err = send(t, url, http.MethodPost, nil, "")
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, answer.status, "a missing configuration must not give 404")
+	f.outdated = true
+	answer, err = send(t, url, http.MethodPost, nil, "")
+	require.NoError(t, err)
+	assert.NotEmpty(t, answer.header.Get("Retry-After"))
+	assert.Equal(t, http.StatusServiceUnavailable, answer.status, "a route of a newer configuration must not give 404")
 	assert.Zero(t, f.runs())
 }
 
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -28,6 +28,8 @@
 	ErrTooLarge = errors.New("body too large")
 	// ErrNoCatalog is returned until the instance has received a configuration.
 	ErrNoCatalog = errors.New("no configuration received yet")
+	// ErrOutdated is returned if no route matches, but a newer configuration is known to exist.
+	ErrOutdated = errors.New("no route matches the host and path, and the configuration is outdated")
 	// ErrNoRoute is returned if no route matches the host and path.
 	ErrNoRoute = errors.New("no route matches the host and path")
 	// ErrOverloaded is returned if the predicted wait is too long for the answer to be useful.
