fix(direct): endpoints that name a limit get no more from all instances together

Cause: the header with the limit wasn't read. Nine instances that each read it would have sent nine times as much. Evidence: i-3380300a03 named 1 a second from 8.000 s on and got 4 or 5 a second as before; no line of the code had the name. Change: answers are decoded for the limit; the instance that admits an endpoint's requests spreads them at its rate (core/pace.Limiter), also those of plain services; questions and heartbeats carry what was seen; while that instance is silent each takes an equal share, begun at a random point.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -379,7 +379,7 @@
 	load := b.Load(e.ID)
 	c := Choice{Endpoint: e}
 	c.Prefill = load.PrefillAhead(a.Level) + b.prefillTime(a, max(0, a.PromptTokens-b.cachedTokens(e.ID, a)))
-	c.Wait = time.Duration(load.Running)*b.costs.RunningRequest + c.Prefill
+	c.Wait = time.Duration(load.Running)*b.costs.RunningRequest + c.Prefill + e.DeferredFor(now)
 	switch {
 	case e.DataCentre == a.Place.DataCentre:
 	case regions[e.DataCentre] == a.Place.Region:
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -30,6 +30,8 @@
 	// suspectUntil is when a suspicion due to failed sends ends.
 	suspectUntil time.Time
 	failures     int
+	// deferredUntil is when the endpoint takes the next request from this instance.
+	deferredUntil time.Time
 	// missingSince is when its entry disappeared while the store could not be trusted.
 	missingSince time.Time
 	// missingRevision is the store's revision of that removal.
@@ -277,6 +279,13 @@
 	}
 }
 
+// Defer records that an endpoint takes no request from this instance before a time.
+func (r *Roster) Defer(id fleet.Endpoint, born int64, until time.Time) {
+	if e := r.endpoints[id]; e != nil && e.Born == born {
+		e.deferredUntil = until
+	}
+}
+
 // Get returns an endpoint, nil if it is not in the list.
 func (r *Roster) Get(id fleet.Endpoint) *Endpoint { return r.endpoints[id] }
 
@@ -291,6 +300,9 @@
 // Suspect reports whether the endpoint is avoided because of failed sends.
 func (e *Endpoint) Suspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
+// DeferredFor returns for how long the endpoint takes no request from this instance.
+func (e *Endpoint) DeferredFor(now time.Time) time.Duration { return max(0, e.deferredUntil.Sub(now)) }
+
 // Holdings returns the models loaded on the endpoint, from its report or its entry, whichever
 // shows more orders.
 func (e *Endpoint) Holdings() []Holding {
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -35,7 +35,8 @@
 }
 
 // reserve admits a request to an endpoint of this instance and schedules its prompt, unless
-// it would wait longer than its limit for a slot or for the prompts ahead.
+// it would wait longer than its limit for a slot, for the prompts ahead, or because the endpoint
+// has asked for a limit.
 func (s *state) reserve(a *gossip.Admit) *gossip.AdmitReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,12 +47,22 @@
 		s.schedules[key] = schedule
 	}
 	now := s.clock()
+	named, hold := s.limit(key), time.Duration(0)
+	if named != nil {
+		hold = named.all.Wait(now)
+	}
+	if hold > a.Limit {
+		return &gossip.AdmitReply{Wait: hold, Refused: true, Limited: true}
+	}
 	slotWait := schedule.SlotWait(s.occupancy(now, a.Endpoint), a.Run)
 	if slotWait > a.Limit {
 		return &gossip.AdmitReply{Wait: slotWait, Refused: true}
 	}
 	wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
-	return &gossip.AdmitReply{Wait: wait, Refused: !ok}
+	if ok && named != nil {
+		named.all.Take(now, named.Limit, 1)
+	}
+	return &gossip.AdmitReply{Wait: wait, Refused: !ok, Hold: hold}
 }
 
 // occupancy returns what an endpoint reported of its requests, the zero value if that is not
@@ -105,21 +116,31 @@
 
 // Admit decides on a request of another instance.
 func (n *Node) Admit(_ context.Context, a *gossip.Admit) (*gossip.AdmitReply, error) {
-	return n.state.reserve(a), nil
+	return n.state.admit(a), nil
 }
 
-// Admit asks when a prompt may be sent to the target. ok is false if that is later than limit.
-// If the instance that admits the endpoint's requests doesn't answer, it may be sent at once.
-func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, work, limit time.Duration) (wait time.Duration, ok bool) {
+func (s *state) admit(a *gossip.Admit) *gossip.AdmitReply {
+	if a.Rate != nil {
+		s.mu.Lock()
+		s.receiveLimit(a.Rate, 0, "admit")
+		s.mu.Unlock()
+	}
+	return s.reserve(a)
+}
+
+// Admit asks when a request may be sent to the target. It is refused if that is later than limit.
+// If the instance that admits the endpoint's requests doesn't answer, the request may be sent at
+// once, or under this instance's part of a limit that the endpoint has asked for.
+func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, work, limit time.Duration) gateway.Admission {
 	address, known := g.admitter(t.ID)
 	if !known {
-		return 0, true
+		return g.takeOwnShare(t, limit)
 	}
 	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: limit}
 	if address == "" {
-		answer := g.reserve(question)
-		return answer.Wait, !answer.Refused
+		return g.admitted(t, g.reserve(question), 0)
 	}
+	question.Rate = g.knownLimit(t)
 	askedAt := g.clock()
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
@@ -127,7 +148,15 @@
 	if err != nil {
 		g.admitterFailed(t.ID)
 		_ = level.Warn(g.node.logger).Log("step", "admit", "endpoint", t.ID, "peer", address, "err", err)
-		return 0, true
+		return g.takeOwnShare(t, limit)
+	}
+	return g.admitted(t, answer, g.clock().Sub(askedAt)/2)
+}
+
+// admitted converts the answer to a question that took a while to come back.
+func (g gatewayFleet) admitted(t gateway.Target, r *gossip.AdmitReply, way time.Duration) gateway.Admission {
+	if r.Limited {
+		g.deferEndpoint(t, r.Wait)
 	}
-	return max(0, answer.Wait-g.clock().Sub(askedAt)/2), !answer.Refused
+	return gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited}
 }
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -174,7 +174,7 @@
 	b := &gossip.Heartbeat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(),
 		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
-		Suspicions: s.view.Suspicions(), Crashes: s.crashesToSend(now),
+		Suspicions: s.view.Suspicions(), Crashes: s.crashesToSend(now), Limits: s.limitsToSend(),
 	}
 	if s.catalog != nil {
 		b.Catalog = s.catalog.Version
@@ -231,6 +231,9 @@
 	for _, f := range b.Failed {
 		s.roster.RecordFailure(now, f.Endpoint, f.Born)
 	}
+	for i := range b.Limits {
+		s.receiveLimit(&b.Limits[i], delay, name)
+	}
 	for _, c := range b.Crashes {
 		s.receiveCrash(now, c, delay)
 	}
@@ -309,6 +312,7 @@
 	}
 	s.recordCrashes(now)
 	s.removeIdleSchedules(now)
+	s.removeOldLimits(now)
 	for name, p := range s.peers {
 		if now.Sub(p.receivedAt) > peerLoadRetention {
 			s.balancer.Forget(name)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -94,6 +94,7 @@
 	retirements      []retirement
 	lastHolder       announcedHolder
 	schedules        schedules
+	limits           map[incarnation]*endpointLimit
 	// dispatchers are the instances that probe the endpoints, as of a version of the view.
 	dispatchers        map[fleet.Endpoint]member.Peer
 	dispatchersVersion uint64
@@ -123,7 +124,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
-		schedules: make(schedules), admitterDownUntil: make(map[fleet.Instance]time.Time),
+		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 	}
 }
 
@@ -206,7 +207,7 @@
 	if !c.Endpoint.Report.Taken.IsZero() {
 		t.Age = now.Sub(c.Endpoint.Report.Taken)
 	}
-	t.Prefill = c.Prefill
+	t.Prefill, t.Limited = c.Prefill, s.limit(incarnation{t.ID, t.Born}) != nil
 	t.PendingPrefill = s.balancer.Started(t.ID, a)
 	return t, nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,6 +30,7 @@
 	runners     []*standin.Runner
 	route       *catalog.Route
 	outdated    bool
+	limited     bool // the endpoints have asked for a limit
 	retryBudget int
 	err         error
 	wait        time.Duration
@@ -43,6 +44,7 @@
 	admissionRefused                 bool
 	admissions, admitFirst           int // requests for admission, and how many are granted despite admissionRefused
 	random                           float64
+	limits                           []recordedLimit
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -69,7 +71,7 @@
 	defer f.mu.Unlock()
 	f.open++
 	n := len(a.Exclude)
-	return gateway.Target{ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address()}, nil
+	return gateway.Target{ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited}, nil
 }
 
 func (f *fakeFleet) Answered(gateway.Target, *balance.Request, time.Duration) {
@@ -125,12 +127,25 @@
 	return nil
 }
 
-func (f *fakeFleet) Admit(context.Context, gateway.Target, *balance.Request, time.Duration, time.Duration) (time.Duration, bool) {
+func (f *fakeFleet) Admit(context.Context, gateway.Target, *balance.Request, time.Duration, time.Duration) gateway.Admission {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.admissions++
-	return f.admissionWait, !f.admissionRefused || f.admissions <= f.admitFirst
+	return gateway.Admission{Wait: f.admissionWait, Refused: f.admissionRefused && f.admissions > f.admitFirst}
 }
+
+func (f *fakeFleet) RecordLimit(t gateway.Target, limited bool, perSecond float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits = append(f.limits, recordedLimit{t.ID, limited, perSecond})
+}
+
+type recordedLimit struct {
+	endpoint  fleet.Endpoint
+	limited   bool
+	perSecond float64
+}
+
 func (f *fakeFleet) Missing(gateway.Target, fleet.Model, fleet.Adapter) {}
 func (f *fakeFleet) Leaving() bool                                      { return false }
 func (f *fakeFleet) Limits() catalog.Limits                             { return catalog.Limits{MaxBodyBytes: 1 << 10} }
@@ -454,3 +469,32 @@
 	assert.Equal(t, 2, f.runs())
 	assert.Equal(t, 2, f.admissions)
 }
+
+// What an endpoint says of its limit is recorded, also that it no longer names one; requests to a
+// plain service that has named one are admitted before they are sent.
+func TestNamedLimits(t *testing.T) {
+	f := newFleet(t, catalog.KindSafe, standin.BehaviourNone)
+	url := serve(t, f)
+	get := func() int {
+		answer, err := send(t, url, http.MethodGet, nil, "")
+		require.NoError(t, err)
+		return answer.status
+	}
+	assert.Equal(t, http.StatusOK, get())
+	assert.Empty(t, f.limits)
+	f.runners[0].SetLimit("2.5")
+	get()
+	require.Len(t, f.limits, 1)
+	assert.True(t, f.limits[0].limited)
+	assert.InDelta(t, 2.5, f.limits[0].perSecond, 0)
+	assert.Zero(t, f.admissions)
+	f.limited = true
+	f.runners[0].SetLimit("")
+	get()
+	assert.Equal(t, 1, f.admissions)
+	assert.False(t, f.limits[1].limited)
+	f.admissionRefused, f.admissionWait = true, time.Second
+	runs := f.runs()
+	assert.Equal(t, http.StatusServiceUnavailable, get())
+	assert.Equal(t, runs, f.runs(), "not run")
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -201,9 +201,9 @@
 
 // awaitAdmission has the request admitted at the chosen endpoint. A request that would wait
 // too long to meet its target is not sent there. Where queued prompts would pause the streams
-// that run there, the request waits for its prompt's place in the schedule.
+// that run there, or the endpoint has asked for a limit, the request waits for its turn.
 func (j *job) awaitAdmission(ctx context.Context) error {
-	if j.request.Model == "" || j.route.Target <= 0 {
+	if !j.target.Limited && (j.request.Model == "" || j.route.Target <= 0) {
 		return nil
 	}
 	work, paced := j.target.PendingPrefill, pace.Applies(j.route.MaxEventGap)
@@ -211,15 +211,19 @@
 		work = pace.Work(work, j.route.MaxEventGap)
 	}
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-j.target.PendingPrefill-admissionMargin)
-	wait, ok := j.gateway.fleet.Admit(ctx, j.target, &j.query, work, limit)
-	if !ok && j.mayHaveRun {
+	admission := j.gateway.fleet.Admit(ctx, j.target, &j.query, work, limit)
+	if admission.Refused && j.mayHaveRun && !admission.Limited {
 		return ctx.Err() // its target has passed, and a refusal would say that it has not run
 	}
-	if !ok {
-		j.predictedWait = wait + j.target.PendingPrefill
-		return fmt.Errorf("%w: the wait there is %s", ErrOverloaded, wait)
+	if admission.Refused {
+		j.predictedWait = admission.Wait + j.target.PendingPrefill
+		return fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
 	}
-	if !paced || wait <= 0 {
+	wait := admission.Hold
+	if paced {
+		wait = max(wait, admission.Wait)
+	}
+	if wait <= 0 {
 		return ctx.Err()
 	}
 	j.admissionWait = wait
@@ -233,6 +237,9 @@
 // sent elsewhere.
 func (j *job) handleAnswer(ctx context.Context, answer *Answer) (outcome, error) {
 	g := j.gateway
+	if (answer.Limited || j.target.Limited) && !answer.OtherRequest && !answer.WrongEndpoint {
+		g.fleet.RecordLimit(j.target, answer.Limited, answer.PerSecond)
+	}
 	switch {
 	case answer.OtherRequest:
 		return outcomeUnknown, fmt.Errorf("received the answer to another request, status %d", answer.Status)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -103,6 +103,10 @@
 	WrongEndpoint bool
 	// OtherRequest is set if the answer belongs to another request.
 	OtherRequest bool
+	// Limited is set if the endpoint asks for no more than PerSecond requests a second, from all
+	// instances together, for as long as its answers say so.
+	Limited   bool
+	PerSecond float64
 }
 
 // Codec translates between HTTP messages of callers and this package's types.
@@ -144,6 +148,19 @@
 	// Prefill is the part of Wait that depends on the model, PendingPrefill what the
 	// request's own prompt adds to the waits of others until the first byte of its answer.
 	Prefill, PendingPrefill time.Duration
+	// Limited is set if the endpoint has asked for no more than some requests a second.
+	Limited bool
+}
+
+// Admission is the decision on a request to an endpoint.
+type Admission struct {
+	// Wait is how long the request's prompt waits there, or when a refused one may come back.
+	Wait time.Duration
+	// Hold is how long to wait before the request is sent.
+	Hold time.Duration
+	// Refused is set if Wait is too long, Limited beside it if that is due to the limit that the
+	// endpoint has asked for.
+	Refused, Limited bool
 }
 
 // Fleet is the instance's view of routes and endpoints.
@@ -173,8 +190,10 @@
 	CountRequest(a *balance.Request)
 	TakeRetry(s catalog.Service) bool
 	// Admit asks when a prompt may be sent to the target, where it occupies the engine for the
-	// time work. ok is false if that is later than limit.
-	Admit(ctx context.Context, t Target, a *balance.Request, work, limit time.Duration) (wait time.Duration, ok bool)
+	// time work. It is refused if that is later than limit.
+	Admit(ctx context.Context, t Target, a *balance.Request, work, limit time.Duration) Admission
+	// RecordLimit records whether an answer of the target asked for a limit, and which.
+	RecordLimit(t Target, limited bool, perSecond float64)
 	// Ensure has an adapter loaded at the target.
 	Ensure(ctx context.Context, t Target, m fleet.Model, a fleet.Adapter) error
 	// Missing records that the endpoint doesn't have the model or adapter that Choose expected
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -46,6 +46,8 @@
 	Suspicions []member.Suspicion `cbor:"u"`
 	// Retiring are copies of models about to be unloaded; no new requests are routed to them.
 	Retiring []Retirement `cbor:"t"`
+	// Limits are the rates that endpoints have lately asked for, as far as the sender knows.
+	Limits []Limit `cbor:"g,omitempty"`
 	// Crashes are the requests that recently were in flight on endpoints that crashed.
 	Crashes []Crash `cbor:"v"`
 }
@@ -67,6 +69,15 @@
 	Age      time.Duration  `cbor:"g"`
 }
 
+// Limit is the rate of requests that an incarnation of an endpoint has asked for, by an answer
+// as old as Age. It asks for none any more if Named is not set.
+type Limit struct {
+	Incarnation
+	PerSecond float64       `cbor:"r"`
+	Named     bool          `cbor:"n"`
+	Age       time.Duration `cbor:"g"`
+}
+
 // Crash is the crash of an endpoint with a request in flight. SentAgo and FailedAgo are
 // the times since the request was sent and since its run was interrupted, at the time the
 // heartbeat was sent.
@@ -175,6 +186,8 @@
 	Work  time.Duration `cbor:"w"`
 	Run   time.Duration `cbor:"r"`
 	Limit time.Duration `cbor:"m"`
+	// Rate is what the sender knows of a limit that the endpoint has asked for, nil for nothing.
+	Rate *Limit `cbor:"s,omitempty"`
 }
 
 // AdmitReply answers an Admit. Wait is counted from the arrival of the question. If Refused
@@ -182,4 +195,8 @@
 type AdmitReply struct {
 	Wait    time.Duration `cbor:"w"`
 	Refused bool          `cbor:"r"`
+	// Hold is how long to wait before the request is sent, from the arrival of the question.
+	Hold time.Duration `cbor:"h,omitempty"`
+	// Limited is set if the wait is due to a limit that the endpoint has asked for.
+	Limited bool `cbor:"l,omitempty"`
 }
