fix(gateway): a failure without a limit doesn't end the limit

Cause: an endpoint in need answers failures too, which may come without the header; taken for the end of its limit they would open it to all instances for a moment. Change: only a success without the header ends a limit.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -490,8 +490,12 @@
 	assert.Zero(t, f.admissions)
 	f.limited = true
 	f.runners[0].SetLimit("")
+	f.runners[0].SetBehaviour(standin.BehaviourFail)
 	get()
-	assert.Equal(t, 1, f.admissions)
+	assert.Len(t, f.limits, 1, "a failure says nothing of it")
+	f.runners[0].SetBehaviour(standin.BehaviourNone)
+	get()
+	assert.Equal(t, 2, f.admissions)
 	assert.False(t, f.limits[1].limited)
 	f.admissionRefused, f.admissionWait = true, time.Second
 	runs := f.runs()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -237,7 +237,9 @@
 // sent elsewhere.
 func (j *job) handleAnswer(ctx context.Context, answer *Answer) (outcome, error) {
 	g := j.gateway
-	if (answer.Limited || j.target.Limited) && !answer.OtherRequest && !answer.WrongEndpoint {
+	// A failure without a limit doesn't end one: the endpoint may not have made the answer itself.
+	ended := j.target.Limited && answer.Status/100 == 2
+	if (answer.Limited || ended) && !answer.OtherRequest && !answer.WrongEndpoint {
 		g.fleet.RecordLimit(j.target, answer.Limited, answer.PerSecond)
 	}
 	switch {
