test(direct): the complete list of a large fleet does not arrive over a slow link

Cause: the class of the CONFIG fault, looked for elsewhere: an answer that grows with the fleet, with a fixed time in all and begun anew.

--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -103,6 +104,12 @@
 	return n.state.catalog.Version
 }
 
+func (n *Node) listed() bool {
+	n.state.mu.Lock()
+	defer n.state.mu.Unlock()
+	return n.state.listed
+}
+
 func applyTestCatalog(t *testing.T, n *Node, text []byte) {
 	t.Helper()
 	c, err := platform.DecodeCatalog(text)
@@ -194,6 +201,41 @@
 	}
 }
 
+// An instance that starts must get the list of a fleet of the target's size from a peer over a
+// busy link before callers count on it.
+func TestEndpointListArrivesOverASlowLink(t *testing.T) {
+	const (
+		endpoints    = 6600
+		recoverBound = 12 * time.Second // recoverS of the small sites
+	)
+	synctest.Test(t, func(t *testing.T) {
+		listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(linkRate)}
+		ahead := newTestNode(t, "ahead", nil)
+		server := gossip.NewServer(ahead)
+		go func() { _ = server.Serve(listener) }()
+		defer server.Stop()
+		behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+		defer behind.gossip.Close()
+		var items []platform.Item
+		for i := range endpoints {
+			id := fmt.Sprintf("i-%010x", i)
+			items = append(items, platform.Item{Key: platform.EntryPrefix + id, Value: standin.EntryText(id, "matcher", "a", "model-1", "model-2", "model-3"), Revision: int64(i + 1)})
+		}
+		ahead.state.applyRecords(platform.Records(items), endpoints, true)
+		started := time.Now()
+		for sequence := uint64(1); time.Since(started) < recoverBound && !behind.listed(); sequence++ {
+			behind.state.receiveHeartbeat(&gossip.Heartbeat{
+				Peer:   member.Peer{Instance: "ahead", Incarnation: "1", Sequence: sequence, Place: fleet.Place{DataCentre: allDataCentres}, Address: "ahead:1"},
+				Roster: endpoints, Ready: true,
+			})
+			behind.sendHeartbeats(t.Context())
+			time.Sleep(behind.config.Peer.Beat)
+		}
+		assert.Len(t, behind.state.roster.All(), endpoints, "after %s", time.Since(started))
+		t.Logf("after %s", time.Since(started))
+	})
+}
+
 // While the operator changes a large configuration more often than it can be sent, instances
 // still get newer ones: what has been begun stays available.
 func TestQuickSuccessionOfConfigurationsReachesASlowInstance(t *testing.T) {
