fix(direct): the complete endpoint list comes in pages, apart from the heartbeat round

Change: a complete list comes in pages of 256 entries, each with its own time; pages that have arrived stay, the next may come from another peer, and the list counts as of the oldest page. A task of its own follows peers.

--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -64,7 +65,7 @@
 		complete, err := n.fetchCatalogPart(ctx, address, have)
 		switch {
 		case status.Code(err) == codes.Unimplemented:
-			n.fetch(ctx, address, &gossip.Fetch{Catalog: have, Roster: n.state.rosterRevision(), Deltas: true})
+			n.fetchWholeCatalog(ctx, address, have)
 			return
 		case err != nil:
 			id, offset := n.incomingCatalog.Next()
@@ -78,6 +79,14 @@
 	}
 }
 
+// fetchWholeCatalog gets a newer configuration from a peer that doesn't send it in parts.
+func (n *Node) fetchWholeCatalog(ctx context.Context, address string, have int64) {
+	answer, err := n.fetch(ctx, address, &gossip.Fetch{Catalog: have, Roster: math.MaxInt64})
+	if err == nil && len(answer.Catalog) > 0 {
+		n.applyCatalog(answer.Catalog, address)
+	}
+}
+
 // errNothingNewer: a peer has announced a newer configuration but doesn't have it any more.
 var errNothingNewer = errors.New("no newer configuration there")
 
@@ -199,13 +208,6 @@
 	return s.catalog.Raw, true
 }
 
-// rosterRevision returns the revision of the endpoint list.
-func (s *state) rosterRevision() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.roster.Revision()
-}
-
 // outgoingCatalogs are the configurations that peers have lately fetched, compressed, newest
 // first. It is safe for concurrent use; the lock is held while a configuration is compressed, so
 // that many peers that ask at once wait for one.
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -248,7 +249,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true, Parts: true}
+	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true, Parts: true, Pages: true}
 	var ahead *peer
 	for name, p := range s.peers {
 		if s.isLive(name) && p.heartbeat.Roster > f.Roster {
@@ -283,15 +284,22 @@
 	return reply
 }
 
-// addEntries adds the changes to the endpoint list since the requester's revision, or the
-// complete list if the requester can't apply changes or they are no longer recorded.
+// entriesPerPage limits the entries of one page of the complete list, some 100 kB: it must
+// arrive over a busy link before its call is given up.
+const entriesPerPage = 256
+
+// addEntries adds the changes to the endpoint list since the requester's revision, or a page of
+// the complete list if the requester can't apply changes or they are no longer recorded.
 func (s *state) addEntries(reply *gossip.FetchReply, f *gossip.Fetch) {
 	reply.Roster = s.roster.CompleteTo()
 	entries, removed, ok := s.roster.ChangesSince(f.Roster)
-	if !ok || !f.Deltas {
+	reply.Delta = ok && f.Deltas
+	if !reply.Delta {
 		entries, removed = s.roster.All(), nil
+		if f.Pages {
+			entries, reply.More = page(entries, f.After)
+		}
 	}
-	reply.Delta = ok && f.Deltas
 	for _, e := range entries {
 		reply.Entries = append(reply.Entries, gossip.Entry{ID: e.ID, Revision: e.Revision, Text: e.Raw})
 	}
@@ -300,6 +308,13 @@
 	}
 }
 
+// page returns the endpoints of the next page after an ID, and whether there are more.
+func page(sorted []*roster.Endpoint, after fleet.Endpoint) ([]*roster.Endpoint, bool) {
+	begin := sort.Search(len(sorted), func(i int) bool { return sorted[i].ID > after })
+	end := min(begin+entriesPerPage, len(sorted))
+	return sorted[begin:end], end < len(sorted)
+}
+
 // cleanUp garbage-collects expired state and returns the incarnations of the endpoints that
 // remain.
 func (s *state) cleanUp() map[fleet.Endpoint]int64 {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -76,6 +76,8 @@
 	// "catalog".
 	incomingCatalog  transfer.Assembly
 	outgoingCatalogs outgoingCatalogs
+	// incomingList belongs to the task "follow".
+	incomingList incomingList
 }
 
 // New creates an instance from its settings. Its goroutines run in the group.
--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -236,6 +236,55 @@
 	})
 }
 
+// A complete list whose pages come from peers that are not equally far is one as of the older
+// of them, so that what follows is fetched as changes.
+func TestCompleteListInPagesOfSeveralPeers(t *testing.T) {
+	const endpoints = 2*entriesPerPage + 10
+	list := func(n *Node, last int, revision int64) {
+		var items []platform.Item
+		for i := range last {
+			id := fmt.Sprintf("i-%06d", i)
+			items = append(items, platform.Item{Key: platform.EntryPrefix + id, Value: standin.EntryText(id, "board", "a"), Revision: int64(i + 1)})
+		}
+		n.state.applyRecords(platform.Records(items), revision, true)
+	}
+	older, newer := newTestNode(t, "older", nil), newTestNode(t, "newer", nil)
+	list(older, endpoints-5, endpoints-5)
+	list(newer, endpoints, endpoints)
+	var arrived incomingList
+	for _, c := range []struct {
+		sender *Node
+		more   bool
+	}{{newer, true}, {older, true}, {newer, false}} {
+		reply, err := c.sender.Fetch(t.Context(), &gossip.Fetch{Deltas: true, Pages: true, After: arrived.after()})
+		require.NoError(t, err)
+		require.False(t, reply.Delta)
+		arrived.add(reply)
+		assert.Equal(t, c.more, reply.More)
+	}
+	assert.Len(t, arrived.items, endpoints)
+	assert.Equal(t, int64(endpoints-5), arrived.revision)
+}
+
+// An instance that has no list isn't ready because a peer has none either.
+func TestEmptyAnswerIsNoList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := bufconn.Listen(1 << 10)
+		empty := newTestNode(t, "empty", nil)
+		server := gossip.NewServer(empty)
+		go func() { _ = server.Serve(listener) }()
+		defer server.Stop()
+		n := newTestNode(t, "one", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+		defer n.gossip.Close()
+		n.state.receiveHeartbeat(&gossip.Heartbeat{
+			Peer:   member.Peer{Instance: "empty", Incarnation: "1", Sequence: 1, Place: fleet.Place{DataCentre: allDataCentres}, Address: "empty:1"},
+			Roster: 7, Ready: true,
+		})
+		n.followPeers(t.Context())
+		assert.False(t, n.listed())
+	})
+}
+
 // While the operator changes a large configuration more often than it can be sent, instances
 // still get newer ones: what has been begun stays available.
 func TestQuickSuccessionOfConfigurationsReachesASlowInstance(t *testing.T) {
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -216,35 +217,90 @@
 	if _, _, ok := n.state.catalogPeer(""); ok {
 		n.tasks.RunIfIdle("catalog", n.fetchCatalog)
 	}
-	if address, fetch, ok := n.state.peerAhead(); ok {
-		n.fetch(ctx, address, fetch)
+	if _, _, ok := n.state.peerAhead(); ok {
+		n.tasks.RunIfIdle("follow", n.followPeers)
 	}
 }
 
-// fetch gets a newer endpoint list from a peer and applies it, and the configuration if the
-// request asks for it.
-func (n *Node) fetch(ctx context.Context, address string, f *gossip.Fetch) {
+// followPeers gets the endpoint list from peers that have a newer one: the changes, or the
+// complete list page by page.
+func (n *Node) followPeers(ctx context.Context) {
+	for {
+		address, f, ok := n.state.peerAhead()
+		if !ok {
+			return
+		}
+		f.After = n.incomingList.after()
+		answer, err := n.fetch(ctx, address, f)
+		switch {
+		case err != nil:
+			return // another peer is chosen after the next heartbeats
+		case answer.Roster <= f.Roster && len(answer.Entries)+len(answer.Removed) == 0:
+			return // the peer has nothing newer
+		case answer.Delta:
+			n.incomingList = incomingList{}
+			n.applyChanges(answer)
+		default:
+			n.incomingList.add(answer)
+			if !answer.More {
+				n.state.applyRecords(platform.Records(n.incomingList.items), n.incomingList.revision, true)
+				n.incomingList = incomingList{}
+			}
+		}
+		if !answer.More {
+			return
+		}
+	}
+}
+
+// incomingList is a complete endpoint list that arrives in pages, also from several peers.
+type incomingList struct {
+	items    []platform.Item
+	revision int64 // all pages are complete to it
+}
+
+func (l *incomingList) after() fleet.Endpoint {
+	if len(l.items) == 0 {
+		return ""
+	}
+	return fleet.Endpoint(strings.TrimPrefix(l.items[len(l.items)-1].Key, platform.EntryPrefix))
+}
+
+func (l *incomingList) add(page *gossip.FetchReply) {
+	if len(l.items) == 0 {
+		l.revision = page.Roster
+	}
+	l.revision = min(l.revision, page.Roster)
+	l.items = append(l.items, listedItems(page.Entries)...)
+}
+
+func listedItems(entries []gossip.Entry) []platform.Item {
+	items := make([]platform.Item, 0, len(entries))
+	for _, e := range entries {
+		items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Value: e.Text, Revision: e.Revision})
+	}
+	return items
+}
+
+// applyChanges applies the changes to the endpoint list that a peer has sent.
+func (n *Node) applyChanges(answer *gossip.FetchReply) {
+	items := listedItems(answer.Entries)
+	for _, e := range answer.Removed {
+		items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Revision: e.Revision, Removed: true})
+	}
+	n.state.applyRecords(platform.Records(items), answer.Roster, false)
+}
+
+// fetch asks a peer for newer data.
+func (n *Node) fetch(ctx context.Context, address string, f *gossip.Fetch) (*gossip.FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	before := n.gossip.Received(address)
 	answer, err := n.gossip.Fetch(ctx, address, f)
 	if err != nil {
 		_ = level.Warn(n.logger).Log("step", "fetch", "peer", address, "after", f.Roster, "received", n.gossip.Received(address)-before, "err", err)
-		return
-	}
-	if len(answer.Catalog) > 0 {
-		n.applyCatalog(answer.Catalog, address)
-	}
-	if answer.Roster > f.Roster || len(answer.Entries)+len(answer.Removed) > 0 {
-		items := make([]platform.Item, 0, len(answer.Entries)+len(answer.Removed))
-		for _, e := range answer.Entries {
-			items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Value: e.Text, Revision: e.Revision})
-		}
-		for _, e := range answer.Removed {
-			items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Revision: e.Revision, Removed: true})
-		}
-		n.state.applyRecords(platform.Records(items), answer.Roster, !answer.Delta)
 	}
+	return answer, err
 }
 
 // Heartbeat handles a heartbeat from another instance.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -128,6 +128,10 @@
 	Deltas bool `cbor:"d"`
 	// Parts is set if the sender gets the configuration by FetchCatalog.
 	Parts bool `cbor:"p"`
+	// Pages is set if the sender takes a complete list in pages, this one from the first ID
+	// after After.
+	Pages bool           `cbor:"g"`
+	After fleet.Endpoint `cbor:"a"`
 }
 
 // FetchCatalog asks a peer for the next part of its configuration.
@@ -158,8 +162,10 @@
 	Roster  int64   `cbor:"r"`
 	Entries []Entry `cbor:"e"`
 	// Delta is set if Entries and Removed are only the changes since the Fetch's revision;
-	// otherwise Entries is the complete list.
-	Delta   bool    `cbor:"d"`
+	// otherwise Entries is the complete list, or the next page of it, in the order of the IDs.
+	Delta bool `cbor:"d"`
+	// More is set if the list has a further page.
+	More    bool    `cbor:"o"`
 	Removed []Entry `cbor:"m"`
 }
 
