--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -145,3 +145,22 @@
 	s.RecordLimit(target, false, 0)
 	assert.Equal(t, before, chosen())
 }
+
+// An endpoint whose answers say that it leaves gets no more requests, here and at the peers that
+// hear of it, and is announced once however often it repeats that.
+func TestEndpointThatSaysItLeaves(t *testing.T) {
+	w := &testClock{}
+	one, two := newTestState(w), newTestState(w)
+	for range 3 {
+		one.Gone(limitedTarget)
+	}
+	_, b := one.heartbeat()
+	assert.Equal(t, []gossip.Incarnation{{Endpoint: "p"}}, b.Leaving)
+	b.Peer.Instance = "other"
+	two.receiveHeartbeat(b)
+	for _, s := range []*state{one, two} {
+		s.applyCatalog(&catalog.Catalog{Version: 1})
+		_, err := s.Choose(&balance.Request{Service: "s"})
+		assert.ErrorIs(t, err, gateway.ErrNoEndpoint)
+	}
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -242,13 +242,18 @@
 	s.failedEndpoints[id] = gossip.Incarnation{Endpoint: id, Born: born}
 }
 
-// Gone records that another endpoint or incarnation now answers at the address.
+// Gone records that another endpoint or incarnation now answers at the address, or that the
+// endpoint says that it leaves.
 func (s *state) Gone(t gateway.Target) { s.recordLeft(t.ID, t.Born) }
 
 func (s *state) recordLeft(id fleet.Endpoint, born int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.MarkLeaving(id, born)
+	if slices.Contains(s.leftEndpoints, gossip.Incarnation{Endpoint: id, Born: born}) {
+		return // its answers repeat it
+	}
+	_ = s.logger.Log("step", "endpoint", "endpoint", id, "born", born, "now", "leaving", "from", "answer")
 	s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: id, Born: born})
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 	admissions, admitFirst           int // requests for admission, and how many are granted despite admissionRefused
 	random                           float64
 	limits                           []recordedLimit
+	gone                             []fleet.Endpoint
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -108,7 +109,11 @@
 
 func (f *fakeFleet) HasAlternative(a *balance.Request) bool { return len(a.Exclude) < len(f.runners) }
 
-func (f *fakeFleet) Gone(gateway.Target) {}
+func (f *fakeFleet) Gone(t gateway.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone = append(f.gone, t.ID)
+}
 
 func (f *fakeFleet) CountRequest(*balance.Request) {
 	f.mu.Lock()
@@ -502,3 +507,18 @@
 	assert.Equal(t, http.StatusServiceUnavailable, get())
 	assert.Equal(t, runs, f.runs(), "not run")
 }
+
+// An answer that says that its endpoint leaves is passed on, and the endpoint is recorded as leaving.
+func TestAnswerOfALeavingEndpoint(t *testing.T) {
+	f := newFleet(t, catalog.KindSafe, standin.BehaviourNone)
+	url := serve(t, f)
+	for _, leaving := range []bool{false, true} {
+		if leaving {
+			f.runners[0].Leave()
+		}
+		answer, err := send(t, url, http.MethodGet, nil, "")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.status)
+		assert.Equal(t, leaving, len(f.gone) == 1)
+	}
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -237,11 +237,7 @@
 // sent elsewhere.
 func (j *job) handleAnswer(ctx context.Context, answer *Answer) (outcome, error) {
 	g := j.gateway
-	// A failure without a limit doesn't end one: the endpoint may not have made the answer itself.
-	ended := j.target.Limited && answer.Status/100 == 2
-	if (answer.Limited || ended) && !answer.OtherRequest && !answer.WrongEndpoint {
-		g.fleet.RecordLimit(j.target, answer.Limited, answer.PerSecond)
-	}
+	j.recordState(answer)
 	switch {
 	case answer.OtherRequest:
 		return outcomeUnknown, fmt.Errorf("received the answer to another request, status %d", answer.Status)
@@ -260,6 +256,21 @@
 	return j.passComplete(ctx, answer)
 }
 
+// recordState records what an answer says of the endpoint's state.
+func (j *job) recordState(answer *Answer) {
+	if answer.OtherRequest || answer.WrongEndpoint {
+		return
+	}
+	// A failure without a limit doesn't end one: the endpoint may not have made the answer itself.
+	ended := j.target.Limited && answer.Status/100 == 2
+	if answer.Limited || ended {
+		j.gateway.fleet.RecordLimit(j.target, answer.Limited, answer.PerSecond)
+	}
+	if answer.Leaving {
+		j.gateway.fleet.Gone(j.target)
+	}
+}
+
 // passComplete buffers an answer up to its last byte before it passes it on, so that the
 // caller never gets a truncated one.
 func (j *job) passComplete(ctx context.Context, answer *Answer) (outcome, error) {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -107,6 +107,8 @@
 	// instances together, for as long as its answers say so.
 	Limited   bool
 	PerSecond float64
+	// Leaving is set if the endpoint says that it shuts down.
+	Leaving bool
 }
 
 // Codec translates between HTTP messages of callers and this package's types.
@@ -176,7 +178,7 @@
 	// Ended releases the slot taken by Choose. The flag says whether Answered was called.
 	Ended(t Target, a *balance.Request, answered bool)
 	// Failed records an attempt without a complete answer, Gone that another endpoint or
-	// incarnation uses the address.
+	// incarnation uses the address, or that the endpoint has said that it leaves.
 	Failed(t Target)
 	Gone(t Target)
 	// AnswerInterrupted records that an endpoint's answer to a request sent at sentAt broke
