feat(gateway): an endpoint that asks to be spared gets nothing from the instance that it told

If all that could serve a request are left out, callers are refused with the time until the first takes some; the same holds for an endpoint whose limit has no room.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -331,10 +331,13 @@
 	MissingModel Missing = "model"
 	// MissingAdapter: the endpoints with the model can't load the adapter now.
 	MissingAdapter Missing = "adapter"
+	// MissingRate: the endpoints that could serve the request take none from this instance now.
+	MissingRate Missing = "rate"
 )
 
 // Choose returns the endpoint with the shortest predicted wait. Suspect endpoints are
-// considered only when there is no other.
+// considered only when there is no other. If all that could serve the request take none from
+// this instance now, the choice has the time until the first of them does.
 func (b *Balancer) Choose(now time.Time, a *Request, group *catalog.Group, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) (Choice, Missing) {
 	best, found, missing := Choice{}, false, MissingModel
 	preferred := preferredEndpoint(now, a, endpoints, regions)
@@ -359,11 +362,30 @@
 			return best, MissingNone
 		}
 	}
+	if wait, ok := firstDeferred(now, a, endpoints); ok && missing == MissingModel {
+		return Choice{Wait: wait}, MissingRate
+	}
 	return best, missing
 }
 
-// eligible reports whether an endpoint can serve the request now or after loading its adapter.
+// firstDeferred returns the time until the first of the endpoints that could serve the request
+// takes one from this instance. ok is false if none could.
+func firstDeferred(now time.Time, a *Request, endpoints []*roster.Endpoint) (first time.Duration, ok bool) {
+	for _, e := range endpoints {
+		if wait := e.DeferredFor(now); couldServe(now, e, a) && (!ok || wait < first) {
+			first, ok = wait, true
+		}
+	}
+	return first, ok
+}
+
+// eligible reports whether an endpoint takes the request now, maybe after loading its adapter.
 func eligible(now time.Time, e *roster.Endpoint, a *Request) bool {
+	return e.DeferredFor(now) == 0 && couldServe(now, e, a)
+}
+
+// couldServe reports whether an endpoint can serve the request once it takes it.
+func couldServe(now time.Time, e *roster.Endpoint, a *Request) bool {
 	if e.Service != a.Service || e.Leaving || e.Lost {
 		return false
 	}
@@ -379,7 +401,7 @@
 	load := b.Load(e.ID)
 	c := Choice{Endpoint: e}
 	c.Prefill = load.PrefillAhead(a.Level) + b.prefillTime(a, max(0, a.PromptTokens-b.cachedTokens(e.ID, a)))
-	c.Wait = time.Duration(load.Running)*b.costs.RunningRequest + c.Prefill + e.DeferredFor(now)
+	c.Wait = time.Duration(load.Running)*b.costs.RunningRequest + c.Prefill
 	switch {
 	case e.DataCentre == a.Place.DataCentre:
 	case regions[e.DataCentre] == a.Place.Region:
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -30,8 +30,9 @@
 	// suspectUntil is when a suspicion due to failed sends ends.
 	suspectUntil time.Time
 	failures     int
-	// deferredUntil is when the endpoint takes the next request from this instance.
-	deferredUntil time.Time
+	// deferredUntil is when the endpoint's limit leaves room for a request of this instance,
+	// sparedUntil when a time ends for which it has asked this instance to send nothing.
+	deferredUntil, sparedUntil time.Time
 	// missingSince is when its entry disappeared while the store could not be trusted.
 	missingSince time.Time
 	// missingRevision is the store's revision of that removal.
@@ -279,13 +280,21 @@
 	}
 }
 
-// Defer records that an endpoint takes no request from this instance before a time.
+// Defer records that an endpoint's limit leaves no room for a request of this instance before a
+// time.
 func (r *Roster) Defer(id fleet.Endpoint, born int64, until time.Time) {
 	if e := r.endpoints[id]; e != nil && e.Born == born {
 		e.deferredUntil = until
 	}
 }
 
+// Spare records that an endpoint wants nothing from this instance before a time.
+func (r *Roster) Spare(id fleet.Endpoint, born int64, until time.Time) {
+	if e := r.endpoints[id]; e != nil && e.Born == born && until.After(e.sparedUntil) {
+		e.sparedUntil = until
+	}
+}
+
 // Get returns an endpoint, nil if it is not in the list.
 func (r *Roster) Get(id fleet.Endpoint) *Endpoint { return r.endpoints[id] }
 
@@ -301,7 +310,13 @@
 func (e *Endpoint) Suspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
 // DeferredFor returns for how long the endpoint takes no request from this instance.
-func (e *Endpoint) DeferredFor(now time.Time) time.Duration { return max(0, e.deferredUntil.Sub(now)) }
+func (e *Endpoint) DeferredFor(now time.Time) time.Duration {
+	return max(0, e.deferredUntil.Sub(now), e.sparedUntil.Sub(now))
+}
+
+// Spared reports whether the endpoint wants nothing from this instance for now, not even polls
+// and orders.
+func (e *Endpoint) Spared(now time.Time) bool { return now.Before(e.sparedUntil) }
 
 // Holdings returns the models loaded on the endpoint, from its report or its entry, whichever
 // shows more orders.
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -118,7 +118,7 @@
 		}
 		all = append(all, loader.Candidate{
 			ID: e.ID, Born: e.Born, Address: e.Address, Report: report, CachedModels: report.AtHand,
-			PendingPrefill: s.balancer.Load(e.ID).PrefillAhead(bulkLevel), Suspect: e.Suspect(now), AdaptersInUse: s.adaptersInUse(e.ID),
+			PendingPrefill: s.balancer.Load(e.ID).PrefillAhead(bulkLevel), Suspect: e.Suspect(now), Spared: e.Spared(now), AdaptersInUse: s.adaptersInUse(e.ID),
 		})
 	}
 	return all
@@ -159,8 +159,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var mine []roster.Endpoint
+	now := s.clock()
 	for _, e := range s.roster.All() {
-		if !s.isEngine(e.Service) {
+		if !s.isEngine(e.Service) || e.Spared(now) {
 			continue
 		}
 		if p, ok := s.dispatcher(e); ok && p.Instance == s.view.Self().Instance {
--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -164,3 +164,29 @@
 		assert.ErrorIs(t, err, gateway.ErrNoEndpoint)
 	}
 }
+
+// An endpoint that has asked to be spared gets neither requests nor polls nor orders from the
+// instance that it told; callers learn when it takes requests again.
+func TestSparedEndpointGetsNothing(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	s.applyCatalog(&catalog.Catalog{Version: 1, Groups: []catalog.Group{{Name: "s", Engine: &catalog.Engine{}}}})
+	request := &balance.Request{Service: "s"}
+	require.Len(t, s.endpointsToProbe(), 1)
+	s.Spare(limitedTarget, 2*time.Second)
+	s.Spare(limitedTarget, time.Second)
+	target, err := s.Choose(request)
+	require.ErrorIs(t, err, gateway.ErrOverloaded)
+	assert.Equal(t, 2*time.Second, target.Wait, "a shorter time doesn't end a longer one")
+	assert.Empty(t, s.endpointsToProbe())
+	assert.True(t, s.Candidates("s")[0].Spared)
+	s.applyRecords([]roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "far", Slots: 4, Revision: 2}}}, 2, false)
+	target, err = s.Choose(request)
+	require.NoError(t, err)
+	assert.Equal(t, fleet.Endpoint("q"), target.ID, "others are chosen meanwhile")
+	w.elapsed = 2 * time.Second
+	assert.Len(t, s.endpointsToProbe(), 2)
+	s.Spare(limitedTarget, time.Second)
+	s.applyRecords([]roster.Record{{ID: "p", Revision: 3, Entry: roster.Entry{ID: "p", Service: "s", Born: 5, Slots: 4, Revision: 3}}}, 3, false)
+	assert.Len(t, s.endpointsToProbe(), 2, "its next incarnation has not asked for it")
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -173,6 +173,8 @@
 		return c, gateway.ErrNoEndpoint
 	case balance.MissingAdapter:
 		return c, gateway.ErrNoAdapter
+	case balance.MissingRate:
+		return c, gateway.ErrOverloaded
 	case balance.MissingNone:
 	}
 	if c.Wait > balance.MaxWait(a) {
@@ -246,6 +248,14 @@
 // endpoint says that it leaves.
 func (s *state) Gone(t gateway.Target) { s.recordLeft(t.ID, t.Born) }
 
+// Spare records that an endpoint wants nothing from this instance for a while.
+func (s *state) Spare(t gateway.Target, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.logger.Log("step", "spare", "endpoint", t.ID, "born", t.Born, "for", wait)
+	s.roster.Spare(t.ID, t.Born, s.clock().Add(wait))
+}
+
 func (s *state) recordLeft(id fleet.Endpoint, born int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -46,6 +46,7 @@
 	random                           float64
 	limits                           []recordedLimit
 	gone                             []fleet.Endpoint
+	spared                           []time.Duration
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -115,6 +116,12 @@
 	f.gone = append(f.gone, t.ID)
 }
 
+func (f *fakeFleet) Spare(_ gateway.Target, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spared = append(f.spared, wait)
+}
+
 func (f *fakeFleet) CountRequest(*balance.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -522,3 +529,14 @@
 		assert.Equal(t, leaving, len(f.gone) == 1)
 	}
 }
+
+// An endpoint that refuses a request and asks to be spared is, and the request goes to another.
+func TestRefusalThatAsksToBeSpared(t *testing.T) {
+	f := newFleet(t, catalog.KindUnsafe, standin.BehaviourFull, standin.BehaviourNone)
+	f.route.Attempts = 2
+	f.runners[0].SetRetryAfter("1.5")
+	answer, err := send(t, serve(t, f), http.MethodPost, nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.status)
+	assert.Equal(t, []time.Duration{1500 * time.Millisecond}, f.spared)
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -269,6 +269,9 @@
 	if answer.Leaving {
 		j.gateway.fleet.Gone(j.target)
 	}
+	if answer.RetryAfter > 0 {
+		j.gateway.fleet.Spare(j.target, answer.RetryAfter)
+	}
 }
 
 // passComplete buffers an answer up to its last byte before it passes it on, so that the
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -109,6 +109,9 @@
 	PerSecond float64
 	// Leaving is set if the endpoint says that it shuts down.
 	Leaving bool
+	// RetryAfter is for how long the endpoint wants nothing from this instance, 0 if it doesn't
+	// say so.
+	RetryAfter time.Duration
 }
 
 // Codec translates between HTTP messages of callers and this package's types.
@@ -181,6 +184,8 @@
 	// incarnation uses the address, or that the endpoint has said that it leaves.
 	Failed(t Target)
 	Gone(t Target)
+	// Spare records that the target wants nothing from this instance for a while.
+	Spare(t Target, wait time.Duration)
 	// AnswerInterrupted records that an endpoint's answer to a request sent at sentAt broke
 	// off, AnswerCompleted that a request was answered completely. IsPoison reports whether
 	// endpoints crashed while running the request, so that it must not be sent to any.
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -42,6 +42,9 @@
 	if d.hasAdapter(c, adapter) {
 		return nil
 	}
+	if c.Spared {
+		return fmt.Errorf("%w: it has asked to be spared", ErrUnavailable)
+	}
 	if d.orderedModel != "" || d.retiring != "" {
 		return fmt.Errorf("%w: a load or unload of %s is in progress", ErrUnavailable, d.orderedModel)
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -125,11 +125,16 @@
 	Report         roster.Report
 	CachedModels   []fleet.Model
 	PendingPrefill time.Duration
-	Suspect        bool
+	// Suspect is set if it lately did not answer, Spared if it wants nothing from this instance
+	// for now. Neither gets orders.
+	Suspect, Spared bool
 	// AdaptersInUse are the adapters that requests in flight use.
 	AdaptersInUse []roster.Adapter
 }
 
+// avoided reports whether the endpoint gets no new orders for now.
+func (c *Candidate) avoided() bool { return c.Suspect || c.Spared }
+
 // Loader gives orders while the instance holds the order lease. It is safe for concurrent use.
 type Loader struct {
 	endpoints Endpoints
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -40,6 +40,7 @@
 	listing       bool   // not all endpoints may be listed yet
 	modelLost     bool   // the endpoint doesn't have the model n
 	loaded        []fleet.Model
+	spared        bool // the endpoint wants nothing from this instance
 	staleReports  bool // the endpoint answers with lastReport instead of a new report
 }
 
@@ -128,7 +129,7 @@
 func (f *fakeCluster) Candidates(catalog.Service) []loader.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return []loader.Candidate{{ID: "p", Report: f.lastReport, AdaptersInUse: f.adaptersInUse}}
+	return []loader.Candidate{{ID: "p", Report: f.lastReport, AdaptersInUse: f.adaptersInUse, Spared: f.spared}}
 }
 
 func (f *fakeCluster) Demand() (recent, longTerm map[fleet.Model]float64, adapters map[roster.Adapter]float64) {
@@ -320,6 +321,18 @@
 	assert.Equal(t, []fleet.Model{"n"}, s.loaded)
 }
 
+func TestSparedEndpointGetsNoOrders(t *testing.T) {
+	s := newFakeCluster(2)
+	s.modelLost, s.spared = true, true
+	s.RecordReport("p", s.report())
+	l := newLoader(s)
+	l.Step(t.Context())
+	require.ErrorIs(t, ensure(t, l, "a1"), loader.ErrUnavailable)
+	assert.Zero(t, s.orderCount)
+	s.spared = false
+	require.NoError(t, ensure(t, l, "a1"))
+}
+
 func TestFreeSlotsArePreloaded(t *testing.T) {
 	s := newFakeCluster(3)
 	l := newLoader(s)
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -26,7 +26,9 @@
 		tracking.Go(func() error {
 			d := l.orderState(c)
 			if d.tryLock() {
-				l.trackOrders(ctx, now, d, c)
+				if !c.Spared { // else what is in progress is followed afterwards
+					l.trackOrders(ctx, now, d, c)
+				}
 				plan[i] = l.planEndpoint(now, d, c)
 				d.unlock()
 			} else {
@@ -163,7 +165,7 @@
 	}
 	e.Moving = d.orderedModel != "" || d.retiring != ""
 	fresh := now.Sub(c.Report.Taken) < time.Second
-	e.Busy = d.orderedModel != "" || d.retiring != "" || c.Report.Busy || !fresh || c.Suspect ||
+	e.Busy = d.orderedModel != "" || d.retiring != "" || c.Report.Busy || !fresh || c.avoided() ||
 		c.Report.Taken.Sub(d.movedAt) < reportLag
 	return e
 }
--- a/internal/loader/preload.go
+++ b/internal/loader/preload.go
@@ -59,7 +59,7 @@
 // adapterToPreload returns the adapter that an endpoint with a free slot should load.
 func (l *Loader) adapterToPreload(c *Candidate, engine *catalog.Engine, present map[roster.Adapter]bool, demand map[fleet.Model]float64, adapterDemand map[roster.Adapter]float64) (roster.Adapter, bool) {
 	d := l.orderState(c)
-	if c.Suspect || c.Report.Busy || !d.tryLock() {
+	if c.avoided() || c.Report.Busy || !d.tryLock() {
 		return roster.Adapter{}, false
 	}
 	defer d.unlock()
