feat(platform): a store that comes back from an older copy

An instance would have ignored the new list as older, taken a revision given out again for its own, and two machines could have given orders at once. Change: revisions have the era above them inside the product, so they only rise; guards, leases and watches of an earlier era don't hold, late answers are dropped.

--- a/internal/core/tenure/tenure.go
+++ b/internal/core/tenure/tenure.go
@@ -7,6 +7,8 @@
 package tenure
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -30,6 +32,32 @@
 	return unsettledHolder
 }
 
+// InEra returns the name under which a machine is on record in an era of the store, which begins
+// when the store comes back from an older copy.
+func InEra(name string, era int64) string {
+	if era == 0 {
+		return name
+	}
+	return name + eraSeparator + strconv.FormatInt(era, 10)
+}
+
+const (
+	eraSeparator = " "
+	// firstEra is the highest era in which the store may never have come back from a copy.
+	firstEra = 1
+)
+
+// RecordHolds reports whether the record of the last holder, empty if there is none, tells who may
+// have given orders. A record from before the store came back may be older than the last holder,
+// and that of a machine which still waits says nothing of those before it. SeenReturn is set if
+// this machine has seen the store come back.
+func RecordHolds(last string, era int64, seenReturn bool) bool {
+	if last == "" {
+		return era <= firstEra && !seenReturn
+	}
+	return era == 0 || strings.HasSuffix(last, eraSeparator+strconv.FormatInt(era, 10))
+}
+
 // OrderLease is this instance's state of the lease that allows it to send orders. It is not
 // safe for concurrent use.
 type OrderLease struct {
@@ -60,6 +88,14 @@
 	}
 }
 
+// AcquiredWithoutRecord records that the lease was acquired while it isn't known who may hold it by
+// its own clock: the store came back from an older copy at eraSince or before, and has lost the
+// record. Whoever held the lease before has renewed it before that.
+func (o *OrderLease) AcquiredWithoutRecord(now, requestedAt time.Duration, fence fleet.Fence, eraSince time.Duration) {
+	o.Acquired(now, requestedAt, fence, false)
+	o.mayOrderFrom = max(o.mayOrderFrom, eraSince+o.ttl+o.separation)
+}
+
 // Renewed records a successful renewal that was requested at the given time.
 func (o *OrderLease) Renewed(requestedAt time.Duration) {
 	if o.fence != 0 {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -71,7 +71,7 @@
 	loader            *loader.Loader
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
-	registrationLease int64 // store lease of this instance's registration
+	registrationLease platform.Lease // store lease of this instance's registration
 	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
 	// "catalog".
 	incomingCatalog  transfer.Assembly
@@ -100,10 +100,10 @@
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timers, clock: clock.Now,
 		state:     newState(self, place, regions, budget, c.Peer.Beat, clock.Now, logger),
-		store:     platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout)),
 		endpoints: platform.NewEndpointClient(),
 		gossip:    gossip.NewClient(),
 	}
+	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithRestored(n.storeRestored))
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies,
@@ -114,6 +114,14 @@
 	return n
 }
 
+// storeRestored reacts to the store's return from an older copy: entries that it lacks may be
+// written again, and the record of the order lease's holder may be lost.
+func (n *Node) storeRestored(era int64) {
+	_ = level.Warn(n.logger).Log("step", "store restored", "era", era)
+	n.state.storeFailed()
+	n.orderLease.storeRestored()
+}
+
 const (
 	// maxMoves, minMoveGain and minMoveDemand limit the moves that follow demand. Replacing a
 	// model costs two orders, a load, and the KV cache built for the evicted model.
--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -36,15 +36,27 @@
 
 	mu                 sync.Mutex
 	tenure             *tenure.OrderLease
-	leaseID            int64
+	lease              platform.Lease
 	lastHolderRevision int64         // revision of lastHolderKey, 0 once it names this machine
+	eraSince           time.Duration // since when the store's era, or a later one, has been known here
+	seenReturn         bool          // the store has come back from an older copy meanwhile
 	vacantSince        time.Duration // since when no peer announces that it holds the lease
 	triedAt            time.Duration // when this instance last tried to acquire it, 0 before the first time
 	released           bool
 }
 
 func newOrderLease(store *platform.Store, t *tenure.OrderLease, c config.Gateway, logger log.Logger) *orderLease {
-	return &orderLease{store: store, name: c.Instance.Name + "@" + c.Listen.Peer, ttl: c.Orders.Lease, callTimeout: c.Store.Timeout, logger: logger, tenure: t}
+	return &orderLease{
+		store: store, name: c.Instance.Name + "@" + c.Listen.Peer, ttl: c.Orders.Lease, callTimeout: c.Store.Timeout, logger: logger, tenure: t,
+		eraSince: uptime(),
+	}
+}
+
+// storeRestored records that the store came back from an older copy.
+func (o *orderLease) storeRestored() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.eraSince, o.seenReturn = uptime(), true
 }
 
 // uptime returns a clock that also runs while the machine is suspended and can't be set.
@@ -77,7 +89,7 @@
 // announces that it does.
 func (o *orderLease) maintain(ctx context.Context, s *state) {
 	o.mu.Lock()
-	lease, released, held := o.leaseID, o.released, o.tenure.Held(uptime())
+	lease, released, held := o.lease, o.released, o.tenure.Held(uptime())
 	lastHolderRevision, mayOrder := o.lastHolderRevision, o.tenure.MayOrder(uptime())
 	o.mu.Unlock()
 	if !released && mayOrder && lastHolderRevision != 0 {
@@ -85,8 +97,10 @@
 	}
 	switch {
 	case released:
-	case lease != 0:
+	case !lease.IsZero():
 		o.renew(ctx, lease, held)
+	case held:
+		o.acquire(ctx) // the store has lost the lease, which still holds by this machine's clock
 	case s.ready() == nil && o.shouldAcquire(s):
 		o.acquire(ctx)
 	}
@@ -113,7 +127,7 @@
 	return true
 }
 
-func (o *orderLease) renew(ctx context.Context, lease int64, held bool) {
+func (o *orderLease) renew(ctx context.Context, lease platform.Lease, held bool) {
 	ctx, cancel := context.WithTimeout(ctx, o.callTimeout)
 	defer cancel()
 	requestedAt := uptime()
@@ -123,10 +137,14 @@
 	switch {
 	case err == nil && uptime()-requestedAt < o.ttl:
 		o.tenure.Renewed(requestedAt)
+	case errors.Is(err, platform.ErrRestored) && held:
+		// No other machine gives orders while the lease holds by this machine's clock.
+		_ = o.logger.Log("step", "right lost", "fence", o.tenure.Fence(), "until", o.tenure.EarliestExpiry()-uptime(), "err", err)
+		o.lease = platform.Lease{}
 	case errors.Is(err, platform.ErrNotFound), !held:
 		_ = o.logger.Log("step", "right lost", "fence", o.tenure.Fence(), "err", err)
 		o.tenure.Lost()
-		o.leaseID, o.vacantSince = 0, 0
+		o.lease, o.vacantSince = platform.Lease{}, 0
 	}
 }
 
@@ -134,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, o.callTimeout)
 	defer cancel()
 	requestedAt := uptime()
-	lease, fence, noOther, err := o.claim(ctx)
+	c, err := o.claim(ctx)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.released || err != nil {
@@ -143,12 +161,16 @@
 		_ = o.logger.Log("step", "right refused", "err", err)
 		return
 	}
-	o.leaseID, o.lastHolderRevision = lease, 0
-	if !noOther {
-		o.lastHolderRevision = int64(fence)
+	o.lease, o.lastHolderRevision = c.lease, 0
+	if !c.noOther {
+		o.lastHolderRevision = int64(c.fence)
 	}
-	o.tenure.Acquired(uptime(), requestedAt, fence, noOther)
-	_ = o.logger.Log("step", "right acquired", "fence", fence, "alone", noOther)
+	if c.recordHolds {
+		o.tenure.Acquired(uptime(), requestedAt, c.fence, c.noOther)
+	} else {
+		o.tenure.AcquiredWithoutRecord(uptime(), requestedAt, c.fence, o.eraSince)
+	}
+	_ = o.logger.Log("step", "right acquired", "fence", c.fence, "alone", c.noOther, "record", c.recordHolds)
 }
 
 // recordHolder writes this machine as the last holder, after it has waited until the previous
@@ -156,7 +178,7 @@
 func (o *orderLease) recordHolder(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, o.callTimeout)
 	defer cancel()
-	_, err := o.store.Put(ctx, platform.Write{Key: lastHolderKey, Value: []byte(o.name), Guard: revision})
+	_, err := o.store.Put(ctx, platform.Write{Key: lastHolderKey, Value: []byte(tenure.InEra(o.name, o.store.Era())), Guard: revision})
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lastHolderRevision == revision && (err == nil || errors.Is(err, platform.ErrConflict)) {
@@ -165,32 +187,48 @@
 	_ = o.logger.Log("step", "right settled", "err", err)
 }
 
-// claim writes holderKey unless another machine holds it under a running lease. noOther is set
-// if lastHolderKey shows that no other machine can have sent orders recently.
-func (o *orderLease) claim(ctx context.Context) (lease int64, fence fleet.Fence, noOther bool, err error) {
+// claimed is the result of a claim. NoOther is set if no other machine can have sent orders
+// recently, recordHolds if the record of the last holder tells so or not.
+type claimed struct {
+	lease                platform.Lease
+	fence                fleet.Fence
+	noOther, recordHolds bool
+}
+
+// claim writes holderKey unless another machine holds it under a running lease.
+func (o *orderLease) claim(ctx context.Context) (claimed, error) {
+	var c claimed
 	holder, err := o.get(ctx, holderKey)
 	if err != nil {
-		return 0, 0, false, err
+		return c, err
 	}
 	if holder.Revision != 0 && string(holder.Value) != o.name {
-		return 0, 0, false, fmt.Errorf("order lease is held by %s", holder.Value)
+		return c, fmt.Errorf("order lease is held by %s", holder.Value)
 	}
 	last, err := o.get(ctx, lastHolderKey)
 	if err != nil {
-		return 0, 0, false, err
+		return c, err
 	}
-	lease, ttl, err := o.store.Grant(ctx, o.ttl)
+	var ttl time.Duration
+	c.lease, ttl, err = o.store.Grant(ctx, o.ttl)
 	if err == nil && ttl < o.ttl {
 		err = errors.New("store granted a shorter lease than requested")
 	}
 	if err != nil {
-		return 0, 0, false, err
+		return c, err
 	}
-	noOther = tenure.NoOtherHolder(string(last.Value), o.name)
+	era := o.store.Era()
+	self := tenure.InEra(o.name, era)
+	o.mu.Lock()
+	held, seenReturn := o.tenure.Held(uptime()), o.seenReturn
+	o.mu.Unlock()
+	c.recordHolds = held || tenure.RecordHolds(string(last.Value), era, seenReturn)
+	c.noOther = held || c.recordHolds && tenure.NoOtherHolder(string(last.Value), self)
 	revision, err := o.store.Put(ctx,
-		platform.Write{Key: holderKey, Value: []byte(o.name), Lease: lease, Guard: holder.Revision},
-		platform.Write{Key: lastHolderKey, Value: []byte(tenure.HolderRecord(noOther, o.name)), Guard: last.Revision})
-	return lease, fleet.Fence(revision), noOther, err
+		platform.Write{Key: holderKey, Value: []byte(o.name), Lease: c.lease, Guard: holder.Revision},
+		platform.Write{Key: lastHolderKey, Value: []byte(tenure.HolderRecord(c.noOther, self)), Guard: last.Revision})
+	c.fence = fleet.Fence(revision)
+	return c, err
 }
 
 // get reads a key. It returns the zero item if there is none.
@@ -206,11 +244,11 @@
 // that this instance has sent.
 func (o *orderLease) release(ctx context.Context) {
 	o.mu.Lock()
-	lease := o.leaseID
+	lease := o.lease
 	o.tenure.Lost()
-	o.leaseID, o.released = 0, true
+	o.lease, o.released = platform.Lease{}, true
 	o.mu.Unlock()
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.callTimeout)
--- a/internal/direct/order_lease_test.go
+++ b/internal/direct/order_lease_test.go
@@ -21,7 +21,9 @@
 	c := config.Gateway{}
 	c.Instance.Name, c.Listen.Peer = name, name+":1"
 	c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
-	r := newOrderLease(platform.NewStore(store.Address()), tenure.New(time.Minute, time.Second, separation), c, log.NewNopLogger())
+	var r *orderLease
+	client := platform.NewStore(store.Address(), platform.WithRestored(func(int64) { r.storeRestored() }))
+	r = newOrderLease(client, tenure.New(time.Minute, time.Second, separation), c, log.NewNopLogger())
 	r.acquire(ctx)
 	return r
 }
@@ -65,3 +67,52 @@
 	_, mayOrder := newTestOrderLease(ctx, store, "two", time.Minute).MayOrder()
 	assert.True(t, mayOrder, "it is recorded as the last holder")
 }
+
+// When the store comes back from a copy that is older than the lease, its holder goes on giving
+// orders, under a higher fence, as no other machine gives any before the lost lease has ended by
+// its holder's clock, whatever the copy's record says.
+func TestOrderLeaseAfterTheStoreComesBack(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before []string // holders before the copy was made
+	}{
+		{"copy without a holder", nil},
+		{"copy with the other as the last holder", []string{"two"}},
+		{"copy with the same holder", []string{"one"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := standin.NewStore(10)
+			t.Cleanup(store.Close)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			for _, name := range c.before {
+				newTestOrderLease(ctx, store, name, time.Nanosecond).release(ctx)
+			}
+			older := store.Copy()
+			one := newTestOrderLease(ctx, store, "one", time.Nanosecond)
+			two := newTestOrderLease(ctx, store, "two", time.Nanosecond)
+			before, mayOrder := one.MayOrder()
+			require.True(t, mayOrder)
+			for range 10 { // revisions are given out that are lost
+				store.Set("op/config", []byte("x"))
+			}
+			store.Restore(older)
+			two.acquire(ctx) // sees the return first, and finds no holder
+			_, mayOrder = two.MayOrder()
+			require.False(t, mayOrder)
+			assert.GreaterOrEqual(t, two.tenure.MayOrderFrom(), one.tenure.EarliestExpiry())
+			one.maintain(ctx, nil)
+			_, mayOrder = one.MayOrder()
+			require.True(t, mayOrder, "its lease holds by its own clock")
+			two.release(ctx)
+			one.maintain(ctx, nil)
+			after, mayOrder := one.MayOrder()
+			assert.True(t, mayOrder, "it has the lease again")
+			assert.Greater(t, after, before)
+			one.release(ctx)
+			started := newTestOrderLease(ctx, store, "two", time.Nanosecond)
+			fence, _ := started.MayOrder()
+			assert.Greater(t, fence, after, "the next holder's fence is higher")
+		})
+	}
+}
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -155,11 +155,11 @@
 }
 
 func (n *Node) register(ctx context.Context) error {
-	if n.registrationLease != 0 {
+	if !n.registrationLease.IsZero() {
 		if err := n.store.Renew(ctx, n.registrationLease); !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
-		n.registrationLease = 0
+		n.registrationLease = platform.Lease{}
 	}
 	lease, _, err := n.store.Grant(ctx, registrationTTL)
 	if err != nil {
