feat(explore): an exact model of the order lease over a return of the store

It found two ways to orders of two holders, both mended here: a machine that starts while the store is away counted its wait from its start; a holder that still waited for the one before it ordered at once when it claimed its lost lease again. A lease that is not found in a new era is told apart from one that ended, and what a claim reads of the era it reads after its calls.

--- a/internal/core/tenure/tenure.go
+++ b/internal/core/tenure/tenure.go
@@ -96,6 +96,12 @@
 	o.mayOrderFrom = max(o.mayOrderFrom, eraSince+o.ttl+o.separation)
 }
 
+// Reacquired records that the lease was acquired again while it was still held by this machine's
+// clock, since the store had lost it. A wait for an earlier holder goes on.
+func (o *OrderLease) Reacquired(requestedAt time.Duration, fence fleet.Fence) {
+	o.fence, o.earliestExpiry = fence, requestedAt+o.ttl
+}
+
 // Renewed records a successful renewal that was requested at the given time.
 func (o *OrderLease) Renewed(requestedAt time.Duration) {
 	if o.fence != 0 {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -103,7 +103,7 @@
 		endpoints: platform.NewEndpointClient(),
 		gossip:    gossip.NewClient(),
 	}
-	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithRestored(n.storeRestored))
+	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithNewEra(n.newEra))
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies,
@@ -114,12 +114,15 @@
 	return n
 }
 
-// storeRestored reacts to the store's return from an older copy: entries that it lacks may be
-// written again, and the record of the order lease's holder may be lost.
-func (n *Node) storeRestored(era int64) {
+// newEra reacts to the store's return from an older copy: entries that it lacks may be written
+// again, and the record of the order lease's holder may be lost.
+func (n *Node) newEra(era int64, returned bool) {
+	n.orderLease.newEra(returned)
+	if !returned {
+		return
+	}
 	_ = level.Warn(n.logger).Log("step", "store restored", "era", era)
 	n.state.storeFailed()
-	n.orderLease.storeRestored()
 }
 
 const (
--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -38,7 +38,7 @@
 	tenure             *tenure.OrderLease
 	lease              platform.Lease
 	lastHolderRevision int64         // revision of lastHolderKey, 0 once it names this machine
-	eraSince           time.Duration // since when the store's era, or a later one, has been known here
+	eraSince           time.Duration // since when the store's era has been known here
 	seenReturn         bool          // the store has come back from an older copy meanwhile
 	vacantSince        time.Duration // since when no peer announces that it holds the lease
 	triedAt            time.Duration // when this instance last tried to acquire it, 0 before the first time
@@ -48,15 +48,15 @@
 func newOrderLease(store *platform.Store, t *tenure.OrderLease, c config.Gateway, logger log.Logger) *orderLease {
 	return &orderLease{
 		store: store, name: c.Instance.Name + "@" + c.Listen.Peer, ttl: c.Orders.Lease, callTimeout: c.Store.Timeout, logger: logger, tenure: t,
-		eraSince: uptime(),
 	}
 }
 
-// storeRestored records that the store came back from an older copy.
-func (o *orderLease) storeRestored() {
+// newEra records that an answer of the store has shown a new era; returned is set if this machine
+// had seen an earlier one.
+func (o *orderLease) newEra(returned bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.eraSince, o.seenReturn = uptime(), true
+	o.eraSince, o.seenReturn = uptime(), o.seenReturn || returned
 }
 
 // uptime returns a clock that also runs while the machine is suspended and can't be set.
@@ -165,12 +165,15 @@
 	if !c.noOther {
 		o.lastHolderRevision = int64(c.fence)
 	}
-	if c.recordHolds {
+	switch {
+	case c.held:
+		o.tenure.Reacquired(requestedAt, c.fence)
+	case c.recordHolds:
 		o.tenure.Acquired(uptime(), requestedAt, c.fence, c.noOther)
-	} else {
+	default:
 		o.tenure.AcquiredWithoutRecord(uptime(), requestedAt, c.fence, o.eraSince)
 	}
-	_ = o.logger.Log("step", "right acquired", "fence", c.fence, "alone", c.noOther, "record", c.recordHolds)
+	_ = o.logger.Log("step", "right acquired", "fence", c.fence, "alone", c.noOther, "held", c.held, "record", c.recordHolds)
 }
 
 // recordHolder writes this machine as the last holder, after it has waited until the previous
@@ -187,12 +190,13 @@
 	_ = o.logger.Log("step", "right settled", "err", err)
 }
 
-// claimed is the result of a claim. NoOther is set if no other machine can have sent orders
-// recently, recordHolds if the record of the last holder tells so or not.
+// claimed is the result of a claim. Held is set if the lease was still held by this machine's
+// clock, noOther if no other machine can have sent orders recently, recordHolds if the record of
+// the last holder tells so or not.
 type claimed struct {
-	lease                platform.Lease
-	fence                fleet.Fence
-	noOther, recordHolds bool
+	lease                      platform.Lease
+	fence                      fleet.Fence
+	held, noOther, recordHolds bool
 }
 
 // claim writes holderKey unless another machine holds it under a running lease.
@@ -219,11 +223,15 @@
 	}
 	era := o.store.Era()
 	self := tenure.InEra(o.name, era)
-	o.mu.Lock()
-	held, seenReturn := o.tenure.Held(uptime()), o.seenReturn
+	o.mu.Lock() // the calls before may have shown a new era
+	mayOrder, seenReturn := o.tenure.MayOrder(uptime()), o.seenReturn
+	c.held = o.tenure.Held(uptime())
 	o.mu.Unlock()
-	c.recordHolds = held || tenure.RecordHolds(string(last.Value), era, seenReturn)
-	c.noOther = held || c.recordHolds && tenure.NoOtherHolder(string(last.Value), self)
+	c.recordHolds = tenure.RecordHolds(string(last.Value), era, seenReturn)
+	c.noOther = c.recordHolds && tenure.NoOtherHolder(string(last.Value), self)
+	if c.held {
+		c.noOther = mayOrder
+	}
 	revision, err := o.store.Put(ctx,
 		platform.Write{Key: holderKey, Value: []byte(o.name), Lease: c.lease, Guard: holder.Revision},
 		platform.Write{Key: lastHolderKey, Value: []byte(tenure.HolderRecord(c.noOther, self)), Guard: last.Revision})
--- a/internal/direct/order_lease_test.go
+++ b/internal/direct/order_lease_test.go
@@ -22,7 +22,7 @@
 	c.Instance.Name, c.Listen.Peer = name, name+":1"
 	c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
 	var r *orderLease
-	client := platform.NewStore(store.Address(), platform.WithRestored(func(int64) { r.storeRestored() }))
+	client := platform.NewStore(store.Address(), platform.WithNewEra(func(_ int64, returned bool) { r.newEra(returned) }))
 	r = newOrderLease(client, tenure.New(time.Minute, time.Second, separation), c, log.NewNopLogger())
 	r.acquire(ctx)
 	return r
@@ -94,7 +94,7 @@
 			before, mayOrder := one.MayOrder()
 			require.True(t, mayOrder)
 			for range 10 { // revisions are given out that are lost
-				store.Set("op/config", []byte("x"))
+				store.Set(platform.CatalogKey, []byte("x"))
 			}
 			store.Restore(older)
 			two.acquire(ctx) // sees the return first, and finds no holder
@@ -116,3 +116,44 @@
 		})
 	}
 }
+
+// A machine that starts while the store is away, and sees it only after its return from an older
+// copy, waits from then on: its start says nothing of when the lost lease ends.
+func TestOrderLeaseOfAMachineThatStartsDuringAReturn(t *testing.T) {
+	store := standin.NewStore(10)
+	t.Cleanup(store.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	newTestOrderLease(ctx, store, "two", time.Nanosecond).release(ctx)
+	older := store.Copy()
+	holder := newTestOrderLease(ctx, store, "one", time.Nanosecond)
+	store.SetFault(standin.FaultDown)
+	two := newTestOrderLease(ctx, store, "two", time.Nanosecond)
+	time.Sleep(10 * time.Millisecond)
+	holder.renew(ctx, holder.lease, true) // fails; the time of the last renewal stays
+	store.Restore(older)
+	store.SetFault(standin.FaultNone)
+	seen := uptime()
+	two.acquire(ctx)
+	_, mayOrder := two.MayOrder()
+	assert.False(t, mayOrder)
+	assert.GreaterOrEqual(t, two.tenure.MayOrderFrom(), seen+two.ttl)
+}
+
+// A holder that still waits for the one before it goes on waiting when the store comes back
+// without its lease.
+func TestReturnOfTheStoreDoesNotEndTheWait(t *testing.T) {
+	store := standin.NewStore(10)
+	t.Cleanup(store.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	newTestOrderLease(ctx, store, "one", time.Minute).release(ctx)
+	older := store.Copy()
+	two := newTestOrderLease(ctx, store, "two", 30*time.Second)
+	from := two.tenure.MayOrderFrom()
+	store.Restore(older)
+	two.maintain(ctx, nil)
+	two.maintain(ctx, nil)
+	require.False(t, two.lease.IsZero(), "it has the lease again")
+	assert.Equal(t, from, two.tenure.MayOrderFrom())
+}
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -29,7 +29,7 @@
 		n := newTestNode(t, "one", nil)
 		group := new(errgroup.Group)
 		n.timers.Start(ctx, group)
-		n.store = platform.NewStore("store", platform.WithRestored(n.storeRestored), platform.WithStallTimeout(n.timers, n.config.Store.Timeout),
+		n.store = platform.NewStore("store", platform.WithNewEra(n.newEra), platform.WithStallTimeout(n.timers, n.config.Store.Timeout),
 			platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
 		n.orderLease.store = n.store
 		write := func(id string) { store.Set(platform.EntryPrefix+id, standin.EntryText(id, "board", "a")) }
--- a/internal/explore/models/orders.go
+++ b/internal/explore/models/orders.go
@@ -21,6 +21,9 @@
 	mechanismEnded   = "ended"
 	mechanismAsleep  = "asleep"
 	mechanismSettled = "settled"
+	mechanismEra     = "era"
+	mechanismRecord  = "record"
+	mechanismUnended = "unended"
 )
 
 // Times of the model in ticks. One tick is the margin and also the delivery time of an order.
@@ -58,6 +61,30 @@
 	}
 }
 
+// returnsModel is the orders model with a store that comes back from an older copy. The copy was made
+// after the first machine had held the lease, and before anything else happened.
+func returnsModel() Model {
+	return Model{
+		Name:          "returns",
+		Promise:       "orders of two lease holders are separated in time, and fences increase, also when the store comes back from an older copy",
+		CodeUnderTest: "internal/core/tenure, OrderLease, RecordHolds and InEra",
+		Mechanisms: []Mechanism{
+			{mechanismEra, "revisions, and with them fences, guards and leases, are of the store's era"},
+			{mechanismRecord, "a record from before the return is not trusted"},
+			{mechanismUnended, "a new holder waits until the lost lease has ended by its holder's clock"},
+		},
+		Start: func(disabled string) explore.State {
+			s := newOrders(disabled)
+			s.revision, s.lastHolder, s.lastHolderRevision = 2, machineName(0), 2
+			s.copied = storeCopy{made: true, lastHolder: s.lastHolder, lastRevision: s.lastHolderRevision, revision: s.revision}
+			for i := range s.machines {
+				s.machines[i].era = 0
+			}
+			return s
+		},
+	}
+}
+
 // ordersState is two machines, the store's two keys (the lease's and the last holder's) and
 // the calls in flight.
 type ordersState struct {
@@ -75,6 +102,16 @@
 	// fences of these orders.
 	lastOrderAt [2]int
 	fences      [2]fleet.Fence
+	// era counts the returns of the store from copied, which is set once it has been made.
+	era    int
+	copied storeCopy
+}
+
+// storeCopy is the state of the store at an earlier time, when no machine held the lease.
+type storeCopy struct {
+	made                   bool
+	lastHolder             string
+	lastRevision, revision int
 }
 
 // machine is one of the machines that compete for the order lease.
@@ -83,6 +120,10 @@
 	frozen     bool
 	sleptTicks int
 	leaseID    int
+	// era is the newest era that the machine has seen, -1 before the first; eraSince is when, on
+	// its clock, and seenReturn whether it had seen an earlier one.
+	era, eraSince int
+	seenReturn    bool
 	// unsettledRevision is the revision of the last holder's key while this still has to be
 	// updated to name the machine, 0 otherwise.
 	unsettledRevision int
@@ -100,6 +141,8 @@
 	holderRevision, lastHolderRevision int // revisions that were read before a claim
 	lastHolder                         string
 	leaseID                            int
+	era                                int // of the store when the call was made
+	held, mayOrder, recordHolds        bool
 	served, succeeded                  bool
 	fence                              int
 }
@@ -117,11 +160,15 @@
 func newOrders(disabled string) *ordersState {
 	s := &ordersState{disabled: disabled, faultsLeft: maxOrdersFaults, lastOrderAt: [2]int{-1, -1}, revision: 1}
 	for i := range s.machines {
-		s.machines[i].orderLease = s.newOrderLease()
+		s.machines[i] = s.newMachine()
 	}
 	return s
 }
 
+func (s *ordersState) newMachine() machine {
+	return machine{orderLease: s.newOrderLease(), era: -1}
+}
+
 func (s *ordersState) newOrderLease() tenure.OrderLease {
 	margin, separation := time.Duration(ordersMargin), time.Duration(ordersSeparation)
 	if s.disabled == mechanismMargin {
@@ -148,23 +195,47 @@
 // key describes the state with the given machine first.
 func (s *ordersState) key(first int) string {
 	var b strings.Builder
-	fmt.Fprint(&b, s.faultsLeft, max(0, s.expires-s.now), s.fences[first] < s.fences[1-first])
+	fmt.Fprint(&b, s.faultsLeft, max(0, s.expires-s.now), s.fences[first] < s.fences[1-first], s.era)
+	if c := s.copied; c.made && s.era == 0 {
+		fmt.Fprint(&b, " copy", c.lastHolder == s.lastHolder, c.lastRevision == s.lastHolderRevision, s.recordOf(c.lastHolder, first))
+	}
 	for _, i := range []int{first, 1 - first} {
 		m := &s.machines[i]
 		now := time.Duration(s.clock(m))
-		fmt.Fprint(&b, "|", s.holder == i+1, s.lastHolder == machineName(i), s.lastHolder == "", m.frozen, m.leaseID == 0, m.leaseID == s.leaseID, m.unsettledRevision != 0, m.unsettledRevision == s.lastHolderRevision,
+		fmt.Fprint(&b, "|", s.holder == i+1, s.recordOf(s.lastHolder, i), m.era, m.seenReturn, s.sinceEra(m), m.frozen, m.leaseID == 0, m.leaseID == s.leaseID, m.unsettledRevision != 0, m.unsettledRevision == s.lastHolderRevision,
 			max(0, m.orderLease.EarliestExpiry()-now), max(0, m.orderLease.MayOrderFrom()-now),
 			m.orderLease.Fence() == s.fences[i], m.orderLease.Fence() > s.fences[1-i], min(s.now-s.lastOrderAt[i], ordersHorizon), s.lastOrderAt[i] < 0)
 		for _, c := range []*leaseCall{&m.call, &m.abandoned} {
 			if c.kind != leaseNone {
 				fmt.Fprint(&b, " ", c.kind, min(s.clock(m)-c.requestedAt, ordersHorizon), min(s.now-c.sentAt, ordersHorizon), c.holderRevision == s.holderRevision, c.lastHolderRevision == s.lastHolderRevision,
-					c.lastHolder == machineName(i), c.lastHolder == "", c.leaseID == s.leaseID, c.served, c.succeeded, c.fence > 0, c.fence == s.leaseID, c.fence > int(s.fences[1-i]))
+					s.recordOf(c.lastHolder, i), c.era, c.held, c.mayOrder, c.recordHolds, c.leaseID == s.leaseID, c.served, c.succeeded, c.fence > 0, c.fence == s.leaseID, c.fence > int(s.fences[1-i]))
 			}
 		}
 	}
 	return b.String()
 }
 
+// sinceEra is how long a machine has known the store's era, 0 where that doesn't matter.
+func (s *ordersState) sinceEra(m *machine) int {
+	if !s.copied.made {
+		return 0
+	}
+	return min(s.clock(m)-m.eraSince, ordersTTL+ordersSeparation)
+}
+
+// recordOf describes a record without the machines' numbers: whose it is, and of which era.
+func (s *ordersState) recordOf(record string, i int) string {
+	name, era, _ := strings.Cut(record, " ")
+	switch name {
+	case machineName(i):
+		return "own " + era
+	case machineName(1 - i):
+		return "other " + era
+	default:
+		return record
+	}
+}
+
 // Check implements explore.State.
 func (s *ordersState) Check() error {
 	for i := range s.machines {
@@ -194,6 +265,7 @@
 		}})
 	}
 	add("a tick passes", (*ordersState).tick)
+	s.returnSteps(add)
 	for i := range s.machines {
 		addFor := func(name string, do func(s *ordersState, m *machine)) {
 			add(fmt.Sprintf("machine %d %s", i+1, name), func(s *ordersState) { do(s, &s.machines[i]) })
@@ -212,7 +284,7 @@
 			})
 			addFor("starts again", func(s *ordersState, m *machine) {
 				s.faultsLeft--
-				*m = machine{orderLease: s.newOrderLease()}
+				*m = s.newMachine()
 			})
 		}
 	}
@@ -256,15 +328,20 @@
 	switch {
 	case m.call.kind == leaseNone && m.leaseID == 0 && (s.holder == 0 || s.holder == i+1):
 		addFor("reads the keys and claims", func(s *ordersState, m *machine) {
-			m.call = leaseCall{kind: leaseClaim, requestedAt: s.clock(m), sentAt: s.now, holderRevision: s.holderRevision, lastHolderRevision: s.lastHolderRevision, lastHolder: s.lastHolder}
+			s.seeEra(m)
+			held := m.orderLease.Held(time.Duration(s.clock(m)))
+			m.call = leaseCall{
+				kind: leaseClaim, requestedAt: s.clock(m), sentAt: s.now, era: s.era, held: held, mayOrder: s.mayOrder(m), recordHolds: s.recordHolds(m),
+				holderRevision: s.holderRevision, lastHolderRevision: s.lastHolderRevision, lastHolder: s.lastHolder,
+			}
 		})
 	case m.call.kind == leaseNone && m.unsettledRevision != 0 && s.mayOrder(m):
 		addFor("puts itself on record", func(s *ordersState, m *machine) {
-			m.call = leaseCall{kind: leaseSettle, requestedAt: s.clock(m), sentAt: s.now, lastHolderRevision: m.unsettledRevision}
+			m.call = leaseCall{kind: leaseSettle, requestedAt: s.clock(m), sentAt: s.now, era: m.era, lastHolderRevision: m.unsettledRevision}
 		})
 	case m.call.kind == leaseNone && m.leaseID != 0 && int(m.orderLease.EarliestExpiry())-s.clock(m) < ordersTTL: // at most one renewal per tick
 		addFor("renews", func(s *ordersState, m *machine) {
-			m.call = leaseCall{kind: leaseRenew, requestedAt: s.clock(m), sentAt: s.now, leaseID: m.leaseID}
+			m.call = leaseCall{kind: leaseRenew, requestedAt: s.clock(m), sentAt: s.now, era: m.era, leaseID: m.leaseID}
 		})
 	case m.call.served:
 		addFor("reads the answer", func(s *ordersState, m *machine) { s.handleReply(i, m) })
@@ -297,29 +374,29 @@
 func (s *ordersState) serve(i int, c *leaseCall) {
 	c.served = true
 	if c.kind == leaseRenew {
-		c.succeeded = s.holder == i+1 && s.leaseID == c.leaseID
+		c.succeeded = s.holder == i+1 && s.leaseID == c.leaseID && s.sameEra(c)
 		if c.succeeded {
 			s.expires = s.now + ordersTTL
 		}
 		return
 	}
 	if c.kind == leaseSettle {
-		if c.succeeded = c.lastHolderRevision == s.lastHolderRevision; c.succeeded {
+		if c.succeeded = c.lastHolderRevision == s.lastHolderRevision && s.sameEra(c); c.succeeded {
 			s.revision++
-			s.lastHolder, s.lastHolderRevision = machineName(i), s.revision
+			s.lastHolder, s.lastHolderRevision = s.recordName(i, c.era), s.revision
 		}
 		return
 	}
 	expires := c.sentAt + ordersTTL // the lease was granted right after the keys were read
 	unchanged := c.holderRevision == s.holderRevision && c.lastHolderRevision == s.lastHolderRevision
-	if s.now >= expires || !unchanged && s.disabled != mechanismGuarded {
+	if s.now >= expires || !unchanged && s.disabled != mechanismGuarded || !s.sameEra(c) {
 		return
 	}
 	s.revision++
 	s.holder, s.expires, s.leaseID = i+1, expires, s.revision
-	s.lastHolder, s.holderRevision, s.lastHolderRevision = tenure.HolderRecord(s.noOtherHolder(c.lastHolder, i), machineName(i)), s.revision, s.revision
+	s.lastHolder, s.holderRevision, s.lastHolderRevision = tenure.HolderRecord(s.noOtherHolder(c, i), s.recordName(i, c.era)), s.revision, s.revision
 	if s.disabled == mechanismSettled {
-		s.lastHolder = machineName(i)
+		s.lastHolder = s.recordName(i, c.era)
 	}
 	c.succeeded, c.fence = true, s.revision
 }
@@ -334,24 +411,85 @@
 	}
 	switch {
 	case c.kind == leaseClaim && c.succeeded:
-		m.leaseID = c.fence
-		noOtherHolder := s.noOtherHolder(c.lastHolder, i)
-		if !noOtherHolder {
-			m.unsettledRevision = c.fence
-		}
-		m.orderLease.Acquired(time.Duration(now), time.Duration(requestedAt), fleet.Fence(c.fence), noOtherHolder)
+		s.acquire(i, m, &c, time.Duration(requestedAt))
 	case c.kind == leaseSettle:
 		m.unsettledRevision = 0 // recorded, or another holder has taken over
 	case c.kind == leaseRenew && (c.succeeded || s.disabled == mechanismEnded):
 		m.orderLease.Renewed(time.Duration(requestedAt))
+	case c.kind == leaseRenew && s.era > c.era && m.orderLease.Held(time.Duration(now)):
+		m.leaseID = 0 // claimed again; meanwhile the lost lease holds by the machine's clock
+		s.seeEra(m)
 	case c.kind == leaseRenew:
 		m.orderLease.Lost()
 		m.leaseID = 0
 	}
 }
 
-func (s *ordersState) noOtherHolder(lastHolder string, i int) bool {
-	return s.disabled == mechanismLast || tenure.NoOtherHolder(lastHolder, machineName(i))
+func (s *ordersState) acquire(i int, m *machine, c *leaseCall, requestedAt time.Duration) {
+	now, fence := time.Duration(s.clock(m)), fleet.Fence(c.fence)
+	noOtherHolder := s.noOtherHolder(c, i)
+	m.leaseID, m.unsettledRevision = c.fence, 0
+	if !noOtherHolder {
+		m.unsettledRevision = c.fence
+	}
+	switch {
+	case c.held:
+		m.orderLease.Reacquired(requestedAt, fence)
+	case c.recordHolds || s.disabled == mechanismUnended:
+		m.orderLease.Acquired(now, requestedAt, fence, noOtherHolder)
+	default:
+		m.orderLease.AcquiredWithoutRecord(now, requestedAt, fence, time.Duration(m.eraSince))
+	}
+}
+
+func (s *ordersState) noOtherHolder(c *leaseCall, i int) bool {
+	if c.held {
+		return c.mayOrder
+	}
+	return s.disabled == mechanismLast || c.recordHolds && tenure.NoOtherHolder(c.lastHolder, s.recordName(i, c.era))
+}
+
+// recordName is the name under which a machine is on record.
+func (s *ordersState) recordName(i, era int) string {
+	if s.disabled == mechanismRecord {
+		era = 0
+	}
+	return tenure.InEra(machineName(i), int64(era))
+}
+
+func (s *ordersState) recordHolds(m *machine) bool {
+	return s.disabled == mechanismRecord || tenure.RecordHolds(s.lastHolder, int64(m.era), m.seenReturn)
+}
+
+// seeEra records the store's era as a machine learns it from an answer.
+func (s *ordersState) seeEra(m *machine) {
+	if m.era == s.era {
+		return
+	}
+	m.seenReturn = m.seenReturn || m.era >= 0
+	m.era, m.eraSince = s.era, s.clock(m)
+}
+
+// sameEra reports whether a call's guards and lease are of the store's era.
+func (s *ordersState) sameEra(c *leaseCall) bool { return s.disabled == mechanismEra || c.era == s.era }
+
+// returnSteps adds that the store comes back from the copy, if there is one.
+func (s *ordersState) returnSteps(add func(string, func(*ordersState))) {
+	if !s.copied.made || s.era > 0 || s.faultsLeft == 0 {
+		return
+	}
+	add("the store comes back from the copy", func(s *ordersState) {
+		s.faultsLeft--
+		s.era++
+		c := s.copied
+		s.holder, s.holderRevision, s.lastHolder, s.lastHolderRevision = 0, 0, c.lastHolder, c.lastRevision
+		if s.disabled == mechanismEra {
+			s.revision = c.revision // given out again
+		} else {
+			s.revision++
+			s.lastHolderRevision = s.revision
+		}
+	})
 }
 
 func machineName(i int) string { return fmt.Sprint("m", i+1) }
