--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -95,6 +95,20 @@
 	return n
 }
 
+// newTestPair returns an instance that serves others, and one that reaches it over a link with a
+// rate in bytes a second.
+func newTestPair(t *testing.T, bytesPerSecond float64) (ahead, behind *Node) {
+	t.Helper()
+	listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(bytesPerSecond)}
+	ahead = newTestNode(t, "ahead", nil)
+	server := gossip.NewServer(ahead)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	behind = newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+	t.Cleanup(behind.gossip.Close)
+	return ahead, behind
+}
+
 func (n *Node) catalogVersion() int64 {
 	n.state.mu.Lock()
 	defer n.state.mu.Unlock()
@@ -130,13 +144,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(linkRate)}
-				ahead := newTestNode(t, "ahead", nil)
-				server := gossip.NewServer(ahead)
-				go func() { _ = server.Serve(listener) }()
-				defer server.Stop()
-				behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
-				defer behind.gossip.Close()
+				ahead, behind := newTestPair(t, linkRate)
 				if c.first > 0 {
 					old := standin.Configuration(1, c.first)
 					applyTestCatalog(t, behind, old)
@@ -209,13 +217,7 @@
 		recoverBound = 12 * time.Second // recoverS of the small sites
 	)
 	synctest.Test(t, func(t *testing.T) {
-		listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(linkRate)}
-		ahead := newTestNode(t, "ahead", nil)
-		server := gossip.NewServer(ahead)
-		go func() { _ = server.Serve(listener) }()
-		defer server.Stop()
-		behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
-		defer behind.gossip.Close()
+		ahead, behind := newTestPair(t, linkRate)
 		var items []platform.Item
 		for i := range endpoints {
 			id := fmt.Sprintf("i-%010x", i)
@@ -269,15 +271,9 @@
 // An instance that has no list isn't ready because a peer has none either.
 func TestEmptyAnswerIsNoList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		listener := bufconn.Listen(1 << 10)
-		empty := newTestNode(t, "empty", nil)
-		server := gossip.NewServer(empty)
-		go func() { _ = server.Serve(listener) }()
-		defer server.Stop()
-		n := newTestNode(t, "one", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
-		defer n.gossip.Close()
+		_, n := newTestPair(t, linkRate)
 		n.state.receiveHeartbeat(&gossip.Heartbeat{
-			Peer:   member.Peer{Instance: "empty", Incarnation: "1", Sequence: 1, Place: fleet.Place{DataCentre: allDataCentres}, Address: "empty:1"},
+			Peer:   member.Peer{Instance: "ahead", Incarnation: "1", Sequence: 1, Place: fleet.Place{DataCentre: allDataCentres}, Address: "ahead:1"},
 			Roster: 7, Ready: true,
 		})
 		n.followPeers(t.Context())
@@ -296,13 +292,7 @@
 		maxBehind = int64(configBound / pause)
 	)
 	synctest.Test(t, func(t *testing.T) {
-		listener := &slowListener{bufconn.Listen(1 << 10), newSlowLink(slowRate)}
-		ahead := newTestNode(t, "ahead", nil)
-		server := gossip.NewServer(ahead)
-		go func() { _ = server.Serve(listener) }()
-		defer server.Stop()
-		behind := newTestNode(t, "behind", func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
-		defer behind.gossip.Close()
+		ahead, behind := newTestPair(t, slowRate)
 		for version := int64(1); version <= versions; version++ {
 			applyTestCatalog(t, ahead, standin.Configuration(version, manyRoutes-versions+int(version)))
 			behind.state.receiveHeartbeat(&gossip.Heartbeat{
