fix(copies): models take turns where callers ask for more than fit

Cause: a last copy was never evicted while somebody had asked for its model within 20 s; with fewer places than models in use, those without a copy waited for good. Change: a model that callers have asked for in vain for 10 s takes the place of the last copy with the least demand that has served for 10 s, never of one in demand or at risk. The invariant on last copies allows that case only.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -74,6 +74,8 @@
 	AtRisk map[fleet.Model]bool
 	// InUse are models that callers have asked for lately.
 	InUse map[fleet.Model]bool
+	// Starved are models that callers ask for and that have had no copy for long.
+	Starved map[fleet.Model]bool
 }
 
 // planner holds the inputs and the state of one planning run.
@@ -139,7 +141,8 @@
 
 // restoreUnavailable adds a copy of each unavailable model, which has none, those with the most
 // demand first. Where endpoints hold fewer models than there are, a model that callers ask for
-// takes the memory of one that nobody does.
+// takes the memory of one that nobody does. If callers ask for more models than fit, models take
+// turns: one that has had none for long takes the memory of the one with the least demand.
 func (p *planner) restoreUnavailable() {
 	unavailable := make([]catalog.Model, 0)
 	for _, m := range p.engine.Models {
@@ -158,8 +161,11 @@
 		}) {
 			continue
 		}
-		if p.demand.Recent[m.Name] > 0 {
-			p.evictIf(m, func(s candidate) bool { return s.last && !s.recentlyLoaded })
+		if p.demand.Recent[m.Name] > 0 && p.evictIf(m, func(s candidate) bool { return s.last && !s.inUse && !s.recentlyLoaded }) {
+			continue
+		}
+		if p.demand.Starved[m.Name] {
+			p.evictIf(m, func(s candidate) bool { return s.last && !s.recentlyLoaded && s.remainingDemand < p.limits.MinDemand })
 		}
 	}
 }
@@ -367,7 +373,7 @@
 }
 
 // evictionCandidate returns the cheapest allowed copy to evict on an endpoint; its endpoint is
-// nil if there is none. The last ready copy of a model is one only while callers don't ask for it.
+// nil if there is none.
 func (p *planner) evictionCandidate(e *Endpoint, m *catalog.Model, allowed func(candidate) bool) candidate {
 	var best candidate
 	cached := slices.Contains(e.Cached, m.Name)
@@ -377,11 +383,8 @@
 	blocked := p.blockedDemand(e)
 	for _, name := range e.Loaded {
 		retained, last := p.retainedDemand(name), p.readyCopies[name] < 2
-		if last && (retained > 0 || p.demand.InUse[name]) {
-			continue
-		}
 		s := candidate{
-			endpoint: e, model: name, last: last, remainingDemand: retained / float64(max(1, p.readyCopies[name]-1)),
+			endpoint: e, model: name, last: last, inUse: retained > 0 || p.demand.InUse[name], remainingDemand: retained / float64(max(1, p.readyCopies[name]-1)),
 			blockedDemand: blocked, cached: cached, recentlyLoaded: slices.Contains(e.RecentlyLoaded, name),
 		}
 		if allowed(s) && (best.endpoint == nil || s.cheaperThan(best)) {
@@ -395,8 +398,8 @@
 type candidate struct {
 	endpoint *Endpoint
 	model    fleet.Model
-	// last is set if it is the last ready copy of its model.
-	last bool
+	// last is set if it is the last ready copy of its model, inUse if callers ask for the model.
+	last, inUse bool
 	// remainingDemand is the demand per remaining copy of its model.
 	remainingDemand float64
 	// blockedDemand is the adapter demand that the load on its endpoint would block.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/copies"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 )
@@ -154,6 +155,8 @@
 	hadDemand map[fleet.Model]bool
 	// askedAt is when a model last had demand.
 	askedAt map[fleet.Model]time.Time
+	// shortages are used by the placement step only.
+	shortages map[catalog.Service]*copies.Shortage
 }
 
 // Limits are the configured limits on loads and moves.
@@ -181,7 +184,7 @@
 	l := &Loader{
 		endpoints: endpoints, lease: lease, cluster: cluster, clock: clock, limits: limits,
 		logger: log.NewNopLogger(), orderStates: make(map[fleet.Endpoint]*orderState), hadDemand: make(map[fleet.Model]bool),
-		askedAt: make(map[fleet.Model]time.Time),
+		askedAt: make(map[fleet.Model]time.Time), shortages: make(map[catalog.Service]*copies.Shortage),
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -46,6 +46,10 @@
 		ColdLoads: l.allowedColdLoads(now, g.Engine, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
 	}
 	planDemand := copies.Demand{Recent: demand, LongTerm: longTerm, AtRisk: l.atRisk(g.Engine, demand), InUse: l.inUse(now, demand, longTerm)}
+	if l.shortages[g.Name] == nil {
+		l.shortages[g.Name] = new(copies.Shortage)
+	}
+	planDemand.Starved = l.shortages[g.Name].Observe(now, g.Engine, plan, planDemand.InUse)
 	var group errgroup.Group
 	for _, m := range copies.Plan(g.Engine, plan, planDemand, limits) {
 		group.Go(func() error {
