fix(gateway): an attempt at a silent endpoint is kept until another one answers

Callers saw: streams broken off and safe requests that ended with 502 or 500 though their endpoint, silent for a second or so, would have answered. Cause: the stall timer cancelled the attempt once a retry was taken from the budget, before a second endpoint had shown that it could answer. Change: a second attempt runs beside the silent one. Whichever passes something on first supersedes the other, under the lock of the new type delivery, which owns what the caller gets; the superseded one is cancelled. A retry is taken once for a second attempt that is sent; one that was not sent leaves it for the next. The silent attempt counts against the route's attempts; requests that run once get no second one.

--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/pace"
+)
+
+const (
+	// maxAnswerBytes limits an answer that is buffered until it is complete.
+	maxAnswerBytes = 16 << 20
+	// maxEventBytes limits one event of a stream.
+	maxEventBytes = 1 << 20
+	// readBufferBytes is the size of the buffer for reading a stream.
+	readBufferBytes = 4 << 10
+	// admissionMargin is what a first event takes beside its wait and its prefill: the way
+	// there and back and the steps of the engine.
+	admissionMargin = 60 * time.Millisecond
+)
+
+// outcome is the result of one attempt.
+type outcome string
+
+const (
+	outcomeDone        outcome = "done"       // an answer was passed on to the caller, or the write to the caller failed
+	outcomeNotRun      outcome = "not-run"    // the endpoint did not run the request, so another may be tried
+	outcomeUnknown     outcome = "unknown"    // the endpoint may have run the request
+	outcomeInterrupted outcome = "cut"        // the stream broke off before its end
+	outcomeSuperseded  outcome = "superseded" // another attempt's answer reached the caller first
+)
+
+// attempt is the request at one endpoint.
+type attempt struct {
+	job    *job
+	target Target
+	query  balance.Request
+	cancel context.CancelCauseFunc
+	// after is the last event that the caller had when the attempt began.
+	after    string
+	timer    *silenceTimer
+	sentAt   time.Time
+	answered bool // the endpoint has answered
+	// mayHaveRun is set if another endpoint may have run the request before.
+	mayHaveRun bool
+	// retryTaken is set if a retry was taken from the budget for it.
+	retryTaken bool
+	// quiet is set while the endpoint is silent. It belongs to the job.
+	quiet *silence
+
+	// progress counts the parts of the answer passed on. It and superseded belong to the delivery.
+	progress   int
+	superseded bool
+}
+
+// result is how an attempt ended.
+type result struct {
+	attempt *attempt
+	outcome outcome
+	sent    bool // the endpoint may have received the request
+	err     error
+	// predictedWait is the wait with which the endpoint refused to admit the request.
+	predictedWait time.Duration
+}
+
+// run sends the request to the chosen endpoint and passes the answer on.
+func (a *attempt) run(ctx context.Context) result {
+	j := a.job
+	if a.target.LoadAdapter {
+		if err := j.gateway.fleet.Ensure(ctx, a.target, j.request.Model, j.request.Adapter); err != nil {
+			return result{attempt: a, outcome: outcomeNotRun, err: fmt.Errorf("load adapter: %w", err)}
+		}
+	}
+	if wait, err := a.awaitAdmission(ctx); err != nil {
+		return result{attempt: a, outcome: outcomeNotRun, err: err, predictedWait: wait}
+	}
+	ctx, span := j.gateway.tracer.Start(ctx, "attempt")
+	defer span.End()
+	outcome, err := a.send(ctx)
+	return result{attempt: a, outcome: outcome, sent: !errors.Is(err, ErrNotSent), err: err}
+}
+
+func (a *attempt) send(ctx context.Context) (outcome, error) {
+	j, g := a.job, a.job.gateway
+	message := &Attempt{
+		Request: j.request, Endpoint: a.target.ID, Born: a.target.Born, Address: a.target.Address,
+		Level: j.route.Level, After: a.after,
+	}
+	if j.request.Wait > 0 {
+		message.TimeLeft = max(time.Millisecond, j.request.Wait-g.clock().Sub(j.arrived))
+	}
+	a.timer.start(j.firstByteTimeout(a.target))
+	defer a.timer.close()
+	a.sentAt = g.clock()
+	j.sent.Add(1)
+	answer, err := g.sender.Send(ctx, message)
+	if errors.Is(err, ErrNotSent) {
+		j.sent.Add(-1)
+		if ctx.Err() == nil {
+			g.fleet.Failed(a.target)
+		}
+		return outcomeNotRun, err
+	}
+	if err != nil {
+		a.reportFailure(ctx)
+		return outcomeUnknown, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return a.handleAnswer(ctx, answer)
+}
+
+// awaitAdmission has the request admitted at the chosen endpoint. A request that would wait
+// too long to meet its target is not sent there: the error comes with the wait. Where queued
+// prompts would pause the streams that run there, or the endpoint has asked for a limit, the
+// request waits for its turn.
+func (a *attempt) awaitAdmission(ctx context.Context) (refusedWait time.Duration, err error) {
+	j := a.job
+	if !a.target.Limited && (j.request.Model == "" || j.route.Target <= 0) {
+		return 0, nil
+	}
+	work, paced := a.target.PendingPrefill, pace.Applies(j.route.MaxEventGap)
+	if paced {
+		work = pace.Work(work, j.route.MaxEventGap)
+	}
+	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-a.target.PendingPrefill-admissionMargin)
+	admission := j.gateway.fleet.Admit(ctx, a.target, &a.query, work, limit)
+	if admission.Refused && a.mayHaveRun && !admission.Limited {
+		return 0, ctx.Err() // its target has passed, and a refusal would say that it has not run
+	}
+	if admission.Refused {
+		return admission.Wait + a.target.PendingPrefill, fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
+	}
+	wait := admission.Hold
+	if paced {
+		wait = max(wait, admission.Wait)
+	}
+	if wait <= 0 {
+		return 0, ctx.Err()
+	}
+	j.admissionWait.Store(int64(wait))
+	waiting, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	<-waiting.Done()
+	return 0, ctx.Err()
+}
+
+// handleAnswer passes an answer on to the caller, unless it means that the request must be
+// sent elsewhere.
+func (a *attempt) handleAnswer(ctx context.Context, answer *Answer) (outcome, error) {
+	j, g := a.job, a.job.gateway
+	a.recordState(answer)
+	switch {
+	case answer.OtherRequest:
+		return outcomeUnknown, fmt.Errorf("received the answer to another request, status %d", answer.Status)
+	case answer.WrongEndpoint:
+		g.fleet.Gone(a.target)
+		return outcomeNotRun, errors.New("another endpoint now uses the address")
+	case answer.Misdirected:
+		g.fleet.Missing(a.target, j.request.Model, j.request.Adapter)
+		return outcomeNotRun, errors.New("model or adapter is not loaded")
+	case answer.NotRun:
+		return outcomeNotRun, fmt.Errorf("refused by the endpoint, status %d", answer.Status)
+	}
+	if j.route.Kind == catalog.KindStream && answer.Status/100 == 2 {
+		return a.passStream(ctx, answer)
+	}
+	return a.passComplete(ctx, answer)
+}
+
+// recordState records what an answer says of the endpoint's state.
+func (a *attempt) recordState(answer *Answer) {
+	if answer.OtherRequest || answer.WrongEndpoint {
+		return
+	}
+	f := a.job.gateway.fleet
+	// A failure without a limit doesn't end one: the endpoint may not have made the answer itself.
+	ended := a.target.Limited && answer.Status/100 == 2
+	if answer.Limited || ended {
+		f.RecordLimit(a.target, answer.Limited, answer.PerSecond)
+	}
+	if answer.Leaving {
+		f.Gone(a.target)
+	}
+	if answer.RetryAfter > 0 {
+		f.Spare(a.target, answer.RetryAfter)
+	}
+}
+
+// passComplete buffers an answer up to its last byte before it passes it on, so that the
+// caller never gets a truncated one.
+func (a *attempt) passComplete(ctx context.Context, answer *Answer) (outcome, error) {
+	j := a.job
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if err != nil {
+		a.reportFailure(ctx)
+		return outcomeUnknown, fmt.Errorf("read answer: %w", err)
+	}
+	a.markAnswered()
+	if j.delivery.begun() {
+		return outcomeUnknown, fmt.Errorf("stream could not be resumed, status %d", answer.Status)
+	}
+	if answer.Status >= 500 && j.route.Repeatable() && (j.maySend() || j.delivery.hasRival(a)) {
+		return outcomeUnknown, fmt.Errorf("endpoint failed, status %d", answer.Status)
+	}
+	if !j.delivery.take(a) {
+		return outcomeSuperseded, nil
+	}
+	return outcomeDone, j.delivery.passComplete(answer, body)
+}
+
+// markAnswered records that the endpoint has answered, and after what time.
+func (a *attempt) markAnswered() {
+	if !a.answered {
+		a.answered = true
+		g := a.job.gateway
+		g.fleet.Answered(a.target, &a.query, g.clock().Sub(a.sentAt))
+	}
+}
+
+// reportFailure reports an endpoint whose answer broke off, unless the attempt was cancelled.
+func (a *attempt) reportFailure(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	f := a.job.gateway.fleet
+	f.Failed(a.target)
+	f.AnswerInterrupted(a.target, a.job.fingerprint, a.sentAt)
+}
+
+// passStream passes events on as they arrive, each only once it is complete.
+func (a *attempt) passStream(ctx context.Context, answer *Answer) (outcome, error) {
+	j := a.job
+	var pending []byte
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			a.markAnswered()
+		}
+		pending = append(pending, buffer[:n]...)
+		if end := bytes.LastIndex(pending, []byte("\n\n")); end >= 0 {
+			a.timer.close() // a caller that reads slowly is no silence of the endpoint
+			if !j.delivery.take(a) {
+				return outcomeSuperseded, nil
+			}
+			if err := j.delivery.passEvents(answer, pending[:end+2]); err != nil {
+				return outcomeDone, fmt.Errorf("write to caller: %w", err)
+			}
+			pending = append(pending[:0], pending[end+2:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && len(pending) == 0:
+			return a.finishStream(answer)
+		case err != nil:
+			a.reportFailure(ctx)
+			return outcomeInterrupted, fmt.Errorf("stream broke off after event %q: %w", j.delivery.last(), err)
+		case len(pending) > maxEventBytes:
+			return outcomeInterrupted, errors.New("event too large")
+		case n > 0:
+			a.timer.start(eventGapFactor * j.route.MaxEventGap)
+		}
+	}
+}
+
+// finishStream ends a stream whose last event has been passed on.
+func (a *attempt) finishStream(answer *Answer) (outcome, error) {
+	if !a.job.delivery.take(a) {
+		return outcomeSuperseded, nil
+	}
+	a.job.delivery.writeHeader(answer, -1) // in case it had no events
+	return outcomeDone, nil
+}
--- /dev/null
+++ b/internal/gateway/delivery.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// writeTimeout limits a write to a caller that doesn't read.
+const writeTimeout = 5 * time.Second
+
+// errSuperseded cancels an attempt when another one's answer begins to reach the caller.
+var errSuperseded = errors.New("another endpoint has answered")
+
+// delivery is the answer to a caller. Of the attempts in flight, the one that passes something
+// on supersedes all others, so that an answer is never put together from two that run at once.
+type delivery struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	codec      Codec
+	clock      Clock
+	arrived    time.Time
+
+	mu       sync.Mutex
+	attempts []*attempt // in flight, those that were superseded too
+	started  bool       // the header was written
+	// lastEvent is the id of the last event passed on, or the one after which the caller resumes.
+	lastEvent    string
+	status       int
+	firstByte    time.Duration
+	longestPause time.Duration // longest time between two writes of a stream's events
+	passedAt     time.Time     // when events were last passed on
+}
+
+// register adds an attempt that is about to be sent, and returns the event after which its
+// stream must begin. If beside is set, ok is false if that attempt has made progress since it
+// was silent.
+func (d *delivery) register(a *attempt, beside *silence) (after string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if beside != nil && beside.over() {
+		return "", false
+	}
+	d.attempts = append(d.attempts, a)
+	return d.lastEvent, true
+}
+
+// remove removes an attempt that has ended. It reports whether the attempt was superseded.
+func (d *delivery) remove(a *attempt) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attempts = slices.DeleteFunc(d.attempts, func(other *attempt) bool { return other == a })
+	return a.superseded
+}
+
+// take reports whether an attempt may pass on the next part of its answer. If so, the others
+// are superseded.
+func (d *delivery) take(a *attempt) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a.superseded {
+		return false
+	}
+	a.progress++
+	for _, other := range d.attempts {
+		if other != a {
+			other.superseded = true
+			other.cancel(errSuperseded)
+		}
+	}
+	return true
+}
+
+// progressOf returns how often an attempt has passed on a part of its answer.
+func (d *delivery) progressOf(a *attempt) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return a.progress
+}
+
+// isSilent reports whether an attempt has passed on nothing since its endpoint fell silent.
+func (d *delivery) isSilent(s *silence) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !s.over()
+}
+
+// hasRival reports whether another attempt is in flight that may still answer.
+func (d *delivery) hasRival(a *attempt) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.attempts, func(other *attempt) bool { return other != a && !other.superseded })
+}
+
+// last returns the id of the last event that the caller has.
+func (d *delivery) last() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lastEvent
+}
+
+// begun reports whether the header was written.
+func (d *delivery) begun() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.started
+}
+
+// writeHeader writes the header of an answer whose body has a length, or is a stream if length
+// is negative. It does nothing if a header was written before: a stream keeps its first one.
+func (d *delivery) writeHeader(answer *Answer, length int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.started {
+		return
+	}
+	d.firstByte = d.clock().Sub(d.arrived)
+	d.codec.Pass(d.writer.Header(), answer.Header)
+	d.writer.Header().Del("Content-Length")
+	if length >= 0 {
+		d.writer.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+	d.status, d.started = answer.Status, true
+	d.writer.WriteHeader(answer.Status)
+}
+
+// passComplete passes on a complete answer.
+func (d *delivery) passComplete(answer *Answer, body []byte) error {
+	d.writeHeader(answer, len(body))
+	_, err := d.writer.Write(body)
+	return err
+}
+
+// passEvents passes on complete events of a stream.
+func (d *delivery) passEvents(answer *Answer, events []byte) error {
+	d.writeHeader(answer, -1)
+	now := d.clock()
+	if !d.passedAt.IsZero() {
+		d.longestPause = max(d.longestPause, now.Sub(d.passedAt))
+	}
+	d.passedAt = now
+	if err := d.controller.SetWriteDeadline(now.Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	if _, err := d.writer.Write(events); err != nil {
+		return err
+	}
+	if id, ok := lastEventID(events); ok {
+		d.mu.Lock()
+		d.lastEvent = id
+		d.mu.Unlock()
+	}
+	return d.controller.Flush()
+}
+
+// refuse answers with a refusal of the gateway itself.
+func (d *delivery) refuse(r Refusal) {
+	d.status = r.Status
+	d.codec.Refuse(d.writer, r)
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(events []byte) (string, bool) {
+	lines := bytes.Split(events, []byte("\n"))
+	for _, line := range slices.Backward(lines) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id)), true
+		}
+	}
+	return "", false
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,14 +1,27 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/internal/timer"
+	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
@@ -70,3 +83,173 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to more endpoints than its route allows: the attempt at
+// a silent endpoint counts.
+func TestSilentEndpointCountsAsAttempt(t *testing.T) {
+	f := newFleet(t, catalog.KindSafe, standin.BehaviourLate, standin.BehaviourNone)
+	f.route.Attempts = 1
+	answer, err := send(t, serve(t, f), http.MethodGet, nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, "done r1", answer.body)
+	assert.Equal(t, 1, f.runs())
+}
+
+// Guards against a request that waits for nothing: the second endpoint took over from a silent
+// one and then broke off.
+func TestSecondEndpointBreaksOffAfterTakingOver(t *testing.T) {
+	tests := []struct {
+		name     string
+		attempts int
+		broken   bool
+	}{
+		{name: "no further endpoint allowed", attempts: 2, broken: true},
+		{name: "a third endpoint goes on", attempts: 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourMute, standin.BehaviourCut, standin.BehaviourNone)
+			f.route.Attempts, f.route.Timeout = tt.attempts, 10*time.Second
+			started := time.Now()
+			answer, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+			assert.Equal(t, tt.broken, err != nil)
+			if !tt.broken {
+				assert.Equal(t, completeStream, answer.body)
+			}
+			assert.Less(t, time.Since(started), f.route.Timeout/2)
+		})
+	}
+}
+
+// fastTimers fires after a hundredth of the time.
+type fastTimers struct{ gateway.Timers }
+
+func (f fastTimers) After(wait time.Duration, fn func(now time.Time)) (cancel func()) {
+	return f.Timers.After(wait/100, fn)
+}
+
+// unsteadySender answers with streams that pause and break off at random.
+type unsteadySender struct {
+	seed  uint64
+	sends atomic.Uint64
+}
+
+const unsteadyEvents = 12
+
+func (s *unsteadySender) Send(ctx context.Context, a *gateway.Attempt) (*gateway.Answer, error) {
+	random := rand.New(rand.NewPCG(s.seed, s.sends.Add(1)))
+	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
+	after, _ := strconv.Atoi(a.After)
+	wait := func() {
+		if random.IntN(4) == 0 {
+			time.Sleep(time.Duration(random.IntN(8)) * time.Millisecond)
+		}
+	}
+	wait()
+	var group errgroup.Group
+	group.Go(func() error {
+		for n := after + 1; n <= unsteadyEvents; n++ {
+			wait()
+			if random.IntN(40) == 0 {
+				return writer.CloseWithError(io.ErrUnexpectedEOF)
+			}
+			text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+			cut := random.IntN(len(text))
+			for _, part := range []string{text[:cut], text[cut:]} {
+				if _, err := io.WriteString(writer, part); err != nil {
+					return err
+				}
+				wait()
+			}
+		}
+		return writer.Close()
+	})
+	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: reader}, nil
+}
+
+// Guards against events that are missing or come twice when two endpoints answer at once: an
+// answer is the beginning of the stream, and complete unless the connection is broken.
+func TestTwoAttemptsPassOnEachEventOnce(t *testing.T) {
+	var complete strings.Builder
+	for n := range unsteadyEvents {
+		fmt.Fprintf(&complete, "id: %d\ndata: piece %d\n\n", n+1, n+1)
+	}
+	addresses := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone, standin.BehaviourNone)
+	addresses.route.Attempts, addresses.route.MaxEventGap = 3, 50*time.Millisecond
+	whole, beside := 0, 0
+	for seed := range uint64(150) {
+		f := &fakeFleet{runners: addresses.runners, route: addresses.route, retryBudget: 9}
+		s := &unsteadySender{seed: seed}
+		timers := timer.New(timer.System{})
+		var group errgroup.Group
+		timers.Start(t.Context(), &group)
+		g := gateway.New(fleet.Place{}, platform.CallerCodec{}, s, f, time.Now, gateway.WithTimers(fastTimers{timers}))
+		server := httptest.NewServer(g)
+		answer, err := send(t, server.URL, http.MethodPost, map[string]string{"Model": "m"}, "")
+		server.Close()
+		if err == nil && answer.status == http.StatusOK {
+			require.Equal(t, complete.String(), answer.body, "seed %d", seed)
+			whole++
+		} else if answer.status == http.StatusOK {
+			require.True(t, strings.HasPrefix(complete.String(), answer.body), "seed %d: %q", seed, answer.body)
+		}
+		if s.sends.Load() > 1 {
+			beside++
+		}
+		require.Zero(t, f.open, "seed %d: each slot is released", seed)
+	}
+	assert.Greater(t, whole, 75, "most are answered")
+	assert.Greater(t, beside, 30, "many are sent to a second endpoint")
+}
+
+// takenOverSender is silent at first; its second answer goes on for a while after its first event.
+type takenOverSender struct {
+	sends           atomic.Int32
+	firstCancelled  chan struct{}
+	remainingEvents chan struct{} // closed once the second answer may end
+}
+
+func (s *takenOverSender) Send(ctx context.Context, _ *gateway.Attempt) (*gateway.Answer, error) {
+	if s.sends.Add(1) == 1 {
+		<-ctx.Done()
+		close(s.firstCancelled)
+		return nil, ctx.Err()
+	}
+	reader, writer := io.Pipe()
+	var group errgroup.Group
+	group.Go(func() error {
+		if _, err := io.WriteString(writer, "id: 1\ndata: piece 1\n\n"); err != nil {
+			return err
+		}
+		<-s.remainingEvents
+		return writer.Close()
+	})
+	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: reader}, nil
+}
+
+// Guards against an endpoint that works on a request after another one's answer has begun to
+// reach the caller.
+func TestSilentEndpointIsCancelledOnceAnotherAnswers(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
+	s := &takenOverSender{firstCancelled: make(chan struct{}), remainingEvents: make(chan struct{})}
+	timers := timer.New(timer.System{})
+	var group errgroup.Group
+	timers.Start(t.Context(), &group)
+	server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, s, f, time.Now, gateway.WithTimers(timers)))
+	t.Cleanup(server.Close)
+	var watch errgroup.Group
+	watch.Go(func() error {
+		select {
+		case <-s.firstCancelled:
+		case <-time.After(time.Second):
+			t.Error("the first attempt goes on")
+		}
+		close(s.remainingEvents)
+		return nil
+	})
+	answer, err := send(t, server.URL, http.MethodPost, map[string]string{"Model": "m"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, "id: 1\ndata: piece 1\n\n", answer.body)
+	require.NoError(t, watch.Wait())
+}
