fix(platform): a reply of Consul that is too large is an error

Its first 64 MiB were taken for the whole, and its head could have 10 MB.

TestRepliesWithoutEndAreErrors was red: a list without an error in both cases.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -14,11 +14,14 @@
 	"sync/atomic"
 
 	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/chiveramp/chiveramp/internal/bounded"
 )
 
 const (
-	// maxReplyBytes limits how much of a response body is read.
+	// maxReplyBytes bounds a response body, maxHeadBytes its status line and header.
 	maxReplyBytes = 64 << 20
+	maxHeadBytes  = 64 << 10
 	// maxCommitWrites limits the number of writes in one Commit.
 	maxCommitWrites = 64
 )
@@ -59,9 +62,11 @@
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	h := &HTTP{
 		address:       strings.TrimSuffix(address, "/"),
-		client:        &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()},
+		client:        &http.Client{Transport: transport},
 		counter:       NewCounter(nil),
 		absentIndexes: make(map[string]uint64),
 	}
@@ -112,7 +117,7 @@
 		return reply{}, fmt.Errorf("store %s %s: %w: %w", h.address, r.kind, unansweredError(r.kind, sent.Load()), err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	body, err := bounded.ReadAll(res.Body, maxReplyBytes)
 	if err != nil {
 		return reply{}, fmt.Errorf("store %s %s: %w: %w", h.address, r.kind, unansweredError(r.kind, true), err)
 	}
