--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -222,3 +222,23 @@
 		require.Error(t, err)
 	}
 }
+
+// A head without end must not fill the memory.
+func TestHeadsWithoutEndAreErrors(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		_, err = io.WriteString(connection, "HTTP/1.1 200 OK\r\n")
+		for line := strings.Repeat("x-endless: line\r\n", 1<<10); err == nil; {
+			_, err = io.WriteString(connection, line)
+		}
+	})
+	client := New()
+	defer client.Close()
+	_, err := client.State(t.Context(), addr)
+	require.ErrorContains(t, err, addr)
+	require.ErrorContains(t, err, "headers exceeded 65536 bytes")
+}
--- a/internal/endpoint/sent.go
+++ b/internal/endpoint/sent.go
@@ -9,6 +9,9 @@
 	"sync"
 )
 
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
 var errSealed = errors.New("connection closed to writes: its request was abandoned or already sent")
 
 // conn is a connection that counts the writes which may have reached the network. Once
@@ -140,10 +143,11 @@
 		return &conn{Conn: netConn}, nil
 	}
 	return &http.Transport{
-		DialContext:         dial,
-		MaxConnsPerHost:     s.maxConnections,
-		MaxIdleConnsPerHost: s.maxIdle,
-		IdleConnTimeout:     s.idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxConnsPerHost:        s.maxConnections,
+		MaxIdleConnsPerHost:    s.maxIdle,
+		IdleConnTimeout:        s.idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
