fix(operator): an answer to an operator that is too large is an error

Its first 32 MiB were taken for the whole, and its head could have 10 MB.

TestClientFailsOnAnswersWithoutEnd was red: a status without an error in both cases.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -7,18 +7,23 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
+
+	"github.com/chiveramp/chiveramp/internal/bounded"
 )
 
 // ErrUnreachable means that no instance could be reached, or that a read got no response.
 var ErrUnreachable = errors.New("no instance reached")
 
-// maxResponseBytes limits how much of a response the client reads.
-const maxResponseBytes = 32 << 20
+const (
+	// maxResponseBytes bounds a response's body.
+	maxResponseBytes = 32 << 20
+	// maxHeadBytes bounds its status line and header.
+	maxHeadBytes = 64 << 10
+)
 
 // Client calls the operator API of the first instance that accepts a connection.
 type Client struct {
@@ -40,14 +45,14 @@
 func WithTLS(t *tls.Config) ClientOption {
 	return func(c *Client) {
 		c.scheme = "https"
-		c.http.Transport = &http.Transport{TLSClientConfig: t}
+		c.http.Transport = &http.Transport{TLSClientConfig: t, MaxResponseHeaderBytes: maxHeadBytes}
 	}
 }
 
 // NewClient returns a client for instances at addresses of the form host:port, which
 // are tried in order.
 func NewClient(addresses []string, options ...ClientOption) *Client {
-	c := &Client{addresses: addresses, scheme: "http", http: &http.Client{Transport: &http.Transport{}}}
+	c := &Client{addresses: addresses, scheme: "http", http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
 	for _, o := range options {
 		o(c)
 	}
@@ -124,7 +129,7 @@
 		return fmt.Errorf("%w: %w", unansweredError(method), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	text, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return fmt.Errorf("%w: read response from %s: %w", unansweredError(method), address, err)
 	}
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -283,3 +283,35 @@
 	assert.Equal(t, map[int]int{http.StatusUnauthorized: 2, http.StatusTooManyRequests: 8}, codes)
 	assert.Equal(t, http.StatusOK, serveRequest(t, h, http.MethodGet, "/v1/status", "Bearer "+token, "").Code)
 }
+
+// An answer that goes on after a document must not be taken for that document.
+func TestClientFailsOnAnswersWithoutEnd(t *testing.T) {
+	tests := []struct {
+		name, header string
+		want         string
+	}{
+		{name: "body", want: "message too large"},
+		{name: "head", header: strings.Repeat("x", 2<<20), want: "headers exceeded"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.header != "" {
+					w.Header().Set("X-Long", tt.header)
+				}
+				_, err := io.WriteString(w, "{}")
+				for piece := strings.Repeat(" ", 1<<20); err == nil; {
+					_, err = io.WriteString(w, piece)
+				}
+			}))
+			defer server.Close()
+			address := strings.TrimPrefix(server.URL, "http://")
+			c := NewClient([]string{address}, WithBearerToken(token))
+			defer c.Close()
+			_, err := c.Status(t.Context())
+			require.ErrorIs(t, err, ErrUnreachable)
+			require.ErrorContains(t, err, address)
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
