fix(client): a list of instances that is too large is an error

Its first MiB was taken for the whole, and a head could have 10 MB.

TestEntriesWithoutEndAreAnError was red: a list without an error in both cases.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -34,6 +34,7 @@
 	baseBackoff        = 50 * time.Millisecond
 	defaultMaxWait     = 30 * time.Second
 	maxEventBytes      = 1 << 20         // bytes
+	maxHeadBytes       = 64 << 10        // bytes
 	avoidDuration      = 5 * time.Second // by then the system has noticed the missing heartbeats
 	dialTimeout        = 2 * time.Second
 	maxIdleConnections = 64
@@ -121,10 +122,11 @@
 func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialContext(dialTimeout),
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     defaultMaxWait,
-			DisableCompression:  true,
+			DialContext:            dialContext(dialTimeout),
+			MaxIdleConnsPerHost:    maxIdleConnections,
+			IdleConnTimeout:        defaultMaxWait,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -194,3 +196,34 @@
 		})
 	}
 }
+
+// An answer that goes on after a list of instances must not be taken for that list.
+func TestEntriesWithoutEndAreAnError(t *testing.T) {
+	tests := []struct {
+		name, header string
+		want         string
+	}{
+		{name: "body", want: "message too large"},
+		{name: "head", header: strings.Repeat("x", 2<<20), want: "headers exceeded"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.header != "" {
+					w.Header().Set("X-Long", tt.header)
+				}
+				_, err := io.WriteString(w, `{"entries":[{"address":"127.0.0.1:1"}],"keep":"30s"}`)
+				for piece := strings.Repeat(" ", 64<<10); err == nil; {
+					_, err = io.WriteString(w, piece)
+				}
+			}))
+			defer server.Close()
+			address := strings.TrimPrefix(server.URL, "http://")
+			c := New([]string{address})
+			defer c.Close()
+			_, err := c.Entries(t.Context(), "desk")
+			require.ErrorContains(t, err, "entries "+address)
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
--- a/pkg/client/entries.go
+++ b/pkg/client/entries.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -13,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/chiveramp/chiveramp/internal/bounded"
 )
 
 const (
@@ -157,7 +158,7 @@
 		return entryList{}, fmt.Errorf("entries %s: %w", address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxEntriesBytes))
+	data, err := bounded.ReadAll(response.Body, maxEntriesBytes)
 	if err != nil {
 		return entryList{}, fmt.Errorf("entries %s: %w", address, err)
 	}
