--- /dev/null
+++ b/internal/gateway/held.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// defaultMaxAnswerBytes limits an answer other than a stream.
+	defaultMaxAnswerBytes = 16 << 20
+	// defaultHeldBytes limits the memory of all answers that are held at once.
+	defaultHeldBytes = 24 << 20
+	// freeHeldBytes is what each answer may hold beside that limit, so that short answers are
+	// always held up to their end.
+	freeHeldBytes = 4 << 10
+	// maxSegmentBytes is the size of the largest segment of a held answer.
+	maxSegmentBytes = 256 << 10
+	// shortAnswerBytes is the size up to which answers may use all memory. Longer ones leave one
+	// part in reservedDivisor of it to them.
+	shortAnswerBytes = 64 << 10
+	reservedDivisor  = 4
+)
+
+var (
+	// errAnswerTooLarge is returned for an answer, or an event of a stream, over its limit. It
+	// may have no end.
+	errAnswerTooLarge = errors.New("answer too large")
+	// errNoHeldMemory is returned if the memory for held answers is used up.
+	errNoHeldMemory = errors.New("no memory left to hold answers")
+)
+
+// heldMemory limits the memory of all answers that are held at once. It is safe for concurrent
+// use.
+type heldMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// take takes memory for an answer that has held some before, and reports whether it was
+// available.
+func (m *heldMemory) take(bytes, before int64) bool {
+	limit := m.limit
+	if before+bytes > shortAnswerBytes {
+		limit -= limit / reservedDivisor
+	}
+	for {
+		used := m.used.Load()
+		if used+bytes > limit {
+			return false
+		}
+		if m.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
+	}
+}
+
+// reservation is the memory that one answer has taken.
+type reservation struct {
+	memory *heldMemory
+	taken  int64
+}
+
+// resize takes what the answer needs in order to hold a number of bytes, and reports whether
+// that was available.
+func (r *reservation) resize(bytes int) bool {
+	more := int64(bytes) - freeHeldBytes - r.taken
+	if more <= 0 {
+		return true
+	}
+	if !r.memory.take(more, r.taken) {
+		return false
+	}
+	r.taken += more
+	return true
+}
+
+// release returns all memory.
+func (r *reservation) release() {
+	r.memory.used.Add(-r.taken)
+	r.taken = 0
+}
+
+var segmentPool = sync.Pool{New: func() any { return new([maxSegmentBytes]byte) }}
+
+// heldAnswer is an answer, or its beginning, that is held before the caller gets any of it.
+type heldAnswer struct {
+	reservation
+	segments [][]byte
+	capacity int
+	size     int64
+}
+
+func newHeldAnswer(m *heldMemory) *heldAnswer {
+	return &heldAnswer{reservation: reservation{memory: m}}
+}
+
+// fill reads an answer up to its end and reports whether it got there. It didn't if no memory is
+// left for the rest. An answer of more than limit bytes is an error.
+func (h *heldAnswer) fill(body io.Reader, limit int64) (complete bool, err error) {
+	for {
+		free := h.free()
+		if len(free) == 0 {
+			return false, nil
+		}
+		n, err := body.Read(free)
+		last := len(h.segments) - 1
+		h.segments[last] = h.segments[last][:len(h.segments[last])+n]
+		h.size += int64(n)
+		switch {
+		case h.size > limit:
+			return false, fmt.Errorf("%w: more than %d bytes", errAnswerTooLarge, limit)
+		case errors.Is(err, io.EOF):
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+	}
+}
+
+// free returns memory for what comes next, none if no more is available.
+func (h *heldAnswer) free() []byte {
+	if last := len(h.segments) - 1; last >= 0 {
+		if s := h.segments[last]; len(s) < cap(s) {
+			return s[len(s):cap(s)]
+		}
+	}
+	size := min(max(h.capacity, freeHeldBytes), maxSegmentBytes)
+	if !h.resize(h.capacity + size) {
+		return nil
+	}
+	h.capacity += size
+	h.segments = append(h.segments, newSegment(size))
+	return h.segments[len(h.segments)-1][:size]
+}
+
+func newSegment(size int) []byte {
+	if size < maxSegmentBytes {
+		return make([]byte, 0, size)
+	}
+	return segmentPool.Get().(*[maxSegmentBytes]byte)[:0]
+}
+
+// writeTo writes what is held.
+func (h *heldAnswer) writeTo(w io.Writer) error {
+	for _, s := range h.segments {
+		if _, err := w.Write(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// release returns all memory. What was held must not be used any more.
+func (h *heldAnswer) release() {
+	for _, s := range h.segments {
+		if cap(s) == maxSegmentBytes {
+			segmentPool.Put((*[maxSegmentBytes]byte)(s[:maxSegmentBytes]))
+		}
+	}
+	h.segments = nil
+	h.reservation.release()
+}
--- /dev/null
+++ b/internal/gateway/held_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// The beginning of an answer must not be taken for the whole, and what was read must not be lost
+// where the memory is used up.
+func TestHeldAnswerIsCompleteOrSaysSo(t *testing.T) {
+	const limit, memory = 3 << 20, 1 << 20
+	broken := errors.New("broken")
+	tests := []struct {
+		name         string
+		size         int
+		limit        int64
+		memory       int64
+		err          error // after the last byte, nil for the end
+		wantComplete bool
+		wantErr      error
+	}{
+		{name: "empty", limit: limit, memory: memory, wantComplete: true},
+		{name: "one segment", size: freeHeldBytes - 1, limit: limit, memory: memory, wantComplete: true},
+		{name: "short, no memory left", size: freeHeldBytes - 1, limit: limit, wantComplete: true},
+		{name: "several segments", size: 700 << 10, limit: limit, memory: memory, wantComplete: true},
+		{name: "at the limit", size: limit, limit: limit, memory: 8 * memory, wantComplete: true},
+		{name: "over the limit", size: limit + 1, limit: limit, memory: 8 * memory, wantErr: errAnswerTooLarge},
+		{name: "more than memory", size: limit, limit: limit, memory: memory},
+		{name: "long, no memory left", size: 9 << 10, limit: limit},
+		{name: "broken off", size: 9 << 10, limit: limit, memory: memory, err: broken, wantErr: broken},
+		{name: "broken off at its first byte", limit: limit, memory: memory, err: broken, wantErr: broken},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := bytes.Repeat([]byte("0123456789"), tt.size/10+1)[:tt.size]
+			body := io.Reader(bytes.NewReader(text))
+			if tt.err != nil {
+				body = io.MultiReader(body, iotest.ErrReader(tt.err))
+			}
+			m := &heldMemory{limit: tt.memory}
+			h := newHeldAnswer(m)
+			complete, err := h.fill(body, tt.limit)
+			require.ErrorIs(t, err, tt.wantErr)
+			assert.Equal(t, tt.wantComplete, complete)
+			assert.LessOrEqual(t, m.used.Load(), tt.memory)
+			if tt.wantErr == nil {
+				var out bytes.Buffer
+				require.NoError(t, h.writeTo(&out))
+				assert.Equal(t, h.size, int64(out.Len()))
+				_, err = out.ReadFrom(body)
+				require.NoError(t, err)
+				assert.True(t, bytes.Equal(text, out.Bytes()), "nothing is lost")
+			}
+			h.release()
+			assert.Zero(t, m.used.Load())
+		})
+	}
+}
+
+// Answers without end must not keep short ones from being held.
+func TestLargeAnswersLeaveMemoryToShortOnes(t *testing.T) {
+	m := &heldMemory{limit: 2 << 20}
+	for range 4 {
+		large := newHeldAnswer(m)
+		defer large.release()
+		complete, err := large.fill(strings.NewReader(strings.Repeat("x", 4<<20)), 8<<20)
+		require.NoError(t, err)
+		require.False(t, complete)
+	}
+	short := newHeldAnswer(m)
+	defer short.release()
+	complete, err := short.fill(strings.NewReader(strings.Repeat("x", 60<<10)), 8<<20)
+	require.NoError(t, err)
+	assert.True(t, complete)
+}
+
+// Answers held at the same time must stay within the limit together.
+func TestHeldAnswersShareTheLimit(t *testing.T) {
+	m := &heldMemory{limit: 1 << 20}
+	var group errgroup.Group
+	for range 16 {
+		group.Go(func() error {
+			for range 50 {
+				h := newHeldAnswer(m)
+				if _, err := h.fill(strings.NewReader(strings.Repeat("x", 300<<10)), 1<<20); err != nil {
+					return err
+				}
+				if used := m.used.Load(); used > m.limit {
+					return errors.New("over the limit")
+				}
+				h.release()
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	assert.Zero(t, m.used.Load())
+}
