--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -242,3 +242,31 @@
 	require.ErrorContains(t, err, addr)
 	require.ErrorContains(t, err, "headers exceeded 65536 bytes")
 }
+
+// A head whose status no answer may have is a cut: what follows it is no answer either.
+func TestStatusesOfNoAnswerAreInterruptions(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 012 odd\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 101 switch\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\n",
+		"HTTP/1.1 600 odd\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(strings.Fields(head)[1], func(t *testing.T) {
+			addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				connection, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(connection, head)
+				_ = connection.Close()
+			})
+			client := New()
+			defer client.Close()
+			response, err := client.Forward(t.Context(), addr, ForwardCall{Method: http.MethodPost, Path: "/x"})
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			require.ErrorIs(t, err, ErrInterrupted)
+			require.ErrorContains(t, err, addr)
+		})
+	}
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -116,6 +117,10 @@
 	if err != nil {
 		return nil, x, x.fail(d.classifyError(err))
 	}
+	if class := response.StatusCode / 100; class < 2 || class > 5 {
+		_ = response.Body.Close()
+		return nil, x, x.fail(fmt.Errorf("%w: no answer has status %d", ErrInterrupted, response.StatusCode))
+	}
 	if span.IsRecording() {
 		span.SetAttributes(
 			attribute.String("server.address", addr),
