fix(gateway): an answer without end is not passed on as complete

An answer was cut at 16 MiB and passed on with a length, and each one in flight could hold as much. An answer over [limits] answer now counts as broken off; all that are held at once share [limits] held, and what doesn't fit is passed on as it comes.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -110,7 +110,7 @@
 	}, loader.WithLogger(logger))
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers),
-		gateway.WithPacer(heap.New(n.timers)))
+		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held))
 	return n
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// maxAnswerBytes limits an answer that is buffered until it is complete.
-	maxAnswerBytes = 16 << 20
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 1 << 20
 	// readBufferBytes is the size of the buffer for reading a stream.
@@ -192,13 +190,15 @@
 	}
 }
 
-// passComplete buffers an answer up to its last byte before it passes it on, so that the
-// caller never gets a truncated one.
+// passComplete holds an answer up to its last byte before it passes it on, so that the caller
+// never gets a truncated one.
 func (a *attempt) passComplete(ctx context.Context, answer *Answer) (outcome, error) {
-	j := a.job
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	j, g := a.job, a.job.gateway
+	held := newHeldAnswer(g.held)
+	defer held.release()
+	complete, err := held.fill(answer.Body, g.maxAnswerBytes)
 	if err != nil {
-		a.reportFailure(ctx)
+		a.reportBroken(ctx, err)
 		return outcomeUnknown, fmt.Errorf("read answer: %w", err)
 	}
 	a.markAnswered()
@@ -211,7 +211,11 @@
 	if !j.delivery.take(a) {
 		return outcomeSuperseded, nil
 	}
-	return outcomeDone, j.delivery.passComplete(answer, body)
+	err = j.delivery.passHeld(answer, held, complete)
+	if err == nil && !complete {
+		err = a.passRest(ctx, answer, held)
+	}
+	return outcomeDone, err
 }
 
 // markAnswered records that the endpoint has answered, and after what time.
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -110,9 +110,9 @@
 	return d.started
 }
 
-// writeHeader writes the header of an answer whose body has a length, or is a stream if length
-// is negative. It does nothing if a header was written before: a stream keeps its first one.
-func (d *delivery) writeHeader(answer *Answer, length int) {
+// writeHeader writes the header of an answer whose body has a length, or is sent in chunks if
+// length is negative. It does nothing if a header was written before: a stream keeps its first one.
+func (d *delivery) writeHeader(answer *Answer, length int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.started {
@@ -122,17 +122,30 @@
 	d.codec.Pass(d.writer.Header(), answer.Header)
 	d.writer.Header().Del("Content-Length")
 	if length >= 0 {
-		d.writer.Header().Set("Content-Length", strconv.Itoa(length))
+		d.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	d.status, d.started = answer.Status, true
 	d.writer.WriteHeader(answer.Status)
 }
 
-// passComplete passes on a complete answer.
-func (d *delivery) passComplete(answer *Answer, body []byte) error {
-	d.writeHeader(answer, len(body))
-	_, err := d.writer.Write(body)
-	return err
+// passHeld passes on what is held of an answer: all of it if it is complete, else its beginning,
+// with the length that its endpoint gave.
+func (d *delivery) passHeld(answer *Answer, held *heldAnswer, complete bool) error {
+	length := held.size
+	if !complete {
+		length = declaredLength(answer.Header)
+	}
+	d.writeHeader(answer, length)
+	return held.writeTo(d.writer)
+}
+
+// declaredLength returns the length that an answer's header gives, -1 if it gives none.
+func declaredLength(h http.Header) int64 {
+	length, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return length
 }
 
 // passEvents passes on complete events of a stream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	stats  Stats
 	timers Timers
 	pacer  Pacer
+
+	maxAnswerBytes int64 // of an answer other than a stream
+	held           *heldMemory
 }
 
 // Option configures a Gateway.
@@ -79,6 +82,12 @@
 // WithPacer sets what is told of each request.
 func WithPacer(p Pacer) Option { return func(g *Gateway) { g.pacer = p } }
 
+// WithAnswerLimits sets the size in bytes up to which an answer other than a stream is passed on,
+// and the memory of all answers that are held at once until they are complete.
+func WithAnswerLimits(answer, held int64) Option {
+	return func(g *Gateway) { g.maxAnswerBytes, g.held.limit = answer, held }
+}
+
 // WithRandom sets the source of random numbers in [0, 1) that split traffic among services.
 func WithRandom(random func() float64) Option { return func(g *Gateway) { g.random = random } }
 
@@ -87,6 +96,7 @@
 	g := &Gateway{
 		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
 		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{}, pacer: noPacer{},
+		maxAnswerBytes: defaultMaxAnswerBytes, held: &heldMemory{limit: defaultHeldBytes},
 	}
 	for _, opt := range opts {
 		opt(g)
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -22,6 +22,7 @@
 	Store    GatewayStore
 	Retry    GatewayRetry
 	Orders   GatewayOrders
+	Limits   GatewayLimits
 	Drain    GatewayDrain
 	Log      Log
 	Trace    Trace
@@ -81,6 +82,14 @@
 	Over   float64
 }
 
+// GatewayLimits limits the answers of endpoints.
+type GatewayLimits struct {
+	// Answer is the size in bytes up to which an answer other than a stream is passed on.
+	Answer int64
+	// Held is the memory in bytes of all answers that are held at once until they are complete.
+	Held int64
+}
+
 // GatewayDrain configures the graceful shutdown of an instance.
 type GatewayDrain struct {
 	// Grace is the time between the termination signal and the exit of the process.
@@ -96,6 +105,9 @@
 	gatewayWatchWait    = time.Second
 	gatewayLease        = 9 * time.Second
 	gatewayAnswerTTL    = time.Second
+	gatewayMaxAnswer    = 16 << 20 // bytes
+	gatewayHeldAnswers  = 24 << 20 // bytes
+	minAnswerLimit      = 1 << 20  // bytes
 )
 
 // DefaultGateway returns the default settings of a Gateway.
@@ -105,6 +117,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 		Log:    Log{Level: LevelInfo, Format: FormatLogfmt},
 	}
@@ -190,6 +203,10 @@
 			inifile.Duration("window", &c.Orders.Window, time.Second),
 			inifile.Number("over", &c.Orders.Over, 0, 10),
 		}},
+		{"limits", []inifile.Field{
+			inifile.Size("answer", &c.Limits.Answer, minAnswerLimit),
+			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
+		}},
 		{"drain", []inifile.Field{
 			inifile.Duration("grace", &c.Drain.Grace, time.Second),
 			inifile.Duration("keep", &c.Drain.Keep, 100*time.Millisecond),
