fix(gateway): incomplete events share the memory for held answers

Each stream could hold 1 MiB of an event. An endpoint that sends an event without end is avoided like one that has failed, and the search for an event's end no longer begins anew with each read.

TestIncompleteEventsShareTheMemory was red (504 for the second stream in place of 502) and TestAnswersWithoutEndAreNoCrash/event too (0 failures in place of 1).

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -1,12 +1,14 @@
 package gateway_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"testing"
 	"time"
 
@@ -169,6 +171,7 @@
 	}{
 		{name: "answer", kind: catalog.KindSafe, behaviour: standin.BehaviourEndless, held: 16 << 20},
 		{name: "answer, as it comes", kind: catalog.KindSafe, behaviour: standin.BehaviourEndless, held: 1 << 20},
+		{name: "event", kind: catalog.KindStream, behaviour: standin.BehaviourEndless, held: 16 << 20},
 		{name: "reset", kind: catalog.KindSafe, behaviour: standin.BehaviourUntilCloseReset, held: 16 << 20, wantInterrupted: 1},
 		{name: "cut, as it comes", kind: catalog.KindSafe, behaviour: standin.BehaviourLargeCut, held: 1 << 20, wantInterrupted: 1},
 	}
@@ -197,32 +200,14 @@
 func TestAnswersWithoutEndStayWithinTheMemory(t *testing.T) {
 	const (
 		requests = 24
-		held     = 8 << 20
 		maxHeap  = 64 << 20 // with garbage, and with what callers and endpoints hold here
 	)
 	defer debug.SetGCPercent(debug.SetGCPercent(50))
 	f := newFleet(t, catalog.KindSafe, standin.BehaviourEndless)
-	url := serveWithLimits(t, f, 16<<20, held)
+	url := serveWithLimits(t, f, 16<<20, 8<<20)
 	var group errgroup.Group
 	for range requests {
-		group.Go(func() error {
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url+"/x", http.NoBody)
-			if err != nil {
-				return err
-			}
-			request.Host = "board.example"
-			request.Header.Set("Request-Id", "r1")
-			response, err := http.DefaultClient.Do(request)
-			if err != nil {
-				return err
-			}
-			defer func() { _ = response.Body.Close() }()
-			if _, err = io.Copy(io.Discard, response.Body); err == nil && response.StatusCode/100 == 2 {
-				err = errors.New("a truncated answer looks complete")
-				return err
-			}
-			return nil
-		})
+		group.Go(func() error { return discard(t, url) })
 	}
 	done := make(chan error, 1)
 	var waiting errgroup.Group
@@ -243,3 +228,69 @@
 	assert.Less(t, peak, uint64(maxHeap))
 	require.NoError(t, err)
 }
+
+// discard reads an answer and keeps nothing of it. One that looks complete is an error.
+func discard(t *testing.T, url string) error {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url+"/x", http.NoBody)
+	if err != nil {
+		return err
+	}
+	request.Host = "board.example"
+	request.Header.Set("Request-Id", "r1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err = io.Copy(io.Discard, response.Body); err == nil && response.StatusCode/100 == 2 {
+		return errors.New("a truncated answer looks complete")
+	}
+	return nil
+}
+
+// pausedSender answers with the beginning of an event, and nothing after it.
+type pausedSender struct {
+	size   int
+	paused chan struct{} // receives a value for each answer whose beginning was read
+}
+
+func (s pausedSender) Send(ctx context.Context, _ *gateway.Attempt) (*gateway.Answer, error) {
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", s.size)), pause{ctx, s.paused})
+	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+}
+
+type pause struct {
+	ctx    context.Context
+	paused chan struct{}
+}
+
+func (p pause) Read([]byte) (int, error) {
+	p.paused <- struct{}{}
+	<-p.ctx.Done()
+	return 0, p.ctx.Err()
+}
+
+// Events that are not complete yet must not fill the memory together: where it is used up, a
+// stream breaks off, and its endpoint isn't blamed.
+func TestIncompleteEventsShareTheMemory(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+	f.route.Resumable, f.route.Timeout = false, time.Second
+	sender := pausedSender{size: 700 << 10, paused: make(chan struct{}, 2)}
+	server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, sender, f, time.Now, gateway.WithAnswerLimits(8<<20, 2<<20)))
+	t.Cleanup(server.Close)
+	var group errgroup.Group
+	first := make(chan int, 1)
+	group.Go(func() error {
+		answer, err := send(t, server.URL, http.MethodPost, nil, "")
+		first <- answer.status
+		return err
+	})
+	<-sender.paused
+	answer, err := send(t, server.URL, http.MethodPost, nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, answer.status)
+	require.NoError(t, group.Wait())
+	assert.Equal(t, http.StatusGatewayTimeout, <-first)
+	assert.Zero(t, f.failed)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -241,14 +241,18 @@
 func (a *attempt) passStream(ctx context.Context, answer *Answer) (outcome, error) {
 	j := a.job
 	var pending []byte
+	held := reservation{memory: j.gateway.held}
+	defer held.release()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			a.markAnswered()
 		}
+		searched := max(0, len(pending)-1)
 		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending, []byte("\n\n")); end >= 0 {
+		if end := bytes.LastIndex(pending[searched:], []byte("\n\n")); end >= 0 {
+			end += searched
 			a.timer.close() // a caller that reads slowly is no silence of the endpoint
 			if !j.delivery.take(a) {
 				return outcomeSuperseded, nil
@@ -265,7 +269,10 @@
 			a.reportFailure(ctx)
 			return outcomeInterrupted, fmt.Errorf("stream broke off after event %q: %w", j.delivery.last(), err)
 		case len(pending) > maxEventBytes:
-			return outcomeInterrupted, errors.New("event too large")
+			a.reportBroken(ctx, errAnswerTooLarge)
+			return outcomeInterrupted, fmt.Errorf("event after %q: %w", j.delivery.last(), errAnswerTooLarge)
+		case !held.resize(cap(pending)):
+			return outcomeInterrupted, fmt.Errorf("event after %q: %w", j.delivery.last(), errNoHeldMemory)
 		case n > 0:
 			a.timer.start(eventGapFactor * j.route.MaxEventGap)
 		}
