--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -258,7 +258,7 @@
 				return outcomeSuperseded, nil
 			}
 			if err := j.delivery.passEvents(answer, pending[:end+2]); err != nil {
-				return outcomeDone, fmt.Errorf("write to caller: %w", err)
+				return outcomeDone, err
 			}
 			pending = append(pending[:0], pending[end+2:]...)
 		}
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -136,7 +137,21 @@
 		length = declaredLength(answer.Header)
 	}
 	d.writeHeader(answer, length)
-	return held.writeTo(d.writer)
+	return held.writeTo(d)
+}
+
+// Write writes a part of the body, for which a caller that reads slowly has the time of one
+// timeout. The header must have been written.
+func (d *delivery) Write(b []byte) (int, error) {
+	err := d.controller.SetWriteDeadline(d.clock().Add(writeTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, fmt.Errorf("write to caller: %w", err)
+	}
+	n, err := d.writer.Write(b)
+	if err != nil {
+		return n, fmt.Errorf("write to caller: %w", err)
+	}
+	return n, nil
 }
 
 // declaredLength returns the length that an answer's header gives, -1 if it gives none.
@@ -156,10 +171,7 @@
 		d.longestPause = max(d.longestPause, now.Sub(d.passedAt))
 	}
 	d.passedAt = now
-	if err := d.controller.SetWriteDeadline(now.Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return err
-	}
-	if _, err := d.writer.Write(events); err != nil {
+	if _, err := d.Write(events); err != nil {
 		return err
 	}
 	if id, ok := lastEventID(events); ok {
@@ -167,7 +179,10 @@
 		d.lastEvent = id
 		d.mu.Unlock()
 	}
-	return d.controller.Flush()
+	if err := d.controller.Flush(); err != nil {
+		return fmt.Errorf("flush to caller: %w", err)
+	}
+	return nil
 }
 
 // refuse answers with a refusal of the gateway itself.
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -18,6 +19,8 @@
 	freeHeldBytes = 4 << 10
 	// maxSegmentBytes is the size of the largest segment of a held answer.
 	maxSegmentBytes = 256 << 10
+	// maxWriteBytes is the size of the largest piece of a held answer that is written at once.
+	maxWriteBytes = 64 << 10
 	// shortAnswerBytes is the size up to which answers may use all memory. Longer ones leave one
 	// part in reservedDivisor of it to them.
 	shortAnswerBytes = 64 << 10
@@ -146,8 +149,10 @@
 // writeTo writes what is held.
 func (h *heldAnswer) writeTo(w io.Writer) error {
 	for _, s := range h.segments {
-		if _, err := w.Write(s); err != nil {
-			return err
+		for piece := range slices.Chunk(s, maxWriteBytes) {
+			if _, err := w.Write(piece); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -3,10 +3,16 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -104,3 +110,50 @@
 	require.NoError(t, group.Wait())
 	assert.Zero(t, m.used.Load())
 }
+
+// stuckCaller takes a number of bytes, and then nothing up to the deadline of the write.
+type stuckCaller struct {
+	http.ResponseWriter
+	takes    int
+	deadline time.Time
+	pieces   []int
+}
+
+func (s *stuckCaller) SetWriteDeadline(t time.Time) error {
+	s.deadline = t
+	return nil
+}
+
+func (s *stuckCaller) Write(b []byte) (int, error) {
+	s.pieces = append(s.pieces, len(b))
+	if s.takes -= len(b); s.takes >= 0 {
+		return len(b), nil
+	}
+	if s.deadline.IsZero() {
+		return 0, errors.New("waits without a deadline")
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// A caller that doesn't read must not keep the memory of its answer for ever.
+func TestHeldAnswerIsWrittenWithADeadline(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		t.Run(fmt.Sprint("complete ", complete), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			caller := &stuckCaller{ResponseWriter: httptest.NewRecorder(), takes: 300 << 10}
+			d := &delivery{writer: caller, controller: http.NewResponseController(caller), codec: noHeaders{}, clock: func() time.Time { return now }}
+			h := newHeldAnswer(&heldMemory{limit: 2 << 20})
+			defer h.release()
+			_, err := h.fill(strings.NewReader(strings.Repeat("x", 1<<20)), 2<<20)
+			require.NoError(t, err)
+			require.ErrorIs(t, d.passHeld(&Answer{Status: http.StatusOK}, h, complete), os.ErrDeadlineExceeded)
+			assert.Equal(t, now.Add(writeTimeout), caller.deadline)
+			assert.LessOrEqual(t, slices.Max(caller.pieces), 64<<10, "a slow caller has the time for each piece")
+		})
+	}
+}
+
+// noHeaders is a Codec that passes no header fields on.
+type noHeaders struct{ Codec }
+
+func (noHeaders) Pass(_, _ http.Header) {}
--- a/internal/gateway/unheld.go
+++ b/internal/gateway/unheld.go
@@ -14,13 +14,12 @@
 	held.release()
 	a.job.log("step", "unheld", "endpoint", a.target.ID, "bytes", passed)
 	rest := &limitedBody{body: answer.Body, left: a.job.gateway.maxAnswerBytes - passed}
-	if _, err := io.Copy(a.job.delivery.writer, rest); err != nil {
-		if rest.err != nil {
-			a.reportBroken(ctx, rest.err)
-		}
-		return fmt.Errorf("answer broke off: %w", err)
+	_, err := io.Copy(a.job.delivery, rest)
+	if rest.err != nil {
+		a.reportBroken(ctx, rest.err)
+		return fmt.Errorf("answer broke off: %w", rest.err)
 	}
-	return nil
+	return err
 }
 
 // limitedBody is the body of an answer that fails beyond its limit.
