test(direct): requests with a crashing prompt part are sent on

Several states that exchange heartbeats in virtual time; each sees its own requests only. Requests that share their second part, and nothing else, crash endpoints 2 or 6 times a second beside sound ones with the same first part.

--- /dev/null
+++ b/internal/direct/prompt_site_test.go
@@ -0,0 +1,422 @@
+package direct
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+)
+
+const (
+	siteBeat          = 300 * time.Millisecond
+	siteEndpoints     = 18
+	siteRestart       = 5 * time.Second         // from a crash until the endpoint is back
+	siteEntryLapse    = 3300 * time.Millisecond // from a crash until its entry is removed
+	siteSubjects      = 40                      // second parts that sound requests share
+	siteAttempts      = 2
+	siteLinkDelay     = 40 * time.Millisecond
+	siteFirstEvent    = 150 * time.Millisecond // mean time from the arrival at an endpoint to the first event
+	siteStream        = 1500 * time.Millisecond
+	siteAdmissionWait = 100 * time.Millisecond
+)
+
+// promptSite simulates instances that share endpoints and exchange heartbeats, in virtual time.
+type promptSite struct {
+	promptSiteSettings
+	t       *testing.T
+	clock   *testClock
+	random  *rand.Rand
+	states  []*state
+	peers   map[fleet.Instance]*state
+	engines []*siteEndpoint
+	events  siteEvents
+
+	revision, incarnations int64
+	requests               uint64
+
+	crashes     []time.Duration                     // of endpoints by requests that crash them
+	crashingRun []time.Duration                     // when such requests were sent
+	sound       map[bool]map[time.Duration]*siteSum // whether the first part is the hot one, second
+	refused     map[string]bool                     // sound parts refused at any time
+}
+
+type siteSum struct{ requests, begun int }
+
+type promptSiteSettings struct {
+	instances     int
+	seed          uint64
+	crashingRate  float64       // requests with the crashing part a second
+	crashingFrom  time.Duration // when they begin
+	crashingUntil time.Duration // when they end, 0 for never
+	crashesFirst  bool          // the first part crashes instead of the second
+	soundRate     float64       // sound requests a second, most with the same first part
+	loss          float64       // share of heartbeats lost
+	slow          float64       // share of heartbeats that arrive a second late
+	resets        float64       // share of the runs whose connection is reset by an endpoint that goes on
+	hot           float64       // share of the sound requests with the first part of the crashing ones
+}
+
+type siteEndpoint struct {
+	id   fleet.Endpoint
+	born int64
+	up   bool
+	runs []*siteRun
+	// downAt is when it crashed.
+	downAt time.Duration
+}
+
+type siteRequest struct {
+	parts       []balance.PromptPart
+	fingerprint suspect.Fingerprint
+	crashing    bool
+	hot         bool
+	arrived     time.Duration
+	sent        int
+	begun       bool
+	exclude     []fleet.Endpoint
+}
+
+type siteRun struct {
+	request  *siteRequest
+	at       *state
+	endpoint *siteEndpoint
+	target   gateway.Target
+	sentAt   time.Duration
+	begun    bool
+	ended    bool
+}
+
+type siteEvent struct {
+	at  time.Duration
+	n   uint64
+	run func()
+}
+
+type siteEvents struct {
+	list []siteEvent
+	next uint64
+}
+
+func (e *siteEvents) Len() int { return len(e.list) }
+func (e *siteEvents) Less(i, j int) bool {
+	return e.list[i].at < e.list[j].at || e.list[i].at == e.list[j].at && e.list[i].n < e.list[j].n
+}
+func (e *siteEvents) Swap(i, j int) { e.list[i], e.list[j] = e.list[j], e.list[i] }
+func (e *siteEvents) Push(x any)    { e.list = append(e.list, x.(siteEvent)) }
+func (e *siteEvents) Pop() any {
+	last := e.list[len(e.list)-1]
+	e.list = e.list[:len(e.list)-1]
+	return last
+}
+
+func newPromptSite(t *testing.T, settings promptSiteSettings) *promptSite {
+	t.Helper()
+	p := &promptSite{
+		promptSiteSettings: settings, t: t, clock: &testClock{}, random: rand.New(rand.NewPCG(settings.seed, 7)),
+		peers: make(map[fleet.Instance]*state), sound: map[bool]map[time.Duration]*siteSum{true: {}, false: {}}, refused: make(map[string]bool),
+	}
+	var members []member.Peer
+	for i := range p.instances {
+		name := fmt.Sprintf("front-%03d", i)
+		members = append(members, member.Peer{Instance: fleet.Instance(name), Incarnation: "1", Place: fleet.Place{DataCentre: allDataCentres}, Address: name, Caller: name, Sequence: 1})
+	}
+	for i := range members {
+		p.addInstance(members[i], members)
+	}
+	for range siteEndpoints {
+		p.startEndpoint()
+	}
+	for _, s := range p.states {
+		p.every(siteBeat, func() { p.beat(s) })
+		p.every(cleanUpInterval, func() { s.cleanUp() })
+	}
+	p.arrivals(p.soundRate, 0, 0, p.soundRequest)
+	p.arrivals(p.crashingRate, p.crashingFrom, p.crashingUntil, p.crashingRequest)
+	return p
+}
+
+func (p *promptSite) addInstance(self member.Peer, members []member.Peer) *state {
+	s := newState(self, fleet.Place{Region: "south", DataCentre: "a"}, map[fleet.DataCentre]fleet.Region{"a": "south"},
+		balance.NewBudget(0.2, 10, 10*time.Second), siteBeat, p.clock.now, log.NewNopLogger())
+	s.uptime = p.clock.uptime
+	for i := range members {
+		if members[i].Instance != self.Instance {
+			s.view.Observe(p.clock.now(), members[i])
+		}
+	}
+	p.states = append(p.states, s)
+	p.peers[self.Instance] = s
+	return s
+}
+
+// after runs a function later, every one at each interval with a random phase.
+func (p *promptSite) after(d time.Duration, run func()) {
+	p.events.next++
+	heap.Push(&p.events, siteEvent{at: p.clock.elapsed + d, n: p.events.next, run: run})
+}
+
+func (p *promptSite) every(interval time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		p.after(interval, again)
+	}
+	p.after(p.between(0, interval), again)
+}
+
+func (p *promptSite) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(p.random.Float64()*float64(b-a))
+}
+
+// run lets the site go on until a time.
+func (p *promptSite) run(until time.Duration) {
+	for p.events.Len() > 0 && p.events.list[0].at <= until {
+		e := heap.Pop(&p.events).(siteEvent)
+		p.clock.elapsed = e.at
+		e.run()
+	}
+	p.clock.elapsed = until
+}
+
+func (p *promptSite) beat(s *state) {
+	targets, b := s.heartbeat()
+	packed, err := gossip.Pack(b)
+	require.NoError(p.t, err)
+	b, err = packed.Unpack()
+	require.NoError(p.t, err)
+	for i := range targets {
+		if p.random.Float64() < p.loss {
+			continue
+		}
+		delay := p.between(siteLinkDelay/8, siteLinkDelay)
+		if p.random.Float64() < p.slow {
+			delay += time.Second
+		}
+		to := p.peers[targets[i].Instance]
+		p.after(delay, func() { to.receiveHeartbeat(b) })
+	}
+}
+
+func (p *promptSite) apply(r roster.Record) {
+	p.revision++
+	r.Revision, r.Entry.Revision = p.revision, p.revision
+	for _, s := range p.states {
+		s.applyRecords([]roster.Record{r}, p.revision, false)
+	}
+}
+
+func (p *promptSite) startEndpoint() {
+	p.incarnations++
+	e := &siteEndpoint{id: fleet.Endpoint(fmt.Sprintf("i-%04d", p.incarnations)), born: p.incarnations, up: true}
+	p.engines = append(p.engines, e)
+	p.apply(roster.Record{ID: e.id, Entry: roster.Entry{ID: e.id, Service: "s", Born: e.born, Slots: 64}})
+}
+
+// end ends an endpoint: all its connections break, its entry lapses later, and another one starts.
+func (p *promptSite) end(e *siteEndpoint) {
+	if !e.up {
+		return
+	}
+	e.up, e.downAt = false, p.clock.elapsed
+	runs := e.runs
+	e.runs = nil
+	for _, r := range runs {
+		p.after(p.between(0, siteLinkDelay/2), func() { p.interrupt(r) })
+	}
+	p.after(siteEntryLapse, func() {
+		p.apply(roster.Record{ID: e.id, Removed: true})
+		p.engines = slices.DeleteFunc(p.engines, func(o *siteEndpoint) bool { return o == e })
+	})
+	p.after(siteRestart, p.startEndpoint)
+}
+
+// arrivals makes requests come at random, at a rate a second.
+func (p *promptSite) arrivals(rate float64, from, until time.Duration, newRequest func() *siteRequest) {
+	if rate <= 0 {
+		return
+	}
+	var next func()
+	next = func() {
+		if until > 0 && p.clock.elapsed > until {
+			return
+		}
+		p.arrive(newRequest())
+		p.after(time.Duration(p.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	p.after(from, next)
+}
+
+func (p *promptSite) newRequest(first, second string) *siteRequest {
+	p.requests++
+	own := fmt.Sprintf("own%d", p.requests)
+	return &siteRequest{
+		parts:       []balance.PromptPart{{ID: first, Tokens: 800}, {ID: second, Tokens: 400}, {ID: own, Tokens: 200}},
+		fingerprint: suspect.Fingerprint(p.requests), hot: first == "hot",
+	}
+}
+
+// soundRequest returns a request whose second part is one of a few frequent or many rare ones.
+func (p *promptSite) soundRequest() *siteRequest {
+	subject := int(float64(siteSubjects) * p.random.Float64() * p.random.Float64())
+	if p.random.Float64() < p.hot && !p.crashesFirst {
+		return p.newRequest("hot", fmt.Sprintf("subject%d", subject))
+	}
+	return p.newRequest("other", fmt.Sprintf("other%d", subject))
+}
+
+func (p *promptSite) crashingRequest() *siteRequest {
+	r := p.newRequest("hot", "crashing")
+	if p.crashesFirst {
+		r = p.newRequest("crashing", fmt.Sprintf("subject%d", p.random.IntN(siteSubjects)))
+	}
+	r.crashing = true
+	return r
+}
+
+func (p *promptSite) arrive(r *siteRequest) {
+	r.arrived = p.clock.elapsed
+	if !r.crashing {
+		p.sum(r).requests++
+	}
+	p.attempt(p.states[p.random.IntN(len(p.states))], r)
+}
+
+func (p *promptSite) sum(r *siteRequest) *siteSum {
+	second := r.arrived.Truncate(time.Second)
+	if p.sound[r.hot][second] == nil {
+		p.sound[r.hot][second] = &siteSum{}
+	}
+	return p.sound[r.hot][second]
+}
+
+// attempt sends a request to an endpoint that the instance takes for one in service, after a
+// wait for its admission.
+func (p *promptSite) attempt(s *state, r *siteRequest) {
+	if p.refuses(s, r) {
+		return
+	}
+	p.after(p.between(0, siteAdmissionWait), func() {
+		if p.refuses(s, r) || r.sent >= siteAttempts {
+			return
+		}
+		var known []*siteEndpoint
+		for _, e := range p.engines {
+			if (e.up || p.clock.elapsed-e.downAt < siteBeat) && !slices.Contains(r.exclude, e.id) {
+				known = append(known, e)
+			}
+		}
+		if len(known) == 0 {
+			return
+		}
+		e := known[p.random.IntN(len(known))]
+		r.exclude = append(r.exclude, e.id)
+		if !e.up {
+			p.attempt(s, r)
+			return
+		}
+		r.sent++
+		p.send(&siteRun{request: r, at: s, endpoint: e, sentAt: p.clock.elapsed, target: gateway.Target{ID: e.id, Born: e.born}})
+	})
+}
+
+func (p *promptSite) send(r *siteRun) {
+	if r.request.crashing {
+		p.crashingRun = append(p.crashingRun, p.clock.elapsed)
+	}
+	r.endpoint.runs = append(r.endpoint.runs, r)
+	p.after(20*time.Millisecond+time.Duration(p.random.ExpFloat64()*float64(siteFirstEvent)), func() { p.begin(r) })
+}
+
+func (p *promptSite) begin(r *siteRun) {
+	switch {
+	case r.ended || !r.endpoint.up:
+	case r.request.crashing:
+		p.crashes = append(p.crashes, p.clock.elapsed)
+		p.end(r.endpoint)
+	case p.random.Float64() < p.resets:
+		p.remove(r)
+		p.interrupt(r)
+	default:
+		r.begun = true
+		if !r.request.begun {
+			r.request.begun = true
+			p.sum(r.request).begun++
+		}
+		p.answered(r)
+		p.after(p.between(siteStream/3, siteStream), func() { p.complete(r) })
+	}
+}
+
+func (p *promptSite) remove(r *siteRun) {
+	r.endpoint.runs = slices.DeleteFunc(r.endpoint.runs, func(o *siteRun) bool { return o == r })
+}
+
+func (p *promptSite) complete(r *siteRun) {
+	if r.ended || !r.endpoint.up {
+		return
+	}
+	r.ended = true
+	p.remove(r)
+	r.at.AnswerCompleted(r.request.fingerprint)
+}
+
+func (p *promptSite) interrupt(r *siteRun) {
+	r.ended = true
+	p.interrupted(r)
+	p.attempt(r.at, r.request)
+}
+
+// sentAfter returns how many requests with the crashing part were sent after a bound: window
+// after the fifth crash.
+func (p *promptSite) sentAfter(window time.Duration) int {
+	if len(p.crashes) < 5 {
+		return 0
+	}
+	n := 0
+	for _, at := range p.crashingRun {
+		if at > p.crashes[4]+window {
+			n++
+		}
+	}
+	return n
+}
+
+// share returns which share of the sound requests of a time began, whose first part was the hot
+// one or not.
+func (p *promptSite) share(hot bool, from, to time.Duration) float64 {
+	all := siteSum{}
+	for second, sum := range p.sound[hot] {
+		if second >= from && second < to {
+			all.requests += sum.requests
+			all.begun += sum.begun
+		}
+	}
+	return float64(all.begun) / max(1, float64(all.requests))
+}
+
+func (p *promptSite) refuses(s *state, r *siteRequest) bool {
+	refused := s.IsPoison(r.fingerprint)
+	if refused && !r.crashing {
+		p.refused[r.parts[0].ID+"/"+r.parts[1].ID] = true
+	}
+	return refused
+}
+
+func (p *promptSite) interrupted(r *siteRun) {
+	r.at.AnswerInterrupted(r.target, r.request.fingerprint, p.clock.now().Add(r.sentAt-p.clock.elapsed))
+}
+
+func (p *promptSite) answered(*siteRun) {}
