fix(direct): stop sending prompts with a part that crashes endpoints

Cause: crashes were counted by the fingerprint of the whole request, and only once the endpoint's entry was gone, 3.1 to 4.3 s later. Requests that share only a part of their prompt never count as alike.

Change: a run that breaks off before its answer has begun makes all parts of its prompt but the last one suspects. The instance asks the endpoint whether it is gone (nothing listens, or another incarnation answers), so that resets and lost answers don't count. Crashes, answers that begin and verdicts go round by heartbeats and are passed on. Three crashes in sequence that no other part explains, with no answer begun since, convict a part, some beats after the last one. Of parts in the same crashes the most common is taken, and of parts of the same prompts the later one, unless the others have enough crashes of their own. Requests with a convicted part are refused with 503 and the time of its review; the verdict is checked again immediately before a request is sent.

The test's adapter now calls the new methods; what it asserts is unchanged.

--- /dev/null
+++ b/internal/core/suspect/part.go
@@ -0,0 +1,284 @@
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// partThreshold is how many endpoints must crash in sequence under a part, none of which
+	// another part explains. ambiguousThreshold applies to parts that occur in the same crashes.
+	partThreshold      = 3
+	ambiguousThreshold = 5
+	// partCrashExpiry is how long a crash counts, verdictExpiry how long a verdict is kept after
+	// the last crash.
+	partCrashExpiry = 10 * time.Minute
+	verdictExpiry   = DefaultExpiry
+	// verdictTolerance is by how much reports of the same crash may differ in time.
+	verdictTolerance = 2 * time.Second
+	// Limits on what is kept.
+	maxEndpointCrashes = 128
+	maxCrashPrompts    = 16
+	maxPromptParts     = 16
+	maxVerdicts        = 64
+	maxAnsweredParts   = 4096
+	maxPartBytes       = 32
+)
+
+// Part identifies a part of a prompt: its ID, or the hash of a long one.
+type Part string
+
+// NewPart returns the Part with an ID.
+func NewPart(id string) Part {
+	if len(id) > maxPartBytes {
+		return Part(strconv.FormatUint(xxhash.Sum64String(id), 16))
+	}
+	return Part(id)
+}
+
+// Prompt is what a request in flight at a crash shares with others: the parts of its prompt, in
+// their order, without the last one, which is its own.
+type Prompt struct {
+	Parts []Part
+	// Age is how long before the crash the request was sent. Unlike a time, it stays the same
+	// when it is reported from one instance to the next.
+	Age time.Duration
+}
+
+// EndpointCrash is the crash of one incarnation of an endpoint, with the prompts of the requests
+// in flight there whose answers had not begun.
+type EndpointCrash struct {
+	Incarnation string
+	FailedAt    time.Time
+	Prompts     []Prompt
+}
+
+func (d *EndpointCrash) sentAt(p Prompt) time.Time { return d.FailedAt.Add(-p.Age) }
+
+// Verdict says that a part of prompts crashes endpoints.
+type Verdict struct {
+	Part Part
+	// Crashes is how many endpoints crashed under it, FailedAt when the last one did.
+	Crashes  int
+	FailedAt time.Time
+}
+
+// PartCrashes finds the parts of prompts that crash endpoints, for instances that each see
+// only their own requests and report crashes and answers to each other. All parts of the
+// requests in flight at a crash are suspects. An answer that has begun clears all parts of its
+// request from the crashes of requests sent before it. Of the suspects left, the fewest parts
+// that explain the crashes are convicted. It is not safe for concurrent use.
+type PartCrashes struct {
+	settle  time.Duration
+	crashes []*EndpointCrash // in order of FailedAt
+	// lastSent is when the latest request with a part was sent that was in flight at a crash.
+	lastSent map[Part]time.Time
+	answered map[Part]time.Time
+	verdicts map[Part]Verdict // as of evaluated, by the crashes known
+	kept     map[Part]Verdict // reported by others, or their crashes are no longer known
+	// changed is set if what is known has changed since the evaluation, which holds until
+	// validUntil otherwise.
+	changed    bool
+	validUntil time.Time
+}
+
+// NewPartCrashes returns an empty PartCrashes. A crash counts after the time settle, within
+// which the reports of answers should have arrived.
+func NewPartCrashes(settle time.Duration) *PartCrashes {
+	return &PartCrashes{
+		settle: settle, lastSent: make(map[Part]time.Time), answered: make(map[Part]time.Time), verdicts: make(map[Part]Verdict), kept: make(map[Part]Verdict),
+	}
+}
+
+// Add records a crash, or what another instance knows of a recorded one.
+func (c *PartCrashes) Add(now time.Time, d EndpointCrash) {
+	if now.Sub(d.FailedAt) > partCrashExpiry {
+		return
+	}
+	c.changed = true
+	record := c.find(d.Incarnation)
+	if record == nil {
+		record = &EndpointCrash{Incarnation: d.Incarnation, FailedAt: d.FailedAt}
+		c.crashes = append(c.crashes, record)
+	}
+	if d.FailedAt.Before(record.FailedAt) {
+		record.FailedAt = d.FailedAt
+	}
+	for _, p := range d.Prompts {
+		p.Parts = p.Parts[:min(len(p.Parts), maxPromptParts)]
+		record.add(p)
+	}
+	c.noteSent(record)
+	c.renew(record)
+	slices.SortStableFunc(c.crashes, func(a, b *EndpointCrash) int { return a.FailedAt.Compare(b.FailedAt) })
+	if len(c.crashes) > maxEndpointCrashes {
+		c.drop(len(c.crashes) - maxEndpointCrashes)
+	}
+}
+
+func (c *PartCrashes) find(incarnation string) *EndpointCrash {
+	for _, d := range c.crashes {
+		if d.Incarnation == incarnation {
+			return d
+		}
+	}
+	return nil
+}
+
+// add adds a prompt, or the latest request with a known one.
+func (d *EndpointCrash) add(p Prompt) {
+	for i := range d.Prompts {
+		if known := &d.Prompts[i]; slices.Equal(known.Parts, p.Parts) {
+			known.Age = min(known.Age, p.Age)
+			return
+		}
+	}
+	if len(d.Prompts) < maxCrashPrompts {
+		d.Prompts = append(d.Prompts, p)
+	}
+}
+
+// drop forgets the oldest crashes, but not the verdicts that they led to.
+func (c *PartCrashes) drop(n int) {
+	if n == 0 {
+		return
+	}
+	for _, v := range c.verdicts {
+		c.keep(v)
+	}
+	c.crashes = slices.Delete(c.crashes, 0, n)
+	clear(c.lastSent)
+	for _, d := range c.crashes {
+		c.noteSent(d)
+	}
+	c.changed = true
+}
+
+func (c *PartCrashes) noteSent(d *EndpointCrash) {
+	for _, p := range d.Prompts {
+		for _, part := range p.Parts {
+			if at := d.sentAt(p); at.After(c.lastSent[part]) {
+				c.lastSent[part] = at
+			}
+		}
+	}
+}
+
+// renew prolongs the verdicts reported by others on the parts of a crash that came after them.
+func (c *PartCrashes) renew(d *EndpointCrash) {
+	for _, p := range d.Prompts {
+		for _, part := range p.Parts {
+			if v, ok := c.kept[part]; ok && d.sentAt(p).After(v.FailedAt) {
+				c.kept[part] = Verdict{Part: part, Crashes: v.Crashes + 1, FailedAt: d.FailedAt}
+			}
+		}
+	}
+}
+
+// Answered records that an answer to a request with a part began at a time.
+func (c *PartCrashes) Answered(p Part, at time.Time) {
+	last, known := c.answered[p]
+	if known && !at.After(last) {
+		return
+	}
+	if !known && len(c.answered) >= maxAnsweredParts {
+		c.forgetAnswers()
+	}
+	c.answered[p] = at
+	if v, ok := c.kept[p]; ok && at.After(v.FailedAt) {
+		delete(c.kept, p)
+	}
+	if sent, suspected := c.lastSent[p]; suspected && !last.After(sent) {
+		c.changed = true
+	}
+}
+
+// forgetAnswers drops the older half of the recorded answers.
+func (c *PartCrashes) forgetAnswers() {
+	times := slices.SortedFunc(maps.Values(c.answered), time.Time.Compare)
+	middle := times[len(times)/2]
+	maps.DeleteFunc(c.answered, func(_ Part, at time.Time) bool { return !at.After(middle) })
+}
+
+// Keep records a verdict reported by another instance. What this one knows of crashes under the
+// part goes before it.
+func (c *PartCrashes) Keep(now time.Time, v Verdict) {
+	_, suspected := c.lastSent[v.Part]
+	_, kept := c.kept[v.Part]
+	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answered[v.Part].After(v.FailedAt) {
+		c.keep(v)
+	}
+}
+
+func (c *PartCrashes) keep(v Verdict) {
+	known, ok := c.kept[v.Part]
+	if !ok && len(c.kept) >= maxVerdicts {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(c.kept)), compareVerdicts)
+		delete(c.kept, oldest.Part)
+	}
+	if !ok || v.FailedAt.Sub(known.FailedAt) > verdictTolerance {
+		c.kept[v.Part] = v
+	}
+}
+
+func compareVerdicts(a, b Verdict) int {
+	return cmp.Or(a.FailedAt.Compare(b.FailedAt), cmp.Compare(a.Part, b.Part))
+}
+
+// Verdict returns the verdict on a part. ok is false if there is none.
+func (c *PartCrashes) Verdict(now time.Time, p Part) (v Verdict, ok bool) {
+	if len(c.crashes) == 0 && len(c.kept) == 0 {
+		return Verdict{}, false
+	}
+	c.evaluate(now)
+	v, ok = c.verdicts[p]
+	if older, kept := c.kept[p]; kept && (!ok || older.FailedAt.After(v.FailedAt)) {
+		return older, true
+	}
+	return v, ok
+}
+
+// Verdicts returns all verdicts, the latest first.
+func (c *PartCrashes) Verdicts(now time.Time) []Verdict {
+	c.evaluate(now)
+	all := maps.Clone(c.kept)
+	for p, v := range c.verdicts {
+		if older, ok := all[p]; !ok || v.FailedAt.After(older.FailedAt) {
+			all[p] = v
+		}
+	}
+	return slices.SortedFunc(maps.Values(all), func(a, b Verdict) int { return compareVerdicts(b, a) })
+}
+
+// Since returns the crashes since a time, the latest first.
+func (c *PartCrashes) Since(at time.Time) []EndpointCrash {
+	var all []EndpointCrash
+	for _, d := range slices.Backward(c.crashes) {
+		if d.FailedAt.Before(at) {
+			break
+		}
+		all = append(all, *d)
+	}
+	return all
+}
+
+// Answers returns when answers last began to requests with the parts of the given crashes,
+// as far as that clears these parts.
+func (c *PartCrashes) Answers(crashes []EndpointCrash) map[Part]time.Time {
+	answers := make(map[Part]time.Time)
+	for i := range crashes {
+		for _, p := range crashes[i].Prompts {
+			for _, part := range p.Parts {
+				if at := c.answered[part]; at.After(crashes[i].sentAt(p)) {
+					answers[part] = at
+				}
+			}
+		}
+	}
+	return answers
+}
--- /dev/null
+++ b/internal/core/suspect/verdict.go
@@ -0,0 +1,161 @@
+package suspect
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// evidence is what speaks against a part: the crashes under it, in order of FailedAt, by their
+// position in the list that is evaluated.
+type evidence struct {
+	part    Part
+	crashes []int
+	chain   int // how many of the crashes came in sequence
+}
+
+// evaluate finds the verdicts by the crashes that have settled.
+func (c *PartCrashes) evaluate(now time.Time) {
+	if !c.changed && now.Before(c.validUntil) {
+		return
+	}
+	expired := 0
+	for expired < len(c.crashes) && now.Sub(c.crashes[expired].FailedAt) > partCrashExpiry {
+		expired++
+	}
+	c.drop(expired)
+	maps.DeleteFunc(c.kept, func(_ Part, v Verdict) bool { return now.Sub(v.FailedAt) > verdictExpiry })
+	settled := c.crashes
+	c.validUntil = now.Add(partCrashExpiry)
+	for i, d := range c.crashes {
+		if at := d.FailedAt.Add(c.settle); at.After(now) {
+			settled, c.validUntil = c.crashes[:i], at
+			break
+		}
+	}
+	c.changed = false
+	c.verdicts = c.convict(settled)
+}
+
+// convict returns the verdicts that explain the crashes: again and again the part with the most
+// crashes that no verdict explains yet.
+func (c *PartCrashes) convict(crashes []*EndpointCrash) map[Part]Verdict {
+	verdicts := make(map[Part]Verdict)
+	explained := make(map[int]bool)
+	for {
+		suspects := c.suspects(crashes, explained)
+		if len(suspects) == 0 {
+			return verdicts
+		}
+		most := slices.MaxFunc(suspects, func(a, b evidence) int { return len(a.crashes) - len(b.crashes) })
+		culprit := mostSpecific(crashes, suspects, most)
+		equal := rivals(crashes, suspects, culprit)
+		for _, r := range equal {
+			if len(equal) == 1 || r.chain >= ambiguousThreshold {
+				verdicts[r.part] = Verdict{Part: r.part, Crashes: len(r.crashes), FailedAt: crashes[r.crashes[len(r.crashes)-1]].FailedAt}
+			}
+		}
+		for _, i := range culprit.crashes {
+			explained[i] = true
+		}
+	}
+}
+
+// suspects returns the parts with enough crashes in sequence that are not explained, sorted.
+func (c *PartCrashes) suspects(crashes []*EndpointCrash, explained map[int]bool) []evidence {
+	sent := make(map[Part]map[int]time.Time)
+	for i, d := range crashes {
+		if explained[i] {
+			continue
+		}
+		for _, p := range d.Prompts {
+			for _, part := range p.Parts {
+				at := d.sentAt(p)
+				if !at.After(c.answered[part]) {
+					continue
+				}
+				if sent[part] == nil {
+					sent[part] = make(map[int]time.Time)
+				}
+				if at.After(sent[part][i]) {
+					sent[part][i] = at
+				}
+			}
+		}
+	}
+	var suspects []evidence
+	for _, part := range slices.Sorted(maps.Keys(sent)) {
+		e := newEvidence(crashes, part, sent[part])
+		if e.chain >= partThreshold {
+			suspects = append(suspects, e)
+		}
+	}
+	return suspects
+}
+
+// newEvidence counts the crashes under a part, given when its latest request was sent to each
+// endpoint. Those in sequence each got a request after the previous one had crashed.
+func newEvidence(crashes []*EndpointCrash, part Part, sent map[int]time.Time) evidence {
+	e := evidence{part: part, crashes: slices.Sorted(maps.Keys(sent))}
+	last := time.Time{}
+	for _, i := range e.crashes {
+		if !sent[i].Before(last) {
+			e.chain, last = e.chain+1, crashes[i].FailedAt
+		}
+	}
+	return e
+}
+
+// mostSpecific returns the suspect to convict in place of one that has the most crashes: a later
+// part of the same prompts, if the crashes without that one wouldn't convict the other.
+func mostSpecific(crashes []*EndpointCrash, suspects []evidence, e evidence) evidence {
+	for range suspects {
+		var next evidence
+		for _, o := range suspects {
+			if len(o.crashes) > len(next.crashes) && follows(crashes, o, e.part) && len(e.crashes)-common(e.crashes, o.crashes) < partThreshold {
+				next = o
+			}
+		}
+		if len(next.crashes) == 0 {
+			return e
+		}
+		e = next
+	}
+	return e
+}
+
+// rivals returns the suspects with the same crashes as one, and that one, without those that
+// precede it in the same prompts.
+func rivals(crashes []*EndpointCrash, suspects []evidence, e evidence) []evidence {
+	var equal []evidence
+	for _, o := range suspects {
+		if o.part == e.part || slices.Equal(o.crashes, e.crashes) && !follows(crashes, e, o.part) {
+			equal = append(equal, o)
+		}
+	}
+	return equal
+}
+
+// follows reports whether a part comes after another one in a prompt of each of its crashes.
+func follows(crashes []*EndpointCrash, e evidence, other Part) bool {
+	for _, i := range e.crashes {
+		if !slices.ContainsFunc(crashes[i].Prompts, func(p Prompt) bool {
+			before := slices.Index(p.Parts, other)
+			return before >= 0 && slices.Index(p.Parts, e.part) > before
+		}) {
+			return false
+		}
+	}
+	return len(e.crashes) > 0
+}
+
+// common returns how many elements two sorted lists have in common.
+func common(a, b []int) int {
+	n := 0
+	for _, i := range a {
+		if _, ok := slices.BinarySearch(b, i); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
@@ -81,7 +80,7 @@
 }
 
 func (s *state) recordEndpointCrash(now time.Time, incarnation gossip.Incarnation, runs []interruptedRun) {
-	incarnationID := string(incarnation.Endpoint) + "/" + strconv.FormatInt(incarnation.Born, 10)
+	incarnationID := crashID(incarnation.Endpoint, incarnation.Born)
 	for _, r := range runs {
 		d := suspect.Crash{Fingerprint: r.fingerprint, Incarnation: incarnationID, SentAt: r.startedAt, FailedAt: r.interruptedAt}
 		s.crashes.Add(d)
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -195,6 +195,7 @@
 		b.Retiring = append(b.Retiring, gossip.Retirement{Endpoint: r.endpoint, Model: r.model})
 	}
 	b.Holder = s.holderNews()
+	s.addPromptNews(now, b)
 	b.Peer = s.view.Heartbeat()
 	return s.withHolder(s.view.Targets(now), b.Peer.Sequence), b
 }
@@ -238,6 +239,7 @@
 	for _, c := range b.Crashes {
 		s.receiveCrash(now, c, delay)
 	}
+	s.receivePromptNews(now, b, delay)
 	for _, r := range b.Retiring {
 		s.roster.MarkUnloading(now, r.Endpoint, r.Model)
 	}
@@ -326,6 +328,7 @@
 		s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
 	}
 	s.recordCrashes(now)
+	s.logVerdicts(now)
 	s.removeIdleSchedules(now)
 	s.removeOldLimits(now)
 	for name, p := range s.peers {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -247,6 +247,9 @@
 // cleanUp garbage-collects expired state, and connections to endpoints that are gone.
 func (n *Node) cleanUp(context.Context) {
 	n.endpoints.CloseExcept(n.state.cleanUp())
+	if n.state.hasBroken() {
+		n.tasks.RunIfIdle("broken", n.checkBroken)
+	}
 }
 
 // addresses returns where callers at a place may connect, and how long they may cache it.
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -312,6 +312,9 @@
 		if p.refuses(s, r) || r.sent >= siteAttempts {
 			return
 		}
+		if _, err := s.ClaimPrompt(p.query(r)); err != nil {
+			return
+		}
 		var known []*siteEndpoint
 		for _, e := range p.engines {
 			if (e.up || p.clock.elapsed-e.downAt < siteBeat) && !slices.Contains(r.exclude, e.id) {
@@ -407,16 +410,35 @@
 	return float64(all.begun) / max(1, float64(all.requests))
 }
 
+func (p *promptSite) query(r *siteRequest) *balance.Request {
+	return &balance.Request{Service: "s", Parts: r.parts}
+}
+
 func (p *promptSite) refuses(s *state, r *siteRequest) bool {
-	refused := s.IsPoison(r.fingerprint)
+	_, err := s.CheckPrompt(p.query(r))
+	refused := err != nil || s.IsPoison(r.fingerprint)
 	if refused && !r.crashing {
 		p.refused[r.parts[0].ID+"/"+r.parts[1].ID] = true
 	}
 	return refused
 }
 
+// interrupted reports a run that broke off to its instance, which then asks whether the endpoint
+// is gone.
 func (p *promptSite) interrupted(r *siteRun) {
-	r.at.AnswerInterrupted(r.target, r.request.fingerprint, p.clock.now().Add(r.sentAt-p.clock.elapsed))
+	sentAt := p.clock.now().Add(r.sentAt - p.clock.elapsed)
+	r.at.AnswerInterrupted(r.target, r.request.fingerprint, sentAt)
+	if r.request.begun {
+		return
+	}
+	r.at.PromptInterrupted(r.target, p.query(r.request), sentAt)
+	p.after(endCheckDelay+p.between(0, endCheckDelay+siteLinkDelay), func() {
+		for _, e := range r.at.brokenEndpoints() {
+			if e.incarnation == (incarnation{r.target.ID, r.target.Born}) {
+				r.at.recordBroken(e.incarnation, p.clock.now(), !r.endpoint.up, nil)
+			}
+		}
+	})
 }
 
-func (p *promptSite) answered(*siteRun) {}
+func (p *promptSite) answered(r *siteRun) { r.at.PromptBegun(p.query(r.request)) }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -87,14 +87,20 @@
 	interruptedRuns  map[gossip.Incarnation][]interruptedRun
 	crashes          *suspect.CrashChains
 	announcedCrashes []announcedCrash
-	leftEndpoints    []gossip.Incarnation
-	leaving          bool
-	mayOrder         bool
-	fence            fleet.Fence
-	retirements      []retirement
-	lastHolder       announcedHolder
-	schedules        schedules
-	limits           map[incarnation]*endpointLimit
+	// brokenPrompts are the prompts in flight at endpoints that may have crashed, parts what is
+	// known of the parts of prompts that crash endpoints.
+	brokenPrompts  map[incarnation][]brokenPrompt
+	parts          *suspect.PartCrashes
+	reviews        map[suspect.Part]time.Time // when this instance last tried a convicted part
+	loggedVerdicts map[suspect.Part]bool
+	leftEndpoints  []gossip.Incarnation
+	leaving        bool
+	mayOrder       bool
+	fence          fleet.Fence
+	retirements    []retirement
+	lastHolder     announcedHolder
+	schedules      schedules
+	limits         map[incarnation]*endpointLimit
 	// dispatchers are the instances that probe the endpoints, as of a version of the view.
 	dispatchers        map[fleet.Endpoint]member.Peer
 	dispatchersVersion uint64
@@ -124,6 +130,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
+		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewPartCrashes(settleBeats * interval), reviews: make(map[suspect.Part]time.Time),
 		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 	}
 }
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
@@ -345,6 +346,30 @@
 	_ = group.Wait() // failures are recorded above
 }
 
+// checkBroken asks the endpoints to which connections broke before answers had begun whether they
+// are gone, until none is left.
+func (n *Node) checkBroken(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, endCheckDelay)
+		endpoints := n.state.brokenEndpoints()
+		if len(endpoints) == 0 {
+			return
+		}
+		var group errgroup.Group
+		for _, e := range endpoints {
+			group.Go(func() error {
+				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				askedAt := n.clock()
+				gone, err := n.endpoints.Gone(ctx, e.id, e.born, e.address)
+				n.state.recordBroken(e.incarnation, askedAt, gone, err)
+				return nil
+			})
+		}
+		_ = group.Wait() // failures are recorded above
+	}
+}
+
 // Ensure gets an adapter loaded on behalf of another instance.
 func (n *Node) Ensure(ctx context.Context, e *gossip.Ensure) (*gossip.EnsureReply, error) {
 	answer := &gossip.EnsureReply{}
@@ -360,6 +385,12 @@
 	node *Node
 }
 
+// PromptInterrupted also has the endpoint asked whether it is gone.
+func (g gatewayFleet) PromptInterrupted(t gateway.Target, a *balance.Request, sentAt time.Time) {
+	g.state.PromptInterrupted(t, a, sentAt)
+	g.node.tasks.RunIfIdle("broken", g.node.checkBroken)
+}
+
 // Ensure gets an adapter loaded: by this instance if it may give orders, else through the
 // lease holder.
 func (g gatewayFleet) Ensure(ctx context.Context, t gateway.Target, m fleet.Model, a fleet.Adapter) error {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,7 @@
 	timer    *silenceTimer
 	sentAt   time.Time
 	answered bool // the endpoint has answered
+	begun    bool // the endpoint has sent a whole event or answer
 	// mayHaveRun is set if another endpoint may have run the request before.
 	mayHaveRun bool
 	// retryTaken is set if a retry was taken from the budget for it.
@@ -80,6 +81,9 @@
 	if wait, err := a.awaitAdmission(ctx); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err, predictedWait: wait}
 	}
+	if err := a.claimPrompt(); err != nil {
+		return result{attempt: a, outcome: outcomeNotRun, err: err}
+	}
 	ctx, span := j.gateway.tracer.Start(ctx, "attempt")
 	defer span.End()
 	outcome, err := a.send(ctx)
@@ -202,6 +206,9 @@
 		return outcomeUnknown, fmt.Errorf("read answer: %w", err)
 	}
 	a.markAnswered()
+	if answer.Status/100 == 2 {
+		a.promptBegun()
+	}
 	if j.delivery.begun() {
 		return outcomeUnknown, fmt.Errorf("stream could not be resumed, status %d", answer.Status)
 	}
@@ -231,6 +238,7 @@
 	f := a.job.gateway.fleet
 	f.Failed(a.target)
 	f.AnswerInterrupted(a.target, a.job.fingerprint, a.sentAt)
+	a.promptInterrupted()
 }
 
 // passStream passes events on as they arrive, each only once it is complete.
@@ -245,6 +253,7 @@
 		}
 		pending = append(pending, buffer[:n]...)
 		if end := bytes.LastIndex(pending, []byte("\n\n")); end >= 0 {
+			a.promptBegun()
 			a.timer.close() // a caller that reads slowly is no silence of the endpoint
 			if !j.delivery.take(a) {
 				return outcomeSuperseded, nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -27,6 +27,7 @@
 
 // fakeFleet chooses the runners in their order, skipping those already tried.
 type fakeFleet struct {
+	fakeGuard
 	runners     []*standin.Runner
 	route       *catalog.Route
 	outdated    bool
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -140,6 +140,9 @@
 	if j.gateway.fleet.IsPoison(j.fingerprint) {
 		return ErrPoison
 	}
+	if err := j.checkPrompt(); err != nil {
+		return err
+	}
 	a := &attempt{job: j, query: j.query, mayHaveRun: j.mayHaveRun, retryTaken: j.sent.Load() > 0}
 	a.query.Exclude = slices.Clone(j.query.Exclude)
 	target, err := j.gateway.fleet.Choose(&a.query)
@@ -225,7 +228,7 @@
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
-	case j.tries >= maxTries:
+	case j.tries >= maxTries, errors.Is(j.failure, ErrCrashingPart):
 		return false
 	case j.sent.Load() == 0:
 		return true // no endpoint has received the request yet
@@ -267,7 +270,10 @@
 // retryAfter returns when a refused caller may try again: some time after the queued work
 // should be done, or when the missing model or adapter may be loaded.
 func (j *job) retryAfter() time.Duration {
+	var refused *promptRefusal
 	switch {
+	case errors.As(j.failure, &refused):
+		return refused.wait
 	case errors.Is(j.failure, ErrNoEndpoint) && j.request.Model != "":
 		return modelLoadRetryAfter
 	case errors.Is(j.failure, ErrNoAdapter), j.adapterOrders > 0 && j.sent.Load() == 0:
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -39,6 +39,9 @@
 	ErrNoEndpoint = errors.New("no endpoint can take the request")
 	// ErrPoison is returned for a poison request: endpoints crashed while they ran it.
 	ErrPoison = errors.New("endpoints crashed while running this request")
+	// ErrCrashingPart is returned for a request whose prompt has a part under which endpoints
+	// crashed. Others may be the cause, so the request may be repeated later.
+	ErrCrashingPart = errors.New("endpoints crashed under a part of the prompt")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -192,6 +195,7 @@
 	AnswerInterrupted(t Target, f suspect.Fingerprint, sentAt time.Time)
 	AnswerCompleted(f suspect.Fingerprint)
 	IsPoison(f suspect.Fingerprint) bool
+	PromptGuard
 	// CountRequest counts a request for the retry budget and the demand of its model. TakeRetry
 	// takes one retry from the budget and reports whether there was one.
 	CountRequest(a *balance.Request)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/core/transfer"
 )
 
@@ -50,6 +51,12 @@
 	Limits []Limit `cbor:"g,omitempty"`
 	// Crashes are the requests that recently were in flight on endpoints that crashed.
 	Crashes []Crash `cbor:"v"`
+	// Ended are endpoints that recently crashed, with the prompts that were in flight there,
+	// Begun the answers that clear parts of these prompts, Verdicts the parts that crash
+	// endpoints, as far as the sender knows.
+	Ended    []EndpointCrash `cbor:"w,omitempty"`
+	Begun    []BegunPart     `cbor:"b,omitempty"`
+	Verdicts []PartVerdict   `cbor:"m,omitempty"`
 }
 
 // WithoutDemand returns a copy of the heartbeat without what only the holder of the order
@@ -88,6 +95,34 @@
 	FailedAgo   time.Duration `cbor:"x"`
 }
 
+// EndpointCrash is the crash of an endpoint with the prompts of the requests in flight whose
+// answers had not begun, FailedAgo before the heartbeat was sent.
+type EndpointCrash struct {
+	Incarnation string        `cbor:"i"`
+	FailedAgo   time.Duration `cbor:"x"`
+	Prompts     []SentPrompt  `cbor:"p"`
+}
+
+// SentPrompt are the parts of a prompt but the last one, sent to the endpoint Age before the crash.
+type SentPrompt struct {
+	Parts []suspect.Part `cbor:"p"`
+	Age   time.Duration  `cbor:"g"`
+}
+
+// BegunPart is a part of a prompt to which an answer began Ago before the heartbeat was sent.
+type BegunPart struct {
+	Part suspect.Part  `cbor:"p"`
+	Ago  time.Duration `cbor:"g"`
+}
+
+// PartVerdict is a part of prompts under which endpoints crashed, the last one FailedAgo before
+// the heartbeat was sent.
+type PartVerdict struct {
+	Part      suspect.Part  `cbor:"p"`
+	Crashes   int           `cbor:"n"`
+	FailedAgo time.Duration `cbor:"x"`
+}
+
 // Retirement identifies a copy of a model that is about to be unloaded.
 type Retirement struct {
 	Endpoint fleet.Endpoint `cbor:"i"`
