fix(direct): shared prompt parts need more crashes; verdicts are reviewed

A verdict is reviewed one minute after the last crash, by one request at one instance, and twice as late after each review that ends an endpoint. An answer that ends a verdict is announced; instances that start take verdicts over.

--- a/internal/core/suspect/part.go
+++ b/internal/core/suspect/part.go
@@ -12,13 +12,17 @@
 
 const (
 	// partThreshold is how many endpoints must crash in sequence under a part, none of which
-	// another part explains. ambiguousThreshold applies to parts that occur in the same crashes.
-	partThreshold      = 3
+	// another part explains. ambiguousThreshold applies to parts that occur in the same crashes,
+	// and to those that various parts follow: many requests share them, so that some are in
+	// flight at most crashes whatever their cause.
+	partThreshold      = 4
 	ambiguousThreshold = 5
 	// partCrashExpiry is how long a crash counts, verdictExpiry how long a verdict is kept after
 	// the last crash.
 	partCrashExpiry = 10 * time.Minute
 	verdictExpiry   = DefaultExpiry
+	// reviewGap is the shortest time without a crash after which one counts as that of a review.
+	reviewGap = 30 * time.Second
 	// verdictTolerance is by how much reports of the same crash may differ in time.
 	verdictTolerance = 2 * time.Second
 	// Limits on what is kept.
@@ -66,6 +70,17 @@
 	// Crashes is how many endpoints crashed under it, FailedAt when the last one did.
 	Crashes  int
 	FailedAt time.Time
+	// Reviews is how many of the crashes came long after the one before.
+	Reviews int
+}
+
+// next returns the verdict after another crash.
+func (v Verdict) next(failedAt time.Time) Verdict {
+	if v.Crashes > 0 && failedAt.Sub(v.FailedAt) >= reviewGap {
+		v.Reviews++
+	}
+	v.Crashes, v.FailedAt = v.Crashes+1, failedAt
+	return v
 }
 
 // PartCrashes finds the parts of prompts that crash endpoints, for instances that each see
@@ -79,8 +94,9 @@
 	// lastSent is when the latest request with a part was sent that was in flight at a crash.
 	lastSent map[Part]time.Time
 	answered map[Part]time.Time
-	verdicts map[Part]Verdict // as of evaluated, by the crashes known
-	kept     map[Part]Verdict // reported by others, or their crashes are no longer known
+	verdicts map[Part]Verdict   // as of evaluated, by the crashes known
+	kept     map[Part]Verdict   // reported by others, or their crashes are no longer known
+	cleared  map[Part]time.Time // when answers began that ended verdicts
 	// changed is set if what is known has changed since the evaluation, which holds until
 	// validUntil otherwise.
 	changed    bool
@@ -92,6 +108,7 @@
 func NewPartCrashes(settle time.Duration) *PartCrashes {
 	return &PartCrashes{
 		settle: settle, lastSent: make(map[Part]time.Time), answered: make(map[Part]time.Time), verdicts: make(map[Part]Verdict), kept: make(map[Part]Verdict),
+		cleared: make(map[Part]time.Time),
 	}
 }
 
@@ -174,7 +191,7 @@
 	for _, p := range d.Prompts {
 		for _, part := range p.Parts {
 			if v, ok := c.kept[part]; ok && d.sentAt(p).After(v.FailedAt) {
-				c.kept[part] = Verdict{Part: part, Crashes: v.Crashes + 1, FailedAt: d.FailedAt}
+				c.kept[part] = v.next(d.FailedAt)
 			}
 		}
 	}
@@ -190,8 +207,11 @@
 		c.forgetAnswers()
 	}
 	c.answered[p] = at
-	if v, ok := c.kept[p]; ok && at.After(v.FailedAt) {
-		delete(c.kept, p)
+	for _, verdicts := range []map[Part]Verdict{c.kept, c.verdicts} {
+		if v, ok := verdicts[p]; ok && at.After(v.FailedAt) {
+			delete(verdicts, p)
+			c.cleared[p] = at
+		}
 	}
 	if sent, suspected := c.lastSent[p]; suspected && !last.After(sent) {
 		c.changed = true
@@ -267,10 +287,11 @@
 	return all
 }
 
-// Answers returns when answers last began to requests with the parts of the given crashes,
-// as far as that clears these parts.
-func (c *PartCrashes) Answers(crashes []EndpointCrash) map[Part]time.Time {
-	answers := make(map[Part]time.Time)
+// Answers returns when answers last began to requests with the parts of the given crashes, as far
+// as that clears these parts, and the answers that have ended verdicts since a time.
+func (c *PartCrashes) Answers(crashes []EndpointCrash, since time.Time) map[Part]time.Time {
+	maps.DeleteFunc(c.cleared, func(_ Part, at time.Time) bool { return at.Before(since) })
+	answers := maps.Clone(c.cleared)
 	for i := range crashes {
 		for _, p := range crashes[i].Prompts {
 			for _, part := range p.Parts {
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -51,8 +51,8 @@
 		culprit := mostSpecific(crashes, suspects, most)
 		equal := rivals(crashes, suspects, culprit)
 		for _, r := range equal {
-			if len(equal) == 1 || r.chain >= ambiguousThreshold {
-				verdicts[r.part] = Verdict{Part: r.part, Crashes: len(r.crashes), FailedAt: crashes[r.crashes[len(r.crashes)-1]].FailedAt}
+			if r.chain >= ambiguousThreshold || len(equal) == 1 && !isShared(crashes, r) {
+				verdicts[r.part] = newVerdict(crashes, r)
 			}
 		}
 		for _, i := range culprit.crashes {
@@ -136,6 +136,32 @@
 	return equal
 }
 
+func newVerdict(crashes []*EndpointCrash, e evidence) Verdict {
+	v := Verdict{Part: e.part}
+	for _, i := range e.crashes {
+		v = v.next(crashes[i].FailedAt)
+	}
+	return v
+}
+
+// isShared reports whether different parts come after a part in the prompts of its crashes.
+func isShared(crashes []*EndpointCrash, e evidence) bool {
+	var follower Part
+	for _, i := range e.crashes {
+		for _, p := range crashes[i].Prompts {
+			at := slices.Index(p.Parts, e.part)
+			if at < 0 || at == len(p.Parts)-1 {
+				continue
+			}
+			if next := p.Parts[at+1]; follower != "" && next != follower {
+				return true
+			}
+			follower = p.Parts[at+1]
+		}
+	}
+	return false
+}
+
 // follows reports whether a part comes after another one in a prompt of each of its crashes.
 func follows(crashes []*EndpointCrash, e evidence, other Part) bool {
 	for _, i := range e.crashes {
--- a/internal/direct/prompt.go
+++ b/internal/direct/prompt.go
@@ -18,16 +18,18 @@
 const (
 	// settleBeats is how many heartbeat intervals the reports of answers take to arrive: a few
 	// rounds of them reach an instance of a large fleet.
-	settleBeats = 4
+	settleBeats = 3
 	// endCheckDelay is how long after a connection broke its endpoint is asked whether it is gone.
 	endCheckDelay = 100 * time.Millisecond
 	// brokenRunRetention is how long an endpoint may take to be found gone after the connection
 	// to it broke.
 	brokenRunRetention = 2 * time.Second
-	// partReviewAfter is how long after the last crash a part of prompts is refused. Then one
-	// request with it may be sent in each partReviewTurn, by an instance that changes with it.
-	partReviewAfter = 5 * time.Minute
-	partReviewTurn  = 10 * time.Second
+	// partReviewAfter is how long after the last crash a part of prompts is refused, twice as long
+	// after each review that ended an endpoint, maxReviewDoublings times at most. Then one request
+	// with it may be sent in each partReviewTurn, by an instance that changes with it.
+	partReviewAfter    = time.Minute
+	maxReviewDoublings = 4
+	partReviewTurn     = 10 * time.Second
 	// promptNewsTime is how long heartbeats repeat a crash and the answers that clear parts of it.
 	promptNewsTime = 4 * time.Second
 	// maxTransit is the longest usual time of a heartbeat on its way. Times of answers that are
@@ -117,10 +119,15 @@
 	return 0, nil
 }
 
+// reviewAfter returns how long after its last crash a part is refused.
+func reviewAfter(v suspect.Verdict) time.Duration {
+	return partReviewAfter << min(v.Reviews, maxReviewDoublings)
+}
+
 // reviewTurn returns the number of the turn in which a verdict is reviewed, negative before the
 // first one.
 func reviewTurn(now time.Time, v suspect.Verdict) int {
-	age := now.Sub(v.FailedAt) - partReviewAfter
+	age := now.Sub(v.FailedAt) - reviewAfter(v)
 	if age < 0 {
 		return -1
 	}
@@ -131,10 +138,10 @@
 func (s *state) untilReview(now time.Time, v suspect.Verdict) time.Duration {
 	turn := reviewTurn(now, v)
 	if turn < 0 {
-		return v.FailedAt.Add(partReviewAfter).Sub(now)
+		return v.FailedAt.Add(reviewAfter(v)).Sub(now)
 	}
 	if now.Sub(s.reviews[v.Part]) < partReviewTurn || s.reviewer(v.Part, turn) != s.view.Self().Instance {
-		return v.FailedAt.Add(partReviewAfter + time.Duration(turn+1)*partReviewTurn).Sub(now)
+		return v.FailedAt.Add(reviewAfter(v) + time.Duration(turn+1)*partReviewTurn).Sub(now)
 	}
 	return 0
 }
@@ -230,14 +237,14 @@
 		}
 		b.Ended = append(b.Ended, d)
 	}
-	for part, at := range s.parts.Answers(recent) {
+	for part, at := range s.parts.Answers(recent, now.Add(-promptNewsTime)) {
 		if len(b.Begun) < maxAnnouncedBegun {
 			b.Begun = append(b.Begun, gossip.BegunPart{Part: part, Ago: now.Sub(at)})
 		}
 	}
 	verdicts := s.parts.Verdicts(now)
 	for _, v := range verdicts[:min(len(verdicts), maxAnnouncedVerdicts)] {
-		b.Verdicts = append(b.Verdicts, gossip.PartVerdict{Part: v.Part, Crashes: v.Crashes, FailedAgo: now.Sub(v.FailedAt)})
+		b.Verdicts = append(b.Verdicts, gossip.PartVerdict{Part: v.Part, Crashes: v.Crashes, Reviews: v.Reviews, FailedAgo: now.Sub(v.FailedAt)})
 	}
 }
 
@@ -257,7 +264,7 @@
 	}
 	for _, v := range b.Verdicts {
 		if v.FailedAgo+delay > promptNewsTime {
-			s.parts.Keep(now, suspect.Verdict{Part: v.Part, Crashes: v.Crashes, FailedAt: at(v.FailedAgo)})
+			s.parts.Keep(now, suspect.Verdict{Part: v.Part, Crashes: v.Crashes, Reviews: v.Reviews, FailedAt: at(v.FailedAgo)})
 		}
 	}
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -120,6 +120,7 @@
 type PartVerdict struct {
 	Part      suspect.Part  `cbor:"p"`
 	Crashes   int           `cbor:"n"`
+	Reviews   int           `cbor:"r"`
 	FailedAgo time.Duration `cbor:"x"`
 }
 
