--- /dev/null
+++ b/internal/core/suspect/part_test.go
@@ -0,0 +1,165 @@
+package suspect_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
+)
+
+const settle = time.Second
+
+// crashUnder is a crash at a time in milliseconds, under prompts such as "a b" that were sent some
+// time before it.
+type crashUnder struct {
+	at      int
+	prompts []string
+	age     int
+}
+
+func parts(prompt string) []suspect.Part {
+	var list []suspect.Part
+	for id := range strings.FieldsSeq(prompt) {
+		list = append(list, suspect.NewPart(id))
+	}
+	return list
+}
+
+func partCrashes(crashes []crashUnder) (*suspect.PartCrashes, func(ms int) time.Time) {
+	start := time.Unix(1_000_000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	c := suspect.NewPartCrashes(settle)
+	for i, d := range crashes {
+		c.Add(at(d.at), endpointCrash(i, d, at))
+	}
+	return c, at
+}
+
+func endpointCrash(i int, d crashUnder, at func(int) time.Time) suspect.EndpointCrash {
+	e := suspect.EndpointCrash{Incarnation: fmt.Sprint(i), FailedAt: at(d.at)}
+	for _, p := range d.prompts {
+		e.Prompts = append(e.Prompts, suspect.Prompt{Parts: parts(p), Age: time.Duration(d.age) * time.Millisecond})
+	}
+	return e
+}
+
+func convicted(c *suspect.PartCrashes, now time.Time) string {
+	var ids []string
+	for _, v := range c.Verdicts(now) {
+		ids = append(ids, string(v.Part))
+	}
+	return strings.Join(ids, " ")
+}
+
+func TestPartCrashes(t *testing.T) {
+	under := func(at int, prompts ...string) crashUnder { return crashUnder{at: at, prompts: prompts, age: 50} }
+	series := func(crashes ...string) []crashUnder { // one each 200 ms
+		var list []crashUnder
+		for i, prompts := range crashes {
+			list = append(list, under(200*i, strings.Split(prompts, ", ")...))
+		}
+		return list
+	}
+	tests := []struct {
+		name     string
+		crashes  []crashUnder
+		answered map[string]int // when answers to parts began
+		want     string
+	}{
+		{name: "three crashes", crashes: series("f x", "f x", "f x")},
+		{name: "second part, first part answered", crashes: series("f x", "f x", "f x", "f x"), answered: map[string]int{"f": 590}, want: "x"},
+		{name: "second part, nothing answered", crashes: series("f x", "f x", "f x", "f x"), want: "x"},
+		{name: "a shared part, four crashes", crashes: series("f a", "f b", "f c", "f d")},
+		{name: "first part", crashes: series("f a", "f b", "f c", "f d", "f e"), want: "f"},
+		{name: "first part, one second part four times", crashes: series("f a", "f a", "f a", "f a", "f b", "f c", "f d", "f e", "f g"), want: "f"},
+		{name: "second of three parts", crashes: series("f x a", "f x b", "f x c", "f x d", "f x e"), answered: map[string]int{"f": 790}, want: "x"},
+		{name: "first part also in crashes of another cause", crashes: series("f x", "f a", "f x", "f b", "f x", "f x"), want: "x"},
+		{name: "beside sound requests", crashes: series("f x, f s", "f s, f x", "f x", "f s, f x", "f x, f s"), want: "x"},
+		{name: "beside the same sound request each time", crashes: series("f x, g s", "f x, g s", "f x, g s", "f x, g s")},
+		{name: "beside it until one tells them apart", crashes: series("f x, g s", "f x, g s", "f x, g s", "f x, g s", "f x"), want: "x"},
+		{name: "beside it five times", crashes: series("x, s", "x, s", "x, s", "x, s", "x, s"), want: "x s"},
+		{name: "answered last", crashes: series("f x", "f x", "f x", "f x"), answered: map[string]int{"f": 560, "x": 560}},
+		{name: "answered between two crashes", crashes: series("x", "x", "x", "x"), answered: map[string]int{"x": 180}},
+		{name: "endpoints that end at once", crashes: []crashUnder{under(900, "x"), under(900, "x"), under(910, "x"), under(920, "x"), under(930, "x")}},
+		{name: "two parts", crashes: series("x", "y", "x", "y", "x", "y", "x", "y"), want: "y x"},
+		{name: "parts in any order", crashes: series("a b, b a", "a b, b a", "a b, b a", "a b, b a", "a b, b a"), want: "a"},
+		{name: "no prompts", crashes: []crashUnder{under(0), under(500), under(700), under(900)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, at := partCrashes(tt.crashes)
+			for id, ms := range tt.answered {
+				c.Answered(suspect.NewPart(id), at(ms))
+			}
+			if tt.want != "" {
+				assert.NotEqual(t, tt.want, convicted(c, at(1250)), "not before the crashes have settled")
+			}
+			assert.Equal(t, tt.want, convicted(c, at(3000)))
+		})
+	}
+}
+
+// An answer that is reported late clears a part again; an older one doesn't.
+func TestLateAnswerClearsAPart(t *testing.T) {
+	c, at := partCrashes([]crashUnder{{at: 0, prompts: []string{"x"}}, {at: 500, prompts: []string{"x"}}, {at: 700, prompts: []string{"x"}}, {at: 900, prompts: []string{"x"}}})
+	_, found := c.Verdict(at(2000), "x")
+	assert.True(t, found)
+	c.Answered("x", at(-100))
+	_, found = c.Verdict(at(2000), "x")
+	assert.True(t, found)
+	c.Answered("x", at(901))
+	_, found = c.Verdict(at(2000), "x")
+	assert.False(t, found)
+}
+
+// An instance that has just started takes over the verdicts of others, and goes by what it knows
+// itself of the crashes where it does.
+func TestVerdictsOfOthers(t *testing.T) {
+	c, at := partCrashes(nil)
+	c.Keep(at(0), suspect.Verdict{Part: "x", Crashes: 4, FailedAt: at(-5000)})
+	assert.Equal(t, "x", convicted(c, at(0)))
+	c.Keep(at(10), suspect.Verdict{Part: "x", Crashes: 4, FailedAt: at(-4900)})
+	v, _ := c.Verdict(at(10), "x")
+	assert.Equal(t, at(-5000), v.FailedAt, "the same crash, reported with a delay")
+	c.Add(at(20), endpointCrash(0, crashUnder{at: 20, prompts: []string{"x"}, age: 10}, at))
+	v, _ = c.Verdict(at(20), "x")
+	assert.Equal(t, suspect.Verdict{Part: "x", Crashes: 5, FailedAt: at(20)}, v)
+	c.Add(at(40_000), endpointCrash(1, crashUnder{at: 40_000, prompts: []string{"x"}, age: 10}, at))
+	v, _ = c.Verdict(at(40_000), "x")
+	assert.Equal(t, suspect.Verdict{Part: "x", Crashes: 6, FailedAt: at(40_000), Reviews: 1}, v)
+	c.Answered("x", at(40_010))
+	assert.Empty(t, convicted(c, at(40_010)))
+	assert.Equal(t, map[suspect.Part]time.Time{"x": at(40_010)}, c.Answers(nil, at(39_000)), "others must hear of it")
+	c.Keep(at(40_020), suspect.Verdict{Part: "x", Crashes: 6, FailedAt: at(40_000)})
+	assert.Empty(t, convicted(c, at(40_020)), "answered since")
+	assert.Empty(t, c.Answers(nil, at(50_000)))
+
+	c, at = partCrashes([]crashUnder{{at: 0, prompts: []string{"x"}}})
+	c.Keep(at(10), suspect.Verdict{Part: "x", Crashes: 3, FailedAt: at(0)})
+	assert.Empty(t, convicted(c, at(3000)), "one crash doesn't convict it here")
+}
+
+// The verdict on a part outlasts its crashes, which make room for others, and ends some time after
+// the last one.
+func TestPartCrashesAreBounded(t *testing.T) {
+	c, at := partCrashes([]crashUnder{{at: 0, prompts: []string{"x"}}, {at: 500, prompts: []string{"x"}}, {at: 700, prompts: []string{"x"}}, {at: 900, prompts: []string{"x"}}})
+	assert.Equal(t, "x", convicted(c, at(2000)))
+	for i := range 1000 {
+		c.Add(at(2000+i), endpointCrash(10+i, crashUnder{at: 2000 + i, prompts: []string{fmt.Sprint("p", i)}}, at))
+		c.Answered(suspect.NewPart(fmt.Sprint("q", i)), at(2000+i))
+	}
+	assert.Len(t, c.Since(at(0)), 128)
+	assert.Equal(t, "x", convicted(c, at(5000)))
+	assert.Equal(t, "x", convicted(c, at(0).Add(20*time.Minute)))
+	assert.Empty(t, convicted(c, at(0).Add(31*time.Minute)))
+	assert.Empty(t, c.Since(at(0)))
+	for i := range 1000 {
+		c.Keep(at(i), suspect.Verdict{Part: suspect.NewPart(fmt.Sprint("r", i)), FailedAt: at(i)})
+	}
+	assert.Len(t, c.Verdicts(at(1000)), 64)
+	assert.LessOrEqual(t, len(suspect.NewPart(strings.Repeat("f", 5000))), 32)
+}
