test(process): the soak detects that a store's return, leaving, sparing or a limit is ignored

Cause: the reaction to a store that came back from an older copy, and to endpoints that leave by their answers, ask to be spared or name a limit, had no switch, so nothing showed that the soak would see them missing; what the return endangers, fences that are used again, wasn't compared.

--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -36,6 +36,15 @@
 	ConfirmedNotRun Mechanism = "honest"
 	// NewestConfig rejects a configuration that is older than the one in force.
 	NewestConfig Mechanism = "forward"
+	// Eras tells revisions, guards and leases from before a return of the store from an older copy
+	// from later ones.
+	Eras Mechanism = "eras"
+	// AnsweredLeaving treats an endpoint as leaving once one of its answers says so.
+	AnsweredLeaving Mechanism = "answered-leaving"
+	// Spare sends nothing to an endpoint for as long as it has asked to be spared.
+	Spare Mechanism = "spare"
+	// Limit keeps to the requests a second that an endpoint has asked for.
+	Limit Mechanism = "limit"
 )
 
 // CrashPoint names a point in the code at which tests can make a process crash.
