fix(direct): a claim of the order lease that reaches the store after its return has no effect

Cause: the store compares the numbers of guards and leases only. A claim that was under way while the store came back from an older copy could write the holder's key under a number that was given out again, as the lease of another machine, while its sender took it for failed: nobody else could give orders for as long as that lease was renewed.

Change: a holder first writes a key that only its lease has, and guards its claim and its record with it. The model returns lets calls from before the return take effect at any time after it.

One more write of the store for each claim.

--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -21,6 +21,9 @@
 	holderKey = "chiveramp/holder"
 	// lastHolderKey is the store key that names the last holder; it outlives the lease.
 	lastHolderKey = "chiveramp/last"
+	// claimPrefix is the prefix of the keys that prove to the store that a lease is still the one
+	// that was granted.
+	claimPrefix = "chiveramp/claims/"
 	// acquireSpacing staggers the instances' attempts to acquire the order lease.
 	acquireSpacing = 600 * time.Millisecond
 )
@@ -37,11 +40,12 @@
 	mu                 sync.Mutex
 	tenure             *tenure.OrderLease
 	lease              platform.Lease
-	lastHolderRevision int64         // revision of lastHolderKey, 0 once it names this machine
-	eraSince           time.Duration // since when the store's era has been known here
-	seenReturn         bool          // the store has come back from an older copy meanwhile
-	vacantSince        time.Duration // since when no peer announces that it holds the lease
-	triedAt            time.Duration // when this instance last tried to acquire it, 0 before the first time
+	proof              platform.Write // guards the calls made under the lease
+	lastHolderRevision int64          // revision of lastHolderKey, 0 once it names this machine
+	eraSince           time.Duration  // since when the store's era has been known here
+	seenReturn         bool           // the store has come back from an older copy meanwhile
+	vacantSince        time.Duration  // since when no peer announces that it holds the lease
+	triedAt            time.Duration  // when this instance last tried to acquire it, 0 before the first time
 	released           bool
 }
 
@@ -90,10 +94,10 @@
 func (o *orderLease) maintain(ctx context.Context, s *state) {
 	o.mu.Lock()
 	lease, released, held := o.lease, o.released, o.tenure.Held(uptime())
-	lastHolderRevision, mayOrder := o.lastHolderRevision, o.tenure.MayOrder(uptime())
+	lastHolderRevision, proof, mayOrder := o.lastHolderRevision, o.proof, o.tenure.MayOrder(uptime())
 	o.mu.Unlock()
 	if !released && mayOrder && lastHolderRevision != 0 {
-		o.recordHolder(ctx, lastHolderRevision)
+		o.recordHolder(ctx, lastHolderRevision, proof)
 	}
 	switch {
 	case released:
@@ -161,7 +165,7 @@
 		_ = o.logger.Log("step", "right refused", "err", err)
 		return
 	}
-	o.lease, o.lastHolderRevision = c.lease, 0
+	o.lease, o.proof, o.lastHolderRevision = c.lease, c.proof, 0
 	if !c.noOther {
 		o.lastHolderRevision = int64(c.fence)
 	}
@@ -178,10 +182,10 @@
 
 // recordHolder writes this machine as the last holder, after it has waited until the previous
 // holder can no longer have sent orders.
-func (o *orderLease) recordHolder(ctx context.Context, revision int64) {
+func (o *orderLease) recordHolder(ctx context.Context, revision int64, proof platform.Write) {
 	ctx, cancel := context.WithTimeout(ctx, o.callTimeout)
 	defer cancel()
-	_, err := o.store.Put(ctx, platform.Write{Key: lastHolderKey, Value: []byte(tenure.InEra(o.name, o.store.Era())), Guard: revision})
+	_, err := o.store.Put(ctx, proof, platform.Write{Key: lastHolderKey, Value: []byte(tenure.InEra(o.name, o.store.Era())), Guard: revision})
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lastHolderRevision == revision && (err == nil || errors.Is(err, platform.ErrConflict)) {
@@ -195,6 +199,7 @@
 // the last holder tells so or not.
 type claimed struct {
 	lease                      platform.Lease
+	proof                      platform.Write
 	fence                      fleet.Fence
 	held, noOther, recordHolds bool
 }
@@ -221,6 +226,9 @@
 	if err != nil {
 		return c, err
 	}
+	if c.proof, err = o.prove(ctx, c.lease); err != nil {
+		return c, err
+	}
 	era := o.store.Era()
 	self := tenure.InEra(o.name, era)
 	o.mu.Lock() // the calls before may have shown a new era
@@ -232,13 +240,23 @@
 	if c.held {
 		c.noOther = mayOrder
 	}
-	revision, err := o.store.Put(ctx,
+	revision, err := o.store.Put(ctx, c.proof,
 		platform.Write{Key: holderKey, Value: []byte(o.name), Lease: c.lease, Guard: holder.Revision},
 		platform.Write{Key: lastHolderKey, Value: []byte(tenure.HolderRecord(c.noOther, self)), Guard: last.Revision})
 	c.fence = fleet.Fence(revision)
 	return c, err
 }
 
+// prove writes a key that only this lease has and returns its guard. A call with that guard which
+// reaches the store after its return from an older copy has no effect, though the numbers of its
+// other guards and of its lease may have been given out again: the key is lost, or the copy has the
+// lease too.
+func (o *orderLease) prove(ctx context.Context, lease platform.Lease) (platform.Write, error) {
+	key := claimPrefix + lease.String()
+	revision, err := o.store.Put(ctx, platform.Write{Key: key, Value: []byte(o.name), Lease: lease})
+	return platform.Write{Key: key, Guard: revision, GuardOnly: true}, err
+}
+
 // get reads a key. It returns the zero item if there is none.
 func (o *orderLease) get(ctx context.Context, key string) (platform.Item, error) {
 	item, _, err := o.store.Get(ctx, key)
--- a/internal/direct/order_lease_test.go
+++ b/internal/direct/order_lease_test.go
@@ -1,7 +1,14 @@
 package direct
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,11 +25,15 @@
 // newTestOrderLease returns the order lease of an instance that has tried to acquire it in a
 // fake store.
 func newTestOrderLease(ctx context.Context, store *standin.Store, name string, separation time.Duration) *orderLease {
+	return newTestOrderLeaseAt(ctx, store.Address(), name, separation)
+}
+
+func newTestOrderLeaseAt(ctx context.Context, address, name string, separation time.Duration) *orderLease {
 	c := config.Gateway{}
 	c.Instance.Name, c.Listen.Peer = name, name+":1"
 	c.Orders.Lease, c.Store.Timeout = time.Minute, time.Second
 	var r *orderLease
-	client := platform.NewStore(store.Address(), platform.WithNewEra(func(_ int64, returned bool) { r.newEra(returned) }))
+	client := platform.NewStore(address, platform.WithNewEra(func(_ int64, returned bool) { r.newEra(returned) }))
 	r = newOrderLease(client, tenure.New(time.Minute, time.Second, separation), c, log.NewNopLogger())
 	r.acquire(ctx)
 	return r
@@ -157,3 +168,37 @@
 	require.False(t, two.lease.IsZero(), "it has the lease again")
 	assert.Equal(t, from, two.tenure.MayOrderFrom())
 }
+
+// A claim that reaches the store only after its return from an older copy has no effect, though the
+// number of its lease has been given out again: else the holder's key would stay for as long as
+// another machine renews that lease, and nobody could give orders.
+func TestClaimThatReachesTheStoreAfterItsReturn(t *testing.T) {
+	store := standin.NewStore(10)
+	t.Cleanup(store.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	older, other := store.Copy(), platform.NewStore(store.Address())
+	forward := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store.Address()})
+	delayed := false
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		assert.NoError(t, err)
+		if !delayed && bytes.Contains(body, []byte(holderKey)) {
+			delayed = true
+			store.Restore(older)
+			for range 5 { // give out the lost numbers again
+				_, _, err := other.Grant(ctx, time.Hour)
+				assert.NoError(t, err)
+			}
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		forward.ServeHTTP(w, r)
+	}))
+	t.Cleanup(proxy.Close)
+	one := newTestOrderLeaseAt(ctx, strings.TrimPrefix(proxy.URL, "http://"), "one", time.Nanosecond)
+	require.True(t, delayed)
+	_, mayOrder := one.MayOrder()
+	require.False(t, mayOrder, "its claim failed")
+	fence, _ := newTestOrderLease(ctx, store, "two", time.Nanosecond).MayOrder()
+	assert.NotZero(t, fence, "another machine has the lease")
+}
--- a/internal/explore/models/orders.go
+++ b/internal/explore/models/orders.go
@@ -142,6 +142,7 @@
 	lastHolder                         string
 	leaseID                            int
 	era                                int // of the store when the call was made
+	servedEra                          int // of the store when it served the call
 	held, mayOrder, recordHolds        bool
 	served, succeeded                  bool
 	fence                              int
@@ -208,7 +209,7 @@
 		for _, c := range []*leaseCall{&m.call, &m.abandoned} {
 			if c.kind != leaseNone {
 				fmt.Fprint(&b, " ", c.kind, min(s.clock(m)-c.requestedAt, ordersHorizon), min(s.now-c.sentAt, ordersHorizon), c.holderRevision == s.holderRevision, c.lastHolderRevision == s.lastHolderRevision,
-					s.recordOf(c.lastHolder, i), c.era, c.held, c.mayOrder, c.recordHolds, c.leaseID == s.leaseID, c.served, c.succeeded, c.fence > 0, c.fence == s.leaseID, c.fence > int(s.fences[1-i]))
+					s.recordOf(c.lastHolder, i), c.era, c.servedEra, c.held, c.mayOrder, c.recordHolds, c.leaseID == s.leaseID, c.served, c.succeeded, c.fence > 0, c.fence == s.leaseID, c.fence > int(s.fences[1-i]))
 			}
 		}
 	}
@@ -365,14 +366,42 @@
 			m.abandoned = leaseCall{}
 		})
 	}
+	if s.mayServeAgain(&m.abandoned) {
+		addFor("is served late, under numbers that were given out again", func(s *ordersState, m *machine) {
+			s.serveAgain(i, &m.abandoned)
+			m.abandoned = leaseCall{}
+		})
+	}
 	if m.call.kind == leaseNone || m.call.served {
 		return
 	}
 	addFor("is served by the store", func(s *ordersState, m *machine) { s.serve(i, &m.call) })
+	if s.mayServeAgain(&m.call) {
+		addFor("is served under numbers that were given out again", func(s *ordersState, m *machine) { s.serveAgain(i, &m.call) })
+	}
+}
+
+// mayServeAgain reports whether a call from before the store's return could still have an effect if
+// the revisions in its guards and the number of its lease were given out again since. The guard that
+// a key doesn't exist has no number.
+func (s *ordersState) mayServeAgain(c *leaseCall) bool {
+	return s.era > c.era && (c.kind == leaseSettle || c.kind == leaseClaim && (c.holderRevision != 0 || s.holder == 0))
+}
+
+// serveAgain carries out a call whose numbers were given out again. Its answer is of the new era, so
+// that its sender takes it for failed.
+func (s *ordersState) serveAgain(i int, c *leaseCall) {
+	c.served, c.servedEra = true, s.era
+	s.revision++
+	s.lastHolder, s.lastHolderRevision = s.recordName(i, c.era), s.revision
+	if c.kind == leaseClaim {
+		s.holder, s.expires, s.leaseID, s.holderRevision = i+1, s.now+ordersTTL, s.revision, s.revision
+		s.lastHolder = tenure.HolderRecord(s.noOtherHolder(c, i), s.lastHolder)
+	}
 }
 
 func (s *ordersState) serve(i int, c *leaseCall) {
-	c.served = true
+	c.served, c.servedEra = true, s.era
 	if c.kind == leaseRenew {
 		c.succeeded = s.holder == i+1 && s.leaseID == c.leaseID && s.sameEra(c)
 		if c.succeeded {
@@ -406,6 +435,9 @@
 	c := m.call
 	m.call = leaseCall{}
 	now, requestedAt := s.clock(m), c.requestedAt
+	if c.servedEra > m.era && c.kind != leaseRenew {
+		s.seeEra(m)
+	}
 	if s.disabled == mechanismSent {
 		requestedAt = now
 	}
