fix(direct): a refusal tells whether an endpoint leaves, asked to be spared or has a limit

Cause: a request refused because no endpoint took one now had the same error as one refused for queued work, and an endpoint that leaves by its report, or by what a peer tells, was logged nowhere but where its answer arrived.

Change: the error names the endpoint that would be the first to take the request, and why it takes none; each instance logs once that an endpoint leaves, and from where it knows.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -337,7 +337,7 @@
 
 // Choose returns the endpoint with the shortest predicted wait. Suspect endpoints are
 // considered only when there is no other. If all that could serve the request take none from
-// this instance now, the choice has the time until the first of them does.
+// this instance now, the choice is the first of them that does, with the time until then.
 func (b *Balancer) Choose(now time.Time, a *Request, group *catalog.Group, endpoints []*roster.Endpoint, regions map[fleet.DataCentre]fleet.Region) (Choice, Missing) {
 	best, found, missing := Choice{}, false, MissingModel
 	preferred := preferredEndpoint(now, a, endpoints, regions)
@@ -362,21 +362,22 @@
 			return best, MissingNone
 		}
 	}
-	if wait, ok := firstDeferred(now, a, endpoints); ok && missing == MissingModel {
-		return Choice{Wait: wait}, MissingRate
+	if first := firstDeferred(now, a, endpoints); first != nil && missing == MissingModel {
+		return Choice{Endpoint: first, Wait: first.DeferredFor(now)}, MissingRate
 	}
 	return best, missing
 }
 
-// firstDeferred returns the time until the first of the endpoints that could serve the request
-// takes one from this instance. ok is false if none could.
-func firstDeferred(now time.Time, a *Request, endpoints []*roster.Endpoint) (first time.Duration, ok bool) {
+// firstDeferred returns the first of the endpoints that could serve the request to take one from
+// this instance, nil if none could.
+func firstDeferred(now time.Time, a *Request, endpoints []*roster.Endpoint) *roster.Endpoint {
+	var first *roster.Endpoint
 	for _, e := range endpoints {
-		if wait := e.DeferredFor(now); couldServe(now, e, a) && (!ok || wait < first) {
-			first, ok = wait, true
+		if couldServe(now, e, a) && (first == nil || e.DeferredFor(now) < first.DeferredFor(now)) {
+			first = e
 		}
 	}
-	return first, ok
+	return first
 }
 
 // eligible reports whether an endpoint takes the request now, maybe after loading its adapter.
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -137,7 +137,7 @@
 func (s *state) RecordReport(id fleet.Endpoint, r roster.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.roster.RecordReport(id, r)
+	s.observeReport(id, r, "report")
 	s.roster.RecordSuccess(id)
 	delete(s.failedEndpoints, id)
 	s.newReports = append(s.newReports, gossip.Report{Endpoint: id, Report: r})
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -224,10 +224,10 @@
 		// A heartbeat may have been delayed on a connection that was cut for a while; its
 		// reports are older by that delay.
 		r.Report.Taken = now.Add(-r.Age - delay)
-		s.roster.RecordReport(r.Endpoint, r.Report)
+		s.observeReport(r.Endpoint, r.Report, string(name))
 	}
 	for _, l := range b.Leaving {
-		s.roster.MarkLeaving(l.Endpoint, l.Born)
+		s.observeLeaving(l, string(name))
 	}
 	for _, f := range b.Failed {
 		s.roster.RecordFailure(now, f.Endpoint, f.Born)
--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -1,11 +1,14 @@
 package direct
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -190,3 +193,64 @@
 	s.applyRecords([]roster.Record{{ID: "p", Revision: 3, Entry: roster.Entry{ID: "p", Service: "s", Born: 5, Slots: 4, Revision: 3}}}, 3, false)
 	assert.Len(t, s.endpointsToProbe(), 2, "its next incarnation has not asked for it")
 }
+
+// Each reason for which an endpoint gets no request is in a log line, also where another instance
+// told of it, and in the error of a request that is refused for it.
+func TestReasonForRefusalIsLogged(t *testing.T) {
+	left := gossip.Incarnation{Endpoint: "p"}
+	tests := []struct {
+		name, line, err string
+		do              func(s *state)
+	}{
+		{
+			"spared", "step=spare endpoint=p born=0 for=2s", "endpoint p: too much work is queued: it has asked to be spared",
+			func(s *state) { s.Spare(limitedTarget, 2*time.Second) },
+		},
+		{
+			"limited", "step=limit endpoint=p born=0 limited=true rate=2 from=answer", "endpoint p: too much work is queued: its limit leaves no room",
+			func(s *state) {
+				s.RecordLimit(limitedTarget, true, 2)
+				s.deferEndpoint(limitedTarget, time.Second)
+			},
+		},
+		{
+			"leaves by an answer", "step=endpoint endpoint=p born=0 now=leaving from=answer", "no endpoint can take the request",
+			func(s *state) { s.Gone(limitedTarget) },
+		},
+		{
+			"leaves by its report", "step=endpoint endpoint=p born=0 now=leaving from=report", "no endpoint can take the request",
+			func(s *state) { s.RecordReport("p", roster.Report{Leaving: true, Taken: s.clock()}) },
+		},
+		{
+			"leaves by what a peer tells", "step=endpoint endpoint=p born=0 now=leaving from=two", "no endpoint can take the request",
+			func(s *state) {
+				b := heartbeatFrom(1, 0)
+				b.Leaving = []gossip.Incarnation{left}
+				s.receiveHeartbeat(b)
+			},
+		},
+		{
+			"leaves by a report that a peer got", "step=endpoint endpoint=p born=0 now=leaving from=two", "no endpoint can take the request",
+			func(s *state) {
+				s.receiveHeartbeat(heartbeatFrom(1, 0, gossip.Report{Endpoint: "p", Report: roster.Report{Leaving: true}}))
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var lines bytes.Buffer
+			s := newTestState(&testClock{})
+			s.logger = log.NewLogfmtLogger(&lines)
+			s.applyCatalog(&catalog.Catalog{Version: 1})
+			for range 2 {
+				tt.do(s)
+			}
+			_, err := s.Choose(&balance.Request{Service: "s"})
+			require.EqualError(t, err, tt.err)
+			require.Contains(t, lines.String(), tt.line)
+			if strings.HasPrefix(tt.line, "step=endpoint") {
+				require.Equal(t, 1, strings.Count(lines.String(), tt.line), "once, however often it is repeated")
+			}
+		})
+	}
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -4,6 +4,7 @@
 package direct
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -174,7 +175,7 @@
 	case balance.MissingAdapter:
 		return c, gateway.ErrNoAdapter
 	case balance.MissingRate:
-		return c, gateway.ErrOverloaded
+		return c, deferralError(now, c.Endpoint)
 	case balance.MissingNone:
 	}
 	if c.Wait > balance.MaxWait(a) {
@@ -183,6 +184,14 @@
 	return c, nil
 }
 
+// deferralError tells why the endpoint that would be the first to take a request takes none now.
+func deferralError(now time.Time, e *roster.Endpoint) error {
+	if e.Spared(now) {
+		return fmt.Errorf("endpoint %s: %w: it has asked to be spared", e.ID, gateway.ErrOverloaded)
+	}
+	return fmt.Errorf("endpoint %s: %w: its limit leaves no room", e.ID, gateway.ErrOverloaded)
+}
+
 // HasAlternative reports whether an endpoint that was not tried yet could take a request and
 // already has its adapter loaded.
 func (s *state) HasAlternative(a *balance.Request) bool {
@@ -259,12 +268,34 @@
 func (s *state) recordLeft(id fleet.Endpoint, born int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.roster.MarkLeaving(id, born)
-	if slices.Contains(s.leftEndpoints, gossip.Incarnation{Endpoint: id, Born: born}) {
-		return // its answers repeat it
+	left := gossip.Incarnation{Endpoint: id, Born: born}
+	s.observeLeaving(left, "answer")
+	if !slices.Contains(s.leftEndpoints, left) { // its answers repeat it
+		s.leftEndpoints = append(s.leftEndpoints, left)
+	}
+}
+
+// observeLeaving records that an endpoint leaves. From is where it was learned.
+func (s *state) observeLeaving(left gossip.Incarnation, from string) {
+	if e := s.roster.Get(left.Endpoint); e == nil || e.Born != left.Born || e.Leaving {
+		return
+	}
+	s.roster.MarkLeaving(left.Endpoint, left.Born)
+	s.logLeaving(left, from)
+}
+
+func (s *state) logLeaving(left gossip.Incarnation, from string) {
+	_ = s.logger.Log("step", "endpoint", "endpoint", left.Endpoint, "born", left.Born, "now", "leaving", "from", from)
+}
+
+// observeReport records a report of an endpoint. From is who got it.
+func (s *state) observeReport(id fleet.Endpoint, r roster.Report, from string) {
+	e := s.roster.Get(id)
+	known := e == nil || e.Leaving
+	s.roster.RecordReport(id, r)
+	if !known && e.Leaving {
+		s.logLeaving(gossip.Incarnation{Endpoint: id, Born: e.Born}, from)
 	}
-	_ = s.logger.Log("step", "endpoint", "endpoint", id, "born", born, "now", "leaving", "from", "answer")
-	s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: id, Born: born})
 }
 
 // CountRequest counts a request in the retry budget and adds its demand for a model.
