fix(dispatch): a request still on its way to its endpoint at its deadline is reported as not run

Cause: a request whose deadline passes is cancelled at its endpoint; if the endpoint had no record of it yet, as it was still on its way, its outcome was reported as unknown. A slot that is freed by a request whose deadline passes goes to the next one, whose deadline is often some milliseconds later, so requests were sent just then.

Change: the endpoint is asked again for up to 200 ms, and a request with less than 20 ms left isn't sent.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -24,6 +24,10 @@
 	resumeDelay    = 50 * time.Millisecond
 	recordTimeout  = 2 * time.Second
 	cancelTimeout  = 2 * time.Second
+	// maxCancelTries and cancelDelay are how often and how soon an endpoint is asked again to cancel an
+	// attempt of which it has no record: the attempt may still be on its way there.
+	maxCancelTries = 5
+	cancelDelay    = 50 * time.Millisecond
 	forwardBuffer  = 16 << 10 // bytes
 )
 
@@ -178,9 +182,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
-	ran, err := r.pool.engine.Cancel(ctx, r.entry.Address, r.id)
-	r.pool.decisions.Note(r.request.Request, "cancel", r.endpoint, fmt.Sprintf("ran=%t err=%v", ran, err))
-	return err == nil && !ran
+	for try := 1; ; try++ {
+		ran, err := r.pool.engine.Cancel(ctx, r.entry.Address, r.id)
+		if errors.Is(err, endpoint.ErrGone) && try < maxCancelTries {
+			sleep(ctx, cancelDelay)
+			continue
+		}
+		r.pool.decisions.Note(r.request.Request, "cancel", r.endpoint, fmt.Sprintf("ran=%t try=%d err=%v", ran, try, err))
+		return err == nil && !ran
+	}
 }
 
 // recordClaim records the outcome of a claimed request before any reader receives it.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -22,6 +22,10 @@
 // thousandths.
 const shareUnit = 1000
 
+// minTimeLeft is the shortest time before its deadline in which a request is still sent to an
+// endpoint.
+const minTimeLeft = 20 * time.Millisecond
+
 // queueRetryAfter is the retry delay sent for a request whose deadline passed in the queue.
 const queueRetryAfter = time.Second
 
@@ -162,6 +166,9 @@
 // checkBeforeStart does the final checks of a request that has been given a slot. The
 // claim comes last, so that a crash of this instance before it leaves no claim behind.
 func (p *Pool) checkBeforeStart(ctx context.Context, r *run, sink peer.Sink) *peerpb.End {
+	if d := r.request.Deadline; d > 0 && time.UnixMilli(d).Sub(p.timers.Now()) < minTimeLeft {
+		return Refuse(CodeDeadline, "start", "the deadline would pass before the endpoint could answer", queueRetryAfter)
+	}
 	entry, ok := p.endpoints.Get(fleet.Endpoint(r.endpoint))
 	if !ok {
 		return Refuse(CodeUnreachable, "start", "endpoint "+r.endpoint+" is not in the directory", 0)
