feat(catalog): workspaces with keys, rank and allotment

The gateway path knew none of the workspaces in the operators' configuration. The catalog now holds them: rank, unit, allotment, and the digests of their keys, which are looked up by digest and shared with internal/keys through one type.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
@@ -54,6 +55,8 @@
 	Attempts int
 	// Resumable streams may continue at another endpoint.
 	Resumable bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -126,14 +129,18 @@
 	Routes  []Route
 	Groups  []Group
 	Limits  Limits
+	// Workspaces is empty if requests need no key.
+	Workspaces []Workspace
 	// Raw is the text from which it was parsed, for instances that can't reach the store.
 	Raw []byte
 
-	hosts map[string][]*Route
+	hosts      map[string][]*Route
+	workspaces map[credential.Digest]*Workspace
 }
 
-// Index builds the host lookup that Match uses.
+// Index builds the lookups that Match and Workspace use.
 func (c *Catalog) Index() {
+	c.indexKeys()
 	c.hosts = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -4,14 +4,13 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/inifile"
 )
 
@@ -41,7 +40,7 @@
 	// Until is the first day on which the key is no longer valid, zero if it never expires.
 	Until time.Time
 
-	digest [sha256.Size]byte
+	digest credential.Digest
 }
 
 // Set is a checked list of keys.
@@ -55,10 +54,10 @@
 // Find returns the valid key that a token belongs to. All digests are compared in constant
 // time, so that the duration reveals nothing about them.
 func (s Set) Find(now time.Time, token string) (Key, bool) {
-	digest := sha256.Sum256([]byte(token))
+	digest := credential.DigestOf(token)
 	var found Key
 	for _, k := range s.keys {
-		if subtle.ConstantTimeCompare(digest[:], k.digest[:]) == 1 {
+		if digest.Equal(k.digest) {
 			found = k
 		}
 	}
@@ -108,7 +107,7 @@
 
 func setDigest(k *Key, text string) bool {
 	raw, err := hex.DecodeString(text)
-	return err == nil && copy(k.digest[:], raw) == sha256.Size && len(raw) == sha256.Size
+	return err == nil && copy(k.digest[:], raw) == len(k.digest) && len(raw) == len(k.digest)
 }
 
 func setUntil(k *Key, text string) bool {
@@ -137,7 +136,7 @@
 		return "", "", fmt.Errorf("generate token: %w", err)
 	}
 	token = base64.RawURLEncoding.EncodeToString(raw)
-	digest := sha256.Sum256([]byte(token))
+	digest := credential.DigestOf(token)
 	lines := []string{fmt.Sprintf("[%s %q]", sectionKey, name), "digest = " + hex.EncodeToString(digest[:]), "role = " + string(role)}
 	if until != "" {
 		lines = append(lines, "until = "+until)
