feat(gateway): requests are admitted by their workspace's key

No key was read, and the caller's Key and Tenant headers went to the endpoint. The platform's codec now decodes the key to its digest, once; the gateway admits a request by it, sends the workspace's name in Tenant and its rank, and refuses unknown keys with 401, or with 503 while a newer configuration is known or none has confirmed the active one. With [workspaces] strict, an instance that can't show that its configuration was the newest within revoke refuses all requests with a key, on arrival and before each send. Watches of the store confirm the moment up to which they waited; peers pass it on in their answers to heartbeats, counted from the sending of the heartbeat, so that no delay makes it look younger.

TestKeyLeavesTheGatewayNowhere failed on (the endpoint got the key) and passes now, as do TestKeysAreChecked, TestUnconfirmedInstanceRefusesKeys, TestDelayedAnswersOfPeersDontConfirm and TestSettingsTakeRevocationAsThePlatformStatesIt.

--- a/internal/core/catalog/workspace.go
+++ b/internal/core/catalog/workspace.go
@@ -51,6 +51,9 @@
 	return w.Level
 }
 
+// NeedsKey reports whether a request on a route needs the key of a workspace.
+func (c *Catalog) NeedsKey(r *Route) bool { return len(c.Workspaces) > 0 && !r.Public }
+
 // Limited reports whether the workspace has an allotment.
 func (w *Workspace) Limited() bool { return w != nil && w.Rate > 0 }
 
@@ -82,7 +85,7 @@
 }
 
 // Workspace returns the workspace that a key belongs to.
-func (c *Catalog) Workspace(key string) (*Workspace, bool) {
-	w, ok := c.workspaces[credential.DigestOf(key)]
+func (c *Catalog) Workspace(key credential.Digest) (*Workspace, bool) {
+	w, ok := c.workspaces[key]
 	return w, ok
 }
--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -34,27 +34,37 @@
 
 // watchCatalog keeps the configuration up to date from the store.
 func (n *Node) watchCatalog(ctx context.Context) error {
-	return n.watchPrefix(ctx, platform.CatalogKey, 0, func(items []platform.Item, _ int64, _ bool) {
-		for _, i := range items {
-			if i.Key == platform.CatalogKey && !i.Removed {
-				n.applyCatalog(i.Value, "store")
+	stored := int64(0) // the version in the store, 0 if unknown
+	return n.watchPrefix(ctx, platform.CatalogKey, 0, func(r storeRead) {
+		if r.complete {
+			stored = 0
+		}
+		for _, i := range r.items {
+			switch {
+			case i.Key != platform.CatalogKey:
+			case i.Removed:
+				stored = 0
+			default:
+				stored = n.applyCatalog(i.Value, "store")
 			}
 		}
+		n.state.confirmCatalog(stored, r.asOf)
 	})
 }
 
 // applyCatalog decodes a configuration and activates it unless the active one is as new or
-// newer.
-func (n *Node) applyCatalog(text []byte, from string) {
+// newer. It returns its version, 0 if it can't be decoded.
+func (n *Node) applyCatalog(text []byte, from string) int64 {
 	c, err := platform.DecodeCatalog(text)
 	if err != nil {
 		_ = level.Error(n.logger).Log("step", "catalog", "from", from, "err", err)
-		return
+		return 0
 	}
 	if behind, ok := n.state.applyCatalog(c); ok {
 		_ = n.logger.Log("step", "catalog", "from", from, "version", c.Version, "routes", len(c.Routes), "bytes", len(text), "behind", behind)
 		n.tasks.RunIfIdle("beat", n.sendHeartbeats) // announces the new version to the peers at once
 	}
+	return c.Version
 }
 
 // fetchCatalog gets newer configurations from peers, part by part. What has arrived when a call
@@ -141,6 +151,7 @@
 	}
 	behind = s.outdatedFor()
 	s.previousCatalog, s.catalog = s.catalog, c
+	s.recency.Activate(c.Version)
 	if c.Version >= s.newestCatalog {
 		s.outdatedSince = time.Time{}
 	}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -103,6 +103,7 @@
 		endpoints: platform.NewEndpointClient(),
 		gossip:    gossip.NewClient(),
 	}
+	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithNewEra(n.newEra))
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
@@ -223,7 +224,7 @@
 }
 
 // Reload applies changed settings that can change at run time: the limits on retries and
-// orders, and those of the graceful shutdown.
+// orders, how soon revoked keys stop, and the limits of the graceful shutdown.
 func (n *Node) Reload(cause string) {
 	changed, err := n.settings.Check()
 	if err != nil {
@@ -235,6 +236,7 @@
 	}
 	c := n.settings.Get()
 	n.state.setRetryLimits(c.Retry.Share, c.Retry.Extra)
+	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	_ = level.Info(n.logger).Log("step", "reload", "cause", cause)
 }
 
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -14,6 +14,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/recency"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -108,6 +109,11 @@
 	admitterDownUntil  map[fleet.Instance]time.Time // instances that didn't answer when asked for a place
 	// laggingSince is the time since which a peer has had a newer endpoint list.
 	laggingSince time.Time
+	// recency tells for how long the active configuration has been known to be the newest.
+	recency recency.Tracker
+	// strictRevocation makes requests with a key depend on it, within revocationTime.
+	strictRevocation bool
+	revocationTime   time.Duration
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
 	// watches the store.
 	storeAnsweredAt time.Time
@@ -132,6 +138,7 @@
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
 		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewPartCrashes(settleBeats * interval), reviews: make(map[suspect.Part]time.Time),
 		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
+		revocationTime: defaultRevocationTime,
 	}
 }
 
--- a/internal/direct/stats.go
+++ b/internal/direct/stats.go
@@ -2,6 +2,8 @@
 
 import (
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,9 +12,47 @@
 )
 
 // stats counts requests by kind, rank and status.
-type stats struct{ registry metrics.Registry }
+type stats struct {
+	registry metrics.Registry
 
-func newStats(r metrics.Registry) *stats { return &stats{registry: r} }
+	mu         sync.Mutex
+	workspaces map[string]struct{} // those with counters of their own
+}
+
+const (
+	// maxCountedWorkspaces bounds the workspaces with counters of their own; the others share
+	// otherWorkspaces.
+	maxCountedWorkspaces = 256
+	otherWorkspaces      = "other workspaces"
+)
+
+func newStats(r metrics.Registry) *stats {
+	return &stats{registry: r, workspaces: make(map[string]struct{})}
+}
+
+// Workspace counts the end of a request of a workspace.
+func (s *stats) Workspace(name string, status int) {
+	if name == "" {
+		return
+	}
+	labels := ";workspace=" + strings.ReplaceAll(s.workspaceLabel(name), ";", "_") // separates labels
+	metrics.GetOrRegisterCounter("workspace_requests"+labels+";status="+strconv.Itoa(status), s.registry).Inc(1)
+}
+
+func (s *stats) workspaceLabel(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.workspaces[name]; !ok && len(s.workspaces) >= maxCountedWorkspaces {
+		return otherWorkspaces
+	}
+	s.workspaces[name] = struct{}{}
+	return name
+}
+
+// KeyRefused counts a request refused for its key.
+func (s *stats) KeyRefused(status int) {
+	metrics.GetOrRegisterCounter("key_refusals;status="+strconv.Itoa(status), s.registry).Inc(1)
+}
 
 // Done records the end of a request: its status and attempts, and the times to the first
 // byte and to the complete answer.
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -46,20 +46,40 @@
 
 // watchRoster keeps the list of endpoints up to date from the store.
 func (n *Node) watchRoster(ctx context.Context) error {
-	return n.watchPrefix(ctx, platform.EntryPrefix, rosterWatchPause, func(items []platform.Item, revision int64, complete bool) {
-		if n.state.applyRecords(platform.Records(items), revision, complete) {
+	return n.watchPrefix(ctx, platform.EntryPrefix, rosterWatchPause, func(r storeRead) {
+		if n.state.applyRecords(platform.Records(r.items), r.revision, r.complete) {
 			n.tasks.RunIfIdle("beat", n.sendHeartbeats)
 		}
 	})
 }
 
+// storeRead is what a list or a watch of the store has returned.
+type storeRead struct {
+	items    []platform.Item
+	revision int64
+	complete bool // the items are all there are, not the changes
+	// asOf is a time, by the clock uptime, at which the store had no later change.
+	asOf time.Duration
+}
+
+// watchedUntil returns up to when a watch that was sent and answered at the given times has seen
+// the store. The store answers without a change only once the wait is over, counted from the
+// arrival of the call; a change may have been on its way back for the whole wait.
+func watchedUntil(sent, wait, answered time.Duration, changes int) time.Duration {
+	wait = wait.Truncate(time.Millisecond) // as the store is asked
+	if changes > 0 || answered < sent+wait {
+		return sent
+	}
+	return sent + wait
+}
+
 // watchPrefix lists the keys under a prefix and then watches them until the context ends.
 // It passes apply all items at first and whenever the store has compacted the history, else
 // the changes.
-func (n *Node) watchPrefix(ctx context.Context, prefix string, pause time.Duration, apply func(items []platform.Item, revision int64, complete bool)) error {
+func (n *Node) watchPrefix(ctx context.Context, prefix string, pause time.Duration, apply func(storeRead)) error {
 	revision, storeLost, started := int64(-1), false, false
 	for ctx.Err() == nil {
-		if revision >= 0 && !n.state.updateWatching() {
+		if revision >= 0 && !n.state.updateWatching() && !n.mustWatch(prefix) {
 			// The instances that watch the store pass on the changes meanwhile.
 			sleep(ctx, storeRetryDelay)
 			continue
@@ -95,19 +115,20 @@
 	return nil
 }
 
-func (n *Node) listOrWatch(ctx context.Context, prefix string, revision int64, apply func([]platform.Item, int64, bool)) (int64, error) {
+func (n *Node) listOrWatch(ctx context.Context, prefix string, revision int64, apply func(storeRead)) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
+	sent := n.state.uptime()
 	if revision < 0 {
 		items, next, err := n.store.List(ctx, prefix, false)
 		if err == nil {
-			apply(items, next, true)
+			apply(storeRead{items: items, revision: next, complete: true, asOf: sent})
 		}
 		return next, err
 	}
 	items, next, err := n.store.Watch(ctx, prefix, revision, n.config.Store.Wait)
 	if err == nil {
-		apply(items, next, false)
+		apply(storeRead{items: items, revision: next, asOf: watchedUntil(sent, n.config.Store.Wait, n.state.uptime(), len(items))})
 	}
 	return next, err
 }
@@ -208,7 +229,12 @@
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 			defer cancel()
-			if err := n.gossip.Heartbeat(ctx, address, payload); err != nil && ctx.Err() != nil {
+			sent := n.state.uptime()
+			ack, err := n.gossip.Heartbeat(ctx, address, payload)
+			switch {
+			case err == nil:
+				n.state.receiveAck(sent, ack)
+			case ctx.Err() != nil:
 				n.gossip.Reset(address) // the connection may have stalled permanently
 			}
 			return nil
@@ -311,7 +337,7 @@
 		return nil, err
 	}
 	n.state.receiveHeartbeat(b)
-	return &gossip.Ack{}, nil
+	return n.state.ack(), nil
 }
 
 // Fetch answers another instance that requests newer data.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,6 +79,9 @@
 	if wait, err := a.awaitAdmission(ctx); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err, predictedWait: wait}
 	}
+	if err := j.gateway.fleet.KeyValid(j.request.Key, j.request.Workspace); err != nil {
+		return result{attempt: a, outcome: outcomeNotRun, err: err}
+	}
 	if err := a.claimPrompt(); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err}
 	}
@@ -92,7 +95,7 @@
 	j, g := a.job, a.job.gateway
 	message := &Attempt{
 		Request: j.request, Endpoint: a.target.ID, Born: a.target.Born, Address: a.target.Address,
-		Level: j.route.Level, After: a.after,
+		Level: j.query.Level, After: a.after,
 	}
 	if j.request.Wait > 0 {
 		message.TimeLeft = max(time.Millisecond, j.request.Wait-g.clock().Sub(j.arrived))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,10 @@
 		g.refuseRoute(w, request, err)
 		return
 	}
+	workspace, err := g.admitKey(w, request, route, version)
+	if err != nil {
+		return
+	}
 	ctx, span := g.tracer.Start(r.Context(), "gateway "+route.Name)
 	defer span.End()
 	timeout := route.Timeout
@@ -137,11 +141,12 @@
 	}
 	j.query = balance.Request{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
-		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: route.Level, Target: route.Target, Place: g.place,
+		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: workspace.LevelOn(route), Target: route.Target, Place: g.place,
 	}
 	g.fleet.CountRequest(&j.query)
 	j.run(ctx)
 	j.report(ctx)
+	g.stats.Workspace(request.Workspace, j.delivery.status)
 	if j.abortConnection {
 		// Makes net/http close the connection, so that the answer doesn't look complete.
 		panic(http.ErrAbortHandler)
@@ -204,13 +209,40 @@
 	g.codec.Refuse(w, refusal)
 }
 
+// admitKey checks a request's key and returns its workspace, nil if the route needs no key. If
+// it returns an error, it has refused the request.
+func (g *Gateway) admitKey(w http.ResponseWriter, request *Request, route *catalog.Route, version int64) (*catalog.Workspace, error) {
+	workspace, age, err := g.fleet.Workspace(route, version, request.Key)
+	switch {
+	case err == nil && workspace == nil:
+		return nil, nil //nolint:nilnil // the route needs no key
+	case err == nil:
+		request.Workspace = workspace.Name
+		return workspace, nil
+	}
+	refusal := Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), Request: request.ID, RetryAfter: noCatalogRetryAfter}
+	if errors.Is(err, ErrUnknownKey) {
+		refusal.Status, refusal.RetryAfter = http.StatusUnauthorized, 0
+	}
+	_ = g.logger.Log("step", "refuse key", "id", request.ID, "status", refusal.Status, "route", route.Name, "version", version, "confirmed", age, "given", !request.Key.IsZero(), "err", err)
+	g.stats.KeyRefused(refusal.Status)
+	g.codec.Refuse(w, refusal)
+	return nil, err
+}
+
 // Stats counts requests and their results.
 type Stats interface {
 	// Done records the end of a request to a route: how many attempts were sent, the time to
 	// the first byte and the total time.
 	Done(route *catalog.Route, status int, attempts int, firstByte, total time.Duration)
+	// Workspace records the end of a request of a workspace, empty for none.
+	Workspace(name string, status int)
+	// KeyRefused records a request refused for its key.
+	KeyRefused(status int)
 }
 
 type noStats struct{}
 
 func (noStats) Done(*catalog.Route, int, int, time.Duration, time.Duration) {}
+func (noStats) Workspace(string, int)                                       {}
+func (noStats) KeyRefused(int)                                              {}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -63,6 +64,12 @@
 	return f.route, 3, nil
 }
 
+func (f *fakeFleet) Workspace(*catalog.Route, int64, credential.Digest) (*catalog.Workspace, time.Duration, error) {
+	return nil, 0, nil
+}
+
+func (f *fakeFleet) KeyValid(credential.Digest, string) error { return nil }
+
 func (f *fakeFleet) Choose(a *balance.Request) (gateway.Target, error) {
 	if f.err != nil {
 		return gateway.Target{Wait: f.wait}, f.err
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -224,7 +224,7 @@
 func (j *job) mayRetry(ctx context.Context) bool {
 	timeLeft := j.timeLeft(ctx)
 	switch {
-	case ctx.Err() != nil || timeLeft < minTimeLeft:
+	case ctx.Err() != nil || timeLeft < minTimeLeft || errors.Is(j.failure, ErrKeyLapsed):
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
@@ -294,5 +294,5 @@
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
 	j.log("step", "end", "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
 		"status", d.status, "endpoint", j.target.ID, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
-		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "err", j.failure)
+		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 )
@@ -42,6 +43,16 @@
 	// ErrCrashingPart is returned for a request whose prompt has a part under which endpoints
 	// crashed. Others may be the cause, so the request may be repeated later.
 	ErrCrashingPart = errors.New("endpoints crashed under a part of the prompt")
+	// ErrUnknownKey is returned if a route needs a key, and the request has none that any
+	// workspace holds.
+	ErrUnknownKey = errors.New("no workspace has the request's key")
+	// ErrKeyOutdated is returned in its place if a newer configuration is known to exist.
+	ErrKeyOutdated = errors.New("no workspace has the request's key, and the configuration is outdated")
+	// ErrUnconfirmed is returned if the configuration has not been known to be the newest for so
+	// long that the request's key may have been revoked.
+	ErrUnconfirmed = errors.New("the configuration may be too old to check the request's key")
+	// ErrKeyLapsed is returned if a key that was admitted can't be used any more.
+	ErrKeyLapsed = errors.New("the request's key can't be used any more")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -64,6 +75,12 @@
 	// Parts is the prompt as segments, which requests may share and endpoints may have cached.
 	Parts                      []balance.PromptPart
 	PromptTokens, OutputTokens int
+	// TokensStated is set if the caller has stated the numbers of tokens.
+	TokensStated bool
+	// Key is the digest of the caller's key, Workspace the name of its workspace once the key
+	// was checked, empty if the route needs no key.
+	Key       credential.Digest
+	Workspace string
 	// After is the id of the last event of a stream that the caller has received, empty to
 	// start from the beginning.
 	After string
@@ -175,6 +192,12 @@
 type Fleet interface {
 	// Route returns the route of a request, and the configuration version that contains it.
 	Route(host, path string) (*catalog.Route, int64, error)
+	// Workspace returns the workspace of a request with a route of a configuration version, nil
+	// if the route needs no key, and how long ago the configuration was last known to be the
+	// newest (negative: never).
+	Workspace(r *catalog.Route, version int64, key credential.Digest) (*catalog.Workspace, time.Duration, error)
+	// KeyValid returns ErrKeyLapsed if an admitted request with a key must not be sent now.
+	KeyValid(key credential.Digest, workspace string) error
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Request) (Target, error)
 	// HasAlternative reports whether an endpoint that was not tried yet can take the request now.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -66,7 +66,8 @@
 	}
 	packed, err := gossip.Pack(sent)
 	require.NoError(t, err)
-	require.NoError(t, client.Heartbeat(ctx, l.Addr().String(), packed))
+	_, err = client.Heartbeat(ctx, l.Addr().String(), packed)
+	require.NoError(t, err)
 	got := <-h.heartbeats
 	got.Reports[0].Report.Taken = sent.Reports[0].Report.Taken // decoding a zero time changes its location
 	assert.Equal(t, sent.Loads, got.Loads)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -152,8 +152,12 @@
 	Born     int64          `cbor:"b"`
 }
 
-// Ack answers a heartbeat.
-type Ack struct{}
+// Ack answers a heartbeat. If ConfirmedMs is above 0, no configuration newer than the version
+// Catalog had been acknowledged that many milliseconds before the answer was made.
+type Ack struct {
+	Catalog     int64 `cbor:"c,omitempty"`
+	ConfirmedMs int64 `cbor:"a,omitempty"`
+}
 
 // Fetch asks a peer for its endpoint entries, and for its configuration in one piece.
 type Fetch struct {
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -185,9 +185,8 @@
 }
 
 // Heartbeat sends this instance's heartbeat to a peer.
-func (c *Client) Heartbeat(ctx context.Context, address string, b *PackedHeartbeat) error {
-	_, err := invoke[PackedHeartbeat, Ack](ctx, c, address, "Beat", b)
-	return err
+func (c *Client) Heartbeat(ctx context.Context, address string, b *PackedHeartbeat) (*Ack, error) {
+	return invoke[PackedHeartbeat, Ack](ctx, c, address, "Beat", b)
 }
 
 // Fetch asks a peer for its configuration and its endpoint entries.
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -16,16 +16,17 @@
 	// File is the path of the settings file.
 	File string
 
-	Instance Instance
-	Listen   GatewayListen
-	Peer     GatewayPeer
-	Store    GatewayStore
-	Retry    GatewayRetry
-	Orders   GatewayOrders
-	Limits   GatewayLimits
-	Drain    GatewayDrain
-	Log      Log
-	Trace    Trace
+	Instance   Instance
+	Listen     GatewayListen
+	Peer       GatewayPeer
+	Store      GatewayStore
+	Retry      GatewayRetry
+	Orders     GatewayOrders
+	Limits     GatewayLimits
+	Drain      GatewayDrain
+	Workspaces GatewayWorkspaces
+	Log        Log
+	Trace      Trace
 }
 
 // GatewayListen holds the IP:ports on which the instance listens.
@@ -98,6 +99,14 @@
 	Keep time.Duration
 }
 
+// GatewayWorkspaces configures the keys of workspaces.
+type GatewayWorkspaces struct {
+	// Strict is set if a revoked key must stop within Revoke at every instance: one that can't
+	// tell that its configuration is younger serves no request with a key.
+	Strict bool
+	Revoke time.Duration
+}
+
 // Defaults of a Gateway.
 const (
 	gatewayHeartbeat    = 300 * time.Millisecond
@@ -108,6 +117,7 @@
 	gatewayMaxAnswer    = 16 << 20 // bytes
 	gatewayHeldAnswers  = 24 << 20 // bytes
 	minAnswerLimit      = 1 << 20  // bytes
+	gatewayRevoke       = 5 * time.Second
 )
 
 // DefaultGateway returns the default settings of a Gateway.
@@ -119,7 +129,10 @@
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
 		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
-		Log:    Log{Level: LevelInfo, Format: FormatLogfmt},
+
+		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
+
+		Log: Log{Level: LevelInfo, Format: FormatLogfmt},
 	}
 }
 
@@ -211,11 +224,23 @@
 			inifile.Duration("grace", &c.Drain.Grace, time.Second),
 			inifile.Duration("keep", &c.Drain.Keep, 100*time.Millisecond),
 		}},
+		{"workspaces", []inifile.Field{
+			flag("strict", &c.Workspaces.Strict),
+			inifile.Duration("revoke", &c.Workspaces.Revoke, 0),
+		}},
 		{"log", logFields(&c.Log)},
 		{"trace", traceFields(&c.Trace)},
 	}
 }
 
+// flag binds a key to a truth value in the platform's words; platforms without it state nothing.
+func flag(key string, target *bool) inifile.Field {
+	return inifile.Custom(key, "true, false or nothing", func(text string) bool {
+		*target = text == "true"
+		return *target || text == "false" || text == ""
+	}, func() string { return strconv.FormatBool(*target) })
+}
+
 func isDataCentrePair(text string) bool {
 	dataCentre, region, found := strings.Cut(text, ":")
 	return found && inifile.IsName(dataCentre) && inifile.IsName(region)
