--- a/internal/direct/workspaces.go
+++ b/internal/direct/workspaces.go
@@ -120,7 +120,7 @@
 	w, ok := c.Workspace(key)
 	switch confirmed := s.isConfirmed(); {
 	case !confirmed && (s.strictRevocation || !ok):
-		return nil, age, gateway.ErrUnconfirmed
+		return w, age, gateway.ErrUnconfirmed
 	case ok:
 		return w, age, nil
 	case !s.outdatedSince.IsZero():
--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -231,6 +231,7 @@
 	assert.Equal(t, 200, send(), "cut off for less")
 	k.clock.elapsed += 200 * time.Millisecond
 	assert.Equal(t, 503, send(), "cut off, or frozen meanwhile")
+	assert.Contains(t, k.log.String(), `step="refuse key" id=r1 status=503 route=closed version=3 workspace=hule930 confirmed=5s given=true`)
 	k.state.confirmCatalog(4, k.clock.uptime())
 	assert.Equal(t, 503, send(), "the store has a newer configuration")
 	status, _ := k.send(t, "/open/x", nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,11 +220,15 @@
 		request.Workspace = workspace.Name
 		return workspace, nil
 	}
+	name := ""
+	if workspace != nil {
+		name = workspace.Name
+	}
 	refusal := Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), Request: request.ID, RetryAfter: noCatalogRetryAfter}
 	if errors.Is(err, ErrUnknownKey) {
 		refusal.Status, refusal.RetryAfter = http.StatusUnauthorized, 0
 	}
-	_ = g.logger.Log("step", "refuse key", "id", request.ID, "status", refusal.Status, "route", route.Name, "version", version, "confirmed", age, "given", !request.Key.IsZero(), "err", err)
+	_ = g.logger.Log("step", "refuse key", "id", request.ID, "status", refusal.Status, "route", route.Name, "version", version, "workspace", name, "confirmed", age, "given", !request.Key.IsZero(), "err", err)
 	g.stats.KeyRefused(refusal.Status)
 	g.codec.Refuse(w, refusal)
 	return nil, err
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -194,7 +194,7 @@
 	Route(host, path string) (*catalog.Route, int64, error)
 	// Workspace returns the workspace of a request with a route of a configuration version, nil
 	// if the route needs no key, and how long ago the configuration was last known to be the
-	// newest (negative: never).
+	// newest (negative: never). With an error the workspace is for the log, if it is known.
 	Workspace(r *catalog.Route, version int64, key credential.Digest) (*catalog.Workspace, time.Duration, error)
 	// KeyValid returns ErrKeyLapsed if an admitted request with a key must not be sent now.
 	KeyValid(key credential.Digest, workspace string) error
