--- a/internal/gateway/key_test.go
+++ b/internal/gateway/key_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 // keyedFleet is a fakeFleet whose route needs a key. The key lapses after some sends.
 type keyedFleet struct {
 	*fakeFleet
-	sendsLeft int
+	sendsLeft atomic.Int32
 }
 
 func (f *keyedFleet) Workspace(*catalog.Route, int64, credential.Digest) (*catalog.Workspace, time.Duration, error) {
@@ -27,7 +28,7 @@
 }
 
 func (f *keyedFleet) KeyValid(credential.Digest, string) error {
-	if f.sendsLeft--; f.sendsLeft < 0 {
+	if f.sendsLeft.Add(-1) < 0 {
 		return gateway.ErrKeyLapsed
 	}
 	return nil
@@ -40,7 +41,7 @@
 		name      string
 		kind      catalog.Kind
 		behaviour standin.Behaviour
-		sends     int
+		sends     int32
 		status    int
 		runs      int
 		broken    bool
@@ -58,7 +59,9 @@
 			if tt.kind == catalog.KindStream {
 				header["Model"] = "m"
 			}
-			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), &keyedFleet{f, tt.sends}, time.Now)
+			keyed := &keyedFleet{fakeFleet: f}
+			keyed.sendsLeft.Store(tt.sends)
+			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), keyed, time.Now)
 			server := httptest.NewServer(g)
 			answer, err := send(t, server.URL, http.MethodPost, header, "")
 			server.Close() // waits for the end of the request
