test(direct): no wire names of the platform in tests of keys

TestPlatformWireNamesStayInPackage failed on the new tests, which it reads once they are committed. Their configuration is now standin.KeyedConfiguration; it passes.

--- a/internal/direct/revocation_test.go
+++ b/internal/direct/revocation_test.go
@@ -21,6 +21,7 @@
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/platform"
+	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
 const (
@@ -120,7 +121,7 @@
 
 func (s *simulation) catalog(version int64) *catalog.Catalog {
 	if s.catalogs[version] == nil {
-		c, err := platform.DecodeCatalog(keyedConfiguration(int(version), simKey(version)))
+		c, err := platform.DecodeCatalog(standin.KeyedConfiguration(version, simKey(version)))
 		require.NoError(s.t, err)
 		s.catalogs[version] = c
 	}
--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -35,15 +35,6 @@
 	strangeKey = "zzz0unknownkey0zzz"
 )
 
-// keyedConfiguration returns a configuration with a closed and an open route and a workspace
-// that has the given keys.
-func keyedConfiguration(version int, keys ...string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[
-	 {"name":"closed","host":"board.example","pathPrefix":"/closed/","kind":"safe","timeoutMs":2000,"targetLatencyMs":500,"priority":2,"service":"s","maxAttempts":2},
-	 {"name":"open","host":"board.example","pathPrefix":"/open/","kind":"safe","timeoutMs":2000,"targetLatencyMs":500,"priority":2,"service":"s","maxAttempts":2,"public":true}],
-	 "services":[{"name":"s"}],"limits":{},"tenants":[{"name":"hule930","apiKeys":["%s"],"priority":1}]}`, version, strings.Join(keys, `","`))
-}
-
 // lockedBuffer is a buffer for concurrent use.
 type lockedBuffer struct {
 	mu   sync.Mutex
@@ -120,7 +111,7 @@
 	previous := otel.GetTracerProvider()
 	otel.SetTracerProvider(sdk.NewTracerProvider(sdk.WithSpanProcessor(spans)))
 	t.Cleanup(func() { otel.SetTracerProvider(previous) })
-	k := newKeyedInstance(t, keyedConfiguration(3, knownKey, otherKey))
+	k := newKeyedInstance(t, standin.KeyedConfiguration(3, knownKey, otherKey))
 	for _, path := range []string{"/closed/x", "/open/x", "/none/x"} {
 		for _, h := range []http.Header{
 			{"Key": {knownKey}},
@@ -130,7 +121,7 @@
 			{"Key": {knownKey, otherKey}},
 			{"Key": {knownKey + " " + otherKey}},
 			{"Key": {strings.Repeat(strangeKey, 100)}},
-			{"Key": {knownKey}, "Deadline-Ms": {"soon"}},
+			{"Key": {knownKey}, "Last-Event-Id": {"1", "2"}},
 		} {
 			_, _ = k.send(t, path, h)
 		}
@@ -174,23 +165,23 @@
 		tenant        []string
 		priority      string
 	}{
-		{name: "known", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
-		{name: "forged workspace", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey}, "Tenant": {"a", "b"}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
-		{name: "unknown", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {strangeKey}}, status: 401},
-		{name: "prefix", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey[:19]}}, status: 401},
-		{name: "missing", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", status: 401},
-		{name: "doubled", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey, knownKey}}, status: 400},
-		{name: "oversized", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {strings.Repeat(knownKey, 20)}}, status: 400},
-		{name: "with a scheme", configuration: keyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {"Bearer " + knownKey}}, status: 400},
-		{name: "open route, no key", configuration: keyedConfiguration(3, knownKey), path: "/open/x", status: 200, priority: "6"},
-		{name: "open route, unknown key", configuration: keyedConfiguration(3, knownKey), path: "/open/x", header: http.Header{"Key": {strangeKey}, "Tenant": {"hule930"}}, status: 200, priority: "6"},
-		{name: "no workspaces", configuration: bytes.ReplaceAll(keyedConfiguration(3), []byte(`"tenants"`), []byte(`"none"`)), path: "/closed/x", header: http.Header{"Key": {knownKey}, "Tenant": {"hule930"}}, status: 200, priority: "6"},
+		{name: "known", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
+		{name: "forged workspace", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey}, "Tenant": {"a", "b"}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
+		{name: "unknown", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {strangeKey}}, status: 401},
+		{name: "prefix", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey[:19]}}, status: 401},
+		{name: "missing", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", status: 401},
+		{name: "doubled", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {knownKey, knownKey}}, status: 400},
+		{name: "oversized", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {strings.Repeat(knownKey, 20)}}, status: 400},
+		{name: "with a scheme", configuration: standin.KeyedConfiguration(3, knownKey), path: "/closed/x", header: http.Header{"Key": {"Bearer " + knownKey}}, status: 400},
+		{name: "open route, no key", configuration: standin.KeyedConfiguration(3, knownKey), path: "/open/x", status: 200, priority: "6"},
+		{name: "open route, unknown key", configuration: standin.KeyedConfiguration(3, knownKey), path: "/open/x", header: http.Header{"Key": {strangeKey}, "Tenant": {"hule930"}}, status: 200, priority: "6"},
+		{name: "no workspaces", configuration: bytes.ReplaceAll(standin.KeyedConfiguration(3), []byte(`"tenants"`), []byte(`"none"`)), path: "/closed/x", header: http.Header{"Key": {knownKey}, "Tenant": {"hule930"}}, status: 200, priority: "6"},
 		{name: "no configuration", path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 503},
-		{name: "unknown, newer configuration announced", configuration: keyedConfiguration(3, knownKey), announced: newer, path: "/closed/x", header: http.Header{"Key": {otherKey}}, status: 503},
-		{name: "missing, newer configuration announced", configuration: keyedConfiguration(3, knownKey), announced: newer, path: "/closed/x", status: 503},
-		{name: "known, newer configuration announced", configuration: keyedConfiguration(3, knownKey), announced: newer, path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
-		{name: "unknown, configuration unconfirmed", configuration: keyedConfiguration(3, knownKey), unconfirmed: true, path: "/closed/x", header: http.Header{"Key": {otherKey}}, status: 503},
-		{name: "known, configuration unconfirmed, revocation not strict", configuration: keyedConfiguration(3, knownKey), unconfirmed: true, path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
+		{name: "unknown, newer configuration announced", configuration: standin.KeyedConfiguration(3, knownKey), announced: newer, path: "/closed/x", header: http.Header{"Key": {otherKey}}, status: 503},
+		{name: "missing, newer configuration announced", configuration: standin.KeyedConfiguration(3, knownKey), announced: newer, path: "/closed/x", status: 503},
+		{name: "known, newer configuration announced", configuration: standin.KeyedConfiguration(3, knownKey), announced: newer, path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
+		{name: "unknown, configuration unconfirmed", configuration: standin.KeyedConfiguration(3, knownKey), unconfirmed: true, path: "/closed/x", header: http.Header{"Key": {otherKey}}, status: 503},
+		{name: "known, configuration unconfirmed, revocation not strict", configuration: standin.KeyedConfiguration(3, knownKey), unconfirmed: true, path: "/closed/x", header: http.Header{"Key": {knownKey}}, status: 200, tenant: []string{"hule930"}, priority: "3"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -209,7 +200,7 @@
 			}
 			require.Len(t, runs, 1)
 			assert.Equal(t, tt.tenant, runs[0].Header["Tenant"])
-			assert.Equal(t, tt.priority, runs[0].Header.Get("Request-Priority"))
+			assert.Equal(t, tt.priority, runs[0].Priority())
 			assert.Empty(t, runs[0].Header["Key"])
 		})
 	}
@@ -218,7 +209,7 @@
 // An instance that can't tell whether a key was revoked must not serve it: it may have been cut
 // off, or frozen while the key was revoked.
 func TestUnconfirmedInstanceRefusesKeys(t *testing.T) {
-	k := newKeyedInstance(t, keyedConfiguration(3, knownKey))
+	k := newKeyedInstance(t, standin.KeyedConfiguration(3, knownKey))
 	k.state.setRevocation(true, 5*time.Second)
 	send := func() int {
 		status, _ := k.send(t, "/closed/x", http.Header{"Key": {knownKey}})
@@ -236,7 +227,7 @@
 	assert.Equal(t, 503, send(), "the store has a newer configuration")
 	status, _ := k.send(t, "/open/x", nil)
 	assert.Equal(t, 200, status, "an open route")
-	k.apply(t, keyedConfiguration(4, otherKey))
+	k.apply(t, standin.KeyedConfiguration(4, otherKey))
 	assert.Equal(t, 401, send(), "the key is gone for certain")
 }
 
@@ -245,7 +236,7 @@
 func TestDelayedAnswersOfPeersDontConfirm(t *testing.T) {
 	w, p := &testClock{}, &testClock{elapsed: 50 * time.Minute} // clocks of two machines
 	one, two := newTestState(w), newTestState(p)
-	c, err := platform.DecodeCatalog(keyedConfiguration(3, knownKey))
+	c, err := platform.DecodeCatalog(standin.KeyedConfiguration(3, knownKey))
 	require.NoError(t, err)
 	one.applyCatalog(c)
 	two.applyCatalog(c)
