fix(direct): unknown keys are refused with 503 once nothing was heard for 2 s

A key may have been added since the last word of the store; 401 is final for its caller. An instance refuses an unknown key with 401 only with evidence younger than 0.4 of revoke (before: 0.98).

--- a/internal/direct/revocation_test.go
+++ b/internal/direct/revocation_test.go
@@ -317,9 +317,9 @@
 }
 
 // deniesNewest reports whether an instance would refuse the newest key as unknown although it was
-// added longer ago than the time to revocation.
+// added longer ago than denialShare allows.
 func (n *simInstance) deniesNewest() bool {
-	if n.frozen || n.sim.clock.elapsed <= n.sim.ackedAt[n.sim.version]+simRevocation {
+	if n.frozen || n.sim.clock.elapsed <= n.sim.ackedAt[n.sim.version]+share(simRevocation, denialShare) {
 		return false
 	}
 	c := n.active()
@@ -400,7 +400,7 @@
 }
 
 // No instance may admit a key later than that time after its revocation, nor refuse a new one as
-// unknown then: cut off from the store or
+// unknown after a part of it: cut off from the store or
 // its peers, frozen and thawed, with messages that took seconds.
 func TestRevokedKeysStopUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(simSeeds) {
@@ -437,7 +437,7 @@
 // revocations is what a run under random faults has shown.
 type revocations struct {
 	late            time.Duration // by how much a revoked key was admitted too late
-	denied          int           // how often a new key was refused as unknown after that time
+	denied          int           // how often a new key was refused as unknown later than allowed
 	revoked         int64
 	admitted, steps int // in how many steps of the instances a key was admitted
 }
--- a/internal/direct/workspaces.go
+++ b/internal/direct/workspaces.go
@@ -20,6 +20,9 @@
 	// refreshShare is the part of revocationTime after which an instance that has heard of no
 	// newer evidence watches the configuration itself.
 	refreshShare = 0.6
+	// denialShare is the part of revocationTime without evidence after which an unknown key may
+	// be a new one.
+	denialShare = 0.4
 	// neverConfirmed is the age of a configuration without evidence.
 	neverConfirmed = -time.Millisecond
 )
@@ -98,11 +101,17 @@
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
 
-// isConfirmed reports whether no key can have been revoked earlier than revocationTime ago
-// without this instance's knowledge.
-func (s *state) isConfirmed() bool {
+// isConfirmedFor reports whether this instance knows all configurations up to a part of
+// revocationTime ago.
+func (s *state) isConfirmedFor(part float64) bool {
 	age, ok := s.confirmedAge()
-	return ok && age <= share(s.revocationTime, 1-revocationMargin)
+	return ok && age <= share(s.revocationTime, part)
+}
+
+// mayUseKeys reports whether no key can have been revoked earlier than revocationTime ago without
+// this instance's knowledge, or whether that doesn't matter.
+func (s *state) mayUseKeys() bool {
+	return !s.strictRevocation || s.isConfirmedFor(1-revocationMargin)
 }
 
 // Workspace returns the workspace of a request with a route of a configuration version.
@@ -118,8 +127,8 @@
 	}
 	age, _ := s.confirmedAge()
 	w, ok := c.Workspace(key)
-	switch confirmed := s.isConfirmed(); {
-	case !confirmed && (s.strictRevocation || !ok):
+	switch {
+	case !s.mayUseKeys(), !ok && !s.isConfirmedFor(denialShare):
 		return w, age, gateway.ErrUnconfirmed
 	case ok:
 		return w, age, nil
@@ -148,7 +157,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.strictRevocation && !s.isConfirmed() {
+	if !s.mayUseKeys() {
 		age, _ := s.confirmedAge()
 		return fmt.Errorf("%w: confirmed %s ago: %w", gateway.ErrKeyLapsed, age, gateway.ErrUnconfirmed)
 	}
--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -218,14 +218,17 @@
 	assert.Equal(t, 503, send(), "nothing has confirmed the configuration yet")
 	k.state.confirmCatalog(3, k.clock.uptime())
 	assert.Equal(t, 200, send())
-	k.clock.elapsed += 4800 * time.Millisecond
+	k.clock.elapsed += 2100 * time.Millisecond
+	status, _ := k.send(t, "/closed/x", http.Header{"Key": {strangeKey}})
+	assert.Equal(t, 503, status, "the key may have been added meanwhile")
+	k.clock.elapsed += 2700 * time.Millisecond
 	assert.Equal(t, 200, send(), "cut off for less")
 	k.clock.elapsed += 200 * time.Millisecond
 	assert.Equal(t, 503, send(), "cut off, or frozen meanwhile")
 	assert.Contains(t, k.log.String(), `step="refuse key" id=r1 status=503 route=closed version=3 workspace=hule930 confirmed=5s given=true`)
 	k.state.confirmCatalog(4, k.clock.uptime())
 	assert.Equal(t, 503, send(), "the store has a newer configuration")
-	status, _ := k.send(t, "/open/x", nil)
+	status, _ = k.send(t, "/open/x", nil)
 	assert.Equal(t, 200, status, "an open route")
 	k.apply(t, standin.KeyedConfiguration(4, otherKey))
 	assert.Equal(t, 401, send(), "the key is gone for certain")
