perf(direct): the first workspaces don't make every instance ask the store

Peers exchange evidence only for configurations with workspaces, so as the first one came, every instance had none, or an old one, and watched the configuration itself once. TestFirstWorkspacesLeavePeersTimeToConfirm failed before and passes.

--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -150,6 +150,9 @@
 		return 0, false
 	}
 	behind = s.outdatedFor()
+	if s.catalog == nil || len(s.catalog.Workspaces) == 0 {
+		s.keyedSince = s.uptime()
+	}
 	s.previousCatalog, s.catalog = s.catalog, c
 	s.recency.Activate(c.Version)
 	if c.Version >= s.newestCatalog {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -111,6 +111,8 @@
 	laggingSince time.Time
 	// recency tells for how long the active configuration has been known to be the newest.
 	recency recency.Tracker
+	// keyedSince is since when the active configuration has workspaces, on the clock uptime.
+	keyedSince time.Duration
 	// strictRevocation makes requests with a key depend on it, within revocationTime.
 	strictRevocation bool
 	revocationTime   time.Duration
--- a/internal/direct/workspaces.go
+++ b/internal/direct/workspaces.go
@@ -95,8 +95,10 @@
 	if s.catalog == nil || len(s.catalog.Workspaces) == 0 {
 		return false
 	}
-	age, ok := s.confirmedAge()
-	return !ok || age > share(s.revocationTime, refreshShare)
+	if s.uptime()-s.keyedSince <= share(s.revocationTime, refreshShare) {
+		return false // peers may not have said anything yet
+	}
+	return !s.isConfirmedFor(refreshShare)
 }
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -284,3 +284,31 @@
 	s.registry.Each(func(string, any) { names++ })
 	assert.Equal(t, maxCountedWorkspaces+2, names)
 }
+
+// When the first configuration with workspaces comes, peers' word of it needs a moment; all
+// instances of a fleet would ask the store meanwhile.
+func TestFirstWorkspacesLeavePeersTimeToConfirm(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	assert.False(t, s.confirmationIsOld(), "no configuration")
+	apply := func(text []byte) {
+		c, err := platform.DecodeCatalog(text)
+		require.NoError(t, err)
+		s.applyCatalog(c)
+	}
+	apply([]byte(`{"version":1}`))
+	s.confirmCatalog(1, w.uptime())
+	w.elapsed += time.Minute
+	assert.False(t, s.confirmationIsOld(), "no workspaces")
+	apply(standin.KeyedConfiguration(2, knownKey))
+	assert.False(t, s.confirmationIsOld(), "just now")
+	w.elapsed += 2900 * time.Millisecond
+	apply(standin.KeyedConfiguration(3, knownKey))
+	assert.False(t, s.confirmationIsOld(), "soon after")
+	w.elapsed += 200 * time.Millisecond
+	assert.True(t, s.confirmationIsOld(), "peers have said nothing for long")
+	s.confirmCatalog(3, w.uptime())
+	assert.False(t, s.confirmationIsOld())
+	w.elapsed += 3100 * time.Millisecond
+	assert.True(t, s.confirmationIsOld())
+}
