fix(gateway): a panic in an attempt ends its request, not the instance

Change: an attempt recovers, logs the stack and counts as possibly run; the test's node has tasks. Result: TestPanicInAnAttemptEndsItsRequestOnly passes (without the change the process ends); tests of direct and gateway pass.

--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 	"go.opentelemetry.io/otel"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
@@ -25,6 +26,7 @@
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
+	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
@@ -73,7 +75,9 @@
 	if configuration != nil {
 		k.apply(t, configuration)
 	}
-	g := gateway.New(k.state.place, platform.CallerCodec{}, platform.NewEndpointClient(), gatewayFleet{state: k.state}, time.Now,
+	endpoints := platform.NewEndpointClient()
+	node := &Node{state: k.state, endpoints: endpoints, clock: time.Now, tasks: timer.NewTasks(t.Context(), timer.New(timer.System{}), new(errgroup.Group))}
+	g := gateway.New(k.state.place, platform.CallerCodec{}, endpoints, gatewayFleet{state: k.state, node: node}, time.Now,
 		gateway.WithLogger(k.state.logger), gateway.WithStats(newStats(k.registry)))
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
@@ -68,6 +69,18 @@
 	predictedWait time.Duration
 }
 
+// runGuarded runs the attempt. A panic ends the request, not the instance, as in a handler of
+// net/http.
+func (a *attempt) runGuarded(ctx context.Context) (r result) {
+	defer func() {
+		if p := recover(); p != nil {
+			a.job.log("step", "panic", "endpoint", a.target.ID, "err", p, "stack", string(debug.Stack()))
+			r = result{attempt: a, outcome: outcomeUnknown, sent: true, err: fmt.Errorf("panic: %v", p)}
+		}
+	}()
+	return a.run(ctx)
+}
+
 // run sends the request to the chosen endpoint and passes the answer on.
 func (a *attempt) run(ctx context.Context) result {
 	j := a.job
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -169,7 +169,7 @@
 	j.inFlight = append(j.inFlight, a)
 	j.group.Go(func() error {
 		defer a.cancel(nil)
-		r := a.run(ctx)
+		r := a.runGuarded(ctx)
 		j.gateway.fleet.Ended(a.target, &a.query, a.answered)
 		if j.delivery.remove(a) {
 			r.outcome = outcomeSuperseded
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -253,3 +253,21 @@
 	assert.Equal(t, "id: 1\ndata: piece 1\n\n", answer.body)
 	require.NoError(t, watch.Wait())
 }
+
+type panickingSender struct{}
+
+func (panickingSender) Send(context.Context, *gateway.Attempt) (*gateway.Answer, error) {
+	panic("fault")
+}
+
+// Guards against an instance that ends with a fault in the code of one request: attempts run
+// beside the handler, whose panics net/http contains.
+func TestPanicInAnAttemptEndsItsRequestOnly(t *testing.T) {
+	f := newFleet(t, catalog.KindUnsafe, standin.BehaviourNone)
+	server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, panickingSender{}, f, time.Now))
+	t.Cleanup(server.Close)
+	answer, err := send(t, server.URL, http.MethodPost, nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, answer.status, "it may have run")
+	assert.Zero(t, f.open)
+}
