--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -16,10 +16,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sync/errgroup"
 	"go.opentelemetry.io/otel"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
