--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -270,7 +270,7 @@
 // retryAfter returns when a refused caller may try again: some time after the queued work
 // should be done, or when the missing model or adapter may be loaded.
 func (j *job) retryAfter() time.Duration {
-	var refused *promptRefusal
+	var refused *promptError
 	switch {
 	case errors.As(j.failure, &refused):
 		return refused.wait
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -19,26 +19,26 @@
 	ClaimPrompt(a *balance.Request) (time.Duration, error)
 }
 
-// promptRefusal is the error of a request refused for a part of its prompt, with when it may be
+// promptError is the error of a request refused for a part of its prompt, with when it may be
 // repeated.
-type promptRefusal struct {
+type promptError struct {
 	error
 	wait time.Duration
 }
 
-func (r *promptRefusal) Unwrap() error { return r.error }
+func (r *promptError) Unwrap() error { return r.error }
 
-func newPromptRefusal(wait time.Duration, err error) error {
+func newPromptError(wait time.Duration, err error) error {
 	if err == nil {
 		return nil
 	}
-	return &promptRefusal{error: err, wait: wait}
+	return &promptError{error: err, wait: wait}
 }
 
-func (j *job) checkPrompt() error { return newPromptRefusal(j.gateway.fleet.CheckPrompt(&j.query)) }
+func (j *job) checkPrompt() error { return newPromptError(j.gateway.fleet.CheckPrompt(&j.query)) }
 
 func (a *attempt) claimPrompt() error {
-	return newPromptRefusal(a.job.gateway.fleet.ClaimPrompt(&a.query))
+	return newPromptError(a.job.gateway.fleet.ClaimPrompt(&a.query))
 }
 
 // promptBegun records that the endpoint has begun an answer.
