fix(node): an instance that leaves keeps idle connections of callers open

Cause: a stop closed all idle connections of callers at once, though its address stays valid for them for a while. A request that was on its way on such a connection was lost with it: HTTP clients don't send a POST again on another connection.

Change: answers of an instance that leaves end their connections (Connection: close); idle ones are closed when the addresses that callers keep have run out.

Measured: TestRequestOnIdleConnectionOfLeavingInstance fails before (unexpected EOF) and passes.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -140,7 +140,7 @@
 		MaxBody: c.Body, MaxInFlight: n.config.Limits.Streams, WriteTimeout: c.Idle, EntriesMaxAge: c.Keep,
 	})
 	server := &http.Server{
-		Handler:           handler.Handler(),
+		Handler:           n.closeWhenLeaving(handler.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       c.Idle,
 		MaxHeaderBytes:    int(c.Header),
@@ -169,6 +169,17 @@
 	return server
 }
 
+// closeWhenLeaving tells callers not to use their connection again while this instance leaves. An
+// idle connection is not closed at once: a request may be on its way on it, and would be lost.
+func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.members.Self().Leaving {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveMetrics serves the metrics, health and readiness endpoints.
 func (n *Node) serveMetrics(l net.Listener) *http.Server {
 	mux := http.NewServeMux()
@@ -199,7 +210,6 @@
 	n.sendHeartbeats(ctx, n.clock())
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	callerServer.SetKeepAlivesEnabled(false)
 	sleep(ctx, min(n.config.Caller.Keep, limit/2))
 	_ = callerServer.Shutdown(ctx)
 	for n.pool.InFlight() > 0 && ctx.Err() == nil {
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -1,9 +1,13 @@
 package process
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -121,6 +125,38 @@
 	return answer.Entries[0].Address
 }
 
+// Guards against requests lost on connections that callers keep open: an instance that leaves must not
+// close them before callers have had the time to look up another entry, since a request may already
+// be on its way.
+func TestRequestOnIdleConnectionOfLeavingInstance(t *testing.T) {
+	b := newSouthDeployment(t, "")
+	n := b.instances[0]
+	connection, err := net.Dial("tcp", n.caller)
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.SetDeadline(time.Now().Add(waitTimeout)))
+	answers := bufio.NewReader(connection)
+	exchange := func(request string) (status int, last bool) {
+		_, err := io.WriteString(connection, request)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response.StatusCode, response.Close
+	}
+	_, last := exchange("GET /v1/entries?profile=chat HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.False(t, last)
+	n.signal(t, syscall.SIGTERM)
+	b.eventually("it leaves", func() bool { return strings.Contains(n.log.String(), "step=drain") })
+	body := chatBody("matcher-a", "on an idle connection", false, 4)
+	status, last := exchange(fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nChiveramp-Profile: chat\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, last, "the caller is told not to use the connection again")
+	<-n.exited
+}
+
 // Guards against requests lost in a rolling restart: instances are stopped with SIGTERM and
 // restarted one after the other under load. Draining must let every request complete.
 func TestRollingRestartLosesNoRequest(t *testing.T) {
