--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -20,6 +20,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -63,6 +64,13 @@
 	registry metrics.Registry
 }
 
+// stateFleet is a gatewayFleet without the tasks of a node.
+type stateFleet struct{ gatewayFleet }
+
+func (f stateFleet) PromptInterrupted(t gateway.Target, a *balance.Request, sentAt time.Time) {
+	f.state.PromptInterrupted(t, a, sentAt)
+}
+
 func newKeyedInstance(t *testing.T, configuration []byte) *keyedInstance {
 	t.Helper()
 	k := &keyedInstance{clock: &testClock{}, runner: standin.NewRunner("p", "s", "a", 2), log: &lockedBuffer{}, registry: metrics.NewRegistry()}
@@ -73,7 +81,7 @@
 	if configuration != nil {
 		k.apply(t, configuration)
 	}
-	g := gateway.New(k.state.place, platform.CallerCodec{}, platform.NewEndpointClient(), gatewayFleet{state: k.state}, time.Now,
+	g := gateway.New(k.state.place, platform.CallerCodec{}, platform.NewEndpointClient(), stateFleet{gatewayFleet{state: k.state}}, time.Now,
 		gateway.WithLogger(k.state.logger), gateway.WithStats(newStats(k.registry)))
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
