--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -19,14 +19,13 @@
 	"go.opentelemetry.io/otel"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
-	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
-	"github.com/chiveramp/chiveramp/internal/timer"
 	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
@@ -65,6 +64,13 @@
 	registry metrics.Registry
 }
 
+// stateFleet is a gatewayFleet without the tasks of a node.
+type stateFleet struct{ gatewayFleet }
+
+func (f stateFleet) PromptInterrupted(t gateway.Target, a *balance.Request, sentAt time.Time) {
+	f.state.PromptInterrupted(t, a, sentAt)
+}
+
 func newKeyedInstance(t *testing.T, configuration []byte) *keyedInstance {
 	t.Helper()
 	k := &keyedInstance{clock: &testClock{}, runner: standin.NewRunner("p", "s", "a", 2), log: &lockedBuffer{}, registry: metrics.NewRegistry()}
@@ -75,9 +81,7 @@
 	if configuration != nil {
 		k.apply(t, configuration)
 	}
-	endpoints := platform.NewEndpointClient()
-	node := &Node{state: k.state, endpoints: endpoints, clock: time.Now, tasks: timer.NewTasks(t.Context(), timer.New(timer.System{}), new(errgroup.Group))}
-	g := gateway.New(k.state.place, platform.CallerCodec{}, endpoints, gatewayFleet{state: k.state, node: node}, time.Now,
+	g := gateway.New(k.state.place, platform.CallerCodec{}, platform.NewEndpointClient(), stateFleet{gatewayFleet{state: k.state}}, time.Now,
 		gateway.WithLogger(k.state.logger), gateway.WithStats(newStats(k.registry)))
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
