feat(allotment): the sum of all instances stays within an allotment

A workspace's rate and burst hold over all instances, in touch or not, and nothing kept them. A share goes to another owner only after its lease and the portions it backed ended.

--- /dev/null
+++ b/internal/core/allotment/lender.go
@@ -0,0 +1,56 @@
+package allotment
+
+import (
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Lender decides to which owner an instance lends its share. It is not safe for concurrent use.
+type Lender struct {
+	self  fleet.Instance
+	owner fleet.Instance
+	// stamp is the newest one of the owner, received at stampedAt.
+	stamp     Stamp
+	stampedAt time.Duration
+	// promisedUntil is until when what was lent may be in use, lendFrom from when on the
+	// share may be lent to the present owner.
+	promisedUntil, lendFrom time.Duration
+}
+
+// NewLender returns the lender of an instance that starts now. It lends nothing until what its
+// previous start may have lent has expired.
+func NewLender(now time.Duration, self fleet.Instance) *Lender {
+	return &Lender{self: self, lendFrom: now + LeaseTime + PortionTime}
+}
+
+// Offer returns the owner to ask and what to lend to it. The candidate is who should be the
+// owner, members how many instances have a share.
+func (l *Lender) Offer(now time.Duration, candidate fleet.Instance, members int) (fleet.Instance, Offer) {
+	if candidate != l.owner && (l.owner == "" || now >= l.promisedUntil) {
+		l.owner, l.stamp = candidate, Stamp{}
+	}
+	offer := Offer{Lender: l.self, Stamp: l.stamp}
+	if candidate == l.owner && l.stamp != (Stamp{}) && now >= l.lendFrom && now < l.stampedAt+LeaseTime {
+		offer.Share = 1 / float64(max(1, members))
+		l.promisedUntil = max(l.promisedUntil, l.stampedAt+LeaseTime+PortionTime)
+	}
+	return l.owner, offer
+}
+
+// Received records the stamp in an owner's reply.
+func (l *Lender) Received(now time.Duration, owner fleet.Instance, s Stamp) {
+	switch {
+	case owner != l.owner:
+		return
+	case s.Incarnation != l.stamp.Incarnation:
+		// The owner has restarted; what its previous start granted may still be in use.
+		l.lendFrom = max(l.lendFrom, l.promisedUntil)
+	case s.At <= l.stamp.At:
+		return
+	}
+	l.stamp, l.stampedAt = s, now
+}
+
+// Incarnation returns the incarnation of the present owner, empty if it isn't known yet.
+func (l *Lender) Incarnation() string { return l.stamp.Incarnation }
