feat(gateway): requests are charged to their workspace's allotment

A request takes its cost from the portions at its instance, and asks the owners only if they don't suffice, that of its own region first. One beyond the allotment gets 429 and the time when there is room; one that has not run anywhere gets its credit back. Without limits in the configuration no call is made.

--- a/internal/core/member/choice.go
+++ b/internal/core/member/choice.go
@@ -60,6 +60,9 @@
 	})
 }
 
+// ListReceived reports whether a platform list was received.
+func (v *View) ListReceived() bool { return v.listReceived }
+
 // Settled reports whether a platform list was received and each peer that it names
 // in the local data centre has either sent a heartbeat or exceeded the dead timeout.
 func (v *View) Settled(now time.Time) bool {
--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -155,6 +155,7 @@
 	}
 	s.previousCatalog, s.catalog = s.catalog, c
 	s.recency.Activate(c.Version)
+	s.allotments.setLimits(s.uptime(), c.Workspaces)
 	if c.Version >= s.newestCatalog {
 		s.outdatedSince = time.Time{}
 	}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
@@ -215,6 +216,7 @@
 		n.tasks.Every(name, interval, func(ctx context.Context, _ time.Time) { task(ctx) })
 	}
 	every("beat", n.config.Peer.Beat, n.sendHeartbeats)
+	every("portions", allotment.AskInterval, n.refillPortions)
 	every("probe", probeInterval, n.probeEndpoints)
 	every("right", orderLeaseInterval, func(ctx context.Context) { n.orderLease.maintain(ctx, n.state) })
 	every("place", placementInterval, n.placeModels)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -116,6 +116,7 @@
 	// strictRevocation makes requests with a key depend on it, within revocationTime.
 	strictRevocation bool
 	revocationTime   time.Duration
+	allotments       *allotments
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
 	// watches the store.
 	storeAnsweredAt time.Time
@@ -140,7 +141,7 @@
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
 		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewPartCrashes(settleBeats * interval), reviews: make(map[suspect.Part]time.Time),
 		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
-		revocationTime: defaultRevocationTime,
+		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
 }
 
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -31,6 +31,7 @@
 	self := member.Peer{Instance: "one", Incarnation: "1", Place: fleet.Place{DataCentre: allDataCentres}, Address: "a:1", Caller: "a:2"}
 	s := newState(self, place, map[fleet.DataCentre]fleet.Region{"a": "south"}, balance.NewBudget(0.2, 10, 10*time.Second), 300*time.Millisecond, w.now, log.NewNopLogger())
 	s.uptime = w.uptime
+	s.allotments = newAllotments(w.uptime(), self)
 	s.applyRecords([]roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Service: "s", Slots: 4, Revision: 1}}}, 1, true)
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -29,6 +30,8 @@
 	adapterLoadRetryAfter = 2 * time.Second
 	// maxRetryAfter limits a retry delay that is derived from a predicted wait.
 	maxRetryAfter = 3 * time.Second
+	// minRetryAfter is the least retry delay of a request beyond its workspace's allotment.
+	minRetryAfter = 50 * time.Millisecond
 	// noCatalogRetryAfter is the retry delay sent while the instance lacks a configuration.
 	noCatalogRetryAfter = 300 * time.Millisecond
 )
@@ -125,6 +128,10 @@
 	if err != nil {
 		return
 	}
+	charge, err := g.charge(r.Context(), w, request, workspace)
+	if err != nil {
+		return
+	}
 	ctx, span := g.tracer.Start(r.Context(), "gateway "+route.Name)
 	defer span.End()
 	timeout := route.Timeout
@@ -145,6 +152,9 @@
 	}
 	g.fleet.CountRequest(&j.query)
 	j.run(ctx)
+	if !j.delivery.begun() && !j.mayHaveRun {
+		g.fleet.Refund(charge)
+	}
 	j.report(ctx)
 	g.stats.Workspace(request.Workspace, j.delivery.status)
 	if j.abortConnection {
@@ -234,6 +244,27 @@
 	return nil, err
 }
 
+// charge takes a request's cost from the allotment of its workspace. If it returns an error, it
+// has refused the request.
+func (g *Gateway) charge(ctx context.Context, w http.ResponseWriter, request *Request, workspace *catalog.Workspace) (allotment.Receipt, error) {
+	if !workspace.Limited() {
+		return allotment.Receipt{}, nil
+	}
+	cost := workspace.Cost(request.PromptTokens+request.OutputTokens, request.TokensStated)
+	charge, wait, err := g.fleet.Charge(ctx, workspace, cost)
+	if err == nil {
+		return charge, nil
+	}
+	refusal := Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), Request: request.ID, RetryAfter: wait}
+	if errors.Is(err, ErrOverAllotment) {
+		refusal.Status, refusal.RetryAfter = http.StatusTooManyRequests, max(minRetryAfter, wait)
+	}
+	_ = g.logger.Log("step", "refuse allotment", "id", request.ID, "status", refusal.Status, "workspace", workspace.Name, "cost", cost, "wait", refusal.RetryAfter, "err", err)
+	g.stats.Workspace(workspace.Name, refusal.Status)
+	g.codec.Refuse(w, refusal)
+	return charge, err
+}
+
 // Stats counts requests and their results.
 type Stats interface {
 	// Done records the end of a request to a route: how many attempts were sent, the time to
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
@@ -68,6 +69,12 @@
 	return nil, 0, nil
 }
 
+func (f *fakeFleet) Charge(context.Context, *catalog.Workspace, float64) (allotment.Receipt, time.Duration, error) {
+	return allotment.Receipt{}, 0, nil
+}
+
+func (f *fakeFleet) Refund(allotment.Receipt) {}
+
 func (f *fakeFleet) KeyValid(credential.Digest, string) error { return nil }
 
 func (f *fakeFleet) Choose(a *balance.Request) (gateway.Target, error) {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
@@ -53,6 +54,10 @@
 	ErrUnconfirmed = errors.New("the configuration may be too old to check the request's key")
 	// ErrKeyLapsed is returned if a key that was admitted can't be used any more.
 	ErrKeyLapsed = errors.New("the request's key can't be used any more")
+	// ErrOverAllotment is returned if the allotment of the request's workspace is used up,
+	// ErrNoAllotment if no instance that keeps the allotment answers.
+	ErrOverAllotment = errors.New("the workspace's allotment is used up")
+	ErrNoAllotment   = errors.New("no instance that keeps the workspace's allotment answers")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -198,6 +203,11 @@
 	Workspace(r *catalog.Route, version int64, key credential.Digest) (*catalog.Workspace, time.Duration, error)
 	// KeyValid returns ErrKeyLapsed if an admitted request with a key must not be sent now.
 	KeyValid(key credential.Digest, workspace string) error
+	// Charge takes the cost of a request from its workspace's allotment, if it has one. Its error
+	// is ErrOverAllotment if there is no room before the wait is over, or ErrNoAllotment.
+	Charge(ctx context.Context, w *catalog.Workspace, cost float64) (r allotment.Receipt, wait time.Duration, err error)
+	// Refund gives back what was charged for a request that has not run.
+	Refund(r allotment.Receipt)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Request) (Target, error)
 	// HasAlternative reports whether an endpoint that was not tried yet can take the request now.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
@@ -44,6 +45,14 @@
 	return &gossip.AdmitReply{Wait: a.Work, Refused: a.Work > a.Limit}, nil
 }
 
+func (handler) Portions(_ context.Context, p *gossip.Portions) (*gossip.PortionsReply, error) {
+	reply := &gossip.PortionsReply{Stamp: p.Offer.Stamp}
+	for _, w := range p.Wants {
+		reply.Grants = append(reply.Grants, allotment.Grant{Workspace: w.Workspace, ID: 1 << 63, Amount: w.Amount})
+	}
+	return reply, nil
+}
+
 func TestMessagesRoundTripOverGRPC(t *testing.T) {
 	h := handler{heartbeats: make(chan *gossip.Heartbeat, 1)}
 	server := gossip.NewServer(h)
@@ -81,6 +90,10 @@
 	part, err := client.FetchCatalog(ctx, l.Addr().String(), &gossip.FetchCatalog{Have: 3, Text: id, Offset: 5})
 	require.NoError(t, err)
 	assert.Equal(t, transfer.Part{ID: id, Size: 7, Offset: 5, Data: []byte("ab")}, part.Part)
+	stamp := allotment.Stamp{Incarnation: "i", At: time.Hour + 1}
+	portions, err := client.Portions(ctx, l.Addr().String(), &gossip.Portions{Offer: allotment.Offer{Stamp: stamp}, Wants: []allotment.Want{{Workspace: "w", Amount: 0.25}}})
+	require.NoError(t, err)
+	assert.Equal(t, &gossip.PortionsReply{Stamp: stamp, Grants: []allotment.Grant{{Workspace: "w", ID: 1 << 63, Amount: 0.25}}}, portions)
 	client.Reset(l.Addr().String())
 	reply, err := client.Ensure(ctx, l.Addr().String(), &gossip.Ensure{Adapter: "x"})
 	require.NoError(t, err, "the client reconnects after Reset")
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
@@ -222,6 +223,19 @@
 	Refused string `cbor:"r"`
 }
 
+// Portions asks the owner of a part of the allotments for portions, and lends it a share.
+type Portions struct {
+	Part  int              `cbor:"p"`
+	Offer allotment.Offer  `cbor:"o"`
+	Wants []allotment.Want `cbor:"w,omitempty"`
+}
+
+// PortionsReply answers a Portions, its wants in their order.
+type PortionsReply struct {
+	Stamp  allotment.Stamp   `cbor:"s"`
+	Grants []allotment.Grant `cbor:"g,omitempty"`
+}
+
 // Admit asks the instance that admits an endpoint's requests when a prompt may be sent there.
 type Admit struct {
 	Endpoint fleet.Endpoint `cbor:"i"`
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -41,6 +41,7 @@
 	FetchCatalog(ctx context.Context, f *FetchCatalog) (*CatalogPart, error)
 	Ensure(ctx context.Context, e *Ensure) (*EnsureReply, error)
 	Admit(ctx context.Context, a *Admit) (*AdmitReply, error)
+	Portions(ctx context.Context, p *Portions) (*PortionsReply, error)
 }
 
 // NewServer returns a gRPC server for a handler.
@@ -59,6 +60,7 @@
 			unaryMethod("FetchCatalog", Handler.FetchCatalog),
 			unaryMethod("Ensure", Handler.Ensure),
 			unaryMethod("Admit", Handler.Admit),
+			unaryMethod("Portions", Handler.Portions),
 		},
 	}, h)
 	return s
@@ -210,6 +212,11 @@
 	return invoke[Admit, AdmitReply](ctx, c, address, "Admit", a)
 }
 
+// Portions asks a peer that owns a part of the allotments for portions.
+func (c *Client) Portions(ctx context.Context, address string, p *Portions) (*PortionsReply, error) {
+	return invoke[Portions, PortionsReply](ctx, c, address, "Portions", p)
+}
+
 // Reset closes the connection to a peer, so that the next call opens a new one.
 func (c *Client) Reset(address string) {
 	c.mu.Lock()
