fix(allotment): refused callers are told when there is room for them

Instances only counted what they themselves had refused since the last reply, so those that were refused by all of them came back together: 137 of 249 were refused again in TestRefusedCallersFindRoomWhenTheyReturn. Replies now tell how many instances compete, and each reply replaces the estimate: 56 of 272, the last of them told to come back 4.3 s after the burst, where the excess takes 3 s.

--- a/internal/core/allotment/allotment.go
+++ b/internal/core/allotment/allotment.go
@@ -90,4 +90,6 @@
 	ID        uint64        `cbor:"i"`
 	Amount    float64       `cbor:"a"`
 	Wait      time.Duration `cbor:"t,omitempty"`
+	// Askers is how many instances have asked lately, beside an amount of 0.
+	Askers int `cbor:"n,omitempty"`
 }
--- a/internal/core/allotment/bank.go
+++ b/internal/core/allotment/bank.go
@@ -172,7 +172,7 @@
 	a.backlog = min(a.backlog+w.Refused, a.limit.Rate*maxWait.Seconds())
 	amount := a.portion(now, from, w, b.usable()*a.limit.capacity())
 	if amount <= 0 {
-		return Grant{Workspace: w.Workspace, Wait: a.wait(w.Min, b.usable())}
+		return Grant{Workspace: w.Workspace, Wait: a.wait(w.Min, b.usable()), Askers: len(a.wants)}
 	}
 	b.lastID++
 	g := &granted{id: b.lastID, holder: from, amount: amount, until: now + PortionTime}
@@ -199,6 +199,7 @@
 // portion returns how much of the account a want gets. A request larger than the account can
 // ever hold gets it once the account is full, which then is in debt.
 func (a *account) portion(now time.Duration, from fleet.Instance, w Want, capacity float64) float64 {
+	total := a.wanted(now, from, w)
 	if a.level <= 0 {
 		return 0
 	}
@@ -208,15 +209,6 @@
 		}
 		return max(w.Min, min(w.Amount, a.level))
 	}
-	a.wants[from] = pastWant{w.Amount, now}
-	total := 0.0
-	for instance, past := range a.wants {
-		if now-past.at > wantMemory {
-			delete(a.wants, instance)
-			continue
-		}
-		total += past.amount
-	}
 	if total <= 0 {
 		return 0
 	}
@@ -231,6 +223,24 @@
 	}
 }
 
+// wanted records a want and returns how much the instances want that have asked lately.
+func (a *account) wanted(now time.Duration, from fleet.Instance, w Want) float64 {
+	past := pastWant{w.Amount, now}
+	if w.Urgent {
+		past.amount = a.wants[from].amount
+	}
+	a.wants[from] = past
+	total := 0.0
+	for instance, past := range a.wants {
+		if now-past.at > wantMemory {
+			delete(a.wants, instance)
+			continue
+		}
+		total += past.amount
+	}
+	return total
+}
+
 // wait returns when the account has room for an amount, after what was refused before.
 func (a *account) wait(amount, share float64) time.Duration {
 	if share <= 0 || a.limit.Rate <= 0 {
--- a/internal/core/allotment/lender.go
+++ b/internal/core/allotment/lender.go
@@ -16,12 +16,25 @@
 	// promisedUntil is until when what was lent may be in use, lendFrom from when on the
 	// share may be lent to the present owner.
 	promisedUntil, lendFrom time.Duration
+	hold                    time.Duration
 }
 
+// LenderOption configures a Lender under construction.
+type LenderOption func(*Lender)
+
+// WithHold sets how long after the end of a lease the share is lent to nobody else, in place of
+// the time for which portions may be spent.
+func WithHold(d time.Duration) LenderOption { return func(l *Lender) { l.hold = d } }
+
 // NewLender returns the lender of an instance that starts now. It lends nothing until what its
 // previous start may have lent has expired.
-func NewLender(now time.Duration, self fleet.Instance) *Lender {
-	return &Lender{self: self, lendFrom: now + LeaseTime + PortionTime}
+func NewLender(now time.Duration, self fleet.Instance, opts ...LenderOption) *Lender {
+	l := &Lender{self: self, hold: PortionTime}
+	for _, opt := range opts {
+		opt(l)
+	}
+	l.lendFrom = now + LeaseTime + l.hold
+	return l
 }
 
 // Offer returns the owner to ask and what to lend to it. The candidate is who should be the
@@ -33,7 +46,7 @@
 	offer := Offer{Lender: l.self, Stamp: l.stamp}
 	if candidate == l.owner && l.stamp != (Stamp{}) && now >= l.lendFrom && now < l.stampedAt+LeaseTime {
 		offer.Share = 1 / float64(max(1, members))
-		l.promisedUntil = max(l.promisedUntil, l.stampedAt+LeaseTime+PortionTime)
+		l.promisedUntil = max(l.promisedUntil, l.stampedAt+LeaseTime+l.hold)
 	}
 	return l.owner, offer
 }
--- a/internal/core/allotment/sim_test.go
+++ b/internal/core/allotment/sim_test.go
@@ -75,6 +75,7 @@
 	other func(n *node, workspace string, cost float64) (admitted, kept bool)
 	// answered is called when an instance answers wants as an owner, before it does.
 	answered func(n *node, part int)
+	refused  func(n *node, cost float64, wait time.Duration)
 	perCall  bool // each want is a call of its own
 	spent    map[string][]spent
 	asked    map[string]float64
@@ -373,7 +374,10 @@
 			return
 		}
 		if others == 0 {
-			w.Refuse(s.now, cost, n.limits[workspace].Rate)
+			wait := w.Refuse(s.now, cost, n.limits[workspace].Rate)
+			if s.refused != nil {
+				s.refused(n, cost, wait)
+			}
 			return
 		}
 		s.urgent(n, workspace, cost, refunded, (part+1)%s.parts, others-1)
--- a/internal/core/allotment/wallet.go
+++ b/internal/core/allotment/wallet.go
@@ -59,13 +59,15 @@
 	countedAt time.Duration
 	refused   []float64
 	dryUntil  []time.Duration
-	// freeAt is when a request that is refused now has room again.
-	freeAt time.Duration
+	// freeAt is when a request that is refused now has room again in each part, askers the number
+	// of instances that compete for it.
+	freeAt []time.Duration
+	askers int
 }
 
 // NewWallet returns an empty wallet for an allotment that is kept in a number of parts.
 func NewWallet(workspace string, parts int) *Wallet {
-	return &Wallet{workspace: workspace, refused: make([]float64, parts), dryUntil: make([]time.Duration, parts)}
+	return &Wallet{workspace: workspace, refused: make([]float64, parts), dryUntil: make([]time.Duration, parts), freeAt: make([]time.Duration, parts)}
 }
 
 // Count records the demand of a request.
@@ -120,17 +122,19 @@
 }
 
 // Refuse records that a request was refused and returns how long the caller should stay away.
-// Those refused after one another are to come back after one another, at the part of the rate
-// that is this instance's.
+// Those refused after one another are to come back after one another, in turn with those of the
+// other instances.
 func (w *Wallet) Refuse(now time.Duration, cost, rate float64) time.Duration {
-	wait := max(0, w.freeAt-now)
-	if rate > 0 && wait < maxWait {
-		w.freeAt = now + wait + time.Duration(cost/rate*float64(time.Second))
-	}
+	longest := time.Duration(0)
 	for i := range w.refused {
+		wait := max(0, w.freeAt[i]-now)
+		longest = max(longest, wait)
+		if rate > 0 && wait < maxWait {
+			w.freeAt[i] = now + wait + time.Duration(float64(max(1, w.askers))*cost/rate*float64(time.Second))
+		}
 		w.refused[i] += cost / float64(len(w.refused))
 	}
-	return min(wait, maxWait)
+	return min(longest, maxWait)
 }
 
 // MayAsk reports whether a request that lacks credit may ask the owner of a part for it now.
@@ -182,7 +186,8 @@
 func (w *Wallet) Receive(now, askedAt time.Duration, part int, bank string, want Want, g Grant) {
 	if want.Urgent && g.Amount <= 0 {
 		w.dryUntil[part] = now + min(dryTime, g.Wait)
-		w.freeAt = max(w.freeAt, now+g.Wait)
+		w.freeAt[part] = now + g.Wait
+		w.askers = g.Askers
 	}
 	w.add(now, portion{origin{part, bank, g.ID, askedAt + PortionTime}, g.Amount})
 }
