--- a/internal/core/allotment/compare_test.go
+++ b/internal/core/allotment/compare_test.go
@@ -258,7 +258,7 @@
 	c.set(s)
 	limit := s.limits[workspace]
 	faults(s)
-	s.at(2*time.Second, func() { load(s, wayAll, workspace, requestCost, 4*limit.Rate, 30*time.Second) })
+	s.at(loadFrom, func() { load(s, wayAll, workspace, requestCost, 4*limit.Rate, 30*time.Second) })
 	s.run(30 * time.Second)
 	allowed := rate * (limit.Rate*window.Seconds() + limit.Burst)
 	return mostInWindow(s.spent[workspace], from)/allowed - 1, total(s.spent[workspace], loadFrom, 30*time.Second) / (limit.Rate * 22)
@@ -274,7 +274,7 @@
 func troubles() []trouble {
 	owner := func(s *sim) *node { return s.nodes[s.candidate(s.nodes[0], 0)] }
 	return []trouble{
-		{"none", 0, 1, func(*sim) {}},
+		{"none", loadFrom, 1, func(*sim) {}},
 		{"owner freezes for 4 s and thaws", 0, 1, func(s *sim) { s.at(10*time.Second, func() { s.freeze(owner(s), 4*time.Second) }) }},
 		{"owner dies, back after 4 s", 0, 1, func(s *sim) {
 			s.at(10*time.Second, func() {
