--- a/internal/direct/allotment.go
+++ b/internal/direct/allotment.go
@@ -227,6 +227,20 @@
 	}
 }
 
+// FairLevel returns the rank with which a request waits whose workspace has a rank of its own.
+func (s *state) FairLevel(level int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service.Level(s.uptime(), level)
+}
+
+// RecordService counts the end of a request whose workspace has a rank of its own.
+func (s *state) RecordService(level int, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service.Record(s.uptime(), level, served)
+}
+
 // firstPart is the part whose owner is near, if it is in the part's region.
 func (s *state) firstPart() int {
 	return max(0, slices.Index(s.sortedRegions(), s.place.Region)) % allotmentParts
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/recency"
@@ -117,6 +118,7 @@
 	strictRevocation bool
 	revocationTime   time.Duration
 	allotments       *allotments
+	service          fairshare.Tracker // of requests whose workspace has a rank of its own
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
 	// watches the store.
 	storeAnsweredAt time.Time
--- a/internal/gateway/allotment_test.go
+++ b/internal/gateway/allotment_test.go
@@ -26,6 +26,20 @@
 	workspace catalog.Workspace
 	charged   []float64
 	refunds   int
+	raised    bool // the rank of the workspace is raised
+	asked     []int
+	served    []bool
+}
+
+func (f *allottedFleet) FairLevel(level int) int {
+	if f.raised {
+		return 0
+	}
+	return level
+}
+
+func (f *allottedFleet) RecordService(level int, served bool) {
+	f.asked, f.served = append(f.asked, level), append(f.served, served)
 }
 
 func (f *allottedFleet) Workspace(*catalog.Route, int64, credential.Digest) (*catalog.Workspace, time.Duration, error) {
@@ -39,6 +53,20 @@
 
 func (f *allottedFleet) Refund(allotment.Receipt) { f.refunds++ }
 
+// countedCodec decodes requests whose callers state their numbers of tokens.
+type countedCodec struct {
+	platform.CallerCodec
+	tokens [2]int
+}
+
+func (c countedCodec) Decode(r *http.Request) (*gateway.Request, error) {
+	request, err := c.CallerCodec.Decode(r)
+	if request != nil {
+		request.PromptTokens, request.OutputTokens, request.TokensStated = c.tokens[0], c.tokens[1], c.tokens != [2]int{}
+	}
+	return request, err
+}
+
 // A request beyond its workspace's allotment must not run, and is told when there is room again.
 // One within it is charged once, whatever it is sent again, and gets its credit back only if it
 // has not run anywhere.
@@ -48,7 +76,7 @@
 		name       string
 		workspace  catalog.Workspace
 		err        error
-		count      string
+		tokens     [2]int // as the caller states them
 		behaviours []standin.Behaviour
 		noEndpoint bool
 		status     int
@@ -57,9 +85,9 @@
 		refunds    int
 		runs       int
 	}{
-		{name: "beyond it", workspace: tokens, err: gateway.ErrOverAllotment, count: "1460,80", status: 429, retryAfter: "1.250", charged: []float64{1540}},
-		{name: "nobody keeps it", workspace: tokens, err: gateway.ErrNoAllotment, count: "1460,80", status: 503, retryAfter: "1.250", charged: []float64{1540}},
-		{name: "within it", workspace: tokens, count: "1460,80", behaviours: []standin.Behaviour{standin.BehaviourNone}, status: 200, charged: []float64{1540}, runs: 1},
+		{name: "beyond it", workspace: tokens, err: gateway.ErrOverAllotment, tokens: [2]int{1460, 80}, status: 429, retryAfter: "1.250", charged: []float64{1540}},
+		{name: "nobody keeps it", workspace: tokens, err: gateway.ErrNoAllotment, tokens: [2]int{1460, 80}, status: 503, retryAfter: "1.250", charged: []float64{1540}},
+		{name: "within it", workspace: tokens, tokens: [2]int{1460, 80}, behaviours: []standin.Behaviour{standin.BehaviourNone}, status: 200, charged: []float64{1540}, runs: 1},
 		{name: "without a count", workspace: tokens, behaviours: []standin.Behaviour{standin.BehaviourNone}, status: 200, charged: []float64{200}, runs: 1},
 		{name: "in requests", workspace: catalog.Workspace{Name: "w", Unit: catalog.UnitRequests, Rate: 1}, behaviours: []standin.Behaviour{standin.BehaviourNone}, status: 200, charged: []float64{1}, runs: 1},
 		{name: "without an allotment", workspace: catalog.Workspace{Name: "w"}, err: gateway.ErrOverAllotment, behaviours: []standin.Behaviour{standin.BehaviourNone}, status: 200, runs: 1},
@@ -74,12 +102,8 @@
 			if tt.noEndpoint {
 				f.err = gateway.ErrNoEndpoint
 			}
-			header := map[string]string{}
-			if tt.count != "" {
-				header["Token-Count"] = tt.count
-			}
-			server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now))
-			answer, err := send(t, server.URL, http.MethodPost, header, "")
+			server := httptest.NewServer(gateway.New(fleet.Place{}, countedCodec{tokens: tt.tokens}, platform.NewEndpointClient(), f, time.Now))
+			answer, err := send(t, server.URL, http.MethodPost, nil, "")
 			server.Close() // waits for the end of the request
 			require.NoError(t, err)
 			assert.Equal(t, tt.status, answer.status)
@@ -92,3 +116,49 @@
 		})
 	}
 }
+
+// rankedSender records the ranks with which attempts are sent.
+type rankedSender struct {
+	gateway.Sender
+	levels []int
+}
+
+func (s *rankedSender) Send(ctx context.Context, a *gateway.Attempt) (*gateway.Answer, error) {
+	s.levels = append(s.levels, a.Level)
+	return s.Sender.Send(ctx, a)
+}
+
+// A rank that operators gave to a workspace is raised while it is starved, and counted as it was.
+// Routes' ranks stay as they are.
+func TestStarvedRankIsRaised(t *testing.T) {
+	tests := []struct {
+		name             string
+		workspace        catalog.Workspace
+		raised, overload bool
+		sent             []int
+		asked            []int
+		served           []bool
+	}{
+		{name: "as it is", workspace: catalog.Workspace{Name: "w", HasLevel: true, Level: 2}, sent: []int{2}, asked: []int{2}, served: []bool{true}},
+		{name: "raised", workspace: catalog.Workspace{Name: "w", HasLevel: true, Level: 2}, raised: true, sent: []int{0}, asked: []int{2}, served: []bool{true}},
+		{name: "refused", workspace: catalog.Workspace{Name: "w", HasLevel: true, Level: 2}, overload: true, asked: []int{2}, served: []bool{false}},
+		{name: "ranked by its route", workspace: catalog.Workspace{Name: "w"}, raised: true, sent: []int{1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &allottedFleet{fakeFleet: newFleet(t, catalog.KindUnsafe, standin.BehaviourNone), workspace: tt.workspace, raised: tt.raised}
+			f.route.Level = 1
+			if tt.overload {
+				f.err = gateway.ErrOverloaded
+			}
+			sender := &rankedSender{Sender: platform.NewEndpointClient()}
+			server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, sender, f, time.Now))
+			_, err := send(t, server.URL, http.MethodPost, nil, "")
+			server.Close()
+			require.NoError(t, err)
+			assert.Equal(t, tt.asked, f.asked)
+			assert.Equal(t, tt.served, f.served)
+			assert.Equal(t, tt.sent, sender.levels)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,13 +148,11 @@
 	}
 	j.query = balance.Request{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
-		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: workspace.LevelOn(route), Target: route.Target, Place: g.place,
+		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
 	}
 	g.fleet.CountRequest(&j.query)
 	j.run(ctx)
-	if !j.delivery.begun() && !j.mayHaveRun {
-		g.fleet.Refund(charge)
-	}
+	g.settle(j, workspace, charge)
 	j.report(ctx)
 	g.stats.Workspace(request.Workspace, j.delivery.status)
 	if j.abortConnection {
@@ -244,6 +242,15 @@
 	return nil, err
 }
 
+// level returns the rank with which a request waits. A workspace's own rank is raised while
+// those of other workspaces starve it.
+func (g *Gateway) level(w *catalog.Workspace, route *catalog.Route) int {
+	if w == nil || !w.HasLevel {
+		return route.Level
+	}
+	return g.fleet.FairLevel(w.Level)
+}
+
 // charge takes a request's cost from the allotment of its workspace. If it returns an error, it
 // has refused the request.
 func (g *Gateway) charge(ctx context.Context, w http.ResponseWriter, request *Request, workspace *catalog.Workspace) (allotment.Receipt, error) {
@@ -265,6 +272,18 @@
 	return charge, err
 }
 
+// settle gives back what was charged for a request that has not run, and counts how often ranks
+// of workspaces are served.
+func (g *Gateway) settle(j *job, workspace *catalog.Workspace, charge allotment.Receipt) {
+	notRun := !j.delivery.begun() && !j.mayHaveRun
+	if notRun {
+		g.fleet.Refund(charge)
+	}
+	if workspace != nil && workspace.HasLevel {
+		g.fleet.RecordService(workspace.Level, !notRun)
+	}
+}
+
 // Stats counts requests and their results.
 type Stats interface {
 	// Done records the end of a request to a route: how many attempts were sent, the time to
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -73,6 +73,10 @@
 	return allotment.Receipt{}, 0, nil
 }
 
+func (f *fakeFleet) FairLevel(level int) int { return level }
+
+func (f *fakeFleet) RecordService(int, bool) {}
+
 func (f *fakeFleet) Refund(allotment.Receipt) {}
 
 func (f *fakeFleet) KeyValid(credential.Digest, string) error { return nil }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -208,6 +208,10 @@
 	Charge(ctx context.Context, w *catalog.Workspace, cost float64) (r allotment.Receipt, wait time.Duration, err error)
 	// Refund gives back what was charged for a request that has not run.
 	Refund(r allotment.Receipt)
+	// FairLevel returns the rank with which a request waits whose workspace has a rank of its own.
+	// RecordService counts the end of such a request.
+	FairLevel(level int) int
+	RecordService(level int, served bool)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Request) (Target, error)
 	// HasAlternative reports whether an endpoint that was not tried yet can take the request now.
