--- a/internal/explore/command/command_test.go
+++ b/internal/explore/command/command_test.go
@@ -19,7 +19,7 @@
 		args []string
 		want string
 	}{
-		{[]string{"run", "nothing"}, `model "nothing": want claims, document`},
+		{[]string{"run", "nothing"}, `model "nothing": want allotments, claims, document`},
 		{[]string{"run", "--off", "sticky", "claims"}, `no mechanism "sticky"`},
 		{[]string{"run", "--output", "xml"}, `output "xml"`},
 		{[]string{"run", "--depth", "x"}, "usage"},
