fix(direct): requests don't each wait for a silent owner of an allotment

While an owner is lost, every request that lacked credit waited 60 ms for it before it was refused or asked the other owner. An owner that didn't answer is now left alone for 300 ms. TestSilentOwnersAreNotAskedByEachRequest: 40 calls for 20 requests before, 2 after.

--- a/internal/direct/allotment.go
+++ b/internal/direct/allotment.go
@@ -27,6 +27,8 @@
 	// request waits: a round trip between regions.
 	portionsTimeout = 250 * time.Millisecond
 	urgentTimeout   = 60 * time.Millisecond
+	// ownerBackoff is how long requests do not wait for an owner that has not answered.
+	ownerBackoff = 300 * time.Millisecond
 	// renewalRounds is the number of rounds between two renewals of what is lent, if nothing
 	// else is asked: two within a lease.
 	renewalRounds = 2
@@ -39,6 +41,8 @@
 	wallets map[string]*allotment.Wallet
 	limits  map[string]allotment.Limit
 	rounds  int
+	// silentUntil is until when requests don't wait for the owner of a part.
+	silentUntil [allotmentParts]time.Duration
 }
 
 func newAllotments(now time.Duration, self member.Peer) *allotments {
@@ -166,6 +170,20 @@
 	return reply
 }
 
+// ownerFailed records that the owner of a part has not answered.
+func (s *state) ownerFailed(part int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allotments.silentUntil[part] = s.uptime() + ownerBackoff
+}
+
+// ownerSilent reports whether requests shouldn't wait for the owner of a part.
+func (s *state) ownerSilent(part int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.uptime() < s.allotments.silentUntil[part]
+}
+
 // receivePortions applies the reply to a call.
 func (s *state) receivePortions(c *portionsCall, r *gossip.PortionsReply) {
 	s.mu.Lock()
@@ -256,7 +274,12 @@
 	r, ok := g.charge(w, cost, true)
 	failed := 0
 	for i := 0; !ok && i < allotmentParts; i++ {
-		c, mayAsk := g.urgentCall(w, cost, (g.firstPart()+i)%allotmentParts, allotmentParts-1-i)
+		part := (g.firstPart() + i) % allotmentParts
+		if g.ownerSilent(part) {
+			failed++
+			continue
+		}
+		c, mayAsk := g.urgentCall(w, cost, part, allotmentParts-1-i)
 		if !mayAsk {
 			continue
 		}
@@ -280,10 +303,13 @@
 		n.state.receivePortions(c, n.state.answerPortions(c.question))
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := n.gossip.Portions(ctx, c.address, c.question)
+	reply, err := n.gossip.Portions(limited, c.address, c.question)
 	if err != nil {
+		if ctx.Err() == nil { // else the caller has left
+			n.state.ownerFailed(c.question.Part)
+		}
 		_ = level.Warn(n.logger).Log("step", "portions", "part", c.question.Part, "peer", c.owner, "wants", len(c.question.Wants), "err", err)
 		return err
 	}
--- a/internal/direct/allotment_test.go
+++ b/internal/direct/allotment_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -13,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
@@ -197,3 +201,34 @@
 	assert.LessOrEqual(t, s.allotments.banks[0].Credit(s.uptime(), "w"), before)
 	assert.Empty(t, s.answerPortions(&gossip.Portions{Part: allotmentParts}).Grants)
 }
+
+// While an owner is silent, requests that lack credit don't wait for it one after the other.
+func TestSilentOwnersAreNotAskedByEachRequest(t *testing.T) {
+	f := newAllottedFleet(2, true)
+	s, logged := f.states["i0"], &lockedBuffer{}
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // accepts no connection
+	for i := range 60 {
+		s.view.Observe(f.clock.now(), member.Peer{Instance: fleet.Instance(fmt.Sprint("silent", i)), Incarnation: "1", Sequence: 1, Place: fleet.Place{Region: regionOf(fleet.Instance(fmt.Sprint(i))), DataCentre: allDataCentres}, Address: l.Addr().String()})
+	}
+	n := &Node{state: s, logger: log.NewLogfmtLogger(logged), gossip: gossip.NewClient()}
+	t.Cleanup(n.gossip.Close)
+	g, w := gatewayFleet{s, n}, &s.catalog.Workspaces[0]
+	for part := range allotmentParts {
+		require.Contains(t, s.allotmentOwner(part), "silent")
+	}
+	charge := func(times int) int {
+		before := strings.Count(logged.String(), "step=portions")
+		for range times {
+			_, wait, err := g.Charge(t.Context(), w, 1)
+			require.ErrorIs(t, err, gateway.ErrNoAllotment)
+			assert.Positive(t, wait)
+		}
+		return strings.Count(logged.String(), "step=portions") - before
+	}
+	assert.Equal(t, allotmentParts, charge(20))
+	f.clock.elapsed += ownerBackoff
+	assert.Equal(t, allotmentParts, charge(20), "asked again after a while")
+}
