--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/recency"
@@ -117,6 +118,8 @@
 	// strictRevocation makes requests with a key depend on it, within revocationTime.
 	strictRevocation bool
 	revocationTime   time.Duration
+	allotments       *allotments
+	service          fairshare.Tracker // of requests whose workspace has a rank of its own
 	// storeAnsweredAt is when the store last answered; watching is set while this instance
 	// watches the store.
 	storeAnsweredAt time.Time
@@ -141,7 +144,7 @@
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
 		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewPartCrashes(settleBeats * interval), reviews: make(map[suspect.Part]time.Time),
 		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
-		revocationTime: defaultRevocationTime,
+		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -29,6 +30,8 @@
 	adapterLoadRetryAfter = 2 * time.Second
 	// maxRetryAfter limits a retry delay that is derived from a predicted wait.
 	maxRetryAfter = 3 * time.Second
+	// minRetryAfter is the least retry delay of a request beyond its workspace's allotment.
+	minRetryAfter = 50 * time.Millisecond
 	// noCatalogRetryAfter is the retry delay sent while the instance lacks a configuration.
 	noCatalogRetryAfter = 300 * time.Millisecond
 )
@@ -125,6 +128,10 @@
 	if err != nil {
 		return
 	}
+	charge, err := g.charge(r.Context(), w, request, workspace)
+	if err != nil {
+		return
+	}
 	ctx, span := g.tracer.Start(r.Context(), "gateway "+route.Name)
 	defer span.End()
 	timeout := route.Timeout
@@ -141,10 +148,11 @@
 	}
 	j.query = balance.Request{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
-		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: workspace.LevelOn(route), Target: route.Target, Place: g.place,
+		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
 	}
 	g.fleet.CountRequest(&j.query)
 	j.run(ctx)
+	g.settle(j, workspace, charge)
 	j.report(ctx)
 	g.stats.Workspace(request.Workspace, j.delivery.status)
 	if j.abortConnection {
@@ -234,6 +242,48 @@
 	return nil, err
 }
 
+// level returns the rank with which a request waits. A workspace's own rank is raised while
+// those of other workspaces starve it.
+func (g *Gateway) level(w *catalog.Workspace, route *catalog.Route) int {
+	if w == nil || !w.HasLevel {
+		return route.Level
+	}
+	return g.fleet.FairLevel(w.Level)
+}
+
+// charge takes a request's cost from the allotment of its workspace. If it returns an error, it
+// has refused the request.
+func (g *Gateway) charge(ctx context.Context, w http.ResponseWriter, request *Request, workspace *catalog.Workspace) (allotment.Receipt, error) {
+	if !workspace.Limited() {
+		return allotment.Receipt{}, nil
+	}
+	cost := workspace.Cost(request.PromptTokens+request.OutputTokens, request.TokensStated)
+	charge, wait, err := g.fleet.Charge(ctx, workspace, cost)
+	if err == nil {
+		return charge, nil
+	}
+	refusal := Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), Request: request.ID, RetryAfter: wait}
+	if errors.Is(err, ErrOverAllotment) {
+		refusal.Status, refusal.RetryAfter = http.StatusTooManyRequests, max(minRetryAfter, wait)
+	}
+	_ = g.logger.Log("step", "refuse allotment", "id", request.ID, "status", refusal.Status, "workspace", workspace.Name, "cost", cost, "wait", refusal.RetryAfter, "err", err)
+	g.stats.Workspace(workspace.Name, refusal.Status)
+	g.codec.Refuse(w, refusal)
+	return charge, err
+}
+
+// settle gives back what was charged for a request that has not run, and counts how often ranks
+// of workspaces are served.
+func (g *Gateway) settle(j *job, workspace *catalog.Workspace, charge allotment.Receipt) {
+	notRun := !j.delivery.begun() && !j.mayHaveRun
+	if notRun {
+		g.fleet.Refund(charge)
+	}
+	if workspace != nil && workspace.HasLevel {
+		g.fleet.RecordService(workspace.Level, !notRun)
+	}
+}
+
 // Stats counts requests and their results.
 type Stats interface {
 	// Done records the end of a request to a route: how many attempts were sent, the time to
