fix(gateway): a second attempt that is refused unsent leaves its retry

Cause: startBeside takes a retry before start checks the prompt, the poison verdict and the silence once more. If one of them says no, the retry was lost, and the next silence of the same stream took another. Change: the retry is kept for the request's next attempt, as for an attempt that was refused after its start.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -196,6 +196,7 @@
 	}
 	j.gateway.fleet.Failed(first.target)
 	err := j.start(ctx, first.quiet)
+	j.unusedRetry = err != nil
 	j.log("step", "silent", "endpoint", first.target.ID, "second", j.target.ID, "try", j.tries, "err", err)
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -253,3 +253,44 @@
 	assert.Equal(t, "id: 1\ndata: piece 1\n\n", answer.body)
 	require.NoError(t, watch.Wait())
 }
+
+// pausingSender answers with a stream that pauses after each event.
+type pausingSender struct{ pauses []time.Duration }
+
+func (s *pausingSender) Send(ctx context.Context, _ *gateway.Attempt) (*gateway.Answer, error) {
+	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
+	var group errgroup.Group
+	group.Go(func() error {
+		for _, pause := range s.pauses {
+			if _, err := io.WriteString(writer, "id: 1\ndata: piece\n\n"); err != nil {
+				return err
+			}
+			time.Sleep(pause)
+		}
+		return writer.Close()
+	})
+	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: reader}, nil
+}
+
+func serveSender(t *testing.T, f *fakeFleet, s gateway.Sender) string {
+	t.Helper()
+	timers := timer.New(timer.System{})
+	var group errgroup.Group
+	timers.Start(t.Context(), &group)
+	server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, s, f, time.Now, gateway.WithTimers(fastTimers{timers})))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// Guards against retries that are taken from the budget at each pause of a stream, for a second
+// attempt that is refused before it is sent.
+func TestRefusedSecondAttemptTakesOneRetry(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
+	f.route.MaxEventGap, f.refuseChecks = 50*time.Millisecond, 2
+	const pause = 50 * time.Millisecond
+	answer, err := send(t, serveSender(t, f, &pausingSender{[]time.Duration{pause, pause, pause}}), http.MethodPost, map[string]string{"Model": "m"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.status)
+	assert.GreaterOrEqual(t, f.retryBudget, 8, "one retry at most")
+}
