fix(gateway): a stream that ends long after its last event is not cut

Cause: each write to a caller sets a deadline 5 s ahead; the end of a chunked answer is written when the handler returns, without a new one. If the endpoint closed its stream more than 5 s after the last event, the end wasn't written, and a complete stream looked broken off. Change: the end of a stream gets a deadline of its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -294,5 +294,5 @@
 		return outcomeSuperseded, nil
 	}
 	a.job.delivery.writeHeader(answer, -1) // in case it had no events
-	return outcomeDone, nil
+	return outcomeDone, a.job.delivery.extendDeadline()
 }
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -143,9 +143,8 @@
 // Write writes a part of the body, for which a caller that reads slowly has the time of one
 // timeout. The header must have been written.
 func (d *delivery) Write(b []byte) (int, error) {
-	err := d.controller.SetWriteDeadline(d.clock().Add(writeTimeout))
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return 0, fmt.Errorf("write to caller: %w", err)
+	if err := d.extendDeadline(); err != nil {
+		return 0, err
 	}
 	n, err := d.writer.Write(b)
 	if err != nil {
@@ -154,6 +153,15 @@
 	return n, nil
 }
 
+// extendDeadline gives the next write, also that of the end of the answer, one timeout from now.
+func (d *delivery) extendDeadline() error {
+	err := d.controller.SetWriteDeadline(d.clock().Add(writeTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return fmt.Errorf("write to caller: %w", err)
+	}
+	return nil
+}
+
 // declaredLength returns the length that an answer's header gives, -1 if it gives none.
 func declaredLength(h http.Header) int64 {
 	length, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -294,3 +294,14 @@
 	assert.Equal(t, http.StatusOK, answer.status)
 	assert.GreaterOrEqual(t, f.retryBudget, 8, "one retry at most")
 }
+
+// Guards against a complete stream that is cut since it ends later than one write timeout after
+// its last event.
+func TestStreamEndsLongAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+	f.route.Timeout = 10 * time.Second
+	answer, err := send(t, serveSender(t, f, &pausingSender{[]time.Duration{5200 * time.Millisecond}}), http.MethodPost, map[string]string{"Model": "m"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, "id: 1\ndata: piece\n\n", answer.body)
+}
