fix(caller): an answer of a plain service that ends late is not cut

Cause: as in the gateway: each piece sets a write deadline, and the end of a chunked answer, which net/http writes after the handler, got none of its own. An endpoint that ended its answer more than the write timeout after the last piece left the caller with a broken answer. Change: the end gets a deadline of its own. Event streams have one already, by their end marker. Result: TestServiceAnswerEndsLongAfterItsLastPiece: unexpected EOF before, complete with its trailer now (20 runs with -race); internal/caller passes (1 run).

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -151,5 +151,6 @@
 		_ = s.write(s.body)
 	default:
 		s.w.Header().Set(HeaderOutcome, end.Outcome)
+		_ = s.control.SetWriteDeadline(time.Now().Add(s.writeTimeout)) // net/http writes the end
 	}
 }
--- a/internal/caller/sink_test.go
+++ b/internal/caller/sink_test.go
@@ -91,3 +91,26 @@
 	assert.Equal(t, "ran", response.Trailer.Get(HeaderOutcome))
 	assert.EqualValues(t, 3, writes.Load(), "end marker and trailer are sent in one write")
 }
+
+// Guards against a complete answer that is cut since its endpoint ends it later than one write
+// timeout after its last piece.
+func TestServiceAnswerEndsLongAfterItsLastPiece(t *testing.T) {
+	const writeTimeout = 50 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sink := &serviceSink{w: w, control: http.NewResponseController(w), writeTimeout: writeTimeout}
+		assert.NoError(t, sink.Head(&peerpb.Head{Endpoint: "e", Status: http.StatusOK}))
+		assert.NoError(t, sink.Data(&peerpb.Data{Attempt: "a", Data: []byte("piece")}))
+		time.Sleep(2 * writeTimeout)
+		sink.finish("r", &peerpb.End{Outcome: "ran"})
+	}))
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, http.NoBody)
+	require.NoError(t, err)
+	response, err := server.Client().Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "piece", string(body))
+	assert.Equal(t, "ran", response.Trailer.Get(HeaderOutcome))
+}
