test(gateway): a refusal for a late target leaves a request to a silent endpoint

Since an attempt beside a silent one is made as if the request had not run: the endpoint's admission may refuse it, which it does whenever anything waits there, since the target has passed by then. That endpoint isn't asked again.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -305,3 +305,14 @@
 	require.NoError(t, err)
 	assert.Equal(t, "id: 1\ndata: piece\n\n", answer.body)
 }
+
+// Guards against a request that ends without an answer since the endpoint that could give one
+// refused it for its late target, while the first one never answers.
+func TestSecondEndpointAnswersThoughTargetHasPassed(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourMute, standin.BehaviourNone)
+	f.admissionRefused, f.admitFirst = true, 1
+	answer, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.status)
+	assert.Equal(t, completeStream, answer.body)
+}
