fix(gateway): a late request is sent beside a silent endpoint though its target has passed

Callers would have seen: 504 at the time limit, where the code before gave the second endpoint's answer. Cause: an attempt beside a silent one was refused by the second endpoint's admission as soon as anything waited there, since the target had passed, and that endpoint was not asked again. Change: a refusal of admission leaves the endpoint to be asked again. If the first one stays silent, 0.6 s more at least, the second gets the request though it is late. The first attempt still stays.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,6 +49,8 @@
 	begun    bool // the endpoint has sent a whole event or answer
 	// mayHaveRun is set if another endpoint may have run the request before.
 	mayHaveRun bool
+	// insistent is set if it is sent even if it comes too late for the route's target.
+	insistent bool
 	// retryTaken is set if a retry was taken from the budget for it.
 	retryTaken bool
 	// quiet is set while the endpoint is silent. It belongs to the job.
@@ -148,7 +150,7 @@
 	}
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-a.target.PendingPrefill-admissionMargin)
 	admission := j.gateway.fleet.Admit(ctx, a.target, &a.query, work, limit)
-	if admission.Refused && a.mayHaveRun && !admission.Limited {
+	if admission.Refused && (a.mayHaveRun || a.insistent) && !admission.Limited {
 		return 0, ctx.Err() // its target has passed, and a refusal would say that it has not run
 	}
 	if admission.Refused {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,7 @@
 		gateway: g, request: request, route: route, version: version, arrived: arrived,
 		service: route.Service(g.random()), fingerprint: request.Fingerprint(),
 		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, lastEvent: request.After},
-		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries),
+		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
 	}
 	j.query = balance.Request{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -13,6 +13,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
@@ -45,6 +46,8 @@
 	ended    chan result
 	silent   chan silence
 	inFlight []*attempt
+	// stopInsisting stops the timer that has a second endpoint asked again.
+	stopInsisting func()
 
 	target        Target       // of the newest attempt
 	tries         int          // number of endpoints chosen
@@ -66,6 +69,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() { _ = j.group.Wait() }() // the attempts use the writer, which ends with the handler
 	defer cancel()
+	defer func() { j.stopInsisting() }()
 	if err := j.start(ctx, nil); err != nil {
 		j.refuseUnplaced(ctx, err)
 		return
@@ -130,8 +134,13 @@
 	if r.attempt.retryTaken && !r.sent {
 		j.unusedRetry = true
 	}
-	if len(j.inFlight) > 0 {
-		j.log("step", "beside", "endpoint", r.attempt.target.ID, "result", string(r.outcome), "try", j.tries, "err", j.failure)
+	if len(j.inFlight) == 0 {
+		return
+	}
+	j.log("step", "beside", "endpoint", r.attempt.target.ID, "result", string(r.outcome), "try", j.tries, "err", j.failure)
+	if errors.Is(r.err, ErrOverloaded) && !r.sent {
+		j.query.Exclude = slices.DeleteFunc(j.query.Exclude, func(id fleet.Endpoint) bool { return id == r.attempt.target.ID })
+		j.insistLater(j.inFlight[0])
 	}
 }
 
@@ -145,6 +154,7 @@
 	}
 	a := &attempt{job: j, query: j.query, mayHaveRun: j.mayHaveRun, retryTaken: j.sent.Load() > 0}
 	a.query.Exclude = slices.Clone(j.query.Exclude)
+	a.insistent = beside != nil && beside.insistent
 	target, err := j.gateway.fleet.Choose(&a.query)
 	if err != nil {
 		if beside == nil {
@@ -194,7 +204,9 @@
 	if !j.gateway.fleet.HasAlternative(&j.query) || !j.takeRetry() {
 		return
 	}
-	j.gateway.fleet.Failed(first.target)
+	if !first.quiet.insistent {
+		j.gateway.fleet.Failed(first.target)
+	}
 	err := j.start(ctx, first.quiet)
 	j.unusedRetry = err != nil
 	j.log("step", "silent", "endpoint", first.target.ID, "second", j.target.ID, "try", j.tries, "err", err)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -14,6 +14,9 @@
 	// maxSilence is the longest one: callers abandon streams after two seconds or more
 	// without an event.
 	maxSilence = 1800 * time.Millisecond
+	// minInsistWait is the shortest further silence after which a second endpoint that refused the
+	// request gets it all the same: sound endpoints pause for about a second.
+	minInsistWait = 600 * time.Millisecond
 	// predictedFactor is how many times the predicted wait a first byte may take, since
 	// predictions can be too short.
 	predictedFactor = 3
@@ -32,6 +35,8 @@
 type silence struct {
 	attempt  *attempt
 	progress int // of the attempt, when its endpoint fell silent
+	// insistent is set if it has lasted since a second endpoint refused the request.
+	insistent bool
 }
 
 // over reports whether the attempt has passed on something since. The delivery must be locked.
@@ -62,6 +67,25 @@
 	return min(max(timeout, minSilence), maxSilence)
 }
 
+// insistLater has a second endpoint asked again if the first stays silent for as long again. The
+// request is late by then, so the next one is not refused for that.
+func (j *job) insistLater(first *attempt) {
+	quiet := silence{attempt: first, progress: j.delivery.progressOf(first), insistent: true}
+	wait := j.firstByteTimeout(first.target)
+	if quiet.progress > 0 {
+		wait = eventGapFactor * j.route.MaxEventGap
+	}
+	first.quiet = nil
+	j.stopInsisting = j.gateway.timers.After(max(wait, minInsistWait), func(time.Time) { j.reportSilence(quiet) })
+}
+
+func (j *job) reportSilence(s silence) {
+	select {
+	case j.silent <- s:
+	default: // the job is ending
+	}
+}
+
 // start restarts the timeout for the next byte. A timeout of 0 means no limit.
 func (s *silenceTimer) start(timeout time.Duration) {
 	s.close()
@@ -69,13 +93,8 @@
 		return
 	}
 	j := s.attempt.job
-	quiet := silence{s.attempt, j.delivery.progressOf(s.attempt)}
-	s.stop = s.timers.After(timeout, func(time.Time) {
-		select {
-		case j.silent <- quiet:
-		default: // the job is ending
-		}
-	})
+	quiet := silence{attempt: s.attempt, progress: j.delivery.progressOf(s.attempt)}
+	s.stop = s.timers.After(timeout, func(time.Time) { j.reportSilence(quiet) })
 }
 
 func (s *silenceTimer) close() {
