fix(gateway): an endpoint that only pauses doesn't count as failed

Cause: a silent endpoint was reported as failed at every pause, also where the request was not sent to another; each report doubles the time for which it is avoided. Change: it is reported once a second attempt has begun.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -204,11 +204,11 @@
 	if !j.gateway.fleet.HasAlternative(&j.query) || !j.takeRetry() {
 		return
 	}
-	if !first.quiet.insistent {
-		j.gateway.fleet.Failed(first.target)
-	}
 	err := j.start(ctx, first.quiet)
 	j.unusedRetry = err != nil
+	if err == nil && !first.quiet.insistent {
+		j.gateway.fleet.Failed(first.target)
+	}
 	j.log("step", "silent", "endpoint", first.target.ID, "second", j.target.ID, "try", j.tries, "err", err)
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -293,6 +293,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, answer.status)
 	assert.GreaterOrEqual(t, f.retryBudget, 8, "one retry at most")
+	assert.Zero(t, f.failed, "the endpoint has only paused, and nothing was sent elsewhere")
 }
 
 // Guards against a complete stream that is cut since it ends later than one write timeout after
