fix(direct): instances take turns with their shares of a limit that an endpoint has named

An endpoint would have got: 13 to 15 requests in 4 s from 60 instances where 12.8 are allowed, while the instance that admits its requests doesn't answer. Cause: each instance began its share at a random point of its interval, so some came together by chance. Change: the instances take equal distances, by their place in the list of names, turned by the endpoint's. In the test each instance has a name of its own, as in a fleet; its bound stays.

--- a/internal/core/pace/limit.go
+++ b/internal/core/pace/limit.go
@@ -37,11 +37,11 @@
 	l.nextAt = l.nextAt.Add(limit.interval(shares))
 }
 
-// Stagger makes a limiter that has admitted nothing begin at a random point of its interval, so
-// that the limiters which share a limit don't begin together. The draw is in [0, 1).
-func (l *Limiter) Stagger(now time.Time, limit Limit, shares int, draw float64) {
+// Stagger makes a limiter that has admitted nothing begin at a point of its interval, in [0, 1), so
+// that the limiters which share a limit don't begin together.
+func (l *Limiter) Stagger(now time.Time, limit Limit, shares int, point float64) {
 	if l.nextAt.IsZero() {
-		l.nextAt = now.Add(time.Duration(draw * float64(limit.interval(shares))))
+		l.nextAt = now.Add(time.Duration(point * float64(limit.interval(shares))))
 	}
 }
 
--- a/internal/direct/limit.go
+++ b/internal/direct/limit.go
@@ -1,10 +1,13 @@
 package direct
 
 import (
-	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/pace"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
@@ -120,7 +123,7 @@
 		return gateway.Admission{}
 	}
 	now, instances := s.clock(), len(s.view.All())
-	l.own.Stagger(now, l.Limit, instances, rand.Float64())
+	l.own.Stagger(now, l.Limit, instances, s.turn(t.ID))
 	wait := l.own.Wait(now)
 	if wait > maxWait {
 		s.roster.Defer(t.ID, t.Born, now.Add(wait))
@@ -130,6 +133,15 @@
 	return gateway.Admission{Wait: wait, Hold: wait}
 }
 
+// turn returns at which part of the interval, in [0, 1), this instance begins with its share of an
+// endpoint's limit. The instances take equal distances: begun at random, some would come together.
+func (s *state) turn(id fleet.Endpoint) float64 {
+	all := s.view.All()
+	position := slices.IndexFunc(all, func(p member.Peer) bool { return p.Instance == s.view.Self().Instance })
+	first := xxhash.Sum64String(string(id)) % uint64(len(all))
+	return float64((uint64(max(0, position))+first)%uint64(len(all))) / float64(len(all))
+}
+
 // deferEndpoint records that an endpoint's limit leaves no room for a request before a wait is
 // over, so that other endpoints are chosen meanwhile.
 func (s *state) deferEndpoint(t gateway.Target, wait time.Duration) {
--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -49,8 +49,11 @@
 			random := rand.New(rand.NewPCG(1, uint64(c.instances)))
 			all := make([]*state, c.instances)
 			for i := range all {
-				all[i] = newTestState(w)
-				for peer := range c.instances - 1 {
+				all[i] = newTestStateOf(w, fleet.Instance(fmt.Sprint(i)))
+				for peer := range c.instances {
+					if peer == i {
+						continue
+					}
 					all[i].view.Observe(w.now(), member.Peer{Instance: fleet.Instance(fmt.Sprint(peer)), Incarnation: "1", Sequence: 1})
 				}
 				all[i].RecordLimit(limitedTarget, true, c.perSecond)
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -26,9 +26,11 @@
 func (t *testClock) now() time.Time        { return time.Unix(1_000_000, 0).Add(t.elapsed) }
 func (t *testClock) uptime() time.Duration { return time.Hour + t.elapsed }
 
-func newTestState(w *testClock) *state {
+func newTestState(w *testClock) *state { return newTestStateOf(w, "one") }
+
+func newTestStateOf(w *testClock, name fleet.Instance) *state {
 	place := fleet.Place{Region: "south", DataCentre: "a"}
-	self := member.Peer{Instance: "one", Incarnation: "1", Place: fleet.Place{DataCentre: allDataCentres}, Address: "a:1", Caller: "a:2"}
+	self := member.Peer{Instance: name, Incarnation: "1", Place: fleet.Place{DataCentre: allDataCentres}, Address: "a:1", Caller: "a:2"}
 	s := newState(self, place, map[fleet.DataCentre]fleet.Region{"a": "south"}, balance.NewBudget(0.2, 10, 10*time.Second), 300*time.Millisecond, w.now, log.NewNopLogger())
 	s.uptime = w.uptime
 	s.allotments = newAllotments(w.uptime(), self)
