refactor(allotment): accounts and credit in place of bank and wallet

Cause: the package's words were metaphors; a newcomer looks for the accounts of an owner and the credit of an instance. Change: types, variables, files and comments renamed; no logic.

--- a/internal/core/allotment/bank.go
+++ b/internal/core/allotment/accounts.go
@@ -18,8 +18,8 @@
 	maxWait = 8 * time.Second
 )
 
-// Bank holds the accounts of an owner. It is not safe for concurrent use.
-type Bank struct {
+// Accounts holds the accounts of an owner. It is not safe for concurrent use.
+type Accounts struct {
 	incarnation string
 	limits      map[string]Limit
 	accounts    map[string]*account
@@ -38,7 +38,8 @@
 // account is the credit of one workspace.
 type account struct {
 	limit Limit
-	// level is the credit that can be granted; accrued is the Bank's when it was last updated.
+	// level is the credit that can be granted; accrued is that of all accounts when it was last
+	// updated.
 	level, accrued float64
 	// granted are the portions that may still be in use, in the order of their ends, and
 	// outstanding is their sum.
@@ -62,16 +63,16 @@
 	at     time.Duration
 }
 
-// NewBank returns the bank of an instance's start.
-func NewBank(now time.Duration, incarnation string) *Bank {
-	return &Bank{
+// NewAccounts returns the accounts of an instance's start.
+func NewAccounts(now time.Duration, incarnation string) *Accounts {
+	return &Accounts{
 		incarnation: incarnation, at: now, limits: make(map[string]Limit),
 		accounts: make(map[string]*account), lent: make(map[fleet.Instance]lentShare),
 	}
 }
 
 // SetLimits replaces the limits. Credit beyond a lower limit is dropped.
-func (b *Bank) SetLimits(now time.Duration, limits map[string]Limit) {
+func (b *Accounts) SetLimits(now time.Duration, limits map[string]Limit) {
 	b.advance(now)
 	for name, a := range b.accounts {
 		b.update(now, a)
@@ -86,11 +87,11 @@
 	b.limits = limits
 }
 
-// Stamp returns the time at this bank.
-func (b *Bank) Stamp(now time.Duration) Stamp { return Stamp{Incarnation: b.incarnation, At: now} }
+// Stamp returns the owner's time.
+func (b *Accounts) Stamp(now time.Duration) Stamp { return Stamp{Incarnation: b.incarnation, At: now} }
 
 // Lend records what an instance lends.
-func (b *Bank) Lend(now time.Duration, o Offer) {
+func (b *Accounts) Lend(now time.Duration, o Offer) {
 	b.advance(now)
 	until := o.Stamp.At + LeaseTime
 	if o.Share <= 0 || o.Stamp.Incarnation != b.incarnation || o.Stamp.At > now || until <= max(now, b.lent[o.Lender].until) {
@@ -99,14 +100,14 @@
 	b.lent[o.Lender] = lentShare{o.Share, until}
 }
 
-// Usable returns the part of the allotments that this bank may use.
-func (b *Bank) Usable(now time.Duration) float64 {
+// Usable returns the part of the allotments that the owner may use.
+func (b *Accounts) Usable(now time.Duration) float64 {
 	b.advance(now)
 	return b.usable()
 }
 
 // Credit returns the credit of a workspace that can be granted.
-func (b *Bank) Credit(now time.Duration, workspace string) float64 {
+func (b *Accounts) Credit(now time.Duration, workspace string) float64 {
 	b.advance(now)
 	a := b.accounts[workspace]
 	if a == nil {
@@ -117,7 +118,7 @@
 	return a.level
 }
 
-func (b *Bank) usable() float64 {
+func (b *Accounts) usable() float64 {
 	total := 0.0
 	for _, l := range b.lent {
 		total += l.share
@@ -126,7 +127,7 @@
 }
 
 // advance accrues the time since the last call, by the shares that are still lent now.
-func (b *Bank) advance(now time.Duration) {
+func (b *Accounts) advance(now time.Duration) {
 	for lender, l := range b.lent {
 		if l.until <= now {
 			delete(b.lent, lender)
@@ -138,8 +139,8 @@
 	}
 }
 
-// update brings an account up to date with the bank.
-func (b *Bank) update(now time.Duration, a *account) {
+// update brings an account up to date with what has accrued.
+func (b *Accounts) update(now time.Duration, a *account) {
 	amount := a.limit.Rate * (b.accrued - a.accrued)
 	a.level, a.accrued = a.level+amount, b.accrued
 	a.backlog = max(0, a.backlog-amount)
@@ -154,9 +155,9 @@
 	a.level = min(a.level, max(0, b.usable()*a.limit.capacity()-a.outstanding))
 }
 
-// Grant decides on a want of an instance. Returns count only if they were granted by this bank,
+// Grant decides on a want of an instance. Returns count only if they were granted by this owner,
 // which the caller must have checked by the incarnation.
-func (b *Bank) Grant(now time.Duration, from fleet.Instance, w Want) Grant {
+func (b *Accounts) Grant(now time.Duration, from fleet.Instance, w Want) Grant {
 	b.advance(now)
 	limit, ok := b.limits[w.Workspace]
 	if !ok {
--- a/internal/core/allotment/allotment.go
+++ b/internal/core/allotment/allotment.go
@@ -2,9 +2,9 @@
 // workspace's allotment, without a coordination service.
 //
 // Every instance has an equal share of every allotment and lends it, for a short lease, to an
-// owner on which the instances mostly agree. The owner's Bank accrues credit at the rate of the
-// shares that it has been lent, and grants portions of it to the instances ahead of their
-// demand; a Wallet spends them. Owners that don't agree, restart or are cut off from each other
+// owner on which the instances mostly agree. The owner's Accounts accrue credit at the rate of the
+// shares that it has been lent, and grant portions of it to the instances ahead of their
+// demand; an instance's Credit spends them. Owners that don't agree, restart or are cut off from each other
 // only ever divide the shares, and a share goes to another owner only after what it backed
 // has expired.
 //
--- a/internal/core/allotment/bound_test.go
+++ b/internal/core/allotment/bound_test.go
@@ -60,8 +60,8 @@
 			if n.down {
 				continue
 			}
-			unspent += n.wallet(s, "w").Credit(s.now)
-			for part, b := range n.banks {
+			unspent += n.credit(s, "w").Credit(s.now)
+			for part, b := range n.accounts {
 				usable[part] += b.Usable(s.now)
 				unspent += max(0, b.Credit(s.now, "w"))
 			}
--- a/internal/core/allotment/clone.go
+++ b/internal/core/allotment/clone.go
@@ -21,7 +21,7 @@
 }
 
 // Clone returns an independent copy.
-func (b *Bank) Clone() *Bank {
+func (b *Accounts) Clone() *Accounts {
 	c := *b
 	c.lent = maps.Clone(b.lent)
 	c.accounts = make(map[string]*account, len(b.accounts))
@@ -44,9 +44,9 @@
 	return &c
 }
 
-// Fingerprint returns a string that is equal for two banks if they behave alike from now on. Both
+// Fingerprint returns a string that is equal for two accounts if they behave alike from now on. Both
 // must have been used at this time.
-func (b *Bank) Fingerprint(now time.Duration) string {
+func (b *Accounts) Fingerprint(now time.Duration) string {
 	var text strings.Builder
 	fmt.Fprint(&text, b.incarnation)
 	for _, lender := range slices.Sorted(maps.Keys(b.lent)) {
@@ -65,23 +65,23 @@
 }
 
 // LastID returns the number of the newest portion.
-func (b *Bank) LastID() uint64 { return b.lastID }
+func (b *Accounts) LastID() uint64 { return b.lastID }
 
 // Clone returns an independent copy.
-func (w *Wallet) Clone() *Wallet {
+func (w *Credit) Clone() *Credit {
 	c := *w
 	c.portions, c.refused = slices.Clone(w.portions), slices.Clone(w.refused)
 	c.dryUntil, c.freeAt = slices.Clone(w.dryUntil), slices.Clone(w.freeAt)
 	return &c
 }
 
-// Fingerprint describes the portions that may still be spent. Newest returns the number of a bank's
+// Fingerprint describes the portions that may still be spent. Newest returns the number of an owner's
 // newest portion.
-func (w *Wallet) Fingerprint(now time.Duration, newest func(bank string) uint64) string {
+func (w *Credit) Fingerprint(now time.Duration, newest func(owner string) uint64) string {
 	var text strings.Builder
 	for _, p := range w.portions {
 		if p.until > now {
-			fmt.Fprintf(&text, " %s %d %.4f %s", p.bank, newest(p.bank)-p.id, p.amount, p.until-now)
+			fmt.Fprintf(&text, " %s %d %.4f %s", p.owner, newest(p.owner)-p.id, p.amount, p.until-now)
 		}
 	}
 	return text.String()
--- a/internal/core/allotment/compare_test.go
+++ b/internal/core/allotment/compare_test.go
@@ -229,7 +229,7 @@
 			since[key] = s.now
 		}
 		if s.now-since[key] >= allotment.LeaseTime+allotment.PortionTime {
-			n.banks[part].Lend(s.now, allotment.Offer{Lender: "sole", Share: 1, Stamp: n.banks[part].Stamp(s.now)})
+			n.accounts[part].Lend(s.now, allotment.Offer{Lender: "sole", Share: 1, Stamp: n.accounts[part].Stamp(s.now)})
 		}
 	}
 }
--- a/internal/core/allotment/wallet.go
+++ b/internal/core/allotment/credit.go
@@ -29,15 +29,15 @@
 	amount float64
 }
 
-// origin says which bank granted a portion, and until when it may be spent.
+// origin says which owner granted a portion, and until when it may be spent.
 type origin struct {
 	part  int
-	bank  string
+	owner string
 	id    uint64
 	until time.Duration
 }
 
-// Receipt is what a request took from a wallet.
+// Receipt is what a request took from a credit.
 type Receipt struct {
 	workspace string
 	taken     []portion
@@ -49,8 +49,8 @@
 // Workspace returns the workspace whose credit was taken.
 func (r Receipt) Workspace() string { return r.workspace }
 
-// Wallet is the credit of one workspace at one instance. It is not safe for concurrent use.
-type Wallet struct {
+// Credit is the credit of one workspace at one instance. It is not safe for concurrent use.
+type Credit struct {
 	workspace string
 	portions  []portion // in the order of their ends
 	demand    float64   // per second
@@ -65,13 +65,13 @@
 	askers int
 }
 
-// NewWallet returns an empty wallet for an allotment that is kept in a number of parts.
-func NewWallet(workspace string, parts int) *Wallet {
-	return &Wallet{workspace: workspace, refused: make([]float64, parts), dryUntil: make([]time.Duration, parts), freeAt: make([]time.Duration, parts)}
+// NewCredit returns an empty credit for an allotment that is kept in a number of parts.
+func NewCredit(workspace string, parts int) *Credit {
+	return &Credit{workspace: workspace, refused: make([]float64, parts), dryUntil: make([]time.Duration, parts), freeAt: make([]time.Duration, parts)}
 }
 
 // Count records the demand of a request.
-func (w *Wallet) Count(now time.Duration, cost float64) {
+func (w *Credit) Count(now time.Duration, cost float64) {
 	w.decay(now)
 	w.countedAt = now
 	w.demand += cost / demandTime.Seconds()
@@ -81,7 +81,7 @@
 	w.size += (cost - w.size) * sizeSmoothing
 }
 
-func (w *Wallet) decay(now time.Duration) {
+func (w *Credit) decay(now time.Duration) {
 	if now > w.updated {
 		w.demand *= math.Exp(-(now - w.updated).Seconds() / demandTime.Seconds())
 		w.updated = now
@@ -89,7 +89,7 @@
 }
 
 // Charge takes the cost of a request from the portions. It takes nothing if they don't suffice.
-func (w *Wallet) Charge(now time.Duration, cost float64) (Receipt, bool) {
+func (w *Credit) Charge(now time.Duration, cost float64) (Receipt, bool) {
 	w.removeEnded(now)
 	if w.held() < cost {
 		return Receipt{}, false
@@ -109,14 +109,14 @@
 }
 
 // Refund gives back what a request took that has not run, as far as the portions have not ended.
-func (w *Wallet) Refund(now time.Duration, r Receipt) {
+func (w *Credit) Refund(now time.Duration, r Receipt) {
 	for _, p := range r.taken {
 		w.add(now, p)
 	}
 }
 
 // Missing returns how much more credit a request needs than there is.
-func (w *Wallet) Missing(now time.Duration, cost float64) float64 {
+func (w *Credit) Missing(now time.Duration, cost float64) float64 {
 	w.removeEnded(now)
 	return max(0, cost-w.held())
 }
@@ -124,7 +124,7 @@
 // Refuse records that a request was refused and returns how long the caller should stay away.
 // Those refused after one another are to come back after one another, in turn with those of the
 // other instances.
-func (w *Wallet) Refuse(now time.Duration, cost, rate float64) time.Duration {
+func (w *Credit) Refuse(now time.Duration, cost, rate float64) time.Duration {
 	longest := time.Duration(0)
 	for i := range w.refused {
 		wait := max(0, w.freeAt[i]-now)
@@ -138,30 +138,30 @@
 }
 
 // MayAsk reports whether a request that lacks credit may ask the owner of a part for it now.
-func (w *Wallet) MayAsk(now time.Duration, part int) bool { return now >= w.dryUntil[part] }
+func (w *Credit) MayAsk(now time.Duration, part int) bool { return now >= w.dryUntil[part] }
 
 // Urgent returns the want of a request that waits for it, as long as so many parts can be asked
 // besides.
-func (w *Wallet) Urgent(part int, missing float64, others int) Want {
+func (w *Credit) Urgent(part int, missing float64, others int) Want {
 	return Want{
 		Workspace: w.workspace, Amount: missing, Min: missing / float64(1+others), Urgent: true, Refused: w.takeRefused(part),
 	}
 }
 
-func (w *Wallet) takeRefused(part int) float64 {
+func (w *Credit) takeRefused(part int) float64 {
 	n := w.refused[part]
 	w.refused[part] = 0
 	return n
 }
 
 // Plan returns what to ask the owner of a part for, and takes the portions that are given back
-// out of the wallet. ok is false if there is nothing to ask for or to give back.
-func (w *Wallet) Plan(now time.Duration, part int, bank string) (want Want, ok bool) {
+// out of the credit. ok is false if there is nothing to ask for or to give back.
+func (w *Credit) Plan(now time.Duration, part int, owner string) (want Want, ok bool) {
 	w.removeEnded(now)
 	w.decay(now)
 	want = Want{Workspace: w.workspace, Refused: w.takeRefused(part)}
 	w.portions = slices.DeleteFunc(w.portions, func(p portion) bool {
-		old := p.part == part && p.bank == bank && p.until < now+returnMargin
+		old := p.part == part && p.owner == owner && p.until < now+returnMargin
 		if old {
 			want.Returns = append(want.Returns, Return{p.id, p.amount})
 		}
@@ -183,17 +183,17 @@
 }
 
 // Receive adds the grant for a want that was asked at askedAt.
-func (w *Wallet) Receive(now, askedAt time.Duration, part int, bank string, want Want, g Grant) {
+func (w *Credit) Receive(now, askedAt time.Duration, part int, owner string, want Want, g Grant) {
 	if want.Urgent && g.Amount <= 0 {
 		w.dryUntil[part] = now + min(dryTime, g.Wait)
 		w.freeAt[part] = now + g.Wait
 		w.askers = g.Askers
 	}
-	w.add(now, portion{origin{part, bank, g.ID, askedAt + PortionTime}, g.Amount})
+	w.add(now, portion{origin{part, owner, g.ID, askedAt + PortionTime}, g.Amount})
 }
 
 // add inserts credit by its end. Credit of a portion that has ended is lost.
-func (w *Wallet) add(now time.Duration, p portion) {
+func (w *Credit) add(now time.Duration, p portion) {
 	if p.until <= now || p.amount <= 0 {
 		return
 	}
@@ -208,17 +208,17 @@
 	w.portions = slices.Insert(w.portions, i, p)
 }
 
-func (w *Wallet) removeEnded(now time.Duration) {
+func (w *Credit) removeEnded(now time.Duration) {
 	w.portions = slices.DeleteFunc(w.portions, func(p portion) bool { return p.until <= now })
 }
 
 // Credit returns the credit that this instance may spend.
-func (w *Wallet) Credit(now time.Duration) float64 {
+func (w *Credit) Credit(now time.Duration) float64 {
 	w.removeEnded(now)
 	return w.held()
 }
 
-func (w *Wallet) held() float64 {
+func (w *Credit) held() float64 {
 	total := 0.0
 	for _, p := range w.portions {
 		total += p.amount
@@ -226,8 +226,8 @@
 	return total
 }
 
-// Idle reports whether the wallet holds nothing that matters.
-func (w *Wallet) Idle(now time.Duration) bool {
+// Idle reports whether the credit holds nothing that matters.
+func (w *Credit) Idle(now time.Duration) bool {
 	w.removeEnded(now)
 	return len(w.portions) == 0 && now-w.countedAt > keepTime
 }
--- a/internal/core/allotment/sim_test.go
+++ b/internal/core/allotment/sim_test.go
@@ -95,8 +95,8 @@
 	frozenUntil time.Duration
 	changedAt   time.Duration // when it went down or came up
 	lenders     []*allotment.Lender
-	banks       []*allotment.Bank
-	wallets     map[string]*allotment.Wallet
+	accounts    []*allotment.Accounts
+	credits     map[string]*allotment.Credit
 	limits      map[string]allotment.Limit
 	rounds      int
 }
@@ -119,10 +119,10 @@
 // start gives an instance the state of a new process.
 func (s *sim) start(n *node) {
 	n.incarnation++
-	n.lenders, n.banks, n.wallets = nil, nil, make(map[string]*allotment.Wallet)
+	n.lenders, n.accounts, n.credits = nil, nil, make(map[string]*allotment.Credit)
 	for range s.parts {
 		n.lenders = append(n.lenders, allotment.NewLender(s.now, n.name))
-		n.banks = append(n.banks, allotment.NewBank(s.now, fmt.Sprint(n.name, "/", n.incarnation)))
+		n.accounts = append(n.accounts, allotment.NewAccounts(s.now, fmt.Sprint(n.name, "/", n.incarnation)))
 	}
 	s.configure(n, s.limits)
 }
@@ -130,7 +130,7 @@
 // configure puts limits in force at an instance.
 func (s *sim) configure(n *node, limits map[string]allotment.Limit) {
 	n.limits = limits
-	for _, b := range n.banks {
+	for _, b := range n.accounts {
 		parts := make(map[string]allotment.Limit)
 		for name, l := range limits {
 			parts[name] = l.Part(s.parts)
@@ -265,7 +265,7 @@
 		if s.answered != nil {
 			s.answered(to, part)
 		}
-		stamp, grants := answer(to.banks[part], s.now, offer, wants)
+		stamp, grants := answer(to.accounts[part], s.now, offer, wants)
 		s.count(n, to, stamp, grants)
 		if !reach(to, n) {
 			return
@@ -273,14 +273,14 @@
 		s.on(n, s.now+s.latency(to, n), func() {
 			l.Received(s.now, to.name, stamp)
 			for i, g := range grants {
-				n.wallet(s, g.Workspace).Receive(s.now, askedAt, part, stamp.Incarnation, wants[i], g)
+				n.credit(s, g.Workspace).Receive(s.now, askedAt, part, stamp.Incarnation, wants[i], g)
 			}
 			finish()
 		})
 	})
 }
 
-func answer(b *allotment.Bank, now time.Duration, o allotment.Offer, wants []allotment.Want) (allotment.Stamp, []allotment.Grant) {
+func answer(b *allotment.Accounts, now time.Duration, o allotment.Offer, wants []allotment.Want) (allotment.Stamp, []allotment.Grant) {
 	b.Lend(now, o)
 	var grants []allotment.Grant
 	for _, w := range wants {
@@ -306,11 +306,11 @@
 	}
 }
 
-func (n *node) wallet(s *sim, workspace string) *allotment.Wallet {
-	w := n.wallets[workspace]
+func (n *node) credit(s *sim, workspace string) *allotment.Credit {
+	w := n.credits[workspace]
 	if w == nil {
-		w = allotment.NewWallet(workspace, s.parts)
-		n.wallets[workspace] = w
+		w = allotment.NewCredit(workspace, s.parts)
+		n.credits[workspace] = w
 	}
 	return w
 }
@@ -321,8 +321,8 @@
 		n.rounds++
 		for part := range s.parts {
 			var wants []allotment.Want
-			for _, name := range sortedKeys(n.wallets) {
-				if want, ok := n.wallets[name].Plan(s.now, part, n.lenders[part].Incarnation()); ok {
+			for _, name := range sortedKeys(n.credits) {
+				if want, ok := n.credits[name].Plan(s.now, part, n.lenders[part].Incarnation()); ok {
 					wants = append(wants, want)
 				}
 			}
@@ -357,7 +357,7 @@
 				return
 			}
 		}
-		n.wallet(s, workspace).Count(s.now, cost)
+		n.credit(s, workspace).Count(s.now, cost)
 		if s.charge(n, workspace, cost, refunded) {
 			s.instant++
 			return
@@ -368,7 +368,7 @@
 
 // urgent asks the owners of the parts one after the other for what a request lacks.
 func (s *sim) urgent(n *node, workspace string, cost, refunded float64, part, others int) {
-	w := n.wallet(s, workspace)
+	w := n.credit(s, workspace)
 	next := func() {
 		if s.charge(n, workspace, cost, refunded) {
 			return
@@ -390,12 +390,12 @@
 }
 
 func (s *sim) charge(n *node, workspace string, cost, refunded float64) bool {
-	receipt, ok := n.wallet(s, workspace).Charge(s.now, cost)
+	receipt, ok := n.credit(s, workspace).Charge(s.now, cost)
 	if !ok {
 		return false
 	}
 	if s.random.Float64() < refunded {
-		s.on(n, s.now+time.Duration(s.random.Int64N(int64(300*ms))), func() { n.wallet(s, workspace).Refund(s.now, receipt) })
+		s.on(n, s.now+time.Duration(s.random.Int64N(int64(300*ms))), func() { n.credit(s, workspace).Refund(s.now, receipt) })
 		return true
 	}
 	s.spent[workspace] = append(s.spent[workspace], spent{s.now, cost})
--- a/internal/direct/allotment.go
+++ b/internal/direct/allotment.go
@@ -36,20 +36,20 @@
 
 // allotments is what an instance knows of the workspaces' allotments.
 type allotments struct {
-	lenders []*allotment.Lender
-	banks   []*allotment.Bank // for the parts that this instance owns
-	wallets map[string]*allotment.Wallet
-	limits  map[string]allotment.Limit
-	rounds  int
+	lenders  []*allotment.Lender
+	accounts []*allotment.Accounts // for the parts that this instance owns
+	credits  map[string]*allotment.Credit
+	limits   map[string]allotment.Limit
+	rounds   int
 	// silentUntil is until when requests don't wait for the owner of a part.
 	silentUntil [allotmentParts]time.Duration
 }
 
 func newAllotments(now time.Duration, self member.Peer) *allotments {
-	a := &allotments{wallets: make(map[string]*allotment.Wallet)}
+	a := &allotments{credits: make(map[string]*allotment.Credit)}
 	for range allotmentParts {
 		a.lenders = append(a.lenders, allotment.NewLender(now, self.Instance))
-		a.banks = append(a.banks, allotment.NewBank(now, self.Incarnation))
+		a.accounts = append(a.accounts, allotment.NewAccounts(now, self.Incarnation))
 	}
 	return a
 }
@@ -64,20 +64,20 @@
 			parts[w.Name] = a.limits[w.Name].Part(allotmentParts)
 		}
 	}
-	for _, b := range a.banks {
+	for _, b := range a.accounts {
 		b.SetLimits(now, parts)
 	}
-	maps.DeleteFunc(a.wallets, func(name string, _ *allotment.Wallet) bool {
+	maps.DeleteFunc(a.credits, func(name string, _ *allotment.Credit) bool {
 		_, ok := a.limits[name]
 		return !ok
 	})
 }
 
-func (a *allotments) wallet(workspace string) *allotment.Wallet {
-	w := a.wallets[workspace]
+func (a *allotments) credit(workspace string) *allotment.Credit {
+	w := a.credits[workspace]
 	if w == nil {
-		w = allotment.NewWallet(workspace, allotmentParts)
-		a.wallets[workspace] = w
+		w = allotment.NewCredit(workspace, allotmentParts)
+		a.credits[workspace] = w
 	}
 	return w
 }
@@ -102,8 +102,8 @@
 	var calls []portionsCall
 	for part := range allotmentParts {
 		var wants []allotment.Want
-		for _, name := range slices.Sorted(maps.Keys(a.wallets)) {
-			if want, ok := a.wallets[name].Plan(now, part, a.lenders[part].Incarnation()); ok {
+		for _, name := range slices.Sorted(maps.Keys(a.credits)) {
+			if want, ok := a.credits[name].Plan(now, part, a.lenders[part].Incarnation()); ok {
 				wants = append(wants, want)
 			}
 		}
@@ -114,7 +114,7 @@
 			calls = append(calls, c)
 		}
 	}
-	maps.DeleteFunc(a.wallets, func(_ string, w *allotment.Wallet) bool { return w.Idle(now) })
+	maps.DeleteFunc(a.credits, func(_ string, w *allotment.Credit) bool { return w.Idle(now) })
 	return calls
 }
 
@@ -158,7 +158,7 @@
 	if q.Part < 0 || q.Part >= allotmentParts {
 		return &gossip.PortionsReply{}
 	}
-	b, now := s.allotments.banks[q.Part], s.uptime()
+	b, now := s.allotments.accounts[q.Part], s.uptime()
 	reply := &gossip.PortionsReply{Stamp: b.Stamp(now)}
 	b.Lend(now, q.Offer)
 	for _, w := range q.Wants {
@@ -193,7 +193,7 @@
 	for i := range min(len(r.Grants), len(c.question.Wants)) {
 		want := c.question.Wants[i]
 		if _, ok := a.limits[want.Workspace]; ok {
-			a.wallet(want.Workspace).Receive(now, c.askedAt, part, r.Stamp.Incarnation, want, r.Grants[i])
+			a.credit(want.Workspace).Receive(now, c.askedAt, part, r.Stamp.Incarnation, want, r.Grants[i])
 		}
 	}
 }
@@ -206,11 +206,11 @@
 	if _, ok := s.allotments.limits[w.Name]; !ok {
 		return allotment.Receipt{}, true // it has no limit in the newest configuration
 	}
-	wallet := s.allotments.wallet(w.Name)
+	credit := s.allotments.credit(w.Name)
 	if first {
-		wallet.Count(now, cost)
+		credit.Count(now, cost)
 	}
-	return wallet.Charge(now, cost)
+	return credit.Charge(now, cost)
 }
 
 // urgentCall returns the call with which a request that lacks credit asks the owner of a part, as
@@ -219,18 +219,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.uptime()
-	wallet := s.allotments.wallet(w.Name)
-	if !wallet.MayAsk(now, part) {
+	credit := s.allotments.credit(w.Name)
+	if !credit.MayAsk(now, part) {
 		return portionsCall{}, false
 	}
-	return s.portionsCall(now, part, []allotment.Want{wallet.Urgent(part, wallet.Missing(now, cost), others)})
+	return s.portionsCall(now, part, []allotment.Want{credit.Urgent(part, credit.Missing(now, cost), others)})
 }
 
 // refuseCharge returns when a refused request's workspace has room for it.
 func (s *state) refuseCharge(w *catalog.Workspace, cost float64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allotments.wallet(w.Name).Refuse(s.uptime(), cost, w.Rate)
+	return s.allotments.credit(w.Name).Refuse(s.uptime(), cost, w.Rate)
 }
 
 // Refund gives back what was charged for a request that has not run.
@@ -241,7 +241,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.allotments.limits[r.Workspace()]; ok {
-		s.allotments.wallet(r.Workspace()).Refund(s.uptime(), r)
+		s.allotments.credit(r.Workspace()).Refund(s.uptime(), r)
 	}
 }
 
--- a/internal/direct/allotment_test.go
+++ b/internal/direct/allotment_test.go
@@ -192,13 +192,13 @@
 	for id := range uint64(100_000) {
 		returns = append(returns, allotment.Return{ID: id, Amount: 1e6})
 	}
-	before := s.allotments.banks[0].Credit(s.uptime(), "w")
+	before := s.allotments.accounts[0].Credit(s.uptime(), "w")
 	reply := s.answerPortions(&gossip.Portions{
 		Offer: allotment.Offer{Lender: "i0", Stamp: allotment.Stamp{Incarnation: "another"}},
 		Wants: []allotment.Want{{Workspace: "w", Returns: returns}},
 	})
 	require.Len(t, reply.Grants, 1)
-	assert.LessOrEqual(t, s.allotments.banks[0].Credit(s.uptime(), "w"), before)
+	assert.LessOrEqual(t, s.allotments.accounts[0].Credit(s.uptime(), "w"), before)
 	assert.Empty(t, s.answerPortions(&gossip.Portions{Part: allotmentParts}).Grants)
 }
 
--- a/internal/explore/models/allotments.go
+++ b/internal/explore/models/allotments.go
@@ -44,7 +44,7 @@
 	return Model{
 		Name:          "allotments",
 		Promise:       "all instances together never admit more than rate, burst and the time of a portion allow",
-		CodeUnderTest: "internal/core/allotment, Lender, Bank and Wallet",
+		CodeUnderTest: "internal/core/allotment, Lender, Accounts and Credit",
 		Mechanisms: []Mechanism{
 			{mechanismBound, "a share that was lent isn't lent to another owner before the lease has ended"},
 			{mechanismHold, "nor before the portions that it backed have ended"},
@@ -68,8 +68,8 @@
 	faultsLeft int
 	candidate  int // the owner that the instance should ask
 	lender     *allotment.Lender
-	wallet     *allotment.Wallet
-	banks      [2]*allotment.Bank
+	credit     *allotment.Credit
+	accounts   [2]*allotment.Accounts
 	starts     [2]int
 	delayed    *portionsCall
 }
@@ -87,10 +87,10 @@
 }
 
 func newAllotmentsState(disabled string) *allotmentsState {
-	s := &allotmentsState{disabled: disabled, faultsLeft: maxAllotmentsFaults, wallet: allotment.NewWallet(allotmentsWorkspace, 1)}
+	s := &allotmentsState{disabled: disabled, faultsLeft: maxAllotmentsFaults, credit: allotment.NewCredit(allotmentsWorkspace, 1)}
 	s.lender = s.newLender(true)
-	for i := range s.banks {
-		s.banks[i] = s.newBank(i)
+	for i := range s.accounts {
+		s.accounts[i] = s.newAccounts(i)
 	}
 	for range allotmentsWarmUp {
 		s.pass()
@@ -121,12 +121,12 @@
 	return allotment.NewLender(at, allotmentsLender)
 }
 
-func (s *allotmentsState) newBank(i int) *allotment.Bank {
+func (s *allotmentsState) newAccounts(i int) *allotment.Accounts {
 	incarnation := fmt.Sprint(allotmentsOwner(i), s.starts[i])
 	if s.disabled == mechanismAnother {
 		incarnation = fmt.Sprint(allotmentsOwner(i))
 	}
-	b := allotment.NewBank(s.now(), incarnation)
+	b := allotment.NewAccounts(s.now(), incarnation)
 	b.SetLimits(s.now(), map[string]allotment.Limit{allotmentsWorkspace: allotmentsLimit})
 	return b
 }
@@ -137,16 +137,16 @@
 func (s *allotmentsState) Key() string {
 	var b strings.Builder
 	now := s.now()
-	newest := func(bank string) uint64 {
-		for _, one := range s.banks {
-			if one.Stamp(now).Incarnation == bank {
+	newest := func(owner string) uint64 {
+		for _, one := range s.accounts {
+			if one.Stamp(now).Incarnation == owner {
 				return one.LastID()
 			}
 		}
 		return 0
 	}
-	fmt.Fprint(&b, s.faultsLeft, s.candidate, s.starts, "|", s.lender.Fingerprint(now), "|", s.wallet.Fingerprint(now, newest))
-	for _, one := range s.banks {
+	fmt.Fprint(&b, s.faultsLeft, s.candidate, s.starts, "|", s.lender.Fingerprint(now), "|", s.credit.Fingerprint(now, newest))
+	for _, one := range s.accounts {
 		fmt.Fprint(&b, "|", one.Fingerprint(now))
 	}
 	if s.delayed != nil {
@@ -173,8 +173,8 @@
 // Check implements explore.State.
 func (s *allotmentsState) Check() error {
 	now := s.now()
-	usable, unspent := 0.0, s.wallet.Clone().Credit(now)
-	for _, b := range s.banks {
+	usable, unspent := 0.0, s.credit.Clone().Credit(now)
+	for _, b := range s.accounts {
 		one := b.Clone()
 		usable += one.Usable(now)
 		unspent += one.Credit(now, allotmentsWorkspace)
@@ -219,11 +219,11 @@
 	s.delayedSteps(add)
 	if s.faultsLeft > 0 {
 		add("instance restarts", (*allotmentsState).restart)
-		for i := range s.banks {
+		for i := range s.accounts {
 			add(fmt.Sprintf("owner %s restarts", allotmentsOwner(i)), func(s *allotmentsState) {
 				s.faultsLeft--
 				s.starts[i]++
-				s.banks[i] = s.newBank(i)
+				s.accounts[i] = s.newAccounts(i)
 			})
 		}
 	}
@@ -255,20 +255,20 @@
 // pass lets a tick pass. Owners that accrue credit at each one accrue the most.
 func (s *allotmentsState) pass() {
 	s.ticks++
-	for _, b := range s.banks {
+	for _, b := range s.accounts {
 		b.Usable(s.now())
 	}
 }
 
 func (s *allotmentsState) clone() *allotmentsState {
 	next := *s
-	next.lender, next.wallet = s.lender.Clone(), s.wallet.Clone()
+	next.lender, next.credit = s.lender.Clone(), s.credit.Clone()
 	if s.delayed != nil {
 		c := *s.delayed
 		next.delayed = &c
 	}
-	for i, b := range s.banks {
-		next.banks[i] = b.Clone()
+	for i, b := range s.accounts {
+		next.accounts[i] = b.Clone()
 	}
 	return &next
 }
@@ -276,7 +276,7 @@
 // ask asks for all that there is, and gives back what ends soon.
 func (s *allotmentsState) ask() *portionsCall {
 	owner, offer := s.lender.Offer(s.now(), allotmentsOwner(s.candidate), 1)
-	want, _ := s.wallet.Plan(s.now(), 0, offer.Stamp.Incarnation)
+	want, _ := s.credit.Plan(s.now(), 0, offer.Stamp.Incarnation)
 	want.Amount, want.Urgent = allotmentsLimit.Burst+allotmentsLimit.Rate, true
 	return &portionsCall{owner: slices.Index([]fleet.Instance{"a", "b"}, owner), askedAt: s.now(), offer: offer, want: want}
 }
@@ -284,7 +284,7 @@
 // answer has an owner answer a call, as instances do.
 func (s *allotmentsState) answer(c *portionsCall) {
 	now := s.now()
-	b := s.banks[c.owner]
+	b := s.accounts[c.owner]
 	offer, want := c.offer, c.want
 	if s.off(mechanismStamped) && offer.Share > 0 && offer.Stamp.Incarnation == b.Stamp(now).Incarnation {
 		offer.Stamp = b.Stamp(now)
@@ -305,13 +305,13 @@
 		askedAt = now
 	}
 	s.lender.Received(now, allotmentsOwner(c.owner), c.stamp)
-	s.wallet.Receive(now, askedAt, 0, c.stamp.Incarnation, c.want, c.grant)
+	s.credit.Receive(now, askedAt, 0, c.stamp.Incarnation, c.want, c.grant)
 }
 
 // restart loses all that the instance knows. Its calls may still arrive.
 func (s *allotmentsState) restart() {
 	s.faultsLeft--
-	s.lender, s.wallet = s.newLender(s.disabled == mechanismStarted), allotment.NewWallet(allotmentsWorkspace, 1)
+	s.lender, s.credit = s.newLender(s.disabled == mechanismStarted), allotment.NewCredit(allotmentsWorkspace, 1)
 	if s.delayed != nil {
 		s.delayed.orphan = true
 		if s.delayed.answered {
