--- a/internal/core/recency/recency.go
+++ b/internal/core/recency/recency.go
@@ -2,7 +2,7 @@
 // on evidence that the store, or a peer that has asked the store, held no newer version at some
 // time.
 //
-// The package reads no clock. Times must come from a clock that also runs while the machine is
+// The package reads no clock. Times must come from a clock that also runs while the instance is
 // suspended.
 package recency
 
--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -41,7 +41,7 @@
 	tenure             *tenure.OrderLease
 	lease              platform.Lease
 	proof              platform.Write // guards the calls made under the lease
-	lastHolderRevision int64          // revision of lastHolderKey, 0 once it names this machine
+	lastHolderRevision int64          // revision of lastHolderKey, 0 once it names this instance
 	eraSince           time.Duration  // since when the store's era has been known here
 	seenReturn         bool           // the store has come back from an older copy meanwhile
 	vacantSince        time.Duration  // since when no peer announces that it holds the lease
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -151,7 +151,9 @@
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-a.target.PendingPrefill-admissionMargin)
 	admission := j.gateway.fleet.Admit(ctx, a.target, &a.query, work, limit)
 	if admission.Refused && (a.mayHaveRun || a.insistent) && !admission.Limited {
-		return 0, ctx.Err() // its target has passed, and a refusal would say that it has not run
+		// Its target has passed. After a run a refusal would say that it has not run, and beside an
+		// endpoint that stays silent it would leave the request without an answer.
+		return 0, ctx.Err()
 	}
 	if admission.Refused {
 		return admission.Wait + a.target.PendingPrefill, fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
