--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -8,6 +8,7 @@
 package suspect
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -25,6 +26,9 @@
 // Fingerprint is the hash of a request.
 type Fingerprint uint64
 
+// String returns the fingerprint as it stands in logs.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Suspect is what instances report to each other about a fingerprint.
 type Suspect struct {
 	Fingerprint Fingerprint
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
@@ -81,14 +82,16 @@
 
 func (s *state) recordEndpointCrash(now time.Time, incarnation gossip.Incarnation, runs []interruptedRun) {
 	incarnationID := crashID(incarnation.Endpoint, incarnation.Born)
+	var requests []string
 	for _, r := range runs {
 		d := suspect.Crash{Fingerprint: r.fingerprint, Incarnation: incarnationID, SentAt: r.startedAt, FailedAt: r.interruptedAt}
 		s.crashes.Add(d)
+		requests = append(requests, r.fingerprint.String())
 		if len(s.announcedCrashes) < maxAnnouncedCrashes {
 			s.announcedCrashes = append(s.announcedCrashes, announcedCrash{crash: d, since: now})
 		}
 	}
-	_ = s.logger.Log("step", "died", "endpoint", incarnation.Endpoint, "born", incarnation.Born, "runs", len(runs))
+	_ = s.logger.Log("step", "died", "endpoint", incarnation.Endpoint, "born", incarnation.Born, "requests", strings.Join(requests, ","))
 }
 
 // crashesToSend returns the crashes for the next heartbeat. Times are sent as ages because
