test(direct): a request that crashes endpoints is sent on; sound ones are refused for it

Nine to 295 instances exchange heartbeats in virtual time; copies of one request arrive one by one or several at once, and sound requests come again and again beside them.

--- /dev/null
+++ b/internal/direct/crash_test.go
@@ -0,0 +1,72 @@
+package direct
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A request that comes again and again crashes each endpoint that runs it. Some seconds after the
+// third crash no instance sends it any more, whether its copies come one by one or at once.
+func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	const small, grown = 4 * time.Second, 5 * time.Second
+	const quick, restart = 60 * time.Millisecond, 3400 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		window   time.Duration
+		seeds    uint64
+		settings promptSiteSettings
+	}{
+		{"three endpoints", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 3}},
+		{"three endpoints, many", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 12}},
+		{"three endpoints, few", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 0.4}},
+		{"three endpoints, several at once", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 0.3, copies: 8}},
+		{"18 endpoints", small, 4, promptSiteSettings{instances: 9, crashingRate: 3}},
+		{"18 endpoints, several at once", small, 4, promptSiteSettings{instances: 9, crashingRate: 0.3, copies: 8}},
+		{"three endpoints, heartbeats lost and late", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 3, loss: 0.3, slow: 0.2}},
+		{"three endpoints, connections reset", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 3, resets: 0.4}},
+		{"18 endpoints, store away", small, 4, promptSiteSettings{instances: 9, crashingRate: 3, storeAway: true}},
+		{"60 instances", grown, 1, promptSiteSettings{instances: 60, crashingRate: 6}},
+		{"295 instances", grown, 1, promptSiteSettings{instances: 295, crashingRate: 6, crashingUntil: 12 * time.Second}},
+	} {
+		for seed := range c.seeds {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				c.settings.identical, c.settings.seed, c.settings.crashingFrom = true, seed, 5*time.Second
+				c.settings.soundRate, c.settings.hot, c.settings.polled = 25, 0.7, 0.3
+				c.settings.firstEvent, c.settings.restart = quick, restart
+				p := newPromptSite(t, c.settings)
+				p.run(5*time.Second + 5*c.window)
+				require.GreaterOrEqual(t, len(p.crashes), 3, "not found sooner")
+				assert.LessOrEqual(t, p.sentAfter(3, c.window), 3, "sent after the bound, of %d; %d endpoints crashed", len(p.crashingRun), len(p.crashes))
+				assert.Empty(t, p.refused, "sound requests")
+			})
+		}
+	}
+}
+
+// Endpoints that end for another reason don't make the requests that callers send again and again
+// poison requests.
+func TestPolledRequestsAreNotPoison(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		settings promptSiteSettings
+	}{
+		{"connections reset", promptSiteSettings{resets: 0.4}},
+		{"endpoints end", promptSiteSettings{ends: 1}},
+		{"a rack ends", promptSiteSettings{ends: 0.3, rack: 6, firstEvent: slowFirstEvent}},
+		{"all endpoints end by turns", promptSiteSettings{ends: 0.5, endpoints: 3}},
+		{"endpoints end, heartbeats lost and late", promptSiteSettings{ends: 1, loss: 0.3, slow: 0.2}},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				c.settings.seed, c.settings.instances, c.settings.soundRate, c.settings.polled = seed, 9, 25, 0.8
+				p := newPromptSite(t, c.settings)
+				p.run(60 * time.Second)
+				assert.Empty(t, p.refused)
+			})
+		}
+	}
+}
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -27,6 +27,7 @@
 	siteRestart       = 5 * time.Second         // from a crash until the endpoint is back
 	siteEntryLapse    = 3300 * time.Millisecond // from a crash until its entry is removed
 	siteSubjects      = 40                      // second parts that sound requests share
+	sitePolls         = 12                      // requests that callers send again and again
 	siteAttempts      = 2
 	siteLinkDelay     = 40 * time.Millisecond
 	siteFirstEvent    = 150 * time.Millisecond // mean time from the arrival at an endpoint to the first event
@@ -74,8 +75,16 @@
 	ends          float64       // endpoints that end for another reason, a second
 	rack          int           // how many of them end at once
 	companion     float64       // share of the crashing requests beside which a rare sound part is asked for
+	identical     bool          // the crashing requests are the same one and share no part with others
+	copies        int           // how many crashing requests arrive at once, 1 if 0
+	polled        float64       // share of the sound requests that are one of sitePolls that come again and again
+	restart       time.Duration // siteRestart if 0
+	storeAway     bool          // entries of endpoints that have ended stay
 }
 
+// crashingPrint is the fingerprint of identical requests that crash endpoints.
+const crashingPrint suspect.Fingerprint = 1 << 41
+
 type siteEndpoint struct {
 	id   fleet.Endpoint
 	born int64
@@ -152,7 +161,9 @@
 	}
 	p.at(p.soundRate, 0, 0, func() { p.arrive(p.soundRequest()) })
 	p.at(p.crashingRate, p.crashingFrom, p.crashingUntil, func() {
-		p.arrive(p.crashingRequest())
+		for range max(1, p.copies) {
+			p.arrive(p.crashingRequest())
+		}
 		if p.random.Float64() < p.companion {
 			p.arrive(p.newRequest("rare", "companion"))
 		}
@@ -259,10 +270,12 @@
 		p.after(p.between(0, siteLinkDelay/2), func() { p.interrupt(r) })
 	}
 	p.after(siteEntryLapse, func() {
-		p.apply(roster.Record{ID: e.id, Removed: true})
+		if !p.storeAway {
+			p.apply(roster.Record{ID: e.id, Removed: true})
+		}
 		p.servers = slices.DeleteFunc(p.servers, func(o *siteEndpoint) bool { return o == e })
 	})
-	p.after(siteRestart, p.startEndpoint)
+	p.after(cmp.Or(p.restart, siteRestart), p.startEndpoint)
 }
 
 // at runs a function at random times, at a rate a second.
@@ -293,6 +306,10 @@
 // soundRequest returns a request whose second part is one of a few frequent or many rare ones.
 func (p *promptSite) soundRequest() *siteRequest {
 	subject := int(float64(cmp.Or(p.subjects, siteSubjects)) * p.random.Float64() * p.random.Float64())
+	if p.random.Float64() < p.polled {
+		poll := p.random.IntN(sitePolls)
+		return &siteRequest{fingerprint: suspect.Fingerprint(1<<40 + poll), parts: []balance.PromptPart{{ID: "poll"}, {ID: fmt.Sprint(poll)}}}
+	}
 	if p.random.Float64() < p.hot && !p.crashesFirst {
 		return p.newRequest("hot", fmt.Sprintf("subject%d", subject))
 	}
@@ -300,6 +317,9 @@
 }
 
 func (p *promptSite) crashingRequest() *siteRequest {
+	if p.identical {
+		return &siteRequest{fingerprint: crashingPrint, crashing: true}
+	}
 	r := p.newRequest("hot", "crashing")
 	if p.crashesFirst {
 		r = p.newRequest("crashing", fmt.Sprintf("subject%d", p.random.IntN(siteSubjects)))
@@ -404,15 +424,15 @@
 	p.attempt(r.at, r.request)
 }
 
-// sentAfter returns how many requests with the crashing part were sent after a bound: window
-// after the fifth crash.
-func (p *promptSite) sentAfter(window time.Duration) int {
-	if len(p.crashes) < 5 {
+// sentAfter returns how many of the crashing requests were sent after a bound: window after the
+// given number of crashes.
+func (p *promptSite) sentAfter(crashes int, window time.Duration) int {
+	if len(p.crashes) < crashes {
 		return 0
 	}
 	n := 0
 	for _, at := range p.crashingRun {
-		if at > p.crashes[4]+window {
+		if at > p.crashes[crashes-1]+window {
 			n++
 		}
 	}
@@ -450,10 +470,9 @@
 func (p *promptSite) interrupted(r *siteRun) {
 	sentAt := p.clock.now().Add(r.sentAt - p.clock.elapsed)
 	r.at.AnswerInterrupted(r.target, r.request.fingerprint, sentAt)
-	if r.request.begun {
-		return
+	if !r.request.begun {
+		r.at.PromptInterrupted(r.target, p.query(r.request), sentAt)
 	}
-	r.at.PromptInterrupted(r.target, p.query(r.request), sentAt)
 	p.after(endCheckDelay+p.between(0, endCheckDelay+siteLinkDelay), func() {
 		for _, e := range r.at.brokenEndpoints() {
 			if e.incarnation == (incarnation{r.target.ID, r.target.Born}) {
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -52,7 +52,7 @@
 				}
 				p.run(end)
 				require.GreaterOrEqual(t, len(p.crashes), 3, "not found sooner")
-				assert.LessOrEqual(t, p.sentAfter(c.window), 3, "sent after the bound, of %d; %d endpoints crashed", len(p.crashingRun), len(p.crashes))
+				assert.LessOrEqual(t, p.sentAfter(5, c.window), 3, "sent after the bound, of %d; %d endpoints crashed", len(p.crashingRun), len(p.crashes))
 				assert.Empty(t, p.refused, "sound parts")
 				if c.settings.crashesFirst || c.settings.crashingUntil > 0 {
 					return
