fix(gateway): an answer with a failure doesn't clear a request that has crashed endpoints

Callers saw: endpoints that end again and again under a request that is never refused. Cause: finish recorded every complete answer as one that clears the request, whatever its status. An endpoint that fails part of its requests answers 500 before the run, or without one, and resets the count. Change: only a complete answer 2xx clears, as for parts of prompts. Result: TestFailuresDoNotClearCrashingRequests failed in both cases before and passes; package gateway passes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -370,6 +370,20 @@
 	assert.Empty(t, answer.header.Get("Retry-After"))
 }
 
+// An answer with a failure may come before the run, so it doesn't clear a request that has crashed
+// endpoints.
+func TestFailuresDoNotClearCrashingRequests(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.KindSafe, catalog.KindUnsafe} {
+		t.Run(string(kind), func(t *testing.T) {
+			f := newFleet(t, kind, standin.BehaviourFail, standin.BehaviourFail)
+			answer, err := send(t, serve(t, f), http.MethodPost, nil, "body")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusInternalServerError, answer.status)
+			assert.Empty(t, f.completed)
+		})
+	}
+}
+
 func TestFingerprintsDistinguishRequests(t *testing.T) {
 	base := gateway.Request{ID: "1", Caller: "192.0.2.1", Method: "GET", Host: "board.example", Target: "/look/1?a=b"}
 	retry, other := base, base
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -116,7 +116,9 @@
 // finish records that the answer was passed on, or that the write to the caller failed.
 func (j *job) finish(r result) {
 	if r.err == nil {
-		j.gateway.fleet.AnswerCompleted(j.fingerprint)
+		if j.delivery.status/100 == 2 {
+			j.gateway.fleet.AnswerCompleted(j.fingerprint)
+		}
 		return
 	}
 	j.failure = fmt.Errorf("endpoint %s: %w", r.attempt.target.ID, r.err)
