refactor(suspect): keys of runs, in place of parts of prompts

Cause: whole requests are to be counted by the same record as parts of prompts. Change: PartCrashes is CrashRecord, Part is Key, Prompt is CrashedRun; the heartbeat's types follow. No behaviour changes.

--- a/internal/core/suspect/part.go
+++ b/internal/core/suspect/record.go
@@ -34,21 +34,21 @@
 	maxPartBytes       = 32
 )
 
-// Part identifies a part of a prompt: its ID, or the hash of a long one.
-type Part string
+// Key identifies a part of a prompt: its ID, or the hash of a long one.
+type Key string
 
-// NewPart returns the Part with an ID.
-func NewPart(id string) Part {
+// PartKey returns the Key with an ID.
+func PartKey(id string) Key {
 	if len(id) > maxPartBytes {
-		return Part(strconv.FormatUint(xxhash.Sum64String(id), 16))
+		return Key(strconv.FormatUint(xxhash.Sum64String(id), 16))
 	}
-	return Part(id)
+	return Key(id)
 }
 
-// Prompt is what a request in flight at a crash shares with others: the parts of its prompt, in
+// CrashedRun is what a request in flight at a crash shares with others: the parts of its prompt, in
 // their order, without the last one, which is its own.
-type Prompt struct {
-	Parts []Part
+type CrashedRun struct {
+	Keys []Key
 	// Age is how long before the crash the request was sent. Unlike a time, it stays the same
 	// when it is reported from one instance to the next.
 	Age time.Duration
@@ -59,14 +59,14 @@
 type EndpointCrash struct {
 	Incarnation string
 	FailedAt    time.Time
-	Prompts     []Prompt
+	Runs        []CrashedRun
 }
 
-func (d *EndpointCrash) sentAt(p Prompt) time.Time { return d.FailedAt.Add(-p.Age) }
+func (d *EndpointCrash) sentAt(r CrashedRun) time.Time { return d.FailedAt.Add(-r.Age) }
 
 // Verdict says that a part of prompts crashes endpoints.
 type Verdict struct {
-	Part Part
+	Key Key
 	// Crashes is how many endpoints crashed under it, FailedAt when the last one did.
 	Crashes  int
 	FailedAt time.Time
@@ -83,37 +83,37 @@
 	return v
 }
 
-// PartCrashes finds the parts of prompts that crash endpoints, for instances that each see
+// CrashRecord finds the parts of prompts that crash endpoints, for instances that each see
 // only their own requests and report crashes and answers to each other. All parts of the
 // requests in flight at a crash are suspects. An answer that has begun clears all parts of its
 // request from the crashes of requests sent before it. Of the suspects left, the fewest parts
 // that explain the crashes are convicted. It is not safe for concurrent use.
-type PartCrashes struct {
+type CrashRecord struct {
 	settle  time.Duration
 	crashes []*EndpointCrash // in order of FailedAt
 	// lastSent is when the latest request with a part was sent that was in flight at a crash.
-	lastSent map[Part]time.Time
-	answered map[Part]time.Time
-	verdicts map[Part]Verdict   // as of evaluated, by the crashes known
-	kept     map[Part]Verdict   // reported by others, or their crashes are no longer known
-	cleared  map[Part]time.Time // when answers began that ended verdicts
+	lastSent map[Key]time.Time
+	answered map[Key]time.Time
+	verdicts map[Key]Verdict   // as of evaluated, by the crashes known
+	kept     map[Key]Verdict   // reported by others, or their crashes are no longer known
+	cleared  map[Key]time.Time // when answers began that ended verdicts
 	// changed is set if what is known has changed since the evaluation, which holds until
 	// validUntil otherwise.
 	changed    bool
 	validUntil time.Time
 }
 
-// NewPartCrashes returns an empty PartCrashes. A crash counts after the time settle, within
+// NewCrashRecord returns an empty CrashRecord. A crash counts after the time settle, within
 // which the reports of answers should have arrived.
-func NewPartCrashes(settle time.Duration) *PartCrashes {
-	return &PartCrashes{
-		settle: settle, lastSent: make(map[Part]time.Time), answered: make(map[Part]time.Time), verdicts: make(map[Part]Verdict), kept: make(map[Part]Verdict),
-		cleared: make(map[Part]time.Time),
+func NewCrashRecord(settle time.Duration) *CrashRecord {
+	return &CrashRecord{
+		settle: settle, lastSent: make(map[Key]time.Time), answered: make(map[Key]time.Time), verdicts: make(map[Key]Verdict), kept: make(map[Key]Verdict),
+		cleared: make(map[Key]time.Time),
 	}
 }
 
 // Add records a crash, or what another instance knows of a recorded one.
-func (c *PartCrashes) Add(now time.Time, d EndpointCrash) {
+func (c *CrashRecord) Add(now time.Time, d EndpointCrash) {
 	if now.Sub(d.FailedAt) > partCrashExpiry {
 		return
 	}
@@ -126,9 +126,9 @@
 	if d.FailedAt.Before(record.FailedAt) {
 		record.FailedAt = d.FailedAt
 	}
-	for _, p := range d.Prompts {
-		p.Parts = p.Parts[:min(len(p.Parts), maxPromptParts)]
-		record.add(p)
+	for _, r := range d.Runs {
+		r.Keys = r.Keys[:min(len(r.Keys), maxPromptParts)]
+		record.add(r)
 	}
 	c.noteSent(record)
 	c.renew(record)
@@ -138,7 +138,7 @@
 	}
 }
 
-func (c *PartCrashes) find(incarnation string) *EndpointCrash {
+func (c *CrashRecord) find(incarnation string) *EndpointCrash {
 	for _, d := range c.crashes {
 		if d.Incarnation == incarnation {
 			return d
@@ -148,20 +148,20 @@
 }
 
 // add adds a prompt, or the latest request with a known one.
-func (d *EndpointCrash) add(p Prompt) {
-	for i := range d.Prompts {
-		if known := &d.Prompts[i]; slices.Equal(known.Parts, p.Parts) {
-			known.Age = min(known.Age, p.Age)
+func (d *EndpointCrash) add(r CrashedRun) {
+	for i := range d.Runs {
+		if known := &d.Runs[i]; slices.Equal(known.Keys, r.Keys) {
+			known.Age = min(known.Age, r.Age)
 			return
 		}
 	}
-	if len(d.Prompts) < maxCrashPrompts {
-		d.Prompts = append(d.Prompts, p)
+	if len(d.Runs) < maxCrashPrompts {
+		d.Runs = append(d.Runs, r)
 	}
 }
 
 // drop forgets the oldest crashes, but not the verdicts that they led to.
-func (c *PartCrashes) drop(n int) {
+func (c *CrashRecord) drop(n int) {
 	if n == 0 {
 		return
 	}
@@ -176,107 +176,107 @@
 	c.changed = true
 }
 
-func (c *PartCrashes) noteSent(d *EndpointCrash) {
-	for _, p := range d.Prompts {
-		for _, part := range p.Parts {
-			if at := d.sentAt(p); at.After(c.lastSent[part]) {
-				c.lastSent[part] = at
+func (c *CrashRecord) noteSent(d *EndpointCrash) {
+	for _, r := range d.Runs {
+		for _, key := range r.Keys {
+			if at := d.sentAt(r); at.After(c.lastSent[key]) {
+				c.lastSent[key] = at
 			}
 		}
 	}
 }
 
 // renew prolongs the verdicts reported by others on the parts of a crash that came after them.
-func (c *PartCrashes) renew(d *EndpointCrash) {
-	for _, p := range d.Prompts {
-		for _, part := range p.Parts {
-			if v, ok := c.kept[part]; ok && d.sentAt(p).After(v.FailedAt) {
-				c.kept[part] = v.next(d.FailedAt)
+func (c *CrashRecord) renew(d *EndpointCrash) {
+	for _, r := range d.Runs {
+		for _, key := range r.Keys {
+			if v, ok := c.kept[key]; ok && d.sentAt(r).After(v.FailedAt) {
+				c.kept[key] = v.next(d.FailedAt)
 			}
 		}
 	}
 }
 
 // Answered records that an answer to a request with a part began at a time.
-func (c *PartCrashes) Answered(p Part, at time.Time) {
-	last, known := c.answered[p]
+func (c *CrashRecord) Answered(k Key, at time.Time) {
+	last, known := c.answered[k]
 	if known && !at.After(last) {
 		return
 	}
 	if !known && len(c.answered) >= maxAnsweredParts {
 		c.forgetAnswers()
 	}
-	c.answered[p] = at
-	for _, verdicts := range []map[Part]Verdict{c.kept, c.verdicts} {
-		if v, ok := verdicts[p]; ok && at.After(v.FailedAt) {
-			delete(verdicts, p)
-			c.cleared[p] = at
+	c.answered[k] = at
+	for _, verdicts := range []map[Key]Verdict{c.kept, c.verdicts} {
+		if v, ok := verdicts[k]; ok && at.After(v.FailedAt) {
+			delete(verdicts, k)
+			c.cleared[k] = at
 		}
 	}
-	if sent, suspected := c.lastSent[p]; suspected && !last.After(sent) {
+	if sent, suspected := c.lastSent[k]; suspected && !last.After(sent) {
 		c.changed = true
 	}
 }
 
 // forgetAnswers drops the older half of the recorded answers.
-func (c *PartCrashes) forgetAnswers() {
+func (c *CrashRecord) forgetAnswers() {
 	times := slices.SortedFunc(maps.Values(c.answered), time.Time.Compare)
 	middle := times[len(times)/2]
-	maps.DeleteFunc(c.answered, func(_ Part, at time.Time) bool { return !at.After(middle) })
+	maps.DeleteFunc(c.answered, func(_ Key, at time.Time) bool { return !at.After(middle) })
 }
 
 // Keep records a verdict reported by another instance. What this one knows of crashes under the
 // part goes before it.
-func (c *PartCrashes) Keep(now time.Time, v Verdict) {
-	_, suspected := c.lastSent[v.Part]
-	_, kept := c.kept[v.Part]
-	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answered[v.Part].After(v.FailedAt) {
+func (c *CrashRecord) Keep(now time.Time, v Verdict) {
+	_, suspected := c.lastSent[v.Key]
+	_, kept := c.kept[v.Key]
+	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answered[v.Key].After(v.FailedAt) {
 		c.keep(v)
 	}
 }
 
-func (c *PartCrashes) keep(v Verdict) {
-	known, ok := c.kept[v.Part]
+func (c *CrashRecord) keep(v Verdict) {
+	known, ok := c.kept[v.Key]
 	if !ok && len(c.kept) >= maxVerdicts {
 		oldest := slices.MinFunc(slices.Collect(maps.Values(c.kept)), compareVerdicts)
-		delete(c.kept, oldest.Part)
+		delete(c.kept, oldest.Key)
 	}
 	if !ok || v.FailedAt.Sub(known.FailedAt) > verdictTolerance {
-		c.kept[v.Part] = v
+		c.kept[v.Key] = v
 	}
 }
 
 func compareVerdicts(a, b Verdict) int {
-	return cmp.Or(a.FailedAt.Compare(b.FailedAt), cmp.Compare(a.Part, b.Part))
+	return cmp.Or(a.FailedAt.Compare(b.FailedAt), cmp.Compare(a.Key, b.Key))
 }
 
 // Verdict returns the verdict on a part. ok is false if there is none.
-func (c *PartCrashes) Verdict(now time.Time, p Part) (v Verdict, ok bool) {
+func (c *CrashRecord) Verdict(now time.Time, k Key) (v Verdict, ok bool) {
 	if len(c.crashes) == 0 && len(c.kept) == 0 {
 		return Verdict{}, false
 	}
 	c.evaluate(now)
-	v, ok = c.verdicts[p]
-	if older, kept := c.kept[p]; kept && (!ok || older.FailedAt.After(v.FailedAt)) {
+	v, ok = c.verdicts[k]
+	if older, kept := c.kept[k]; kept && (!ok || older.FailedAt.After(v.FailedAt)) {
 		return older, true
 	}
 	return v, ok
 }
 
 // Verdicts returns all verdicts, the latest first.
-func (c *PartCrashes) Verdicts(now time.Time) []Verdict {
+func (c *CrashRecord) Verdicts(now time.Time) []Verdict {
 	c.evaluate(now)
 	all := maps.Clone(c.kept)
-	for p, v := range c.verdicts {
-		if older, ok := all[p]; !ok || v.FailedAt.After(older.FailedAt) {
-			all[p] = v
+	for k, v := range c.verdicts {
+		if older, ok := all[k]; !ok || v.FailedAt.After(older.FailedAt) {
+			all[k] = v
 		}
 	}
 	return slices.SortedFunc(maps.Values(all), func(a, b Verdict) int { return compareVerdicts(b, a) })
 }
 
 // Since returns the crashes since a time, the latest first.
-func (c *PartCrashes) Since(at time.Time) []EndpointCrash {
+func (c *CrashRecord) Since(at time.Time) []EndpointCrash {
 	var all []EndpointCrash
 	for _, d := range slices.Backward(c.crashes) {
 		if d.FailedAt.Before(at) {
@@ -289,14 +289,14 @@
 
 // Answers returns when answers last began to requests with the parts of the given crashes, as far
 // as that clears these parts, and the answers that have ended verdicts since a time.
-func (c *PartCrashes) Answers(crashes []EndpointCrash, since time.Time) map[Part]time.Time {
-	maps.DeleteFunc(c.cleared, func(_ Part, at time.Time) bool { return at.Before(since) })
+func (c *CrashRecord) Answers(crashes []EndpointCrash, since time.Time) map[Key]time.Time {
+	maps.DeleteFunc(c.cleared, func(_ Key, at time.Time) bool { return at.Before(since) })
 	answers := maps.Clone(c.cleared)
 	for i := range crashes {
-		for _, p := range crashes[i].Prompts {
-			for _, part := range p.Parts {
-				if at := c.answered[part]; at.After(crashes[i].sentAt(p)) {
-					answers[part] = at
+		for _, r := range crashes[i].Runs {
+			for _, key := range r.Keys {
+				if at := c.answered[key]; at.After(crashes[i].sentAt(r)) {
+					answers[key] = at
 				}
 			}
 		}
--- a/internal/core/suspect/part_test.go
+++ b/internal/core/suspect/record_test.go
@@ -21,18 +21,18 @@
 	age     int
 }
 
-func parts(prompt string) []suspect.Part {
-	var list []suspect.Part
+func parts(prompt string) []suspect.Key {
+	var list []suspect.Key
 	for id := range strings.FieldsSeq(prompt) {
-		list = append(list, suspect.NewPart(id))
+		list = append(list, suspect.PartKey(id))
 	}
 	return list
 }
 
-func partCrashes(crashes []crashUnder) (*suspect.PartCrashes, func(ms int) time.Time) {
+func crashRecord(crashes []crashUnder) (*suspect.CrashRecord, func(ms int) time.Time) {
 	start := time.Unix(1_000_000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	c := suspect.NewPartCrashes(settle)
+	c := suspect.NewCrashRecord(settle)
 	for i, d := range crashes {
 		c.Add(at(d.at), endpointCrash(i, d, at))
 	}
@@ -42,20 +42,20 @@
 func endpointCrash(i int, d crashUnder, at func(int) time.Time) suspect.EndpointCrash {
 	e := suspect.EndpointCrash{Incarnation: fmt.Sprint(i), FailedAt: at(d.at)}
 	for _, p := range d.prompts {
-		e.Prompts = append(e.Prompts, suspect.Prompt{Parts: parts(p), Age: time.Duration(d.age) * time.Millisecond})
+		e.Runs = append(e.Runs, suspect.CrashedRun{Keys: parts(p), Age: time.Duration(d.age) * time.Millisecond})
 	}
 	return e
 }
 
-func convicted(c *suspect.PartCrashes, now time.Time) string {
+func convicted(c *suspect.CrashRecord, now time.Time) string {
 	var ids []string
 	for _, v := range c.Verdicts(now) {
-		ids = append(ids, string(v.Part))
+		ids = append(ids, string(v.Key))
 	}
 	return strings.Join(ids, " ")
 }
 
-func TestPartCrashes(t *testing.T) {
+func TestCrashRecord(t *testing.T) {
 	under := func(at int, prompts ...string) crashUnder { return crashUnder{at: at, prompts: prompts, age: 50} }
 	series := func(crashes ...string) []crashUnder { // one each 200 ms
 		var list []crashUnder
@@ -91,9 +91,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c, at := partCrashes(tt.crashes)
+			c, at := crashRecord(tt.crashes)
 			for id, ms := range tt.answered {
-				c.Answered(suspect.NewPart(id), at(ms))
+				c.Answered(suspect.PartKey(id), at(ms))
 			}
 			if tt.want != "" {
 				assert.NotEqual(t, tt.want, convicted(c, at(1250)), "not before the crashes have settled")
@@ -105,7 +105,7 @@
 
 // An answer that is reported late clears a part again; an older one doesn't.
 func TestLateAnswerClearsAPart(t *testing.T) {
-	c, at := partCrashes([]crashUnder{{at: 0, prompts: []string{"x"}}, {at: 500, prompts: []string{"x"}}, {at: 700, prompts: []string{"x"}}, {at: 900, prompts: []string{"x"}}})
+	c, at := crashRecord([]crashUnder{{at: 0, prompts: []string{"x"}}, {at: 500, prompts: []string{"x"}}, {at: 700, prompts: []string{"x"}}, {at: 900, prompts: []string{"x"}}})
 	_, found := c.Verdict(at(2000), "x")
 	assert.True(t, found)
 	c.Answered("x", at(-100))
@@ -119,38 +119,38 @@
 // An instance that has just started takes over the verdicts of others, and goes by what it knows
 // itself of the crashes where it does.
 func TestVerdictsOfOthers(t *testing.T) {
-	c, at := partCrashes(nil)
-	c.Keep(at(0), suspect.Verdict{Part: "x", Crashes: 4, FailedAt: at(-5000)})
+	c, at := crashRecord(nil)
+	c.Keep(at(0), suspect.Verdict{Key: "x", Crashes: 4, FailedAt: at(-5000)})
 	assert.Equal(t, "x", convicted(c, at(0)))
-	c.Keep(at(10), suspect.Verdict{Part: "x", Crashes: 4, FailedAt: at(-4900)})
+	c.Keep(at(10), suspect.Verdict{Key: "x", Crashes: 4, FailedAt: at(-4900)})
 	v, _ := c.Verdict(at(10), "x")
 	assert.Equal(t, at(-5000), v.FailedAt, "the same crash, reported with a delay")
 	c.Add(at(20), endpointCrash(0, crashUnder{at: 20, prompts: []string{"x"}, age: 10}, at))
 	v, _ = c.Verdict(at(20), "x")
-	assert.Equal(t, suspect.Verdict{Part: "x", Crashes: 5, FailedAt: at(20)}, v)
+	assert.Equal(t, suspect.Verdict{Key: "x", Crashes: 5, FailedAt: at(20)}, v)
 	c.Add(at(40_000), endpointCrash(1, crashUnder{at: 40_000, prompts: []string{"x"}, age: 10}, at))
 	v, _ = c.Verdict(at(40_000), "x")
-	assert.Equal(t, suspect.Verdict{Part: "x", Crashes: 6, FailedAt: at(40_000), Reviews: 1}, v)
+	assert.Equal(t, suspect.Verdict{Key: "x", Crashes: 6, FailedAt: at(40_000), Reviews: 1}, v)
 	c.Answered("x", at(40_010))
 	assert.Empty(t, convicted(c, at(40_010)))
-	assert.Equal(t, map[suspect.Part]time.Time{"x": at(40_010)}, c.Answers(nil, at(39_000)), "others must hear of it")
-	c.Keep(at(40_020), suspect.Verdict{Part: "x", Crashes: 6, FailedAt: at(40_000)})
+	assert.Equal(t, map[suspect.Key]time.Time{"x": at(40_010)}, c.Answers(nil, at(39_000)), "others must hear of it")
+	c.Keep(at(40_020), suspect.Verdict{Key: "x", Crashes: 6, FailedAt: at(40_000)})
 	assert.Empty(t, convicted(c, at(40_020)), "answered since")
 	assert.Empty(t, c.Answers(nil, at(50_000)))
 
-	c, at = partCrashes([]crashUnder{{at: 0, prompts: []string{"x"}}})
-	c.Keep(at(10), suspect.Verdict{Part: "x", Crashes: 3, FailedAt: at(0)})
+	c, at = crashRecord([]crashUnder{{at: 0, prompts: []string{"x"}}})
+	c.Keep(at(10), suspect.Verdict{Key: "x", Crashes: 3, FailedAt: at(0)})
 	assert.Empty(t, convicted(c, at(3000)), "one crash doesn't convict it here")
 }
 
 // The verdict on a part outlasts its crashes, which make room for others, and ends some time after
 // the last one.
-func TestPartCrashesAreBounded(t *testing.T) {
-	c, at := partCrashes([]crashUnder{{at: 0, prompts: []string{"x"}}, {at: 500, prompts: []string{"x"}}, {at: 700, prompts: []string{"x"}}, {at: 900, prompts: []string{"x"}}})
+func TestCrashRecordAreBounded(t *testing.T) {
+	c, at := crashRecord([]crashUnder{{at: 0, prompts: []string{"x"}}, {at: 500, prompts: []string{"x"}}, {at: 700, prompts: []string{"x"}}, {at: 900, prompts: []string{"x"}}})
 	assert.Equal(t, "x", convicted(c, at(2000)))
 	for i := range 1000 {
 		c.Add(at(2000+i), endpointCrash(10+i, crashUnder{at: 2000 + i, prompts: []string{fmt.Sprint("p", i)}}, at))
-		c.Answered(suspect.NewPart(fmt.Sprint("q", i)), at(2000+i))
+		c.Answered(suspect.PartKey(fmt.Sprint("q", i)), at(2000+i))
 	}
 	assert.Len(t, c.Since(at(0)), 128)
 	assert.Equal(t, "x", convicted(c, at(5000)))
@@ -158,8 +158,8 @@
 	assert.Empty(t, convicted(c, at(0).Add(31*time.Minute)))
 	assert.Empty(t, c.Since(at(0)))
 	for i := range 1000 {
-		c.Keep(at(i), suspect.Verdict{Part: suspect.NewPart(fmt.Sprint("r", i)), FailedAt: at(i)})
+		c.Keep(at(i), suspect.Verdict{Key: suspect.PartKey(fmt.Sprint("r", i)), FailedAt: at(i)})
 	}
 	assert.Len(t, c.Verdicts(at(1000)), 64)
-	assert.LessOrEqual(t, len(suspect.NewPart(strings.Repeat("f", 5000))), 32)
+	assert.LessOrEqual(t, len(suspect.PartKey(strings.Repeat("f", 5000))), 32)
 }
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -9,13 +9,13 @@
 // evidence is what speaks against a part: the crashes under it, in order of FailedAt, by their
 // position in the list that is evaluated.
 type evidence struct {
-	part    Part
+	part    Key
 	crashes []int
 	chain   int // how many of the crashes came in sequence
 }
 
 // evaluate finds the verdicts by the crashes that have settled.
-func (c *PartCrashes) evaluate(now time.Time) {
+func (c *CrashRecord) evaluate(now time.Time) {
 	if !c.changed && now.Before(c.validUntil) {
 		return
 	}
@@ -24,7 +24,7 @@
 		expired++
 	}
 	c.drop(expired)
-	maps.DeleteFunc(c.kept, func(_ Part, v Verdict) bool { return now.Sub(v.FailedAt) > verdictExpiry })
+	maps.DeleteFunc(c.kept, func(_ Key, v Verdict) bool { return now.Sub(v.FailedAt) > verdictExpiry })
 	settled := c.crashes
 	c.validUntil = now.Add(partCrashExpiry)
 	for i, d := range c.crashes {
@@ -39,8 +39,8 @@
 
 // convict returns the verdicts that explain the crashes: again and again the part with the most
 // crashes that no verdict explains yet.
-func (c *PartCrashes) convict(crashes []*EndpointCrash) map[Part]Verdict {
-	verdicts := make(map[Part]Verdict)
+func (c *CrashRecord) convict(crashes []*EndpointCrash) map[Key]Verdict {
+	verdicts := make(map[Key]Verdict)
 	explained := make(map[int]bool)
 	for {
 		suspects := c.suspects(crashes, explained)
@@ -62,15 +62,15 @@
 }
 
 // suspects returns the parts with enough crashes in sequence that are not explained, sorted.
-func (c *PartCrashes) suspects(crashes []*EndpointCrash, explained map[int]bool) []evidence {
-	sent := make(map[Part]map[int]time.Time)
+func (c *CrashRecord) suspects(crashes []*EndpointCrash, explained map[int]bool) []evidence {
+	sent := make(map[Key]map[int]time.Time)
 	for i, d := range crashes {
 		if explained[i] {
 			continue
 		}
-		for _, p := range d.Prompts {
-			for _, part := range p.Parts {
-				at := d.sentAt(p)
+		for _, r := range d.Runs {
+			for _, part := range r.Keys {
+				at := d.sentAt(r)
 				if !at.After(c.answered[part]) {
 					continue
 				}
@@ -95,7 +95,7 @@
 
 // newEvidence counts the crashes under a part, given when its latest request was sent to each
 // endpoint. Those in sequence each got a request after the previous one had crashed.
-func newEvidence(crashes []*EndpointCrash, part Part, sent map[int]time.Time) evidence {
+func newEvidence(crashes []*EndpointCrash, part Key, sent map[int]time.Time) evidence {
 	e := evidence{part: part, crashes: slices.Sorted(maps.Keys(sent))}
 	last := time.Time{}
 	for _, i := range e.crashes {
@@ -137,7 +137,7 @@
 }
 
 func newVerdict(crashes []*EndpointCrash, e evidence) Verdict {
-	v := Verdict{Part: e.part}
+	v := Verdict{Key: e.part}
 	for _, i := range e.crashes {
 		v = v.next(crashes[i].FailedAt)
 	}
@@ -146,28 +146,28 @@
 
 // isShared reports whether different parts come after a part in the prompts of its crashes.
 func isShared(crashes []*EndpointCrash, e evidence) bool {
-	var follower Part
+	var follower Key
 	for _, i := range e.crashes {
-		for _, p := range crashes[i].Prompts {
-			at := slices.Index(p.Parts, e.part)
-			if at < 0 || at == len(p.Parts)-1 {
+		for _, r := range crashes[i].Runs {
+			at := slices.Index(r.Keys, e.part)
+			if at < 0 || at == len(r.Keys)-1 {
 				continue
 			}
-			if next := p.Parts[at+1]; follower != "" && next != follower {
+			if next := r.Keys[at+1]; follower != "" && next != follower {
 				return true
 			}
-			follower = p.Parts[at+1]
+			follower = r.Keys[at+1]
 		}
 	}
 	return false
 }
 
 // follows reports whether a part comes after another one in a prompt of each of its crashes.
-func follows(crashes []*EndpointCrash, e evidence, other Part) bool {
+func follows(crashes []*EndpointCrash, e evidence, other Key) bool {
 	for _, i := range e.crashes {
-		if !slices.ContainsFunc(crashes[i].Prompts, func(p Prompt) bool {
-			before := slices.Index(p.Parts, other)
-			return before >= 0 && slices.Index(p.Parts, e.part) > before
+		if !slices.ContainsFunc(crashes[i].Runs, func(r CrashedRun) bool {
+			before := slices.Index(r.Keys, other)
+			return before >= 0 && slices.Index(r.Keys, e.part) > before
 		}) {
 			return false
 		}
--- a/internal/direct/prompt.go
+++ b/internal/direct/prompt.go
@@ -44,15 +44,15 @@
 // brokenPrompt is the prompt of a request whose endpoint closed the connection before an answer
 // had begun.
 type brokenPrompt struct {
-	parts            []suspect.Part
+	parts            []suspect.Key
 	sentAt, brokenAt time.Time
 }
 
 // sharedParts returns the parts of a prompt but the last one, which is the request's own.
-func sharedParts(a *balance.Request) []suspect.Part {
-	var parts []suspect.Part
+func sharedParts(a *balance.Request) []suspect.Key {
+	var parts []suspect.Key
 	for i := range len(a.Parts) - 1 {
-		parts = append(parts, suspect.NewPart(a.Parts[i].ID))
+		parts = append(parts, suspect.PartKey(a.Parts[i].ID))
 	}
 	return parts
 }
@@ -113,7 +113,7 @@
 	}
 	for _, v := range reviewed {
 		if claim {
-			s.reviews[v.Part] = now
+			s.reviews[v.Key] = now
 		}
 	}
 	return 0, nil
@@ -140,14 +140,14 @@
 	if turn < 0 {
 		return v.FailedAt.Add(reviewAfter(v)).Sub(now)
 	}
-	if now.Sub(s.reviews[v.Part]) < partReviewTurn || s.reviewer(v.Part, turn) != s.view.Self().Instance {
+	if now.Sub(s.reviews[v.Key]) < partReviewTurn || s.reviewer(v.Key, turn) != s.view.Self().Instance {
 		return v.FailedAt.Add(reviewAfter(v) + time.Duration(turn+1)*partReviewTurn).Sub(now)
 	}
 	return 0
 }
 
 // reviewer returns the instance that may try a convicted part again in a turn.
-func (s *state) reviewer(part suspect.Part, turn int) fleet.Instance {
+func (s *state) reviewer(part suspect.Key, turn int) fleet.Instance {
 	best := s.view.Self().Instance
 	score := func(i fleet.Instance) uint64 {
 		return xxhash.Sum64String(string(i) + "/" + string(part) + "/" + strconv.Itoa(turn))
@@ -216,7 +216,7 @@
 	}
 	d := suspect.EndpointCrash{Incarnation: crashID(key.id, key.born), FailedAt: runs[0].brokenAt}
 	for _, r := range runs {
-		d.Prompts = append(d.Prompts, suspect.Prompt{Parts: r.parts, Age: d.FailedAt.Sub(r.sentAt)})
+		d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.parts, Age: d.FailedAt.Sub(r.sentAt)})
 	}
 	s.parts.Add(s.clock(), d)
 }
@@ -232,19 +232,19 @@
 	recent = recent[:min(len(recent), maxAnnouncedEnds)]
 	for i := range recent {
 		d := gossip.EndpointCrash{Incarnation: recent[i].Incarnation, FailedAgo: now.Sub(recent[i].FailedAt)}
-		for _, p := range recent[i].Prompts {
-			d.Prompts = append(d.Prompts, gossip.SentPrompt{Parts: p.Parts, Age: p.Age})
+		for _, r := range recent[i].Runs {
+			d.Runs = append(d.Runs, gossip.CrashedRun{Keys: r.Keys, Age: r.Age})
 		}
 		b.Ended = append(b.Ended, d)
 	}
 	for part, at := range s.parts.Answers(recent, now.Add(-promptNewsTime)) {
 		if len(b.Begun) < maxAnnouncedBegun {
-			b.Begun = append(b.Begun, gossip.BegunPart{Part: part, Ago: now.Sub(at)})
+			b.Begun = append(b.Begun, gossip.BegunKey{Key: part, Ago: now.Sub(at)})
 		}
 	}
 	verdicts := s.parts.Verdicts(now)
 	for _, v := range verdicts[:min(len(verdicts), maxAnnouncedVerdicts)] {
-		b.Verdicts = append(b.Verdicts, gossip.PartVerdict{Part: v.Part, Crashes: v.Crashes, Reviews: v.Reviews, FailedAgo: now.Sub(v.FailedAt)})
+		b.Verdicts = append(b.Verdicts, gossip.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, FailedAgo: now.Sub(v.FailedAt)})
 	}
 }
 
@@ -253,29 +253,29 @@
 func (s *state) receivePromptNews(now time.Time, b *gossip.Heartbeat, delay time.Duration) {
 	at := func(ago time.Duration) time.Time { return now.Add(-ago - delay) }
 	for _, a := range b.Begun {
-		s.parts.Answered(a.Part, at(a.Ago+maxTransit))
+		s.parts.Answered(a.Key, at(a.Ago+maxTransit))
 	}
 	for i := range b.Ended {
 		d := suspect.EndpointCrash{Incarnation: b.Ended[i].Incarnation, FailedAt: at(b.Ended[i].FailedAgo)}
-		for _, p := range b.Ended[i].Prompts {
-			d.Prompts = append(d.Prompts, suspect.Prompt{Parts: p.Parts, Age: p.Age})
+		for _, r := range b.Ended[i].Runs {
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.Keys, Age: r.Age})
 		}
 		s.parts.Add(now, d)
 	}
 	for _, v := range b.Verdicts {
 		if v.FailedAgo+delay > promptNewsTime {
-			s.parts.Keep(now, suspect.Verdict{Part: v.Part, Crashes: v.Crashes, Reviews: v.Reviews, FailedAt: at(v.FailedAgo)})
+			s.parts.Keep(now, suspect.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, FailedAt: at(v.FailedAgo)})
 		}
 	}
 }
 
 // logVerdicts logs the verdicts that are new or no longer hold.
 func (s *state) logVerdicts(now time.Time) {
-	current := make(map[suspect.Part]bool)
+	current := make(map[suspect.Key]bool)
 	for _, v := range s.parts.Verdicts(now) {
-		current[v.Part] = true
-		if !s.loggedVerdicts[v.Part] {
-			_ = s.logger.Log("step", "convicted", "part", v.Part, "crashes", v.Crashes, "age", now.Sub(v.FailedAt))
+		current[v.Key] = true
+		if !s.loggedVerdicts[v.Key] {
+			_ = s.logger.Log("step", "convicted", "part", v.Key, "crashes", v.Crashes, "age", now.Sub(v.FailedAt))
 		}
 	}
 	for part := range s.loggedVerdicts {
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -94,7 +94,7 @@
 func convictPart(w *testClock, part string, states ...*state) {
 	for i := range 6 {
 		for _, s := range states {
-			s.parts.Add(w.now(), suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Prompts: []suspect.Prompt{{Parts: []suspect.Part{suspect.NewPart(part)}, Age: 10 * time.Millisecond}}})
+			s.parts.Add(w.now(), suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{suspect.PartKey(part)}, Age: 10 * time.Millisecond}}})
 		}
 		w.elapsed += 300 * time.Millisecond
 	}
@@ -144,7 +144,7 @@
 	by := sent(4)
 	require.Len(t, by, 1, "one request in a turn")
 	for _, s := range p.states {
-		s.parts.Add(w.now(), suspect.EndpointCrash{Incarnation: "review", FailedAt: w.now(), Prompts: []suspect.Prompt{{Parts: []suspect.Part{"x"}}}})
+		s.parts.Add(w.now(), suspect.EndpointCrash{Incarnation: "review", FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{"x"}}}})
 	}
 	assert.Empty(t, sent(110), "twice as long")
 	by = sent(12)
@@ -237,7 +237,7 @@
 	for i := range 500 {
 		d := suspect.EndpointCrash{Incarnation: fmt.Sprint(i), FailedAt: w.now()}
 		for k := range 50 {
-			d.Prompts = append(d.Prompts, suspect.Prompt{Parts: []suspect.Part{"f", suspect.NewPart(fmt.Sprint("subject", k))}, Age: time.Duration(k+1) * time.Millisecond})
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{"f", suspect.PartKey(fmt.Sprint("subject", k))}, Age: time.Duration(k+1) * time.Millisecond})
 		}
 		s.parts.Add(w.now(), d)
 		w.elapsed += 2 * time.Millisecond
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -93,9 +93,9 @@
 	// brokenPrompts are the prompts in flight at endpoints that may have crashed, parts what is
 	// known of the parts of prompts that crash endpoints.
 	brokenPrompts  map[incarnation][]brokenPrompt
-	parts          *suspect.PartCrashes
-	reviews        map[suspect.Part]time.Time // when this instance last tried a convicted part
-	loggedVerdicts map[suspect.Part]bool
+	parts          *suspect.CrashRecord
+	reviews        map[suspect.Key]time.Time // when this instance last tried a convicted part
+	loggedVerdicts map[suspect.Key]bool
 	leftEndpoints  []gossip.Incarnation
 	leaving        bool
 	mayOrder       bool
@@ -142,7 +142,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
-		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewPartCrashes(settleBeats * interval), reviews: make(map[suspect.Part]time.Time),
+		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -56,8 +56,8 @@
 	// Begun the answers that clear parts of these prompts, Verdicts the parts that crash
 	// endpoints, as far as the sender knows.
 	Ended    []EndpointCrash `cbor:"w,omitempty"`
-	Begun    []BegunPart     `cbor:"b,omitempty"`
-	Verdicts []PartVerdict   `cbor:"m,omitempty"`
+	Begun    []BegunKey      `cbor:"b,omitempty"`
+	Verdicts []Verdict       `cbor:"m,omitempty"`
 }
 
 // WithoutDemand returns a copy of the heartbeat without what only the holder of the order
@@ -96,30 +96,31 @@
 	FailedAgo   time.Duration `cbor:"x"`
 }
 
-// EndpointCrash is the crash of an endpoint with the prompts of the requests in flight whose
-// answers had not begun, FailedAgo before the heartbeat was sent.
+// EndpointCrash is the crash of an endpoint with the runs in flight there, FailedAgo before the
+// heartbeat was sent.
 type EndpointCrash struct {
 	Incarnation string        `cbor:"i"`
 	FailedAgo   time.Duration `cbor:"x"`
-	Prompts     []SentPrompt  `cbor:"p"`
+	Runs        []CrashedRun  `cbor:"p"`
 }
 
-// SentPrompt are the parts of a prompt but the last one, sent to the endpoint Age before the crash.
-type SentPrompt struct {
-	Parts []suspect.Part `cbor:"p"`
-	Age   time.Duration  `cbor:"g"`
+// CrashedRun is a run that was sent to the endpoint Age before the crash, by what it shares with
+// others.
+type CrashedRun struct {
+	Keys []suspect.Key `cbor:"p"`
+	Age  time.Duration `cbor:"g"`
 }
 
-// BegunPart is a part of a prompt to which an answer began Ago before the heartbeat was sent.
-type BegunPart struct {
-	Part suspect.Part  `cbor:"p"`
-	Ago  time.Duration `cbor:"g"`
+// BegunKey is the key of a run whose answer began Ago before the heartbeat was sent.
+type BegunKey struct {
+	Key suspect.Key   `cbor:"p"`
+	Ago time.Duration `cbor:"g"`
 }
 
-// PartVerdict is a part of prompts under which endpoints crashed, the last one FailedAgo before
-// the heartbeat was sent.
-type PartVerdict struct {
-	Part      suspect.Part  `cbor:"p"`
+// Verdict is a key of runs under which endpoints crashed, the last one FailedAgo before the
+// heartbeat was sent.
+type Verdict struct {
+	Key       suspect.Key   `cbor:"p"`
 	Crashes   int           `cbor:"n"`
 	Reviews   int           `cbor:"r"`
 	FailedAgo time.Duration `cbor:"x"`
