--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,9 +18,13 @@
 	// flight at most crashes whatever their cause.
 	partThreshold      = 4
 	ambiguousThreshold = 5
-	// partCrashExpiry is how long a crash counts, verdictExpiry how long a verdict is kept after
-	// the last crash.
+	// requestThreshold is how many endpoints must crash in sequence under a whole request. A lower
+	// one would also refuse requests that merely ran at the same time as the cause.
+	requestThreshold = 3
+	// partCrashExpiry is how long a crash counts for parts, crashExpiry for whole requests.
+	// verdictExpiry is how long a verdict is kept after the last crash.
 	partCrashExpiry = 10 * time.Minute
+	crashExpiry     = DefaultExpiry
 	verdictExpiry   = DefaultExpiry
 	// reviewGap is the shortest time without a crash after which one counts as that of a review.
 	reviewGap = 30 * time.Second
@@ -28,25 +33,34 @@
 	// Limits on what is kept.
 	maxEndpointCrashes = 128
 	maxCrashPrompts    = 16
+	maxCrashRequests   = 64
 	maxPromptParts     = 16
 	maxVerdicts        = 64
-	maxAnsweredParts   = 4096
+	maxAnswers         = 4096 // of parts, and of whole requests
 	maxPartBytes       = 32
+	// requestPrefix begins the keys of whole requests, and no other.
+	requestPrefix = "request "
 )
 
-// Key identifies a part of a prompt: its ID, or the hash of a long one.
+// Key identifies what may crash endpoints: a part of prompts or a whole request.
 type Key string
 
-// PartKey returns the Key with an ID.
+// PartKey returns the key of a part of prompts with an ID: the ID, or the hash of a long one.
 func PartKey(id string) Key {
-	if len(id) > maxPartBytes {
+	if len(id) > maxPartBytes || strings.HasPrefix(id, requestPrefix) {
 		return Key(strconv.FormatUint(xxhash.Sum64String(id), 16))
 	}
 	return Key(id)
 }
 
+// RequestKey returns the key of a whole request.
+func RequestKey(f Fingerprint) Key { return Key(requestPrefix + f.String()) }
+
+// IsRequest reports whether the key is that of a whole request.
+func (k Key) IsRequest() bool { return strings.HasPrefix(string(k), requestPrefix) }
+
 // CrashedRun is what a request in flight at a crash shares with others: the parts of its prompt, in
-// their order, without the last one, which is its own.
+// their order, without the last one, which is its own; or, as another run, the key of the request.
 type CrashedRun struct {
 	Keys []Key
 	// Age is how long before the crash the request was sent. Unlike a time, it stays the same
@@ -54,8 +68,8 @@
 	Age time.Duration
 }
 
-// EndpointCrash is the crash of one incarnation of an endpoint, with the prompts of the requests
-// in flight there whose answers had not begun.
+// EndpointCrash is the crash of one incarnation of an endpoint, with the whole requests in flight
+// there, and the prompts of those whose answers had not begun.
 type EndpointCrash struct {
 	Incarnation string
 	FailedAt    time.Time
@@ -64,7 +78,7 @@
 
 func (d *EndpointCrash) sentAt(r CrashedRun) time.Time { return d.FailedAt.Add(-r.Age) }
 
-// Verdict says that a part of prompts crashes endpoints.
+// Verdict says that a part of prompts or a whole request crashes endpoints.
 type Verdict struct {
 	Key Key
 	// Crashes is how many endpoints crashed under it, FailedAt when the last one did.
@@ -83,20 +97,24 @@
 	return v
 }
 
-// CrashRecord finds the parts of prompts that crash endpoints, for instances that each see
-// only their own requests and report crashes and answers to each other. All parts of the
-// requests in flight at a crash are suspects. An answer that has begun clears all parts of its
-// request from the crashes of requests sent before it. Of the suspects left, the fewest parts
-// that explain the crashes are convicted. It is not safe for concurrent use.
+// CrashRecord finds the parts of prompts and the whole requests that crash endpoints, for
+// instances that each see only their own requests and report crashes and answers to each other.
+// All requests in flight at a crash are suspects, and all parts of their prompts. An answer that
+// has begun clears all parts of its request from the crashes of requests sent before it, a
+// complete one the request. Of the parts left, the fewest that explain the crashes are
+// convicted, and each request under which enough endpoints crashed. It is not safe for concurrent
+// use.
 type CrashRecord struct {
 	settle  time.Duration
 	crashes []*EndpointCrash // in order of FailedAt
-	// lastSent is when the latest request with a part was sent that was in flight at a crash.
+	// lastSent is when the latest request with a key was sent that was in flight at a crash.
 	lastSent map[Key]time.Time
-	answered map[Key]time.Time
-	verdicts map[Key]Verdict   // as of evaluated, by the crashes known
-	kept     map[Key]Verdict   // reported by others, or their crashes are no longer known
-	cleared  map[Key]time.Time // when answers began that ended verdicts
+	// begun is when an answer to a request with a part last began, completed when one to a whole
+	// request was last complete.
+	begun, completed answerTimes
+	verdicts         map[Key]Verdict   // as of evaluated, by the crashes known
+	kept             map[Key]Verdict   // reported by others, or their crashes are no longer known
+	cleared          map[Key]time.Time // when answers began that ended verdicts
 	// changed is set if what is known has changed since the evaluation, which holds until
 	// validUntil otherwise.
 	changed    bool
@@ -107,29 +125,34 @@
 // which the reports of answers should have arrived.
 func NewCrashRecord(settle time.Duration) *CrashRecord {
 	return &CrashRecord{
-		settle: settle, lastSent: make(map[Key]time.Time), answered: make(map[Key]time.Time), verdicts: make(map[Key]Verdict), kept: make(map[Key]Verdict),
+		settle: settle, lastSent: make(map[Key]time.Time), begun: make(answerTimes), completed: make(answerTimes), verdicts: make(map[Key]Verdict), kept: make(map[Key]Verdict),
 		cleared: make(map[Key]time.Time),
 	}
 }
 
 // Add records a crash, or what another instance knows of a recorded one.
 func (c *CrashRecord) Add(now time.Time, d EndpointCrash) {
-	if now.Sub(d.FailedAt) > partCrashExpiry {
+	if now.Sub(d.FailedAt) > crashExpiry {
 		return
 	}
-	c.changed = true
-	record := c.find(d.Incarnation)
+	record, changed := c.find(d.Incarnation), false
 	if record == nil {
-		record = &EndpointCrash{Incarnation: d.Incarnation, FailedAt: d.FailedAt}
+		record, changed = &EndpointCrash{Incarnation: d.Incarnation, FailedAt: d.FailedAt}, true
 		c.crashes = append(c.crashes, record)
 	}
 	if d.FailedAt.Before(record.FailedAt) {
-		record.FailedAt = d.FailedAt
+		record.FailedAt, changed = d.FailedAt, true
 	}
 	for _, r := range d.Runs {
 		r.Keys = r.Keys[:min(len(r.Keys), maxPromptParts)]
-		record.add(r)
+		if len(r.Keys) > 0 && (r.isRequest() || now.Sub(d.FailedAt) <= partCrashExpiry) && record.add(r) {
+			changed = true
+		}
+	}
+	if !changed {
+		return // instances repeat what they know
 	}
+	c.changed = true
 	c.noteSent(record)
 	c.renew(record)
 	slices.SortStableFunc(c.crashes, func(a, b *EndpointCrash) int { return a.FailedAt.Compare(b.FailedAt) })
@@ -147,27 +170,65 @@
 	return nil
 }
 
-// add adds a prompt, or the latest request with a known one.
-func (d *EndpointCrash) add(r CrashedRun) {
+// isRequest reports whether the run stands for a whole request.
+func (r CrashedRun) isRequest() bool { return r.Keys[0].IsRequest() }
+
+// add adds a run, or the latest request of a known one. It reports whether anything changed.
+func (d *EndpointCrash) add(r CrashedRun) bool {
+	limit, same := maxCrashPrompts, 0
+	if r.isRequest() {
+		limit = maxCrashRequests
+	}
 	for i := range d.Runs {
-		if known := &d.Runs[i]; slices.Equal(known.Keys, r.Keys) {
+		known := &d.Runs[i]
+		if slices.Equal(known.Keys, r.Keys) {
+			later := r.Age < known.Age
 			known.Age = min(known.Age, r.Age)
-			return
+			return later
+		}
+		if known.isRequest() == r.isRequest() {
+			same++
 		}
 	}
-	if len(d.Runs) < maxCrashPrompts {
-		d.Runs = append(d.Runs, r)
+	if same >= limit {
+		return false
 	}
+	d.Runs = append(d.Runs, r)
+	return true
 }
 
-// drop forgets the oldest crashes, but not the verdicts that they led to.
-func (c *CrashRecord) drop(n int) {
-	if n == 0 {
+// expire forgets the crashes that no longer count, for parts or at all.
+func (c *CrashRecord) expire(now time.Time) {
+	old, stale := 0, false
+	for _, d := range c.crashes {
+		age := now.Sub(d.FailedAt)
+		if age > crashExpiry {
+			old++
+		}
+		stale = stale || age > partCrashExpiry && slices.ContainsFunc(d.Runs, func(r CrashedRun) bool { return !r.isRequest() })
+	}
+	if old == 0 && !stale {
 		return
 	}
+	c.keepVerdicts()
+	for _, d := range c.crashes {
+		if now.Sub(d.FailedAt) > partCrashExpiry {
+			d.Runs = slices.DeleteFunc(d.Runs, func(r CrashedRun) bool { return !r.isRequest() })
+		}
+	}
+	c.drop(old)
+}
+
+// keepVerdicts keeps the verdicts when the crashes that led to them are forgotten.
+func (c *CrashRecord) keepVerdicts() {
 	for _, v := range c.verdicts {
 		c.keep(v)
 	}
+}
+
+// drop forgets the oldest crashes, but not the verdicts that they led to.
+func (c *CrashRecord) drop(n int) {
+	c.keepVerdicts()
 	c.crashes = slices.Delete(c.crashes, 0, n)
 	clear(c.lastSent)
 	for _, d := range c.crashes {
@@ -197,16 +258,41 @@
 	}
 }
 
-// Answered records that an answer to a request with a part began at a time.
-func (c *CrashRecord) Answered(k Key, at time.Time) {
-	last, known := c.answered[k]
+// answerTimes holds when requests with a key were last answered.
+type answerTimes map[Key]time.Time
+
+// record records an answer and reports whether it is the latest one with its key. It makes room by
+// forgetting the older half of the others.
+func (a answerTimes) record(k Key, at time.Time) bool {
+	last, known := a[k]
 	if known && !at.After(last) {
-		return
+		return false
+	}
+	if !known && len(a) >= maxAnswers {
+		times := slices.SortedFunc(maps.Values(a), time.Time.Compare)
+		middle := times[len(times)/2]
+		maps.DeleteFunc(a, func(_ Key, at time.Time) bool { return !at.After(middle) })
 	}
-	if !known && len(c.answered) >= maxAnsweredParts {
-		c.forgetAnswers()
+	a[k] = at
+	return true
+}
+
+// answers returns the answers that clear a key.
+func (c *CrashRecord) answers(k Key) answerTimes {
+	if k.IsRequest() {
+		return c.completed
+	}
+	return c.begun
+}
+
+// Answered records that an answer to a request with a part began at a time, or that one to a whole
+// request was complete.
+func (c *CrashRecord) Answered(k Key, at time.Time) {
+	answers := c.answers(k)
+	last := answers[k]
+	if !answers.record(k, at) {
+		return
 	}
-	c.answered[k] = at
 	for _, verdicts := range []map[Key]Verdict{c.kept, c.verdicts} {
 		if v, ok := verdicts[k]; ok && at.After(v.FailedAt) {
 			delete(verdicts, k)
@@ -218,19 +304,12 @@
 	}
 }
 
-// forgetAnswers drops the older half of the recorded answers.
-func (c *CrashRecord) forgetAnswers() {
-	times := slices.SortedFunc(maps.Values(c.answered), time.Time.Compare)
-	middle := times[len(times)/2]
-	maps.DeleteFunc(c.answered, func(_ Key, at time.Time) bool { return !at.After(middle) })
-}
-
-// Keep records a verdict reported by another instance. What this one knows of crashes under the
-// part goes before it.
+// Keep records a verdict reported by another instance. What this one knows of crashes under a part
+// goes before it; of those under a whole request it may not know all.
 func (c *CrashRecord) Keep(now time.Time, v Verdict) {
 	_, suspected := c.lastSent[v.Key]
 	_, kept := c.kept[v.Key]
-	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answered[v.Key].After(v.FailedAt) {
+	if (kept || !suspected || v.Key.IsRequest()) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answers(v.Key)[v.Key].After(v.FailedAt) {
 		c.keep(v)
 	}
 }
@@ -250,7 +329,7 @@
 	return cmp.Or(a.FailedAt.Compare(b.FailedAt), cmp.Compare(a.Key, b.Key))
 }
 
-// Verdict returns the verdict on a part. ok is false if there is none.
+// Verdict returns the verdict on a key. ok is false if there is none.
 func (c *CrashRecord) Verdict(now time.Time, k Key) (v Verdict, ok bool) {
 	if len(c.crashes) == 0 && len(c.kept) == 0 {
 		return Verdict{}, false
@@ -287,15 +366,15 @@
 	return all
 }
 
-// Answers returns when answers last began to requests with the parts of the given crashes, as far
-// as that clears these parts, and the answers that have ended verdicts since a time.
+// Answers returns the last answers that clear keys of the given crashes, and those that have ended
+// verdicts since a time.
 func (c *CrashRecord) Answers(crashes []EndpointCrash, since time.Time) map[Key]time.Time {
 	maps.DeleteFunc(c.cleared, func(_ Key, at time.Time) bool { return at.Before(since) })
 	answers := maps.Clone(c.cleared)
 	for i := range crashes {
 		for _, r := range crashes[i].Runs {
 			for _, key := range r.Keys {
-				if at := c.answered[key]; at.After(crashes[i].sentAt(r)) {
+				if at := c.answers(key)[key]; at.After(crashes[i].sentAt(r)) {
 					answers[key] = at
 				}
 			}
--- a/internal/core/suspect/record_test.go
+++ b/internal/core/suspect/record_test.go
@@ -163,3 +163,86 @@
 	assert.Len(t, c.Verdicts(at(1000)), 64)
 	assert.LessOrEqual(t, len(suspect.PartKey(strings.Repeat("f", 5000))), 32)
 }
+
+// A whole request is convicted after three crashes in sequence: each counted one was sent the
+// request after the one before had crashed.
+func TestCrashesUnderARequest(t *testing.T) {
+	type crash struct {
+		endpoint     string
+		sent, failed int
+	}
+	tests := []struct {
+		name     string
+		crashes  []crash
+		answered int // answered at that time, 0 if not
+		want     int // how many crashes count
+	}{
+		{name: "crashes in sequence", crashes: []crash{{"a", 0, 5}, {"b", 6, 9}, {"c", 40, 44}}, want: 3},
+		{name: "reported in another order", crashes: []crash{{"c", 40, 44}, {"a", 0, 5}, {"b", 6, 9}}, want: 3},
+		{name: "equal requests as endpoints crash at once", crashes: []crash{{"a", 0, 50}, {"b", 10, 50}, {"c", 20, 52}, {"d", 30, 51}}, want: 1},
+		{name: "two simultaneous crashes in sequence", crashes: []crash{{"a", 0, 50}, {"b", 10, 50}, {"c", 60, 90}, {"d", 55, 91}}, want: 2},
+		{name: "the same crash reported twice", crashes: []crash{{"a", 0, 5}, {"a", 6, 9}}, want: 1},
+		{name: "two copies at one endpoint", crashes: []crash{{"a", 0, 5}, {"b", 1, 20}, {"b", 6, 20}}, want: 2},
+		{name: "answered after all crashes", crashes: []crash{{"a", 0, 5}, {"b", 6, 9}, {"c", 40, 44}}, answered: 50},
+		{name: "answered between two crashes", crashes: []crash{{"a", 1, 5}, {"b", 6, 9}, {"c", 40, 44}}, answered: 20, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, at := crashRecord(nil)
+			add := func(d crash) {
+				run := suspect.CrashedRun{Keys: []suspect.Key{suspect.RequestKey(7)}, Age: time.Duration(d.failed-d.sent) * time.Millisecond}
+				c.Add(at(100), suspect.EndpointCrash{Incarnation: d.endpoint, FailedAt: at(d.failed), Runs: []suspect.CrashedRun{run}})
+			}
+			for _, d := range tt.crashes {
+				add(d)
+			}
+			if tt.answered != 0 {
+				c.Answered(suspect.RequestKey(7), at(tt.answered))
+			}
+			further := 0
+			for ; convicted(c, at(200)) == ""; further++ {
+				add(crash{fmt.Sprint("further", further), 100 + 2*further, 101 + 2*further})
+			}
+			assert.Equal(t, 3-tt.want, further)
+			assert.Equal(t, suspect.RequestKey(7), suspect.Key(convicted(c, at(200))), "no other")
+			assert.NotEmpty(t, convicted(c, at(0).Add(suspect.DefaultExpiry)))
+			assert.Empty(t, convicted(c, at(200).Add(suspect.DefaultExpiry)), "expired")
+		})
+	}
+}
+
+// Crashes count for whole requests as long as a verdict holds, however slowly the request comes
+// again, and what is kept of them is bounded.
+func TestCrashesUnderRequestsAreBounded(t *testing.T) {
+	c, at := crashRecord(nil)
+	crash := func(ms, n int, requests ...int) {
+		d := suspect.EndpointCrash{Incarnation: fmt.Sprint("e", n), FailedAt: at(ms)}
+		for _, r := range requests {
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{suspect.RequestKey(suspect.Fingerprint(r))}})
+		}
+		c.Add(at(ms), d)
+	}
+	minute := int(time.Minute / time.Millisecond)
+	for n := range 3 {
+		crash(14*minute*n, n, 7)
+	}
+	assert.Equal(t, suspect.RequestKey(7), suspect.Key(convicted(c, at(28*minute))))
+	var many []int
+	for r := range 1000 {
+		many = append(many, 100+r)
+	}
+	for n := range 200 {
+		crash(28*minute+n, 10+n, many...)
+	}
+	recent := c.Since(at(0))
+	assert.Len(t, recent, 128)
+	assert.Len(t, recent[0].Runs, 64)
+	_, found := c.Verdict(at(28*minute+200), suspect.RequestKey(7))
+	assert.True(t, found, "the verdict outlasts its crashes")
+	for r := range 10_000 {
+		c.Answered(suspect.RequestKey(suspect.Fingerprint(20_000+r)), at(28*minute+r))
+	}
+	c.Answered(suspect.RequestKey(7), at(29*minute))
+	_, found = c.Verdict(at(29*minute), suspect.RequestKey(7))
+	assert.False(t, found)
+}
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// evidence is what speaks against a part: the crashes under it, in order of FailedAt, by their
+// evidence is what speaks against a key: the crashes under it, in order of FailedAt, by their
 // position in the list that is evaluated.
 type evidence struct {
-	part    Key
+	key     Key
 	crashes []int
 	chain   int // how many of the crashes came in sequence
 }
@@ -19,14 +19,10 @@
 	if !c.changed && now.Before(c.validUntil) {
 		return
 	}
-	expired := 0
-	for expired < len(c.crashes) && now.Sub(c.crashes[expired].FailedAt) > partCrashExpiry {
-		expired++
-	}
-	c.drop(expired)
+	c.expire(now)
 	maps.DeleteFunc(c.kept, func(_ Key, v Verdict) bool { return now.Sub(v.FailedAt) > verdictExpiry })
 	settled := c.crashes
-	c.validUntil = now.Add(partCrashExpiry)
+	c.validUntil = c.nextExpiry(now)
 	for i, d := range c.crashes {
 		if at := d.FailedAt.Add(c.settle); at.After(now) {
 			settled, c.validUntil = c.crashes[:i], at
@@ -35,6 +31,25 @@
 	}
 	c.changed = false
 	c.verdicts = c.convict(settled)
+	c.convictRequests(c.verdicts)
+}
+
+// nextExpiry returns when the next crash or verdict expires.
+func (c *CrashRecord) nextExpiry(now time.Time) time.Time {
+	next := now.Add(partCrashExpiry)
+	expires := func(at time.Time) {
+		if !at.Before(now) && at.Before(next) {
+			next = at
+		}
+	}
+	for _, d := range c.crashes {
+		expires(d.FailedAt.Add(partCrashExpiry))
+		expires(d.FailedAt.Add(crashExpiry))
+	}
+	for _, v := range c.kept {
+		expires(v.FailedAt.Add(verdictExpiry))
+	}
+	return next
 }
 
 // convict returns the verdicts that explain the crashes: again and again the part with the most
@@ -52,7 +67,7 @@
 		equal := rivals(crashes, suspects, culprit)
 		for _, r := range equal {
 			if r.chain >= ambiguousThreshold || len(equal) == 1 && !isShared(crashes, r) {
-				verdicts[r.part] = newVerdict(crashes, r)
+				verdicts[r.key] = newVerdict(crashes, r)
 			}
 		}
 		for _, i := range culprit.crashes {
@@ -61,42 +76,59 @@
 	}
 }
 
+// convictRequests adds the verdicts on whole requests. They don't wait for the crashes to settle.
+func (c *CrashRecord) convictRequests(verdicts map[Key]Verdict) {
+	sent := c.suspected(c.crashes, CrashedRun.isRequest)
+	for key, times := range sent {
+		if e := newEvidence(c.crashes, key, times); e.chain >= requestThreshold {
+			verdicts[key] = newVerdict(c.crashes, e)
+		}
+	}
+}
+
 // suspects returns the parts with enough crashes in sequence that are not explained, sorted.
 func (c *CrashRecord) suspects(crashes []*EndpointCrash, explained map[int]bool) []evidence {
+	sent := c.suspected(crashes, func(r CrashedRun) bool { return !r.isRequest() })
+	var suspects []evidence
+	for _, part := range slices.Sorted(maps.Keys(sent)) {
+		maps.DeleteFunc(sent[part], func(i int, _ time.Time) bool { return explained[i] })
+		if e := newEvidence(crashes, part, sent[part]); e.chain >= partThreshold {
+			suspects = append(suspects, e)
+		}
+	}
+	return suspects
+}
+
+// suspected returns when the latest request with each key was sent that was in flight at a crash
+// and that no answer clears, by the position of the crash, for the runs that match.
+func (c *CrashRecord) suspected(crashes []*EndpointCrash, matches func(CrashedRun) bool) map[Key]map[int]time.Time {
 	sent := make(map[Key]map[int]time.Time)
 	for i, d := range crashes {
-		if explained[i] {
-			continue
-		}
 		for _, r := range d.Runs {
-			for _, part := range r.Keys {
+			if !matches(r) {
+				continue
+			}
+			for _, key := range r.Keys {
 				at := d.sentAt(r)
-				if !at.After(c.answered[part]) {
+				if !at.After(c.answers(key)[key]) {
 					continue
 				}
-				if sent[part] == nil {
-					sent[part] = make(map[int]time.Time)
+				if sent[key] == nil {
+					sent[key] = make(map[int]time.Time)
 				}
-				if at.After(sent[part][i]) {
-					sent[part][i] = at
+				if at.After(sent[key][i]) {
+					sent[key][i] = at
 				}
 			}
 		}
 	}
-	var suspects []evidence
-	for _, part := range slices.Sorted(maps.Keys(sent)) {
-		e := newEvidence(crashes, part, sent[part])
-		if e.chain >= partThreshold {
-			suspects = append(suspects, e)
-		}
-	}
-	return suspects
+	return sent
 }
 
-// newEvidence counts the crashes under a part, given when its latest request was sent to each
+// newEvidence counts the crashes under a key, given when its latest request was sent to each
 // endpoint. Those in sequence each got a request after the previous one had crashed.
-func newEvidence(crashes []*EndpointCrash, part Key, sent map[int]time.Time) evidence {
-	e := evidence{part: part, crashes: slices.Sorted(maps.Keys(sent))}
+func newEvidence(crashes []*EndpointCrash, key Key, sent map[int]time.Time) evidence {
+	e := evidence{key: key, crashes: slices.Sorted(maps.Keys(sent))}
 	last := time.Time{}
 	for _, i := range e.crashes {
 		if !sent[i].Before(last) {
@@ -112,7 +144,7 @@
 	for range suspects {
 		var next evidence
 		for _, o := range suspects {
-			if len(o.crashes) > len(next.crashes) && follows(crashes, o, e.part) && len(e.crashes)-common(e.crashes, o.crashes) < partThreshold {
+			if len(o.crashes) > len(next.crashes) && follows(crashes, o, e.key) && len(e.crashes)-common(e.crashes, o.crashes) < partThreshold {
 				next = o
 			}
 		}
@@ -129,7 +161,7 @@
 func rivals(crashes []*EndpointCrash, suspects []evidence, e evidence) []evidence {
 	var equal []evidence
 	for _, o := range suspects {
-		if o.part == e.part || slices.Equal(o.crashes, e.crashes) && !follows(crashes, e, o.part) {
+		if o.key == e.key || slices.Equal(o.crashes, e.crashes) && !follows(crashes, e, o.key) {
 			equal = append(equal, o)
 		}
 	}
@@ -137,7 +169,7 @@
 }
 
 func newVerdict(crashes []*EndpointCrash, e evidence) Verdict {
-	v := Verdict{Key: e.part}
+	v := Verdict{Key: e.key}
 	for _, i := range e.crashes {
 		v = v.next(crashes[i].FailedAt)
 	}
@@ -149,7 +181,7 @@
 	var follower Key
 	for _, i := range e.crashes {
 		for _, r := range crashes[i].Runs {
-			at := slices.Index(r.Keys, e.part)
+			at := slices.Index(r.Keys, e.key)
 			if at < 0 || at == len(r.Keys)-1 {
 				continue
 			}
@@ -167,7 +199,7 @@
 	for _, i := range e.crashes {
 		if !slices.ContainsFunc(crashes[i].Runs, func(r CrashedRun) bool {
 			before := slices.Index(r.Keys, other)
-			return before >= 0 && slices.Index(r.Keys, e.part) > before
+			return before >= 0 && slices.Index(r.Keys, e.key) > before
 		}) {
 			return false
 		}
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -2,57 +2,105 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
 const (
-	// poisonThreshold is how many endpoints must crash in succession while running a request
-	// before it is refused as a poison request. A lower threshold would also refuse requests
-	// that merely ran at the same time as the poison request.
-	poisonThreshold = 3
-	// interruptedRunRetention is how long after an interrupted run the removal of its endpoint
-	// still counts as a crash with that request: the store entry of a crashed endpoint
-	// expires only after some seconds.
-	interruptedRunRetention = 15 * time.Second
-	// crashAnnounceTime is how long a crash is repeated in heartbeats, maxAnnouncedCrashes
-	// limits how many crashes one heartbeat carries.
-	crashAnnounceTime   = 3 * time.Second
-	maxAnnouncedCrashes = 64
+	// settleBeats is how many heartbeat intervals the reports of answers take to arrive: a few
+	// rounds of them reach an instance of a large fleet.
+	settleBeats = 3
+	// endCheckDelay is how long after a connection broke its endpoint is first asked whether it is
+	// gone. Each further time it is asked after twice as long.
+	endCheckDelay = 100 * time.Millisecond
+	// brokenPromptRetention is how long an endpoint may take to be found gone after a connection to
+	// it broke, for the prompts in flight there. Until then it is asked.
+	brokenPromptRetention = 2 * time.Second
+	// brokenRequestRetention is the same for whole requests. If the endpoint can't be asked, its
+	// entry in the store tells, which expires only after some seconds.
+	brokenRequestRetention = 15 * time.Second
+	// crashNewsTime is how long heartbeats repeat a crash and the answers that clear keys of it.
+	crashNewsTime = 4 * time.Second
+	// maxTransit is the longest usual time of a heartbeat on its way. Times of answers that are
+	// passed on are taken as earlier by that, else they would grow later with each instance.
+	maxTransit = 100 * time.Millisecond
+	// Limits on what one heartbeat carries.
+	maxAnnouncedCrashes  = 32
+	maxAnnouncedRequests = 256
+	maxAnnouncedAnswers  = 64
+	maxAnnouncedVerdicts = 16
 )
 
-// interruptedRun is the execution of a request whose endpoint closed the connection before
-// completing the answer.
-type interruptedRun struct {
-	fingerprint              suspect.Fingerprint
-	startedAt, interruptedAt time.Time
+// brokenRun is a run whose endpoint closed the connection before the answer was complete.
+type brokenRun struct {
+	keys             []suspect.Key
+	sentAt, brokenAt time.Time
 }
 
-// announcedCrash is a crash with the time since which heartbeats have carried it.
-type announcedCrash struct {
-	crash suspect.Crash
-	since time.Time
+func (r *brokenRun) isRequest() bool { return r.keys[0].IsRequest() }
+
+func (r *brokenRun) expired(now time.Time) bool {
+	if r.isRequest() {
+		return now.Sub(r.brokenAt) > brokenRequestRetention
+	}
+	return now.Sub(r.brokenAt) > brokenPromptRetention
+}
+
+// brokenEndpoint is an endpoint whose connections broke and that may be gone.
+type brokenEndpoint struct {
+	incarnation
+	address string
+	runs    []brokenRun
+	// askAt is when to ask it next, and askDelay how long after the time before.
+	askAt    time.Time
+	askDelay time.Duration
+}
+
+// askable reports whether it makes sense to ask the endpoint: the last connection broke lately.
+func (e *brokenEndpoint) askable(now time.Time) bool {
+	return now.Sub(e.runs[len(e.runs)-1].brokenAt) <= brokenPromptRetention
 }
 
 // AnswerInterrupted records that the connection to an endpoint broke while it ran a request
-// sent at startedAt. This counts as a crash only once the endpoint has been removed or has
-// restarted, since connections also break for other reasons.
-func (s *state) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, startedAt time.Time) {
+// sent at sentAt. This counts as a crash only once the endpoint is found gone, since connections
+// also break for other reasons.
+func (s *state) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, sentAt time.Time) {
+	s.recordBrokenRun(t, []suspect.Key{suspect.RequestKey(f)}, sentAt)
+}
+
+// PromptInterrupted does the same for the parts of a prompt whose answer had not begun.
+func (s *state) PromptInterrupted(t gateway.Target, a *balance.Request, sentAt time.Time) {
+	if parts := sharedParts(a); len(parts) > 0 {
+		s.recordBrokenRun(t, parts, sentAt)
+	}
+}
+
+func (s *state) recordBrokenRun(t gateway.Target, keys []suspect.Key, sentAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	incarnation := gossip.Incarnation{Endpoint: t.ID, Born: t.Born}
-	s.interruptedRuns[incarnation] = append(s.interruptedRuns[incarnation], interruptedRun{fingerprint: f, startedAt: startedAt, interruptedAt: s.clock()})
+	if e := s.roster.Get(t.ID); e != nil && e.Born == t.Born && e.Leaving {
+		return
+	}
+	now, key := s.clock(), incarnation{t.ID, t.Born}
+	e := s.brokenEndpoints[key]
+	if e == nil {
+		e = &brokenEndpoint{incarnation: key, address: t.Address, askAt: now.Add(endCheckDelay), askDelay: endCheckDelay}
+		s.brokenEndpoints[key] = e
+	}
+	e.runs = append(e.runs, brokenRun{keys: keys, sentAt: sentAt, brokenAt: now})
 }
 
 // AnswerCompleted records that a request got a complete answer, which clears it of earlier crashes.
 func (s *state) AnswerCompleted(f suspect.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.Answered(s.clock(), f)
+	s.crashes.Answered(suspect.RequestKey(f), s.clock())
 }
 
 // IsPoison reports whether a request is a poison request: enough endpoints crashed while
@@ -60,56 +108,140 @@
 func (s *state) IsPoison(f suspect.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.Length(s.clock(), f) >= poisonThreshold
-}
-
-// recordCrashes counts a crash for each interrupted run whose endpoint is gone, and drops
-// the runs whose endpoint is still listed after interruptedRunRetention. It also stops
-// announcing crashes after crashAnnounceTime.
-func (s *state) recordCrashes(now time.Time) {
-	s.announcedCrashes = slices.DeleteFunc(s.announcedCrashes, func(t announcedCrash) bool { return now.Sub(t.since) > crashAnnounceTime })
-	for incarnation, runs := range s.interruptedRuns {
-		e := s.roster.Get(incarnation.Endpoint)
-		switch {
-		case e == nil || e.Born > incarnation.Born:
-			delete(s.interruptedRuns, incarnation)
-			s.recordEndpointCrash(now, incarnation, runs)
-		case now.Sub(runs[len(runs)-1].interruptedAt) > interruptedRunRetention:
-			delete(s.interruptedRuns, incarnation)
+	_, found := s.crashes.Verdict(s.clock(), suspect.RequestKey(f))
+	return found
+}
+
+// settleBroken records the crashes of endpoints that are no longer listed, or listed again, and
+// forgets the runs whose endpoints may have ended for another reason.
+func (s *state) settleBroken(now time.Time) {
+	for key, e := range s.brokenEndpoints {
+		if listed := s.roster.Get(key.id); listed == nil || listed.Born > key.born {
+			s.recordCrash(e)
+			continue
 		}
+		s.dropRuns(e, func(r brokenRun) bool { return r.expired(now) })
+	}
+}
+
+// dropRuns forgets the matching runs at an endpoint.
+func (s *state) dropRuns(e *brokenEndpoint, matches func(brokenRun) bool) {
+	if e.runs = slices.DeleteFunc(e.runs, matches); len(e.runs) == 0 {
+		delete(s.brokenEndpoints, e.incarnation)
 	}
 }
 
-func (s *state) recordEndpointCrash(now time.Time, incarnation gossip.Incarnation, runs []interruptedRun) {
-	incarnationID := crashID(incarnation.Endpoint, incarnation.Born)
+// endpointsToAsk returns the endpoints to ask now whether they are gone. pending is set if there
+// are any to ask, now or later.
+func (s *state) endpointsToAsk() (due []brokenEndpoint, pending bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.settleBroken(now)
+	for _, e := range s.brokenEndpoints {
+		if !e.askable(now) {
+			continue
+		}
+		pending = true
+		if !now.Before(e.askAt) {
+			e.askDelay *= 2
+			e.askAt = now.Add(e.askDelay)
+			due = append(due, *e)
+		}
+	}
+	return due, pending
+}
+
+// hasEndpointsToAsk reports whether there are endpoints to ask whether they are gone.
+func (s *state) hasEndpointsToAsk() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for _, e := range s.brokenEndpoints {
+		if e.askable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordAsked records whether an endpoint was found gone by a question sent at askedAt. Runs
+// that broke before an endpoint answered were not its crash.
+func (s *state) recordAsked(key incarnation, askedAt time.Time, gone bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.brokenEndpoints[key]
+	switch {
+	case e == nil:
+	case gone:
+		s.recordCrash(e)
+	default:
+		now := s.clock()
+		s.dropRuns(e, func(r brokenRun) bool { return err == nil && r.brokenAt.Before(askedAt) || r.expired(now) })
+	}
+}
+
+// recordCrash records the crash of an endpoint under the runs in flight there.
+func (s *state) recordCrash(e *brokenEndpoint) {
+	delete(s.brokenEndpoints, e.incarnation)
+	d := suspect.EndpointCrash{Incarnation: string(e.id) + "/" + strconv.FormatInt(e.born, 10), FailedAt: e.runs[0].brokenAt}
 	var requests []string
-	for _, r := range runs {
-		d := suspect.Crash{Fingerprint: r.fingerprint, Incarnation: incarnationID, SentAt: r.startedAt, FailedAt: r.interruptedAt}
-		s.crashes.Add(d)
-		requests = append(requests, r.fingerprint.String())
-		if len(s.announcedCrashes) < maxAnnouncedCrashes {
-			s.announcedCrashes = append(s.announcedCrashes, announcedCrash{crash: d, since: now})
+	for _, r := range e.runs {
+		d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.keys, Age: d.FailedAt.Sub(r.sentAt)})
+		if r.isRequest() {
+			requests = append(requests, strings.TrimPrefix(string(r.keys[0]), "request "))
 		}
 	}
-	_ = s.logger.Log("step", "died", "endpoint", incarnation.Endpoint, "born", incarnation.Born, "requests", strings.Join(requests, ","))
+	s.crashes.Add(s.clock(), d)
+	_ = s.logger.Log("step", "died", "endpoint", e.id, "born", e.born, "requests", strings.Join(requests, ","))
 }
 
-// crashesToSend returns the crashes for the next heartbeat. Times are sent as ages because
-// the clocks of instances differ.
-func (s *state) crashesToSend(now time.Time) []gossip.Crash {
-	var all []gossip.Crash
-	for _, t := range s.announcedCrashes {
-		d := t.crash
-		all = append(all, gossip.Crash{Fingerprint: uint64(d.Fingerprint), Incarnation: d.Incarnation, SentAgo: now.Sub(d.SentAt), FailedAgo: now.Sub(d.FailedAt)})
+// addCrashNews adds the recent crashes, the answers that clear keys of them, and the verdicts to a
+// heartbeat. Instances also pass on what others have reported.
+func (s *state) addCrashNews(now time.Time, b *gossip.Heartbeat) {
+	recent := s.crashes.Since(now.Add(-crashNewsTime))
+	recent = recent[:min(len(recent), maxAnnouncedCrashes)]
+	requests := 0
+	for i := range recent {
+		d := gossip.EndpointCrash{Incarnation: recent[i].Incarnation, FailedAgo: now.Sub(recent[i].FailedAt)}
+		for _, r := range recent[i].Runs {
+			if r.Keys[0].IsRequest() {
+				if requests++; requests > maxAnnouncedRequests {
+					continue
+				}
+			}
+			d.Runs = append(d.Runs, gossip.CrashedRun{Keys: r.Keys, Age: r.Age})
+		}
+		b.Ended = append(b.Ended, d)
+	}
+	for key, at := range s.crashes.Answers(recent, now.Add(-crashNewsTime)) {
+		if len(b.Begun) < maxAnnouncedAnswers {
+			b.Begun = append(b.Begun, gossip.BegunKey{Key: key, Ago: now.Sub(at)})
+		}
+	}
+	verdicts := s.crashes.Verdicts(now)
+	for _, v := range verdicts[:min(len(verdicts), maxAnnouncedVerdicts)] {
+		b.Verdicts = append(b.Verdicts, gossip.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, FailedAgo: now.Sub(v.FailedAt)})
 	}
-	return all
 }
 
-// receiveCrash records a crash reported by another instance. delay is how much longer than
-// usual the heartbeat was in transit; the ages in it are increased by that.
-func (s *state) receiveCrash(now time.Time, c gossip.Crash, delay time.Duration) {
-	s.crashes.Add(suspect.Crash{
-		Fingerprint: suspect.Fingerprint(c.Fingerprint), Incarnation: c.Incarnation,
-		SentAt: now.Add(-c.SentAgo - delay), FailedAt: now.Add(-c.FailedAgo - delay),
-	})
+// receiveCrashNews records the crashes, answers and verdicts of a heartbeat that was delayed by
+// the given time longer than usual.
+func (s *state) receiveCrashNews(now time.Time, b *gossip.Heartbeat, delay time.Duration) {
+	at := func(ago time.Duration) time.Time { return now.Add(-ago - delay) }
+	for _, a := range b.Begun {
+		s.crashes.Answered(a.Key, at(a.Ago+maxTransit))
+	}
+	for i := range b.Ended {
+		d := suspect.EndpointCrash{Incarnation: b.Ended[i].Incarnation, FailedAt: at(b.Ended[i].FailedAgo)}
+		for _, r := range b.Ended[i].Runs {
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.Keys, Age: r.Age})
+		}
+		s.crashes.Add(now, d)
+	}
+	for _, v := range b.Verdicts {
+		if v.Key.IsRequest() || v.FailedAgo+delay > crashNewsTime {
+			s.crashes.Keep(now, suspect.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, FailedAt: at(v.FailedAgo)})
+		}
+	}
 }
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -7,6 +7,10 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/gateway"
 )
 
 // A request that comes again and again crashes each endpoint that runs it. Some seconds after the
@@ -70,3 +74,69 @@
 		}
 	}
 }
+
+// An instance that was frozen, cut off or not started while endpoints crashed under a request
+// learns of it from the first heartbeat, whether or not it heard of some of the crashes.
+func TestInstanceThatMissedCrashesLearnsOfRequest(t *testing.T) {
+	const poison = suspect.Fingerprint(7)
+	for _, after := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 20 * time.Minute} {
+		t.Run(after.String(), func(t *testing.T) {
+			w := &testClock{}
+			one, two := newTestState(w), newTestState(w)
+			for i := range 3 {
+				d := suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{suspect.RequestKey(poison)}}}}
+				one.crashes.Add(w.now(), d)
+				if i == 2 {
+					two.crashes.Add(w.now(), d)
+				}
+				w.elapsed += time.Second
+			}
+			w.elapsed += after
+			_, b := one.heartbeat()
+			b.Peer.Instance, b.Ended = "other", nil
+			two.receiveHeartbeat(b)
+			assert.True(t, two.IsPoison(poison))
+			two.AnswerCompleted(poison)
+			two.receiveHeartbeat(b)
+			assert.False(t, two.IsPoison(poison), "answered since")
+		})
+	}
+}
+
+// A crash counts as soon as the endpoint is found gone, and still if its entry tells so late.
+func TestCrashCountsOnceTheEndpointIsGone(t *testing.T) {
+	key := incarnation{id: "p"}
+	tests := []struct {
+		name  string
+		after time.Duration
+		end   func(w *testClock, s *state)
+		want  int
+	}{
+		{name: "nothing listens", after: 200 * time.Millisecond, end: func(w *testClock, s *state) { s.recordAsked(key, w.now(), true, nil) }, want: 1},
+		{name: "it answers", after: 200 * time.Millisecond, end: func(w *testClock, s *state) { s.recordAsked(key, w.now(), false, nil) }},
+		{name: "silent, its entry expires", after: 4 * time.Second, end: func(w *testClock, s *state) {
+			s.recordAsked(key, w.now(), false, assert.AnError)
+			s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
+		}, want: 1},
+		{name: "listed again under its id", after: 4 * time.Second, end: func(_ *testClock, s *state) {
+			s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Entry: roster.Entry{ID: "p", Service: "s", Born: 9, Revision: 2}}}, 2, false)
+		}, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := &testClock{}
+			s := newTestState(w)
+			s.AnswerInterrupted(gateway.Target{ID: "p"}, 4, w.now())
+			asked := 0
+			for w.elapsed < tt.after {
+				w.elapsed += 50 * time.Millisecond
+				due, _ := s.endpointsToAsk()
+				asked += len(due)
+			}
+			assert.LessOrEqual(t, asked, 5)
+			tt.end(w, s)
+			s.cleanUp()
+			assert.Len(t, s.crashes.Since(time.Time{}), tt.want)
+		})
+	}
+}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -175,7 +175,7 @@
 	b := &gossip.Heartbeat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(),
 		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
-		Suspicions: s.view.Suspicions(), Crashes: s.crashesToSend(now), Limits: s.limitsToSend(),
+		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(),
 	}
 	if s.catalog != nil {
 		b.Catalog = s.catalog.Version
@@ -195,7 +195,7 @@
 		b.Retiring = append(b.Retiring, gossip.Retirement{Endpoint: r.endpoint, Model: r.model})
 	}
 	b.Holder = s.holderNews()
-	s.addPromptNews(now, b)
+	s.addCrashNews(now, b)
 	b.Peer = s.view.Heartbeat()
 	return s.withHolder(s.view.Targets(now), b.Peer.Sequence), b
 }
@@ -236,10 +236,7 @@
 	for i := range b.Limits {
 		s.receiveLimit(&b.Limits[i], delay, name)
 	}
-	for _, c := range b.Crashes {
-		s.receiveCrash(now, c, delay)
-	}
-	s.receivePromptNews(now, b, delay)
+	s.receiveCrashNews(now, b, delay)
 	for _, r := range b.Retiring {
 		s.roster.MarkUnloading(now, r.Endpoint, r.Model)
 	}
@@ -327,7 +324,7 @@
 		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not back")
 		s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
 	}
-	s.recordCrashes(now)
+	s.settleBroken(now)
 	s.logVerdicts(now)
 	s.removeIdleSchedules(now)
 	s.removeOldLimits(now)
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -473,13 +473,16 @@
 	if !r.request.begun {
 		r.at.PromptInterrupted(r.target, p.query(r.request), sentAt)
 	}
-	p.after(endCheckDelay+p.between(0, endCheckDelay+siteLinkDelay), func() {
-		for _, e := range r.at.brokenEndpoints() {
-			if e.incarnation == (incarnation{r.target.ID, r.target.Born}) {
-				r.at.recordBroken(e.incarnation, p.clock.now(), !r.endpoint.up, nil)
-			}
-		}
-	})
+	p.after(endCheckDelay+p.between(0, endCheckDelay+siteLinkDelay), func() { p.askBroken(r.at) })
+}
+
+// askBroken has an instance ask the endpoints to which connections broke whether they are gone.
+func (p *promptSite) askBroken(s *state) {
+	due, _ := s.endpointsToAsk()
+	for i := range due {
+		up := slices.ContainsFunc(p.servers, func(e *siteEndpoint) bool { return e.id == due[i].id && e.born == due[i].born && e.up })
+		s.recordAsked(due[i].incarnation, p.clock.now(), !up, nil)
+	}
 }
 
 func (p *promptSite) answered(r *siteRun) { r.at.PromptBegun(p.query(r.request)) }
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -94,7 +94,7 @@
 func convictPart(w *testClock, part string, states ...*state) {
 	for i := range 6 {
 		for _, s := range states {
-			s.parts.Add(w.now(), suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{suspect.PartKey(part)}, Age: 10 * time.Millisecond}}})
+			s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{suspect.PartKey(part)}, Age: 10 * time.Millisecond}}})
 		}
 		w.elapsed += 300 * time.Millisecond
 	}
@@ -144,7 +144,7 @@
 	by := sent(4)
 	require.Len(t, by, 1, "one request in a turn")
 	for _, s := range p.states {
-		s.parts.Add(w.now(), suspect.EndpointCrash{Incarnation: "review", FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{"x"}}}})
+		s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "review", FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{"x"}}}})
 	}
 	assert.Empty(t, sent(110), "twice as long")
 	by = sent(12)
@@ -162,7 +162,7 @@
 	w := &testClock{}
 	one, two := newTestState(w), newTestState(w)
 	convictPart(w, "x", one)
-	w.elapsed += 2 * promptNewsTime
+	w.elapsed += 2 * crashNewsTime
 	_, b := one.heartbeat()
 	assert.Empty(t, b.Ended, "no longer news")
 	b.Peer.Instance = "other"
@@ -178,8 +178,8 @@
 			pair[1].receiveHeartbeat(b)
 		}
 	}
-	v, _ := one.parts.Verdict(w.now(), "x")
-	kept, _ := two.parts.Verdict(w.now(), "x")
+	v, _ := one.crashes.Verdict(w.now(), "x")
+	kept, _ := two.crashes.Verdict(w.now(), "x")
 	assert.Less(t, kept.FailedAt.Sub(v.FailedAt).Abs(), time.Second, "it gets older though it is repeated")
 }
 
@@ -194,25 +194,25 @@
 		then   func(w *testClock, s *state)
 		want   int
 	}{
-		{name: "gone", then: func(w *testClock, s *state) { s.recordBroken(key, w.now(), true, nil) }, want: 1},
+		{name: "gone", then: func(w *testClock, s *state) { s.recordAsked(key, w.now(), true, nil) }, want: 1},
 		{name: "answers", then: func(w *testClock, s *state) {
-			s.recordBroken(key, w.now(), false, nil)
-			s.recordBroken(key, w.now(), true, nil)
+			s.recordAsked(key, w.now(), false, nil)
+			s.recordAsked(key, w.now(), true, nil)
 		}},
 		{name: "answered before the connection broke", then: func(w *testClock, s *state) {
-			s.recordBroken(key, w.now().Add(-time.Second), false, nil)
-			s.recordBroken(key, w.now(), true, nil)
+			s.recordAsked(key, w.now().Add(-time.Second), false, nil)
+			s.recordAsked(key, w.now(), true, nil)
 		}, want: 1},
 		{name: "not known at first", then: func(w *testClock, s *state) {
-			s.recordBroken(key, w.now(), false, assert.AnError)
-			s.recordBroken(key, w.now(), true, nil)
+			s.recordAsked(key, w.now(), false, assert.AnError)
+			s.recordAsked(key, w.now(), true, nil)
 		}, want: 1},
 		{name: "not known for long", then: func(w *testClock, s *state) {
-			w.elapsed += 2 * brokenRunRetention
-			s.recordBroken(key, w.now(), false, assert.AnError)
-			s.recordBroken(key, w.now(), true, nil)
+			w.elapsed += 2 * brokenPromptRetention
+			s.recordAsked(key, w.now(), false, assert.AnError)
+			s.recordAsked(key, w.now(), true, nil)
 		}},
-		{name: "leaving", before: func(s *state) { s.Gone(target) }, then: func(w *testClock, s *state) { s.recordBroken(key, w.now(), true, nil) }},
+		{name: "leaving", before: func(s *state) { s.Gone(target) }, then: func(w *testClock, s *state) { s.recordAsked(key, w.now(), true, nil) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -224,8 +224,8 @@
 			s.PromptInterrupted(target, promptWith("x"), w.now())
 			w.elapsed += 10 * time.Millisecond
 			tt.then(w, s)
-			assert.Len(t, s.parts.Since(time.Time{}), tt.want)
-			assert.False(t, s.hasBroken())
+			assert.Len(t, s.crashes.Since(time.Time{}), tt.want)
+			assert.False(t, s.hasEndpointsToAsk())
 		})
 	}
 }
@@ -237,14 +237,16 @@
 	for i := range 500 {
 		d := suspect.EndpointCrash{Incarnation: fmt.Sprint(i), FailedAt: w.now()}
 		for k := range 50 {
-			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{"f", suspect.PartKey(fmt.Sprint("subject", k))}, Age: time.Duration(k+1) * time.Millisecond})
+			age := time.Duration(k+1) * time.Millisecond
+			request := suspect.RequestKey(suspect.Fingerprint(uint64(500*i+k+1) * 0x9e3779b97f4a7c15))
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{"f", suspect.PartKey(fmt.Sprint("subject", k))}, Age: age}, suspect.CrashedRun{Keys: []suspect.Key{request}, Age: age})
 		}
-		s.parts.Add(w.now(), d)
+		s.crashes.Add(w.now(), d)
 		w.elapsed += 2 * time.Millisecond
 	}
 	_, b := s.heartbeat()
 	packed, err := gossip.Pack(b)
 	require.NoError(t, err)
-	assert.Len(t, b.Ended, maxAnnouncedEnds)
+	assert.Len(t, b.Ended, maxAnnouncedCrashes)
 	assert.Less(t, len(packed.Data), 8<<10)
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -77,33 +77,30 @@
 	outdatedSince time.Time
 	listed        bool // whether a list of endpoints has been received
 	// listedAt is when the first list was received.
-	listedAt         time.Time
-	roster           *roster.Roster
-	balancer         *balance.Balancer
-	budget           *balance.Budget
-	view             *member.View
-	peers            map[fleet.Instance]*peer
-	demand           map[roster.Adapter]*demandMeters
-	meanWork         map[int]float64 // usual work of a request, by level
-	newReports       []gossip.Report
-	failedEndpoints  map[fleet.Endpoint]gossip.Incarnation
-	interruptedRuns  map[gossip.Incarnation][]interruptedRun
-	crashes          *suspect.CrashChains
-	announcedCrashes []announcedCrash
-	// brokenPrompts are the prompts in flight at endpoints that may have crashed, parts what is
-	// known of the parts of prompts that crash endpoints.
-	brokenPrompts  map[incarnation][]brokenPrompt
-	parts          *suspect.CrashRecord
-	reviews        map[suspect.Key]time.Time // when this instance last tried a convicted part
-	loggedVerdicts map[suspect.Key]bool
-	leftEndpoints  []gossip.Incarnation
-	leaving        bool
-	mayOrder       bool
-	fence          fleet.Fence
-	retirements    []retirement
-	lastHolder     announcedHolder
-	schedules      schedules
-	limits         map[incarnation]*endpointLimit
+	listedAt        time.Time
+	roster          *roster.Roster
+	balancer        *balance.Balancer
+	budget          *balance.Budget
+	view            *member.View
+	peers           map[fleet.Instance]*peer
+	demand          map[roster.Adapter]*demandMeters
+	meanWork        map[int]float64 // usual work of a request, by level
+	newReports      []gossip.Report
+	failedEndpoints map[fleet.Endpoint]gossip.Incarnation
+	// brokenEndpoints may have crashed, crashes is what is known of the parts of prompts and the
+	// whole requests that crash endpoints.
+	brokenEndpoints map[incarnation]*brokenEndpoint
+	crashes         *suspect.CrashRecord
+	reviews         map[suspect.Key]time.Time // when this instance last tried a convicted part
+	loggedVerdicts  map[suspect.Key]bool
+	leftEndpoints   []gossip.Incarnation
+	leaving         bool
+	mayOrder        bool
+	fence           fleet.Fence
+	retirements     []retirement
+	lastHolder      announcedHolder
+	schedules       schedules
+	limits          map[incarnation]*endpointLimit
 	// dispatchers are the instances that probe the endpoints, as of a version of the view.
 	dispatchers        map[fleet.Endpoint]member.Peer
 	dispatchersVersion uint64
@@ -141,8 +138,7 @@
 		peers:  make(map[fleet.Instance]*peer),
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
-		interruptedRuns: make(map[gossip.Incarnation][]interruptedRun), crashes: suspect.NewCrashChains(),
-		brokenPrompts: make(map[incarnation][]brokenPrompt), parts: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
+		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -144,11 +144,11 @@
 	w := &testClock{}
 	s := newTestState(w)
 	s.AnswerInterrupted(gateway.Target{ID: "p"}, 4, w.now())
-	w.elapsed = interruptedRunRetention + time.Second
+	w.elapsed = brokenRequestRetention + time.Second
 	s.cleanUp()
 	s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
 	s.cleanUp()
-	assert.Zero(t, s.crashes.Length(w.now(), 4))
+	assert.Empty(t, s.crashes.Since(time.Time{}))
 }
 
 // Crashes in a heartbeat that was delayed on a cut connection are older by that delay.
@@ -158,10 +158,15 @@
 	s.receiveHeartbeat(heartbeatFrom(1, 10*time.Second))
 	w.elapsed = 8 * time.Second // the next one was sent one second after the first and is received seven seconds late
 	b := heartbeatFrom(2, 11*time.Second)
-	b.Crashes = []gossip.Crash{{Fingerprint: 4, Incarnation: "a/1", SentAgo: time.Second}}
+	run := func(age time.Duration) suspect.CrashedRun {
+		return suspect.CrashedRun{Keys: []suspect.Key{suspect.RequestKey(4)}, Age: age}
+	}
+	b.Ended = []gossip.EndpointCrash{{Incarnation: "a/1", Runs: []gossip.CrashedRun{{Keys: run(0).Keys, Age: time.Second}}}}
 	s.receiveHeartbeat(b)
-	s.crashes.Add(suspect.Crash{Fingerprint: 4, Incarnation: "b/1", SentAt: w.now().Add(-6 * time.Second), FailedAt: w.now().Add(-500 * time.Millisecond)})
-	assert.Equal(t, 2, s.crashes.Length(w.now(), 4), "the second run began after the first endpoint had crashed")
+	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "b/1", FailedAt: w.now().Add(-500 * time.Millisecond), Runs: []suspect.CrashedRun{run(5500 * time.Millisecond)}})
+	assert.False(t, s.IsPoison(4))
+	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "c/1", FailedAt: w.now().Add(-100 * time.Millisecond), Runs: []suspect.CrashedRun{run(200 * time.Millisecond)}})
+	assert.True(t, s.IsPoison(4), "each run began after the endpoint before had crashed")
 }
 
 // Identical requests of many callers may run at several endpoints that crash at the same time,
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -15,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/loader"
@@ -372,13 +373,13 @@
 	_ = group.Wait() // failures are recorded above
 }
 
-// checkBroken asks the endpoints to which connections broke before answers had begun whether they
-// are gone, until none is left.
+// checkBroken asks the endpoints to which connections broke whether they are gone, until none is
+// left to ask.
 func (n *Node) checkBroken(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, endCheckDelay)
-		endpoints := n.state.brokenEndpoints()
-		if len(endpoints) == 0 {
+		endpoints, pending := n.state.endpointsToAsk()
+		if !pending {
 			return
 		}
 		var group errgroup.Group
@@ -388,7 +389,7 @@
 				defer cancel()
 				askedAt := n.clock()
 				gone, err := n.endpoints.Gone(ctx, e.id, e.born, e.address)
-				n.state.recordBroken(e.incarnation, askedAt, gone, err)
+				n.state.recordAsked(e.incarnation, askedAt, gone, err)
 				return nil
 			})
 		}
@@ -411,7 +412,13 @@
 	node *Node
 }
 
-// PromptInterrupted also has the endpoint asked whether it is gone.
+// AnswerInterrupted also has the endpoint asked whether it is gone.
+func (g gatewayFleet) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, sentAt time.Time) {
+	g.state.AnswerInterrupted(t, f, sentAt)
+	g.node.tasks.RunIfIdle("broken", g.node.checkBroken)
+}
+
+// PromptInterrupted does so too.
 func (g gatewayFleet) PromptInterrupted(t gateway.Target, a *balance.Request, sentAt time.Time) {
 	g.state.PromptInterrupted(t, a, sentAt)
 	g.node.tasks.RunIfIdle("broken", g.node.checkBroken)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -50,11 +50,9 @@
 	Retiring []Retirement `cbor:"t"`
 	// Limits are the rates that endpoints have lately asked for, as far as the sender knows.
 	Limits []Limit `cbor:"g,omitempty"`
-	// Crashes are the requests that recently were in flight on endpoints that crashed.
-	Crashes []Crash `cbor:"v"`
-	// Ended are endpoints that recently crashed, with the prompts that were in flight there,
-	// Begun the answers that clear parts of these prompts, Verdicts the parts that crash
-	// endpoints, as far as the sender knows.
+	// Ended are endpoints that recently crashed, with the runs that were in flight there, Begun the
+	// answers that clear keys of these runs, Verdicts the keys that crash endpoints, as far as the
+	// sender knows.
 	Ended    []EndpointCrash `cbor:"w,omitempty"`
 	Begun    []BegunKey      `cbor:"b,omitempty"`
 	Verdicts []Verdict       `cbor:"m,omitempty"`
@@ -86,16 +84,6 @@
 	Age       time.Duration `cbor:"g"`
 }
 
-// Crash is the crash of an endpoint with a request in flight. SentAgo and FailedAgo are
-// the times since the request was sent and since its run was interrupted, at the time the
-// heartbeat was sent.
-type Crash struct {
-	Fingerprint uint64        `cbor:"f"`
-	Incarnation string        `cbor:"i"`
-	SentAgo     time.Duration `cbor:"b"`
-	FailedAgo   time.Duration `cbor:"x"`
-}
-
 // EndpointCrash is the crash of an endpoint with the runs in flight there, FailedAgo before the
 // heartbeat was sent.
 type EndpointCrash struct {
