fix(suspect): an answer long after a crash clears its keys at all instances

Callers saw: sound requests that come again and again refused where endpoints end for other reasons. Cause: heartbeats carry an answer only beside crashes of the last 4 s. One that came later cleared the request, or the part of a prompt, at the instance that passed it on and nowhere else. Change: the first answer since a crash is announced for 4 s, whenever it comes.

--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -114,7 +114,7 @@
 	begun, completed answerTimes
 	verdicts         map[Key]Verdict   // as of evaluated, by the crashes known
 	kept             map[Key]Verdict   // reported by others, or their crashes are no longer known
-	cleared          map[Key]time.Time // when answers began that ended verdicts
+	cleared          map[Key]time.Time // the answers that ended verdicts or were the first since a crash
 	// changed is set if what is known has changed since the evaluation, which holds until
 	// validUntil otherwise.
 	changed    bool
@@ -301,6 +301,7 @@
 	}
 	if sent, suspected := c.lastSent[k]; suspected && !last.After(sent) {
 		c.changed = true
+		c.cleared[k] = at
 	}
 }
 
@@ -366,8 +367,8 @@
 	return all
 }
 
-// Answers returns the last answers that clear keys of the given crashes, and those that have ended
-// verdicts since a time.
+// Answers returns the last answers that clear keys of the given crashes, and those since a time that
+// ended verdicts or were the first since a crash.
 func (c *CrashRecord) Answers(crashes []EndpointCrash, since time.Time) map[Key]time.Time {
 	maps.DeleteFunc(c.cleared, func(_ Key, at time.Time) bool { return at.Before(since) })
 	answers := maps.Clone(c.cleared)
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -140,3 +140,36 @@
 		})
 	}
 }
+
+// An answer that comes long after a crash clears the request, and the parts of its prompt, at all
+// instances.
+func TestLateAnswersClearAtAllInstances(t *testing.T) {
+	for _, key := range []suspect.Key{suspect.RequestKey(7), suspect.PartKey("x")} {
+		t.Run(string(key), func(t *testing.T) {
+			w := &testClock{}
+			one, two := newTestState(w), newTestState(w)
+			crash := func(n int) {
+				for _, s := range []*state{one, two} {
+					s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", n), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{key}}}})
+				}
+				w.elapsed += time.Second
+			}
+			for n := range 2 {
+				crash(n)
+			}
+			w.elapsed += 3 * crashNewsTime
+			one.crashes.Answered(key, w.now())
+			w.elapsed += siteBeat
+			_, b := one.heartbeat()
+			b.Peer.Instance = "other"
+			two.receiveHeartbeat(b)
+			for n := range 3 {
+				crash(2 + n)
+			}
+			w.elapsed += settleBeats * siteBeat
+			v, _ := one.crashes.Verdict(w.now(), key)
+			other, _ := two.crashes.Verdict(w.now(), key)
+			assert.Equal(t, v.Crashes, other.Crashes, "crashes that count at either")
+		})
+	}
+}
