fix(suspect): copies of a request that overlap count as the crashes that they are

Callers saw: a service whose endpoints all end each time they are back, under copies of one request that were sent at once. Cause: a crash counted only if the request was sent there after the crash before. Copies that come together at several instances, each with a retry of its own, seldom are: three endpoints at a time counted as one crash, and it took nine until a verdict. Change: three crashes at two moments convict, for requests whose answers had not begun; where they had begun the crashes must have come in sequence as before. Endpoints that end at one moment still convict nobody. The cases of TestCrashesUnderARequest state how many crashes are missing; those of several at once need one fewer, which is the fix.

--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -18,9 +18,12 @@
 	// flight at most crashes whatever their cause.
 	partThreshold      = 4
 	ambiguousThreshold = 5
-	// requestThreshold is how many endpoints must crash in sequence under a whole request. A lower
-	// one would also refuse requests that merely ran at the same time as the cause.
+	// requestThreshold is how many endpoints must crash under a whole request. A lower one would also
+	// refuse requests that merely ran at the same time as the cause. Endpoints may also end at once
+	// for another reason: those where its answer had not begun must have ended at requestMoments
+	// different moments, those where it had one after the other.
 	requestThreshold = 3
+	requestMoments   = 2
 	// partCrashExpiry is how long a crash counts for parts, crashExpiry for whole requests.
 	// verdictExpiry is how long a verdict is kept after the last crash.
 	partCrashExpiry = 10 * time.Minute
@@ -66,6 +69,8 @@
 	// Age is how long before the crash the request was sent. Unlike a time, it stays the same
 	// when it is reported from one instance to the next.
 	Age time.Duration
+	// Begun is set if the answer to a whole request had begun.
+	Begun bool
 }
 
 // EndpointCrash is the crash of one incarnation of an endpoint, with the whole requests in flight
@@ -182,9 +187,9 @@
 	for i := range d.Runs {
 		known := &d.Runs[i]
 		if slices.Equal(known.Keys, r.Keys) {
-			later := r.Age < known.Age
-			known.Age = min(known.Age, r.Age)
-			return later
+			changed := r.Age < known.Age || known.Begun && !r.Begun
+			known.Age, known.Begun = min(known.Age, r.Age), known.Begun && r.Begun
+			return changed
 		}
 		if known.isRequest() == r.isRequest() {
 			same++
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -78,9 +78,10 @@
 
 // convictRequests adds the verdicts on whole requests. They don't wait for the crashes to settle.
 func (c *CrashRecord) convictRequests(verdicts map[Key]Verdict) {
-	sent := c.suspected(c.crashes, CrashedRun.isRequest)
-	for key, times := range sent {
-		if e := newEvidence(c.crashes, key, times); e.chain >= requestThreshold {
+	unbegun := c.suspected(c.crashes, func(r CrashedRun) bool { return r.isRequest() && !r.Begun })
+	for key, times := range c.suspected(c.crashes, CrashedRun.isRequest) {
+		e, u := newEvidence(c.crashes, key, times), newEvidence(c.crashes, key, unbegun[key])
+		if e.chain >= requestThreshold || len(u.crashes) >= requestThreshold && u.chain >= requestMoments {
 			verdicts[key] = newVerdict(c.crashes, e)
 		}
 	}
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -41,6 +41,7 @@
 type brokenRun struct {
 	keys             []suspect.Key
 	sentAt, brokenAt time.Time
+	begun            bool // the answer to a whole request had begun
 }
 
 func (r *brokenRun) isRequest() bool { return r.keys[0].IsRequest() }
@@ -69,19 +70,19 @@
 
 // AnswerInterrupted records that the connection to an endpoint broke while it ran a request
 // sent at sentAt. This counts as a crash only once the endpoint is found gone, since connections
-// also break for other reasons.
-func (s *state) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, sentAt time.Time) {
-	s.recordBrokenRun(t, []suspect.Key{suspect.RequestKey(f)}, sentAt)
+// also break for other reasons. begun tells whether an answer had begun.
+func (s *state) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, sentAt time.Time, begun bool) {
+	s.recordBrokenRun(t, brokenRun{keys: []suspect.Key{suspect.RequestKey(f)}, sentAt: sentAt, begun: begun})
 }
 
 // PromptInterrupted does the same for the parts of a prompt whose answer had not begun.
 func (s *state) PromptInterrupted(t gateway.Target, a *balance.Request, sentAt time.Time) {
 	if parts := sharedParts(a); len(parts) > 0 {
-		s.recordBrokenRun(t, parts, sentAt)
+		s.recordBrokenRun(t, brokenRun{keys: parts, sentAt: sentAt})
 	}
 }
 
-func (s *state) recordBrokenRun(t gateway.Target, keys []suspect.Key, sentAt time.Time) {
+func (s *state) recordBrokenRun(t gateway.Target, r brokenRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.roster.Get(t.ID); e != nil && e.Born == t.Born && e.Leaving {
@@ -93,7 +94,8 @@
 		e = &brokenEndpoint{incarnation: key, address: t.Address, askAt: now.Add(endCheckDelay), askDelay: endCheckDelay}
 		s.brokenEndpoints[key] = e
 	}
-	e.runs = append(e.runs, brokenRun{keys: keys, sentAt: sentAt, brokenAt: now})
+	r.brokenAt = now
+	e.runs = append(e.runs, r)
 }
 
 // AnswerCompleted records that a request got a complete answer, which clears it of earlier crashes.
@@ -187,7 +189,7 @@
 	d := suspect.EndpointCrash{Incarnation: string(e.id) + "/" + strconv.FormatInt(e.born, 10), FailedAt: e.runs[0].brokenAt}
 	var requests []string
 	for _, r := range e.runs {
-		d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.keys, Age: d.FailedAt.Sub(r.sentAt)})
+		d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.keys, Age: d.FailedAt.Sub(r.sentAt), Begun: r.begun})
 		if r.isRequest() {
 			requests = append(requests, strings.TrimPrefix(string(r.keys[0]), "request "))
 		}
@@ -210,7 +212,7 @@
 					continue
 				}
 			}
-			d.Runs = append(d.Runs, gossip.CrashedRun{Keys: r.Keys, Age: r.Age})
+			d.Runs = append(d.Runs, gossip.CrashedRun{Keys: r.Keys, Age: r.Age, Begun: r.Begun})
 		}
 		b.Ended = append(b.Ended, d)
 	}
@@ -235,7 +237,7 @@
 	for i := range b.Ended {
 		d := suspect.EndpointCrash{Incarnation: b.Ended[i].Incarnation, FailedAt: at(b.Ended[i].FailedAgo)}
 		for _, r := range b.Ended[i].Runs {
-			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.Keys, Age: r.Age})
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.Keys, Age: r.Age, Begun: r.Begun})
 		}
 		s.crashes.Add(now, d)
 	}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -227,9 +227,9 @@
 	// Spare records that the target wants nothing from this instance for a while.
 	Spare(t Target, wait time.Duration)
 	// AnswerInterrupted records that an endpoint's answer to a request sent at sentAt broke
-	// off, AnswerCompleted that a request was answered completely, with status 2xx. IsPoison
+	// off, before or after one had begun, AnswerCompleted that a request was answered completely, with status 2xx. IsPoison
 	// reports whether endpoints crashed while running the request, so that it must not be sent.
-	AnswerInterrupted(t Target, f suspect.Fingerprint, sentAt time.Time)
+	AnswerInterrupted(t Target, f suspect.Fingerprint, sentAt time.Time, begun bool)
 	AnswerCompleted(f suspect.Fingerprint)
 	IsPoison(f suspect.Fingerprint) bool
 	PromptGuard
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -49,9 +49,12 @@
 	}
 }
 
+// answerBegun reports whether this endpoint or one before has begun an answer.
+func (a *attempt) answerBegun() bool { return a.begun || a.job.delivery.begun() }
+
 // promptInterrupted records that the endpoint broke off, unless an answer had begun.
 func (a *attempt) promptInterrupted() {
-	if !a.begun && !a.job.delivery.begun() {
+	if !a.answerBegun() {
 		a.job.gateway.fleet.PromptInterrupted(a.target, &a.query, a.sentAt)
 	}
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -97,6 +97,8 @@
 type CrashedRun struct {
 	Keys []suspect.Key `cbor:"p"`
 	Age  time.Duration `cbor:"g"`
+	// Begun is set if the answer to a whole request had begun.
+	Begun bool `cbor:"b,omitempty"`
 }
 
 // BegunKey is the key of a run whose answer began Ago before the heartbeat was sent.
