fix(suspect): sound requests beside one that crashes endpoints are not convicted with it

Callers saw: requests that they send again and again refused while another request ends the endpoints. Cause: each request was judged by itself. One that is in flight at most times was in flight at three crashes as well; its answers, reported a moment later, came too late to clear it; and verdicts of others were taken over even from an instance that knew less. Change: the requests with the most crashes go first and explain them; of several with as many, four crashes are needed; crashes count once the reports of answers have had three heartbeat intervals, as for parts (two tests that looked at once look after that time); an instance that knows as many crashes goes by its own verdict.

--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -22,8 +22,10 @@
 	// refuse requests that merely ran at the same time as the cause. Endpoints may also end at once
 	// for another reason: those where its answer had not begun must have ended at requestMoments
 	// different moments, those where it had one after the other.
-	requestThreshold = 3
-	requestMoments   = 2
+	// Of several requests in the same number of crashes, ambiguousRequestThreshold are needed.
+	requestThreshold          = 3
+	requestMoments            = 2
+	ambiguousRequestThreshold = 4
 	// partCrashExpiry is how long a crash counts for parts, crashExpiry for whole requests.
 	// verdictExpiry is how long a verdict is kept after the last crash.
 	partCrashExpiry = 10 * time.Minute
@@ -311,15 +313,29 @@
 }
 
 // Keep records a verdict reported by another instance. What this one knows of crashes under a part
-// goes before it; of those under a whole request it may not know all.
+// goes before it; so does what it knows of those under a whole request, if it knows as many.
 func (c *CrashRecord) Keep(now time.Time, v Verdict) {
 	_, suspected := c.lastSent[v.Key]
+	if v.Key.IsRequest() && suspected {
+		suspected = c.count(v.Key) >= v.Crashes
+	}
 	_, kept := c.kept[v.Key]
-	if (kept || !suspected || v.Key.IsRequest()) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answers(v.Key)[v.Key].After(v.FailedAt) {
+	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answers(v.Key)[v.Key].After(v.FailedAt) {
 		c.keep(v)
 	}
 }
 
+// count returns how many of the recorded crashes came under a key.
+func (c *CrashRecord) count(k Key) int {
+	n := 0
+	for _, d := range c.crashes {
+		if slices.ContainsFunc(d.Runs, func(r CrashedRun) bool { return slices.Contains(r.Keys, k) }) {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *CrashRecord) keep(v Verdict) {
 	known, ok := c.kept[v.Key]
 	if !ok && len(c.kept) >= maxVerdicts {
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -31,7 +31,7 @@
 	}
 	c.changed = false
 	c.verdicts = c.convict(settled)
-	c.convictRequests(c.verdicts)
+	c.convictRequests(settled, c.verdicts)
 }
 
 // nextExpiry returns when the next crash or verdict expires.
@@ -76,23 +76,61 @@
 	}
 }
 
-// convictRequests adds the verdicts on whole requests. They don't wait for the crashes to settle.
-func (c *CrashRecord) convictRequests(verdicts map[Key]Verdict) {
-	unbegun := c.suspected(c.crashes, func(r CrashedRun) bool { return r.isRequest() && !r.Begun })
-	for key, times := range c.suspected(c.crashes, CrashedRun.isRequest) {
-		e, u := newEvidence(c.crashes, key, times), newEvidence(c.crashes, key, unbegun[key])
-		if e.chain >= requestThreshold || len(u.crashes) >= requestThreshold && u.chain >= requestMoments {
-			verdicts[key] = newVerdict(c.crashes, e)
+// requestEvidence is what speaks against a whole request: all crashes under it, and those where its
+// answer had not begun.
+type requestEvidence struct{ all, unbegun evidence }
+
+// convicts reports whether the evidence suffices for a verdict.
+func (e requestEvidence) convicts(threshold int) bool {
+	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold && e.unbegun.chain >= requestMoments
+}
+
+// convictRequests adds the verdicts on whole requests: again and again those with the most crashes
+// that nothing explains yet. Answers that are on their way clear more: the crashes must have settled.
+func (c *CrashRecord) convictRequests(crashes []*EndpointCrash, verdicts map[Key]Verdict) {
+	explained := make(map[int]bool)
+	for {
+		worst := c.worstRequests(crashes, explained)
+		for _, e := range worst {
+			if len(worst) == 1 || e.convicts(ambiguousRequestThreshold) {
+				verdicts[e.all.key] = newVerdict(crashes, e.all)
+			}
+		}
+		if len(worst) == 0 {
+			return
+		}
+		for _, e := range worst {
+			for _, i := range e.all.crashes {
+				explained[i] = true
+			}
 		}
 	}
 }
 
+// worstRequests returns the requests with the most crashes that are not explained, of those with
+// enough for a verdict.
+func (c *CrashRecord) worstRequests(crashes []*EndpointCrash, explained map[int]bool) []requestEvidence {
+	all := c.suspected(crashes, explained, CrashedRun.isRequest)
+	unbegun := c.suspected(crashes, explained, func(r CrashedRun) bool { return r.isRequest() && !r.Begun })
+	var worst []requestEvidence
+	for key, times := range all {
+		e := requestEvidence{newEvidence(crashes, key, times), newEvidence(crashes, key, unbegun[key])}
+		switch {
+		case !e.convicts(requestThreshold):
+		case len(worst) == 0 || len(e.all.crashes) > len(worst[0].all.crashes):
+			worst = []requestEvidence{e}
+		case len(e.all.crashes) == len(worst[0].all.crashes):
+			worst = append(worst, e)
+		}
+	}
+	return worst
+}
+
 // suspects returns the parts with enough crashes in sequence that are not explained, sorted.
 func (c *CrashRecord) suspects(crashes []*EndpointCrash, explained map[int]bool) []evidence {
-	sent := c.suspected(crashes, func(r CrashedRun) bool { return !r.isRequest() })
+	sent := c.suspected(crashes, explained, func(r CrashedRun) bool { return !r.isRequest() })
 	var suspects []evidence
 	for _, part := range slices.Sorted(maps.Keys(sent)) {
-		maps.DeleteFunc(sent[part], func(i int, _ time.Time) bool { return explained[i] })
 		if e := newEvidence(crashes, part, sent[part]); e.chain >= partThreshold {
 			suspects = append(suspects, e)
 		}
@@ -101,10 +139,14 @@
 }
 
 // suspected returns when the latest request with each key was sent that was in flight at a crash
-// and that no answer clears, by the position of the crash, for the runs that match.
-func (c *CrashRecord) suspected(crashes []*EndpointCrash, matches func(CrashedRun) bool) map[Key]map[int]time.Time {
+// and that no answer clears, by the position of the crash, for the runs that match at crashes that
+// are not explained.
+func (c *CrashRecord) suspected(crashes []*EndpointCrash, explained map[int]bool, matches func(CrashedRun) bool) map[Key]map[int]time.Time {
 	sent := make(map[Key]map[int]time.Time)
 	for i, d := range crashes {
+		if explained[i] {
+			continue
+		}
 		for _, r := range d.Runs {
 			if !matches(r) {
 				continue
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -127,6 +127,7 @@
 	kill(two, "c", poison, concurrent)
 	exchange(two, one)
 	exchange(one, two)
+	w.elapsed += settleBeats * siteBeat
 	for _, s := range []*state{one, two} {
 		assert.True(t, s.IsPoison(poison))
 		assert.False(t, s.IsPoison(concurrent))
@@ -166,6 +167,7 @@
 	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "b/1", FailedAt: w.now().Add(-500 * time.Millisecond), Runs: []suspect.CrashedRun{run(5500 * time.Millisecond)}})
 	assert.False(t, s.IsPoison(4))
 	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "c/1", FailedAt: w.now().Add(-100 * time.Millisecond), Runs: []suspect.CrashedRun{run(200 * time.Millisecond)}})
+	w.elapsed += settleBeats * siteBeat
 	assert.True(t, s.IsPoison(4), "each run began after the endpoint before had crashed")
 }
 
