fix(gateway): the verdict on a whole request is checked again immediately before it is sent

Cause: the gateway asked once, before it chose an endpoint. A request that then waited for an adapter or for admission was sent though a verdict had been found meanwhile; for parts of prompts a second check existed. Change: one check for both, CheckRun when an endpoint is chosen and ClaimRun immediately before the request is sent. Result: TestPromptsThatCrashEndpointsAreRefused has three cases of poison requests; the one found during the wait and the one found during the retry's wait could not be refused before, since nothing was asked then.

--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -105,15 +105,6 @@
 	s.crashes.Answered(suspect.RequestKey(f), s.clock())
 }
 
-// IsPoison reports whether a request is a poison request: enough endpoints crashed while
-// running it that no other endpoint may receive it.
-func (s *state) IsPoison(f suspect.Fingerprint) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, found := s.crashes.Verdict(s.clock(), suspect.RequestKey(f))
-	return found
-}
-
 // settleBroken records the crashes of endpoints that are no longer listed, or listed again, and
 // forgets the runs whose endpoints may have ended for another reason.
 func (s *state) settleBroken(now time.Time) {
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -8,11 +8,18 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 )
 
+// refuses reports whether a request without a prompt may not be sent.
+func (s *state) refuses(f suspect.Fingerprint) bool {
+	_, err := s.CheckRun(&balance.Request{}, f)
+	return err != nil
+}
+
 // A request that comes again and again crashes each endpoint that runs it. Some seconds after the
 // third crash no instance sends it any more, whether its copies come one by one or at once.
 func TestCrashingRequestIsNotSentOn(t *testing.T) {
@@ -95,10 +102,10 @@
 			_, b := one.heartbeat()
 			b.Peer.Instance, b.Ended = "other", nil
 			two.receiveHeartbeat(b)
-			assert.True(t, two.IsPoison(poison))
+			assert.True(t, two.refuses(poison))
 			two.AnswerCompleted(poison)
 			two.receiveHeartbeat(b)
-			assert.False(t, two.IsPoison(poison), "answered since")
+			assert.False(t, two.refuses(poison), "answered since")
 		})
 	}
 }
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -354,7 +354,7 @@
 		if p.refuses(s, r) || r.sent >= siteAttempts {
 			return
 		}
-		if _, err := s.ClaimPrompt(p.query(r)); err != nil {
+		if _, err := s.ClaimRun(p.query(r), r.fingerprint); err != nil {
 			return
 		}
 		var known []*siteEndpoint
@@ -457,8 +457,8 @@
 }
 
 func (p *promptSite) refuses(s *state, r *siteRequest) bool {
-	_, err := s.CheckPrompt(p.query(r))
-	refused := err != nil || s.IsPoison(r.fingerprint)
+	_, err := s.CheckRun(p.query(r), r.fingerprint)
+	refused := err != nil
 	if refused && !r.crashing {
 		p.refused[r.parts[0].ID+"/"+r.parts[1].ID] = true
 	}
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -123,21 +123,21 @@
 	for range 5 {
 		one.AnswerInterrupted(gateway.Target{ID: "p"}, unlucky, w.now(), false) // p stays listed
 	}
-	assert.False(t, one.IsPoison(poison))
+	assert.False(t, one.refuses(poison))
 	kill(two, "c", poison, concurrent)
 	exchange(two, one)
 	exchange(one, two)
 	w.elapsed += settleBeats * siteBeat
 	for _, s := range []*state{one, two} {
-		assert.True(t, s.IsPoison(poison))
-		assert.False(t, s.IsPoison(concurrent))
-		assert.False(t, s.IsPoison(unlucky))
+		assert.True(t, s.refuses(poison))
+		assert.False(t, s.refuses(concurrent))
+		assert.False(t, s.refuses(unlucky))
 	}
 	one.AnswerCompleted(concurrent)
 	kill(one, "d", unlucky)
 	kill(one, "e", unlucky)
 	one.AnswerCompleted(unlucky)
-	assert.False(t, one.IsPoison(unlucky))
+	assert.False(t, one.refuses(unlucky))
 }
 
 // A run that was interrupted long before its endpoint was removed doesn't count as a crash.
@@ -165,10 +165,10 @@
 	b.Ended = []gossip.EndpointCrash{{Incarnation: "a/1", Runs: []gossip.CrashedRun{{Keys: run(0).Keys, Age: time.Second}}}}
 	s.receiveHeartbeat(b)
 	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "b/1", FailedAt: w.now().Add(-500 * time.Millisecond), Runs: []suspect.CrashedRun{run(5500 * time.Millisecond)}})
-	assert.False(t, s.IsPoison(4))
+	assert.False(t, s.refuses(4))
 	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "c/1", FailedAt: w.now().Add(-100 * time.Millisecond), Runs: []suspect.CrashedRun{run(200 * time.Millisecond)}})
 	w.elapsed += settleBeats * siteBeat
-	assert.True(t, s.IsPoison(4), "each run began after the endpoint before had crashed")
+	assert.True(t, s.refuses(4), "each run began after the endpoint before had crashed")
 }
 
 // Identical requests of many callers may run at several endpoints that crash at the same time,
@@ -192,13 +192,13 @@
 	}
 	set(true, "a", "b", "c")
 	s.cleanUp()
-	assert.False(t, s.IsPoison(lookup), "the endpoints crashed at the same time")
+	assert.False(t, s.refuses(lookup), "the endpoints crashed at the same time")
 	s.AnswerCompleted(lookup)
 	w.elapsed += time.Second
 	s.AnswerInterrupted(gateway.Target{ID: "d", Born: 5}, lookup, w.now(), false)
 	set(true, "d")
 	s.cleanUp()
-	assert.False(t, s.IsPoison(lookup), "answered in between")
+	assert.False(t, s.refuses(lookup), "answered in between")
 }
 
 // Endpoints missing from a list that was only just read may still appear in it.
--- a/internal/direct/prompt.go
+++ b/internal/direct/verdict.go
@@ -42,30 +42,30 @@
 	}
 }
 
-// CheckPrompt returns an error if a request may not be sent because of a part of its prompt, and
-// when the verdict on that part is reviewed.
-func (s *state) CheckPrompt(a *balance.Request) (time.Duration, error) {
-	return s.checkPrompt(a, false)
+// CheckRun returns an error if a request may not be sent because it, or a part of its prompt, crashes
+// endpoints, and when the verdict is reviewed.
+func (s *state) CheckRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error) {
+	return s.checkRun(a, f, false)
 }
 
-// ClaimPrompt checks a request immediately before it is sent. If it is the one that may try a
-// part again, it takes that place.
-func (s *state) ClaimPrompt(a *balance.Request) (time.Duration, error) {
-	return s.checkPrompt(a, true)
+// ClaimRun checks a request immediately before it is sent. If it is the one that may try a part
+// again, it takes that place.
+func (s *state) ClaimRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error) {
+	return s.checkRun(a, f, true)
 }
 
-func (s *state) checkPrompt(a *balance.Request, claim bool) (time.Duration, error) {
+func (s *state) checkRun(a *balance.Request, f suspect.Fingerprint, claim bool) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	var reviewed []suspect.Verdict
-	for _, part := range sharedParts(a) {
-		v, ok := s.crashes.Verdict(now, part)
+	for _, key := range append(sharedParts(a), suspect.RequestKey(f)) {
+		v, ok := s.crashes.Verdict(now, key)
 		if !ok {
 			continue
 		}
 		if wait := s.untilReview(now, v); wait > 0 {
-			return wait, fmt.Errorf("%w: %s, %d crashes, the last %s ago", gateway.ErrCrashingPart, part, v.Crashes, now.Sub(v.FailedAt).Round(time.Millisecond))
+			return wait, fmt.Errorf("%w: %s, %d crashes, the last %s ago", refusalReason(v), key, v.Crashes, now.Sub(v.FailedAt).Round(time.Millisecond))
 		}
 		reviewed = append(reviewed, v)
 	}
@@ -77,6 +77,13 @@
 	return 0, nil
 }
 
+func refusalReason(v suspect.Verdict) error {
+	if v.Key.IsRequest() {
+		return gateway.ErrPoison
+	}
+	return gateway.ErrCrashingPart
+}
+
 // reviewAfter returns how long after its last crash a part is refused.
 func reviewAfter(v suspect.Verdict) time.Duration {
 	return partReviewAfter << min(v.Reviews, maxReviewDoublings)
@@ -94,6 +101,9 @@
 
 // untilReview returns after what time a request with a convicted part may be sent, 0 for now.
 func (s *state) untilReview(now time.Time, v suspect.Verdict) time.Duration {
+	if v.Key.IsRequest() {
+		return v.FailedAt.Add(suspect.DefaultExpiry).Sub(now)
+	}
 	turn := reviewTurn(now, v)
 	if turn < 0 {
 		return v.FailedAt.Add(reviewAfter(v)).Sub(now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,7 +97,7 @@
 	if err := j.gateway.fleet.KeyValid(j.request.Key, j.request.Workspace); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err}
 	}
-	if err := a.claimPrompt(); err != nil {
+	if err := a.claimRun(); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err}
 	}
 	ctx, span := j.gateway.tracer.Start(ctx, "attempt")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,7 +42,6 @@
 	open, answered, failed, requests int
 	interrupted                      []suspect.Fingerprint
 	completed                        []suspect.Fingerprint
-	poison                           bool
 	admissionWait                    time.Duration
 	admissionRefused                 bool
 	admissions, admitFirst           int // requests for admission, and how many are granted despite admissionRefused
@@ -125,8 +124,6 @@
 	f.completed = append(f.completed, p)
 }
 
-func (f *fakeFleet) IsPoison(suspect.Fingerprint) bool { return f.poison }
-
 func (f *fakeFleet) HasAlternative(a *balance.Request) bool { return len(a.Exclude) < len(f.runners) }
 
 func (f *fakeFleet) Gone(t gateway.Target) {
@@ -362,7 +359,7 @@
 	assert.NotEqual(t, f.interrupted[0], f.interrupted[2])
 	assert.Equal(t, f.interrupted, f.completed, "each was answered by the second endpoint")
 	runs := f.runs()
-	f.poison = true
+	f.refuseChecks, f.refusal = 1, gateway.ErrPoison
 	answer, err := send(t, url, http.MethodPost, nil, "body")
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusBadRequest, answer.status)
--- a/internal/gateway/prompt_test.go
+++ b/internal/gateway/guard_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
@@ -23,6 +25,7 @@
 	checks, claims           int
 	refuseChecks             int // refuses from this check on, 0 for never
 	refuseClaims             int
+	refusal                  error    // gateway.ErrCrashingPart if nil
 	promptBreaks, promptRuns []string // first parts of prompts that were interrupted, or begun
 }
 
@@ -42,35 +45,36 @@
 	}
 }
 
-func (f *fakeGuard) CheckPrompt(*balance.Request) (time.Duration, error) {
+func (f *fakeGuard) CheckRun(*balance.Request, suspect.Fingerprint) (time.Duration, error) {
 	f.guardMu.Lock()
 	defer f.guardMu.Unlock()
 	f.checks++
-	return refusePrompt(f.checks, f.refuseChecks)
+	return f.refuseFrom(f.checks, f.refuseChecks)
 }
 
-func (f *fakeGuard) ClaimPrompt(*balance.Request) (time.Duration, error) {
+func (f *fakeGuard) ClaimRun(*balance.Request, suspect.Fingerprint) (time.Duration, error) {
 	f.guardMu.Lock()
 	defer f.guardMu.Unlock()
 	f.claims++
-	return refusePrompt(f.claims, f.refuseClaims)
+	return f.refuseFrom(f.claims, f.refuseClaims)
 }
 
-func refusePrompt(n, from int) (time.Duration, error) {
+func (f *fakeGuard) refuseFrom(n, from int) (time.Duration, error) {
 	if from > 0 && n >= from {
-		return 90 * time.Second, fmt.Errorf("%w: 5c", gateway.ErrCrashingPart)
+		return 90 * time.Second, fmt.Errorf("%w: 5c", cmp.Or(f.refusal, gateway.ErrCrashingPart))
 	}
 	return 0, nil
 }
 
 // A request with a part under which endpoints crash is refused as not run, with the time at which
 // the verdict is reviewed, also if it is found while the request waits for its turn or its retry.
-// One that may have run gets no such promise.
+// One that may have run gets no such promise. A poison request is refused for good.
 func TestPromptsThatCrashEndpointsAreRefused(t *testing.T) {
 	const none, drop = standin.BehaviourNone, standin.BehaviourLost
 	tests := []struct {
 		name           string
 		checks, claims int
+		refusal        error
 		runners        []standin.Behaviour
 		status, runs   int
 		retryAfter     string
@@ -79,12 +83,15 @@
 		{name: "found during the wait", claims: 1, runners: []standin.Behaviour{none}, status: 503, retryAfter: "90.000"},
 		{name: "found before the retry", checks: 2, runners: []standin.Behaviour{drop, none}, status: 502, runs: 1},
 		{name: "found during the retry's wait", claims: 2, runners: []standin.Behaviour{drop, none}, status: 502, runs: 1},
+		{name: "poison, known on arrival", checks: 1, refusal: gateway.ErrPoison, runners: []standin.Behaviour{none}, status: 400},
+		{name: "poison, found during the wait", claims: 1, refusal: gateway.ErrPoison, runners: []standin.Behaviour{none, none}, status: 400},
+		{name: "poison, found during the retry's wait", claims: 2, refusal: gateway.ErrPoison, runners: []standin.Behaviour{drop, none, none}, status: 502, runs: 1},
 		{name: "not found", runners: []standin.Behaviour{drop, none}, status: 200, runs: 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, catalog.KindSafe, tt.runners...)
-			f.refuseChecks, f.refuseClaims = tt.checks, tt.claims
+			f.refuseChecks, f.refuseClaims, f.refusal = tt.checks, tt.claims, tt.refusal
 			answer, err := send(t, serve(t, f), http.MethodGet, standin.Prompt("5c:800,e4:250"), "")
 			require.NoError(t, err)
 			assert.Equal(t, tt.status, answer.status)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -148,10 +148,7 @@
 
 // start begins an attempt at another endpoint, beside a silent one if that is set.
 func (j *job) start(ctx context.Context, beside *silence) error {
-	if j.gateway.fleet.IsPoison(j.fingerprint) {
-		return ErrPoison
-	}
-	if err := j.checkPrompt(); err != nil {
+	if err := j.checkRun(); err != nil {
 		return err
 	}
 	a := &attempt{job: j, query: j.query, mayHaveRun: j.mayHaveRun, retryTaken: j.sent.Load() > 0}
@@ -243,7 +240,7 @@
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
-	case j.tries >= maxTries, errors.Is(j.failure, ErrCrashingPart):
+	case j.tries >= maxTries, mayCrash(j.failure):
 		return false
 	case j.sent.Load() == 0:
 		return true // no endpoint has received the request yet
@@ -285,7 +282,7 @@
 // retryAfter returns when a refused caller may try again: some time after the queued work
 // should be done, or when the missing model or adapter may be loaded.
 func (j *job) retryAfter() time.Duration {
-	var refused *promptError
+	var refused *crashError
 	switch {
 	case errors.As(j.failure, &refused):
 		return refused.wait
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -226,13 +226,7 @@
 	Gone(t Target)
 	// Spare records that the target wants nothing from this instance for a while.
 	Spare(t Target, wait time.Duration)
-	// AnswerInterrupted records that an endpoint's answer to a request sent at sentAt broke
-	// off, before or after one had begun, AnswerCompleted that a request was answered completely, with status 2xx. IsPoison
-	// reports whether endpoints crashed while running the request, so that it must not be sent.
-	AnswerInterrupted(t Target, f suspect.Fingerprint, sentAt time.Time, begun bool)
-	AnswerCompleted(f suspect.Fingerprint)
-	IsPoison(f suspect.Fingerprint) bool
-	PromptGuard
+	CrashGuard
 	// CountRequest counts a request for the retry budget and the demand of its model. TakeRetry
 	// takes one retry from the budget and reports whether there was one.
 	CountRequest(a *balance.Request)
