fix(direct): endpoints that crash at one moment under a request get no more of its copies at once

What remained of it: eight copies at once end all three endpoints of a service at one moment, which convicts nobody; when they are back, as many copies come again. Cause: between no verdict and a refusal for 30 minutes there was nothing. Change: three crashes of one moment, or of several requests with as many, give a provisional verdict: one instance sends one request in each 10 s, the others refuse theirs with 503 and Retry-After.

--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -21,7 +21,7 @@
 	// requestThreshold is how many endpoints must crash under a whole request. A lower one would also
 	// refuse requests that merely ran at the same time as the cause. Endpoints may also end at once
 	// for another reason: those where its answer had not begun must have ended at requestMoments
-	// different moments, those where it had one after the other.
+	// different moments, else the verdict is provisional, and those where it had one after the other.
 	// Of several requests in the same number of crashes, ambiguousRequestThreshold are needed.
 	requestThreshold          = 3
 	requestMoments            = 2
@@ -93,6 +93,8 @@
 	FailedAt time.Time
 	// Reviews is how many of the crashes came long after the one before.
 	Reviews int
+	// Provisional is set if the endpoints crashed at one moment, so that there may be another reason.
+	Provisional bool
 }
 
 // next returns the verdict after another crash.
@@ -358,7 +360,7 @@
 	}
 	c.evaluate(now)
 	v, ok = c.verdicts[k]
-	if older, kept := c.kept[k]; kept && (!ok || older.FailedAt.After(v.FailedAt)) {
+	if older, kept := c.kept[k]; kept && (!ok || older.FailedAt.After(v.FailedAt) || v.Provisional && !older.Provisional) {
 		return older, true
 	}
 	return v, ok
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -82,18 +82,30 @@
 
 // convicts reports whether the evidence suffices for a verdict.
 func (e requestEvidence) convicts(threshold int) bool {
-	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold && e.unbegun.chain >= requestMoments
+	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold
+}
+
+// verdict returns the verdict on a request that the evidence convicts.
+func (e requestEvidence) verdict(crashes []*EndpointCrash) Verdict {
+	v := newVerdict(crashes, e.all)
+	v.Provisional = e.all.chain < requestThreshold && e.unbegun.chain < requestMoments
+	return v
 }
 
 // convictRequests adds the verdicts on whole requests: again and again those with the most crashes
-// that nothing explains yet. Answers that are on their way clear more: the crashes must have settled.
+// that nothing explains yet. Of several with as many, the verdict is provisional at first. Answers that are on their way clear more: the crashes must have settled.
 func (c *CrashRecord) convictRequests(crashes []*EndpointCrash, verdicts map[Key]Verdict) {
 	explained := make(map[int]bool)
 	for {
 		worst := c.worstRequests(crashes, explained)
 		for _, e := range worst {
-			if len(worst) == 1 || e.convicts(ambiguousRequestThreshold) {
-				verdicts[e.all.key] = newVerdict(crashes, e.all)
+			switch {
+			case len(worst) == 1 || e.convicts(ambiguousRequestThreshold):
+				verdicts[e.all.key] = e.verdict(crashes)
+			case len(e.unbegun.crashes) >= requestThreshold:
+				v := e.verdict(crashes)
+				v.Provisional = true
+				verdicts[e.all.key] = v
 			}
 		}
 		if len(worst) == 0 {
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -214,7 +214,7 @@
 	}
 	verdicts := s.crashes.Verdicts(now)
 	for _, v := range verdicts[:min(len(verdicts), maxAnnouncedVerdicts)] {
-		b.Verdicts = append(b.Verdicts, gossip.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, FailedAgo: now.Sub(v.FailedAt)})
+		b.Verdicts = append(b.Verdicts, gossip.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, Provisional: v.Provisional, FailedAgo: now.Sub(v.FailedAt)})
 	}
 }
 
@@ -234,7 +234,7 @@
 	}
 	for _, v := range b.Verdicts {
 		if v.Key.IsRequest() || v.FailedAgo+delay > crashNewsTime {
-			s.crashes.Keep(now, suspect.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, FailedAt: at(v.FailedAgo)})
+			s.crashes.Keep(now, suspect.Verdict{Key: v.Key, Crashes: v.Crashes, Reviews: v.Reviews, Provisional: v.Provisional, FailedAt: at(v.FailedAgo)})
 		}
 	}
 }
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// partReviewAfter is how long after the last crash a part of prompts is refused, twice as long
-	// after each review that ended an endpoint, maxReviewDoublings times at most. Then one request
-	// with it may be sent in each partReviewTurn, by an instance that changes with it.
-	partReviewAfter    = time.Minute
+	// firstReviewAfter is how long after the last crash a key is refused, twice as long after each
+	// review that ended an endpoint, maxReviewDoublings times at most. Then one request with it may
+	// be sent in each reviewTurnTime, by an instance that changes with it.
+	firstReviewAfter   = time.Minute
 	maxReviewDoublings = 4
-	partReviewTurn     = 10 * time.Second
+	reviewTurnTime     = 10 * time.Second
 )
 
 // sharedParts returns the parts of a prompt but the last one, which is the request's own.
@@ -48,7 +48,7 @@
 	return s.checkRun(a, f, false)
 }
 
-// ClaimRun checks a request immediately before it is sent. If it is the one that may try a part
+// ClaimRun checks a request immediately before it is sent. If it is the one that may try a key
 // again, it takes that place.
 func (s *state) ClaimRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error) {
 	return s.checkRun(a, f, true)
@@ -78,15 +78,22 @@
 }
 
 func refusalReason(v suspect.Verdict) error {
-	if v.Key.IsRequest() {
+	switch {
+	case v.Provisional:
+		return gateway.ErrSuspect
+	case v.Key.IsRequest():
 		return gateway.ErrPoison
+	default:
+		return gateway.ErrCrashingPart
 	}
-	return gateway.ErrCrashingPart
 }
 
-// reviewAfter returns how long after its last crash a part is refused.
+// reviewAfter returns how long after its last crash a key is refused.
 func reviewAfter(v suspect.Verdict) time.Duration {
-	return partReviewAfter << min(v.Reviews, maxReviewDoublings)
+	if v.Provisional {
+		return 0
+	}
+	return firstReviewAfter << min(v.Reviews, maxReviewDoublings)
 }
 
 // reviewTurn returns the number of the turn in which a verdict is reviewed, negative before the
@@ -96,29 +103,26 @@
 	if age < 0 {
 		return -1
 	}
-	return int(age / partReviewTurn)
+	return int(age / reviewTurnTime)
 }
 
-// untilReview returns after what time a request with a convicted part may be sent, 0 for now.
+// untilReview returns after what time a request with a convicted key may be sent, 0 for now.
 func (s *state) untilReview(now time.Time, v suspect.Verdict) time.Duration {
-	if v.Key.IsRequest() {
-		return v.FailedAt.Add(suspect.DefaultExpiry).Sub(now)
-	}
 	turn := reviewTurn(now, v)
 	if turn < 0 {
 		return v.FailedAt.Add(reviewAfter(v)).Sub(now)
 	}
-	if now.Sub(s.reviews[v.Key]) < partReviewTurn || s.reviewer(v.Key, turn) != s.view.Self().Instance {
-		return v.FailedAt.Add(reviewAfter(v) + time.Duration(turn+1)*partReviewTurn).Sub(now)
+	if now.Sub(s.reviews[v.Key]) < reviewTurnTime || s.reviewer(v.Key, turn) != s.view.Self().Instance {
+		return v.FailedAt.Add(reviewAfter(v) + time.Duration(turn+1)*reviewTurnTime).Sub(now)
 	}
 	return 0
 }
 
-// reviewer returns the instance that may try a convicted part again in a turn.
-func (s *state) reviewer(part suspect.Key, turn int) fleet.Instance {
+// reviewer returns the instance that may try a convicted key again in a turn.
+func (s *state) reviewer(key suspect.Key, turn int) fleet.Instance {
 	best := s.view.Self().Instance
 	score := func(i fleet.Instance) uint64 {
-		return xxhash.Sum64String(string(i) + "/" + string(part) + "/" + strconv.Itoa(turn))
+		return xxhash.Sum64String(string(i) + "/" + string(key) + "/" + strconv.Itoa(turn))
 	}
 	for _, p := range s.view.Live("") {
 		if score(p.Instance) > score(best) {
@@ -134,13 +138,13 @@
 	for _, v := range s.crashes.Verdicts(now) {
 		current[v.Key] = true
 		if !s.loggedVerdicts[v.Key] {
-			_ = s.logger.Log("step", "convicted", "part", v.Key, "crashes", v.Crashes, "age", now.Sub(v.FailedAt))
+			_ = s.logger.Log("step", "convicted", "key", v.Key, "provisional", v.Provisional, "crashes", v.Crashes, "age", now.Sub(v.FailedAt))
 		}
 	}
-	for part := range s.loggedVerdicts {
-		if !current[part] {
-			delete(s.reviews, part)
-			_ = s.logger.Log("step", "cleared", "part", part)
+	for key := range s.loggedVerdicts {
+		if !current[key] {
+			delete(s.reviews, key)
+			_ = s.logger.Log("step", "cleared", "key", key)
 		}
 	}
 	s.loggedVerdicts = current
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -19,7 +19,7 @@
 	// request sent at sentAt had begun, PromptBegun that an answer has begun.
 	PromptInterrupted(t Target, a *balance.Request, sentAt time.Time)
 	PromptBegun(a *balance.Request)
-	// CheckRun returns ErrPoison or ErrCrashingPart if a request may not be sent, and when it may be
+	// CheckRun returns ErrPoison, ErrSuspect or ErrCrashingPart if a request may not be sent, and when it may be
 	// repeated. ClaimRun does the same immediately before the request is sent: it takes the place of
 	// the one request that may try a key again.
 	CheckRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error)
@@ -44,7 +44,7 @@
 
 // mayCrash reports whether a request was refused because it may crash endpoints.
 func mayCrash(err error) bool {
-	return errors.Is(err, ErrCrashingPart) || errors.Is(err, ErrPoison)
+	return errors.Is(err, ErrCrashingPart) || errors.Is(err, ErrPoison) || errors.Is(err, ErrSuspect)
 }
 
 func (j *job) checkRun() error {
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -83,6 +83,7 @@
 		{name: "found during the wait", claims: 1, runners: []standin.Behaviour{none}, status: 503, retryAfter: "90.000"},
 		{name: "found before the retry", checks: 2, runners: []standin.Behaviour{drop, none}, status: 502, runs: 1},
 		{name: "found during the retry's wait", claims: 2, runners: []standin.Behaviour{drop, none}, status: 502, runs: 1},
+		{name: "suspect", claims: 1, refusal: gateway.ErrSuspect, runners: []standin.Behaviour{none, none}, status: 503, retryAfter: "90.000"},
 		{name: "poison, known on arrival", checks: 1, refusal: gateway.ErrPoison, runners: []standin.Behaviour{none}, status: 400},
 		{name: "poison, found during the wait", claims: 1, refusal: gateway.ErrPoison, runners: []standin.Behaviour{none, none}, status: 400},
 		{name: "poison, found during the retry's wait", claims: 2, refusal: gateway.ErrPoison, runners: []standin.Behaviour{drop, none, none}, status: 502, runs: 1},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -114,6 +114,8 @@
 	Crashes   int           `cbor:"n"`
 	Reviews   int           `cbor:"r"`
 	FailedAgo time.Duration `cbor:"x"`
+	// Provisional is set if the endpoints crashed at one moment.
+	Provisional bool `cbor:"o,omitempty"`
 }
 
 // Retirement identifies a copy of a model that is about to be unloaded.
