fix(gateway): requests for one resource that crash endpoints are known whatever their caller and query

Change: the resource (method, path and body) is a second, less specific key of a run. The specific one goes first where both explain the crashes. A resource of which one request was ever answered is cleared for good. TestIdentitiesDistinguishRequests has the cases of the test that it replaces, and others.

--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -43,16 +43,36 @@
 	maxVerdicts        = 64
 	maxAnswers         = 4096 // of parts, and of whole requests
 	maxPartBytes       = 32
-	// requestPrefix begins the keys of whole requests, and no other.
-	requestPrefix = "request "
+	// requestPrefix and resourcePrefix begin the keys of whole requests and resources, and no other.
+	requestPrefix  = "request "
+	resourcePrefix = "resource "
 )
 
-// Key identifies what may crash endpoints: a part of prompts or a whole request.
+// Identity tells which requests are the same.
+type Identity struct {
+	// Request is the hash of all that identifies a request, whenever it comes again.
+	Request Fingerprint
+	// Resource is the hash of what it has in common with requests of other callers, or with other
+	// parameters, that ask for the same; 0 if that is unknown.
+	Resource Fingerprint
+}
+
+// Keys returns the keys of a request, the less specific one first.
+func (i Identity) Keys() []Key {
+	request := RequestKey(i.Request)
+	if i.Resource == 0 {
+		return []Key{request}
+	}
+	return []Key{Key(resourcePrefix + i.Resource.String()), request}
+}
+
+// Key identifies what may crash endpoints: a part of prompts, a whole request or the resource that
+// requests ask for.
 type Key string
 
 // PartKey returns the key of a part of prompts with an ID: the ID, or the hash of a long one.
 func PartKey(id string) Key {
-	if len(id) > maxPartBytes || strings.HasPrefix(id, requestPrefix) {
+	if len(id) > maxPartBytes || strings.HasPrefix(id, requestPrefix) || strings.HasPrefix(id, resourcePrefix) {
 		return Key(strconv.FormatUint(xxhash.Sum64String(id), 16))
 	}
 	return Key(id)
@@ -61,11 +81,13 @@
 // RequestKey returns the key of a whole request.
 func RequestKey(f Fingerprint) Key { return Key(requestPrefix + f.String()) }
 
-// IsRequest reports whether the key is that of a whole request.
-func (k Key) IsRequest() bool { return strings.HasPrefix(string(k), requestPrefix) }
+// IsRequest reports whether the key is that of a whole request or of a resource.
+func (k Key) IsRequest() bool { return strings.HasPrefix(string(k), requestPrefix) || k.isResource() }
+
+func (k Key) isResource() bool { return strings.HasPrefix(string(k), resourcePrefix) }
 
 // CrashedRun is what a request in flight at a crash shares with others: the parts of its prompt, in
-// their order, without the last one, which is its own; or, as another run, the key of the request.
+// their order, without the last one, which is its own; or, as another run, the keys of its identity.
 type CrashedRun struct {
 	Keys []Key
 	// Age is how long before the crash the request was sent. Unlike a time, it stays the same
@@ -110,9 +132,8 @@
 // instances that each see only their own requests and report crashes and answers to each other.
 // All requests in flight at a crash are suspects, and all parts of their prompts. An answer that
 // has begun clears all parts of its request from the crashes of requests sent before it, a
-// complete one the request. Of the parts left, the fewest that explain the crashes are
-// convicted, and each request under which enough endpoints crashed. It is not safe for concurrent
-// use.
+// complete one the request. Of the keys left, the fewest that explain the crashes are convicted.
+// It is not safe for concurrent use.
 type CrashRecord struct {
 	settle  time.Duration
 	crashes []*EndpointCrash // in order of FailedAt
@@ -294,6 +315,13 @@
 	return c.begun
 }
 
+// clears reports whether an answer clears a key of crashes of requests sent at a time. A resource is
+// cleared for good: requests for it that were answered show that it doesn't crash endpoints by itself.
+func (c *CrashRecord) clears(k Key, sentAt time.Time) bool {
+	at, answered := c.answers(k)[k]
+	return at.After(sentAt) || answered && k.isResource()
+}
+
 // Answered records that an answer to a request with a part began at a time, or that one to a whole
 // request was complete.
 func (c *CrashRecord) Answered(k Key, at time.Time) {
@@ -303,7 +331,7 @@
 		return
 	}
 	for _, verdicts := range []map[Key]Verdict{c.kept, c.verdicts} {
-		if v, ok := verdicts[k]; ok && at.After(v.FailedAt) {
+		if v, ok := verdicts[k]; ok && c.clears(k, v.FailedAt) {
 			delete(verdicts, k)
 			c.cleared[k] = at
 		}
@@ -322,7 +350,7 @@
 		suspected = c.count(v.Key) >= v.Crashes
 	}
 	_, kept := c.kept[v.Key]
-	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.answers(v.Key)[v.Key].After(v.FailedAt) {
+	if (kept || !suspected) && now.Sub(v.FailedAt) <= verdictExpiry && !c.clears(v.Key, v.FailedAt) {
 		c.keep(v)
 	}
 }
@@ -398,8 +426,8 @@
 	for i := range crashes {
 		for _, r := range crashes[i].Runs {
 			for _, key := range r.Keys {
-				if at := c.answers(key)[key]; at.After(crashes[i].sentAt(r)) {
-					answers[key] = at
+				if c.clears(key, crashes[i].sentAt(r)) {
+					answers[key] = c.answers(key)[key]
 				}
 			}
 		}
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -63,7 +63,7 @@
 			return verdicts
 		}
 		most := slices.MaxFunc(suspects, func(a, b evidence) int { return len(a.crashes) - len(b.crashes) })
-		culprit := mostSpecific(crashes, suspects, most)
+		culprit := mostSpecific(crashes, suspects, most, partThreshold)
 		equal := rivals(crashes, suspects, culprit)
 		for _, r := range equal {
 			if r.chain >= ambiguousThreshold || len(equal) == 1 && !isShared(crashes, r) {
@@ -92,8 +92,9 @@
 	return v
 }
 
-// convictRequests adds the verdicts on whole requests: again and again those with the most crashes
-// that nothing explains yet. Of several with as many, the verdict is provisional at first. Answers that are on their way clear more: the crashes must have settled.
+// convictRequests adds the verdicts on whole requests and resources: again and again those with the
+// most crashes that nothing explains yet. Of several with as many, the verdict is provisional at first.
+// Answers that are on their way clear more: the crashes must have settled.
 func (c *CrashRecord) convictRequests(crashes []*EndpointCrash, verdicts map[Key]Verdict) {
 	explained := make(map[int]bool)
 	for {
@@ -119,20 +120,28 @@
 	}
 }
 
-// worstRequests returns the requests with the most crashes that are not explained, of those with
-// enough for a verdict.
+// worstRequests returns the request or resource to convict next, and those with as many crashes. Of
+// a resource and the requests for it the more specific one is taken, as among parts.
 func (c *CrashRecord) worstRequests(crashes []*EndpointCrash, explained map[int]bool) []requestEvidence {
 	all := c.suspected(crashes, explained, CrashedRun.isRequest)
 	unbegun := c.suspected(crashes, explained, func(r CrashedRun) bool { return r.isRequest() && !r.Begun })
+	var suspects []evidence
+	for _, key := range slices.Sorted(maps.Keys(all)) {
+		e := requestEvidence{newEvidence(crashes, key, all[key]), newEvidence(crashes, key, unbegun[key])}
+		if e.convicts(requestThreshold) {
+			suspects = append(suspects, e.all)
+		}
+	}
+	if len(suspects) == 0 {
+		return nil
+	}
+	most := slices.MaxFunc(suspects, func(a, b evidence) int { return len(a.crashes) - len(b.crashes) })
+	culprit := mostSpecific(crashes, suspects, most, requestThreshold)
 	var worst []requestEvidence
-	for key, times := range all {
-		e := requestEvidence{newEvidence(crashes, key, times), newEvidence(crashes, key, unbegun[key])}
-		switch {
-		case !e.convicts(requestThreshold):
-		case len(worst) == 0 || len(e.all.crashes) > len(worst[0].all.crashes):
-			worst = []requestEvidence{e}
-		case len(e.all.crashes) == len(worst[0].all.crashes):
-			worst = append(worst, e)
+	for _, o := range suspects {
+		related := follows(crashes, culprit, o.key) || follows(crashes, o, culprit.key)
+		if o.key == culprit.key || len(o.crashes) == len(culprit.crashes) && !related {
+			worst = append(worst, requestEvidence{o, newEvidence(crashes, o.key, unbegun[o.key])})
 		}
 	}
 	return worst
@@ -165,7 +174,7 @@
 			}
 			for _, key := range r.Keys {
 				at := d.sentAt(r)
-				if !at.After(c.answers(key)[key]) {
+				if c.clears(key, at) {
 					continue
 				}
 				if sent[key] == nil {
@@ -195,11 +204,11 @@
 
 // mostSpecific returns the suspect to convict in place of one that has the most crashes: a later
 // part of the same prompts, if the crashes without that one wouldn't convict the other.
-func mostSpecific(crashes []*EndpointCrash, suspects []evidence, e evidence) evidence {
+func mostSpecific(crashes []*EndpointCrash, suspects []evidence, e evidence, threshold int) evidence {
 	for range suspects {
 		var next evidence
 		for _, o := range suspects {
-			if len(o.crashes) > len(next.crashes) && follows(crashes, o, e.key) && len(e.crashes)-common(e.crashes, o.crashes) < partThreshold {
+			if len(o.crashes) > len(next.crashes) && follows(crashes, o, e.key) && len(e.crashes)-common(e.crashes, o.crashes) < threshold {
 				next = o
 			}
 		}
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -71,8 +71,8 @@
 // AnswerInterrupted records that the connection to an endpoint broke while it ran a request
 // sent at sentAt. This counts as a crash only once the endpoint is found gone, since connections
 // also break for other reasons. begun tells whether an answer had begun.
-func (s *state) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, sentAt time.Time, begun bool) {
-	s.recordBrokenRun(t, brokenRun{keys: []suspect.Key{suspect.RequestKey(f)}, sentAt: sentAt, begun: begun})
+func (s *state) AnswerInterrupted(t gateway.Target, id suspect.Identity, sentAt time.Time, begun bool) {
+	s.recordBrokenRun(t, brokenRun{keys: id.Keys(), sentAt: sentAt, begun: begun})
 }
 
 // PromptInterrupted does the same for the parts of a prompt whose answer had not begun.
@@ -99,10 +99,13 @@
 }
 
 // AnswerCompleted records that a request got a complete answer, which clears it of earlier crashes.
-func (s *state) AnswerCompleted(f suspect.Fingerprint) {
+func (s *state) AnswerCompleted(id suspect.Identity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.Answered(suspect.RequestKey(f), s.clock())
+	now := s.clock()
+	for _, key := range id.Keys() {
+		s.crashes.Answered(key, now)
+	}
 }
 
 // settleBroken records the crashes of endpoints that are no longer listed, or listed again, and
@@ -182,7 +185,7 @@
 	for _, r := range e.runs {
 		d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.keys, Age: d.FailedAt.Sub(r.sentAt), Begun: r.begun})
 		if r.isRequest() {
-			requests = append(requests, strings.TrimPrefix(string(r.keys[0]), "request "))
+			requests = append(requests, string(r.keys[len(r.keys)-1]))
 		}
 	}
 	s.crashes.Add(s.clock(), d)
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -15,8 +15,8 @@
 )
 
 // refuses reports whether a request without a prompt may not be sent.
-func (s *state) refuses(f suspect.Fingerprint) bool {
-	_, err := s.CheckRun(&balance.Request{}, f)
+func (s *state) refuses(id suspect.Identity) bool {
+	_, err := s.CheckRun(&balance.Request{}, id)
 	return err != nil
 }
 
@@ -40,6 +40,9 @@
 		{"three endpoints, heartbeats lost and late", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 3, loss: 0.3, slow: 0.2}},
 		{"three endpoints, connections reset", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 3, resets: 0.4}},
 		{"18 endpoints, store away", small, 4, promptSiteSettings{instances: 9, crashingRate: 3, storeAway: true}},
+		{"three endpoints, other queries", small, 4, promptSiteSettings{instances: 9, endpoints: 3, crashingRate: 3, variants: true}},
+		{"18 endpoints, other queries", small, 4, promptSiteSettings{instances: 9, crashingRate: 3, variants: true}},
+		{"18 endpoints, other queries, several at once", small, 4, promptSiteSettings{instances: 9, crashingRate: 0.3, copies: 8, variants: true}},
 		{"60 instances", grown, 1, promptSiteSettings{instances: 60, crashingRate: 6}},
 		{"295 instances", grown, 1, promptSiteSettings{instances: 295, crashingRate: 6, crashingUntil: 12 * time.Second}},
 	} {
@@ -85,13 +88,13 @@
 // An instance that was frozen, cut off or not started while endpoints crashed under a request
 // learns of it from the first heartbeat, whether or not it heard of some of the crashes.
 func TestInstanceThatMissedCrashesLearnsOfRequest(t *testing.T) {
-	const poison = suspect.Fingerprint(7)
+	poison := suspect.Identity{Request: 7}
 	for _, after := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 40 * time.Second} {
 		t.Run(after.String(), func(t *testing.T) {
 			w := &testClock{}
 			one, two := newTestState(w), newTestState(w)
 			for i := range 3 {
-				d := suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{suspect.RequestKey(poison)}}}}
+				d := suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now(), Runs: []suspect.CrashedRun{{Keys: []suspect.Key{suspect.RequestKey(poison.Request)}}}}
 				one.crashes.Add(w.now(), d)
 				if i == 2 {
 					two.crashes.Add(w.now(), d)
@@ -133,7 +136,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			w := &testClock{}
 			s := newTestState(w)
-			s.AnswerInterrupted(gateway.Target{ID: "p"}, 4, w.now(), false)
+			s.AnswerInterrupted(gateway.Target{ID: "p"}, suspect.Identity{Request: 4}, w.now(), false)
 			asked := 0
 			for w.elapsed < tt.after {
 				w.elapsed += 50 * time.Millisecond
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -76,14 +76,15 @@
 	rack          int           // how many of them end at once
 	companion     float64       // share of the crashing requests beside which a rare sound part is asked for
 	identical     bool          // the crashing requests are the same one and share no part with others
+	variants      bool          // they differ in their callers or queries
 	copies        int           // how many crashing requests arrive at once, 1 if 0
 	polled        float64       // share of the sound requests that are one of sitePolls that come again and again
 	restart       time.Duration // siteRestart if 0
 	storeAway     bool          // entries of endpoints that have ended stay
 }
 
-// crashingPrint is the fingerprint of identical requests that crash endpoints.
-const crashingPrint suspect.Fingerprint = 1 << 41
+// crashingIdentity is the identity of identical requests that crash endpoints.
+var crashingIdentity = suspect.Identity{Request: 1 << 41, Resource: 1 << 42}
 
 type siteEndpoint struct {
 	id   fleet.Endpoint
@@ -95,14 +96,14 @@
 }
 
 type siteRequest struct {
-	parts       []balance.PromptPart
-	fingerprint suspect.Fingerprint
-	crashing    bool
-	hot         bool
-	arrived     time.Duration
-	sent        int
-	begun       bool
-	exclude     []fleet.Endpoint
+	parts    []balance.PromptPart
+	identity suspect.Identity
+	crashing bool
+	hot      bool
+	arrived  time.Duration
+	sent     int
+	begun    bool
+	exclude  []fleet.Endpoint
 }
 
 type siteRun struct {
@@ -294,12 +295,17 @@
 	p.after(from, next)
 }
 
+// identityOf returns the identity of a request that is the only one for its resource.
+func identityOf(n uint64) suspect.Identity {
+	return suspect.Identity{Request: suspect.Fingerprint(n), Resource: suspect.Fingerprint(n)}
+}
+
 func (p *promptSite) newRequest(first, second string) *siteRequest {
 	p.requests++
 	own := fmt.Sprintf("own%d", p.requests)
 	return &siteRequest{
-		parts:       []balance.PromptPart{{ID: first, Tokens: 800}, {ID: second, Tokens: 400}, {ID: own, Tokens: 200}},
-		fingerprint: suspect.Fingerprint(p.requests), hot: first == "hot",
+		parts:    []balance.PromptPart{{ID: first, Tokens: 800}, {ID: second, Tokens: 400}, {ID: own, Tokens: 200}},
+		identity: identityOf(p.requests), hot: first == "hot",
 	}
 }
 
@@ -308,7 +314,7 @@
 	subject := int(float64(cmp.Or(p.subjects, siteSubjects)) * p.random.Float64() * p.random.Float64())
 	if p.random.Float64() < p.polled {
 		poll := p.random.IntN(sitePolls)
-		return &siteRequest{fingerprint: suspect.Fingerprint(1<<40 + poll), parts: []balance.PromptPart{{ID: "poll"}, {ID: fmt.Sprint(poll)}}}
+		return &siteRequest{identity: identityOf(uint64(1<<40 + poll)), parts: []balance.PromptPart{{ID: "poll"}, {ID: fmt.Sprint(poll)}}}
 	}
 	if p.random.Float64() < p.hot && !p.crashesFirst {
 		return p.newRequest("hot", fmt.Sprintf("subject%d", subject))
@@ -318,7 +324,12 @@
 
 func (p *promptSite) crashingRequest() *siteRequest {
 	if p.identical {
-		return &siteRequest{fingerprint: crashingPrint, crashing: true}
+		r := &siteRequest{identity: crashingIdentity, crashing: true}
+		if p.variants {
+			p.requests++
+			r.identity.Request += suspect.Fingerprint(p.requests)
+		}
+		return r
 	}
 	r := p.newRequest("hot", "crashing")
 	if p.crashesFirst {
@@ -354,7 +365,7 @@
 		if p.refuses(s, r) || r.sent >= siteAttempts {
 			return
 		}
-		if _, err := s.ClaimRun(p.query(r), r.fingerprint); err != nil {
+		if _, err := s.ClaimRun(p.query(r), r.identity); err != nil {
 			return
 		}
 		var known []*siteEndpoint
@@ -415,7 +426,7 @@
 	}
 	r.ended = true
 	p.remove(r)
-	r.at.AnswerCompleted(r.request.fingerprint)
+	r.at.AnswerCompleted(r.request.identity)
 }
 
 func (p *promptSite) interrupt(r *siteRun) {
@@ -457,7 +468,7 @@
 }
 
 func (p *promptSite) refuses(s *state, r *siteRequest) bool {
-	_, err := s.CheckRun(p.query(r), r.fingerprint)
+	_, err := s.CheckRun(p.query(r), r.identity)
 	refused := err != nil
 	if refused && !r.crashing {
 		p.refused[r.parts[0].ID+"/"+r.parts[1].ID] = true
@@ -469,7 +480,7 @@
 // is gone.
 func (p *promptSite) interrupted(r *siteRun) {
 	sentAt := p.clock.now().Add(r.sentAt - p.clock.elapsed)
-	r.at.AnswerInterrupted(r.target, r.request.fingerprint, sentAt, r.request.begun)
+	r.at.AnswerInterrupted(r.target, r.request.identity, sentAt, r.request.begun)
 	if !r.request.begun {
 		r.at.PromptInterrupted(r.target, p.query(r.request), sentAt)
 	}
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -123,10 +123,10 @@
 		for range seconds * 10 {
 			w.elapsed += 100 * time.Millisecond
 			for _, s := range p.states {
-				if _, err := s.CheckRun(request, 0); err != nil {
+				if _, err := s.CheckRun(request, suspect.Identity{}); err != nil {
 					continue
 				}
-				_, err := s.ClaimRun(request, 0)
+				_, err := s.ClaimRun(request, suspect.Identity{})
 				require.NoError(t, err)
 				by = append(by, s)
 			}
@@ -134,10 +134,10 @@
 		return by
 	}
 	convictPart(w, "x", p.states...)
-	wait, err := p.states[0].CheckRun(request, 0)
+	wait, err := p.states[0].CheckRun(request, suspect.Identity{})
 	require.ErrorIs(t, err, gateway.ErrCrashingPart)
 	assert.InDelta(t, firstReviewAfter, wait, float64(2*time.Second))
-	_, err = p.states[0].CheckRun(&balance.Request{Parts: []balance.PromptPart{{ID: "f"}, {ID: "x"}}}, 0)
+	_, err = p.states[0].CheckRun(&balance.Request{Parts: []balance.PromptPart{{ID: "f"}, {ID: "x"}}}, suspect.Identity{})
 	require.NoError(t, err, "the last part is the request's own")
 
 	assert.Empty(t, sent(56))
@@ -153,7 +153,7 @@
 	_, b := by[0].heartbeat()
 	other := p.states[(slices.Index(p.states, by[0])+1)%len(p.states)]
 	other.receiveHeartbeat(b)
-	_, err = other.CheckRun(request, 0)
+	_, err = other.CheckRun(request, suspect.Identity{})
 	assert.NoError(t, err, "cleared by the answer at another instance")
 }
 
@@ -167,7 +167,7 @@
 	assert.Empty(t, b.Ended, "no longer news")
 	b.Peer.Instance = "other"
 	two.receiveHeartbeat(b)
-	_, err := two.CheckRun(promptWith("x"), 0)
+	_, err := two.CheckRun(promptWith("x"), suspect.Identity{})
 	require.ErrorIs(t, err, gateway.ErrCrashingPart)
 	for range 50 { // the two repeat it to each other
 		w.elapsed += siteBeat
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -93,9 +93,9 @@
 func TestPoisonRequestsAreRefused(t *testing.T) {
 	w := &testClock{}
 	one, two := newTestState(w), newTestState(w)
-	const poison, concurrent, unlucky = suspect.Fingerprint(1), suspect.Fingerprint(2), suspect.Fingerprint(3)
+	poison, concurrent, unlucky := identityOf(1), identityOf(2), identityOf(3)
 	revision := int64(1)
-	kill := func(s *state, id fleet.Endpoint, requests ...suspect.Fingerprint) {
+	kill := func(s *state, id fleet.Endpoint, requests ...suspect.Identity) {
 		for _, r := range []roster.Record{
 			{ID: id, Entry: roster.Entry{ID: id, Service: "s", Born: 5}},
 			{ID: id, Removed: true},
@@ -144,7 +144,7 @@
 func TestOldInterruptedRunsAreNotCrashes(t *testing.T) {
 	w := &testClock{}
 	s := newTestState(w)
-	s.AnswerInterrupted(gateway.Target{ID: "p"}, 4, w.now(), false)
+	s.AnswerInterrupted(gateway.Target{ID: "p"}, identityOf(4), w.now(), false)
 	w.elapsed = brokenRequestRetention + time.Second
 	s.cleanUp()
 	s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
@@ -165,10 +165,10 @@
 	b.Ended = []gossip.EndpointCrash{{Incarnation: "a/1", Runs: []gossip.CrashedRun{{Keys: run(0).Keys, Age: time.Second}}}}
 	s.receiveHeartbeat(b)
 	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "b/1", FailedAt: w.now().Add(-500 * time.Millisecond), Runs: []suspect.CrashedRun{run(5500 * time.Millisecond)}})
-	assert.False(t, s.refuses(4))
+	assert.False(t, s.refuses(identityOf(4)))
 	s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: "c/1", FailedAt: w.now().Add(-100 * time.Millisecond), Runs: []suspect.CrashedRun{run(200 * time.Millisecond)}})
 	w.elapsed += settleBeats * siteBeat
-	assert.True(t, s.refuses(4), "each run began after the endpoint before had crashed")
+	assert.True(t, s.refuses(identityOf(4)), "each run began after the endpoint before had crashed")
 }
 
 // Identical requests of many callers may run at several endpoints that crash at the same time,
@@ -176,7 +176,7 @@
 func TestSimultaneousCrashesAreNotAPoisonRequest(t *testing.T) {
 	w := &testClock{}
 	s := newTestState(w)
-	const lookup = suspect.Fingerprint(9)
+	lookup := identityOf(9)
 	revision := int64(1)
 	set := func(removed bool, ids ...fleet.Endpoint) {
 		for _, id := range ids {
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -413,8 +413,8 @@
 }
 
 // AnswerInterrupted also has the endpoint asked whether it is gone.
-func (g gatewayFleet) AnswerInterrupted(t gateway.Target, f suspect.Fingerprint, sentAt time.Time, begun bool) {
-	g.state.AnswerInterrupted(t, f, sentAt, begun)
+func (g gatewayFleet) AnswerInterrupted(t gateway.Target, id suspect.Identity, sentAt time.Time, begun bool) {
+	g.state.AnswerInterrupted(t, id, sentAt, begun)
 	g.node.tasks.RunIfIdle("broken", g.node.checkBroken)
 }
 
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -44,22 +44,22 @@
 
 // CheckRun returns an error if a request may not be sent because it, or a part of its prompt, crashes
 // endpoints, and when the verdict is reviewed.
-func (s *state) CheckRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error) {
-	return s.checkRun(a, f, false)
+func (s *state) CheckRun(a *balance.Request, id suspect.Identity) (time.Duration, error) {
+	return s.checkRun(a, id, false)
 }
 
 // ClaimRun checks a request immediately before it is sent. If it is the one that may try a key
 // again, it takes that place.
-func (s *state) ClaimRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error) {
-	return s.checkRun(a, f, true)
+func (s *state) ClaimRun(a *balance.Request, id suspect.Identity) (time.Duration, error) {
+	return s.checkRun(a, id, true)
 }
 
-func (s *state) checkRun(a *balance.Request, f suspect.Fingerprint, claim bool) (time.Duration, error) {
+func (s *state) checkRun(a *balance.Request, id suspect.Identity, claim bool) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	var reviewed []suspect.Verdict
-	for _, key := range append(sharedParts(a), suspect.RequestKey(f)) {
+	for _, key := range append(sharedParts(a), id.Keys()...) {
 		v, ok := s.crashes.Verdict(now, key)
 		if !ok {
 			continue
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -261,7 +261,7 @@
 	}
 	f := a.job.gateway.fleet
 	f.Failed(a.target)
-	f.AnswerInterrupted(a.target, a.job.fingerprint, a.sentAt, a.answerBegun())
+	f.AnswerInterrupted(a.target, a.job.identity, a.sentAt, a.answerBegun())
 	a.promptInterrupted()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 	defer cancel()
 	j := &job{
 		gateway: g, request: request, route: route, version: version, arrived: arrived,
-		service: route.Service(g.random()), fingerprint: request.Fingerprint(),
+		service: route.Service(g.random()), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, lastEvent: request.After},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -40,8 +40,8 @@
 
 	mu                               sync.Mutex
 	open, answered, failed, requests int
-	interrupted                      []suspect.Fingerprint
-	completed                        []suspect.Fingerprint
+	interrupted                      []suspect.Identity
+	completed                        []suspect.Identity
 	admissionWait                    time.Duration
 	admissionRefused                 bool
 	admissions, admitFirst           int // requests for admission, and how many are granted despite admissionRefused
@@ -112,13 +112,13 @@
 	f.failed++
 }
 
-func (f *fakeFleet) AnswerInterrupted(_ gateway.Target, p suspect.Fingerprint, _ time.Time, _ bool) {
+func (f *fakeFleet) AnswerInterrupted(_ gateway.Target, p suspect.Identity, _ time.Time, _ bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.interrupted = append(f.interrupted, p)
 }
 
-func (f *fakeFleet) AnswerCompleted(p suspect.Fingerprint) {
+func (f *fakeFleet) AnswerCompleted(p suspect.Identity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.completed = append(f.completed, p)
@@ -381,19 +381,31 @@
 	}
 }
 
-func TestFingerprintsDistinguishRequests(t *testing.T) {
-	base := gateway.Request{ID: "1", Caller: "192.0.2.1", Method: "GET", Host: "board.example", Target: "/look/1?a=b"}
-	retry, other := base, base
-	retry.ID = "2"
-	assert.Equal(t, base.Fingerprint(), retry.Fingerprint(), "another attempt")
-	other.Caller = "192.0.2.2"
-	assert.NotEqual(t, base.Fingerprint(), other.Fingerprint(), "another caller")
-	other = base
-	other.Target = "/look/2?a=b"
-	assert.NotEqual(t, base.Fingerprint(), other.Fingerprint())
-	other = base
-	other.Body = []byte("body")
-	assert.NotEqual(t, base.Fingerprint(), other.Fingerprint())
+// A request is the same when it comes again; one of another caller or with another query asks for
+// the same resource.
+func TestIdentitiesDistinguishRequests(t *testing.T) {
+	base := gateway.Request{ID: "1", Caller: "192.0.2.1", Method: "GET", Host: "board.example", Target: "/look/1?a=b", Path: "/look/1"}
+	tests := []struct {
+		name              string
+		change            func(r *gateway.Request)
+		request, resource bool // whether they are the same
+	}{
+		{name: "another attempt", change: func(r *gateway.Request) { r.ID = "2" }, request: true, resource: true},
+		{name: "another caller", change: func(r *gateway.Request) { r.Caller = "192.0.2.2" }, resource: true},
+		{name: "another query", change: func(r *gateway.Request) { r.Target = "/look/1?a=c" }, resource: true},
+		{name: "another path", change: func(r *gateway.Request) { r.Target, r.Path = "/look/2?a=b", "/look/2" }},
+		{name: "another host", change: func(r *gateway.Request) { r.Host = "desk.example" }},
+		{name: "another method", change: func(r *gateway.Request) { r.Method = "POST" }},
+		{name: "another body", change: func(r *gateway.Request) { r.Body = []byte("body") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			other := base
+			tt.change(&other)
+			assert.Equal(t, tt.request, base.Identity().Request == other.Identity().Request)
+			assert.Equal(t, tt.resource, base.Identity().Resource == other.Identity().Resource)
+		})
+	}
 }
 
 func TestCallerDisconnectEndsAttempt(t *testing.T) {
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -13,8 +13,8 @@
 	// AnswerInterrupted records that an endpoint's answer to a request sent at sentAt broke off,
 	// before or after one had begun, AnswerCompleted that a request was answered completely, with
 	// status 2xx.
-	AnswerInterrupted(t Target, f suspect.Fingerprint, sentAt time.Time, begun bool)
-	AnswerCompleted(f suspect.Fingerprint)
+	AnswerInterrupted(t Target, id suspect.Identity, sentAt time.Time, begun bool)
+	AnswerCompleted(id suspect.Identity)
 	// PromptInterrupted records that the connection to an endpoint broke before an answer to a
 	// request sent at sentAt had begun, PromptBegun that an answer has begun.
 	PromptInterrupted(t Target, a *balance.Request, sentAt time.Time)
@@ -22,8 +22,8 @@
 	// CheckRun returns ErrPoison, ErrSuspect or ErrCrashingPart if a request may not be sent, and when it may be
 	// repeated. ClaimRun does the same immediately before the request is sent: it takes the place of
 	// the one request that may try a key again.
-	CheckRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error)
-	ClaimRun(a *balance.Request, f suspect.Fingerprint) (time.Duration, error)
+	CheckRun(a *balance.Request, id suspect.Identity) (time.Duration, error)
+	ClaimRun(a *balance.Request, id suspect.Identity) (time.Duration, error)
 }
 
 // crashError is the error of a request refused because it may crash endpoints, with when it may be
@@ -48,11 +48,11 @@
 }
 
 func (j *job) checkRun() error {
-	return newCrashError(j.gateway.fleet.CheckRun(&j.query, j.fingerprint))
+	return newCrashError(j.gateway.fleet.CheckRun(&j.query, j.identity))
 }
 
 func (a *attempt) claimRun() error {
-	return newCrashError(a.job.gateway.fleet.ClaimRun(&a.query, a.job.fingerprint))
+	return newCrashError(a.job.gateway.fleet.ClaimRun(&a.query, a.job.identity))
 }
 
 // promptBegun records that the endpoint has begun an answer.
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -45,14 +45,14 @@
 	}
 }
 
-func (f *fakeGuard) CheckRun(*balance.Request, suspect.Fingerprint) (time.Duration, error) {
+func (f *fakeGuard) CheckRun(*balance.Request, suspect.Identity) (time.Duration, error) {
 	f.guardMu.Lock()
 	defer f.guardMu.Unlock()
 	f.checks++
 	return f.refuseFrom(f.checks, f.refuseChecks)
 }
 
-func (f *fakeGuard) ClaimRun(*balance.Request, suspect.Fingerprint) (time.Duration, error) {
+func (f *fakeGuard) ClaimRun(*balance.Request, suspect.Identity) (time.Duration, error) {
 	f.guardMu.Lock()
 	defer f.guardMu.Unlock()
 	f.claims++
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -39,8 +39,8 @@
 	arrived  time.Time
 	delivery *delivery
 
-	// fingerprint is the same for every attempt at the request.
-	fingerprint suspect.Fingerprint
+	// identity is the same for every attempt at the request.
+	identity suspect.Identity
 
 	group    errgroup.Group // of the attempts
 	ended    chan result
@@ -105,7 +105,7 @@
 		j.giveUp(ctx, j.failure)
 		return true
 	}
-	j.log("step", "retry", "request", j.fingerprint, "endpoint", r.attempt.target.ID, "result", string(r.outcome), "try", j.tries, "err", j.failure)
+	j.log("step", "retry", "request", j.identity.Request, "endpoint", r.attempt.target.ID, "result", string(r.outcome), "try", j.tries, "err", j.failure)
 	if err := j.start(ctx, nil); err != nil {
 		j.refuseUnplaced(ctx, err)
 		return true
@@ -117,7 +117,7 @@
 func (j *job) finish(r result) {
 	if r.err == nil {
 		if j.delivery.status/100 == 2 {
-			j.gateway.fleet.AnswerCompleted(j.fingerprint)
+			j.gateway.fleet.AnswerCompleted(j.identity)
 		}
 		return
 	}
@@ -304,7 +304,7 @@
 	d := j.delivery
 	total, sent := j.gateway.clock().Sub(j.arrived), int(j.sent.Load())
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
-	j.log("step", "end", "request", j.fingerprint, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
+	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
 		"status", d.status, "endpoint", j.target.ID, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
 		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -94,12 +94,19 @@
 	After string
 }
 
-// Fingerprint returns a hash of the caller, the method, the target and the body. It is the same
-// for all attempts of a caller at the same request.
-func (r *Request) Fingerprint() suspect.Fingerprint {
+// Identity returns the hashes by which the request is known when it comes again: of the caller, the
+// method, the target and the body, and of the method, the path and the body alone.
+func (r *Request) Identity() suspect.Identity {
+	return suspect.Identity{
+		Request:  fingerprint(r.Caller+"\n"+r.Method+" "+r.Host+r.Target, r.Body),
+		Resource: fingerprint(r.Method+" "+r.Host+r.Path, r.Body),
+	}
+}
+
+func fingerprint(head string, body []byte) suspect.Fingerprint {
 	d := xxhash.New()
-	_, _ = d.WriteString(r.Caller + "\n" + r.Method + " " + r.Host + r.Target + "\n")
-	_, _ = d.Write(r.Body)
+	_, _ = d.WriteString(head + "\n")
+	_, _ = d.Write(body)
 	return suspect.Fingerprint(d.Sum64())
 }
 
