fix(gateway): the rest of a stream goes to an endpoint of the version that began it

Callers saw: streams whose beginning and end two versions of the endpoint's software wrote. Cause: the entry's version was not decoded, so that a retry after a loss, or an attempt beside a silent endpoint, went to whatever endpoint was best. Change: entries have the version of the software; once an event has been passed on the request is bound to that version, for each further attempt. Without an endpoint of it the answer breaks off, as without any endpoint. Logs have the version.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -42,12 +42,15 @@
 	leaving.Leaving, lost.Lost = true, true
 	busy := endpoint("busy", "a")
 	busy.Report.Busy = true
+	old, updated := endpoint("old", "c"), endpoint("updated", "a")
+	old.Software, updated.Software = "1", "2"
 	tests := []struct {
 		name      string
 		adapter   fleet.Adapter
 		endpoints []*roster.Endpoint
 		loads     map[fleet.Endpoint]balance.Load
 		exclude   []fleet.Endpoint
+		software  *fleet.Software
 		want      fleet.Endpoint
 		missing   balance.Missing
 	}{
@@ -69,13 +72,16 @@
 		{name: "no adapter load on a busy endpoint", adapter: "x", endpoints: []*roster.Endpoint{busy, endpoint("q", "c")}, want: "q"},
 		{name: "no endpoint can load the adapter", adapter: "x", endpoints: []*roster.Endpoint{busy}, missing: balance.MissingAdapter},
 		{name: "excluded endpoint is skipped", endpoints: []*roster.Endpoint{endpoint("p", "a"), endpoint("q", "c")}, exclude: []fleet.Endpoint{"p"}, want: "q"},
+		{name: "a new stream at any version", endpoints: []*roster.Endpoint{old, updated}, want: "updated"},
+		{name: "the rest of a stream at its version", endpoints: []*roster.Endpoint{old, updated}, software: &old.Software, want: "old"},
+		{name: "the rest of a stream, none of its version", endpoints: []*roster.Endpoint{updated}, software: &old.Software, missing: balance.MissingModel},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			b := balance.NewBalancer()
 			b.SetRemote("other", tt.loads, nil)
 			a := newRequest(0, tt.adapter)
-			a.Parts, a.Exclude = nil, tt.exclude
+			a.Parts, a.Exclude, a.Software = nil, tt.exclude, tt.software
 			c, missing := b.Choose(start, a, engine, tt.endpoints, regions)
 			require.Equal(t, tt.missing, missing)
 			if missing == balance.MissingNone {
--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -40,6 +40,8 @@
 	Place  fleet.Place
 	// Exclude lists endpoints that were already tried.
 	Exclude []fleet.Endpoint
+	// Software is the version that began the request's stream, nil if no endpoint has.
+	Software *fleet.Software
 }
 
 // rankCount is the number of ranks that are counted separately; less urgent ranks count
@@ -387,7 +389,7 @@
 
 // couldServe reports whether an endpoint can serve the request once it takes it.
 func couldServe(now time.Time, e *roster.Endpoint, a *Request) bool {
-	if e.Service != a.Service || e.Leaving || e.Lost {
+	if e.Service != a.Service || e.Leaving || e.Lost || a.Software != nil && e.Software != *a.Software {
 		return false
 	}
 	for _, id := range a.Exclude {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -14,6 +14,10 @@
 // Endpoint identifies one model server with one accelerator.
 type Endpoint string
 
+// Software is the version of an endpoint's software. Streams that two versions write don't fit
+// together.
+type Software string
+
 // Model identifies a base model. Versions are part of the name ("matcher@3").
 type Model string
 
--- a/internal/core/roster/entry.go
+++ b/internal/core/roster/entry.go
@@ -32,6 +32,7 @@
 	// Address is IP:port.
 	Address    string
 	DataCentre fleet.DataCentre
+	Software   fleet.Software
 	// Slots is the number of requests that run concurrently.
 	Slots   int
 	Leaving bool
@@ -54,7 +55,7 @@
 // reports show them sooner.
 func (e *Entry) routesDifferently(previous *Entry) bool {
 	return e.Service != previous.Service || e.Address != previous.Address || e.DataCentre != previous.DataCentre ||
-		e.Slots != previous.Slots || e.Born != previous.Born ||
+		e.Slots != previous.Slots || e.Software != previous.Software || e.Born != previous.Born ||
 		!slices.EqualFunc(e.Models, previous.Models, func(a, b Holding) bool { return a.Model == b.Model && a.Version == b.Version })
 }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -83,7 +83,7 @@
 	default:
 		return
 	}
-	_ = s.logger.Log("step", "endpoint", "endpoint", r.ID, "born", r.Entry.Born, "revision", r.Revision, "now", change)
+	_ = s.logger.Log("step", "endpoint", "endpoint", r.ID, "born", r.Entry.Born, "software", r.Entry.Software, "revision", r.Revision, "now", change)
 }
 
 // storeFailed records a failed call to the store, storeAnswered a successful one.
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -227,7 +227,7 @@
 		return gateway.Target{Wait: c.Wait}, err
 	}
 	t := gateway.Target{
-		ID: c.Endpoint.ID, Born: c.Endpoint.Born, Address: c.Endpoint.Address, DataCentre: c.Endpoint.DataCentre,
+		ID: c.Endpoint.ID, Born: c.Endpoint.Born, Address: c.Endpoint.Address, DataCentre: c.Endpoint.DataCentre, Software: c.Endpoint.Software,
 		LoadAdapter: c.LoadAdapter, Wait: c.Wait,
 	}
 	if !c.Endpoint.Report.Taken.IsZero() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -286,7 +286,7 @@
 			if !j.delivery.take(a) {
 				return outcomeSuperseded, nil
 			}
-			if err := j.delivery.passEvents(answer, pending[:end+2]); err != nil {
+			if err := j.delivery.passEvents(a, answer, pending[:end+2]); err != nil {
 				return outcomeDone, err
 			}
 			pending = append(pending[:0], pending[end+2:]...)
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
 // writeTimeout limits a write to a caller that doesn't read.
@@ -29,6 +31,8 @@
 	mu       sync.Mutex
 	attempts []*attempt // in flight, those that were superseded too
 	started  bool       // the header was written
+	// software is the version that wrote the events passed on, nil as long as there are none.
+	software *fleet.Software
 	// lastEvent is the id of the last event passed on, or the one after which the caller resumes.
 	lastEvent    string
 	status       int
@@ -171,8 +175,25 @@
 	return length
 }
 
+// bind records the version that writes the stream.
+func (d *delivery) bind(software fleet.Software) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.software == nil {
+		d.software = &software
+	}
+}
+
+// boundTo returns the version that wrote the events passed on, nil as long as there are none.
+func (d *delivery) boundTo() *fleet.Software {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.software
+}
+
 // passEvents passes on complete events of a stream.
-func (d *delivery) passEvents(answer *Answer, events []byte) error {
+func (d *delivery) passEvents(a *attempt, answer *Answer, events []byte) error {
+	d.bind(a.target.Software)
 	d.writeHeader(answer, -1)
 	now := d.clock()
 	if !d.passedAt.IsZero() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 type fakeFleet struct {
 	fakeGuard
 	runners     []*standin.Runner
+	software    []fleet.Software // of the runners, none if nil
 	route       *catalog.Route
 	outdated    bool
 	limited     bool // the endpoints have asked for a limit
@@ -84,14 +85,20 @@
 	if f.err != nil {
 		return gateway.Target{Wait: f.wait}, f.err
 	}
-	if len(a.Exclude) >= len(f.runners) {
+	n, software := len(a.Exclude), fleet.Software("")
+	for ; n < len(f.software) && a.Software != nil && f.software[n] != *a.Software; n++ {
+		a.Exclude = append(a.Exclude, fleet.Endpoint(fmt.Sprintf("i-%d", n)))
+	}
+	if n >= len(f.runners) {
 		return gateway.Target{}, gateway.ErrNoEndpoint
 	}
+	if f.software != nil {
+		software = f.software[n]
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.open++
-	n := len(a.Exclude)
-	return gateway.Target{ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited}, nil
+	return gateway.Target{Software: software, ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited}, nil
 }
 
 func (f *fakeFleet) Answered(gateway.Target, *balance.Request, time.Duration) {
@@ -124,7 +131,14 @@
 	f.completed = append(f.completed, p)
 }
 
-func (f *fakeFleet) HasAlternative(a *balance.Request) bool { return len(a.Exclude) < len(f.runners) }
+func (f *fakeFleet) HasAlternative(a *balance.Request) bool {
+	for n := len(a.Exclude); n < len(f.runners); n++ {
+		if f.software == nil || a.Software == nil || f.software[n] == *a.Software {
+			return true
+		}
+	}
+	return false
+}
 
 func (f *fakeFleet) Gone(t gateway.Target) {
 	f.mu.Lock()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -151,6 +151,7 @@
 	if err := j.checkRun(); err != nil {
 		return err
 	}
+	j.query.Software = j.delivery.boundTo()
 	a := &attempt{job: j, query: j.query, mayHaveRun: j.mayHaveRun, retryTaken: j.sent.Load() > 0}
 	a.query.Exclude = slices.Clone(j.query.Exclude)
 	a.insistent = beside != nil && beside.insistent
@@ -200,6 +201,7 @@
 	if ctx.Err() != nil || timeLeft < minTimeLeft || first.quiet == nil || !j.delivery.isSilent(first.quiet) {
 		return
 	}
+	j.query.Software = j.delivery.boundTo()
 	if !j.gateway.fleet.HasAlternative(&j.query) || !j.takeRetry() {
 		return
 	}
@@ -305,6 +307,6 @@
 	total, sent := j.gateway.clock().Sub(j.arrived), int(j.sent.Load())
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
 	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
-		"status", d.status, "endpoint", j.target.ID, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
+		"status", d.status, "endpoint", j.target.ID, "software", j.target.Software, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
 		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -180,6 +180,7 @@
 	Born       int64
 	Address    string
 	DataCentre fleet.DataCentre
+	Software   fleet.Software
 	// LoadAdapter is set when the request's adapter must be loaded first.
 	LoadAdapter bool
 	// Wait is the predicted time to the first byte, Age the age of the endpoint's report on
