fix(direct): a stream that a caller takes up at any instance goes on at the version that began it

Callers saw: the rest of a stream from another version of the endpoint's software than its beginning, mostly at another instance than the first. Cause: Resumes was not read (and was passed on to endpoints), and the instance that a caller comes to didn't know where the stream had begun. The first one is often gone: that is why the caller comes again. Change: the version is recorded as the first event is passed on, under the id by which the caller will name the stream. While a service has several versions, or had lately, the stream is named to two of three keepers, picked by rendezvous hash over the id; those begun before the second version was listed are named when it is. Who gets the rest asks the three. A stream that none knows of goes on only if a single version may have begun it and a keeper or the store has answered; else it is refused at once as not run. The core has no clock and no peers (internal/core/origin).

--- /dev/null
+++ b/internal/core/origin/table.go
@@ -0,0 +1,171 @@
+// Package origin tells which version of an endpoint's software began a stream, for instances that
+// a caller comes to with the rest of it.
+//
+// Each instance remembers the streams that it has passed the first event of. While a service has
+// several versions it also names them to their keepers, which are the same for all instances that
+// know the same ones.
+package origin
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+const (
+	// Retention is the longest time after its first event that a stream is taken up again.
+	Retention = time.Minute
+	// Keepers is how many instances are asked for the origin of a stream. It is named to those of
+	// them, other than the instance itself, of whom one may be lost.
+	Keepers = 3
+	named   = Keepers - 1
+	// maxStreams limits the streams that are remembered.
+	maxStreams = 16_384
+)
+
+// Stream is a stream with the version that wrote its first event.
+type Stream struct {
+	Service catalog.Service
+	// ID is that of the caller's request that got the first event.
+	ID       string
+	Software fleet.Software
+}
+
+type entry struct {
+	stream Stream
+	at     time.Time
+	own    bool // this instance passed the first event on
+}
+
+// Table is what an instance knows of the origins of streams. It is not safe for concurrent use.
+type Table struct {
+	streams map[string]entry
+	order   []string // of the streams by their age, some of which may be gone
+	// versions are those of the services' endpoints, with when one was last listed.
+	versions map[catalog.Service]map[fleet.Software]time.Time
+	unnamed  []Stream
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table {
+	return &Table{streams: make(map[string]entry), versions: make(map[catalog.Service]map[fleet.Software]time.Time)}
+}
+
+// Listed records that an endpoint with a version of a service's software is listed. When the second
+// version appears, the streams that began before it are to be named too.
+func (t *Table) Listed(now time.Time, service catalog.Service, software fleet.Software) {
+	versions := t.versions[service]
+	if versions == nil {
+		versions = make(map[fleet.Software]time.Time)
+		t.versions[service] = versions
+	}
+	_, known := versions[software]
+	versions[software] = now
+	if known || len(versions) != 2 {
+		return
+	}
+	for _, id := range t.order {
+		if e, ok := t.streams[id]; ok && e.own && e.stream.Service == service {
+			t.unnamed = append(t.unnamed, e.stream)
+		}
+	}
+}
+
+// Versions returns the versions that serve, or have served so lately that a stream which they began
+// may be taken up, sorted.
+func (t *Table) Versions(now time.Time, service catalog.Service) []fleet.Software {
+	maps.DeleteFunc(t.versions[service], func(_ fleet.Software, at time.Time) bool { return now.Sub(at) > Retention })
+	return slices.Sorted(maps.Keys(t.versions[service]))
+}
+
+// Began records that this instance has passed on the first event of a stream. It reports whether
+// there are streams to name to their keepers.
+func (t *Table) Began(now time.Time, s Stream) bool {
+	t.keep(now, s, true)
+	if len(t.Versions(now, s.Service)) > 1 {
+		t.unnamed = append(t.unnamed, s)
+	}
+	return len(t.unnamed) > 0
+}
+
+// Keep records a stream that another instance has named.
+func (t *Table) Keep(now time.Time, s Stream) { t.keep(now, s, false) }
+
+func (t *Table) keep(now time.Time, s Stream, own bool) {
+	if _, known := t.streams[s.ID]; !known {
+		t.order = append(t.order, s.ID)
+	}
+	t.streams[s.ID] = entry{stream: s, at: now, own: own || t.streams[s.ID].own}
+	for len(t.streams) > maxStreams {
+		delete(t.streams, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// Find returns the version that began a stream.
+func (t *Table) Find(now time.Time, service catalog.Service, id string) (fleet.Software, bool) {
+	e, ok := t.streams[id]
+	if !ok || e.stream.Service != service || now.Sub(e.at) > Retention {
+		return "", false
+	}
+	return e.stream.Software, true
+}
+
+// HasUnnamed reports whether there are streams to name, TakeUnnamed returns them, once.
+func (t *Table) HasUnnamed() bool { return len(t.unnamed) > 0 }
+
+// TakeUnnamed returns the streams to name to their keepers.
+func (t *Table) TakeUnnamed() []Stream {
+	streams := t.unnamed
+	t.unnamed = nil
+	return streams
+}
+
+// Expire forgets streams that are no longer taken up.
+func (t *Table) Expire(now time.Time) {
+	t.order = slices.DeleteFunc(t.order, func(id string) bool {
+		e, ok := t.streams[id]
+		if ok && now.Sub(e.at) <= Retention {
+			return false
+		}
+		delete(t.streams, id)
+		return true
+	})
+}
+
+// KeepersOf returns the instances that are asked for the origin of a stream, the first ones by
+// rendezvous hashing.
+func KeepersOf(id string, instances []fleet.Instance) []fleet.Instance {
+	type scored struct {
+		instance fleet.Instance
+		score    uint64
+	}
+	var best []scored
+	for _, i := range instances {
+		s := scored{i, xxhash.Sum64String(string(i) + "/" + id)}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.instance, b.instance))
+		})
+		if at < Keepers {
+			best = slices.Insert(best, at, s)
+			best = best[:min(len(best), Keepers)]
+		}
+	}
+	keepers := make([]fleet.Instance, 0, len(best))
+	for _, s := range best {
+		keepers = append(keepers, s.instance)
+	}
+	return keepers
+}
+
+// NamedTo returns the keepers to which an instance names a stream.
+func NamedTo(id string, self fleet.Instance, instances []fleet.Instance) []fleet.Instance {
+	keepers := slices.DeleteFunc(KeepersOf(id, instances), func(i fleet.Instance) bool { return i == self })
+	return keepers[:min(len(keepers), named)]
+}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -60,6 +60,7 @@
 	} else {
 		s.roster.Apply(now, records, revision)
 	}
+	s.observeSoftware(now)
 	if !s.listed {
 		s.listed, s.listedAt = true, now
 	}
@@ -326,6 +327,8 @@
 	}
 	s.settleBroken(now)
 	s.logVerdicts(now)
+	s.observeSoftware(now)
+	s.origins.Expire(now)
 	s.removeIdleSchedules(now)
 	s.removeOldLimits(now)
 	for name, p := range s.peers {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -251,6 +251,9 @@
 // cleanUp garbage-collects expired state, and connections to endpoints that are gone.
 func (n *Node) cleanUp(context.Context) {
 	n.endpoints.CloseExcept(n.state.cleanUp())
+	if n.state.hasUnnamedStreams() {
+		n.tasks.RunIfIdle("origins", n.nameStreams)
+	}
 	if n.state.hasEndpointsToAsk() {
 		n.tasks.RunIfIdle("broken", n.checkBroken)
 	}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -16,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/recency"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
@@ -93,6 +94,7 @@
 	crashes         *suspect.CrashRecord
 	reviews         map[suspect.Key]time.Time // when this instance last tried a convicted part
 	loggedVerdicts  map[suspect.Key]bool
+	origins         *origin.Table
 	leftEndpoints   []gossip.Incarnation
 	leaving         bool
 	mayOrder        bool
@@ -139,7 +141,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
-		schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
+		origins: origin.NewTable(), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -286,6 +286,7 @@
 			if !j.delivery.take(a) {
 				return outcomeSuperseded, nil
 			}
+			a.announceStream()
 			if err := j.delivery.passEvents(a, answer, pending[:end+2]); err != nil {
 				return outcomeDone, err
 			}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/timer"
@@ -50,6 +51,7 @@
 	limits                           []recordedLimit
 	gone                             []fleet.Endpoint
 	spared                           []time.Duration
+	streams                          []origin.Stream
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -131,6 +133,26 @@
 	f.completed = append(f.completed, p)
 }
 
+func (f *fakeFleet) StreamBegan(s origin.Stream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams = append(f.streams, s)
+}
+
+func (f *fakeFleet) Origin(_ context.Context, _ catalog.Service, id string) (*fleet.Software, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.streams {
+		if s.ID == id {
+			return &s.Software, nil
+		}
+	}
+	if len(f.software) > 0 {
+		return nil, gateway.ErrUnknownOrigin
+	}
+	return nil, nil //nolint:nilnil // no versions
+}
+
 func (f *fakeFleet) HasAlternative(a *balance.Request) bool {
 	for n := len(a.Exclude); n < len(f.runners); n++ {
 		if f.software == nil || a.Software == nil || f.software[n] == *a.Software {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -70,6 +70,10 @@
 	defer func() { _ = j.group.Wait() }() // the attempts use the writer, which ends with the handler
 	defer cancel()
 	defer func() { j.stopInsisting() }()
+	if err := j.bindToOrigin(ctx); err != nil {
+		j.giveUp(ctx, err)
+		return
+	}
 	if err := j.start(ctx, nil); err != nil {
 		j.refuseUnplaced(ctx, err)
 		return
@@ -306,7 +310,7 @@
 	d := j.delivery
 	total, sent := j.gateway.clock().Sub(j.arrived), int(j.sent.Load())
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
-	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter,
+	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter, "resumes", j.request.Resumes,
 		"status", d.status, "endpoint", j.target.ID, "software", j.target.Software, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
 		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -47,6 +47,9 @@
 	// ErrCrashingPart is returned for a request whose prompt has a part under which endpoints
 	// crashed. Others may be the cause, so the request may be repeated later.
 	ErrCrashingPart = errors.New("endpoints crashed under a part of the prompt")
+	// ErrUnknownOrigin is returned for the rest of a stream if it isn't known which version of the
+	// endpoints' software began it, and several may have.
+	ErrUnknownOrigin = errors.New("the version that began the stream is not known")
 	// ErrUnknownKey is returned if a route needs a key, and the request has none that any
 	// workspace holds.
 	ErrUnknownKey = errors.New("no workspace has the request's key")
@@ -92,6 +95,9 @@
 	// After is the id of the last event of a stream that the caller has received, empty to
 	// start from the beginning.
 	After string
+	// Resumes is the ID of the request that got the first event of that stream, empty if the caller
+	// doesn't say so.
+	Resumes string
 }
 
 // Identity returns the hashes by which the request is known when it comes again: of the caller, the
@@ -238,6 +244,7 @@
 	// Spare records that the target wants nothing from this instance for a while.
 	Spare(t Target, wait time.Duration)
 	CrashGuard
+	Origins
 	// CountRequest counts a request for the retry budget and the demand of its model. TakeRetry
 	// takes one retry from the budget and reports whether there was one.
 	CountRequest(a *balance.Request)
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -5,9 +5,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
@@ -44,3 +46,55 @@
 		})
 	}
 }
+
+// A stream that a caller takes up goes on at the version that began it, is refused as not run if that
+// isn't known, and stays known by the request that got its first event.
+func TestStreamsTakenUpStayAtTheirVersion(t *testing.T) {
+	tests := []struct {
+		name    string
+		resumes string
+		status  int
+		runs    []int // of each runner
+	}{
+		{name: "known", resumes: "r0", status: 200, runs: []int{0, 1}},
+		{name: "unknown", resumes: "r9", status: 503, runs: []int{0, 0}},
+		{name: "not named", status: 503, runs: []int{0, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
+			f.software = []fleet.Software{"2", "1"}
+			f.StreamBegan(origin.Stream{Service: "s", ID: "r0", Software: "1"})
+			header := map[string]string{"Model": "m", "Last-Event-Id": "2"}
+			if tt.resumes != "" {
+				header["Resumes"] = tt.resumes
+			}
+			answer, err := send(t, serve(t, f), http.MethodPost, header, "")
+			require.NoError(t, err)
+			assert.Equal(t, tt.status, answer.status)
+			for i, r := range f.runners {
+				runs := r.Runs()
+				require.Len(t, runs, tt.runs[i], "runner %d", i)
+				for _, run := range runs {
+					assert.Equal(t, "2", run.After)
+					assert.Empty(t, run.Header.Values("Resumes"))
+				}
+			}
+			if tt.status == http.StatusOK {
+				assert.Equal(t, origin.Stream{Service: "s", ID: "r0", Software: "1"}, f.streams[len(f.streams)-1])
+			} else {
+				assert.NotEmpty(t, answer.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// Each stream is recorded once, under the id of its request, before its caller has an event of it.
+func TestStreamsAreRecordedAsTheyBegin(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourLost, standin.BehaviourCut, standin.BehaviourNone)
+	f.software, f.route.Attempts = []fleet.Software{"1", "2", "2"}, 3
+	answer, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, completeStream, answer.body)
+	assert.Equal(t, []origin.Stream{{Service: "s", ID: "r1", Software: "2"}}, f.streams)
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/transfer"
 	"github.com/chiveramp/chiveramp/internal/gossip"
@@ -53,6 +54,14 @@
 	return reply, nil
 }
 
+func (handler) Origins(_ context.Context, o *gossip.Origins) (*gossip.OriginsReply, error) {
+	return &gossip.OriginsReply{}, nil
+}
+
+func (handler) FindOrigin(_ context.Context, f *gossip.FindOrigin) (*gossip.FindOriginReply, error) {
+	return &gossip.FindOriginReply{Known: true, Software: fleet.Software(f.ID), Versions: []fleet.Software{"1", "2"}}, nil
+}
+
 func TestMessagesRoundTripOverGRPC(t *testing.T) {
 	h := handler{heartbeats: make(chan *gossip.Heartbeat, 1)}
 	server := gossip.NewServer(h)
@@ -94,6 +103,11 @@
 	portions, err := client.Portions(ctx, l.Addr().String(), &gossip.Portions{Offer: allotment.Offer{Stamp: stamp}, Wants: []allotment.Want{{Workspace: "w", Amount: 0.25}}})
 	require.NoError(t, err)
 	assert.Equal(t, &gossip.PortionsReply{Stamp: stamp, Grants: []allotment.Grant{{Workspace: "w", ID: 1 << 63, Amount: 0.25}}}, portions)
+	_, err = client.Origins(ctx, l.Addr().String(), &gossip.Origins{Streams: []origin.Stream{{Service: "s", ID: "r1", Software: "1"}}})
+	require.NoError(t, err)
+	found, err := client.FindOrigin(ctx, l.Addr().String(), &gossip.FindOrigin{Service: "s", ID: "r1"})
+	require.NoError(t, err)
+	assert.Equal(t, &gossip.FindOriginReply{Known: true, Software: "r1", Versions: []fleet.Software{"1", "2"}}, found)
 	client.Reset(l.Addr().String())
 	reply, err := client.Ensure(ctx, l.Addr().String(), &gossip.Ensure{Adapter: "x"})
 	require.NoError(t, err, "the client reconnects after Reset")
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,8 +5,10 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/core/transfer"
@@ -229,6 +231,28 @@
 	Grants []allotment.Grant `cbor:"g,omitempty"`
 }
 
+// Origins names streams to an instance that keeps which version of an endpoint's software began them.
+type Origins struct {
+	Streams []origin.Stream `cbor:"s"`
+}
+
+// OriginsReply answers an Origins.
+type OriginsReply struct{}
+
+// FindOrigin asks which version of a service's software began a stream.
+type FindOrigin struct {
+	Service catalog.Service `cbor:"s"`
+	ID      string          `cbor:"i"`
+}
+
+// FindOriginReply answers a FindOrigin. Versions are those of the service that may have begun a
+// stream which callers still take up.
+type FindOriginReply struct {
+	Known    bool             `cbor:"k"`
+	Software fleet.Software   `cbor:"w"`
+	Versions []fleet.Software `cbor:"v"`
+}
+
 // Admit asks the instance that admits an endpoint's requests when a prompt may be sent there.
 type Admit struct {
 	Endpoint fleet.Endpoint `cbor:"i"`
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -42,6 +42,8 @@
 	Ensure(ctx context.Context, e *Ensure) (*EnsureReply, error)
 	Admit(ctx context.Context, a *Admit) (*AdmitReply, error)
 	Portions(ctx context.Context, p *Portions) (*PortionsReply, error)
+	Origins(ctx context.Context, o *Origins) (*OriginsReply, error)
+	FindOrigin(ctx context.Context, f *FindOrigin) (*FindOriginReply, error)
 }
 
 // NewServer returns a gRPC server for a handler.
@@ -61,6 +63,8 @@
 			unaryMethod("Ensure", Handler.Ensure),
 			unaryMethod("Admit", Handler.Admit),
 			unaryMethod("Portions", Handler.Portions),
+			unaryMethod("Origins", Handler.Origins),
+			unaryMethod("FindOrigin", Handler.FindOrigin),
 		},
 	}, h)
 	return s
@@ -217,6 +221,16 @@
 	return invoke[Portions, PortionsReply](ctx, c, address, "Portions", p)
 }
 
+// Origins names streams to a peer that keeps their origins.
+func (c *Client) Origins(ctx context.Context, address string, o *Origins) (*OriginsReply, error) {
+	return invoke[Origins, OriginsReply](ctx, c, address, "Origins", o)
+}
+
+// FindOrigin asks a peer for the origin of a stream.
+func (c *Client) FindOrigin(ctx context.Context, address string, f *FindOrigin) (*FindOriginReply, error) {
+	return invoke[FindOrigin, FindOriginReply](ctx, c, address, "FindOrigin", f)
+}
+
 // Reset closes the connection to a peer, so that the next call opens a new one.
 func (c *Client) Reset(address string) {
 	c.mu.Lock()
