fix(gateway): the rest of a stream is not refused because its endpoints are busy

Cause: with several versions the rest of a stream has fewer endpoints than a new one. Bound to them, it was refused where the wait is over the target, which the stream has met or missed with its first event. Change: the wait and the admission of a request that is bound to a version have no limit, but for the rate that an endpoint has asked for. Result: TestRestOfAStreamIsNotRefusedAsLate and a case of TestMaxWait failed before and pass.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -163,6 +163,9 @@
 	a := newRequest(0, "")
 	a.Model = ""
 	assert.Greater(t, balance.MaxWait(a), time.Hour, "the wait of plain services is not limited")
+	rest := newRequest(0, "")
+	rest.Software = new(fleet.Software)
+	assert.Greater(t, balance.MaxWait(rest), time.Hour, "nor that of the rest of a stream")
 }
 
 // The retries of all instances together must stay within the budget, whatever each
--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -314,9 +314,9 @@
 
 // MaxWait returns the longest predicted wait with which a request is sent: its target.
 // With a longer one, a lasting overload would make every answer late, and callers would
-// time out before they receive it.
+// time out before they receive it. The rest of a stream has no target, and few endpoints to go to.
 func MaxWait(a *Request) time.Duration {
-	if a.Model == "" || a.Target <= 0 {
+	if a.Model == "" || a.Target <= 0 || a.Software != nil {
 		return math.MaxInt64
 	}
 	return a.Target
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -98,3 +99,21 @@
 	assert.Equal(t, completeStream, answer.body)
 	assert.Equal(t, []origin.Stream{{Service: "s", ID: "r1", Software: "2"}}, f.streams)
 }
+
+// The rest of a stream is sent to a busy endpoint of its version, where a new stream is refused.
+func TestRestOfAStreamIsNotRefusedAsLate(t *testing.T) {
+	for _, resumes := range []string{"", "r0"} {
+		t.Run(resumes, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+			f.admissionRefused, f.admissionWait = true, time.Second
+			f.StreamBegan(origin.Stream{Service: "s", ID: "r0"})
+			header, status := map[string]string{"Model": "m"}, http.StatusServiceUnavailable
+			if resumes != "" {
+				header["Last-Event-Id"], header["Resumes"], status = "2", resumes, http.StatusOK
+			}
+			answer, err := send(t, serve(t, f), http.MethodPost, header, "")
+			require.NoError(t, err)
+			assert.Equal(t, status, answer.status)
+		})
+	}
+}
