fix(gateway): a second endpoint beside a silent one still needs its admission

Change: only the first attempt at the rest of a stream, and one after a loss, go without. Result: package gateway passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -150,10 +150,10 @@
 	}
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-a.target.PendingPrefill-admissionMargin)
 	admission := j.gateway.fleet.Admit(ctx, a.target, &a.query, work, limit)
-	if admission.Refused && (a.mayHaveRun || a.insistent || a.query.Software != nil) && !admission.Limited {
+	if admission.Refused && (a.mayHaveRun || a.insistent) && !admission.Limited {
 		// Its target has passed. After a run a refusal would say that it has not run, beside an
 		// endpoint that stays silent it would leave the request without an answer, and a stream that
-		// has begun without its rest.
+		// the caller takes up without its rest.
 		return 0, ctx.Err()
 	}
 	if admission.Refused {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -158,7 +158,11 @@
 	j.query.Software = j.delivery.boundTo()
 	a := &attempt{job: j, query: j.query, mayHaveRun: j.mayHaveRun, retryTaken: j.sent.Load() > 0}
 	a.query.Exclude = slices.Clone(j.query.Exclude)
-	a.insistent = beside != nil && beside.insistent
+	if beside != nil {
+		a.insistent = beside.insistent
+	} else {
+		a.insistent = j.query.Software != nil
+	}
 	target, err := j.gateway.fleet.Choose(&a.query)
 	if err != nil {
 		if beside == nil {
