fix(direct): an instance that has just restarted asks the keepers that it knows by name only

Cause: right after a start no peer counts as live yet, so that the origin of a stream was asked of nobody, and the stream refused beside a second version. The process test found it: ten of ten streams taken up at the restarted instance. Change: as long as no peer has been heard of, all listed ones are candidates.

--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -44,10 +44,15 @@
 	return s.origins.HasUnnamed()
 }
 
-// liveInstances returns the names of the live instances, this one among them.
-func (s *state) liveInstances() []fleet.Instance {
+// keeperCandidates returns the names of the live instances, this one among them, or of all if no
+// other has been heard of yet, after a restart.
+func (s *state) keeperCandidates() []fleet.Instance {
 	names := []fleet.Instance{s.view.Self().Instance}
-	for _, p := range s.view.Live("") {
+	peers := s.view.Live("")
+	if !slices.ContainsFunc(peers, func(p member.Peer) bool { return p.Instance != names[0] }) {
+		peers = s.view.All()
+	}
+	for _, p := range peers {
 		if p.Instance != names[0] {
 			names = append(names, p.Instance)
 		}
@@ -59,7 +64,7 @@
 func (s *state) streamsToName() map[string]*gossip.Origins {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	calls, instances := make(map[string]*gossip.Origins), s.liveInstances()
+	calls, instances := make(map[string]*gossip.Origins), s.keeperCandidates()
 	for _, stream := range s.origins.TakeUnnamed() {
 		for _, keeper := range origin.NamedTo(stream.ID, s.view.Self().Instance, instances) {
 			p, ok := s.view.Get(keeper)
@@ -99,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var peers []member.Peer
-	for _, keeper := range origin.KeepersOf(id, s.liveInstances()) {
+	for _, keeper := range origin.KeepersOf(id, s.keeperCandidates()) {
 		if p, ok := s.view.Get(keeper); ok && keeper != s.view.Self().Instance {
 			peers = append(peers, p)
 		}
