--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // writeTimeout limits a write to a caller that doesn't read.
@@ -186,6 +187,9 @@
 
 // boundTo returns the version that wrote the events passed on, nil as long as there are none.
 func (d *delivery) boundTo() *fleet.Software {
+	if switches.Off(switches.StreamVersion) {
+		return nil
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.software
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -45,6 +45,8 @@
 	Spare Mechanism = "spare"
 	// Limit keeps to the requests a second that an endpoint has asked for.
 	Limit Mechanism = "limit"
+	// StreamVersion keeps a stream at the version of the software that began it.
+	StreamVersion Mechanism = "version"
 )
 
 // CrashPoint names a point in the code at which tests can make a process crash.
