fix(gateway): the rest of a stream goes to the service that began it

Cause: where a route is split among services each request drew its service anew, so that the rest of a stream could come from another service than its beginning. Found by reading: the version that began a stream is kept by service. Change: the share of a resumable route is a hash of the id by which the stream is known, the same at every instance; new streams are split by their weights as before. Result: TestRestOfAStreamGoesToItsService passes; on the code before it the service is drawn without regard to Resumes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -34,6 +35,8 @@
 	minRetryAfter = 50 * time.Millisecond
 	// noCatalogRetryAfter is the retry delay sent while the instance lacks a configuration.
 	noCatalogRetryAfter = 300 * time.Millisecond
+	// shareShift leaves as many bits of a hash as a float64 holds.
+	shareShift = 11
 )
 
 // Timers schedules callbacks that run once.
@@ -142,7 +145,7 @@
 	defer cancel()
 	j := &job{
 		gateway: g, request: request, route: route, version: version, arrived: arrived,
-		service: route.Service(g.random()), identity: request.Identity(),
+		service: route.Service(g.share(route, request)), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, lastEvent: request.After},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
 	}
@@ -161,6 +164,15 @@
 	}
 }
 
+// share returns a number in [0, 1) that decides to which of the route's services a request goes: for
+// the rest of a stream the same one as for its beginning, at any instance.
+func (g *Gateway) share(route *catalog.Route, request *Request) float64 {
+	if !route.Resumable {
+		return g.random()
+	}
+	return float64(xxhash.Sum64String(request.streamID())>>shareShift) / (1 << (64 - shareShift))
+}
+
 // read decodes a request and reads its whole body, so that nothing of it stays on the
 // connection and the request can be sent again.
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*Request, error) {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -18,11 +18,11 @@
 }
 
 // streamID returns the ID by which a caller names the request's stream when it takes it up.
-func (j *job) streamID() string {
-	if j.request.After != "" && j.request.Resumes != "" {
-		return j.request.Resumes
+func (r *Request) streamID() string {
+	if r.After != "" && r.Resumes != "" {
+		return r.Resumes
 	}
-	return j.request.ID
+	return r.ID
 }
 
 // bindToOrigin binds the rest of a stream that the caller takes up to the version that began it.
@@ -42,6 +42,6 @@
 func (a *attempt) announceStream() {
 	j := a.job
 	if j.route.Resumable && !j.delivery.begun() {
-		j.gateway.fleet.StreamBegan(origin.Stream{Service: j.service, ID: j.streamID(), Software: a.target.Software})
+		j.gateway.fleet.StreamBegan(origin.Stream{Service: j.service, ID: j.request.streamID(), Software: a.target.Software})
 	}
 }
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -117,3 +118,22 @@
 		})
 	}
 }
+
+// The rest of a stream goes to the service that began it, where a route is split among several.
+func TestRestOfAStreamGoesToItsService(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+	f.route.Splits = []catalog.Split{{Service: "s", Weight: 70}, {Service: "other", Weight: 30}}
+	url := serve(t, f)
+	begun := make(map[catalog.Service]int)
+	for i := range 60 {
+		id := fmt.Sprint("stream", i)
+		_, err := send(t, url, http.MethodPost, map[string]string{"Model": "m", "Request-Id": id}, "")
+		require.NoError(t, err)
+		first := f.streams[len(f.streams)-1]
+		begun[first.Service]++
+		_, err = send(t, url, http.MethodPost, map[string]string{"Model": "m", "Request-Id": id + "again", "Resumes": id, "Last-Event-Id": "1"}, "")
+		require.NoError(t, err)
+		assert.Equal(t, first, f.streams[len(f.streams)-1])
+	}
+	assert.InDelta(t, 42, begun["s"], 12, "by their weights")
+}
