--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -277,7 +277,7 @@
 	}
 }
 
-// renew prolongs the verdicts reported by others on the parts of a crash that came after them.
+// renew prolongs the verdicts reported by others on the keys of a crash that came after them.
 func (c *CrashRecord) renew(d *EndpointCrash) {
 	for _, r := range d.Runs {
 		for _, key := range r.Keys {
@@ -381,9 +381,12 @@
 	return cmp.Or(a.FailedAt.Compare(b.FailedAt), cmp.Compare(a.Key, b.Key))
 }
 
+// Empty reports whether nothing is known that could lead to a verdict.
+func (c *CrashRecord) Empty() bool { return len(c.crashes) == 0 && len(c.kept) == 0 }
+
 // Verdict returns the verdict on a key. ok is false if there is none.
 func (c *CrashRecord) Verdict(now time.Time, k Key) (v Verdict, ok bool) {
-	if len(c.crashes) == 0 && len(c.kept) == 0 {
+	if c.Empty() {
 		return Verdict{}, false
 	}
 	c.evaluate(now)
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -57,6 +57,9 @@
 func (s *state) checkRun(a *balance.Request, id suspect.Identity, claim bool) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.crashes.Empty() {
+		return 0, nil
+	}
 	now := s.clock()
 	var reviewed []suspect.Verdict
 	for _, key := range append(sharedParts(a), id.Keys()...) {
@@ -77,6 +80,7 @@
 	return 0, nil
 }
 
+// refusalReason returns the error of a request that a verdict forbids to send.
 func refusalReason(v suspect.Verdict) error {
 	switch {
 	case v.Provisional:
