fix(gateway): what is remembered of a stream is bounded by its id too

Cause: 16,384 streams are remembered under ids that callers choose; at the longest header that is 256 MB. Change: ids over 64 bytes are remembered by their hash. Result: TestLongStreamIDsAreShortened passes; without the bound the id has 5,000 bytes.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -17,12 +20,20 @@
 	Origin(ctx context.Context, service catalog.Service, id string) (*fleet.Software, error)
 }
 
-// streamID returns the ID by which a caller names the request's stream when it takes it up.
+// maxStreamID bounds the bytes of an ID that instances remember of a stream.
+const maxStreamID = 64
+
+// streamID returns the ID by which a caller names the request's stream when it takes it up, or the
+// hash of a long one.
 func (r *Request) streamID() string {
+	id := r.ID
 	if r.After != "" && r.Resumes != "" {
-		return r.Resumes
+		id = r.Resumes
 	}
-	return r.ID
+	if len(id) > maxStreamID {
+		return strconv.FormatUint(xxhash.Sum64String(id), 16)
+	}
+	return id
 }
 
 // bindToOrigin binds the rest of a stream that the caller takes up to the version that began it.
@@ -30,7 +41,11 @@
 	if j.request.After == "" || !j.route.Resumable {
 		return nil
 	}
-	software, err := j.gateway.fleet.Origin(ctx, j.service, j.request.Resumes)
+	id := ""
+	if j.request.Resumes != "" {
+		id = j.request.streamID()
+	}
+	software, err := j.gateway.fleet.Origin(ctx, j.service, id)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,18 @@
 	}
 	assert.InDelta(t, 42, begun["s"], 12, "by their weights")
 }
+
+// What is remembered of a stream is short, whatever id its caller has chosen.
+func TestLongStreamIDsAreShortened(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+	f.software = []fleet.Software{"1"}
+	url, id := serve(t, f), strings.Repeat("x", 5000)
+	_, err := send(t, url, http.MethodPost, map[string]string{"Model": "m", "Request-Id": id}, "")
+	require.NoError(t, err)
+	require.Len(t, f.streams, 1)
+	assert.LessOrEqual(t, len(f.streams[0].ID), 64)
+	answer, err := send(t, url, http.MethodPost, map[string]string{"Model": "m", "Resumes": id, "Last-Event-Id": "1"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.status)
+	assert.Equal(t, f.streams[0], f.streams[1])
+}
