--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -1,9 +1,9 @@
-// Package origin tells which version of an endpoint's software began a stream, for instances that
-// a caller comes to with the rest of it.
+// Package origin records which version of an endpoint's software began a stream, so that any
+// instance at which its caller takes it up can continue it at that version.
 //
-// Each instance remembers the streams that it has passed the first event of. While a service has
-// several versions it also names them to their keepers, which are the same for all instances that
-// know the same ones.
+// Each instance records the streams whose first event it has passed on. While a service has several
+// versions it also names them to their keepers: the instances that rendezvous hashing over the
+// stream's ID picks, the same at all instances with the same view of the fleet.
 package origin
 
 import (
@@ -43,7 +43,8 @@
 	own    bool // this instance passed the first event on
 }
 
-// Table is what an instance knows of the origins of streams. It is not safe for concurrent use.
+// Table holds one instance's records of streams, and the versions that are listed. It is not safe for
+// concurrent use.
 type Table struct {
 	streams map[string]entry
 	order   []string // of the streams by their age, some of which may be gone
@@ -77,8 +78,8 @@
 	}
 }
 
-// Versions returns the versions that serve, or have served so lately that a stream which they began
-// may be taken up, sorted.
+// Versions returns the versions of a service's endpoints that are listed or were within Retention,
+// sorted. One of them began any stream that is still taken up.
 func (t *Table) Versions(now time.Time, service catalog.Service) []fleet.Software {
 	maps.DeleteFunc(t.versions[service], func(_ fleet.Software, at time.Time) bool { return now.Sub(at) > Retention })
 	return slices.Sorted(maps.Keys(t.versions[service]))
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -58,8 +58,8 @@
 	assert.False(t, ok)
 }
 
-// A stream is found after the loss of any two instances, its first one among them, at an instance
-// that doesn't know of the loss as well as at one that does.
+// A stream is found after the loss of any two instances, its first one among them, by an instance
+// whose view of the fleet still has them and by one whose view doesn't.
 func TestKeepersOutliveLosses(t *testing.T) {
 	var all []fleet.Instance
 	for i := range 9 {
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -44,8 +44,8 @@
 	return s.origins.HasUnnamed()
 }
 
-// keeperCandidates returns the names of the live instances, this one among them, or of all if no
-// other has been heard of yet, after a restart.
+// keeperCandidates returns the names of the live instances, this one among them, or of all listed ones
+// while no peer counts as live yet, as after a restart.
 func (s *state) keeperCandidates() []fleet.Instance {
 	names := []fleet.Instance{s.view.Self().Instance}
 	peers := s.view.Live("")
@@ -112,9 +112,10 @@
 	return peers
 }
 
-// decideOrigin returns the version that began a stream by the answers of this instance and of those
-// asked, nil for one that didn't answer. Only one version may have begun a stream that none of them
-// knows of, and this instance must not be cut off from whatever could tell of another.
+// decideOrigin returns the version that began a stream, by this instance's record and the replies of
+// the keepers, nil for one that didn't reply. A stream without a record may continue only if a single
+// version can have begun it, and if a keeper or the store has answered: a second version may have been
+// listed while this instance was cut off.
 func (s *state) decideOrigin(own *gossip.FindOriginReply, others []*gossip.FindOriginReply) (*fleet.Software, error) {
 	var versions []fleet.Software
 	answered := len(others) == 0
