test(direct): a crashing request comes again from other callers

Cause: of a resource and a request for it the request is convicted as long as few crashes came without it; callers with copies of their own go on. Change: simulated sites have models, callers that repeat failed requests, and crashing requests from several callers.

--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -61,6 +61,36 @@
 	}
 }
 
+// A request that crashes endpoints comes again from other callers, among requests that share few
+// endpoints with it. It isn't sent on for long, and those beside it are not refused.
+func TestCrashingRequestOfSeveralCallersIsNotSentOn(t *testing.T) {
+	const window, quick, restart = 4 * time.Second, 60 * time.Millisecond, 3400 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		settings promptSiteSettings
+	}{
+		{"two callers", promptSiteSettings{crashingRate: 1, callers: 2}},
+		{"three callers, many", promptSiteSettings{crashingRate: 4, callers: 3}},
+		{"six callers, few", promptSiteSettings{crashingRate: 0.4, callers: 6}},
+		{"six callers, several at once", promptSiteSettings{crashingRate: 0.4, callers: 6, copies: 3}},
+		{"three callers, store away", promptSiteSettings{crashingRate: 1, callers: 3, storeAway: true}},
+		{"three callers, heartbeats lost and late", promptSiteSettings{crashingRate: 1, callers: 3, loss: 0.3, slow: 0.2}},
+	} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				c.settings.identical, c.settings.seed, c.settings.crashingFrom, c.settings.instances = true, seed, 5*time.Second, 9
+				c.settings.soundRate, c.settings.models, c.settings.repeats = 60, 4, 1
+				c.settings.firstEvent, c.settings.restart = quick, restart
+				p := newPromptSite(t, c.settings)
+				p.run(25 * time.Second)
+				require.GreaterOrEqual(t, len(p.crashes), 3, "not found sooner")
+				assert.LessOrEqual(t, p.sentAfter(3, window), 3, "sent after the bound, of %d; %d endpoints crashed", len(p.crashingRun), len(p.crashes))
+				assert.LessOrEqual(t, p.refusals, 5+int(p.requests)/500, "refusals of sound requests")
+			})
+		}
+	}
+}
+
 // Endpoints that end for another reason don't make the requests that callers send again and again
 // poison requests.
 func TestPolledRequestsAreNotPoison(t *testing.T) {
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -33,6 +33,7 @@
 	siteFirstEvent    = 150 * time.Millisecond // mean time from the arrival at an endpoint to the first event
 	siteStream        = 1500 * time.Millisecond
 	siteAdmissionWait = 100 * time.Millisecond
+	siteRepeatAfter   = 800 * time.Millisecond // until a caller sends a failed request again
 )
 
 // promptSite simulates instances that share endpoints and exchange heartbeats, in virtual time.
@@ -53,6 +54,7 @@
 	crashingRun []time.Duration                     // when such requests were sent
 	sound       map[bool]map[time.Duration]*siteSum // whether the first part is the hot one, second
 	refused     map[string]bool                     // sound parts refused at any time
+	refusals    int                                 // of sound requests
 }
 
 type siteSum struct{ requests, begun int }
@@ -81,16 +83,20 @@
 	polled        float64       // share of the sound requests that are one of sitePolls that come again and again
 	restart       time.Duration // siteRestart if 0
 	storeAway     bool          // entries of endpoints that have ended stay
+	callers       int           // the crashing requests are for one resource, from so many callers
+	models        int           // each endpoint has one of so many models, 1 if 0; the crashing requests are for the first
+	repeats       int           // how often a caller sends a request again that has failed
 }
 
 // crashingIdentity is the identity of identical requests that crash endpoints.
 var crashingIdentity = suspect.Identity{Request: 1 << 41, Resource: 1 << 42}
 
 type siteEndpoint struct {
-	id   fleet.Endpoint
-	born int64
-	up   bool
-	runs []*siteRun
+	id    fleet.Endpoint
+	born  int64
+	model int
+	up    bool
+	runs  []*siteRun
 	// downAt is when it crashed.
 	downAt time.Duration
 }
@@ -98,8 +104,10 @@
 type siteRequest struct {
 	parts    []balance.PromptPart
 	identity suspect.Identity
+	model    int
 	crashing bool
 	hot      bool
+	repeats  int
 	arrived  time.Duration
 	sent     int
 	begun    bool
@@ -153,8 +161,8 @@
 	for i := range members {
 		p.addInstance(members[i], members)
 	}
-	for range cmp.Or(p.endpoints, siteEndpoints) {
-		p.startEndpoint()
+	for i := range cmp.Or(p.endpoints, siteEndpoints) {
+		p.startEndpoint(i % max(1, p.models))
 	}
 	for _, s := range p.states {
 		p.every(siteBeat, func() { p.beat(s) })
@@ -252,9 +260,9 @@
 	}
 }
 
-func (p *promptSite) startEndpoint() {
+func (p *promptSite) startEndpoint(model int) {
 	p.incarnations++
-	e := &siteEndpoint{id: fleet.Endpoint(fmt.Sprintf("i-%04d", p.incarnations)), born: p.incarnations, up: true}
+	e := &siteEndpoint{id: fleet.Endpoint(fmt.Sprintf("i-%04d", p.incarnations)), born: p.incarnations, model: model, up: true}
 	p.servers = append(p.servers, e)
 	p.apply(roster.Record{ID: e.id, Entry: roster.Entry{ID: e.id, Service: "s", Born: e.born, Slots: 64}})
 }
@@ -276,7 +284,7 @@
 		}
 		p.servers = slices.DeleteFunc(p.servers, func(o *siteEndpoint) bool { return o == e })
 	})
-	p.after(cmp.Or(p.restart, siteRestart), p.startEndpoint)
+	p.after(cmp.Or(p.restart, siteRestart), func() { p.startEndpoint(e.model) })
 }
 
 // at runs a function at random times, at a rate a second.
@@ -305,7 +313,7 @@
 	own := fmt.Sprintf("own%d", p.requests)
 	return &siteRequest{
 		parts:    []balance.PromptPart{{ID: first, Tokens: 800}, {ID: second, Tokens: 400}, {ID: own, Tokens: 200}},
-		identity: identityOf(p.requests), hot: first == "hot",
+		identity: identityOf(p.requests), hot: first == "hot", model: p.random.IntN(max(1, p.models)), repeats: p.repeats,
 	}
 }
 
@@ -324,11 +332,14 @@
 
 func (p *promptSite) crashingRequest() *siteRequest {
 	if p.identical {
-		r := &siteRequest{identity: crashingIdentity, crashing: true}
+		r := &siteRequest{identity: crashingIdentity, crashing: true, repeats: p.repeats}
 		if p.variants {
 			p.requests++
 			r.identity.Request += suspect.Fingerprint(p.requests)
 		}
+		if p.callers > 0 {
+			r.identity.Request += suspect.Fingerprint(p.random.IntN(p.callers))
+		}
 		return r
 	}
 	r := p.newRequest("hot", "crashing")
@@ -359,22 +370,26 @@
 // wait for its admission.
 func (p *promptSite) attempt(s *state, r *siteRequest) {
 	if p.refuses(s, r) {
+		p.repeat(r)
 		return
 	}
 	p.after(p.between(0, siteAdmissionWait), func() {
 		if p.refuses(s, r) || r.sent >= siteAttempts {
+			p.repeat(r)
 			return
 		}
 		if _, err := s.ClaimRun(p.query(r), r.identity); err != nil {
+			p.repeat(r)
 			return
 		}
 		var known []*siteEndpoint
 		for _, e := range p.servers {
-			if (e.up || p.clock.elapsed-e.downAt < siteBeat) && !slices.Contains(r.exclude, e.id) {
+			if e.model == r.model && (e.up || p.clock.elapsed-e.downAt < siteBeat) && !slices.Contains(r.exclude, e.id) {
 				known = append(known, e)
 			}
 		}
 		if len(known) == 0 {
+			p.repeat(r)
 			return
 		}
 		e := known[p.random.IntN(len(known))]
@@ -388,6 +403,15 @@
 	})
 }
 
+// repeat has the caller of a request that has failed send it again, at any instance.
+func (p *promptSite) repeat(r *siteRequest) {
+	if r.repeats <= 0 {
+		return
+	}
+	r.repeats, r.sent, r.exclude = r.repeats-1, 0, nil
+	p.after(p.between(siteRepeatAfter/2, siteRepeatAfter), func() { p.attempt(p.states[p.random.IntN(len(p.states))], r) })
+}
+
 func (p *promptSite) send(r *siteRun) {
 	if r.request.crashing {
 		p.crashingRun = append(p.crashingRun, p.clock.elapsed)
@@ -471,6 +495,7 @@
 	_, err := s.CheckRun(p.query(r), r.identity)
 	refused := err != nil
 	if refused && !r.crashing {
+		p.refusals++
 		p.refused[r.parts[0].ID+"/"+r.parts[1].ID] = true
 	}
 	return refused
