fix(suspect): copies of a crashing request from other callers are refused too

Cause: of a resource and a request for it the request was convicted unless three crashes came without it. The first caller's copies convicted that request; each other caller's copy ended an endpoint until three of them had. Change: a request goes before its resource only if all crashes of the resource came under it.

--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -76,19 +76,24 @@
 	}
 }
 
-// requestEvidence is what speaks against a whole request: all crashes under it, and those where its
-// answer had not begun.
-type requestEvidence struct{ all, unbegun evidence }
+// requestEvidence is what speaks against a whole request or a resource: all crashes under it, and
+// those where its answer had not begun.
+type requestEvidence struct {
+	all, unbegun evidence
+	// general is set for a resource all of whose crashes came under one request as well.
+	general bool
+}
 
 // convicts reports whether the evidence suffices for a verdict.
 func (e requestEvidence) convicts(threshold int) bool {
 	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold
 }
 
-// verdict returns the verdict on a request that the evidence convicts.
+// verdict returns the verdict on a request that the evidence convicts. That on a general resource is
+// provisional: either the request or the resource may be the cause.
 func (e requestEvidence) verdict(crashes []*EndpointCrash) Verdict {
 	v := newVerdict(crashes, e.all)
-	v.Provisional = e.all.chain < requestThreshold && e.unbegun.chain < requestMoments
+	v.Provisional = e.general || e.all.chain < requestThreshold && e.unbegun.chain < requestMoments
 	return v
 }
 
@@ -99,9 +104,15 @@
 	explained := make(map[int]bool)
 	for {
 		worst := c.worstRequests(crashes, explained)
+		specific := 0
+		for _, e := range worst {
+			if !e.general {
+				specific++
+			}
+		}
 		for _, e := range worst {
 			switch {
-			case len(worst) == 1 || e.convicts(ambiguousRequestThreshold):
+			case specific == 1 || e.convicts(ambiguousRequestThreshold):
 				verdicts[e.all.key] = e.verdict(crashes)
 			case len(e.unbegun.crashes) >= requestThreshold:
 				v := e.verdict(crashes)
@@ -120,14 +131,15 @@
 	}
 }
 
-// worstRequests returns the request or resource to convict next, and those with as many crashes. Of
-// a resource and the requests for it the more specific one is taken, as among parts.
+// worstRequests returns the request or resource to convict next, and those with as many crashes. A
+// request goes before its resource only if all crashes of the resource came under it: callers other
+// than its own may send copies.
 func (c *CrashRecord) worstRequests(crashes []*EndpointCrash, explained map[int]bool) []requestEvidence {
 	all := c.suspected(crashes, explained, CrashedRun.isRequest)
 	unbegun := c.suspected(crashes, explained, func(r CrashedRun) bool { return r.isRequest() && !r.Begun })
 	var suspects []evidence
 	for _, key := range slices.Sorted(maps.Keys(all)) {
-		e := requestEvidence{newEvidence(crashes, key, all[key]), newEvidence(crashes, key, unbegun[key])}
+		e := requestEvidence{all: newEvidence(crashes, key, all[key]), unbegun: newEvidence(crashes, key, unbegun[key])}
 		if e.convicts(requestThreshold) {
 			suspects = append(suspects, e.all)
 		}
@@ -136,17 +148,24 @@
 		return nil
 	}
 	most := slices.MaxFunc(suspects, func(a, b evidence) int { return len(a.crashes) - len(b.crashes) })
-	culprit := mostSpecific(crashes, suspects, most, requestThreshold)
+	culprit := mostSpecific(crashes, suspects, most, 1)
 	var worst []requestEvidence
 	for _, o := range suspects {
-		related := follows(crashes, culprit, o.key) || follows(crashes, o, culprit.key)
-		if o.key == culprit.key || len(o.crashes) == len(culprit.crashes) && !related {
-			worst = append(worst, requestEvidence{o, newEvidence(crashes, o.key, unbegun[o.key])})
+		if len(o.crashes) == len(culprit.crashes) {
+			worst = append(worst, requestEvidence{o, newEvidence(crashes, o.key, unbegun[o.key]), isGeneral(crashes, suspects, o)})
 		}
 	}
 	return worst
 }
 
+// isGeneral reports whether a suspect is a resource, and another one a request for it in flight at
+// all of its crashes.
+func isGeneral(crashes []*EndpointCrash, suspects []evidence, e evidence) bool {
+	return slices.ContainsFunc(suspects, func(o evidence) bool {
+		return o.key != e.key && slices.Equal(o.crashes, e.crashes) && follows(crashes, o, e.key)
+	})
+}
+
 // suspects returns the parts with enough crashes in sequence that are not explained, sorted.
 func (c *CrashRecord) suspects(crashes []*EndpointCrash, explained map[int]bool) []evidence {
 	sent := c.suspected(crashes, explained, func(r CrashedRun) bool { return !r.isRequest() })
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -311,10 +311,14 @@
 func (p *promptSite) newRequest(first, second string) *siteRequest {
 	p.requests++
 	own := fmt.Sprintf("own%d", p.requests)
-	return &siteRequest{
+	r := &siteRequest{
 		parts:    []balance.PromptPart{{ID: first, Tokens: 800}, {ID: second, Tokens: 400}, {ID: own, Tokens: 200}},
-		identity: identityOf(p.requests), hot: first == "hot", model: p.random.IntN(max(1, p.models)), repeats: p.repeats,
+		identity: identityOf(p.requests), hot: first == "hot", repeats: p.repeats,
 	}
+	if p.models > 1 {
+		r.model = p.random.IntN(p.models)
+	}
+	return r
 }
 
 // soundRequest returns a request whose second part is one of a few frequent or many rare ones.
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -62,16 +62,22 @@
 	}
 	now := s.clock()
 	var reviewed []suspect.Verdict
+	var longest time.Duration
+	var refusal error
 	for _, key := range append(sharedParts(a), id.Keys()...) {
 		v, ok := s.crashes.Verdict(now, key)
 		if !ok {
 			continue
 		}
-		if wait := s.untilReview(now, v); wait > 0 {
-			return wait, fmt.Errorf("%w: %s, %d crashes, the last %s ago", refusalReason(v), key, v.Crashes, now.Sub(v.FailedAt).Round(time.Millisecond))
+		if wait := s.untilReview(now, v); wait > longest {
+			longest = wait
+			refusal = fmt.Errorf("%w: %s, %d crashes, the last %s ago", refusalReason(v), key, v.Crashes, now.Sub(v.FailedAt).Round(time.Millisecond))
 		}
 		reviewed = append(reviewed, v)
 	}
+	if refusal != nil {
+		return longest, refusal
+	}
 	for _, v := range reviewed {
 		if claim {
 			s.reviews[v.Key] = now
