fix(direct): a request whose resource is convicted with it can be reviewed

Callers of a sound request that was in flight at the same crashes as the cause were refused until the verdict expired or another crash told the two apart. Cause: the request and its resource each had a reviewer of their own, by a hash of their key. Only where both hashes named one instance, in one of nine turns, could a request be sent. Change: the reviewer of both is chosen by the resource, in turns counted from the last crash.

--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -91,6 +91,49 @@
 	}
 }
 
+// Of two requests that were in flight at all crashes the sound one is refused until its first review:
+// one instance sends it within a turn, and its answer clears it everywhere.
+func TestRequestsThatNothingTellsApartAreReviewed(t *testing.T) {
+	for seed := range suspect.Fingerprint(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := &testClock{}
+			p := idleSite(t, w, 9)
+			crashing, sound := suspect.Identity{Request: 2 + seed<<8, Resource: 3 + seed<<8}, suspect.Identity{Request: 4 + seed<<8, Resource: 5 + seed<<8}
+			for i := range 3 {
+				d := suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", i), FailedAt: w.now()}
+				for _, id := range []suspect.Identity{crashing, sound} {
+					d.Runs = append(d.Runs, suspect.CrashedRun{Keys: id.Keys(), Age: 10 * time.Millisecond})
+				}
+				for _, s := range p.states {
+					s.crashes.Add(w.now(), d)
+				}
+				w.elapsed += 300 * time.Millisecond
+			}
+			w.elapsed += settleBeats * siteBeat
+			var by []*state
+			for range 10 * int(reviewTurnTime/time.Second) {
+				w.elapsed += 100 * time.Millisecond
+				for _, s := range p.states {
+					if _, err := s.ClaimRun(&balance.Request{}, sound); err == nil {
+						by = append(by, s)
+					}
+				}
+			}
+			require.NotEmpty(t, by, "reviewed within a turn")
+			require.LessOrEqual(t, len(by), 2, "one request in a turn")
+			by[0].AnswerCompleted(sound)
+			_, b := by[0].heartbeat()
+			for _, s := range p.states {
+				if s != by[0] {
+					s.receiveHeartbeat(b)
+				}
+				assert.False(t, s.refuses(sound))
+				assert.True(t, s.refuses(crashing))
+			}
+		})
+	}
+}
+
 // Endpoints that end for another reason don't make the requests that callers send again and again
 // poison requests.
 func TestPolledRequestsAreNotPoison(t *testing.T) {
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -105,19 +105,26 @@
 	return &balance.Request{Parts: []balance.PromptPart{{ID: part}, {ID: "own"}}}
 }
 
-// When a verdict is reviewed one instance sends one request with the part. If that ends another
-// endpoint the part is refused for longer; if its answer begins, all instances take it again.
-func TestVerdictsAreReviewed(t *testing.T) {
-	w := &testClock{}
-	p := &promptSite{promptSiteSettings: promptSiteSettings{instances: 9}, t: t, clock: w, peers: make(map[fleet.Instance]*state)}
+// idleSite returns instances that know each other, without endpoints or requests.
+func idleSite(t *testing.T, w *testClock, instances int) *promptSite {
+	t.Helper()
+	p := &promptSite{promptSiteSettings: promptSiteSettings{instances: instances}, t: t, clock: w, peers: make(map[fleet.Instance]*state)}
 	var members []member.Peer
-	for i := range p.instances {
+	for i := range instances {
 		name := fmt.Sprintf("front-%d", i)
 		members = append(members, member.Peer{Instance: fleet.Instance(name), Incarnation: "1", Place: fleet.Place{DataCentre: allDataCentres}, Address: name, Sequence: 1})
 	}
 	for i := range members {
 		p.addInstance(members[i], members)
 	}
+	return p
+}
+
+// When a verdict is reviewed one instance sends one request with the part. If that ends another
+// endpoint the part is refused for longer; if its answer begins, all instances take it again.
+func TestVerdictsAreReviewed(t *testing.T) {
+	w := &testClock{}
+	p := idleSite(t, w, 9)
 	request := promptWith("x")
 	sent := func(seconds int) (by []*state) {
 		for range seconds * 10 {
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -64,17 +64,24 @@
 	var reviewed []suspect.Verdict
 	var longest time.Duration
 	var refusal error
-	for _, key := range append(sharedParts(a), id.Keys()...) {
+	check := func(key, shared suspect.Key) {
 		v, ok := s.crashes.Verdict(now, key)
 		if !ok {
-			continue
+			return
 		}
-		if wait := s.untilReview(now, v); wait > longest {
+		if wait := s.untilReview(now, v, shared); wait > longest {
 			longest = wait
 			refusal = fmt.Errorf("%w: %s, %d crashes, the last %s ago", refusalReason(v), key, v.Crashes, now.Sub(v.FailedAt).Round(time.Millisecond))
 		}
 		reviewed = append(reviewed, v)
 	}
+	for _, part := range sharedParts(a) {
+		check(part, part)
+	}
+	keys := id.Keys()
+	for _, key := range keys {
+		check(key, keys[0])
+	}
 	if refusal != nil {
 		return longest, refusal
 	}
@@ -106,29 +113,23 @@
 	return firstReviewAfter << min(v.Reviews, maxReviewDoublings)
 }
 
-// reviewTurn returns the number of the turn in which a verdict is reviewed, negative before the
-// first one.
-func reviewTurn(now time.Time, v suspect.Verdict) int {
-	age := now.Sub(v.FailedAt) - reviewAfter(v)
-	if age < 0 {
-		return -1
-	}
-	return int(age / reviewTurnTime)
-}
-
-// untilReview returns after what time a request with a convicted key may be sent, 0 for now.
-func (s *state) untilReview(now time.Time, v suspect.Verdict) time.Duration {
-	turn := reviewTurn(now, v)
-	if turn < 0 {
-		return v.FailedAt.Add(reviewAfter(v)).Sub(now)
+// untilReview returns after what time a request with a convicted key may be sent, 0 for now. shared
+// is the key by which the reviewer is chosen: that of the resource for both keys of a request, or the
+// two would have different reviewers, neither of which may send it.
+func (s *state) untilReview(now time.Time, v suspect.Verdict, shared suspect.Key) time.Duration {
+	age := now.Sub(v.FailedAt)
+	if wait := reviewAfter(v) - age; wait > 0 {
+		return wait
 	}
-	if now.Sub(s.reviews[v.Key]) < reviewTurnTime || s.reviewer(v.Key, turn) != s.view.Self().Instance {
-		return v.FailedAt.Add(reviewAfter(v) + time.Duration(turn+1)*reviewTurnTime).Sub(now)
+	turn := int(age / reviewTurnTime)
+	if now.Sub(s.reviews[v.Key]) < reviewTurnTime || s.reviewer(shared, turn) != s.view.Self().Instance {
+		return time.Duration(turn+1)*reviewTurnTime - age
 	}
 	return 0
 }
 
-// reviewer returns the instance that may try a convicted key again in a turn.
+// reviewer returns the instance that may try a convicted key again in a turn, counted from its last
+// crash.
 func (s *state) reviewer(key suspect.Key, turn int) fleet.Instance {
 	best := s.view.Self().Instance
 	score := func(i fleet.Instance) uint64 {
