fix(suspect): requests that no crash tells apart are reviewed, not refused for a minute

Cause: of several requests in flight at as many crashes each got a final verdict after the fourth. On a busy endpoint a sound request and its retries are in flight at four crashes easily. Change: such verdicts are provisional whatever the number of crashes. One instance sends one of each, which clears it or tells it apart.

--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -22,7 +22,8 @@
 	// refuse requests that merely ran at the same time as the cause. Endpoints may also end at once
 	// for another reason: those where its answer had not begun must have ended at requestMoments
 	// different moments, else the verdict is provisional, and those where it had one after the other.
-	// Of several requests in the same number of crashes, ambiguousRequestThreshold are needed.
+	// Of several requests in the same number of crashes, those whose answers had begun need
+	// ambiguousRequestThreshold.
 	requestThreshold          = 3
 	requestMoments            = 2
 	ambiguousRequestThreshold = 4
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -85,8 +85,8 @@
 }
 
 // convicts reports whether the evidence suffices for a verdict.
-func (e requestEvidence) convicts(threshold int) bool {
-	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold
+func (e requestEvidence) convicts() bool {
+	return e.all.chain >= requestThreshold || len(e.unbegun.crashes) >= requestThreshold
 }
 
 // verdict returns the verdict on a request that the evidence convicts. That on a general resource is
@@ -98,12 +98,16 @@
 }
 
 // convictRequests adds the verdicts on whole requests and resources: again and again those with the
-// most crashes that nothing explains yet. Of several with as many, the verdict is provisional at first.
+// most crashes that nothing explains yet. Of several with as many, the verdict is provisional, however
+// many crashes there are: a review tells them apart.
 // Answers that are on their way clear more: the crashes must have settled.
 func (c *CrashRecord) convictRequests(crashes []*EndpointCrash, verdicts map[Key]Verdict) {
 	explained := make(map[int]bool)
 	for {
 		worst := c.worstRequests(crashes, explained)
+		if len(worst) == 0 {
+			return
+		}
 		specific := 0
 		for _, e := range worst {
 			if !e.general {
@@ -111,19 +115,12 @@
 			}
 		}
 		for _, e := range worst {
-			switch {
-			case specific == 1 || e.convicts(ambiguousRequestThreshold):
-				verdicts[e.all.key] = e.verdict(crashes)
-			case len(e.unbegun.crashes) >= requestThreshold:
-				v := e.verdict(crashes)
+			if v := e.verdict(crashes); specific == 1 {
+				verdicts[e.all.key] = v
+			} else if len(e.unbegun.crashes) >= requestThreshold || e.all.chain >= ambiguousRequestThreshold {
 				v.Provisional = true
 				verdicts[e.all.key] = v
 			}
-		}
-		if len(worst) == 0 {
-			return
-		}
-		for _, e := range worst {
 			for _, i := range e.all.crashes {
 				explained[i] = true
 			}
@@ -140,7 +137,7 @@
 	var suspects []evidence
 	for _, key := range slices.Sorted(maps.Keys(all)) {
 		e := requestEvidence{all: newEvidence(crashes, key, all[key]), unbegun: newEvidence(crashes, key, unbegun[key])}
-		if e.convicts(requestThreshold) {
+		if e.convicts() {
 			suspects = append(suspects, e.all)
 		}
 	}
