test(direct): instances that lose the path to endpoints must serve their callers

Change: the connections of the endpoint client can be replaced by tests; three instances in one process, whose links to the endpoints are reset, hang or refuse. The stand-ins choose free addresses for the tests that need them.

--- /dev/null
+++ b/internal/direct/cut_test.go
@@ -0,0 +1,317 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/direct"
+	"github.com/chiveramp/chiveramp/internal/reload"
+	"github.com/chiveramp/chiveramp/pkg/config"
+	"github.com/chiveramp/chiveramp/platform"
+	"github.com/chiveramp/chiveramp/platform/standin"
+)
+
+// cut is what an instance that loses the path to endpoints sees of its connections to them.
+type cut string
+
+const (
+	cutReset  cut = "reset"  // open ones are reset, new ones refused
+	cutHang   cut = "hang"   // nothing passes any more
+	cutNew    cut = "new"    // new ones are refused, open ones live on
+	cutBroken cut = "broken" // open ones are reset, new ones hang
+)
+
+const (
+	cutBound        = 4 * time.Second // until callers of the instance must be served again
+	cutObserved     = 2 * time.Second // for which they must be
+	cutCallers      = 6
+	cutPause        = 40 * time.Millisecond
+	cutShare        = 0.95 // of the requests, once the bound has passed
+	cutReadyTimeout = 15 * time.Second
+)
+
+const cutConfiguration = `{"version":1,"routes":[
+ {"name":"match","host":"board.example","pathPrefix":"/match/","kind":"stream","timeoutMs":5000,"targetLatencyMs":800,
+  "priority":0,"service":"matcher","maxAttempts":2,"resumable":true,"gapAimMs":300},
+ {"name":"hand","host":"board.example","pathPrefix":"/hand/","kind":"unsafe","timeoutMs":2000,"targetLatencyMs":200,
+  "priority":2,"service":"board","maxAttempts":1}],
+ "services":[{"name":"matcher","maxConns":370,"engine":{"slots":64,"kvCapacity":250000,"weightsMb":220000,"adapterSlots":2,
+  "loadsPerS":2,"models":[{"name":"m","weightsMb":65000,"loadS":1,"adapters":2,"adapterMb":12}]}},
+  {"name":"board","maxConns":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// link is an instance's path to the endpoints.
+type link struct {
+	mu    sync.Mutex
+	state cut
+	open  []*linkConn
+	cut   chan struct{} // closed once nothing passes
+}
+
+func newLink() *link { return &link{cut: make(chan struct{})} }
+
+// linkConn is a connection over a link.
+type linkConn struct {
+	net.Conn
+	link *link
+}
+
+func (c *linkConn) hung() bool {
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	return c.link.state == cutHang
+}
+
+// Read returns nothing after the link has been cut, as if it were lost on the way.
+func (c *linkConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.hung() || err != nil {
+			return n, err
+		}
+	}
+}
+
+func (c *linkConn) Write(p []byte) (int, error) {
+	if c.hung() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (l *link) dial(ctx context.Context, id fleet.Endpoint, born int64, address string) (net.Conn, error) {
+	l.mu.Lock()
+	state := l.state
+	l.mu.Unlock()
+	switch state {
+	case cutReset, cutNew:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	case cutHang, cutBroken:
+		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	conn, err := platform.DialEndpoint(ctx, id, born, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &linkConn{Conn: conn, link: l}
+	l.mu.Lock()
+	l.open = append(l.open, c)
+	l.mu.Unlock()
+	return c, nil
+}
+
+func (l *link) fail(state cut) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = state
+	if state == cutReset || state == cutBroken {
+		for _, c := range l.open {
+			_ = c.SetDeadline(time.Now()) // reads and writes fail at once
+		}
+	}
+}
+
+// cutSite is a deployment whose instances run in this process, each with a link of its own.
+type cutSite struct {
+	t       *testing.T
+	store   *standin.Store
+	runners []*standin.Runner
+	callers []string // the instances' addresses
+	links   []*link
+	logs    []*syncLog
+}
+
+type syncLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *syncLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *syncLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func newCutSite(t *testing.T, instances int) *cutSite {
+	t.Helper()
+	s := &cutSite{t: t, store: standin.NewStore(500)}
+	t.Cleanup(s.store.Close)
+	s.store.Set(platform.CatalogKey, []byte(cutConfiguration))
+	for i := range 4 {
+		s.addRunner(fmt.Sprint("e-", i), "matcher", "m")
+	}
+	for i := range 3 {
+		s.addRunner(fmt.Sprint("p-", i), "board")
+	}
+	var peers []string
+	for range instances {
+		peers = append(peers, standin.FreeAddress(t))
+	}
+	for i := range instances {
+		s.startInstance(i, peers)
+	}
+	for i := range instances {
+		require.Eventually(t, func() bool { return s.send(i, "hand") == 200 && s.send(i, "match") == 200 }, cutReadyTimeout, 20*time.Millisecond)
+	}
+	return s
+}
+
+func (s *cutSite) addRunner(id, service string, models ...string) {
+	r := standin.NewRunner(id, service, "a", 2, models...)
+	s.t.Cleanup(r.Close)
+	s.runners = append(s.runners, r)
+	s.store.Set(r.Entry("ready"))
+}
+
+func (s *cutSite) startInstance(i int, peers []string) {
+	s.t.Helper()
+	c := config.DefaultGateway()
+	c.Instance = config.Instance{Name: fmt.Sprint("front-", i), Region: "south", Datacentre: "a"}
+	c.Listen.Caller, c.Listen.Directory, c.Listen.Ready = standin.FreeAddress(s.t), standin.FreeAddress(s.t), standin.FreeAddress(s.t)
+	c.Listen.Peer, c.Peer.Seeds, c.Peer.Beat, c.Peer.Places = peers[i], peers, 300*time.Millisecond, []string{"a:south"}
+	c.Store.Address, c.Orders.Apart, c.Orders.Lease = s.store.Address(), 300*time.Millisecond, time.Second
+	c.Drain.Grace, c.Drain.Keep = 200*time.Millisecond, 20*time.Millisecond
+	settings, err := reload.New(nil, func() (config.Gateway, error) { return c, nil })
+	require.NoError(s.t, err)
+	output, l, group := &syncLog{}, newLink(), new(errgroup.Group)
+	n := direct.New(settings, log.NewLogfmtLogger(log.NewSyncWriter(output)), group, direct.WithEndpointDialer(l.dial))
+	ctx, stop := context.WithCancel(context.Background())
+	group.Go(func() error { return n.Run(ctx) })
+	s.t.Cleanup(func() {
+		stop()
+		assert.NoError(s.t, group.Wait())
+		if s.t.Failed() {
+			s.t.Logf("log of front-%d:\n%s", i, output)
+		}
+	})
+	s.callers, s.links, s.logs = append(s.callers, c.Listen.Caller), append(s.links, l), append(s.logs, output)
+}
+
+var cutRequests atomic.Int64
+
+// send returns the status of a request at an instance, 0 if the answer wasn't complete.
+func (s *cutSite) send(i int, route string) int {
+	ctx, cancel := context.WithTimeout(s.t.Context(), 5*time.Second)
+	defer cancel()
+	n := cutRequests.Add(1)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/%d", s.callers[i], route, n), strings.NewReader("body"))
+	if err != nil {
+		return 0
+	}
+	r.Host = "board.example"
+	r.Header.Set("Request-Id", fmt.Sprint("c", n))
+	r.Header.Set("Deadline-Ms", "5000")
+	if route == "match" {
+		r.Header.Set("Model", "m")
+		r.Header.Set("Token-Count", "100,20")
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return 0
+	}
+	return answer.StatusCode
+}
+
+type firstTry struct {
+	sent   time.Duration // after the cut
+	status int
+}
+
+// observe has callers send requests to an instance for a while from now on.
+func (s *cutSite) observe(i int, duration time.Duration) []firstTry {
+	var mu sync.Mutex
+	var all []firstTry
+	var callers sync.WaitGroup
+	started := time.Now()
+	for n := range cutCallers {
+		callers.Go(func() {
+			for time.Since(started) < duration {
+				sent, route := time.Since(started), "hand"
+				if n%2 == 0 {
+					route = "match"
+				}
+				status := s.send(i, route)
+				mu.Lock()
+				all = append(all, firstTry{sent, status})
+				mu.Unlock()
+				time.Sleep(cutPause)
+			}
+		})
+	}
+	callers.Wait()
+	slices.SortFunc(all, func(a, b firstTry) int { return int(a.sent - b.sent) })
+	return all
+}
+
+// Instances that lose the path to all endpoints serve their callers again within the bound, though
+// only their peers reach the endpoints. They report no endpoint as crashed.
+func TestInstancesCutFromEndpointsServe(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		how  cut
+		cut  int // instances, of 3
+	}{
+		{"connections reset", cutReset, 1},
+		{"connections reset, two of three", cutReset, 2},
+		{"connections hang", cutHang, 1},
+		{"connections hang, two of three", cutHang, 2},
+		{"new connections refused", cutNew, 1},
+		{"connections reset, new ones hang", cutBroken, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newCutSite(t, 3)
+			_ = s.observe(0, 500*time.Millisecond) // opens connections
+			before := len(s.logs[0].String())
+			for i := range c.cut {
+				s.links[i].fail(c.how)
+			}
+			all := s.observe(0, cutBound+cutObserved)
+			var late, served int
+			lastFailure := time.Duration(0)
+			for _, f := range all {
+				if f.status != 200 {
+					lastFailure = f.sent
+				}
+				if f.sent >= cutBound {
+					late++
+					if f.status == 200 {
+						served++
+					}
+				}
+			}
+			t.Logf("last failure of %d requests: sent %s after the cut", len(all), lastFailure)
+			assert.GreaterOrEqual(t, float64(served), cutShare*float64(late), "of %d requests", late)
+			assert.NotContains(t, s.logs[0].String()[before:], "step=died")
+		})
+	}
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -67,6 +67,7 @@
 	state             *state
 	store             *platform.Store
 	endpoints         *platform.EndpointClient
+	dialDirect        platform.EndpointDialer
 	gossip            *gossip.Client
 	orderLease        *orderLease
 	loader            *loader.Loader
@@ -81,8 +82,16 @@
 	incomingList incomingList
 }
 
+// Option configures a Node.
+type Option func(*Node)
+
+// WithEndpointDialer sets how the instance connects to endpoints directly.
+func WithEndpointDialer(dial platform.EndpointDialer) Option {
+	return func(n *Node) { n.dialDirect = dial }
+}
+
 // New creates an instance from its settings. Its goroutines run in the group.
-func New(settings *reload.Value[config.Gateway], logger log.Logger, group *errgroup.Group) *Node {
+func New(settings *reload.Value[config.Gateway], logger log.Logger, group *errgroup.Group, options ...Option) *Node {
 	c := settings.Get()
 	clock := timer.System{}
 	place := fleet.Place{Region: fleet.Region(c.Instance.Region), DataCentre: fleet.DataCentre(c.Instance.Datacentre)}
@@ -100,10 +109,14 @@
 	n := &Node{
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timers, clock: clock.Now,
-		state:     newState(self, place, regions, budget, c.Peer.Beat, clock.Now, logger),
-		endpoints: platform.NewEndpointClient(),
-		gossip:    gossip.NewClient(),
+		state:      newState(self, place, regions, budget, c.Peer.Beat, clock.Now, logger),
+		gossip:     gossip.NewClient(),
+		dialDirect: platform.DialEndpoint,
+	}
+	for _, o := range options {
+		o(n)
 	}
+	n.endpoints = platform.NewEndpointClient(platform.WithEndpointDialer(n.dialDirect))
 	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithNewEra(n.newEra))
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
