fix(direct): an instance that is cut off from endpoints connects through its peers

Cause: an instance sent to endpoints over its own connections only, and a connect that was refused or timed out left the endpoint out. Nothing passed through the peers that reach it. Change: a connect that fails, or takes longer than 100 ms, is made through a peer, by a stream of the protocol between instances. core/path keeps what connects have shown: which endpoints are reached through peers only, whether the instance is cut off from most of them, when to try a direct path again. Choice, attempts, admission and evidence stay where they are. A refused connect counts as "nothing listens" only if a peer finds the same, and if the instance's own path is not in doubt: step=died came ten times at one cut instance. Orders go by direct connections only. A probe without an answer closes the idle connections to its endpoint.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -174,7 +174,7 @@
 		_ = s.logger.Log("step", "peer", "peer", c.Instance, "from", c.From, "to", c.To)
 	}
 	b := &gossip.Heartbeat{
-		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(),
+		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
 		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
 		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(),
 	}
@@ -343,5 +343,6 @@
 	for _, e := range s.roster.All() {
 		live[e.ID] = e.Born
 	}
+	s.paths.Keep(now, live)
 	return live
 }
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -68,6 +69,7 @@
 	store             *platform.Store
 	endpoints         *platform.EndpointClient
 	dialDirect        platform.EndpointDialer
+	relayed           atomic.Int32 // connections carried for peers
 	gossip            *gossip.Client
 	orderLease        *orderLease
 	loader            *loader.Loader
@@ -116,7 +118,7 @@
 	for _, o := range options {
 		o(n)
 	}
-	n.endpoints = platform.NewEndpointClient(platform.WithEndpointDialer(n.dialDirect))
+	n.endpoints = platform.NewEndpointClient(platform.WithEndpointDialer(n.dialEndpoint), platform.WithOrderDialer(n.dialDirect))
 	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithNewEra(n.newEra))
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
@@ -235,6 +237,7 @@
 	every("place", placementInterval, n.placeModels)
 	every("tidy", cleanUpInterval, n.cleanUp)
 	every("list", instanceListInterval, n.refreshInstances)
+	every("paths", pathCheckInterval, n.checkPaths)
 	every("reload", reloadInterval, func(context.Context) { n.Reload("look") })
 }
 
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -17,6 +17,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
+	"github.com/chiveramp/chiveramp/internal/core/path"
 	"github.com/chiveramp/chiveramp/internal/core/recency"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
@@ -95,6 +96,7 @@
 	reviews         map[suspect.Key]time.Time // when this instance last tried a convicted part
 	loggedVerdicts  map[suspect.Key]bool
 	origins         *origin.Table
+	paths           *path.Table
 	leftEndpoints   []gossip.Incarnation
 	leaving         bool
 	mayOrder        bool
@@ -141,7 +143,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
-		origins: origin.NewTable(), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
+		origins: origin.NewTable(), paths: path.NewTable(), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
 }
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -355,6 +355,11 @@
 			defer cancel()
 			requestedAt := n.clock() // the report's contents may be as old as the request for it
 			report, err := n.endpoints.Report(ctx, e.ID, e.Born, e.Address)
+			if errors.Is(err, context.DeadlineExceeded) {
+				// What is sent over the open connections may be lost.
+				n.state.pathFailed(e.ID)
+				n.endpoints.CloseIdle(e.ID, e.Born)
+			}
 			if err != nil {
 				n.state.recordFailure(e.ID, e.Born)
 				_ = level.Warn(n.logger).Log("step", "probe", "endpoint", e.ID, "err", err)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -58,6 +58,19 @@
 	return &gossip.OriginsReply{}, nil
 }
 
+func (handler) Relay(ctx context.Context, r *gossip.Relay) (net.Conn, error) {
+	switch r.Endpoint {
+	case "refused":
+		return nil, gossip.ErrRelayRefused
+	case "unknown":
+		return nil, gossip.ErrRelayUnreachable
+	case "busy":
+		return nil, gossip.ErrRelayBusy
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", string(r.Endpoint))
+}
+
 func (handler) FindOrigin(_ context.Context, f *gossip.FindOrigin) (*gossip.FindOriginReply, error) {
 	return &gossip.FindOriginReply{Known: true, Software: fleet.Software(f.ID), Versions: []fleet.Software{"1", "2"}}, nil
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -25,6 +25,8 @@
 	Ready bool `cbor:"y"`
 	// StoreReachable is set if the store has recently answered the sender.
 	StoreReachable bool `cbor:"k"`
+	// CutOff is set if the sender reaches most endpoints through its peers only.
+	CutOff bool `cbor:"a,omitempty"`
 	// Catalog and Roster are the versions that the sender has.
 	Catalog int64 `cbor:"c"`
 	Roster  int64 `cbor:"r"`
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -44,6 +44,8 @@
 	Portions(ctx context.Context, p *Portions) (*PortionsReply, error)
 	Origins(ctx context.Context, o *Origins) (*OriginsReply, error)
 	FindOrigin(ctx context.Context, f *FindOrigin) (*FindOriginReply, error)
+	// Relay connects to an endpoint for a peer. The context ends with the relayed connection.
+	Relay(ctx context.Context, r *Relay) (net.Conn, error)
 }
 
 // NewServer returns a gRPC server for a handler.
@@ -66,6 +68,7 @@
 			unaryMethod("Origins", Handler.Origins),
 			unaryMethod("FindOrigin", Handler.FindOrigin),
 		},
+		Streams: []grpc.StreamDesc{relayStream},
 	}, h)
 	return s
 }
