fix(direct): a holder of the order lease that is cut off from endpoints gives it up

Callers of all instances got 503 for adapters that weren't loaded: the holder of the order lease was one of the six that were cut off, kept the lease by its path to the store, and couldn't give an order. Cause: the lease depends on the store only. Evidence: "load adapter: peer ...: connection refused" in the logs of instances that were not cut off. Change: an instance that is cut off from most endpoints while a live peer isn't revokes its lease and doesn't claim one. The next holder waits for orders on their way, as after any release.

--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -101,6 +101,9 @@
 	}
 	switch {
 	case released:
+	case s.cutOff():
+		// An instance that reaches the endpoints must give the orders.
+		o.giveUp(ctx, false)
 	case !lease.IsZero():
 		o.renew(ctx, lease, held)
 	case held:
@@ -266,13 +269,16 @@
 	return item, err
 }
 
-// release revokes the lease before it expires. The next holder still has to wait for orders
-// that this instance has sent.
-func (o *orderLease) release(ctx context.Context) {
+// release revokes the lease for good as this instance stops.
+func (o *orderLease) release(ctx context.Context) { o.giveUp(ctx, true) }
+
+// giveUp revokes the lease, if this instance has it, before it expires. The next holder still has to
+// wait for orders that this instance has sent. After the last time it never acquires the lease again.
+func (o *orderLease) giveUp(ctx context.Context, last bool) {
 	o.mu.Lock()
 	lease := o.lease
 	o.tenure.Lost()
-	o.lease, o.released = platform.Lease{}, true
+	o.lease, o.vacantSince, o.released = platform.Lease{}, 0, last
 	o.mu.Unlock()
 	if lease.IsZero() {
 		return
--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -108,6 +108,13 @@
 	return !s.refusalsDoubtful()
 }
 
+// cutOff reports whether this instance is cut off from most endpoints while a peer isn't.
+func (s *state) cutOff() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.CutOff(s.clock()) && slices.ContainsFunc(s.livePeers(), func(p *peer) bool { return !p.heartbeat.CutOff })
+}
+
 // livePeers returns the peers that are known to be live.
 func (s *state) livePeers() []*peer {
 	var live []*peer
