fix(direct): an instance that stops while it is cut off doesn't claim the order lease again

Change: the node decides whether the lease is maintained or given up; a release holds. Result: the tests of the lease pass, TestHolderCutFromEndpointsGivesUpTheOrderLease too.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -233,7 +233,7 @@
 	every("beat", n.config.Peer.Beat, n.sendHeartbeats)
 	every("portions", allotment.AskInterval, n.refillPortions)
 	every("probe", probeInterval, n.probeEndpoints)
-	every("right", orderLeaseInterval, func(ctx context.Context) { n.orderLease.maintain(ctx, n.state) })
+	every("right", orderLeaseInterval, n.maintainOrderLease)
 	every("place", placementInterval, n.placeModels)
 	every("tidy", cleanUpInterval, n.cleanUp)
 	every("list", instanceListInterval, n.refreshInstances)
@@ -258,6 +258,16 @@
 	_ = level.Info(n.logger).Log("step", "reload", "cause", cause)
 }
 
+// maintainOrderLease keeps or claims the order lease, unless another instance must give the orders
+// because this one is cut off from the endpoints.
+func (n *Node) maintainOrderLease(ctx context.Context) {
+	if n.state.cutOff() {
+		n.orderLease.giveUp(ctx, false)
+		return
+	}
+	n.orderLease.maintain(ctx, n.state)
+}
+
 // placeModels gives the orders that are due, if this instance may give any.
 func (n *Node) placeModels(ctx context.Context) {
 	mayOrder := n.loader.Step(ctx)
--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -101,9 +101,6 @@
 	}
 	switch {
 	case released:
-	case s.cutOff():
-		// An instance that reaches the endpoints must give the orders.
-		o.giveUp(ctx, false)
 	case !lease.IsZero():
 		o.renew(ctx, lease, held)
 	case held:
@@ -278,7 +275,7 @@
 	o.mu.Lock()
 	lease := o.lease
 	o.tenure.Lost()
-	o.lease, o.vacantSince, o.released = platform.Lease{}, 0, last
+	o.lease, o.vacantSince, o.released = platform.Lease{}, 0, o.released || last
 	o.mu.Unlock()
 	if lease.IsZero() {
 		return
