fix(direct): an instance that is cut off doesn't announce endpoints as failing

Cause: heartbeats carry the endpoints that lately failed here, and all instances avoid them. Behind a cut these are all endpoints, which serve well elsewhere. Change: an instance that reaches most endpoints through peers only leaves them out.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -187,8 +187,10 @@
 		b.Reports = append(b.Reports, r)
 	}
 	s.newReports = nil
-	for _, f := range s.failedEndpoints {
-		b.Failed = append(b.Failed, f)
+	if !b.CutOff { // else its own path is the likelier reason
+		for _, f := range s.failedEndpoints {
+			b.Failed = append(b.Failed, f)
+		}
 	}
 	clear(s.failedEndpoints)
 	s.retirements = slices.DeleteFunc(s.retirements, func(r retirement) bool { return now.Sub(r.since) > retirementAnnounceTime })
