fix(direct): a connect that no other way can replace is given up after 100 ms

Cause: where connects hang for all instances, each of a request's four tries took up to 500 ms before its caller was refused, though peers had just been found not to reach the endpoint either. Change: such a direct connect gets the time that one usually takes.

--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -24,9 +24,9 @@
 const (
 	// connectTimeout limits connecting to an endpoint by any way.
 	connectTimeout = 500 * time.Millisecond
-	// relayDelay is how long a direct connect may take before a peer is asked as well. It exceeds
-	// two round trips between regions.
-	relayDelay = 100 * time.Millisecond
+	// usualConnectTime is how long a direct connect takes at most unless the path or the endpoint is
+	// at fault: two round trips between regions. After it a peer is asked as well.
+	usualConnectTime = 100 * time.Millisecond
 	// relayTimeout limits the question to one peer.
 	relayTimeout = 200 * time.Millisecond
 	// relayCandidates is how many peers are asked for one connection.
@@ -210,6 +210,8 @@
 	c := &connect{node: n, id: id, born: born, address: address}
 	switch n.state.wayTo(id) {
 	case path.Alone:
+		ctx, cancel := context.WithTimeout(ctx, usualConnectTime)
+		defer cancel()
 		conn, err := c.direct(ctx)
 		return conn, c.failure(err, nil)
 	case path.Relay:
@@ -222,7 +224,7 @@
 		return c.race(ctx, 0)
 	case path.Direct:
 	}
-	return c.race(ctx, relayDelay)
+	return c.race(ctx, usualConnectTime)
 }
 
 // connect is one connect to an endpoint.
