fix(direct): an instance that stops finishes the requests that peers send through it

Cause: the end of a shutdown closed the streams to peers at once, and peers went on using idle connections through an instance that leaves. Change: the shutdown waits for relayed connections within its grace period. An instance closes its idle connections when a peer that they may go through leaves or fails.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -306,6 +306,9 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
+	for n.relayed.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPause) // peers close the idle connections through this instance
+	}
 	_ = level.Info(n.logger).Log("step", "stop", "took", n.clock().Sub(started))
 }
 
--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -71,12 +71,28 @@
 	defer s.mu.Unlock()
 	before := s.paths.Cut()
 	cutOff := s.paths.Relayed(s.clock(), id)
+	s.relayPeers[through] = struct{}{}
 	if cut := s.paths.Cut(); cut != before {
 		_ = s.logger.Log("step", "path", "endpoint", id, "now", "cut", "through", through, "cut", cut, "off", cutOff)
 	}
 	return cutOff
 }
 
+// lostRelayPeer reports whether a peer that connections go through is about to stop or has failed. It
+// reports each once.
+func (s *state) lostRelayPeer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := false
+	for name := range s.relayPeers {
+		if !s.isLive(name) {
+			delete(s.relayPeers, name)
+			lost = true
+		}
+	}
+	return lost
+}
+
 // pathLost records why no peer has connected to an endpoint.
 func (s *state) pathLost(id fleet.Endpoint, err error) {
 	s.mu.Lock()
@@ -342,8 +358,12 @@
 	}
 }
 
-// checkPaths tries the paths that are cut again.
+// checkPaths tries the paths that are cut again, and has no connection reused that goes through a peer
+// which is lost.
 func (n *Node) checkPaths(ctx context.Context) {
+	if n.state.lostRelayPeer() {
+		n.endpoints.CloseAllIdle()
+	}
 	var group errgroup.Group
 	for _, e := range n.state.pathChecks() {
 		group.Go(func() error {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -97,6 +97,7 @@
 	loggedVerdicts  map[suspect.Key]bool
 	origins         *origin.Table
 	paths           *path.Table
+	relayPeers      map[fleet.Instance]struct{} // peers that connections to endpoints have gone through
 	leftEndpoints   []gossip.Incarnation
 	leaving         bool
 	mayOrder        bool
@@ -143,7 +144,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
-		origins: origin.NewTable(), paths: path.NewTable(), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
+		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
 }
