--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -29,6 +29,8 @@
 	outcomeRetention = 2 * time.Second
 	// peersRetention is how long peers are not asked again for an endpoint that they don't reach.
 	peersRetention = time.Second
+	// lostRetention is how long an endpoint that no way has led to counts as lost.
+	lostRetention = 10 * time.Second
 	// minCutPaths is how many paths must be cut for an instance to count as cut off.
 	minCutPaths = 2
 	// minDoubtfulPaths is how many connects must fail before the instance's own path is doubted:
@@ -104,6 +106,7 @@
 func (t *Table) Relayed(now time.Time, id fleet.Endpoint) (cutOff bool) {
 	before := t.CutOff(now)
 	p := t.path(id)
+	p.unreachedAt = time.Time{}
 	if !p.cut {
 		p.cut, p.checkAt = true, now.Add(checkInterval)
 	}
@@ -119,6 +122,12 @@
 // UnreachedThere records that peers don't reach an endpoint.
 func (t *Table) UnreachedThere(now time.Time, id fleet.Endpoint) { t.path(id).unreachedAt = now }
 
+// Lost reports whether no way has lately led to an endpoint, so that waiting long for one is in vain.
+func (t *Table) Lost(now time.Time, id fleet.Endpoint) bool {
+	p := t.paths[id]
+	return p != nil && recent(now, p.unreachedAt, lostRetention)
+}
+
 // ConfirmedRefused reports whether a peer has lately found that nothing listens at an endpoint's address.
 func (t *Table) ConfirmedRefused(now time.Time, id fleet.Endpoint) bool {
 	p := t.paths[id]
@@ -184,7 +193,7 @@
 	for id, p := range t.paths {
 		_, ok := live[id]
 		known := p.cut || recent(now, p.failedAt, outcomeRetention) || recent(now, p.workedAt, outcomeRetention) ||
-			recent(now, p.refusedAt, peersRetention) || recent(now, p.unreachedAt, peersRetention)
+			recent(now, p.refusedAt, peersRetention) || recent(now, p.unreachedAt, lostRetention)
 		if !ok || !known {
 			delete(t.paths, id)
 		}
--- a/internal/core/path/path_test.go
+++ b/internal/core/path/path_test.go
@@ -93,6 +93,21 @@
 	assert.False(t, tableAfter(events[:6]).Doubtful(at(20), 3), "three may end at once")
 }
 
+// An endpoint counts as lost until a way leads to it again.
+func TestLost(t *testing.T) {
+	for _, c := range []struct {
+		then event
+		want bool
+	}{
+		{event{1, "a", "failed"}, true}, {event{1, "a", "worked"}, false}, {event{1, "a", "relayed"}, false}, {event{1, "b", "worked"}, true},
+	} {
+		table := tableAfter([]event{{0, "a", "unreached there"}, c.then})
+		assert.Equal(t, c.want, table.Lost(at(2000), "a"), c.then.outcome)
+		assert.False(t, table.Lost(at(11_000), "a"), "long ago")
+		assert.False(t, table.Lost(at(2000), "b"))
+	}
+}
+
 // Paths that are cut are tried again, a bounded number at once and each after a while, and forgotten
 // with their endpoints.
 func TestCutPathsAreChecked(t *testing.T) {
--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -39,11 +39,20 @@
 
 var errNoRelay = errors.New("no peer to connect through")
 
-// wayTo returns how to connect to an endpoint.
-func (s *state) wayTo(id fleet.Endpoint) path.Way {
+// wayTo returns how to connect to an endpoint, and for how long to try.
+func (s *state) wayTo(id fleet.Endpoint) (path.Way, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.paths.Way(s.clock(), id)
+	now := s.clock()
+	way := s.paths.Way(now, id)
+	switch {
+	case way == path.Alone:
+		return way, usualConnectTime
+	case s.paths.Lost(now, id):
+		return way, relayTimeout
+	default:
+		return way, connectTimeout
+	}
 }
 
 // pathFailed records that a direct connect, or a question over an open connection, has failed.
@@ -221,13 +230,12 @@
 // dialEndpoint connects to an endpoint: directly, or through a peer while the direct path is cut. The
 // error is ECONNREFUSED only if nothing listens there, as far as peers can tell.
 func (n *Node) dialEndpoint(ctx context.Context, id fleet.Endpoint, born int64, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	way, timeout := n.state.wayTo(id)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c := &connect{node: n, id: id, born: born, address: address}
-	switch n.state.wayTo(id) {
+	switch way {
 	case path.Alone:
-		ctx, cancel := context.WithTimeout(ctx, usualConnectTime)
-		defer cancel()
 		conn, err := c.direct(ctx)
 		return conn, c.failure(err, nil)
 	case path.Relay:
