refactor(direct): names and comments of paths to endpoints say who does what

Cause: read as a newcomer would: pathLost also recorded refusals, some comments alluded. Change: names and comments only. Result: the linter and the tests of the package pass.

--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -25,11 +25,11 @@
 )
 
 const (
-	// outcomeRetention is how long the outcome of a connect tells the state of a path.
+	// outcomeRetention is how long the outcome of a connect counts for the state of a path.
 	outcomeRetention = 2 * time.Second
 	// peersRetention is how long peers are not asked again for an endpoint that they don't reach.
 	peersRetention = time.Second
-	// lostRetention is how long an endpoint that no way has led to counts as lost.
+	// lostRetention is how long an endpoint that could not be reached counts as lost.
 	lostRetention = 10 * time.Second
 	// minCutPaths is how many paths must be cut for an instance to count as cut off.
 	minCutPaths = 2
@@ -122,13 +122,14 @@
 // UnreachedThere records that peers don't reach an endpoint.
 func (t *Table) UnreachedThere(now time.Time, id fleet.Endpoint) { t.path(id).unreachedAt = now }
 
-// Lost reports whether no way has lately led to an endpoint, so that waiting long for one is in vain.
+// Lost reports whether neither a direct connect nor a peer has reached an endpoint for up to lostRetention.
+// A connect to it is unlikely to succeed, however long it takes.
 func (t *Table) Lost(now time.Time, id fleet.Endpoint) bool {
 	p := t.paths[id]
 	return p != nil && recent(now, p.unreachedAt, lostRetention)
 }
 
-// ConfirmedRefused reports whether a peer has lately found that nothing listens at an endpoint's address.
+// ConfirmedRefused reports whether a peer's connect to an endpoint was refused within peersRetention.
 func (t *Table) ConfirmedRefused(now time.Time, id fleet.Endpoint) bool {
 	p := t.paths[id]
 	return p != nil && recent(now, p.refusedAt, peersRetention)
--- a/internal/direct/order_lease.go
+++ b/internal/direct/order_lease.go
@@ -266,7 +266,7 @@
 	return item, err
 }
 
-// release revokes the lease for good as this instance stops.
+// release revokes the lease as this instance stops.
 func (o *orderLease) release(ctx context.Context) { o.giveUp(ctx, true) }
 
 // giveUp revokes the lease, if this instance has it, before it expires. The next holder still has to
--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -102,8 +102,8 @@
 	return lost
 }
 
-// pathLost records why no peer has connected to an endpoint.
-func (s *state) pathLost(id fleet.Endpoint, err error) {
+// relayFailed records why no peer has connected to an endpoint.
+func (s *state) relayFailed(id fleet.Endpoint, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if errors.Is(err, gossip.ErrRelayRefused) {
@@ -291,7 +291,7 @@
 		}
 	}
 	if ctx.Err() == nil {
-		s.pathLost(c.id, lost)
+		s.relayFailed(c.id, lost)
 	}
 	return nil, lost
 }
--- a/internal/direct/path_test.go
+++ b/internal/direct/path_test.go
@@ -94,11 +94,11 @@
 		{name: "a peer that wasn't asked", before: func(s *state) { addPeer(s, "two", "south", false) }},
 		{name: "a peer finds the same", before: func(s *state) {
 			addPeer(s, "two", "south", false)
-			s.pathLost("e0", fmt.Errorf("peer: %w", gossip.ErrRelayRefused))
+			s.relayFailed("e0", fmt.Errorf("peer: %w", gossip.ErrRelayRefused))
 		}, want: true},
 		{name: "a peer doesn't reach it", before: func(s *state) {
 			addPeer(s, "two", "south", false)
-			s.pathLost("e0", gossip.ErrRelayUnreachable)
+			s.relayFailed("e0", gossip.ErrRelayUnreachable)
 		}},
 		{name: "most endpoints refuse", before: func(*state) {}, refused: 6},
 	}
