feat(load): settings and announced features for services under hard load

Cause: the parts for hard load are built side by side, each for services whose configuration and settings call for it, and must not take effect by halves while instances of an earlier build run.

Change: section [load] of the settings (sizes from which a service gets a part), the features that a build announces on heartbeats, and which services have a part as of the last heartbeat. No part uses it yet, and no feature is announced.

Measured: unit tests of the switch and of the announcement; nothing else changes.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
@@ -173,10 +174,11 @@
 	for _, c := range s.view.Tick(now) {
 		_ = s.logger.Log("step", "peer", "peer", c.Instance, "from", c.From, "to", c.To)
 	}
+	s.updateLoadFeatures()
 	b := &gossip.Heartbeat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
 		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
-		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(),
+		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(), Features: feature.Announced(),
 	}
 	if s.catalog != nil {
 		b.Catalog = s.catalog.Version
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -120,10 +120,11 @@
 	}
 	n.endpoints = platform.NewEndpointClient(platform.WithEndpointDialer(n.dialEndpoint), platform.WithOrderDialer(n.dialDirect))
 	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
+	n.state.loadFeatures.settings = c.Load
 	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithNewEra(n.newEra))
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
-		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies,
+		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
 	}, loader.WithLogger(logger))
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers),
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -126,6 +126,7 @@
 	// watches the store.
 	storeAnsweredAt time.Time
 	watching        bool
+	loadFeatures    loadFeatures
 }
 
 // retirement is a model that is about to be unloaded from an endpoint.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -6,6 +6,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
@@ -60,6 +61,8 @@
 	Ended    []EndpointCrash `cbor:"w,omitempty"`
 	Begun    []BegunKey      `cbor:"b,omitempty"`
 	Verdicts []Verdict       `cbor:"m,omitempty"`
+	// Features are what the sender's build can do.
+	Features []feature.Feature `cbor:"v,omitempty"`
 }
 
 // WithoutDemand returns a copy of the heartbeat without what only the holder of the order
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -171,6 +171,9 @@
 	MinGain       float64
 	MinDemand     float64
 	StandbyCopies int
+	// Follow is the number of loads a second that a service's weight store must allow for its
+	// copies to follow rising demand, 0 for no service.
+	Follow float64
 }
 
 // Option configures a Loader.
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -25,6 +25,7 @@
 	Limits     GatewayLimits
 	Drain      GatewayDrain
 	Workspaces GatewayWorkspaces
+	Load       GatewayLoad
 	Log        Log
 	Trace      Trace
 }
@@ -107,6 +108,17 @@
 	Revoke time.Duration
 }
 
+// GatewayLoad configures what is done for services under hard load. Each key is the size from which
+// a service gets it; at 0 none does.
+type GatewayLoad struct {
+	// Follow is the number of loads a second that the weight store allows from which copies follow
+	// the demand that is rising.
+	Follow float64
+	// Even and Queue are the number of endpoints from which instances spread their requests by
+	// what admissions tell, and from which requests wait for room.
+	Even, Queue int
+}
+
 // Defaults of a Gateway.
 const (
 	gatewayHeartbeat    = 300 * time.Millisecond
@@ -228,6 +240,11 @@
 			flag("strict", &c.Workspaces.Strict),
 			inifile.Duration("revoke", &c.Workspaces.Revoke, 0),
 		}},
+		{"load", []inifile.Field{
+			inifile.Number("follow", &c.Load.Follow, 0, maxCount),
+			inifile.Count("even", &c.Load.Even, 0, maxCount),
+			inifile.Count("queue", &c.Load.Queue, 0, maxCount),
+		}},
 		{"log", logFields(&c.Log)},
 		{"trace", traceFields(&c.Trace)},
 	}
