--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -241,7 +241,7 @@
 			inifile.Duration("revoke", &c.Workspaces.Revoke, 0),
 		}},
 		{"load", []inifile.Field{
-			inifile.Number("follow", &c.Load.Follow, 0, maxCount),
+			inifile.Number("follow", &c.Load.Follow, 0, maxCount).WithWant("a number from 0 to " + strconv.Itoa(maxCount)),
 			inifile.Count("even", &c.Load.Even, 0, maxCount),
 			inifile.Count("queue", &c.Load.Queue, 0, maxCount),
 		}},
