fix(gateway): a stalled stream that sends bytes now and then is taken up elsewhere

Cause: the silence timer of a stream was restarted by each byte. An endpoint that sends pieces of an event, or comments, without ever completing an event held its caller until the route's timeout, though the stream could have been resumed at another endpoint.

Change: only a complete event counts as progress. Comments are held until an event, or the end of the stream, follows. A stream whose events arrive within their bound stays where it is.

Measured: TestOnlyEventsCountAsProgress ran into the timeout of 10 s in both stalled cases before; it now ends by the second endpoint, and the slow one keeps its first.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -269,7 +268,7 @@
 // passStream passes events on as they arrive, each only once it is complete.
 func (a *attempt) passStream(ctx context.Context, answer *Answer) (outcome, error) {
 	j := a.job
-	var pending []byte
+	var events eventBuffer
 	held := reservation{memory: j.gateway.held}
 	defer held.release()
 	buffer := make([]byte, readBufferBytes)
@@ -278,43 +277,44 @@
 		if n > 0 {
 			a.markAnswered()
 		}
-		searched := max(0, len(pending)-1)
-		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending[searched:], []byte("\n\n")); end >= 0 {
-			end += searched
+		if complete := events.add(buffer[:n]); complete > 0 {
 			a.promptBegun()
 			a.timer.close() // a caller that reads slowly is no silence of the endpoint
 			if !j.delivery.take(a) {
 				return outcomeSuperseded, nil
 			}
 			a.announceStream()
-			if err := j.delivery.passEvents(a, answer, pending[:end+2]); err != nil {
+			if err := j.delivery.passEvents(a, answer, events.data[:complete]); err != nil {
 				return outcomeDone, err
 			}
-			pending = append(pending[:0], pending[end+2:]...)
+			events.remove(complete)
+			a.timer.start(eventGapFactor * j.route.MaxEventGap)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0:
-			return a.finishStream(answer)
+		case errors.Is(err, io.EOF) && events.betweenEvents():
+			return a.finishStream(answer, events.data)
 		case err != nil:
 			a.reportFailure(ctx)
 			return outcomeInterrupted, fmt.Errorf("stream broke off after event %q: %w", j.delivery.last(), err)
-		case len(pending) > maxEventBytes:
+		case len(events.data) > maxEventBytes:
 			a.reportBroken(ctx, errAnswerTooLarge)
 			return outcomeInterrupted, fmt.Errorf("event after %q: %w", j.delivery.last(), errAnswerTooLarge)
-		case !held.resize(cap(pending)):
+		case !held.resize(cap(events.data)):
 			return outcomeInterrupted, fmt.Errorf("event after %q: %w", j.delivery.last(), errNoHeldMemory)
-		case n > 0:
-			a.timer.start(eventGapFactor * j.route.MaxEventGap)
 		}
 	}
 }
 
-// finishStream ends a stream whose last event has been passed on.
-func (a *attempt) finishStream(answer *Answer) (outcome, error) {
+// finishStream ends a stream whose last event has been passed on, with the comments after it.
+func (a *attempt) finishStream(answer *Answer, comments []byte) (outcome, error) {
 	if !a.job.delivery.take(a) {
 		return outcomeSuperseded, nil
 	}
+	if len(comments) > 0 {
+		if err := a.job.delivery.passEvents(a, answer, comments); err != nil {
+			return outcomeDone, err
+		}
+	}
 	a.job.delivery.writeHeader(answer, -1) // in case it had no events
 	return outcomeDone, a.job.delivery.extendDeadline()
 }
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// Guards against a stream that never ends because its endpoint sends something now and then that is no
+// event. One whose events arrive in time, however slowly it goes on, stays at its endpoint.
+func TestOnlyEventsCountAsProgress(t *testing.T) {
+	tests := []struct {
+		name  string
+		first standin.Behaviour
+		gap   time.Duration
+		runs  int
+	}{
+		{name: "bytes of an event", first: standin.BehaviourTrickle, gap: 25 * time.Millisecond, runs: 2},
+		{name: "comments", first: standin.BehaviourComments, gap: 25 * time.Millisecond, runs: 2},
+		{name: "a pause within the bound", first: standin.BehaviourPause, gap: time.Second, runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, catalog.KindStream, tt.first, standin.BehaviourNone)
+			f.route.MaxEventGap, f.route.Timeout = tt.gap, 10*time.Second
+			started := time.Now()
+			answer, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+			require.NoError(t, err)
+			assert.Equal(t, completeStream, strings.ReplaceAll(answer.body, ": still here\n\n", ""))
+			assert.Equal(t, tt.runs, f.runs())
+			assert.Less(t, time.Since(started), f.route.Timeout/2)
+		})
+	}
+}
+
 // Guards against a request that is sent to more endpoints than its route allows: the attempt at
 // a silent endpoint counts.
 func TestSilentEndpointCountsAsAttempt(t *testing.T) {
