fix(direct): requests read after a planned stop began to close connections are served

Cause: http.Server drops, without an answer, each request whose header it reads after Shutdown was called, also on a connection accepted just before.

Change: the listener is closed, requests on open connections are served until none runs or is about to, and only then is the server shut down.

--- /dev/null
+++ b/internal/direct/connections.go
@@ -0,0 +1,75 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// newConnectionTime is how long a connection that has sent no request counts as about to.
+	newConnectionTime = time.Second
+	// acceptTime is how long a connection accepted before its listener was closed may take to be
+	// passed to the server.
+	acceptTime = 100 * time.Millisecond
+	// stopCheckInterval is how often a server that stops is checked for busy connections.
+	stopCheckInterval = 20 * time.Millisecond
+)
+
+// connectionTable holds the connections of a server on which a request runs or is about to. It is
+// safe for concurrent use.
+type connectionTable struct {
+	mu    sync.Mutex
+	conns map[net.Conn]connection
+}
+
+type connection struct {
+	state http.ConnState
+	since time.Time
+}
+
+// observe records the state of a connection. It is an http.Server's ConnState.
+func (c *connectionTable) observe(conn net.Conn, state http.ConnState) {
+	c.record(time.Now(), conn, state)
+}
+
+func (c *connectionTable) record(now time.Time, conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state != http.StateNew && state != http.StateActive {
+		delete(c.conns, conn)
+		return
+	}
+	if c.conns == nil {
+		c.conns = make(map[net.Conn]connection)
+	}
+	c.conns[conn] = connection{state, now}
+}
+
+// busy reports whether a request runs or is about to.
+func (c *connectionTable) busy(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		if conn.state == http.StateActive || now.Sub(conn.since) < newConnectionTime {
+			return true
+		}
+	}
+	return false
+}
+
+// stopServer stops accepting connections, and stops the server once no request runs. Server.Shutdown
+// alone drops requests that it reads after it was called, without an answer.
+func stopServer(ctx context.Context, l net.Listener, s *http.Server, connections *connectionTable) error {
+	if err := l.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	sleep(ctx, acceptTime)
+	for connections.busy(time.Now()) && ctx.Err() == nil {
+		sleep(ctx, stopCheckInterval)
+	}
+	return s.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/direct/connections_test.go
@@ -0,0 +1,106 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// lateListener returns a last connection once it has been closed: it was accepted just before, by a
+// process that got no processor time in between.
+type lateListener struct {
+	conn              net.Conn
+	accepting, closed chan struct{}
+	late              time.Duration
+	given             bool
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	if l.given {
+		return nil, net.ErrClosed
+	}
+	l.given = true
+	close(l.accepting)
+	<-l.closed
+	time.Sleep(l.late)
+	return l.conn, nil
+}
+
+func (l *lateListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *lateListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A planned stop: a request on a connection that was accepted as the listener was closed gets its
+// complete answer before the server is closed.
+func TestStopServesConnectionsJustAccepted(t *testing.T) {
+	caller, accepted := net.Pipe()
+	require.NoError(t, caller.SetDeadline(time.Now().Add(5*time.Second)))
+	listener := &lateListener{conn: accepted, accepting: make(chan struct{}), closed: make(chan struct{}), late: 20 * time.Millisecond}
+	var connections connectionTable
+	server := &http.Server{ConnState: connections.observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	})}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		return err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	<-listener.accepting
+	group.Go(func() error {
+		err := stopServer(ctx, listener, server, &connections)
+		return errors.Join(err, server.Close())
+	})
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "whole", string(body))
+	_ = response.Body.Close()
+	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
+}
+
+// A caller that has connected and sends nothing doesn't hold a stop up.
+func TestConnectionsWithoutRequestAreNotBusy(t *testing.T) {
+	one, other := net.Pipe()
+	defer func() { _, _ = one.Close(), other.Close() }()
+	now := time.Unix(1_000_000, 0)
+	tests := []struct {
+		name  string
+		state http.ConnState
+		after time.Duration
+		busy  bool
+	}{
+		{name: "new", state: http.StateNew, busy: true},
+		{name: "silent", state: http.StateNew, after: newConnectionTime},
+		{name: "serving", state: http.StateActive, after: time.Hour, busy: true},
+		{name: "idle", state: http.StateIdle},
+		{name: "closed", state: http.StateClosed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c connectionTable
+			c.record(now, one, tt.state)
+			assert.Equal(t, tt.busy, c.busy(now.Add(tt.after)))
+		})
+	}
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -75,7 +75,8 @@
 	loader            *loader.Loader
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
-	registrationLease platform.Lease // store lease of this instance's registration
+	callers           connectionTable // of callers' connections
+	registrationLease platform.Lease  // store lease of this instance's registration
 	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
 	// "catalog".
 	incomingCatalog  transfer.Assembly
@@ -166,14 +167,14 @@
 	n.tasks = timer.NewTasks(lifetime, n.timers, n.group)
 	peerServer := gossip.NewServer(n)
 	n.group.Go(func() error { return serveError("peers", peerServer.Serve(listeners.peer)) })
-	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway)
+	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) { s.ConnState = n.callers.observe })
 	directoryServer := n.serveHTTP("directory", listeners.directory, platform.Directory(n.addresses))
 	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
 	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
 	n.startTasks(lifetime)
 	_ = level.Info(n.logger).Log("step", "start", "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
 	<-ctx.Done()
-	n.drain(lifetime, callerServer)
+	n.drain(lifetime, listeners.caller, callerServer)
 	end()
 	peerServer.Stop()
 	n.gossip.Close()
@@ -209,8 +210,11 @@
 	return open, nil
 }
 
-func (n *Node) serveHTTP(side string, l net.Listener, h http.Handler) *http.Server {
+func (n *Node) serveHTTP(side string, l net.Listener, h http.Handler, options ...func(*http.Server)) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	for _, o := range options {
+		o(s)
+	}
 	if l != nil {
 		n.group.Go(func() error { return serveError(side, s.Serve(l)) })
 	}
@@ -294,7 +298,7 @@
 // drain shuts down gracefully: it announces to peers that this instance leaves, releases the
 // order lease, keeps serving callers that use cached addresses, and lets requests in flight
 // finish.
-func (n *Node) drain(ctx context.Context, callers *http.Server) {
+func (n *Node) drain(ctx context.Context, listener net.Listener, callers *http.Server) {
 	started, limits := n.clock(), n.settings.Get().Drain
 	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace)
 	n.state.leave()
@@ -304,7 +308,7 @@
 	sleep(ctx, min(addressCacheFactor*limits.Keep, finish/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(finish))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := stopServer(ctx, listener, callers, &n.callers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
 	for n.relayed.Load() > 0 && ctx.Err() == nil {
