fix(path): refused connects are believed while the path to them answers

Change: failures before the last answer or connect of an endpoint in the same data centre no longer count for the doubt. Answers through a peer show nothing, and those of another data centre neither, since data centres are cut off one by one. Where nothing answers any more, all failures after the last answer count as before.

The new unit test fails from the tenth crash on when answers are ignored.

--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -53,6 +53,8 @@
 	// failedAt is when a direct connect, or a question over an open connection, last failed,
 	// worked when one was last established.
 	failedAt, workedAt time.Time
+	// answeredAt is when the endpoint last answered while its path was not known to be cut.
+	answeredAt time.Time
 	// refusedAt and unreachedAt are when peers last found that nothing listens there, or didn't
 	// reach it.
 	refusedAt, unreachedAt time.Time
@@ -101,6 +103,13 @@
 	return healed
 }
 
+// Answered records an answer of an endpoint. One that came through a peer tells nothing of the path.
+func (t *Table) Answered(now time.Time, id fleet.Endpoint) {
+	if p := t.path(id); !p.cut {
+		p.answeredAt = now
+	}
+}
+
 // Relayed records that a peer has connected to an endpoint while no direct connect was established.
 // It reports whether this shows that the instance is cut off.
 func (t *Table) Relayed(now time.Time, id fleet.Endpoint) (cutOff bool) {
@@ -151,17 +160,33 @@
 }
 
 // Doubtful reports whether direct connects to so many of the listed endpoints fail that the
-// instance's own path is a likelier reason than the endpoints.
-func (t *Table) Doubtful(now time.Time, listed int) bool {
+// instance's own path is a likelier reason than the endpoints. Failures before the last answer or
+// connect of an endpoint behind the same path don't count: that path was sound then, as it is when
+// one request after another crashes most endpoints within seconds.
+func (t *Table) Doubtful(now time.Time, listed int, samePath func(fleet.Endpoint) bool) bool {
+	var sound time.Time
+	for id, p := range t.paths {
+		if last := p.lastSound(); last.After(sound) && samePath(id) {
+			sound = last
+		}
+	}
 	failing := 0
 	for _, p := range t.paths {
-		if p.cut || recent(now, p.failedAt, outcomeRetention) && !p.workedAt.After(p.failedAt) {
+		if p.cut || recent(now, p.failedAt, outcomeRetention) && !p.workedAt.After(p.failedAt) && p.failedAt.After(sound) {
 			failing++
 		}
 	}
 	return failing >= max(minDoubtfulPaths, (listed+1)/2)
 }
 
+// lastSound returns when the endpoint last answered or was connected to directly.
+func (p *path) lastSound() time.Time {
+	if p.answeredAt.After(p.workedAt) {
+		return p.answeredAt
+	}
+	return p.workedAt
+}
+
 // Cut returns how many endpoints are reached through peers only.
 func (t *Table) Cut() int {
 	n := 0
@@ -193,7 +218,7 @@
 func (t *Table) Keep(now time.Time, live map[fleet.Endpoint]int64) {
 	for id, p := range t.paths {
 		_, ok := live[id]
-		known := p.cut || recent(now, p.failedAt, outcomeRetention) || recent(now, p.workedAt, outcomeRetention) ||
+		known := p.cut || recent(now, p.failedAt, outcomeRetention) || recent(now, p.lastSound(), outcomeRetention) ||
 			recent(now, p.refusedAt, peersRetention) || recent(now, p.unreachedAt, lostRetention)
 		if !ok || !known {
 			delete(t.paths, id)
--- a/internal/core/path/path_test.go
+++ b/internal/core/path/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 			t.Failed(at(e.at), e.endpoint)
 		case "worked":
 			t.Worked(at(e.at), e.endpoint)
+		case "answered":
+			t.Answered(at(e.at), e.endpoint)
 		case "relayed":
 			t.Relayed(at(e.at), e.endpoint)
 		case "refused there":
@@ -86,11 +89,43 @@
 		assert.True(t, table.ConfirmedRefused(at(20), id))
 		assert.False(t, table.ConfirmedRefused(at(20), "other"))
 		assert.False(t, table.ConfirmedRefused(at(3000), id), "long ago")
-		assert.Equal(t, i+1 >= 5, table.Doubtful(at(20), 10), "%d of 10", i+1)
-		assert.False(t, table.Doubtful(at(20), 100))
-		assert.False(t, table.Doubtful(at(3000), 10), "long ago")
+		assert.Equal(t, i+1 >= 5, table.Doubtful(at(20), 10, anyPath), "%d of 10", i+1)
+		assert.False(t, table.Doubtful(at(20), 100, anyPath))
+		assert.False(t, table.Doubtful(at(3000), 10, anyPath), "long ago")
 	}
-	assert.False(t, tableAfter(events[:6]).Doubtful(at(20), 3), "three may end at once")
+	assert.False(t, tableAfter(events[:6]).Doubtful(at(20), 3, anyPath), "three may end at once")
+}
+
+func anyPath(fleet.Endpoint) bool { return true }
+
+// Requests that crash one endpoint after another end most of them within seconds, while others answer.
+// Their refusals are believed. Once no answer comes any more they are doubted, whatever answered before.
+func TestRefusalsAmongAnswersAreBelieved(t *testing.T) {
+	const crashes, listed, interval = 12, 20, 150
+	var crashing []event
+	for i := range crashes {
+		id := fleet.Endpoint(fmt.Sprint("e", i))
+		for asked := i * interval; asked < crashes*interval; asked += 400 {
+			crashing = append(crashing, event{asked, id, "failed"})
+		}
+		crashing = append(crashing, event{i*interval + 1, "sound", "answered"}, event{i*interval + 1, id, "refused there"})
+	}
+	slices.SortStableFunc(crashing, func(a, b event) int { return a.at - b.at })
+	for i := range crashing {
+		table := tableAfter(crashing[:i+1])
+		assert.False(t, table.Doubtful(at(crashing[i].at+1), listed, anyPath), "after %v", crashing[i])
+	}
+	elsewhere := func(id fleet.Endpoint) bool { return id != "sound" }
+	assert.True(t, tableAfter(crashing).Doubtful(at(crashes*interval), listed, elsewhere), "nothing behind their path answers")
+	cut := slices.Clone(crashing)
+	for i := range listed {
+		cut = append(cut, event{2000, fleet.Endpoint(fmt.Sprint("e", i)), "failed"})
+	}
+	assert.True(t, tableAfter(cut).Doubtful(at(2001), listed, anyPath), "all failed after the last answer")
+	relayed := append(slices.Clone(cut), event{2001, "e0", "relayed"}, event{2002, "e0", "answered"})
+	assert.True(t, tableAfter(relayed).Doubtful(at(2003), listed, anyPath), "an answer through a peer")
+	healed := append(slices.Clone(cut), event{2001, "e0", "worked"})
+	assert.False(t, tableAfter(healed).Doubtful(at(2003), listed, anyPath), "connected")
 }
 
 // An endpoint counts as lost until a way leads to it again.
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -139,6 +139,7 @@
 	defer s.mu.Unlock()
 	s.observeReport(id, r, "report")
 	s.roster.RecordSuccess(id)
+	s.paths.Answered(s.clock(), id)
 	delete(s.failedEndpoints, id)
 	s.newReports = append(s.newReports, gossip.Report{Endpoint: id, Report: r})
 }
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -167,6 +167,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.brokenEndpoints[key]
+	if err == nil && !gone {
+		s.paths.Answered(s.clock(), key.id)
+	}
 	switch {
 	case e == nil:
 	case gone:
--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -118,19 +118,26 @@
 func (s *state) refusalConfirmed(id fleet.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.refusalsDoubtful() && (s.paths.ConfirmedRefused(s.clock(), id) || len(s.livePeers()) == 0)
+	return !s.refusalsDoubtful(id) && (s.paths.ConfirmedRefused(s.clock(), id) || len(s.livePeers()) == 0)
 }
 
 // refusalsDoubtful reports whether so many connects have failed here that this instance's own path is
-// a likelier reason than the endpoints.
-func (s *state) refusalsDoubtful() bool { return s.paths.Doubtful(s.clock(), len(s.roster.All())) }
+// a likelier reason for that of one endpoint than the endpoints. Data centres may be cut off one by one,
+// so only what the endpoint's own still answers shows that the path to it is sound.
+func (s *state) refusalsDoubtful(id fleet.Endpoint) bool {
+	e := s.roster.Get(id)
+	return s.paths.Doubtful(s.clock(), len(s.roster.All()), func(other fleet.Endpoint) bool {
+		o := s.roster.Get(other)
+		return e != nil && o != nil && o.DataCentre == e.DataCentre
+	})
+}
 
 // mayConfirmRefusal reports whether this instance's word that nothing listens at an endpoint counts
 // for a peer.
-func (s *state) mayConfirmRefusal() bool {
+func (s *state) mayConfirmRefusal(id fleet.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.refusalsDoubtful()
+	return !s.refusalsDoubtful(id)
 }
 
 // cutOff reports whether this instance is cut off from most endpoints while a peer isn't.
@@ -217,7 +224,7 @@
 		n.relayed.Add(-1)
 		n.state.pathFailed(r.Endpoint)
 		metrics.GetOrRegisterCounter("relays;outcome=failed", n.registry).Inc(1)
-		if errors.Is(err, syscall.ECONNREFUSED) && n.state.mayConfirmRefusal() {
+		if errors.Is(err, syscall.ECONNREFUSED) && n.state.mayConfirmRefusal(r.Endpoint) {
 			return nil, fmt.Errorf("%w: %w", gossip.ErrRelayRefused, err)
 		}
 		return nil, fmt.Errorf("%w: %w", gossip.ErrRelayUnreachable, err)
--- a/internal/direct/path_test.go
+++ b/internal/direct/path_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -147,3 +148,28 @@
 	_, err = n.Relay(t.Context(), &gossip.Relay{Endpoint: "p", Born: 3})
 	require.ErrorIs(t, err, gossip.ErrRelayUnreachable, "it leaves")
 }
+
+// What answers in an endpoint's data centre shows that the path to it is sound; what answers in
+// another doesn't.
+func TestRefusalsInADataCentreThatAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answered fleet.Endpoint
+		want     bool
+	}{{"none answers", "", false}, {"one beside it answers", "e8", true}, {"one elsewhere answers", "far", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := &testClock{}
+			s := stateWithPaths(w, 9)
+			s.applyRecords([]roster.Record{{ID: "far", Revision: 20, Entry: roster.Entry{ID: "far", Service: "s", DataCentre: "b", Slots: 4, Revision: 20}}}, 20, false)
+			addPeer(s, "two", "south", false)
+			for i := range 6 {
+				s.pathFailed(fleet.Endpoint(fmt.Sprint("e", i)))
+				s.relayFailed(fleet.Endpoint(fmt.Sprint("e", i)), gossip.ErrRelayRefused)
+			}
+			w.elapsed += time.Millisecond
+			s.RecordReport(c.answered, roster.Report{})
+			assert.Equal(t, c.want, s.refusalConfirmed("e0"))
+			assert.Equal(t, c.want, s.mayConfirmRefusal("e0"))
+		})
+	}
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -251,6 +251,7 @@
 	s.balancer.Answered(t.ID, a.Level, t.PendingPrefill)
 	s.balancer.Measured(a.Model, t.Prefill, took)
 	s.roster.RecordSuccess(t.ID)
+	s.paths.Answered(s.clock(), t.ID)
 	delete(s.failedEndpoints, t.ID)
 }
 
