feat(upgrades): features are agreed by known instances only, and builds are named

Cause: an instance that has just started, with no heartbeat of a peer yet, would find that all others agree; an old build that comes back was seen with the next round only; nothing shows which instance runs which build.

Heartbeats name the build now and then (optional key bu), the start line, step=peer and the gauge instances show it.

Measured: go test ./internal/gossip ./internal/core/feature ./internal/build ./docs passes, and ./internal/direct for the tests of features, builds and records.

--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -1,7 +1,8 @@
 // Package feature names what an instance can do that instances of an earlier build can't.
 //
 // Instances announce their features on heartbeats. A feature that needs all instances is used only
-// while every live one announces it, so that builds can run side by side.
+// while every one that may be running announces it, so that builds can run side by side. Instances
+// decide so one after the other: one that announces a feature takes part in it at any time.
 package feature
 
 import "slices"
@@ -20,7 +21,18 @@
 // Announced returns the features of this build.
 func Announced() []Feature { return []Feature{} }
 
-// All reports whether every one of the announcements has a feature.
-func All(f Feature, announcements ...[]Feature) bool {
-	return !slices.ContainsFunc(announcements, func(a []Feature) bool { return !slices.Contains(a, f) })
+// Announcement is what is known of another instance.
+type Announcement struct {
+	// Received is set once a heartbeat of its present start has arrived.
+	Received bool
+	Features []Feature
+}
+
+// Agreed reports whether a feature may be used: this instance has it, the others are known, and each
+// of them announces it. It answers a rolling upgrade under load, in both directions.
+func Agreed(f Feature, own []Feature, othersKnown bool, others []Announcement) bool {
+	if !othersKnown || !slices.Contains(own, f) {
+		return false
+	}
+	return !slices.ContainsFunc(others, func(a Announcement) bool { return !a.Received || !slices.Contains(a.Features, f) })
 }
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
@@ -172,13 +171,13 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	for _, c := range s.view.Tick(now) {
-		_ = s.logger.Log("step", "peer", "peer", c.Instance, "from", c.From, "to", c.To)
+		_ = s.logger.Log("step", "peer", "peer", c.Instance, "build", s.buildOf(c.Instance), "from", c.From, "to", c.To)
 	}
 	s.updateLoadFeatures()
 	b := &gossip.Heartbeat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
 		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
-		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(), Features: feature.Announced(),
+		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(), Features: s.loadFeatures.announced,
 	}
 	if s.catalog != nil {
 		b.Catalog = s.catalog.Version
@@ -202,6 +201,7 @@
 	b.Holder = s.holderNews()
 	s.addCrashNews(now, b)
 	b.Peer = s.view.Heartbeat()
+	b.Build = s.buildNews(b.Peer.Sequence)
 	return s.withHolder(s.view.Targets(now), b.Peer.Sequence), b
 }
 
@@ -213,16 +213,20 @@
 	s.view.Observe(now, b.Peer)
 	s.view.ReceiveSuspicions(b.Suspicions)
 	name := b.Peer.Instance
-	if previous := s.peers[name]; previous != nil && previous.heartbeat.Peer.Incarnation == b.Peer.Incarnation && previous.heartbeat.Peer.Sequence > b.Peer.Sequence {
+	previous := s.peers[name]
+	if previous != nil && previous.heartbeat.Peer.Incarnation == b.Peer.Incarnation && previous.heartbeat.Peer.Sequence > b.Peer.Sequence {
 		return
 	}
 	clockOffset := s.uptime() - b.Sent
 	delay := time.Duration(0)
-	if previous := s.peers[name]; previous != nil && previous.heartbeat.Peer.Incarnation == b.Peer.Incarnation {
+	if previous != nil && previous.heartbeat.Peer.Incarnation == b.Peer.Incarnation {
 		delay = max(0, clockOffset-previous.clockOffset)
 		clockOffset = min(clockOffset, previous.clockOffset)
 	}
-	s.peers[name] = &peer{heartbeat: *b, receivedAt: now, clockOffset: clockOffset}
+	s.peers[name] = &peer{heartbeat: *b, receivedAt: now, clockOffset: clockOffset, build: knownBuild(previous, b)}
+	if announcementChanged(previous, b) {
+		s.updateLoadFeatures()
+	}
 	s.observeCatalogVersion(now, b.Catalog)
 	s.receiveHolder(now, b, delay)
 	s.balancer.SetRemote(name, b.Loads, b.Uses)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -171,7 +171,7 @@
 	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
 	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
 	n.startTasks(lifetime)
-	_ = level.Info(n.logger).Log("step", "start", "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
+	_ = level.Info(n.logger).Log("step", "start", "build", n.state.build, "features", n.state.loadFeatures.announced, "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
 	<-ctx.Done()
 	n.drain(lifetime, callerServer)
 	end()
@@ -278,6 +278,7 @@
 // cleanUp garbage-collects expired state, and connections to endpoints that are gone.
 func (n *Node) cleanUp(context.Context) {
 	n.endpoints.CloseExcept(n.state.cleanUp())
+	n.countBuilds()
 	if n.state.hasUnnamedStreams() {
 		n.tasks.RunIfIdle("origins", n.nameStreams)
 	}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -11,9 +11,11 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/chiveramp/chiveramp/internal/build"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fairshare"
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
@@ -58,6 +60,7 @@
 	// clockOffset is the minimum difference seen between this instance's uptime at receipt
 	// and the send time in the peer's heartbeats.
 	clockOffset time.Duration
+	build       string
 }
 
 // state holds the configuration, the endpoints, the peers and the load as this instance has
@@ -127,6 +130,7 @@
 	storeAnsweredAt time.Time
 	watching        bool
 	loadFeatures    loadFeatures
+	build           string // of this instance
 }
 
 // retirement is a model that is about to be unloaded from an endpoint.
@@ -147,6 +151,7 @@
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
+		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
 	}
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -63,6 +63,8 @@
 	Verdicts []Verdict       `cbor:"m,omitempty"`
 	// Features are what the sender's build can do.
 	Features []feature.Feature `cbor:"v,omitempty"`
+	// Build names the sender's build. Only some heartbeats have it.
+	Build string `cbor:"bu,omitempty"`
 }
 
 // WithoutDemand returns a copy of the heartbeat without what only the holder of the order
