feat(copies): copies follow demand by what callers lose per second

Where the weight store allows many loads a second ([load] follow), all candidate moves are in one order: by the demand that callers lose per second until they are done. Demand is carried forward by its trend, and the models of one endpoint share its capacity. Other services plan as before.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -32,6 +32,8 @@
 	Busy bool
 	// Moving is set while it loads or unloads a model for an earlier plan.
 	Moving bool
+	// Suspect is set while it doesn't answer. Its copies don't count.
+	Suspect bool
 	// PendingPrefill is the estimated prefill time of the prompts queued there.
 	PendingPrefill time.Duration
 }
@@ -63,6 +65,10 @@
 	MinDemand float64
 	// StandbyCopies is the number of copies that a model at risk gets ahead of demand.
 	StandbyCopies int
+	// Capacity is the demand that an endpoint serves within the callers' targets, in tokens per
+	// second, TrendLead the part of the difference between recent and long-term demand by which
+	// the recent one rises until a load is done. Both are used by Follow only.
+	Capacity, TrendLead float64
 }
 
 // Demand is the demand of callers by model, in tokens per second.
@@ -76,6 +82,8 @@
 	InUse map[fleet.Model]bool
 	// Starved are models that callers ask for and that have had no copy for long.
 	Starved map[fleet.Model]bool
+	// Waiting is for how long models that callers ask for have had no copy.
+	Waiting map[fleet.Model]time.Duration
 }
 
 // planner holds the inputs and the state of one planning run.
@@ -88,6 +96,8 @@
 	plannedCopies map[fleet.Model]int // readyCopies and those being loaded or reserved
 	moves         []Move
 	activeMoves   int
+	// fittingOnly is set if a model is evicted only where the other one then fits.
+	fittingOnly bool
 }
 
 // endpointsPerMove limits the moves of a large fleet: an endpoint that loads a model can't
@@ -96,6 +106,16 @@
 
 // Plan returns the next moves, at most one per endpoint.
 func Plan(engine *catalog.Engine, endpoints []Endpoint, demand Demand, limits Limits) []Move {
+	p := newPlanner(engine, endpoints, demand, limits)
+	p.restoreUnavailable()
+	p.loadReserved()
+	p.addSecondCopies()
+	p.addCopiesForDemand()
+	p.addStandbyCopies()
+	return p.moves
+}
+
+func newPlanner(engine *catalog.Engine, endpoints []Endpoint, demand Demand, limits Limits) *planner {
 	p := &planner{
 		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, limits: limits,
 		readyCopies: make(map[fleet.Model]int), plannedCopies: make(map[fleet.Model]int),
@@ -104,17 +124,12 @@
 	for i := range p.endpoints {
 		p.countCopies(&p.endpoints[i])
 	}
-	p.restoreUnavailable()
-	p.loadReserved()
-	p.addSecondCopies()
-	p.addCopiesForDemand()
-	p.addStandbyCopies()
-	return p.moves
+	return p
 }
 
 func (p *planner) countCopies(e *Endpoint) {
 	for _, m := range e.Loaded {
-		if !slices.Contains(e.Unloading, m) {
+		if !slices.Contains(e.Unloading, m) && !e.Suspect {
 			p.plannedCopies[m]++
 			p.readyCopies[m]++
 		}
@@ -318,6 +333,15 @@
 	return p.usedMemory(e)+m.MemoryMB <= p.engine.MemoryMB
 }
 
+// fits reports whether a model fits an endpoint's memory once another one, if any, is unloaded.
+func (p *planner) fits(e *Endpoint, m *catalog.Model, without fleet.Model) bool {
+	used := p.usedMemory(e) + m.MemoryMB
+	if v, ok := p.engine.Model(without); ok {
+		used -= v.MemoryMB
+	}
+	return used <= p.engine.MemoryMB
+}
+
 // usedMemory returns the memory for the weights on an endpoint, including a reserve for all
 // of its adapter slots.
 func (p *planner) usedMemory(e *Endpoint) float64 {
@@ -360,16 +384,22 @@
 	if best.endpoint == nil {
 		return false
 	}
-	if !best.cached {
+	p.evict(best.endpoint, best.model, m.Name, best.cached)
+	return true
+}
+
+// evict adds a move that unloads a model from an endpoint to make room for another one. Cached is set
+// if the endpoint has the weights of that one.
+func (p *planner) evict(e *Endpoint, victim, m fleet.Model, cached bool) {
+	if !cached {
 		p.limits.ColdLoads--
 	}
-	p.moves = append(p.moves, Move{Endpoint: best.endpoint.ID, Model: best.model, Unload: true, MakesRoomFor: m.Name})
-	best.endpoint.Unloading = append(slices.Clone(best.endpoint.Unloading), best.model)
-	p.plannedCopies[best.model]--
-	p.readyCopies[best.model]--
-	p.plannedCopies[m.Name]++ // the reservation counts as a copy
+	p.moves = append(p.moves, Move{Endpoint: e.ID, Model: victim, Unload: true, MakesRoomFor: m})
+	e.Unloading, e.ReservedFor = append(slices.Clone(e.Unloading), victim), m
+	p.plannedCopies[victim]--
+	p.readyCopies[victim]--
+	p.plannedCopies[m]++ // the reservation counts as a copy
 	p.activeMoves++
-	return true
 }
 
 // evictionCandidate returns the cheapest allowed copy to evict on an endpoint; its endpoint is
@@ -382,6 +412,9 @@
 	}
 	blocked := p.blockedDemand(e)
 	for _, name := range e.Loaded {
+		if p.fittingOnly && !p.fits(e, m, name) {
+			continue
+		}
 		retained, last := p.retainedDemand(name), p.readyCopies[name] < 2
 		s := candidate{
 			endpoint: e, model: name, last: last, inUse: retained > 0 || p.demand.InUse[name], remainingDemand: retained / float64(max(1, p.readyCopies[name]-1)),
--- a/internal/core/copies/shortage.go
+++ b/internal/core/copies/shortage.go
@@ -44,3 +44,12 @@
 	}
 	return starved
 }
+
+// Waiting returns for how long the models without a copy have been asked for, as last observed.
+func (s *Shortage) Waiting(now time.Time) map[fleet.Model]time.Duration {
+	waiting := make(map[fleet.Model]time.Duration, len(s.since))
+	for m, since := range s.since {
+		waiting[m] = now.Sub(since)
+	}
+	return waiting
+}
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -41,6 +42,16 @@
 	return recent, longTerm, adapters
 }
 
+// loadLead is how long a load takes from the demand that causes it until the copy serves.
+const loadLead = 2 * time.Second
+
+// trendLead returns the part of the difference between recent and long-term demand by which steadily
+// rising demand exceeds the recent one after loadLead: a meter lags by its mean age.
+func trendLead() float64 {
+	recentLag, longTermLag := demandHalfLife.Seconds()/math.Ln2, longTermHalfLife.Seconds()/math.Ln2
+	return (recentLag + loadLead.Seconds()) / (longTermLag - recentLag)
+}
+
 // minAnnouncedDemand is the demand below which heartbeats omit a model or adapter, in
 // tokens per second.
 const minAnnouncedDemand = 20
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -125,6 +125,7 @@
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
+		Capacity: endpointCapacity, TrendLead: trendLead(),
 	}, loader.WithLogger(logger))
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(newStats(n.registry)), gateway.WithTimers(n.timers),
@@ -152,6 +153,9 @@
 	// standbyCopies is how many copies can serve a sudden rise in a model's demand until a
 	// load from the weight store completes: as many as a model in demand uses.
 	standbyCopies = 3
+	// endpointCapacity is the demand that an endpoint serves within the targets of interactive
+	// callers: two thirds of its prefill rate.
+	endpointCapacity = 2 * minMoveDemand
 )
 
 // Run serves until the context ends, then shuts down gracefully.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -155,6 +155,8 @@
 	hadDemand map[fleet.Model]bool
 	// askedAt is when a model last had demand.
 	askedAt map[fleet.Model]time.Time
+	// loadTime is the mean time of a load from the weight store.
+	loadTime time.Duration
 	// shortages are used by the placement step only.
 	shortages map[catalog.Service]*copies.Shortage
 }
@@ -174,6 +176,8 @@
 	// Follow is the number of loads a second that a service's weight store must allow for its
 	// copies to follow rising demand, 0 for no service.
 	Follow float64
+	// Capacity and TrendLead are used for such services; see copies.Limits.
+	Capacity, TrendLead float64
 }
 
 // Option configures a Loader.
@@ -187,7 +191,7 @@
 	l := &Loader{
 		endpoints: endpoints, lease: lease, cluster: cluster, clock: clock, limits: limits,
 		logger: log.NewNopLogger(), orderStates: make(map[fleet.Endpoint]*orderState), hadDemand: make(map[fleet.Model]bool),
-		askedAt: make(map[fleet.Model]time.Time), shortages: make(map[catalog.Service]*copies.Shortage),
+		askedAt: make(map[fleet.Model]time.Time), shortages: make(map[catalog.Service]*copies.Shortage), loadTime: minServeTime / 2,
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -211,6 +215,7 @@
 	orderedModel fleet.Model
 	unload       bool
 	orderedAt    time.Time
+	cold         bool // whether it is loaded from the weight store
 	// retiring is a model to be unloaded at unloadAt, when the instances have had time to stop
 	// sending requests for it.
 	retiring fleet.Model
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -29,7 +29,7 @@
 				if !c.Spared { // else what is in progress is followed afterwards
 					l.trackOrders(ctx, now, d, c)
 				}
-				plan[i] = l.planEndpoint(now, d, c)
+				plan[i] = l.planEndpoint(now, d, c, g.Engine)
 				d.unlock()
 			} else {
 				plan[i] = l.lockedEndpoint(c)
@@ -44,14 +44,16 @@
 	demand, longTerm, _ := l.cluster.Demand()
 	limits := copies.Limits{
 		ColdLoads: l.allowedColdLoads(now, g.Engine, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
+		Capacity: l.limits.Capacity, TrendLead: l.limits.TrendLead,
 	}
 	planDemand := copies.Demand{Recent: demand, LongTerm: longTerm, AtRisk: l.atRisk(g.Engine, demand), InUse: l.inUse(now, demand, longTerm)}
 	if l.shortages[g.Name] == nil {
 		l.shortages[g.Name] = new(copies.Shortage)
 	}
 	planDemand.Starved = l.shortages[g.Name].Observe(now, g.Engine, plan, planDemand.InUse)
+	planDemand.Waiting = l.shortages[g.Name].Waiting(now)
 	var group errgroup.Group
-	for _, m := range copies.Plan(g.Engine, plan, planDemand, limits) {
+	for _, m := range l.plan(g.Engine, plan, planDemand, limits) {
 		group.Go(func() error {
 			l.startMove(ctx, now, byID[m.Endpoint], m)
 			return nil
@@ -60,6 +62,29 @@
 	_ = group.Wait() // a move that failed is planned again
 }
 
+// plan returns the next moves of a service.
+func (l *Loader) plan(engine *catalog.Engine, endpoints []copies.Endpoint, demand copies.Demand, limits copies.Limits) []copies.Move {
+	if !l.follows(engine) {
+		return copies.Plan(engine, endpoints, demand, limits)
+	}
+	moves, needs := copies.Follow(engine, endpoints, demand, limits)
+	l.logNeeds(needs, len(moves))
+	return moves
+}
+
+// follows reports whether the copies of a service follow rising demand.
+func (l *Loader) follows(engine *catalog.Engine) bool {
+	return l.limits.Follow > 0 && engine.MaxLoadsPerSecond >= l.limits.Follow
+}
+
+// logNeeds logs which models need copies, those that lose most.
+func (l *Loader) logNeeds(needs []copies.Need, moves int) {
+	for _, n := range needs {
+		_ = l.logger.Log("step", "need", "model", n.Model, "demand", int(n.Demand), "forecast", int(n.Forecast), "copies", n.Copies,
+			"needed", n.Needed, "loss", int(n.Loss), "moves", moves)
+	}
+}
+
 // atRisk returns the models whose demand may rise within seconds: those with adapters, which
 // serve callers that wait for the answer, and those that have been in demand before.
 func (l *Loader) atRisk(engine *catalog.Engine, demand map[fleet.Model]float64) map[fleet.Model]bool {
@@ -106,6 +131,7 @@
 		_ = l.logger.Log("step", "moved", "endpoint", c.ID, "model", d.orderedModel, "unload", d.unload,
 			"holds", roster.Holds(c.Report.Models, d.orderedModel, ""), "took", now.Sub(d.orderedAt))
 		if !d.unload {
+			l.recordLoadTime(d, now)
 			d.loadedAt[d.orderedModel] = now
 			d.reservedFor = ""
 		}
@@ -125,6 +151,30 @@
 	}
 }
 
+// loadTimeWeight is the weight of one load in the mean load time.
+const loadTimeWeight = 0.2
+
+// recordLoadTime adds a load that has ended to the mean time of loads from the weight store.
+func (l *Loader) recordLoadTime(d *orderState, now time.Time) {
+	if !d.cold {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loadTime += time.Duration(float64(now.Sub(d.orderedAt)-l.loadTime) * loadTimeWeight)
+}
+
+// serveTime is how long a copy serves before it may be evicted for demand elsewhere: where copies
+// follow demand, twice what a load takes, minServeTime at most.
+func (l *Loader) serveTime(engine *catalog.Engine) time.Duration {
+	if !l.follows(engine) {
+		return minServeTime
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(2*l.loadTime, minServeTime)
+}
+
 // moveEnded reports whether the endpoint's report shows the end of the move in progress.
 func (o *orderState) moveEnded(c *Candidate) bool {
 	after := c.Report.Taken.Sub(o.movedAt)
@@ -144,8 +194,8 @@
 	return e
 }
 
-func (l *Loader) planEndpoint(now time.Time, d *orderState, c *Candidate) copies.Endpoint {
-	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill}
+func (l *Loader) planEndpoint(now time.Time, d *orderState, c *Candidate, engine *catalog.Engine) copies.Endpoint {
+	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill, Suspect: c.Suspect && l.follows(engine)}
 	for _, h := range c.Report.Models {
 		e.Loaded = append(e.Loaded, h.Model)
 	}
@@ -163,7 +213,7 @@
 		e.ReservedFor = d.reservedFor
 	}
 	for m, at := range d.loadedAt {
-		if now.Sub(at) < minServeTime {
+		if now.Sub(at) < l.serveTime(engine) {
 			e.RecentlyLoaded = append(e.RecentlyLoaded, m)
 		}
 	}
@@ -220,6 +270,7 @@
 		l.coldLoads = append(l.coldLoads, now)
 		l.mu.Unlock()
 	}
+	d.cold = m.Cold
 	err := l.orderModel(ctx, d, c, Order{Model: m.Model})
 	_ = l.logger.Log("step", "load", "endpoint", c.ID, "model", m.Model, "cold", m.Cold, "seq", d.seq, "err", err)
 	if m.Cold && err != nil && !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) {
