--- a/internal/core/copies/follow.go
+++ b/internal/core/copies/follow.go
@@ -93,6 +93,7 @@
 	}
 	f.spread = newSpread(forecasts, len(endpoints), limits.Capacity)
 	for i := range f.endpoints {
+		f.endpoints[i].Busy = f.endpoints[i].Busy || f.endpoints[i].Suspect
 		for _, m := range f.endpoints[i].planned() {
 			if n, ok := f.number[m]; ok {
 				f.spread.add(n, i)
--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -96,6 +96,9 @@
 	plannedCopies map[fleet.Model]int // readyCopies and those being loaded or reserved
 	moves         []Move
 	activeMoves   int
+	// memory is the size of each model, adapterMemory the reserve for all adapter slots.
+	memory        map[fleet.Model]float64
+	adapterMemory float64
 	// fittingOnly is set if a model is evicted only where the other one then fits.
 	fittingOnly bool
 }
@@ -119,6 +122,12 @@
 	p := &planner{
 		engine: engine, endpoints: slices.Clone(endpoints), demand: demand, limits: limits,
 		readyCopies: make(map[fleet.Model]int), plannedCopies: make(map[fleet.Model]int),
+		memory: make(map[fleet.Model]float64, len(engine.Models)),
+	}
+	for i := range engine.Models {
+		m := &engine.Models[i]
+		p.memory[m.Name] = m.MemoryMB
+		p.adapterMemory = max(p.adapterMemory, m.AdapterMemoryMB*float64(engine.AdapterSlots))
 	}
 	p.limits.MaxMoves = max(limits.MaxMoves, len(endpoints)/endpointsPerMove)
 	for i := range p.endpoints {
@@ -335,28 +344,17 @@
 
 // fits reports whether a model fits an endpoint's memory once another one, if any, is unloaded.
 func (p *planner) fits(e *Endpoint, m *catalog.Model, without fleet.Model) bool {
-	used := p.usedMemory(e) + m.MemoryMB
-	if v, ok := p.engine.Model(without); ok {
-		used -= v.MemoryMB
-	}
-	return used <= p.engine.MemoryMB
+	return p.usedMemory(e)+m.MemoryMB-p.memory[without] <= p.engine.MemoryMB
 }
 
 // usedMemory returns the memory for the weights on an endpoint, including a reserve for all
 // of its adapter slots.
 func (p *planner) usedMemory(e *Endpoint) float64 {
-	used, adapter := 0.0, 0.0
+	used := p.adapterMemory
 	for _, name := range e.Loaded {
-		m, ok := p.engine.Model(name)
-		if !ok {
-			continue
-		}
-		used += m.MemoryMB
-	}
-	for i := range p.engine.Models {
-		adapter = max(adapter, p.engine.Models[i].AdapterMemoryMB)
+		used += p.memory[name]
 	}
-	return used + adapter*float64(p.engine.AdapterSlots)
+	return used
 }
 
 // evictForDemand evicts the cheapest copy that was not loaded recently to make room for a
