feat(loader): moves of endpoints hold up neither each other nor the next plan

Where copies follow demand, each endpoint with a move has a task that carries it through: retirement, unload, the load that follows it, and the reports that show their ends. An order without an answer is judged by a report after 0.35 s and sent again with the newest order count. A plan counts what is under way at endpoints that are locked. Nothing is sent under another fence than the one under which a move began.

--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -347,6 +347,13 @@
 	return p.usedMemory(e)+m.MemoryMB-p.memory[without] <= p.engine.MemoryMB
 }
 
+// Fits reports whether a model fits the memory of an endpoint that has others loaded.
+func Fits(engine *catalog.Engine, loaded []fleet.Model, m fleet.Model) bool {
+	p := newPlanner(engine, nil, Demand{}, Limits{})
+	size, ok := p.memory[m]
+	return ok && p.usedMemory(&Endpoint{Loaded: loaded})+size <= engine.MemoryMB
+}
+
 // usedMemory returns the memory for the weights on an endpoint, including a reserve for all
 // of its adapter slots.
 func (p *planner) usedMemory(e *Endpoint) float64 {
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -42,8 +42,9 @@
 	return recent, longTerm, adapters
 }
 
-// loadLead is how long a load takes from the demand that causes it until the copy serves.
-const loadLead = 2 * time.Second
+// loadLead is how long it takes from the demand that causes a load in place of another model until
+// the copy serves.
+const loadLead = 3 * time.Second
 
 // trendLead returns the part of the difference between recent and long-term demand by which steadily
 // rising demand exceeds the recent one after loadLead: a meter lags by its mean age.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/copies"
@@ -144,13 +145,17 @@
 	clock     func() time.Time
 	logger    log.Logger
 	limits    Limits
+	group     *errgroup.Group // nil if each step waits for its orders
 
 	mu          sync.Mutex
 	orderStates map[fleet.Endpoint]*orderState
 	// coldLoads are the times when loads from the weight store may have started.
-	coldLoads  []time.Time
-	fence      fleet.Fence
-	fenceSince time.Time
+	coldLoads []time.Time
+	// unknownLoads is how many endpoints may be carrying out a load that an earlier holder of
+	// the lease has ordered.
+	unknownLoads int
+	fence        fleet.Fence
+	fenceSince   time.Time
 	// hadDemand are the models whose demand has reached Limits.MinDemand.
 	hadDemand map[fleet.Model]bool
 	// askedAt is when a model last had demand.
@@ -199,15 +204,8 @@
 	return l
 }
 
-// orderState tracks the orders to one endpoint. It is locked while an order is being given.
-type orderState struct {
-	semaphore chan struct{}
-	born      int64
-	// seq is the number of orders that the endpoint has accepted; valid if seqKnown is set.
-	seq      int64
-	seqKnown bool
-	// minReportSeq is the order count of the newest report seen; older reports are ignored.
-	minReportSeq int64
+// progress is how far the moves of base models at an endpoint are.
+type progress struct {
 	// movedAt is when an order for a base model was last accepted, or when any order got no
 	// answer. Reports from before that time can't show its result.
 	movedAt time.Time
@@ -223,8 +221,33 @@
 	// reservedFor is the model for which memory is reserved until reservedUntil.
 	reservedFor   fleet.Model
 	reservedUntil time.Time
-	// loadedAt is when each model was loaded.
+	// evicted is the model that is unloaded for it. Unsettled is set if the last order, sent at
+	// sentAt, got no answer or was refused, so that only a later report shows what the
+	// endpoint has. All three are used by followMove only.
+	evicted   fleet.Model
+	unsettled bool
+	sentAt    time.Time
+	// silentSince is since when the endpoint has left questions of followMove unanswered.
+	silentSince time.Time
+	// loadedAt is when each model was loaded. It is replaced, not changed.
 	loadedAt map[fleet.Model]time.Time
+}
+
+// orderState tracks the orders to one endpoint. It is locked while an order is being given.
+type orderState struct {
+	semaphore chan struct{}
+	// mu guards published, the progress when the lock was last released, and task, which is set
+	// while a task carries out moves or preloads an adapter.
+	mu        sync.Mutex
+	published progress
+	task      bool
+	born      int64
+	// seq is the number of orders that the endpoint has accepted; valid if seqKnown is set.
+	seq      int64
+	seqKnown bool
+	// minReportSeq is the order count of the newest report seen; older reports are ignored.
+	minReportSeq int64
+	progress
 	// adapterChanges are accepted orders for adapters that reports may not show yet.
 	adapterChanges map[roster.Adapter]adapterChange
 	lastUsed       map[roster.Adapter]time.Time
@@ -251,7 +274,7 @@
 	if d == nil || d.born != c.Born {
 		d = &orderState{
 			semaphore: make(chan struct{}, 1), born: c.Born,
-			adapterChanges: make(map[roster.Adapter]adapterChange), lastUsed: make(map[roster.Adapter]time.Time), loadedAt: make(map[fleet.Model]time.Time), unloading: make(map[roster.Adapter]time.Time),
+			adapterChanges: make(map[roster.Adapter]adapterChange), lastUsed: make(map[roster.Adapter]time.Time), unloading: make(map[roster.Adapter]time.Time),
 		}
 		l.orderStates[c.ID] = d
 	}
@@ -268,7 +291,12 @@
 	}
 }
 
-func (o *orderState) unlock() { <-o.semaphore }
+func (o *orderState) unlock() {
+	o.mu.Lock()
+	o.published = o.progress
+	o.mu.Unlock()
+	<-o.semaphore
+}
 
 // Step gives the orders that are due. It reports whether this instance may give orders.
 func (l *Loader) Step(ctx context.Context) bool {
@@ -279,6 +307,10 @@
 	l.resetOnNewFence(fence)
 	now := l.clock()
 	for _, g := range l.cluster.Engines() {
+		if l.group != nil && l.follows(g.Engine) {
+			l.followDemand(ctx, now, g)
+			continue
+		}
 		l.placeModels(ctx, now, g)
 		l.preload(ctx, g)
 	}
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,7 +31,7 @@
 				if !c.Spared { // else what is in progress is followed afterwards
 					l.trackOrders(ctx, now, d, c)
 				}
-				plan[i] = l.planEndpoint(now, d, c, g.Engine)
+				plan[i] = l.planEndpoint(now, d.progress, c, g.Engine)
 				d.unlock()
 			} else {
 				plan[i] = l.lockedEndpoint(c)
@@ -41,6 +43,18 @@
 	if !l.cluster.Settled() {
 		return
 	}
+	var group errgroup.Group
+	for _, m := range l.planMoves(now, g, plan) {
+		group.Go(func() error {
+			l.startMove(ctx, now, byID[m.Endpoint], m)
+			return nil
+		})
+	}
+	_ = group.Wait() // a move that failed is planned again
+}
+
+// planMoves returns the next moves of a service.
+func (l *Loader) planMoves(now time.Time, g *catalog.Group, plan []copies.Endpoint) []copies.Move {
 	demand, longTerm, _ := l.cluster.Demand()
 	limits := copies.Limits{
 		ColdLoads: l.allowedColdLoads(now, g.Engine, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
@@ -52,22 +66,10 @@
 	}
 	planDemand.Starved = l.shortages[g.Name].Observe(now, g.Engine, plan, planDemand.InUse)
 	planDemand.Waiting = l.shortages[g.Name].Waiting(now)
-	var group errgroup.Group
-	for _, m := range l.plan(g.Engine, plan, planDemand, limits) {
-		group.Go(func() error {
-			l.startMove(ctx, now, byID[m.Endpoint], m)
-			return nil
-		})
-	}
-	_ = group.Wait() // a move that failed is planned again
-}
-
-// plan returns the next moves of a service.
-func (l *Loader) plan(engine *catalog.Engine, endpoints []copies.Endpoint, demand copies.Demand, limits copies.Limits) []copies.Move {
-	if !l.follows(engine) {
-		return copies.Plan(engine, endpoints, demand, limits)
+	if !l.follows(g.Engine) {
+		return copies.Plan(g.Engine, plan, planDemand, limits)
 	}
-	moves, needs := copies.Follow(engine, endpoints, demand, limits)
+	moves, needs := copies.Follow(g.Engine, plan, planDemand, limits)
 	l.logNeeds(needs, len(moves))
 	return moves
 }
@@ -127,12 +129,20 @@
 			_ = l.logger.Log("step", "follow", "endpoint", c.ID, "model", d.orderedModel, "err", err)
 		}
 	}
+	l.recordEnd(now, d, c)
+	if d.retiring != "" && !now.Before(d.unloadAt) {
+		l.orderUnload(ctx, d, c)
+	}
+}
+
+// recordEnd records the end of the move in progress if the endpoint's report shows it.
+func (l *Loader) recordEnd(now time.Time, d *orderState, c *Candidate) {
 	if d.orderedModel != "" && d.moveEnded(c) {
 		_ = l.logger.Log("step", "moved", "endpoint", c.ID, "model", d.orderedModel, "unload", d.unload,
 			"holds", roster.Holds(c.Report.Models, d.orderedModel, ""), "took", now.Sub(d.orderedAt))
 		if !d.unload {
 			l.recordLoadTime(d, now)
-			d.loadedAt[d.orderedModel] = now
+			d.recordLoaded(now, d.orderedModel)
 			d.reservedFor = ""
 		}
 		d.orderedModel = ""
@@ -143,12 +153,24 @@
 	if d.orderedModel != "" && now.Sub(d.orderedAt) > stuckOrderAfter {
 		d.orderedModel = ""
 	}
-	if d.retiring != "" && !now.Before(d.unloadAt) {
-		model := d.retiring
-		d.retiring = ""
-		err := l.orderModel(ctx, d, c, Order{Unload: true, Model: model})
-		_ = l.logger.Log("step", "unload", "endpoint", c.ID, "model", model, "seq", d.seq, "err", err)
+}
+
+// recordLoaded records that a model has been loaded.
+func (o *orderState) recordLoaded(now time.Time, m fleet.Model) {
+	loadedAt := maps.Clone(o.loadedAt)
+	if loadedAt == nil {
+		loadedAt = make(map[fleet.Model]time.Time)
 	}
+	loadedAt[m] = now
+	o.loadedAt = loadedAt
+}
+
+// orderUnload orders the unload of the model that is retiring.
+func (l *Loader) orderUnload(ctx context.Context, d *orderState, c *Candidate) {
+	model := d.retiring
+	d.retiring = ""
+	err := l.orderModel(ctx, d, c, Order{Unload: true, Model: model})
+	_ = l.logger.Log("step", "unload", "endpoint", c.ID, "model", model, "seq", d.seq, "err", err)
 }
 
 // loadTimeWeight is the weight of one load in the mean load time.
@@ -178,10 +200,17 @@
 // moveEnded reports whether the endpoint's report shows the end of the move in progress.
 func (o *orderState) moveEnded(c *Candidate) bool {
 	after := c.Report.Taken.Sub(o.movedAt)
-	if c.Report.Busy || after < reportLag || c.Report.Seq < o.seq {
+	if c.Report.Busy || c.Report.Seq < o.seq {
 		return false
 	}
-	return roster.Holds(c.Report.Models, o.orderedModel, "") != o.unload || after > moveReportLag && !o.unload
+	holds := roster.Holds(c.Report.Models, o.orderedModel, "")
+	if o.unload && o.evicted == o.orderedModel {
+		return !holds // a report from before the order shows the model
+	}
+	if after < reportLag {
+		return false
+	}
+	return holds != o.unload || after > moveReportLag && !o.unload
 }
 
 // lockedEndpoint returns the planner's view of an endpoint that is being given an order and
@@ -194,7 +223,8 @@
 	return e
 }
 
-func (l *Loader) planEndpoint(now time.Time, d *orderState, c *Candidate, engine *catalog.Engine) copies.Endpoint {
+// planEndpoint returns the planner's view of an endpoint.
+func (l *Loader) planEndpoint(now time.Time, d progress, c *Candidate, engine *catalog.Engine) copies.Endpoint {
 	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill, Suspect: c.Suspect && l.follows(engine)}
 	for _, h := range c.Report.Models {
 		e.Loaded = append(e.Loaded, h.Model)
@@ -229,25 +259,40 @@
 func (l *Loader) allowedColdLoads(now time.Time, engine *catalog.Engine, plan []copies.Endpoint) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	remaining := l.coldLoads[:0]
-	recent := 0
-	for _, at := range l.coldLoads {
-		if now.Sub(at) > l.limits.Window {
-			continue
-		}
-		remaining = append(remaining, at)
-		recent++
-	}
-	l.coldLoads = remaining
+	l.unknownLoads = 0
 	if now.Sub(l.fenceSince) < l.limits.Window {
 		for i := range plan {
 			if plan[i].Busy && plan[i].Loading == "" {
-				recent++ // may be a load ordered by the previous holder
+				l.unknownLoads++ // may be a load ordered by the previous holder
 			}
 		}
 	}
+	return l.remainingColdLoads(now, engine)
+}
+
+// remainingColdLoads discards the loads that no longer count, and returns how many may start.
+func (l *Loader) remainingColdLoads(now time.Time, engine *catalog.Engine) int {
+	l.coldLoads = slices.DeleteFunc(l.coldLoads, func(at time.Time) bool { return now.Sub(at) > l.limits.Window })
 	// The few loads that may start in excess of the rate are reserved for orders that start late.
-	return int(engine.MaxLoadsPerSecond*l.limits.Window.Seconds()*l.limits.Burst) - recent
+	return int(engine.MaxLoadsPerSecond*l.limits.Window.Seconds()*l.limits.Burst) - len(l.coldLoads) - l.unknownLoads
+}
+
+// takeColdLoad counts a load from the weight store that starts now, and reports whether it may.
+func (l *Loader) takeColdLoad(now time.Time, engine *catalog.Engine) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.remainingColdLoads(now, engine) <= 0 {
+		return false
+	}
+	l.coldLoads = append(l.coldLoads, now)
+	return true
+}
+
+// countColdLoad counts a load from the weight store that may start at a time.
+func (l *Loader) countColdLoad(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coldLoads = append(l.coldLoads, at)
 }
 
 // startMove starts a planned move: it sends the load order, or announces the retirement that
@@ -259,23 +304,29 @@
 	}
 	defer d.unlock()
 	if m.Unload {
-		d.retiring, d.unloadAt = m.Model, now.Add(drainDelay)
+		l.retire(now, d, c, m.Model)
 		d.reservedFor, d.reservedUntil = m.MakesRoomFor, now.Add(reservationTime)
-		l.cluster.AnnounceRetirement(c.ID, m.Model)
-		_ = l.logger.Log("step", "retire", "endpoint", c.ID, "model", m.Model)
 		return
 	}
 	if m.Cold {
-		l.mu.Lock()
-		l.coldLoads = append(l.coldLoads, now)
-		l.mu.Unlock()
-	}
-	d.cold = m.Cold
-	err := l.orderModel(ctx, d, c, Order{Model: m.Model})
-	_ = l.logger.Log("step", "load", "endpoint", c.ID, "model", m.Model, "cold", m.Cold, "seq", d.seq, "err", err)
-	if m.Cold && err != nil && !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) {
-		l.mu.Lock()
-		l.coldLoads = append(l.coldLoads, now.Add(maxOrderDelay/2))
-		l.mu.Unlock()
+		l.countColdLoad(now)
+	}
+	l.orderLoad(ctx, now, d, c, m.Model, m.Cold)
+}
+
+// retire announces that a model will be unloaded.
+func (l *Loader) retire(now time.Time, d *orderState, c *Candidate, m fleet.Model) {
+	d.retiring, d.unloadAt = m, now.Add(drainDelay)
+	l.cluster.AnnounceRetirement(c.ID, m)
+	_ = l.logger.Log("step", "retire", "endpoint", c.ID, "model", m)
+}
+
+// orderLoad orders the load of a model. One from the weight store has been counted.
+func (l *Loader) orderLoad(ctx context.Context, now time.Time, d *orderState, c *Candidate, m fleet.Model, cold bool) {
+	d.cold = cold
+	err := l.orderModel(ctx, d, c, Order{Model: m})
+	_ = l.logger.Log("step", "load", "endpoint", c.ID, "model", m, "cold", cold, "seq", d.seq, "err", err)
+	if cold && err != nil && !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) {
+		l.countColdLoad(now.Add(maxOrderDelay / 2))
 	}
 }
