fix(copies): overload falls on all models alike

What callers lose now rises with the square of an endpoint's load above three quarters of its capacity.

--- a/internal/core/copies/follow.go
+++ b/internal/core/copies/follow.go
@@ -25,8 +25,8 @@
 	// doubtTime is how long the endpoint with the only copy of a model has not answered when
 	// the model counts as without a copy.
 	doubtTime = time.Second
-	// minRelief is the share of an endpoint's capacity that a further copy must relieve.
-	minRelief = 0.1
+	// minRelief is what a further copy must relieve, as a share of an endpoint's capacity.
+	minRelief = 0.05
 	// idleCost is what the eviction of the last copy of a model that callers don't ask for costs,
 	// spareCost that of a model's second copy, as shares of an endpoint's capacity.
 	idleCost, spareCost = 0.05, 0.02
@@ -152,7 +152,7 @@
 // loss returns what callers of a model lose per second with the copies that serve or are planned.
 func (f *follower) loss(i int) float64 {
 	if len(f.spread.copies[i]) > 0 {
-		return f.spread.excess(i)
+		return f.spread.loss(i)
 	}
 	m := f.engine.Models[i].Name
 	waited := f.demand.Waiting[m]
@@ -196,7 +196,7 @@
 	return model, loss
 }
 
-// worthwhile reports whether a copy that relieves so much is worth a move.
+// worthwhile reports whether a copy that relieves so much may be worth a move.
 func (f *follower) worthwhile(i int, relief float64) bool {
 	return len(f.spread.copies[i]) == 0 || relief >= minRelief*f.limits.Capacity
 }
@@ -255,16 +255,17 @@
 	if p.cached {
 		wait, blocked = cachedLoadTime, 0
 	}
-	room, cost := f.spread.room(p.endpoint), 0.0
+	load, cost := f.spread.load[p.endpoint], 0.0
 	if p.victim != "" {
 		v := f.number[p.victim]
 		wait += unloadTime
-		room = max(0, f.limits.Capacity-f.spread.load[p.endpoint]+f.spread.shareAt(v, p.endpoint))
+		load -= f.spread.shareAt(v, p.endpoint)
 		cost = f.limits.MinGain * f.evictionCost(v, p.endpoint)
 	}
-	relief := min(loss, room)
+	relief := f.spread.relief(i, load)
 	if len(f.spread.copies[i]) == 0 {
-		relief = loss/2 + relief/2 // even a full endpoint serves some of its callers
+		// Even a full endpoint serves some of its callers.
+		relief = max(loss/2, loss-f.spread.cost(load+f.spread.demand[i])+f.spread.cost(load))
 	} else if !f.worthwhile(i, relief) {
 		return 0
 	}
@@ -280,7 +281,7 @@
 	if f.readyCopies[m] < 2 {
 		return max(f.spread.demand[v], idleCost*f.limits.Capacity)
 	}
-	cost := max(0, share-f.spread.roomElsewhere(v, endpoint)) + shareCost*share
+	cost := f.spread.evictionCost(v, endpoint) + shareCost*share
 	if f.readyCopies[m] == 2 && f.demand.AtRisk[m] {
 		cost += spareCost * f.limits.Capacity
 	}
--- a/internal/core/copies/follow_test.go
+++ b/internal/core/copies/follow_test.go
@@ -328,3 +328,24 @@
 	}
 	return sum
 }
+
+// The load of a fleet on which everything is over its capacity, as when callers repeat what was
+// refused: a model with 5 copies and 70 in 100 refused still gets copies of one with 14.
+func TestOverloadIsLevelled(t *testing.T) {
+	f := newFollowFleet(19, 2)
+	for i := range f.endpoints {
+		e := &f.endpoints[i]
+		e.Loaded, e.Cached = []fleet.Model{simModel(1)}, []fleet.Model{simModel(0), simModel(1)}
+		if i < 5 {
+			e.Loaded = []fleet.Model{simModel(0)}
+		}
+	}
+	f.engine.MemoryMB = 100 // room for one
+	demand := func(i int, _ time.Duration) float64 { return []float64{380000, 360000}[i] }
+	for range 200 {
+		f.measure(0, demand) // the demand has been the same for long
+	}
+	f.run(0, 10*time.Second, demand, func(time.Duration) {})
+	assert.GreaterOrEqual(t, f.copiesOf(0), 8)
+	assert.GreaterOrEqual(t, f.copiesOf(1), 8)
+}
--- a/internal/core/copies/spread.go
+++ b/internal/core/copies/spread.go
@@ -5,8 +5,13 @@
 	"slices"
 )
 
-// levelRounds is how often the demand of all models is levelled in turn until it is spread.
-const levelRounds = 4
+const (
+	// levelRounds is how often the demand of all models is levelled in turn until it is spread.
+	levelRounds = 4
+	// freeShare is the share of an endpoint's capacity up to which its callers lose nothing. From
+	// there on the loss of a further token rises, to a whole one at freeShare + fullShare.
+	freeShare, fullShare = 0.75, 1.5
+)
 
 // spread is how the demand of models falls on their copies, where the models of one endpoint share
 // its capacity: requests go where least is ahead of them, so each model's demand levels the load of
@@ -87,27 +92,66 @@
 	return 0
 }
 
-// excess returns how much of a model's demand is beyond the capacity of the endpoints that have it.
-func (s *spread) excess(model int) float64 {
+// cost returns what callers lose per second to the load of an endpoint: it grows with the square of
+// what goes beyond the part of the capacity that is served without waiting.
+func (s *spread) cost(load float64) float64 {
+	over := max(0, load-freeShare*s.capacity)
+	return over * over / (2 * fullShare * s.capacity)
+}
+
+// loss returns the part of that cost which falls on a model's demand.
+func (s *spread) loss(model int) float64 {
 	sum := 0.0
 	for i, e := range s.copies[model] {
-		if s.load[e] > s.capacity {
-			sum += s.share[model][i] * (1 - s.capacity/s.load[e])
+		if s.load[e] > 0 {
+			sum += s.cost(s.load[e]) * s.share[model][i] / s.load[e]
 		}
 	}
 	return sum
 }
 
-// room returns the capacity that is left at an endpoint.
-func (s *spread) room(endpoint int) float64 { return max(0, s.capacity-s.load[endpoint]) }
+// levelOf returns the load of the endpoints that take a model's demand, and their number.
+func (s *spread) levelOf(model int) (level float64, endpoints int) {
+	for i, e := range s.copies[model] {
+		if s.share[model][i] > 0 {
+			level, endpoints = max(level, s.load[e]), endpoints+1
+		}
+	}
+	return level, endpoints
+}
 
-// roomElsewhere returns the capacity that is left at a model's other endpoints.
-func (s *spread) roomElsewhere(model, endpoint int) float64 {
-	sum := 0.0
+// relief returns what a further copy of a model saves at an endpoint that has a load already.
+func (s *spread) relief(model int, load float64) float64 {
+	level, n := s.levelOf(model)
+	if load >= level {
+		return 0
+	}
+	after := (float64(n)*level + load) / float64(n+1)
+	return float64(n)*s.cost(level) + s.cost(load) - float64(n+1)*s.cost(after)
+}
+
+// evictionCost returns what the loss of a model's copy at an endpoint costs: its demand goes to the
+// other copies, and the endpoint has less load.
+func (s *spread) evictionCost(model, endpoint int) float64 {
+	share := s.shareAt(model, endpoint)
+	if share == 0 {
+		return 0
+	}
+	level, n := s.levelOf(model)
+	if n < 2 {
+		level, n = s.leastElsewhere(model, endpoint), 2
+	}
+	after := level + share/float64(n-1)
+	return max(0, float64(n-1)*(s.cost(after)-s.cost(level))-s.cost(s.load[endpoint])+s.cost(s.load[endpoint]-share))
+}
+
+// leastElsewhere returns the least load of a model's other endpoints.
+func (s *spread) leastElsewhere(model, endpoint int) float64 {
+	least := math.Inf(1)
 	for _, e := range s.copies[model] {
 		if e != endpoint {
-			sum += s.room(e)
+			least = min(least, s.load[e])
 		}
 	}
-	return sum
+	return least
 }
