--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -145,6 +146,7 @@
 	clock     func() time.Time
 	logger    log.Logger
 	limits    Limits
+	registry  metrics.Registry
 	group     *errgroup.Group // nil if each step waits for its orders
 
 	mu          sync.Mutex
@@ -162,8 +164,9 @@
 	askedAt map[fleet.Model]time.Time
 	// loadTime is the mean time of a load from the weight store.
 	loadTime time.Duration
-	// shortages are used by the placement step only.
-	shortages map[catalog.Service]*copies.Shortage
+	// needsLoggedAt and shortages are used by the placement step only.
+	needsLoggedAt time.Time
+	shortages     map[catalog.Service]*copies.Shortage
 }
 
 // Limits are the configured limits on loads and moves.
@@ -191,11 +194,14 @@
 // WithLogger sets the logger for decisions.
 func WithLogger(l log.Logger) Option { return func(s *Loader) { s.logger = l } }
 
+// WithRegistry sets where the metrics go.
+func WithRegistry(r metrics.Registry) Option { return func(l *Loader) { l.registry = r } }
+
 // New returns a loader.
 func New(endpoints Endpoints, lease OrderLease, cluster ClusterState, clock func() time.Time, limits Limits, opts ...Option) *Loader {
 	l := &Loader{
 		endpoints: endpoints, lease: lease, cluster: cluster, clock: clock, limits: limits,
-		logger: log.NewNopLogger(), orderStates: make(map[fleet.Endpoint]*orderState), hadDemand: make(map[fleet.Model]bool),
+		logger: log.NewNopLogger(), registry: metrics.NewRegistry(), orderStates: make(map[fleet.Endpoint]*orderState), hadDemand: make(map[fleet.Model]bool),
 		askedAt: make(map[fleet.Model]time.Time), shortages: make(map[catalog.Service]*copies.Shortage), loadTime: minServeTime / 2,
 	}
 	for _, opt := range opts {
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -5,8 +5,10 @@
 	"errors"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
@@ -70,7 +72,7 @@
 		return copies.Plan(g.Engine, plan, planDemand, limits)
 	}
 	moves, needs := copies.Follow(g.Engine, plan, planDemand, limits)
-	l.logNeeds(needs, len(moves))
+	l.reportNeeds(now, needs, len(moves))
 	return moves
 }
 
@@ -79,14 +81,35 @@
 	return l.limits.Follow > 0 && engine.MaxLoadsPerSecond >= l.limits.Follow
 }
 
-// logNeeds logs which models need copies, those that lose most.
-func (l *Loader) logNeeds(needs []copies.Need, moves int) {
+// needsInterval is how often the models that need copies are logged.
+const needsInterval = time.Second
+
+// reportNeeds logs which models need copies, those that lose most, and measures what all lose.
+func (l *Loader) reportNeeds(now time.Time, needs []copies.Need, moves int) {
+	loss := 0.0
+	for _, n := range needs {
+		loss += n.Loss
+	}
+	metrics.GetOrRegisterGauge("unserved_demand", l.registry).Update(int64(loss))
+	if now.Sub(l.needsLoggedAt) < needsInterval {
+		return
+	}
+	l.needsLoggedAt = now
 	for _, n := range needs {
 		_ = l.logger.Log("step", "need", "model", n.Model, "demand", int(n.Demand), "forecast", int(n.Forecast), "copies", n.Copies,
 			"needed", n.Needed, "loss", int(n.Loss), "moves", moves)
 	}
 }
 
+// countMove counts an order for a base model that was sent.
+func (l *Loader) countMove(unload, cold bool) {
+	if unload {
+		metrics.GetOrRegisterCounter("model_unloads", l.registry).Inc(1)
+		return
+	}
+	metrics.GetOrRegisterCounter("model_loads;cold="+strconv.FormatBool(cold), l.registry).Inc(1)
+}
+
 // atRisk returns the models whose demand may rise within seconds: those with adapters, which
 // serve callers that wait for the answer, and those that have been in demand before.
 func (l *Loader) atRisk(engine *catalog.Engine, demand map[fleet.Model]float64) map[fleet.Model]bool {
@@ -170,6 +193,7 @@
 	model := d.retiring
 	d.retiring = ""
 	err := l.orderModel(ctx, d, c, Order{Unload: true, Model: model})
+	l.countMove(true, false)
 	_ = l.logger.Log("step", "unload", "endpoint", c.ID, "model", model, "seq", d.seq, "err", err)
 }
 
@@ -325,6 +349,7 @@
 func (l *Loader) orderLoad(ctx context.Context, now time.Time, d *orderState, c *Candidate, m fleet.Model, cold bool) {
 	d.cold = cold
 	err := l.orderModel(ctx, d, c, Order{Model: m})
+	l.countMove(false, cold)
 	_ = l.logger.Log("step", "load", "endpoint", c.ID, "model", m, "cold", cold, "seq", d.seq, "err", err)
 	if cold && err != nil && !errors.Is(err, ErrBusy) && !errors.Is(err, ErrDenied) {
 		l.countColdLoad(now.Add(maxOrderDelay / 2))
