feat(balance): requests are spread by the backlogs that owners report

Cause: each endpoint's schedule is exact at the one instance that admits its requests, but the choice went by sums of all instances' old loads, took the least for all alike, and the answer of an admission was dropped.

Change: answers to admissions, refusals too, and heartbeats carry the backlog by rank; instances keep it until a newer one, less what the endpoint does meanwhile, plus what they send. A choice is drawn: work that is expected since the reports fills the shortest backlogs up to a level (core/balance.Spread). The endpoint with a shared prefix goes first until its backlog costs more than reading the prefix. Where all live instances announce the feature, backlogs replace loads on heartbeats.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -310,6 +310,8 @@
 	// Wait is the predicted time to the first byte; Prefill is the part of it that
 	// depends on the model.
 	Wait, Prefill time.Duration
+	// Age is how old the knowledge of the endpoint's backlog is, 0 if it is the sum of all loads.
+	Age time.Duration
 }
 
 // MaxWait returns the longest predicted wait with which a request is sent: its target.
@@ -402,9 +404,15 @@
 
 func (b *Balancer) evaluate(now time.Time, e *roster.Endpoint, a *Request, group *catalog.Group, regions map[fleet.DataCentre]fleet.Region) (Choice, bool) {
 	load := b.Load(e.ID)
-	c := Choice{Endpoint: e}
-	c.Prefill = load.PrefillAhead(a.Level) + b.prefillTime(a, max(0, a.PromptTokens-b.cachedTokens(e.ID, a)))
-	c.Wait = time.Duration(load.Running)*b.costs.RunningRequest + c.Prefill
+	return b.predict(now, e, a, group, regions, load.PrefillAhead(a.Level), load.Running)
+}
+
+// predict returns the choice of an endpoint with some prefill ahead and some requests running. ok
+// is false if the endpoint can't load the request's adapter.
+func (b *Balancer) predict(now time.Time, e *roster.Endpoint, a *Request, group *catalog.Group, regions map[fleet.DataCentre]fleet.Region, ahead time.Duration, running int) (c Choice, ok bool) {
+	c = Choice{Endpoint: e}
+	c.Prefill = ahead + b.prefillTime(a, max(0, a.PromptTokens-b.cachedTokens(e.ID, a)))
+	c.Wait = time.Duration(running)*b.costs.RunningRequest + c.Prefill
 	switch {
 	case e.DataCentre == a.Place.DataCentre:
 	case regions[e.DataCentre] == a.Place.Region:
@@ -412,7 +420,7 @@
 	default:
 		c.Wait += b.costs.Region
 	}
-	if load.Running >= e.Slots || e.Occupied(now, a.PromptTokens) {
+	if running >= e.Slots || e.Occupied(now, a.PromptTokens) {
 		c.Wait += b.costs.NoCapacity
 	}
 	if a.Adapter != "" && !e.Serves(now, a.Model, a.Adapter) {
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -125,7 +125,9 @@
 		s.receiveLimit(a.Rate, 0, "admit")
 		s.mu.Unlock()
 	}
-	return s.reserve(a)
+	reply := s.reserve(a)
+	reply.Backlog = s.backlogReply(incarnation{a.Endpoint, a.Born})
+	return reply
 }
 
 // Admit asks when a request may be sent to the target. It is refused if that is later than limit.
@@ -150,7 +152,9 @@
 		_ = level.Warn(g.node.logger).Log("step", "admit", "endpoint", t.ID, "peer", address, "err", err)
 		return g.takeOwnShare(t, limit)
 	}
-	return g.admitted(t, answer, g.clock().Sub(askedAt)/2)
+	way := g.clock().Sub(askedAt) / 2
+	g.receiveBacklogReply(t.ID, answer, askedAt, way)
+	return g.admitted(t, answer, way)
 }
 
 // admitted converts the answer to a question that took a while to come back.
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -118,7 +118,7 @@
 		}
 		all = append(all, loader.Candidate{
 			ID: e.ID, Born: e.Born, Address: e.Address, Report: report, CachedModels: report.AtHand,
-			PendingPrefill: s.balancer.Load(e.ID).PrefillAhead(bulkLevel), Suspect: e.Suspect(now), Spared: e.Spared(now), AdaptersInUse: s.adaptersInUse(e.ID),
+			PendingPrefill: s.pendingPrefill(now, e), Suspect: e.Suspect(now), Spared: e.Spared(now), AdaptersInUse: s.adaptersInUse(e.ID),
 		})
 	}
 	return all
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -177,7 +177,7 @@
 	s.updateLoadFeatures()
 	b := &gossip.Heartbeat{
 		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
-		Loads: s.balancer.OwnLoads(), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
+		Loads: s.loadsToSend(), Backlogs: s.backlogsToSend(now), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
 		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(), Features: feature.Announced(),
 	}
 	if s.catalog != nil {
@@ -226,6 +226,7 @@
 	s.observeCatalogVersion(now, b.Catalog)
 	s.receiveHolder(now, b, delay)
 	s.balancer.SetRemote(name, b.Loads, b.Uses)
+	s.receiveBacklogs(now, b, delay)
 	for _, r := range b.Reports {
 		// A heartbeat may have been delayed on a connection that was cut for a while; its
 		// reports are older by that delay.
@@ -334,6 +335,7 @@
 	s.observeSoftware(now)
 	s.origins.Expire(now)
 	s.removeIdleSchedules(now)
+	s.reported.Expire(now.Add(-backlogRetention))
 	s.removeOldLimits(now)
 	for name, p := range s.peers {
 		if now.Sub(p.receivedAt) > peerLoadRetention {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -5,12 +5,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/chiveramp/chiveramp/internal/core/backlog"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fairshare"
@@ -127,6 +129,8 @@
 	storeAnsweredAt time.Time
 	watching        bool
 	loadFeatures    loadFeatures
+	reported        *backlog.Table // backlogs of endpoints, as the instances that admit their requests have them
+	random          func() float64 // in [0, 1), draws among endpoints
 }
 
 // retirement is a model that is about to be unloaded from an endpoint.
@@ -147,6 +151,7 @@
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
+		reported: backlog.NewTable(), random: rand.Float64,
 	}
 }
 
@@ -189,7 +194,7 @@
 	if !ok {
 		group = &catalog.Group{Name: a.Service}
 	}
-	c, missing := s.balancer.Choose(now, a, group, s.roster.All(), s.regions)
+	c, missing := s.chooseEndpoint(now, a, group)
 	switch missing {
 	case balance.MissingModel:
 		return c, gateway.ErrNoEndpoint
@@ -205,6 +210,13 @@
 	return c, nil
 }
 
+func (s *state) chooseEndpoint(now time.Time, a *balance.Request, group *catalog.Group) (balance.Choice, balance.Missing) {
+	if a.Model != "" && s.spreads(a.Service) {
+		return s.balancer.Spread(now, a, group, s.roster.All(), s.regions, backlogs{s, now}, s.random())
+	}
+	return s.balancer.Choose(now, a, group, s.roster.All(), s.regions)
+}
+
 // deferralError tells why the endpoint that would be the first to take a request takes none now.
 func deferralError(now time.Time, e *roster.Endpoint) error {
 	if e.Spared(now) {
@@ -241,6 +253,10 @@
 	}
 	t.Prefill, t.Limited = c.Prefill, s.limit(incarnation{t.ID, t.Born}) != nil
 	t.PendingPrefill = s.balancer.Started(t.ID, a)
+	if s.spreads(a.Service) {
+		t.Age = c.Age
+		s.reported.Send(now, t.ID, a.Level, t.PendingPrefill)
+	}
 	return t, nil
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -63,6 +63,9 @@
 	Verdicts []Verdict       `cbor:"m,omitempty"`
 	// Features are what the sender's build can do.
 	Features []feature.Feature `cbor:"v,omitempty"`
+	// Backlogs are the schedules of the endpoints whose requests the sender admits, without those
+	// that hold nothing. Where they are sent, Loads has no entry.
+	Backlogs []Backlog `cbor:"s,omitempty"`
 }
 
 // WithoutDemand returns a copy of the heartbeat without what only the holder of the order
@@ -281,4 +284,6 @@
 	Hold time.Duration `cbor:"h,omitempty"`
 	// Limited is set if the wait is due to a limit that the endpoint has asked for.
 	Limited bool `cbor:"l,omitempty"`
+	// Backlog is the endpoint's schedule after the decision.
+	Backlog BacklogWork `cbor:"b,omitempty"`
 }
