--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -19,7 +19,7 @@
 )
 
 // Announced returns the features of this build.
-func Announced() []Feature { return []Feature{} }
+func Announced() []Feature { return []Feature{Backlog} }
 
 // Announcement is what is known of another instance.
 type Announcement struct {
