feat(queue): requests that can't be in time wait for room at the instance that admits them

Cause: a request predicted to miss its target was refused at the entry by loads of other instances that are up to seconds old, or after up to four admissions; classes with seconds of patience waited nowhere.

Change: for services that queue, the instance that admits an endpoint's requests keeps a late lane behind each rank. The entry instance holds the request (bounded by memory), asks again when its turn is predicted and sends it with a priority behind its rank. The owner keeps soft state only, which lapses; order is by rank and by how long a request has waited, so a new owner needs nothing from the old one. A turn that comes too late for the caller is refused at once, a first one already if it would at twice the predicted time. Predicted loads no longer refuse at the entry while the caller's patience allows it.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -38,6 +38,10 @@
 	// Target is the maximum time to the first byte.
 	Target time.Duration
 	Place  fleet.Place
+	// Patience is the longest predicted wait with which the request is sent if that is over its
+	// target, Reserved the endpoint at which it waits for room, empty for none.
+	Patience time.Duration
+	Reserved fleet.Endpoint
 	// Exclude lists endpoints that were already tried.
 	Exclude []fleet.Endpoint
 	// Software is the version that began the request's stream, nil if no endpoint has.
--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -18,7 +18,7 @@
 )
 
 // Announced returns the features of this build.
-func Announced() []Feature { return []Feature{} }
+func Announced() []Feature { return []Feature{Queue} }
 
 // All reports whether every one of the announcements has a feature.
 func All(f Feature, announcements ...[]Feature) bool {
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -36,13 +36,25 @@
 	return time.Duration(float64(prefill) * float64(gap) / float64(gap-eventDecodeTime))
 }
 
+// laneCount is the number of lanes: each rank has one for the requests that can be in time, and
+// behind it one for late ones.
+const laneCount = 2 * rankCount
+
+func rankOf(level int) int { return min(level, rankCount-1) }
+
+func lateLane(level int) int { return 2*rankOf(level) + 1 }
+
 // Schedule is the schedule of one endpoint's prompts. The zero value is an empty schedule.
 // It is not safe for concurrent use.
 type Schedule struct {
-	// busyUntil is, for each rank, when the scheduled prompts end that are as urgent or more.
-	busyUntil [rankCount]time.Time
+	// busyUntil is, for each lane, when the scheduled prompts end that are in it or ahead of it.
+	busyUntil [laneCount]time.Time
 	// admitted are the times at which prompts were scheduled lately, in order.
 	admitted []time.Time
+	// arrived is the work that was scheduled lately in each lane, in seconds as of decayedAt.
+	arrived   [laneCount]float64
+	decayedAt time.Time
+	waiting   []*waiter
 }
 
 // reportLag is how old the state in an endpoint's report may be when the report is taken.
@@ -78,28 +90,38 @@
 // Reserve schedules a prompt of a rank, 0 being the most urgent, and returns how long to wait
 // before it is sent. If that is longer than limit, the prompt is not scheduled and ok is false.
 func (s *Schedule) Reserve(now time.Time, level int, work, limit time.Duration) (wait time.Duration, ok bool) {
-	rank := min(level, rankCount-1)
-	wait = max(0, s.busyUntil[rank].Sub(now))
+	lane := 2 * rankOf(level)
+	wait = max(0, s.busyUntil[lane].Sub(now))
 	if wait > limit {
 		return wait, false
 	}
-	for r := rank; r < rankCount; r++ {
-		if s.busyUntil[r].Before(now) {
-			s.busyUntil[r] = now
+	s.schedule(now, lane, work)
+	return wait, true
+}
+
+// schedule adds a prompt to a lane.
+func (s *Schedule) schedule(now time.Time, lane int, work time.Duration) {
+	for l := lane; l < laneCount; l++ {
+		if s.busyUntil[l].Before(now) {
+			s.busyUntil[l] = now
 		}
-		s.busyUntil[r] = s.busyUntil[r].Add(work)
+		s.busyUntil[l] = s.busyUntil[l].Add(work)
 	}
+	s.decay(now)
+	s.arrived[lane] += work.Seconds()
 	if s.admitted = append(s.admitted, now); len(s.admitted) > maxAdmitted {
 		s.admitted = s.admitted[1:]
 	}
-	return wait, true
 }
 
-// Idle reports whether the schedule affects no request: no prompt is scheduled, and the
+// Idle reports whether the schedule affects no request: no prompt is scheduled or waits, and the
 // endpoint's reports show all that were.
 func (s *Schedule) Idle(now time.Time) bool {
+	if s.expire(now); len(s.waiting) > 0 {
+		return false
+	}
 	if n := len(s.admitted); n > 0 && now.Sub(s.admitted[n-1]) < unreportedTime {
 		return false
 	}
-	return !now.Before(s.busyUntil[rankCount-1])
+	return !now.Before(s.busyUntil[laneCount-1])
 }
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/pace"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -55,14 +56,38 @@
 		return &gossip.AdmitReply{Wait: hold, Refused: true, Limited: true}
 	}
 	slotWait := schedule.SlotWait(s.occupancy(now, a.Endpoint), a.Run)
-	if slotWait > a.Limit {
-		return &gossip.AdmitReply{Wait: slotWait, Refused: true}
+	r := &gossip.AdmitReply{Wait: slotWait, Refused: true}
+	if slotWait <= a.Limit && (a.Late == nil || a.Limit > 0) {
+		wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
+		r.Wait, r.Refused = wait, !ok
+	}
+	if r.Refused && a.Late != nil {
+		r = queue(schedule, now, a, slotWait)
+	}
+	if !r.Refused {
+		r.Hold = hold
+		if named != nil {
+			named.all.Take(now, named.Limit, 1)
+		}
 	}
-	wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
-	if ok && named != nil {
-		named.all.Take(now, named.Limit, 1)
+	return r
+}
+
+// queue decides on a request that can't be in time.
+func queue(schedule *pace.Schedule, now time.Time, a *gossip.Admit, slotWait time.Duration) *gossip.AdmitReply {
+	place := schedule.Queue(now, pace.Late{
+		ID: a.Late.ID, Level: a.Level, Work: a.Work, Waited: a.Late.Waited, Patience: a.Late.Patience, Last: a.Late.Last,
+	}, slotWait)
+	return &gossip.AdmitReply{Wait: place.Turn, Refused: !place.Admitted, Late: place.Admitted, AskAgain: place.AskAgain, Ahead: place.Ahead}
+}
+
+// withdraw ends the wait of a request at an endpoint of this instance.
+func (s *state) withdraw(a *gossip.Admit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if schedule := s.schedules[incarnation{a.Endpoint, a.Born}]; schedule != nil {
+		schedule.Withdraw(a.Late.ID)
 	}
-	return &gossip.AdmitReply{Wait: wait, Refused: !ok, Hold: hold}
 }
 
 // occupancy returns what an endpoint reported of its requests, the zero value if that is not
@@ -120,6 +145,10 @@
 }
 
 func (s *state) admit(a *gossip.Admit) *gossip.AdmitReply {
+	if a.Late != nil && a.Late.Withdrawn {
+		s.withdraw(a)
+		return &gossip.AdmitReply{Refused: true}
+	}
 	if a.Rate != nil {
 		s.mu.Lock()
 		s.receiveLimit(a.Rate, 0, "admit")
@@ -128,15 +157,17 @@
 	return s.reserve(a)
 }
 
-// Admit asks when a request may be sent to the target. It is refused if that is later than limit.
-// If the instance that admits the endpoint's requests doesn't answer, the request may be sent at
+// Admit asks when a request may be sent to the target. It is refused if that is too late. If the instance that admits the endpoint's requests doesn't answer, the request may be sent at
 // once, or under this instance's part of a limit that the endpoint has asked for.
-func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, work, limit time.Duration) gateway.Admission {
+func (g gatewayFleet) Admit(ctx context.Context, t gateway.Target, a *balance.Request, q gateway.Question) gateway.Admission {
 	address, known := g.admitter(t.ID)
 	if !known {
-		return g.takeOwnShare(t, limit)
+		return g.admitAlone(t, a, q)
+	}
+	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: q.Work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: q.Limit}
+	if l := q.Late; l != nil {
+		question.Late = &gossip.Late{ID: l.ID, Waited: l.Waited, Patience: l.Patience, Last: l.Last}
 	}
-	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: limit}
 	if address == "" {
 		return g.admitted(t, g.reserve(question), 0)
 	}
@@ -148,7 +179,7 @@
 	if err != nil {
 		g.admitterFailed(t.ID)
 		_ = level.Warn(g.node.logger).Log("step", "admit", "endpoint", t.ID, "peer", address, "err", err)
-		return g.takeOwnShare(t, limit)
+		return g.admitAlone(t, a, q)
 	}
 	return g.admitted(t, answer, g.clock().Sub(askedAt)/2)
 }
@@ -158,5 +189,40 @@
 	if r.Limited {
 		g.deferEndpoint(t, r.Wait)
 	}
-	return gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited}
+	admission := gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited, Late: r.Late, Ahead: r.Ahead}
+	if r.AskAgain > 0 {
+		admission.AskAgain = max(time.Millisecond, r.AskAgain-way)
+	}
+	return admission
+}
+
+// admitAlone decides on a request to an endpoint whose admitting instance doesn't answer. One that
+// is predicted to miss its target is not sent: without a schedule it would displace others.
+func (g gatewayFleet) admitAlone(t gateway.Target, a *balance.Request, q gateway.Question) gateway.Admission {
+	if q.Late != nil && t.Wait > balance.MaxWait(a) {
+		return gateway.Admission{Wait: t.Wait, Refused: true}
+	}
+	return g.takeOwnShare(t, q.Limit)
+}
+
+// Queues reports whether requests to a service wait for room.
+func (g gatewayFleet) Queues(service catalog.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queues(service)
+}
+
+// Withdraw ends the wait of a request. If the message is lost, its place lapses.
+func (g gatewayFleet) Withdraw(ctx context.Context, t gateway.Target, id uint64) {
+	address, known := g.admitter(t.ID)
+	withdrawal := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Late: &gossip.Late{ID: id, Withdrawn: true}}
+	if address == "" {
+		if known {
+			g.withdraw(withdrawal)
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	_, _ = g.node.gossip.Admit(ctx, address, withdrawal)
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -190,6 +190,9 @@
 		group = &catalog.Group{Name: a.Service}
 	}
 	c, missing := s.balancer.Choose(now, a, group, s.roster.All(), s.regions)
+	if a.Reserved != "" && (missing != balance.MissingNone || c.Wait > balance.MaxWait(a)) {
+		c, missing = s.chooseReserved(now, a, group, c, missing)
+	}
 	switch missing {
 	case balance.MissingModel:
 		return c, gateway.ErrNoEndpoint
@@ -199,12 +202,27 @@
 		return c, deferralError(now, c.Endpoint)
 	case balance.MissingNone:
 	}
-	if c.Wait > balance.MaxWait(a) {
+	if c.Wait > max(balance.MaxWait(a), a.Patience) {
 		return c, gateway.ErrOverloaded
 	}
 	return c, nil
 }
 
+// chooseReserved returns the endpoint at which a request waits for room, the other choice if that
+// one can't serve it any more.
+func (s *state) chooseReserved(now time.Time, a *balance.Request, group *catalog.Group, other balance.Choice, missing balance.Missing) (balance.Choice, balance.Missing) {
+	e := s.roster.Get(a.Reserved)
+	if e == nil {
+		return other, missing
+	}
+	c, without := s.balancer.Choose(now, a, group, []*roster.Endpoint{e}, s.regions)
+	if without != balance.MissingNone {
+		return other, missing
+	}
+	c.Wait = min(c.Wait, a.Patience) // what its admitting instance has said goes first
+	return c, without
+}
+
 // deferralError tells why the endpoint that would be the first to take a request takes none now.
 func deferralError(now time.Time, e *roster.Endpoint) error {
 	if e.Spared(now) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,8 @@
 	mayHaveRun bool
 	// insistent is set if it is sent even if it comes too late for the route's target.
 	insistent bool
+	// admittedLate is set if it was admitted behind the requests that can be in time.
+	admittedLate bool
 	// retryTaken is set if a retry was taken from the budget for it.
 	retryTaken bool
 	// quiet is set while the endpoint is silent. It belongs to the job.
@@ -67,8 +69,18 @@
 	outcome outcome
 	sent    bool // the endpoint may have received the request
 	err     error
-	// predictedWait is the wait with which the endpoint refused to admit the request.
+	refusal
+}
+
+// refusal is how an endpoint refused to admit a request.
+type refusal struct {
+	// predictedWait is the wait there.
 	predictedWait time.Duration
+	// late is set if the request has asked to wait longer than its target. askAgain is when it is
+	// to ask again, 0 if it doesn't wait there, ahead how many others do before it.
+	late     bool
+	askAgain time.Duration
+	ahead    int
 }
 
 // runGuarded runs the attempt. A panic ends the request, not the instance, as in a handler of
@@ -91,8 +103,8 @@
 			return result{attempt: a, outcome: outcomeNotRun, err: fmt.Errorf("load adapter: %w", err)}
 		}
 	}
-	if wait, err := a.awaitAdmission(ctx); err != nil {
-		return result{attempt: a, outcome: outcomeNotRun, err: err, predictedWait: wait}
+	if refusal, err := a.awaitAdmission(ctx); err != nil {
+		return result{attempt: a, outcome: outcomeNotRun, err: err, refusal: refusal}
 	}
 	if err := j.gateway.fleet.KeyValid(j.request.Key, j.request.Workspace); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err}
@@ -110,7 +122,7 @@
 	j, g := a.job, a.job.gateway
 	message := &Attempt{
 		Request: j.request, Endpoint: a.target.ID, Born: a.target.Born, Address: a.target.Address,
-		Level: j.query.Level, After: a.after,
+		Level: j.query.Level, Late: a.admittedLate, After: a.after,
 	}
 	if j.request.Wait > 0 {
 		message.TimeLeft = max(time.Millisecond, j.request.Wait-g.clock().Sub(j.arrived))
@@ -139,38 +151,44 @@
 // too long to meet its target is not sent there: the error comes with the wait. Where queued
 // prompts would pause the streams that run there, or the endpoint has asked for a limit, the
 // request waits for its turn.
-func (a *attempt) awaitAdmission(ctx context.Context) (refusedWait time.Duration, err error) {
+func (a *attempt) awaitAdmission(ctx context.Context) (refusal, error) {
 	j := a.job
 	if !a.target.Limited && (j.request.Model == "" || j.route.Target <= 0) {
-		return 0, nil
+		return refusal{}, nil
 	}
 	work, paced := a.target.PendingPrefill, pace.Applies(j.route.MaxEventGap)
 	if paced {
 		work = pace.Work(work, j.route.MaxEventGap)
 	}
 	limit := max(0, j.route.Target-j.gateway.clock().Sub(j.arrived)-a.target.PendingPrefill-admissionMargin)
-	admission := j.gateway.fleet.Admit(ctx, a.target, &a.query, work, limit)
+	late := a.late()
+	admission := j.gateway.fleet.Admit(ctx, a.target, &a.query, Question{Work: work, Limit: limit, Late: late})
+	a.admittedLate = admission.Late
 	if admission.Refused && (a.mayHaveRun || a.insistent) && !admission.Limited {
 		// Its target has passed. After a run a refusal would say that it has not run, beside an
 		// endpoint that stays silent it would leave the request without an answer, and a stream that
 		// the caller takes up without its rest.
-		return 0, ctx.Err()
+		return refusal{}, ctx.Err()
 	}
 	if admission.Refused {
-		return admission.Wait + a.target.PendingPrefill, fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
+		r := refusal{predictedWait: admission.Wait + a.target.PendingPrefill, late: late != nil, askAgain: admission.AskAgain, ahead: admission.Ahead}
+		return r, fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
+	}
+	if late != nil {
+		j.endWait()
 	}
 	wait := admission.Hold
 	if paced {
 		wait = max(wait, admission.Wait)
 	}
 	if wait <= 0 {
-		return 0, ctx.Err()
+		return refusal{}, ctx.Err()
 	}
 	j.admissionWait.Store(int64(wait))
 	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	<-waiting.Done()
-	return 0, ctx.Err()
+	return refusal{}, ctx.Err()
 }
 
 // handleAnswer passes an answer on to the caller, unless it means that the request must be
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 
 	maxAnswerBytes int64 // of an answer other than a stream
 	held           *heldMemory
+	waiting        waitingMemory
 }
 
 // Option configures a Gateway.
@@ -154,7 +155,9 @@
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
 	}
 	g.fleet.CountRequest(&j.query)
+	j.beginQueueing()
 	j.run(ctx)
+	j.endQueueing(ctx)
 	g.settle(j, workspace, charge)
 	j.report(ctx)
 	g.stats.Workspace(request.Workspace, j.delivery.status)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -52,6 +52,14 @@
 	gone                             []fleet.Endpoint
 	spared                           []time.Duration
 	streams                          []origin.Stream
+	replies                          []gateway.Admission // to questions of a service that queues, the last one repeated
+	questions                        []question
+	withdrawn                        []fleet.Endpoint
+}
+
+type question struct {
+	endpoint fleet.Endpoint
+	gateway.Question
 }
 
 func (f *fakeFleet) Route(host, _ string) (*catalog.Route, int64, error) {
@@ -191,10 +199,23 @@
 	return nil
 }
 
-func (f *fakeFleet) Admit(context.Context, gateway.Target, *balance.Request, time.Duration, time.Duration) gateway.Admission {
+func (f *fakeFleet) Queues(catalog.Service) bool { return f.replies != nil }
+
+func (f *fakeFleet) Withdraw(_ context.Context, t gateway.Target, _ uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.withdrawn = append(f.withdrawn, t.ID)
+}
+
+func (f *fakeFleet) Admit(_ context.Context, t gateway.Target, _ *balance.Request, q gateway.Question) gateway.Admission {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.admissions++
+	if f.replies != nil {
+		f.questions = append(f.questions, question{t.ID, q})
+		reply := f.replies[min(f.admissions, len(f.replies))-1]
+		return reply
+	}
 	return gateway.Admission{Wait: f.admissionWait, Refused: f.admissionRefused && f.admissions > f.admitFirst}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -59,6 +59,8 @@
 	adapterOrders int           // number of adapter loads ordered for the request
 	failure       error
 
+	queueing queueing
+
 	abortConnection bool // the answer is incomplete, so the caller's connection must be closed
 }
 
@@ -105,6 +107,9 @@
 	if len(j.inFlight) > 0 {
 		return false
 	}
+	if r.askAgain > 0 {
+		j.awaitTurn(ctx, r)
+	}
 	if !j.mayRetry(ctx) {
 		j.giveUp(ctx, j.failure)
 		return true
@@ -134,6 +139,7 @@
 		j.failure = fmt.Errorf("endpoint %s: %w", r.attempt.target.ID, r.err)
 	}
 	j.predictedWait = max(j.predictedWait, r.predictedWait)
+	j.recordFull(r)
 	if r.outcome != outcomeNotRun && !switches.Off(switches.ConfirmedNotRun) {
 		j.mayHaveRun = true
 	}
@@ -162,6 +168,10 @@
 		a.insistent = beside.insistent
 	} else {
 		a.insistent = j.query.Software != nil
+		a.query.Patience = j.patience(ctx)
+		if j.queueing.target != nil {
+			a.query.Reserved = j.queueing.target.ID
+		}
 	}
 	target, err := j.gateway.fleet.Choose(&a.query)
 	if err != nil {
@@ -250,7 +260,7 @@
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
-	case j.tries >= maxTries, mayCrash(j.failure):
+	case j.tries >= maxTries+j.queueing.asks, mayCrash(j.failure):
 		return false
 	case j.sent.Load() == 0:
 		return true // no endpoint has received the request yet
@@ -316,5 +326,5 @@
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
 	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter, "resumes", j.request.Resumes,
 		"status", d.status, "endpoint", j.target.ID, "software", j.target.Software, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
-		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
+		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -124,8 +124,10 @@
 	Address  string
 	// TimeLeft is how long the caller still waits, 0 if unknown.
 	TimeLeft time.Duration
-	// Level is the request's rank, 0 for the most urgent one.
+	// Level is the request's rank, 0 for the most urgent one. Late is set if it gives way to the
+	// others of its rank.
 	Level int
+	Late  bool
 	// After is the id of the last event already passed on to the caller.
 	After string
 }
@@ -208,6 +210,30 @@
 	// Refused is set if Wait is too long, Limited beside it if that is due to the limit that the
 	// endpoint has asked for.
 	Refused, Limited bool
+	// Late is set if the request was admitted although it can't be in time. AskAgain is when a
+	// refused one that waits for room is to ask again, 0 if it doesn't wait, Ahead how many late
+	// requests have their turns before it.
+	Late     bool
+	AskAgain time.Duration
+	Ahead    int
+}
+
+// Question is what a request asks of the endpoint that it is to be sent to.
+type Question struct {
+	// Work is how long its prompt occupies the engine, Limit how long it can wait to be in time.
+	Work, Limit time.Duration
+	// Late is set if it can wait longer.
+	Late *Late
+}
+
+// Late is a request that may be answered after its target.
+type Late struct {
+	// ID is the same in all questions of the request.
+	ID uint64
+	// Waited is how long ago it arrived, Patience how long it can still wait before it is sent.
+	Waited, Patience time.Duration
+	// Last is set if it doesn't ask again.
+	Last bool
 }
 
 // Fleet is the instance's view of routes and endpoints.
@@ -249,9 +275,12 @@
 	// takes one retry from the budget and reports whether there was one.
 	CountRequest(a *balance.Request)
 	TakeRetry(s catalog.Service) bool
-	// Admit asks when a prompt may be sent to the target, where it occupies the engine for the
-	// time work. It is refused if that is later than limit.
-	Admit(ctx context.Context, t Target, a *balance.Request, work, limit time.Duration) Admission
+	// Admit asks when a prompt may be sent to the target. It is refused if that is too late.
+	Admit(ctx context.Context, t Target, a *balance.Request, q Question) Admission
+	// Queues reports whether requests to a service wait for room. Withdraw ends the wait of one
+	// whose caller has left.
+	Queues(s catalog.Service) bool
+	Withdraw(ctx context.Context, t Target, id uint64)
 	// RecordLimit records whether an answer of the target asked for a limit, and which.
 	RecordLimit(t Target, limited bool, perSecond float64)
 	// Ensure has an adapter loaded at the target.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -270,6 +270,21 @@
 	Limit time.Duration `cbor:"m"`
 	// Rate is what the sender knows of a limit that the endpoint has asked for, nil for nothing.
 	Rate *Limit `cbor:"s,omitempty"`
+	// Late is set if the request may wait for room beyond Limit.
+	Late *Late `cbor:"q,omitempty"`
+}
+
+// Late is a request that may be answered after its target.
+type Late struct {
+	// ID is the same in all questions of the request.
+	ID uint64 `cbor:"i"`
+	// Waited is how long ago the request arrived, Patience how long it can still wait.
+	Waited   time.Duration `cbor:"w,omitempty"`
+	Patience time.Duration `cbor:"p,omitempty"`
+	// Last is set if the request doesn't ask again.
+	Last bool `cbor:"l,omitempty"`
+	// Withdrawn is set if the request no longer waits. It is not admitted.
+	Withdrawn bool `cbor:"x,omitempty"`
 }
 
 // AdmitReply answers an Admit. Wait is counted from the arrival of the question. If Refused
@@ -281,4 +296,10 @@
 	Hold time.Duration `cbor:"h,omitempty"`
 	// Limited is set if the wait is due to a limit that the endpoint has asked for.
 	Limited bool `cbor:"l,omitempty"`
+	// Late is set if a late request was admitted.
+	Late bool `cbor:"t,omitempty"`
+	// AskAgain is when a refused request that waits for room is to ask again, 0 if it doesn't wait,
+	// Ahead how many late requests are before it.
+	AskAgain time.Duration `cbor:"a,omitempty"`
+	Ahead    int           `cbor:"n,omitempty"`
 }
