fix(config): sizes of [load] are defaults, not keys of the template

Change: the sizes from which services get what is done under hard load are defaults of the settings; the template names them once every build that may run beside reads them.

Measured: go test ./pkg/config ./docs passes.

--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -130,6 +130,9 @@
 	gatewayHeldAnswers  = 24 << 20 // bytes
 	minAnswerLimit      = 1 << 20  // bytes
 	gatewayRevoke       = 5 * time.Second
+	gatewayFollow       = 12 // loads a second
+	gatewayEven         = 80 // endpoints
+	gatewayQueue        = 80 // endpoints
 )
 
 // DefaultGateway returns the default settings of a Gateway.
@@ -143,6 +146,7 @@
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
+		Load:       GatewayLoad{Follow: gatewayFollow, Even: gatewayEven, Queue: gatewayQueue},
 
 		Log: Log{Level: LevelInfo, Format: FormatLogfmt},
 	}
