--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SEED ?= 0
 SECONDS ?= 5
 
-.PHONY: soak setup tools build fmt lint unit race test demo speed measure slopes check
+.PHONY: soak soak-upgrade setup tools build fmt lint unit race test demo speed measure slopes check
 
 setup: $(LINT)
 
@@ -63,3 +63,8 @@
 
 speed: build
 	scripts/speed.sh
+
+# soak-upgrade injects faults while instances are replaced by the production build and back:
+# make soak-upgrade SEED=7 SECONDS=20
+soak-upgrade:
+	$(GO) test -count=1 -v -run 'TestSoakUpgrade$$' ./platform/process -seed $(SEED) -seconds $(SECONDS)
