feat(queue): the owner of an endpoint shares scarce room among workspaces

Cause: while room is short, a workspace that sends several times its usual took the room of the others; core/fairshare raises ranks by the counts of one of the instances only.

Change: entry instances measure how many requests a second each workspace sends now and usually (before the last ten seconds) and add both to the question to the owner of an endpoint. The owner pools what all instances say and, while requests find no room, lets each workspace have the same multiple of its usual rate (max-min). A request beyond that gives way to all ranks: it waits, or is refused if it can't.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 )
@@ -42,6 +43,8 @@
 	// target, Reserved the endpoint at which it waits for room, empty for none.
 	Patience time.Duration
 	Reserved fleet.Endpoint
+	// Usage is how much the request's workspace sends through this instance, nil if it has none.
+	Usage *fairshare.Usage
 	// Exclude lists endpoints that were already tried.
 	Exclude []fleet.Endpoint
 	// Software is the version that began the request's stream, nil if no endpoint has.
--- a/internal/core/pace/lane.go
+++ b/internal/core/pace/lane.go
@@ -35,8 +35,10 @@
 	Work  time.Duration
 	// Waited is how long ago it arrived, Patience how long it can still wait before it is sent.
 	Waited, Patience time.Duration
-	// Last is set if it doesn't ask again.
-	Last bool
+	// Asked is set if it has waited since an earlier question, Last if it doesn't ask again.
+	Asked, Last bool
+	// Yields is set if its workspace is over its share of the room: it gives way to all ranks.
+	Yields bool
 }
 
 // Place is the answer to a late request.
@@ -72,13 +74,23 @@
 // request takes its turn after all of its rank that can be in time, also those that arrive later:
 // their inflow is counted in its turn. In a lasting overload that fills the endpoint with requests
 // in time, late ones are refused at once.
-func (s *Schedule) Queue(now time.Time, late Late, slot time.Duration) Place {
+func (s *Schedule) Queue(now time.Time, late Late, slot time.Duration) (place Place) {
 	s.expire(now)
 	s.Withdraw(late.ID)
 	w := &waiter{Late: late, arrived: now.Add(-late.Waited)}
-	lane := lateLane(late.Level)
+	if late.Yields {
+		w.Level = rankCount - 1
+	}
+	lane := lateLane(w.Level)
 	work := max(0, s.busyUntil[lane].Sub(now))
-	place := Place{}
+	if late.Yields && !late.Asked {
+		s.Decline(now)
+		defer func() {
+			if place.Admitted {
+				s.found++
+			}
+		}()
+	}
 	for _, other := range s.waiting {
 		if other.before(w) {
 			work += other.Work
@@ -87,7 +99,7 @@
 	}
 	place.Turn = max(slot, time.Duration(float64(work)/(1-s.inflow(now, lane))))
 	worst := place.Turn
-	if late.Waited < minAskAgain && place.Turn > lateLead {
+	if !late.Asked && place.Turn > lateLead {
 		worst *= spareTurn
 	}
 	switch {
@@ -124,13 +136,15 @@
 	return min(total*math.Ln2/inflowHalfLife.Seconds(), maxInflow)
 }
 
-// decay ages the work that has arrived, in seconds by lane.
+// decay ages what has arrived.
 func (s *Schedule) decay(now time.Time) {
 	if elapsed := now.Sub(s.decayedAt); elapsed > 0 {
 		factor := math.Exp2(-float64(elapsed) / float64(inflowHalfLife))
 		for i := range s.arrived {
 			s.arrived[i] *= factor
 		}
+		s.asked *= factor
+		s.found *= factor
 		s.decayedAt = now
 	}
 }
--- a/internal/core/pace/lane_test.go
+++ b/internal/core/pace/lane_test.go
@@ -45,7 +45,7 @@
 	assert.Equal(t, 800*ms, s.Queue(now, late(5, 2, 0, time.Hour), 800*ms).Turn, "all slots are taken")
 	wait, _ = s.Reserve(now, 0, 100*ms, time.Second)
 	assert.Zero(t, wait, "an admitted late request gives way")
-	assert.True(t, s.Queue(now, pace.Late{ID: 5, Work: 100 * ms, Waited: time.Second, Patience: time.Second, Last: true}, 800*ms).Admitted, "it can't ask again")
+	assert.True(t, s.Queue(now, pace.Late{ID: 5, Work: 100 * ms, Asked: true, Patience: time.Second, Last: true}, 800*ms).Admitted, "it can't ask again")
 	assert.True(t, s.Idle(now.Add(time.Minute)))
 }
 
@@ -198,7 +198,7 @@
 		}
 		c.priority = 3 * c.level
 		if !ok && queues {
-			p := s.Queue(now, pace.Late{ID: c.id, Level: c.level, Work: c.work, Waited: now.Sub(c.cameAt), Patience: c.patience - waited, Last: c.waits >= 5}, 0)
+			p := s.Queue(now, pace.Late{ID: c.id, Level: c.level, Work: c.work, Waited: now.Sub(c.cameAt), Patience: c.patience - waited, Asked: c.waits > 0, Last: c.waits >= 5}, 0)
 			if p.AskAgain > 0 {
 				c.waits++
 				c.asksAt = now.Add(p.AskAgain)
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -8,6 +8,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/pace"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -57,13 +58,21 @@
 	}
 	slotWait := schedule.SlotWait(s.occupancy(now, a.Endpoint), a.Run)
 	r := &gossip.AdmitReply{Wait: slotWait, Refused: true}
-	if slotWait <= a.Limit && (a.Late == nil || a.Limit > 0) {
+	yields := s.yields(now, schedule, a)
+	switch {
+	case yields:
+		r.Wait = max(slotWait, schedule.Wait(now, a.Level))
+		if a.Late == nil {
+			schedule.Decline(now)
+		}
+	case slotWait <= a.Limit && (a.Late == nil || a.Limit > 0):
 		wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
 		r.Wait, r.Refused = wait, !ok
 	}
 	if r.Refused && a.Late != nil {
-		r = queue(schedule, now, a, slotWait)
+		r = queue(schedule, now, a, slotWait, yields)
 	}
+	r.Yields = yields
 	if !r.Refused {
 		r.Hold = hold
 		if named != nil {
@@ -73,10 +82,28 @@
 	return r
 }
 
+// yields reports whether a request's workspace is over its share while room is short at the endpoint.
+// The decision on its first question holds for the others.
+func (s *state) yields(now time.Time, schedule *pace.Schedule, a *gossip.Admit) bool {
+	e := s.roster.Get(a.Endpoint)
+	if a.Late != nil && (a.Late.Yields || a.Late.Asked) {
+		return a.Late.Yields
+	}
+	if a.Usage == nil || e == nil {
+		return false
+	}
+	shares := s.shares[e.Service]
+	if shares == nil {
+		shares = new(fairshare.Shares)
+		s.shares[e.Service] = shares
+	}
+	return !shares.Within(s.uptime(), *a.Usage, schedule.Room(now))
+}
+
 // queue decides on a request that can't be in time.
-func queue(schedule *pace.Schedule, now time.Time, a *gossip.Admit, slotWait time.Duration) *gossip.AdmitReply {
+func queue(schedule *pace.Schedule, now time.Time, a *gossip.Admit, slotWait time.Duration, yields bool) *gossip.AdmitReply {
 	place := schedule.Queue(now, pace.Late{
-		ID: a.Late.ID, Level: a.Level, Work: a.Work, Waited: a.Late.Waited, Patience: a.Late.Patience, Last: a.Late.Last,
+		ID: a.Late.ID, Level: a.Level, Work: a.Work, Waited: a.Late.Waited, Patience: a.Late.Patience, Asked: a.Late.Asked, Last: a.Late.Last, Yields: yields,
 	}, slotWait)
 	return &gossip.AdmitReply{Wait: place.Turn, Refused: !place.Admitted, Late: place.Admitted, AskAgain: place.AskAgain, Ahead: place.Ahead}
 }
@@ -164,9 +191,9 @@
 	if !known {
 		return g.admitAlone(t, a, q)
 	}
-	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: q.Work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: q.Limit}
+	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: q.Work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: q.Limit, Usage: a.Usage}
 	if l := q.Late; l != nil {
-		question.Late = &gossip.Late{ID: l.ID, Waited: l.Waited, Patience: l.Patience, Last: l.Last}
+		question.Late = &gossip.Late{ID: l.ID, Waited: l.Waited, Patience: l.Patience, Last: l.Last, Yields: l.Yields, Asked: l.Asked}
 	}
 	if address == "" {
 		return g.admitted(t, g.reserve(question), 0)
@@ -189,7 +216,7 @@
 	if r.Limited {
 		g.deferEndpoint(t, r.Wait)
 	}
-	admission := gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited, Late: r.Late, Ahead: r.Ahead}
+	admission := gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited, Late: r.Late, Ahead: r.Ahead, Yields: r.Yields}
 	if r.AskAgain > 0 {
 		admission.AskAgain = max(time.Millisecond, r.AskAgain-way)
 	}
--- a/internal/direct/queue_test.go
+++ b/internal/direct/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 )
 
 func lateQuestion(id uint64, waited time.Duration) *gossip.Admit {
-	return &gossip.Admit{Endpoint: "p", Work: 400 * time.Millisecond, Limit: 100 * time.Millisecond, Late: &gossip.Late{ID: id, Waited: waited, Patience: time.Minute}}
+	return &gossip.Admit{Endpoint: "p", Work: 400 * time.Millisecond, Limit: 100 * time.Millisecond, Late: &gossip.Late{ID: id, Waited: waited, Asked: waited > 0, Patience: time.Minute}}
 }
 
 // The instance that admits an endpoint's requests keeps those that wait for room, of all
@@ -144,3 +145,50 @@
 	s.updateLoadFeatures()
 	assert.True(t, g.Queues("s"))
 }
+
+// The load of a workspace that sends six times its usual through many instances while an endpoint's
+// room is short: the owner of the endpoint has its requests wait, and serves the others.
+func TestOwnerSharesScarceRoom(t *testing.T) {
+	w := &testClock{}
+	const service = catalog.Service("s")
+	owner := newTestState(w)
+	instances := make([]*state, 20)
+	for i := range instances {
+		instances[i] = newTestState(w)
+		instances[i].loadFeatures.queue = map[catalog.Service]bool{service: true}
+	}
+	asked, found, yielded := map[string]int{}, map[string]int{}, map[string]int{}
+	random, n := rand.New(rand.NewPCG(1, 1)), uint64(0)
+	send := func(workspace string) {
+		n++
+		a := &balance.Request{Service: service, Model: "m"}
+		instances[random.IntN(len(instances))].CountRequest(a, workspace)
+		r := owner.admit(&gossip.Admit{Endpoint: "p", Work: 30 * time.Millisecond, Limit: 300 * time.Millisecond, Usage: a.Usage, Late: &gossip.Late{ID: n, Patience: time.Second}})
+		if w.elapsed < 22*time.Second {
+			return
+		}
+		asked[workspace]++
+		if !r.Refused && !r.Late {
+			found[workspace]++
+		}
+		if r.Yields {
+			yielded[workspace]++
+		}
+	}
+	for i := 0; w.elapsed < 28*time.Second; i++ {
+		w.elapsed += 33 * time.Millisecond // 30 requests a second, three of each workspace
+		send(string(rune('a' + i%10)))
+		if w.elapsed > 20*time.Second && i%2 == 0 {
+			send("a") // six times as many as before
+		}
+	}
+	othersAsked, othersFound := 0, 0
+	for workspace, n := range asked {
+		if workspace != "a" {
+			othersAsked, othersFound = othersAsked+n, othersFound+found[workspace]
+		}
+	}
+	assert.GreaterOrEqual(t, othersFound*100, othersAsked*95, "%d of %d of the others", othersFound, othersAsked)
+	assert.Greater(t, yielded["a"], asked["a"]/3)
+	assert.Less(t, found["a"], asked["a"]/2)
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
@@ -127,6 +128,9 @@
 	storeAnsweredAt time.Time
 	watching        bool
 	loadFeatures    loadFeatures
+	meters          fairshare.Meters // of the workspaces at this instance
+	// shares are those of the services whose requests this instance admits.
+	shares map[catalog.Service]*fairshare.Shares
 }
 
 // retirement is a model that is about to be unloaded from an endpoint.
@@ -145,7 +149,7 @@
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
-		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
+		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), shares: make(map[catalog.Service]*fairshare.Shares), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 	}
 }
@@ -337,8 +341,9 @@
 	}
 }
 
-// CountRequest counts a request in the retry budget and adds its demand for a model.
-func (s *state) CountRequest(a *balance.Request) {
+// CountRequest counts a request in the retry budget and adds its demand for a model, and its
+// workspace's usage to the request.
+func (s *state) CountRequest(a *balance.Request, workspace string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
@@ -346,6 +351,10 @@
 	if a.Model == "" {
 		return
 	}
+	if workspace != "" && s.queues(a.Service) {
+		u := s.meters.Count(s.uptime(), xxhash.Sum64String(workspace))
+		a.Usage = &u
+	}
 	work := s.updateMeanWork(a) * s.balancer.PrefillFactor(a.Model)
 	s.addDemand(now, roster.Adapter{Model: a.Model}, work)
 	if a.Adapter != "" {
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -222,8 +222,8 @@
 	}
 	s.balancer.Measured("fast", 200*time.Millisecond, 50*time.Millisecond)
 	for range 50 {
-		s.CountRequest(newRequest("fast"))
-		s.CountRequest(newRequest("slow"))
+		s.CountRequest(newRequest("fast"), "")
+		s.CountRequest(newRequest("slow"), "")
 	}
 	recent, longTerm, _ := s.Demand()
 	assert.InEpsilon(t, recent["slow"]/4, recent["fast"], 0.05)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,6 +81,7 @@
 	late     bool
 	askAgain time.Duration
 	ahead    int
+	yields   bool // its workspace is over its share of the room
 }
 
 // runGuarded runs the attempt. A panic ends the request, not the instance, as in a handler of
@@ -171,7 +172,7 @@
 		return refusal{}, ctx.Err()
 	}
 	if admission.Refused {
-		r := refusal{predictedWait: admission.Wait + a.target.PendingPrefill, late: late != nil, askAgain: admission.AskAgain, ahead: admission.Ahead}
+		r := refusal{predictedWait: admission.Wait + a.target.PendingPrefill, late: late != nil, askAgain: admission.AskAgain, ahead: admission.Ahead, yields: admission.Yields}
 		return r, fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
 	}
 	if late != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
 	}
-	g.fleet.CountRequest(&j.query)
+	g.fleet.CountRequest(&j.query, request.Workspace)
 	j.beginQueueing()
 	j.run(ctx)
 	j.endQueueing(ctx)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -182,7 +182,7 @@
 	f.spared = append(f.spared, wait)
 }
 
-func (f *fakeFleet) CountRequest(*balance.Request) {
+func (f *fakeFleet) CountRequest(*balance.Request, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.requests++
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -326,5 +326,5 @@
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
 	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter, "resumes", j.request.Resumes,
 		"status", d.status, "endpoint", j.target.ID, "software", j.target.Software, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
-		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
+		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "yields", j.queueing.yields, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -216,6 +216,8 @@
 	Late     bool
 	AskAgain time.Duration
 	Ahead    int
+	// Yields is set if the request's workspace is over its share of the room.
+	Yields bool
 }
 
 // Question is what a request asks of the endpoint that it is to be sent to.
@@ -232,8 +234,10 @@
 	ID uint64
 	// Waited is how long ago it arrived, Patience how long it can still wait before it is sent.
 	Waited, Patience time.Duration
-	// Last is set if it doesn't ask again.
-	Last bool
+	// Asked is set if it has waited since an earlier question, Last if it doesn't ask again.
+	Asked, Last bool
+	// Yields is set if its workspace was found to be over its share of the room.
+	Yields bool
 }
 
 // Fleet is the instance's view of routes and endpoints.
@@ -271,9 +275,10 @@
 	Spare(t Target, wait time.Duration)
 	CrashGuard
 	Origins
-	// CountRequest counts a request for the retry budget and the demand of its model. TakeRetry
+	// CountRequest counts a request for the retry budget, the demand of its model and the usage of
+	// its workspace, which it adds to the request. TakeRetry
 	// takes one retry from the budget and reports whether there was one.
-	CountRequest(a *balance.Request)
+	CountRequest(a *balance.Request, workspace string)
 	TakeRetry(s catalog.Service) bool
 	// Admit asks when a prompt may be sent to the target. It is refused if that is too late.
 	Admit(ctx context.Context, t Target, a *balance.Request, q Question) Admission
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -49,6 +49,7 @@
 	held    int64  // memory taken
 	asks    int    // how often the request has asked again
 	refused bool   // its turn would come too late for the caller
+	yields  bool   // its workspace is over its share of the room
 	// full are the endpoints that refused the request for want of room, target the one at which it
 	// has its place, nil for none.
 	full   []fleet.Endpoint
@@ -105,7 +106,7 @@
 	}
 	j := a.job
 	q := &j.queueing
-	late := &Late{ID: q.id, Waited: j.gateway.clock().Sub(j.arrived), Patience: patience, Last: q.asks >= maxAsks}
+	late := &Late{ID: q.id, Waited: j.gateway.clock().Sub(j.arrived), Patience: patience, Asked: q.asks > 0, Last: q.asks >= maxAsks, Yields: q.yields}
 	switch {
 	case q.target != nil && q.target.ID != a.target.ID:
 		late.Patience = min(patience, probePatience)
@@ -137,6 +138,7 @@
 		return
 	}
 	q.full = append(q.full, r.attempt.target.ID)
+	q.yields = q.yields || r.yields
 	if r.late && r.askAgain <= 0 {
 		if q.target == nil || q.target.ID == r.attempt.target.ID {
 			q.refused, q.target = true, nil
@@ -150,7 +152,7 @@
 	q := &j.queueing
 	q.asks++
 	q.target = &r.attempt.target
-	j.log("step", "wait", "request", j.identity.Request, "endpoint", q.target.ID, "turn", r.predictedWait, "ahead", r.ahead, "again", r.askAgain, "asks", q.asks, "age", j.gateway.clock().Sub(j.arrived))
+	j.log("step", "wait", "request", j.identity.Request, "endpoint", q.target.ID, "turn", r.predictedWait, "ahead", r.ahead, "again", r.askAgain, "asks", q.asks, "yields", q.yields, "age", j.gateway.clock().Sub(j.arrived))
 	j.query.Exclude = slices.DeleteFunc(j.query.Exclude, func(id fleet.Endpoint) bool { return slices.Contains(q.full, id) })
 	q.full = q.full[:0]
 	q.waited += r.askAgain
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -6,6 +6,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
@@ -272,6 +273,8 @@
 	Rate *Limit `cbor:"s,omitempty"`
 	// Late is set if the request may wait for room beyond Limit.
 	Late *Late `cbor:"q,omitempty"`
+	// Usage is how much the request's workspace sends through the sender.
+	Usage *fairshare.Usage `cbor:"u,omitempty"`
 }
 
 // Late is a request that may be answered after its target.
@@ -281,8 +284,12 @@
 	// Waited is how long ago the request arrived, Patience how long it can still wait.
 	Waited   time.Duration `cbor:"w,omitempty"`
 	Patience time.Duration `cbor:"p,omitempty"`
-	// Last is set if the request doesn't ask again.
-	Last bool `cbor:"l,omitempty"`
+	// Asked is set if the request has waited since an earlier question. Last is set if it doesn't ask
+	// again.
+	Asked bool `cbor:"a,omitempty"`
+	Last  bool `cbor:"l,omitempty"`
+	// Yields is set if the request's workspace was found to be over its share.
+	Yields bool `cbor:"y,omitempty"`
 	// Withdrawn is set if the request no longer waits. It is not admitted.
 	Withdrawn bool `cbor:"x,omitempty"`
 }
@@ -302,4 +309,6 @@
 	// Ahead how many late requests are before it.
 	AskAgain time.Duration `cbor:"a,omitempty"`
 	Ahead    int           `cbor:"n,omitempty"`
+	// Yields is set if the request's workspace is over its share of the room.
+	Yields bool `cbor:"y,omitempty"`
 }
