refactor(loader): one endpoint is looked up, not all of its service

A task looks its endpoint up several times a second. It also checks the fence after it has waited for the endpoint's lock. go test -race of loader and copies passes.

--- a/internal/core/copies/follow.go
+++ b/internal/core/copies/follow.go
@@ -215,18 +215,11 @@
 	for e := range f.endpoints {
 		p := &f.endpoints[e]
 		cached := slices.Contains(p.Cached, m.Name)
-		if p.Busy || p.Suspect || p.ReservedFor != "" || len(p.Unloading) > 0 || slices.Contains(p.Loaded, m.Name) || !cached && f.limits.ColdLoads <= 0 {
+		if !p.takesOrder() || slices.Contains(p.Loaded, m.Name) || !cached && f.limits.ColdLoads <= 0 {
 			continue
 		}
-		victims := p.Loaded
-		if f.fits(p, m, "") {
-			victims = []fleet.Model{""}
-		}
-		for _, victim := range victims {
+		for _, victim := range f.victims(p, m) {
 			c := placement{endpoint: e, victim: victim, cached: cached}
-			if victim != "" && (!f.fits(p, m, victim) || !f.mayEvict(p, victim, m.Name)) {
-				continue
-			}
 			if c.value = f.value(i, loss, c); c.value > 0 && (!ok || c.value > best.value) {
 				best, ok = c, true
 			}
@@ -235,6 +228,26 @@
 	return best, ok
 }
 
+// takesOrder reports whether an endpoint can be given a load or an unload.
+func (e *Endpoint) takesOrder() bool {
+	return !e.Busy && !e.Suspect && e.ReservedFor == "" && len(e.Unloading) == 0
+}
+
+// victims returns the models one of which makes room for another one at an endpoint, the empty name
+// if there is room.
+func (f *follower) victims(e *Endpoint, m *catalog.Model) []fleet.Model {
+	if f.fits(e, m, "") {
+		return []fleet.Model{""}
+	}
+	var all []fleet.Model
+	for _, victim := range e.Loaded {
+		if f.fits(e, m, victim) && f.mayEvict(e, victim, m.Name) {
+			all = append(all, victim)
+		}
+	}
+	return all
+}
+
 // mayEvict reports whether a copy may be evicted: not one that was loaded a short time ago, nor
 // the last one of a model that callers ask for, unless models take turns.
 func (f *follower) mayEvict(e *Endpoint, victim, m fleet.Model) bool {
--- a/internal/direct/cluster_state.go
+++ b/internal/direct/cluster_state.go
@@ -119,23 +119,37 @@
 	now := s.clock()
 	var all []loader.Candidate
 	for _, e := range s.roster.All() {
-		if e.Service != service || e.Leaving {
-			continue
-		}
-		report := e.Report
-		if report.Taken.IsZero() {
-			// Before the first report the loaded models are taken from the store entry;
-			// otherwise they would count as missing.
-			report.Models, report.AtHand, report.Seq, report.Born = e.Models, e.AtHand, e.Seq, e.Born
+		if e.Service == service && !e.Leaving {
+			all = append(all, s.candidate(now, e))
 		}
-		all = append(all, loader.Candidate{
-			ID: e.ID, Born: e.Born, Address: e.Address, Report: report, CachedModels: report.AtHand,
-			PendingPrefill: s.balancer.Load(e.ID).PrefillAhead(bulkLevel), Suspect: e.Suspect(now), Spared: e.Spared(now), AdaptersInUse: s.adaptersInUse(e.ID),
-		})
 	}
 	return all
 }
 
+// Candidate returns one of the Candidates of a service.
+func (s *state) Candidate(service catalog.Service, id fleet.Endpoint) (loader.Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.roster.Get(id)
+	if e == nil || e.Service != service || e.Leaving {
+		return loader.Candidate{}, false
+	}
+	return s.candidate(s.clock(), e), true
+}
+
+func (s *state) candidate(now time.Time, e *roster.Endpoint) loader.Candidate {
+	report := e.Report
+	if report.Taken.IsZero() {
+		// Before the first report the loaded models are taken from the store entry;
+		// otherwise they would count as missing.
+		report.Models, report.AtHand, report.Seq, report.Born = e.Models, e.AtHand, e.Seq, e.Born
+	}
+	return loader.Candidate{
+		ID: e.ID, Born: e.Born, Address: e.Address, Report: report, CachedModels: report.AtHand,
+		PendingPrefill: s.balancer.Load(e.ID).PrefillAhead(bulkLevel), Suspect: e.Suspect(now), Spared: e.Spared(now), AdaptersInUse: s.adaptersInUse(e.ID),
+	}
+}
+
 func (s *state) adaptersInUse(id fleet.Endpoint) []roster.Adapter {
 	var all []roster.Adapter
 	for _, u := range s.balancer.AdaptersInUse(id) {
--- a/internal/loader/adapter.go
+++ b/internal/loader/adapter.go
@@ -53,11 +53,8 @@
 
 func (l *Loader) findCandidate(id fleet.Endpoint, born int64) (*Candidate, *catalog.Engine, bool) {
 	for _, g := range l.cluster.Engines() {
-		all := l.cluster.Candidates(g.Name)
-		for i := range all {
-			if all[i].ID == id && all[i].Born == born {
-				return &all[i], g.Engine, true
-			}
+		if c, ok := l.cluster.Candidate(g.Name, id); ok && c.Born == born {
+			return &c, g.Engine, true
 		}
 	}
 	return nil, nil, false
--- a/internal/loader/follow.go
+++ b/internal/loader/follow.go
@@ -121,15 +121,11 @@
 // and the reports that show their ends. It stops when this instance may no longer give orders under
 // the fence under which they began.
 func (l *Loader) followMove(ctx context.Context, d *orderState, id fleet.Endpoint, born int64) {
-	for ctx.Err() == nil && l.isCurrent(d, id) {
-		c, engine, ok := l.findCandidate(id, born)
-		if !ok || d.lock(ctx) != nil {
+	for ctx.Err() == nil {
+		if d.lock(ctx) != nil {
 			return
 		}
-		wait := loadPoll
-		if !c.Spared {
-			wait = l.advance(ctx, d, c, engine)
-		}
+		wait := l.advanceCurrent(ctx, d, id, born)
 		d.unlock()
 		if wait == 0 || sleep(ctx, wait) != nil {
 			return
@@ -137,6 +133,20 @@
 	}
 }
 
+// advanceCurrent does what is due at an endpoint that is still there, while this instance may give
+// the orders. It returns as advance does.
+func (l *Loader) advanceCurrent(ctx context.Context, d *orderState, id fleet.Endpoint, born int64) time.Duration {
+	c, engine, ok := l.findCandidate(id, born)
+	switch {
+	case !ok || !l.isCurrent(d, id):
+		return 0
+	case c.Spared:
+		return loadPoll
+	default:
+		return l.advance(ctx, d, c, engine)
+	}
+}
+
 // isCurrent reports whether the orders recorded for an endpoint are those under the present fence.
 func (l *Loader) isCurrent(d *orderState, id fleet.Endpoint) bool {
 	fence, ok := l.lease.MayOrder()
@@ -246,13 +256,12 @@
 		l.cluster.AnnounceRetirement(c.ID, d.evicted)
 		return unloadPoll
 	}
-	l.loadReserved(ctx, now, d, c, engine)
-	return orderPause
+	return l.loadReserved(ctx, now, d, c, engine)
 }
 
 // loadReserved orders the load of the model for which memory is reserved, if it fits and the weight
-// store allows it.
-func (l *Loader) loadReserved(ctx context.Context, now time.Time, d *orderState, c *Candidate, engine *catalog.Engine) {
+// store allows it. It returns as advance does.
+func (l *Loader) loadReserved(ctx context.Context, now time.Time, d *orderState, c *Candidate, engine *catalog.Engine) time.Duration {
 	m := d.reservedFor
 	loaded := make([]fleet.Model, 0, len(c.Report.Models))
 	for _, h := range c.Report.Models {
@@ -260,17 +269,18 @@
 	}
 	if !copies.Fits(engine, loaded, m) {
 		d.reservedFor = ""
-		return
+		return 0
 	}
 	cold := !slices.Contains(c.CachedModels, m)
 	if cold && !l.takeColdLoad(now, engine) {
-		return
+		return unloadPoll
 	}
 	d.unload, d.sentAt = false, now
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	l.orderLoad(ctx, now, d, c, m, cold)
 	d.unsettled = d.orderedModel == ""
+	return orderPause
 }
 
 // preloadBeside preloads adapters without waiting for the orders.
--- a/internal/loader/follow_test.go
+++ b/internal/loader/follow_test.go
@@ -87,10 +87,10 @@
 	e := s.get(o.Endpoint)
 	s.orders++
 	if s.fence == 0 {
-		s.fault("an order without the lease")
+		s.faultf("an order without the lease")
 	}
 	if e.inFlight++; e.inFlight > 1 {
-		s.fault("two orders in flight")
+		s.faultf("two orders in flight")
 	}
 	defer func() {
 		s.mu.Lock()
@@ -116,7 +116,7 @@
 	return false, s.carryOut(e, o)
 }
 
-func (s *fakeSite) fault(format string, args ...any) {
+func (s *fakeSite) faultf(format string, args ...any) {
 	s.faults = append(s.faults, fmt.Sprintf(format, args...))
 }
 
@@ -130,7 +130,7 @@
 	born, took := e.born, unloadTime
 	if !o.Unload {
 		if (len(e.models)+1)*72 > 200 || slices.Contains(e.models, o.Model) {
-			s.fault("%s with %v is ordered to load %s", e.id, e.models, o.Model)
+			s.faultf("%s with %v is ordered to load %s", e.id, e.models, o.Model)
 		}
 		took = cachedTime
 		if !slices.Contains(e.cached, o.Model) {
@@ -189,12 +189,22 @@
 	defer s.mu.Unlock()
 	var all []loader.Candidate
 	for _, e := range s.endpoints {
-		r := s.reports[e.id]
-		all = append(all, loader.Candidate{ID: e.id, Born: e.born, Report: r, CachedModels: r.AtHand, Suspect: time.Since(r.Taken) > time.Second})
+		all = append(all, s.candidate(e))
 	}
 	return all
 }
 
+func (s *fakeSite) Candidate(_ catalog.Service, id fleet.Endpoint) (loader.Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.candidate(s.get(id)), true
+}
+
+func (s *fakeSite) candidate(e *fakeEndpoint) loader.Candidate {
+	r := s.reports[e.id]
+	return loader.Candidate{ID: e.id, Born: e.born, Report: r, CachedModels: r.AtHand, Suspect: time.Since(r.Taken) > time.Second}
+}
+
 func (s *fakeSite) Demand() (recent, longTerm map[fleet.Model]float64, adapters map[roster.Adapter]float64) {
 	return s.recent, s.longTerm, nil
 }
@@ -394,10 +404,10 @@
 		s.play(t, func(at time.Duration) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			switch {
-			case at == lostAt:
+			switch at {
+			case lostAt:
 				ordersAtLoss, s.fence = s.orders, 0
-			case at == lostAt+4*time.Second:
+			case lostAt + 4*time.Second:
 				assert.Equal(t, ordersAtLoss, s.orders)
 				s.fence = 2
 			}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -110,6 +110,8 @@
 	Engines() []*catalog.Group
 	// Candidates returns copies of the endpoints of a service that are not leaving.
 	Candidates(s catalog.Service) []Candidate
+	// Candidate returns a copy of one of them.
+	Candidate(s catalog.Service, id fleet.Endpoint) (Candidate, bool)
 	// Demand returns tokens per second: by model, recent and over a longer time, and by adapter.
 	Demand() (recent, longTerm map[fleet.Model]float64, adapters map[roster.Adapter]float64)
 	// RecordReport records an endpoint's report, RecordPresence whether an endpoint has a model
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -132,6 +132,10 @@
 	return []loader.Candidate{{ID: "p", Report: f.lastReport, AdaptersInUse: f.adaptersInUse, Spared: f.spared}}
 }
 
+func (f *fakeCluster) Candidate(s catalog.Service, _ fleet.Endpoint) (loader.Candidate, bool) {
+	return f.Candidates(s)[0], true
+}
+
 func (f *fakeCluster) Demand() (recent, longTerm map[fleet.Model]float64, adapters map[roster.Adapter]float64) {
 	return nil, nil, nil
 }
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -188,6 +188,17 @@
 	o.loadedAt = loadedAt
 }
 
+// loadedSince returns the models that were loaded after a time.
+func (p *progress) loadedSince(since time.Time) []fleet.Model {
+	var all []fleet.Model
+	for m, at := range p.loadedAt {
+		if at.After(since) {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
 // orderUnload orders the unload of the model that is retiring.
 func (l *Loader) orderUnload(ctx context.Context, d *orderState, c *Candidate) {
 	model := d.retiring
@@ -266,11 +277,7 @@
 	if d.reservedFor != "" && now.Before(d.reservedUntil) {
 		e.ReservedFor = d.reservedFor
 	}
-	for m, at := range d.loadedAt {
-		if now.Sub(at) < l.serveTime(engine) {
-			e.RecentlyLoaded = append(e.RecentlyLoaded, m)
-		}
-	}
+	e.RecentlyLoaded = d.loadedSince(now.Add(-l.serveTime(engine)))
 	e.Moving = d.orderedModel != "" || d.retiring != ""
 	fresh := now.Sub(c.Report.Taken) < time.Second
 	e.Busy = d.orderedModel != "" || d.retiring != "" || c.Report.Busy || !fresh || c.avoided() ||
