fix(direct): late answers of an overloaded model don't raise its demand

Where copies follow demand the factor counts as 1 at most. Endpoints with a move are asked every 0.15 s.

--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -18,6 +18,15 @@
 // queues reports whether requests of a service wait for room.
 func (s *state) queues(service catalog.Service) bool { return s.loadFeatures.queue[service] }
 
+// follows reports whether the copies of a service's models follow rising demand.
+func (s *state) follows(service catalog.Service) bool {
+	if s.catalog == nil || s.loadFeatures.settings.Follow <= 0 {
+		return false
+	}
+	g, ok := s.catalog.Group(service)
+	return ok && g.Engine != nil && g.Engine.MaxLoadsPerSecond >= s.loadFeatures.settings.Follow
+}
+
 // updateLoadFeatures decides again which services get what: those with enough endpoints, while all
 // live instances announce the feature.
 func (s *state) updateLoadFeatures() {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -328,13 +328,24 @@
 	if a.Model == "" {
 		return
 	}
-	work := s.updateMeanWork(a) * s.balancer.PrefillFactor(a.Model)
+	work := s.updateMeanWork(a) * s.demandFactor(a)
 	s.addDemand(now, roster.Adapter{Model: a.Model}, work)
 	if a.Adapter != "" {
 		s.addDemand(now, roster.Adapter{Model: a.Model, Adapter: a.Adapter}, work)
 	}
 }
 
+// demandFactor returns the work of a request for its model relative to others. Where copies follow
+// demand, a model whose copies are overloaded must not count as slow for that: its answers come late,
+// which raises its prefill factor.
+func (s *state) demandFactor(a *balance.Request) float64 {
+	factor := s.balancer.PrefillFactor(a.Model)
+	if s.follows(a.Service) {
+		return min(factor, 1)
+	}
+	return factor
+}
+
 // TakeRetry takes a retry from the budget and reports whether one was left.
 func (s *state) TakeRetry(service catalog.Service) bool {
 	s.mu.Lock()
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -230,6 +230,29 @@
 	assert.InEpsilon(t, longTerm["slow"]/4, longTerm["fast"], 0.05)
 }
 
+// The load of callers who press on a model with too few copies: its answers come late, which must not
+// count as more demand where copies follow demand.
+func TestLateAnswersAreNoDemand(t *testing.T) {
+	for _, follow := range []float64{0, 12} {
+		s := newTestState(&testClock{})
+		c := &catalog.Catalog{Version: 2, Groups: []catalog.Group{{Name: "s", Engine: &catalog.Engine{MaxLoadsPerSecond: 13}}}}
+		c.Index()
+		s.applyCatalog(c)
+		s.loadFeatures.settings.Follow = follow
+		for range 50 {
+			s.balancer.Measured("late", 200*time.Millisecond, 800*time.Millisecond)
+			s.CountRequest(&balance.Request{Service: "s", Model: "late", PromptTokens: 1000})
+			s.CountRequest(&balance.Request{Service: "s", Model: "other", PromptTokens: 1000})
+		}
+		recent, _, _ := s.Demand()
+		if follow > 0 {
+			assert.InEpsilon(t, recent["other"], recent["late"], 0.01)
+		} else {
+			assert.Greater(t, recent["late"], 1.5*recent["other"])
+		}
+	}
+}
+
 // A path that may be in a newer configuration than the one in force is not refused for good.
 func TestUnknownRouteOfAnOutdatedInstance(t *testing.T) {
 	s := newTestState(&testClock{})
--- a/internal/loader/follow.go
+++ b/internal/loader/follow.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// unloadPoll and loadPoll are how often an endpoint is asked whether an unload or a load has
-	// ended.
-	unloadPoll = 150 * time.Millisecond
-	loadPoll   = 250 * time.Millisecond
+	// movePoll is how often an endpoint is asked whether an unload or a load has ended.
+	movePoll = 150 * time.Millisecond
 	// followTimeout limits one order: after that time a report shows what became of it.
 	followTimeout = reportLag
 	// orderPause is the least time between two orders to an endpoint.
@@ -141,7 +139,7 @@
 	case !ok || !l.isCurrent(d, id):
 		return 0
 	case c.Spared:
-		return loadPoll
+		return movePoll
 	default:
 		return l.advance(ctx, d, c, engine)
 	}
@@ -171,7 +169,7 @@
 		if d.unsettled = d.orderedModel == ""; d.unsettled {
 			return l.continueMove(ctx, d, c, engine)
 		}
-		return unloadPoll
+		return movePoll
 	case d.orderedModel != "":
 		if wait := d.firstReport().Sub(now); wait > 0 {
 			return wait
@@ -182,10 +180,7 @@
 		if d.orderedModel == "" {
 			return l.continueMove(ctx, d, c, engine)
 		}
-		if d.unload {
-			return unloadPoll
-		}
-		return loadPoll
+		return movePoll
 	default:
 		return l.continueMove(ctx, d, c, engine)
 	}
@@ -196,7 +191,7 @@
 func (p *progress) firstReport() time.Time {
 	switch {
 	case p.unload:
-		return p.orderedAt.Add(unloadPoll)
+		return p.orderedAt.Add(movePoll)
 	case p.cold:
 		return p.orderedAt.Add(coldReportDelay)
 	default:
@@ -207,7 +202,7 @@
 // ask gets a report that is newer than the last order, and reports whether there is one.
 func (l *Loader) ask(ctx context.Context, d *orderState, c *Candidate) bool {
 	now := l.clock()
-	if now.Sub(c.Report.Taken) < unloadPoll && c.Report.Seq >= max(d.minReportSeq, d.seq) {
+	if now.Sub(c.Report.Taken) < movePoll && c.Report.Seq >= max(d.minReportSeq, d.seq) {
 		return true
 	}
 	err := l.refresh(ctx, d, c)
@@ -240,7 +235,7 @@
 			return wait
 		}
 		if !l.ask(ctx, d, c) || c.Report.Taken.Sub(d.sentAt) < reportLag {
-			return unloadPoll
+			return movePoll
 		}
 	}
 	switch {
@@ -250,11 +245,11 @@
 		return 0
 	case c.Report.Busy || c.avoided():
 		d.unsettled = true
-		return unloadPoll
+		return movePoll
 	case d.evicted != "" && roster.Holds(c.Report.Models, d.evicted, ""):
 		d.retiring, d.unloadAt, d.unsettled = d.evicted, now, false
 		l.cluster.AnnounceRetirement(c.ID, d.evicted)
-		return unloadPoll
+		return movePoll
 	}
 	return l.loadReserved(ctx, now, d, c, engine)
 }
@@ -273,7 +268,7 @@
 	}
 	cold := !slices.Contains(c.CachedModels, m)
 	if cold && !l.takeColdLoad(now, engine) {
-		return unloadPoll
+		return movePoll
 	}
 	d.unload, d.sentAt = false, now
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
