--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -32,7 +32,7 @@
 	Busy bool
 	// Moving is set while it loads or unloads a model for an earlier plan.
 	Moving bool
-	// Suspect is set while it doesn't answer. Its copies don't count.
+	// Suspect is set while it gives neither answers nor reports. Its copies don't count.
 	Suspect bool
 	// PendingPrefill is the estimated prefill time of the prompts queued there.
 	PendingPrefill time.Duration
--- a/internal/loader/follow.go
+++ b/internal/loader/follow.go
@@ -67,7 +67,7 @@
 	}
 	e := l.planEndpoint(now, p, c, engine)
 	e.Busy, e.Moving = e.Busy || !free || task, e.Moving || p.reserved(now)
-	e.Suspect = c.Suspect || !p.silentSince.IsZero() && now.Sub(p.silentSince) > silentTime
+	e.Suspect = e.Suspect || !p.silentSince.IsZero() && now.Sub(p.silentSince) > silentTime
 	return e
 }
 
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -260,7 +260,7 @@
 
 // planEndpoint returns the planner's view of an endpoint.
 func (l *Loader) planEndpoint(now time.Time, d progress, c *Candidate, engine *catalog.Engine) copies.Endpoint {
-	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill, Suspect: c.Suspect && l.follows(engine)}
+	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill}
 	for _, h := range c.Report.Models {
 		e.Loaded = append(e.Loaded, h.Model)
 	}
@@ -280,6 +280,7 @@
 	e.RecentlyLoaded = d.loadedSince(now.Add(-l.serveTime(engine)))
 	e.Moving = d.orderedModel != "" || d.retiring != ""
 	fresh := now.Sub(c.Report.Taken) < time.Second
+	e.Suspect = c.Suspect && !fresh && l.follows(engine)
 	e.Busy = d.orderedModel != "" || d.retiring != "" || c.Report.Busy || !fresh || c.avoided() ||
 		c.Report.Taken.Sub(d.movedAt) < reportLag
 	return e
