--- a/internal/core/copies/follow.go
+++ b/internal/core/copies/follow.go
@@ -15,10 +15,14 @@
 	// takes. What is lost until the copy can serve is taken off.
 	usefulTime = 8 * time.Second
 	// coldLoadTime and cachedLoadTime are how long a load takes until the copy can serve,
-	// unloadTime how long one waits for the unload of another model.
+	// unloadTime how long one waits for the unload of another model that no request uses, and drainTime
+	// how much longer if it has drainShare or more of what its endpoint serves: its running
+	// requests end first.
 	coldLoadTime   = 1500 * time.Millisecond
 	cachedLoadTime = 500 * time.Millisecond
 	unloadTime     = 900 * time.Millisecond
+	drainTime      = time.Second
+	drainShare     = 0.25
 	// reachTime is how long callers have asked for a model without a copy when it goes before
 	// any further copy of another one.
 	reachTime = 5 * time.Second
@@ -271,8 +275,9 @@
 	load, cost := f.spread.load[p.endpoint], 0.0
 	if p.victim != "" {
 		v := f.number[p.victim]
-		wait += unloadTime
-		load -= f.spread.shareAt(v, p.endpoint)
+		share := f.spread.shareAt(v, p.endpoint)
+		wait += unloadTime + time.Duration(float64(drainTime)*min(1, share/(drainShare*f.limits.Capacity)))
+		load -= share
 		cost = f.limits.MinGain * f.evictionCost(v, p.endpoint)
 	}
 	relief := f.spread.relief(i, load)
