--- a/internal/loader/follow.go
+++ b/internal/loader/follow.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// unloadPoll and loadPoll are how often an endpoint is asked whether an unload or a load has
-	// ended.
-	unloadPoll = 150 * time.Millisecond
-	loadPoll   = 250 * time.Millisecond
+	// movePoll is how often an endpoint is asked whether an unload or a load has ended.
+	movePoll = 150 * time.Millisecond
 	// followTimeout limits one order: after that time a report shows what became of it.
 	followTimeout = reportLag
 	// orderPause is the least time between two orders to an endpoint.
@@ -69,7 +67,7 @@
 	}
 	e := l.planEndpoint(now, p, c, engine)
 	e.Busy, e.Moving = e.Busy || !free || task, e.Moving || p.reserved(now)
-	e.Suspect = c.Suspect || !p.silentSince.IsZero() && now.Sub(p.silentSince) > silentTime
+	e.Suspect = e.Suspect || !p.silentSince.IsZero() && now.Sub(p.silentSince) > silentTime
 	return e
 }
 
@@ -121,15 +119,11 @@
 // and the reports that show their ends. It stops when this instance may no longer give orders under
 // the fence under which they began.
 func (l *Loader) followMove(ctx context.Context, d *orderState, id fleet.Endpoint, born int64) {
-	for ctx.Err() == nil && l.isCurrent(d, id) {
-		c, engine, ok := l.findCandidate(id, born)
-		if !ok || d.lock(ctx) != nil {
+	for ctx.Err() == nil {
+		if d.lock(ctx) != nil {
 			return
 		}
-		wait := loadPoll
-		if !c.Spared {
-			wait = l.advance(ctx, d, c, engine)
-		}
+		wait := l.advanceCurrent(ctx, d, id, born)
 		d.unlock()
 		if wait == 0 || sleep(ctx, wait) != nil {
 			return
@@ -137,6 +131,20 @@
 	}
 }
 
+// advanceCurrent does what is due at an endpoint that is still there, while this instance may give
+// the orders. It returns as advance does.
+func (l *Loader) advanceCurrent(ctx context.Context, d *orderState, id fleet.Endpoint, born int64) time.Duration {
+	c, engine, ok := l.findCandidate(id, born)
+	switch {
+	case !ok || !l.isCurrent(d, id):
+		return 0
+	case c.Spared:
+		return movePoll
+	default:
+		return l.advance(ctx, d, c, engine)
+	}
+}
+
 // isCurrent reports whether the orders recorded for an endpoint are those under the present fence.
 func (l *Loader) isCurrent(d *orderState, id fleet.Endpoint) bool {
 	fence, ok := l.lease.MayOrder()
@@ -161,7 +169,7 @@
 		if d.unsettled = d.orderedModel == ""; d.unsettled {
 			return l.continueMove(ctx, d, c, engine)
 		}
-		return unloadPoll
+		return movePoll
 	case d.orderedModel != "":
 		if wait := d.firstReport().Sub(now); wait > 0 {
 			return wait
@@ -172,10 +180,7 @@
 		if d.orderedModel == "" {
 			return l.continueMove(ctx, d, c, engine)
 		}
-		if d.unload {
-			return unloadPoll
-		}
-		return loadPoll
+		return movePoll
 	default:
 		return l.continueMove(ctx, d, c, engine)
 	}
@@ -186,7 +191,7 @@
 func (p *progress) firstReport() time.Time {
 	switch {
 	case p.unload:
-		return p.orderedAt.Add(unloadPoll)
+		return p.orderedAt.Add(movePoll)
 	case p.cold:
 		return p.orderedAt.Add(coldReportDelay)
 	default:
@@ -197,7 +202,7 @@
 // ask gets a report that is newer than the last order, and reports whether there is one.
 func (l *Loader) ask(ctx context.Context, d *orderState, c *Candidate) bool {
 	now := l.clock()
-	if now.Sub(c.Report.Taken) < unloadPoll && c.Report.Seq >= max(d.minReportSeq, d.seq) {
+	if now.Sub(c.Report.Taken) < movePoll && c.Report.Seq >= max(d.minReportSeq, d.seq) {
 		return true
 	}
 	err := l.refresh(ctx, d, c)
@@ -230,7 +235,7 @@
 			return wait
 		}
 		if !l.ask(ctx, d, c) || c.Report.Taken.Sub(d.sentAt) < reportLag {
-			return unloadPoll
+			return movePoll
 		}
 	}
 	switch {
@@ -240,19 +245,18 @@
 		return 0
 	case c.Report.Busy || c.avoided():
 		d.unsettled = true
-		return unloadPoll
+		return movePoll
 	case d.evicted != "" && roster.Holds(c.Report.Models, d.evicted, ""):
 		d.retiring, d.unloadAt, d.unsettled = d.evicted, now, false
 		l.cluster.AnnounceRetirement(c.ID, d.evicted)
-		return unloadPoll
+		return movePoll
 	}
-	l.loadReserved(ctx, now, d, c, engine)
-	return orderPause
+	return l.loadReserved(ctx, now, d, c, engine)
 }
 
 // loadReserved orders the load of the model for which memory is reserved, if it fits and the weight
-// store allows it.
-func (l *Loader) loadReserved(ctx context.Context, now time.Time, d *orderState, c *Candidate, engine *catalog.Engine) {
+// store allows it. It returns as advance does.
+func (l *Loader) loadReserved(ctx context.Context, now time.Time, d *orderState, c *Candidate, engine *catalog.Engine) time.Duration {
 	m := d.reservedFor
 	loaded := make([]fleet.Model, 0, len(c.Report.Models))
 	for _, h := range c.Report.Models {
@@ -260,17 +264,18 @@
 	}
 	if !copies.Fits(engine, loaded, m) {
 		d.reservedFor = ""
-		return
+		return 0
 	}
 	cold := !slices.Contains(c.CachedModels, m)
 	if cold && !l.takeColdLoad(now, engine) {
-		return
+		return movePoll
 	}
 	d.unload, d.sentAt = false, now
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	l.orderLoad(ctx, now, d, c, m, cold)
 	d.unsettled = d.orderedModel == ""
+	return orderPause
 }
 
 // preloadBeside preloads adapters without waiting for the orders.
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -188,6 +188,17 @@
 	o.loadedAt = loadedAt
 }
 
+// loadedSince returns the models that were loaded after a time.
+func (p *progress) loadedSince(since time.Time) []fleet.Model {
+	var all []fleet.Model
+	for m, at := range p.loadedAt {
+		if at.After(since) {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
 // orderUnload orders the unload of the model that is retiring.
 func (l *Loader) orderUnload(ctx context.Context, d *orderState, c *Candidate) {
 	model := d.retiring
@@ -249,7 +260,7 @@
 
 // planEndpoint returns the planner's view of an endpoint.
 func (l *Loader) planEndpoint(now time.Time, d progress, c *Candidate, engine *catalog.Engine) copies.Endpoint {
-	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill, Suspect: c.Suspect && l.follows(engine)}
+	e := copies.Endpoint{ID: c.ID, Cached: c.CachedModels, PendingPrefill: c.PendingPrefill}
 	for _, h := range c.Report.Models {
 		e.Loaded = append(e.Loaded, h.Model)
 	}
@@ -266,13 +277,10 @@
 	if d.reservedFor != "" && now.Before(d.reservedUntil) {
 		e.ReservedFor = d.reservedFor
 	}
-	for m, at := range d.loadedAt {
-		if now.Sub(at) < l.serveTime(engine) {
-			e.RecentlyLoaded = append(e.RecentlyLoaded, m)
-		}
-	}
+	e.RecentlyLoaded = d.loadedSince(now.Add(-l.serveTime(engine)))
 	e.Moving = d.orderedModel != "" || d.retiring != ""
 	fresh := now.Sub(c.Report.Taken) < time.Second
+	e.Suspect = c.Suspect && !fresh && l.follows(engine)
 	e.Busy = d.orderedModel != "" || d.retiring != "" || c.Report.Busy || !fresh || c.avoided() ||
 		c.Report.Taken.Sub(d.movedAt) < reportLag
 	return e
