fix(watcher): those that watch the store stand apart, and few turn to one that doesn't answer

Change: internal/core/watcher chooses over regions, then data centres, by rendezvous among six candidates a region; an instance that the store doesn't answer follows its peers, and where it answers no candidate one of each data centre tries. Retries grow and are spread; a failed registration is not followed by a second call; with strict revocation an instance asks the store itself only while the store answers it. Newer lists and configurations come from the nearest peers. While a live instance lacks the feature "watchers", the first three by name watch as well.

The simulation of revocations counts reads and registrations apart, has links between places, and cuts off those that watch in place of the first three names, which no longer watch.

--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -15,10 +15,12 @@
 	Backlog Feature = "backlog"
 	// Queue: the instance that admits an endpoint's requests lets them wait for room.
 	Queue Feature = "queue"
+	// Watchers: those that watch the store are chosen over regions and data centres, not by name.
+	Watchers Feature = "watchers"
 )
 
 // Announced returns the features of this build.
-func Announced() []Feature { return []Feature{} }
+func Announced() []Feature { return []Feature{Watchers} }
 
 // All reports whether every one of the announcements has a feature.
 func All(f Feature, announcements ...[]Feature) bool {
--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -191,13 +192,12 @@
 			return "", have, false
 		}
 	}
-	for name, p := range s.peers {
-		if !s.isLive(name) || p.heartbeat.Catalog <= have {
-			continue
-		}
-		if address = p.heartbeat.Peer.Address; address != except {
-			break
-		}
+	ahead := slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Catalog <= have })
+	if others := slices.DeleteFunc(slices.Clone(ahead), func(p *peer) bool { return p.heartbeat.Peer.Address == except }); len(others) > 0 {
+		ahead = others
+	}
+	if p := s.nearest(ahead); p != nil {
+		address = p.heartbeat.Peer.Address
 	}
 	return address, have, address != ""
 }
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -18,28 +19,13 @@
 	maxWatchLag = 250 * time.Millisecond
 	// retirementAnnounceTime is how long heartbeats repeat that a model's copy will be unloaded.
 	retirementAnnounceTime = time.Second
-	// storeWatchers is how many instances watch the store: with three, one may be cut off
-	// from it and another may die.
-	storeWatchers = 3
 	// instancesPerList is the number of instances for each of which, beyond the first, the list
 	// of instances is read one round later.
 	instancesPerList = 60
-	// storeReachableTime is how long after its last answer the store counts as reachable.
-	storeReachableTime = 4 * time.Second
 	// maxLeftAnnounced limits the leaving endpoints listed in one heartbeat.
 	maxLeftAnnounced = 64
 )
 
-// updateWatching decides whether this instance watches the store, records the decision and
-// returns it.
-func (s *state) updateWatching() bool {
-	watching := s.shouldWatchStore()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.watching = watching
-	return watching
-}
-
 // applyRecords applies changes to the endpoint list, or replaces it if complete is set. It
 // reports whether an endpoint has started leaving or was removed.
 func (s *state) applyRecords(records []roster.Record, revision int64, complete bool) bool {
@@ -88,44 +74,6 @@
 	_ = s.logger.Log("step", "endpoint", "endpoint", r.ID, "born", r.Entry.Born, "software", r.Entry.Software, "revision", r.Revision, "now", change)
 }
 
-// storeFailed records a failed call to the store, storeAnswered a successful one.
-func (s *state) storeFailed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.RecordStoreFailure(s.clock())
-	s.storeAnsweredAt = time.Time{}
-}
-
-func (s *state) storeAnswered() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.RecordStoreSuccess(s.clock())
-	s.storeAnsweredAt = s.clock()
-}
-
-// storeReachable reports whether the store answered within storeReachableTime.
-func (s *state) storeReachable() bool {
-	return !s.storeAnsweredAt.IsZero() && s.clock().Sub(s.storeAnsweredAt) < storeReachableTime
-}
-
-// shouldWatchStore reports whether this instance should watch the store. The first
-// storeWatchers instances by name that reach the store watch it for all; an instance that
-// doesn't reach it keeps trying.
-func (s *state) shouldWatchStore() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.storeReachable() {
-		return true
-	}
-	ahead := 0
-	for name, p := range s.peers {
-		if s.isLive(name) && p.heartbeat.StoreReachable && name < s.view.Self().Instance {
-			ahead++
-		}
-	}
-	return ahead < storeWatchers
-}
-
 // listIsDue reports whether this instance reads the registrations of all instances now: each
 // time in a small fleet, less often in a large one, where the lists of all are the most bytes.
 // Instances that start meanwhile announce themselves by their heartbeats.
@@ -254,12 +202,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true, Parts: true, Pages: true}
-	var ahead *peer
-	for name, p := range s.peers {
-		if s.isLive(name) && p.heartbeat.Roster > f.Roster {
-			ahead = p
-		}
-	}
+	ahead := s.nearest(slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Roster <= f.Roster }))
 	switch {
 	case ahead == nil:
 		s.laggingSince = time.Time{}
@@ -273,6 +216,27 @@
 	return ahead.heartbeat.Peer.Address, f, true
 }
 
+// nearest returns a random one of the peers that are nearest: in the same data centre, else in the same
+// region. It answers a change that hundreds fetch at once: what peers beside them have needn't pass the
+// link between regions again. It returns nil if there is no peer.
+func (s *state) nearest(peers []*peer) *peer {
+	distance := func(p *peer) int {
+		switch place := p.heartbeat.Place; {
+		case place == s.place:
+			return 0
+		case place.Region == s.place.Region:
+			return 1
+		default:
+			return 2
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if len(peers) == 0 {
+		return nil
+	}
+	return slices.MinFunc(peers, func(a, b *peer) int { return distance(a) - distance(b) })
+}
+
 // answerFetch returns the endpoint list if it is newer than that of the requesting instance,
 // and the configuration if that one can't get it in parts.
 func (s *state) answerFetch(f *gossip.Fetch) *gossip.FetchReply {
--- a/internal/direct/revocation_test.go
+++ b/internal/direct/revocation_test.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/watcher"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/platform"
@@ -64,13 +65,23 @@
 	maxDelay          time.Duration
 	off               simMechanism
 	heartbeats, reads int
+	registrations     int
+	// link is the way of a message between places, nil for one without faults.
+	link func(from, to fleet.Place) (delay time.Duration, lost bool)
+	// unkeyed configurations have no keys.
+	unkeyed bool
 }
 
 type simInstance struct {
 	*state
 	sim          *simulation
 	index        int
-	noStore      bool // cut off from the store
+	noStore      bool          // cut off from the store
+	storeLoss    float64       // share of its calls of the store that fail
+	storeDelay   time.Duration // of the store's answers
+	lost         bool          // the current watch gets no answer
+	reads        int
+	pace         *watcher.Pace
 	noPeers      bool // cut off from all peers
 	frozen       bool
 	frozenFor    time.Duration
@@ -87,6 +98,11 @@
 }
 
 func newSimulation(t *testing.T, instances int, seed uint64) *simulation {
+	t.Helper()
+	return newPlacedSimulation(t, instances, seed, func(int) fleet.Place { return fleet.Place{Region: "south", DataCentre: "a"} })
+}
+
+func newPlacedSimulation(t *testing.T, instances int, seed uint64, place func(i int) fleet.Place) *simulation {
 	t.Helper()
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, uint64(instances))), due: make(map[time.Duration][]func()), version: 1,
@@ -101,10 +117,10 @@
 	}
 	for i, self := range peers {
 		offset := time.Duration(s.random.IntN(1000)) * time.Hour // clocks of different machines
-		n := &simInstance{sim: s, index: i, beatAt: s.someTime(simBeat), registerAt: s.someTime(instanceListInterval)}
-		n.state = newState(self, fleet.Place{Region: "south", DataCentre: "a"}, map[fleet.DataCentre]fleet.Region{"a": "south"},
+		n := &simInstance{sim: s, index: i, pace: watcher.NewPace(string(self.Instance)), beatAt: s.someTime(simBeat), registerAt: s.someTime(instanceListInterval)}
+		n.state = newState(self, place(i), map[fleet.DataCentre]fleet.Region{"a": "south"},
 			balance.NewBudget(0.2, 10, 10*time.Second), simBeat, s.clock.now, log.NewNopLogger())
-		n.uptime = func() time.Duration { return s.clock.elapsed + offset - n.lost() }
+		n.uptime = func() time.Duration { return s.clock.elapsed + offset - n.missed() }
 		n.setRevocation(true, simRevocation)
 		n.applyInstances(peers)
 		n.applyRecords(nil, 1, true)
@@ -121,7 +137,11 @@
 
 func (s *simulation) catalog(version int64) *catalog.Catalog {
 	if s.catalogs[version] == nil {
-		c, err := platform.DecodeCatalog(standin.KeyedConfiguration(version, simKey(version)))
+		text := standin.KeyedConfiguration(version, simKey(version))
+		if s.unkeyed {
+			text = standin.Configuration(version, 1)
+		}
+		c, err := platform.DecodeCatalog(text)
 		require.NoError(s.t, err)
 		s.catalogs[version] = c
 	}
@@ -148,6 +168,19 @@
 	})
 }
 
+// send delivers a message of an instance to another one, unless it is lost on the link.
+func (s *simulation) send(from, to *simInstance, fn func()) {
+	delay := s.delay()
+	if s.link != nil {
+		more, lost := s.link(from.place, to.place)
+		if lost {
+			return
+		}
+		delay += more
+	}
+	s.deliver(to, delay, fn)
+}
+
 func (s *simulation) delay() time.Duration {
 	if s.random.Float64() < s.delayed {
 		return s.someTime(s.maxDelay)
@@ -171,8 +204,13 @@
 	}
 }
 
-// lost is what the clock of an instance misses.
-func (n *simInstance) lost() time.Duration {
+// storeFails reports whether a call of the store by an instance fails.
+func (n *simInstance) storeFails() bool {
+	return n.noStore || n.storeLoss > 0 && n.sim.random.Float64() < n.storeLoss
+}
+
+// missed is what the clock of an instance misses.
+func (n *simInstance) missed() time.Duration {
 	if n.sim.off == simClockInFreeze {
 		return n.frozenFor
 	}
@@ -192,7 +230,10 @@
 	now := n.sim.clock.elapsed
 	if now >= n.registerAt {
 		n.registerAt = now + instanceListInterval
-		if !n.noStore {
+		n.sim.registrations++
+		if n.storeFails() {
+			n.registrationFailed()
+		} else {
 			n.storeAnswered()
 		}
 	}
@@ -216,15 +257,17 @@
 func (n *simInstance) watch(now time.Duration) {
 	switch {
 	case now < n.idleUntil:
-	case !n.watching && !n.updateWatching() && !n.confirmationIsOld():
-		n.idleUntil = now + storeRetryDelay
+	case !n.watching && !n.updateWatching() && !n.mustConfirm():
+		n.idleUntil = now + watchCheckInterval
 	case !n.watching:
 		n.watching, n.watchSent, n.watchSentAt = true, now, n.uptime()
 		n.sim.reads++
-	case n.noStore:
+		n.reads++
+		n.lost = n.storeLoss > 0 && n.storeFails()
+	case n.noStore || n.lost:
 		if now >= n.watchSent+simWatchWait+700*time.Millisecond {
-			n.watching, n.idleUntil = false, now+storeRetryDelay
 			n.storeFailed()
+			n.watching, n.idleUntil = false, now+n.pace.Failed(n.updateWatching()).Truncate(simStep)
 		}
 	case now >= n.watchSent+simStep && n.sim.version > n.stored:
 		n.watchAnswered(n.sim.version, 1)
@@ -236,7 +279,7 @@
 func (n *simInstance) watchAnswered(version int64, changes int) {
 	sent := n.watchSentAt
 	n.idleUntil = time.Hour // until the answer is there
-	n.sim.deliver(n, n.sim.delay(), func() {
+	n.sim.deliver(n, n.sim.delay()+n.storeDelay, func() {
 		n.stored = version
 		n.applyCatalog(n.sim.catalog(version))
 		asOf := watchedUntil(sent, simWatchWait, n.uptime(), changes)
@@ -245,6 +288,7 @@
 		}
 		n.confirmCatalog(version, asOf)
 		n.storeAnswered()
+		n.pace.Answered()
 		n.watching, n.idleUntil = false, 0
 	})
 }
@@ -262,12 +306,10 @@
 		}
 		n.sim.heartbeats++
 		sent := n.uptime()
-		n.sim.deliver(peer, n.sim.delay(), func() {
+		n.sim.send(n, peer, func() {
 			peer.receiveHeartbeat(b)
 			answer := peer.ack()
-			n.sim.deliver(n, n.sim.delay(), func() {
-				n.receiveAnswer(sent, *answer)
-			})
+			n.sim.send(peer, n, func() { n.receiveAnswer(sent, *answer) })
 		})
 	}
 }
@@ -371,7 +413,7 @@
 			t.Run(fmt.Sprintf("%d instances, %s", instances, tt.name), func(t *testing.T) {
 				s := newSimulation(t, instances, 1)
 				s.run(simWarmUp, func() {})
-				regular := storeWatchers * int(simWarmUp/simWatchWait)
+				regular := watchersByName * int(simWarmUp/simWatchWait)
 				assert.LessOrEqual(t, s.reads, regular+instances/5, "not all watch at the start")
 				s.heartbeats, s.reads = 0, 0
 				const measured = 5 * time.Second
@@ -394,9 +436,14 @@
 }
 
 func (s *simulation) cutWatchers(cut func(*simInstance)) {
-	for _, n := range s.instances[:storeWatchers] {
-		cut(n)
+	found := 0
+	for _, n := range s.instances {
+		if n.shouldWatchStore() {
+			cut(n)
+			found++
+		}
 	}
+	require.GreaterOrEqual(s.t, found, watchersByName)
 }
 
 // No instance may admit a key later than that time after its revocation, nor refuse a new one as
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -16,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/core/watcher"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/loader"
@@ -33,8 +34,9 @@
 	// watchStartDelay is how long an instance that has just started leaves it to others to watch
 	// the store: until heartbeats show who does, each of hundreds would.
 	watchStartDelay = 1500 * time.Millisecond
-	// storeRetryDelay is the delay after a failed call to the store.
-	storeRetryDelay = 200 * time.Millisecond
+	// watchCheckInterval is how often an instance that leaves the store to others checks whether it
+	// still does.
+	watchCheckInterval = 200 * time.Millisecond
 	// heartbeatTimeout limits the sending of one heartbeat, fetchTimeout one request to a
 	// peer for a newer list.
 	heartbeatTimeout = 600 * time.Millisecond
@@ -79,10 +81,11 @@
 // the changes.
 func (n *Node) watchPrefix(ctx context.Context, prefix string, pause time.Duration, apply func(storeRead)) error {
 	revision, storeLost, started := int64(-1), false, false
+	pace := watcher.NewPace(n.config.Instance.Name + "/" + prefix)
 	for ctx.Err() == nil {
-		if revision >= 0 && !n.state.updateWatching() && !n.mustWatch(prefix) {
+		if watching := n.state.updateWatching(); revision >= 0 && !watching && !n.mustWatch(prefix) {
 			// The instances that watch the store pass on the changes meanwhile.
-			sleep(ctx, storeRetryDelay)
+			sleep(ctx, watchCheckInterval)
 			continue
 		}
 		next, err := n.listOrWatch(ctx, prefix, revision, apply)
@@ -92,6 +95,7 @@
 			}
 			revision, storeLost = next, false
 			n.state.storeAnswered()
+			pace.Answered()
 			if !started {
 				started = true
 				sleep(ctx, watchStartDelay)
@@ -111,7 +115,7 @@
 			_ = level.Warn(n.logger).Log("step", "store lost", "prefix", prefix, "after", revision, "err", err)
 		}
 		storeLost = true
-		sleep(ctx, storeRetryDelay)
+		sleep(ctx, pace.Failed(n.state.updateWatching()))
 	}
 	return nil
 }
@@ -149,6 +153,9 @@
 	}
 	if err := n.register(ctx); err != nil {
 		_ = level.Warn(n.logger).Log("step", "register", "err", err)
+		if !n.state.registrationFailed() {
+			return // no second call to a store that doesn't answer
+		}
 	} else {
 		n.state.storeAnswered()
 	}
--- a/internal/direct/workspaces.go
+++ b/internal/direct/workspaces.go
@@ -30,7 +30,18 @@
 // mustWatch reports whether this instance watches a prefix although others watch the store for
 // all: their word of the configuration hasn't arrived for long.
 func (n *Node) mustWatch(prefix string) bool {
-	return prefix == platform.CatalogKey && n.state.confirmationIsOld()
+	return prefix == platform.CatalogKey && n.state.mustConfirm()
+}
+
+// mustConfirm reports whether this instance asks the store for how old its configuration is. While the
+// store doesn't answer it, only its registration tries.
+func (s *state) mustConfirm() bool {
+	if !s.confirmationIsOld() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeReachable()
 }
 
 // setRevocation sets whether, and for how long without evidence, a key may still be used.
