--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -16,10 +16,12 @@
 	Backlog Feature = "backlog"
 	// Queue: the instance that admits an endpoint's requests lets them wait for room.
 	Queue Feature = "queue"
+	// Watchers: those that watch the store are chosen over regions and data centres, not by name.
+	Watchers Feature = "watchers"
 )
 
 // Announced returns the features of this build.
-func Announced() []Feature { return []Feature{Backlog, Queue} }
+func Announced() []Feature { return []Feature{Backlog, Queue, Watchers} }
 
 // Announcement is what is known of another instance.
 type Announcement struct {
