feat(loader): a load that is overdue doesn't count, and load times are measured

The loads under way together are bounded by the mean time of a load, which is 2 to 4 s on some sites, in place of 1.5 s.

--- a/internal/core/copies/follow.go
+++ b/internal/core/copies/follow.go
@@ -14,11 +14,13 @@
 	// usefulTime is for how long a copy is weighed by what it serves: some times what a load
 	// takes. What is lost until the copy can serve is taken off.
 	usefulTime = 8 * time.Second
-	// coldLoadTime and cachedLoadTime are how long a load takes until the copy can serve,
+	// coldLoadTime is how long a load from the weight store takes if nothing is known of it,
+	// maxLoadTime the most that counts, cachedLoadTime how long other loads take,
 	// unloadTime how long one waits for the unload of another model that no request uses, and drainTime
 	// how much longer if it has drainShare or more of what its endpoint serves: its running
 	// requests end first.
 	coldLoadTime   = 1500 * time.Millisecond
+	maxLoadTime    = 5 * time.Second
 	cachedLoadTime = 500 * time.Millisecond
 	unloadTime     = 900 * time.Millisecond
 	drainTime      = time.Second
@@ -90,6 +92,9 @@
 func newFollower(engine *catalog.Engine, endpoints []Endpoint, demand Demand, limits Limits) *follower {
 	f := &follower{planner: newPlanner(engine, endpoints, demand, limits), number: make(map[fleet.Model]int, len(engine.Models)), given: make([]bool, len(engine.Models))}
 	f.fittingOnly = true
+	if f.limits.LoadTime == 0 {
+		f.limits.LoadTime = coldLoadTime
+	}
 	forecasts := make([]float64, len(engine.Models))
 	for i := range engine.Models {
 		m := engine.Models[i].Name
@@ -120,10 +125,11 @@
 			all = append(all, m)
 		}
 	}
-	for _, m := range []fleet.Model{e.Loading, e.ReservedFor} {
-		if m != "" && !slices.Contains(all, m) {
-			all = append(all, m)
-		}
+	if e.Loading != "" && !slices.Contains(all, e.Loading) {
+		all = append(all, e.Loading)
+	}
+	if e.ReservedFor != "" && !e.Overdue && !slices.Contains(all, e.ReservedFor) {
+		all = append(all, e.ReservedFor)
 	}
 	return all
 }
@@ -149,7 +155,7 @@
 			reserved++
 		}
 	}
-	together := int(math.Ceil(f.engine.MaxLoadsPerSecond * coldLoadTime.Seconds()))
+	together := int(math.Ceil(f.engine.MaxLoadsPerSecond * f.limits.LoadTime.Seconds()))
 	f.limits.ColdLoads = min(f.limits.ColdLoads, together-underWay) - reserved
 }
 
@@ -267,7 +273,7 @@
 // value returns what a copy at a place relieves over usefulTime, as a mean per second, less what it
 // costs callers of other models.
 func (f *follower) value(i int, loss float64, p placement) float64 {
-	wait := coldLoadTime
+	wait := min(f.limits.LoadTime, maxLoadTime)
 	blocked := blockCost
 	if p.cached {
 		wait, blocked = cachedLoadTime, 0
--- a/internal/core/copies/plan.go
+++ b/internal/core/copies/plan.go
@@ -24,6 +24,9 @@
 	Unloading []fleet.Model
 	// ReservedFor is the model that another one was evicted for, empty if none was.
 	ReservedFor fleet.Model
+	// Overdue is set if the load of ReservedFor should have begun by now. Used by Follow only: it
+	// doesn't count as a copy.
+	Overdue bool
 	// RecentlyLoaded are models that were loaded a short time ago.
 	RecentlyLoaded []fleet.Model
 	// Cached are models whose weights it has in memory or on disk.
@@ -67,8 +70,10 @@
 	StandbyCopies int
 	// Capacity is the demand that an endpoint serves within the callers' targets, in tokens per
 	// second, TrendLead the part of the difference between recent and long-term demand by which
-	// the recent one rises until a load is done. Both are used by Follow only.
+	// the recent one rises until a load is done, LoadTime how long a load from the weight store has
+	// taken lately, 0 if unknown. All three are used by Follow only.
 	Capacity, TrendLead float64
+	LoadTime            time.Duration
 }
 
 // Demand is the demand of callers by model, in tokens per second.
--- a/internal/loader/follow.go
+++ b/internal/loader/follow.go
@@ -22,6 +22,10 @@
 	orderPause = 50 * time.Millisecond
 	// coldReportDelay is how long after its order a load from the weight store is asked for first.
 	coldReportDelay = time.Second
+	// overdueAfter is how long after a move has begun its load is still to be ordered when the plan
+	// no longer counts on it: about twice what a retirement and an unload take if no request
+	// runs on the model.
+	overdueAfter = 1500 * time.Millisecond
 	// silentTime is how long an endpoint with a move in progress has left questions unanswered
 	// when its copies no longer count.
 	silentTime = 600 * time.Millisecond
@@ -67,6 +71,7 @@
 	}
 	e := l.planEndpoint(now, p, c, engine)
 	e.Busy, e.Moving = e.Busy || !free || task, e.Moving || p.reserved(now)
+	e.Overdue = p.orderedModel != p.reservedFor && now.Sub(p.reservedUntil.Add(-reservationTime)) > overdueAfter
 	e.Suspect = e.Suspect || !p.silentSince.IsZero() && now.Sub(p.silentSince) > silentTime
 	return e
 }
@@ -104,7 +109,7 @@
 		return
 	}
 	if m.Unload {
-		l.retire(now, d, c, m.Model)
+		l.retire(now, d, c, m)
 		d.reservedFor, d.reservedUntil = m.MakesRoomFor, now.Add(reservationTime)
 	} else {
 		d.reservedFor, d.reservedUntil = m.Model, now.Add(reservationTime)
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -164,7 +164,7 @@
 	hadDemand map[fleet.Model]bool
 	// askedAt is when a model last had demand.
 	askedAt map[fleet.Model]time.Time
-	// loadTime is the mean time of a load from the weight store.
+	// loadTime is the mean time of a load from the weight store, 0 before the first.
 	loadTime time.Duration
 	// needsLoggedAt and shortages are used by the placement step only.
 	needsLoggedAt time.Time
@@ -204,7 +204,7 @@
 	l := &Loader{
 		endpoints: endpoints, lease: lease, cluster: cluster, clock: clock, limits: limits,
 		logger: log.NewNopLogger(), registry: metrics.NewRegistry(), orderStates: make(map[fleet.Endpoint]*orderState), hadDemand: make(map[fleet.Model]bool),
-		askedAt: make(map[fleet.Model]time.Time), shortages: make(map[catalog.Service]*copies.Shortage), loadTime: minServeTime / 2,
+		askedAt: make(map[fleet.Model]time.Time), shortages: make(map[catalog.Service]*copies.Shortage),
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -60,7 +60,7 @@
 	demand, longTerm, _ := l.cluster.Demand()
 	limits := copies.Limits{
 		ColdLoads: l.allowedColdLoads(now, g.Engine, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
-		Capacity: l.limits.Capacity, TrendLead: l.limits.TrendLead,
+		Capacity: l.limits.Capacity, TrendLead: l.limits.TrendLead, LoadTime: l.meanLoadTime(),
 	}
 	planDemand := copies.Demand{Recent: demand, LongTerm: longTerm, AtRisk: l.atRisk(g.Engine, demand), InUse: l.inUse(now, demand, longTerm)}
 	if l.shortages[g.Name] == nil {
@@ -218,18 +218,27 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.loadTime += time.Duration(float64(now.Sub(d.orderedAt)-l.loadTime) * loadTimeWeight)
+	took := now.Sub(d.orderedAt)
+	if l.loadTime == 0 {
+		l.loadTime = took
+	}
+	l.loadTime += time.Duration(float64(took-l.loadTime) * loadTimeWeight)
+}
+
+// meanLoadTime returns the mean time of loads from the weight store, 0 before the first.
+func (l *Loader) meanLoadTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loadTime
 }
 
 // serveTime is how long a copy serves before it may be evicted for demand elsewhere: where copies
 // follow demand, twice what a load takes, minServeTime at most.
 func (l *Loader) serveTime(engine *catalog.Engine) time.Duration {
-	if !l.follows(engine) {
-		return minServeTime
+	if mean := l.meanLoadTime(); mean > 0 && l.follows(engine) {
+		return min(2*mean, minServeTime)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return min(2*l.loadTime, minServeTime)
+	return minServeTime
 }
 
 // moveEnded reports whether the endpoint's report shows the end of the move in progress.
@@ -336,7 +345,7 @@
 	}
 	defer d.unlock()
 	if m.Unload {
-		l.retire(now, d, c, m.Model)
+		l.retire(now, d, c, m)
 		d.reservedFor, d.reservedUntil = m.MakesRoomFor, now.Add(reservationTime)
 		return
 	}
@@ -347,10 +356,10 @@
 }
 
 // retire announces that a model will be unloaded.
-func (l *Loader) retire(now time.Time, d *orderState, c *Candidate, m fleet.Model) {
-	d.retiring, d.unloadAt = m, now.Add(drainDelay)
-	l.cluster.AnnounceRetirement(c.ID, m)
-	_ = l.logger.Log("step", "retire", "endpoint", c.ID, "model", m)
+func (l *Loader) retire(now time.Time, d *orderState, c *Candidate, m copies.Move) {
+	d.retiring, d.unloadAt = m.Model, now.Add(drainDelay)
+	l.cluster.AnnounceRetirement(c.ID, m.Model)
+	_ = l.logger.Log("step", "retire", "endpoint", c.ID, "model", m.Model, "for", m.MakesRoomFor)
 }
 
 // orderLoad orders the load of a model. One from the weight store has been counted.
