feat(queue): refused callers return as room comes, and bulk isn't sent where it would starve

Cause: Retry-After was spread at random over 1 to 2.5 times a wait, so callers refused together, or who repeat at once, came back to room that others were told of too. A less urgent request was sent to an endpoint by the work ahead of it alone; in a burst of urgent ones it starved there.

Change: the owner of an endpoint hands out return times one after the other, by the time that it needs for their work.

--- a/internal/core/pace/lane.go
+++ b/internal/core/pace/lane.go
@@ -17,6 +17,8 @@
 	minAskAgain, maxAskAgain = 100 * time.Millisecond, time.Second
 	// askGrace is how long after that time the request is kept: the way of its question.
 	askGrace = 150 * time.Millisecond
+	// maxReturn is the longest time that a refused caller is told to stay away: few wait longer.
+	maxReturn = 3 * time.Second
 	// spareTurn is how many times as late as predicted the turn of a request may come that begins to
 	// wait: one that is refused after a wait has waited in vain.
 	spareTurn = 2
@@ -51,6 +53,8 @@
 	AskAgain time.Duration
 	// Ahead counts the late requests before it.
 	Ahead int
+	// Return is when the caller of a request that is refused may come back.
+	Return time.Duration
 }
 
 // waiter is a late request that has been told to ask again.
@@ -104,6 +108,7 @@
 	}
 	switch {
 	case worst > late.Patience:
+		place.Return = s.nextReturn(now, lane, late.Work, place.Turn)
 		return place
 	case place.Turn <= lateLead || late.Last:
 		s.schedule(now, lane, late.Work)
@@ -112,10 +117,36 @@
 		place.AskAgain = min(max(place.Turn-lateLead, minAskAgain), maxAskAgain)
 		w.expires = now.Add(place.AskAgain + askGrace)
 		s.waiting = append(s.waiting, w)
+	default:
+		place.Return = s.nextReturn(now, lane, late.Work, place.Turn)
 	}
 	return place
 }
 
+// nextReturn returns when the caller of a refused request may come back: after its turn, and after the
+// callers refused before it by as much time as the endpoint needs for their work.
+//
+// It answers callers that were refused together and would come back together, and those who repeat
+// at once several times: each repetition is told a later time.
+func (s *Schedule) nextReturn(now time.Time, lane int, work, turn time.Duration) time.Duration {
+	if earliest := now.Add(min(turn, maxReturn)); s.returns.Before(earliest) || s.returns.Sub(now) > maxReturn {
+		s.returns = earliest
+	}
+	at := s.returns.Sub(now)
+	s.returns = s.returns.Add(time.Duration(float64(work) / (1 - s.inflow(now, lane))))
+	return at
+}
+
+// Displaced returns how long a prompt of a rank would wait behind the more urgent ones that are
+// scheduled and those that will come meanwhile.
+//
+// It answers bursts of urgent requests, which keep less urgent ones with a long target waiting at an
+// endpoint that they were sent to.
+func (s *Schedule) Displaced(now time.Time, level int) time.Duration {
+	lane := 2 * rankOf(level)
+	return time.Duration(float64(s.Wait(now, level)) / (1 - s.inflow(now, lane)))
+}
+
 // Withdraw removes a late request that no longer waits.
 func (s *Schedule) Withdraw(id uint64) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool { return w.ID == id })
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -55,6 +55,8 @@
 	arrived   [laneCount]float64
 	decayedAt time.Time
 	waiting   []*waiter
+	// returns is when the last of the refused callers has room that may come back.
+	returns time.Time
 	// asked and found count the requests lately decided on and those that were scheduled.
 	asked, found float64
 }
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -57,18 +57,8 @@
 		return &gossip.AdmitReply{Wait: hold, Refused: true, Limited: true}
 	}
 	slotWait := schedule.SlotWait(s.occupancy(now, a.Endpoint), a.Run)
-	r := &gossip.AdmitReply{Wait: slotWait, Refused: true}
 	yields := s.yields(now, schedule, a)
-	switch {
-	case yields:
-		r.Wait = max(slotWait, schedule.Wait(now, a.Level))
-		if a.Late == nil {
-			schedule.Decline(now)
-		}
-	case slotWait <= a.Limit && (a.Late == nil || a.Limit > 0):
-		wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
-		r.Wait, r.Refused = wait, !ok
-	}
+	r := s.reserveInTime(now, schedule, a, slotWait, yields)
 	if r.Refused && a.Late != nil {
 		r = queue(schedule, now, a, slotWait, yields)
 	}
@@ -82,6 +72,28 @@
 	return r
 }
 
+// reserveInTime schedules a prompt if it can be in time. One that yields to others can't, nor can one
+// that more urgent ones are expected to displace, if its service lets requests wait instead.
+func (s *state) reserveInTime(now time.Time, schedule *pace.Schedule, a *gossip.Admit, slotWait time.Duration, yields bool) *gossip.AdmitReply {
+	if yields || s.keepsLate(a) && schedule.Displaced(now, a.Level) > a.Limit {
+		if a.Late == nil || !yields && !a.Late.Asked { // else it is counted where it waits, or was before
+			schedule.Decline(now)
+		}
+		return &gossip.AdmitReply{Wait: max(slotWait, schedule.Displaced(now, a.Level)), Refused: true}
+	}
+	if slotWait > a.Limit || a.Late != nil && a.Limit <= 0 {
+		return &gossip.AdmitReply{Wait: slotWait, Refused: true}
+	}
+	wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
+	return &gossip.AdmitReply{Wait: wait, Refused: !ok}
+}
+
+// keepsLate reports whether requests to an endpoint wait for room.
+func (s *state) keepsLate(a *gossip.Admit) bool {
+	e := s.roster.Get(a.Endpoint)
+	return e != nil && s.queues(e.Service)
+}
+
 // yields reports whether a request's workspace is over its share while room is short at the endpoint.
 // The decision on its first question holds for the others.
 func (s *state) yields(now time.Time, schedule *pace.Schedule, a *gossip.Admit) bool {
@@ -105,7 +117,7 @@
 	place := schedule.Queue(now, pace.Late{
 		ID: a.Late.ID, Level: a.Level, Work: a.Work, Waited: a.Late.Waited, Patience: a.Late.Patience, Asked: a.Late.Asked, Last: a.Late.Last, Yields: yields,
 	}, slotWait)
-	return &gossip.AdmitReply{Wait: place.Turn, Refused: !place.Admitted, Late: place.Admitted, AskAgain: place.AskAgain, Ahead: place.Ahead}
+	return &gossip.AdmitReply{Wait: place.Turn, Refused: !place.Admitted, Late: place.Admitted, AskAgain: place.AskAgain, Ahead: place.Ahead, Return: place.Return}
 }
 
 // withdraw ends the wait of a request at an endpoint of this instance.
@@ -216,7 +228,7 @@
 	if r.Limited {
 		g.deferEndpoint(t, r.Wait)
 	}
-	admission := gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited, Late: r.Late, Ahead: r.Ahead, Yields: r.Yields}
+	admission := gateway.Admission{Wait: max(0, r.Wait-way), Hold: max(0, r.Hold-way), Refused: r.Refused, Limited: r.Limited, Late: r.Late, Ahead: r.Ahead, Yields: r.Yields, Return: r.Return}
 	if r.AskAgain > 0 {
 		admission.AskAgain = max(time.Millisecond, r.AskAgain-way)
 	}
--- a/internal/direct/stats.go
+++ b/internal/direct/stats.go
@@ -49,6 +49,13 @@
 	return name
 }
 
+// Waited counts the end of a request that has waited for room.
+func (s *stats) Waited(route *catalog.Route, status int, waited time.Duration) {
+	labels := ";kind=" + string(route.Kind) + ";level=" + strconv.Itoa(route.Level)
+	metrics.GetOrRegisterCounter("waits"+labels+";status="+strconv.Itoa(status), s.registry).Inc(1)
+	metrics.GetOrRegisterTimer("waited"+labels, s.registry).Update(waited)
+}
+
 // KeyRefused counts a request refused for its key.
 func (s *stats) KeyRefused(status int) {
 	metrics.GetOrRegisterCounter("key_refusals;status="+strconv.Itoa(status), s.registry).Inc(1)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,6 +81,8 @@
 	late     bool
 	askAgain time.Duration
 	ahead    int
+	// comeBack is when its caller may come back, 0 if that isn't known.
+	comeBack time.Duration
 	yields   bool // its workspace is over its share of the room
 }
 
@@ -172,7 +174,7 @@
 		return refusal{}, ctx.Err()
 	}
 	if admission.Refused {
-		r := refusal{predictedWait: admission.Wait + a.target.PendingPrefill, late: late != nil, askAgain: admission.AskAgain, ahead: admission.Ahead, yields: admission.Yields}
+		r := refusal{predictedWait: admission.Wait + a.target.PendingPrefill, late: late != nil, askAgain: admission.AskAgain, ahead: admission.Ahead, yields: admission.Yields, comeBack: admission.Return}
 		return r, fmt.Errorf("%w: the wait there is %s", ErrOverloaded, admission.Wait)
 	}
 	if late != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -304,6 +304,8 @@
 	// Done records the end of a request to a route: how many attempts were sent, the time to
 	// the first byte and the total time.
 	Done(route *catalog.Route, status int, attempts int, firstByte, total time.Duration)
+	// Waited records the end of a request that has waited for room.
+	Waited(route *catalog.Route, status int, waited time.Duration)
 	// Workspace records the end of a request of a workspace, empty for none.
 	Workspace(name string, status int)
 	// KeyRefused records a request refused for its key.
@@ -313,5 +315,6 @@
 type noStats struct{}
 
 func (noStats) Done(*catalog.Route, int, int, time.Duration, time.Duration) {}
+func (noStats) Waited(*catalog.Route, int, time.Duration)                   {}
 func (noStats) Workspace(string, int)                                       {}
 func (noStats) KeyRefused(int)                                              {}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -218,6 +218,8 @@
 	Ahead    int
 	// Yields is set if the request's workspace is over its share of the room.
 	Yields bool
+	// Return is when the caller of a refused request may come back, 0 if that isn't known.
+	Return time.Duration
 }
 
 // Question is what a request asks of the endpoint that it is to be sent to.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -55,6 +55,8 @@
 	full   []fleet.Endpoint
 	target *Target
 	waited time.Duration
+	// comeBack is the earliest time at which an endpoint would have room for the caller, 0 for none.
+	comeBack time.Duration
 }
 
 // beginQueueing decides whether the request may wait for room.
@@ -139,6 +141,9 @@
 	}
 	q.full = append(q.full, r.attempt.target.ID)
 	q.yields = q.yields || r.yields
+	if q.comeBack == 0 || r.comeBack > 0 && r.comeBack < q.comeBack {
+		q.comeBack = r.comeBack
+	}
 	if r.late && r.askAgain <= 0 {
 		if q.target == nil || q.target.ID == r.attempt.target.ID {
 			q.refused, q.target = true, nil
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -92,3 +92,14 @@
 	require.Len(t, f.questions, 2)
 	assert.Nil(t, f.questions[1].Late)
 }
+
+// A refused caller is told the earliest time at which one of the endpoints has said that it has room.
+func TestRefusedCallersAreToldWhenThereIsRoom(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
+	f.replies = []gateway.Admission{{Refused: true, Wait: time.Second}, {Refused: true, Wait: time.Second, Return: 1234 * time.Millisecond, Yields: true}}
+	f.random = 0.7
+	r, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	assert.Equal(t, "1.234", r.header.Get("Retry-After"))
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -311,4 +311,6 @@
 	Ahead    int           `cbor:"n,omitempty"`
 	// Yields is set if the request's workspace is over its share of the room.
 	Yields bool `cbor:"y,omitempty"`
+	// Return is when the caller of a refused request that doesn't wait may come back.
+	Return time.Duration `cbor:"b,omitempty"`
 }
