fix(queue): a workspace that surges leaves room to others, nobody else does

Change: shares no longer depend on the room. A workspace that sends over twice as many times its usual as all others together is admitted in time only up to a quarter of the limit, so it fills what the others leave; what it can't have waits behind all ranks. A request that can wait tries three endpoints without room, not four.

--- a/internal/core/fairshare/shares.go
+++ b/internal/core/fairshare/shares.go
@@ -1,31 +1,28 @@
 package fairshare
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
 const (
-	// enoughRoom is the part of the requests that find room from which on none is over its share.
-	enoughRoom = 0.95
+	// surgeTimes is how many times as much more than usual as the others a workspace sends when it
+	// gives way to them.
+	surgeTimes = 2
 	// senderHalfLife is the half-life of what is known of a workspace.
 	senderHalfLife = 2 * time.Second
-	// priorRate is how much the sums of a workspace count from which little is known: as if a few
-	// requests more had come, at the median of all.
-	priorRate = 2.0
+	// priorRate is how much the sums of a workspace count from which little is known: as if some
+	// requests more had come, in the proportion of the others.
+	priorRate = 4.0
 	// forgetBelow is how many questions of a workspace are too few to tell anything of it.
 	forgetBelow = 0.1
 	// maxSenders bounds the workspaces of which the shares are kept.
 	maxSenders = 64
 )
 
-// Shares divide the room of the endpoints of one service, as the instance that admits requests there
-// sees it, among the workspaces whose requests come through all instances. While room is short, each
-// workspace gets as many times its usual rate as all others (max-min): one that sends no more than
-// that is served whole, and what it leaves goes to the others. The zero value knows no workspace. It
-// is not safe for concurrent use.
+// Shares tell which workspaces send several times their usual, as the instance that admits requests to
+// endpoints of a service sees it from the questions of all instances. These get what the others leave.
+// The zero value knows no workspace. It is not safe for concurrent use.
 type Shares struct {
 	senders map[uint64]*sender
 }
@@ -34,8 +31,6 @@
 type sender struct {
 	questions, recent, usual float64
 	at                       time.Duration
-	// credit is what is left to it of its share, in requests.
-	credit float64
 }
 
 func (s *sender) decay(now time.Duration) {
@@ -48,27 +43,21 @@
 	}
 }
 
-// Within records a request of a workspace, and reports whether it is within the workspace's share
-// while only a part of all requests finds room.
+// times returns how many times its usual rate a workspace sends. What the others do counts for what is
+// not known of it.
+func (s *sender) times(others float64) float64 {
+	return (s.recent + priorRate*others) / (s.usual + priorRate)
+}
+
+// Surges records a request of a workspace, and reports whether it is to leave the room to others: its
+// workspace sends several times its usual, and the others don't.
 //
-// It answers a workspace that sends several times its usual through all instances at once. A burst
-// of all workspaces together puts none over its share more than the others.
-func (s *Shares) Within(now time.Duration, u Usage, room float64) bool {
+// It answers a workspace that sends several times its usual through all instances at once. In a burst
+// of all workspaces together none gives way.
+func (s *Shares) Surges(now time.Duration, u Usage) bool {
 	w := s.observe(now, u)
-	if room >= enoughRoom {
-		return true
-	}
-	parts := s.parts(now)
-	served := 1.0
-	if times := w.times(median(parts)); times > 0 {
-		served = min(1, level(parts, room)/times)
-	}
-	w.credit = min(w.credit+served, 1)
-	if w.credit < 1-1e-9 {
-		return false
-	}
-	w.credit--
-	return true
+	others := s.others(now, w)
+	return others > 0 && w.times(others) > surgeTimes*others
 }
 
 func (s *Shares) observe(now time.Duration, u Usage) *sender {
@@ -78,7 +67,7 @@
 	w := s.senders[u.Workspace]
 	if w == nil {
 		s.makeRoom(now)
-		w = &sender{credit: 1}
+		w = &sender{}
 		s.senders[u.Workspace] = w
 	}
 	w.decay(now)
@@ -103,53 +92,22 @@
 	delete(s.senders, least)
 }
 
-// part is how many times its usual rate a workspace sends, and that rate.
-type part struct{ times, usual float64 }
-
-// parts returns the parts of all workspaces, by how many times their usual rate they send.
-func (s *Shares) parts(now time.Duration) []part {
-	parts := make([]part, 0, len(s.senders))
+// others returns how many times their usual rates all workspaces but one send together, 0 if that isn't
+// known.
+func (s *Shares) others(now time.Duration, except *sender) float64 {
+	recent, usual := 0.0, 0.0
 	for id, w := range s.senders {
 		if w.decay(now); w.questions < forgetBelow {
 			delete(s.senders, id)
 			continue
 		}
-		if w.usual > 0 {
-			parts = append(parts, part{w.recent / w.usual, w.usual / w.questions})
+		if w != except {
+			recent += w.recent / w.questions
+			usual += w.usual / w.questions
 		}
 	}
-	slices.SortFunc(parts, func(a, b part) int { return cmp.Or(cmp.Compare(a.times, b.times), cmp.Compare(a.usual, b.usual)) })
-	return parts
-}
-
-// times returns how many times its usual rate a workspace sends. The median of all counts for what is
-// not known of it.
-func (s *sender) times(median float64) float64 {
-	return (s.recent + priorRate*median) / (s.usual + priorRate)
-}
-
-// median returns how many times its usual rate the workspace in the middle sends.
-func median(parts []part) float64 {
-	if len(parts) == 0 {
+	if usual <= 0 {
 		return 0
 	}
-	return parts[(len(parts)-1)/2].times
-}
-
-// level returns how many times its usual rate each workspace may send, if a part of all that is sent
-// finds room.
-func level(parts []part, room float64) float64 {
-	left, usual := 0.0, 0.0
-	for _, p := range parts {
-		left += room * p.times * p.usual
-		usual += p.usual
-	}
-	for _, p := range parts {
-		if p.times*usual >= left {
-			return left / usual
-		}
-		left -= p.times * p.usual
-		usual -= p.usual
-	}
-	return math.Inf(1)
+	return recent / usual
 }
--- a/internal/core/fairshare/shares_test.go
+++ b/internal/core/fairshare/shares_test.go
@@ -21,6 +21,8 @@
 	// load is the usual work of all for an endpoint, times how many times its usual the first
 	// workspace sends in the middle of the replay, everyone whether the others do too.
 	load, times float64
+	// work is how long an endpoint is busy with a request, limit the longest wait.
+	work, limit time.Duration
 	everyone    bool
 	fair        bool
 }
@@ -34,7 +36,6 @@
 // replay returns the part of the requests of the first workspace, and of all others, that found room
 // in the surge after its first two seconds, and the worst of the others.
 func (s site) replay(seed uint64) (first, others, worst float64) {
-	const work, limit = 50 * time.Millisecond, 500 * time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 3))
 	meters, shares, schedules := make([]fairshare.Meters, s.instances), make([]fairshare.Shares, s.endpoints), make([]pace.Schedule, s.endpoints)
 	start := time.Unix(1_000_000, 0)
@@ -49,7 +50,7 @@
 	}
 	var arrivals []arrival
 	for w := range workspaces {
-		usual := s.load * float64(s.endpoints) / work.Seconds() / weights / float64(w+1)
+		usual := s.load * float64(s.endpoints) / s.work.Seconds() / weights / float64(w+1)
 		for at := time.Duration(0); at < replayTime; {
 			perSecond := usual
 			if at > surgeAt && at < surgeTo && (w == 0 || s.everyone) {
@@ -64,12 +65,11 @@
 		usage := meters[random.IntN(s.instances)].Count(a.at, uint64(a.workspace))
 		e := random.IntN(s.endpoints)
 		now := start.Add(a.at)
-		ok := !s.fair || shares[e].Within(a.at, usage, schedules[e].Room(now))
-		if ok {
-			_, ok = schedules[e].Reserve(now, 0, work, limit)
-		} else {
-			ok = schedules[e].Queue(now, pace.Late{ID: random.Uint64(), Work: work, Patience: limit, Yields: true}, 0).Admitted
+		allowed := s.limit
+		if shares[e].Surges(a.at, usage) && s.fair {
+			allowed /= 4
 		}
+		_, ok := schedules[e].Reserve(now, 0, s.work, allowed)
 		if a.at > surgeAt+2*time.Second && a.at < surgeTo {
 			asked[a.workspace]++
 			if ok {
@@ -89,10 +89,21 @@
 // The load of a workspace that sends six times its usual through all instances: it is refused first,
 // and the others see no difference of more than 5 in 100.
 func TestOneWorkspaceSurges(t *testing.T) {
-	for _, instances := range []int{9, 79, 142, 295} {
-		t.Run(fmt.Sprint(instances), func(t *testing.T) {
-			endpoints := max(3, instances*9/10)
-			usual := site{instances: instances, endpoints: endpoints, load: 0.6, times: 1, fair: true}
+	tests := []struct {
+		instances   int
+		work, limit time.Duration
+	}{
+		{9, 50 * time.Millisecond, 500 * time.Millisecond},
+		{79, 50 * time.Millisecond, 500 * time.Millisecond},
+		{79, 200 * time.Millisecond, time.Second}, // few requests an endpoint
+		{142, 50 * time.Millisecond, 500 * time.Millisecond},
+		{295, 50 * time.Millisecond, 500 * time.Millisecond},
+		{295, 200 * time.Millisecond, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d instances, %v", tt.instances, tt.work), func(t *testing.T) {
+			endpoints := max(3, tt.instances*9/10)
+			usual := site{instances: tt.instances, endpoints: endpoints, load: 0.6, times: 1, work: tt.work, limit: tt.limit, fair: true}
 			surge, unfair := usual, usual
 			surge.times, unfair.times, unfair.fair = 6, 6, false
 			_, before, worstBefore := usual.replay(1)
@@ -109,7 +120,7 @@
 
 // The load of a burst of all workspaces: none is refused more than the others.
 func TestAllWorkspacesSurge(t *testing.T) {
-	surge := site{instances: 79, endpoints: 70, load: 0.6, times: 3, everyone: true, fair: true}
+	surge := site{instances: 79, endpoints: 70, load: 0.6, times: 3, work: 50 * time.Millisecond, limit: 500 * time.Millisecond, everyone: true, fair: true}
 	plain := surge
 	plain.fair = false
 	first, others, worst := surge.replay(1)
@@ -127,8 +138,8 @@
 	for i := range 20_000 {
 		now := time.Duration(i) * time.Millisecond
 		u := m.Count(now, 1)
-		s.Within(now, u, 0.5)
-		s.Within(now, m.Count(now, uint64(2+i%1000)), 0.5)
+		s.Surges(now, u)
+		s.Surges(now, m.Count(now, uint64(2+i%1000)))
 	}
 	assert.Positive(t, m.Count(21*time.Second, 1).Usual)
 }
--- a/internal/core/pace/lane.go
+++ b/internal/core/pace/lane.go
@@ -39,7 +39,7 @@
 	Waited, Patience time.Duration
 	// Asked is set if it has waited since an earlier question, Last if it doesn't ask again.
 	Asked, Last bool
-	// Yields is set if its workspace is over its share of the room: it gives way to all ranks.
+	// Yields is set if it gives way to all ranks.
 	Yields bool
 }
 
@@ -78,23 +78,15 @@
 // request takes its turn after all of its rank that can be in time, also those that arrive later:
 // their inflow is counted in its turn. In a lasting overload that fills the endpoint with requests
 // in time, late ones are refused at once.
-func (s *Schedule) Queue(now time.Time, late Late, slot time.Duration) (place Place) {
+func (s *Schedule) Queue(now time.Time, late Late, slot time.Duration) Place {
 	s.expire(now)
 	s.Withdraw(late.ID)
 	w := &waiter{Late: late, arrived: now.Add(-late.Waited)}
 	if late.Yields {
 		w.Level = rankCount - 1
 	}
-	lane := lateLane(w.Level)
+	lane, place := lateLane(w.Level), Place{}
 	work := max(0, s.busyUntil[lane].Sub(now))
-	if late.Yields && !late.Asked {
-		s.Decline(now)
-		defer func() {
-			if place.Admitted {
-				s.found++
-			}
-		}()
-	}
 	for _, other := range s.waiting {
 		if other.before(w) {
 			work += other.Work
@@ -167,15 +159,13 @@
 	return min(total*math.Ln2/inflowHalfLife.Seconds(), maxInflow)
 }
 
-// decay ages what has arrived.
+// decay ages the work that has arrived, in seconds by lane.
 func (s *Schedule) decay(now time.Time) {
 	if elapsed := now.Sub(s.decayedAt); elapsed > 0 {
 		factor := math.Exp2(-float64(elapsed) / float64(inflowHalfLife))
 		for i := range s.arrived {
 			s.arrived[i] *= factor
 		}
-		s.asked *= factor
-		s.found *= factor
 		s.decayedAt = now
 	}
 }
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -57,8 +57,6 @@
 	waiting   []*waiter
 	// returns is when the last of the refused callers has room that may come back.
 	returns time.Time
-	// asked and found count the requests lately decided on and those that were scheduled.
-	asked, found float64
 }
 
 // reportLag is how old the state in an endpoint's report may be when the report is taken.
@@ -95,13 +93,10 @@
 // before it is sent. If that is longer than limit, the prompt is not scheduled and ok is false.
 func (s *Schedule) Reserve(now time.Time, level int, work, limit time.Duration) (wait time.Duration, ok bool) {
 	lane := 2 * rankOf(level)
-	s.decay(now)
-	s.asked++
 	wait = s.Wait(now, level)
 	if wait > limit {
 		return wait, false
 	}
-	s.found++
 	s.schedule(now, lane, work)
 	return wait, true
 }
@@ -111,18 +106,6 @@
 	return max(0, s.busyUntil[2*rankOf(level)].Sub(now))
 }
 
-// Room returns the part of the requests that has lately found room, 1 if hardly any came.
-func (s *Schedule) Room(now time.Time) float64 {
-	s.decay(now)
-	return (s.found + 1) / (s.asked + 1)
-}
-
-// Decline counts a request that is not scheduled for another reason than its wait.
-func (s *Schedule) Decline(now time.Time) {
-	s.decay(now)
-	s.asked++
-}
-
 // schedule adds a prompt to a lane.
 func (s *Schedule) schedule(now time.Time, lane int, work time.Duration) {
 	for l := lane; l < laneCount; l++ {
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -23,6 +23,9 @@
 	maxOccupancyAge = time.Second
 	// outputTokenTime is how long a request in a busy batch takes for each output token.
 	outputTokenTime = 10 * time.Millisecond
+	// yieldDivisor is the part of its limit up to which a request that yields may fill an endpoint:
+	// the rest is left to others.
+	yieldDivisor = 4
 	// admitterBackoff is how long an instance that didn't answer is not asked again.
 	admitterBackoff = time.Second
 )
@@ -57,7 +60,7 @@
 		return &gossip.AdmitReply{Wait: hold, Refused: true, Limited: true}
 	}
 	slotWait := schedule.SlotWait(s.occupancy(now, a.Endpoint), a.Run)
-	yields := s.yields(now, schedule, a)
+	yields := s.yields(a)
 	r := s.reserveInTime(now, schedule, a, slotWait, yields)
 	if r.Refused && a.Late != nil {
 		r = queue(schedule, now, a, slotWait, yields)
@@ -72,19 +75,21 @@
 	return r
 }
 
-// reserveInTime schedules a prompt if it can be in time. One that yields to others can't, nor can one
-// that more urgent ones are expected to displace, if its service lets requests wait instead.
+// reserveInTime schedules a prompt if it can be in time. One that yields to others can't unless most of
+// its limit is left, nor can one that more urgent ones are expected to displace, if its service lets
+// requests wait instead.
 func (s *state) reserveInTime(now time.Time, schedule *pace.Schedule, a *gossip.Admit, slotWait time.Duration, yields bool) *gossip.AdmitReply {
-	if yields || s.keepsLate(a) && schedule.Displaced(now, a.Level) > a.Limit {
-		if a.Late == nil || !yields && !a.Late.Asked { // else it is counted where it waits, or was before
-			schedule.Decline(now)
-		}
+	limit := a.Limit
+	if yields {
+		limit /= yieldDivisor
+	}
+	if s.keepsLate(a) && schedule.Displaced(now, a.Level) > limit {
 		return &gossip.AdmitReply{Wait: max(slotWait, schedule.Displaced(now, a.Level)), Refused: true}
 	}
-	if slotWait > a.Limit || a.Late != nil && a.Limit <= 0 {
+	if slotWait > limit || a.Late != nil && limit <= 0 {
 		return &gossip.AdmitReply{Wait: slotWait, Refused: true}
 	}
-	wait, ok := schedule.Reserve(now, a.Level, a.Work, a.Limit)
+	wait, ok := schedule.Reserve(now, a.Level, a.Work, limit)
 	return &gossip.AdmitReply{Wait: wait, Refused: !ok}
 }
 
@@ -94,9 +99,9 @@
 	return e != nil && s.queues(e.Service)
 }
 
-// yields reports whether a request's workspace is over its share while room is short at the endpoint.
+// yields reports whether a request leaves room to those of other workspaces, as its own surges.
 // The decision on its first question holds for the others.
-func (s *state) yields(now time.Time, schedule *pace.Schedule, a *gossip.Admit) bool {
+func (s *state) yields(a *gossip.Admit) bool {
 	e := s.roster.Get(a.Endpoint)
 	if a.Late != nil && (a.Late.Yields || a.Late.Asked) {
 		return a.Late.Yields
@@ -109,7 +114,7 @@
 		shares = new(fairshare.Shares)
 		s.shares[e.Service] = shares
 	}
-	return !shares.Within(s.uptime(), *a.Usage, schedule.Room(now))
+	return shares.Surges(s.uptime(), *a.Usage)
 }
 
 // queue decides on a request that can't be in time.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,7 +83,7 @@
 	ahead    int
 	// comeBack is when its caller may come back, 0 if that isn't known.
 	comeBack time.Duration
-	yields   bool // its workspace is over its share of the room
+	yields   bool // it leaves room to other workspaces
 }
 
 // runGuarded runs the attempt. A panic ends the request, not the instance, as in a handler of
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -260,7 +260,7 @@
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
-	case j.tries >= maxTries+j.queueing.asks, mayCrash(j.failure):
+	case j.tries >= j.maxTries(), mayCrash(j.failure):
 		return false
 	case j.sent.Load() == 0:
 		return true // no endpoint has received the request yet
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -216,7 +216,7 @@
 	Late     bool
 	AskAgain time.Duration
 	Ahead    int
-	// Yields is set if the request's workspace is over its share of the room.
+	// Yields is set if the request leaves room to other workspaces.
 	Yields bool
 	// Return is when the caller of a refused request may come back, 0 if that isn't known.
 	Return time.Duration
@@ -238,7 +238,7 @@
 	Waited, Patience time.Duration
 	// Asked is set if it has waited since an earlier question, Last if it doesn't ask again.
 	Asked, Last bool
-	// Yields is set if its workspace was found to be over its share of the room.
+	// Yields is set if it leaves room to other workspaces.
 	Yields bool
 }
 
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// maxFull is how many endpoints may have had no room for a request that can wait, beside those
+	// asked again.
+	maxFull = 3
 	// maxAsks is how often a waiting request asks again for its turn.
 	maxAsks = 5
 	// probePatience is how long a waiting request would wait at an endpoint other than the one where
@@ -49,7 +52,7 @@
 	held    int64  // memory taken
 	asks    int    // how often the request has asked again
 	refused bool   // its turn would come too late for the caller
-	yields  bool   // its workspace is over its share of the room
+	yields  bool   // it leaves room to other workspaces
 	// full are the endpoints that refused the request for want of room, target the one at which it
 	// has its place, nil for none.
 	full   []fleet.Endpoint
@@ -59,6 +62,14 @@
 	comeBack time.Duration
 }
 
+// maxTries returns how many endpoints may be tried for the request.
+func (j *job) maxTries() int {
+	if j.queueing.enabled && len(j.queueing.full) >= maxFull {
+		return 0
+	}
+	return maxTries + j.queueing.asks
+}
+
 // beginQueueing decides whether the request may wait for room.
 func (j *job) beginQueueing() {
 	if j.request.Model != "" && j.route.Target > 0 && j.gateway.fleet.Queues(j.service) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -288,7 +288,7 @@
 	// again.
 	Asked bool `cbor:"a,omitempty"`
 	Last  bool `cbor:"l,omitempty"`
-	// Yields is set if the request's workspace was found to be over its share.
+	// Yields is set if the request leaves room to other workspaces.
 	Yields bool `cbor:"y,omitempty"`
 	// Withdrawn is set if the request no longer waits. It is not admitted.
 	Withdrawn bool `cbor:"x,omitempty"`
@@ -309,7 +309,7 @@
 	// Ahead how many late requests are before it.
 	AskAgain time.Duration `cbor:"a,omitempty"`
 	Ahead    int           `cbor:"n,omitempty"`
-	// Yields is set if the request's workspace is over its share of the room.
+	// Yields is set if the request leaves room to other workspaces.
 	Yields bool `cbor:"y,omitempty"`
 	// Return is when the caller of a refused request that doesn't wait may come back.
 	Return time.Duration `cbor:"b,omitempty"`
