--- a/internal/core/pace/lane.go
+++ b/internal/core/pace/lane.go
@@ -17,6 +17,8 @@
 	minAskAgain, maxAskAgain = 100 * time.Millisecond, time.Second
 	// askGrace is how long after that time the request is kept: the way of its question.
 	askGrace = 150 * time.Millisecond
+	// maxReturn is the longest time that a refused caller is told to stay away: few wait longer.
+	maxReturn = 3 * time.Second
 	// spareTurn is how many times as late as predicted the turn of a request may come that begins to
 	// wait: one that is refused after a wait has waited in vain.
 	spareTurn = 2
@@ -37,7 +39,7 @@
 	Waited, Patience time.Duration
 	// Asked is set if it has waited since an earlier question, Last if it doesn't ask again.
 	Asked, Last bool
-	// Yields is set if its workspace is over its share of the room: it gives way to all ranks.
+	// Yields is set if it gives way to all ranks.
 	Yields bool
 }
 
@@ -51,6 +53,8 @@
 	AskAgain time.Duration
 	// Ahead counts the late requests before it.
 	Ahead int
+	// Return is when the caller of a request that is refused may come back.
+	Return time.Duration
 }
 
 // waiter is a late request that has been told to ask again.
@@ -74,23 +78,15 @@
 // request takes its turn after all of its rank that can be in time, also those that arrive later:
 // their inflow is counted in its turn. In a lasting overload that fills the endpoint with requests
 // in time, late ones are refused at once.
-func (s *Schedule) Queue(now time.Time, late Late, slot time.Duration) (place Place) {
+func (s *Schedule) Queue(now time.Time, late Late, slot time.Duration) Place {
 	s.expire(now)
 	s.Withdraw(late.ID)
 	w := &waiter{Late: late, arrived: now.Add(-late.Waited)}
 	if late.Yields {
 		w.Level = rankCount - 1
 	}
-	lane := lateLane(w.Level)
+	lane, place := lateLane(w.Level), Place{}
 	work := max(0, s.busyUntil[lane].Sub(now))
-	if late.Yields && !late.Asked {
-		s.Decline(now)
-		defer func() {
-			if place.Admitted {
-				s.found++
-			}
-		}()
-	}
 	for _, other := range s.waiting {
 		if other.before(w) {
 			work += other.Work
@@ -104,6 +100,7 @@
 	}
 	switch {
 	case worst > late.Patience:
+		place.Return = s.nextReturn(now, lane, late.Work, place.Turn)
 		return place
 	case place.Turn <= lateLead || late.Last:
 		s.schedule(now, lane, late.Work)
@@ -112,10 +109,36 @@
 		place.AskAgain = min(max(place.Turn-lateLead, minAskAgain), maxAskAgain)
 		w.expires = now.Add(place.AskAgain + askGrace)
 		s.waiting = append(s.waiting, w)
+	default:
+		place.Return = s.nextReturn(now, lane, late.Work, place.Turn)
 	}
 	return place
 }
 
+// nextReturn returns when the caller of a refused request may come back: after its turn, and after the
+// callers refused before it by as much time as the endpoint needs for their work.
+//
+// It answers callers that were refused together and would come back together, and those who repeat
+// at once several times: each repetition is told a later time.
+func (s *Schedule) nextReturn(now time.Time, lane int, work, turn time.Duration) time.Duration {
+	if earliest := now.Add(min(turn, maxReturn)); s.returns.Before(earliest) || s.returns.Sub(now) > maxReturn {
+		s.returns = earliest
+	}
+	at := s.returns.Sub(now)
+	s.returns = s.returns.Add(time.Duration(float64(work) / (1 - s.inflow(now, lane))))
+	return at
+}
+
+// Displaced returns how long a prompt of a rank would wait behind the more urgent ones that are
+// scheduled and those that will come meanwhile.
+//
+// It answers bursts of urgent requests, which keep less urgent ones with a long target waiting at an
+// endpoint that they were sent to.
+func (s *Schedule) Displaced(now time.Time, level int) time.Duration {
+	lane := 2 * rankOf(level)
+	return time.Duration(float64(s.Wait(now, level)) / (1 - s.inflow(now, lane)))
+}
+
 // Withdraw removes a late request that no longer waits.
 func (s *Schedule) Withdraw(id uint64) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool { return w.ID == id })
@@ -136,15 +159,13 @@
 	return min(total*math.Ln2/inflowHalfLife.Seconds(), maxInflow)
 }
 
-// decay ages what has arrived.
+// decay ages the work that has arrived, in seconds by lane.
 func (s *Schedule) decay(now time.Time) {
 	if elapsed := now.Sub(s.decayedAt); elapsed > 0 {
 		factor := math.Exp2(-float64(elapsed) / float64(inflowHalfLife))
 		for i := range s.arrived {
 			s.arrived[i] *= factor
 		}
-		s.asked *= factor
-		s.found *= factor
 		s.decayedAt = now
 	}
 }
