--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -198,8 +198,13 @@
 		s.receiveLimit(a.Rate, 0, "admit")
 		s.mu.Unlock()
 	}
+	s.receiveAnswers(a.Answers)
+	if a.Endpoint == "" {
+		return new(gossip.AdmitReply)
+	}
+	s.scaleToSpeed(a)
 	reply := s.reserve(a)
-	reply.Backlog = s.backlogReply(incarnation{a.Endpoint, a.Born})
+	s.addBacklog(a, reply)
 	return reply
 }
 
@@ -210,15 +215,17 @@
 	if !known {
 		return g.admitAlone(t, a, q)
 	}
-	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: q.Work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: q.Limit, Usage: a.Usage}
+	question := &gossip.Admit{Endpoint: t.ID, Born: t.Born, Level: a.Level, Work: q.Work, Run: time.Duration(a.OutputTokens) * outputTokenTime, Limit: q.Limit, Usage: a.Usage, Slowness: gossip.NewPercent(g.slownessOf(a))}
 	if l := q.Late; l != nil {
 		question.Late = &gossip.Late{ID: l.ID, Waited: l.Waited, Patience: l.Patience, Last: l.Last, Yields: l.Yields, Asked: l.Asked}
 	}
+	askedAt := g.clock()
 	if address == "" {
-		return g.admitted(t, g.reserve(question), 0)
+		answer := g.admit(question)
+		g.receiveAdmission(t, a, answer, askedAt, 0)
+		return g.admitted(t, answer, 0)
 	}
 	question.Rate = g.knownLimit(t)
-	askedAt := g.clock()
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	answer, err := g.node.gossip.Admit(ctx, address, question)
@@ -228,7 +235,7 @@
 		return g.admitAlone(t, a, q)
 	}
 	way := g.clock().Sub(askedAt) / 2
-	g.receiveBacklogReply(t.ID, answer, askedAt, way)
+	g.receiveAdmission(t, a, answer, askedAt, way)
 	return g.admitted(t, answer, way)
 }
 
--- a/internal/direct/watchers.go
+++ b/internal/direct/watchers.go
@@ -65,13 +65,12 @@
 	self := watcher.Instance{Name: s.view.Self().Instance, Place: s.place, Reaches: s.storeReachable()}
 	live := s.livePeers()
 	peers := make([]watcher.Instance, 0, len(live))
-	announcements := make([][]feature.Feature, 0, len(live))
 	for _, p := range live {
 		b := &p.heartbeat
 		peers = append(peers, watcher.Instance{Name: b.Peer.Instance, Place: b.Place, Reaches: b.StoreReachable})
-		announcements = append(announcements, b.Features)
 	}
-	if !feature.All(feature.Watchers, announcements...) && firstByName(self, peers) {
+	agreed := feature.Agreed(feature.Watchers, s.loadFeatures.announced, s.loadFeatures.othersKnown, s.announcements())
+	if !agreed && firstByName(self, peers) {
 		return true // instances of an earlier build leave it to the first ones
 	}
 	return watcher.Watches(self, peers)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -67,7 +67,7 @@
 	// Build names the sender's build. Only some heartbeats have it.
 	Build string `cbor:"bu,omitempty"`
 	// Backlogs are the schedules of the endpoints whose requests the sender admits, without those
-	// that hold nothing. Where they are sent, Loads has no entry.
+	// that hold nothing and aren't slow. Where they are sent, Loads has no entry.
 	Backlogs []Backlog `cbor:"s,omitempty"`
 }
 
@@ -280,6 +280,11 @@
 	Late *Late `cbor:"q,omitempty"`
 	// Usage is how much the request's workspace sends through the sender.
 	Usage *fairshare.Usage `cbor:"u,omitempty"`
+	// Slowness is how much longer than usual the sender takes the endpoint to be, which Work counts.
+	Slowness Percent `cbor:"f,omitempty"`
+	// Answers are what the sender has got from endpoints whose requests the receiver admits. If
+	// Endpoint is empty, there is no request.
+	Answers []Answer `cbor:"a,omitempty"`
 }
 
 // Late is a request that may be answered after its target.
@@ -319,5 +324,9 @@
 	// Yields is set if the request leaves room to other workspaces.
 	Yields bool `cbor:"y,omitempty"`
 	// Return is when the caller of a refused request that doesn't wait may come back.
-	Return time.Duration `cbor:"b,omitempty"`
+	Return time.Duration `cbor:"e,omitempty"`
+	// Slowness is how much longer the endpoint takes than the usual one, DelayMs how much later it
+	// has been than its schedule said, over all its requests.
+	Slowness Percent `cbor:"s,omitempty"`
+	DelayMs  int32   `cbor:"d,omitempty"`
 }
