--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -171,7 +171,7 @@
 	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
 	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
 	n.startTasks(lifetime)
-	_ = level.Info(n.logger).Log("step", "start", "build", n.state.build, "features", n.state.loadFeatures.announced, "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
+	_ = level.Info(n.logger).Log("step", "start", "build", n.state.build, "features", fmt.Sprint(n.state.loadFeatures.announced), "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
 	<-ctx.Done()
 	n.drain(lifetime, callerServer)
 	end()
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -335,6 +335,7 @@
 func (n *Node) Heartbeat(_ context.Context, p *gossip.PackedHeartbeat) (*gossip.Ack, error) {
 	b, err := p.Unpack()
 	if err != nil {
+		_ = level.Warn(n.logger).Log("step", "beat", "err", err)
 		return nil, err
 	}
 	n.state.receiveHeartbeat(b)
--- a/internal/gossip/compat_test.go
+++ b/internal/gossip/compat_test.go
@@ -22,9 +22,24 @@
 
 // messageTypes are all messages between instances, and the heartbeat inside a packed one.
 var messageTypes = []any{
-	gossip.Heartbeat{}, gossip.PackedHeartbeat{}, gossip.Ack{}, gossip.Fetch{}, gossip.FetchReply{}, gossip.FetchCatalog{}, gossip.CatalogPart{},
-	gossip.Ensure{}, gossip.EnsureReply{}, gossip.Portions{}, gossip.PortionsReply{}, gossip.Origins{}, gossip.OriginsReply{},
-	gossip.FindOrigin{}, gossip.FindOriginReply{}, gossip.Admit{}, gossip.AdmitReply{}, gossip.RelayFrame{},
+	gossip.Heartbeat{},
+	gossip.PackedHeartbeat{},
+	gossip.Ack{},
+	gossip.Fetch{},
+	gossip.FetchReply{},
+	gossip.FetchCatalog{},
+	gossip.CatalogPart{},
+	gossip.Ensure{},
+	gossip.EnsureReply{},
+	gossip.Portions{},
+	gossip.PortionsReply{},
+	gossip.Origins{},
+	gossip.OriginsReply{},
+	gossip.FindOrigin{},
+	gossip.FindOriginReply{},
+	gossip.Admit{},
+	gossip.AdmitReply{},
+	gossip.RelayFrame{},
 }
 
 // structTypes calls visit for a type and all struct types that it contains.
--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -98,24 +98,24 @@
 }
 
 // goldenFiles returns the files of all landings.
-func goldenFiles(t testing.TB) []string {
-	t.Helper()
+func goldenFiles(tb testing.TB) []string {
+	tb.Helper()
 	files, err := filepath.Glob("testdata/messages/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
+	require.NoError(tb, err)
+	require.NotEmpty(tb, files)
 	return files
 }
 
 // goldenTexts returns the messages of a landing by name.
-func goldenTexts(t testing.TB, file string) map[string][]byte {
-	t.Helper()
+func goldenTexts(tb testing.TB, file string) map[string][]byte {
+	tb.Helper()
 	lines, err := os.ReadFile(file)
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	texts := make(map[string][]byte)
 	for line := range strings.Lines(string(lines)) {
 		name, digits, _ := strings.Cut(strings.TrimSpace(line), " ")
 		texts[name], err = hex.DecodeString(digits)
-		require.NoError(t, err)
+		require.NoError(tb, err)
 	}
 	return texts
 }
