test(gossip): golden messages have the fields of the new parts

Cause: parts that were built side by side added fields; each must keep its meaning from this landing on.

Change: a value for each; the key of a refusal's return no longer collides with that of the backlog; fixtures say that the other instances are known.

--- a/internal/direct/queue_test.go
+++ b/internal/direct/queue_test.go
@@ -132,7 +132,7 @@
 	w := &testClock{}
 	s := newTestState(w)
 	g := gatewayFleet{state: s}
-	s.loadFeatures.settings.Queue = 1
+	s.loadFeatures.settings.Queue, s.loadFeatures.othersKnown = 1, true
 	s.updateLoadFeatures()
 	assert.True(t, g.Queues("s"))
 	assert.False(t, g.Queues("other"))
--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -66,10 +66,12 @@
 		{"admit", &gossip.Admit{
 			Endpoint: "p-1", Born: 17, Level: 2, Work: 14 * time.Millisecond, Run: 15 * time.Millisecond, Limit: 16 * time.Millisecond, Rate: &limit,
 			Late:  &gossip.Late{ID: 31, Waited: 80 * time.Millisecond, Patience: 90 * time.Millisecond, Asked: true, Last: true, Yields: true, Withdrawn: true},
-			Usage: &fairshare.Usage{Workspace: 32, Recent: 33.5, Usual: 34.5},
+			Usage: &fairshare.Usage{Workspace: 32, Recent: 33.5, Usual: 34.5}, Slowness: 130,
+			Answers: []gossip.Answer{{Endpoint: "p-1", Born: 17, Ratio: 140, LateMs: 43, DelayMs: 44}},
 		}},
 		{"admit-reply", &gossip.AdmitReply{Wait: 17 * time.Millisecond, Refused: true, Hold: 18 * time.Millisecond, Limited: true,
 			Backlog: gossip.BacklogWork{35, 36, 37}, Late: true, AskAgain: 38 * time.Millisecond, Ahead: 39, Yields: true,
+			Return: 45 * time.Millisecond, Slowness: 150, DelayMs: 46,
 		}},
 		{"relay-open", &gossip.RelayFrame{Open: &gossip.Relay{Endpoint: "p-1", Born: 17}}},
 		{"relay-data", &gossip.RelayFrame{Outcome: "connected", Data: []byte("data")}},
@@ -94,7 +96,7 @@
 		Suspicions: []member.Suspicion{{Instance: "two", Incarnation: "k2", Sequence: 3, By: "one"}},
 		Retiring:   []gossip.Retirement{{Endpoint: "p-1", Model: "m"}},
 		Limits:     []gossip.Limit{limit},
-		Backlogs:   []gossip.Backlog{{Endpoint: "p-1", Work: gossip.BacklogWork{40, 41, 42}}},
+		Backlogs:   []gossip.Backlog{{Endpoint: "p-1", Work: gossip.BacklogWork{40, 41, 42}, Slowness: 160}},
 		Ended: []gossip.EndpointCrash{{Incarnation: "p-1/17", FailedAgo: 40 * time.Millisecond, Runs: []gossip.CrashedRun{{
 			Keys: []suspect.Key{"part x"}, Age: 50 * time.Millisecond, Begun: true,
 		}}}},
