--- a/internal/core/balance/even_test.go
+++ b/internal/core/balance/even_test.go
@@ -279,8 +279,8 @@
 		return
 	}
 	s.to, s.sent = f.index[c.Endpoint.ID], f.now
-	s.slowness = c.Slowness
-	s.prefill = n.balancer.StartedAt(c.Endpoint.ID, s.request, c.Slowness)
+	s.slowness = max(1, c.Slowness) // Choose takes endpoints for equal
+	s.prefill = n.balancer.StartedAt(c.Endpoint.ID, s.request, s.slowness)
 	n.table.Send(f.now, c.Endpoint.ID, 0, s.prefill)
 	f.loads[s.to] = f.loads[s.to].Add(balance.Load{Running: 1, Pending: [3]time.Duration{s.prefill}})
 	f.sent = append(f.sent, *s)
@@ -291,7 +291,7 @@
 // admit decides at the owner of the endpoint.
 func (f *evenFleet) admit(s *evenSent) {
 	e, n, id := &f.engines[s.to], f.instances[s.from], f.endpoints[s.to].ID
-	slowness, work := max(1, s.slowness), s.prefill
+	slowness, work := s.slowness, s.prefill
 	if f.chooser == byReports {
 		slowness = f.ownerSlowness(s.to)
 		work = time.Duration(float64(work) * slowness / s.slowness)
