--- a/internal/core/pace/lane.go
+++ b/internal/core/pace/lane.go
@@ -25,7 +25,7 @@
 	// inflowHalfLife is the half-life of the work that arrives ahead of late requests.
 	inflowHalfLife = time.Second
 	// maxInflow leaves a part of the endpoint to late requests in their predicted turns.
-	maxInflow = 0.95
+	maxInflow = 0.8
 )
 
 // Late is a request that can't be answered within its target any more, but still in time for its
