--- a/internal/direct/queue_test.go
+++ b/internal/direct/queue_test.go
@@ -192,3 +192,17 @@
 	assert.Greater(t, yielded["a"], asked["a"]/3)
 	assert.Less(t, found["a"], asked["a"]/2)
 }
+
+// A prompt that takes longer to read than its target allows is late from the beginning: it is sent
+// once nothing of its rank is ahead of it.
+func TestLargePromptIsNotRefusedForItsOwnWork(t *testing.T) {
+	w := &testClock{}
+	s := newTestState(w)
+	s.loadFeatures.queue = map[catalog.Service]bool{"s": true}
+	large := &gossip.Admit{Endpoint: "p", Work: 900 * time.Millisecond, Late: &gossip.Late{ID: 1, Patience: 3 * time.Second}}
+	assert.Equal(t, &gossip.AdmitReply{Late: true}, s.admit(large))
+	small := &gossip.Admit{Endpoint: "p", Work: 50 * time.Millisecond, Limit: 400 * time.Millisecond}
+	assert.Equal(t, &gossip.AdmitReply{}, s.admit(small), "it keeps none of its rank waiting")
+	bulk := &gossip.Admit{Endpoint: "p", Level: 2, Work: 50 * time.Millisecond, Limit: 400 * time.Millisecond}
+	assert.True(t, s.admit(bulk).Refused, "a less urgent one would be behind it for longer")
+}
