fix(gateway): a route that an instance can't know to be absent is refused for now, not denied

Change: without a confirmation by the store or a peer for 3 s, a path that no route matches gets 503 and Retry-After. Answers to heartbeats confirm configurations without keys as well, in every second round. Beside live peers that lack the feature "watchers" it stays at 404.

--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -15,7 +15,8 @@
 	Backlog Feature = "backlog"
 	// Queue: the instance that admits an endpoint's requests lets them wait for room.
 	Queue Feature = "queue"
-	// Watchers: those that watch the store are chosen over regions and data centres, not by name.
+	// Watchers: those that watch the store are chosen over regions and data centres, not by name, and
+	// all instances confirm to each other how recent their configuration is.
 	Watchers Feature = "watchers"
 )
 
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -154,19 +154,29 @@
 // contains it.
 func (s *state) Route(host, path string) (*catalog.Route, int64, error) {
 	s.mu.Lock()
-	c, outdated := s.catalog, !s.outdatedSince.IsZero()
+	c := s.catalog
 	s.mu.Unlock()
 	if c == nil {
 		return nil, 0, gateway.ErrNoCatalog
 	}
-	r, ok := c.Match(host, path)
-	switch {
-	case ok:
+	if r, ok := c.Match(host, path); ok {
 		return r, c.Version, nil
-	case outdated:
-		return nil, c.Version, gateway.ErrOutdated
+	}
+	return nil, c.Version, s.unmatched()
+}
+
+// unmatched returns why no route matches. A route that may have been added without this instance's
+// knowledge isn't known to be absent.
+func (s *state) unmatched() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch age, ok := s.confirmedAge(); {
+	case !s.outdatedSince.IsZero():
+		return gateway.ErrOutdated
+	case (!ok || age > routeConfirmedTime) && s.peersConfirm():
+		return gateway.ErrMayBeOutdated
 	default:
-		return nil, c.Version, gateway.ErrNoRoute
+		return gateway.ErrNoRoute
 	}
 }
 
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
@@ -252,6 +253,46 @@
 	assert.ErrorIs(t, err, gateway.ErrNoRoute, "removed by the newest version")
 }
 
+// A route that an instance can't know to be absent isn't answered as absent.
+func TestUnknownRouteOfAnUnconfirmedConfiguration(t *testing.T) {
+	const never = time.Hour
+	tests := []struct {
+		name      string
+		confirmed time.Duration // ago
+		peer      bool
+		features  []feature.Feature
+		want      error
+	}{
+		{name: "just confirmed", want: gateway.ErrNoRoute},
+		{name: "confirmed within the time that it takes", confirmed: 2500 * time.Millisecond, want: gateway.ErrNoRoute},
+		{name: "confirmed long ago", confirmed: 4 * time.Second, want: gateway.ErrMayBeOutdated},
+		{name: "never confirmed", confirmed: never, want: gateway.ErrMayBeOutdated},
+		{name: "the same beside a peer", confirmed: never, peer: true, features: feature.Announced(), want: gateway.ErrMayBeOutdated},
+		{name: "a peer of an earlier build confirms nothing", confirmed: never, peer: true, want: gateway.ErrNoRoute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := &testClock{}
+			s := newTestState(w)
+			c := &catalog.Catalog{Version: 2, Routes: []catalog.Route{{Host: "board.example", Prefix: "/v2/"}}}
+			c.Index()
+			s.applyCatalog(c)
+			if tt.peer {
+				b := heartbeatFrom(1, 0)
+				b.Features = tt.features
+				s.receiveHeartbeat(b)
+			}
+			if tt.confirmed != never {
+				s.confirmCatalog(2, w.uptime()-tt.confirmed)
+			}
+			_, _, err := s.Route("board.example", "/v3/")
+			require.ErrorIs(t, err, tt.want)
+			_, _, err = s.Route("board.example", "/v2/")
+			assert.NoError(t, err)
+		})
+	}
+}
+
 // An instance fetches from a peer with a newer configuration, and doesn't list a peer to
 // callers after its heartbeats have stopped.
 func TestPeersAheadAndUnreachable(t *testing.T) {
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -345,7 +345,7 @@
 		return nil, err
 	}
 	n.state.receiveHeartbeat(b)
-	return n.state.ack(), nil
+	return n.state.ack(b.Peer.Sequence), nil
 }
 
 // Fetch answers another instance that requests newer data.
--- a/internal/direct/watchers_test.go
+++ b/internal/direct/watchers_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
@@ -99,6 +101,7 @@
 			s.run(simWarmUp, func() {})
 			s.fail(f)
 			var worst time.Duration
+			wrong, refused, answers := 0, 0, 0
 			for i := range changes {
 				changed, before := s.clock.elapsed, s.readsOf(otherRegion)
 				s.change()
@@ -107,6 +110,15 @@
 						if n.active().Version < s.version && (!f.lost || n.place.Region == storeRegion) {
 							worst = max(worst, s.clock.elapsed-changed)
 						}
+						_, _, err := n.Route("board.example", "/not-there/")
+						inTouch := !f.lost || n.place.Region == storeRegion
+						switch missed, ok := s.ackedAt[n.active().Version+1]; {
+						case errors.Is(err, gateway.ErrNoRoute) && ok && s.clock.elapsed-missed > configBound:
+							wrong++
+						case inTouch && errors.Is(err, gateway.ErrMayBeOutdated):
+							refused++
+						}
+						answers++
 					}
 				})
 				reads := float64(s.readsOf(otherRegion)-before) / interval.Seconds()
@@ -114,6 +126,9 @@
 				assert.LessOrEqual(t, reads, float64(maxReads))
 			}
 			assert.LessOrEqual(t, worst, maxReachTime)
+			assert.Zero(t, wrong, "a route is said to be absent that may have been added")
+			t.Logf("of %d, %d of instances in touch take their configuration for unconfirmed", answers, refused)
+			assert.LessOrEqual(t, refused, answers/100)
 		})
 	}
 }
--- a/internal/direct/workspaces.go
+++ b/internal/direct/workspaces.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/recency"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
@@ -23,6 +25,13 @@
 	// denialShare is the part of revocationTime without evidence after which an unknown key may
 	// be a new one.
 	denialShare = 0.4
+	// routeConfirmedTime is for how long after the store or a peer has confirmed the configuration an
+	// unknown route is known to be absent: what passes from those that watch to all instances of a
+	// large fleet takes 2 s.
+	routeConfirmedTime = 3 * time.Second
+	// confirmedRounds is in how many heartbeats one is answered with a confirmation if no keys
+	// depend on it.
+	confirmedRounds = 2
 	// neverConfirmed is the age of a configuration without evidence.
 	neverConfirmed = -time.Millisecond
 )
@@ -65,11 +74,17 @@
 	s.recency.Observe(recency.Evidence{Version: version, At: at})
 }
 
-// ack answers a heartbeat with how long ago this instance's configuration was the newest.
-func (s *state) ack() *gossip.Ack {
+// peersConfirm reports whether the answers to heartbeats confirm a configuration without keys: those of
+// an earlier build don't.
+func (s *state) peersConfirm() bool {
+	return !slices.ContainsFunc(s.livePeers(), func(p *peer) bool { return !slices.Contains(p.heartbeat.Features, feature.Watchers) })
+}
+
+// ack answers a heartbeat, by its number, with how long ago this instance's configuration was the newest.
+func (s *state) ack(sequence uint64) *gossip.Ack {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.catalog == nil || len(s.catalog.Workspaces) == 0 {
+	if s.catalog == nil || len(s.catalog.Workspaces) == 0 && sequence%confirmedRounds != 0 {
 		return &gossip.Ack{}
 	}
 	a := &gossip.Ack{Catalog: s.catalog.Version}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,7 +222,7 @@
 
 func (g *Gateway) refuseRoute(w http.ResponseWriter, request *Request, err error) {
 	refusal := Refusal{Status: http.StatusNotFound, Reason: err.Error(), Request: request.ID}
-	if errors.Is(err, ErrNoCatalog) || errors.Is(err, ErrOutdated) {
+	if errors.Is(err, ErrNoCatalog) || errors.Is(err, ErrOutdated) || errors.Is(err, ErrMayBeOutdated) {
 		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, noCatalogRetryAfter
 	}
 	_ = g.logger.Log("step", "refuse", "id", request.ID, "status", refusal.Status, "host", request.Host, "path", request.Path, "err", err)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -32,6 +32,9 @@
 	ErrNoCatalog = errors.New("no configuration received yet")
 	// ErrOutdated is returned if no route matches, but a newer configuration is known to exist.
 	ErrOutdated = errors.New("no route matches the host and path, and the configuration is outdated")
+	// ErrMayBeOutdated is returned if no route matches, and neither the store nor a peer has confirmed
+	// the configuration for a while.
+	ErrMayBeOutdated = errors.New("no route matches the host and path, and the configuration may be outdated")
 	// ErrNoRoute is returned if no route matches the host and path.
 	ErrNoRoute = errors.New("no route matches the host and path")
 	// ErrOverloaded is returned if the predicted wait is too long for the answer to be useful.
