--- a/internal/core/copies/follow.go
+++ b/internal/core/copies/follow.go
@@ -143,20 +143,23 @@
 }
 
 // shareOutLoads leaves loads from the weight store for the models that others are being evicted
-// for, and bounds those under way together: beyond what the store gives in one load's time they slow
-// each other down.
+// for, and bounds those that are under way or about to begin to twice what the store gives in one
+// load's time: more of them slow each other down.
 func (f *follower) shareOutLoads() {
-	underWay, reserved := 0, 0
+	underWay, reserved, overdue := 0, 0, 0
 	for i := range f.endpoints {
 		e := &f.endpoints[i]
 		if e.Loading != "" && !slices.Contains(e.Cached, e.Loading) {
 			underWay++
 		} else if e.Loading == "" && e.ReservedFor != "" && !slices.Contains(e.Cached, e.ReservedFor) {
 			reserved++
+			if e.Overdue {
+				overdue++
+			}
 		}
 	}
 	together := int(math.Ceil(f.engine.MaxLoadsPerSecond * f.limits.LoadTime.Seconds()))
-	f.limits.ColdLoads = min(f.limits.ColdLoads, together-underWay) - reserved
+	f.limits.ColdLoads = min(f.limits.ColdLoads-reserved, 2*together-underWay-(reserved-overdue))
 }
 
 // loss returns what callers of a model lose per second with the copies that serve or are planned.
