--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,7 +125,7 @@
 	j, g := a.job, a.job.gateway
 	message := &Attempt{
 		Request: j.request, Endpoint: a.target.ID, Born: a.target.Born, Address: a.target.Address,
-		Level: j.query.Level, Late: a.admittedLate, After: a.after,
+		Level: a.level(), Late: a.admittedLate, After: a.after,
 	}
 	if j.request.Wait > 0 {
 		message.TimeLeft = max(time.Millisecond, j.request.Wait-g.clock().Sub(j.arrived))
@@ -194,6 +194,15 @@
 	return refusal{}, ctx.Err()
 }
 
+// level returns the rank with which the request is sent: the last one if it leaves room to other
+// workspaces.
+func (a *attempt) level() int {
+	if a.admittedLate && a.job.queueing.yields {
+		return max(a.job.query.Level, lastLevel)
+	}
+	return a.job.query.Level
+}
+
 // handleAnswer passes an answer on to the caller, unless it means that the request must be
 // sent elsewhere.
 func (a *attempt) handleAnswer(ctx context.Context, answer *Answer) (outcome, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,6 @@
 	g.fleet.CountRequest(&j.query, request.Workspace)
 	j.beginQueueing()
 	j.run(ctx)
-	j.endQueueing(ctx)
 	g.settle(j, workspace, charge)
 	j.report(ctx)
 	g.stats.Workspace(request.Workspace, j.delivery.status)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -68,6 +68,7 @@
 // further attempt is possible. While an endpoint is silent, the request is sent to another one
 // too; the attempt whose answer reaches the caller first ends the other.
 func (j *job) run(ctx context.Context) {
+	defer j.endQueueing(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() { _ = j.group.Wait() }() // the attempts use the writer, which ends with the handler
 	defer cancel()
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -18,6 +18,8 @@
 	maxFull = 3
 	// maxAsks is how often a waiting request asks again for its turn.
 	maxAsks = 5
+	// lastLevel is the least urgent rank with a place of its own at engines.
+	lastLevel = 2
 	// probePatience is how long a waiting request would wait at an endpoint other than the one where
 	// it has its place: what the way there and the steps of the engine take in any case.
 	probePatience = 250 * time.Millisecond
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -103,3 +103,24 @@
 	assert.Equal(t, http.StatusServiceUnavailable, r.status)
 	assert.Equal(t, "1.234", r.header.Get("Retry-After"))
 }
+
+// A late request gives way to the others of its rank at the endpoint, and to all ranks if its
+// workspace surges.
+func TestLateRequestsGiveWayAtTheEndpoint(t *testing.T) {
+	wait := gateway.Admission{Refused: true, Wait: time.Second, AskAgain: 10 * time.Millisecond}
+	yields := wait
+	yields.Yields = true
+	for priority, replies := range map[string][]gateway.Admission{
+		"3": {{}},
+		"5": {wait, {Late: true}},
+		"8": {yields, {Late: true}},
+	} {
+		f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+		f.route.Level, f.replies = 1, replies
+		r, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, r.status)
+		require.Len(t, f.runners[0].Runs(), 1)
+		assert.Equal(t, priority, f.runners[0].Runs()[0].Priority())
+	}
+}
