--- a/internal/core/balance/even_test.go
+++ b/internal/core/balance/even_test.go
@@ -105,7 +105,7 @@
 	loads     []balance.Load // of all instances
 	sent      []evenSent
 	ends      []func() bool
-	told      []func() bool // answers on their way to the owners
+	reported  []func() bool // answers on their way to the owners
 	figures   evenFigures
 	waits     []time.Duration
 	samples   int
@@ -134,7 +134,7 @@
 
 func (f *evenFleet) step() {
 	f.ends = slices.DeleteFunc(f.ends, func(ended func() bool) bool { return ended() })
-	f.told = slices.DeleteFunc(f.told, func(told func() bool) bool { return told() })
+	f.reported = slices.DeleteFunc(f.reported, func(told func() bool) bool { return told() })
 	f.sendHeartbeats()
 	for len(f.sent) > 0 && !f.now.Before(f.sent[0].sent.Add(admissionWay)) {
 		s := f.sent[0]
@@ -194,10 +194,10 @@
 	}
 }
 
-// tellOwner passes on an answer to the owner of the endpoint, by its next heartbeat at the latest.
-func (f *evenFleet) tellOwner(to int, a balance.Answer, delay time.Duration) {
+// reportToOwner passes on an answer to the owner of the endpoint, by its next heartbeat at the latest.
+func (f *evenFleet) reportToOwner(to int, a balance.Answer, delay time.Duration) {
 	due := f.now.Add(evenBeat)
-	f.told = append(f.told, func() bool {
+	f.reported = append(f.reported, func() bool {
 		if f.now.Before(due) {
 			return false
 		}
@@ -207,7 +207,7 @@
 	})
 }
 
-// evenBeat is how long an answer takes to be told.
+// evenBeat is how long what an answer shows takes to reach the owner.
 const evenBeat = 100 * time.Millisecond
 
 func (f *evenFleet) ownerSlowness(i int) float64 {
@@ -356,7 +356,7 @@
 			if f.chooser == byReports {
 				a, ok := f.instances[done.from].slowness.Measure(f.now, "s", until.Sub(sent), done.expected, done.slowness)
 				if ok && a.Remarkable(done.slowness) {
-					f.tellOwner(done.to, a, done.delay)
+					f.reportToOwner(done.to, a, done.delay)
 				}
 			}
 			return true
--- a/internal/core/balance/slowness.go
+++ b/internal/core/balance/slowness.go
@@ -16,7 +16,7 @@
 	// recentAnswers is how many of the newest answers of an endpoint count; minAnswers is how many
 	// it takes, since any single one may be slow.
 	recentAnswers, minAnswers = 5, 2
-	// minDeviation and minLate are how far an answer must be off to be told to others.
+	// minDeviation and minLate are how far an answer must be off to be sent to other instances.
 	minDeviation, minLate = 0.2, 50 * time.Millisecond
 	// maxSlowness bounds the factor: an endpoint that takes longer is one that fails.
 	maxSlowness = 6.0
@@ -36,7 +36,7 @@
 	At    time.Time
 }
 
-// Slowness learns how much longer endpoints take than the usual one. It answers endpoints that
+// Slowness measures how much longer endpoints take than the usual one. It answers endpoints that
 // differ in speed or turn slow for seconds. Each instance of hundreds sees few answers of one
 // endpoint, so they are recorded together by the instance that admits its requests.
 //
@@ -90,7 +90,7 @@
 
 // Record records an answer of an endpoint.
 func (s *Slowness) Record(id fleet.Endpoint, a Answer) {
-	answers := append(s.answers[id], a)
+	answers := append(slices.Clone(s.answers[id]), a)
 	slices.SortStableFunc(answers, func(x, y Answer) int { return x.At.Compare(y.At) })
 	s.answers[id] = answers[max(0, len(answers)-recentAnswers):]
 }
--- a/internal/direct/backlog_test.go
+++ b/internal/direct/backlog_test.go
@@ -61,7 +61,7 @@
 	assert.Len(t, b.Backlogs, 1)
 }
 
-// What an admission or a heartbeat has told of a backlog is what the next choice goes by, less
+// The next choice goes by the backlog in the newest admission or heartbeat, less
 // what the endpoint has done since.
 func TestReportedBacklogs(t *testing.T) {
 	w := &testClock{}
--- a/internal/direct/slowness.go
+++ b/internal/direct/slowness.go
@@ -18,10 +18,10 @@
 	// maxOverhead is how long a request may be expected to take beside prompts; with more, it waits
 	// for something else.
 	maxOverhead = 300 * time.Millisecond
-	// tellInterval is how long answers are collected before they are told.
-	tellInterval = 100 * time.Millisecond
-	// maxAnswersToTell bounds the answers that are collected for one instance.
-	maxAnswersToTell = 64
+	// answerInterval is how long answers are collected before they are sent.
+	answerInterval = 100 * time.Millisecond
+	// maxUnsentAnswers bounds the answers that are collected for one instance.
+	maxUnsentAnswers = 64
 )
 
 // spreadStats counts how well the endpoints of requests were chosen.
@@ -85,7 +85,7 @@
 	}
 }
 
-// receiveAdmission records what the answer to an admission has told of the endpoint, if it has. It
+// receiveAdmission records what the answer to an admission says of the endpoint, if anything. It
 // was asked for at a time and decided a while later.
 func (s *state) receiveAdmission(t gateway.Target, a *balance.Request, r *gossip.AdmitReply, askedAt time.Time, way time.Duration) {
 	s.mu.Lock()
@@ -101,7 +101,7 @@
 	}
 }
 
-// measure learns from the first byte of an answer how fast the model and the endpoint are.
+// measure updates the speeds of the model and the endpoint from the first byte of an answer.
 func (s *state) measure(t gateway.Target, a *balance.Request, x expectation, took time.Duration) {
 	now, overhead := s.clock(), t.Wait-t.Prefill
 	s.spreadStats.Spread(t.Age, t.Wait, now.Sub(x.chosenAt))
@@ -111,35 +111,35 @@
 	s.balancer.Measured(a.Model, x.prompts, took)
 	answer, ok := s.slowness.Measure(now, a.Service, now.Sub(x.decidedAt), x.prompts+max(0, overhead), x.slowness)
 	if ok && answer.Remarkable(x.slowness) {
-		s.tell(now, t, answer, x.delayMs)
+		s.reportAnswer(now, t, answer, x.delayMs)
 	}
 }
 
-// measurePlain learns how fast an endpoint of a service without models is. There is no expected
+// measurePlain updates the speed of an endpoint of a service without models. There is no expected
 // time but the usual one.
 func (s *state) measurePlain(t gateway.Target, a *balance.Request, x expectation, took time.Duration) {
 	now := s.clock()
 	answer, ok := s.slowness.Measure(now, a.Service, took, time.Second, 1)
 	answer.Late = 0
 	if ok && answer.Remarkable(x.slowness) {
-		s.tell(now, t, answer, 0)
+		s.reportAnswer(now, t, answer, 0)
 	}
 }
 
-// tell records what an answer has shown at the instance that admits the endpoint's requests.
-func (s *state) tell(now time.Time, t gateway.Target, a balance.Answer, delayMs int32) {
+// reportAnswer records what an answer has shown at the instance that admits the endpoint's requests.
+func (s *state) reportAnswer(now time.Time, t gateway.Target, a balance.Answer, delayMs int32) {
 	e := s.roster.Get(t.ID)
 	if e == nil {
 		return
 	}
 	p, known := s.dispatcher(e)
-	told := gossip.Answer{Endpoint: t.ID, Born: t.Born, Ratio: gossip.NewPercent(a.Ratio), LateMs: int32(a.Late.Milliseconds()), DelayMs: delayMs}
+	shown := gossip.Answer{Endpoint: t.ID, Born: t.Born, Ratio: gossip.NewPercent(a.Ratio), LateMs: int32(a.Late.Milliseconds()), DelayMs: delayMs}
 	switch {
 	case !known:
 	case p.Instance == s.view.Self().Instance:
-		s.recordAnswer(now, &told)
-	case len(s.answersToTell[p.Address]) < maxAnswersToTell:
-		s.answersToTell[p.Address] = append(s.answersToTell[p.Address], told)
+		s.recordAnswer(now, &shown)
+	case len(s.unsentAnswers[p.Address]) < maxUnsentAnswers:
+		s.unsentAnswers[p.Address] = append(s.unsentAnswers[p.Address], shown)
 	}
 }
 
@@ -174,27 +174,27 @@
 
 func milliseconds(n int32) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// takeAnswersToTell returns the answers to tell, by address, and forgets them.
-func (s *state) takeAnswersToTell() map[string][]gossip.Answer {
+// takeUnsentAnswers returns the answers to send, by address, and forgets them.
+func (s *state) takeUnsentAnswers() map[string][]gossip.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := s.answersToTell
-	s.answersToTell = make(map[string][]gossip.Answer)
+	all := s.unsentAnswers
+	s.unsentAnswers = make(map[string][]gossip.Answer)
 	return all
 }
 
-// hasAnswersToTell reports whether there are any.
-func (s *state) hasAnswersToTell() bool {
+// hasUnsentAnswers reports whether there are any.
+func (s *state) hasUnsentAnswers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.answersToTell) > 0
+	return len(s.unsentAnswers) > 0
 }
 
-// tellAnswers tells the instances that admit the requests of endpoints what answers have shown of
-// them. What doesn't arrive is not told again: there are newer answers soon.
-func (n *Node) tellAnswers(ctx context.Context) {
-	sleep(ctx, tellInterval)
-	for address, answers := range n.state.takeAnswersToTell() {
+// sendAnswers sends what answers have shown to the instances that admit the requests of their
+// endpoints. What doesn't arrive is not sent again: there are newer answers soon.
+func (n *Node) sendAnswers(ctx context.Context) {
+	sleep(ctx, answerInterval)
+	for address, answers := range n.state.takeUnsentAnswers() {
 		ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 		if _, err := n.gossip.Admit(ctx, address, &gossip.Admit{Answers: answers}); err != nil {
 			_ = level.Debug(n.logger).Log("step", "answers", "peer", address, "err", err)
@@ -203,10 +203,10 @@
 	}
 }
 
-// Answered also has the instance told that admits the endpoint's requests.
+// Answered also sends what the answer has shown to the instance that admits the endpoint's requests.
 func (g gatewayFleet) Answered(t gateway.Target, a *balance.Request, took time.Duration) {
 	g.state.Answered(t, a, took)
-	if g.hasAnswersToTell() {
-		g.node.tasks.RunIfIdle("answers", g.node.tellAnswers)
+	if g.hasUnsentAnswers() {
+		g.node.tasks.RunIfIdle("answers", g.node.sendAnswers)
 	}
 }
--- a/internal/direct/slowness_test.go
+++ b/internal/direct/slowness_test.go
@@ -15,7 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
-// The instance that admits an endpoint's requests learns from others that it is slow: it schedules
+// The instance that admits an endpoint's requests gets answers of others that are slow: it schedules
 // their prompts for longer, says so to all, and forgets it within seconds.
 func TestOwnerLearnsThatAnEndpointIsSlow(t *testing.T) {
 	w := &testClock{}
@@ -38,8 +38,8 @@
 	assert.InDelta(t, 1, s.slowness.Of(w.now(), "p"), 0, "of another incarnation")
 }
 
-// What an answer shows is told to the instance that admits the endpoint's requests.
-func TestSlowAnswersAreTold(t *testing.T) {
+// What an answer shows is sent to the instance that admits the endpoint's requests.
+func TestSlowAnswersAreSentToTheOwner(t *testing.T) {
 	w := &testClock{}
 	s := evenState(w)
 	s.receiveHeartbeat(heartbeatWithFeatures(1, w.elapsed))
@@ -72,15 +72,15 @@
 	for range 8 {
 		answer(100 * time.Millisecond)
 	}
-	assert.False(t, s.hasAnswersToTell(), "nothing remarkable")
+	assert.False(t, s.hasUnsentAnswers(), "nothing remarkable")
 	answer(400 * time.Millisecond)
-	told := s.takeAnswersToTell()["b:1"]
+	told := s.takeUnsentAnswers()["b:1"]
 	require.Len(t, told, 1)
 	assert.Equal(t, remote, told[0].Endpoint)
 	assert.Equal(t, int32(5), told[0].DelayMs)
 	assert.Greater(t, told[0].Ratio.Factor(), 2.0)
 	assert.Greater(t, told[0].LateMs, int32(100))
-	assert.False(t, s.hasAnswersToTell())
+	assert.False(t, s.hasUnsentAnswers())
 }
 
 func idsOf(s *state) map[fleet.Endpoint]struct{} {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -136,10 +136,10 @@
 	// much later they have been than their schedules said.
 	slowness *balance.Slowness
 	delays   map[incarnation]*backlog.Delay
-	// expectations are what attempts without an answer are expected to take, answersToTell what
-	// others have shown, by the address of the instance that is told.
+	// expectations are what attempts without an answer are expected to take, unsentAnswers what
+	// others have shown, by the address of the instance that gets it.
 	expectations  map[*balance.Request]expectation
-	answersToTell map[string][]gossip.Answer
+	unsentAnswers map[string][]gossip.Answer
 	spreadStats   spreadStats
 }
 
@@ -162,7 +162,7 @@
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
 		reported: backlog.NewTable(), random: rand.Float64, slowness: balance.NewSlowness(), delays: make(map[incarnation]*backlog.Delay),
-		expectations: make(map[*balance.Request]expectation), answersToTell: make(map[string][]gossip.Answer), spreadStats: newStats(metrics.NewRegistry()),
+		expectations: make(map[*balance.Request]expectation), unsentAnswers: make(map[string][]gossip.Answer), spreadStats: newStats(metrics.NewRegistry()),
 	}
 }
 
