fix(balance): noise isn't taken for slowness

Change: the second fastest of the last five counts, of three at least, and late answers move the schedule only of an endpoint that is slow by that.

--- a/internal/core/balance/slowness.go
+++ b/internal/core/balance/slowness.go
@@ -15,7 +15,11 @@
 	slownessFade = time.Second
 	// recentAnswers is how many of the newest answers of an endpoint count; minAnswers is how many
 	// it takes, since any single one may be slow.
-	recentAnswers, minAnswers = 5, 2
+	recentAnswers, minAnswers = 5, 3
+	// typicalAnswer is the position of the one that counts among these, the fastest first. The time
+	// of a prompt is hard to predict, by its cached parts and the batch it comes into; where nearly all
+	// answers are slow it is the endpoint.
+	typicalAnswer = 1
 	// minDeviation and minLate are how far an answer must be off to be sent to other instances.
 	minDeviation, minLate = 0.2, 50 * time.Millisecond
 	// maxSlowness bounds the factor: an endpoint that takes longer is one that fails.
@@ -40,7 +44,7 @@
 // differ in speed or turn slow for seconds. Each instance of hundreds sees few answers of one
 // endpoint, so they are recorded together by the instance that admits its requests.
 //
-// A single slow answer changes nothing: the median of the last few counts. Ratios are relative to
+// Single slow answers change nothing: the second fastest of the last few counts. Ratios are relative to
 // what an instance sees at all endpoints, so its own delays don't count. An endpoint never counts as
 // faster than usual: one that answers fast may fail. It is not safe for concurrent use.
 type Slowness struct {
@@ -108,7 +112,13 @@
 		return 1
 	}
 	faded := float64(max(0, newest-slownessFade)) / float64(slownessRetention-slownessFade)
-	return 1 + max(0, median(ratios)-1)*(1-faded)
+	slices.Sort(ratios)
+	return 1 + max(0, ratios[min(len(ratios)-1, typicalAnswer)]-1)*(1-faded)
+}
+
+// IsSlow reports whether an endpoint takes much longer than the usual one.
+func (s *Slowness) IsSlow(now time.Time, id fleet.Endpoint) bool {
+	return s.Of(now, id) > 1+minDeviation
 }
 
 // Slow returns the endpoints whose slowness is above a minimum.
--- a/internal/direct/slowness.go
+++ b/internal/direct/slowness.go
@@ -153,7 +153,8 @@
 	}
 }
 
-// recordAnswer records the speed that an answer has shown, and moves the schedule by what it was late.
+// recordAnswer records the speed that an answer has shown, and moves the schedule of a slow endpoint by
+// what the answer was late.
 func (s *state) recordAnswer(now time.Time, a *gossip.Answer) {
 	key := incarnation{a.Endpoint, a.Born}
 	e := s.roster.Get(a.Endpoint)
@@ -166,7 +167,7 @@
 		d = new(backlog.Delay)
 		s.delays[key] = d
 	}
-	shift := d.Observe(milliseconds(a.LateMs), milliseconds(a.DelayMs))
+	shift := d.Observe(milliseconds(a.LateMs), milliseconds(a.DelayMs), s.slowness.IsSlow(now, a.Endpoint))
 	if schedule := s.schedules[key]; schedule != nil {
 		schedule.Shift(shift)
 	}
