--- a/internal/core/balance/slowness.go
+++ b/internal/core/balance/slowness.go
@@ -15,8 +15,12 @@
 	slownessFade = time.Second
 	// recentAnswers is how many of the newest answers of an endpoint count; minAnswers is how many
 	// it takes, since any single one may be slow.
-	recentAnswers, minAnswers = 5, 2
-	// minDeviation and minLate are how far an answer must be off to be told to others.
+	recentAnswers, minAnswers = 5, 3
+	// typicalAnswer is the position of the one that counts among these, the fastest first. The time
+	// of a prompt is hard to predict, by its cached parts and the batch it comes into; where nearly all
+	// answers are slow it is the endpoint.
+	typicalAnswer = 1
+	// minDeviation and minLate are how far an answer must be off to be sent to other instances.
 	minDeviation, minLate = 0.2, 50 * time.Millisecond
 	// maxSlowness bounds the factor: an endpoint that takes longer is one that fails.
 	maxSlowness = 6.0
@@ -36,11 +40,11 @@
 	At    time.Time
 }
 
-// Slowness learns how much longer endpoints take than the usual one. It answers endpoints that
+// Slowness measures how much longer endpoints take than the usual one. It answers endpoints that
 // differ in speed or turn slow for seconds. Each instance of hundreds sees few answers of one
 // endpoint, so they are recorded together by the instance that admits its requests.
 //
-// A single slow answer changes nothing: the median of the last few counts. Ratios are relative to
+// Single slow answers change nothing: the second fastest of the last few counts. Ratios are relative to
 // what an instance sees at all endpoints, so its own delays don't count. An endpoint never counts as
 // faster than usual: one that answers fast may fail. It is not safe for concurrent use.
 type Slowness struct {
@@ -90,7 +94,7 @@
 
 // Record records an answer of an endpoint.
 func (s *Slowness) Record(id fleet.Endpoint, a Answer) {
-	answers := append(s.answers[id], a)
+	answers := append(slices.Clone(s.answers[id]), a)
 	slices.SortStableFunc(answers, func(x, y Answer) int { return x.At.Compare(y.At) })
 	s.answers[id] = answers[max(0, len(answers)-recentAnswers):]
 }
@@ -108,7 +112,13 @@
 		return 1
 	}
 	faded := float64(max(0, newest-slownessFade)) / float64(slownessRetention-slownessFade)
-	return 1 + max(0, median(ratios)-1)*(1-faded)
+	slices.Sort(ratios)
+	return 1 + max(0, ratios[min(len(ratios)-1, typicalAnswer)]-1)*(1-faded)
+}
+
+// IsSlow reports whether an endpoint takes much longer than the usual one.
+func (s *Slowness) IsSlow(now time.Time, id fleet.Endpoint) bool {
+	return s.Of(now, id) > 1+minDeviation
 }
 
 // Slow returns the endpoints whose slowness is above a minimum.
