feat(link): a full link between regions shows in the log

It answers the load of a link that carries prompts and repeated requests beside heartbeats, watches and leases: nothing told an operator that control waits behind data. internal/core/link takes the least delay of a region's heartbeats over one to two seconds, less that of the own region's; from 300 ms on the instance logs step=link.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -168,6 +168,7 @@
 	delay := time.Duration(0)
 	if previous := s.peers[name]; previous != nil && previous.heartbeat.Peer.Incarnation == b.Peer.Incarnation {
 		delay = max(0, clockOffset-previous.clockOffset)
+		s.links.Observe(now, b.Place.Region, delay)
 		clockOffset = min(clockOffset, previous.clockOffset)
 	}
 	s.peers[name] = &peer{heartbeat: *b, receivedAt: now, clockOffset: clockOffset}
@@ -295,6 +296,7 @@
 	}
 	s.settleBroken(now)
 	s.logVerdicts(now)
+	s.logLinks(now)
 	s.observeSoftware(now)
 	s.origins.Expire(now)
 	s.removeIdleSchedules(now)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -15,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/link"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/path"
@@ -127,6 +128,8 @@
 	storeAnsweredAt time.Time
 	watching        bool
 	loadFeatures    loadFeatures
+	links           *link.Tracker // from other regions
+	fullLinks       map[fleet.Region]time.Duration
 }
 
 // retirement is a model that is about to be unloaded from an endpoint.
@@ -146,7 +149,7 @@
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
-		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
+		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
 	}
 }
 
