--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -21,6 +21,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fairshare"
 	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/link"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/path"
@@ -149,6 +150,8 @@
 	expectations  map[*balance.Request]expectation
 	unsentAnswers map[string][]gossip.Answer
 	spreadStats   spreadStats
+	links         *link.Tracker // from other regions
+	fullLinks     map[fleet.Region]time.Duration
 }
 
 // retirement is a model that is about to be unloaded from an endpoint.
@@ -168,7 +171,7 @@
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), shares: make(map[catalog.Service]*fairshare.Shares), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
-		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self),
+		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
 		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
 		reported: backlog.NewTable(), random: rand.Float64, slowness: balance.NewSlowness(), delays: make(map[incarnation]*backlog.Delay),
 		expectations: make(map[*balance.Request]expectation), unsentAnswers: make(map[string][]gossip.Answer), spreadStats: newStats(metrics.NewRegistry()),
