feat(direct): the instance that admits requests predicts what endpoints keep of prompts

Each of 79 entries took a shared first part of 6,300 tokens for new at endpoints to which it had not sent it itself, so prompts were scheduled up to three times as long as they take, and requests were refused for backlogs that weren't there.

Change: admissions carry keys of the prompt's prefixes; the admitting instance, which has seen all prompts of the endpoint, keeps an estimate of its cache bounded by the engine's memory, schedules only what is read and says so in its answer.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -49,6 +49,8 @@
 	Exclude []fleet.Endpoint
 	// Software is the version that began the request's stream, nil if no endpoint has.
 	Software *fleet.Software
+	// Uncached is how many prompt tokens the chosen endpoint is predicted to read.
+	Uncached int
 }
 
 // rankCount is the number of ranks that are counted separately; less urgent ranks count
@@ -173,6 +175,7 @@
 // StartedAt does so for an endpoint that takes longer than the usual one by a factor.
 func (b *Balancer) StartedAt(id fleet.Endpoint, a *Request, slowness float64) time.Duration {
 	prefill := b.ownPrefill(id, a, slowness)
+	a.Uncached = max(0, a.PromptTokens-b.cachedTokens(id, a))
 	l := pendingLoad(a.Level, prefill)
 	l.Running = 1
 	b.ownLoads[id] = b.ownLoads[id].Add(l)
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -67,6 +67,7 @@
 	}
 	r.Yields = yields
 	if !r.Refused {
+		s.recordAdmitted(a)
 		r.Hold = hold
 		if named != nil {
 			named.all.Take(now, named.Limit, 1)
@@ -202,9 +203,14 @@
 	if a.Endpoint == "" {
 		return new(gossip.AdmitReply)
 	}
+	asked := a.Work
 	s.scaleToSpeed(a)
+	s.scaleToCache(a)
 	reply := s.reserve(a)
 	s.addBacklog(a, reply)
+	if a.Work != asked {
+		reply.Work = a.Work
+	}
 	return reply
 }
 
@@ -219,6 +225,7 @@
 	if l := q.Late; l != nil {
 		question.Late = &gossip.Late{ID: l.ID, Waited: l.Waited, Patience: l.Patience, Last: l.Last, Yields: l.Yields, Asked: l.Asked}
 	}
+	g.addPrompt(question, a)
 	askedAt := g.clock()
 	if address == "" {
 		answer := g.admit(question)
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -306,6 +306,7 @@
 	s.observeSoftware(now)
 	s.origins.Expire(now)
 	s.removeIdleSchedules(now)
+	s.removeOldCaches()
 	s.expireBacklogs(now)
 	s.removeOldLimits(now)
 	for name, p := range s.peers {
--- a/internal/direct/slowness.go
+++ b/internal/direct/slowness.go
@@ -97,6 +97,9 @@
 	s.reported.Record(t.ID, backlog.Report{Work: r.Backlog.Work(), At: askedAt.Add(way), Sent: askedAt, Slowness: slowness})
 	if x, ok := s.expectations[a]; ok && !r.Refused {
 		own := time.Duration(float64(t.PendingPrefill) * slowness / x.slowness)
+		if r.Work > 0 {
+			own = r.Work
+		}
 		s.expectations[a] = expectation{slowness: slowness, chosenAt: x.chosenAt, decidedAt: askedAt.Add(way), prompts: r.Wait + own, delayMs: r.DelayMs}
 	}
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -145,6 +145,8 @@
 	// much later they have been than their schedules said.
 	slowness *balance.Slowness
 	delays   map[incarnation]*backlog.Delay
+	// caches are what the endpoints keep of prompts whose requests this instance admits.
+	caches map[incarnation]*endpointCache
 	// expectations are what attempts without an answer are expected to take, unsentAnswers what
 	// others have shown, by the address of the instance that gets it.
 	expectations  map[*balance.Request]expectation
@@ -173,7 +175,7 @@
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), shares: make(map[catalog.Service]*fairshare.Shares), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
 		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
-		reported: backlog.NewTable(), random: rand.Float64, slowness: balance.NewSlowness(), delays: make(map[incarnation]*backlog.Delay),
+		reported: backlog.NewTable(), random: rand.Float64, slowness: balance.NewSlowness(), delays: make(map[incarnation]*backlog.Delay), caches: make(map[incarnation]*endpointCache),
 		expectations: make(map[*balance.Request]expectation), unsentAnswers: make(map[string][]gossip.Answer), spreadStats: newStats(metrics.NewRegistry()),
 	}
 }
--- a/internal/gossip/backlog.go
+++ b/internal/gossip/backlog.go
@@ -16,6 +16,13 @@
 	Slowness Percent
 }
 
+// Prefix is a prompt up to the end of one of its parts: a key of it, and the tokens of that part.
+type Prefix struct {
+	_      struct{} `cbor:",toarray"`
+	Key    uint64
+	Tokens int
+}
+
 // Answer is what an answer has shown of an endpoint to the instance that got it.
 type Answer struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -278,6 +278,11 @@
 	Rate *Limit `cbor:"s,omitempty"`
 	// Late is set if the request may wait for room beyond Limit.
 	Late *Late `cbor:"q,omitempty"`
+	// Prompt are the prefixes of the prompt, Uncached how many of its Tokens the sender takes for not
+	// cached there, which Work counts.
+	Prompt   []Prefix `cbor:"p,omitempty"`
+	Tokens   int      `cbor:"t,omitempty"`
+	Uncached int      `cbor:"c,omitempty"`
 	// Usage is how much the request's workspace sends through the sender.
 	Usage *fairshare.Usage `cbor:"u,omitempty"`
 	// Slowness is how much longer than usual the sender takes the endpoint to be, which Work counts.
@@ -325,6 +330,8 @@
 	Yields bool `cbor:"y,omitempty"`
 	// Return is when the caller of a refused request that doesn't wait may come back.
 	Return time.Duration `cbor:"e,omitempty"`
+	// Work is the time that the prompt occupies in the schedule, 0 for that of the question.
+	Work time.Duration `cbor:"o,omitempty"`
 	// Slowness is how much longer the endpoint takes than the usual one, DelayMs how much later it
 	// has been than its schedule said, over all its requests.
 	Slowness Percent `cbor:"s,omitempty"`
