fix(node): a planned stop on our own interface serves requests that were just accepted

Cause: the twin of the fault in the gateway: http.Server.Shutdown drops requests that it reads after it was called.

Change: internal/drain stops both servers.

Measured: the test of the gateway, moved with the code; ./test/process -run 'Rolling|Leave|Drain|Stop' passes.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -22,6 +22,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/tenure"
 	"github.com/chiveramp/chiveramp/internal/core/transfer"
+	"github.com/chiveramp/chiveramp/internal/drain"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/heap"
@@ -75,8 +76,8 @@
 	loader            *loader.Loader
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
-	callers           connectionTable // of callers' connections
-	registrationLease platform.Lease  // store lease of this instance's registration
+	callers           drain.Connections // of callers' connections
+	registrationLease platform.Lease    // store lease of this instance's registration
 	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
 	// "catalog".
 	incomingCatalog  transfer.Assembly
@@ -173,7 +174,7 @@
 	n.tasks = timer.NewTasks(lifetime, n.timers, n.group)
 	peerServer := gossip.NewServer(n)
 	n.group.Go(func() error { return serveError("peers", peerServer.Serve(listeners.peer)) })
-	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) { s.ConnState = n.callers.observe })
+	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) { s.ConnState = n.callers.Observe })
 	directoryServer := n.serveHTTP("directory", listeners.directory, platform.Directory(n.addresses))
 	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
 	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
@@ -315,7 +316,7 @@
 	sleep(ctx, min(addressCacheFactor*limits.Keep, finish/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(finish))
 	defer cancel()
-	if err := stopServer(ctx, listener, callers, &n.callers); err != nil {
+	if err := drain.Stop(ctx, listener, callers, &n.callers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
 	for n.relayed.Load() > 0 && ctx.Err() == nil {
--- a/internal/direct/connections.go
+++ b/internal/drain/drain.go
@@ -1,4 +1,5 @@
-package direct
+// Package drain stops HTTP servers without dropping requests.
+package drain
 
 import (
 	"context"
@@ -19,9 +20,9 @@
 	stopCheckInterval = 20 * time.Millisecond
 )
 
-// connectionTable holds the connections of a server on which a request runs or is about to. It is
+// Connections are the connections of a server on which a request runs or is about to. It is
 // safe for concurrent use.
-type connectionTable struct {
+type Connections struct {
 	mu    sync.Mutex
 	conns map[net.Conn]connection
 }
@@ -31,12 +32,12 @@
 	since time.Time
 }
 
-// observe records the state of a connection. It is an http.Server's ConnState.
-func (c *connectionTable) observe(conn net.Conn, state http.ConnState) {
+// Observe records the state of a connection. It is an http.Server's ConnState.
+func (c *Connections) Observe(conn net.Conn, state http.ConnState) {
 	c.record(time.Now(), conn, state)
 }
 
-func (c *connectionTable) record(now time.Time, conn net.Conn, state http.ConnState) {
+func (c *Connections) record(now time.Time, conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state != http.StateNew && state != http.StateActive {
@@ -50,7 +51,7 @@
 }
 
 // busy reports whether a request runs or is about to.
-func (c *connectionTable) busy(now time.Time) bool {
+func (c *Connections) busy(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.conns {
@@ -61,15 +62,21 @@
 	return false
 }
 
-// stopServer stops accepting connections, and stops the server once no request runs. Server.Shutdown
+// Stop stops accepting connections, and stops the server once no request runs. Server.Shutdown
 // alone drops requests that it reads after it was called, without an answer.
-func stopServer(ctx context.Context, l net.Listener, s *http.Server, connections *connectionTable) error {
+func Stop(ctx context.Context, l net.Listener, s *http.Server, c *Connections) error {
 	if err := l.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
 	sleep(ctx, acceptTime)
-	for connections.busy(time.Now()) && ctx.Err() == nil {
+	for c.busy(time.Now()) && ctx.Err() == nil {
 		sleep(ctx, stopCheckInterval)
 	}
 	return s.Shutdown(ctx)
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
--- a/internal/direct/connections_test.go
+++ b/internal/drain/drain_test.go
@@ -1,4 +1,4 @@
-package direct
+package drain
 
 import (
 	"bufio"
@@ -52,8 +52,8 @@
 	caller, accepted := net.Pipe()
 	require.NoError(t, caller.SetDeadline(time.Now().Add(5*time.Second)))
 	listener := &lateListener{conn: accepted, accepting: make(chan struct{}), closed: make(chan struct{}), late: 20 * time.Millisecond}
-	var connections connectionTable
-	server := &http.Server{ConnState: connections.observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	var connections Connections
+	server := &http.Server{ConnState: connections.Observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.WriteString(w, "whole")
 	})}
@@ -67,7 +67,7 @@
 	defer cancel()
 	<-listener.accepting
 	group.Go(func() error {
-		err := stopServer(ctx, listener, server, &connections)
+		err := Stop(ctx, listener, server, &connections)
 		return errors.Join(err, server.Close())
 	})
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
@@ -98,7 +98,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var c connectionTable
+			var c Connections
 			c.record(now, one, tt.state)
 			assert.Equal(t, tt.busy, c.busy(now.Add(tt.after)))
 		})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/trail"
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/document"
+	"github.com/chiveramp/chiveramp/internal/drain"
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/entry"
 	"github.com/chiveramp/chiveramp/internal/heap"
@@ -50,6 +51,7 @@
 	registry  metrics.Registry
 	group     *errgroup.Group
 	timers    *timer.Service
+	callers   drain.Connections
 	clock     func() time.Time
 	started   time.Time
 	store     platform.Store
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/caller"
 	"github.com/chiveramp/chiveramp/internal/claim/claimpb"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/drain"
 	"github.com/chiveramp/chiveramp/internal/listing"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/switches"
@@ -55,7 +56,7 @@
 	n.startTasks()
 	_ = level.Info(n.logger).Log("step", "start", "caller", n.config.Caller.Listen, "peer", n.config.Peer.Listen)
 	<-ctx.Done()
-	n.drain(n.lifetime, callerServer)
+	n.drain(n.lifetime, open.caller, callerServer)
 	n.endLifetime()
 	peerServer.GracefulStop()
 	_ = operatorServer.Close()
@@ -144,6 +145,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       c.Idle,
 		MaxHeaderBytes:    int(c.Header),
+		ConnState:         n.callers.Observe,
 	}
 	n.group.Go(func() error { return serveError("callers", server.Serve(netutil.LimitListener(l, c.Connections))) })
 	return server
@@ -199,7 +201,7 @@
 
 // drain shuts down gracefully: it announces the shutdown to callers and peers, keeps serving
 // callers that use a cached address until that expires, and waits for requests in flight.
-func (n *Node) drain(ctx context.Context, callerServer *http.Server) {
+func (n *Node) drain(ctx context.Context, listener net.Listener, callerServer *http.Server) {
 	limit := n.config.Limits.Drain
 	if switches.Off(switches.Drain) {
 		_ = callerServer.Close()
@@ -211,7 +213,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sleep(ctx, min(n.config.Caller.Keep, limit/2))
-	_ = callerServer.Shutdown(ctx)
+	if err := drain.Stop(ctx, listener, callerServer, &n.callers); err != nil {
+		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
+	}
 	for n.pool.InFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
