fix(direct): endpoints whose owner is silent come after others

Requests sent without an admission are on no schedule, and the reports of a silent owner run empty, so its endpoints looked idle to all.

Change: while the owner doesn't answer, 250 ms are added to the backlog of its endpoints.

--- a/internal/direct/backlog.go
+++ b/internal/direct/backlog.go
@@ -18,6 +18,9 @@
 	// maxAdmissionWay is the longest way of a request to the instance that admits it: work sent
 	// that much earlier is in its backlogs.
 	maxAdmissionWay = 30 * time.Millisecond
+	// unboundedWait is added where the instance that admits an endpoint's requests doesn't answer:
+	// others send there as well without being admitted, and no report shows it.
+	unboundedWait = 250 * time.Millisecond
 	// minReportedSlowness is the slowness from which on an idle endpoint is reported.
 	minReportedSlowness = 1.1
 	// backlogRetention is how long a backlog is kept without a newer one.
@@ -40,6 +43,9 @@
 	if !ok {
 		age = backlogRetention
 	}
+	if b.now.Before(b.admitterDownUntil[p.Instance]) {
+		ahead += unboundedWait
+	}
 	return ahead, age
 }
 
--- a/internal/direct/backlog_test.go
+++ b/internal/direct/backlog_test.go
@@ -91,6 +91,10 @@
 	w.elapsed += time.Millisecond
 	s.receiveHeartbeat(heartbeatWithFeatures(4, w.elapsed))
 	assert.Zero(t, ahead(), "it is not listed any more")
+	s.admitterFailed(remote.ID)
+	assert.Equal(t, unboundedWait, ahead(), "others send there too, and none is admitted")
+	w.elapsed += admitterBackoff
+	assert.Zero(t, ahead())
 }
 
 // Requests that are on their way to an endpoint are added to what its owner has reported.
