--- a/internal/core/watcher/watcher.go
+++ b/internal/core/watcher/watcher.go
@@ -53,14 +53,11 @@
 // answers a candidate, in different data centres as far as possible. They seldom fail together, and
 // whichever region the store stands in, one watches beside it.
 func Chosen(live []Instance) []fleet.Instance {
-	regions := make(map[string][]Instance)
-	for _, i := range live {
-		regions[string(i.Place.Region)] = append(regions[string(i.Place.Region)], i)
-	}
+	regions := groups(ranked(live), func(i Instance) string { return string(i.Place.Region) })
 	var columns [][]Instance
-	for _, region := range byScore(slices.Collect(maps.Keys(regions))) {
-		candidates := spread(regions[region])
-		if reaching := reachingOf(candidates[:min(len(candidates), maxCandidates)]); len(reaching) > 0 {
+	for _, region := range regions {
+		candidates := interleave(groups(region, func(i Instance) string { return string(i.Place.DataCentre) }), maxCandidates)
+		if reaching := reachingOf(candidates); len(reaching) > 0 {
 			columns = append(columns, reaching)
 		}
 	}
@@ -69,54 +66,65 @@
 		watchers = max(minSpreadWatchers, len(columns))
 	}
 	var chosen []fleet.Instance
-	for _, i := range interleave(columns) {
+	for _, i := range interleave(columns, watchers) {
 		chosen = append(chosen, i.Name)
 	}
-	return chosen[:min(len(chosen), watchers)]
+	return chosen
 }
 
 func reachingOf(instances []Instance) []Instance {
 	return slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool { return !i.Reaches })
 }
 
-// spread sorts the instances of a region so that those at the front stand in different data centres.
-func spread(region []Instance) []Instance {
-	dataCentres := make(map[string][]Instance)
-	for _, i := range region {
-		dataCentres[string(i.Place.DataCentre)] = append(dataCentres[string(i.Place.DataCentre)], i)
+// groups returns the instances by key in their order, the groups in the order of their keys' scores.
+func groups(instances []Instance, key func(Instance) string) [][]Instance {
+	byKey := make(map[string][]Instance)
+	for _, i := range instances {
+		byKey[key(i)] = append(byKey[key(i)], i)
 	}
-	var columns [][]Instance
-	for _, dataCentre := range byScore(slices.Collect(maps.Keys(dataCentres))) {
-		columns = append(columns, ranked(dataCentres[dataCentre]))
+	keys := slices.SortedFunc(maps.Keys(byKey), func(a, b string) int { return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b)) })
+	var list [][]Instance
+	for _, k := range keys {
+		list = append(list, byKey[k])
 	}
-	return interleave(columns)
+	return list
 }
 
-// interleave returns the first of each column, then the second of each, and so on.
-func interleave(columns [][]Instance) []Instance {
+// interleave returns the first of each column, then the second of each, and so on, up to a limit.
+func interleave(columns [][]Instance, limit int) []Instance {
 	var all []Instance
-	for row := 0; ; row++ {
+	for row := 0; len(all) < limit; row++ {
 		before := len(all)
 		for _, c := range columns {
-			if row < len(c) {
+			if row < len(c) && len(all) < limit {
 				all = append(all, c[row])
 			}
 		}
 		if len(all) == before {
-			return all
+			break
 		}
 	}
+	return all
 }
 
-// ranked sorts instances by a score of their names, which changes for none when others come or go.
+// ranked sorts instances by the scores of their names, which change for none when others come or go.
 func ranked(instances []Instance) []Instance {
-	return slices.SortedFunc(slices.Values(instances), func(a, b Instance) int { return compare(string(a.Name), string(b.Name)) })
-}
-
-func byScore(names []string) []string { return slices.SortedFunc(slices.Values(names), compare) }
-
-func compare(a, b string) int {
-	return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b))
+	type scored struct {
+		score uint64
+		at    int
+	}
+	order := make([]scored, len(instances))
+	for at := range instances {
+		order[at] = scored{score(string(instances[at].Name)), at}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(instances[a.at].Name, instances[b.at].Name))
+	})
+	sorted := make([]Instance, 0, len(instances))
+	for _, o := range order {
+		sorted = append(sorted, instances[o.at])
+	}
+	return sorted
 }
 
 func score(name string) uint64 { return xxhash.Sum64String("watcher/" + name) }
--- a/internal/core/watcher/watcher_test.go
+++ b/internal/core/watcher/watcher_test.go
@@ -144,3 +144,10 @@
 		}
 	}
 }
+
+func BenchmarkWatches(b *testing.B) {
+	all := fleetOf(295, 2, 3)
+	for b.Loop() {
+		watcher.Watches(all[0], all[1:])
+	}
+}
