--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -70,7 +70,8 @@
 			Usage: &fairshare.Usage{Workspace: 32, Recent: 33.5, Usual: 34.5}, Slowness: 130,
 			Answers: []gossip.Answer{{Endpoint: "p-1", Born: 17, Ratio: 140, LateMs: 43, DelayMs: 44}},
 		}},
-		{"admit-reply", &gossip.AdmitReply{Wait: 17 * time.Millisecond, Refused: true, Hold: 18 * time.Millisecond, Limited: true,
+		{"admit-reply", &gossip.AdmitReply{
+			Wait: 17 * time.Millisecond, Refused: true, Hold: 18 * time.Millisecond, Limited: true,
 			Backlog: gossip.BacklogWork{35, 36, 37}, Late: true, AskAgain: 38 * time.Millisecond, Ahead: 39, Yields: true,
 			Return: 45 * time.Millisecond, Slowness: 150, DelayMs: 46, Work: 50 * time.Millisecond,
 		}},
