feat(balance): requests stay at home while the link to other regions queues

Change: the wait on the link, measured by heartbeats as before, counts twice in the predicted wait at an endpoint of another region, where backlogs spread the requests.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -138,8 +138,13 @@
 	remoteTotals map[fleet.Endpoint]Load
 	remoteUses   map[fleet.Endpoint]map[Use]int
 	promptCaches map[fleet.Endpoint]*promptCache
+	linkQueues   map[fleet.Region]time.Duration
 }
 
+// SetLinkQueues sets how long what is sent to other regions waits on the way. It answers the load
+// of a narrow link that carries the requests of callers whose own region has room.
+func (b *Balancer) SetLinkQueues(queues map[fleet.Region]time.Duration) { b.linkQueues = queues }
+
 // Use is an adapter that requests in flight need at an endpoint.
 type Use struct {
 	Endpoint fleet.Endpoint
@@ -448,7 +453,8 @@
 	case regions[e.DataCentre] == a.Place.Region:
 		c.Wait += b.costs.DataCentre
 	default:
-		c.Wait += b.costs.Region
+		// What is sent there waits on the link, and so does the answer.
+		c.Wait += b.costs.Region + 2*b.linkQueues[regions[e.DataCentre]]
 	}
 	if x.running >= e.Slots || e.Occupied(now, a.PromptTokens) {
 		c.Wait += b.costs.NoCapacity
--- a/internal/core/link/link.go
+++ b/internal/core/link/link.go
@@ -15,6 +15,8 @@
 	// fullDelay is from what delay on a link counts as full: a third of the time without heartbeats
 	// after which a peer is suspected.
 	fullDelay = 300 * time.Millisecond
+	// queueDelay is the least delay that shows a queue: more than the spread of sound links.
+	queueDelay = 20 * time.Millisecond
 )
 
 // least is the least delay that was observed in a window.
@@ -74,12 +76,22 @@
 // that carries prompts and repeated requests beside heartbeats, watches and leases, which then wait
 // behind them. What the heartbeats of the own region take longer is this instance's own delay.
 func (t *Tracker) Full(now time.Time) map[fleet.Region]time.Duration {
-	full := make(map[fleet.Region]time.Duration)
+	return t.longer(now, fullDelay)
+}
+
+// Queues returns how long what is sent over the link to each region waits, those where it does.
+func (t *Tracker) Queues(now time.Time) map[fleet.Region]time.Duration {
+	return t.longer(now, queueDelay)
+}
+
+// longer returns the regions whose heartbeats take longer than those of the own region by a delay or more.
+func (t *Tracker) longer(now time.Time, than time.Duration) map[fleet.Region]time.Duration {
+	all := make(map[fleet.Region]time.Duration)
 	own, _ := t.Delay(now, t.own)
 	for region := range t.regions {
-		if delay, ok := t.Delay(now, region); ok && region != t.own && delay-own >= fullDelay {
-			full[region] = delay - own
+		if delay, ok := t.Delay(now, region); ok && region != t.own && delay-own >= than {
+			all[region] = delay - own
 		}
 	}
-	return full
+	return all
 }
--- a/internal/core/link/link_test.go
+++ b/internal/core/link/link_test.go
@@ -50,3 +50,14 @@
 	}
 	assert.Empty(t, link.NewTracker("south").Full(start))
 }
+
+// A queue on a link counts long before the link is full.
+func TestQueues(t *testing.T) {
+	tracker, now := link.NewTracker("south"), time.Unix(1_000_000, 0)
+	for region, delay := range map[fleet.Region]time.Duration{"south": time.Millisecond, "north": 90 * time.Millisecond, "west": 5 * time.Millisecond} {
+		tracker.Observe(now, region, delay)
+	}
+	assert.Equal(t, map[fleet.Region]time.Duration{"north": 89 * time.Millisecond}, tracker.Queues(now))
+	assert.Empty(t, tracker.Full(now))
+	assert.Empty(t, tracker.Queues(now.Add(time.Minute)), "nothing recent")
+}
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -46,6 +46,11 @@
 	l.othersKnown = l.othersKnown || s.view.Settled(s.clock())
 	l.even = servicesFrom(endpoints, l.settings.Even, s.agreed(feature.Backlog, others))
 	l.queue = servicesFrom(endpoints, l.settings.Queue, s.agreed(feature.Queue, others))
+	if len(l.even) > 0 {
+		s.balancer.SetLinkQueues(s.links.Queues(s.clock()))
+	} else {
+		s.balancer.SetLinkQueues(nil)
+	}
 }
 
 // agreed reports whether all instances that may be running announce a feature, and logs when that
