refactor: comments of the new parts say who does what

Cause: some used words that a newcomer must guess at.

Change: comments, and one field's name in core/backlog.

--- a/internal/core/backlog/backlog.go
+++ b/internal/core/backlog/backlog.go
@@ -50,13 +50,13 @@
 // Table holds the newest report of each endpoint. It is not safe for concurrent use.
 type Table struct {
 	endpoints map[fleet.Endpoint]*endpoint
-	// heardAt is when each owner last reported all its endpoints that have a backlog.
-	heardAt map[fleet.Instance]time.Time
+	// listedAt is when each owner last reported all its endpoints that have a backlog.
+	listedAt map[fleet.Instance]time.Time
 }
 
 // NewTable returns a table without reports.
 func NewTable() *Table {
-	return &Table{endpoints: make(map[fleet.Endpoint]*endpoint), heardAt: make(map[fleet.Instance]time.Time)}
+	return &Table{endpoints: make(map[fleet.Endpoint]*endpoint), listedAt: make(map[fleet.Instance]time.Time)}
 }
 
 func (t *Table) endpoint(id fleet.Endpoint) *endpoint {
@@ -81,8 +81,8 @@
 // RecordOwner notes that an owner has reported all its endpoints, as of a time, that have a backlog
 // or are slow. The reports themselves are recorded one by one.
 func (t *Table) RecordOwner(owner fleet.Instance, at time.Time) {
-	if at.After(t.heardAt[owner]) {
-		t.heardAt[owner] = at
+	if at.After(t.listedAt[owner]) {
+		t.listedAt[owner] = at
 	}
 }
 
@@ -105,7 +105,7 @@
 // owner, and how old the report is. ok is false if the owner hasn't reported.
 func (t *Table) Ahead(now time.Time, id fleet.Endpoint, owner fleet.Instance, level int) (ahead, age time.Duration, ok bool) {
 	rank := min(level, Ranks-1)
-	e, heard := t.endpoints[id], t.heardAt[owner]
+	e, heard := t.endpoints[id], t.listedAt[owner]
 	if e == nil {
 		return 0, now.Sub(heard), !heard.IsZero()
 	}
@@ -130,7 +130,7 @@
 // counts less and less.
 func (t *Table) Slowness(now time.Time, id fleet.Endpoint, owner fleet.Instance) float64 {
 	e := t.endpoints[id]
-	if e == nil || e.report.Slowness <= 1 || t.heardAt[owner].After(e.report.At) {
+	if e == nil || e.report.Slowness <= 1 || t.listedAt[owner].After(e.report.At) {
 		return 1
 	}
 	faded := min(1, float64(max(0, now.Sub(e.report.At)-slownessFade))/float64(slownessFade))
@@ -152,9 +152,9 @@
 			delete(t.endpoints, id)
 		}
 	}
-	for owner, at := range t.heardAt {
+	for owner, at := range t.listedAt {
 		if at.Before(before) {
-			delete(t.heardAt, owner)
+			delete(t.listedAt, owner)
 		}
 	}
 }
--- a/internal/core/balance/even_test.go
+++ b/internal/core/balance/even_test.go
@@ -447,7 +447,7 @@
 	}
 }
 
-// The load of prompts whose time is hard to predict: no endpoint may be taken for slow for that.
+// The load of prompts whose time is hard to predict: that alone must not make an endpoint count as slow.
 func TestNoiseIsNoSlowness(t *testing.T) {
 	const minOfPerfect = 0.9
 	l := load{instances: 79, age: time.Second, mean: 0.35, together: 100 * time.Millisecond, noise: 0.8}
--- a/internal/core/fairshare/shares.go
+++ b/internal/core/fairshare/shares.go
@@ -14,20 +14,20 @@
 	// priorRate is how much the sums of a workspace count from which little is known: as if some
 	// requests more had come, in the proportion of the others.
 	priorRate = 4.0
-	// forgetBelow is how many questions of a workspace are too few to tell anything of it.
+	// forgetBelow is the number of questions below which the record of a workspace is dropped.
 	forgetBelow = 0.1
 	// maxSenders bounds the workspaces of which the shares are kept.
 	maxSenders = 64
 )
 
-// Shares tell which workspaces send several times their usual, as the instance that admits requests to
+// Shares finds which workspaces send several times their usual, as the instance that admits requests to
 // endpoints of a service sees it from the questions of all instances. These get what the others leave.
 // The zero value knows no workspace. It is not safe for concurrent use.
 type Shares struct {
 	senders map[uint64]*sender
 }
 
-// sender is what questions tell of a workspace: sums over lately asked questions.
+// sender is the use of a workspace by the questions of the last seconds.
 type sender struct {
 	questions, recent, usual float64
 	at                       time.Duration
--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -12,7 +12,7 @@
 
 // The features that instances announce.
 const (
-	// Backlog: the instance that admits an endpoint's requests tells how much work is scheduled there.
+	// Backlog: the instance that admits an endpoint's requests reports how much work is scheduled there.
 	Backlog Feature = "backlog"
 	// Queue: the instance that admits an endpoint's requests lets them wait for room.
 	Queue Feature = "queue"
--- a/internal/core/pace/lane.go
+++ b/internal/core/pace/lane.go
@@ -17,7 +17,7 @@
 	minAskAgain, maxAskAgain = 100 * time.Millisecond, time.Second
 	// askGrace is how long after that time the request is kept: the way of its question.
 	askGrace = 150 * time.Millisecond
-	// maxReturn is the longest time that a refused caller is told to stay away: few wait longer.
+	// maxReturn limits the Retry-After of refused callers: few wait longer.
 	maxReturn = 3 * time.Second
 	// spareTurn is how many times as late as predicted the turn of a request may come that begins to
 	// wait: one that is refused after a wait has waited in vain.
@@ -57,7 +57,7 @@
 	Return time.Duration
 }
 
-// waiter is a late request that has been told to ask again.
+// waiter is a late request that is to ask again.
 type waiter struct {
 	Late
 	arrived, expires time.Time
@@ -119,7 +119,7 @@
 // callers refused before it by as much time as the endpoint needs for their work.
 //
 // It answers callers that were refused together and would come back together, and those who repeat
-// at once several times: each repetition is told a later time.
+// at once several times: each repetition gets a later time.
 func (s *Schedule) nextReturn(now time.Time, lane int, work, turn time.Duration) time.Duration {
 	if earliest := now.Add(min(turn, maxReturn)); s.returns.Before(earliest) || s.returns.Sub(now) > maxReturn {
 		s.returns = earliest
--- a/internal/core/pace/lane_test.go
+++ b/internal/core/pace/lane_test.go
@@ -58,7 +58,7 @@
 	assert.Equal(t, 256, waiting)
 }
 
-// The load of callers that are refused together, also again and again: no two are told to come back
+// The load of callers that are refused together, also again and again: no two get the same time to come back
 // while the endpoint is still busy with the same work, and none later than callers wait.
 func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
 	var s pace.Schedule
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -51,7 +51,7 @@
 	busyUntil [laneCount]time.Time
 	// admitted are the times at which prompts were scheduled lately, in order.
 	admitted []time.Time
-	// arrived is the work that was scheduled lately in each lane, in seconds as of decayedAt.
+	// arrived is the work scheduled in each lane, in seconds, decayed exponentially up to decayedAt.
 	arrived   [laneCount]float64
 	decayedAt time.Time
 	waiting   []*waiter
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -103,7 +103,7 @@
 	return healed
 }
 
-// Answered records an answer of an endpoint. One that came through a peer tells nothing of the path.
+// Answered records an answer of an endpoint. One that came through a peer shows nothing of the path.
 func (t *Table) Answered(now time.Time, id fleet.Endpoint) {
 	if p := t.path(id); !p.cut {
 		p.answeredAt = now
--- a/internal/core/watcher/watcher_test.go
+++ b/internal/core/watcher/watcher_test.go
@@ -25,7 +25,7 @@
 	return all
 }
 
-// watching returns the instances that decide to watch, each by itself.
+// watching returns the instances that decide to watch, each by its own view.
 func watching(all []watcher.Instance) []watcher.Instance {
 	var list []watcher.Instance
 	for i, self := range all {
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -19,7 +19,7 @@
 	even, queue map[catalog.Service]bool
 }
 
-// evens reports whether requests of a service are spread by what admissions tell of the load.
+// evens reports whether requests of a service are spread by backlogs.
 func (s *state) evens(service catalog.Service) bool { return s.loadFeatures.even[service] }
 
 // queues reports whether requests of a service wait for room.
--- a/internal/direct/queue_test.go
+++ b/internal/direct/queue_test.go
@@ -88,7 +88,7 @@
 	g.Withdraw(context.Background(), gateway.Target{ID: remote}, 1)
 }
 
-// A request that may wait is not refused for the loads that its instance has heard of: they are old,
+// A request that may wait is not refused for the loads that its instance has received: they are old,
 // and the owner of the endpoint has its schedule. It asks again where it has its place, or at an
 // endpoint that is predicted to answer in time.
 func TestChoiceOfRequestsThatWait(t *testing.T) {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -25,7 +25,7 @@
 	probePatience = 250 * time.Millisecond
 	// tokenTime is how long an engine under load takes for each output token.
 	tokenTime = 10 * time.Millisecond
-	// minStreamPatience, streamTargets and streamGaps tell how long callers wait for a stream's first
+	// minStreamPatience, streamTargets and streamGaps give how long callers wait for a stream's first
 	// event: the longest of a time, some targets of the route and some of its longest pauses.
 	minStreamPatience = 2 * time.Second
 	streamTargets     = 4
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -93,7 +93,7 @@
 	assert.Nil(t, f.questions[1].Late)
 }
 
-// A refused caller is told the earliest time at which one of the endpoints has said that it has room.
+// A refused caller gets the earliest time at which one of the endpoints has room by its admitting instance.
 func TestRefusedCallersAreToldWhenThereIsRoom(t *testing.T) {
 	f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
 	f.replies = []gateway.Admission{{Refused: true, Wait: time.Second}, {Refused: true, Wait: time.Second, Return: 1234 * time.Millisecond, Yields: true}}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -115,7 +115,7 @@
 	// the demand that is rising.
 	Follow float64
 	// Even and Queue are the number of endpoints from which instances spread their requests by
-	// what admissions tell, and from which requests wait for room.
+	// the answers to admissions, and from which requests wait for room.
 	Even, Queue int
 }
 
