--- a/internal/direct/backlog.go
+++ b/internal/direct/backlog.go
@@ -73,7 +73,7 @@
 // spreadsPlain reports whether requests of a service without models are chosen by the speeds of its
 // endpoints: it stands beside one that is spread by backlogs.
 func (s *state) spreadsPlain(service catalog.Service) bool {
-	return len(s.loadFeatures.even) > 0 && !s.isEngine(service)
+	return s.loadFeatures.plain && !s.isEngine(service)
 }
 
 // chooseEndpoint selects an endpoint for a request.
--- a/internal/direct/backlog_test.go
+++ b/internal/direct/backlog_test.go
@@ -21,7 +21,7 @@
 func evenState(w *testClock) *state {
 	s := newTestState(w)
 	s.catalog = &catalog.Catalog{Groups: []catalog.Group{{Name: "s", Engine: &catalog.Engine{}}}}
-	s.loadFeatures.settings.Even, s.loadFeatures.othersKnown = 1, true
+	s.loadFeatures.settings.Even, s.loadFeatures.settings.Plain, s.loadFeatures.othersKnown = 1, 1, true
 	s.heartbeat()
 	return s
 }
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -17,6 +17,7 @@
 	othersKnown bool              // the list of instances and their heartbeats have arrived once
 	agreed      map[feature.Feature]bool
 	even, queue map[catalog.Service]bool
+	plain       bool // services without models are chosen by the speed of their endpoints
 }
 
 // evens reports whether requests of a service are spread by backlogs.
@@ -46,6 +47,7 @@
 	l.othersKnown = l.othersKnown || s.view.Settled(s.clock())
 	l.even = servicesFrom(endpoints, l.settings.Even, s.agreed(feature.Backlog, others))
 	l.queue = servicesFrom(endpoints, l.settings.Queue, s.agreed(feature.Queue, others))
+	l.plain = len(servicesFrom(endpoints, l.settings.Plain, len(l.even) > 0)) > 0
 	if len(l.even) > 0 {
 		s.balancer.SetLinkQueues(s.links.Queues(s.clock()))
 	} else {
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -117,6 +117,9 @@
 	// Even and Queue are the number of endpoints from which instances spread their requests by
 	// the answers to admissions, and from which requests wait for room.
 	Even, Queue int
+	// Plain is the number of endpoints of a service whose requests are spread from which services
+	// without models beside it are chosen by the speed of their endpoints.
+	Plain int
 }
 
 // Defaults of a Gateway.
@@ -248,6 +251,7 @@
 			inifile.Number("follow", &c.Load.Follow, 0, maxCount).WithWant("a number from 0 to " + strconv.Itoa(maxCount)),
 			inifile.Count("even", &c.Load.Even, 0, maxCount),
 			inifile.Count("queue", &c.Load.Queue, 0, maxCount),
+			inifile.Count("plain", &c.Load.Plain, 0, maxCount),
 		}},
 		{"log", logFields(&c.Log)},
 		{"trace", traceFields(&c.Trace)},
