fix(balance): a full link keeps only requests for models at home

Change: the queue counts for requests with a model only.

Measured: TestFullLinkLeavesServicesWithoutModels fails without it.

--- a/internal/core/balance/balancer.go
+++ b/internal/core/balance/balancer.go
@@ -141,6 +141,9 @@
 	linkQueues   map[fleet.Region]time.Duration
 }
 
+// linkCrossings is how often a request waits on a link: on its way and for its answer.
+const linkCrossings = 2
+
 // SetLinkQueues sets how long what is sent to other regions waits on the way. It answers the load
 // of a narrow link that carries the requests of callers whose own region has room.
 func (b *Balancer) SetLinkQueues(queues map[fleet.Region]time.Duration) { b.linkQueues = queues }
@@ -453,8 +456,10 @@
 	case regions[e.DataCentre] == a.Place.Region:
 		c.Wait += b.costs.DataCentre
 	default:
-		// What is sent there waits on the link, and so does the answer.
-		c.Wait += b.costs.Region + 2*b.linkQueues[regions[e.DataCentre]]
+		c.Wait += b.costs.Region
+		if a.Model != "" { // services without models have few endpoints, which would be full at home
+			c.Wait += linkCrossings * b.linkQueues[regions[e.DataCentre]]
+		}
 	}
 	if x.running >= e.Slots || e.Occupied(now, a.PromptTokens) {
 		c.Wait += b.costs.NoCapacity
--- a/internal/core/balance/link_test.go
+++ b/internal/core/balance/link_test.go
@@ -52,3 +52,22 @@
 		})
 	}
 }
+
+// The load of a flood at a service with few slots beside a full link: requests still go to the other
+// region, where there is room.
+func TestFullLinkLeavesServicesWithoutModels(t *testing.T) {
+	places := map[fleet.DataCentre]fleet.Region{"home": "south", "far": "north"}
+	b := balance.NewBalancer()
+	b.SetLinkQueues(map[fleet.Region]time.Duration{"north": 600 * time.Millisecond})
+	a := &balance.Request{Service: "s", Target: 400 * time.Millisecond, Place: fleet.Place{Region: "south", DataCentre: "home"}}
+	var endpoints []*roster.Endpoint
+	for id, place := range map[fleet.Endpoint]fleet.DataCentre{"near": "home", "away": "far"} {
+		endpoints = append(endpoints, &roster.Endpoint{Entry: roster.Entry{ID: id, Service: "s", DataCentre: place, Slots: 6}})
+	}
+	for range 6 {
+		b.Started("near", a)
+	}
+	c, missing := b.Choose(time.Unix(1, 0), a, &catalog.Group{Name: "s"}, endpoints, places)
+	assert.Equal(t, balance.MissingNone, missing)
+	assert.Equal(t, fleet.Endpoint("away"), c.Endpoint.ID)
+}
