--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -41,6 +41,7 @@
 	const (
 		recoverS = 12 * time.Second
 		down     = 8 * time.Second
+		returnAt = 12600 * time.Millisecond // after the instances have started again
 	)
 	d := newDeployment(r, guaibaZones, guaiba())
 	for i, z := range []string{"litoral-a", "serra-a", "litoral-b"} {
@@ -85,11 +86,12 @@
 	}
 	r.logf("final fault: all processes are killed")
 	time.Sleep(1400 * time.Millisecond)
+	started := time.Now()
 	for _, n := range d.instances {
 		d.start(n)
 	}
 	back := d.awaitReady()
-	time.Sleep(5 * time.Second)
+	time.Sleep(time.Until(started.Add(returnAt - down)))
 	if trouble() {
 		d.store.setDown(true)
 		r.logf("the store is down")
