Review, case 5: DENIED, a sound request refused as one that crashes endpoints

Cause: three crashes in sequence under a request convict it, though its one endpoint goes down and up under all requests; the verdict lasts for a minute after the endpoint is sound again.

--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -8,7 +8,7 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*record) (bool, string){
-	"recover": recoverCase, "hold": holdCase, "cut": cutCase, "term": termCase,
+	"recover": recoverCase, "hold": holdCase, "cut": cutCase, "term": termCase, "poison": poisonCase,
 }
 
 // guaiba are the bounds of the lost glove board (SYSTEM.md).
@@ -23,7 +23,7 @@
  {"name":"r-hand","host":"board.example","pathPrefix":"/handover/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":200,"priority":2,"service":"board-app","maxAttempts":1},
  {"name":"r-list","host":"board.example","pathPrefix":"/listing/","kind":"safe","timeoutMs":1000,"targetLatencyMs":200,"priority":2,"service":"board-app","maxAttempts":2}%s],
  "services":[{"name":"matcher","healthPath":"/health","maxConns":370,"engine":{"slots":64,"kvCapacity":259204,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2.1,
-  "models":[{"name":"m0","weightsMb":65100,"loadS":3.8,"adapters":0,"adapterMb":12}]}},
+  "models":[{"name":"m0","weightsMb":65100,"loadS":3.8,"adapters":0,"adapterMb":12},{"name":"m1","weightsMb":65100,"loadS":3.8,"adapters":0,"adapterMb":12}]}},
   {"name":"board-app","healthPath":"/health","maxConns":110}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -60,8 +60,6 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	timer := time.AfterFunc(deadline, func() {})
-	defer timer.Stop()
 	c := *q.client
 	c.Timeout = deadline
 	response, err := c.Do(r)
--- a/review/_stand/runner.go
+++ b/review/_stand/runner.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,8 @@
 
 const (
 	heartbeat = 1200 * time.Millisecond
+	// loadTime is how long a load from the weight store takes.
+	loadTime = 3800 * time.Millisecond
 	// expiry is after which silence the platform removes a runner's entry.
 	expiry = 3 * heartbeat
 )
@@ -25,7 +28,6 @@
 	id     string
 	runner string
 	body   string
-	result string
 }
 
 // runner is a stand-in of one model runner or of one endpoint of a plain service.
@@ -48,6 +50,7 @@
 	gone     bool
 	running  int
 	seq      int64
+	busy     bool // an order for a model is carried out
 	arrivals []arrival
 	adapters map[string][]string
 	eventGap time.Duration
@@ -177,7 +180,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	reply(w, map[string]any{
-		"stage": "both", "models": n.holdings(), "busy": false, "seq": n.seq, "born": n.born, "state": n.state,
+		"stage": "both", "models": n.holdings(), "busy": n.busy, "seq": n.seq, "born": n.born, "state": n.state,
 		"queued": 0, "running": n.running, "kvUsed": 0, "kvTotal": 250000, "handles": 0, "runs": []any{}, "coming": []string{},
 	})
 }
@@ -190,16 +193,26 @@
 	_ = json.NewDecoder(r.Body).Decode(&o)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if o.Expected != nil && *o.Expected != n.seq {
+	if o.Expected != nil && *o.Expected != n.seq || n.busy {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	n.seq++
-	status := http.StatusAccepted
-	if o.OpType == "load" && o.Adapter != "" {
+	switch {
+	case o.OpType == "load" && o.Adapter != "":
 		n.adapters[o.Model] = append(n.adapters[o.Model], o.Adapter)
+	case o.OpType == "load":
+		n.busy = true
+		time.AfterFunc(loadTime, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.busy, n.models = false, append(slices.Clone(n.models), o.Model)
+			n.record.logf("%s has loaded %s", n.id, o.Model)
+		})
+	case o.OpType == "unload" && o.Adapter == "":
+		n.models = slices.DeleteFunc(slices.Clone(n.models), func(m string) bool { return m == o.Model })
 	}
-	w.WriteHeader(status)
+	w.WriteHeader(http.StatusAccepted)
 }
 
 func (n *runner) run(w http.ResponseWriter, r *http.Request) {
