--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"sync"
 	"time"
@@ -13,22 +14,16 @@
 
 // guaiba are the bounds of the lost glove board (SYSTEM.md).
 func guaiba() map[string]string {
-	return map[string]string{"budgetRatio": "0.2", "budgetExtra": "58", "budgetWindowS": "10", "leaseMs": "3000", "ceilingWindowS": "5", "ceilingOver": "1.1", "graceS": "8"}
+	return map[string]string{"budgetRatio": "0.2", wire("extra"): "58", "budgetWindowS": "10", "leaseMs": "3000", "ceilingWindowS": "5", wire("over"): "1.1", "graceS": "8"}
 }
 
 var guaibaZones = [][2]string{{"litoral-a", "litoral-sul"}, {"serra-a", "serra-gaucha"}, {"litoral-b", "litoral-sul"}}
 
-const configuration = `{"version":%d,"routes":[
- {"name":"r-match","host":"board.example","pathPrefix":"/match/","kind":"stream","timeoutMs":5000,"targetLatencyMs":800,"priority":0,"service":"matcher","maxAttempts":2,"sticky":true,"resumable":true,"gapAimMs":300},
- {"name":"r-hand","host":"board.example","pathPrefix":"/handover/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":200,"priority":2,"service":"board-app","maxAttempts":1},
- {"name":"r-list","host":"board.example","pathPrefix":"/listing/","kind":"safe","timeoutMs":1000,"targetLatencyMs":200,"priority":2,"service":"board-app","maxAttempts":2}%s],
- "services":[{"name":"matcher","healthPath":"/health","maxConns":370,"engine":{"slots":64,"kvCapacity":259204,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2.1,
-  "models":[{"name":"m0","weightsMb":65100,"loadS":3.8,"adapters":0,"adapterMb":12},{"name":"m1","weightsMb":65100,"loadS":3.8,"adapters":0,"adapterMb":12}]}},
-  {"name":"board-app","healthPath":"/health","maxConns":110}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+//go:embed configuration.json.tmpl
+var configuration string
 
 func (d *deployment) configure(version int, more string) {
-	if !d.store.put("op/config", fmt.Appendf(nil, configuration, version, more)) {
+	if !d.store.put(wire("config"), fmt.Appendf(nil, configuration, version, more)) {
 		cannot("the store does not take the configuration")
 	}
 	d.record.logf("configuration %d is acknowledged", version)
@@ -73,7 +68,7 @@
 				case 1:
 					q.send(address, "GET", "/listing/g", "", 2*time.Second, nil)
 				default:
-					q.send(address, "POST", "/match/g", "a red glove", 5*time.Second, map[string]string{"Model": "m0", "Token-Count": "300,20", "Prompt-Prefix": "5c1e07a2:200,91bd3f06:100"})
+					q.send(address, "POST", "/match/g", "a red glove", 5*time.Second, map[string]string{"Model": "m0", wire("tokens"): "300,20", wire("parts"): "5c1e07a2:200,91bd3f06:100"})
 				}
 			})
 		}
--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -56,7 +56,7 @@
 	}
 	r.Host = "board.example"
 	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(wire("deadline"), fmt.Sprint(deadline.Milliseconds()))
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
@@ -65,7 +65,7 @@
 	response, err := c.Do(r)
 	if err == nil {
 		var text []byte
-		a.status, a.seal = response.StatusCode, response.Header.Get("Server-Seal")
+		a.status, a.seal = response.StatusCode, response.Header.Get(wire("seal"))
 		text, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		a.body = string(text)
--- a/review/_stand/drain.go
+++ b/review/_stand/drain.go
@@ -33,7 +33,7 @@
 		burst.Go(func() {
 			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
 			q.send(d.instances[i%2].caller, "POST", "/digest/g", "audit", 15*time.Second, map[string]string{
-				"Model": "m0", "Token-Count": "3000,60", "Prompt-Prefix": fmt.Sprintf("%08x:3000", 0x91bd0000+i),
+				"Model": "m0", wire("tokens"): "3000,60", wire("parts"): fmt.Sprintf("%08x:3000", 0x91bd0000+i),
 			})
 		})
 	}
--- a/review/_stand/poison.go
+++ b/review/_stand/poison.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"net/http"
 	"sync"
@@ -47,7 +48,7 @@
 	var traffic sync.WaitGroup
 	send := func(i int, model, body string) {
 		traffic.Go(func() {
-			q.send(d.instances[i%3].caller, "POST", "/chat/g", body, 15*time.Second, map[string]string{"Model": model, "Token-Count": "800,290", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:200,%08x:600", i)})
+			q.send(d.instances[i%3].caller, "POST", "/chat/g", body, 15*time.Second, map[string]string{"Model": model, wire("tokens"): "800,290", wire("parts"): fmt.Sprintf("5c1e07a2:200,%08x:600", i)})
 		})
 	}
 	traffic.Go(func() {
@@ -68,7 +69,7 @@
 			n.crash()
 			r.logf("%s crashes", n.id)
 			old := n.id
-			time.AfterFunc(expiry, func() { d.store.remove("servers/" + old) })
+			time.AfterFunc(expiry, func() { d.store.remove(wire("entries") + old) })
 			time.Sleep(period / 2)
 			n = newEngine(0, start, "m0")
 			r.logf("it is back as %s", n.id)
@@ -106,4 +107,6 @@
 }
 
 // chatRoute is citizen-chat of the lost glove board.
-const chatRoute = `,{"name":"r-chat","host":"board.example","pathPrefix":"/chat/","kind":"stream","timeoutMs":15000,"targetLatencyMs":1500,"priority":1,"service":"matcher","maxAttempts":2,"sticky":true,"resumable":true,"gapAimMs":300}`
+//
+//go:embed chat.json
+var chatRoute string
--- a/review/_stand/runner.go
+++ b/review/_stand/runner.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		if time.Since(at) > expiry {
-			n.store.remove("servers/" + n.id)
+			n.store.remove(wire("entries") + n.id)
 			n.store.mu.Lock()
 			down := n.store.down
 			n.store.mu.Unlock()
@@ -140,7 +140,7 @@
 		"coldLeftMs": 0, "stage": "both", "models": n.holdings(), "seq": n.seq, "born": n.born,
 	})
 	n.mu.Unlock()
-	if !n.store.put("servers/"+n.id, value) {
+	if !n.store.put(wire("entries")+n.id, value) {
 		return false
 	}
 	n.mu.Lock()
@@ -163,7 +163,7 @@
 	n.mu.Lock()
 	n.listed = false
 	n.mu.Unlock()
-	n.store.remove("servers/" + n.id)
+	n.store.remove(wire("entries") + n.id)
 	return time.Now()
 }
 
@@ -172,7 +172,7 @@
 	n.mu.Lock()
 	n.gone = true
 	n.mu.Unlock()
-	n.store.remove("servers/" + n.id)
+	n.store.remove(wire("entries") + n.id)
 	_ = n.server.Close()
 }
 
@@ -219,7 +219,7 @@
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != n.id {
+	if expect := r.Header.Get(wire("expect")); expect != "" && expect != n.id {
 		w.Header().Set("Instance-Id", n.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -228,7 +228,7 @@
 	n.arrivals = append(n.arrivals, arrival{at: time.Now(), id: id, runner: n.id, body: string(body)})
 	n.running++
 	events, gap, work := n.events, n.eventGap, n.work
-	tokens, _, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
+	tokens, _, _ := strings.Cut(r.Header.Get(wire("tokens")), ",")
 	prompt, _ := strconv.Atoi(tokens)
 	if now := time.Now(); n.prefillUntil.Before(now) {
 		n.prefillUntil = now
@@ -241,7 +241,7 @@
 		n.running--
 		n.mu.Unlock()
 	}()
-	w.Header().Set("Server-Seal", n.id+"."+id)
+	w.Header().Set(wire("seal"), n.id+"."+id)
 	if r.Header.Get("Model") == "" {
 		time.Sleep(work)
 		_, _ = fmt.Fprintf(w, "done %s", id)
--- a/review/_stand/store.go
+++ b/review/_stand/store.go
@@ -16,7 +16,6 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
 	Revision int64  `json:"revision"`
-	Created  int64  `json:"createdRev,omitempty"`
 	Lease    int64  `json:"lease,omitempty"`
 	Removed  bool   `json:"removed,omitempty"`
 }
@@ -44,13 +43,13 @@
 func newStore() *store {
 	s := &store{listener: listen(), revision: 10, items: map[string]item{}, leases: map[int64]lease{}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.get)
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
-	mux.HandleFunc("POST /kv-txn", s.commit)
-	mux.HandleFunc("POST /kv-lease", s.grant)
-	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
+	mux.HandleFunc("GET /"+wire("key"), s.get)
+	mux.HandleFunc("GET /"+wire("range"), s.list)
+	mux.HandleFunc("GET /"+wire("watch"), s.watch)
+	mux.HandleFunc("POST /"+wire("txn"), s.commit)
+	mux.HandleFunc("POST /"+wire("lease"), s.grant)
+	mux.HandleFunc("POST /"+wire("keep")+"/{id}", s.keep)
+	mux.HandleFunc("DELETE /"+wire("leaseEnd")+"/{id}", s.end)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		down := s.down
@@ -143,9 +142,6 @@
 func (s *store) putItem(key string, value []byte, id int64) {
 	s.revision++
 	i := s.items[key]
-	if i.Created == 0 {
-		i.Created = s.revision
-	}
 	i.Key, i.Value, i.Revision, i.Lease = key, value, s.revision, id
 	s.items[key] = i
 	s.history = append(s.history, i)
@@ -171,7 +167,7 @@
 	q := r.URL.Query()
 	all := []item{}
 	for key, i := range s.items {
-		if strings.HasPrefix(key, q.Get("pathPrefix")) && key > q.Get("after") {
+		if strings.HasPrefix(key, q.Get(wire("prefix"))) && key > q.Get("after") {
 			all = append(all, i)
 		}
 	}
@@ -198,7 +194,7 @@
 		s.expire()
 		events, revision, cut := []item{}, s.revision, s.cuts != cuts
 		for _, e := range s.history {
-			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("pathPrefix")) {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.Get(wire("prefix"))) {
 				events = append(events, e)
 			}
 		}
@@ -245,7 +241,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if strings.HasPrefix(i.Key, "op/") || strings.HasPrefix(i.Key, "servers/") {
+		if strings.HasPrefix(i.Key, "op/") || strings.HasPrefix(i.Key, wire("entries")) {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
--- a/review/_stand/term.go
+++ b/review/_stand/term.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -9,11 +10,13 @@
 )
 
 // digestRoute is the bulk route of the helmet logs' grown site: target 6,000 ms, pauses 200 ms.
-const digestRoute = `,{"name":"r-digest","host":"board.example","pathPrefix":"/digest/","kind":"stream","timeoutMs":15000,"targetLatencyMs":6000,"priority":2,"service":"matcher","maxAttempts":1,"sticky":true,"resumable":false,"gapAimMs":200}`
+//
+//go:embed digest.json
+var digestRoute string
 
 // helmet are the bounds of the helmet logs' grown site.
 func helmet() map[string]string {
-	return map[string]string{"budgetRatio": "0.2", "budgetExtra": "172", "budgetWindowS": "10", "leaseMs": "3000", "ceilingWindowS": "5", "ceilingOver": "1.1", "graceS": "8"}
+	return map[string]string{"budgetRatio": "0.2", wire("extra"): "172", "budgetWindowS": "10", "leaseMs": "3000", "ceilingWindowS": "5", wire("over"): "1.1", "graceS": "8"}
 }
 
 // termCase: bulk work comes in lumps, whose prompts wait for their turn at two runners. One of two instances
@@ -55,7 +58,7 @@
 			}
 			prompt := fmt.Sprintf("%08x:3000", 0x91bd0000+next)
 			traffic.Go(func() {
-				a := q.send(to.caller, "POST", "/digest/g", "audit", 15*time.Second, map[string]string{"Model": "m0", "Token-Count": "3000,60", "Prompt-Prefix": prompt})
+				a := q.send(to.caller, "POST", "/digest/g", "audit", 15*time.Second, map[string]string{"Model": "m0", wire("tokens"): "3000,60", wire("parts"): prompt})
 				sentTo.Store(a.id, to.name)
 			})
 			time.Sleep(3 * time.Millisecond)
