--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -9,7 +9,7 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*record) (bool, string){
-	"recover": recoverCase, "hold": holdCase, "cut": cutCase, "term": termCase, "poison": poisonCase,
+	"recover": recoverCase, "hold": holdCase, "poison": poisonCase,
 }
 
 // guaiba are the bounds of the lost glove board (SYSTEM.md).
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -230,7 +230,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(exitCannot)
 	}
 	play, ok := cases[os.Args[1]]
@@ -238,7 +238,7 @@
 		fmt.Fprintln(os.Stderr, "no case", os.Args[1])
 		os.Exit(exitCannot)
 	}
-	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	file, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannot)
