fix(direct): which version began a stream outlives the loss of all instances

What callers saw: streams that broke off when all instances were killed were refused (LOST), or went on at another version of the endpoints' software where the one that began them had just left (ORDER).

Cause: only instances remembered which version began a stream, and a restarted one decided from the versions listed at that moment. Class: a decision from absence by a process that has just started or was cut off.

Change: while a service has several versions, or had within the time in which streams are taken up, the store gets a record of each stream before its first event is passed on (several with one call, under a lease), and of the versions of each service. A stream without a record at the keepers is looked up there. "A single version can have begun it" needs an instance that has observed the service for a minute, or the versions on record. Keepers stay, for times without the store.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -1,9 +1,10 @@
 // Package origin records which version of an endpoint's software began a stream, so that any
 // instance at which its caller takes it up can continue it at that version.
 //
-// Each instance records the streams whose first event it has passed on. While a service has several
+// Each instance records the streams whose first event it passes on. While a service has several
 // versions it also names them to their keepers: the instances that rendezvous hashing over the
-// stream's ID picks, the same at all instances with the same view of the fleet.
+// stream's ID picks, the same at all instances with the same view of the fleet. The platform's store
+// gets them too, since all instances may be lost at once, and so does a history of the versions.
 package origin
 
 import (
@@ -41,6 +42,7 @@
 	stream Stream
 	at     time.Time
 	own    bool // this instance passed the first event on
+	stored bool // the store has a record of it
 }
 
 // Table holds one instance's records of streams, and the versions that are listed. It is not safe for
@@ -51,16 +53,29 @@
 	// versions are those of the services' endpoints, with when one was last listed.
 	versions map[catalog.Service]map[fleet.Software]time.Time
 	unnamed  []Stream
+	unstored []string // IDs of streams to record in the store
+	// history is what the store has on record of the versions, historyRead when it was first read.
+	// It is stale if the store may have lost a part since.
+	history     map[catalog.Service]Serving
+	historyRead time.Time
+	stale       bool
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{streams: make(map[string]entry), versions: make(map[catalog.Service]map[fleet.Software]time.Time)}
+	return &Table{
+		streams: make(map[string]entry), versions: make(map[catalog.Service]map[fleet.Software]time.Time),
+		history: make(map[catalog.Service]Serving),
+	}
 }
 
 // Listed records that an endpoint with a version of a service's software is listed. When the second
-// version appears, the streams that began before it are to be named too.
+// version appears, the streams that began before it are to be named and stored too.
 func (t *Table) Listed(now time.Time, service catalog.Service, software fleet.Software) {
+	t.remember(now, service, software)
+}
+
+func (t *Table) remember(now time.Time, service catalog.Service, software fleet.Software) {
 	versions := t.versions[service]
 	if versions == nil {
 		versions = make(map[fleet.Software]time.Time)
@@ -68,16 +83,25 @@
 	}
 	_, known := versions[software]
 	versions[software] = now
-	if known || len(versions) != 2 {
-		return
+	if !known && len(versions) == 2 {
+		t.announceOwn(service)
 	}
+}
+
+// announceOwn has the streams of a service that began here named and stored.
+func (t *Table) announceOwn(service catalog.Service) {
 	for _, id := range t.order {
 		if e, ok := t.streams[id]; ok && e.own && e.stream.Service == service {
-			t.unnamed = append(t.unnamed, e.stream)
+			t.announce(e.stream)
 		}
 	}
 }
 
+func (t *Table) announce(s Stream) {
+	t.unnamed = append(t.unnamed, s)
+	t.unstored = append(t.unstored, s.ID)
+}
+
 // Versions returns the versions of a service's endpoints that are listed or were within Retention,
 // sorted. One of them began any stream that is still taken up.
 func (t *Table) Versions(now time.Time, service catalog.Service) []fleet.Software {
@@ -85,14 +109,18 @@
 	return slices.Sorted(maps.Keys(t.versions[service]))
 }
 
-// Began records that this instance has passed on the first event of a stream. It reports whether
-// there are streams to name to their keepers.
+// Began records that this instance is about to pass on the first event of a stream. It reports
+// whether the store must have a record of it before.
 func (t *Table) Began(now time.Time, s Stream) bool {
 	t.keep(now, s, true)
-	if len(t.Versions(now, s.Service)) > 1 {
-		t.unnamed = append(t.unnamed, s)
+	if len(t.Versions(now, s.Service)) < 2 {
+		return false
+	}
+	if t.streams[s.ID].stored {
+		return false
 	}
-	return len(t.unnamed) > 0
+	t.announce(s)
+	return true
 }
 
 // Keep records a stream that another instance has named.
@@ -102,7 +130,8 @@
 	if _, known := t.streams[s.ID]; !known {
 		t.order = append(t.order, s.ID)
 	}
-	t.streams[s.ID] = entry{stream: s, at: now, own: own || t.streams[s.ID].own}
+	known := t.streams[s.ID]
+	t.streams[s.ID] = entry{stream: s, at: now, own: own || known.own, stored: known.stored}
 	for len(t.streams) > maxStreams {
 		delete(t.streams, t.order[0])
 		t.order = t.order[1:]
@@ -128,6 +157,48 @@
 	return streams
 }
 
+// KeepStored records a stream that the store has on record.
+func (t *Table) KeepStored(now time.Time, s Stream) {
+	t.keep(now, s, false)
+	t.MarkStored(s.ID)
+}
+
+// HasUnstored reports whether there are streams to record in the store, TakeUnstored returns some of
+// them. ReturnUnstored takes back those whose record could not be written.
+func (t *Table) HasUnstored() bool { return len(t.unstored) > 0 }
+
+// TakeUnstored returns streams to record in the store, the newest first: their callers wait for it,
+// while most of those that began before a second version was listed have ended.
+func (t *Table) TakeUnstored(limit int) []Stream {
+	var streams []Stream
+	for len(streams) < limit && len(t.unstored) > 0 {
+		last := len(t.unstored) - 1
+		if e, ok := t.streams[t.unstored[last]]; ok {
+			streams = append(streams, e.stream)
+		}
+		t.unstored = t.unstored[:last]
+	}
+	return streams
+}
+
+// ReturnUnstored takes back streams whose record could not be written.
+func (t *Table) ReturnUnstored(streams []Stream) {
+	for _, s := range slices.Backward(streams) {
+		t.unstored = append(t.unstored, s.ID)
+	}
+}
+
+// MarkStored records that the store has a record of a stream.
+func (t *Table) MarkStored(id string) {
+	if e, ok := t.streams[id]; ok {
+		e.stored = true
+		t.streams[id] = e
+	}
+}
+
+// Stored reports whether the store has a record of a stream.
+func (t *Table) Stored(id string) bool { return t.streams[id].stored }
+
 // Expire forgets streams that are no longer taken up.
 func (t *Table) Expire(now time.Time) {
 	t.order = slices.DeleteFunc(t.order, func(id string) bool {
@@ -138,6 +209,7 @@
 		delete(t.streams, id)
 		return true
 	})
+	t.unstored = slices.DeleteFunc(t.unstored, func(id string) bool { _, ok := t.streams[id]; return !ok })
 }
 
 // KeepersOf returns the instances that are asked for the origin of a stream, the first ones by
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -74,6 +74,7 @@
 	gossip            *gossip.Client
 	orderLease        *orderLease
 	loader            *loader.Loader
+	streamRecords     *streamRecords
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
 	callers           drain.Connections // of callers' connections
@@ -129,6 +130,7 @@
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
 		Capacity: endpointCapacity, TrendLead: trendLead(),
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
+	n.streamRecords = newStreamRecords(n.store, n.state, c.Store.Timeout, n.registry, logger)
 	counts := newStats(n.registry)
 	n.state.spreadStats = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
@@ -146,6 +148,8 @@
 	}
 	_ = level.Warn(n.logger).Log("step", "store restored", "era", era)
 	n.state.storeFailed()
+	n.state.forgetStored()
+	n.streamRecords.notify()
 }
 
 const (
@@ -239,6 +243,7 @@
 func (n *Node) startTasks(lifetime context.Context) {
 	n.group.Go(func() error { return n.watchCatalog(lifetime) })
 	n.group.Go(func() error { return n.watchRoster(lifetime) })
+	n.group.Go(func() error { return n.streamRecords.run(lifetime) })
 	every := func(name string, interval time.Duration, task func(context.Context)) {
 		n.tasks.Every(name, interval, func(ctx context.Context, _ time.Time) { task(ctx) })
 	}
@@ -249,6 +254,7 @@
 	every("place", placementInterval, n.placeModels)
 	every("tidy", cleanUpInterval, n.cleanUp)
 	every("list", instanceListInterval, n.refreshInstances)
+	every("history", historyInterval, n.streamRecords.updateHistory)
 	every("paths", pathCheckInterval, n.checkPaths)
 	every("reload", reloadInterval, func(context.Context) { n.Reload("look") })
 }
@@ -293,6 +299,9 @@
 	if n.state.hasUnnamedStreams() {
 		n.tasks.RunIfIdle("origins", n.nameStreams)
 	}
+	if n.state.hasStreamsToStore() {
+		n.streamRecords.notify()
+	}
 	if n.state.hasEndpointsToAsk() {
 		n.tasks.RunIfIdle("broken", n.checkBroken)
 	}
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -31,11 +31,12 @@
 	}
 }
 
-// StreamBegan records that the first event of a stream was passed on.
-func (s *state) StreamBegan(stream origin.Stream) {
+// StreamBegan records that the first event of a stream is about to be passed on. It reports whether
+// the store must have a record of it before.
+func (s *state) StreamBegan(stream origin.Stream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origins.Began(s.clock(), stream)
+	return s.origins.Began(s.clock(), stream)
 }
 
 func (s *state) hasUnnamedStreams() bool {
@@ -96,7 +97,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	software, known := s.origins.Find(now, f.Service, f.ID)
-	return &gossip.FindOriginReply{Known: known, Software: software, Versions: s.origins.Versions(now, f.Service)}
+	return &gossip.FindOriginReply{Known: known, Software: software, Versions: s.origins.Versions(now, f.Service), Settled: s.origins.Settled(now)}
 }
 
 // keepersToAsk returns the other instances to ask for the origin of a stream.
@@ -112,71 +113,60 @@
 	return peers
 }
 
-// decideOrigin returns the version that began a stream, by this instance's record and the replies of
-// the keepers, nil for one that didn't reply. A stream without a record may continue only if a single
-// version can have begun it, and if a keeper or the store has answered: a second version may have been
-// listed while this instance was cut off.
-func (s *state) decideOrigin(own *gossip.FindOriginReply, others []*gossip.FindOriginReply) (*fleet.Software, error) {
-	var versions []fleet.Software
-	answered := len(others) == 0
-	for _, r := range append([]*gossip.FindOriginReply{own}, others...) {
-		if r == nil {
-			continue
-		}
-		if r.Known {
-			return &r.Software, nil
-		}
-		answered = answered || r != own
-		versions = append(versions, r.Versions...)
-	}
-	slices.Sort(versions)
-	versions = slices.Compact(versions)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case len(versions) > 1, !answered && !s.storeReachable():
-		return nil, gateway.ErrUnknownOrigin
-	case len(versions) == 0:
-		return nil, nil //nolint:nilnil // no endpoint is listed
-	default:
-		return &versions[0], nil
-	}
-}
-
-// StreamBegan also has the stream named to its keepers.
-func (g gatewayFleet) StreamBegan(stream origin.Stream) {
-	g.state.StreamBegan(stream)
-	if g.hasUnnamedStreams() {
-		g.node.tasks.RunIfIdle("origins", g.node.nameStreams)
+// StreamBegan also has the stream named to its keepers and, while a service has several versions, waits
+// until the store has a record of it: all instances may be lost right after the first event.
+func (g gatewayFleet) StreamBegan(ctx context.Context, stream origin.Stream) {
+	if !g.state.StreamBegan(stream) {
+		return
 	}
+	g.node.tasks.RunIfIdle("origins", g.node.nameStreams)
+	g.node.streamRecords.await(ctx, stream.ID)
 }
 
 // Origin returns the version that began a stream. Unless this instance passed on its first event,
-// the keepers of the stream are asked.
-func (g gatewayFleet) Origin(ctx context.Context, service catalog.Service, id string) (*fleet.Software, error) {
+// the keepers of the stream are asked, and the store if that leaves a doubt.
+func (g gatewayFleet) Origin(ctx context.Context, service catalog.Service, id string) (fleet.Software, error) {
 	question := &gossip.FindOrigin{Service: service, ID: id}
-	own := g.findOrigin(question)
-	if own.Known {
-		return &own.Software, nil
+	own := g.findOrigin(question).Knowledge()
+	software, verdict := origin.Decide(own, nil)
+	if verdict == origin.VerdictRecorded {
+		return software, nil
+	}
+	replies := g.askKeepers(ctx, question)
+	source := "keepers"
+	if software, verdict = origin.Decide(own, replies); verdict == origin.VerdictUnread {
+		source = "store"
+		lookup := g.node.streamRecords.find(ctx, service, id)
+		software, verdict = origin.DecideByStore(g.findOrigin(question).Knowledge(), replies, lookup)
 	}
+	_ = g.logger.Log("step", "origin", "stream", id, "service", service, "verdict", string(verdict), "software", software, "from", source)
+	g.node.countOrigin(verdict, source)
+	if verdict == origin.VerdictUnknown {
+		return "", gateway.ErrUnknownOrigin
+	}
+	return software, nil
+}
+
+// askKeepers asks the keepers of a stream for its origin. The reply of one that doesn't answer is nil.
+func (g gatewayFleet) askKeepers(ctx context.Context, question *gossip.FindOrigin) []*origin.Knowledge {
 	ctx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
-	keepers := g.keepersToAsk(id)
-	replies := make([]*gossip.FindOriginReply, len(keepers))
+	keepers := g.keepersToAsk(question.ID)
+	replies := make([]*origin.Knowledge, len(keepers))
 	var group errgroup.Group
 	for i := range keepers {
 		group.Go(func() error {
 			reply, err := g.node.gossip.FindOrigin(ctx, keepers[i].Address, question)
 			if err != nil {
-				_ = level.Warn(g.logger).Log("step", "origin", "peer", keepers[i].Instance, "stream", id, "err", err)
+				_ = level.Warn(g.logger).Log("step", "origin", "peer", keepers[i].Instance, "stream", question.ID, "err", err)
 				return nil
 			}
-			replies[i] = reply
+			replies[i] = reply.Knowledge()
 			return nil
 		})
 	}
 	_ = group.Wait() // failures are logged above
-	return g.decideOrigin(own, replies)
+	return replies
 }
 
 // nameStreams names streams to their keepers until none is left to name.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -313,7 +313,7 @@
 			if !j.delivery.take(a) {
 				return outcomeSuperseded, nil
 			}
-			a.announceStream()
+			a.announceStream(ctx)
 			if err := j.delivery.passEvents(a, answer, events.data[:complete]); err != nil {
 				return outcomeDone, err
 			}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -141,24 +141,24 @@
 	f.completed = append(f.completed, p)
 }
 
-func (f *fakeFleet) StreamBegan(s origin.Stream) {
+func (f *fakeFleet) StreamBegan(_ context.Context, s origin.Stream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams = append(f.streams, s)
 }
 
-func (f *fakeFleet) Origin(_ context.Context, _ catalog.Service, id string) (*fleet.Software, error) {
+func (f *fakeFleet) Origin(_ context.Context, _ catalog.Service, id string) (fleet.Software, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.streams {
 		if s.ID == id {
-			return &s.Software, nil
+			return s.Software, nil
 		}
 	}
 	if len(f.software) > 0 {
-		return nil, gateway.ErrUnknownOrigin
+		return "", gateway.ErrUnknownOrigin
 	}
-	return nil, nil //nolint:nilnil // no versions
+	return "", nil // all endpoints have the same version
 }
 
 func (f *fakeFleet) HasAlternative(a *balance.Request) bool {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -13,11 +13,11 @@
 
 // Origins tells which version of a service's software began a stream, at whatever instance.
 type Origins interface {
-	// StreamBegan records that the first event of a stream was passed on.
-	StreamBegan(s origin.Stream)
-	// Origin returns the version that began a stream, nil if none is known to serve. The error is
-	// ErrUnknownOrigin if that isn't known and several versions may have.
-	Origin(ctx context.Context, service catalog.Service, id string) (*fleet.Software, error)
+	// StreamBegan records that the first event of a stream is about to be passed on.
+	StreamBegan(ctx context.Context, s origin.Stream)
+	// Origin returns the version that began a stream. The error is ErrUnknownOrigin if that isn't
+	// known and several versions may have.
+	Origin(ctx context.Context, service catalog.Service, id string) (fleet.Software, error)
 }
 
 // maxStreamID bounds the bytes of an ID that instances remember of a stream.
@@ -49,14 +49,14 @@
 	if err != nil {
 		return err
 	}
-	j.delivery.software = software
+	j.delivery.software = &software
 	return nil
 }
 
 // announceStream records which version writes the stream, before its first event is passed on.
-func (a *attempt) announceStream() {
+func (a *attempt) announceStream(ctx context.Context) {
 	j := a.job
 	if j.route.Resumable && !j.delivery.begun() {
-		j.gateway.fleet.StreamBegan(origin.Stream{Service: j.service, ID: j.request.streamID(), Software: a.target.Software})
+		j.gateway.fleet.StreamBegan(ctx, origin.Stream{Service: j.service, ID: j.request.streamID(), Software: a.target.Software})
 	}
 }
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -67,7 +67,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
 			f.software = []fleet.Software{"2", "1"}
-			f.StreamBegan(origin.Stream{Service: "s", ID: "r0", Software: "1"})
+			f.StreamBegan(t.Context(), origin.Stream{Service: "s", ID: "r0", Software: "1"})
 			header := map[string]string{"Model": "m", "Last-Event-Id": "2"}
 			if tt.resumes != "" {
 				header["Resumes"] = tt.resumes
@@ -108,7 +108,7 @@
 		t.Run(resumes, func(t *testing.T) {
 			f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
 			f.admissionRefused, f.admissionWait = true, time.Second
-			f.StreamBegan(origin.Stream{Service: "s", ID: "r0"})
+			f.StreamBegan(t.Context(), origin.Stream{Service: "s", ID: "r0"})
 			header, status := map[string]string{"Model": "m"}, http.StatusServiceUnavailable
 			if resumes != "" {
 				header["Last-Event-Id"], header["Resumes"], status = "2", resumes, http.StatusOK
--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -62,7 +62,7 @@
 		{"origins", &gossip.Origins{Streams: []origin.Stream{{Service: "s", ID: "r1", Software: "v1"}}}},
 		{"origins-reply", &gossip.OriginsReply{}},
 		{"find-origin", &gossip.FindOrigin{Service: "s", ID: "r1"}},
-		{"find-origin-reply", &gossip.FindOriginReply{Known: true, Software: "v1", Versions: []fleet.Software{"v1", "v2"}}},
+		{"find-origin-reply", &gossip.FindOriginReply{Known: true, Software: "v1", Versions: []fleet.Software{"v1", "v2"}, Settled: true}},
 		{"admit", &gossip.Admit{
 			Endpoint: "p-1", Born: 17, Level: 2, Work: 14 * time.Millisecond, Run: 15 * time.Millisecond, Limit: 16 * time.Millisecond, Rate: &limit,
 			Late:   &gossip.Late{ID: 31, Waited: 80 * time.Millisecond, Patience: 90 * time.Millisecond, Asked: true, Last: true, Yields: true, Withdrawn: true},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -257,11 +257,20 @@
 }
 
 // FindOriginReply answers a FindOrigin. Versions are those of the service that may have begun a
-// stream which callers still take up.
+// stream which callers still take up; there are no others if Settled is set.
 type FindOriginReply struct {
 	Known    bool             `cbor:"k"`
 	Software fleet.Software   `cbor:"w"`
 	Versions []fleet.Software `cbor:"v"`
+	Settled  bool             `cbor:"t,omitempty"`
+}
+
+// Knowledge returns what the reply says, nil if there is none.
+func (r *FindOriginReply) Knowledge() *origin.Knowledge {
+	if r == nil {
+		return nil
+	}
+	return &origin.Knowledge{Known: r.Known, Software: r.Software, Versions: r.Versions, Settled: r.Settled}
 }
 
 // Admit asks the instance that admits an endpoint's requests when a prompt may be sent there.
