--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -17,6 +17,16 @@
 	Revision int64
 }
 
+// listing is versions of services that an endpoint was listed with.
+type listing map[catalog.Service]map[fleet.Software]struct{}
+
+func (l listing) add(s catalog.Service, v fleet.Software) {
+	if l[s] == nil {
+		l[s] = make(map[fleet.Software]struct{})
+	}
+	l[s][v] = struct{}{}
+}
+
 // ReadHistory records the versions that the store has on record. The streams that they began may
 // still be taken up, however long ago an endpoint was listed.
 func (t *Table) ReadHistory(now time.Time, history []Serving) {
@@ -33,6 +43,7 @@
 func (t *Table) ReadServing(now time.Time, s Serving) {
 	t.history[s.Service] = s
 	for _, v := range s.Versions {
+		delete(t.listed[s.Service], v)
 		t.remember(now, s.Service, v)
 	}
 }
@@ -44,6 +55,11 @@
 // copy, and all streams of this instance recorded again. What is known here stays known.
 func (t *Table) ForgetHistory() {
 	clear(t.history)
+	for service, versions := range t.versions {
+		for v := range versions {
+			t.listed.add(service, v)
+		}
+	}
 	t.stale = true
 	for id, e := range t.streams {
 		e.stored = false
@@ -66,22 +82,27 @@
 }
 
 // Unrecorded returns the services whose record of versions must be written, as it is to be. A version
-// is added once an endpoint is listed with it, and removed when streams that it began are no longer
+// is added once an endpoint was listed with it, and removed when streams that it began are no longer
 // taken up; so instances that have started at different times agree.
-func (t *Table) Unrecorded(now time.Time, listed map[catalog.Service][]fleet.Software) []Serving {
+func (t *Table) Unrecorded(now time.Time) []Serving {
 	if t.HistoryDue() {
 		return nil
 	}
 	var changed []Serving
-	for _, service := range slices.Sorted(maps.Keys(listed)) {
-		recorded := t.history[service]
-		known := t.Versions(now, service)
+	for _, service := range slices.Sorted(maps.Keys(t.versions)) {
+		recorded, known := t.history[service], t.Versions(now, service)
+		if len(known) == 0 {
+			continue
+		}
 		versions := slices.DeleteFunc(slices.Clone(recorded.Versions), func(v fleet.Software) bool {
 			return t.Settled(now) && !slices.Contains(known, v)
 		})
-		versions = append(versions, listed[service]...)
+		for v := range t.listed[service] {
+			if slices.Contains(known, v) && !slices.Contains(versions, v) {
+				versions = append(versions, v)
+			}
+		}
 		slices.Sort(versions)
-		versions = slices.Compact(versions)
 		if !slices.Equal(versions, recorded.Versions) {
 			changed = append(changed, Serving{Service: service, Versions: versions, Revision: recorded.Revision})
 		}
--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -5,28 +5,25 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
 )
 
-type listing = map[catalog.Service][]fleet.Software
-
 // A version stays on record for as long as a stream that it began is taken up, whichever instances
 // start meanwhile, and two that differ in what they have observed don't undo each other's record.
 func TestVersionsStayOnRecord(t *testing.T) {
 	before, after := origin.NewTable(), origin.NewTable()
-	assert.Empty(t, before.Unrecorded(at(0), listing{"s": {"1"}}), "nothing is written before what is on record was read")
-	before.ReadHistory(at(0), nil)
 	before.Listed(at(0), "s", "1")
-	first := before.Unrecorded(at(0), listing{"s": {"1", "1"}})
+	assert.Empty(t, before.Unrecorded(at(0)), "nothing is written before what is on record was read")
+	before.ReadHistory(at(0), nil)
+	first := before.Unrecorded(at(0))
 	assert.Equal(t, []origin.Serving{{Service: "s", Versions: []fleet.Software{"1"}}}, first)
 	first[0].Revision = 5
 	before.ReadServing(at(0), first[0])
-	assert.Empty(t, before.Unrecorded(at(1), listing{"s": {"1"}}))
+	assert.Empty(t, before.Unrecorded(at(1)))
 	before.Listed(at(100), "s", "1")
 	before.Listed(at(100), "s", "2")
-	both := before.Unrecorded(at(100), listing{"s": {"2", "1"}})
+	both := before.Unrecorded(at(100))
 	assert.Equal(t, []origin.Serving{{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 5}}, both)
 	both[0].Revision = 8
 	before.ReadServing(at(100), both[0])
@@ -40,13 +37,13 @@
 	for seconds := 100; seconds <= 160; seconds++ {
 		before.Listed(at(seconds), "s", "2")
 		after.Listed(at(seconds+20), "s", "2")
-		assert.Empty(t, before.Unrecorded(at(seconds), listing{"s": {"2"}}))
+		assert.Empty(t, before.Unrecorded(at(seconds)))
 	}
-	rest := before.Unrecorded(at(161), listing{"s": {"2"}})
+	rest := before.Unrecorded(at(161))
 	assert.Equal(t, []origin.Serving{{Service: "s", Versions: []fleet.Software{"2"}, Revision: 8}}, rest)
 	rest[0].Revision = 9
 	after.ReadServing(at(162), rest[0])
-	assert.Empty(t, after.Unrecorded(at(162), listing{"s": {"2"}}))
+	assert.Empty(t, after.Unrecorded(at(162)))
 }
 
 // After the store has come back from an older copy, versions are read and streams are recorded again.
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -59,13 +59,15 @@
 	history     map[catalog.Service]Serving
 	historyRead time.Time
 	stale       bool
+	// listed are the versions that the record may lack.
+	listed listing
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{
 		streams: make(map[string]entry), versions: make(map[catalog.Service]map[fleet.Software]time.Time),
-		history: make(map[catalog.Service]Serving),
+		history: make(map[catalog.Service]Serving), listed: make(listing),
 	}
 }
 
@@ -73,6 +75,9 @@
 // version appears, the streams that began before it are to be named and stored too.
 func (t *Table) Listed(now time.Time, service catalog.Service, software fleet.Software) {
 	t.remember(now, service, software)
+	if !slices.Contains(t.history[service].Versions, software) {
+		t.listed.add(service, software)
+	}
 }
 
 func (t *Table) remember(now time.Time, service catalog.Service, software fleet.Software) {
--- a/internal/direct/records_test.go
+++ b/internal/direct/records_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/tenure"
 	"github.com/chiveramp/chiveramp/pkg/config"
 )
@@ -40,15 +41,7 @@
 	t.Helper()
 	switch key {
 	case instancePrefix + "one":
-		var r registration
-		require.NoError(t, json.Unmarshal([]byte(value), &r))
-		assert.Equal(t, registration{Address: "10.1.0.1:1", Caller: "10.1.0.1:2"}, r)
-		written, err := json.Marshal(r)
-		require.NoError(t, err)
-		var earlier, now map[string]any
-		require.NoError(t, json.Unmarshal([]byte(value), &earlier))
-		require.NoError(t, json.Unmarshal(written, &now))
-		assert.Subset(t, now, earlier)
+		checkEncoding(t, value, &registration{Address: "10.1.0.1:1", Caller: "10.1.0.1:2"})
 	case holderKey:
 		assert.Equal(t, value, self)
 	case lastHolderKey:
@@ -65,7 +58,26 @@
 			assert.Equal(t, value, tenure.HolderRecord(true, tenure.InEra(self, 0)))
 			assert.True(t, tenure.NoOtherHolder(value, self))
 		}
+	case streamKey("r1"):
+		checkEncoding(t, value, &streamRecord{Service: "board", Software: "v1"})
+	case servingKey("board"):
+		checkEncoding(t, value, &servingRecord{Versions: []fleet.Software{"v1", "v2"}})
 	default:
 		assert.Fail(t, "the record is no longer read", key)
 	}
 }
+
+// checkEncoding checks that a record is read as a value, and that the value is written so that an
+// earlier build reads it.
+func checkEncoding[T any](t *testing.T, text string, value *T) {
+	t.Helper()
+	read := new(T)
+	require.NoError(t, json.Unmarshal([]byte(text), read))
+	assert.Equal(t, value, read)
+	written, err := json.Marshal(value)
+	require.NoError(t, err)
+	var earlier, now map[string]any
+	require.NoError(t, json.Unmarshal([]byte(text), &earlier))
+	require.NoError(t, json.Unmarshal(written, &now))
+	assert.Subset(t, now, earlier)
+}
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -348,14 +348,10 @@
 func (s *state) historyToWrite() []origin.Serving {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.watching || !s.listed {
+	if !s.watching {
 		return nil
 	}
-	listed := make(map[catalog.Service][]fleet.Software)
-	for _, e := range s.roster.All() {
-		listed[e.Service] = append(listed[e.Service], e.Software)
-	}
-	return s.origins.Unrecorded(s.clock(), listed)
+	return s.origins.Unrecorded(s.clock())
 }
 
 // forgetStored has the versions and streams recorded again, after the store has come back from an
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -53,6 +53,9 @@
 		if n.state.applyRecords(platform.Records(r.items), r.revision, r.complete) {
 			n.tasks.RunIfIdle("beat", n.sendHeartbeats)
 		}
+		if len(n.state.historyToWrite()) > 0 {
+			n.tasks.RunIfIdle("history", n.streamRecords.updateHistory)
+		}
 	})
 }
 
