fix(origin): streams named to an instance while it asks the store go on

What callers saw: nothing seen; from the review. A stream whose keeper gets its name during the question for its record, up to 400 ms, is refused, or goes on at the one version that this instance knows.

Cause: DecideByStore gets what this instance knows after the store was asked, and doesn't look whether it has the stream now.

Evidence: TestStreamsNamedWhileTheStoreIsAskedGoOn failed before (unknown in both cases).

--- a/internal/core/origin/decide.go
+++ b/internal/core/origin/decide.go
@@ -67,10 +67,13 @@
 }
 
 // DecideByStore returns the version that began a stream of which neither this instance nor the
-// keepers that answered have a record.
+// keepers that answered had a record when they were asked. One may have been named here since.
 func DecideByStore(own *Knowledge, keepers []*Knowledge, l Lookup) (fleet.Software, Verdict) {
-	if l.Found {
+	switch {
+	case l.Found:
 		return l.Software, VerdictRecorded
+	case own.Known:
+		return own.Software, VerdictRecorded
 	}
 	versions := own.Versions
 	answered, settled := len(keepers) == 0, own.Settled
--- a/internal/core/origin/decide_test.go
+++ b/internal/core/origin/decide_test.go
@@ -60,3 +60,12 @@
 		})
 	}
 }
+
+// A stream that another instance names here while the store is asked goes on at its version.
+func TestStreamsNamedWhileTheStoreIsAskedGoOn(t *testing.T) {
+	for _, l := range []origin.Lookup{{}, {Read: true, History: true}} {
+		software, verdict := origin.DecideByStore(knows("1", "1", "2"), nil, l)
+		assert.Equal(t, origin.VerdictRecorded, verdict)
+		assert.Equal(t, fleet.Software("1"), software)
+	}
+}
