test: records of streams far from the store, versions that are listed again

Change: two failing tests. Where a call to the store takes 80 ms, a first event that comes while other records are written is held for the whole 120 ms and passed on without its record, and so is the one that needs a lease. An instance that was cut off removes a version that is listed again, and the others don't write it again. The stand-in site has a round trip to the store.

--- a/internal/core/origin/recorded_test.go
+++ b/internal/core/origin/recorded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -51,3 +52,36 @@
 	restarted.Listed(at(71), "s", "2")
 	assert.Len(t, restarted.Versions(at(71), "s"), 2, "it refuses a stream without a record")
 }
+
+// An instance that was cut off while a version was listed again removes it from the record, which was not
+// written meanwhile. Those that see the version listed must have it on record all the same.
+func TestVersionsListedAgainStayOnRecord(t *testing.T) {
+	stored := origin.Serving{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 8}
+	cutOff, other := origin.NewTable(), origin.NewTable()
+	step := func(now time.Time, table *origin.Table) {
+		for range 2 { // the second time after a conflict
+			for _, s := range table.Unrecorded(now) {
+				if s.Revision == stored.Revision {
+					s.Revision++
+					stored = s
+				}
+				table.ReadServing(now, stored)
+			}
+		}
+	}
+	for _, table := range []*origin.Table{cutOff, other} {
+		table.ReadHistory(at(0), []origin.Serving{stored})
+	}
+	for seconds := range 70 {
+		cutOff.Listed(at(seconds), "s", "2")
+		other.Listed(at(seconds), "s", "2")
+		if seconds >= 30 {
+			other.Listed(at(seconds), "s", "1")
+		}
+		step(at(seconds), other)
+	}
+	step(at(70), cutOff)
+	other.Listed(at(71), "s", "1")
+	step(at(71), other)
+	assert.Equal(t, []fleet.Software{"1", "2"}, stored.Versions)
+}
--- a/internal/direct/stream_origin_gaps_test.go
+++ b/internal/direct/stream_origin_gaps_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -40,8 +42,7 @@
 	s.t.Helper()
 	n := newTestNode(s.t, name, dial)
 	s.t.Cleanup(n.gossip.Close)
-	n.store = platform.NewStore("store", platform.WithNewEra(n.newEra),
-		platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return s.listener.DialContext(ctx) }))
+	n.store = platform.NewStore("store", platform.WithNewEra(n.newEra), platform.WithStoreDialer(s.dial))
 	n.streamRecords.store = n.store
 	entry := roster.Entry{ID: "p", Service: "board", Software: "1", Revision: 1}
 	n.state.applyRecords([]roster.Record{{ID: entry.ID, Revision: 1, Entry: entry}}, 1, true)
@@ -230,3 +231,32 @@
 		assert.Equal(t, fleet.Software("1"), originAt(t, f, "a"))
 	})
 }
+
+// A first event that comes while other records are written waits for its own also in the region that is
+// farthest from the store, 80 ms there and back.
+func TestFirstEventsAreRecordedFarFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRecordedSite(t)
+		s.delay = 80 * time.Millisecond
+		s.list("p", "1")
+		s.list("q", "2")
+		f, kill := s.start("one")
+		defer kill()
+		time.Sleep(5 * time.Second)
+		f.StreamBegan(t.Context(), begun("before", "1"))
+		time.Sleep(time.Second)
+		var group errgroup.Group
+		for _, id := range []string{"a", "b", "c"} {
+			group.Go(func() error {
+				f.StreamBegan(t.Context(), begun(id, "1"))
+				if s.store.Value(streamKey(id)) == nil {
+					return fmt.Errorf("stream %s has no record", id)
+				}
+				return nil
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.NoError(t, group.Wait())
+		assert.Zero(t, f.node.streamRecords.unwritten.Count())
+	})
+}
--- a/internal/direct/stream_records_test.go
+++ b/internal/direct/stream_records_test.go
@@ -28,6 +28,25 @@
 	t        *testing.T
 	store    *standin.Store
 	listener *bufconn.Listener
+	// delay is the round trip to the store.
+	delay time.Duration
+}
+
+// delayedConn delays what is written to it.
+type delayedConn struct {
+	net.Conn
+
+	delay time.Duration
+}
+
+func (c delayedConn) Write(b []byte) (int, error) {
+	time.Sleep(c.delay)
+	return c.Conn.Write(b)
+}
+
+func (s *recordedSite) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	conn, err := s.listener.DialContext(ctx)
+	return delayedConn{conn, s.delay}, err
 }
 
 func newRecordedSite(t *testing.T) *recordedSite {
@@ -55,7 +74,7 @@
 	n, group := newTestNode(s.t, name, nil), new(errgroup.Group)
 	n.timers.Start(ctx, group)
 	n.store = platform.NewStore("store", platform.WithNewEra(n.newEra), platform.WithStallTimeout(n.timers, n.config.Store.Timeout),
-		platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return s.listener.DialContext(ctx) }))
+		platform.WithStoreDialer(s.dial))
 	n.orderLease.store, n.streamRecords.store = n.store, n.store
 	group.Go(func() error { return n.watchRoster(ctx) })
 	group.Go(func() error { return n.streamRecords.run(ctx) })
