fix(direct): first events wait for one call to the store, and versions listed again stay on record

Cause: records were written one call after the other, so a stream that began during a call waited for two, and the first one for a lease too; an instance that was cut off while a version was listed again could remove it from the record, which the others did not look at again.

Change: up to four calls at once, a lease granted before it is needed; a version that is listed again after a gap has its record written anew, which the guard of a late removal fails at.

Evidence: TestFirstEventsAreRecordedFarFromTheStore and TestVersionsListedAgainStayOnRecord failed before and pass.

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -9,8 +9,13 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
-// firstEra is the latest era of a store that has never come back from an older copy.
-const firstEra = 1
+const (
+	// firstEra is the latest era of a store that has never come back from an older copy.
+	firstEra = 1
+	// relistGap is how long a version must not have been listed for its record to be written anew once
+	// it is: an instance that was cut off may be about to remove it.
+	relistGap = 10 * time.Second
+)
 
 // Serving is the versions of a service's endpoints that the store has on record. The record outlives
 // all instances.
@@ -46,14 +51,14 @@
 	}
 }
 
-// ReadServing records the versions of one service that the store has on record. One that was there
-// when the record was last read is not remembered for longer.
+// ReadServing records the versions of one service that the store has on record. They are remembered
+// for longer only if the record was written since it was last read.
 func (t *Table) ReadServing(now time.Time, s Serving) {
-	before := t.history[s.Service].Versions
+	written := s.Revision != t.history[s.Service].Revision
 	t.history[s.Service] = s
 	for _, v := range s.Versions {
 		delete(t.listed[s.Service], v)
-		if !slices.Contains(before, v) {
+		if written {
 			t.remember(now, s.Service, v)
 		}
 	}
@@ -131,7 +136,8 @@
 			continue
 		}
 		recorded := t.history[service]
-		if next := t.nextServing(now, service); next.Era != recorded.Era || !slices.Equal(next.Versions, recorded.Versions) {
+		next := t.nextServing(now, service)
+		if len(t.listed[service]) > 0 || next.Era != recorded.Era || !slices.Equal(next.Versions, recorded.Versions) {
 			changed = append(changed, next)
 		}
 	}
@@ -149,7 +155,10 @@
 		return t.Observed(now) && !slices.Contains(known, v)
 	})
 	for v := range t.listed[service] {
-		if slices.Contains(known, v) && !slices.Contains(next.Versions, v) {
+		switch {
+		case !slices.Contains(known, v):
+			delete(t.listed[service], v)
+		case !slices.Contains(next.Versions, v):
 			next.Versions = append(next.Versions, v)
 		}
 	}
@@ -157,6 +166,16 @@
 	return next
 }
 
+// Recording reports whether the streams of any service that begin now are to be recorded in the store.
+func (t *Table) Recording(now time.Time) bool {
+	for service := range t.versions {
+		if t.mixed(now, service) {
+			return true
+		}
+	}
+	return false
+}
+
 // mixed reports whether streams of a service may have begun at several versions, as far as this
 // instance or one that reads the record knows.
 func (t *Table) mixed(now time.Time, service catalog.Service) bool {
--- a/internal/core/origin/recorded_test.go
+++ b/internal/core/origin/recorded_test.go
@@ -70,7 +70,7 @@
 		}
 	}
 	for _, table := range []*origin.Table{cutOff, other} {
-		table.ReadHistory(at(0), []origin.Serving{stored})
+		table.ReadHistory(at(0), 0, []origin.Serving{stored})
 	}
 	for seconds := range 70 {
 		cutOff.Listed(at(seconds), "s", "2")
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -61,7 +61,7 @@
 	stale       bool
 	era         int64 // of the store when it was last read
 	outlived    bool  // the store has come back from an older copy since it was first read
-	// listed are the versions that the record may lack.
+	// listed are the versions that the record may lack, now or soon.
 	listed listing
 }
 
@@ -76,8 +76,9 @@
 // Listed records that an endpoint with a version of a service's software is listed. When the second
 // version appears, the streams that began before it are to be named and stored too.
 func (t *Table) Listed(now time.Time, service catalog.Service, software fleet.Software) {
+	last, known := t.versions[service][software]
 	t.remember(now, service, software)
-	if !slices.Contains(t.history[service].Versions, software) {
+	if !slices.Contains(t.history[service].Versions, software) || known && now.Sub(last) > relistGap {
 		t.listed.add(service, software)
 	}
 }
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -30,8 +31,12 @@
 	streamRecordTTL = 2 * origin.Retention
 	// maxStreamWrites is the store's limit on the writes of one call.
 	maxStreamWrites = 32
-	// streamRecordWait limits how long the first event of a stream waits for its record: two calls to
-	// the store from another region, the first of which gets a lease.
+	// leaseMargin is how long before its end a lease is replaced while streams are recorded.
+	leaseMargin = 5 * time.Second
+	// maxRecordCalls limits the calls that write records at once.
+	maxRecordCalls = 4
+	// streamRecordWait limits how long the first event of a stream waits for its record: a call to the
+	// store from the farthest region and the time that it takes there.
 	streamRecordWait = 120 * time.Millisecond
 	// findRecordTimeout limits the question for a record, for which a caller waits.
 	findRecordTimeout = 300 * time.Millisecond
@@ -71,13 +76,12 @@
 	callTimeout time.Duration
 	wake        chan struct{}
 
-	// lease and leaseUntil belong to run, readAt to updateHistory.
+	readAt time.Time // of the versions that have served; it belongs to updateHistory
+
+	mu         sync.Mutex
 	lease      platform.Lease
 	leaseUntil time.Time
-	readAt     time.Time
-
-	mu      sync.Mutex
-	waiting map[string][]chan struct{} // closed once the stream's record is written
+	waiting    map[string][]chan struct{} // closed once the stream's record is written
 	// late is set while records take longer than their streams wait, which then don't.
 	late bool
 
@@ -141,27 +145,40 @@
 	r.late = late
 }
 
-// run writes records until the context ends.
+// run writes records until the context ends. A few calls are under way at once: a stream that begins
+// during one would else wait for two.
 func (r *streamRecords) run(ctx context.Context) error {
+	var group errgroup.Group
+	group.SetLimit(maxRecordCalls)
 	for ctx.Err() == nil {
-		streams := r.state.streamsToStore(maxStreamWrites)
-		if len(streams) == 0 {
+		if !r.state.hasStreamsToStore() {
 			select {
 			case <-ctx.Done():
 			case <-r.wake:
 			}
 			continue
 		}
-		started := r.state.uptime()
-		if err := r.write(ctx, streams); err != nil {
-			r.state.returnStreams(streams)
-			_ = level.Warn(r.logger).Log("step", "record", "streams", len(streams), "err", err)
+		lease, err := r.currentLease(ctx, 0)
+		if err != nil {
+			_ = level.Warn(r.logger).Log("step", "record", "err", err)
 			sleep(ctx, recordPause)
 			continue
 		}
-		r.markWritten(streams, r.state.uptime()-started)
+		streams := r.state.streamsToStore(maxStreamWrites)
+		group.Go(func() error {
+			started := r.state.uptime()
+			if err := r.write(ctx, lease, streams); err != nil {
+				_ = level.Warn(r.logger).Log("step", "record", "streams", len(streams), "err", err)
+				sleep(ctx, recordPause)
+				r.state.returnStreams(streams)
+				r.notify()
+				return nil
+			}
+			r.markWritten(streams, r.state.uptime()-started)
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
 
 func (r *streamRecords) markWritten(streams []origin.Stream, took time.Duration) {
@@ -178,29 +195,67 @@
 	r.late = r.late && took >= streamRecordWait
 }
 
-func (r *streamRecords) write(ctx context.Context, streams []origin.Stream) error {
+// prepareLease has a lease granted before a stream needs it.
+func (r *streamRecords) prepareLease(ctx context.Context) {
+	if !r.state.recordsStreams() {
+		return
+	}
+	if _, err := r.currentLease(ctx, leaseMargin); err != nil {
+		_ = level.Warn(r.logger).Log("step", "record", "err", err)
+	}
+}
+
+// currentLease returns a lease for records that begin within a time from now.
+func (r *streamRecords) currentLease(ctx context.Context, margin time.Duration) (platform.Lease, error) {
+	now := r.state.clock()
+	r.mu.Lock()
+	lease, until := r.lease, r.leaseUntil
+	r.mu.Unlock()
+	if !lease.IsZero() && now.Add(margin).Before(until) {
+		return lease, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
-	now := r.state.clock()
-	if r.lease.IsZero() || now.After(r.leaseUntil) {
-		lease, _, err := r.store.Grant(ctx, streamRecordTTL)
-		if err != nil {
-			return fmt.Errorf("grant lease: %w", err)
-		}
-		r.lease, r.leaseUntil = lease, now.Add(streamRecordTTL-origin.Retention)
+	lease, _, err := r.store.Grant(ctx, streamRecordTTL)
+	if err != nil {
+		return platform.Lease{}, fmt.Errorf("grant lease: %w", err)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease, r.leaseUntil = lease, now.Add(streamRecordTTL-origin.Retention)
+	return lease, nil
+}
+
+// leaseLost has another lease granted, and the records written again that have ended with this one.
+func (r *streamRecords) leaseLost(lease platform.Lease) {
+	r.mu.Lock()
+	lost := r.lease == lease
+	if lost {
+		r.lease = platform.Lease{}
+	}
+	r.mu.Unlock()
+	if lost {
+		r.state.forgetRecords()
+	}
+}
+
+func (r *streamRecords) write(ctx context.Context, lease platform.Lease, streams []origin.Stream) error {
+	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
+	defer cancel()
 	writes := make([]platform.Write, 0, len(streams))
 	for _, s := range streams {
 		value, err := json.Marshal(streamRecord{Service: s.Service, Software: s.Software})
 		if err != nil {
 			return fmt.Errorf("encode record: %w", err)
 		}
-		writes = append(writes, platform.Write{Key: streamKey(s.ID), Value: value, Lease: r.lease, Unguarded: true})
+		writes = append(writes, platform.Write{Key: streamKey(s.ID), Value: value, Lease: lease, Unguarded: true})
+	}
+	if len(writes) == 0 {
+		return nil
 	}
 	_, err := r.store.Put(ctx, writes...)
 	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRestored) {
-		r.lease = platform.Lease{}
-		r.state.forgetRecords() // those under the lease are gone too
+		r.leaseLost(lease)
 	}
 	return err
 }
@@ -295,6 +350,7 @@
 func (r *streamRecords) updateHistory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
+	r.prepareLease(ctx)
 	due, differs := r.state.historyDue()
 	if now := r.state.clock(); due || differs && now.Sub(r.readAt) >= rereadInterval {
 		r.readAt = now
@@ -398,6 +454,13 @@
 	return s.origins.Unrecorded(s.clock())
 }
 
+// recordsStreams reports whether streams that begin now are recorded in the store.
+func (s *state) recordsStreams() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.origins.Recording(s.clock())
+}
+
 // forgetHistory has the versions and streams recorded again, after the store has come back from an
 // older copy, forgetRecords only the streams.
 func (s *state) forgetHistory() {
