fix(gateway): a second endpoint asked while an event is being passed on repeats it

What callers saw: an event twice (ORDER), or bytes of two events mixed, in one stream of one instance. No release and no kill is needed: an endpoint pauses, a second one that is asked beside it refuses the request, the first one goes on at that moment, and the caller takes its event slowly.

Cause: an attempt took the answer, wrote to the caller, and recorded the event's id in three steps. The silence for which a second endpoint is asked again was measured between the first and the last of them, so that it was not over while the caller read; the second endpoint then began after the event before, and both wrote to the caller.

Change: an attempt that is passing something on is not silent, and the end of what it passes on counts as progress, so that no other attempt is registered in between and each one begins after the last event.

Evidence: TestEventsStayInOrderThroughATakeOver (virtual time) failed on in 2 of 72 cases ("beside", refused second endpoint, slow caller), with event 3 twice, two writes at once and two data races with -race; all 72 pass now, also with -race.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,8 +57,10 @@
 	// quiet is set while the endpoint is silent. It belongs to the job.
 	quiet *silence
 
-	// progress counts the parts of the answer passed on. It and superseded belong to the delivery.
+	// progress counts the beginnings and ends of parts of the answer that were passed on, passing is
+	// set in between. Both and superseded belong to the delivery.
 	progress   int
+	passing    bool
 	superseded bool
 }
 
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -72,6 +72,7 @@
 		return false
 	}
 	a.progress++
+	a.passing = true
 	for _, other := range d.attempts {
 		if other != a {
 			other.superseded = true
@@ -207,17 +208,25 @@
 	if _, err := d.Write(events); err != nil {
 		return err
 	}
-	if id, ok := lastEventID(events); ok {
-		d.mu.Lock()
-		d.lastEvent = id
-		d.mu.Unlock()
-	}
 	if err := d.controller.Flush(); err != nil {
 		return fmt.Errorf("flush to caller: %w", err)
 	}
+	d.passed(a, events)
 	return nil
 }
 
+// passed records that an attempt has passed on what it took the answer for. Until then no other one is
+// sent beside it: it would not know after which event to begin.
+func (d *delivery) passed(a *attempt, events []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if id, ok := lastEventID(events); ok {
+		d.lastEvent = id
+	}
+	a.progress++
+	a.passing = false
+}
+
 // refuse answers with a refusal of the gateway itself.
 func (d *delivery) refuse(r Refusal) {
 	d.status = r.Status
