fix(gateway): events reach callers out of order, twice, or as something else than events

Cause: each block that ended in an empty line and had a line that is no comment was passed on without a look at it. Class: the wire of an endpoint trusted. A stream without ids was also run from its beginning at a second endpoint after events of the first.

Change: the events of a stream are checked against those passed on before, whichever endpoint wrote them. The first that doesn't continue the stream ends the endpoint's answer as a break does; the rest comes from another endpoint after the last good event. Gaps stay allowed where events have shown some, ids that are no numbers unless one comes twice; a stream without ids can't go on elsewhere. An endpoint with such a stream is avoided like one that failed, not suspected of a crash.

--- a/internal/direct/stats.go
+++ b/internal/direct/stats.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/gateway"
 )
 
 // stats counts requests by kind, rank and status.
@@ -61,6 +62,11 @@
 	metrics.GetOrRegisterCounter("key_refusals;status="+strconv.Itoa(status), s.registry).Inc(1)
 }
 
+// EventRejected counts a part of a stream that was not passed on.
+func (s *stats) EventRejected(fault gateway.EventFault) {
+	metrics.GetOrRegisterCounter("rejected_events;fault="+string(fault), s.registry).Inc(1)
+}
+
 // Done records the end of a request: its status and attempts, and the times to the first
 // byte and to the complete answer.
 func (s *stats) Done(route *catalog.Route, status, attempts int, firstByte, total time.Duration) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -297,7 +297,8 @@
 	a.promptInterrupted()
 }
 
-// passStream passes events on as they arrive, each only once it is complete.
+// passStream passes events on as they arrive, each only once it is complete and if it continues the
+// stream.
 func (a *attempt) passStream(ctx context.Context, answer *Answer) (outcome, error) {
 	j := a.job
 	var events eventBuffer
@@ -310,21 +311,15 @@
 			a.markAnswered()
 		}
 		if complete := events.add(buffer[:n]); complete > 0 {
-			a.promptBegun()
-			a.timer.close() // a caller that reads slowly is no silence of the endpoint
-			if !j.delivery.take(a) {
-				return outcomeSuperseded, nil
-			}
-			a.announceStream(ctx)
-			if err := j.delivery.passEvents(a, answer, events.data[:complete]); err != nil {
-				return outcomeDone, err
+			if ended, err := a.passEvents(ctx, answer, events.data[:complete]); ended != "" {
+				return ended, err
 			}
 			events.remove(complete)
 			a.timer.start(eventGapFactor * j.route.MaxEventGap)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && events.betweenEvents():
-			return a.finishStream(answer, events.data)
+			return a.endStream(answer, events.data)
 		case err != nil:
 			a.reportFailure(ctx)
 			return outcomeInterrupted, fmt.Errorf("stream broke off after event %q: %w", j.delivery.last(), err)
@@ -337,16 +332,48 @@
 	}
 }
 
-// finishStream ends a stream whose last event has been passed on, with the comments after it.
-func (a *attempt) finishStream(answer *Answer, comments []byte) (outcome, error) {
-	if !a.job.delivery.take(a) {
+// passEvents passes on complete events up to the first that doesn't continue the stream. The outcome is
+// empty if the stream goes on.
+func (a *attempt) passEvents(ctx context.Context, answer *Answer, events []byte) (outcome, error) {
+	a.timer.close() // a caller that reads slowly is no silence of the endpoint
+	accepted, fault, ok := a.job.delivery.takeEvents(a, events)
+	if !ok {
+		return outcomeSuperseded, nil
+	}
+	if accepted > 0 {
+		a.promptBegun()
+		a.announceStream(ctx)
+		if err := a.job.delivery.passEvents(a, answer, events[:accepted]); err != nil {
+			return outcomeDone, err
+		}
+	}
+	if fault != nil {
+		return outcomeInterrupted, a.rejectEvents(fault)
+	}
+	return "", nil
+}
+
+// endStream ends a stream after its last event, with the comments after it.
+func (a *attempt) endStream(answer *Answer, comments []byte) (outcome, error) {
+	j := a.job
+	if !j.delivery.take(a) {
 		return outcomeSuperseded, nil
 	}
 	if len(comments) > 0 {
-		if err := a.job.delivery.passEvents(a, answer, comments); err != nil {
+		if err := j.delivery.passEvents(a, answer, comments); err != nil {
 			return outcomeDone, err
 		}
 	}
-	a.job.delivery.writeHeader(answer, -1) // in case it had no events
-	return outcomeDone, a.job.delivery.extendDeadline()
+	j.delivery.writeHeader(answer, -1) // in case it had no events
+	j.recordNumbering()
+	return outcomeDone, j.delivery.extendDeadline()
+}
+
+// rejectEvents reports an endpoint whose stream has a fault, which is no sign of a crash.
+func (a *attempt) rejectEvents(fault *eventError) error {
+	g := a.job.gateway
+	a.job.log("step", "bad event", "endpoint", a.target.ID, "fault", string(fault.fault), "event", fault.id, "after", fault.after, "by", fault.by, "began", a.after)
+	g.stats.EventRejected(fault.fault)
+	g.fleet.Failed(a.target)
+	return fault
 }
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
@@ -34,8 +33,11 @@
 	started  bool       // the header was written
 	// software is the version that wrote the events passed on, nil as long as there are none.
 	software *fleet.Software
-	// lastEvent is the id of the last event passed on, or the one after which the caller resumes.
-	lastEvent    string
+	// events are those passed on, after the one after which the caller resumes, lastWriter is
+	// the endpoint of the last one.
+	events       sequence
+	lastWriter   fleet.Endpoint
+	consecutive  bool // streams of the service are numbered without gaps
 	status       int
 	firstByte    time.Duration
 	longestPause time.Duration // longest time between two writes of a stream's events
@@ -52,7 +54,7 @@
 		return "", false
 	}
 	d.attempts = append(d.attempts, a)
-	return d.lastEvent, true
+	return d.events.last, true
 }
 
 // remove removes an attempt that has ended. It reports whether the attempt was superseded.
@@ -71,6 +73,34 @@
 	if a.superseded {
 		return false
 	}
+	d.supersedeOthers(a)
+	return true
+}
+
+// takeEvents is take for complete events. It returns the length of those that may be passed on, and
+// the error of the event after them. Without any the other attempts are not superseded.
+func (d *delivery) takeEvents(a *attempt, events []byte) (int, *eventError, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a.superseded {
+		return 0, nil, false
+	}
+	if a.progress == 0 && a.after != "" && d.consecutive && !d.events.gaps {
+		d.events.steps = true
+	}
+	by := d.lastWriter
+	accepted, err := d.events.accept(events, d.codec.EventField)
+	if accepted > 0 {
+		by, d.lastWriter = a.target.ID, a.target.ID
+		d.supersedeOthers(a)
+	}
+	if err != nil {
+		err.by = string(by)
+	}
+	return accepted, err, true
+}
+
+func (d *delivery) supersedeOthers(a *attempt) {
 	a.progress++
 	a.passing = true
 	for _, other := range d.attempts {
@@ -79,7 +109,6 @@
 			other.cancel(errSuperseded)
 		}
 	}
-	return true
 }
 
 // progressOf returns how often an attempt has passed on a part of its answer.
@@ -107,7 +136,7 @@
 func (d *delivery) last() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lastEvent
+	return d.events.last
 }
 
 // begun reports whether the header was written.
@@ -211,35 +240,36 @@
 	if err := d.controller.Flush(); err != nil {
 		return fmt.Errorf("flush to caller: %w", err)
 	}
-	d.passed(a, events)
+	d.passed(a)
 	return nil
 }
 
 // passed records that an attempt has passed on what it took the answer for. Until then no other one is
-// sent beside it: it would not know after which event to begin.
-func (d *delivery) passed(a *attempt, events []byte) {
+// sent beside it, since two must not write at once.
+func (d *delivery) passed(a *attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if id, ok := lastEventID(events); ok {
-		d.lastEvent = id
-	}
 	a.progress++
 	a.passing = false
 }
 
+// mayContinue reports whether another endpoint can go on: nothing was passed on, or events that end
+// with one that has an id.
+func (d *delivery) mayContinue() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.started || !d.events.unnumbered
+}
+
+// numbering reports whether the stream's events so far, if they show it, are numbered without gaps.
+func (d *delivery) numbering() (gapless, known bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.events.gapless(), d.events.steps || d.events.gaps
+}
+
 // refuse answers with a refusal of the gateway itself.
 func (d *delivery) refuse(r Refusal) {
 	d.status = r.Status
 	d.codec.Refuse(d.writer, r)
 }
-
-// lastEventID returns the id of the last event that has one.
-func lastEventID(events []byte) (string, bool) {
-	lines := bytes.Split(events, []byte("\n"))
-	for _, line := range slices.Backward(lines) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id)), true
-		}
-	}
-	return "", false
-}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,10 +37,13 @@
 // betweenEvents reports whether no event has begun that is not complete.
 func (b *eventBuffer) betweenEvents() bool { return b.comments == len(b.data) }
 
-// hasEvent reports whether a text has a line that is neither empty nor a comment.
+var retryField = []byte("retry:")
+
+// hasEvent reports whether a text has a line that is neither empty nor a comment. The time after which
+// callers are to reconnect makes no event.
 func hasEvent(text []byte) bool {
 	for line := range bytes.Lines(text) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, retryField) {
 			return true
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,9 @@
 	timers Timers
 	pacer  Pacer
 
+	// consecutive has the services whose last complete stream was numbered without gaps.
+	consecutive sync.Map // by catalog.Service
+
 	maxAnswerBytes int64 // of an answer other than a stream
 	held           *heldMemory
 	waiting        waitingMemory
@@ -147,9 +151,10 @@
 	j := &job{
 		gateway: g, request: request, route: route, version: version, arrived: arrived,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
-		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, lastEvent: request.After},
+		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
 	}
+	_, j.delivery.consecutive = g.consecutive.Load(j.service)
 	j.query = balance.Request{
 		Service: j.service, Model: request.Model, Adapter: request.Adapter, Parts: request.Parts,
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
@@ -309,6 +314,8 @@
 	Workspace(name string, status int)
 	// KeyRefused records a request refused for its key.
 	KeyRefused(status int)
+	// EventRejected records a part of a stream that was not passed on.
+	EventRejected(fault EventFault)
 }
 
 type noStats struct{}
@@ -317,3 +324,4 @@
 func (noStats) Waited(*catalog.Route, int, time.Duration)                   {}
 func (noStats) Workspace(string, int)                                       {}
 func (noStats) KeyRefused(int)                                              {}
+func (noStats) EventRejected(EventFault)                                    {}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -212,7 +212,7 @@
 // startBeside sends the request to a second endpoint while the first is silent, if another can
 // take it and the retry budget allows it. The first attempt stays: its endpoint may only pause.
 func (j *job) startBeside(ctx context.Context) {
-	if len(j.inFlight) != 1 || j.tries >= maxTries || !j.maySend() {
+	if len(j.inFlight) != 1 || j.tries >= maxTries || !j.maySend() || !j.delivery.mayContinue() {
 		return
 	}
 	first := j.inFlight[0]
@@ -261,6 +261,8 @@
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
+	case !j.delivery.mayContinue():
+		return false
 	case j.tries >= j.maxTries(), mayCrash(j.failure):
 		return false
 	case j.sent.Load() == 0:
@@ -319,6 +321,18 @@
 	return min(wait+time.Duration(j.gateway.random()*retrySpread*float64(wait)), maxRetryAfter)
 }
 
+// recordNumbering records whether the events of a complete stream are numbered without gaps.
+func (j *job) recordNumbering() {
+	gapless, known := j.delivery.numbering()
+	switch {
+	case !known || j.request.After != "":
+	case gapless:
+		j.gateway.consecutive.Store(j.service, struct{}{})
+	default:
+		j.gateway.consecutive.Delete(j.service)
+	}
+}
+
 func (j *job) log(pairs ...any) {
 	_ = j.gateway.logger.Log(append(pairs, "id", j.request.ID)...)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -168,6 +168,9 @@
 	Refuse(w http.ResponseWriter, refusal Refusal)
 	// Pass copies the header fields of an endpoint's answer that the caller gets.
 	Pass(to http.Header, from http.Header)
+	// EventField reports whether the first line of an event may have a field beside those of the
+	// standard.
+	EventField(name string) bool
 }
 
 // Sender sends attempts to endpoints.
