fix(gateway): an answer without events ends a stream as if it were complete

What callers saw: a stream that ended as complete before its last piece (ORDER), where the endpoint that was to go on answered with a success that had no events: a connection closed before the first one, comments only, or an empty body of another content type.

Cause: the end of an answer counted as the end of the stream, whether or not the endpoint had written an event, and its content type wasn't looked at. Class: a decision from absence.

The rest of a stream may have no event only if its endpoint says where the answer ends, with a length or a last chunk, and no other endpoint is at the stream. All other kinds of bad answers are as before: they break off or go on elsewhere.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -221,7 +222,10 @@
 	case answer.NotRun:
 		return outcomeNotRun, fmt.Errorf("refused by the endpoint, status %d", answer.Status)
 	}
-	if j.route.Kind == catalog.KindStream && answer.Status/100 == 2 {
+	if j.route.Kind == catalog.KindStream && answer.Status/100 == 2 && j.request.Method != http.MethodHead {
+		if answer.OtherContent {
+			return outcomeUnknown, a.rejectEvents(&eventError{fault: FaultContentType, after: j.delivery.last()})
+		}
 		return a.passStream(ctx, answer)
 	}
 	return a.passComplete(ctx, answer)
@@ -319,7 +323,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && events.betweenEvents():
-			return a.endStream(answer, events.data)
+			return a.endStream(ctx, answer, events.data)
 		case err != nil:
 			a.reportFailure(ctx)
 			return outcomeInterrupted, fmt.Errorf("stream broke off after event %q: %w", j.delivery.last(), err)
@@ -353,9 +357,23 @@
 	return "", nil
 }
 
-// endStream ends a stream after its last event, with the comments after it.
-func (a *attempt) endStream(answer *Answer, comments []byte) (outcome, error) {
+// endStream ends a stream after its last event, with the comments after it. An answer without an event
+// ends the stream only if its endpoint was to go on after one, and the end of its connection is not all
+// that shows the end of the answer.
+func (a *attempt) endStream(ctx context.Context, answer *Answer, comments []byte) (outcome, error) {
 	j := a.job
+	if j.delivery.progressOf(a) == 0 {
+		switch {
+		case answer.UntilClose:
+			a.reportFailure(ctx)
+			return outcomeInterrupted, fmt.Errorf("stream ended without an event after %q: %w", j.delivery.last(), io.ErrUnexpectedEOF)
+		case a.after == "":
+			return outcomeInterrupted, a.rejectEvents(&eventError{fault: FaultNoEvents})
+		case j.delivery.hasRival(a):
+			return outcomeInterrupted, fmt.Errorf("no event after %q, beside an endpoint that may still write some", a.after)
+		}
+		j.log("step", "empty rest", "endpoint", a.target.ID, "after", a.after)
+	}
 	if !j.delivery.take(a) {
 		return outcomeSuperseded, nil
 	}
@@ -364,7 +382,7 @@
 			return outcomeDone, err
 		}
 	}
-	j.delivery.writeHeader(answer, -1) // in case it had no events
+	j.delivery.writeHeader(answer, -1) // in case the rest of the stream has no events
 	j.recordNumbering()
 	return outcomeDone, j.delivery.extendDeadline()
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -149,6 +149,10 @@
 	WrongEndpoint bool
 	// OtherRequest is set if the answer belongs to another request.
 	OtherRequest bool
+	// OtherContent is set if the body is said to be something else than a series of events.
+	OtherContent bool
+	// UntilClose is set if the body has neither a length nor chunks and ends with its connection.
+	UntilClose bool
 	// Limited is set if the endpoint asks for no more than PerSecond requests a second, from all
 	// instances together, for as long as its answers say so.
 	Limited   bool
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -2,19 +2,30 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
 const (
 	streamHead = "HTTP/1.1 200 OK\r\nRequest-Id: REQUEST\r\nServer-Seal: SEAL\r\nContent-Type: text/event-stream\r\n"
+	jsonHead   = "HTTP/1.1 200 OK\r\nRequest-Id: REQUEST\r\nServer-Seal: SEAL\r\nContent-Type: application/json\r\n"
+	errorHead  = "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: REQUEST\r\nServer-Seal: SEAL\r\nContent-Type: application/json\r\n"
 	errorBody  = `{"error":"out of memory"}`
 )
 
@@ -30,6 +41,12 @@
 	return text
 }
 
+func withLength(body string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func untilClose(body string) string { return "Connection: close\r\n\r\n" + body }
+
 // What a faulty endpoint writes into a stream doesn't reach the caller out of order, twice or as
 // something else than events; the rest comes from another endpoint.
 func TestFaultyEventsDoNotReachTheCaller(t *testing.T) {
@@ -122,6 +139,158 @@
 	}
 }
 
+// badAnswer is an answer to the rest of a stream, after its second event.
+type badAnswer struct {
+	name     string
+	answer   standin.RawAnswer
+	complete bool   // it ends the stream
+	passed   string // what the caller gets of it
+}
+
+func badAnswers() []badAnswer {
+	return []badAnswer{
+		{name: "failure with a length", answer: standin.RawAnswer{Text: errorHead + withLength(errorBody)}},
+		{name: "failure in chunks", answer: standin.RawAnswer{Text: errorHead + chunked(errorBody, true)}},
+		{name: "failure until its connection ends", answer: standin.RawAnswer{Text: errorHead + untilClose(errorBody)}},
+		{name: "failure with the text of events", answer: standin.RawAnswer{Text: errorHead + withLength(events("3", "4"))}},
+		{name: "early failure", answer: standin.RawAnswer{Text: errorHead + withLength(errorBody), Early: true}},
+		{name: "failure, reset", answer: standin.RawAnswer{Text: errorHead + untilClose(errorBody), Reset: true}},
+		{name: "refusal", answer: standin.RawAnswer{Text: "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: REQUEST\r\nNot-Run: 1\r\n" + withLength(errorBody)}},
+		{name: "refusal of a bad request", answer: standin.RawAnswer{Text: "HTTP/1.1 400 Bad Request\r\n" + withLength(errorBody)}},
+		{name: "no receipt", answer: standin.RawAnswer{Text: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + withLength(events("3", "4"))}},
+		{name: "another content type", answer: standin.RawAnswer{Text: jsonHead + withLength(errorBody)}},
+		{name: "another content type, ending like an event", answer: standin.RawAnswer{Text: jsonHead + withLength(errorBody+"\n\n")}},
+		{name: "another content type, empty", answer: standin.RawAnswer{Text: jsonHead + withLength("")}},
+		{name: "empty until its connection ends", answer: standin.RawAnswer{Text: streamHead + untilClose("")}},
+		{name: "empty, reset", answer: standin.RawAnswer{Text: streamHead + untilClose(""), Reset: true}},
+		{name: "comments until its connection ends", answer: standin.RawAnswer{Text: streamHead + untilClose(": a\n\n")}},
+		{name: "JSON instead of events", answer: standin.RawAnswer{Text: streamHead + withLength(errorBody)}},
+		{name: "JSON instead of events, ending like one", answer: standin.RawAnswer{Text: streamHead + withLength(errorBody+"\n\n")}},
+		{name: "an event, then reset", answer: standin.RawAnswer{Text: streamHead + untilClose(events("3")), Reset: true}, passed: events("3")},
+		{name: "an event, then the end of the connection in chunks", answer: standin.RawAnswer{Text: streamHead + chunked(events("3"), false)}, passed: events("3")},
+		{name: "the rest, then a second answer", answer: standin.RawAnswer{Text: streamHead + untilClose(events("3", "4")+"HTTP/1.1 200 OK\r\n\r\n"+events("1"))}, passed: events("3", "4")},
+		{name: "an event, then a second answer without events", answer: standin.RawAnswer{Text: streamHead + untilClose(events("3")+"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}")}, passed: events("3")},
+		{name: "an event less than its length", answer: standin.RawAnswer{Text: streamHead + "Content-Length: 999\r\n\r\n" + events("3")}, passed: events("3")},
+		// The endpoint has said that nothing follows.
+		{name: "empty with a length", answer: standin.RawAnswer{Text: streamHead + withLength("")}, complete: true},
+		{name: "empty in chunks", answer: standin.RawAnswer{Text: streamHead + chunked("", true)}, complete: true},
+		// Can't be told from the end of the stream.
+		{name: "an event, then the end of the connection", answer: standin.RawAnswer{Text: streamHead + untilClose(events("3"))}, complete: true, passed: events("3")},
+	}
+}
+
+// An endpoint that can't go on with a stream has the caller's connection broken off, or another one
+// asked: its answer isn't part of the stream, and doesn't end it.
+func TestBadAnswersToTheRestOfAStream(t *testing.T) {
+	type way struct {
+		name  string
+		third bool // a third endpoint is sound
+		serve func(*testing.T, *fakeFleet) string
+	}
+	for _, tt := range badAnswers() {
+		for _, w := range []way{{"alone", false, serve}, {"with a third", true, serve}, {"relayed", false, serveRelayed}} {
+			t.Run(tt.name+", "+w.name, func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone, standin.BehaviourNone)
+				f.route.Attempts = 3
+				if !w.third {
+					f.runners = f.runners[:2]
+				}
+				f.runners[0].SetRaw(standin.RawAnswer{Text: streamHead + chunked(events("1", "2"), false)})
+				f.runners[1].SetRaw(tt.answer)
+				answer, err := send(t, w.serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "body")
+				assert.Equal(t, http.StatusOK, answer.status)
+				assert.Equal(t, "i-0.r1", standin.Receipt(answer.header))
+				switch {
+				case w.third && !tt.complete:
+					require.NoError(t, err)
+					assert.Equal(t, completeStream, answer.body)
+				default:
+					assert.Equal(t, !tt.complete, err != nil, "it must look complete only if its endpoint says so")
+					assert.Equal(t, events("1", "2")+tt.passed, answer.body)
+				}
+			})
+		}
+	}
+}
+
+// A bad answer beside an endpoint that only pauses leaves the stream to that endpoint.
+func TestBadAnswersBesideASilentEndpoint(t *testing.T) {
+	for _, tt := range badAnswers() {
+		if tt.passed != "" {
+			continue
+		}
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, catalog.KindStream, standin.BehaviourPause, standin.BehaviourNone)
+			f.route.MaxEventGap = 50 * time.Millisecond
+			f.runners[1].SetRaw(tt.answer)
+			answer, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "body")
+			require.NoError(t, err)
+			assert.Equal(t, completeStream, answer.body)
+			assert.Equal(t, "i-0.r1", standin.Receipt(answer.header))
+			assert.Equal(t, 2, f.runs())
+		})
+	}
+}
+
+// relayPeer relays connections to the endpoints at their addresses.
+type relayPeer struct{ gossip.Handler }
+
+func (relayPeer) Relay(ctx context.Context, r *gossip.Relay) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", string(r.Endpoint))
+}
+
+// serveRelayed serves a fleet whose endpoints are reached through a peer only.
+func serveRelayed(t *testing.T, f *fakeFleet) string {
+	t.Helper()
+	var lc net.ListenConfig
+	listener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	peer, client := gossip.NewServer(relayPeer{}), gossip.NewClient()
+	var group errgroup.Group
+	group.Go(func() error { return peer.Serve(listener) })
+	t.Cleanup(func() { client.Close(); peer.Stop() })
+	dial := func(ctx context.Context, _ fleet.Endpoint, _ int64, address string) (net.Conn, error) {
+		return client.Relay(ctx, listener.Addr().String(), &gossip.Relay{Endpoint: fleet.Endpoint(address), Born: 1})
+	}
+	server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(platform.WithEndpointDialer(dial)), f, time.Now))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// The first answer to a stream is one as well, or the caller gets no success.
+func TestStreamsWithoutEventsAreNoSuccess(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+	}{
+		{name: "empty with a length", answer: streamHead + withLength("")},
+		{name: "empty in chunks", answer: streamHead + chunked("", true)},
+		{name: "empty until its connection ends", answer: streamHead + untilClose("")},
+		{name: "comments only", answer: streamHead + chunked(": a\n\n", true)},
+		{name: "JSON", answer: streamHead + withLength(errorBody)},
+		{name: "another content type", answer: jsonHead + withLength(errorBody)},
+	}
+	for _, tt := range tests {
+		for _, resumable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, resumable %t", tt.name, resumable), func(t *testing.T) {
+				f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
+				f.route.Resumable = resumable
+				f.runners[0].SetRaw(standin.RawAnswer{Text: tt.answer})
+				answer, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m"}, "")
+				require.NoError(t, err)
+				if resumable {
+					assert.Equal(t, http.StatusOK, answer.status)
+					assert.Equal(t, completeStream, answer.body)
+				} else {
+					assert.Equal(t, http.StatusBadGateway, answer.status)
+				}
+			})
+		}
+	}
+}
+
 // A stream that a caller takes up goes on without a gap where streams of its service have none.
 func TestTakenUpStreamsHaveNoGap(t *testing.T) {
 	for _, seen := range []string{events("1", "2", "3"), events("1", "5", "9")} {
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -13,12 +13,14 @@
 
 // The faults of streams.
 const (
-	FaultNotAnEvent EventFault = "not-an-event" // a line has no known field
-	FaultRepeated   EventFault = "repeated"     // the id was there before
-	FaultLower      EventFault = "lower"        // the id is lower than the one before
-	FaultSkipped    EventFault = "skipped"      // an event is missing
-	FaultNoID       EventFault = "no-id"        // in a stream whose events have ids
-	FaultNotANumber EventFault = "not-a-number" // in a stream whose ids are numbers
+	FaultNotAnEvent  EventFault = "not-an-event" // a line has no known field
+	FaultRepeated    EventFault = "repeated"     // the id was there before
+	FaultLower       EventFault = "lower"        // the id is lower than the one before
+	FaultSkipped     EventFault = "skipped"      // an event is missing
+	FaultNoID        EventFault = "no-id"        // in a stream whose events have ids
+	FaultNotANumber  EventFault = "not-a-number" // in a stream whose ids are numbers
+	FaultNoEvents    EventFault = "no-events"    // the stream has ended without any
+	FaultContentType EventFault = "content-type" // the answer is no series of events
 )
 
 // eventError is returned for the part of a stream that has a fault.
