--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -57,8 +58,10 @@
 	// quiet is set while the endpoint is silent. It belongs to the job.
 	quiet *silence
 
-	// progress counts the parts of the answer passed on. It and superseded belong to the delivery.
+	// progress counts the beginnings and ends of parts of the answer that were passed on, passing is
+	// set in between. Both and superseded belong to the delivery.
 	progress   int
+	passing    bool
 	superseded bool
 }
 
@@ -219,7 +222,10 @@
 	case answer.NotRun:
 		return outcomeNotRun, fmt.Errorf("refused by the endpoint, status %d", answer.Status)
 	}
-	if j.route.Kind == catalog.KindStream && answer.Status/100 == 2 {
+	if j.route.Kind == catalog.KindStream && answer.Status/100 == 2 && j.request.Method != http.MethodHead {
+		if answer.OtherContent {
+			return outcomeUnknown, a.rejectEvents(&eventError{fault: FaultContentType, after: j.delivery.last()})
+		}
 		return a.passStream(ctx, answer)
 	}
 	return a.passComplete(ctx, answer)
@@ -295,7 +301,8 @@
 	a.promptInterrupted()
 }
 
-// passStream passes events on as they arrive, each only once it is complete.
+// passStream passes events on as they arrive, each only once it is complete and if it continues the
+// stream.
 func (a *attempt) passStream(ctx context.Context, answer *Answer) (outcome, error) {
 	j := a.job
 	var events eventBuffer
@@ -308,21 +315,15 @@
 			a.markAnswered()
 		}
 		if complete := events.add(buffer[:n]); complete > 0 {
-			a.promptBegun()
-			a.timer.close() // a caller that reads slowly is no silence of the endpoint
-			if !j.delivery.take(a) {
-				return outcomeSuperseded, nil
-			}
-			a.announceStream(ctx)
-			if err := j.delivery.passEvents(a, answer, events.data[:complete]); err != nil {
-				return outcomeDone, err
+			if ended, err := a.passEvents(ctx, answer, events.data[:complete]); ended != "" {
+				return ended, err
 			}
 			events.remove(complete)
 			a.timer.start(eventGapFactor * j.route.MaxEventGap)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && events.betweenEvents():
-			return a.finishStream(answer, events.data)
+			return a.endStream(ctx, answer, events.data)
 		case err != nil:
 			a.reportFailure(ctx)
 			return outcomeInterrupted, fmt.Errorf("stream broke off after event %q: %w", j.delivery.last(), err)
@@ -335,16 +336,62 @@
 	}
 }
 
-// finishStream ends a stream whose last event has been passed on, with the comments after it.
-func (a *attempt) finishStream(answer *Answer, comments []byte) (outcome, error) {
-	if !a.job.delivery.take(a) {
+// passEvents passes on complete events up to the first that doesn't continue the stream. The outcome is
+// empty if the stream goes on.
+func (a *attempt) passEvents(ctx context.Context, answer *Answer, events []byte) (outcome, error) {
+	a.timer.close() // a caller that reads slowly is no silence of the endpoint
+	accepted, fault, ok := a.job.delivery.takeEvents(a, events)
+	if !ok {
+		return outcomeSuperseded, nil
+	}
+	if accepted > 0 {
+		a.promptBegun()
+		a.announceStream(ctx)
+		if err := a.job.delivery.passEvents(a, answer, events[:accepted]); err != nil {
+			return outcomeDone, err
+		}
+	}
+	if fault != nil {
+		return outcomeInterrupted, a.rejectEvents(fault)
+	}
+	return "", nil
+}
+
+// endStream ends a stream after its last event, with the comments after it. An answer without an event
+// ends the stream only if its endpoint was to go on after one, and the end of its connection is not all
+// that shows the end of the answer.
+func (a *attempt) endStream(ctx context.Context, answer *Answer, comments []byte) (outcome, error) {
+	j := a.job
+	if j.delivery.progressOf(a) == 0 {
+		switch {
+		case answer.UntilClose:
+			a.reportFailure(ctx)
+			return outcomeInterrupted, fmt.Errorf("stream ended without an event after %q: %w", j.delivery.last(), io.ErrUnexpectedEOF)
+		case a.after == "":
+			return outcomeInterrupted, a.rejectEvents(&eventError{fault: FaultNoEvents})
+		case j.delivery.hasRival(a):
+			return outcomeInterrupted, fmt.Errorf("no event after %q, beside an endpoint that may still write some", a.after)
+		}
+		j.log("step", "empty rest", "endpoint", a.target.ID, "after", a.after)
+	}
+	if !j.delivery.take(a) {
 		return outcomeSuperseded, nil
 	}
 	if len(comments) > 0 {
-		if err := a.job.delivery.passEvents(a, answer, comments); err != nil {
+		if err := j.delivery.passEvents(a, answer, comments); err != nil {
 			return outcomeDone, err
 		}
 	}
-	a.job.delivery.writeHeader(answer, -1) // in case it had no events
-	return outcomeDone, a.job.delivery.extendDeadline()
+	j.delivery.writeHeader(answer, -1) // in case the rest of the stream has no events
+	j.recordNumbering()
+	return outcomeDone, j.delivery.extendDeadline()
+}
+
+// rejectEvents reports an endpoint whose stream has a fault, which is no sign of a crash.
+func (a *attempt) rejectEvents(fault *eventError) error {
+	g := a.job.gateway
+	a.job.log("step", "bad event", "endpoint", a.target.ID, "fault", string(fault.fault), "event", fault.id, "after", fault.after, "by", fault.by, "began", a.after)
+	g.stats.EventRejected(fault.fault)
+	g.fleet.Failed(a.target)
+	return fault
 }
