fix(direct): a store that refuses records is called less and less often, and other points of the review

Cause: a fixed pause of 100 ms between tries at every instance; the granted lifetime of a lease was not looked at; a record that can't be read counted as a store that is away; an older answer could replace a newer one.

Change: calls are spaced by watcher.Pace, 1 s at most; the lease's lifetime is the granted one; a garbled record refuses the stream; revisions of the versions on record only rise.

Evidence: TestRefusedRecordsAreRetriedSlowly; the row "its record can't be read" of the decision's table.

--- a/internal/core/origin/decide.go
+++ b/internal/core/origin/decide.go
@@ -50,6 +50,8 @@
 	// Read is set if it has answered, Found if it has a record of the stream, begun at Software.
 	Read, Found bool
 	Software    fleet.Software
+	// Garbled is set if a record can't be read.
+	Garbled bool
 	// History is set if the versions that it has on record are complete, and known here.
 	History bool
 }
@@ -62,6 +64,8 @@
 		return l.Software, VerdictRecorded
 	case own.Known:
 		return own.Software, VerdictRecorded
+	case l.Garbled:
+		return "", VerdictUnknown
 	}
 	versions := own.Versions
 	answered, settled := len(keepers) == 0, own.Settled
--- a/internal/core/origin/decide_test.go
+++ b/internal/core/origin/decide_test.go
@@ -49,6 +49,7 @@
 		{name: "one version listed, all have just started, history not read", own: knows("", "2"), keepers: []*origin.Knowledge{knows("", "2")}, store: origin.Lookup{Read: true}, asked: true, verdict: origin.VerdictUnknown},
 		{name: "one version ever, all have just started", own: knows("", "2"), keepers: []*origin.Knowledge{knows("", "2")}, store: read, asked: true, want: "2", verdict: origin.VerdictSingle},
 		{name: "an older version on record, all have just started", own: knows("", "1", "2"), keepers: []*origin.Knowledge{knows("", "2")}, store: read, asked: true, verdict: origin.VerdictUnknown},
+		{name: "one version, its record can't be read", own: settled("1"), keepers: []*origin.Knowledge{settled("1")}, store: origin.Lookup{Garbled: true}, asked: true, verdict: origin.VerdictUnknown},
 		{name: "no endpoints listed", own: settled(), store: read, asked: true, verdict: origin.VerdictUnknown},
 	}
 	for _, tt := range tests {
--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -54,6 +54,9 @@
 // ReadServing records the versions of one service that the store has on record. They are remembered
 // for longer only if the record was written since it was last read.
 func (t *Table) ReadServing(now time.Time, s Serving) {
+	if s.Revision < t.history[s.Service].Revision {
+		return // answers may overtake each other
+	}
 	written := s.Revision != t.history[s.Service].Revision
 	t.history[s.Service] = s
 	for _, v := range s.Versions {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -130,7 +130,7 @@
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
 		Capacity: endpointCapacity, TrendLead: trendLead(),
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
-	n.streamRecords = newStreamRecords(n.store, n.state, c.Store.Timeout, n.registry, logger)
+	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	counts := newStats(n.registry)
 	n.state.spreadStats = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -19,6 +19,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
+	"github.com/chiveramp/chiveramp/internal/core/watcher"
 	"github.com/chiveramp/chiveramp/platform"
 )
 
@@ -46,10 +47,10 @@
 	// rereadInterval is how often the records of versions are read again while another instance has
 	// changed them, or is about to.
 	rereadInterval = 10 * time.Second
-	// recordPause is the pause after a failed write.
-	recordPause = 100 * time.Millisecond
 )
 
+var errGarbledRecord = errors.New("record can't be read")
+
 // streamRecord is the value of a stream's record in the store, servingRecord that of the versions of
 // a service.
 type (
@@ -84,13 +85,17 @@
 	waiting    map[string][]chan struct{} // closed once the stream's record is written
 	// late is set while records take longer than their streams wait, which then don't.
 	late bool
+	// pace is that of calls after one that failed, of which the next one is made at pausedUntil.
+	pace        *watcher.Pace
+	pausedUntil time.Time
 
 	written, unwritten metrics.Counter
 }
 
-func newStreamRecords(store *platform.Store, s *state, callTimeout time.Duration, r metrics.Registry, logger log.Logger) *streamRecords {
+func newStreamRecords(store *platform.Store, s *state, name string, callTimeout time.Duration, r metrics.Registry, logger log.Logger) *streamRecords {
 	return &streamRecords{
 		store: store, state: s, logger: logger, callTimeout: callTimeout, wake: make(chan struct{}, 1), waiting: make(map[string][]chan struct{}),
+		pace:      watcher.NewPace(name + "/" + streamPrefix),
 		written:   metrics.GetOrRegisterCounter("stream_records;written=yes", r),
 		unwritten: metrics.GetOrRegisterCounter("stream_records;written=late", r),
 	}
@@ -151,6 +156,10 @@
 	var group errgroup.Group
 	group.SetLimit(maxRecordCalls)
 	for ctx.Err() == nil {
+		if pause := r.pause(); pause > 0 {
+			sleep(ctx, pause)
+			continue
+		}
 		if !r.state.hasStreamsToStore() {
 			select {
 			case <-ctx.Done():
@@ -161,31 +170,48 @@
 		lease, err := r.currentLease(ctx, 0)
 		if err != nil {
 			_ = level.Warn(r.logger).Log("step", "record", "err", err)
-			sleep(ctx, recordPause)
+			r.failed()
 			continue
 		}
 		streams := r.state.streamsToStore(maxStreamWrites)
 		group.Go(func() error {
-			started := r.state.uptime()
+			started := r.state.clock()
 			if err := r.write(ctx, lease, streams); err != nil {
 				_ = level.Warn(r.logger).Log("step", "record", "streams", len(streams), "err", err)
-				sleep(ctx, recordPause)
 				r.state.returnStreams(streams)
+				r.failed()
 				r.notify()
 				return nil
 			}
-			r.markWritten(streams, r.state.uptime()-started)
+			r.markWritten(streams, r.state.clock().Sub(started))
 			return nil
 		})
 	}
 	return group.Wait()
 }
 
+// pause returns how long to wait before the next call, after one that failed.
+func (r *streamRecords) pause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pausedUntil.Sub(r.state.clock())
+}
+
+// failed has the next call wait, for longer from one failure to the next: all instances call.
+func (r *streamRecords) failed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until := r.state.clock().Add(r.pace.Failed(true)); until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
+}
+
 func (r *streamRecords) markWritten(streams []origin.Stream, took time.Duration) {
 	r.state.markStored(streams)
 	r.written.Inc(int64(len(streams)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.pace.Answered()
 	for _, s := range streams {
 		for _, c := range r.waiting[s.ID] {
 			close(c)
@@ -216,13 +242,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
-	lease, _, err := r.store.Grant(ctx, streamRecordTTL)
+	lease, ttl, err := r.store.Grant(ctx, streamRecordTTL)
 	if err != nil {
 		return platform.Lease{}, fmt.Errorf("grant lease: %w", err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease, r.leaseUntil = lease, now.Add(streamRecordTTL-origin.Retention)
+	r.lease, r.leaseUntil = lease, now.Add(max(ttl-origin.Retention, ttl/2)) // records must live for a while
 	return lease, nil
 }
 
@@ -271,7 +297,7 @@
 	}
 	if err != nil {
 		_ = level.Warn(r.logger).Log("step", "record", "stream", id, "err", err)
-		return origin.Lookup{}
+		return origin.Lookup{Garbled: errors.Is(err, errGarbledRecord)}
 	}
 	lookup.Read = true
 	return lookup
@@ -291,7 +317,7 @@
 	}
 	var record streamRecord
 	if err := json.Unmarshal(item.Value, &record); err != nil {
-		return lookup, fmt.Errorf("key %s: %w", item.Key, err)
+		return lookup, fmt.Errorf("%w: key %s: %w", errGarbledRecord, item.Key, err)
 	}
 	if lookup.Found = record.Service == service; lookup.Found {
 		lookup.Software = record.Software
@@ -320,7 +346,7 @@
 func decodeServing(i platform.Item) (origin.Serving, error) {
 	var record servingRecord
 	if err := json.Unmarshal(i.Value, &record); err != nil {
-		return origin.Serving{}, fmt.Errorf("key %s: %w", i.Key, err)
+		return origin.Serving{}, fmt.Errorf("%w: key %s: %w", errGarbledRecord, i.Key, err)
 	}
 	return origin.Serving{Service: catalog.Service(strings.TrimPrefix(i.Key, servingPrefix)), Versions: record.Versions, Revision: i.Revision, Era: record.Era}, nil
 }
--- a/internal/direct/stream_records_test.go
+++ b/internal/direct/stream_records_test.go
@@ -213,3 +213,27 @@
 		assert.JSONEq(t, `{"versions":["1"]}`, string(s.store.Value(servingKey(catalog.Service("board")))))
 	})
 }
+
+// Instances whose records the store refuses call it less and less often, and write them once it takes
+// them.
+func TestRefusedRecordsAreRetriedSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRecordedSite(t)
+		s.list("p", "1")
+		s.list("q", "2")
+		f, kill := s.start("one")
+		defer kill()
+		s.store.SetFault(standin.FaultDown)
+		before := s.store.CallCount()
+		for i := range 20 {
+			f.StreamBegan(t.Context(), begun(fmt.Sprint(i), "1"))
+		}
+		time.Sleep(10 * time.Second)
+		assert.Less(t, s.store.CallCount()-before, 60, "of this instance's watches, leases and records")
+		s.store.SetFault(standin.FaultNone)
+		time.Sleep(2 * time.Second)
+		for i := range 20 {
+			assert.NotEmpty(t, s.store.Value(streamKey(fmt.Sprint(i))), "stream %d", i)
+		}
+	})
+}
