--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -17,6 +17,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
+	"github.com/chiveramp/chiveramp/internal/switches"
 	"github.com/chiveramp/chiveramp/platform"
 )
 
@@ -97,6 +98,9 @@
 // await waits until the store has a record of a stream. It gives up early if the store is slow: the
 // keepers have the stream too, so that it takes the loss of all instances to stop it.
 func (r *streamRecords) await(ctx context.Context, id string) {
+	if switches.Off(switches.StreamRecords) {
+		return
+	}
 	r.mu.Lock()
 	written := make(chan struct{})
 	r.waiting[id] = append(r.waiting[id], written)
@@ -136,6 +140,9 @@
 
 // run writes records until the context ends.
 func (r *streamRecords) run(ctx context.Context) error {
+	if switches.Off(switches.StreamRecords) {
+		return nil
+	}
 	for ctx.Err() == nil {
 		streams := r.state.streamsToStore(maxStreamWrites)
 		if len(streams) == 0 {
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -47,6 +47,8 @@
 	Limit Mechanism = "limit"
 	// StreamVersion keeps a stream at the version of the software that began it.
 	StreamVersion Mechanism = "version"
+	// StreamRecords records in the store which version began a stream.
+	StreamRecords Mechanism = "records"
 )
 
 // CrashPoint names a point in the code at which tests can make a process crash.
