fix(direct): streams of a version that the store has not on record yet are recorded

Cause: "the versions on record" was taken as complete where the store had no record of the service, because it could not be written or was lost, and the only version listed after the restart passed for the one that began each stream. A conflict over another service's record also ended the round, so this one was tried a second later only.

Change: a stream is recorded on its own unless its version is alone and known to be on record; the versions are read again until it is. Without a record of the service nothing is decided from the record. After the store's return from an older copy the records of versions are written at once, with versions that were listed within the time in which streams are taken up though they have left. TestStreamsAreNamedWhileSeveralVersionsServe gets the record that its single version now needs.

Evidence: TestStreamsOfAVersionThatIsNotOnRecordAreRecorded and TestVersionsThatTheStoreHasLostAreRecordedAgain fail without the two conditions.

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -40,6 +40,25 @@
 // HasHistory reports whether the versions on record were read.
 func (t *Table) HasHistory() bool { return !t.historyRead.IsZero() }
 
+// OnRecord reports whether the store has the versions of a service on record.
+func (t *Table) OnRecord(service catalog.Service) bool { return len(t.history[service].Versions) > 0 }
+
+func (t *Table) onRecord(service catalog.Service, software fleet.Software) bool {
+	return slices.Contains(t.history[service].Versions, software)
+}
+
+// Behind reports whether a version that is alone is not on record, as far as this instance has read
+// it: its streams are recorded one by one until it is.
+func (t *Table) Behind(now time.Time) bool {
+	for service := range t.listed {
+		versions := t.Versions(now, service)
+		if len(versions) == 1 && !t.onRecord(service, versions[0]) {
+			return true
+		}
+	}
+	return false
+}
+
 // ForgetHistory has the versions on record read again, after the store has come back from an older
 // copy, and all streams of this instance recorded again. What is known here stays known.
 func (t *Table) ForgetHistory() {
@@ -80,6 +99,8 @@
 			return t.Settled(now) && !slices.Contains(known, v)
 		})
 		versions = append(versions, listed[service]...)
+		maps.DeleteFunc(t.listed[service], func(_ fleet.Software, at time.Time) bool { return now.Sub(at) > Retention })
+		versions = slices.AppendSeq(versions, maps.Keys(t.listed[service])) // the store may have lost those that have left
 		slices.Sort(versions)
 		versions = slices.Compact(versions)
 		if !slices.Equal(versions, recorded.Versions) {
--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -70,3 +70,38 @@
 	assert.False(t, table.HistoryDue())
 	assert.True(t, table.Settled(at(0).Add(origin.Retention)), "it has observed the services all the while")
 }
+
+// The streams of a version that serves alone are recorded one by one until the version is on record: if
+// all instances are lost before, and it leaves, nothing else tells them from those of the next version.
+func TestStreamsOfAVersionThatIsNotOnRecordAreRecorded(t *testing.T) {
+	table := origin.NewTable()
+	table.Listed(at(0), "s", "1")
+	assert.True(t, table.Began(at(0), stream("a", "1")), "not read")
+	table.ReadHistory(at(1), nil)
+	assert.True(t, table.Began(at(1), stream("b", "1")), "not written")
+	assert.False(t, table.OnRecord("s"))
+	assert.True(t, table.Behind(at(1)))
+	assert.Equal(t, []origin.Stream{stream("b", "1"), stream("a", "1")}, table.TakeUnstored(32))
+	assert.False(t, table.HasUnnamed(), "keepers are for several versions")
+	table.ReadServing(at(2), origin.Serving{Service: "s", Versions: []fleet.Software{"1"}})
+	assert.True(t, table.OnRecord("s"))
+	assert.False(t, table.Behind(at(2)))
+	assert.False(t, table.Began(at(2), stream("c", "1")))
+	table.ForgetHistory()
+	assert.True(t, table.Began(at(3), stream("d", "1")), "the store may have lost it")
+}
+
+// A version that has left is on record again after the store has come back from a copy without it, for as
+// long as streams that it began are taken up.
+func TestVersionsThatTheStoreHasLostAreRecordedAgain(t *testing.T) {
+	table := origin.NewTable()
+	table.ReadHistory(at(0), nil)
+	table.Listed(at(0), "s", "1")
+	table.Listed(at(1), "s", "2")
+	table.ReadServing(at(1), origin.Serving{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 7})
+	table.ForgetHistory()
+	table.ReadHistory(at(2), []origin.Serving{{Service: "s", Versions: []fleet.Software{"2"}, Revision: 5}})
+	both := []origin.Serving{{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 5}}
+	assert.Equal(t, both, table.Unrecorded(at(3), listing{"s": {"2"}}))
+	assert.Empty(t, table.Unrecorded(at(61), listing{"s": {"2"}}))
+}
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -52,6 +52,8 @@
 	order   []string // of the streams by their age, some of which may be gone
 	// versions are those of the services' endpoints, with when one was last listed.
 	versions map[catalog.Service]map[fleet.Software]time.Time
+	// listed are those of versions that this instance itself has observed.
+	listed   map[catalog.Service]map[fleet.Software]time.Time
 	unnamed  []Stream
 	unstored []string // IDs of streams to record in the store
 	// history is what the store has on record of the versions, historyRead when it was first read.
@@ -65,13 +67,17 @@
 func NewTable() *Table {
 	return &Table{
 		streams: make(map[string]entry), versions: make(map[catalog.Service]map[fleet.Software]time.Time),
-		history: make(map[catalog.Service]Serving),
+		listed: make(map[catalog.Service]map[fleet.Software]time.Time), history: make(map[catalog.Service]Serving),
 	}
 }
 
 // Listed records that an endpoint with a version of a service's software is listed. When the second
 // version appears, the streams that began before it are to be named and stored too.
 func (t *Table) Listed(now time.Time, service catalog.Service, software fleet.Software) {
+	if t.listed[service] == nil {
+		t.listed[service] = make(map[fleet.Software]time.Time)
+	}
+	t.listed[service][software] = now
 	t.remember(now, service, software)
 }
 
@@ -92,16 +98,14 @@
 func (t *Table) announceOwn(service catalog.Service) {
 	for _, id := range t.order {
 		if e, ok := t.streams[id]; ok && e.own && e.stream.Service == service {
-			t.announce(e.stream)
+			t.unnamed = append(t.unnamed, e.stream)
+			if !e.stored {
+				t.unstored = append(t.unstored, id)
+			}
 		}
 	}
 }
 
-func (t *Table) announce(s Stream) {
-	t.unnamed = append(t.unnamed, s)
-	t.unstored = append(t.unstored, s.ID)
-}
-
 // Versions returns the versions of a service's endpoints that are listed or were within Retention,
 // sorted. One of them began any stream that is still taken up.
 func (t *Table) Versions(now time.Time, service catalog.Service) []fleet.Software {
@@ -110,16 +114,18 @@
 }
 
 // Began records that this instance is about to pass on the first event of a stream. It reports
-// whether the store must have a record of it before.
+// whether the store must have a record of it before: unless a single version can have begun it, by
+// the versions on record.
 func (t *Table) Began(now time.Time, s Stream) bool {
 	t.keep(now, s, true)
-	if len(t.Versions(now, s.Service)) < 2 {
+	single := len(t.Versions(now, s.Service)) < 2
+	if t.streams[s.ID].stored || single && t.onRecord(s.Service, s.Software) {
 		return false
 	}
-	if t.streams[s.ID].stored {
-		return false
+	if !single {
+		t.unnamed = append(t.unnamed, s)
 	}
-	t.announce(s)
+	t.unstored = append(t.unstored, s.ID)
 	return true
 }
 
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -23,6 +23,7 @@
 // version was listed once it is.
 func TestStreamsAreNamedWhileSeveralVersionsServe(t *testing.T) {
 	table := origin.NewTable()
+	table.ReadHistory(at(0), []origin.Serving{{Service: "s", Versions: []fleet.Software{"1"}}})
 	table.Listed(at(0), "s", "1")
 	assert.False(t, table.Began(at(1), stream("a", "1")))
 	table.Keep(at(1), stream("other", "1"))
@@ -31,6 +32,7 @@
 	assert.True(t, table.Began(at(3), stream("b", "2")))
 	assert.Equal(t, []origin.Stream{stream("b", "2")}, table.TakeUnnamed())
 	assert.False(t, table.HasUnnamed())
+	table.ReadServing(at(4), origin.Serving{Service: "s", Versions: []fleet.Software{"1", "2"}})
 	table.Listed(at(70), "s", "2")
 	assert.Equal(t, []fleet.Software{"2"}, table.Versions(at(70), "s"), "no stream of version 1 is left")
 	assert.False(t, table.Began(at(70), stream("c", "2")))
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -150,6 +150,7 @@
 	n.state.storeFailed()
 	n.state.forgetStored()
 	n.streamRecords.notify()
+	n.tasks.RunIfIdle("history", n.streamRecords.updateHistory)
 }
 
 const (
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -229,10 +229,10 @@
 		_ = level.Warn(r.logger).Log("step", "record", "stream", id, "err", err)
 		return lookup
 	}
-	if r.state.historyDue() {
+	if !r.state.onRecord(service) {
 		r.readHistory(ctx)
 	}
-	lookup.History = !r.state.historyDue() && r.state.hasList()
+	lookup.History = r.state.onRecord(service) && r.state.hasList()
 	return lookup
 }
 
@@ -256,14 +256,15 @@
 	_ = r.logger.Log("step", "history", "services", len(history))
 }
 
-// updateHistory reads the versions that have served, once, and writes those that serve now if this
-// instance watches the store.
+// updateHistory reads the versions that have served, until those that serve now are on record, and
+// writes them if this instance watches the store.
 func (r *streamRecords) updateHistory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
 	if r.state.historyDue() {
 		r.readHistory(ctx)
 	}
+	overtaken := false
 	for _, s := range r.state.historyToWrite() {
 		value, err := json.Marshal(servingRecord{Versions: s.Versions})
 		if err != nil {
@@ -276,12 +277,14 @@
 		case err == nil:
 			r.state.recordServing(s)
 		case errors.Is(err, platform.ErrConflict):
-			r.readHistory(ctx) // another instance has written it
-			return
+			overtaken = true // another instance has written it
 		default:
 			return
 		}
 	}
+	if overtaken || r.state.historyBehind() {
+		r.readHistory(ctx)
+	}
 }
 
 // streamsToStore returns streams to record in the store, markStored records that they are, and
@@ -331,6 +334,20 @@
 	return s.origins.HistoryDue()
 }
 
+// historyBehind reports whether a version that serves alone was not on record when that was read.
+func (s *state) historyBehind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.origins.Behind(s.clock())
+}
+
+// onRecord reports whether the versions on record were read, and those of a service are.
+func (s *state) onRecord(service catalog.Service) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.origins.HistoryDue() && s.origins.OnRecord(service)
+}
+
 // hasList reports whether a list of endpoints was received.
 func (s *state) hasList() bool {
 	s.mu.Lock()
