fix(direct): versions whose endpoints come and go within one batch are observed

Cause: versions were observed in the list after a batch of changes. A newer version that was listed for 125 ms came and went in one batch at two of three instances: they did not record the streams that they had begun, while the third one put the version on record, so that after the restart two versions could have begun them (log: history versions="[x.0 x.1]" of front-1 only, verdict=unknown for r1190 of front-2).

Change: the version of each record that arrives is observed.

Evidence: TestVersionsRemovedInTheSameBatchAreObserved failed before (versions [1], no stream to record).

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -39,6 +39,9 @@
 			s.balancer.ClearPrompts(r.ID)
 			s.slowness.Forget(r.ID)
 		}
+		if !r.Removed && !r.Invalid {
+			s.origins.Listed(now, r.Entry.Service, r.Entry.Software) // a later record may remove it again
+		}
 		s.logEndpointChange(previous, r)
 		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
 	}
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -43,3 +43,18 @@
 	keeper.keepStreams([]origin.Stream{stream})
 	assert.Equal(t, fleet.Software("1"), keeper.findOrigin(&gossip.FindOrigin{Service: "s", ID: "r1"}).Software)
 }
+
+// A version that an instance learns of together with its removal may have begun streams elsewhere.
+func TestVersionsRemovedInTheSameBatchAreObserved(t *testing.T) {
+	s := newTestState(&testClock{})
+	s.roster, s.origins = roster.New(), origin.NewTable()
+	s.recordHistory([]origin.Serving{{Service: "s", Versions: []fleet.Software{"1"}}})
+	first := roster.Record{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Software: "1", Revision: 2}}
+	s.applyRecords([]roster.Record{first}, 2, true)
+	stream := origin.Stream{Service: "s", ID: "r1", Software: "1"}
+	s.StreamBegan(stream)
+	second := roster.Record{ID: "r", Revision: 3, Entry: roster.Entry{ID: "r", Service: "s", Software: "2", Revision: 3}}
+	s.applyRecords([]roster.Record{second, {ID: "r", Revision: 4, Removed: true}}, 4, false)
+	assert.Equal(t, []fleet.Software{"1", "2"}, s.findOrigin(&gossip.FindOrigin{Service: "s", ID: "r2"}).Versions)
+	assert.Contains(t, s.streamsToStore(maxStreamWrites), stream)
+}
