--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -172,7 +172,18 @@
 // Recording reports whether the streams of any service that begin now are to be recorded in the store.
 func (t *Table) Recording(now time.Time) bool {
 	for service := range t.versions {
-		if t.mixed(now, service) {
+		if len(t.Versions(now, service)) > 0 && t.mixed(now, service) {
+			return true
+		}
+	}
+	return false
+}
+
+// Behind reports whether a version that is alone is not on record, as far as this instance has read
+// it: its streams are recorded one by one until it is.
+func (t *Table) Behind(now time.Time) bool {
+	for service := range t.versions {
+		if known := t.Versions(now, service); len(known) == 1 && !slices.Contains(t.history[service].Versions, known[0]) {
 			return true
 		}
 	}
@@ -180,8 +191,8 @@
 }
 
 // mixed reports whether streams of a service may have begun at several versions, as far as this
-// instance or one that reads the record knows.
+// instance or one that reads the record can tell.
 func (t *Table) mixed(now time.Time, service catalog.Service) bool {
 	known := t.Versions(now, service)
-	return len(known) > 1 || slices.ContainsFunc(t.history[service].Versions, func(v fleet.Software) bool { return !slices.Contains(known, v) })
+	return len(known) != 1 || !slices.Equal(known, t.history[service].Versions)
 }
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -100,16 +100,14 @@
 func (t *Table) announceOwn(service catalog.Service) {
 	for _, id := range t.order {
 		if e, ok := t.streams[id]; ok && e.own && e.stream.Service == service {
-			t.announce(e.stream)
+			t.unnamed = append(t.unnamed, e.stream)
+			if !e.stored {
+				t.unstored = append(t.unstored, id)
+			}
 		}
 	}
 }
 
-func (t *Table) announce(s Stream) {
-	t.unnamed = append(t.unnamed, s)
-	t.unstored = append(t.unstored, s.ID)
-}
-
 // Versions returns the versions of a service's endpoints that are listed or were within Retention,
 // sorted. One of them began any stream that is still taken up.
 func (t *Table) Versions(now time.Time, service catalog.Service) []fleet.Software {
@@ -118,17 +116,20 @@
 }
 
 // Began records that this instance is about to pass on the first event of a stream. It reports
-// whether the store must have a record of it before.
+// whether the store must have a record of it before: unless a single version can have begun it, by
+// the versions on record.
 func (t *Table) Began(now time.Time, s Stream) bool {
 	t.keep(now, s, true)
-	switch {
-	case !t.mixed(now, s.Service):
+	if !t.mixed(now, s.Service) {
 		return false
-	case t.streams[s.ID].stored:
-		t.unnamed = append(t.unnamed, s) // it was found in the store; its keepers may not have it
+	}
+	if len(t.Versions(now, s.Service)) > 1 {
+		t.unnamed = append(t.unnamed, s)
+	}
+	if t.streams[s.ID].stored {
 		return false
 	}
-	t.announce(s)
+	t.unstored = append(t.unstored, s.ID)
 	return true
 }
 
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -20,6 +20,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
 	"github.com/chiveramp/chiveramp/internal/core/watcher"
+	"github.com/chiveramp/chiveramp/internal/switches"
 	"github.com/chiveramp/chiveramp/platform"
 )
 
@@ -77,7 +78,9 @@
 	callTimeout time.Duration
 	wake        chan struct{}
 
-	readAt time.Time // of the versions that have served; it belongs to updateHistory
+	// readAt is when the versions that have served were last read, behindSince since when one has been
+	// missing there. Both belong to updateHistory.
+	readAt, behindSince time.Time
 
 	mu         sync.Mutex
 	lease      platform.Lease
@@ -112,6 +115,9 @@
 // await waits until the store has a record of a stream. It gives up early if the store is slow: the
 // keepers have the stream too, so that it takes the loss of all instances to stop it.
 func (r *streamRecords) await(ctx context.Context, id string) {
+	if switches.Off(switches.StreamRecords) {
+		return
+	}
 	r.mu.Lock()
 	written := make(chan struct{})
 	r.waiting[id] = append(r.waiting[id], written)
@@ -153,6 +159,9 @@
 // run writes records until the context ends. A few calls are under way at once: a stream that begins
 // during one would else wait for two.
 func (r *streamRecords) run(ctx context.Context) error {
+	if switches.Off(switches.StreamRecords) {
+		return nil
+	}
 	var group errgroup.Group
 	group.SetLimit(maxRecordCalls)
 	for ctx.Err() == nil {
@@ -371,18 +380,23 @@
 	_ = r.logger.Log("step", "history", "services", len(history))
 }
 
-// updateHistory reads the versions that have served, and writes those that serve now if this instance
-// watches the store.
+// updateHistory reads the versions that have served, until those that serve now are on record, and
+// writes them if this instance watches the store.
 func (r *streamRecords) updateHistory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
 	r.prepareLease(ctx)
-	due, differs := r.state.historyDue()
-	if now := r.state.clock(); due || differs && now.Sub(r.readAt) >= rereadInterval {
+	now := r.state.clock()
+	due, behind, differs := r.state.historyDue()
+	if !behind {
+		r.behindSince = now
+	}
+	if due || behind || differs && now.Sub(r.readAt) >= rereadInterval {
 		r.readAt = now
 		r.readHistory(ctx)
 	}
-	for _, s := range r.state.historyToWrite() {
+	overtaken := false
+	for _, s := range r.state.historyToWrite(now.Sub(r.behindSince) >= rereadInterval) {
 		value, err := json.Marshal(servingRecord{Versions: s.Versions, Era: s.Era})
 		if err != nil {
 			_ = level.Error(r.logger).Log("step", "history", "service", s.Service, "err", err)
@@ -394,12 +408,14 @@
 		case err == nil:
 			r.state.recordServing(s)
 		case errors.Is(err, platform.ErrConflict):
-			r.readHistory(ctx) // another instance has written it
-			return
+			overtaken = true // another instance has written it
 		default:
 			return
 		}
 	}
+	if overtaken {
+		r.readHistory(ctx)
+	}
 }
 
 // streamsToStore returns streams to record in the store, markStored records that they are, and
@@ -442,12 +458,13 @@
 	return s.origins.HasUnstored()
 }
 
-// historyDue reports whether the versions that have served must be read, and whether they differ from
-// those known here.
-func (s *state) historyDue() (due, differs bool) {
+// historyDue reports whether the versions that have served must be read, whether one that serves alone
+// was not among them, and whether they differ from those known here.
+func (s *state) historyDue() (due, behind, differs bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.origins.HistoryDue(), s.origins.HistoryDiffers(s.clock())
+	now := s.clock()
+	return s.origins.HistoryDue(), s.origins.Behind(now), s.origins.HistoryDiffers(now)
 }
 
 // hasList reports whether a list of endpoints was received.
@@ -470,11 +487,12 @@
 }
 
 // historyToWrite returns the records of versions that this instance has to write: one of those that
-// watch the store, which are few however many instances there are.
-func (s *state) historyToWrite() []origin.Serving {
+// watch the store, which are few however many instances there are, or any one if those haven't for a
+// while, as instances of an earlier build.
+func (s *state) historyToWrite(overdue bool) []origin.Serving {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.watching {
+	if !s.watching && !overdue {
 		return nil
 	}
 	return s.origins.Unrecorded(s.clock())
