--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
@@ -139,6 +141,38 @@
 	}
 }
 
+// The log tells an endpoint that repeats its own events from one that doesn't begin where it was to.
+func TestBadEventsAreLoggedWithTheirEndpoints(t *testing.T) {
+	tests := []struct {
+		name        string
+		first, rest string
+		end         bool // the first answer ends in order
+		want        string
+	}{
+		{name: "repeats itself", first: events("1", "2", "2"), end: true, want: `step="bad event" endpoint=i-0 fault=repeated event=2 after=2 by=i-0 began= id=r1`},
+		{name: "begins anew", first: events("1", "2"), rest: events("1"), want: `step="bad event" endpoint=i-1 fault=lower event=1 after=2 by=i-0 began=2 id=r1`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone, standin.BehaviourNone)
+			f.route.Attempts = 3
+			f.runners[0].SetRaw(standin.RawAnswer{Text: streamHead + chunked(tt.first, tt.end)})
+			if tt.rest != "" {
+				f.runners[1].SetRaw(standin.RawAnswer{Text: streamHead + chunked(tt.rest, true)})
+			}
+			var lines bytes.Buffer
+			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now,
+				gateway.WithLogger(log.NewSyncLogger(log.NewLogfmtLogger(&lines))))
+			server := httptest.NewServer(g)
+			answer, err := send(t, server.URL, http.MethodPost, map[string]string{"Model": "m"}, "")
+			server.Close()
+			require.NoError(t, err)
+			assert.Equal(t, completeStream, answer.body)
+			assert.Contains(t, lines.String(), tt.want)
+		})
+	}
+}
+
 // badAnswer is an answer to the rest of a stream, after its second event.
 type badAnswer struct {
 	name     string
