fix(platform): an earlier answer written once more is not taken for that of a request

What callers saw: "not run, try again" for a request that an endpoint was running (REFUSED), or the request was run by a second endpoint too (TWICE), after an endpoint had written an earlier refusal once more on a kept connection. Failures and complete answers without an id reached callers as theirs.

Cause: an answer without Request-Id counted as that of the request, and of several ids the first. All idle connections to the endpoint were closed instead of the one that was out of step. Bytes that waited when a request chose a kept connection could be read as its answer: net/http closes an idle connection with unread bytes only if it gets to look before the next request has chosen it.

Change: an answer is that of the request only if it has the request's id, exactly once. A refusal with 400 and Not-Run may come without one, on a connection that had no request before. Nothing else in another answer is used, neither Retry-After, Server-Leaving, Server-Limit nor Instance-Id. Only its own connection is closed; one whose answer came before the request was written in full, or without an id, is not reused. internal/httpconn wraps the connections: a request waits until all bytes received before were consumed, is not written once others arrive, and then takes another connection, as no byte of it was sent.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -294,3 +294,45 @@
 	assert.Equal(t, http.StatusGatewayTimeout, <-first)
 	assert.Zero(t, f.failed)
 }
+
+// Guards against a refusal that is written once more while the next request on its connection runs:
+// that request is neither refused as not run nor run at a second endpoint.
+func TestRefusalWrittenAgainIsNoProof(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   catalog.Kind
+		first  standin.Behaviour
+		full   bool // no other endpoint takes requests
+		status int  // of the second request
+		runs   int  // of the second request
+	}{
+		{name: "once, without id", kind: catalog.KindUnsafe, first: standin.BehaviourRefuseAgainWithoutID, status: 502, runs: 1},
+		{name: "once, without id, others full", kind: catalog.KindUnsafe, first: standin.BehaviourRefuseAgainWithoutID, full: true, status: 502, runs: 1},
+		{name: "once, with id", kind: catalog.KindUnsafe, first: standin.BehaviourRefuseAgain, status: 502, runs: 1},
+		{name: "safe, without id", kind: catalog.KindSafe, first: standin.BehaviourRefuseAgainWithoutID, status: 200, runs: 2},
+		{name: "safe, with id", kind: catalog.KindSafe, first: standin.BehaviourRefuseAgain, status: 200, runs: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, tt.kind, tt.first, standin.BehaviourNone)
+			if tt.full {
+				f.runners[1].SetBehaviour(standin.BehaviourFull)
+			}
+			url := serve(t, f)
+			_, err := send(t, url, http.MethodPost, nil, "")
+			require.NoError(t, err)
+			answer, err := send(t, url, http.MethodPost, map[string]string{"Request-Id": "r2"}, "")
+			require.NoError(t, err)
+			assert.Equal(t, tt.status, answer.status)
+			runs := 0
+			for _, r := range f.runners {
+				for _, run := range r.Runs() {
+					if run.ID == "r2" {
+						runs++
+					}
+				}
+			}
+			assert.Equal(t, tt.runs, runs)
+		})
+	}
+}
--- /dev/null
+++ b/internal/httpconn/conn.go
@@ -0,0 +1,120 @@
+// Package httpconn observes the connections of an http.Transport: whether a request was written to
+// one, and whether bytes arrived on it that can't be the answer to that request.
+package httpconn
+
+import (
+	"errors"
+	"net"
+	"sync"
+)
+
+var errUnusable = errors.New("connection is not used for this request")
+
+// Conn is a connection of an http.Transport.
+type Conn struct {
+	net.Conn
+
+	mu          sync.Mutex
+	changed     *sync.Cond
+	requests    int  // requests for which the connection was chosen
+	reading     bool // all bytes received before were consumed, and a read waits for more
+	written     bool // a byte of the newest request may have been written
+	unsolicited bool // bytes arrived after the newest request had chosen the connection and before it was written
+	retired     bool // no further request may use it
+	closed      bool
+}
+
+// New wraps a connection that no request has used.
+func New(c net.Conn) *Conn {
+	wrapped := &Conn{Conn: c}
+	wrapped.changed = sync.NewCond(&wrapped.mu)
+	return wrapped
+}
+
+// begin makes the connection ready for a request and returns the number of requests before it.
+// Once it has returned, no byte received before is left: the transport closes an idle connection
+// with bytes in its buffer, but not if a request chooses it before the transport has looked.
+func (c *Conn) begin() (before int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before = c.requests
+	c.requests++
+	for !c.reading && !c.closed && !c.retired {
+		c.changed.Wait()
+	}
+	c.written, c.unsolicited = false, false
+	return before
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	c.setReading()
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	c.unsolicited = c.unsolicited || n > 0 && !c.written
+	return n, err
+}
+
+func (c *Conn) setReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	c.changed.Broadcast()
+}
+
+// Write implements net.Conn. It writes nothing of a request whose answer could not be told apart
+// from bytes received before.
+func (c *Conn) Write(b []byte) (int, error) {
+	if !c.mayWrite() {
+		return 0, errUnusable
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *Conn) mayWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.written && (c.unsolicited || c.retired) {
+		return false
+	}
+	c.written = true
+	return true
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// retire keeps further requests off the connection. The newest one may still be written, and answered.
+func (c *Conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+	c.changed.Broadcast()
+}
+
+func (c *Conn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
+// abandonUnwritten closes the connection if no byte of the newest request was written, so that
+// none will be. It reports whether it did.
+func (c *Conn) abandonUnwritten() bool {
+	c.mu.Lock()
+	written := c.written
+	c.closed = c.closed || !written
+	c.mu.Unlock()
+	if !written {
+		_ = c.Close()
+	}
+	return !written
+}
