fix(endpoint): a refusal that an engine writes once more is no proof that the next request has not run

A request that an engine runs would be answered "not-run", or be run by another engine too.

Cause: refusals of engines ("leaving", "model_not_found") name no request, and their connections were kept.

Change: a connection on which an endpoint has answered with an error is not used again, except for plain services, whose errors are answers. Kept connections are checked for bytes received before, as on the users' platform (internal/httpconn); a request of which no byte was written takes another one.

A complete answer that is written once more late still can't be told from the next: engines need not send back X-Request-Id.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -48,7 +48,7 @@
 	copyHeader(request.Header, call.Header)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderRequest, call.Attempt)
-	setBody(request, bytes.NewReader(body), int64(len(body)))
+	setBytes(request, body)
 	return c.open("start", addr, request, 0)
 }
 
@@ -169,6 +169,20 @@
 	request.GetBody = nil
 }
 
+// setBytes sets a body that can be sent on another connection if no byte of it was sent on the first.
+func setBytes(request *http.Request, body []byte) {
+	setBody(request, bytes.NewReader(body), int64(len(body)))
+	request.Body = memoryBody{request.Body, body}
+}
+
+// memoryBody is a body that is held in memory.
+type memoryBody struct {
+	io.ReadCloser
+	data []byte
+}
+
+func (b memoryBody) reader() io.ReadCloser { return io.NopCloser(bytes.NewReader(b.data)) }
+
 func drainAndClose(response *http.Response) {
 	_, _ = io.CopyN(io.Discard, response.Body, maxProblemSize)
 	_ = response.Body.Close()
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -115,7 +114,7 @@
 		data, kind = encoded, "application/json"
 	}
 	request.Header.Set("Content-Type", kind)
-	setBody(request, bytes.NewReader(data), int64(len(data)))
+	setBytes(request, data)
 	return nil
 }
 
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -24,6 +24,7 @@
 	defaultDialTimeout    = 2 * time.Second
 	defaultEventLimit     = 1 << 20 // bytes
 	defaultBodyLimit      = 8 << 20 // bytes
+	stepForward           = "forward"
 	tracerName            = "github.com/chiveramp/chiveramp/internal/endpoint"
 )
 
@@ -110,13 +111,16 @@
 	ctx, span := c.tracer.Start(request.Context(), "endpoint."+step,
 		trace.WithSpanKind(trace.SpanKindClient))
 	x := exchange{step: step, addr: addr, span: span}
-	d := &sendTracker{allowReplay: c.settings.allowReplay}
-	request = request.WithContext(d.withTrace(ctx))
 	c.carrier.Inject(ctx, propagation.HeaderCarrier(request.Header))
-	response, err := c.transport.RoundTrip(request)
+	response, d, err := c.roundTrip(ctx, request)
 	if err != nil {
 		return nil, x, x.fail(d.classifyError(err))
 	}
+	if response.StatusCode >= http.StatusBadRequest && step != stepForward {
+		// A refusal written once more would be read as that of the next request.
+		d.exchange.Retire(response)
+	}
+	d.exchange.RetireIfEarly(response)
 	if class := response.StatusCode / 100; class < 2 || class > 5 {
 		_ = response.Body.Close()
 		return nil, x, x.fail(fmt.Errorf("%w: no answer has status %d", ErrInterrupted, response.StatusCode))
@@ -130,6 +134,31 @@
 	return response, x, nil
 }
 
+// roundTrip sends a request once. If a kept connection turns out to be unusable before a byte of
+// the request was written, it takes another one, unless the request's body can be read only once.
+func (c *Client) roundTrip(ctx context.Context, request *http.Request) (response *http.Response, d *sendTracker, err error) {
+	for range c.settings.maxIdle + 1 {
+		d = &sendTracker{allowReplay: c.settings.allowReplay}
+		attempt := request.WithContext(d.withTrace(ctx))
+		body, again := request.Body.(memoryBody)
+		if again {
+			attempt.Body = body.reader()
+		}
+		response, err = c.transport.RoundTrip(attempt)
+		if d.wasSent() {
+			return response, d, err
+		}
+		if err == nil {
+			_ = response.Body.Close()
+			err = errUnsolicited
+		}
+		if !d.exchange.Reused() || ctx.Err() != nil || !again && request.Body != http.NoBody {
+			break
+		}
+	}
+	return nil, d, err
+}
+
 // NotRun reports whether an error proves that the request did not run.
 func NotRun(err error) bool {
 	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrLeaving) || errors.Is(err, ErrNoModel)
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -28,7 +28,7 @@
 func (c *Client) Forward(ctx context.Context, addr string, call ForwardCall) (*http.Response, error) {
 	request, err := newRequest(ctx, call.Method, addr, call.Path)
 	if err != nil {
-		return nil, stepError("forward", addr, errors.Join(ErrNotSent, err))
+		return nil, stepError(stepForward, addr, errors.Join(ErrNotSent, err))
 	}
 	copyHeader(request.Header, call.Header)
 	stripHopHeaders(request.Header)
@@ -38,7 +38,7 @@
 	if call.Body != nil && call.Length != 0 {
 		setBody(request, call.Body, call.Length)
 	}
-	response, x, err := c.send("forward", addr, request)
+	response, x, err := c.send(stepForward, addr, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/endpoint/sent.go
+++ b/internal/endpoint/sent.go
@@ -7,11 +7,15 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 // maxHeadBytes bounds the status line and header of a response.
 const maxHeadBytes = 64 << 10
 
+var errUnsolicited = errors.New("a response came before the request")
+
 var errSealed = errors.New("connection closed to writes: its request was abandoned or already sent")
 
 // conn is a connection that counts the writes which may have reached the network. Once
@@ -82,6 +86,7 @@
 // permits that only while nothing was written, unless allowReplay is set.
 type sendTracker struct {
 	allowReplay bool
+	exchange    httpconn.Exchange
 
 	mu           sync.Mutex
 	conn         *conn  // current connection, nil before the first
@@ -90,7 +95,7 @@
 }
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn})
+	return httptrace.WithClientTrace(s.exchange.WithTrace(ctx), &httptrace.ClientTrace{GotConn: s.gotConn})
 }
 
 func (s *sendTracker) gotConn(info httptrace.GotConnInfo) {
@@ -98,6 +103,9 @@
 	if !ok {
 		return
 	}
+	if wrapped, ok := next.Conn.(*httpconn.Conn); ok {
+		s.exchange.Use(wrapped)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sealOrMarkSent()
@@ -140,7 +148,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: netConn}, nil
+		return &conn{Conn: httpconn.New(netConn)}, nil
 	}
 	return &http.Transport{
 		DialContext:            dial,
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -28,10 +28,14 @@
 }
 
 func (x *Exchange) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*Conn)
-	if !ok {
-		return
+	if conn, ok := info.Conn.(*Conn); ok {
+		x.Use(conn)
 	}
+}
+
+// Use records that the transport has chosen a connection for the request. The trace does so for
+// connections that aren't wrapped once more.
+func (x *Exchange) Use(conn *Conn) {
 	before := conn.begin()
 	x.mu.Lock()
 	defer x.mu.Unlock()
