fix(gateway): a request that waited is not sent to an endpoint that has left meanwhile

What callers saw: a prompt that waited for its turn went to the endpoint chosen before, up to 5 s after that one had begun to leave (DRAIN); its stream was cut as the endpoint exited, or ended with 502.

Cause: between the choice and the first byte a request waits for an adapter, for admission, for its place in the schedule or for its turn in the queue. Afterwards only its key and the crash guard were checked again.

Change: one check immediately before the request is sent, recheck, covers the endpoint (it leaves, is gone, started again, wants nothing, has unloaded the model), the key and the verdict; the configuration is that of the arrival. A wait at an endpoint ends once that can't take the request any more, so that the rest of the time is left for another one. A request that has to go elsewhere was not sent: it is no retry of the budget, counts among neither the route's attempts nor the endpoints tried, drops its lost place in the queue and gets one elsewhere by the time of its arrival, with its whole patience. Without another endpoint it is refused with 503 at once.

--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -307,6 +307,25 @@
 	return t, nil
 }
 
+// CheckTarget returns an error if a request must not be sent to the endpoint that was chosen for it
+// some time ago.
+func (s *state) CheckTarget(t gateway.Target, m fleet.Model) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	switch e := s.roster.Get(t.ID); {
+	case e == nil || e.Born != t.Born || e.Lost:
+		return fmt.Errorf("%w: it is gone", gateway.ErrTargetLost)
+	case e.Leaving:
+		return fmt.Errorf("%w: it leaves", gateway.ErrTargetLost)
+	case e.Spared(now):
+		return fmt.Errorf("%w: it has asked to be spared", gateway.ErrTargetLost)
+	case m != "" && !e.Serves(now, m, ""):
+		return fmt.Errorf("%w: its model was unloaded", gateway.ErrTargetLost)
+	}
+	return nil
+}
+
 // Answered records the first byte of an answer, which shows that prefill is done.
 func (s *state) Answered(t gateway.Target, a *balance.Request, took time.Duration) {
 	s.mu.Lock()
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -365,3 +366,37 @@
 		})
 	}
 }
+
+// A request waits while its endpoint leaves, ends, asks to be spared or unloads its model.
+func TestWaitingRequestsTargetIsLost(t *testing.T) {
+	target := gateway.Target{ID: "p"}
+	apply := func(s *state, r roster.Record) {
+		r.ID, r.Revision, r.Entry.Revision = "p", 2, 2
+		s.applyRecords([]roster.Record{r}, 2, false)
+	}
+	tests := []struct {
+		name   string
+		model  fleet.Model
+		change func(s *state)
+		lost   bool
+	}{
+		{name: "nothing", model: "m", change: func(*state) {}},
+		{name: "its entry says that it leaves", change: func(s *state) { apply(s, roster.Record{Entry: roster.Entry{ID: "p", Service: "s", Leaving: true}}) }, lost: true},
+		{name: "its answer says so", change: func(s *state) { s.Gone(target) }, lost: true},
+		{name: "its entry is removed", change: func(s *state) { apply(s, roster.Record{Removed: true}) }, lost: true},
+		{name: "it has started again", change: func(s *state) { apply(s, roster.Record{Entry: roster.Entry{ID: "p", Service: "s", Born: 9}}) }, lost: true},
+		{name: "Retry-After", change: func(s *state) { s.Spare(target, time.Second) }, lost: true},
+		{name: "failed once", change: func(s *state) { s.Failed(target) }},
+		{name: "its limit leaves no room for others", change: func(s *state) { s.deferEndpoint(target, time.Second) }},
+		{name: "model unloaded", model: "m", change: func(s *state) { s.Missing(target, "m", "") }, lost: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestState(&testClock{})
+			s.RecordPresence("p", roster.Adapter{Model: "m"}, true)
+			tt.change(s)
+			err := s.CheckTarget(target, tt.model)
+			assert.Equal(t, tt.lost, errors.Is(err, gateway.ErrTargetLost), "%v", err)
+		})
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,10 +108,7 @@
 	if refusal, err := a.awaitAdmission(ctx); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err, refusal: refusal}
 	}
-	if err := j.gateway.fleet.KeyValid(j.request.Key, j.request.Workspace); err != nil {
-		return result{attempt: a, outcome: outcomeNotRun, err: err}
-	}
-	if err := a.claimRun(); err != nil {
+	if err := a.recheck(ctx); err != nil {
 		return result{attempt: a, outcome: outcomeNotRun, err: err}
 	}
 	ctx, span := j.gateway.tracer.Start(ctx, "attempt")
@@ -120,6 +117,24 @@
 	return result{attempt: a, outcome: outcome, sent: !errors.Is(err, ErrNotSent), err: err}
 }
 
+// recheck checks immediately before the request is sent what may have changed since its endpoint was
+// chosen, while it waited for an adapter or its turn. The configuration may not: a request is handled
+// by the one with which it arrived, except for its key. ClaimRun is the last check, since it takes a
+// place that only a request that is sent may have.
+func (a *attempt) recheck(ctx context.Context) error {
+	j := a.job
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if err := j.gateway.fleet.CheckTarget(a.target, j.request.Model); err != nil {
+		return err
+	}
+	if err := j.gateway.fleet.KeyValid(j.request.Key, j.request.Workspace); err != nil {
+		return err
+	}
+	return a.claimRun()
+}
+
 func (a *attempt) send(ctx context.Context) (outcome, error) {
 	j, g := a.job, a.job.gateway
 	message := &Attempt{
@@ -187,9 +202,7 @@
 		return refusal{}, ctx.Err()
 	}
 	j.admissionWait.Store(int64(wait))
-	waiting, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	<-waiting.Done()
+	j.waitAt(ctx, &a.target, wait)
 	return refusal{}, ctx.Err()
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,6 +55,9 @@
 	replies                          []gateway.Admission // to questions of a service that queues, the last one repeated
 	questions                        []question
 	withdrawn                        []fleet.Endpoint
+	loadsAdapter                     bool
+	lostFrom                         map[fleet.Endpoint]int // the check from which on an endpoint can't take requests
+	targetChecks                     map[fleet.Endpoint]int
 }
 
 type question struct {
@@ -99,16 +102,37 @@
 	for ; n < len(f.software) && a.Software != nil && f.software[n] != *a.Software; n++ {
 		a.Exclude = append(a.Exclude, fleet.Endpoint(fmt.Sprintf("i-%d", n)))
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n < len(f.runners) && f.lost(fleet.Endpoint(fmt.Sprintf("i-%d", n))) {
+		n++
+	}
 	if n >= len(f.runners) {
 		return gateway.Target{}, gateway.ErrNoEndpoint
 	}
 	if f.software != nil {
 		software = f.software[n]
 	}
+	f.open++
+	return gateway.Target{Software: software, ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited, LoadAdapter: f.loadsAdapter}, nil
+}
+
+func (f *fakeFleet) CheckTarget(t gateway.Target, _ fleet.Model) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.open++
-	return gateway.Target{Software: software, ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited}, nil
+	if f.targetChecks == nil {
+		f.targetChecks = make(map[fleet.Endpoint]int)
+	}
+	f.targetChecks[t.ID]++
+	if f.lost(t.ID) {
+		return gateway.ErrTargetLost
+	}
+	return nil
+}
+
+func (f *fakeFleet) lost(id fleet.Endpoint) bool {
+	from := f.lostFrom[id]
+	return from > 0 && f.targetChecks[id] >= from
 }
 
 func (f *fakeFleet) Answered(gateway.Target, *balance.Request, time.Duration) {
@@ -162,7 +186,12 @@
 }
 
 func (f *fakeFleet) HasAlternative(a *balance.Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for n := len(a.Exclude); n < len(f.runners); n++ {
+		if f.lost(fleet.Endpoint(fmt.Sprintf("i-%d", n))) {
+			continue
+		}
 		if f.software == nil || a.Software == nil || f.software[n] == *a.Software {
 			return true
 		}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -147,6 +147,9 @@
 	if r.attempt.retryTaken && !r.sent {
 		j.unusedRetry = true
 	}
+	if errors.Is(r.err, ErrTargetLost) && !r.sent {
+		j.tries-- // the endpoint is excluded, so that the request goes on to each other one once at most
+	}
 	if len(j.inFlight) == 0 {
 		return
 	}
@@ -162,6 +165,7 @@
 	if err := j.checkRun(); err != nil {
 		return err
 	}
+	j.dropLostPlace()
 	j.query.Software = j.delivery.boundTo()
 	a := &attempt{job: j, query: j.query, mayHaveRun: j.mayHaveRun, retryTaken: j.sent.Load() > 0}
 	a.query.Exclude = slices.Clone(j.query.Exclude)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -67,6 +67,8 @@
 	// ErrNoAllotment if no instance that keeps the allotment answers.
 	ErrOverAllotment = errors.New("the workspace's allotment is used up")
 	ErrNoAllotment   = errors.New("no instance that keeps the workspace's allotment answers")
+	// ErrTargetLost is returned if an endpoint can't take a request any more for which it was chosen.
+	ErrTargetLost = errors.New("the endpoint can't take the request any more")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -266,6 +268,9 @@
 	RecordService(level int, served bool)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Request) (Target, error)
+	// CheckTarget returns ErrTargetLost if a chosen endpoint leaves or is gone, wants nothing from this
+	// instance for now, or has no longer loaded the request's model.
+	CheckTarget(t Target, m fleet.Model) error
 	// HasAlternative reports whether an endpoint that was not tried yet can take the request now.
 	HasAlternative(a *balance.Request) bool
 	// Answered records the first byte of an answer, and the time it took.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -18,6 +18,8 @@
 	maxFull = 3
 	// maxAsks is how often a waiting request asks again for its turn.
 	maxAsks = 5
+	// targetCheckInterval is how often a waiting request checks that its endpoint still takes it.
+	targetCheckInterval = 200 * time.Millisecond
 	// lastLevel is the least urgent rank with a place of its own at engines.
 	lastLevel = 2
 	// probePatience is how long a waiting request would wait at an endpoint other than the one where
@@ -174,7 +176,30 @@
 	j.query.Exclude = slices.DeleteFunc(j.query.Exclude, func(id fleet.Endpoint) bool { return slices.Contains(q.full, id) })
 	q.full = q.full[:0]
 	q.waited += r.askAgain
-	waiting, cancel := context.WithTimeout(ctx, r.askAgain)
+	j.waitAt(ctx, q.target, r.askAgain)
+}
+
+// waitAt waits for a time, or until the target can't take the request any more, so that the request
+// has the rest of its time elsewhere.
+func (j *job) waitAt(ctx context.Context, t *Target, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	<-waiting.Done()
+	ticker := time.NewTicker(targetCheckInterval)
+	defer ticker.Stop()
+	for j.gateway.fleet.CheckTarget(*t, j.request.Model) == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// dropLostPlace ends the request's place at an endpoint that can't take it any more, so that it gets
+// one elsewhere by the time of its arrival.
+func (j *job) dropLostPlace() {
+	q := &j.queueing
+	if q.target != nil && j.gateway.fleet.CheckTarget(*q.target, j.request.Model) != nil {
+		q.target = nil
+	}
 }
