--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -44,9 +44,9 @@
 	ErrNoEndpoint = errors.New("no endpoint can take the request")
 	// ErrPoison is returned for a poison request: endpoints crashed while they ran it.
 	ErrPoison = errors.New("endpoints crashed while running this request")
-	// ErrSuspect is returned for a request while another one like it is tried: endpoints crashed at
-	// once while they ran it, which may have had another reason.
-	ErrSuspect = errors.New("endpoints crashed at once while running this request")
+	// ErrSuspect is returned for a request until another one like it was tried: endpoints crashed while
+	// they ran it, which may have had another reason.
+	ErrSuspect = errors.New("endpoints crashed while running this request, which may have had another reason")
 	// ErrCrashingPart is returned for a request whose prompt has a part under which endpoints
 	// crashed. Others may be the cause, so the request may be repeated later.
 	ErrCrashingPart = errors.New("endpoints crashed under a part of the prompt")
@@ -67,6 +67,8 @@
 	// ErrNoAllotment if no instance that keeps the allotment answers.
 	ErrOverAllotment = errors.New("the workspace's allotment is used up")
 	ErrNoAllotment   = errors.New("no instance that keeps the workspace's allotment answers")
+	// ErrTargetLost is returned if an endpoint can't take a request any more for which it was chosen.
+	ErrTargetLost = errors.New("the endpoint can't take the request any more")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -273,6 +275,9 @@
 	RecordService(level int, served bool)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Request) (Target, error)
+	// CheckTarget returns ErrTargetLost if a chosen endpoint leaves or is gone, wants nothing from this
+	// instance for now, or has no longer loaded the request's model.
+	CheckTarget(t Target, m fleet.Model) error
 	// HasAlternative reports whether an endpoint that was not tried yet can take the request now.
 	HasAlternative(a *balance.Request) bool
 	// Answered records the first byte of an answer, and the time it took.
