fix(roster): endpoints given up too soon after a store outage are served again

Cause: two decisions from absence. A missing entry was held back for 3.2 s after the last failed call, not for 2.2 s after the store's return: an instance that calls seldom trusted its first list at once, and had all others mark the endpoints as leaving. And an incarnation that was removed was never taken again, though its entry had a later revision.

Change: removals are held back until 2.2 s after the first successful call. A registration that fails, and the list after it, count as a failure also while the store answered shortly before. A removal keeps its revision: an entry that was written later brings the endpoint back, unless the endpoint itself had said that it leaves; after a return of the store from an older copy, one written after that. "Not back" is no longer announced as leaving. A peer's report that an endpoint leaves, which instances of earlier builds also make of such endpoints, ends when the endpoint registers again, or after 5 s without a confirmation by the store. No message has changed.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -42,6 +42,17 @@
 	changedAt int64
 	// listedLeaving is set if its entry says that it leaves; Leaving may be known sooner.
 	listedLeaving bool
+	// reportedAt is when peers first reported that it leaves, while only they have; disproved is
+	// set once the store has shown that they are wrong.
+	reportedAt time.Time
+	disproved  bool
+}
+
+// departure is an incarnation that was removed from the list.
+type departure struct {
+	born     int64
+	revision int64 // the store's revision of the removal
+	final    bool  // the endpoint itself had shown that it leaves
 }
 
 // removal is an endpoint that was removed from the list, at a revision of the store.
@@ -60,18 +71,17 @@
 	maxBackoff     = 2 * time.Second
 	// maxRemovals is the number of removals kept for ChangesSince.
 	maxRemovals = 256
-	// failureWindow is added to registrationWindow after the store's last failed call:
-	// when that time has passed and a call has succeeded, removals are trusted again.
-	failureWindow = time.Second
+	// confirmationWindow is how long the store may take to confirm a peer's report that an endpoint
+	// leaves.
+	confirmationWindow = 5 * time.Second
 )
 
 // Roster is the list of endpoints. It is not safe for concurrent use.
 type Roster struct {
 	endpoints map[fleet.Endpoint]*Endpoint
 	sorted    []*Endpoint // by ID; nil after an endpoint was added or removed
-	// departed has the start times of incarnations that were removed, so that late
-	// updates can't add them again.
-	departed       map[fleet.Endpoint]int64
+	// departed are the incarnations that were removed, so that late updates can't add them again.
+	departed       map[fleet.Endpoint]departure
 	revision       int64
 	changedAt      int64     // revision of the last change that affects where requests go
 	removals       []removal // most recent ones, in the order in which they took effect here
@@ -82,7 +92,7 @@
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{endpoints: make(map[fleet.Endpoint]*Endpoint), departed: make(map[fleet.Endpoint]int64)}
+	return &Roster{endpoints: make(map[fleet.Endpoint]*Endpoint), departed: make(map[fleet.Endpoint]departure)}
 }
 
 // Revision is the store's revision up to which changes have been applied.
@@ -137,12 +147,22 @@
 	}
 }
 
-// storeUntrusted reports whether the store may lack entries of live endpoints.
+// RecordRestore records that the store came back from an older copy, first seen by a list or changes
+// up to a revision. Entries that the copy has don't show that their endpoints are alive.
+func (r *Roster) RecordRestore(revision int64) {
+	for id, d := range r.departed {
+		d.revision = max(d.revision, revision)
+		r.departed[id] = d
+	}
+}
+
+// storeUntrusted reports whether the store may lack entries of live endpoints. When it came back is
+// only known to be before the first successful call.
 func (r *Roster) storeUntrusted(now time.Time) bool {
 	if r.storeFailed.IsZero() {
 		return false
 	}
-	return r.storeRecovered.IsZero() || now.Sub(r.storeRecovered) < registrationWindow && now.Sub(r.storeFailed) < registrationWindow+failureWindow
+	return r.storeRecovered.IsZero() || now.Sub(r.storeRecovered) < registrationWindow
 }
 
 // Apply applies changes, in the store's order, up to a revision.
@@ -186,26 +206,54 @@
 	if c.Invalid {
 		return
 	}
-	if born, ok := r.departed[c.ID]; ok && c.Entry.Born <= born {
+	d, departed := r.departed[c.ID]
+	if departed && !d.precedes(c) {
 		return
 	}
 	switch {
 	case known == nil || c.Entry.Born > known.Born:
-		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry, changedAt: c.Revision, listedLeaving: c.Entry.Leaving}
+		r.endpoints[c.ID] = &Endpoint{
+			Entry: c.Entry, changedAt: c.Revision, listedLeaving: c.Entry.Leaving,
+			disproved: departed && c.Entry.Born == d.born,
+		}
 		r.sorted, r.changedAt = nil, max(r.changedAt, c.Revision)
+		delete(r.departed, c.ID)
 	case c.Entry.Born < known.Born || c.Revision < known.Revision:
 		return
 	default:
-		leaving := known.Leaving
-		if c.Entry.Leaving != known.listedLeaving || c.Entry.routesDifferently(&known.Entry) {
-			known.changedAt, r.changedAt = c.Revision, max(r.changedAt, c.Revision)
+		if known.update(c) {
+			r.changedAt = max(r.changedAt, c.Revision)
 		}
-		known.Entry, known.listedLeaving = c.Entry, c.Entry.Leaving
-		known.Leaving = known.Leaving || leaving
-		known.missingSince = time.Time{}
 	}
 }
 
+// update applies a newer entry and reports whether it affects where requests go, here or at a peer that
+// trusted a removal.
+func (e *Endpoint) update(c *Record) bool {
+	returned := !e.missingSince.IsZero() && c.Revision > e.missingRevision
+	if returned {
+		e.Leaving = e.Leaving && e.reportedAt.IsZero()
+		e.reportedAt, e.disproved = time.Time{}, true
+	}
+	changed := returned || c.Entry.Leaving != e.listedLeaving || c.Entry.routesDifferently(&e.Entry)
+	if changed {
+		e.changedAt = c.Revision
+	}
+	leaving := e.Leaving || c.Entry.Leaving
+	e.Entry, e.listedLeaving = c.Entry, c.Entry.Leaving
+	e.Leaving, e.missingSince = leaving, time.Time{}
+	if c.Entry.Leaving {
+		e.reportedAt = time.Time{}
+	}
+	return changed
+}
+
+// precedes reports whether an entry shows that its endpoint runs after the departure: another start, or
+// the same one that has registered again.
+func (d departure) precedes(c *Record) bool {
+	return c.Entry.Born > d.born || c.Entry.Born == d.born && !d.final && c.Revision > d.revision
+}
+
 func (r *Roster) remove(now time.Time, e *Endpoint, revision int64) {
 	if r.storeUntrusted(now) && !e.Leaving {
 		if e.missingSince.IsZero() {
@@ -218,7 +266,7 @@
 
 func (r *Roster) markLost(e *Endpoint, revision int64) {
 	e.Lost = true
-	r.departed[e.ID] = e.Born
+	r.departed[e.ID] = departure{born: e.Born, revision: revision, final: e.Leaving && e.reportedAt.IsZero()}
 	delete(r.endpoints, e.ID)
 	r.sorted, r.changedAt = nil, max(r.changedAt, revision)
 	r.removals = append(r.removals, removal{id: e.ID, revision: revision})
@@ -242,13 +290,35 @@
 	return lost
 }
 
-// MarkLeaving records that an incarnation of an endpoint is leaving, whatever the source.
+// MarkLeaving records that an incarnation of an endpoint has shown that it leaves.
 func (r *Roster) MarkLeaving(id fleet.Endpoint, born int64) {
 	if e := r.endpoints[id]; e != nil && e.Born == born {
-		e.Leaving = true
+		e.Leaving, e.reportedAt = true, time.Time{}
+	}
+}
+
+// ReportLeaving records that a peer has reported that an incarnation of an endpoint leaves.
+func (r *Roster) ReportLeaving(now time.Time, id fleet.Endpoint, born int64) {
+	if e := r.endpoints[id]; e != nil && e.Born == born && !e.Leaving && !e.disproved {
+		e.Leaving, e.reportedAt = true, now
 	}
 }
 
+// Disprove ends reports of peers that the store has not confirmed, and returns their endpoints.
+func (r *Roster) Disprove(now time.Time) []*Endpoint {
+	if r.storeUntrusted(now) {
+		return nil
+	}
+	var wrong []*Endpoint
+	for _, e := range r.endpoints {
+		if !e.reportedAt.IsZero() && e.missingSince.IsZero() && now.Sub(e.reportedAt) >= confirmationWindow {
+			e.Leaving, e.reportedAt, e.disproved = false, time.Time{}, true
+			wrong = append(wrong, e)
+		}
+	}
+	return wrong
+}
+
 // RecordReport stores an endpoint's report. It ignores one of another incarnation, and one
 // that is no newer than the stored one.
 func (r *Roster) RecordReport(id fleet.Endpoint, report Report) {
@@ -256,7 +326,9 @@
 	if e == nil || report.Born != e.Born || !report.Taken.After(e.Report.Taken) {
 		return
 	}
-	e.Leaving = e.Leaving || report.Leaving
+	if report.Leaving {
+		e.Leaving, e.reportedAt = true, time.Time{}
+	}
 	e.Report = report
 }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/platform"
 )
 
 const (
@@ -42,6 +43,13 @@
 		s.logEndpointChange(previous, r)
 		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
 	}
+	if platform.RevisionEra(revision) > platform.RevisionEra(s.roster.Revision()) {
+		newest := revision
+		for i := range records {
+			newest = max(newest, records[i].Revision)
+		}
+		s.roster.RecordRestore(newest)
+	}
 	if complete {
 		s.roster.Replace(now, records, revision)
 	} else {
@@ -188,7 +196,7 @@
 		s.observeReport(r.Endpoint, r.Report, string(name))
 	}
 	for _, l := range b.Leaving {
-		s.observeLeaving(l, string(name))
+		s.receiveLeaving(now, l, string(name))
 	}
 	for _, f := range b.Failed {
 		s.roster.RecordFailure(now, f.Endpoint, f.Born)
@@ -298,7 +306,9 @@
 	now := s.clock()
 	for _, e := range s.roster.RemoveMissing(now) {
 		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not back")
-		s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
+	}
+	for _, e := range s.roster.Disprove(now) {
+		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not leaving")
 	}
 	s.settleBroken(now)
 	s.logVerdicts(now)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -362,19 +362,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left := gossip.Incarnation{Endpoint: id, Born: born}
-	s.observeLeaving(left, "answer")
+	if e := s.roster.Get(id); e != nil && e.Born == born && !e.Leaving {
+		s.logLeaving(left, "answer")
+	}
+	s.roster.MarkLeaving(id, born)
 	if !slices.Contains(s.leftEndpoints, left) { // its answers repeat it
 		s.leftEndpoints = append(s.leftEndpoints, left)
 	}
 }
 
-// observeLeaving records that an endpoint leaves. From is where it was learned.
-func (s *state) observeLeaving(left gossip.Incarnation, from string) {
-	if e := s.roster.Get(left.Endpoint); e == nil || e.Born != left.Born || e.Leaving {
-		return
+// receiveLeaving records a peer's report that an endpoint leaves.
+func (s *state) receiveLeaving(now time.Time, left gossip.Incarnation, from string) {
+	e := s.roster.Get(left.Endpoint)
+	known := e == nil || e.Leaving
+	s.roster.ReportLeaving(now, left.Endpoint, left.Born)
+	if !known && e.Leaving {
+		s.logLeaving(left, from)
 	}
-	s.roster.MarkLeaving(left.Endpoint, left.Born)
-	s.logLeaving(left, from)
 }
 
 func (s *state) logLeaving(left gossip.Incarnation, from string) {
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -151,15 +151,16 @@
 	if n.state.Leaving() {
 		return
 	}
-	if err := n.register(ctx); err != nil {
-		_ = level.Warn(n.logger).Log("step", "register", "err", err)
+	failed := n.register(ctx)
+	if failed != nil {
+		_ = level.Warn(n.logger).Log("step", "register", "err", failed)
 		if !n.state.registrationFailed() {
 			return // no second call to a store that doesn't answer
 		}
 	} else {
 		n.state.storeAnswered()
 	}
-	if !n.state.listIsDue() {
+	if due := n.state.listIsDue(); !due && failed == nil {
 		return
 	}
 	items, _, err := n.store.List(ctx, instancePrefix, true)
@@ -167,6 +168,9 @@
 		n.state.storeAnswered()
 	} else {
 		_ = level.Warn(n.logger).Log("step", "list instances", "err", err)
+		if failed != nil {
+			n.state.entriesMayLapse()
+		}
 		return
 	}
 	var peers []member.Peer
--- a/internal/direct/watchers.go
+++ b/internal/direct/watchers.go
@@ -42,6 +42,14 @@
 	return false
 }
 
+// entriesMayLapse records that the store seems to be down, for the endpoint list only: a store that
+// answered within storeReachableTime still counts as reachable.
+func (s *state) entriesMayLapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.RecordStoreFailure(s.clock())
+}
+
 // storeReachable reports whether the store answered within storeReachableTime.
 func (s *state) storeReachable() bool {
 	return !s.storeAnsweredAt.IsZero() && s.clock().Sub(s.storeAnsweredAt) < storeReachableTime
