fix(loader): loads of an earlier holder of the order lease count against the weight store's rate

What callers would see: nothing; the weight store's ceiling (CEILING) is exceeded after the holder of the order lease has started again, or has the lease under a new fence.

Cause: a decision from absence. Under a new fence the loader forgot its own loads, and of an earlier holder's it counted only those still under way. Loads that had begun and ended within the window were missing.

Change: an instance keeps its own loads. Unless it could give orders until just before, each order that endpoints have accepted counts as a load, up to the whole limit, until one window has passed since the lease was acquired. At the fleet's first start no order has been accepted, and nothing waits.

--- a/internal/loader/follow_test.go
+++ b/internal/loader/follow_test.go
@@ -48,6 +48,7 @@
 	coldLoads []time.Time
 	faults    []string // broken rules
 	orders    int
+	restarted bool // the holder of the lease is to start again
 }
 
 type fakeEndpoint struct {
@@ -322,11 +323,15 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	group := new(errgroup.Group)
-	l := loader.New(s, s, s, time.Now, loader.Limits{
+	limits := loader.Limits{
 		Window: 5 * time.Second, Burst: 1.1, MaxMoves: 6, MinGain: 2, MinDemand: siteCapacity / 2, StandbyCopies: 3,
 		Follow: 12, Capacity: siteCapacity, TrendLead: 1,
-	}, loader.WithGroup(group))
+	}
+	l := loader.New(s, s, s, time.Now, limits, loader.WithGroup(group))
 	for s.at() < 40*time.Second {
+		if s.restarted {
+			l, s.restarted = loader.New(s, s, s, time.Now, limits, loader.WithGroup(group)), false
+		}
 		if s.at()%beatTime == 0 {
 			s.beat()
 		}
@@ -422,3 +427,27 @@
 		assert.Greater(t, s.orders, ordersAtLoss)
 	})
 }
+
+// The loads that a holder of the lease has ordered count against the weight store's rate once another, the
+// same one under a new fence, or its next start gives the orders.
+func TestLoadsOfAnEarlierHolderExceedTheRate(t *testing.T) {
+	for _, next := range []string{"none", "new fence", "restart"} {
+		for _, ms := range []int{3500, 4000, 4500, 18000, 29000} {
+			t.Run(fmt.Sprint(next, "/", ms), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newFakeSite(90, 126, 8)
+					s.engine.MaxLoadsPerSecond, s.demand = 3, risingModel(90, 126)
+					s.play(t, func(at time.Duration) {
+						s.mu.Lock()
+						defer s.mu.Unlock()
+						if at == time.Duration(ms)*time.Millisecond && next != "none" {
+							s.fence, s.restarted = 2, next == "restart"
+						}
+					})
+					assert.Empty(t, s.faults)
+					assert.LessOrEqual(t, s.coldLoadsWithin(5*time.Second), int(s.engine.MaxLoadsPerSecond*5*1.1)+3)
+				})
+			})
+		}
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -22,6 +22,8 @@
 	// reportTimeout limits one request for a report, orderTimeout one order.
 	reportTimeout = 400 * time.Millisecond
 	orderTimeout  = 600 * time.Millisecond
+	// minHandover is shorter than any time between the orders of two holders of the lease.
+	minHandover = 600 * time.Millisecond
 	// reportLag is how old the state in an endpoint's report may be: some hundred milliseconds.
 	reportLag = 350 * time.Millisecond
 	// adapterReportLag is reportLag plus the time until a heartbeat brings the report here. If
@@ -155,11 +157,15 @@
 	orderStates map[fleet.Endpoint]*orderState
 	// coldLoads are the times when loads from the weight store may have started.
 	coldLoads []time.Time
-	// unknownLoads is how many endpoints may be carrying out a load that an earlier holder of
-	// the lease has ordered.
+	// unknownLoads is how many loads an earlier holder of the lease may have ordered within the
+	// window.
 	unknownLoads int
 	fence        fleet.Fence
 	fenceSince   time.Time
+	// mayOrderAt is when this instance last could give orders, loadsKnown is set if no other has
+	// given any between that and fenceSince.
+	mayOrderAt time.Time
+	loadsKnown bool
 	// hadDemand are the models whose demand has reached Limits.MinDemand.
 	hadDemand map[fleet.Model]bool
 	// askedAt is when a model last had demand.
@@ -309,11 +315,16 @@
 // Step gives the orders that are due. It reports whether this instance may give orders.
 func (l *Loader) Step(ctx context.Context) bool {
 	fence, ok := l.lease.MayOrder()
+	if fence != 0 {
+		l.resetOnNewFence(fence)
+	}
 	if !ok {
 		return false
 	}
-	l.resetOnNewFence(fence)
 	now := l.clock()
+	l.mu.Lock()
+	l.mayOrderAt = now
+	l.mu.Unlock()
 	for _, g := range l.cluster.Engines() {
 		if l.group != nil && l.follows(g.Engine) {
 			l.followDemand(ctx, now, g)
@@ -333,9 +344,10 @@
 	if fence == l.fence {
 		return
 	}
-	l.fence, l.fenceSince = fence, l.clock()
+	now := l.clock()
+	l.fence, l.fenceSince = fence, now
+	l.loadsKnown = !l.mayOrderAt.IsZero() && now.Sub(l.mayOrderAt) < minHandover
 	l.orderStates = make(map[fleet.Endpoint]*orderState)
-	l.coldLoads = nil
 }
 
 // tryLock acquires the lock if it is free, and reports whether it did.
--- a/internal/loader/place.go
+++ b/internal/loader/place.go
@@ -59,7 +59,7 @@
 func (l *Loader) planMoves(now time.Time, g *catalog.Group, plan []copies.Endpoint) []copies.Move {
 	demand, longTerm, _ := l.cluster.Demand()
 	limits := copies.Limits{
-		ColdLoads: l.allowedColdLoads(now, g.Engine, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
+		ColdLoads: l.allowedColdLoads(now, g, plan), MaxMoves: l.limits.MaxMoves, MinGain: l.limits.MinGain, MinDemand: l.limits.MinDemand, StandbyCopies: l.limits.StandbyCopies,
 		Capacity: l.limits.Capacity, TrendLead: l.limits.TrendLead, LoadTime: l.meanLoadTime(),
 	}
 	planDemand := copies.Demand{Recent: demand, LongTerm: longTerm, AtRisk: l.atRisk(g.Engine, demand), InUse: l.inUse(now, demand, longTerm)}
@@ -297,25 +297,44 @@
 
 // allowedColdLoads returns how many loads from the weight store may start now. An unanswered
 // order may start late, so it counts twice: when it was sent and some time later.
-func (l *Loader) allowedColdLoads(now time.Time, engine *catalog.Engine, plan []copies.Endpoint) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.unknownLoads = 0
-	if now.Sub(l.fenceSince) < l.limits.Window {
+func (l *Loader) allowedColdLoads(now time.Time, g *catalog.Group, plan []copies.Endpoint) int {
+	unknown := 0
+	if !l.knowsLoads(now) {
+		// Each order that an endpoint has accepted may be a load within the window.
+		orders := int64(0)
+		for _, c := range l.cluster.Candidates(g.Name) {
+			orders += c.Report.Seq
+		}
 		for i := range plan {
 			if plan[i].Busy && plan[i].Loading == "" {
-				l.unknownLoads++ // may be a load ordered by the previous holder
+				unknown++
 			}
 		}
+		unknown = max(unknown, int(min(orders, int64(l.coldLoadLimit(g.Engine)))))
 	}
-	return l.remainingColdLoads(now, engine)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unknownLoads = unknown
+	return l.remainingColdLoads(now, g.Engine)
+}
+
+// knowsLoads reports whether this instance has ordered all loads that may have begun within the window.
+func (l *Loader) knowsLoads(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loadsKnown || now.Sub(l.fenceSince) >= l.limits.Window
+}
+
+// coldLoadLimit returns how many loads may start within the window. The few that may start in excess
+// of the rate are reserved for orders that start late.
+func (l *Loader) coldLoadLimit(engine *catalog.Engine) int {
+	return int(engine.MaxLoadsPerSecond * l.limits.Window.Seconds() * l.limits.Burst)
 }
 
 // remainingColdLoads discards the loads that no longer count, and returns how many may start.
 func (l *Loader) remainingColdLoads(now time.Time, engine *catalog.Engine) int {
 	l.coldLoads = slices.DeleteFunc(l.coldLoads, func(at time.Time) bool { return now.Sub(at) > l.limits.Window })
-	// The few loads that may start in excess of the rate are reserved for orders that start late.
-	return int(engine.MaxLoadsPerSecond*l.limits.Window.Seconds()*l.limits.Burst) - len(l.coldLoads) - l.unknownLoads
+	return l.coldLoadLimit(engine) - len(l.coldLoads) - l.unknownLoads
 }
 
 // takeColdLoad counts a load from the weight store that starts now, and reports whether it may.
