fix(direct): verdicts on requests that crash endpoints outlive the loss of all instances

What callers would see: endpoints that a known request crashes again, three or four times after each loss of all instances (BUDGET: more than three retries after the third crash).

Cause: a decision from absence. Only instances kept the verdicts; restarted ones took a request of which they knew no crash for sound.

Change: the instance that would review a final verdict first writes it to the store, under a lease of 10 minutes: a call when the verdict is new, has more crashes, or is 5 minutes old, and one when an answer has ended it. An instance reads the records once after its start, with a stale read. No message has changed; earlier builds don't read the records.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -75,6 +75,7 @@
 	orderLease        *orderLease
 	loader            *loader.Loader
 	streamRecords     *streamRecords
+	verdictRecords    *verdictRecords
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
 	callers           drain.Connections // of callers' connections
@@ -131,6 +132,7 @@
 		Capacity: endpointCapacity, TrendLead: trendLead(),
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Store.Timeout, n.registry, logger)
+	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
 	counts := newStats(n.registry)
 	n.state.spreadStats = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
@@ -150,6 +152,7 @@
 	n.state.storeFailed()
 	n.state.forgetStored()
 	n.streamRecords.notify()
+	n.verdictRecords.forget()
 }
 
 const (
@@ -255,6 +258,7 @@
 	every("tidy", cleanUpInterval, n.cleanUp)
 	every("list", instanceListInterval, n.refreshInstances)
 	every("history", historyInterval, n.streamRecords.updateHistory)
+	every("verdicts", verdictInterval, n.verdictRecords.update)
 	every("paths", pathCheckInterval, n.checkPaths)
 	every("reload", reloadInterval, func(context.Context) { n.Reload("look") })
 }
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -44,6 +45,8 @@
 	random  *rand.Rand
 	states  []*state
 	peers   map[fleet.Instance]*state
+	killed  map[*state]bool
+	stored  map[suspect.Key]verdictRecord // by the store, which instances write and read as one with records
 	servers []*siteEndpoint
 	events  siteEvents
 
@@ -152,7 +155,7 @@
 	t.Helper()
 	p := &promptSite{
 		promptSiteSettings: settings, t: t, clock: &testClock{}, random: rand.New(rand.NewPCG(settings.seed, 7)),
-		peers: make(map[fleet.Instance]*state), sound: map[bool]map[time.Duration]*siteSum{true: {}, false: {}}, refused: make(map[string]bool),
+		peers: make(map[fleet.Instance]*state), killed: make(map[*state]bool), stored: make(map[suspect.Key]verdictRecord), sound: map[bool]map[time.Duration]*siteSum{true: {}, false: {}}, refused: make(map[string]bool),
 	}
 	var members []member.Peer
 	for i := range p.instances {
@@ -166,8 +169,7 @@
 		p.startEndpoint(i % max(1, p.models))
 	}
 	for _, s := range p.states {
-		p.every(siteBeat, func() { p.beat(s) })
-		p.every(cleanUpInterval, func() { s.cleanUp() })
+		p.startTasks(s)
 	}
 	p.at(p.soundRate, 0, 0, func() { p.arrive(p.soundRequest()) })
 	p.at(p.crashingRate, p.crashingFrom, p.crashingUntil, func() {
@@ -182,6 +184,52 @@
 	return p
 }
 
+func (p *promptSite) startTasks(s *state) {
+	p.every(siteBeat, func() { p.beat(s) })
+	p.every(cleanUpInterval, func() { s.cleanUp() })
+	written := make(map[suspect.Key]writtenVerdict)
+	var store func()
+	store = func() { // without a random phase, which would change what the seeds give
+		if p.killed[s] {
+			return
+		}
+		due := s.verdictsToStore(written)
+		for _, v := range due {
+			p.stored[v.Key] = v
+		}
+		s.recordWrittenVerdicts(written, due)
+		p.after(verdictInterval, store)
+	}
+	p.after(verdictInterval, store)
+}
+
+// killAll kills all instances at once, and starts them with the list of endpoints only.
+func (p *promptSite) killAll() {
+	var members []member.Peer
+	for _, s := range p.states {
+		p.killed[s] = true
+		self := s.view.Self()
+		self.Incarnation += "+"
+		members = append(members, self)
+	}
+	for _, e := range p.servers {
+		for _, r := range e.runs {
+			r.ended = true
+		}
+		e.runs = nil
+	}
+	p.states = nil
+	for i := range members {
+		s := p.addInstance(members[i], members)
+		for _, e := range p.servers {
+			r := roster.Record{ID: e.id, Revision: p.revision, Entry: roster.Entry{ID: e.id, Service: "s", Born: e.born, Slots: 64, Revision: p.revision}}
+			s.applyRecords([]roster.Record{r}, p.revision, false)
+		}
+		p.after(verdictInterval, func() { s.applyVerdictRecords(slices.Collect(maps.Values(p.stored))) })
+		p.startTasks(s)
+	}
+}
+
 // endRack ends one or more endpoints at once, for a reason that is not a request.
 func (p *promptSite) endRack() {
 	for range max(1, p.rack) {
@@ -235,6 +283,9 @@
 }
 
 func (p *promptSite) beat(s *state) {
+	if p.killed[s] {
+		return
+	}
 	targets, b := s.heartbeat()
 	packed, err := gossip.Pack(b)
 	require.NoError(p.t, err)
@@ -378,11 +429,17 @@
 // attempt sends a request to an endpoint that the instance takes for one in service, after a
 // wait for its admission.
 func (p *promptSite) attempt(s *state, r *siteRequest) {
+	if p.killed[s] {
+		return
+	}
 	if p.refuses(s, r) {
 		p.repeat(r)
 		return
 	}
 	p.after(p.between(0, siteAdmissionWait), func() {
+		if p.killed[s] {
+			return
+		}
 		if p.refuses(s, r) || r.sent >= siteAttempts {
 			p.repeat(r)
 			return
