fix(direct): endpoints whose entries lapsed while they were silent don't count as crashed

What callers would see: a sound request is refused with 400 (DENIED) after its connections broke at three endpoints that were silent for some seconds, or whose entries were late after an outage of the store.

Cause: a decision from absence. An endpoint that is no longer listed within 15 s after a connection to it broke counts as crashed under the request, also once the same start of it has registered again.

Change: its crash is withdrawn then, at each instance by what it sees itself; late reports of peers don't bring it back, a later crash counts. A verdict that a peer has reported meanwhile still waits for its review.

Evidence: TestSilentEndpointsCountAsCrashed failed before: the request was refused at both instances.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -46,6 +46,8 @@
 	// set once the store has shown that they are wrong.
 	reportedAt time.Time
 	disproved  bool
+	// returned is set if the same start has registered again after it was removed.
+	returned bool
 }
 
 // departure is an incarnation that was removed from the list.
@@ -214,7 +216,7 @@
 	case known == nil || c.Entry.Born > known.Born:
 		r.endpoints[c.ID] = &Endpoint{
 			Entry: c.Entry, changedAt: c.Revision, listedLeaving: c.Entry.Leaving,
-			disproved: departed && c.Entry.Born == d.born,
+			disproved: departed && c.Entry.Born == d.born, returned: departed && c.Entry.Born == d.born,
 		}
 		r.sorted, r.changedAt = nil, max(r.changedAt, c.Revision)
 		delete(r.departed, c.ID)
@@ -378,6 +380,9 @@
 	return r.sorted
 }
 
+// Returned reports whether the same start of the endpoint has registered again after it was removed.
+func (e *Endpoint) Returned() bool { return e.returned }
+
 // Suspect reports whether the endpoint is avoided because of failed sends.
 func (e *Endpoint) Suspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -138,6 +138,8 @@
 type CrashRecord struct {
 	settle  time.Duration
 	crashes []*EndpointCrash // in order of FailedAt
+	// withdrawn are incarnations that turned out to be alive, and when; reports of them may be late.
+	withdrawn map[string]time.Time
 	// lastSent is when the latest request with a key was sent that was in flight at a crash.
 	lastSent map[Key]time.Time
 	// begun is when an answer to a request with a part last began, completed when one to a whole
@@ -157,13 +159,13 @@
 func NewCrashRecord(settle time.Duration) *CrashRecord {
 	return &CrashRecord{
 		settle: settle, lastSent: make(map[Key]time.Time), begun: make(answerTimes), completed: make(answerTimes), verdicts: make(map[Key]Verdict), kept: make(map[Key]Verdict),
-		cleared: make(map[Key]time.Time),
+		cleared: make(map[Key]time.Time), withdrawn: make(map[string]time.Time),
 	}
 }
 
 // Add records a crash, or what another instance knows of a recorded one.
 func (c *CrashRecord) Add(now time.Time, d EndpointCrash) {
-	if now.Sub(d.FailedAt) > crashExpiry {
+	if at, ok := c.withdrawn[d.Incarnation]; ok && !d.FailedAt.After(at) || now.Sub(d.FailedAt) > crashExpiry {
 		return
 	}
 	record, changed := c.find(d.Incarnation), false
@@ -192,6 +194,24 @@
 	}
 }
 
+// Withdraw forgets the crash of an endpoint that turned out to be alive, and reports whether one was
+// recorded.
+func (c *CrashRecord) Withdraw(now time.Time, incarnation string) bool {
+	maps.DeleteFunc(c.withdrawn, func(_ string, at time.Time) bool { return now.Sub(at) > crashExpiry })
+	c.withdrawn[incarnation] = now
+	at := slices.IndexFunc(c.crashes, func(d *EndpointCrash) bool { return d.Incarnation == incarnation })
+	if at < 0 {
+		return false
+	}
+	c.crashes = slices.Delete(c.crashes, at, at+1)
+	clear(c.lastSent)
+	for _, d := range c.crashes {
+		c.noteSent(d)
+	}
+	c.changed = true
+	return true
+}
+
 func (c *CrashRecord) find(incarnation string) *EndpointCrash {
 	for _, d := range c.crashes {
 		if d.Incarnation == incarnation {
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -39,6 +40,8 @@
 	born int64
 }
 
+func (i incarnation) String() string { return string(i.id) + "/" + strconv.FormatInt(i.born, 10) }
+
 // reserve admits a request to an endpoint of this instance and schedules its prompt, unless
 // it would wait longer than its limit for a slot, for the prompts ahead, or because the endpoint
 // has asked for a limit.
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -2,11 +2,11 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
@@ -180,10 +180,21 @@
 	}
 }
 
+// withdrawCrash forgets the crash of an endpoint that was taken for gone since its entry was removed.
+func (s *state) withdrawCrash(now time.Time, id fleet.Endpoint) {
+	e := s.roster.Get(id)
+	if e == nil || !e.Returned() {
+		return
+	}
+	if s.crashes.Withdraw(now, incarnation{id, e.Born}.String()) {
+		_ = s.logger.Log("step", "died", "endpoint", id, "born", e.Born, "withdrawn", true)
+	}
+}
+
 // recordCrash records the crash of an endpoint under the runs in flight there.
 func (s *state) recordCrash(e *brokenEndpoint) {
 	delete(s.brokenEndpoints, e.incarnation)
-	d := suspect.EndpointCrash{Incarnation: string(e.id) + "/" + strconv.FormatInt(e.born, 10), FailedAt: e.runs[0].brokenAt}
+	d := suspect.EndpointCrash{Incarnation: e.String(), FailedAt: e.runs[0].brokenAt}
 	var requests []string
 	for _, r := range e.runs {
 		d.Runs = append(d.Runs, suspect.CrashedRun{Keys: r.keys, Age: d.FailedAt.Sub(r.sentAt), Begun: r.begun})
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -33,9 +33,13 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	departed := false
+	var listed []fleet.Endpoint
 	for i := range records {
 		r := &records[i]
 		previous := s.roster.Get(r.ID)
+		if previous == nil && !r.Removed {
+			listed = append(listed, r.ID)
+		}
 		if previous != nil && !r.Removed && !r.Invalid && r.Entry.Born > previous.Born {
 			s.balancer.ClearPrompts(r.ID)
 			s.slowness.Forget(r.ID)
@@ -43,18 +47,15 @@
 		s.logEndpointChange(previous, r)
 		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
 	}
-	if platform.RevisionEra(revision) > platform.RevisionEra(s.roster.Revision()) {
-		newest := revision
-		for i := range records {
-			newest = max(newest, records[i].Revision)
-		}
-		s.roster.RecordRestore(newest)
-	}
+	s.observeRestore(records, revision)
 	if complete {
 		s.roster.Replace(now, records, revision)
 	} else {
 		s.roster.Apply(now, records, revision)
 	}
+	for _, id := range listed {
+		s.withdrawCrash(now, id)
+	}
 	s.observeSoftware(now)
 	if !s.listed {
 		s.listed, s.listedAt = true, now
@@ -62,6 +63,18 @@
 	return departed
 }
 
+// observeRestore records the first list or changes since the store came back from an older copy.
+func (s *state) observeRestore(records []roster.Record, revision int64) {
+	if platform.RevisionEra(revision) <= platform.RevisionEra(s.roster.Revision()) {
+		return
+	}
+	newest := revision
+	for i := range records {
+		newest = max(newest, records[i].Revision)
+	}
+	s.roster.RecordRestore(newest)
+}
+
 // logEndpointChange logs a change to the recorded state of an endpoint.
 func (s *state) logEndpointChange(previous *roster.Endpoint, r *roster.Record) {
 	var change string
--- a/internal/direct/restart_test.go
+++ b/internal/direct/restart_test.go
@@ -12,7 +12,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
@@ -99,3 +102,42 @@
 		require.NoError(t, group.Wait())
 	})
 }
+
+// Endpoints that were silent for a while count as crashed under the requests whose connections broke there,
+// though the same start of each registers again.
+func TestSilentEndpointsCountAsCrashed(t *testing.T) {
+	w := &testClock{}
+	one, two := newTestState(w), newTestState(w)
+	sound, revision := identityOf(3), int64(1)
+	apply := func(r roster.Record) {
+		revision++
+		r.Revision, r.Entry.Revision = revision, revision
+		for _, s := range []*state{one, two} {
+			s.applyRecords([]roster.Record{r}, revision, false)
+			s.cleanUp()
+		}
+	}
+	news := func() {
+		_, b := one.heartbeat()
+		b.Peer.Instance = "other"
+		two.receiveHeartbeat(b)
+		w.elapsed += 300 * time.Millisecond
+	}
+	for _, id := range []fleet.Endpoint{"a", "b", "c", "d"} {
+		entry := roster.Record{ID: id, Entry: roster.Entry{ID: id, Service: "s", Born: 5}}
+		apply(entry)
+		began := w.now()
+		w.elapsed += 10 * time.Millisecond
+		one.AnswerInterrupted(gateway.Target{ID: id, Born: 5}, sound, began, false)
+		w.elapsed += siteEntryLapse
+		apply(roster.Record{ID: id, Removed: true})
+		news()
+		if id != "d" {
+			apply(entry)
+		}
+		news()
+	}
+	w.elapsed += settleBeats * siteBeat
+	assert.False(t, one.refuses(sound))
+	assert.False(t, two.refuses(sound))
+}
