fix(direct): an instance that doesn't know the others doesn't take the whole allowance of retries

Cause: a decision from absence. An instance that knew of no other shared the fixed allowance with none.

Change: as for allotments, nothing is used of it before the list of instances has been read, and the others have had two rounds to register. Retries earned by own requests stay.

Evidence: TestRetriesWhileTheInstancesAreUnknown, nine instances, an allowance of 58: 306 retries before, at most 58 after.

--- a/internal/core/balance/budget.go
+++ b/internal/core/balance/budget.go
@@ -87,6 +87,14 @@
 // falls, since unreachable instances may still use their share.
 func (b *Budget) SetMembers(n int) { b.members = max(b.members, n) }
 
+// HoldAllowance has the fixed allowance not used at a time, since it isn't known how many instances
+// share it.
+func (b *Budget) HoldAllowance(now time.Time) {
+	if !now.Before(b.allowanceFrom) {
+		b.allowanceFrom = now.Add(1)
+	}
+}
+
 // RecordRequest counts a request for a service.
 func (b *Budget) RecordRequest(now time.Time, s catalog.Service) { b.countsAt(now, s).requests[0]++ }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -116,7 +116,11 @@
 func (s *state) applyInstances(peers []member.Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.ApplyList(s.clock(), peers)
+	now := s.clock()
+	if s.instancesListedAt.IsZero() {
+		s.instancesListedAt = now
+	}
+	s.view.ApplyList(now, peers)
 }
 
 // leave marks this instance as leaving, which is irreversible.
--- a/internal/direct/restart_test.go
+++ b/internal/direct/restart_test.go
@@ -12,7 +12,9 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -141,3 +143,36 @@
 	assert.False(t, one.refuses(sound))
 	assert.False(t, two.refuses(sound))
 }
+
+// Each of some instances that start again while the store is away takes the allowance of retries of all
+// for its own.
+func TestRetriesWhileTheInstancesAreUnknown(t *testing.T) {
+	const allowance, window = 58.0, 10 * time.Second
+	w := &testClock{}
+	start := w.now()
+	var peers []member.Peer
+	for i := range 9 {
+		peers = append(peers, member.Peer{Instance: fleet.Instance(fmt.Sprint("front-", i)), Address: fmt.Sprint("a:", i)})
+	}
+	take := func(s *state) int {
+		n := 0
+		for s.TakeRetry("s") {
+			n++
+		}
+		return n
+	}
+	unknown, known := 0, 0
+	for i := range peers {
+		w.elapsed = 0
+		s := newTestStateOf(w, peers[i].Instance)
+		s.budget = balance.NewBudget(0.2, allowance, window, balance.WithStart(start))
+		w.elapsed = 2 * window
+		unknown += take(s)
+		s.applyInstances(peers)
+		unknown += take(s)
+		w.elapsed += 2 * instanceListInterval
+		known += take(s)
+	}
+	assert.LessOrEqual(t, unknown+known, int(allowance))
+	assert.Positive(t, known)
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -87,16 +87,18 @@
 	outdatedSince time.Time
 	listed        bool // whether a list of endpoints has been received
 	// listedAt is when the first list was received.
-	listedAt        time.Time
-	roster          *roster.Roster
-	balancer        *balance.Balancer
-	budget          *balance.Budget
-	view            *member.View
-	peers           map[fleet.Instance]*peer
-	demand          map[roster.Adapter]*demandMeters
-	meanWork        map[int]float64 // usual work of a request, by level
-	newReports      []gossip.Report
-	failedEndpoints map[fleet.Endpoint]gossip.Incarnation
+	listedAt time.Time
+	// instancesListedAt is when the list of instances was first read.
+	instancesListedAt time.Time
+	roster            *roster.Roster
+	balancer          *balance.Balancer
+	budget            *balance.Budget
+	view              *member.View
+	peers             map[fleet.Instance]*peer
+	demand            map[roster.Adapter]*demandMeters
+	meanWork          map[int]float64 // usual work of a request, by level
+	newReports        []gossip.Report
+	failedEndpoints   map[fleet.Endpoint]gossip.Incarnation
 	// brokenEndpoints may have crashed, crashes is what is known of the parts of prompts and the
 	// whole requests that crash endpoints.
 	brokenEndpoints map[incarnation]*brokenEndpoint
@@ -431,8 +433,12 @@
 func (s *state) TakeRetry(service catalog.Service) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock()
 	s.budget.SetMembers(len(s.view.All()))
-	return s.budget.TakeRetry(s.clock(), service)
+	if s.instancesListedAt.IsZero() || now.Sub(s.instancesListedAt) < 2*instanceListInterval {
+		s.budget.HoldAllowance(now) // others may not have registered yet
+	}
+	return s.budget.TakeRetry(now, service)
 }
 
 // Missing records that an endpoint lacks the adapter or, if a is empty, the model.
