--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/platform"
 )
 
 const (
@@ -32,9 +33,13 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	departed := false
+	var listed []fleet.Endpoint
 	for i := range records {
 		r := &records[i]
 		previous := s.roster.Get(r.ID)
+		if previous == nil && !r.Removed {
+			listed = append(listed, r.ID)
+		}
 		if previous != nil && !r.Removed && !r.Invalid && r.Entry.Born > previous.Born {
 			s.balancer.ClearPrompts(r.ID)
 			s.slowness.Forget(r.ID)
@@ -45,11 +50,15 @@
 		s.logEndpointChange(previous, r)
 		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
 	}
+	s.observeRestore(records, revision)
 	if complete {
 		s.roster.Replace(now, records, revision)
 	} else {
 		s.roster.Apply(now, records, revision)
 	}
+	for _, id := range listed {
+		s.withdrawCrash(now, id)
+	}
 	s.observeSoftware(now)
 	if !s.listed {
 		s.listed, s.listedAt = true, now
@@ -57,6 +66,18 @@
 	return departed
 }
 
+// observeRestore records the first list or changes since the store came back from an older copy.
+func (s *state) observeRestore(records []roster.Record, revision int64) {
+	if platform.RevisionEra(revision) <= platform.RevisionEra(s.roster.Revision()) {
+		return
+	}
+	newest := revision
+	for i := range records {
+		newest = max(newest, records[i].Revision)
+	}
+	s.roster.RecordRestore(newest)
+}
+
 // logEndpointChange logs a change to the recorded state of an endpoint.
 func (s *state) logEndpointChange(previous *roster.Endpoint, r *roster.Record) {
 	var change string
@@ -98,7 +119,11 @@
 func (s *state) applyInstances(peers []member.Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.ApplyList(s.clock(), peers)
+	now := s.clock()
+	if s.instancesListedAt.IsZero() {
+		s.instancesListedAt = now
+	}
+	s.view.ApplyList(now, peers)
 }
 
 // leave marks this instance as leaving, which is irreversible.
@@ -191,7 +216,7 @@
 		s.observeReport(r.Endpoint, r.Report, string(name))
 	}
 	for _, l := range b.Leaving {
-		s.observeLeaving(l, string(name))
+		s.receiveLeaving(now, l, string(name))
 	}
 	for _, f := range b.Failed {
 		s.roster.RecordFailure(now, f.Endpoint, f.Born)
@@ -301,7 +326,9 @@
 	now := s.clock()
 	for _, e := range s.roster.RemoveMissing(now) {
 		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not back")
-		s.leftEndpoints = append(s.leftEndpoints, gossip.Incarnation{Endpoint: e.ID, Born: e.Born})
+	}
+	for _, e := range s.roster.Disprove(now) {
+		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not leaving")
 	}
 	s.settleBroken(now)
 	s.logVerdicts(now)
