fix(direct): endpoints that a complete list no longer has are logged as removed

What was seen: 1 of 6 runs of TestStreamsTakenUpAfterAllInstancesWereKilled beside a load average of 36 failed in its set-up, "front-1 knows the endpoints": no line of the log said that e-1 and e-2 were removed.

Cause: an instance whose watch lags fetches the list of a peer; endpoints that this doesn't have were removed without a line. Operators miss it too. No request is affected.

Change: they are logged as those that are removed one by one.

Evidence: TestEndpointsMissingFromAListAreLogged failed before.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -46,7 +46,9 @@
 		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
 	}
 	if complete {
+		before := s.roster.All()
 		s.roster.Replace(now, records, revision)
+		s.logUnlisted(before, records, revision)
 	} else {
 		s.roster.Apply(now, records, revision)
 	}
@@ -77,6 +79,16 @@
 	_ = s.logger.Log("step", "endpoint", "endpoint", r.ID, "born", r.Entry.Born, "software", r.Entry.Software, "revision", r.Revision, "now", change)
 }
 
+// logUnlisted logs the endpoints that a complete list no longer has.
+func (s *state) logUnlisted(before []*roster.Endpoint, records []roster.Record, revision int64) {
+	for _, e := range before {
+		listed := slices.ContainsFunc(records, func(r roster.Record) bool { return r.ID == e.ID })
+		if !listed && s.roster.Get(e.ID) == nil {
+			_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "software", e.Software, "revision", revision, "now", "removed")
+		}
+	}
+}
+
 // listIsDue reports whether this instance reads the registrations of all instances now: each
 // time in a small fleet, less often in a large one, where the lists of all are the most bytes.
 // Instances that start meanwhile announce themselves by their heartbeats.
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -365,3 +366,16 @@
 		})
 	}
 }
+
+// An endpoint that is gone from a complete list leaves a line in the log, as one that is removed by itself.
+func TestEndpointsMissingFromAListAreLogged(t *testing.T) {
+	s := newTestState(&testClock{})
+	var output bytes.Buffer
+	s.logger = log.NewLogfmtLogger(&output)
+	next := roster.Record{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Revision: 2}}
+	s.applyRecords([]roster.Record{next}, 3, true)
+	assert.Contains(t, output.String(), "endpoint=p born=0 software= revision=3 now=removed")
+	output.Reset()
+	s.applyRecords([]roster.Record{next}, 4, true)
+	assert.Empty(t, output.String())
+}
