fix(suspect): a sound request is not denied while its endpoints go down and up

What callers saw: a request that comes again and again was refused with 400 for a minute and more after the only endpoint of its model had gone down and up for some seconds, though the endpoint was sound by then (DENIED).

Cause: three crashes in sequence under a request convicted it, whatever the endpoints' own record, and the verdict was final at once: 400, tried again after a minute. Two faults of one class, a refusal without a proof.

Change: (1) A request that was answered completely before, and at whose crashes others were in flight, takes six crashes in place of three: its endpoints end under all requests. One that was never answered, as those that crash endpoints, is found as soon as before. (2) A verdict on a request is a doubt (503 with a time) until a review has crashed an endpoint too. A review is the crash of a request sent 6 s or more after the crash before, once there was a verdict. (3) The first review comes 8 s after the last crash in place of a minute, if an endpoint that can take the request has been listed for 4 s; the next ones after two minutes and more.

TestRequestWhoseEndpointFlapsIsNotDenied failed with the verdict final at once (4,372 denied) and passes; its second case holds that a request that does crash endpoints is sent three times at most and then denied.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -27,6 +27,8 @@
 	Report Report
 	// Lost is set once the endpoint is removed, or its entry did not reappear in time.
 	Lost bool
+	// listedAt is when the incarnation was first listed here.
+	listedAt time.Time
 	// suspectUntil is when a suspicion due to failed sends ends.
 	suspectUntil time.Time
 	failures     int
@@ -191,7 +193,7 @@
 	}
 	switch {
 	case known == nil || c.Entry.Born > known.Born:
-		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry, changedAt: c.Revision, listedLeaving: c.Entry.Leaving}
+		r.endpoints[c.ID] = &Endpoint{Entry: c.Entry, changedAt: c.Revision, listedLeaving: c.Entry.Leaving, listedAt: now}
 		r.sorted, r.changedAt = nil, max(r.changedAt, c.Revision)
 	case c.Entry.Born < known.Born || c.Revision < known.Revision:
 		return
@@ -306,6 +308,9 @@
 	return r.sorted
 }
 
+// Age returns how long ago the incarnation was first listed here.
+func (e *Endpoint) Age(now time.Time) time.Duration { return now.Sub(e.listedAt) }
+
 // Suspect reports whether the endpoint is avoided because of failed sends.
 func (e *Endpoint) Suspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -23,17 +23,20 @@
 	// for another reason: those where its answer had not begun must have ended at requestMoments
 	// different moments, else the verdict is provisional, and those where it had one after the other.
 	// Of several requests in the same number of crashes, those whose answers had begun need
-	// ambiguousRequestThreshold.
+	// ambiguousRequestThreshold. One that has been answered completely before and that others accompany
+	// needs answeredRequestThreshold: the endpoints end under all requests, and it is in flight often.
 	requestThreshold          = 3
 	requestMoments            = 2
 	ambiguousRequestThreshold = 4
+	answeredRequestThreshold  = 6
 	// partCrashExpiry is how long a crash counts for parts, crashExpiry for whole requests.
 	// verdictExpiry is how long a verdict is kept after the last crash.
 	partCrashExpiry = 10 * time.Minute
 	crashExpiry     = DefaultExpiry
 	verdictExpiry   = DefaultExpiry
-	// reviewGap is the shortest time without a crash after which one counts as that of a review.
-	reviewGap = 30 * time.Second
+	// reviewGap is how long after a crash that led to a verdict a request must have been sent to count
+	// as its review: until then requests may be sent by instances without the verdict.
+	reviewGap = 6 * time.Second
 	// verdictTolerance is by how much reports of the same crash may differ in time.
 	verdictTolerance = 2 * time.Second
 	// Limits on what is kept.
@@ -106,6 +109,11 @@
 	Runs        []CrashedRun
 }
 
+// has reports whether a request with a key was in flight.
+func (d *EndpointCrash) has(k Key) bool {
+	return slices.ContainsFunc(d.Runs, func(r CrashedRun) bool { return slices.Contains(r.Keys, k) })
+}
+
 func (d *EndpointCrash) sentAt(r CrashedRun) time.Time { return d.FailedAt.Add(-r.Age) }
 
 // Verdict says that a part of prompts or a whole request crashes endpoints.
@@ -114,15 +122,15 @@
 	// Crashes is how many endpoints crashed under it, FailedAt when the last one did.
 	Crashes  int
 	FailedAt time.Time
-	// Reviews is how many of the crashes came long after the one before.
+	// Reviews is how many of the crashes came under requests sent to try the verdict.
 	Reviews int
 	// Provisional is set if the endpoints crashed at one moment, so that there may be another reason.
 	Provisional bool
 }
 
-// next returns the verdict after another crash.
-func (v Verdict) next(failedAt time.Time) Verdict {
-	if v.Crashes > 0 && failedAt.Sub(v.FailedAt) >= reviewGap {
+// next returns the verdict after another crash, of a request sent at a time.
+func (v Verdict) next(sentAt, failedAt time.Time) Verdict {
+	if v.Crashes >= requestThreshold && sentAt.Sub(v.FailedAt) >= reviewGap {
 		v.Reviews++
 	}
 	v.Crashes, v.FailedAt = v.Crashes+1, failedAt
@@ -283,7 +291,7 @@
 	for _, r := range d.Runs {
 		for _, key := range r.Keys {
 			if v, ok := c.kept[key]; ok && d.sentAt(r).After(v.FailedAt) {
-				c.kept[key] = v.next(d.FailedAt)
+				c.kept[key] = v.next(d.sentAt(r), d.FailedAt)
 			}
 		}
 	}
@@ -360,7 +368,7 @@
 func (c *CrashRecord) count(k Key) int {
 	n := 0
 	for _, d := range c.crashes {
-		if slices.ContainsFunc(d.Runs, func(r CrashedRun) bool { return slices.Contains(r.Keys, k) }) {
+		if d.has(k) {
 			n++
 		}
 	}
--- a/internal/core/suspect/record_test.go
+++ b/internal/core/suspect/record_test.go
@@ -302,3 +302,64 @@
 		})
 	}
 }
+
+// A request that others accompany has been answered before, so that it is sound at most endpoints: it takes
+// twice as many crashes to convict it as one that was never answered, or that was in flight alone.
+func TestRequestAnsweredBeforeNeedsMoreCrashes(t *testing.T) {
+	for _, tt := range []struct {
+		name            string
+		answered, alone bool
+		want            int
+	}{
+		{name: "never answered", want: 3},
+		{name: "answered before", answered: true, want: 6},
+		{name: "answered before, alone", answered: true, alone: true, want: 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, at := crashRecord(nil)
+			if tt.answered {
+				c.Answered("request 1", at(-1000))
+			}
+			crashes := 0
+			for ; crashes < 10 && convicted(c, at(400*crashes).Add(settle)) == ""; crashes++ {
+				d := suspect.EndpointCrash{Incarnation: fmt.Sprint(crashes), FailedAt: at(400 * crashes)}
+				d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{"request 1"}, Age: 50 * time.Millisecond})
+				if !tt.alone {
+					other := suspect.Key(fmt.Sprint("request other", crashes))
+					d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{other}, Age: 50 * time.Millisecond})
+				}
+				c.Add(at(400*crashes), d)
+			}
+			assert.Equal(t, tt.want, crashes)
+		})
+	}
+}
+
+// Only the crash of a request that was sent after its verdict had reached all instances proves it.
+func TestReviewsAreOfRequestsSentAfterTheVerdict(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		crashes, at, age int // in milliseconds
+		want             int
+	}{
+		{name: "sent after it", crashes: 3, at: 10_000, age: 100, want: 1},
+		{name: "sent before it", crashes: 3, at: 10_000, age: 9_500},
+		{name: "sent by an instance without it", crashes: 3, at: 3_000, age: 100},
+		{name: "before there was one", crashes: 2, at: 10_000, age: 100},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, at := crashRecord(nil)
+			crash := func(n, failed, age int) {
+				run := suspect.CrashedRun{Keys: []suspect.Key{"request 1"}, Age: time.Duration(age) * time.Millisecond}
+				c.Add(at(failed), suspect.EndpointCrash{Incarnation: fmt.Sprint(n), FailedAt: at(failed), Runs: []suspect.CrashedRun{run}})
+			}
+			for n := range tt.crashes {
+				crash(n, 200*n, 50)
+			}
+			crash(9, tt.at, tt.age)
+			v, _ := c.Verdict(at(20_000), "request 1")
+			assert.Equal(t, tt.crashes+1, v.Crashes)
+			assert.Equal(t, tt.want, v.Reviews)
+		})
+	}
+}
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -11,7 +11,8 @@
 type evidence struct {
 	key     Key
 	crashes []int
-	chain   int // how many of the crashes came in sequence
+	sent    []time.Time // when the latest request was sent to each
+	chain   int         // how many of the crashes came in sequence
 }
 
 // evaluate finds the verdicts by the crashes that have settled.
@@ -97,11 +98,17 @@
 	all, unbegun evidence
 	// general is set for a resource all of whose crashes came under one request as well.
 	general bool
+	// answered is set if it has been answered completely before, and others were in flight beside it.
+	answered bool
 }
 
 // convicts reports whether the evidence suffices for a verdict.
 func (e requestEvidence) convicts() bool {
-	return e.all.chain >= requestThreshold || len(e.unbegun.crashes) >= requestThreshold
+	threshold := requestThreshold
+	if e.answered {
+		threshold = answeredRequestThreshold
+	}
+	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold
 }
 
 // verdict returns the verdict on a request that the evidence convicts. That on a general resource is
@@ -152,6 +159,8 @@
 	var suspects []evidence
 	for _, key := range slices.Sorted(maps.Keys(all)) {
 		e := requestEvidence{all: newEvidence(crashes, key, all[key]), unbegun: newEvidence(crashes, key, unbegun[key])}
+		_, answered := c.completed[key]
+		e.answered = answered && inCompany(crashes, e.all)
 		if e.convicts() {
 			suspects = append(suspects, e.all)
 		}
@@ -164,12 +173,24 @@
 	var worst []requestEvidence
 	for _, o := range suspects {
 		if len(o.crashes) == len(culprit.crashes) {
-			worst = append(worst, requestEvidence{o, newEvidence(crashes, o.key, unbegun[o.key]), isGeneral(crashes, suspects, o)})
+			worst = append(worst, requestEvidence{all: o, unbegun: newEvidence(crashes, o.key, unbegun[o.key]), general: isGeneral(crashes, suspects, o)})
 		}
 	}
 	return worst
 }
 
+// inCompany reports whether other requests were in flight at most crashes under a key: fewer came with it
+// alone than convict it.
+func inCompany(crashes []*EndpointCrash, e evidence) bool {
+	alone := 0
+	for _, i := range e.crashes {
+		if !slices.ContainsFunc(crashes[i].Runs, func(r CrashedRun) bool { return r.isRequest() && !slices.Contains(r.Keys, e.key) }) {
+			alone++
+		}
+	}
+	return alone < requestThreshold
+}
+
 // isGeneral reports whether a suspect is a resource, and another one a request for it in flight at
 // all of its crashes.
 func isGeneral(crashes []*EndpointCrash, suspects []evidence, e evidence) bool {
@@ -226,6 +247,7 @@
 	e := evidence{key: key, crashes: slices.Sorted(maps.Keys(sent))}
 	last := time.Time{}
 	for _, i := range e.crashes {
+		e.sent = append(e.sent, sent[i])
 		if !sent[i].Before(last) {
 			e.chain, last = e.chain+1, crashes[i].FailedAt
 		}
@@ -265,8 +287,8 @@
 
 func newVerdict(crashes []*EndpointCrash, e evidence) Verdict {
 	v := Verdict{Key: e.key}
-	for _, i := range e.crashes {
-		v = v.next(crashes[i].FailedAt)
+	for n, i := range e.crashes {
+		v = v.next(e.sent[n], crashes[i].FailedAt)
 	}
 	return v
 }
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -134,6 +136,74 @@
 	}
 }
 
+// The only endpoint that has a model goes down and up for some seconds under a request that comes again
+// and again. The request is never denied: one is sent once the endpoint has been up for a while, whose
+// answer clears it everywhere. If it ends the endpoint again, the request is denied for longer.
+func TestRequestWhoseEndpointFlapsIsNotDenied(t *testing.T) {
+	for _, crashing := range []bool{false, true} {
+		t.Run(fmt.Sprint("crashing ", crashing), func(t *testing.T) {
+			w := &testClock{}
+			p := idleSite(t, w, 9)
+			id, query := suspect.Identity{Request: 7, Resource: 8}, &balance.Request{Service: "s", Model: "m"}
+			list := func(n int64) {
+				removed, id := fleet.Endpoint(fmt.Sprint("i-", n-1)), fleet.Endpoint(fmt.Sprint("i-", n))
+				p.apply(roster.Record{ID: removed, Removed: true})
+				p.apply(roster.Record{ID: id, Entry: roster.Entry{ID: id, Service: "s", Born: n, Models: []roster.Holding{{Model: "m"}}}})
+			}
+			crash := func(n int, age time.Duration) {
+				run := suspect.CrashedRun{Keys: id.Keys(), Age: age, Begun: true}
+				for _, s := range p.states {
+					s.crashes.Add(w.now(), suspect.EndpointCrash{Incarnation: fmt.Sprint("i-", n), FailedAt: w.now(), Runs: []suspect.CrashedRun{run}})
+				}
+			}
+			for n := range 5 {
+				list(int64(n))
+				w.elapsed += 700 * time.Millisecond
+				crash(n, 100*time.Millisecond)
+				w.elapsed += 700 * time.Millisecond
+			}
+			list(5)
+			w.elapsed += settleBeats * siteBeat
+			sends, denied, up := 0, 0, w.elapsed
+			var first time.Duration
+			for at := up; at < up+50*time.Second; at += 100 * time.Millisecond {
+				w.elapsed = at
+				for _, s := range p.states {
+					_, err := s.ClaimRun(query, id)
+					switch {
+					case errors.Is(err, gateway.ErrPoison):
+						denied++
+					case err == nil && crashing:
+						crash(100+sends, 0)
+						sends++
+					case err == nil:
+						s.AnswerCompleted(id)
+						_, b := s.heartbeat()
+						for _, o := range p.states {
+							if o != s {
+								o.receiveHeartbeat(b)
+							}
+						}
+						sends++
+					}
+					if sends == 1 && first == 0 {
+						first = at - up
+					}
+				}
+			}
+			assert.Greater(t, first, soundTime-settleBeats*siteBeat-siteBeat)
+			assert.Less(t, first, recoveryTime+reviewTurnTime)
+			if crashing {
+				assert.LessOrEqual(t, sends, 3)
+				assert.Positive(t, denied)
+			} else {
+				assert.Greater(t, sends, 1000, "sent again by all")
+				assert.Zero(t, denied)
+			}
+		})
+	}
+}
+
 // Endpoints that end for another reason don't make the requests that callers send again and again
 // poison requests.
 func TestPolledRequestsAreNotPoison(t *testing.T) {
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 )
@@ -17,7 +19,11 @@
 	// firstReviewAfter is how long after the last crash a key is refused, twice as long after each
 	// review that ended an endpoint, maxReviewDoublings times at most. Then one request with it may
 	// be sent in each reviewTurnTime, by an instance that changes with it.
-	firstReviewAfter   = time.Minute
+	firstReviewAfter = time.Minute
+	// recoveryTime is the same for a request that no review has convicted, if an endpoint that can take
+	// it has been listed for soundTime: those that went down and up for another reason have recovered.
+	recoveryTime       = 8 * time.Second
+	soundTime          = 4 * time.Second
 	maxReviewDoublings = 4
 	reviewTurnTime     = 10 * time.Second
 )
@@ -69,7 +75,7 @@
 		if !ok {
 			return
 		}
-		if wait := s.untilReview(now, v, shared); wait > longest {
+		if wait := s.untilReview(now, v, shared, a); wait > longest {
 			longest = wait
 			refusal = fmt.Errorf("%w: %s, %d crashes, the last %s ago", refusalReason(v), key, v.Crashes, now.Sub(v.FailedAt).Round(time.Millisecond))
 		}
@@ -96,7 +102,7 @@
 // refusalReason returns the error of a request that a verdict forbids to send.
 func refusalReason(v suspect.Verdict) error {
 	switch {
-	case v.Provisional:
+	case doubtful(v):
 		return gateway.ErrSuspect
 	case v.Key.IsRequest():
 		return gateway.ErrPoison
@@ -105,20 +111,35 @@
 	}
 }
 
+// doubtful reports whether a verdict has another likely explanation. The endpoints under a request may
+// have ended for another reason as long as no review has crashed one that had recovered.
+func doubtful(v suspect.Verdict) bool { return v.Provisional || v.Key.IsRequest() && v.Reviews == 0 }
+
 // reviewAfter returns how long after its last crash a key is refused.
-func reviewAfter(v suspect.Verdict) time.Duration {
-	if v.Provisional {
+func (s *state) reviewAfter(now time.Time, v suspect.Verdict, a *balance.Request) time.Duration {
+	switch {
+	case v.Provisional:
 		return 0
+	case doubtful(v) && s.hasSound(now, a):
+		return recoveryTime
+	default:
+		return firstReviewAfter << min(v.Reviews, maxReviewDoublings)
 	}
-	return firstReviewAfter << min(v.Reviews, maxReviewDoublings)
+}
+
+// hasSound reports whether an endpoint that can take a request has been up for some time.
+func (s *state) hasSound(now time.Time, a *balance.Request) bool {
+	return slices.ContainsFunc(s.roster.All(), func(e *roster.Endpoint) bool {
+		return e.Service == a.Service && !e.Leaving && !e.Suspect(now) && e.Age(now) >= soundTime && (a.Model == "" || e.Serves(now, a.Model, ""))
+	})
 }
 
 // untilReview returns after what time a request with a convicted key may be sent, 0 for now. shared
 // is the key by which the reviewer is chosen: that of the resource for both keys of a request, or the
 // two would have different reviewers, neither of which may send it.
-func (s *state) untilReview(now time.Time, v suspect.Verdict, shared suspect.Key) time.Duration {
+func (s *state) untilReview(now time.Time, v suspect.Verdict, shared suspect.Key, a *balance.Request) time.Duration {
 	age := now.Sub(v.FailedAt)
-	if wait := reviewAfter(v) - age; wait > 0 {
+	if wait := s.reviewAfter(now, v, a) - age; wait > 0 {
 		return wait
 	}
 	turn := int(age / reviewTurnTime)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -44,9 +44,9 @@
 	ErrNoEndpoint = errors.New("no endpoint can take the request")
 	// ErrPoison is returned for a poison request: endpoints crashed while they ran it.
 	ErrPoison = errors.New("endpoints crashed while running this request")
-	// ErrSuspect is returned for a request while another one like it is tried: endpoints crashed at
-	// once while they ran it, which may have had another reason.
-	ErrSuspect = errors.New("endpoints crashed at once while running this request")
+	// ErrSuspect is returned for a request until another one like it was tried: endpoints crashed while
+	// they ran it, which may have had another reason.
+	ErrSuspect = errors.New("endpoints crashed while running this request, which may have had another reason")
 	// ErrCrashingPart is returned for a request whose prompt has a part under which endpoints
 	// crashed. Others may be the cause, so the request may be repeated later.
 	ErrCrashingPart = errors.New("endpoints crashed under a part of the prompt")
