refactor: names and comments of the streams', events' and verdicts' code

Read as a newcomer; text and names only, but for one log key and one metric label.

- origin.Verdict is origin.Basis: verdicts are those of core/suspect, and direct uses both.
- streamRecords.forget is stopWaiting, verdictRecords.forget is forgetWritten: they did different things under one name. hasSound is hasSoundEndpoint.
- Comments that need the history of the change, or two of them at one method, are reworded; comments and case names of tests too.
No assertion is changed.

--- a/internal/core/balance/budget.go
+++ b/internal/core/balance/budget.go
@@ -87,7 +87,7 @@
 // falls, since unreachable instances may still use their share.
 func (b *Budget) SetMembers(n int) { b.members = max(b.members, n) }
 
-// HoldAllowance has the fixed allowance not used at a time, since it isn't known how many instances
+// HoldAllowance withholds the fixed allowance at a time at which it isn't known how many instances
 // share it.
 func (b *Budget) HoldAllowance(now time.Time) {
 	if !now.Before(b.allowanceFrom) {
--- a/internal/core/origin/decide.go
+++ b/internal/core/origin/decide.go
@@ -13,36 +13,36 @@
 	Software fleet.Software
 	// Versions are those of the service that may have begun a stream which callers still take up.
 	Versions []fleet.Software
-	// Settled is set if no other version can have begun such a stream, as far as the instance and the
-	// store knew when it last had news of the service.
+	// Settled is set if Versions are complete: no other version can have begun such a stream
+	// (Table.Settled).
 	Settled bool
 }
 
-// Verdict is how the version that began a stream was found.
-type Verdict string
+// Basis is what the version of a stream that a caller takes up was decided by.
+type Basis string
 
-// The verdicts on a stream that a caller takes up.
+// The bases.
 const (
-	// VerdictRecorded: this instance, a keeper or the store has a record of the stream.
-	VerdictRecorded Verdict = "recorded"
-	// VerdictSingle: there is no record, and a single version can have begun the stream.
-	VerdictSingle Verdict = "single"
-	// VerdictUnread: the store must be asked for a record.
-	VerdictUnread Verdict = "unread"
-	// VerdictUnknown: the stream must not be continued.
-	VerdictUnknown Verdict = "unknown"
+	// BasisRecorded: this instance, a keeper or the store has a record of the stream.
+	BasisRecorded Basis = "recorded"
+	// BasisSingle: there is no record, and a single version can have begun the stream.
+	BasisSingle Basis = "single"
+	// BasisUnread: the store must be asked for a record.
+	BasisUnread Basis = "unread"
+	// BasisUnknown: there is none, so the stream must not be continued.
+	BasisUnknown Basis = "unknown"
 )
 
 // Decide returns the version that began a stream if this instance or a keeper has a record of it; a
-// keeper that didn't answer is nil. That they have none proves nothing: the one that has may be lost,
-// and a second version may have appeared that they have no news of.
-func Decide(own *Knowledge, keepers []*Knowledge) (fleet.Software, Verdict) {
+// keeper that didn't answer is nil. Without a record the store must be asked: the instances that had
+// one may be lost, and the others may not have received that a second version is listed.
+func Decide(own *Knowledge, keepers []*Knowledge) (fleet.Software, Basis) {
 	for _, k := range append([]*Knowledge{own}, keepers...) {
 		if k != nil && k.Known {
-			return k.Software, VerdictRecorded
+			return k.Software, BasisRecorded
 		}
 	}
-	return "", VerdictUnread
+	return "", BasisUnread
 }
 
 // Lookup is what the store has answered.
@@ -52,20 +52,20 @@
 	Software    fleet.Software
 	// Garbled is set if a record can't be read.
 	Garbled bool
-	// History is set if the versions that it has on record are complete, and known here.
+	// History is set if the versions that it has on record are complete, and were read.
 	History bool
 }
 
 // DecideByStore returns the version that began a stream of which neither this instance nor the
 // keepers that answered had a record when they were asked. One may have been named here since.
-func DecideByStore(own *Knowledge, keepers []*Knowledge, l Lookup) (fleet.Software, Verdict) {
+func DecideByStore(own *Knowledge, keepers []*Knowledge, l Lookup) (fleet.Software, Basis) {
 	switch {
 	case l.Found:
-		return l.Software, VerdictRecorded
+		return l.Software, BasisRecorded
 	case own.Known:
-		return own.Software, VerdictRecorded
+		return own.Software, BasisRecorded
 	case l.Garbled:
-		return "", VerdictUnknown
+		return "", BasisUnknown
 	}
 	versions := own.Versions
 	answered, settled := len(keepers) == 0, own.Settled
@@ -75,13 +75,13 @@
 			answered, settled = true, settled || k.Settled
 		}
 	}
-	// Without the store, an instance that reaches nobody may have missed a version.
+	// Without the store, an instance that reaches no keeper may have missed a version.
 	if l.Read && (l.History || settled) || !l.Read && answered && settled {
 		if software, ok := single(versions); ok {
-			return software, VerdictSingle
+			return software, BasisSingle
 		}
 	}
-	return "", VerdictUnknown
+	return "", BasisUnknown
 }
 
 func single(versions []fleet.Software) (fleet.Software, bool) {
--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -12,8 +12,8 @@
 const (
 	// firstEra is the latest era of a store that has never come back from an older copy.
 	firstEra = 1
-	// relistGap is how long a version must not have been listed for its record to be written anew once
-	// it is: an instance that was cut off may be about to remove it.
+	// relistGap is the time without a listing after which a version that is listed again is also
+	// written again: an instance that was cut off meanwhile may be about to remove it from the record.
 	relistGap = 10 * time.Second
 )
 
@@ -68,7 +68,7 @@
 }
 
 // ForgetHistory has the versions on record read again, after the store has come back from an older
-// copy, and the streams of this instance recorded again. What is known here stays known.
+// copy, and the streams of this instance recorded again. The versions known here are kept.
 func (t *Table) ForgetHistory() {
 	t.outlived = t.HasHistory()
 	clear(t.history)
@@ -97,11 +97,11 @@
 // HasHistory reports whether the versions on record were read.
 func (t *Table) HasHistory() bool { return !t.historyRead.IsZero() }
 
-// HistoryDue reports whether the versions on record are to be read, and HistoryDiffers whether they
-// differ from those that are known here, as after another instance has written them.
+// HistoryDue reports whether the versions on record are to be read.
 func (t *Table) HistoryDue() bool { return !t.HasHistory() || t.stale }
 
-// HistoryDiffers reports whether the versions on record, as they were read, differ from those known here.
+// HistoryDiffers reports whether the versions on record, as they were last read, differ from those known
+// here, as after another instance has written them.
 func (t *Table) HistoryDiffers(now time.Time) bool {
 	for service := range t.versions {
 		if known := t.Versions(now, service); len(known) > 0 && !slices.Equal(known, t.history[service].Versions) {
@@ -128,7 +128,7 @@
 
 // Unrecorded returns the services whose record of versions must be written, as it is to be. A version
 // is added once an endpoint was listed with it, and removed when streams that it began are no longer
-// taken up; so instances that have started at different times agree.
+// taken up. Only an instance that has observed the service for that long removes one.
 func (t *Table) Unrecorded(now time.Time) []Serving {
 	if t.HistoryDue() {
 		return nil
@@ -179,8 +179,8 @@
 	return false
 }
 
-// Behind reports whether a version that is alone is not on record, as far as this instance has read
-// it: its streams are recorded one by one until it is.
+// Behind reports whether the only version of a service is missing from the record that this instance
+// has read. Its streams are recorded one by one until it is on record.
 func (t *Table) Behind(now time.Time) bool {
 	for service := range t.versions {
 		if known := t.Versions(now, service); len(known) == 1 && !slices.Contains(t.history[service].Versions, known[0]) {
@@ -190,8 +190,8 @@
 	return false
 }
 
-// mixed reports whether streams of a service may have begun at several versions, as far as this
-// instance or one that reads the record can tell.
+// mixed reports whether streams of a service may have begun at several versions, by what this
+// instance has observed or by the record, from which others start.
 func (t *Table) mixed(now time.Time, service catalog.Service) bool {
 	known := t.Versions(now, service)
 	return len(known) != 1 || !slices.Equal(known, t.history[service].Versions)
--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -66,11 +66,11 @@
 	assert.True(t, table.HasUnstored())
 	table.ReadHistory(at(3), 0, nil)
 	assert.False(t, table.HistoryDue())
-	assert.True(t, table.Settled(at(3), "s"), "it has observed the services all the while")
+	assert.True(t, table.Settled(at(3), "s"), "it has observed the services since before")
 }
 
-// After the store has come back from an older copy, its record of versions is complete only once an
-// instance says so that has observed the service all the while, or for as long as streams are taken up.
+// After the store has come back from an older copy, its record of versions is complete only once it is
+// written by an instance that has observed the service since before, or for as long as streams are taken up.
 func TestVersionsOnRecordAreIncompleteInANewEra(t *testing.T) {
 	older := origin.Serving{Service: "s", Versions: []fleet.Software{"1"}, Revision: 5, Era: 1}
 	for _, tt := range []struct {
@@ -81,7 +81,7 @@
 	}{
 		{name: "just started", era: 1},
 		{name: "started a minute ago", seconds: 60, era: 2},
-		{name: "has run all the while", before: true, era: 2},
+		{name: "started before the return", before: true, era: 2},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			table := origin.NewTable()
@@ -145,5 +145,5 @@
 	both := []origin.Serving{{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 5}}
 	assert.Equal(t, both, table.Unrecorded(at(3)))
 	table.Listed(at(62), "s", "2")
-	assert.Equal(t, []origin.Serving{{Service: "s", Versions: []fleet.Software{"2"}, Revision: 5}}, table.Unrecorded(at(62)), "written anew as it is")
+	assert.Equal(t, []origin.Serving{{Service: "s", Versions: []fleet.Software{"2"}, Revision: 5}}, table.Unrecorded(at(62)), "written again unchanged")
 }
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -116,8 +116,8 @@
 }
 
 // Began records that this instance is about to pass on the first event of a stream. It reports
-// whether the store must have a record of it before: unless a single version can have begun it, by
-// the versions on record.
+// whether the store must have a record of it before. It need not if a single version is listed and on
+// record.
 func (t *Table) Began(now time.Time, s Stream) bool {
 	t.keep(now, s, true)
 	if !t.mixed(now, s.Service) {
@@ -173,8 +173,7 @@
 	t.MarkStored(s.ID)
 }
 
-// HasUnstored reports whether there are streams to record in the store, TakeUnstored returns some of
-// them. ReturnUnstored takes back those whose record could not be written.
+// HasUnstored reports whether there are streams to record in the store.
 func (t *Table) HasUnstored() bool { return len(t.unstored) > 0 }
 
 // TakeUnstored returns streams to record in the store, the newest first: their callers wait for it,
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -40,14 +40,7 @@
 		if previous == nil && !r.Removed {
 			listed = append(listed, r.ID)
 		}
-		if previous != nil && !r.Removed && !r.Invalid && r.Entry.Born > previous.Born {
-			s.balancer.ClearPrompts(r.ID)
-			s.slowness.Forget(r.ID)
-		}
-		if !r.Removed && !r.Invalid {
-			s.origins.Listed(now, r.Entry.Service, r.Entry.Software) // a later record may remove it again
-		}
-		s.logEndpointChange(previous, r)
+		s.observeRecord(now, previous, r)
 		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
 	}
 	s.observeRestore(records, revision)
@@ -68,6 +61,18 @@
 	return departed
 }
 
+// observeRecord records what a change shows beside the state of the endpoint, and logs it.
+func (s *state) observeRecord(now time.Time, previous *roster.Endpoint, r *roster.Record) {
+	if previous != nil && !r.Removed && !r.Invalid && r.Entry.Born > previous.Born {
+		s.balancer.ClearPrompts(r.ID)
+		s.slowness.Forget(r.ID)
+	}
+	if !r.Removed && !r.Invalid {
+		s.origins.Listed(now, r.Entry.Service, r.Entry.Software) // a later record may remove it again
+	}
+	s.logEndpointChange(previous, r)
+}
+
 // observeRestore records the first list or changes since the store came back from an older copy.
 func (s *state) observeRestore(records []roster.Record, revision int64) {
 	if platform.RevisionEra(revision) <= platform.RevisionEra(s.roster.Revision()) {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -153,7 +153,7 @@
 	n.state.forgetHistory()
 	n.streamRecords.notify()
 	n.tasks.RunIfIdle("history", n.streamRecords.updateHistory)
-	n.verdictRecords.forget()
+	n.verdictRecords.forgetWritten()
 }
 
 const (
--- a/internal/direct/origin.go
+++ b/internal/direct/origin.go
@@ -131,26 +131,26 @@
 }
 
 // Origin returns the version that began a stream. Unless this instance passed on its first event,
-// the keepers of the stream are asked, and the store if that leaves a doubt.
+// its keepers are asked, and the store if none of them has a record of the stream.
 func (g gatewayFleet) Origin(ctx context.Context, service catalog.Service, id string) (fleet.Software, error) {
 	question := &gossip.FindOrigin{Service: service, ID: id}
 	own := g.findOrigin(question).Knowledge()
-	software, verdict := origin.Decide(own, nil)
-	if verdict == origin.VerdictRecorded {
+	software, basis := origin.Decide(own, nil)
+	if basis == origin.BasisRecorded {
 		return software, nil
 	}
 	replies, lookup := g.lookUp(ctx, question)
 	source := "keepers"
-	if software, verdict = origin.Decide(own, replies); verdict == origin.VerdictUnread {
+	if software, basis = origin.Decide(own, replies); basis == origin.BasisUnread {
 		source = "store"
 		if lookup == nil {
 			lookup = g.findRecord(ctx, service, id)
 		}
-		software, verdict = origin.DecideByStore(g.findOrigin(question).Knowledge(), replies, *lookup)
+		software, basis = origin.DecideByStore(g.findOrigin(question).Knowledge(), replies, *lookup)
 	}
-	_ = g.logger.Log("step", "origin", "stream", id, "service", service, "verdict", string(verdict), "software", software, "from", source)
-	g.node.countOrigin(verdict, source)
-	if verdict == origin.VerdictUnknown {
+	_ = g.logger.Log("step", "origin", "stream", id, "service", service, "basis", string(basis), "software", software, "from", source)
+	g.node.countOrigin(basis, source)
+	if basis == origin.BasisUnknown {
 		return "", gateway.ErrUnknownOrigin
 	}
 	return software, nil
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -162,7 +162,7 @@
 	require.NoError(t, group.Wait())
 }
 
-// A peer that gave endpoints up too soon has an instance avoid them for good.
+// A peer that gave endpoints up too soon doesn't have an instance avoid them permanently.
 func TestPeerThatGaveUpEndpointsTooSoon(t *testing.T) {
 	w := &testClock{}
 	s := newTestState(w)
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -402,7 +402,7 @@
 	}
 }
 
-// An endpoint that is gone from a complete list leaves a line in the log, as one that is removed by itself.
+// An endpoint that is gone from a complete list leaves a line in the log, as one whose removal is a change of its own.
 func TestEndpointsMissingFromAListAreLogged(t *testing.T) {
 	s := newTestState(&testClock{})
 	var output bytes.Buffer
--- a/internal/direct/stream_origin_gaps_test.go
+++ b/internal/direct/stream_origin_gaps_test.go
@@ -102,7 +102,7 @@
 }
 
 // A caller that doesn't name its stream gets no rest from an instance that reaches neither a keeper nor
-// the store: the store was not read, though there is no record to ask it for.
+// the store: without an id there is no record to read, which must not count as an answer of the store.
 func TestUnnamedStreamsAreRefusedWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newRecordedSite(t)
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -78,17 +78,17 @@
 	callTimeout time.Duration
 	wake        chan struct{}
 
-	// readAt is when the versions that have served were last read, behindSince since when one has been
-	// missing there. Both belong to updateHistory.
+	// readAt is when the records of versions were last read, behindSince the time since which one has
+	// lacked a version that serves. Only updateHistory uses them.
 	readAt, behindSince time.Time
 
 	mu         sync.Mutex
 	lease      platform.Lease
 	leaseUntil time.Time
 	waiting    map[string][]chan struct{} // closed once the stream's record is written
-	// late is set while records take longer than their streams wait, which then don't.
+	// late is set while records take longer than streamRecordWait. First events don't wait then.
 	late bool
-	// pace is that of calls after one that failed, of which the next one is made at pausedUntil.
+	// pace gives the delays after failed calls. No call is made before pausedUntil.
 	pace        *watcher.Pace
 	pausedUntil time.Time
 
@@ -104,7 +104,7 @@
 	}
 }
 
-// notify has the streams recorded that wait for it.
+// notify wakes run, which records the streams that wait.
 func (r *streamRecords) notify() {
 	select {
 	case r.wake <- struct{}{}:
@@ -112,8 +112,8 @@
 	}
 }
 
-// await waits until the store has a record of a stream. It gives up early if the store is slow: the
-// keepers have the stream too, so that it takes the loss of all instances to stop it.
+// await waits until the store has a record of a stream, streamRecordWait at most: the record is needed
+// only if the keepers are lost too.
 func (r *streamRecords) await(ctx context.Context, id string) {
 	if switches.Off(switches.StreamRecords) {
 		return
@@ -124,7 +124,7 @@
 	late := r.late
 	r.mu.Unlock()
 	r.notify()
-	defer r.forget(id, written)
+	defer r.stopWaiting(id, written)
 	if late || r.state.streamStored(id) {
 		return
 	}
@@ -142,7 +142,7 @@
 	}
 }
 
-func (r *streamRecords) forget(id string, written chan struct{}) {
+func (r *streamRecords) stopWaiting(id string, written chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.waiting[id] = slices.DeleteFunc(r.waiting[id], func(c chan struct{}) bool { return c == written }); len(r.waiting[id]) == 0 {
@@ -156,8 +156,8 @@
 	r.late = late
 }
 
-// run writes records until the context ends. A few calls are under way at once: a stream that begins
-// during one would else wait for two.
+// run writes records until the context ends. Up to maxRecordCalls calls are in flight at once, so that a
+// stream that begins during one doesn't wait for two.
 func (r *streamRecords) run(ctx context.Context) error {
 	if switches.Off(switches.StreamRecords) {
 		return nil
@@ -206,7 +206,7 @@
 	return r.pausedUntil.Sub(r.state.clock())
 }
 
-// failed has the next call wait, for longer from one failure to the next: all instances call.
+// failed delays the next call, by longer with each failure in series.
 func (r *streamRecords) failed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -257,7 +257,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease, r.leaseUntil = lease, now.Add(max(ttl-origin.Retention, ttl/2)) // records must live for a while
+	r.lease, r.leaseUntil = lease, now.Add(max(ttl-origin.Retention, ttl/2)) // so that a record lives for Retention
 	return lease, nil
 }
 
@@ -418,8 +418,7 @@
 	}
 }
 
-// streamsToStore returns streams to record in the store, markStored records that they are, and
-// returnStreams that they are not.
+// streamsToStore returns streams to record in the store. They end with markStored or returnStreams.
 func (s *state) streamsToStore(limit int) []origin.Stream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -458,8 +457,8 @@
 	return s.origins.HasUnstored()
 }
 
-// historyDue reports whether the versions that have served must be read, whether one that serves alone
-// was not among them, and whether they differ from those known here.
+// historyDue reports whether the records of versions must be read, whether they lack the only version
+// of a service, and whether they differ from the versions known here.
 func (s *state) historyDue() (due, behind, differs bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -486,9 +485,8 @@
 	s.origins.ReadServing(s.clock(), serving)
 }
 
-// historyToWrite returns the records of versions that this instance has to write: one of those that
-// watch the store, which are few however many instances there are, or any one if those haven't for a
-// while, as instances of an earlier build.
+// historyToWrite returns the records of versions that this instance has to write. The few instances that
+// watch the store write them; if a record is overdue, since those are of an earlier build, any one does.
 func (s *state) historyToWrite(overdue bool) []origin.Serving {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -520,6 +518,6 @@
 }
 
 // countOrigin counts a stream that a caller has taken up here.
-func (n *Node) countOrigin(v origin.Verdict, source string) {
-	metrics.GetOrRegisterCounter("streams_taken_up;verdict="+string(v)+";from="+source, n.registry).Inc(1)
+func (n *Node) countOrigin(b origin.Basis, source string) {
+	metrics.GetOrRegisterCounter("streams_taken_up;basis="+string(b)+";from="+source, n.registry).Inc(1)
 }
--- a/internal/direct/verdict.go
+++ b/internal/direct/verdict.go
@@ -20,8 +20,9 @@
 	// review that ended an endpoint, maxReviewDoublings times at most. Then one request with it may
 	// be sent in each reviewTurnTime, by an instance that changes with it.
 	firstReviewAfter = time.Minute
-	// recoveryTime is the same for a request that no review has convicted, if an endpoint that can take
-	// it has been listed for soundTime: those that went down and up for another reason have recovered.
+	// recoveryTime replaces firstReviewAfter for a request that no review has convicted, if an endpoint
+	// that can take it has been listed for soundTime, and so has recovered from another cause of the
+	// crashes.
 	recoveryTime       = 8 * time.Second
 	soundTime          = 4 * time.Second
 	maxReviewDoublings = 4
@@ -120,15 +121,15 @@
 	switch {
 	case v.Provisional:
 		return 0
-	case doubtful(v) && s.hasSound(now, a):
+	case doubtful(v) && s.hasSoundEndpoint(now, a):
 		return recoveryTime
 	default:
 		return firstReviewAfter << min(v.Reviews, maxReviewDoublings)
 	}
 }
 
-// hasSound reports whether an endpoint that can take a request has been up for some time.
-func (s *state) hasSound(now time.Time, a *balance.Request) bool {
+// hasSoundEndpoint reports whether an endpoint that can take a request has been listed for soundTime.
+func (s *state) hasSoundEndpoint(now time.Time, a *balance.Request) bool {
 	return slices.ContainsFunc(s.roster.All(), func(e *roster.Endpoint) bool {
 		return e.Service == a.Service && !e.Leaving && !e.Suspect(now) && e.Age(now) >= soundTime && (a.Model == "" || e.Serves(now, a.Model, ""))
 	})
--- a/internal/direct/verdict_records.go
+++ b/internal/direct/verdict_records.go
@@ -59,8 +59,8 @@
 	return &verdictRecords{store: store, state: s, callTimeout: callTimeout, logger: logger, written: make(map[suspect.Key]writtenVerdict)}
 }
 
-// forget has the records written again, after the store has come back from an older copy.
-func (r *verdictRecords) forget() {
+// forgetWritten has the records written again, after the store has come back from an older copy.
+func (r *verdictRecords) forgetWritten() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.written)
@@ -133,12 +133,12 @@
 	return nil
 }
 
-// verdictKey returns the store's key of a record; parts of prompts may have any bytes.
+// verdictKey returns the store's key of a record; a part of a prompt may have any bytes, so it is hashed.
 func verdictKey(k suspect.Key) string {
 	return fmt.Sprintf("%s%016x", verdictPrefix, xxhash.Sum64String(string(k)))
 }
 
-// storeAnswers reports whether the store has answered a short time ago.
+// storeAnswers reports whether the store answered within storeReachableTime.
 func (s *state) storeAnswers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -15,6 +15,8 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 const (
@@ -117,7 +119,7 @@
 		return nil, x, x.fail(d.classifyError(err))
 	}
 	if response.StatusCode >= http.StatusBadRequest && step != stepForward {
-		// A refusal written once more would be read as that of the next request.
+		// A repeated refusal would be read as the answer to the next request.
 		d.exchange.Retire(response)
 	}
 	d.exchange.RetireIfEarly(response)
@@ -150,7 +152,7 @@
 		}
 		if err == nil {
 			_ = response.Body.Close()
-			err = errUnsolicited
+			err = httpconn.ErrUnsolicited
 		}
 		if !d.exchange.Reused() || ctx.Err() != nil || !again && request.Body != http.NoBody {
 			break
--- a/internal/endpoint/sent.go
+++ b/internal/endpoint/sent.go
@@ -14,8 +14,6 @@
 // maxHeadBytes bounds the status line and header of a response.
 const maxHeadBytes = 64 << 10
 
-var errUnsolicited = errors.New("a response came before the request")
-
 var errSealed = errors.New("connection closed to writes: its request was abandoned or already sent")
 
 // conn is a connection that counts the writes which may have reached the network. Once
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,8 +58,8 @@
 	// quiet is set while the endpoint is silent. It belongs to the job.
 	quiet *silence
 
-	// progress counts the beginnings and ends of parts of the answer that were passed on, passing is
-	// set in between. Both and superseded belong to the delivery.
+	// progress is incremented when a part of the answer begins to be passed on and when it has been,
+	// passing is set between the two. Both and superseded belong to the delivery.
 	progress   int
 	passing    bool
 	superseded bool
@@ -121,9 +121,9 @@
 }
 
 // recheck checks immediately before the request is sent what may have changed since its endpoint was
-// chosen, while it waited for an adapter or its turn. The configuration may not: a request is handled
-// by the one with which it arrived, except for its key. ClaimRun is the last check, since it takes a
-// place that only a request that is sent may have.
+// chosen, while it waited for an adapter or its turn. The route isn't checked: except for its key, a
+// request is handled by the configuration with which it arrived. claimRun is last, since it takes the
+// place of a review, which only a request that is sent may have.
 func (a *attempt) recheck(ctx context.Context) error {
 	j := a.job
 	if err := ctx.Err(); err != nil {
@@ -350,7 +350,7 @@
 }
 
 // passEvents passes on complete events up to the first that doesn't continue the stream. The outcome is
-// empty if the stream goes on.
+// empty if the stream has not ended.
 func (a *attempt) passEvents(ctx context.Context, answer *Answer, events []byte) (outcome, error) {
 	a.timer.close() // a caller that reads slowly is no silence of the endpoint
 	accepted, fault, ok := a.job.delivery.takeEvents(a, events)
@@ -371,8 +371,8 @@
 }
 
 // endStream ends a stream after its last event, with the comments after it. An answer without an event
-// ends the stream only if its endpoint was to go on after one, and the end of its connection is not all
-// that shows the end of the answer.
+// ends the stream only if its endpoint was asked for the rest after one, and the answer has a length or a
+// last chunk.
 func (a *attempt) endStream(ctx context.Context, answer *Answer, comments []byte) (outcome, error) {
 	j := a.job
 	if j.delivery.progressOf(a) == 0 {
@@ -395,7 +395,7 @@
 			return outcomeDone, err
 		}
 	}
-	j.delivery.writeHeader(answer, -1) // in case the rest of the stream has no events
+	j.delivery.writeHeader(answer, -1) // not written yet if the rest of the stream has no events
 	j.recordNumbering()
 	return outcomeDone, j.delivery.extendDeadline()
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -39,8 +39,8 @@
 
 var retryField = []byte("retry:")
 
-// hasEvent reports whether a text has a line that is neither empty nor a comment. The time after which
-// callers are to reconnect makes no event.
+// hasEvent reports whether a text has a line that is neither empty nor a comment nor a retry field, which
+// makes no event.
 func hasEvent(text []byte) bool {
 	for line := range bytes.Lines(text) {
 		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, retryField) {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -148,7 +148,7 @@
 		j.unusedRetry = true
 	}
 	if errors.Is(r.err, ErrTargetLost) && !r.sent {
-		j.tries-- // the endpoint is excluded, so that the request goes on to each other one once at most
+		j.tries-- // ends all the same, since the endpoint is excluded from now on
 	}
 	if len(j.inFlight) == 0 {
 		return
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -67,7 +67,7 @@
 	// ErrNoAllotment if no instance that keeps the allotment answers.
 	ErrOverAllotment = errors.New("the workspace's allotment is used up")
 	ErrNoAllotment   = errors.New("no instance that keeps the workspace's allotment answers")
-	// ErrTargetLost is returned if an endpoint can't take a request any more for which it was chosen.
+	// ErrTargetLost is returned if the endpoint chosen for a request can't take it any more.
 	ErrTargetLost = errors.New("the endpoint can't take the request any more")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
@@ -151,7 +151,7 @@
 	WrongEndpoint bool
 	// OtherRequest is set if the answer belongs to another request.
 	OtherRequest bool
-	// OtherContent is set if the body is said to be something else than a series of events.
+	// OtherContent is set if the content type is not that of a series of events.
 	OtherContent bool
 	// UntilClose is set if the body has neither a length nor chunks and ends with its connection.
 	UntilClose bool
@@ -174,8 +174,8 @@
 	Refuse(w http.ResponseWriter, refusal Refusal)
 	// Pass copies the header fields of an endpoint's answer that the caller gets.
 	Pass(to http.Header, from http.Header)
-	// EventField reports whether the first line of an event may have a field beside those of the
-	// standard.
+	// EventField reports whether the first line of an event may have a field that server-sent events
+	// don't define.
 	EventField(name string) bool
 }
 
@@ -275,8 +275,8 @@
 	RecordService(level int, served bool)
 	// Choose picks an endpoint and counts the request there until Ended.
 	Choose(a *balance.Request) (Target, error)
-	// CheckTarget returns ErrTargetLost if a chosen endpoint leaves or is gone, wants nothing from this
-	// instance for now, or has no longer loaded the request's model.
+	// CheckTarget returns ErrTargetLost if a chosen endpoint leaves or is gone, has asked to be
+	// spared, or no longer has the request's model.
 	CheckTarget(t Target, m fleet.Model) error
 	// HasAlternative reports whether an endpoint that was not tried yet can take the request now.
 	HasAlternative(a *balance.Request) bool
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -73,7 +73,7 @@
 		{name: "JSON before the first event", first: errorBody + "\n\n" + events("1", "2", "3", "4")},
 		{name: "a line of text", first: events("1", "2") + "overloaded\n\n" + events("3", "4")},
 		{name: "another field inside an event", first: events("1", "2") + "id: 3\nmodel: m\ndata: piece 3\n\n"},
-		{name: "taken up, begins anew", after: "2", first: events("1", "2", "3", "4"), want: events("3", "4")},
+		{name: "taken up, starts over", after: "2", first: events("1", "2", "3", "4"), want: events("3", "4")},
 		{name: "taken up, repeats the last event", after: "2", first: events("2", "3", "4"), want: events("3", "4")},
 		{name: "taken up, events without ids", after: "2", first: events("", ""), want: events("3", "4")},
 		{name: "a field that the configuration allows", first: "weight-versions: 3\n" + events("1", "2", "3", "4"), want: "weight-versions: 3\n" + completeStream, runs: 1},
@@ -116,13 +116,13 @@
 		want        string
 		broken      bool
 	}{
-		{name: "begins anew", first: events("1", "2"), rest: events("1", "2", "3", "4"), want: completeStream},
+		{name: "starts over", first: events("1", "2"), rest: events("1", "2", "3", "4"), want: completeStream},
 		{name: "repeats the last event", first: events("1", "2"), rest: events("2", "3", "4"), want: completeStream},
 		{name: "skips", first: events("1", "2"), rest: events("4"), want: completeStream},
 		{name: "a head", first: events("1", "2"), rest: "HTTP/1.1 200 OK\r\n\r\n" + events("3", "4"), want: completeStream},
-		{name: "begins anew at each endpoint", first: events("1", "2"), rest: events("1", "2"), third: events("1", "2"), want: events("1", "2"), broken: true},
+		{name: "starts over at each endpoint", first: events("1", "2"), rest: events("1", "2"), third: events("1", "2"), want: events("1", "2"), broken: true},
 		{name: "ids with gaps go on with one", first: events("10", "20"), rest: events("35", "40"), want: events("10", "20", "35", "40")},
-		{name: "ids that aren't numbers, begins anew", first: events("c", "a"), rest: events("c", "a", "b"), third: events("b"), want: events("c", "a", "b")},
+		{name: "ids that aren't numbers, starts over", first: events("c", "a"), rest: events("c", "a", "b"), third: events("b"), want: events("c", "a", "b")},
 		{name: "no ids: can't go on", first: events("", ""), rest: events("", "", ""), want: events("", ""), broken: true},
 	}
 	for _, tt := range tests {
@@ -150,7 +150,7 @@
 		want        string
 	}{
 		{name: "repeats itself", first: events("1", "2", "2"), end: true, want: `step="bad event" endpoint=i-0 fault=repeated event=2 after=2 by=i-0 began= id=r1`},
-		{name: "begins anew", first: events("1", "2"), rest: events("1"), want: `step="bad event" endpoint=i-1 fault=lower event=1 after=2 by=i-0 began=2 id=r1`},
+		{name: "starts over", first: events("1", "2"), rest: events("1"), want: `step="bad event" endpoint=i-1 fault=lower event=1 after=2 by=i-0 began=2 id=r1`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -14,7 +14,7 @@
 // The faults of streams.
 const (
 	FaultNotAnEvent  EventFault = "not-an-event" // a line has no known field
-	FaultRepeated    EventFault = "repeated"     // the id was there before
+	FaultRepeated    EventFault = "repeated"     // an event before had the id
 	FaultLower       EventFault = "lower"        // the id is lower than the one before
 	FaultSkipped     EventFault = "skipped"      // an event is missing
 	FaultNoID        EventFault = "no-id"        // in a stream whose events have ids
@@ -155,7 +155,7 @@
 }
 
 // parseEvent parses the lines up to an empty one. ok is false if they are no part of a series of events.
-// The first line may have a field beside those of the standard.
+// The first line may have a field that server-sent events don't define, if extraField has it.
 func parseEvent(block []byte, extraField func(name string) bool) (e event, ok bool) {
 	e.comment = true
 	for line := range bytes.Lines(block) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -39,8 +39,8 @@
 	insistent bool
 }
 
-// over reports whether the attempt has passed on something since, or does so now, as to a caller that
-// reads slowly. The delivery must be locked.
+// over reports whether the attempt has passed on something since, or is doing so, which takes long if the
+// caller reads slowly. The delivery must be locked.
 func (s *silence) over() bool { return s.attempt.passing || s.attempt.progress != s.progress }
 
 // silenceTimer tells its job of an attempt whose endpoint sends nothing for too long.
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -8,6 +8,9 @@
 	"sync"
 )
 
+// ErrUnsolicited is the error of a request whose connection had a response before the request was sent.
+var ErrUnsolicited = errors.New("a response came before the request")
+
 var errUnusable = errors.New("connection is not used for this request")
 
 // Conn is a connection of an http.Transport.
@@ -17,7 +20,7 @@
 	mu          sync.Mutex
 	changed     *sync.Cond
 	requests    int  // requests for which the connection was chosen
-	reading     bool // all bytes received before were consumed, and a read waits for more
+	reading     bool // a read waits for bytes, all received before were consumed
 	written     bool // a byte of the newest request may have been written
 	unsolicited bool // bytes arrived after the newest request had chosen the connection and before it was written
 	retired     bool // no further request may use it
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// Use records that the transport has chosen a connection for the request. The trace does so for
-// connections that aren't wrapped once more.
+// Use records that the transport has chosen a connection for the request. The trace calls it unless
+// another type wraps the Conn.
 func (x *Exchange) Use(conn *Conn) {
 	before := conn.begin()
 	x.mu.Lock()
@@ -96,7 +96,7 @@
 	}
 }
 
-// RetireIfEarly does the same if the answer began before the whole request was written.
+// RetireIfEarly has the connection closed with the answer's body if the answer began before the whole request was written.
 func (x *Exchange) RetireIfEarly(r *http.Response) {
 	x.mu.Lock()
 	early := x.conn != nil && x.conn.isRetired()
