--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -69,8 +69,10 @@
 
 // ForgetHistory has the versions on record read again, after the store has come back from an older
 // copy, and the streams of this instance recorded again. The versions known here are kept.
-func (t *Table) ForgetHistory() {
-	t.outlived = t.HasHistory()
+func (t *Table) ForgetHistory(now time.Time) {
+	for service := range t.versions {
+		t.outlived[service] = t.Settled(now, service)
+	}
 	clear(t.history)
 	for service, versions := range t.versions {
 		for v := range versions {
@@ -83,6 +85,7 @@
 
 // ForgetStored has the streams of this instance recorded again, after their records have ended.
 func (t *Table) ForgetStored() {
+	t.losses++
 	for id, e := range t.streams {
 		e.stored = false
 		t.streams[id] = e
@@ -123,7 +126,7 @@
 		return false
 	}
 	recorded := t.history[service]
-	return t.outlived || t.Observed(now) || recorded.Revision != 0 && recorded.Era == t.era
+	return t.outlived[service] || t.Observed(now) || recorded.Revision != 0 && recorded.Era == t.era
 }
 
 // Unrecorded returns the services whose record of versions must be written, as it is to be. A version
--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -50,7 +50,7 @@
 // After the store has come back from an older copy, versions are read and streams are recorded again.
 func TestStreamsAreRecordedAgainAfterALossOfRecords(t *testing.T) {
 	table := origin.NewTable()
-	table.ReadHistory(at(0), 0, nil)
+	table.ReadHistory(at(0), 0, []origin.Serving{{Service: "s", Versions: []fleet.Software{"1"}, Revision: 1}})
 	table.Listed(at(0), "s", "1")
 	table.Listed(at(0), "s", "2")
 	assert.True(t, table.Began(at(1), stream("a", "1")))
@@ -58,7 +58,7 @@
 	table.MarkStored("a")
 	assert.True(t, table.Stored("a"))
 	assert.False(t, table.Began(at(2), stream("a", "1")), "taken up, and on record")
-	table.ForgetHistory()
+	table.ForgetHistory(at(2))
 	assert.True(t, table.HistoryDue())
 	assert.False(t, table.Stored("a"))
 	assert.Equal(t, []origin.Stream{stream("a", "1")}, table.TakeUnstored(32))
@@ -87,7 +87,7 @@
 			table := origin.NewTable()
 			if tt.before {
 				table.ReadHistory(at(0), 1, []origin.Serving{older})
-				table.ForgetHistory()
+				table.ForgetHistory(at(2))
 			}
 			table.ReadHistory(at(1), 2, []origin.Serving{older})
 			now := at(1 + tt.seconds)
@@ -128,7 +128,7 @@
 	table.ReadServing(at(2), origin.Serving{Service: "s", Versions: []fleet.Software{"1"}})
 	assert.False(t, table.Behind(at(2)))
 	assert.False(t, table.Began(at(2), stream("c", "1")))
-	table.ForgetHistory()
+	table.ForgetHistory(at(2))
 	assert.True(t, table.Began(at(3), stream("d", "1")), "the store may have lost it")
 }
 
@@ -140,10 +140,32 @@
 	table.Listed(at(0), "s", "1")
 	table.Listed(at(1), "s", "2")
 	table.ReadServing(at(1), origin.Serving{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 7})
-	table.ForgetHistory()
+	table.ForgetHistory(at(2))
 	table.ReadHistory(at(2), 0, []origin.Serving{{Service: "s", Versions: []fleet.Software{"2"}, Revision: 5}})
 	both := []origin.Serving{{Service: "s", Versions: []fleet.Software{"1", "2"}, Revision: 5}}
 	assert.Equal(t, both, table.Unrecorded(at(3)))
 	table.Listed(at(62), "s", "2")
 	assert.Equal(t, []origin.Serving{{Service: "s", Versions: []fleet.Software{"2"}, Revision: 5}}, table.Unrecorded(at(62)), "written again unchanged")
 }
+
+// An instance that has read an incomplete record is not settled by another return of the store.
+func TestSecondReturnOfTheStoreSettlesNothing(t *testing.T) {
+	table := origin.NewTable()
+	older := origin.Serving{Service: "s", Versions: []fleet.Software{"1"}, Revision: 5, Era: 1}
+	table.ReadHistory(at(0), 2, []origin.Serving{older})
+	table.Listed(at(0), "s", "1")
+	table.ForgetHistory(at(1))
+	table.ReadHistory(at(1), 3, []origin.Serving{older})
+	assert.False(t, table.Settled(at(1), "s"))
+	for _, s := range table.Unrecorded(at(1)) {
+		assert.Equal(t, int64(1), s.Era)
+	}
+}
+
+// A record that was acknowledged before the store lost it doesn't count.
+func TestRecordsWrittenBeforeALossDoNotCount(t *testing.T) {
+	table := origin.NewTable()
+	before := table.Losses()
+	table.ForgetStored()
+	assert.NotEqual(t, before, table.Losses())
+}
--- a/internal/core/origin/recorded_test.go
+++ b/internal/core/origin/recorded_test.go
@@ -30,7 +30,7 @@
 	table.Began(at(0), stream("a", "1"))
 	table.Listed(at(1), "s", "2")
 	table.Began(at(2), stream("a", "1")) // its caller has taken it up
-	table.ForgetHistory()
+	table.ForgetHistory(at(2))
 	assert.Equal(t, []origin.Stream{stream("a", "1")}, table.TakeUnstored(32))
 }
 
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -60,7 +60,10 @@
 	historyRead time.Time
 	stale       bool
 	era         int64 // of the store when it was last read
-	outlived    bool  // the store has come back from an older copy since it was first read
+	// outlived are the services that this instance was settled about when the store came back from an older
+	// copy.
+	outlived map[catalog.Service]bool
+	losses   int // how often records of streams may have ended
 	// listed are the versions that the record may lack, now or soon.
 	listed listing
 }
@@ -69,7 +72,7 @@
 func NewTable() *Table {
 	return &Table{
 		streams: make(map[string]entry), versions: make(map[catalog.Service]map[fleet.Software]time.Time),
-		history: make(map[catalog.Service]Serving), listed: make(listing),
+		history: make(map[catalog.Service]Serving), listed: make(listing), outlived: make(map[catalog.Service]bool),
 	}
 }
 
@@ -206,6 +209,10 @@
 	}
 }
 
+// Losses returns how often records of streams may have ended before their time. A record that was
+// written before a loss may be gone.
+func (t *Table) Losses() int { return t.losses }
+
 // Stored reports whether the store has a record of a stream.
 func (t *Table) Stored(id string) bool { return t.streams[id].stored }
 
--- a/internal/core/suspect/record_test.go
+++ b/internal/core/suspect/record_test.go
@@ -335,6 +335,23 @@
 	}
 }
 
+// Crashes far apart are no reviews as long as they don't convict the request.
+func TestCrashesBeforeTheVerdictAreNoReviews(t *testing.T) {
+	c, at := crashRecord(nil)
+	c.Answered("request 1", at(-1000))
+	for n := range 6 {
+		d := suspect.EndpointCrash{Incarnation: fmt.Sprint(n), FailedAt: at(10_000 * n)}
+		for _, key := range []suspect.Key{"request 1", suspect.Key(fmt.Sprint("request other", n))} {
+			d.Runs = append(d.Runs, suspect.CrashedRun{Keys: []suspect.Key{key}, Age: 50 * time.Millisecond})
+		}
+		c.Add(at(10_000*n), d)
+	}
+	v, ok := c.Verdict(at(51_000), "request 1")
+	assert.True(t, ok)
+	assert.Equal(t, 6, v.Crashes)
+	assert.Zero(t, v.Reviews)
+}
+
 // Only the crash of a request that was sent after its verdict had reached all instances proves it.
 func TestReviewsAreOfRequestsSentAfterTheVerdict(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -68,7 +68,7 @@
 		equal := rivals(crashes, suspects, culprit)
 		for _, r := range equal {
 			if r.chain >= ambiguousThreshold || len(equal) == 1 && !isShared(crashes, r) {
-				verdicts[r.key] = newVerdict(crashes, r)
+				verdicts[r.key] = newVerdict(crashes, r, partThreshold)
 			}
 		}
 		if _, convicted := verdicts[culprit.key]; convicted {
@@ -85,7 +85,7 @@
 func addGeneral(verdicts map[Key]Verdict, crashes []*EndpointCrash, suspects []evidence, convicted evidence) {
 	for _, o := range suspects {
 		if len(o.crashes) >= len(convicted.crashes) && follows(crashes, convicted, o.key) {
-			v := newVerdict(crashes, o)
+			v := newVerdict(crashes, o, partThreshold)
 			v.Provisional = true
 			verdicts[o.key] = v
 		}
@@ -104,17 +104,22 @@
 
 // convicts reports whether the evidence suffices for a verdict.
 func (e requestEvidence) convicts() bool {
-	threshold := requestThreshold
+	threshold := e.threshold()
+	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold
+}
+
+// threshold returns how many crashes convict the request.
+func (e requestEvidence) threshold() int {
 	if e.answered {
-		threshold = answeredRequestThreshold
+		return answeredRequestThreshold
 	}
-	return e.all.chain >= threshold || len(e.unbegun.crashes) >= threshold
+	return requestThreshold
 }
 
 // verdict returns the verdict on a request that the evidence convicts. That on a general resource is
 // provisional: either the request or the resource may be the cause.
 func (e requestEvidence) verdict(crashes []*EndpointCrash) Verdict {
-	v := newVerdict(crashes, e.all)
+	v := newVerdict(crashes, e.all, e.threshold())
 	v.Provisional = e.general || e.all.chain < requestThreshold && e.unbegun.chain < requestMoments
 	return v
 }
@@ -157,10 +162,12 @@
 	all := c.suspected(crashes, explained, CrashedRun.isRequest)
 	unbegun := c.suspected(crashes, explained, func(r CrashedRun) bool { return r.isRequest() && !r.Begun })
 	var suspects []evidence
+	answeredBefore := make(map[Key]bool)
 	for _, key := range slices.Sorted(maps.Keys(all)) {
 		e := requestEvidence{all: newEvidence(crashes, key, all[key]), unbegun: newEvidence(crashes, key, unbegun[key])}
 		_, answered := c.completed[key]
 		e.answered = answered && inCompany(crashes, e.all)
+		answeredBefore[key] = e.answered
 		if e.convicts() {
 			suspects = append(suspects, e.all)
 		}
@@ -173,7 +180,7 @@
 	var worst []requestEvidence
 	for _, o := range suspects {
 		if len(o.crashes) == len(culprit.crashes) {
-			worst = append(worst, requestEvidence{all: o, unbegun: newEvidence(crashes, o.key, unbegun[o.key]), general: isGeneral(crashes, suspects, o)})
+			worst = append(worst, requestEvidence{all: o, unbegun: newEvidence(crashes, o.key, unbegun[o.key]), general: isGeneral(crashes, suspects, o), answered: answeredBefore[o.key]})
 		}
 	}
 	return worst
@@ -285,10 +292,15 @@
 	return equal
 }
 
-func newVerdict(crashes []*EndpointCrash, e evidence) Verdict {
+// newVerdict returns the verdict on a key that so many crashes convict. Crashes before that are no
+// reviews, however far apart they are.
+func newVerdict(crashes []*EndpointCrash, e evidence, threshold int) Verdict {
 	v := Verdict{Key: e.key}
 	for n, i := range e.crashes {
 		v = v.next(e.sent[n], crashes[i].FailedAt)
+		if n < threshold {
+			v.Reviews = 0
+		}
 	}
 	return v
 }
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -56,5 +56,6 @@
 	second := roster.Record{ID: "r", Revision: 3, Entry: roster.Entry{ID: "r", Service: "s", Software: "2", Revision: 3}}
 	s.applyRecords([]roster.Record{second, {ID: "r", Revision: 4, Removed: true}}, 4, false)
 	assert.Equal(t, []fleet.Software{"1", "2"}, s.findOrigin(&gossip.FindOrigin{Service: "s", ID: "r2"}).Versions)
-	assert.Contains(t, s.streamsToStore(maxStreamWrites), stream)
+	streams, _ := s.streamsToStore(maxStreamWrites)
+	assert.Contains(t, streams, stream)
 }
--- a/internal/direct/records_test.go
+++ b/internal/direct/records_test.go
@@ -62,6 +62,10 @@
 		checkEncoding(t, value, &streamRecord{Service: "board", Software: "v1"})
 	case servingKey("board"):
 		checkEncoding(t, value, &servingRecord{Versions: []fleet.Software{"v1", "v2"}})
+	case servingKey("other"):
+		checkEncoding(t, value, &servingRecord{Versions: []fleet.Software{"v1"}, Era: 2})
+	case verdictPrefix + "00000000000000ff":
+		checkEncoding(t, value, &verdictRecord{Key: "request 1", Crashes: 3, Reviews: 1, FailedMs: 1_700_000_000_000})
 	default:
 		assert.Fail(t, "the record is no longer read", key)
 	}
--- a/internal/direct/stream_origin_gaps_test.go
+++ b/internal/direct/stream_origin_gaps_test.go
@@ -201,7 +201,7 @@
 		time.Sleep(10 * time.Millisecond)
 		leave()
 		time.Sleep(10 * time.Millisecond)
-		r.markWritten([]origin.Stream{stream}, 20*time.Millisecond)
+		r.markWritten([]origin.Stream{stream}, 0, 20*time.Millisecond)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		assert.Equal(t, 20*time.Millisecond, took)
--- a/internal/direct/stream_records.go
+++ b/internal/direct/stream_records.go
@@ -182,7 +182,10 @@
 			r.failed()
 			continue
 		}
-		streams := r.state.streamsToStore(maxStreamWrites)
+		streams, losses := r.state.streamsToStore(maxStreamWrites)
+		if len(streams) == 0 {
+			continue // they have been recorded meanwhile
+		}
 		group.Go(func() error {
 			started := r.state.clock()
 			if err := r.write(ctx, lease, streams); err != nil {
@@ -192,7 +195,7 @@
 				r.notify()
 				return nil
 			}
-			r.markWritten(streams, r.state.clock().Sub(started))
+			r.markWritten(streams, losses, r.state.clock().Sub(started))
 			return nil
 		})
 	}
@@ -215,8 +218,8 @@
 	}
 }
 
-func (r *streamRecords) markWritten(streams []origin.Stream, took time.Duration) {
-	r.state.markStored(streams)
+func (r *streamRecords) markWritten(streams []origin.Stream, losses int, took time.Duration) {
+	r.state.markStored(streams, losses)
 	r.written.Inc(int64(len(streams)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -285,9 +288,6 @@
 		}
 		writes = append(writes, platform.Write{Key: streamKey(s.ID), Value: value, Lease: lease, Unguarded: true})
 	}
-	if len(writes) == 0 {
-		return nil
-	}
 	_, err := r.store.Put(ctx, writes...)
 	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRestored) {
 		r.leaseLost(lease)
@@ -419,10 +419,10 @@
 }
 
 // streamsToStore returns streams to record in the store. They end with markStored or returnStreams.
-func (s *state) streamsToStore(limit int) []origin.Stream {
+func (s *state) streamsToStore(limit int) (streams []origin.Stream, losses int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.origins.TakeUnstored(limit)
+	return s.origins.TakeUnstored(limit), s.origins.Losses()
 }
 
 func (s *state) returnStreams(streams []origin.Stream) {
@@ -431,9 +431,12 @@
 	s.origins.ReturnUnstored(streams)
 }
 
-func (s *state) markStored(streams []origin.Stream) {
+func (s *state) markStored(streams []origin.Stream, losses int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if losses != s.origins.Losses() {
+		return // the records may be gone
+	}
 	for _, stream := range streams {
 		s.origins.MarkStored(stream.ID)
 	}
@@ -508,7 +511,7 @@
 func (s *state) forgetHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origins.ForgetHistory()
+	s.origins.ForgetHistory(s.clock())
 }
 
 func (s *state) forgetRecords() {
