--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -115,7 +115,8 @@
 }
 
 // The streams of a version that serves alone are recorded one by one until the version is on record: if
-// all instances are lost before, and it leaves, nothing else tells them from those of the next version.
+// all instances are lost before, and its endpoints leave, only these records distinguish its streams from those of
+// the next version.
 func TestStreamsOfAVersionThatIsNotOnRecordAreRecorded(t *testing.T) {
 	table := origin.NewTable()
 	table.Listed(at(0), "s", "1")
--- a/internal/direct/crash.go
+++ b/internal/direct/crash.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// withdrawCrash forgets the crash of an endpoint that was taken for gone since its entry was removed.
+// withdrawCrash removes the crash that was recorded when an endpoint's entry was removed, though the endpoint ran on.
 func (s *state) withdrawCrash(now time.Time, id fleet.Endpoint) {
 	e := s.roster.Get(id)
 	if e == nil || !e.Returned() {
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -402,7 +402,7 @@
 	}
 }
 
-// An endpoint that is gone from a complete list leaves a line in the log, as one whose removal is a change of its own.
+// The removal of an endpoint is logged also where a complete list without it replaces the change that removed it.
 func TestEndpointsMissingFromAListAreLogged(t *testing.T) {
 	s := newTestState(&testClock{})
 	var output bytes.Buffer
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// The log tells an endpoint that repeats its own events from one that doesn't begin where it was to.
+// Log lines distinguish an endpoint that repeats its own events from one that continues another's stream at the
+// wrong event.
 func TestBadEventsAreLoggedWithTheirEndpoints(t *testing.T) {
 	tests := []struct {
 		name        string
