Log removals when they take effect, with source and delay

Result: go test ./internal/direct ./internal/core/roster ./docs passes but for the known red tests; no decision has changed.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -37,9 +37,9 @@
 	deferredUntil, sparedUntil time.Time
 	// missingSince is when its entry disappeared while the store could not be trusted.
 	missingSince time.Time
-	// missingRevision is the store's revision of that removal.
-	missingRevision int64
-	observations    map[Adapter]observation
+	// missingRevision is the store's revision of that removal, removedAt of the one in force.
+	missingRevision, removedAt int64
+	observations               map[Adapter]observation
 	// changedAt is the store's revision of the last change that affects where requests go.
 	changedAt int64
 	// listedLeaving is set if its entry says that it leaves; Leaving may be known sooner.
@@ -269,7 +269,7 @@
 }
 
 func (r *Roster) markLost(e *Endpoint, revision int64) {
-	e.Lost = true
+	e.Lost, e.removedAt = true, revision
 	r.departed[e.ID] = departure{born: e.Born, revision: revision, final: e.Leaving && e.reportedAt.IsZero()}
 	delete(r.endpoints, e.ID)
 	r.sorted, r.changedAt = nil, max(r.changedAt, revision)
@@ -385,6 +385,15 @@
 // Age returns how long ago the incarnation was first listed here.
 func (e *Endpoint) Age(now time.Time) time.Duration { return now.Sub(e.listedAt) }
 
+// HeldSince returns since when a removal of the endpoint is held back. ok is false if none is, or was
+// before it took effect.
+func (e *Endpoint) HeldSince() (since time.Time, ok bool) {
+	return e.missingSince, !e.missingSince.IsZero()
+}
+
+// RemovedAt returns the store's revision of the removal that is in force or held back, 0 if there is none.
+func (e *Endpoint) RemovedAt() int64 { return cmp.Or(e.removedAt, e.missingRevision) }
+
 // Returned reports whether the same start of the endpoint has registered again after it was removed.
 func (e *Endpoint) Returned() bool { return e.returned }
 
--- a/internal/direct/admission_test.go
+++ b/internal/direct/admission_test.go
@@ -34,7 +34,7 @@
 	s.receiveHeartbeat(heartbeatFrom(1, time.Second))
 	var remote fleet.Endpoint
 	for _, id := range []fleet.Endpoint{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"} {
-		s.applyRecords([]roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Revision: 2}}}, 2, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Revision: 2}}}, 2, false)
 		if address, _ := s.admitter(id); address == "b:1" {
 			remote = id
 		}
@@ -76,7 +76,7 @@
 		if !removed {
 			record.Entry = roster.Entry{ID: id, Service: "s", Born: 1, Revision: revision, Raw: []byte(id)}
 		}
-		s.applyRecords([]roster.Record{record}, revision, false)
+		s.applyRecords(fromStore, []roster.Record{record}, revision, false)
 	}
 	change("q", 5, false)
 	change("r", 6, false)
--- a/internal/direct/backlog_test.go
+++ b/internal/direct/backlog_test.go
@@ -70,7 +70,7 @@
 	var remote *roster.Endpoint
 	for i := 0; remote == nil; i++ {
 		id := fleet.Endpoint(fmt.Sprint("p", i))
-		s.applyRecords([]roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Revision: 2}}}, 2, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Revision: 2}}}, 2, false)
 		if address, _ := s.admitter(id); address == "b:1" {
 			remote = s.roster.Get(id)
 		}
@@ -104,7 +104,7 @@
 	s.receiveHeartbeat(heartbeatWithFeatures(1, w.elapsed))
 	for i := range 6 {
 		id := fleet.Endpoint(fmt.Sprint("q", i))
-		s.applyRecords([]roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Slots: 64, Models: []roster.Holding{{Model: "m"}}, Revision: 2}}}, 2, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "s", Slots: 64, Models: []roster.Holding{{Model: "m"}}, Revision: 2}}}, 2, false)
 	}
 	s.loadFeatures.even = map[catalog.Service]bool{"s": true}
 	request := &balance.Request{Service: "s", Model: "m", PromptTokens: 20_000, Target: 800 * time.Millisecond, Place: s.place}
--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -151,6 +151,7 @@
 		return 0, false
 	}
 	behind = s.outdatedFor()
+	s.counts.CatalogActivated(behind)
 	if s.catalog == nil || len(s.catalog.Workspaces) == 0 {
 		s.keyedSince = s.uptime()
 	}
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -269,10 +269,10 @@
 		{name: "it answers", after: 200 * time.Millisecond, end: func(w *testClock, s *state) { s.recordAsked(key, w.now(), false, nil) }},
 		{name: "silent, its entry expires", after: 4 * time.Second, end: func(w *testClock, s *state) {
 			s.recordAsked(key, w.now(), false, assert.AnError)
-			s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
+			s.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
 		}, want: 1},
 		{name: "listed again under its id", after: 4 * time.Second, end: func(_ *testClock, s *state) {
-			s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Entry: roster.Entry{ID: "p", Service: "s", Born: 9, Revision: 2}}}, 2, false)
+			s.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 2, Entry: roster.Entry{ID: "p", Service: "s", Born: 9, Revision: 2}}}, 2, false)
 		}, want: 1},
 	}
 	for _, tt := range tests {
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -26,14 +26,19 @@
 	maxLeftAnnounced = 64
 )
 
+// fromStore is the source of changes that this instance has read from the store itself. Changes from a
+// peer have its address.
+const fromStore = "store"
+
 // applyRecords applies changes to the endpoint list, or replaces it if complete is set. It
 // reports whether an endpoint has started leaving or was removed.
-func (s *state) applyRecords(records []roster.Record, revision int64, complete bool) bool {
+func (s *state) applyRecords(from string, records []roster.Record, revision int64, complete bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	departed := false
 	var listed []fleet.Endpoint
+	before := s.roster.All()
 	for i := range records {
 		r := &records[i]
 		previous := s.roster.Get(r.ID)
@@ -45,12 +50,11 @@
 	}
 	s.observeRestore(records, revision)
 	if complete {
-		before := s.roster.All()
 		s.roster.Replace(now, records, revision)
-		s.logUnlisted(before, records, revision)
 	} else {
 		s.roster.Apply(now, records, revision)
 	}
+	s.logRemovals(now, before, from)
 	for _, id := range listed {
 		s.withdrawCrash(now, id)
 	}
@@ -91,10 +95,8 @@
 	switch {
 	case r.Invalid:
 		change = "forged"
-	case r.Removed && previous != nil:
-		change = "removed"
 	case r.Removed:
-		return
+		return // logged once it has been applied
 	case previous == nil || r.Entry.Born > previous.Born:
 		change = "listed"
 	case r.Entry.Leaving && !previous.Leaving:
@@ -105,16 +107,33 @@
 	_ = s.logger.Log("step", "endpoint", "endpoint", r.ID, "born", r.Entry.Born, "software", r.Entry.Software, "revision", r.Revision, "now", change)
 }
 
-// logUnlisted logs the endpoints that a complete list no longer has.
-func (s *state) logUnlisted(before []*roster.Endpoint, records []roster.Record, revision int64) {
+// logRemovals logs which of the endpoints that were listed before a change are removed, and which
+// removals are held back. From is where the change came from.
+func (s *state) logRemovals(now time.Time, before []*roster.Endpoint, from string) {
 	for _, e := range before {
-		listed := slices.ContainsFunc(records, func(r roster.Record) bool { return r.ID == e.ID })
-		if !listed && s.roster.Get(e.ID) == nil {
-			_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "software", e.Software, "revision", revision, "now", "removed")
+		since, held := e.HeldSince()
+		switch {
+		case e.Lost:
+			s.logRemoval(now, e, "removed", from)
+		case held && since.Equal(now):
+			s.counts.RemovalHeld()
+			s.logRemoval(now, e, "held", from)
 		}
 	}
 }
 
+// logRemoval logs what has become of a removal, and for how long it was held back.
+func (s *state) logRemoval(now time.Time, e *roster.Endpoint, change, from string) {
+	var held time.Duration
+	if since, ok := e.HeldSince(); ok {
+		held = now.Sub(since)
+	}
+	if e.Lost {
+		s.counts.RemovalInForce(held)
+	}
+	_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "software", e.Software, "revision", e.RemovedAt(), "now", change, "from", from, "held", held)
+}
+
 // listIsDue reports whether this instance reads the registrations of all instances now: each
 // time in a small fleet, less often in a large one, where the lists of all are the most bytes.
 // Instances that start meanwhile announce themselves by their heartbeats.
@@ -342,7 +361,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	for _, e := range s.roster.RemoveMissing(now) {
-		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not back")
+		s.logRemoval(now, e, "not back", fromStore)
 	}
 	for _, e := range s.roster.Disprove(now) {
 		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not leaving")
--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -132,7 +132,7 @@
 	w := &testClock{}
 	s := newTestState(w)
 	s.applyCatalog(&catalog.Catalog{Version: 1})
-	s.applyRecords([]roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "far", Slots: 4, Revision: 2}}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "far", Slots: 4, Revision: 2}}}, 2, false)
 	chosen := func() fleet.Endpoint {
 		target, err := s.Choose(&balance.Request{Service: "s", Place: s.place})
 		require.NoError(t, err)
@@ -186,14 +186,14 @@
 	assert.Equal(t, 2*time.Second, target.Wait, "a shorter time doesn't end a longer one")
 	assert.Empty(t, s.endpointsToProbe())
 	assert.True(t, s.Candidates("s")[0].Spared)
-	s.applyRecords([]roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "far", Slots: 4, Revision: 2}}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "far", Slots: 4, Revision: 2}}}, 2, false)
 	target, err = s.Choose(request)
 	require.NoError(t, err)
 	assert.Equal(t, fleet.Endpoint("q"), target.ID, "others are chosen meanwhile")
 	w.elapsed = 2 * time.Second
 	assert.Len(t, s.endpointsToProbe(), 2)
 	s.Spare(limitedTarget, time.Second)
-	s.applyRecords([]roster.Record{{ID: "p", Revision: 3, Entry: roster.Entry{ID: "p", Service: "s", Born: 5, Slots: 4, Revision: 3}}}, 3, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 3, Entry: roster.Entry{ID: "p", Service: "s", Born: 5, Slots: 4, Revision: 3}}}, 3, false)
 	assert.Len(t, s.endpointsToProbe(), 2, "its next incarnation has not asked for it")
 }
 
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -134,7 +134,7 @@
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
 	counts := newStats(n.registry)
-	n.state.spreadStats = counts
+	n.state.counts = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(counts), gateway.WithTimers(n.timers),
 		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held))
--- a/internal/direct/origin_test.go
+++ b/internal/direct/origin_test.go
@@ -19,7 +19,7 @@
 	w := &testClock{}
 	s := newTestState(w)
 	entry := func(id fleet.Endpoint, revision int64, software fleet.Software) {
-		s.applyRecords([]roster.Record{{ID: id, Revision: revision, Entry: roster.Entry{ID: id, Service: "s", Software: software, Revision: revision}}}, revision, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: revision, Entry: roster.Entry{ID: id, Service: "s", Software: software, Revision: revision}}}, revision, false)
 	}
 	s.roster = roster.New()
 	s.origins = origin.NewTable()
@@ -50,11 +50,11 @@
 	s.roster, s.origins = roster.New(), origin.NewTable()
 	s.recordHistory(0, []origin.Serving{{Service: "s", Versions: []fleet.Software{"1"}}})
 	first := roster.Record{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Software: "1", Revision: 2}}
-	s.applyRecords([]roster.Record{first}, 2, true)
+	s.applyRecords(fromStore, []roster.Record{first}, 2, true)
 	stream := origin.Stream{Service: "s", ID: "r1", Software: "1"}
 	s.StreamBegan(stream)
 	second := roster.Record{ID: "r", Revision: 3, Entry: roster.Entry{ID: "r", Service: "s", Software: "2", Revision: 3}}
-	s.applyRecords([]roster.Record{second, {ID: "r", Revision: 4, Removed: true}}, 4, false)
+	s.applyRecords(fromStore, []roster.Record{second, {ID: "r", Revision: 4, Removed: true}}, 4, false)
 	assert.Equal(t, []fleet.Software{"1", "2"}, s.findOrigin(&gossip.FindOrigin{Service: "s", ID: "r2"}).Versions)
 	streams, _ := s.streamsToStore(maxStreamWrites)
 	assert.Contains(t, streams, stream)
--- a/internal/direct/path_test.go
+++ b/internal/direct/path_test.go
@@ -32,7 +32,7 @@
 	s.regions["b"] = "north"
 	for i := range endpoints {
 		id := fleet.Endpoint(fmt.Sprint("e", i))
-		s.applyRecords([]roster.Record{{ID: id, Revision: int64(2 + i), Entry: roster.Entry{ID: id, Service: "s", DataCentre: "a", Slots: 4, Revision: int64(2 + i)}}}, int64(2+i), false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: int64(2 + i), Entry: roster.Entry{ID: id, Service: "s", DataCentre: "a", Slots: 4, Revision: int64(2 + i)}}}, int64(2+i), false)
 	}
 	return s
 }
@@ -122,7 +122,7 @@
 // or has another incarnation isn't connected to.
 func TestRelayedConnectionsAreBounded(t *testing.T) {
 	n := newTestNode(t, "one", nil)
-	n.state.applyRecords([]roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Born: 3, Service: "s", Revision: 1}}}, 1, true)
+	n.state.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Born: 3, Service: "s", Revision: 1}}}, 1, true)
 	far, near := net.Pipe()
 	defer func() { _, _ = far.Close(), near.Close() }()
 	n.dialDirect = func(context.Context, fleet.Endpoint, int64, string) (net.Conn, error) { return near, nil }
@@ -160,7 +160,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := &testClock{}
 			s := stateWithPaths(w, 9)
-			s.applyRecords([]roster.Record{{ID: "far", Revision: 20, Entry: roster.Entry{ID: "far", Service: "s", DataCentre: "b", Slots: 4, Revision: 20}}}, 20, false)
+			s.applyRecords(fromStore, []roster.Record{{ID: "far", Revision: 20, Entry: roster.Entry{ID: "far", Service: "s", DataCentre: "b", Slots: 4, Revision: 20}}}, 20, false)
 			addPeer(s, "two", "south", false)
 			for i := range 6 {
 				s.pathFailed(fleet.Endpoint(fmt.Sprint("e", i)))
--- a/internal/direct/prompt_site_test.go
+++ b/internal/direct/prompt_site_test.go
@@ -223,7 +223,7 @@
 		s := p.addInstance(members[i], members)
 		for _, e := range p.servers {
 			r := roster.Record{ID: e.id, Revision: p.revision, Entry: roster.Entry{ID: e.id, Service: "s", Born: e.born, Slots: 64, Revision: p.revision}}
-			s.applyRecords([]roster.Record{r}, p.revision, false)
+			s.applyRecords(fromStore, []roster.Record{r}, p.revision, false)
 		}
 		p.after(verdictInterval, func() { s.applyVerdictRecords(slices.Collect(maps.Values(p.stored))) })
 		p.startTasks(s)
@@ -308,7 +308,7 @@
 	p.revision++
 	r.Revision, r.Entry.Revision = p.revision, p.revision
 	for _, s := range p.states {
-		s.applyRecords([]roster.Record{r}, p.revision, false)
+		s.applyRecords(fromStore, []roster.Record{r}, p.revision, false)
 	}
 }
 
--- a/internal/direct/queue_test.go
+++ b/internal/direct/queue_test.go
@@ -69,10 +69,10 @@
 	s.applyCatalog(&catalog.Catalog{Version: 1})
 	s.receiveHeartbeat(heartbeatFrom(1, time.Second))
 	g := gatewayFleet{state: s}
-	s.applyRecords([]roster.Record{{ID: "p", Removed: true, Revision: 2}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "p", Removed: true, Revision: 2}}, 2, false)
 	var remote fleet.Endpoint
 	for _, id := range []fleet.Endpoint{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"} {
-		s.applyRecords([]roster.Record{{ID: id, Revision: 3, Entry: roster.Entry{ID: id, Service: "s", Revision: 3}}}, 3, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: 3, Entry: roster.Entry{ID: id, Service: "s", Revision: 3}}}, 3, false)
 		if address, _ := s.admitter(id); address == "b:1" {
 			remote = id
 		}
@@ -95,7 +95,7 @@
 	w := &testClock{}
 	s := newTestState(w)
 	s.applyCatalog(&catalog.Catalog{Version: 1, Groups: []catalog.Group{{Name: "s", Engine: &catalog.Engine{}}}})
-	s.applyRecords([]roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "a", Slots: 4, Revision: 2}}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", DataCentre: "a", Slots: 4, Revision: 2}}}, 2, false)
 	for _, id := range []fleet.Endpoint{"p", "q"} {
 		s.RecordPresence(id, roster.Adapter{Model: "m"}, true)
 	}
@@ -121,7 +121,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, fleet.Endpoint("p"), target.ID, "it has got room")
 	load(3, 2*time.Second, 3*time.Second)
-	s.applyRecords([]roster.Record{{ID: "q", Removed: true, Revision: 3}}, 3, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "q", Removed: true, Revision: 3}}, 3, false)
 	target, err = s.Choose(request)
 	require.NoError(t, err)
 	assert.Equal(t, fleet.Endpoint("p"), target.ID, "its place is gone")
--- a/internal/direct/restart_test.go
+++ b/internal/direct/restart_test.go
@@ -115,7 +115,7 @@
 		revision++
 		r.Revision, r.Entry.Revision = revision, revision
 		for _, s := range []*state{one, two} {
-			s.applyRecords([]roster.Record{r}, revision, false)
+			s.applyRecords(fromStore, []roster.Record{r}, revision, false)
 			s.cleanUp()
 		}
 	}
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -145,7 +145,7 @@
 	changes := func() { // as the instances that watch the store pass them on
 		items, revision, err := n.store.List(ctx, platform.EntryPrefix, false)
 		require.NoError(t, err)
-		n.state.applyRecords(platform.Records(items), revision, true)
+		n.state.applyRecords(fromStore, platform.Records(items), revision, true)
 	}
 	time.Sleep(1300 * time.Millisecond)
 	assertUsable(true, "stays", "soon", "late")
@@ -169,7 +169,7 @@
 	entry := func(id fleet.Endpoint, revision int64) roster.Record {
 		return roster.Record{ID: id, Revision: revision, Entry: roster.Entry{ID: id, Service: "s", Slots: 4, Born: 5, Revision: revision}}
 	}
-	s.applyRecords([]roster.Record{entry("a", 2), entry("b", 3), entry("c", 4)}, 4, false)
+	s.applyRecords(fromStore, []roster.Record{entry("a", 2), entry("b", 3), entry("c", 4)}, 4, false)
 	sequence := uint64(0)
 	step := func(d time.Duration) {
 		for range d / (200 * time.Millisecond) {
@@ -184,9 +184,9 @@
 	s.storeFailed()
 	step(time.Second)
 	s.storeAnswered()
-	s.applyRecords([]roster.Record{{ID: "a", Revision: 5, Removed: true}, {ID: "b", Revision: 6, Removed: true}}, 6, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "a", Revision: 5, Removed: true}, {ID: "b", Revision: 6, Removed: true}}, 6, false)
 	step(time.Second)
-	s.applyRecords([]roster.Record{entry("a", 7)}, 7, false)
+	s.applyRecords(fromStore, []roster.Record{entry("a", 7)}, 7, false)
 	step(200 * time.Millisecond)
 	assert.True(t, s.usable("a"), "registered again")
 	step(6 * time.Second)
--- a/internal/direct/revocation_test.go
+++ b/internal/direct/revocation_test.go
@@ -123,7 +123,7 @@
 		n.uptime = func() time.Duration { return s.clock.elapsed + offset - n.missed() }
 		n.setRevocation(true, simRevocation)
 		n.applyInstances(peers)
-		n.applyRecords(nil, 1, true)
+		n.applyRecords(fromStore, nil, 1, true)
 		n.readStore()
 		n.idleUntil = watchStartDelay
 		s.instances = append(s.instances, n)
--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -223,7 +223,7 @@
 			id := fmt.Sprintf("i-%010x", i)
 			items = append(items, platform.Item{Key: platform.EntryPrefix + id, Value: standin.EntryText(id, "matcher", "a", "model-1", "model-2", "model-3"), Revision: int64(i + 1)})
 		}
-		ahead.state.applyRecords(platform.Records(items), endpoints, true)
+		ahead.state.applyRecords(fromStore, platform.Records(items), endpoints, true)
 		started := time.Now()
 		for sequence := uint64(1); time.Since(started) < recoverBound && !behind.listed(); sequence++ {
 			behind.state.receiveHeartbeat(&gossip.Heartbeat{
@@ -248,7 +248,7 @@
 			id := fmt.Sprintf("i-%06d", i)
 			items = append(items, platform.Item{Key: platform.EntryPrefix + id, Value: standin.EntryText(id, "board", "a"), Revision: int64(i + 1)})
 		}
-		n.state.applyRecords(platform.Records(items), revision, true)
+		n.state.applyRecords(fromStore, platform.Records(items), revision, true)
 	}
 	older, newer := newTestNode(t, "older", nil), newTestNode(t, "newer", nil)
 	list(older, endpoints-5, endpoints-5)
--- a/internal/direct/slowness.go
+++ b/internal/direct/slowness.go
@@ -24,11 +24,6 @@
 	maxUnsentAnswers = 64
 )
 
-// spreadStats counts how well the endpoints of requests were chosen.
-type spreadStats interface {
-	Spread(age, predicted, took time.Duration)
-}
-
 // expectation is what an attempt is expected to take once it is admitted.
 type expectation struct {
 	slowness            float64
@@ -107,7 +102,7 @@
 // measure updates the speeds of the model and the endpoint from the first byte of an answer.
 func (s *state) measure(t gateway.Target, a *balance.Request, x expectation, took time.Duration) {
 	now, overhead := s.clock(), t.Wait-t.Prefill
-	s.spreadStats.Spread(t.Age, t.Wait, now.Sub(x.chosenAt))
+	s.counts.Spread(t.Age, t.Wait, now.Sub(x.chosenAt))
 	if x.decidedAt.IsZero() || x.prompts < minExpected || overhead > maxOverhead {
 		return
 	}
--- a/internal/direct/slowness_test.go
+++ b/internal/direct/slowness_test.go
@@ -45,10 +45,10 @@
 	s := evenState(w)
 	s.receiveHeartbeat(heartbeatWithFeatures(1, w.elapsed))
 	s.loadFeatures.even = map[catalog.Service]bool{"s": true}
-	s.applyRecords([]roster.Record{{ID: "p", Removed: true, Revision: 2}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "p", Removed: true, Revision: 2}}, 2, false)
 	var remote fleet.Endpoint
 	for _, id := range []fleet.Endpoint{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"} {
-		s.applyRecords([]roster.Record{{ID: id, Revision: 3, Entry: roster.Entry{ID: id, Service: "s", Slots: 64, Models: []roster.Holding{{Model: "m"}}, Revision: 3}}}, 3, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: 3, Entry: roster.Entry{ID: id, Service: "s", Slots: 64, Models: []roster.Holding{{Model: "m"}}, Revision: 3}}}, 3, false)
 		if address, _ := s.admitter(id); address == "b:1" {
 			remote = id
 		}
@@ -97,7 +97,7 @@
 	w := &testClock{}
 	s := evenState(w)
 	for _, id := range []fleet.Endpoint{"q1", "q2"} {
-		s.applyRecords([]roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "plain", Slots: 6, DataCentre: "a", Revision: 2}}}, 2, false)
+		s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: 2, Entry: roster.Entry{ID: id, Service: "plain", Slots: 6, DataCentre: "a", Revision: 2}}}, 2, false)
 	}
 	s.random = func() float64 { return 0.5 }
 	choose := func() gateway.Target {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -153,11 +153,19 @@
 	// others have shown, by the address of the instance that gets it.
 	expectations  map[*balance.Request]expectation
 	unsentAnswers map[string][]gossip.Answer
-	spreadStats   spreadStats
+	counts        counts
 	links         *link.Tracker // from other regions
 	fullLinks     map[fleet.Region]time.Duration
 }
 
+// counts are what the state counts beside requests.
+type counts interface {
+	Spread(age, predicted, took time.Duration)
+	RemovalHeld()
+	RemovalInForce(held time.Duration)
+	CatalogActivated(behind time.Duration)
+}
+
 // retirement is a model that is about to be unloaded from an endpoint.
 type retirement struct {
 	endpoint fleet.Endpoint
@@ -178,7 +186,7 @@
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
 		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
 		reported: backlog.NewTable(), random: rand.Float64, slowness: balance.NewSlowness(), delays: make(map[incarnation]*backlog.Delay), caches: make(map[incarnation]*endpointCache),
-		expectations: make(map[*balance.Request]expectation), unsentAnswers: make(map[string][]gossip.Answer), spreadStats: newStats(metrics.NewRegistry()),
+		expectations: make(map[*balance.Request]expectation), unsentAnswers: make(map[string][]gossip.Answer), counts: newStats(metrics.NewRegistry()),
 	}
 }
 
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -37,7 +37,7 @@
 	s := newState(self, place, map[fleet.DataCentre]fleet.Region{"a": "south"}, balance.NewBudget(0.2, 10, 10*time.Second), 300*time.Millisecond, w.now, log.NewNopLogger())
 	s.uptime = w.uptime
 	s.allotments = newAllotments(w.uptime(), self)
-	s.applyRecords([]roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Service: "s", Slots: 4, Revision: 1}}}, 1, true)
+	s.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Service: "s", Slots: 4, Revision: 1}}}, 1, true)
 	return s
 }
 
@@ -72,7 +72,7 @@
 	w := &testClock{}
 	s := newTestState(w)
 	entry := roster.Entry{ID: "q", Service: "s", Born: 5, Seq: 3, Models: []roster.Holding{{Model: "m"}}, AtHand: []fleet.Model{"m", "n"}, Revision: 2}
-	s.applyRecords([]roster.Record{{ID: "q", Revision: 2, Entry: entry}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "q", Revision: 2, Entry: entry}}, 2, false)
 	var found *loader.Candidate
 	for _, c := range s.Candidates("s") {
 		if c.ID == "q" {
@@ -105,7 +105,7 @@
 		} {
 			revision++
 			r.Revision, r.Entry.Revision = revision, revision
-			s.applyRecords([]roster.Record{r}, revision, false)
+			s.applyRecords(fromStore, []roster.Record{r}, revision, false)
 			for _, f := range requests {
 				if !r.Removed {
 					began := w.now()
@@ -150,7 +150,7 @@
 	s.AnswerInterrupted(gateway.Target{ID: "p"}, identityOf(4), w.now(), false)
 	w.elapsed = brokenRequestRetention + time.Second
 	s.cleanUp()
-	s.applyRecords([]roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 2, Removed: true}}, 2, false)
 	s.cleanUp()
 	assert.Empty(t, s.crashes.Since(time.Time{}))
 }
@@ -184,7 +184,7 @@
 	set := func(removed bool, ids ...fleet.Endpoint) {
 		for _, id := range ids {
 			revision++
-			s.applyRecords([]roster.Record{{ID: id, Revision: revision, Removed: removed, Entry: roster.Entry{ID: id, Service: "s", Born: 5, Revision: revision}}}, revision, false)
+			s.applyRecords(fromStore, []roster.Record{{ID: id, Revision: revision, Removed: removed, Entry: roster.Entry{ID: id, Service: "s", Born: 5, Revision: revision}}}, revision, false)
 		}
 	}
 	set(false, "a", "b", "c", "d")
@@ -210,7 +210,7 @@
 	s := newTestState(w)
 	assert.False(t, s.Settled())
 	w.elapsed = listSettleTime - time.Millisecond
-	s.applyRecords([]roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Slots: 4, Revision: 2}}}, 2, false)
+	s.applyRecords(fromStore, []roster.Record{{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Slots: 4, Revision: 2}}}, 2, false)
 	assert.False(t, s.Settled())
 	w.elapsed = listSettleTime
 	assert.True(t, s.Settled(), "counted from the first list, whatever changes later")
@@ -373,7 +373,7 @@
 	target := gateway.Target{ID: "p"}
 	apply := func(s *state, r roster.Record) {
 		r.ID, r.Revision, r.Entry.Revision = "p", 2, 2
-		s.applyRecords([]roster.Record{r}, 2, false)
+		s.applyRecords(fromStore, []roster.Record{r}, 2, false)
 	}
 	tests := []struct {
 		name   string
@@ -408,9 +408,9 @@
 	var output bytes.Buffer
 	s.logger = log.NewLogfmtLogger(&output)
 	next := roster.Record{ID: "q", Revision: 2, Entry: roster.Entry{ID: "q", Service: "s", Revision: 2}}
-	s.applyRecords([]roster.Record{next}, 3, true)
+	s.applyRecords(fromStore, []roster.Record{next}, 3, true)
 	assert.Contains(t, output.String(), "endpoint=p born=0 software= revision=3 now=removed")
 	output.Reset()
-	s.applyRecords([]roster.Record{next}, 4, true)
+	s.applyRecords(fromStore, []roster.Record{next}, 4, true)
 	assert.Empty(t, output.String())
 }
--- a/internal/direct/stats.go
+++ b/internal/direct/stats.go
@@ -87,3 +87,16 @@
 	metrics.GetOrRegisterTimer("backlog_age", s.registry).Update(age)
 	metrics.GetOrRegisterTimer("prediction_error", s.registry).Update((took - predicted).Abs())
 }
+
+// RemovalHeld counts a removed endpoint that is kept for now, since the store may have lost its entry.
+func (s *stats) RemovalHeld() { metrics.GetOrRegisterCounter("held_removals", s.registry).Inc(1) }
+
+// RemovalInForce records for how long the removal of an endpoint was held back.
+func (s *stats) RemovalInForce(held time.Duration) {
+	metrics.GetOrRegisterTimer("removal_delay", s.registry).Update(held)
+}
+
+// CatalogActivated records for how long a newer configuration had been known here when it took effect.
+func (s *stats) CatalogActivated(behind time.Duration) {
+	metrics.GetOrRegisterTimer("configuration_delay", s.registry).Update(behind)
+}
--- a/internal/direct/stream_origin_gaps_test.go
+++ b/internal/direct/stream_origin_gaps_test.go
@@ -45,7 +45,7 @@
 	n.store = platform.NewStore("store", platform.WithNewEra(n.newEra), platform.WithStoreDialer(s.dial))
 	n.streamRecords.store = n.store
 	entry := roster.Entry{ID: "p", Service: "board", Software: "1", Revision: 1}
-	n.state.applyRecords([]roster.Record{{ID: entry.ID, Revision: 1, Entry: entry}}, 1, true)
+	n.state.applyRecords(fromStore, []roster.Record{{ID: entry.ID, Revision: 1, Entry: entry}}, 1, true)
 	n.streamRecords.updateHistory(s.t.Context())
 	require.True(s.t, n.state.origins.HasHistory())
 	return gatewayFleet{n.state, n}
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chiveramp/chiveramp/internal/core/balance"
@@ -50,7 +51,7 @@
 // watchRoster keeps the list of endpoints up to date from the store.
 func (n *Node) watchRoster(ctx context.Context) error {
 	return n.watchPrefix(ctx, platform.EntryPrefix, rosterWatchPause, func(r storeRead) {
-		if n.state.applyRecords(platform.Records(r.items), r.revision, r.complete) {
+		if n.state.applyRecords(fromStore, platform.Records(r.items), r.revision, r.complete) {
 			n.tasks.RunIfIdle("beat", n.sendHeartbeats)
 		}
 		if len(n.state.historyToWrite(false)) > 0 {
@@ -250,6 +251,8 @@
 			case err == nil:
 				n.state.receiveAck(sent, ack)
 			case ctx.Err() != nil:
+				metrics.GetOrRegisterCounter("peer_resets", n.registry).Inc(1)
+				_ = level.Warn(n.logger).Log("step", "reset", "peer", address, "after", n.state.uptime()-sent)
 				n.gossip.Reset(address) // the connection may have stalled permanently
 			}
 			return nil
@@ -281,11 +284,11 @@
 			return // the peer has nothing newer
 		case answer.Delta:
 			n.incomingList = incomingList{}
-			n.applyChanges(answer)
+			n.applyChanges(address, answer)
 		default:
 			n.incomingList.add(answer)
 			if !answer.More {
-				n.state.applyRecords(platform.Records(n.incomingList.items), n.incomingList.revision, true)
+				n.state.applyRecords(address, platform.Records(n.incomingList.items), n.incomingList.revision, true)
 				n.incomingList = incomingList{}
 			}
 		}
@@ -325,12 +328,12 @@
 }
 
 // applyChanges applies the changes to the endpoint list that a peer has sent.
-func (n *Node) applyChanges(answer *gossip.FetchReply) {
+func (n *Node) applyChanges(from string, answer *gossip.FetchReply) {
 	items := listedItems(answer.Entries)
 	for _, e := range answer.Removed {
 		items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Revision: e.Revision, Removed: true})
 	}
-	n.state.applyRecords(platform.Records(items), answer.Roster, false)
+	n.state.applyRecords(from, platform.Records(items), answer.Roster, false)
 }
 
 // fetch asks a peer for newer data.
--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -77,7 +77,7 @@
 	t.Cleanup(k.runner.Close)
 	k.state = newTestState(k.clock)
 	k.state.logger = log.NewLogfmtLogger(k.log)
-	k.state.applyRecords([]roster.Record{{ID: "p", Revision: 2, Entry: roster.Entry{ID: "p", Service: "s", Slots: 4, Revision: 2, Address: k.runner.Address()}}}, 2, true)
+	k.state.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 2, Entry: roster.Entry{ID: "p", Service: "s", Slots: 4, Revision: 2, Address: k.runner.Address()}}}, 2, true)
 	if configuration != nil {
 		k.apply(t, configuration)
 	}
