Put removals in force that somebody can vouch for

Callers saw requests reach endpoints seconds after their entries had been removed (DRAIN). Cause: an instance weighed a removal by the state of its own connection to the store. One failed call of any watch made it doubt all removals until 2.2 s after its next answered call, up to 3.7 s later, also those that peers had in force, and it asked for them no more. Change: (1) a removal that a peer has in force is in force as it arrives: peers hide those that they hold back; an instance that holds one asks peers from before it. (2) heartbeats tell when the store answered the sender (internal/core/contact); a doubt ends once answers to this instance or peers cover it, and one begins also where an instance was silent, not only where a call failed. (3) a hold is ended within 100 ms and told at once; a watch doesn't pause meanwhile, so that an entry that is back ends the hold in time.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/contact"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
@@ -16,6 +17,8 @@
 	Entry    Entry
 	Revision int64
 	Removed  bool
+	// InForce is set if a peer has the removal in force.
+	InForce bool
 	// Invalid is set if the entry could not be decoded to a usable endpoint.
 	Invalid bool
 }
@@ -75,6 +78,9 @@
 	maxBackoff     = 2 * time.Second
 	// maxRemovals is the number of removals kept for ChangesSince.
 	maxRemovals = 256
+	// witnessLag is how old the newest answer to a peer may be while the store doesn't answer this
+	// instance. Entries that lapse in an outage do so later than that after its beginning.
+	witnessLag = 2 * time.Second
 	// confirmationWindow is how long the store may take to confirm a peer's report that an endpoint
 	// leaves.
 	confirmationWindow = 5 * time.Second
@@ -90,8 +96,11 @@
 	changedAt      int64     // revision of the last change that affects where requests go
 	removals       []removal // most recent ones, in the order in which they took effect here
 	removalsFrom   int64     // revision from which on removals is complete
-	storeFailed    time.Time // time of the last failed call to the store
+	storeFailed    time.Time // time of the last failed call to the store, or of its last silence
 	storeRecovered time.Time // time of the first successful call after it
+	// doubtedFrom is the time of the last answer before the store failed or was silent.
+	doubtedFrom time.Time
+	contacts    contact.Log
 }
 
 // New returns an empty Roster.
@@ -102,6 +111,21 @@
 // Revision is the store's revision up to which changes have been applied.
 func (r *Roster) Revision() int64 { return r.revision }
 
+// InForceTo is the store's revision up to which all changes are in force here: up to the first removal
+// that is held back.
+func (r *Roster) InForceTo() int64 {
+	complete := r.revision
+	for _, e := range r.endpoints {
+		if !e.missingSince.IsZero() {
+			complete = min(complete, e.missingRevision-1)
+		}
+	}
+	return complete
+}
+
+// HoldsRemovals reports whether a removal is held back.
+func (r *Roster) HoldsRemovals() bool { return r.InForceTo() < r.revision }
+
 // ChangedAt is the store's revision of the last change that affects where requests go:
 // endpoints rewrite their entries every second or so, mostly with the same contents.
 func (r *Roster) ChangedAt() int64 { return r.changedAt }
@@ -110,13 +134,7 @@
 // changes: not beyond what this list is complete to, nor beyond a removal that is held back
 // here, since others may trust it.
 func (r *Roster) CompleteTo() int64 {
-	complete := min(r.changedAt, r.revision)
-	for _, e := range r.endpoints {
-		if !e.missingSince.IsZero() {
-			complete = min(complete, e.missingRevision-1)
-		}
-	}
-	return complete
+	return min(r.changedAt, r.InForceTo())
 }
 
 // ChangesSince returns the endpoints that changed after a revision, and the IDs and
@@ -141,28 +159,73 @@
 
 // RecordStoreFailure records a failed call to the store.
 func (r *Roster) RecordStoreFailure(now time.Time) {
+	r.doubtFrom(now, now)
 	r.storeFailed, r.storeRecovered = now, time.Time{}
+	r.contacts.Failed()
 }
 
 // RecordStoreSuccess records a successful call to the store.
-func (r *Roster) RecordStoreSuccess(now time.Time) {
+func (r *Roster) RecordStoreSuccess(now time.Time) { r.RecordStoreAnswer(now, now, 0) }
+
+// RecordStoreAnswer records an answered call to the store that was to take as long as wait.
+func (r *Roster) RecordStoreAnswer(sent, now time.Time, wait time.Duration) {
+	previous, _ := r.contacts.Own()
+	if silent := r.contacts.Answered(sent, now, wait); silent && !r.storeRecovered.IsZero() {
+		r.doubtFrom(now, previous.Until)
+		r.storeFailed, r.storeRecovered = previous.Until, now
+	}
 	if r.storeRecovered.IsZero() {
 		r.storeRecovered = now
 	}
 }
 
+// doubtFrom begins a doubt whether the store was away, unless an earlier one lasts.
+func (r *Roster) doubtFrom(now, from time.Time) {
+	if r.mayLackEntries(now) {
+		return
+	}
+	r.doubtedFrom = from
+	if own, ok := r.contacts.Own(); ok {
+		r.doubtedFrom = own.Until
+	}
+}
+
+// Contact returns the span over which the store has answered each call of this instance. ok is false
+// if there is none.
+func (r *Roster) Contact() (s contact.Span, ok bool) { return r.contacts.Own() }
+
+// RecordContact records a span over which the store answered a peer.
+func (r *Roster) RecordContact(s contact.Span) { r.contacts.Observe(s) }
+
 // RecordRestore records that the store came back from an older copy, first seen by a list or changes
 // up to a revision. Entries that the copy has don't show that their endpoints are alive.
 func (r *Roster) RecordRestore(revision int64) {
+	r.contacts.Clear()
 	for id, d := range r.departed {
 		d.revision = max(d.revision, revision)
 		r.departed[id] = d
 	}
 }
 
-// storeUntrusted reports whether the store may lack entries of live endpoints. When it came back is
-// only known to be before the first successful call.
+// storeUntrusted reports whether the store may lack entries of live endpoints: this instance may have
+// missed an outage, and nobody was answered all the while.
 func (r *Roster) storeUntrusted(now time.Time) bool {
+	if !r.mayLackEntries(now) {
+		return false
+	}
+	until := r.storeRecovered
+	if until.IsZero() {
+		until = now.Add(-witnessLag)
+	}
+	if until.Before(r.doubtedFrom) {
+		until = r.doubtedFrom
+	}
+	return !r.contacts.Covers(contact.Span{Since: r.doubtedFrom, Until: until})
+}
+
+// mayLackEntries reports the same by what this instance knows from its own calls. When the store came
+// back is only known to be before the first successful one.
+func (r *Roster) mayLackEntries(now time.Time) bool {
 	if r.storeFailed.IsZero() {
 		return false
 	}
@@ -202,7 +265,11 @@
 func (r *Roster) apply(now time.Time, c *Record) {
 	known := r.endpoints[c.ID]
 	if c.Removed {
-		if known != nil && known.Revision <= c.Revision {
+		switch {
+		case known == nil || known.Revision > c.Revision:
+		case c.InForce:
+			r.markLost(known, c.Revision)
+		default:
 			r.remove(now, known, c.Revision)
 		}
 		return
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -31,12 +31,13 @@
 const fromStore = "store"
 
 // applyRecords applies changes to the endpoint list, or replaces it if complete is set. It
-// reports whether an endpoint has started leaving or was removed.
+// reports whether peers should hear at once: an endpoint has started leaving, was removed, or is back
+// after its removal was held back.
 func (s *state) applyRecords(from string, records []roster.Record, revision int64, complete bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	departed := false
+	news := false
 	var listed []fleet.Endpoint
 	before := s.roster.All()
 	for i := range records {
@@ -46,7 +47,7 @@
 			listed = append(listed, r.ID)
 		}
 		s.observeRecord(now, previous, r)
-		departed = departed || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving)
+		news = news || previous != nil && (r.Removed || r.Entry.Leaving && !previous.Leaving || previous.RemovedAt() > 0)
 	}
 	s.observeRestore(records, revision)
 	if complete {
@@ -62,7 +63,7 @@
 	if !s.listed {
 		s.listed, s.listedAt = true, now
 	}
-	return departed
+	return news
 }
 
 // observeRecord records what a change shows beside the state of the endpoint, and logs it.
@@ -188,7 +189,8 @@
 	}
 	s.updateLoadFeatures()
 	b := &gossip.Heartbeat{
-		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
+		Contact: s.contactToSend(now),
+		Place:   s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
 		Loads: s.loadsToSend(), Backlogs: s.backlogsToSend(now), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
 		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(), Features: s.loadFeatures.announced,
 	}
@@ -231,11 +233,12 @@
 		return
 	}
 	clockOffset := s.uptime() - b.Sent
-	delay := time.Duration(0)
+	delay := time.Duration(0) // unknown for the first heartbeat of a start
 	if previous != nil && previous.heartbeat.Peer.Incarnation == b.Peer.Incarnation {
 		delay = max(0, clockOffset-previous.clockOffset)
 		s.links.Observe(now, b.Place.Region, delay)
 		clockOffset = min(clockOffset, previous.clockOffset)
+		s.receiveContact(now, b.Contact, delay)
 	}
 	s.peers[name] = &peer{heartbeat: *b, receivedAt: now, clockOffset: clockOffset, build: knownBuild(previous, b)}
 	if announcementChanged(previous, b) {
@@ -272,7 +275,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	f := &gossip.Fetch{Roster: s.roster.Revision(), Deltas: true, Parts: true, Pages: true}
+	f := &gossip.Fetch{Roster: s.roster.InForceTo(), Deltas: true, Parts: true, Pages: true}
 	ahead := s.nearest(slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Roster <= f.Roster }))
 	switch {
 	case ahead == nil:
@@ -360,9 +363,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	for _, e := range s.roster.RemoveMissing(now) {
-		s.logRemoval(now, e, "not back", fromStore)
-	}
+	s.removeMissing(now)
 	for _, e := range s.roster.Disprove(now) {
 		_ = s.logger.Log("step", "endpoint", "endpoint", e.ID, "born", e.Born, "now", "not leaving")
 	}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -39,6 +39,7 @@
 	probeTimeout         = 400 * time.Millisecond // two round trips between regions plus a short pause
 	placementInterval    = 200 * time.Millisecond // determines how soon placement follows demand
 	orderLeaseInterval   = 400 * time.Millisecond // several renewals per lease
+	holdInterval         = 100 * time.Millisecond // how late a removal that is held back may take effect
 	cleanUpInterval      = 500 * time.Millisecond // limits how long an expired entry stays
 	reloadInterval       = time.Second            // picks up changed settings also without a signal
 	instanceListInterval = 3 * time.Second        // heartbeats of new instances usually arrive sooner
@@ -257,6 +258,7 @@
 	every("right", orderLeaseInterval, n.maintainOrderLease)
 	every("place", placementInterval, n.placeModels)
 	every("tidy", cleanUpInterval, n.cleanUp)
+	every("held", holdInterval, n.endHolds)
 	every("list", instanceListInterval, n.refreshInstances)
 	every("history", historyInterval, n.streamRecords.updateHistory)
 	every("verdicts", verdictInterval, n.verdictRecords.update)
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -98,13 +98,14 @@
 				_ = level.Info(n.logger).Log("step", "store regained", "prefix", prefix, "after", revision, "now", next)
 			}
 			revision, storeLost = next, false
-			n.state.storeAnswered()
 			pace.Answered()
 			if !started {
 				started = true
 				sleep(ctx, watchStartDelay)
 			}
-			sleep(ctx, pause)
+			if !n.state.holdsRemovals() { // else an entry that is back ends the wait for it
+				sleep(ctx, pause)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -127,16 +128,18 @@
 func (n *Node) listOrWatch(ctx context.Context, prefix string, revision int64, apply func(storeRead)) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
-	sent := n.state.uptime()
+	sent, sentAt := n.state.uptime(), n.clock()
 	if revision < 0 {
 		items, next, err := n.store.List(ctx, prefix, false)
 		if err == nil {
+			n.state.storeAnsweredSince(sentAt, 0)
 			apply(storeRead{items: items, revision: next, complete: true, asOf: sent})
 		}
 		return next, err
 	}
 	items, next, err := n.store.Watch(ctx, prefix, revision, n.config.Store.Wait)
 	if err == nil {
+		n.state.storeAnsweredSince(sentAt, n.config.Store.Wait)
 		apply(storeRead{items: items, revision: next, asOf: watchedUntil(sent, n.config.Store.Wait, n.state.uptime(), len(items))})
 	}
 	return next, err
@@ -333,7 +336,11 @@
 	for _, e := range answer.Removed {
 		items = append(items, platform.Item{Key: platform.EntryPrefix + string(e.ID), Revision: e.Revision, Removed: true})
 	}
-	n.state.applyRecords(from, platform.Records(items), answer.Roster, false)
+	records := platform.Records(items)
+	for i := range records {
+		records[i].InForce = records[i].Removed // peers hide removals that they hold back
+	}
+	n.state.applyRecords(from, records, answer.Roster, false)
 }
 
 // fetch asks a peer for newer data.
--- a/internal/direct/watchers.go
+++ b/internal/direct/watchers.go
@@ -1,10 +1,14 @@
 package direct
 
 import (
+	"context"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/contact"
 	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/watcher"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/platform"
 )
 
 const (
@@ -13,6 +17,8 @@
 	// watchersByName is how many of the first instances by name watch the store in builds without
 	// feature.Watchers.
 	watchersByName = 3
+	// contactRounds is how many heartbeats tell of one answer of the store.
+	contactRounds = 2
 )
 
 // storeFailed records a failed call to the store, storeAnswered a successful one.
@@ -23,13 +29,70 @@
 	s.storeAnsweredAt = time.Time{}
 }
 
-func (s *state) storeAnswered() {
+func (s *state) storeAnswered() { s.storeAnsweredSince(s.clock(), 0) }
+
+// storeAnsweredSince records an answer to a call that was sent at a time and was to take as long as wait.
+func (s *state) storeAnsweredSince(sent time.Time, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.roster.RecordStoreSuccess(s.clock())
+	s.roster.RecordStoreAnswer(sent, s.clock(), wait)
 	s.storeAnsweredAt = s.clock()
 }
 
+// contactToSend returns when the store last answered this instance, nil if peers have been told.
+func (s *state) contactToSend(now time.Time) *gossip.Contact {
+	own, ok := s.roster.Contact()
+	if !ok || now.Sub(own.Until) > storeReachableTime {
+		return nil
+	}
+	if !own.Until.Equal(s.contactSent) {
+		s.contactSent, s.contactRounds = own.Until, 0
+	}
+	if s.contactRounds++; s.contactRounds > contactRounds {
+		return nil
+	}
+	return &gossip.Contact{SinceMs: now.Sub(own.Since).Milliseconds(), UntilMs: now.Sub(own.Until).Milliseconds() + 1, Era: platform.RevisionEra(s.roster.Revision())}
+}
+
+// receiveContact records when the store answered a peer, as of a heartbeat that was on its way longer
+// than usual by a delay.
+func (s *state) receiveContact(now time.Time, c *gossip.Contact, delay time.Duration) {
+	if c == nil || c.Era != platform.RevisionEra(s.roster.Revision()) {
+		return
+	}
+	sent := now.Add(-delay)
+	s.roster.RecordContact(contact.Span{
+		Since: sent.Add(-time.Duration(c.SinceMs) * time.Millisecond), Until: sent.Add(-time.Duration(c.UntilMs) * time.Millisecond),
+	})
+}
+
+// holdsRemovals reports whether removals are held back.
+func (s *state) holdsRemovals() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.HoldsRemovals()
+}
+
+// removeMissing puts removals in force that were held back and need not be any more. It reports whether
+// there was one.
+func (s *state) removeMissing(now time.Time) bool {
+	lost := s.roster.RemoveMissing(now)
+	for _, e := range lost {
+		s.logRemoval(now, e, "not back", fromStore)
+	}
+	return len(lost) > 0
+}
+
+// endHolds puts removals in force that need not be held back any more, and tells peers.
+func (n *Node) endHolds(context.Context) {
+	n.state.mu.Lock()
+	news := n.state.removeMissing(n.clock())
+	n.state.mu.Unlock()
+	if news {
+		n.tasks.RunIfIdle("beat", n.sendHeartbeats)
+	}
+}
+
 // registrationFailed records a failed call of an instance that need not watch the store. It reports
 // whether the store still counts as reachable.
 func (s *state) registrationFailed() bool {
--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -99,6 +99,7 @@
 		Retiring:   []gossip.Retirement{{Endpoint: "p-1", Model: "m"}},
 		Limits:     []gossip.Limit{limit},
 		Backlogs:   []gossip.Backlog{{Endpoint: "p-1", Work: gossip.BacklogWork{40, 41, 42}, Slowness: 160}},
+		Contact:    &gossip.Contact{SinceMs: 43, UntilMs: 44, Era: 1},
 		Ended: []gossip.EndpointCrash{{Incarnation: "p-1/17", FailedAgo: 40 * time.Millisecond, Runs: []gossip.CrashedRun{{
 			Keys: []suspect.Key{"part x"}, Age: 50 * time.Millisecond, Begun: true,
 		}}}},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -69,6 +69,16 @@
 	// Backlogs are the schedules of the endpoints whose requests the sender admits, without those
 	// that hold nothing and aren't slow. Where they are sent, Loads has no entry.
 	Backlogs []Backlog `cbor:"s,omitempty"`
+	// Contact is when the store last answered the sender, nil if earlier heartbeats have told.
+	Contact *Contact `cbor:"co,omitempty"`
+}
+
+// Contact is a time over which the store answered each call of an instance, in milliseconds before
+// the heartbeat was sent, in one era of the store.
+type Contact struct {
+	SinceMs int64 `cbor:"s"`
+	UntilMs int64 `cbor:"u"`
+	Era     int64 `cbor:"e,omitempty"`
 }
 
 // WithoutDemand returns a copy of the heartbeat without what only the holder of the order
