test: configuration over a full link between regions

Callers' requests were handled by an old configuration for more than 4 s in the region that doesn't hold the store (CONFIG).

--- /dev/null
+++ b/internal/direct/full_link_test.go
@@ -0,0 +1,165 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/platform"
+	"github.com/chiveramp/chiveramp/platform/standin"
+)
+
+// linkQueue is how long what is sent over the link between two regions waits.
+type linkQueue struct {
+	mu   sync.Mutex
+	wait time.Duration
+}
+
+func (q *linkQueue) set(wait time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wait = wait
+}
+
+func (q *linkQueue) get() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.wait
+}
+
+// dial connects through the queue.
+func (q *linkQueue) dial(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	sleep(ctx, 2*q.get())
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	conn, err := dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	near, far := net.Pipe()
+	go q.copy(conn, far)
+	go q.copy(far, conn)
+	return near, nil
+}
+
+type packet struct {
+	data []byte
+	due  time.Time
+}
+
+// copy passes on what arrives after its time in the queue, in order, until either end closes.
+func (q *linkQueue) copy(to, from net.Conn) {
+	packets := make(chan packet, 4096)
+	go func() {
+		defer close(packets)
+		for {
+			buffer := make([]byte, linkBuffer)
+			n, err := from.Read(buffer)
+			if n > 0 {
+				packets <- packet{buffer[:n], time.Now().Add(q.get())}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	defer func() { _, _ = to.Close(), from.Close() }()
+	for p := range packets {
+		time.Sleep(time.Until(p.due))
+		if _, err := to.Write(p.data); err != nil {
+			break
+		}
+	}
+	_ = from.Close()
+	for range packets { // its reader ends
+	}
+}
+
+// A configuration reaches a region late while the link to it is full, since calls end, and close their
+// connections, before their answers have passed the link.
+func TestConfigurationIsLateOverAFullLink(t *testing.T) {
+	for _, wait := range []time.Duration{300 * time.Millisecond, time.Second, 1700 * time.Millisecond} {
+		t.Run(wait.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var link linkQueue
+				const instances = 12
+				far := func(i int) bool { return i%2 == 1 }
+				f := newTestFleet(t, instances, withRegions(&link, far))
+				f.store.Set(platform.CatalogKey, standin.Configuration(1, 3))
+				time.Sleep(8 * time.Second)
+				for ms := time.Duration(0); ms < wait; ms += 100 * time.Millisecond {
+					link.set(ms)
+					time.Sleep(200 * time.Millisecond)
+				}
+				link.set(wait)
+				time.Sleep(2 * time.Second)
+				calls := f.farCalls()
+				var worst time.Duration
+				for version := int64(2); version < 6; version++ {
+					f.store.Set(platform.CatalogKey, standin.Configuration(version, 3))
+					changed := time.Now()
+					for time.Since(changed) < configBound+time.Second {
+						time.Sleep(20 * time.Millisecond)
+						for _, n := range f.nodes {
+							if n.catalogVersion() < version {
+								worst = max(worst, time.Since(changed))
+							}
+						}
+					}
+				}
+				t.Logf("in force everywhere after %s, %d calls for it over the link", worst, f.farCalls()-calls)
+				assert.Less(t, worst, configBound)
+				link.set(0)
+				f.close()
+				time.Sleep(4 * wait) // what is on the link arrives
+			})
+		})
+	}
+}
+
+// farCalls counts the calls for configurations that came from another region.
+func (f *testFleet) farCalls() int {
+	calls := 0
+	for _, n := range f.nodes {
+		calls += int(n.far.Load())
+	}
+	return calls
+}
+
+// withRegions has the instances of which far tells stand in another region than the store, behind a link.
+func withRegions(link *linkQueue, far func(i int) bool) fleetOption {
+	return func(i int, n *fleetNode) {
+		place := fleet.Place{Region: storeRegion, DataCentre: "a"}
+		if far(i) {
+			place = fleet.Place{Region: otherRegion, DataCentre: "b"}
+		}
+		n.setPlace(place)
+		n.far.Store(0)
+		n.crosses = func(peer int) *linkQueue {
+			if peer == storePeer && far(i) || peer != storePeer && far(peer) != far(i) {
+				return link
+			}
+			return nil
+		}
+	}
+}
+
+// countingHandler counts the calls for configurations that pass the link.
+type countingHandler struct {
+	gossip.Handler
+	node *fleetNode
+}
+
+// FetchCatalog implements gossip.Handler.
+func (h countingHandler) FetchCatalog(ctx context.Context, f *gossip.FetchCatalog) (*gossip.CatalogPart, error) {
+	h.node.far.Add(1)
+	return h.Handler.FetchCatalog(ctx, f)
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -117,16 +117,16 @@
 		config: c, settings: settings, logger: logger, group: group, registry: metrics.NewRegistry(),
 		timers: timers, clock: clock.Now,
 		state:      newState(self, place, regions, budget, c.Peer.Beat, clock.Now, logger),
-		gossip:     gossip.NewClient(),
 		dialDirect: platform.DialEndpoint,
 	}
 	for _, o := range options {
 		o(n)
 	}
+	n.gossip = n.newGossip()
 	n.endpoints = platform.NewEndpointClient(platform.WithEndpointDialer(n.dialEndpoint), platform.WithOrderDialer(n.dialDirect))
 	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	n.state.loadFeatures.settings = c.Load
-	n.store = platform.NewStore(c.Store.Address, platform.WithStallTimeout(timers, c.Store.Timeout), platform.WithNewEra(n.newEra))
+	n.store = n.newStore()
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
@@ -142,6 +142,18 @@
 	return n
 }
 
+// newStore returns the client of the store.
+func (n *Node) newStore(options ...platform.StoreOption) *platform.Store {
+	return platform.NewStore(n.config.Store.Address, append([]platform.StoreOption{
+		platform.WithStallTimeout(n.timers, n.config.Store.Timeout), platform.WithNewEra(n.newEra),
+	}, options...)...)
+}
+
+// newGossip returns the client of the peers.
+func (n *Node) newGossip(options ...gossip.Option) *gossip.Client {
+	return gossip.NewClient(options...)
+}
+
 // newEra reacts to the store's return from an older copy: entries that it lacks may be written
 // again, and the record of the order lease's holder may be lost.
 func (n *Node) newEra(era int64, returned bool) {
--- a/internal/direct/removal_test.go
+++ b/internal/direct/removal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/link"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
@@ -37,25 +39,50 @@
 	mu    sync.Mutex
 	cut   bool // from the store
 	conns []net.Conn
+	// crosses returns the queue of the link to a peer, or to storePeer, nil if there is none.
+	crosses func(peer int) *linkQueue
+	far     atomic.Int64 // calls for the configuration
 }
 
-func newTestFleet(t *testing.T, instances int) *testFleet {
+// storePeer stands for the store among the peers.
+const storePeer = -1
+
+type fleetOption func(i int, n *fleetNode)
+
+func (n *fleetNode) setPlace(p fleet.Place) {
+	n.state.place, n.state.links = p, link.NewTracker(p.Region)
+}
+
+func (n *fleetNode) connect(ctx context.Context, peer int, l *bufconn.Listener) (net.Conn, error) {
+	if q := n.crosses(peer); q != nil {
+		return q.dial(ctx, l.DialContext)
+	}
+	return l.DialContext(ctx)
+}
+
+func newTestFleet(t *testing.T, instances int, options ...fleetOption) *testFleet {
 	t.Helper()
 	listener := bufconn.Listen(1 << 16)
 	ctx, stop := context.WithCancel(t.Context())
 	f := &testFleet{t: t, store: standin.NewStore(500, standin.WithListener(listener)), group: new(errgroup.Group), stop: stop}
 	peers := make(map[string]*bufconn.Listener)
+	index := make(map[string]int)
 	for i := range instances {
 		name := fmt.Sprintf("front-%d", i)
-		peers[name+":1"] = bufconn.Listen(1 << 16)
-		n := &fleetNode{Node: newTestNode(t, name, func(ctx context.Context, _, address string) (net.Conn, error) { return peers[address].DialContext(ctx) })}
+		index[name+":1"], peers[name+":1"] = i, bufconn.Listen(1<<16)
+		n := &fleetNode{Node: newTestNode(t, name, nil), crosses: func(int) *linkQueue { return nil }}
+		n.gossip = n.newGossip(gossip.WithDialer(func(ctx context.Context, _, address string) (net.Conn, error) {
+			return n.connect(ctx, index[address], peers[address])
+		}))
 		n.timers.Start(ctx, f.group)
-		n.Node.store = platform.NewStore("store", platform.WithNewEra(n.newEra), platform.WithStallTimeout(n.timers, n.config.Store.Timeout),
-			platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return n.dialStore(ctx, listener) }))
+		n.Node.store = n.newStore(platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return n.dialStore(ctx, listener) }))
 		f.nodes = append(f.nodes, n)
-		server := gossip.NewServer(n.Node)
+		server := gossip.NewServer(countingHandler{n.Node, n})
 		f.group.Go(func() error { _ = server.Serve(peers[name+":1"]); return nil })
 		f.group.Go(func() error { <-ctx.Done(); server.Stop(); n.gossip.Close(); return nil })
+		for _, o := range options {
+			o(i, n)
+		}
 	}
 	for _, n := range f.nodes {
 		every := func(name string, interval time.Duration, task func(context.Context)) {
@@ -78,7 +105,7 @@
 }
 
 func (n *fleetNode) dialStore(ctx context.Context, l *bufconn.Listener) (net.Conn, error) {
-	conn, err := l.DialContext(ctx)
+	conn, err := n.connect(ctx, storePeer, l)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/direct/slow_link_test.go
+++ b/internal/direct/slow_link_test.go
@@ -84,7 +84,7 @@
 	t.Helper()
 	settings, err := reload.New(nil, func() (config.Gateway, error) {
 		c := config.DefaultGateway()
-		c.Instance.Name, c.Listen.Peer = name, name+":1"
+		c.Instance.Name, c.Listen.Peer, c.Store.Address = name, name+":1", "store"
 		return c, nil
 	})
 	require.NoError(t, err)
