gossip: queues of links as a list

Cause: TestUnknownFieldsArePassedOver adds a key to every map of a message, which a map by region doesn't bear. Change: a list of regions and times.

--- a/internal/direct/links.go
+++ b/internal/direct/links.go
@@ -9,6 +9,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
 const (
@@ -26,13 +27,10 @@
 )
 
 // queuesToSend returns how long heartbeats from other regions wait on the links, for the next heartbeat.
-func (s *state) queuesToSend(now time.Time) map[fleet.Region]int64 {
-	var all map[fleet.Region]int64
+func (s *state) queuesToSend(now time.Time) []gossip.Queue {
+	var all []gossip.Queue
 	for region, wait := range s.links.Queues(now) {
-		if all == nil {
-			all = make(map[fleet.Region]int64)
-		}
-		all[region] = wait.Milliseconds()
+		all = append(all, gossip.Queue{From: region, WaitMs: wait.Milliseconds()})
 	}
 	return all
 }
@@ -45,7 +43,7 @@
 	there, back := time.Duration(0), s.links.Queues(now)[region]
 	for _, p := range s.peers {
 		if p.heartbeat.Place.Region == region && now.Sub(p.receivedAt) < peerLoadRetention {
-			there = max(there, time.Duration(p.heartbeat.Queues[s.place.Region])*time.Millisecond)
+			there = max(there, p.heartbeat.QueueFrom(s.place.Region))
 		}
 	}
 	return min(queueGrowth*(there+back), maxAllowance)
--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -102,7 +102,7 @@
 		Limits:     []gossip.Limit{limit},
 		Backlogs:   []gossip.Backlog{{Endpoint: "p-1", Work: gossip.BacklogWork{40, 41, 42}, Slowness: 160}},
 		Contact:    &gossip.Contact{SinceMs: 43, UntilMs: 44, Era: 1},
-		Queues:     map[fleet.Region]int64{"r": 45},
+		Queues:     []gossip.Queue{{From: "r", WaitMs: 45}},
 		Ended: []gossip.EndpointCrash{{Incarnation: "p-1/17", FailedAgo: 40 * time.Millisecond, Runs: []gossip.CrashedRun{{
 			Keys: []suspect.Key{"part x"}, Age: 50 * time.Millisecond, Begun: true,
 		}}}},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -71,9 +71,24 @@
 	Backlogs []Backlog `cbor:"s,omitempty"`
 	// Contact is when the store last answered the sender, nil if earlier heartbeats have told.
 	Contact *Contact `cbor:"co,omitempty"`
-	// Queues are how long, in milliseconds, heartbeats wait on the links from other regions, those where
-	// they do.
-	Queues map[fleet.Region]int64 `cbor:"qu,omitempty"`
+	// Queues are how long heartbeats wait on the links from other regions, those where they do.
+	Queues []Queue `cbor:"qu,omitempty"`
+}
+
+// Queue is how long, in milliseconds, what comes from a region waits on its way.
+type Queue struct {
+	From   fleet.Region `cbor:"f"`
+	WaitMs int64        `cbor:"w"`
+}
+
+// QueueFrom returns how long what comes from a region waits on its way to the sender.
+func (b *Heartbeat) QueueFrom(region fleet.Region) time.Duration {
+	for _, q := range b.Queues {
+		if q.From == region {
+			return time.Duration(q.WaitMs) * time.Millisecond
+		}
+	}
+	return 0
 }
 
 // Contact is a time over which the store answered each call of an instance, in milliseconds before
