--- a/internal/direct/removal_test.go
+++ b/internal/direct/removal_test.go
@@ -36,9 +36,10 @@
 
 type fleetNode struct {
 	*Node
-	mu    sync.Mutex
-	cut   bool // from the store
-	conns []net.Conn
+	mu       sync.Mutex
+	cut      bool // from the store
+	conns    []net.Conn
+	isolated atomic.Bool // from the peers
 	// crosses returns the queue of the link to a peer, or to storePeer, nil if there is none.
 	crosses func(peer int) *linkQueue
 	fetches atomic.Int64 // calls for the configuration
@@ -54,6 +55,32 @@
 	n.state.regions = map[fleet.DataCentre]fleet.Region{"a": storeRegion, "b": otherRegion}
 }
 
+// connectPeer connects to a peer. The connection ends once either is isolated.
+func (n *fleetNode) connectPeer(ctx context.Context, peer int, to *fleetNode, l *bufconn.Listener) (net.Conn, error) {
+	conn, err := n.connect(ctx, peer, l)
+	if err != nil {
+		return nil, err
+	}
+	return &peerConn{Conn: conn, ends: []*fleetNode{n, to}}, nil
+}
+
+// peerConn is a connection that carries nothing while one of its ends is isolated.
+type peerConn struct {
+	net.Conn
+	ends []*fleetNode
+}
+
+// Write implements net.Conn.
+func (c *peerConn) Write(p []byte) (int, error) {
+	for _, n := range c.ends {
+		if n.isolated.Load() {
+			_ = c.Close()
+			return 0, net.ErrClosed
+		}
+	}
+	return c.Conn.Write(p)
+}
+
 func (n *fleetNode) connect(ctx context.Context, peer int, l *bufconn.Listener) (net.Conn, error) {
 	if q := n.crosses(peer); q != nil {
 		return q.dial(ctx, l.DialContext)
@@ -73,13 +100,19 @@
 		index[name+":1"], peers[name+":1"] = i, bufconn.Listen(1<<16)
 		n := &fleetNode{Node: newTestNode(t, name, nil), crosses: func(int) *linkQueue { return nil }}
 		n.gossip = n.newGossip(gossip.WithDialer(func(ctx context.Context, _, address string) (net.Conn, error) {
-			return n.connect(ctx, index[address], peers[address])
+			to := f.nodes[index[address]]
+			if n.isolated.Load() || to.isolated.Load() {
+				return nil, net.ErrClosed
+			}
+			return n.connectPeer(ctx, index[address], to, peers[address])
 		}))
 		n.timers.Start(ctx, f.group)
 		n.Node.store = n.newStore(platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return n.dialStore(ctx, listener) }))
+		n.streamRecords.store, n.streamRecords.state = n.Node.store, n.state
 		f.nodes = append(f.nodes, n)
 		server := gossip.NewServer(countingHandler{n.Node, n})
-		f.group.Go(func() error { _ = server.Serve(peers[name+":1"]); return nil })
+		own := peers[name+":1"]
+		f.group.Go(func() error { _ = server.Serve(own); return nil })
 		f.group.Go(func() error { <-ctx.Done(); server.Stop(); n.gossip.Close(); return nil })
 		for _, o := range options {
 			o(i, n)
@@ -94,6 +127,8 @@
 		every("held", holdInterval, n.endHolds)
 		every("list", instanceListInterval, n.refreshInstances)
 		f.group.Go(func() error { return n.watchCatalog(ctx) })
+		every("history", historyInterval, n.streamRecords.updateHistory)
+		f.group.Go(func() error { return n.streamRecords.run(ctx) })
 		f.group.Go(func() error { return n.watchRoster(ctx) })
 	}
 	return f
