--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -452,6 +452,9 @@
 // Age returns how long ago the incarnation was first listed here.
 func (e *Endpoint) Age(now time.Time) time.Duration { return now.Sub(e.listedAt) }
 
+// ListedLeaving reports whether the endpoint's entry says that it leaves.
+func (e *Endpoint) ListedLeaving() bool { return e.listedLeaving }
+
 // HeldSince returns since when a removal of the endpoint is held back. ok is false if none is, or was
 // before it took effect.
 func (e *Endpoint) HeldSince() (since time.Time, ok bool) {
--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -114,6 +114,8 @@
 	allowance, _ := n.state.peerAllowance(address)
 	ctx, cancel := context.WithTimeout(ctx, partTimeout+allowance)
 	defer cancel()
+	ctx, end := n.untilNearby(ctx, address, n.state.catalogNearby)
+	defer end()
 	if id, _ := n.incomingCatalog.Next(); id.Version <= have || id.Base != 0 && id.Base != have {
 		n.incomingCatalog.Reset() // the active configuration has changed since
 	}
@@ -244,7 +246,7 @@
 			return "", have, false
 		}
 	}
-	ahead := slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Catalog <= have })
+	ahead := s.peersWithCatalogAfter(have)
 	if others := slices.DeleteFunc(slices.Clone(ahead), func(p *peer) bool { return p.heartbeat.Peer.Address == except }); len(others) > 0 {
 		ahead = others
 	}
@@ -254,6 +256,19 @@
 	return address, have, address != ""
 }
 
+// peersWithCatalogAfter returns the live peers with a newer configuration than a version.
+func (s *state) peersWithCatalogAfter(version int64) []*peer {
+	return slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Catalog <= version })
+}
+
+// activeVersion returns the version in force, 0 if there is none.
+func (s *state) activeVersion() int64 {
+	if s.catalog == nil {
+		return 0
+	}
+	return s.catalog.Version
+}
+
 // catalogAt returns the version that a peer has last announced.
 func (s *state) catalogAt(name fleet.Instance) int64 {
 	s.mu.Lock()
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -20,6 +19,9 @@
 	maxWatchLag = 250 * time.Millisecond
 	// retirementAnnounceTime is how long heartbeats repeat that a model's copy will be unloaded.
 	retirementAnnounceTime = time.Second
+	// departureAnnounceTime is how long heartbeats tell of an endpoint's departure: a rotation over the
+	// peers.
+	departureAnnounceTime = 2 * time.Second
 	// instancesPerList is the number of instances for each of which, beyond the first, the list
 	// of instances is read one round later.
 	instancesPerList = 60
@@ -57,6 +59,7 @@
 		s.roster.Apply(now, records, revision)
 	}
 	s.logRemovals(now, before, from)
+	s.noteDepartures(now, before)
 	for _, id := range listed {
 		s.withdrawCrash(now, id)
 	}
@@ -124,6 +127,35 @@
 	}
 }
 
+// noteDepartures has heartbeats tell of the endpoints that a change has removed or shown to leave, of those
+// that were listed before. A peer beyond a full link gets the list itself later by a question.
+func (s *state) noteDepartures(now time.Time, before []*roster.Endpoint) {
+	for _, e := range before {
+		id := incarnation{e.ID, e.Born}
+		if !e.Lost && (!e.ListedLeaving() || s.noted[id]) {
+			continue
+		}
+		if !s.noted[id] {
+			s.departures = append(s.departures, departure{gossip.Incarnation{Endpoint: e.ID, Born: e.Born}, now})
+		}
+		if delete(s.noted, id); !e.Lost {
+			s.noted[id] = true
+		}
+	}
+}
+
+// leavingToSend returns the endpoints that heartbeats tell to be leaving.
+func (s *state) leavingToSend(now time.Time) []gossip.Incarnation {
+	s.departures = slices.DeleteFunc(s.departures, func(d departure) bool { return now.Sub(d.since) > departureAnnounceTime })
+	leaving := slices.Clone(s.leftEndpoints)
+	for _, d := range s.departures[max(0, len(s.departures)-maxLeftAnnounced):] {
+		if !slices.Contains(leaving, d.Incarnation) {
+			leaving = append(leaving, d.Incarnation)
+		}
+	}
+	return leaving
+}
+
 // logRemoval logs what has become of a removal, and for how long it was held back.
 func (s *state) logRemoval(now time.Time, e *roster.Endpoint, change, from string) {
 	var held time.Duration
@@ -192,7 +224,7 @@
 	b := &gossip.Heartbeat{
 		Contact: s.contactToSend(now), Queues: s.queuesToSend(now),
 		Place: s.place, Sent: s.uptime(), Ready: s.readinessError() == nil, StoreReachable: s.storeReachable(), Roster: s.roster.ChangedAt(), CutOff: s.paths.CutOff(now),
-		Loads: s.loadsToSend(), Backlogs: s.backlogsToSend(now), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leftEndpoints, HoldsOrderLease: s.mayOrder, Fence: s.fence,
+		Loads: s.loadsToSend(), Backlogs: s.backlogsToSend(now), Uses: s.balancer.OwnUses(), Demand: s.ownDemand(), Leaving: s.leavingToSend(now), HoldsOrderLease: s.mayOrder, Fence: s.fence,
 		Suspicions: s.view.Suspicions(), Limits: s.limitsToSend(), Features: s.loadFeatures.announced,
 	}
 	if s.catalog != nil {
@@ -277,7 +309,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	f := &gossip.Fetch{Roster: s.roster.InForceTo(), Deltas: true, Parts: true, Pages: true}
-	ahead := s.nearest(slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Roster <= f.Roster }))
+	ahead := s.nearest(s.peersAhead(f.Roster))
 	switch {
 	case ahead == nil:
 		s.laggingSince = time.Time{}
@@ -292,6 +324,11 @@
 	return ahead.heartbeat.Peer.Address, f, true
 }
 
+// peersAhead returns the live peers that have a newer endpoint list than that of a revision.
+func (s *state) peersAhead(revision int64) []*peer {
+	return slices.DeleteFunc(s.livePeers(), func(p *peer) bool { return p.heartbeat.Roster <= revision })
+}
+
 // nearest returns a random one of the peers that are nearest: in the same data centre, else in the same
 // region. It answers a change that hundreds fetch at once: what peers beside them have needn't pass the
 // link between regions again. It returns nil if there is no peer.
@@ -378,14 +415,11 @@
 	s.removeOldCaches()
 	s.expireBacklogs(now)
 	s.removeOldLimits(now)
-	known := make(map[string]bool, len(s.peers))
 	for name, p := range s.peers {
-		known[p.heartbeat.Peer.Address] = true
 		if now.Sub(p.receivedAt) > peerLoadRetention {
 			s.balancer.Forget(name)
 		}
 	}
-	maps.DeleteFunc(s.ackedAt, func(address string, _ time.Duration) bool { return !known[address] })
 	if len(s.leftEndpoints) > maxLeftAnnounced {
 		s.leftEndpoints = s.leftEndpoints[len(s.leftEndpoints)-maxLeftAnnounced:]
 	}
--- a/internal/direct/full_link_test.go
+++ b/internal/direct/full_link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,10 @@
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
+// drainBoundOfRegions is how soon an endpoint that leaves gets no request any more (drainMs of the sites of
+// 60 machines).
+const drainBoundOfRegions = 4 * time.Second
+
 // linkQueue is how long what is sent over the link between two regions waits.
 type linkQueue struct {
 	mu   sync.Mutex
@@ -83,48 +88,90 @@
 	}
 }
 
+// newFullLinkFleet returns a fleet of which every other instance stands behind a link on which all that is
+// sent waits.
+func newFullLinkFleet(t *testing.T, wait time.Duration) (f *testFleet, end func()) {
+	t.Helper()
+	link := new(linkQueue)
+	const instances = 12
+	f = newTestFleet(t, instances, withRegions(link, func(i int) bool { return i%2 == 1 }))
+	f.store.Set(platform.CatalogKey, standin.Configuration(1, 3))
+	for _, id := range []string{"stays", "removed", "leaving"} {
+		f.store.Set(platform.EntryPrefix+id, standin.EntryText(id, "board", "a"))
+	}
+	time.Sleep(8 * time.Second)
+	for ms := time.Duration(0); ms < wait; ms += 100 * time.Millisecond {
+		link.set(ms)
+		time.Sleep(200 * time.Millisecond)
+	}
+	link.set(wait)
+	time.Sleep(2 * time.Second)
+	return f, func() {
+		link.set(0)
+		f.close()
+		time.Sleep(maxAllowance + 4*wait) // what is on the link arrives
+	}
+}
+
+var linkWaits = []time.Duration{300 * time.Millisecond, time.Second, 1700 * time.Millisecond}
+
 // A configuration reaches a region late while the link to it is full, since calls end, and close their
 // connections, before their answers have passed the link.
 func TestConfigurationIsLateOverAFullLink(t *testing.T) {
-	for _, wait := range []time.Duration{300 * time.Millisecond, time.Second, 1700 * time.Millisecond} {
+	for _, wait := range linkWaits {
 		t.Run(wait.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var link linkQueue
-				const instances = 12
-				far := func(i int) bool { return i%2 == 1 }
-				f := newTestFleet(t, instances, withRegions(&link, far))
-				f.store.Set(platform.CatalogKey, standin.Configuration(1, 3))
-				time.Sleep(8 * time.Second)
-				for ms := time.Duration(0); ms < wait; ms += 100 * time.Millisecond {
-					link.set(ms)
-					time.Sleep(200 * time.Millisecond)
-				}
-				link.set(wait)
-				time.Sleep(2 * time.Second)
+				f, end := newFullLinkFleet(t, wait)
+				defer end()
 				calls := f.catalogCalls()
 				var worst time.Duration
 				for version := int64(2); version < 6; version++ {
 					f.store.Set(platform.CatalogKey, standin.Configuration(version, 3))
-					changed := time.Now()
-					for time.Since(changed) < configBound+time.Second {
-						time.Sleep(20 * time.Millisecond)
-						for _, n := range f.nodes {
-							if n.catalogVersion() < version {
-								worst = max(worst, time.Since(changed))
-							}
-						}
-					}
+					worst = max(worst, f.inForceAfter(func(n *fleetNode) bool { return n.catalogVersion() >= version }))
 				}
 				t.Logf("in force everywhere after %s, %d calls for it", worst, f.catalogCalls()-calls)
 				assert.Less(t, worst, configBound)
-				link.set(0)
-				f.close()
-				time.Sleep(maxAllowance + 4*wait) // what is on the link arrives
 			})
 		})
 	}
 }
 
+// The same of endpoints that leave or are removed.
+func TestDepartureIsLateOverAFullLink(t *testing.T) {
+	for _, wait := range linkWaits {
+		t.Run(wait.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, end := newFullLinkFleet(t, wait)
+				defer end()
+				f.store.Remove(platform.EntryPrefix + "removed")
+				removed := f.inForceAfter(func(n *fleetNode) bool { return !n.state.usable("removed") })
+				text := strings.Replace(string(standin.EntryText("leaving", "board", "a")), `"ready"`, `"draining"`, 1)
+				f.store.Set(platform.EntryPrefix+"leaving", []byte(text))
+				leaving := f.inForceAfter(func(n *fleetNode) bool { return !n.state.usable("leaving") })
+				t.Logf("removed after %s, leaving after %s", removed, leaving)
+				assert.Less(t, max(removed, leaving), drainBoundOfRegions)
+				for _, n := range f.nodes {
+					assert.True(t, n.state.usable("stays"))
+				}
+			})
+		})
+	}
+}
+
+// inForceAfter returns how long it takes until something holds at all instances.
+func (f *testFleet) inForceAfter(holds func(*fleetNode) bool) (worst time.Duration) {
+	const step = 20 * time.Millisecond
+	for since := step; since <= configBound+time.Second; since += step {
+		time.Sleep(step)
+		for _, n := range f.nodes {
+			if !holds(n) {
+				worst = since
+			}
+		}
+	}
+	return worst
+}
+
 // catalogCalls counts the calls for configurations.
 func (f *testFleet) catalogCalls() int {
 	calls := 0
--- a/internal/direct/links.go
+++ b/internal/direct/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -17,9 +18,11 @@
 	queueGrowth = 2
 	// maxAllowance limits how much longer calls over a link take.
 	maxAllowance = 5 * time.Second
-	// farResetTime is for how long a peer beyond a link may leave heartbeats unanswered before the
-	// connection to it is taken for stalled.
-	farResetTime = 2 * time.Second
+	// farMargin is how much longer calls to another region may take in any case: a queue grows faster
+	// than it is measured.
+	farMargin = 2 * time.Second
+	// nearbyCheckInterval is how often a fetch over a link is compared with what peers nearby have.
+	nearbyCheckInterval = 100 * time.Millisecond
 	// farFetchers is how many instances of a region fetch what nobody there has over the link at once;
 	// as many more do after each farFetchPatience.
 	farFetchers      = 2
@@ -54,8 +57,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.peers {
-		if p.heartbeat.Peer.Address == address {
-			return s.allowance(s.clock(), p.heartbeat.Place.Region), p.heartbeat.Place.Region != s.place.Region
+		if p.heartbeat.Peer.Address == address && p.heartbeat.Place.Region != s.place.Region {
+			return farMargin + s.allowance(s.clock(), p.heartbeat.Place.Region), true
 		}
 	}
 	return 0, false
@@ -76,15 +79,38 @@
 	return longest
 }
 
-// isStalled reports whether the connection to a peer is to be replaced: a heartbeat has timed out, and
-// for a while none was answered.
-func (s *state) isStalled(address string, far bool, allowance time.Duration) bool {
-	if !far {
-		return true
+// untilNearby returns a context that ends once a peer nearby has what is fetched over a link.
+func (n *Node) untilNearby(ctx context.Context, address string, nearby func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if _, far := n.state.peerAllowance(address); far {
+		n.group.Go(func() error {
+			for ctx.Err() == nil && !nearby() {
+				sleep(ctx, nearbyCheckInterval)
+			}
+			cancel()
+			return nil
+		})
 	}
+	return ctx, cancel
+}
+
+// isNearby reports whether one of some peers stands in the region of this instance.
+func (s *state) isNearby(peers []*peer) bool {
+	return slices.ContainsFunc(peers, func(p *peer) bool { return p.heartbeat.Place.Region == s.place.Region })
+}
+
+// listNearby reports whether a peer of the region has a newer endpoint list, catalogNearby whether one
+// has a newer configuration.
+func (s *state) listNearby() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isNearby(s.peersAhead(s.roster.InForceTo()))
+}
+
+func (s *state) catalogNearby() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.uptime()-s.ackedAt[address] > farResetTime+allowance
+	return s.isNearby(s.peersWithCatalogAfter(s.activeVersion()))
 }
 
 // mayFetchFrom reports whether this instance fetches what it has lacked for a time from a peer. Over a
--- a/internal/direct/removal_test.go
+++ b/internal/direct/removal_test.go
@@ -94,7 +94,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	f := &testFleet{t: t, store: standin.NewStore(500, standin.WithListener(listener)), group: new(errgroup.Group), stop: stop}
 	peers := make(map[string]*bufconn.Listener)
-	index := make(map[string]int)
+	index, started := make(map[string]int), time.Now()
 	for i := range instances {
 		name := fmt.Sprintf("front-%d", i)
 		index[name+":1"], peers[name+":1"] = i, bufconn.Listen(1<<16)
@@ -108,6 +108,7 @@
 		}))
 		n.timers.Start(ctx, f.group)
 		n.Node.store = n.newStore(platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return n.dialStore(ctx, listener) }))
+		n.state.uptime = func() time.Duration { return time.Since(started) }
 		n.streamRecords.store, n.streamRecords.state = n.Node.store, n.state
 		f.nodes = append(f.nodes, n)
 		server := gossip.NewServer(countingHandler{n.Node, n})
--- a/internal/direct/revocation_test.go
+++ b/internal/direct/revocation_test.go
@@ -322,7 +322,7 @@
 		a.Catalog = min(a.Catalog, n.active().Version)
 	case simNone, simWatchesFromSending, simClockInFreeze:
 	}
-	n.receiveAck("", sent, &a)
+	n.receiveAck(sent, &a)
 }
 
 // fetch gets a newer configuration that a peer has announced.
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -109,13 +109,16 @@
 	paths           *path.Table
 	relayPeers      map[fleet.Instance]struct{} // peers that connections to endpoints have gone through
 	leftEndpoints   []gossip.Incarnation
-	leaving         bool
-	mayOrder        bool
-	fence           fleet.Fence
-	retirements     []retirement
-	lastHolder      announcedHolder
-	schedules       schedules
-	limits          map[incarnation]*endpointLimit
+	// departures are the endpoints that the store has lately shown to leave or to be removed.
+	departures  []departure
+	noted       map[incarnation]bool // those that are still listed
+	leaving     bool
+	mayOrder    bool
+	fence       fleet.Fence
+	retirements []retirement
+	lastHolder  announcedHolder
+	schedules   schedules
+	limits      map[incarnation]*endpointLimit
 	// dispatchers are the instances that probe the endpoints, as of a version of the view.
 	dispatchers        map[fleet.Endpoint]member.Peer
 	dispatchersVersion uint64
@@ -171,6 +174,12 @@
 	CatalogActivated(behind time.Duration)
 }
 
+// departure is an endpoint that leaves, or was removed, as of the store.
+type departure struct {
+	gossip.Incarnation
+	since time.Time
+}
+
 // retirement is a model that is about to be unloaded from an endpoint.
 type retirement struct {
 	endpoint fleet.Endpoint
@@ -182,11 +191,11 @@
 	return &state{
 		logger: logger, place: place, regions: regions, clock: clock, uptime: uptime,
 		roster: roster.New(), balancer: balance.NewBalancer(), budget: budget,
-		view:  member.New(self, member.WithInterval(interval)),
-		peers: make(map[fleet.Instance]*peer), ackedAt: make(map[string]time.Duration),
+		view:   member.New(self, member.WithInterval(interval)),
+		peers:  make(map[fleet.Instance]*peer),
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
-		brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
+		noted:           make(map[incarnation]bool), brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), shares: make(map[catalog.Service]*fairshare.Shares), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
 		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -247,7 +247,7 @@
 	for address, payload := range payloads {
 		allowance, far := n.state.peerAllowance(address)
 		send := func() error {
-			n.sendHeartbeat(ctx, address, payload, far, allowance)
+			n.sendHeartbeat(ctx, address, payload, allowance)
 			return nil
 		}
 		if far {
@@ -265,16 +265,17 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat to a peer. The connection is replaced if it may have stalled permanently.
-func (n *Node) sendHeartbeat(ctx context.Context, address string, payload *gossip.PackedHeartbeat, far bool, allowance time.Duration) {
+// sendHeartbeat sends a heartbeat to a peer. Without an answer in time the connection is replaced: it may
+// have stalled permanently.
+func (n *Node) sendHeartbeat(ctx context.Context, address string, payload *gossip.PackedHeartbeat, allowance time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout+allowance)
 	defer cancel()
 	sent := n.state.uptime()
 	ack, err := n.gossip.Heartbeat(ctx, address, payload)
 	switch {
 	case err == nil:
-		n.state.receiveAck(address, sent, ack)
-	case ctx.Err() != nil && n.state.isStalled(address, far, allowance):
+		n.state.receiveAck(sent, ack)
+	case ctx.Err() != nil:
 		metrics.GetOrRegisterCounter("peer_resets", n.registry).Inc(1)
 		_ = level.Warn(n.logger).Log("step", "reset", "peer", address, "after", n.state.uptime()-sent)
 		n.gossip.Reset(address)
@@ -359,6 +360,8 @@
 	allowance, _ := n.state.peerAllowance(address)
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout+allowance)
 	defer cancel()
+	ctx, end := n.untilNearby(ctx, address, n.state.listNearby)
+	defer end()
 	before := n.gossip.Received(address)
 	answer, err := n.gossip.Fetch(ctx, address, f)
 	if err != nil {
--- a/internal/direct/workspaces.go
+++ b/internal/direct/workspaces.go
@@ -94,12 +94,11 @@
 	return a
 }
 
-// receiveAck records what the peer at an address has answered to a heartbeat sent at a time of the clock uptime.
+// receiveAck records what a peer has answered to a heartbeat sent at a time of the clock uptime.
 // The peer's age counts from then, since the answer was made later.
-func (s *state) receiveAck(address string, sent time.Duration, a *gossip.Ack) {
+func (s *state) receiveAck(sent time.Duration, a *gossip.Ack) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ackedAt[address] = s.uptime()
 	s.observeCatalogVersion(s.clock(), a.Catalog)
 	if a.ConfirmedMs > 0 {
 		s.recency.Observe(recency.Evidence{Version: a.Catalog, At: sent - time.Duration(a.ConfirmedMs)*time.Millisecond})
--- a/internal/direct/workspaces_test.go
+++ b/internal/direct/workspaces_test.go
@@ -252,7 +252,7 @@
 	one.applyCatalog(c)
 	two.applyCatalog(c)
 	advance := func(d time.Duration) { w.elapsed += d; p.elapsed += d }
-	one.receiveAck("", w.uptime(), two.ack(1))
+	one.receiveAck(w.uptime(), two.ack(1))
 	_, ok := one.confirmedAge()
 	assert.False(t, ok, "the peer has no evidence either")
 	two.confirmCatalog(3, p.uptime()-time.Second)
@@ -260,11 +260,11 @@
 	advance(time.Second) // on the way there
 	answer := two.ack(1)
 	advance(2 * time.Second) // on the way back
-	one.receiveAck("", sent, answer)
+	one.receiveAck(sent, answer)
 	age, ok := one.confirmedAge()
 	require.True(t, ok)
 	assert.InDelta(t, 5*time.Second, age, float64(2*time.Millisecond), "1 s at the peer, 1 s there and 2 s back, and the way there once more")
-	one.receiveAck("", w.uptime(), &gossip.Ack{Catalog: 4, ConfirmedMs: 1})
+	one.receiveAck(w.uptime(), &gossip.Ack{Catalog: 4, ConfirmedMs: 1})
 	after, _ := one.confirmedAge()
 	assert.Equal(t, age, after, "the peer has another configuration")
 	_, _, err = one.Workspace(&c.Routes[0], 3, credential.DigestOf(strangeKey))
