--- a/internal/direct/removal_test.go
+++ b/internal/direct/removal_test.go
@@ -107,9 +107,9 @@
 			return n.connectPeer(ctx, index[address], to, peers[address])
 		}))
 		n.timers.Start(ctx, f.group)
-		n.Node.store = n.newStore(platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return n.dialStore(ctx, listener) }))
+		n.store = n.newStore(platform.WithStoreDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return n.dialStore(ctx, listener) }))
 		n.state.uptime = func() time.Duration { return time.Since(started) }
-		n.streamRecords.store, n.streamRecords.state = n.Node.store, n.state
+		n.streamRecords.store, n.streamRecords.state = n.store, n.state
 		f.nodes = append(f.nodes, n)
 		server := gossip.NewServer(countingHandler{n.Node, n})
 		own := peers[name+":1"]
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -142,8 +142,6 @@
 	// contactSent is the answer of the store that heartbeats last told of, contactRounds how many did.
 	contactSent   time.Time
 	contactRounds int
-	// ackedAt is when a peer last answered a heartbeat, by its address, on the clock uptime.
-	ackedAt      map[string]time.Duration
 	loadFeatures loadFeatures
 	build        string           // of this instance
 	meters       fairshare.Meters // of the workspaces at this instance
