--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -142,9 +142,9 @@
 	// contactSent is the answer of the store that heartbeats last told of, contactRounds how many did.
 	contactSent   time.Time
 	contactRounds int
-	loadFeatures loadFeatures
-	build        string           // of this instance
-	meters       fairshare.Meters // of the workspaces at this instance
+	loadFeatures  loadFeatures
+	build         string           // of this instance
+	meters        fairshare.Meters // of the workspaces at this instance
 	// shares are those of the services whose requests this instance admits.
 	shares   map[catalog.Service]*fairshare.Shares
 	reported *backlog.Table // backlogs of endpoints, as the instances that admit their requests have them
