httpconn: count an answered request as sent once another has its connection

Log: 'not sent: a response came before the request' by an endpoint that had run the request and answered 500, then a second endpoint ran it. Cause: an answer without a body frees its connection before the transport returns it. If another request takes the connection in that moment, the state 'nothing written' is that of the other request; the first one counted as not sent, and its check closed the connection under the second. Change: a request is known on its connection by its number; a later one shows that it was written. Test: TestAnsweredRequestCountsAsSentOnceAnotherHasItsConnection (failed before).

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -109,11 +109,12 @@
 	return c.retired
 }
 
-// abandonUnwritten closes the connection if no byte of the newest request was written, so that
-// none will be. It reports whether it did.
-func (c *Conn) abandonUnwritten() bool {
+// abandonUnwritten closes the connection if no byte of a request was written, so that none will be. It
+// reports whether it did. The request is known by how many were before it: once a later one has chosen the
+// connection, it was written, and answered.
+func (c *Conn) abandonUnwritten(before int) bool {
 	c.mu.Lock()
-	written := c.written
+	written := c.written || c.requests > before+1
 	c.closed = c.closed || !written
 	c.mu.Unlock()
 	if !written {
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -35,7 +35,7 @@
 			group.Go(func() error { _, _ = far.Read(make([]byte, 1)); return nil })
 			_, err := c.Write([]byte("y"))
 			assert.Equal(t, early, err != nil)
-			assert.Equal(t, early, c.abandonUnwritten(), "not sent, and it never will be")
+			assert.Equal(t, early, c.abandonUnwritten(0), "not sent, and it never will be")
 			_ = c.Close()
 			_ = far.Close()
 			require.NoError(t, group.Wait())
@@ -58,3 +58,33 @@
 		assert.ErrorIs(t, err, errUnusable)
 	})
 }
+
+// A request that was answered without a body counts as not sent, and is sent to another endpoint, because the
+// next request has chosen its connection meanwhile.
+func TestAnsweredRequestCountsAsSentOnceAnotherHasItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		c := New(near)
+		var group errgroup.Group
+		group.Go(func() error {
+			for buffer := make([]byte, 1); ; {
+				if _, err := c.Read(buffer); err != nil {
+					return nil
+				}
+			}
+		})
+		synctest.Wait()
+		var answered, next Exchange
+		answered.Use(c)
+		group.Go(func() error { _, _ = far.Read(make([]byte, 1)); return nil })
+		_, err := c.Write([]byte("y"))
+		require.NoError(t, err)
+		next.Use(c)
+		assert.True(t, answered.Sent())
+		assert.False(t, next.Sent())
+		_, err = c.Write([]byte("z"))
+		require.ErrorIs(t, err, errUnusable)
+		require.NoError(t, group.Wait())
+	})
+}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -39,7 +39,7 @@
 	before := conn.begin()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.sent = x.sent || x.conn != nil && !x.conn.abandonUnwritten()
+	x.sent = x.sent || x.conn != nil && !x.conn.abandonUnwritten(x.before)
 	x.conn, x.before = conn, before
 }
 
@@ -64,7 +64,7 @@
 func (x *Exchange) Sent() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.sent || x.conn != nil && !x.conn.abandonUnwritten()
+	return x.sent || x.conn != nil && !x.conn.abandonUnwritten(x.before)
 }
 
 // Reused reports whether the connection was used for requests before.
