Doubt removals after a silence, too, and try a lost store once more

Read through as a newcomer: the doubt after a silence began at the new answer instead of the last one, so that it never held (TestRemovalsThatSomebodyVouchesFor shows it). With it, all three watchers reset at once held a removal for 2.56 s (bound 2.5 s): they left the store to others, whose last answers were 3 s old. Change: the doubt begins at the last answer; an instance that loses the store tries once more before it leaves it to others; answers less than 0.95 s apart show the store up (0.75 s before; an entry outlives two heartbeats, 2.4 s).

--- a/internal/core/contact/contact.go
+++ b/internal/core/contact/contact.go
@@ -10,7 +10,7 @@
 const (
 	// maxGap is the longest time between two answers in which the store can't have lost an entry: an
 	// endpoint's entry outlives two of its heartbeats.
-	maxGap = 750 * time.Millisecond
+	maxGap = 950 * time.Millisecond
 	// maxDelay is how much later than expected an answer may come that shows the store up all the while.
 	maxDelay = time.Second
 	// retention is how long answers are kept.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -159,7 +159,11 @@
 
 // RecordStoreFailure records a failed call to the store.
 func (r *Roster) RecordStoreFailure(now time.Time) {
-	r.doubtFrom(now, now)
+	lastAnswer := now
+	if own, ok := r.contacts.Own(); ok {
+		lastAnswer = own.Until
+	}
+	r.doubtSince(now, lastAnswer)
 	r.storeFailed, r.storeRecovered = now, time.Time{}
 	r.contacts.Failed()
 }
@@ -167,26 +171,24 @@
 // RecordStoreSuccess records a successful call to the store.
 func (r *Roster) RecordStoreSuccess(now time.Time) { r.RecordStoreAnswer(now, now, 0) }
 
-// RecordStoreAnswer records an answered call to the store that was to take as long as wait.
+// RecordStoreAnswer records an answered call to the store that was to take as long as wait. Before it the
+// store may have been away without a failed call, if none was made.
 func (r *Roster) RecordStoreAnswer(sent, now time.Time, wait time.Duration) {
 	previous, _ := r.contacts.Own()
-	if silent := r.contacts.Answered(sent, now, wait); silent && !r.storeRecovered.IsZero() {
-		r.doubtFrom(now, previous.Until)
-		r.storeFailed, r.storeRecovered = previous.Until, now
-	}
-	if r.storeRecovered.IsZero() {
+	silent := r.contacts.Answered(sent, now, wait)
+	switch {
+	case r.storeRecovered.IsZero():
 		r.storeRecovered = now
+	case silent:
+		r.doubtSince(now, previous.Until)
+		r.storeFailed, r.storeRecovered = previous.Until, now
 	}
 }
 
-// doubtFrom begins a doubt whether the store was away, unless an earlier one lasts.
-func (r *Roster) doubtFrom(now, from time.Time) {
-	if r.mayLackEntries(now) {
-		return
-	}
-	r.doubtedFrom = from
-	if own, ok := r.contacts.Own(); ok {
-		r.doubtedFrom = own.Until
+// doubtSince begins a doubt whether the store was away since its last answer, unless an earlier one lasts.
+func (r *Roster) doubtSince(now, lastAnswer time.Time) {
+	if !r.mayLackEntries(now) {
+		r.doubtedFrom = lastAnswer
 	}
 }
 
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -85,14 +85,16 @@
 // the changes.
 func (n *Node) watchPrefix(ctx context.Context, prefix string, pause time.Duration, apply func(storeRead)) error {
 	revision, storeLost, started := int64(-1), false, false
+	retry := false // after a first failure, which may have been the connection's
 	pace := watcher.NewPace(n.config.Instance.Name + "/" + prefix)
 	for ctx.Err() == nil {
-		if watching := n.state.updateWatching(); revision >= 0 && !watching && !n.mustWatch(prefix) {
+		if watching := n.state.updateWatching(); revision >= 0 && !watching && !retry && !n.mustWatch(prefix) {
 			// The instances that watch the store pass on the changes meanwhile.
 			sleep(ctx, watchCheckInterval)
 			continue
 		}
 		next, err := n.listOrWatch(ctx, prefix, revision, apply)
+		retry = err != nil && !storeLost
 		if err == nil {
 			if storeLost {
 				_ = level.Info(n.logger).Log("step", "store regained", "prefix", prefix, "after", revision, "now", next)
