--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -96,9 +96,9 @@
 	changedAt      int64     // revision of the last change that affects where requests go
 	removals       []removal // most recent ones, in the order in which they took effect here
 	removalsFrom   int64     // revision from which on removals is complete
-	storeFailed    time.Time // time of the last failed call to the store, or of its last silence
+	storeFailed    time.Time // time of the last failed call to the store
 	storeRecovered time.Time // time of the first successful call after it
-	// doubtedFrom is the time of the last answer before the store failed or was silent.
+	// doubtedFrom is the time of the last answer before the store failed.
 	doubtedFrom time.Time
 	contacts    contact.Log
 }
@@ -171,17 +171,11 @@
 // RecordStoreSuccess records a successful call to the store.
 func (r *Roster) RecordStoreSuccess(now time.Time) { r.RecordStoreAnswer(now, now, 0) }
 
-// RecordStoreAnswer records an answered call to the store that was to take as long as wait. Before it the
-// store may have been away without a failed call, if none was made.
+// RecordStoreAnswer records an answered call to the store that was to take as long as wait.
 func (r *Roster) RecordStoreAnswer(sent, now time.Time, wait time.Duration) {
-	previous, _ := r.contacts.Own()
-	silent := r.contacts.Answered(sent, now, wait)
-	switch {
-	case r.storeRecovered.IsZero():
+	r.contacts.Answered(sent, now, wait)
+	if r.storeRecovered.IsZero() {
 		r.storeRecovered = now
-	case silent:
-		r.doubtSince(now, previous.Until)
-		r.storeFailed, r.storeRecovered = previous.Until, now
 	}
 }
 
