Doubt removals after a silence in which entries can lapse

An instance that made no call to the store for seconds, and then reads the list, trusted a removal although an outage fits in between (RECOVER's side). Change: the silence must be over 2 s: no entry lapses sooner in an outage (two heartbeats, 2.4 s), and a start pauses for 1.5 s. What peers were answered ends the doubt, as before.

--- a/internal/core/contact/contact.go
+++ b/internal/core/contact/contact.go
@@ -33,22 +33,25 @@
 	spans  []Span
 }
 
-// Answered records a call that was to take as long as wait. It reports whether the store may have been
-// away since the last answer to this instance, as far as this instance knows.
-func (l *Log) Answered(sent, answered time.Time, wait time.Duration) (gap bool) {
+// Answered records a call that was to take as long as wait, and returns for how long before it the store
+// had not answered this instance, 0 if it never had.
+func (l *Log) Answered(sent, answered time.Time, wait time.Duration) (silence time.Duration) {
 	s := Span{Since: sent, Until: answered}
 	if answered.Sub(sent) > wait+maxDelay {
 		s.Since = answered
 	}
 	first := l.own.Until.IsZero()
-	if gap = l.failed || !l.own.joins(s); gap || first {
+	if !first {
+		silence = max(0, s.Since.Sub(l.own.Until))
+	}
+	if first || l.failed || !l.own.joins(s) {
 		l.own = s
 	} else {
 		l.own.Until = answered
 	}
 	l.failed = false
 	l.add(s)
-	return gap && !first
+	return silence
 }
 
 // Failed records a call without an answer.
--- a/internal/core/contact/contact_test.go
+++ b/internal/core/contact/contact_test.go
@@ -32,8 +32,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var l contact.Log
-			for i, c := range tt.calls {
-				assert.Equal(t, i > 0, l.Answered(c.Since, c.Until, time.Second))
+			for _, c := range tt.calls {
+				l.Answered(c.Since, c.Until, time.Second)
 				l.Failed()
 			}
 			for _, s := range tt.peers {
@@ -52,15 +52,17 @@
 	var l contact.Log
 	_, ok := l.Own()
 	assert.False(t, ok)
-	l.Answered(at(0), at(1000), time.Second)
-	assert.False(t, l.Answered(at(1400), at(2400), time.Second), "watches follow each other")
+	assert.Zero(t, l.Answered(at(0), at(1000), time.Second), "never answered before")
+	assert.Equal(t, 400*time.Millisecond, l.Answered(at(1400), at(2400), time.Second), "watches follow each other")
 	own, _ := l.Own()
 	assert.Equal(t, span(0, 2400), own)
 	l.Failed()
-	assert.True(t, l.Answered(at(2600), at(2700), time.Second))
+	assert.Equal(t, 200*time.Millisecond, l.Answered(at(2600), at(2700), time.Second))
 	own, _ = l.Own()
 	assert.Equal(t, span(2600, 2700), own)
-	assert.True(t, l.Answered(at(5700), at(5701), 0), "a call each three seconds shows nothing between")
+	assert.Equal(t, 3*time.Second, l.Answered(at(5700), at(5701), 0))
+	own, _ = l.Own()
+	assert.Equal(t, span(5700, 5701), own, "a call each three seconds shows nothing between")
 	l.Observe(contact.Span{Since: at(9000), Until: at(8000)})
 	assert.False(t, l.Covers(span(8500, 8500)))
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -78,9 +78,8 @@
 	maxBackoff     = 2 * time.Second
 	// maxRemovals is the number of removals kept for ChangesSince.
 	maxRemovals = 256
-	// witnessLag is how old the newest answer to a peer may be while the store doesn't answer this
-	// instance. Entries that lapse in an outage do so later than that after its beginning.
-	witnessLag = 2 * time.Second
+	// lapseDelay is a time after the beginning of an outage of the store in which no entry lapses.
+	lapseDelay = 2 * time.Second
 	// confirmationWindow is how long the store may take to confirm a peer's report that an endpoint
 	// leaves.
 	confirmationWindow = 5 * time.Second
@@ -96,7 +95,7 @@
 	changedAt      int64     // revision of the last change that affects where requests go
 	removals       []removal // most recent ones, in the order in which they took effect here
 	removalsFrom   int64     // revision from which on removals is complete
-	storeFailed    time.Time // time of the last failed call to the store
+	storeFailed    time.Time // time of the last failed call to the store, or of the last answer before a silence
 	storeRecovered time.Time // time of the first successful call after it
 	// doubtedFrom is the time of the last answer before the store failed.
 	doubtedFrom time.Time
@@ -171,11 +170,17 @@
 // RecordStoreSuccess records a successful call to the store.
 func (r *Roster) RecordStoreSuccess(now time.Time) { r.RecordStoreAnswer(now, now, 0) }
 
-// RecordStoreAnswer records an answered call to the store that was to take as long as wait.
+// RecordStoreAnswer records an answered call to the store that was to take as long as wait. If none was
+// made for long, the store may have been away without a failed one.
 func (r *Roster) RecordStoreAnswer(sent, now time.Time, wait time.Duration) {
-	r.contacts.Answered(sent, now, wait)
-	if r.storeRecovered.IsZero() {
+	previous, _ := r.contacts.Own()
+	silence := r.contacts.Answered(sent, now, wait)
+	switch {
+	case r.storeRecovered.IsZero():
 		r.storeRecovered = now
+	case silence > lapseDelay:
+		r.doubtSince(now, previous.Until)
+		r.storeFailed, r.storeRecovered = previous.Until, now
 	}
 }
 
@@ -211,7 +216,7 @@
 	}
 	until := r.storeRecovered
 	if until.IsZero() {
-		until = now.Add(-witnessLag)
+		until = now.Add(-lapseDelay)
 	}
 	if until.Before(r.doubtedFrom) {
 		until = r.doubtedFrom
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -171,6 +171,7 @@
 	for _, c := range []vouchCase{
 		{name: "silent for a while", calls: []int{0, 500, 3500}},
 		{name: "silent, a peer was answered after an outage", calls: []int{0, 500, 3500}, peer: contact.Span{Since: at(3000), Until: at(3400)}},
+		{name: "too short for an entry to lapse, as at a start", calls: []int{0, 1500}, wantInTime: true},
 	} {
 		t.Run(c.name, c.test)
 	}
