refactor: who fetches over a link is decided in the core

Read through as a newcomer: which instances fetch for a region and how much longer calls may take were decided beside the calls. Departures are recorded once for each start of an endpoint, and forgotten with it (a record stayed for one that started again while it was leaving); comments say who does what.

--- a/internal/direct/catalog.go
+++ b/internal/direct/catalog.go
@@ -155,7 +155,7 @@
 // other regions: a question for it would pass a full link twice more.
 func (n *Node) pushCatalog(ctx context.Context) {
 	active, previous := n.state.catalogs()
-	for _, p := range n.state.farLeaders(active.Version) {
+	for _, p := range n.state.farFetchers(active.Version) {
 		n.group.Go(func() error {
 			n.pushCatalogTo(ctx, p, active, previous)
 			return nil
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -19,8 +20,8 @@
 	maxWatchLag = 250 * time.Millisecond
 	// retirementAnnounceTime is how long heartbeats repeat that a model's copy will be unloaded.
 	retirementAnnounceTime = time.Second
-	// departureAnnounceTime is how long heartbeats tell of an endpoint's departure: a rotation over the
-	// peers.
+	// departureAnnounceTime is how long heartbeats name an endpoint after its departure: long enough to
+	// reach every peer of a large fleet once.
 	departureAnnounceTime = 2 * time.Second
 	// instancesPerList is the number of instances for each of which, beyond the first, the list
 	// of instances is read one round later.
@@ -59,7 +60,7 @@
 		s.roster.Apply(now, records, revision)
 	}
 	s.logRemovals(now, before, from)
-	s.noteDepartures(now, before)
+	s.recordDepartures(now, before)
 	for _, id := range listed {
 		s.withdrawCrash(now, id)
 	}
@@ -127,24 +128,22 @@
 	}
 }
 
-// noteDepartures has heartbeats tell of the endpoints that a change has removed or shown to leave, of those
-// that were listed before. A peer beyond a full link gets the list itself later by a question.
-func (s *state) noteDepartures(now time.Time, before []*roster.Endpoint) {
+// recordDepartures records, for the next heartbeats, which of the endpoints that were listed before a change
+// are removed or say in their entries that they leave. A heartbeat passes a full link once, while a fetch of
+// the list passes it twice more.
+func (s *state) recordDepartures(now time.Time, before []*roster.Endpoint) {
 	for _, e := range before {
 		id := incarnation{e.ID, e.Born}
-		if !e.Lost && (!e.ListedLeaving() || s.noted[id]) {
+		if !e.Lost && !e.ListedLeaving() || s.departed[id] {
 			continue
 		}
-		if !s.noted[id] {
-			s.departures = append(s.departures, departure{gossip.Incarnation{Endpoint: e.ID, Born: e.Born}, now})
-		}
-		if delete(s.noted, id); !e.Lost {
-			s.noted[id] = true
-		}
+		s.departed[id] = true
+		s.departures = append(s.departures, departure{gossip.Incarnation{Endpoint: e.ID, Born: e.Born}, now})
 	}
 }
 
-// leavingToSend returns the endpoints that heartbeats tell to be leaving.
+// leavingToSend returns the endpoints that the next heartbeat names as leaving: those that said so in an
+// answer to this instance, and those whose departure the store has lately shown.
 func (s *state) leavingToSend(now time.Time) []gossip.Incarnation {
 	s.departures = slices.DeleteFunc(s.departures, func(d departure) bool { return now.Sub(d.since) > departureAnnounceTime })
 	leaving := slices.Clone(s.leftEndpoints)
@@ -427,6 +426,7 @@
 	for _, e := range s.roster.All() {
 		live[e.ID] = e.Born
 	}
+	maps.DeleteFunc(s.departed, func(i incarnation, _ bool) bool { return live[i.id] != i.born })
 	s.paths.Keep(now, live)
 	return live
 }
--- a/internal/direct/full_link_test.go
+++ b/internal/direct/full_link_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/link"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
@@ -92,24 +93,24 @@
 // sent waits.
 func newFullLinkFleet(t *testing.T, wait time.Duration) (f *testFleet, end func()) {
 	t.Helper()
-	link := new(linkQueue)
+	full := new(linkQueue)
 	const instances = 12
-	f = newTestFleet(t, instances, withRegions(link, func(i int) bool { return i%2 == 1 }))
+	f = newTestFleet(t, instances, withRegions(full, func(i int) bool { return i%2 == 1 }))
 	f.store.Set(platform.CatalogKey, standin.Configuration(1, 3))
 	for _, id := range []string{"stays", "removed", "leaving"} {
 		f.store.Set(platform.EntryPrefix+id, standin.EntryText(id, "board", "a"))
 	}
 	time.Sleep(8 * time.Second)
 	for ms := time.Duration(0); ms < wait; ms += 100 * time.Millisecond {
-		link.set(ms)
+		full.set(ms)
 		time.Sleep(200 * time.Millisecond)
 	}
-	link.set(wait)
+	full.set(wait)
 	time.Sleep(2 * time.Second)
 	return f, func() {
-		link.set(0)
+		full.set(0)
 		f.close()
-		time.Sleep(maxAllowance + 4*wait) // what is on the link arrives
+		time.Sleep(link.MaxAllowance + 4*wait) // what is on the link arrives
 	}
 }
 
@@ -120,6 +121,7 @@
 func TestConfigurationIsLateOverAFullLink(t *testing.T) {
 	for _, wait := range linkWaits {
 		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f, end := newFullLinkFleet(t, wait)
 				defer end()
@@ -140,6 +142,7 @@
 func TestDepartureIsLateOverAFullLink(t *testing.T) {
 	for _, wait := range linkWaits {
 		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f, end := newFullLinkFleet(t, wait)
 				defer end()
@@ -182,7 +185,7 @@
 }
 
 // withRegions has the instances of which far tells stand in another region than the store, behind a link.
-func withRegions(link *linkQueue, far func(i int) bool) fleetOption {
+func withRegions(full *linkQueue, far func(i int) bool) fleetOption {
 	return func(i int, n *fleetNode) {
 		place := fleet.Place{Region: storeRegion, DataCentre: "a"}
 		if far(i) {
@@ -191,7 +194,7 @@
 		n.setPlace(place)
 		n.crosses = func(peer int) *linkQueue {
 			if peer == storePeer && far(i) || peer != storePeer && far(peer) != far(i) {
-				return link
+				return full
 			}
 			return nil
 		}
--- a/internal/direct/links.go
+++ b/internal/direct/links.go
@@ -1,32 +1,22 @@
 package direct
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/link"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
 const (
-	// queueGrowth is how much longer a queue may have become since it was measured.
-	queueGrowth = 2
-	// maxAllowance limits how much longer calls over a link take.
-	maxAllowance = 5 * time.Second
 	// farMargin is how much longer calls to another region may take in any case: a queue grows faster
 	// than it is measured.
 	farMargin = 2 * time.Second
 	// nearbyCheckInterval is how often a fetch over a link is compared with what peers nearby have.
 	nearbyCheckInterval = 100 * time.Millisecond
-	// farFetchers is how many instances of a region fetch what nobody there has over the link at once;
-	// as many more do after each farFetchPatience.
-	farFetchers      = 2
-	farFetchPatience = 500 * time.Millisecond
 )
 
 // queuesToSend returns how long heartbeats from other regions wait on the links, for the next heartbeat.
@@ -49,7 +39,7 @@
 			there = max(there, p.heartbeat.QueueFrom(s.place.Region))
 		}
 	}
-	return min(queueGrowth*(there+back), maxAllowance)
+	return link.Allowance(there, back)
 }
 
 // peerAllowance returns the allowance for a call to a peer, and whether it stands in another region.
@@ -113,60 +103,41 @@
 	return s.isNearby(s.peersWithCatalogAfter(s.activeVersion()))
 }
 
-// mayFetchFrom reports whether this instance fetches what it has lacked for a time from a peer. Over a
-// link between regions a few instances do first, for all of their region.
-func (s *state) mayFetchFrom(p *peer, behind time.Duration) bool {
+// mayFetchFrom reports whether this instance fetches what it has lacked for a time from a peer, which may
+// stand beyond a link.
+func (s *state) mayFetchFrom(p *peer, missing time.Duration) bool {
 	if p == nil || p.heartbeat.Place.Region == s.place.Region {
 		return p != nil
 	}
-	patience := farFetchPatience + s.allowance(s.clock(), p.heartbeat.Place.Region)
-	return s.regionRank() < farFetchers*(1+int(behind/patience))
-}
-
-// regionRank returns the position of this instance among the live ones of its region that fetch for it.
-func (s *state) regionRank() int {
-	self, rank := s.view.Self().Instance, 0
-	for _, p := range s.livePeers() {
-		if p.heartbeat.Place.Region == s.place.Region && fetchesBefore(p.heartbeat.Peer.Instance, self) {
-			rank++
+	var region []fleet.Instance
+	for _, near := range s.livePeers() {
+		if near.heartbeat.Place.Region == s.place.Region {
+			region = append(region, near.heartbeat.Peer.Instance)
 		}
 	}
-	return rank
+	return link.Fetches(s.view.Self().Instance, region, missing, s.allowance(s.clock(), p.heartbeat.Place.Region))
 }
 
-// farLeaders returns the instances that fetch for the other regions, without those that have announced a
+// farFetchers returns the instances that fetch for the other regions, without those that have announced a
 // version of the configuration or a later one.
-func (s *state) farLeaders(version int64) []member.Peer {
+func (s *state) farFetchers(version int64) []member.Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	regions := make(map[fleet.Region][]*peer)
+	regions := make(map[fleet.Region][]fleet.Instance)
 	for _, p := range s.livePeers() {
 		if region := p.heartbeat.Place.Region; region != s.place.Region {
-			regions[region] = append(regions[region], p)
+			regions[region] = append(regions[region], p.heartbeat.Peer.Instance)
 		}
 	}
-	var leaders []member.Peer
-	for _, peers := range regions {
-		slices.SortFunc(peers, func(a, b *peer) int {
-			if fetchesBefore(a.heartbeat.Peer.Instance, b.heartbeat.Peer.Instance) {
-				return -1
-			}
-			return 1
-		})
-		for _, p := range peers[:min(farFetchers, len(peers))] {
-			if p.heartbeat.Catalog < version {
-				leaders = append(leaders, p.heartbeat.Peer)
+	var all []member.Peer
+	for _, region := range regions {
+		for _, name := range link.Fetchers(region) {
+			if b := &s.peers[name].heartbeat; b.Catalog < version {
+				all = append(all, b.Peer)
 			}
 		}
 	}
-	return leaders
-}
-
-// fetchesBefore orders the instances of a region that fetch for it, in a way that changes for none when
-// others come or go.
-func fetchesBefore(a, b fleet.Instance) bool {
-	score := func(i fleet.Instance) uint64 { return xxhash.Sum64String("fetch/" + string(i)) }
-	return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b)) < 0
+	return all
 }
 
 // logLinks logs the links from other regions that are full, or no longer.
--- a/internal/direct/out_of_step_test.go
+++ b/internal/direct/out_of_step_test.go
@@ -26,13 +26,14 @@
 	return text
 }
 
-// A stream that began at a new version of the endpoints' software goes on at the earlier one, where its
-// caller takes it up at an instance that was cut off while the new version was listed.
+// An instance that was cut off while a new version of the endpoints' software was listed continues a stream
+// at the earlier version, although the new one began it.
 func TestInstanceOutOfStepDuringARelease(t *testing.T) {
 	type outage struct{ peers, store bool }
 	for _, cut := range []outage{{peers: true}, {store: true}, {peers: true, store: true}} {
 		for _, storeDown := range []bool{false, true} { // for all, once the stream has begun
 			t.Run(fmt.Sprintf("%+v, store down %t", cut, storeDown), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newTestFleet(t, 9)
 					defer f.close()
--- a/internal/direct/removal_test.go
+++ b/internal/direct/removal_test.go
@@ -220,6 +220,7 @@
 }
 
 func (c resetCase) test(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 9)
 		defer f.close()
@@ -265,6 +266,7 @@
 		for _, cut := range []int{0, 1, 4} { // off from the store beside, a second longer
 			for phase := range 3 {
 				t.Run(fmt.Sprintf("%s, %d cut off, phase %d", outage, cut, phase), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						f := newTestFleet(t, 9)
 						defer f.close()
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -109,9 +109,10 @@
 	paths           *path.Table
 	relayPeers      map[fleet.Instance]struct{} // peers that connections to endpoints have gone through
 	leftEndpoints   []gossip.Incarnation
-	// departures are the endpoints that the store has lately shown to leave or to be removed.
+	// departures are the endpoints that heartbeats name, since the store has lately removed their entries
+	// or their entries say that they leave. Each is named once, which departed records.
 	departures  []departure
-	noted       map[incarnation]bool // those that are still listed
+	departed    map[incarnation]bool
 	leaving     bool
 	mayOrder    bool
 	fence       fleet.Fence
@@ -172,7 +173,7 @@
 	CatalogActivated(behind time.Duration)
 }
 
-// departure is an endpoint that leaves, or was removed, as of the store.
+// departure is an endpoint whose entry the store has removed, or has with the word that it leaves.
 type departure struct {
 	gossip.Incarnation
 	since time.Time
@@ -193,7 +194,7 @@
 		peers:  make(map[fleet.Instance]*peer),
 		demand: make(map[roster.Adapter]*demandMeters), meanWork: make(map[int]float64),
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
-		noted:           make(map[incarnation]bool), brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
+		departed:        make(map[incarnation]bool), brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), shares: make(map[catalog.Service]*fairshare.Shares), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
 		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
 		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
