Log and count the requests that a planned stop cuts

The gateway keeps its active requests with their phase; what is left as the server is closed is logged as step=cut and counted in cut_requests by phase.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -344,15 +344,25 @@
 	sleep(ctx, min(addressCacheFactor*limits.Keep, finish/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(finish))
 	defer cancel()
+	_ = level.Info(n.logger).Log("step", "drain", "now", "closing listener", "active", len(n.gateway.Active()))
 	if err := drain.Stop(ctx, listener, callers, &n.callers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
+	n.reportCut()
 	for n.relayed.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPause) // peers close the idle connections through this instance
 	}
 	_ = level.Info(n.logger).Log("step", "stop", "took", n.clock().Sub(started))
 }
 
+// reportCut logs and counts the requests whose connections are closed before they have ended.
+func (n *Node) reportCut() {
+	for _, r := range n.gateway.Active() {
+		_ = level.Warn(n.logger).Log("step", "cut", "id", r.ID, "route", r.Route, "phase", string(r.Phase), "endpoint", r.Endpoint, "age", r.Age)
+		metrics.GetOrRegisterCounter("cut_requests;phase="+string(r.Phase), n.registry).Inc(1)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
--- /dev/null
+++ b/internal/gateway/active.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+)
+
+// Phase is how far a request has got.
+type Phase string
+
+// The phases of a request, in their order.
+const (
+	PhaseReading   Phase = "reading"   // its body is arriving
+	PhaseWaiting   Phase = "waiting"   // no endpoint has received it
+	PhaseSent      Phase = "sent"      // an endpoint has received it, no part of an answer was passed on
+	PhaseAnswering Phase = "answering" // a part of the answer was passed on
+)
+
+// Active is a request that has not ended.
+type Active struct {
+	ID, Route string
+	Phase     Phase
+	// Endpoint is the one chosen last, empty before the first choice.
+	Endpoint fleet.Endpoint
+	Age      time.Duration
+}
+
+// activeRequests are the requests that have not ended. They are safe for concurrent use.
+type activeRequests struct {
+	mu  sync.Mutex
+	all map[*activeRequest]struct{}
+}
+
+// activeRequest is one of them. Its fields belong to the set.
+type activeRequest struct {
+	id       string
+	arrived  time.Time
+	job      *job // nil until the request was read and has a route
+	endpoint fleet.Endpoint
+}
+
+func (s *activeRequests) add(arrived time.Time) *activeRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[*activeRequest]struct{})
+	}
+	r := &activeRequest{arrived: arrived}
+	s.all[r] = struct{}{}
+	return r
+}
+
+func (s *activeRequests) remove(r *activeRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, r)
+}
+
+// begin records the job that serves a request.
+func (s *activeRequests) begin(r *activeRequest, j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.id, r.job = j.request.ID, j
+}
+
+// chosen records the endpoint chosen for a request.
+func (s *activeRequests) chosen(r *activeRequest, id fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.endpoint = id
+}
+
+func (r *activeRequest) phase() Phase {
+	switch {
+	case r.job == nil:
+		return PhaseReading
+	case r.job.delivery.begun():
+		return PhaseAnswering
+	case r.job.sent.Load() > 0:
+		return PhaseSent
+	default:
+		return PhaseWaiting
+	}
+}
+
+// Active returns the requests that have not ended, the oldest first.
+func (g *Gateway) Active() []Active {
+	now := g.clock()
+	g.active.mu.Lock()
+	defer g.active.mu.Unlock()
+	all := make([]Active, 0, len(g.active.all))
+	for r := range g.active.all {
+		a := Active{ID: r.id, Phase: r.phase(), Endpoint: r.endpoint, Age: now.Sub(r.arrived)}
+		if r.job != nil {
+			a.Route = r.job.route.Name
+		}
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b Active) int { return int(b.Age - a.Age) })
+	return all
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	maxAnswerBytes int64 // of an answer other than a stream
 	held           *heldMemory
 	waiting        waitingMemory
+	active         activeRequests
 }
 
 // Option configures a Gateway.
@@ -119,6 +120,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock()
 	g.pacer.Request()
+	active := g.active.add(arrived)
+	defer g.active.remove(active)
 	if g.fleet.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -149,7 +152,7 @@
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
 	j := &job{
-		gateway: g, request: request, route: route, version: version, arrived: arrived,
+		gateway: g, request: request, route: route, version: version, arrived: arrived, active: active,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
@@ -160,6 +163,7 @@
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
 	}
 	g.fleet.CountRequest(&j.query, request.Workspace)
+	g.active.begin(active, j)
 	j.beginQueueing()
 	j.run(ctx)
 	g.settle(j, workspace, charge)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -37,6 +37,7 @@
 	service  catalog.Service
 	query    balance.Request
 	arrived  time.Time
+	active   *activeRequest
 	delivery *delivery
 
 	// identity is the same for every attempt at the request.
@@ -194,6 +195,7 @@
 		return errNoLongerSilent
 	}
 	a.after, j.target = after, target
+	j.gateway.active.chosen(j.active, target.ID)
 	j.tries++
 	if target.LoadAdapter {
 		j.adapterOrders++
