Refuse requests that a planned stop would cut

What callers saw: an instance that had got SIGTERM took requests, passed them on and closed the connection before the answer was whole (LOST), among them requests that may run once.

Cause: admission, queues, waits and tries asked for nothing but the header 'Connection: close'. Whatever time was left, a request was taken, queued and sent as at any other instance.

Now the instance knows when it closes its callers' connections. Before an endpoint gets the first byte, and while a request waits, it checks whether the request can end by then: within the time that its caller waits, or a quarter more and 250 ms over the longest answer of its service, kind and output size in the last half to whole minute, requests that still run included (internal/core/shutdown). If not, it is refused with 503 and Retry-After 0.05, as other instances can take it at once; a place in a queue is asked for only as long as the request could still end. Nothing known of a kind: it may take as long as its caller waits.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -195,11 +195,12 @@
 	s.view.ApplyList(now, peers)
 }
 
-// leave marks this instance as leaving, which is irreversible.
-func (s *state) leave() {
+// leave marks this instance as leaving, which is irreversible. It closes its callers' connections at the
+// given time.
+func (s *state) leave(closes time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving = true
+	s.leaving, s.closes = true, closes
 	s.view.Leave()
 }
 
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -337,10 +337,10 @@
 func (n *Node) drain(ctx context.Context, listener net.Listener, callers *http.Server) {
 	started, limits := n.clock(), n.settings.Get().Drain
 	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace)
-	n.state.leave()
+	finish := time.Duration(float64(limits.Grace) * drainShare)
+	n.state.leave(started.Add(finish))
 	n.sendHeartbeats(ctx)
 	n.orderLease.release(ctx)
-	finish := time.Duration(float64(limits.Grace) * drainShare)
 	sleep(ctx, min(addressCacheFactor*limits.Keep, finish/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(finish))
 	defer cancel()
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -114,6 +114,7 @@
 	departures  []departure
 	departed    map[incarnation]bool
 	leaving     bool
+	closes      time.Time // when callers' connections are closed, while leaving
 	mayOrder    bool
 	fence       fleet.Fence
 	retirements []retirement
@@ -497,11 +498,11 @@
 	s.roster.RecordPresence(s.clock(), id, adapter, present)
 }
 
-// Leaving reports whether this instance is shutting down.
-func (s *state) Leaving() bool {
+// Leaving reports whether this instance is shutting down, and when it closes its callers' connections.
+func (s *state) Leaving() (closes time.Time, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving
+	return s.closes, s.leaving
 }
 
 // updateMeanWork adds a request to the moving average of the work of its rank and returns
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -337,7 +337,7 @@
 	}
 	assert.Empty(t, s.addresses(fleet.Place{Region: "south"}, "a:2", false))
 	assert.Equal(t, []string{"a:2"}, s.addresses(fleet.Place{Region: "south"}, "a:2", true))
-	s.leave()
+	s.leave(s.clock())
 	assert.Empty(t, s.addresses(fleet.Place{Region: "south"}, "a:2", true))
 }
 
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -157,7 +157,7 @@
 func (n *Node) refreshInstances(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.config.Store.Timeout+n.state.storeAllowance())
 	defer cancel()
-	if n.state.Leaving() {
+	if _, leaving := n.state.Leaving(); leaving {
 		return
 	}
 	failed := n.register(ctx)
--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -40,6 +40,7 @@
 	arrived  time.Time
 	job      *job // nil until the request was read and has a route
 	endpoint fleet.Endpoint
+	sentAt   time.Time // when it was first sent to an endpoint, 0 before
 }
 
 func (s *activeRequests) add(arrived time.Time) *activeRequest {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,6 +129,9 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	if err := j.checkShutdown(ctx); err != nil {
+		return err
+	}
 	if err := j.gateway.fleet.CheckTarget(a.target, j.request.Model); err != nil {
 		return err
 	}
@@ -150,6 +153,7 @@
 	a.timer.start(j.firstByteTimeout(a.target))
 	defer a.timer.close()
 	a.sentAt = g.clock()
+	g.active.sent(j.active, a.sentAt)
 	j.sent.Add(1)
 	answer, err := g.sender.Send(ctx, message)
 	if errors.Is(err, ErrNotSent) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 )
 
 const (
@@ -76,6 +77,7 @@
 	held           *heldMemory
 	waiting        waitingMemory
 	active         activeRequests
+	durations      shutdown.Durations // guarded by the lock of active
 }
 
 // Option configures a Gateway.
@@ -122,7 +124,7 @@
 	g.pacer.Request()
 	active := g.active.add(arrived)
 	defer g.active.remove(active)
-	if g.fleet.Leaving() {
+	if _, leaving := g.fleet.Leaving(); leaving {
 		w.Header().Set("Connection", "close")
 	}
 	request, err := g.read(w, r)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,6 +58,7 @@
 	loadsAdapter                     bool
 	lostFrom                         map[fleet.Endpoint]int // the check from which on an endpoint can't take requests
 	targetChecks                     map[fleet.Endpoint]int
+	closes                           time.Time // when the instance closes its callers' connections, 0 if it isn't shutting down
 }
 
 type question struct {
@@ -261,8 +262,14 @@
 }
 
 func (f *fakeFleet) Missing(gateway.Target, fleet.Model, fleet.Adapter) {}
-func (f *fakeFleet) Leaving() bool                                      { return false }
-func (f *fakeFleet) Limits() catalog.Limits                             { return catalog.Limits{MaxBodyBytes: 1 << 10} }
+
+func (f *fakeFleet) Leaving() (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closes, !f.closes.IsZero()
+}
+
+func (f *fakeFleet) Limits() catalog.Limits { return catalog.Limits{MaxBodyBytes: 1 << 10} }
 
 func newFleet(t *testing.T, kind catalog.Kind, behaviours ...standin.Behaviour) *fakeFleet {
 	t.Helper()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -129,6 +129,7 @@
 	if r.err == nil {
 		if j.delivery.status/100 == 2 {
 			j.gateway.fleet.AnswerCompleted(j.identity)
+			j.gateway.recordDuration(j)
 		}
 		return
 	}
@@ -163,6 +164,9 @@
 
 // start begins an attempt at another endpoint, beside a silent one if that is set.
 func (j *job) start(ctx context.Context, beside *silence) error {
+	if err := j.checkShutdown(ctx); err != nil {
+		return err
+	}
 	if err := j.checkRun(); err != nil {
 		return err
 	}
@@ -313,6 +317,8 @@
 func (j *job) retryAfter() time.Duration {
 	var refused *crashError
 	switch {
+	case errors.Is(j.failure, ErrShutdown):
+		return shutdownRetryAfter
 	case errors.As(j.failure, &refused):
 		return refused.wait
 	case errors.Is(j.failure, ErrNoEndpoint) && j.request.Model != "":
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -69,6 +69,8 @@
 	ErrNoAllotment   = errors.New("no instance that keeps the workspace's allotment answers")
 	// ErrTargetLost is returned if the endpoint chosen for a request can't take it any more.
 	ErrTargetLost = errors.New("the endpoint can't take the request any more")
+	// ErrShutdown is returned for a request that the instance, which is shutting down, would cut.
+	ErrShutdown = errors.New("the instance shuts down before the request could end")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -310,8 +312,9 @@
 	// Missing records that the endpoint doesn't have the model or adapter that Choose expected
 	// there.
 	Missing(t Target, m fleet.Model, a fleet.Adapter)
-	// Leaving reports whether the instance is shutting down.
-	Leaving() bool
+	// Leaving reports whether the instance is shutting down, and when it closes the connections of
+	// its callers.
+	Leaving() (closes time.Time, leaving bool)
 	// Limits returns the limits on callers' requests.
 	Limits() catalog.Limits
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -111,7 +111,7 @@
 		first := max(minStreamPatience, streamTargets*j.route.Target, streamGaps*j.route.MaxEventGap)
 		left = min(left, first-j.gateway.clock().Sub(j.arrived))
 	}
-	return max(0, left-admissionMargin)
+	return max(0, j.waitBeforeShutdown(ctx, left-admissionMargin))
 }
 
 // late returns what the attempt asks for if it can't be in time, nil if it is then refused. While
@@ -180,15 +180,15 @@
 }
 
 // waitAt waits for a time, or until the target can't take the request any more, so that the request
-// has the rest of its time elsewhere.
+// has the rest of its time elsewhere, or until it could no longer end before the instance does.
 func (j *job) waitAt(ctx context.Context, t *Target, wait time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	ticker := time.NewTicker(targetCheckInterval)
 	defer ticker.Stop()
-	for j.gateway.fleet.CheckTarget(*t, j.request.Model) == nil {
+	for j.gateway.fleet.CheckTarget(*t, j.request.Model) == nil && j.checkShutdown(ctx) == nil {
 		select {
-		case <-ctx.Done():
+		case <-waiting.Done():
 			return
 		case <-ticker.C:
 		}
--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,120 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/platform/standin"
+)
+
+// shutDownIn has the instance close its callers' connections after a time.
+func (f *fakeFleet) shutDownIn(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closes = time.Now().Add(d)
+}
+
+// An instance that is shutting down refuses a request that it would cut, before an endpoint gets it, and
+// serves one that can end in the time left. How long it takes is known from those before it, else it
+// may take as long as its caller waits.
+func TestRequestThatWouldBeCutIsRefused(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name       string
+		kind       catalog.Kind
+		behaviour  standin.Behaviour
+		served     int // requests before the signal
+		closes     time.Duration
+		wait       string // the caller's
+		wantStatus int
+	}{
+		{name: "short, none before", kind: catalog.KindSafe, closes: 1400 * ms, wantStatus: http.StatusServiceUnavailable},
+		{name: "short, its caller waits for less", kind: catalog.KindSafe, closes: 1400 * ms, wait: "1000", wantStatus: http.StatusOK},
+		{name: "short, some before", kind: catalog.KindSafe, served: 2, closes: 500 * ms, wantStatus: http.StatusOK},
+		{name: "long, some before", kind: catalog.KindUnsafe, behaviour: standin.BehaviourLate, served: 1, closes: 800 * ms, wantStatus: http.StatusServiceUnavailable},
+		{name: "long, enough time", kind: catalog.KindUnsafe, behaviour: standin.BehaviourLate, served: 1, closes: 1400 * ms, wantStatus: http.StatusOK},
+		{name: "long stream", kind: catalog.KindStream, behaviour: standin.BehaviourPause, served: 1, closes: 800 * ms, wantStatus: http.StatusServiceUnavailable},
+		{name: "long stream, enough time", kind: catalog.KindStream, behaviour: standin.BehaviourPause, served: 1, closes: 1400 * ms, wantStatus: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, tt.kind, tt.behaviour)
+			url, header := serve(t, f), map[string]string{"Model": "m", "Token-Count": "10,10"}
+			for range tt.served {
+				r, err := send(t, url, http.MethodPost, header, "")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, r.status)
+			}
+			f.shutDownIn(tt.closes)
+			if tt.wait != "" {
+				header["Deadline-Ms"] = tt.wait
+			}
+			r, err := send(t, url, http.MethodPost, header, "")
+			require.NoError(t, err)
+			assert.Equal(t, tt.wantStatus, r.status)
+			wantRuns := tt.served
+			if tt.wantStatus == http.StatusOK {
+				wantRuns++
+			} else {
+				assert.Equal(t, "0.050", r.header.Get("Retry-After"))
+			}
+			assert.Equal(t, wantRuns, f.runs())
+		})
+	}
+}
+
+// The signal comes while a request waits: it is refused as soon as it could no longer end in the time left.
+func TestRequestThatWaitsThroughTheSignalIsRefused(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name    string
+		replies []gateway.Admission
+		adapter bool
+	}{
+		{name: "for its place in the schedule", replies: []gateway.Admission{{}, {Wait: 1200 * ms, Hold: 1200 * ms}}},
+		{name: "for room", replies: []gateway.Admission{{}, {Refused: true, Wait: 1200 * ms, AskAgain: 1200 * ms}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, standin.BehaviourPause)
+			f.route.Timeout, f.replies = 5*time.Second, tt.replies
+			url, header := serve(t, f), map[string]string{"Model": "m", "Token-Count": "10,10"}
+			r, err := send(t, url, http.MethodPost, header, "")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, r.status)
+			time.AfterFunc(100*ms, func() { f.shutDownIn(1300 * ms) })
+			started := time.Now()
+			r, err = send(t, url, http.MethodPost, header, "")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusServiceUnavailable, r.status)
+			assert.Less(t, time.Since(started), time.Second)
+			assert.Equal(t, 1, f.runs())
+			assert.Zero(t, f.open)
+		})
+	}
+}
+
+// A request that waits for longer than the instance is there isn't given a place.
+func TestPatienceEndsWithTheInstance(t *testing.T) {
+	f := newFleet(t, catalog.KindStream, standin.BehaviourNone)
+	f.replies = []gateway.Admission{{}}
+	f.route.Timeout, f.route.Target = 5*time.Second, 2*time.Second
+	url, header := serve(t, f), map[string]string{"Model": "m"}
+	_, err := send(t, url, http.MethodPost, header, "")
+	require.NoError(t, err)
+	f.shutDownIn(time.Second)
+	r, err := send(t, url, http.MethodPost, header, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, r.status)
+	require.Len(t, f.questions, 2)
+	assert.Greater(t, f.questions[0].Late.Patience, 3*time.Second)
+	assert.Less(t, f.questions[1].Late.Patience, time.Second)
+	assert.Equal(t, []fleet.Endpoint{"i-0", "i-0"}, []fleet.Endpoint{f.questions[0].endpoint, f.questions[1].endpoint})
+}
