Answer what waits before a planned stop closes its connections

Cause: the handler wasn't told that the server is about to be closed; http.Server.Shutdown and Close end connections, not requests.

200 ms before the connections are closed, and before idle ones are closed too, drain.Stop has the gateway end all requests that have no part of an answer: 503 and Retry-After if no endpoint has received them, 502 if one has. What is read after that is refused before an endpoint gets it, so that none is passed on over a connection that is being closed as idle.

TestStopHasTheLastAnswersWritten is new.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -345,7 +345,7 @@
 	ctx, cancel := context.WithDeadline(ctx, started.Add(finish))
 	defer cancel()
 	_ = level.Info(n.logger).Log("step", "drain", "now", "closing listener", "active", len(n.gateway.Active()))
-	if err := drain.Stop(ctx, listener, callers, &n.callers); err != nil {
+	if err := drain.Stop(ctx, listener, callers, &n.callers, n.gateway.EndUnanswered); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
 	n.reportCut()
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -18,6 +18,8 @@
 	acceptTime = 100 * time.Millisecond
 	// stopCheckInterval is how often a server that stops is checked for busy connections.
 	stopCheckInterval = 20 * time.Millisecond
+	// lastAnswerTime is how long the last answers may take to be written.
+	lastAnswerTime = 200 * time.Millisecond
 )
 
 // Connections are the connections of a server on which a request runs or is about to. It is
@@ -62,17 +64,31 @@
 	return false
 }
 
-// Stop stops accepting connections, and stops the server once no request runs. Server.Shutdown
-// alone drops requests that it reads after it was called, without an answer.
-func Stop(ctx context.Context, l net.Listener, s *http.Server, c *Connections) error {
+// Stop stops accepting connections, and stops the server once no request runs, at the end of the context
+// at the latest. Before it closes connections, lastAnswers has the handler answer all requests that have no
+// answer yet, for which some time is left: Server.Shutdown alone drops requests that it reads after it was
+// called, without an answer.
+func Stop(ctx context.Context, l net.Listener, s *http.Server, c *Connections, lastAnswers func()) error {
 	if err := l.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
-	sleep(ctx, acceptTime)
+	serving, cancel := ctx, context.CancelFunc(func() {})
+	if deadline, ok := ctx.Deadline(); ok {
+		serving, cancel = context.WithDeadline(ctx, deadline.Add(-lastAnswerTime))
+	}
+	defer cancel()
+	sleep(serving, acceptTime)
+	c.awaitIdle(serving)
+	lastAnswers()
+	c.awaitIdle(ctx)
+	return s.Shutdown(ctx)
+}
+
+// awaitIdle waits until no request runs or is about to.
+func (c *Connections) awaitIdle(ctx context.Context) {
 	for c.busy(time.Now()) && ctx.Err() == nil {
 		sleep(ctx, stopCheckInterval)
 	}
-	return s.Shutdown(ctx)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	<-listener.accepting
 	group.Go(func() error {
-		err := Stop(ctx, listener, server, &connections)
+		err := Stop(ctx, listener, server, &connections, func() {})
 		return errors.Join(err, server.Close())
 	})
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
@@ -104,3 +104,34 @@
 		})
 	}
 }
+
+// A request that would run beyond the end of a stop is answered before its connection is closed.
+func TestStopHasTheLastAnswersWritten(t *testing.T) {
+	var connections Connections
+	ending := make(chan struct{})
+	server := &http.Server{ConnState: connections.Observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-ending
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	require.NoError(t, caller.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	group.Go(func() error {
+		err := Stop(ctx, listener, server, &connections, func() { close(ending) })
+		return errors.Join(err, server.Close())
+	})
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	_ = response.Body.Close()
+	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
+}
--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -30,26 +30,29 @@
 
 // activeRequests are the requests that have not ended. They are safe for concurrent use.
 type activeRequests struct {
-	mu  sync.Mutex
-	all map[*activeRequest]struct{}
+	mu    sync.Mutex
+	all   map[*activeRequest]struct{}
+	ended bool // no further request is taken
 }
 
 // activeRequest is one of them. Its fields belong to the set.
 type activeRequest struct {
 	id       string
 	arrived  time.Time
-	job      *job // nil until the request was read and has a route
+	end      func() // ends the request with a refusal, unless its answer has begun
+	job      *job   // nil until the request was read and has a route
 	endpoint fleet.Endpoint
 	sentAt   time.Time // when it was first sent to an endpoint, 0 before
 }
 
-func (s *activeRequests) add(arrived time.Time) *activeRequest {
+// add adds a request whose body is arriving. end ends that.
+func (s *activeRequests) add(arrived time.Time, end func()) *activeRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.all == nil {
 		s.all = make(map[*activeRequest]struct{})
 	}
-	r := &activeRequest{arrived: arrived}
+	r := &activeRequest{arrived: arrived, end: end}
 	s.all[r] = struct{}{}
 	return r
 }
@@ -60,11 +63,33 @@
 	delete(s.all, r)
 }
 
-// begin records the job that serves a request.
-func (s *activeRequests) begin(r *activeRequest, j *job) {
+// begin records the job that serves a request, and what ends it.
+func (s *activeRequests) begin(r *activeRequest, j *job, end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.id, r.job = j.request.ID, j
+	r.id, r.job, r.end = j.request.ID, j, end
+	if s.ended {
+		end()
+	}
+}
+
+// hasEnded reports whether no further request is taken.
+func (s *activeRequests) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// endUnanswered ends the requests whose answers have not begun, and all that come later.
+func (s *activeRequests) endUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for r := range s.all {
+		if r.phase() != PhaseAnswering {
+			r.end()
+		}
+	}
 }
 
 // chosen records the endpoint chosen for a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -122,7 +123,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock()
 	g.pacer.Request()
-	active := g.active.add(arrived)
+	controller := http.NewResponseController(w)
+	active := g.active.add(arrived, func() { _ = controller.SetReadDeadline(arrived) }) // it can't fail for a server's connection
 	defer g.active.remove(active)
 	if _, leaving := g.fleet.Leaving(); leaving {
 		w.Header().Set("Connection", "close")
@@ -151,12 +153,14 @@
 	if request.Wait > 0 && (timeout <= 0 || request.Wait < timeout) {
 		timeout = request.Wait
 	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
 	j := &job{
 		gateway: g, request: request, route: route, version: version, arrived: arrived, active: active,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
-		delivery: &delivery{writer: w, controller: http.NewResponseController(w), codec: g.codec, clock: g.clock, arrived: arrived, events: newSequence(request.After)},
+		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
 	}
 	_, j.delivery.consecutive = g.consecutive.Load(j.service)
@@ -165,7 +169,7 @@
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Level: g.level(workspace, route), Target: route.Target, Place: g.place,
 	}
 	g.fleet.CountRequest(&j.query, request.Workspace)
-	g.active.begin(active, j)
+	g.active.begin(active, j, func() { end(ErrShutdown) })
 	j.beginQueueing()
 	j.run(ctx)
 	g.settle(j, workspace, charge)
@@ -193,6 +197,9 @@
 	if err != nil {
 		return request, err
 	}
+	if g.active.hasEnded() {
+		return request, ErrShutdown
+	}
 	limit := g.fleet.Limits().MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -226,6 +233,8 @@
 	case errors.Is(err, ErrTooLarge):
 		refusal.Status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, ErrMalformed):
+	case errors.Is(err, ErrShutdown), errors.Is(err, os.ErrDeadlineExceeded) && g.active.hasEnded():
+		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, ErrShutdown.Error(), shutdownRetryAfter
 	case r.Context().Err() != nil:
 		return // the caller has disconnected
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,7 +55,7 @@
 	replies                          []gateway.Admission // to questions of a service that queues, the last one repeated
 	questions                        []question
 	withdrawn                        []fleet.Endpoint
-	loadsAdapter                     bool
+	loadsAdapter, adapterStalls      bool
 	lostFrom                         map[fleet.Endpoint]int // the check from which on an endpoint can't take requests
 	targetChecks                     map[fleet.Endpoint]int
 	closes                           time.Time // when the instance closes its callers' connections, 0 if it isn't shutting down
@@ -225,8 +225,11 @@
 	return f.retryBudget >= 0
 }
 
-func (f *fakeFleet) Ensure(context.Context, gateway.Target, fleet.Model, fleet.Adapter) error {
-	return nil
+func (f *fakeFleet) Ensure(ctx context.Context, _ gateway.Target, _ fleet.Model, _ fleet.Adapter) error {
+	if f.adapterStalls {
+		<-ctx.Done()
+	}
+	return ctx.Err()
 }
 
 func (f *fakeFleet) Queues(catalog.Service) bool { return f.replies != nil }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -292,6 +292,9 @@
 // giveUp ends a request that no endpoint answers: it refuses the request or, if part of a
 // stream was sent, has the connection closed.
 func (j *job) giveUp(ctx context.Context, err error) {
+	if endsForShutdown(ctx) {
+		err = ErrShutdown
+	}
 	j.failure = err
 	if j.delivery.begun() {
 		j.abortConnection = true
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/shutdown"
@@ -44,6 +45,13 @@
 	return min(wait, closes.Sub(now)-j.needs(ctx, now))
 }
 
+// EndUnanswered answers the requests that have no part of an answer, and all that come later, before their
+// connections are closed: with a refusal if they have not run.
+func (g *Gateway) EndUnanswered() { g.active.endUnanswered() }
+
+// endsForShutdown reports whether the request was ended since the instance shuts down.
+func endsForShutdown(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrShutdown) }
+
 func (j *job) durationKind() shutdown.Kind {
 	return shutdown.Kind{Service: j.service, Kind: j.route.Kind}
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
@@ -76,7 +80,6 @@
 	tests := []struct {
 		name    string
 		replies []gateway.Admission
-		adapter bool
 	}{
 		{name: "for its place in the schedule", replies: []gateway.Admission{{}, {Wait: 1200 * ms, Hold: 1200 * ms}}},
 		{name: "for room", replies: []gateway.Admission{{}, {Refused: true, Wait: 1200 * ms, AskAgain: 1200 * ms}}},
@@ -118,3 +121,61 @@
 	assert.Less(t, f.questions[1].Late.Patience, time.Second)
 	assert.Equal(t, []fleet.Endpoint{"i-0", "i-0"}, []fleet.Endpoint{f.questions[0].endpoint, f.questions[1].endpoint})
 }
+
+// Requests that have no part of an answer when their connections are about to be closed are answered: with
+// a promise that they have not run if that is known.
+func TestRequestEndsWithAnAnswerBeforeItsConnectionIsClosed(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name       string
+		kind       catalog.Kind
+		behaviour  standin.Behaviour
+		replies    []gateway.Admission
+		adapter    bool
+		open       bool // the body has no end
+		late       bool // it arrives afterwards
+		wantStatus int
+		wantRuns   int
+	}{
+		{name: "its body is arriving", kind: catalog.KindUnsafe, open: true, wantStatus: http.StatusServiceUnavailable},
+		{name: "it waits for its place in the schedule", kind: catalog.KindStream, replies: []gateway.Admission{{Wait: s, Hold: s}}, wantStatus: http.StatusServiceUnavailable},
+		{name: "it waits for room", kind: catalog.KindStream, replies: []gateway.Admission{{Refused: true, Wait: s, AskAgain: s}}, wantStatus: http.StatusServiceUnavailable},
+		{name: "it waits for an adapter", kind: catalog.KindStream, adapter: true, wantStatus: http.StatusServiceUnavailable},
+		{name: "an endpoint doesn't answer", kind: catalog.KindUnsafe, behaviour: standin.BehaviourMute, wantStatus: http.StatusBadGateway, wantRuns: 1},
+		{name: "an endpoint doesn't begin a stream", kind: catalog.KindStream, behaviour: standin.BehaviourMute, wantStatus: http.StatusBadGateway, wantRuns: 1},
+		{name: "it arrives afterwards", kind: catalog.KindUnsafe, late: true, wantStatus: http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, tt.kind, tt.behaviour)
+			f.replies, f.loadsAdapter, f.adapterStalls, f.route.Timeout = tt.replies, tt.adapter, tt.adapter, 9*s
+			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now)
+			server := httptest.NewServer(g)
+			t.Cleanup(server.Close)
+			body, end := io.Pipe()
+			if !tt.open {
+				_ = end.Close()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 3*s)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/x", body)
+			require.NoError(t, err)
+			request.Host = "board.example"
+			request.Header.Set("Request-Id", "r1")
+			request.Header.Set("Model", "m")
+			if tt.late {
+				g.EndUnanswered()
+			}
+			time.AfterFunc(100*time.Millisecond, g.EndUnanswered)
+			started := time.Now()
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer func() { _, _ = end.Close(), response.Body.Close() }()
+			assert.Less(t, time.Since(started), 700*time.Millisecond)
+			assert.Equal(t, tt.wantStatus, response.StatusCode)
+			assert.Equal(t, tt.wantStatus == http.StatusServiceUnavailable, response.Header.Get("Retry-After") != "")
+			assert.Equal(t, tt.wantRuns, f.runs())
+			assert.Eventually(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.open == 0 }, s, time.Millisecond)
+		})
+	}
+}
