Close the caller's connection after answers that begin after the signal

What callers saw: an instance that shuts down answered requests from before the signal without 'Connection: close', so that callers used the connection for another request, late in the stop.

Cause: the header was set as a request arrived only. It is set as the answer's header is written now.

TestAnswerAfterTheSignalClosesItsConnection: 3 of 3 cases failed before (the header left out), pass now.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -27,6 +27,7 @@
 	codec      Codec
 	clock      Clock
 	arrived    time.Time
+	leaving    func() (closes time.Time, leaving bool) // whether the instance is shutting down
 
 	mu       sync.Mutex
 	attempts []*attempt // in flight, those that were superseded too
@@ -160,10 +161,19 @@
 	if length >= 0 {
 		d.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	d.closeIfLeaving()
 	d.status, d.started = answer.Status, true
 	d.writer.WriteHeader(answer.Status)
 }
 
+// closeIfLeaving has the connection closed after the answer if the instance is shutting down, so that the
+// caller uses it for no further request.
+func (d *delivery) closeIfLeaving() {
+	if _, leaving := d.leaving(); leaving {
+		d.writer.Header().Set("Connection", "close")
+	}
+}
+
 // passHeld passes on what is held of an answer: all of it if it is complete, else its beginning,
 // with the length that its endpoint gave.
 func (d *delivery) passHeld(answer *Answer, held *heldAnswer, complete bool) error {
@@ -270,6 +280,7 @@
 
 // refuse answers with a refusal of the gateway itself.
 func (d *delivery) refuse(r Refusal) {
+	d.closeIfLeaving()
 	d.status = r.Status
 	d.codec.Refuse(d.writer, r)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,7 @@
 	j := &job{
 		gateway: g, request: request, route: route, version: version, arrived: arrived, active: active,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
-		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, events: newSequence(request.After)},
+		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, leaving: g.fleet.Leaving, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
 	}
 	_, j.delivery.consecutive = g.consecutive.Load(j.service)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -179,3 +179,30 @@
 		})
 	}
 }
+
+// An answer that begins after the signal to a request from before has its caller's connection closed.
+func TestAnswerAfterTheSignalClosesItsConnection(t *testing.T) {
+	tests := []struct {
+		name      string
+		kind      catalog.Kind
+		behaviour standin.Behaviour
+	}{
+		{name: "answer", kind: catalog.KindSafe, behaviour: standin.BehaviourLate},
+		{name: "stream", kind: catalog.KindStream, behaviour: standin.BehaviourLate},
+		{name: "refusal", kind: catalog.KindUnsafe, behaviour: standin.BehaviourMute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, tt.kind, tt.behaviour)
+			time.AfterFunc(100*time.Millisecond, func() { f.shutDownIn(time.Minute) })
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, serve(t, f)+"/x", http.NoBody)
+			require.NoError(t, err)
+			request.Host = "board.example"
+			request.Header.Set("Request-Id", "r1")
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			assert.True(t, response.Close)
+			require.NoError(t, response.Body.Close())
+		})
+	}
+}
