Use more of the grace time for requests in flight

What callers saw: connections were closed 0.85 of the grace time after the signal, and nothing used the rest, 1.2 s of 8.

Cause: drainShare left the exit far more time than it takes. It is 0.9 now, so that longer requests can end and fewer are refused.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -49,7 +49,7 @@
 	drainPause           = 50 * time.Millisecond
 	orderMargin          = 500 * time.Millisecond // from the decision to send an order to its arrival
 	handoverMargin       = 200 * time.Millisecond // for orders in transit while the lease changes hands
-	drainShare           = 0.85                   // of the grace period, for requests in flight
+	drainShare           = 0.9                    // of the grace period, for requests in flight; the rest is for the exit
 	addressCacheFactor   = 3                      // some callers cache addresses longer than they should
 )
 
