Send no request whose answer can't begin before its deadline

The same class as the requests cut in a planned stop: work is passed on that can't end in the time left.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,6 +132,9 @@
 	if err := j.checkShutdown(ctx); err != nil {
 		return err
 	}
+	if j.timeLeft(ctx) < a.leastTime() {
+		return ErrTooLate
+	}
 	if err := j.gateway.fleet.CheckTarget(a.target, j.request.Model); err != nil {
 		return err
 	}
@@ -141,6 +144,14 @@
 	return a.claimRun()
 }
 
+// leastTime returns how long the first part of an answer takes at least.
+func (a *attempt) leastTime() time.Duration {
+	if a.job.request.Model == "" {
+		return minTimeLeft
+	}
+	return a.target.PendingPrefill + admissionMargin
+}
+
 func (a *attempt) send(ctx context.Context) (outcome, error) {
 	j, g := a.job, a.job.gateway
 	message := &Attempt{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,7 @@
 	questions                        []question
 	withdrawn                        []fleet.Endpoint
 	loadsAdapter, adapterStalls      bool
+	prefill                          time.Duration // of each prompt at an endpoint
 	lostFrom                         map[fleet.Endpoint]int // the check from which on an endpoint can't take requests
 	targetChecks                     map[fleet.Endpoint]int
 	closes                           time.Time // when the instance closes its callers' connections, 0 if it isn't shutting down
@@ -115,7 +116,7 @@
 		software = f.software[n]
 	}
 	f.open++
-	return gateway.Target{Software: software, ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited, LoadAdapter: f.loadsAdapter}, nil
+	return gateway.Target{Software: software, ID: fleet.Endpoint(fmt.Sprintf("i-%d", n)), Address: f.runners[n].Address(), Limited: f.limited, LoadAdapter: f.loadsAdapter, PendingPrefill: f.prefill}, nil
 }
 
 func (f *fakeFleet) CheckTarget(t gateway.Target, _ fleet.Model) error {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -267,7 +267,7 @@
 func (j *job) mayRetry(ctx context.Context) bool {
 	timeLeft := j.timeLeft(ctx)
 	switch {
-	case ctx.Err() != nil || timeLeft < minTimeLeft || errors.Is(j.failure, ErrKeyLapsed):
+	case ctx.Err() != nil || timeLeft < minTimeLeft || errors.Is(j.failure, ErrKeyLapsed) || errors.Is(j.failure, ErrTooLate):
 		return false
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
 		return false
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -71,6 +71,8 @@
 	ErrTargetLost = errors.New("the endpoint can't take the request any more")
 	// ErrShutdown is returned for a request that the instance, which is shutting down, would cut.
 	ErrShutdown = errors.New("the instance shuts down before the request could end")
+	// ErrTooLate is returned for a request whose answer can't begin before its caller has waited long enough.
+	ErrTooLate = errors.New("too little time is left for an answer to begin")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
