--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,7 +56,7 @@
 	questions                        []question
 	withdrawn                        []fleet.Endpoint
 	loadsAdapter, adapterStalls      bool
-	prefill                          time.Duration // of each prompt at an endpoint
+	prefill                          time.Duration          // of each prompt at an endpoint
 	lostFrom                         map[fleet.Endpoint]int // the check from which on an endpoint can't take requests
 	targetChecks                     map[fleet.Endpoint]int
 	closes                           time.Time // when the instance closes its callers' connections, 0 if it isn't shutting down
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -141,7 +141,7 @@
 		t.Run(fmt.Sprint("complete ", complete), func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			caller := &stuckCaller{ResponseWriter: httptest.NewRecorder(), takes: 300 << 10}
-			d := &delivery{writer: caller, controller: http.NewResponseController(caller), codec: noHeaders{}, clock: func() time.Time { return now }}
+			d := &delivery{writer: caller, controller: http.NewResponseController(caller), codec: noHeaders{}, clock: func() time.Time { return now }, leaving: func() (time.Time, bool) { return time.Time{}, false }}
 			h := newHeldAnswer(&heldMemory{limit: 2 << 20})
 			defer h.release()
 			_, err := h.fill(strings.NewReader(strings.Repeat("x", 1<<20)), 2<<20)
