Estimate by route and prompt how long a request may take in a stop

Each check walked all requests under one lock.

Ages of running requests are recorded each 100 ms. A request whose end came while it wasn't a job yet is refused for the shutdown too.

--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	all   map[*activeRequest]struct{}
 	ended bool // no further request is taken
+	// agesRecordedAt is when the ages of the requests that run were last recorded.
+	agesRecordedAt time.Time
 }
 
 // activeRequest is one of them. Its fields belong to the set.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -292,7 +292,7 @@
 // giveUp ends a request that no endpoint answers: it refuses the request or, if part of a
 // stream was sent, has the connection closed.
 func (j *job) giveUp(ctx context.Context, err error) {
-	if endsForShutdown(ctx) {
+	if endsForShutdown(ctx) || ctx.Err() != nil && j.gateway.active.hasEnded() {
 		err = ErrShutdown
 	}
 	j.failure = err
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -12,6 +12,9 @@
 // can take them at once.
 const shutdownRetryAfter = minRetryAfter
 
+// ageInterval is how often the ages of the requests that run are recorded.
+const ageInterval = 100 * time.Millisecond
+
 // checkShutdown returns ErrShutdown if the instance is shutting down and would cut the request. One whose
 // answer has begun goes on, since its rest may still be in time.
 func (j *job) checkShutdown(ctx context.Context) error {
@@ -52,21 +55,34 @@
 // endsForShutdown reports whether the request was ended since the instance shuts down.
 func endsForShutdown(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrShutdown) }
 
-func (j *job) durationKind() shutdown.Kind {
-	return shutdown.Kind{Service: j.service, Kind: j.route.Kind}
+// durationKinds returns the kinds by which a request's duration is known, the closest first.
+func (j *job) durationKinds() [2]shutdown.Kind {
+	return [2]shutdown.Kind{{Service: j.service, Route: j.route.Name}, {Service: j.service}}
+}
+
+func (j *job) size() shutdown.Size {
+	return shutdown.Size{Prompt: j.request.PromptTokens, Output: j.request.OutputTokens}
 }
 
-// allowance returns how long the rest of a request may take once it was sent. Requests that run count with
-// how long they have run.
-func (g *Gateway) allowance(now time.Time, j *job) (time.Duration, bool) {
+// allowance returns how long the rest of a request may take once it was sent: by the others of its route,
+// else of its service. Requests that run count with how long they have run.
+func (g *Gateway) allowance(now time.Time, j *job) (allowance time.Duration, ok bool) {
 	g.active.mu.Lock()
 	defer g.active.mu.Unlock()
-	for r := range g.active.all {
-		if other := r.job; other != nil && other != j && !r.sentAt.IsZero() {
-			g.durations.Record(now, other.durationKind(), other.request.OutputTokens, now.Sub(r.sentAt))
+	if now.Sub(g.active.agesRecordedAt) >= ageInterval {
+		g.active.agesRecordedAt = now
+		for r := range g.active.all {
+			if r.job != nil && r.job != j && !r.sentAt.IsZero() {
+				g.recordAge(now, r)
+			}
+		}
+	}
+	for _, k := range j.durationKinds() {
+		if allowance, ok = g.durations.Allowance(now, k, j.size()); ok {
+			break
 		}
 	}
-	return g.durations.Allowance(now, j.durationKind(), j.request.OutputTokens)
+	return allowance, ok
 }
 
 // recordDuration records how long a complete answer took.
@@ -74,8 +90,15 @@
 	now := g.clock()
 	g.active.mu.Lock()
 	defer g.active.mu.Unlock()
-	if sent := j.active.sentAt; !sent.IsZero() {
-		g.durations.Record(now, j.durationKind(), j.request.OutputTokens, now.Sub(sent))
+	if !j.active.sentAt.IsZero() {
+		g.recordAge(now, j.active)
+	}
+}
+
+// recordAge records how long ago a request was first sent. The requests must be locked.
+func (g *Gateway) recordAge(now time.Time, r *activeRequest) {
+	for _, k := range r.job.durationKinds() {
+		g.durations.Record(now, k, r.job.size(), now.Sub(r.sentAt))
 	}
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -74,6 +74,43 @@
 	}
 }
 
+// Slow requests of another route of the service, and small ones before, don't decide what a request may take.
+func TestTimeOfOtherRequestsDoesNotDecide(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name         string
+		before, then string // the stated tokens
+		route        string // of those before
+		behaviour    standin.Behaviour
+		closes       time.Duration
+		wantStatus   int
+	}{
+		{name: "slow ones of another route", before: "10,10", then: "10,10", route: "other", behaviour: standin.BehaviourPause, closes: 900 * ms, wantStatus: http.StatusOK},
+		{name: "small prompts before a large one", before: "100,10", then: "39600,10", route: "r", closes: 700 * ms, wantStatus: http.StatusServiceUnavailable},
+		{name: "large prompts", before: "39600,10", then: "39600,10", route: "r", closes: 700 * ms, wantStatus: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindStream, tt.behaviour)
+			url, header := serve(t, f), map[string]string{"Model": "m", "Token-Count": tt.before}
+			f.runners[0].SetEventInterval(10 * ms)
+			f.route.Name = tt.route
+			_, err := send(t, url, http.MethodPost, header, "")
+			require.NoError(t, err)
+			f.runners[0].SetBehaviour(standin.BehaviourNone)
+			f.route.Name, header["Token-Count"] = "r", tt.then
+			if tt.route != "r" {
+				_, err := send(t, url, http.MethodPost, header, "")
+				require.NoError(t, err)
+			}
+			f.shutDownIn(tt.closes)
+			r, err := send(t, url, http.MethodPost, header, "")
+			require.NoError(t, err)
+			assert.Equal(t, tt.wantStatus, r.status)
+		})
+	}
+}
+
 // The signal comes while a request waits: it is refused as soon as it could no longer end in the time left.
 func TestRequestThatWaitsThroughTheSignalIsRefused(t *testing.T) {
 	const ms = time.Millisecond
