Stop using peers that leave as relays at once

What callers saw: 502 for unsafe requests at a sound instance that reaches the endpoints through peers only, when two of these peers got a planned stop under load.

Cause: a leaving instance went on connecting for its peers until it was gone. A peer that knew of the stop closed its idle connections only, once and up to half a second later; a connection in use at that time was kept and reused until the leaving instance closed it under a request.

Change: an instance that leaves answers requests for a relay as busy, so that the peer asks the next one.

--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -208,8 +208,12 @@
 }
 
 // Relay connects to an endpoint for a peer that doesn't reach it. It is never passed on to a third
-// instance.
+// instance. An instance that leaves doesn't connect: it may be gone before the peer's requests have ended.
 func (n *Node) Relay(ctx context.Context, r *gossip.Relay) (net.Conn, error) {
+	if _, leaving := n.state.Leaving(); leaving {
+		metrics.GetOrRegisterCounter("relays;outcome=leaving", n.registry).Inc(1)
+		return nil, gossip.ErrRelayBusy
+	}
 	address, ok := n.state.relayTarget(r)
 	if !ok {
 		return nil, gossip.ErrRelayUnreachable
@@ -373,12 +377,17 @@
 	}
 }
 
-// checkPaths tries the paths that are cut again, and has no connection reused that goes through a peer
-// which is lost.
-func (n *Node) checkPaths(ctx context.Context) {
+// dropLostRelays has no connection reused that goes through a peer which is lost.
+func (n *Node) dropLostRelays() {
 	if n.state.lostRelayPeer() {
 		n.endpoints.CloseAllIdle()
 	}
+}
+
+// checkPaths tries the paths that are cut again, and has no connection reused that goes through a peer
+// which is lost.
+func (n *Node) checkPaths(ctx context.Context) {
+	n.dropLostRelays()
 	var group errgroup.Group
 	for _, e := range n.state.pathChecks() {
 		group.Go(func() error {
--- a/internal/direct/path_test.go
+++ b/internal/direct/path_test.go
@@ -149,6 +149,23 @@
 	require.ErrorIs(t, err, gossip.ErrRelayUnreachable, "it leaves")
 }
 
+// An instance that leaves connects no more for its peers: it may be gone before their requests have ended.
+func TestLeavingInstanceConnectsForNoPeer(t *testing.T) {
+	n := newTestNode(t, "one", nil)
+	n.state.applyRecords(fromStore, []roster.Record{{ID: "p", Revision: 1, Entry: roster.Entry{ID: "p", Born: 3, Service: "s", Revision: 1}}}, 1, true)
+	far, near := net.Pipe()
+	defer func() { _, _ = far.Close(), near.Close() }()
+	n.dialDirect = func(context.Context, fleet.Endpoint, int64, string) (net.Conn, error) { return near, nil }
+	conn, err := n.Relay(t.Context(), &gossip.Relay{Endpoint: "p", Born: 3})
+	require.NoError(t, err)
+	n.state.leave(n.clock().Add(time.Second))
+	_, err = n.Relay(t.Context(), &gossip.Relay{Endpoint: "p", Born: 3})
+	require.ErrorIs(t, err, gossip.ErrRelayBusy)
+	assert.EqualValues(t, 1, n.relayed.Load(), "the connection that was open before stays")
+	_ = conn.Close()
+	assert.Zero(t, n.relayed.Load())
+}
+
 // What answers in an endpoint's data centre shows that the path to it is sound; what answers in
 // another doesn't.
 func TestRefusalsInADataCentreThatAnswers(t *testing.T) {
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -380,6 +380,9 @@
 		return nil, err
 	}
 	n.state.receiveHeartbeat(b)
+	if b.Peer.Leaving {
+		n.dropLostRelays()
+	}
 	return n.state.ack(b.Peer.Sequence), nil
 }
 
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -27,8 +27,8 @@
 	ErrRelayRefused = errors.New("nothing listens at the endpoint's address")
 	// ErrRelayUnreachable is returned if the peer doesn't reach the endpoint or doesn't know it.
 	ErrRelayUnreachable = errors.New("the peer doesn't reach the endpoint")
-	// ErrRelayBusy is returned if the peer carries as many connections for others as it may.
-	ErrRelayBusy = errors.New("the peer relays too many connections")
+	// ErrRelayBusy is returned if the peer carries as many connections for others as it may, or leaves.
+	ErrRelayBusy = errors.New("the peer relays no more connections")
 )
 
 // Relay asks a peer to connect to an incarnation of an endpoint.
