Refuse requests that a stop of chiveramp would cut

What callers saw: an instance of the product's own daemon that had got SIGTERM went on taking requests on kept connections up to [limits] drain, passed them on, and cut them as it ended.

Change: callers' requests pass a guard that knows when connections are closed. It refuses a request with 503 and Retry-After, before it is passed on, if the longest of its kind and size lately, or its deadline if that is sooner, lies beyond. The limit now also holds for the heartbeats that announce the stop.

A request that was passed on before the stop, and waits in a queue as the instance ends, is still closed without an answer.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	endpoints *endpoint.Client
 	pool      *dispatch.Pool
 	gateway   *entry.Gateway
+	guard     *shutdownGuard
 	prober    *prober
 	drains    *drainTracker
 	demand    *demand
@@ -201,6 +202,7 @@
 		entry.WithClock(n.clock),
 		entry.WithPacer(heap.New(n.timers)),
 	)
+	n.guard = newShutdownGuard(n.gateway, n.clock)
 	n.placer = n.newPlacer()
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -137,7 +137,7 @@
 
 func (n *Node) serveCallers(l net.Listener) *http.Server {
 	c := n.config.Caller
-	handler := caller.New(n.members.Self().Instance, n.gateway, n, caller.Limits{
+	handler := caller.New(n.members.Self().Instance, n.guard, n, caller.Limits{
 		MaxBody: c.Body, MaxInFlight: n.config.Limits.Streams, WriteTimeout: c.Idle, EntriesMaxAge: c.Keep,
 	})
 	server := &http.Server{
@@ -208,10 +208,11 @@
 		return
 	}
 	_ = level.Info(n.logger).Log("step", "drain", "limit", limit)
-	n.members.update((*member.View).Leave)
-	n.sendHeartbeats(ctx, n.clock())
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	n.guard.leave(n.clock().Add(limit))
+	n.members.update((*member.View).Leave)
+	n.sendHeartbeats(ctx, n.clock())
 	sleep(ctx, min(n.config.Caller.Keep, limit/2))
 	if err := drain.Stop(ctx, listener, callerServer, &n.callers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -66,6 +67,7 @@
 	engines       []*engine.Server
 	slots         int                // requests in flight at one endpoint; zero means the default
 	traceEndpoint string             // OTLP endpoint for spans; empty turns tracing off
+	drain         string             // limit on the shutdown of instances; empty means the default
 	disabled      switches.Mechanism // mechanism turned off in instances that are started later
 	orders        *service.Server
 	operatorTLS   config.TLS // client certificate of operators; empty means no TLS
@@ -233,11 +235,11 @@
 [metrics]
 listen = %s
 [limits]
-drain = 10s
+drain = %s
 [log]
 level = debug
 %s`, n.name, n.region, n.dataCentre, n.caller, n.peer, n.advertise, strings.Join(peers, ","), tlsSettings(n.peerTLS), n.operator, operatorToken, tlsSettings(n.operatorTLS),
-		n.platform, strings.Join(dp.services, ","), n.metrics, dp.traceSettings()+dp.endpointSettings())
+		n.platform, strings.Join(dp.services, ","), n.metrics, cmp.Or(dp.drain, "10s"), dp.traceSettings()+dp.endpointSettings())
 }
 
 // tlsSettings returns the settings of a section that turn TLS on.
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -157,6 +157,78 @@
 	<-n.exited
 }
 
+// Guards against requests that a stopping instance takes though it can't end them: callers go on to use the
+// connections that they keep until the process is gone. A request that reaches an engine is answered whole,
+// the others are refused.
+func TestRequestsLateInAStopAreNotCut(t *testing.T) {
+	const (
+		drain, interval, takes = 4 * time.Second, 100 * time.Millisecond, time.Second // takes: at most
+		connections, warm      = 60, 6
+	)
+	b := newSouthDeployment(t, "")
+	n := b.instances[0]
+	n.signal(t, syscall.SIGTERM)
+	<-n.exited
+	b.drain = drain.String()
+	b.start(n)
+	b.waitReady()
+	var whole, cut, refused, unread atomic.Int32
+	var early atomic.Int32 // refused though there was time
+	send := func(c net.Conn, id int, signalled time.Time) {
+		body := chatBody("matcher-a", fmt.Sprint("kept ", id), true, int(takes/longStep))
+		_, _ = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nChiveramp-Profile: chat\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		sent := time.Now()
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			unread.Add(1)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		switch {
+		case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
+			refused.Add(1)
+			if !signalled.IsZero() && sent.Sub(signalled) < drain-2*takes-500*time.Millisecond {
+				early.Add(1)
+			}
+		case response.StatusCode == http.StatusOK && err == nil && strings.Contains(string(text), "[DONE]"):
+			whole.Add(1)
+		default:
+			cut.Add(1)
+		}
+	}
+	open := make([]net.Conn, connections)
+	var callers errgroup.Group
+	for i := range open {
+		c, err := net.Dial("tcp", n.caller)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		open[i] = c
+		require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+		if i < warm {
+			callers.Go(func() error { send(c, i, time.Time{}); return nil })
+		}
+	}
+	_ = callers.Wait()
+	require.EqualValues(t, warm, whole.Load())
+	n.signal(t, syscall.SIGTERM)
+	signalled := time.Now()
+	for i := warm; i < connections; i++ {
+		callers.Go(func() error { send(open[i], i, signalled); return nil })
+		time.Sleep(interval)
+	}
+	_ = callers.Wait()
+	<-n.exited
+	runs := 0
+	for _, e := range b.engines {
+		runs += len(e.Counts().Requests)
+	}
+	t.Logf("%d whole, %d cut, %d refused, %d unread; %d runs", whole.Load(), cut.Load(), refused.Load(), unread.Load(), runs)
+	require.Zero(t, cut.Load())
+	require.Zero(t, early.Load())
+	require.EqualValues(t, whole.Load(), runs, "what has run is answered whole")
+}
+
 // Guards against requests lost in a rolling restart: instances are stopped with SIGTERM and
 // restarted one after the other under load. Draining must let every request complete.
 func TestRollingRestartLosesNoRequest(t *testing.T) {
