--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -31,9 +31,9 @@
 
 // guardedRequest is a request that runs.
 type guardedRequest struct {
-	kind   shutdown.Kind
-	tokens int
-	since  time.Time
+	kind  shutdown.Kind
+	size  shutdown.Size
+	since time.Time
 }
 
 func newShutdownGuard(g caller.Gateway, clock func() time.Time) *shutdownGuard {
@@ -61,7 +61,7 @@
 // begin returns nil if the request is expected to run for longer than the instance. A request without a
 // deadline and without others to compare it with may run.
 func (g *shutdownGuard) begin(request peer.Request) *guardedRequest {
-	r := &guardedRequest{kind: durationKind(request), tokens: int(request.Tokens), since: g.clock()}
+	r := &guardedRequest{kind: durationKind(request), size: shutdown.Size{Output: int(request.Tokens)}, since: g.clock()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.closes.IsZero() && r.since.Add(g.needs(r, request.Deadline)).After(g.closes) {
@@ -75,9 +75,9 @@
 // have run.
 func (g *shutdownGuard) needs(r *guardedRequest, deadline int64) time.Duration {
 	for other := range g.running {
-		g.durations.Record(r.since, other.kind, other.tokens, r.since.Sub(other.since))
+		g.durations.Record(r.since, other.kind, other.size, r.since.Sub(other.since))
 	}
-	allowance, known := g.durations.Allowance(r.since, r.kind, r.tokens)
+	allowance, known := g.durations.Allowance(r.since, r.kind, r.size)
 	if deadline == 0 {
 		return allowance
 	}
@@ -94,14 +94,14 @@
 	defer g.mu.Unlock()
 	delete(g.running, r)
 	if end.Code == "" {
-		g.durations.Record(now, r.kind, r.tokens, now.Sub(r.since))
+		g.durations.Record(now, r.kind, r.size, now.Sub(r.since))
 	}
 }
 
 // durationKind returns the kind of requests that take about as long as this one.
 func durationKind(request peer.Request) shutdown.Kind {
 	if request.Service != "" {
-		return shutdown.Kind{Service: catalog.Service(request.Service), Kind: catalog.KindUnsafe}
+		return shutdown.Kind{Service: catalog.Service(request.Service)}
 	}
-	return shutdown.Kind{Service: catalog.Service(cmp.Or(request.Model, request.Profile)), Kind: catalog.KindStream}
+	return shutdown.Kind{Route: cmp.Or(request.Model, request.Profile)}
 }
