Drop the credit that an owner of allotments has lost the shares for

Cause: the cap of an account follows the shares, but was applied only when somebody asked for the account. An owner that lost all shares while nobody asked kept its credit until the shares came back; the other owner had granted the same allotment meanwhile. TestSumStaysWithinBound looked at every account of every owner each 20 ms, and so brought them all up to date.

Now an owner whose share falls brings all accounts down at once, those never asked for too.

TestSumStaysWithinBound looks at copies.

--- a/internal/core/allotment/accounts.go
+++ b/internal/core/allotment/accounts.go
@@ -97,7 +97,11 @@
 	if o.Share <= 0 || o.Stamp.Incarnation != b.incarnation || o.Stamp.At > now || until <= max(now, b.lent[o.Lender].until) {
 		return
 	}
+	before := b.usable()
 	b.lent[o.Lender] = lentShare{o.Share, until}
+	if b.usable() < before {
+		b.limitAll(now)
+	}
 }
 
 // Usable returns the part of the allotments that the owner may use.
@@ -128,15 +132,38 @@
 
 // advance accrues the time since the last call, by the shares that are still lent now.
 func (b *Accounts) advance(now time.Duration) {
+	lost := false
 	for lender, l := range b.lent {
 		if l.until <= now {
 			delete(b.lent, lender)
+			lost = true
 		}
 	}
 	if now > b.at {
 		b.accrued += b.usable() * (now - b.at).Seconds()
 		b.at = now
 	}
+	if lost {
+		b.limitAll(now)
+	}
+}
+
+// limitAll drops the credit of every account beyond what the shares that are left back, those
+// that nobody asks for too: the shares that are lost back other owners' credit from now on.
+func (b *Accounts) limitAll(now time.Duration) {
+	for name := range b.limits {
+		b.update(now, b.account(name))
+	}
+}
+
+// account returns the account of a workspace that has a limit.
+func (b *Accounts) account(workspace string) *account {
+	a := b.accounts[workspace]
+	if a == nil {
+		a = &account{limit: b.limits[workspace], byID: make(map[uint64]*granted), wants: make(map[fleet.Instance]pastWant)}
+		b.accounts[workspace] = a
+	}
+	return a
 }
 
 // update brings an account up to date with what has accrued.
@@ -159,15 +186,10 @@
 // which the caller must have checked by the incarnation.
 func (b *Accounts) Grant(now time.Duration, from fleet.Instance, w Want) Grant {
 	b.advance(now)
-	limit, ok := b.limits[w.Workspace]
-	if !ok {
+	if _, ok := b.limits[w.Workspace]; !ok {
 		return Grant{Workspace: w.Workspace}
 	}
-	a := b.accounts[w.Workspace]
-	if a == nil {
-		a = &account{limit: limit, byID: make(map[uint64]*granted), wants: make(map[fleet.Instance]pastWant)}
-		b.accounts[w.Workspace] = a
-	}
+	a := b.account(w.Workspace)
 	a.takeBack(from, w.Returns)
 	b.update(now, a)
 	a.backlog = min(a.backlog+w.Refused, a.limit.Rate*maxWait.Seconds())
--- a/internal/core/allotment/bound_test.go
+++ b/internal/core/allotment/bound_test.go
@@ -1,9 +1,11 @@
 package allotment_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
@@ -52,7 +54,8 @@
 }
 
 // watch calls check periodically with the part of the allotment that the owners of each part may
-// use, and what is unspent with them and in portions.
+// use, and what is unspent with them and in portions. It looks at copies: a look at an account
+// brings it up to date, which an owner doesn't do for accounts that nobody asks for.
 func watch(s *sim, check func(usable []float64, unspent float64)) {
 	s.at(s.now, func() {
 		usable, unspent := make([]float64, s.parts), 0.0
@@ -62,6 +65,7 @@
 			}
 			unspent += n.credit(s, "w").Credit(s.now)
 			for part, b := range n.accounts {
+				b = b.Clone()
 				usable[part] += b.Usable(s.now)
 				unspent += max(0, b.Credit(s.now, "w"))
 			}
@@ -123,6 +127,49 @@
 	}
 }
 
+// An owner that loses the shares loses its credit with them, though nobody asks for it meanwhile:
+// another owner has granted the same allotment when the shares come back.
+func TestReturningOwnerHasNoOldCredit(t *testing.T) {
+	const (
+		// The first owner has the shares, then the second one, then the first one again. A share
+		// goes to another owner only after its lease and what was granted on it have ended.
+		lostAt = 20 * time.Second
+		backAt = 40 * time.Second
+		gap    = allotment.LeaseTime + allotment.PortionTime
+		asksAt = backAt - 4*time.Second
+		ends   = backAt + 4*time.Second
+	)
+	limit := allotment.Limit{Rate: 10, Burst: 100}
+	for _, earlier := range []time.Duration{0, 5 * time.Second} {
+		t.Run(fmt.Sprint("asked at ", earlier), func(t *testing.T) {
+			first, second := allotment.NewAccounts(0, "first"), allotment.NewAccounts(0, "second")
+			first.SetLimits(0, map[string]allotment.Limit{"w": limit})
+			second.SetLimits(0, map[string]allotment.Limit{"w": limit})
+			var all []spent
+			for now := 100 * ms; now < ends; now += 100 * ms {
+				owner, until := first, lostAt
+				switch {
+				case now >= backAt:
+					until = ends
+				case now >= lostAt:
+					owner, until = second, backAt
+				}
+				if now < until-gap {
+					owner.Lend(now, allotment.Offer{Lender: "i", Share: 1, Stamp: owner.Stamp(now)})
+				}
+				if now < asksAt && now != earlier {
+					continue
+				}
+				for owner.Grant(now, "i", allotment.Want{Workspace: "w", Amount: 5, Min: 5, Urgent: true}).Amount > 0 {
+					all = append(all, spent{now, 5})
+				}
+			}
+			assert.LessOrEqual(t, mostInWindow(all, 0), bound(limit)*1.000001)
+			assert.Positive(t, total(all, backAt, ends), "the first owner grants again")
+		})
+	}
+}
+
 // A workspace whose callers use one instance, all of them, or move between them gets nearly its
 // whole rate, though some instances are down.
 func TestWholeRateIsUsable(t *testing.T) {
