Bound the memory of all request bodies that are held at once

Cause: answers share a limit, bodies had one each.

Now all bodies share '[limits] bodies' (32 MiB), as answers share 'held': a quarter of it is kept for bodies of up to 64 KiB, and the first 4 KiB of each body are free. A body without room is refused with 503 and Retry-After 0.5 before it is read; the rest of it is discarded after the refusal is sent, as callers that first send everything would see a reset. A body without a length takes memory as it grows. The memory is given back when the request has ended; the body of a stream that has begun and can't be resumed keeps it until then.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -138,7 +138,8 @@
 	n.state.counts = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(counts), gateway.WithTimers(n.timers),
-		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held))
+		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held),
+		gateway.WithBodyMemory(n.config.Limits.Bodies))
 	return n
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -75,6 +74,7 @@
 
 	maxAnswerBytes int64 // of an answer other than a stream
 	held           *heldMemory
+	bodies         *heldMemory
 	waiting        waitingMemory
 	active         activeRequests
 	durations      shutdown.Durations // guarded by the lock of active
@@ -110,7 +110,7 @@
 	g := &Gateway{
 		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
 		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{}, pacer: noPacer{},
-		maxAnswerBytes: defaultMaxAnswerBytes, held: &heldMemory{limit: defaultHeldBytes},
+		maxAnswerBytes: defaultMaxAnswerBytes, held: &heldMemory{limit: defaultHeldBytes}, bodies: &heldMemory{limit: defaultBodyBytes},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -127,7 +127,9 @@
 	if _, leaving := g.fleet.Leaving(); leaving {
 		w.Header().Set("Connection", "close")
 	}
-	request, err := g.read(w, r)
+	memory := reservation{memory: g.bodies}
+	defer memory.release()
+	request, err := g.read(w, r, &memory)
 	if err != nil {
 		g.refuseRead(w, r, request, err)
 		return
@@ -188,7 +190,7 @@
 
 // read decodes a request and reads its whole body, so that nothing of it stays on the
 // connection and the request can be sent again.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*Request, error) {
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, memory *reservation) (*Request, error) {
 	request, err := g.codec.Decode(r)
 	if err != nil {
 		return request, err
@@ -204,12 +206,7 @@
 		return request, nil
 	}
 	body := http.MaxBytesReader(w, r.Body, int64(limit))
-	if r.ContentLength > 0 {
-		request.Body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(body, request.Body)
-		return request, err
-	}
-	request.Body, err = io.ReadAll(body)
+	request.Body, err = readBody(body, r.ContentLength, int64(limit), memory)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return request, ErrTooLarge
@@ -225,6 +222,9 @@
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		refusal.Status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoBodyMemory):
+		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, defaultRetryAfter
+		defer discardBody(w, r)
 	case errors.Is(err, ErrMalformed):
 	case r.Context().Err() != nil:
 		return // the caller has disconnected
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -14,14 +14,14 @@
 	defaultMaxAnswerBytes = 16 << 20
 	// defaultHeldBytes limits the memory of all answers that are held at once.
 	defaultHeldBytes = 24 << 20
-	// freeHeldBytes is what each answer may hold beside that limit, so that short answers are
-	// always held up to their end.
+	// freeHeldBytes is what each message may hold beside the limit, so that short answers are
+	// always held up to their end, and short bodies always read.
 	freeHeldBytes = 4 << 10
 	// maxSegmentBytes is the size of the largest segment of a held answer.
 	maxSegmentBytes = 256 << 10
 	// maxWriteBytes is the size of the largest piece of a held answer that is written at once.
 	maxWriteBytes = 64 << 10
-	// shortAnswerBytes is the size up to which answers may use all memory. Longer ones leave one
+	// shortAnswerBytes is the size up to which messages may use all memory. Longer ones leave one
 	// part in reservedDivisor of it to them.
 	shortAnswerBytes = 64 << 10
 	reservedDivisor  = 4
@@ -35,14 +35,14 @@
 	errNoHeldMemory = errors.New("no memory left to hold answers")
 )
 
-// heldMemory limits the memory of all answers that are held at once. It is safe for concurrent
-// use.
+// heldMemory limits the memory of all answers, or of all bodies, that are held at once. It is safe
+// for concurrent use.
 type heldMemory struct {
 	limit int64
 	used  atomic.Int64
 }
 
-// take takes memory for an answer that has held some before, and reports whether it was
+// take takes memory for a message that has held some before, and reports whether it was
 // available.
 func (m *heldMemory) take(bytes, before int64) bool {
 	limit := m.limit
@@ -60,13 +60,13 @@
 	}
 }
 
-// reservation is the memory that one answer has taken.
+// reservation is the memory that one answer or body has taken.
 type reservation struct {
 	memory *heldMemory
 	taken  int64
 }
 
-// resize takes what the answer needs in order to hold a number of bytes, and reports whether
+// resize takes what the message needs in order to hold a number of bytes, and reports whether
 // that was available.
 func (r *reservation) resize(bytes int) bool {
 	more := int64(bytes) - freeHeldBytes - r.taken
@@ -82,8 +82,10 @@
 
 // release returns all memory.
 func (r *reservation) release() {
-	r.memory.used.Add(-r.taken)
-	r.taken = 0
+	if r.taken > 0 {
+		r.memory.used.Add(-r.taken)
+		r.taken = 0
+	}
 }
 
 var segmentPool = sync.Pool{New: func() any { return new([maxSegmentBytes]byte) }}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -84,12 +84,14 @@
 	Over   float64
 }
 
-// GatewayLimits limits the answers of endpoints.
+// GatewayLimits limits the memory of requests and the answers of endpoints.
 type GatewayLimits struct {
 	// Answer is the size in bytes up to which an answer other than a stream is passed on.
 	Answer int64
 	// Held is the memory in bytes of all answers that are held at once until they are complete.
 	Held int64
+	// Bodies is the memory in bytes of the bodies of all requests that are served at once.
+	Bodies int64
 }
 
 // GatewayDrain configures the graceful shutdown of an instance.
@@ -131,6 +133,7 @@
 	gatewayAnswerTTL    = time.Second
 	gatewayMaxAnswer    = 16 << 20 // bytes
 	gatewayHeldAnswers  = 24 << 20 // bytes
+	gatewayBodies       = 32 << 20 // bytes
 	minAnswerLimit      = 1 << 20  // bytes
 	gatewayRevoke       = 5 * time.Second
 	gatewayFollow       = 12 // loads a second
@@ -145,7 +148,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
-		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
@@ -238,6 +241,7 @@
 		{"limits", []inifile.Field{
 			inifile.Size("answer", &c.Limits.Answer, minAnswerLimit),
 			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
+			inifile.Size("bodies", &c.Limits.Bodies, minAnswerLimit),
 		}},
 		{"drain", []inifile.Field{
 			inifile.Duration("grace", &c.Drain.Grace, time.Second),
