Accept revisions of the store of any size

What callers saw: nothing yet; the stores of the given sites count from small numbers. Past a multiple of 2^40 its revisions were read as of a new era.

Cause: revisions inside the product had the store's era in the bits from 2^40 on, and it was read from there, whether or not the store had said an era.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -11,7 +11,6 @@
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gossip"
-	"github.com/chiveramp/chiveramp/platform"
 )
 
 const (
@@ -85,7 +84,7 @@
 
 // observeRestore records the first list or changes since the store came back from an older copy.
 func (s *state) observeRestore(records []roster.Record, revision int64) {
-	if platform.RevisionEra(revision) <= platform.RevisionEra(s.roster.Revision()) {
+	if s.revisionEra(revision) <= s.revisionEra(s.roster.Revision()) {
 		return
 	}
 	newest := revision
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -127,6 +127,7 @@
 	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	n.state.loadFeatures.settings = c.Load
 	n.store = n.newStore()
+	n.state.revisionEra = func(revision int64) int64 { return n.store.RevisionEra(revision) }
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -30,6 +30,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/platform"
 )
 
 const (
@@ -76,6 +77,8 @@
 	regions map[fleet.DataCentre]fleet.Region
 	clock   func() time.Time
 	uptime  func() time.Duration
+	// revisionEra returns the store's era in which a revision was given out.
+	revisionEra func(revision int64) int64
 
 	mu      sync.Mutex
 	catalog *catalog.Catalog
@@ -189,7 +192,7 @@
 
 func newState(self member.Peer, place fleet.Place, regions map[fleet.DataCentre]fleet.Region, budget *balance.Budget, interval time.Duration, clock func() time.Time, logger log.Logger) *state {
 	return &state{
-		logger: logger, place: place, regions: regions, clock: clock, uptime: uptime,
+		logger: logger, place: place, regions: regions, clock: clock, uptime: uptime, revisionEra: new(platform.Store).RevisionEra,
 		roster: roster.New(), balancer: balance.NewBalancer(), budget: budget,
 		view:   member.New(self, member.WithInterval(interval)),
 		peers:  make(map[fleet.Instance]*peer),
--- a/internal/direct/watchers.go
+++ b/internal/direct/watchers.go
@@ -8,7 +8,6 @@
 	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/watcher"
 	"github.com/chiveramp/chiveramp/internal/gossip"
-	"github.com/chiveramp/chiveramp/platform"
 )
 
 const (
@@ -51,13 +50,13 @@
 	if s.contactRounds++; s.contactRounds > contactRounds {
 		return nil
 	}
-	return &gossip.Contact{SinceMs: now.Sub(own.Since).Milliseconds(), UntilMs: now.Sub(own.Until).Milliseconds() + 1, Era: platform.RevisionEra(s.roster.Revision())}
+	return &gossip.Contact{SinceMs: now.Sub(own.Since).Milliseconds(), UntilMs: now.Sub(own.Until).Milliseconds() + 1, Era: s.revisionEra(s.roster.Revision())}
 }
 
 // receiveContact records when the store answered a peer, as of a heartbeat that was on its way longer
 // than usual by a delay.
 func (s *state) receiveContact(now time.Time, c *gossip.Contact, delay time.Duration) {
-	if c == nil || c.Era != platform.RevisionEra(s.roster.Revision()) {
+	if c == nil || c.Era != s.revisionEra(s.roster.Revision()) {
 		return
 	}
 	sent := now.Add(-delay)
