--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -128,6 +128,7 @@
 	n.state.setRevocation(c.Workspaces.Strict, c.Workspaces.Revoke)
 	n.state.loadFeatures.settings = c.Load
 	n.store = n.newStore()
+	n.state.revisionEra = func(revision int64) int64 { return n.store.RevisionEra(revision) }
 	n.orderLease = newOrderLease(n.store, tenure.New(c.Orders.Lease, orderMargin, c.Orders.Apart+handoverMargin), c, logger)
 	n.loader = loader.New(platform.NewOrderClient(n.endpoints, c.Instance.Name), n.orderLease, n.state, clock.Now, loader.Limits{
 		Window: c.Orders.Window, Burst: c.Orders.Over, MaxMoves: maxMoves, MinGain: minMoveGain, MinDemand: minMoveDemand, StandbyCopies: standbyCopies, Follow: c.Load.Follow,
@@ -139,7 +140,8 @@
 	n.state.counts = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(counts), gateway.WithTimers(n.timers),
-		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held))
+		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held),
+		gateway.WithBodyMemory(n.config.Limits.Bodies))
 	return n
 }
 
