test: keep the platform's names of headers in its package; bound what is discarded of a body

A body without end that is refused for want of memory is discarded up to the usual limit of a body only.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -49,5 +49,5 @@
 	if c.EnableFullDuplex() != nil || c.Flush() != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // the caller has its answer
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
 }
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -34,7 +34,7 @@
 			f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
 			f.prefill = tt.prefill
 			f.replies = []gateway.Admission{{Wait: tt.hold, Hold: tt.hold}}
-			r, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m", "Deadline-Ms": "500"}, "")
+			r, err := send(t, serve(t, f), http.MethodPost, map[string]string{"Model": "m", standin.Wait: "500"}, "")
 			require.NoError(t, err)
 			assert.Equal(t, tt.wantStatus, r.status)
 			assert.Equal(t, tt.wantRuns, f.runs())
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -50,7 +50,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, tt.kind, tt.behaviour)
-			url, header := serve(t, f), map[string]string{"Model": "m", "Token-Count": "10,10"}
+			url, header := serve(t, f), map[string]string{"Model": "m", standin.Tokens: "10,10"}
 			for range tt.served {
 				r, err := send(t, url, http.MethodPost, header, "")
 				require.NoError(t, err)
@@ -58,7 +58,7 @@
 			}
 			f.shutDownIn(tt.closes)
 			if tt.wait != "" {
-				header["Deadline-Ms"] = tt.wait
+				header[standin.Wait] = tt.wait
 			}
 			r, err := send(t, url, http.MethodPost, header, "")
 			require.NoError(t, err)
@@ -92,13 +92,13 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, catalog.KindStream, tt.behaviour)
-			url, header := serve(t, f), map[string]string{"Model": "m", "Token-Count": tt.before}
+			url, header := serve(t, f), map[string]string{"Model": "m", standin.Tokens: tt.before}
 			f.runners[0].SetEventInterval(10 * ms)
 			f.route.Name = tt.route
 			_, err := send(t, url, http.MethodPost, header, "")
 			require.NoError(t, err)
 			f.runners[0].SetBehaviour(standin.BehaviourNone)
-			f.route.Name, header["Token-Count"] = "r", tt.then
+			f.route.Name, header[standin.Tokens] = "r", tt.then
 			if tt.route != "r" {
 				_, err := send(t, url, http.MethodPost, header, "")
 				require.NoError(t, err)
@@ -125,7 +125,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, catalog.KindStream, standin.BehaviourPause)
 			f.route.Timeout, f.replies = 5*time.Second, tt.replies
-			url, header := serve(t, f), map[string]string{"Model": "m", "Token-Count": "10,10"}
+			url, header := serve(t, f), map[string]string{"Model": "m", standin.Tokens: "10,10"}
 			r, err := send(t, url, http.MethodPost, header, "")
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, r.status)
