--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/shutdown"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // shutdownRetryAfter is the retry delay of requests refused since the instance shuts down: other instances
@@ -15,7 +16,7 @@
 // answer has begun goes on, since its rest may still be in time.
 func (j *job) checkShutdown(ctx context.Context) error {
 	closes, leaving := j.gateway.fleet.Leaving()
-	if !leaving || j.delivery.begun() {
+	if !leaving || j.delivery.begun() || switches.Off(switches.ShutdownCheck) {
 		return nil
 	}
 	if now := j.gateway.clock(); now.Add(j.needs(ctx, now)).After(closes) {
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -49,6 +49,8 @@
 	StreamVersion Mechanism = "version"
 	// StreamRecords records in the store which version began a stream.
 	StreamRecords Mechanism = "records"
+	// ShutdownCheck refuses requests that a planned stop would cut.
+	ShutdownCheck Mechanism = "shutdown"
 )
 
 // CrashPoint names a point in the code at which tests can make a process crash.
