fix: limit the heads of endpoints to 16 KB

Callers of all services lose their requests if an instance runs out of memory because it holds large heads of a faulty endpoint, complete or not.

net/http needs more than a hundred bytes for a header field of a few bytes: a head of 60 KB with 9191 fields took 979 KB for as long as its request was under way. The limit of 64 KB counts only the bytes received.

--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -223,24 +223,40 @@
 	}
 }
 
-// A head without end must not fill the memory.
-func TestHeadsWithoutEndAreErrors(t *testing.T) {
-	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
-		connection, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = connection.Close() }()
-		_, err = io.WriteString(connection, "HTTP/1.1 200 OK\r\n")
-		for line := strings.Repeat("x-endless: line\r\n", 1<<10); err == nil; {
-			_, err = io.WriteString(connection, line)
-		}
-	})
-	client := New()
-	defer client.Close()
-	_, err := client.State(t.Context(), addr)
-	require.ErrorContains(t, err, addr)
-	require.ErrorContains(t, err, "headers exceeded 65536 bytes")
+// A head without end must not fill the memory, nor many heads of small fields, which need many times
+// their length.
+func TestLargeHeadsAreErrors(t *testing.T) {
+	var fields strings.Builder
+	for n := 0; fields.Len() < 60<<10; n++ {
+		fmt.Fprintf(&fields, "%x:\r\n", n)
+	}
+	tests := []struct {
+		name, head string
+		repeat     string // written after the head until the connection closes
+	}{
+		{name: "without end", head: "HTTP/1.1 200 OK\r\n", repeat: strings.Repeat("x-endless: line\r\n", 1<<10)},
+		{name: "many fields", head: "HTTP/1.1 200 OK\r\n" + fields.String() + "Content-Length: 2\r\n\r\n{}"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				connection, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = connection.Close() }()
+				_, err = io.WriteString(connection, tt.head)
+				for tt.repeat != "" && err == nil {
+					_, err = io.WriteString(connection, tt.repeat)
+				}
+			})
+			client := New()
+			defer client.Close()
+			_, err := client.State(t.Context(), addr)
+			require.ErrorContains(t, err, addr)
+			require.ErrorContains(t, err, "headers exceeded 16384 bytes")
+		})
+	}
 }
 
 // A head whose status no answer may have is a cut: what follows it is no answer either.
--- a/internal/endpoint/sent.go
+++ b/internal/endpoint/sent.go
@@ -12,7 +12,7 @@
 )
 
 // maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
+const maxHeadBytes = 16 << 10
 
 var errSealed = errors.New("connection closed to writes: its request was abandoned or already sent")
 
