fix(heap): adjust the collector's percentage after each collection

A burst of streams that a faulty runner fills with comments or empty lines brought an instance above its memory, which ends it with the requests of all its callers.

The percentage was recalculated once a second. A live heap that grew from a few MB to tens of MB within that second was multiplied by the percentage of the small one, up to 400.

The percentage is now also adjusted after each collection while requests arrive. TestGarbageIsBoundedWhileTheLiveHeapGrows failed before.

--- a/internal/heap/heap.go
+++ b/internal/heap/heap.go
@@ -5,6 +5,7 @@
 
 import (
 	"os"
+	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
 	"sync"
@@ -39,26 +40,31 @@
 	timers     Timers
 	liveBytes  func() uint64
 	setPercent func(percent int)
+	// afterCollection calls a function once, after the next collection.
+	afterCollection func(fn func())
 
 	lastRequest atomic.Int64 // time of the last request, in Unix nanoseconds
 	active      atomic.Bool
 
-	mu      sync.Mutex
-	percent int
-	cancel  func()
+	mu        sync.Mutex
+	percent   int
+	cancel    func()
+	observing bool // collected is called after the next collection
 }
 
 // Option configures a Pacer.
 type Option func(*Pacer)
 
-// WithHeap replaces the functions that read and adjust the process's own heap.
-func WithHeap(liveBytes func() uint64, setPercent func(percent int)) Option {
-	return func(p *Pacer) { p.liveBytes, p.setPercent = liveBytes, setPercent }
+// WithHeap replaces the functions that read, adjust and observe the process's own heap.
+func WithHeap(liveBytes func() uint64, setPercent func(percent int), afterCollection func(fn func())) Option {
+	return func(p *Pacer) {
+		p.liveBytes, p.setPercent, p.afterCollection = liveBytes, setPercent, afterCollection
+	}
 }
 
 // New returns a pacer for the process's heap.
 func New(timers Timers, opts ...Option) *Pacer {
-	p := &Pacer{timers: timers, liveBytes: readLiveBytes, setPercent: percentSetter(), percent: minPercent}
+	p := &Pacer{timers: timers, liveBytes: readLiveBytes, setPercent: percentSetter(), afterCollection: afterCollection, percent: minPercent}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -90,6 +96,22 @@
 	}
 	p.adjust()
 	p.cancel = p.timers.Every(checkInterval, 0, p.check)
+	if !p.observing {
+		p.observing = true
+		p.afterCollection(p.collected)
+	}
+}
+
+// collected adjusts the percentage after a collection. Until the next check, a live heap that has
+// just grown would be multiplied by the percentage of a small one.
+func (p *Pacer) collected() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observing = p.active.Load()
+	if p.observing {
+		p.adjust()
+		p.afterCollection(p.collected)
+	}
 }
 
 func (p *Pacer) check(now time.Time) {
@@ -127,6 +149,14 @@
 
 func abs(n int) int { return max(n, -n) }
 
+// sentinel is large enough not to share an allocation with other objects, which would keep it alive.
+type sentinel [4]uintptr
+
+// afterCollection calls a function once, after the next collection.
+func afterCollection(fn func()) {
+	runtime.AddCleanup(new(sentinel), func(fn func()) { fn() }, fn)
+}
+
 // readLiveBytes returns the size of the live heap at the last collection.
 func readLiveBytes() uint64 {
 	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
