test: bytes that are no answer end the attempt, and the next endpoint answers

Trailers, chunk extensions, bodies behind errors and refusals, an event, comments, empty lines and retry fields without end, with fakes.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -93,6 +93,52 @@
 	}
 }
 
+// endlessTimeout is the time in which an attempt at an endpoint must end that sends bytes without end.
+const endlessTimeout = 3 * time.Second
+
+// Bytes that make no answer must end the attempt, and the caller gets the answer of the next endpoint.
+func TestBytesThatAreNoAnswerEndTheAttempt(t *testing.T) {
+	const chunks, comment = "Transfer-Encoding: chunked\r\n\r\n", ": still here\n\n"
+	refusal := strings.Replace(errorHead, "500 Internal Server Error", "503 Full\r\nNot-Run: 1", 1)
+	tests := []struct {
+		name string
+		kind catalog.Kind
+		raw  standin.RawAnswer
+	}{
+		{name: "trailers", kind: catalog.KindSafe, raw: standin.RawAnswer{Text: jsonHead + chunks + "2\r\n{}\r\n0\r\n", Repeat: "X-More: more\r\n"}},
+		{name: "chunks with extensions", kind: catalog.KindSafe, raw: standin.RawAnswer{Text: jsonHead + chunks, Repeat: "1;extension=of-one-byte\r\n \r\n"}},
+		{name: "body of an error", kind: catalog.KindSafe, raw: standin.RawAnswer{Text: errorHead + "\r\n", Repeat: "more"}},
+		{name: "body of a refusal", kind: catalog.KindUnsafe, raw: standin.RawAnswer{Text: refusal + "\r\n", Repeat: "more"}},
+		{name: "event", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\nid: 1\ndata: ", Repeat: "more"}},
+		{name: "comments", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\n", Repeat: comment}},
+		{name: "comments after an event", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\nid: 1\ndata: piece 1\n\n", Repeat: comment}},
+		{name: "empty lines", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\n", Repeat: "\n"}},
+		{name: "retry fields", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\n", Repeat: "retry: 1\n\n"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, tt.kind, standin.BehaviourNone, standin.BehaviourNone)
+			f.route.Timeout = 2 * endlessTimeout
+			f.route.Resumable = tt.kind == catalog.KindStream
+			f.runners[0].SetRaw(tt.raw)
+			method, header, want := http.MethodGet, map[string]string{}, "done r1"
+			if tt.kind != catalog.KindSafe {
+				method = http.MethodPost
+			}
+			if tt.kind == catalog.KindStream {
+				header["Model"], want = "m", completeStream
+			}
+			began := time.Now()
+			answer, err := send(t, serve(t, f), method, header, "")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, answer.status)
+			assert.Equal(t, want, strings.ReplaceAll(answer.body, comment, ""))
+			assert.Less(t, time.Since(began), endlessTimeout)
+			assert.Equal(t, 2, f.runs())
+		})
+	}
+}
+
 // serveWithLimits serves a fleet without stall timeouts.
 func serveWithLimits(t *testing.T, f *fakeFleet, answer, held int64) string {
 	t.Helper()
