test: crash tests of nine instances run beside each other

TestPolledRequestsAreNotPoison, TestSoundPromptPartsAreNotConvicted and TestCrashingRequestAfterTheLossOfAllInstances are in virtual time, but ran one case after the other. Each case has its own clock, random numbers and instances; bounds, seeds and checks are unchanged.

--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -207,6 +207,7 @@
 // Endpoints that end for another reason don't make the requests that callers send again and again
 // poison requests.
 func TestPolledRequestsAreNotPoison(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name     string
 		settings promptSiteSettings
@@ -219,8 +220,10 @@
 	} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
-				c.settings.seed, c.settings.instances, c.settings.soundRate, c.settings.polled = seed, 9, 25, 0.8
-				p := newPromptSite(t, c.settings)
+				t.Parallel()
+				settings := c.settings
+				settings.seed, settings.instances, settings.soundRate, settings.polled = seed, 9, 25, 0.8
+				p := newPromptSite(t, settings)
 				p.run(60 * time.Second)
 				assert.Empty(t, p.refused)
 			})
--- a/internal/direct/prompt_test.go
+++ b/internal/direct/prompt_test.go
@@ -70,6 +70,7 @@
 // Endpoints that end or break connections for another reason than a request don't convict the
 // parts of the prompts that were in flight.
 func TestSoundPromptPartsAreNotConvicted(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name     string
 		settings promptSiteSettings
@@ -84,8 +85,10 @@
 	} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
-				c.settings.seed, c.settings.instances, c.settings.soundRate, c.settings.hot = seed, 9, 25, 0.7
-				p := newPromptSite(t, c.settings)
+				t.Parallel()
+				settings := c.settings
+				settings.seed, settings.instances, settings.soundRate, settings.hot = seed, 9, 25, 0.7
+				p := newPromptSite(t, settings)
 				p.run(30 * time.Second)
 				assert.Empty(t, p.refused)
 			})
--- a/internal/direct/restart_test.go
+++ b/internal/direct/restart_test.go
@@ -23,6 +23,7 @@
 
 // A request that was refused since it crashes endpoints is sent on once all instances have started again.
 func TestCrashingRequestAfterTheLossOfAllInstances(t *testing.T) {
+	t.Parallel()
 	const stable = 4 * time.Second
 	for _, c := range []struct {
 		name   string
@@ -37,6 +38,7 @@
 	} {
 		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				t.Parallel()
 				p := newPromptSite(t, promptSiteSettings{
 					instances: 9, identical: true, seed: seed, crashingRate: c.rate, crashingFrom: 2 * time.Second, soundRate: 25, hot: 0.7, polled: 0.3,
 				})
