--- a/internal/core/allotment/accounts.go
+++ b/internal/core/allotment/accounts.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// limitAll drops the credit of every account beyond what the shares that are left back, those
-// that nobody asks for too: the shares that are lost back other owners' credit from now on.
+// limitAll lowers the credit of every account to what the remaining shares cover, also of accounts without
+// requests: the next owner of the lost shares grants the same credit.
 func (b *Accounts) limitAll(now time.Duration) {
 	for name := range b.limits {
 		b.update(now, b.account(name))
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -71,8 +71,8 @@
 	return r
 }
 
-// needs returns how long a request may take, 0 if nothing tells. Those that run count with how long they
-// have run.
+// needs returns how long a request may take, 0 if it has no deadline and no request of its kind is known.
+// Requests that run count with how long they have run.
 func (g *shutdownGuard) needs(r *guardedRequest, deadline int64) time.Duration {
 	for other := range g.running {
 		g.durations.Record(r.since, other.kind, other.size, r.since.Sub(other.since))
