fix(gateway): take the memory of a body as its bytes arrive

Cause: the memory of a body of known length was taken before its first byte.

Now it is taken as bytes arrive, 16 KB at first and doubled with what has come, up to the length. A body that doesn't fit as it begins is still refused before anything of it is read, by a look that takes nothing. While a body grows its old and new memory are both there.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -10,22 +10,21 @@
 // defaultBodyBytes limits the memory of the bodies of all requests.
 const defaultBodyBytes = 32 << 20
 
+// firstBodyBytes is what is taken for a body before any of it has arrived.
+const firstBodyBytes = 16 << 10
+
 // errNoBodyMemory is returned if the memory for bodies is used up.
 var errNoBodyMemory = errors.New("no memory left to hold the body")
 
 // WithBodyMemory limits the memory of the bodies of all requests that are served at once.
 func WithBodyMemory(bytes int64) Option { return func(g *Gateway) { g.bodies.limit = bytes } }
 
-// readBody reads a body of a length, negative if it isn't known, up to a limit. It takes the memory
-// for the bytes before it reads them.
+// readBody reads a body of a length, negative if it isn't known, up to a limit. It takes memory as the bytes
+// arrive, so that callers which state a long body and send nothing keep out nobody. It reads nothing of
+// a body that there is no memory for at present.
 func readBody(body io.Reader, length, limit int64, memory *reservation) ([]byte, error) {
 	if length >= 0 {
-		if !memory.resize(int(length)) {
-			return nil, errNoBodyMemory
-		}
-		text := make([]byte, length)
-		_, err := io.ReadFull(body, text)
-		return text, err
+		return readLength(body, int(length), memory)
 	}
 	held := newHeldAnswer(memory.memory)
 	defer held.release()
@@ -39,6 +38,24 @@
 	return slices.Concat(held.segments...), nil
 }
 
+// readLength reads a body of a known length into memory that doubles with what has arrived.
+func readLength(body io.Reader, length int, memory *reservation) ([]byte, error) {
+	if !memory.fits(length) {
+		return nil, errNoBodyMemory
+	}
+	var text []byte
+	for size := min(length, firstBodyBytes); ; size = min(length, 2*size) {
+		if !memory.resize(size) {
+			return nil, errNoBodyMemory
+		}
+		text = append(make([]byte, 0, size), text...)
+		n, err := io.ReadFull(body, text[len(text):size])
+		if text = text[:len(text)+n]; err != nil || len(text) == length {
+			return text, err
+		}
+	}
+}
+
 // discardBody sends a refusal, and then reads the body without holding it: many callers read nothing
 // before they have sent everything, and would see a connection that is reset.
 func discardBody(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -45,10 +45,7 @@
 // take takes memory for a message that has held some before, and reports whether it was
 // available.
 func (m *heldMemory) take(bytes, before int64) bool {
-	limit := m.limit
-	if before+bytes > shortAnswerBytes {
-		limit -= limit / reservedDivisor
-	}
+	limit := m.limitOf(before + bytes)
 	for {
 		used := m.used.Load()
 		if used+bytes > limit {
@@ -60,6 +57,14 @@
 	}
 }
 
+// limitOf returns the limit that holds for a message of a size.
+func (m *heldMemory) limitOf(size int64) int64 {
+	if size > shortAnswerBytes {
+		return m.limit - m.limit/reservedDivisor
+	}
+	return m.limit
+}
+
 // reservation is the memory that one answer or body has taken.
 type reservation struct {
 	memory *heldMemory
@@ -80,6 +85,12 @@
 	return true
 }
 
+// fits reports whether a message of a number of bytes could be held now. It takes nothing.
+func (r *reservation) fits(bytes int) bool {
+	size := int64(bytes) - freeHeldBytes
+	return size <= r.taken || r.memory.used.Load()+size-r.taken <= r.memory.limitOf(size)
+}
+
 // release returns all memory.
 func (r *reservation) release() {
 	if r.taken > 0 {
