Keep the time in which callers read out of what other requests may take

Cause: the duration that is recorded for a route ended when the answer was written, so it included the time in which the caller did not read.

The time of writes is measured and left out of it. A caller that reads slowly needs that time itself, so the longest of a connection is added for its own requests (http.Server.ConnContext); a slow caller's first request on a connection has no such allowance.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -198,7 +198,9 @@
 	n.tasks = timer.NewTasks(lifetime, n.timers, n.group)
 	peerServer := gossip.NewServer(n)
 	n.group.Go(func() error { return serveError("peers", peerServer.Serve(listeners.peer)) })
-	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) { s.ConnState = n.callers.Observe })
+	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) {
+		s.ConnState, s.ConnContext = n.callers.Observe, gateway.ConnContext
+	})
 	directoryServer := n.serveHTTP("directory", listeners.directory, platform.Directory(n.addresses))
 	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
 	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -144,8 +144,10 @@
 func serveWithLimits(t *testing.T, f *fakeFleet, answer, held int64) string {
 	t.Helper()
 	f.route.Timeout = 4 * time.Second
-	server := httptest.NewServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now,
+	server := httptest.NewUnstartedServer(gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now,
 		gateway.WithAnswerLimits(answer, held)))
+	server.Config.ConnContext = gateway.ConnContext
+	server.Start()
 	t.Cleanup(server.Close)
 	return server.URL
 }
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -43,6 +43,9 @@
 	firstByte    time.Duration
 	longestPause time.Duration // longest time between two writes of a stream's events
 	passedAt     time.Time     // when events were last passed on
+	// written is the time that writes took, writeBegan when the present one began, 0 for none.
+	written    time.Duration
+	writeBegan time.Time
 }
 
 // register adds an attempt that is about to be sent, and returns the event after which its
@@ -191,11 +194,42 @@
 	if err := d.extendDeadline(); err != nil {
 		return 0, err
 	}
-	n, err := d.writer.Write(b)
+	var n int
+	err := d.write(func() (err error) {
+		n, err = d.writer.Write(b)
+		return err
+	})
+	return n, err
+}
+
+// write measures how long a write takes, which is how long the caller takes to read what is ahead of it.
+func (d *delivery) write(fn func() error) error {
+	d.setWriteBegan(d.clock())
+	err := fn()
+	d.setWriteBegan(time.Time{})
 	if err != nil {
-		return n, fmt.Errorf("write to caller: %w", err)
+		return fmt.Errorf("write to caller: %w", err)
+	}
+	return nil
+}
+
+func (d *delivery) setWriteBegan(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.writeBegan.IsZero() {
+		d.written += d.clock().Sub(d.writeBegan)
+	}
+	d.writeBegan = at
+}
+
+// writeTime returns the time that writes have taken so far.
+func (d *delivery) writeTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.writeBegan.IsZero() {
+		return d.written
 	}
-	return n, nil
+	return d.written + d.clock().Sub(d.writeBegan)
 }
 
 // extendDeadline gives the next write, also that of the end of the answer, one timeout from now.
@@ -247,8 +281,8 @@
 	if _, err := d.Write(events); err != nil {
 		return err
 	}
-	if err := d.controller.Flush(); err != nil {
-		return fmt.Errorf("flush to caller: %w", err)
+	if err := d.write(d.controller.Flush); err != nil {
+		return err
 	}
 	d.passed(a)
 	return nil
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -39,6 +39,8 @@
 	arrived  time.Time
 	active   *activeRequest
 	delivery *delivery
+	// connection is the caller's.
+	connection *connection
 
 	// identity is the same for every attempt at the request.
 	identity suspect.Identity
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -34,7 +34,7 @@
 func (j *job) needs(ctx context.Context, now time.Time) time.Duration {
 	need := j.timeLeft(ctx)
 	if allowance, ok := j.gateway.allowance(now, j); ok {
-		need = min(need, allowance)
+		need = min(need, allowance+j.connection.readTime())
 	}
 	return need
 }
@@ -89,6 +89,7 @@
 // recordDuration records how long a complete answer took.
 func (g *Gateway) recordDuration(j *job) {
 	now := g.clock()
+	j.connection.record(j.delivery.writeTime())
 	g.active.mu.Lock()
 	defer g.active.mu.Unlock()
 	if !j.active.sentAt.IsZero() {
@@ -96,10 +97,12 @@
 	}
 }
 
-// recordAge records how long ago a request was first sent. The requests must be locked.
+// recordAge records how long ago a request was first sent, without the time in which its caller read: that
+// says nothing of the requests of others. The requests must be locked.
 func (g *Gateway) recordAge(now time.Time, r *activeRequest) {
+	age := now.Sub(r.sentAt) - r.job.delivery.writeTime()
 	for _, k := range r.job.durationKinds() {
-		g.durations.Record(now, k, r.job.size(), now.Sub(r.sentAt))
+		g.durations.Record(now, k, r.job.size(), age)
 	}
 }
 
