fix(gateway): limit the id of an event

An endpoint's event with an id of up to 1 MB was passed on. The id is kept as long as its stream, beside the memory that is counted, and sent to the next endpoint in Last-Event-Id, where it is longer than a header may be.

Ids of more than 4 KB make no event, so the attempt ends and the next endpoint answers. TestBytesThatAreNoAnswerEndTheAttempt/id_of_an_event (200 KB) failed before: one run, the answer of the faulty endpoint.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -110,6 +110,7 @@
 		{name: "body of an error", kind: catalog.KindSafe, raw: standin.RawAnswer{Text: errorHead + "\r\n", Repeat: "more"}},
 		{name: "body of a refusal", kind: catalog.KindUnsafe, raw: standin.RawAnswer{Text: refusal + "\r\n", Repeat: "more"}},
 		{name: "event", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\nid: 1\ndata: ", Repeat: "more"}},
+		{name: "id of an event", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\nid: " + strings.Repeat("1", 200<<10) + "\ndata: piece 1\n\n"}},
 		{name: "comments", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\n", Repeat: comment}},
 		{name: "comments after an event", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\nid: 1\ndata: piece 1\n\n", Repeat: comment}},
 		{name: "empty lines", kind: catalog.KindStream, raw: standin.RawAnswer{Text: streamHead + "\r\n", Repeat: "\n"}},
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -46,6 +46,9 @@
 // maxLoggedID is the length up to which the id of a faulty event is logged.
 const maxLoggedID = 64
 
+// maxIDBytes limits the id of an event, which is kept and sent in a header field to go on after the event.
+const maxIDBytes = 4 << 10
+
 // maxOtherIDs limits the ids that are remembered of a stream whose ids are no numbers.
 const maxOtherIDs = 4096
 
@@ -166,7 +169,7 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "id":
-			if e.id != "" {
+			if e.id != "" || len(value) > maxIDBytes {
 				return e, false
 			}
 			e.id = string(bytes.TrimSpace(value))
