Close the caller's connection after every refusal of a stopping instance

Every refusal goes through one function that sets it, as answers do.

TestAnswerAfterTheSignalClosesItsConnection, its new case failed without the change, passes.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -164,16 +164,16 @@
 	if length >= 0 {
 		d.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	d.closeIfLeaving()
+	closeIfLeaving(d.writer, d.leaving)
 	d.status, d.started = answer.Status, true
 	d.writer.WriteHeader(answer.Status)
 }
 
 // closeIfLeaving has the connection closed after the answer if the instance is shutting down, so that the
 // caller uses it for no further request.
-func (d *delivery) closeIfLeaving() {
-	if _, leaving := d.leaving(); leaving {
-		d.writer.Header().Set("Connection", "close")
+func closeIfLeaving(w http.ResponseWriter, leaving func() (closes time.Time, leaving bool)) {
+	if _, leaves := leaving(); leaves {
+		w.Header().Set("Connection", "close")
 	}
 }
 
@@ -314,7 +314,7 @@
 
 // refuse answers with a refusal of the gateway itself.
 func (d *delivery) refuse(r Refusal) {
-	d.closeIfLeaving()
+	closeIfLeaving(d.writer, d.leaving)
 	d.status = r.Status
 	d.codec.Refuse(d.writer, r)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,9 +126,7 @@
 	controller := http.NewResponseController(w)
 	active := g.active.add(arrived, func() { _ = controller.SetReadDeadline(arrived) }) // it can't fail for a server's connection
 	defer g.active.remove(active)
-	if _, leaving := g.fleet.Leaving(); leaving {
-		w.Header().Set("Connection", "close")
-	}
+	closeIfLeaving(w, g.fleet.Leaving)
 	memory := reservation{memory: g.bodies}
 	defer memory.release()
 	request, err := g.read(w, r, &memory)
@@ -221,6 +219,12 @@
 	return request, err
 }
 
+// refuse answers with a refusal of the gateway itself.
+func (g *Gateway) refuse(w http.ResponseWriter, r Refusal) {
+	closeIfLeaving(w, g.fleet.Leaving)
+	g.codec.Refuse(w, r)
+}
+
 func (g *Gateway) refuseRead(w http.ResponseWriter, r *http.Request, request *Request, err error) {
 	refusal := Refusal{Status: http.StatusBadRequest, Reason: err.Error()}
 	if request != nil {
@@ -239,7 +243,7 @@
 		return // the caller has disconnected
 	}
 	_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "err", err)
-	g.codec.Refuse(w, refusal)
+	g.refuse(w, refusal)
 }
 
 func (g *Gateway) refuseRoute(w http.ResponseWriter, request *Request, err error) {
@@ -248,7 +252,7 @@
 		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, noCatalogRetryAfter
 	}
 	_ = g.logger.Log("step", "refuse", "id", request.ID, "status", refusal.Status, "host", request.Host, "path", request.Path, "err", err)
-	g.codec.Refuse(w, refusal)
+	g.refuse(w, refusal)
 }
 
 // admitKey checks a request's key and returns its workspace, nil if the route needs no key. If
@@ -272,7 +276,7 @@
 	}
 	_ = g.logger.Log("step", "refuse key", "id", request.ID, "status", refusal.Status, "route", route.Name, "version", version, "workspace", name, "confirmed", age, "given", !request.Key.IsZero(), "err", err)
 	g.stats.KeyRefused(refusal.Status)
-	g.codec.Refuse(w, refusal)
+	g.refuse(w, refusal)
 	return nil, err
 }
 
@@ -302,7 +306,7 @@
 	}
 	_ = g.logger.Log("step", "refuse allotment", "id", request.ID, "status", refusal.Status, "workspace", workspace.Name, "cost", cost, "wait", refusal.RetryAfter, "err", err)
 	g.stats.Workspace(workspace.Name, refusal.Status)
-	g.codec.Refuse(w, refusal)
+	g.refuse(w, refusal)
 	return charge, err
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -223,18 +224,27 @@
 		name      string
 		kind      catalog.Kind
 		behaviour standin.Behaviour
+		host      string
+		slow      bool // its body has ended only after the signal
 	}{
 		{name: "answer", kind: catalog.KindSafe, behaviour: standin.BehaviourLate},
 		{name: "stream", kind: catalog.KindStream, behaviour: standin.BehaviourLate},
 		{name: "refusal", kind: catalog.KindUnsafe, behaviour: standin.BehaviourMute},
+		{name: "refusal without a route", kind: catalog.KindUnsafe, host: "other.example", slow: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, tt.kind, tt.behaviour)
 			time.AfterFunc(100*time.Millisecond, func() { f.shutDownIn(time.Minute) })
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, serve(t, f)+"/x", http.NoBody)
+			body := io.Reader(http.NoBody)
+			if tt.slow {
+				r, w := io.Pipe()
+				time.AfterFunc(200*time.Millisecond, func() { _ = w.Close() })
+				body = r
+			}
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, serve(t, f)+"/x", body)
 			require.NoError(t, err)
-			request.Host = "board.example"
+			request.Host = cmp.Or(tt.host, "board.example")
 			request.Header.Set("Request-Id", "r1")
 			response, err := http.DefaultClient.Do(request)
 			require.NoError(t, err)
