fix(direct): connections to peers outlast a link that fills at once

Cause: limits of calls over a link follow its queue, which is measured by the delays of heartbeats that arrive. While a link fills within a second none has shown the queue yet, and while none arrives for two windows there is none: the allowance is 0 when it is needed most. Heartbeats then ended after 2.6 s and closed connections that were sound.

Change: round trips of heartbeats to a region are measured at the sender, and one that waits counts before its answer; limits follow them too.

--- a/internal/direct/full_link_test.go
+++ b/internal/direct/full_link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -96,6 +98,7 @@
 	full := new(linkQueue)
 	const instances = 12
 	f = newTestFleet(t, instances, withRegions(full, func(i int) bool { return i%2 == 1 }))
+	f.full = full
 	f.store.Set(platform.CatalogKey, standin.Configuration(1, 3))
 	for _, id := range []string{"stays", "removed", "leaving"} {
 		f.store.Set(platform.EntryPrefix+id, standin.EntryText(id, "board", "a"))
@@ -161,6 +164,40 @@
 	}
 }
 
+// A link fills within a moment, so that heartbeats wait before any has shown a queue, and so do the answers
+// to those that are sent: the connections must outlast it.
+func TestDepartureIsLateOverALinkThatFillsAtOnce(t *testing.T) {
+	for _, wait := range []time.Duration{1500 * time.Millisecond, 1900 * time.Millisecond} {
+		for _, phase := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%s, after %s", wait, phase), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f, end := newFullLinkFleet(t, 0)
+					defer end()
+					f.full.set(wait)
+					time.Sleep(phase)
+					f.store.Remove(platform.EntryPrefix + "removed")
+					removed := f.inForceAfter(func(n *fleetNode) bool { return !n.state.usable("removed") })
+					resets := f.resets()
+					f.full.set(0)
+					time.Sleep(link.MaxAllowance) // what is on the link arrives
+					t.Logf("removed after %s, %d connections to peers closed", removed, resets)
+					assert.Less(t, removed, drainBoundOfRegions)
+					assert.Zero(t, resets)
+				})
+			})
+		}
+	}
+}
+
+// resets counts the connections to peers that were closed as a heartbeat had no answer in time.
+func (f *testFleet) resets() (all int64) {
+	for _, n := range f.nodes {
+		all += metrics.GetOrRegisterCounter("peer_resets", n.registry).Count()
+	}
+	return all
+}
+
 // inForceAfter returns how long it takes until something holds at all instances.
 func (f *testFleet) inForceAfter(holds func(*fleetNode) bool) (worst time.Duration) {
 	const step = 20 * time.Millisecond
--- a/internal/direct/links.go
+++ b/internal/direct/links.go
@@ -39,19 +39,53 @@
 			there = max(there, p.heartbeat.QueueFrom(s.place.Region))
 		}
 	}
-	return link.Allowance(there, back)
+	return max(link.Allowance(there, back), link.Allowance(s.roundTrips.Longest(now, region), 0))
 }
 
 // peerAllowance returns the allowance for a call to a peer, and whether it stands in another region.
 func (s *state) peerAllowance(address string) (allowance time.Duration, far bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p := s.farPeer(address); p != nil {
+		return farMargin + s.allowance(s.clock(), p.heartbeat.Place.Region), true
+	}
+	return 0, false
+}
+
+// farPeer returns the peer with an address if it stands in another region, else nil.
+func (s *state) farPeer(address string) *peer {
 	for _, p := range s.peers {
 		if p.heartbeat.Peer.Address == address && p.heartbeat.Place.Region != s.place.Region {
-			return farMargin + s.allowance(s.clock(), p.heartbeat.Place.Region), true
+			return p
 		}
 	}
-	return 0, false
+	return nil
+}
+
+// heartbeatSent records a heartbeat to a peer, heartbeatAnswered its answer.
+func (s *state) heartbeatSent(now time.Time, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.farPeer(address); p != nil {
+		s.roundTrips.Sent(now, p.heartbeat.Place.Region)
+	}
+}
+
+func (s *state) heartbeatAnswered(now, sent time.Time, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.farPeer(address); p != nil {
+		s.roundTrips.Answered(now, sent, p.heartbeat.Place.Region)
+	}
+}
+
+// hasStalled reports whether the connection to a peer is at fault if a heartbeat has no answer in time,
+// rather than a link that has filled since it was sent.
+func (s *state) hasStalled(now, sent time.Time, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.farPeer(address)
+	return p == nil || s.roundTrips.Stalled(now, sent, p.heartbeat.Place.Region)
 }
 
 // storeAllowance returns the allowance for a call to the store, which may stand in any region.
--- a/internal/direct/removal_test.go
+++ b/internal/direct/removal_test.go
@@ -30,6 +30,7 @@
 	t     *testing.T
 	store *standin.Store
 	nodes []*fleetNode
+	full  *linkQueue // between its regions, if it has several
 	stop  func()
 	group *errgroup.Group
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -166,6 +166,7 @@
 	unsentAnswers map[string][]gossip.Answer
 	counts        counts
 	links         *link.Tracker // from other regions
+	roundTrips    *link.RoundTrips
 	fullLinks     map[fleet.Region]time.Duration
 }
 
@@ -200,7 +201,7 @@
 		failedEndpoints: make(map[fleet.Endpoint]gossip.Incarnation),
 		departed:        make(map[incarnation]bool), brokenEndpoints: make(map[incarnation]*brokenEndpoint), crashes: suspect.NewCrashRecord(settleBeats * interval), reviews: make(map[suspect.Key]time.Time),
 		origins: origin.NewTable(), paths: path.NewTable(), relayPeers: make(map[fleet.Instance]struct{}), schedules: make(schedules), shares: make(map[catalog.Service]*fairshare.Shares), limits: make(map[incarnation]*endpointLimit), admitterDownUntil: make(map[fleet.Instance]time.Time),
-		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region),
+		revocationTime: defaultRevocationTime, allotments: newAllotments(uptime(), self), links: link.NewTracker(place.Region), roundTrips: link.NewRoundTrips(),
 		loadFeatures: loadFeatures{announced: feature.Announced()}, build: build.Version(),
 		reported: backlog.NewTable(), random: rand.Float64, slowness: balance.NewSlowness(), delays: make(map[incarnation]*backlog.Delay), caches: make(map[incarnation]*endpointCache),
 		expectations: make(map[*balance.Request]expectation), unsentAnswers: make(map[string][]gossip.Answer), counts: newStats(metrics.NewRegistry()),
--- a/internal/direct/sync.go
+++ b/internal/direct/sync.go
@@ -267,16 +267,20 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat to a peer. Without an answer in time the connection is replaced: it may
+// sendHeartbeat sends a heartbeat to a peer. Without an answer in time the connection is replaced if it may
 // have stalled permanently.
 func (n *Node) sendHeartbeat(ctx context.Context, address string, payload *gossip.PackedHeartbeat, allowance time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout+allowance)
 	defer cancel()
-	sent := n.state.uptime()
+	sent, sentAt := n.state.uptime(), n.clock()
+	n.state.heartbeatSent(sentAt, address)
 	ack, err := n.gossip.Heartbeat(ctx, address, payload)
 	switch {
 	case err == nil:
+		n.state.heartbeatAnswered(n.clock(), sentAt, address)
 		n.state.receiveAck(sent, ack)
+	case ctx.Err() != nil && !n.state.hasStalled(n.clock(), sentAt, address):
+		_ = level.Info(n.logger).Log("step", "unanswered", "peer", address, "after", n.state.uptime()-sent)
 	case ctx.Err() != nil:
 		metrics.GetOrRegisterCounter("peer_resets", n.registry).Inc(1)
 		_ = level.Warn(n.logger).Log("step", "reset", "peer", address, "after", n.state.uptime()-sent)
