fix(direct): connecting to a peer takes as long as the queue of its link

Cause: gossip.WithAllowance was set nowhere, so that connecting to a peer had 1 s at any queue, while a full link takes two to four.

Change: connecting has the allowance of calls to the peer.

--- a/internal/direct/full_link_test.go
+++ b/internal/direct/full_link_test.go
@@ -190,6 +190,38 @@
 	}
 }
 
+// Connections to peers are lost while the link is full: new ones take as long as its queue.
+func TestPeersConnectOverAFullLink(t *testing.T) {
+	for _, wait := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f, end := newFullLinkFleet(t, wait)
+				defer end()
+				for _, n := range f.nodes {
+					for _, peer := range f.nodes {
+						n.gossip.Reset(peer.config.Listen.Peer)
+					}
+				}
+				f.store.Remove(platform.EntryPrefix + "removed")
+				removed := f.inForceAfter(func(n *fleetNode) bool { return !n.state.usable("removed") })
+				t.Logf("removed after %s", removed)
+				assert.Less(t, removed, drainBoundOfRegions)
+				time.Sleep(4 * time.Second)
+				for _, n := range f.nodes {
+					assert.Len(t, n.livePeers(), len(f.nodes)-1, n.config.Instance.Name)
+				}
+			})
+		})
+	}
+}
+
+func (n *fleetNode) livePeers() []*peer {
+	n.state.mu.Lock()
+	defer n.state.mu.Unlock()
+	return n.state.livePeers()
+}
+
 // resets counts the connections to peers that were closed as a heartbeat had no answer in time.
 func (f *testFleet) resets() (all int64) {
 	for _, n := range f.nodes {
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -154,7 +154,10 @@
 
 // newGossip returns the client of the peers.
 func (n *Node) newGossip(options ...gossip.Option) *gossip.Client {
-	return gossip.NewClient(options...)
+	return gossip.NewClient(append([]gossip.Option{gossip.WithAllowance(func(address string) time.Duration {
+		allowance, _ := n.state.peerAllowance(address)
+		return allowance
+	})}, options...)...)
 }
 
 // newEra reacts to the store's return from an older copy: entries that it lacks may be written
