node: answer what waits as the daemon stops, and end the stop in time

Cause: dispatchers took part in a stop only as something to wait for. Nothing told their queues when the process ends, peers' requests were not checked at all, GracefulStop and the group waited for peers' streams and running attempts without end, and what a supervisor then killed ended without an answer.

Change: the pool knows until when requests have to end. It refuses (code leaving, not run) what can't end by 0.9 of [limits] drain, on arrival, in the queue and before it is sent; an entry that stays sends it to the endpoint's next dispatcher, also if that is the only endpoint. At 0.9 queues are emptied and attempts without a part of an answer are cancelled: not run if the endpoint confirms it, else unknown. At 0.93 the guard answers callers' other requests; at 0.96 what runs is logged (step=cut, cut_requests) and callers' chat streams end with an error event. At the limit peers' connections are closed without an end and attempts are left running at their endpoints, so that entries take the streams up elsewhere. A claimed request that has not been sent is released.

A request without a deadline and of an unknown kind is taken while half of the time is left: callers with an old address come in the first half, and a refusal costs a second, a cut the whole answer.

Chosen: 0.9 as on the gateway path; 0.03 of the drain time (0.9 s of 30 s) for endpoints to say whether they have begun, 5 questions 50 ms apart; 0.04 for the last writes.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/peer"
@@ -68,6 +69,7 @@
 	head         *peerpb.Head
 	buffered     bool // the answer is written at its end
 	body         []byte
+	begun        atomic.Bool
 }
 
 // Head implements peer.Sink.
@@ -93,6 +95,7 @@
 
 // writeHead writes the status and headers.
 func (s *serviceSink) writeHead() {
+	s.begun.Store(true)
 	header := s.w.Header()
 	for _, line := range s.head.Headers {
 		header.Add(line.Name, line.Value)
@@ -105,6 +108,9 @@
 	s.w.WriteHeader(int(s.head.Status))
 }
 
+// Begun reports whether a part of the answer was written.
+func (s *serviceSink) Begun() bool { return s.begun.Load() }
+
 // Restart implements entry.Restarter. It discards a buffered answer, of which the caller
 // has received nothing, and reports false for a streamed one.
 func (s *serviceSink) Restart() bool {
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
@@ -19,7 +20,7 @@
 	control      *http.ResponseController
 	writeTimeout time.Duration
 	endpoint     string
-	headWritten  bool
+	headWritten  atomic.Bool
 	buffer       []byte // reused for each event
 }
 
@@ -30,10 +31,9 @@
 // Head implements peer.Sink.
 func (e *eventSink) Head(h *peerpb.Head) error {
 	e.endpoint = h.Endpoint
-	if e.headWritten {
+	if e.headWritten.Swap(true) {
 		return nil
 	}
-	e.headWritten = true
 	header := e.w.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-store")
@@ -49,6 +49,9 @@
 	header.Set(HeaderEndpoint, h.Endpoint)
 }
 
+// Begun reports whether a part of the answer was written.
+func (e *eventSink) Begun() bool { return e.headWritten.Load() }
+
 // Data implements peer.Sink.
 func (e *eventSink) Data(d *peerpb.Data) error {
 	e.buffer = append(e.buffer[:0], "id: "...)
@@ -112,7 +115,7 @@
 // finish ends the answer with the end marker or an error event. It does not flush, so
 // that net/http sends this together with the trailer when the handler returns.
 func (e *eventSink) finish(requestID string, end *peerpb.End) {
-	if !e.headWritten {
+	if !e.headWritten.Load() {
 		if end.Code == "" {
 			end = emptyAnswer(end)
 		}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -88,6 +88,13 @@
 	a.changed.Broadcast()
 }
 
+// begun reports whether a part of the answer was received.
+func (a *Attempt) begun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head != nil
+}
+
 // nextOffset returns the offset that the next piece gets.
 func (a *Attempt) nextOffset() uint64 {
 	a.mu.Lock()
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -137,6 +137,7 @@
 	tracer    trace.Tracer
 	limits    Limits
 	admission func(service string) []admit.Option
+	shutdown  shutdownState
 
 	mu              sync.Mutex
 	dispatchers     map[fleet.Endpoint]*actor.PID
@@ -209,11 +210,15 @@
 	return slog.New(slog.DiscardHandler)
 }
 
-// Close stops the dispatchers. Running attempts are left to end on their own.
+// Close stops the dispatchers, and ends the attempts that run without cancelling them at their endpoints.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
 	p.stopSweeps()
+	for _, r := range p.live {
+		r.cancel(errClosed)
+		r.abort()
+	}
 	p.mu.Unlock()
 	p.system.Shutdown()
 }
@@ -237,12 +242,17 @@
 
 // InFlight returns the number of attempts that have not ended.
 func (p *Pool) InFlight() int {
+	return len(p.running())
+}
+
+// running returns the attempts that have not ended.
+func (p *Pool) running() []*run {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	running := 0
+	running := make([]*run, 0, len(p.live))
 	for _, r := range p.live {
 		if r.Ended() == nil {
-			running++
+			running = append(running, r)
 		}
 	}
 	return running
@@ -304,6 +314,9 @@
 
 // sweep expires queued requests, prunes attempts, and stops itself once nothing is left.
 func (p *Pool) sweep(now time.Time) {
+	if p.shutdown.leaving() {
+		p.shutdown.endLate(now, p.running())
+	}
 	if p.waiting.Load() > 0 {
 		p.tickAll(now)
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -41,6 +41,7 @@
 	claimed   bool
 	claim     string // id of the claim if claimed is set
 	cancel    context.CancelCauseFunc
+	admitted  time.Time // when it left the queue, zero if another dispatcher sent it
 	startedAt time.Time
 	trial     bool // the request was a suspect when it was sent
 }
@@ -71,12 +72,16 @@
 	r.pool.meter.Worked(fleet.Model(r.request.Model), r.pool.timers.Now().Sub(r.startedAt))
 	if end.Code == "" {
 		r.pool.suspects.Finished(r.request.Fingerprint)
+		r.pool.shutdown.recordDuration(r.pool.timers.Now(), r)
 	}
 	r.finish(end)
 	r.cancel(nil)
 }
 
 func (r *run) execute(ctx context.Context) *peerpb.End {
+	if r.pool.shutdown.hasEnded() {
+		return RefuseForShutdown()
+	}
 	source, head, err := r.open(ctx)
 	if err != nil {
 		return r.startFailure(ctx, err)
@@ -129,6 +134,8 @@
 	case errors.Is(err, endpoint.ErrLeaving):
 		r.pool.endpoints.MarkLeaving(fleet.Endpoint(r.endpoint))
 		return Refuse(CodeLeaving, "start", err.Error(), 0)
+	case endpoint.NotRun(err) && errors.Is(context.Cause(ctx), ErrShutdown):
+		return RefuseForShutdown()
 	case endpoint.NotRun(err):
 		return Refuse(CodeUnreachable, "start", err.Error(), 0)
 	case errors.As(err, &refused) && refused.Status < http.StatusInternalServerError:
@@ -141,9 +148,15 @@
 // answerFailure returns the end of an attempt whose answer broke off. It reports the
 // endpoint as crashed if it stalled, refuses connections or has restarted.
 func (r *run) answerFailure(ctx context.Context, err error) *peerpb.End {
-	stalled := errors.Is(context.Cause(ctx), errStalled)
+	stalled, shutdown := errors.Is(context.Cause(ctx), errStalled), errors.Is(context.Cause(ctx), ErrShutdown)
 	if ctx.Err() != nil && !stalled {
-		if r.cancelAtEndpoint(ctx) {
+		notRun := r.cancelAtEndpoint(ctx)
+		switch {
+		case notRun && shutdown:
+			return RefuseForShutdown()
+		case shutdown:
+			return FailForShutdown()
+		case notRun:
 			return Refuse(CodeDeadline, "answer", "cancelled before the endpoint had started it", queueRetryAfter)
 		}
 		return cancelledEnd(ctx)
@@ -177,7 +190,7 @@
 // cancelAtEndpoint cancels the attempt at the endpoint. It returns true only if the
 // endpoint confirms that the attempt has not started and never will.
 func (r *run) cancelAtEndpoint(ctx context.Context) (notRun bool) {
-	if r.request.Service != "" {
+	if r.request.Service != "" || errors.Is(context.Cause(ctx), errClosed) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -52,14 +52,20 @@
 	if end != nil {
 		return end
 	}
-	if end := p.awaitSlot(ctx, r); end != nil {
+	if end := p.shutdown.check(p.timers.Now(), r); end != nil {
 		return end
 	}
-	if end := p.checkBeforeStart(ctx, r, sink); end != nil {
+	waiting, stopWaiting := p.shutdown.wait(ctx, r)
+	defer stopWaiting()
+	if end := p.awaitSlot(waiting, r); end != nil {
+		return end
+	}
+	if end := p.checkBeforeStart(waiting, r, sink); end != nil {
 		p.releaseSlot(request, admit.End{State: admit.EndCancelled})
 		return end
 	}
 	p.launch(ctx, r)
+	stopWaiting()
 	return r.Copy(ctx, 0, sink)
 }
 
@@ -135,6 +141,9 @@
 
 // cancelledInQueue returns the end of a request that was cancelled or timed out in the queue.
 func cancelledInQueue(ctx context.Context) *peerpb.End {
+	if errors.Is(context.Cause(ctx), ErrShutdown) {
+		return RefuseForShutdown()
+	}
 	if ctx.Err() != nil {
 		return Refuse(CodeCancelled, "queue", ctx.Err().Error(), 0)
 	}
@@ -166,6 +175,9 @@
 // checkBeforeStart does the final checks of a request that has been given a slot. The
 // claim comes last, so that a crash of this instance before it leaves no claim behind.
 func (p *Pool) checkBeforeStart(ctx context.Context, r *run, sink peer.Sink) *peerpb.End {
+	if end := p.shutdown.leaveQueue(p.timers.Now(), r); end != nil {
+		return end
+	}
 	if d := r.request.Deadline; d > 0 && time.UnixMilli(d).Sub(p.timers.Now()) < minTimeLeft {
 		return Refuse(CodeDeadline, "start", "the deadline would pass before the endpoint could answer", queueRetryAfter)
 	}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -181,6 +181,9 @@
 	if !retryable(end.Code) || p.singleUse || ctx.Err() != nil {
 		return false
 	}
+	if end.Step == dispatch.StepShutdown && g.members.Self().Leaving {
+		return false // no other dispatcher can end it before this instance has left
+	}
 	redirected := end.Code == dispatch.CodeLeaving && len(p.tried) <= redirectLimit
 	if !redirected && !g.spendRetryBudget(ctx, p, end) {
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,7 +154,17 @@
 		return g.dispatcher.Serve(ctx, peer.Request{Submit: submit, Body: p.body()}, t)
 	}
 	g.decisions.Note(submit.Request, "hop", string(dispatcher.Instance), "endpoint "+submit.Endpoint)
-	return g.hop(ctx, p, t, dispatcher, submit)
+	end := g.hop(ctx, p, t, dispatcher, submit)
+	if dispatch.HandedBack(end) && g.hasNewDispatcher(target, dispatcher) {
+		p.untry(target.Endpoint)
+	}
+	return end
+}
+
+// hasNewDispatcher reports whether another instance dispatches to an endpoint now.
+func (g *Gateway) hasNewDispatcher(target route.Candidate, former member.Peer) bool {
+	now, ok := g.members.Dispatcher(target.Endpoint, target.Place)
+	return ok && now.Instance != former.Instance
 }
 
 func (g *Gateway) hop(ctx context.Context, p *plan, t *answerTracker, to member.Peer, submit *peerpb.Submit) *peerpb.End {
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -159,3 +159,8 @@
 	p.tried = append(p.tried, endpoint)
 	return s
 }
+
+// untry lets the request be sent to an endpoint again that it has not reached.
+func (p *plan) untry(endpoint fleet.Endpoint) {
+	p.tried = slices.DeleteFunc(p.tried, func(e fleet.Endpoint) bool { return e == endpoint })
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -17,15 +17,20 @@
 // Serve implements peer.Handler. A request without an endpoint comes from another data
 // centre, and its endpoint is chosen here.
 func (n *Node) Serve(ctx context.Context, r peer.Request, sink peer.Sink) *peerpb.End {
-	if r.Endpoint == "" {
-		return n.gateway.Relay(ctx, r, sink)
-	}
-	return n.pool.Serve(ctx, r, sink)
+	relay := r.Endpoint == ""
+	return n.guard.servePeer(ctx, r.GetRequest(), sink, relay, func(ctx context.Context, sink peer.Sink) *peerpb.End {
+		if relay {
+			return n.gateway.Relay(ctx, r, sink)
+		}
+		return n.pool.Serve(ctx, r, sink)
+	})
 }
 
 // Resume implements peer.Handler.
 func (n *Node) Resume(ctx context.Context, r *peerpb.Resume, sink peer.Sink) *peerpb.End {
-	return n.pool.Resume(ctx, r, sink)
+	return n.guard.servePeer(ctx, r.Request, sink, false, func(ctx context.Context, sink peer.Sink) *peerpb.End {
+		return n.pool.Resume(ctx, r, sink)
+	})
 }
 
 // Document implements peer.Handler.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -26,6 +26,13 @@
 	headerTimeout     = 10 * time.Second
 	drainPollInterval = 50 * time.Millisecond
 	sweepInterval     = time.Minute
+
+	// drainShare is the part of the drain time after which requests without a part of an answer are
+	// answered, settleShare the part that dispatchers then have to find out which of them have run, and
+	// closeShare that after which callers' streams that still run are ended.
+	drainShare  = 0.9
+	settleShare = 0.03
+	closeShare  = 0.96
 )
 
 // listeners holds the listening sockets of an instance.
@@ -56,9 +63,14 @@
 	n.startTasks()
 	_ = level.Info(n.logger).Log("step", "start", "caller", n.config.Caller.Listen, "peer", n.config.Peer.Listen)
 	<-ctx.Done()
-	n.drain(n.lifetime, open.caller, callerServer)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.config.Limits.Drain)
+	defer cancel()
+	n.drain(limit, open.caller, callerServer)
 	n.endLifetime()
+	stop := context.AfterFunc(limit, peerServer.Stop)
 	peerServer.GracefulStop()
+	stop()
+	_ = callerServer.Close()
 	_ = operatorServer.Close()
 	_ = metricsServer.Close()
 	n.pool.Close()
@@ -200,7 +212,8 @@
 }
 
 // drain shuts down gracefully: it announces the shutdown to callers and peers, keeps serving
-// callers that use a cached address until that expires, and waits for requests in flight.
+// callers that use a cached address until that expires, and waits for requests in flight. Those that
+// have no part of an answer shortly before the context ends are answered.
 func (n *Node) drain(ctx context.Context, listener net.Listener, callerServer *http.Server) {
 	limit := n.config.Limits.Drain
 	if switches.Off(switches.Drain) {
@@ -208,19 +221,42 @@
 		return
 	}
 	_ = level.Info(n.logger).Log("step", "drain", "limit", limit)
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	n.guard.leave(n.clock().Add(limit))
+	finish := n.clock().Add(time.Duration(float64(limit) * drainShare))
+	serving, end := context.WithDeadline(ctx, finish)
+	defer end()
+	closing, stop := context.WithTimeout(ctx, time.Duration(float64(limit)*closeShare))
+	defer stop()
+	n.guard.leave(finish)
+	n.pool.Leave(finish)
 	n.members.update((*member.View).Leave)
 	n.sendHeartbeats(ctx, n.clock())
 	sleep(ctx, min(n.config.Caller.Keep, limit/2))
-	if err := drain.Stop(ctx, ctx, listener, callerServer, &n.callers, func() {}); err != nil {
+	_ = level.Info(n.logger).Log("step", "drain", "now", "closing listener", "active", len(n.guard.active()))
+	lastAnswers := func() {
+		if serving.Err() != nil {
+			n.pool.EndUnanswered()
+			sleep(closing, time.Duration(float64(limit)*settleShare))
+		}
+		n.guard.endCallers()
+	}
+	if err := drain.Stop(serving, closing, listener, callerServer, &n.callers, lastAnswers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
-	for n.pool.InFlight() > 0 && ctx.Err() == nil {
+	n.awaitIdle(serving)
+	n.pool.EndUnanswered()
+	n.guard.endPeers()
+	n.awaitIdle(closing)
+	n.reportCut()
+	n.guard.endStreams()
+	n.awaitIdle(ctx)
+	_ = n.claims.Flush(ctx)
+}
+
+// awaitIdle waits until no request runs.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for len(n.guard.active())+n.pool.InFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
-	_ = n.claims.Flush(ctx)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/platform"
 	"github.com/chiveramp/chiveramp/internal/standin/engine"
 	"github.com/chiveramp/chiveramp/internal/switches"
@@ -252,3 +254,82 @@
 		})
 	}
 }
+
+// Guards against requests that wait as an instance stops and end without an answer, at its own entry and at
+// those of others: they come back as not run in time, or run at another dispatcher.
+func TestRequestsThatWaitInAStopAreAnswered(t *testing.T) {
+	const drain, takes, callers = 3 * time.Second, 500 * time.Millisecond, 24
+	b := newDeployment(t, "matcher")
+	b.slots, b.drain = 2, drain.String()
+	b.addEngine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithStepTime(longStep))
+	b.addInstance("s1a", "south", "south-1")
+	b.addInstance("s1b", "south", "south-1")
+	b.applyDocument(b.instances[0], 0, oneModelDocument)
+	b.waitReady()
+	stopped, other := b.dispatcherOf("m1")
+	var mu sync.Mutex
+	seen := make(map[string]int)
+	var refused []string // their keys
+	var group errgroup.Group
+	for i := range callers {
+		n, at := stopped, "stopped"
+		if i%2 == 1 {
+			n, at = other, "other"
+		}
+		group.Go(func() error {
+			r, err := sendRequest(t.Context(), n.caller, "/v1/chat/completions",
+				chatBody("matcher-a", fmt.Sprint("wait ", i), i%4 < 2, int(takes/longStep)), "Chiveramp-Profile", "chat", "Idempotency-Key", fmt.Sprint("k", i))
+			mu.Lock()
+			defer mu.Unlock()
+			seen[fmt.Sprint(at, " ", r.outcome, " ", r.errorCode(), " ", err != nil)]++
+			if r.outcome == string(fleet.OutcomeNotRun) {
+				refused = append(refused, fmt.Sprint("k", i))
+			}
+			return err
+		})
+	}
+	time.Sleep(takes / 2)
+	stopped.signal(t, syscall.SIGTERM)
+	time.Sleep(drain + 200*time.Millisecond)
+	ended := strings.Contains(stopped.log.String(), "step=stop")
+	_ = stopped.process.Process.Kill() // as a supervisor does
+	<-stopped.exited
+	err := group.Wait()
+	t.Logf("ended: %t; %v", ended, seen)
+	require.NoError(t, err)
+	require.True(t, ended)
+	for _, key := range refused {
+		require.Zero(t, b.engines[0].Counts().Keys[key], "what is refused has not run")
+	}
+	require.GreaterOrEqual(t, seen["other ran  false"], callers/2-b.slots, "the requests of other entries run elsewhere")
+	require.Zero(t, seen["other not-run leaving false"])
+	require.Positive(t, seen["stopped not-run leaving false"])
+}
+
+// Guards against a stop that waits for a peer's stream without end: the stream goes on through another
+// dispatcher.
+func TestStreamOfAPeerOutlastsAStop(t *testing.T) {
+	const drain, tokens = time.Second, 400
+	b := newDeployment(t, "matcher")
+	b.drain = drain.String()
+	b.addEngine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithStepTime(longStep))
+	b.addInstance("s1a", "south", "south-1")
+	b.addInstance("s1b", "south", "south-1")
+	b.applyDocument(b.instances[0], 0, oneModelDocument)
+	b.waitReady()
+	stopped, other := b.dispatcherOf("m1")
+	ended := make(chan bool, 1)
+	answer, _, done, err := streamChat(t.Context(), other.caller, chatBody("matcher-a", "outlasts", true, tokens), func(events int) bool {
+		if events == 20 {
+			stopped.signal(t, syscall.SIGTERM)
+			time.AfterFunc(drain+500*time.Millisecond, func() { ended <- strings.Contains(stopped.log.String(), "step=stop") })
+		}
+		return false
+	}, "Chiveramp-Profile", "chat")
+	require.NoError(t, err)
+	require.True(t, done)
+	require.Equal(t, engine.AnswerTo("matcher-a", "outlasts", tokens), answer)
+	require.True(t, <-ended)
+	require.Len(t, b.engines[0].Counts().Requests, 1)
+	require.Contains(t, stopped.log.String(), "step=cut")
+}
