daemon: subscribe to signals before the settings are read

Change: Main subscribes first. A SIGTERM at that time ends the process, with code 0, once the settings are read. The goroutine that waits for SIGHUP ends with the instance, also if an operator's drain ends that.

A signal before main runs still ends the process.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
@@ -21,7 +19,7 @@
 
 // newGatewayCommand returns the subcommand that runs an instance on the users' platform, where
 // it sends requests directly to endpoints.
-func newGatewayCommand() *cli.Command {
+func newGatewayCommand(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:      "gateway",
 		Usage:     "run one instance on the users' platform, sending requests directly to its endpoints",
@@ -36,19 +34,17 @@
 			if err != nil {
 				return settingsError{err}
 			}
-			if c.Bool("check") {
+			if c.Bool("check") || ctx.Err() != nil {
 				return nil
 			}
-			return runGateway(ctx, settings, os.Stdout)
+			return runGateway(ctx, settings, os.Stdout, hangups)
 		},
 	}
 }
 
-func runGateway(ctx context.Context, settings *reload.Value[config.Gateway], w io.Writer) error {
+func runGateway(ctx context.Context, settings *reload.Value[config.Gateway], w io.Writer, hangups <-chan os.Signal) error {
 	c := settings.Get()
 	heap.SetIdlePercent()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	common := config.Config{Instance: c.Instance, Log: c.Log, Trace: c.Trace}
 	var logWriting errgroup.Group
 	lifetime, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -64,23 +60,17 @@
 	otel.SetTracerProvider(tracers)
 	otel.SetTextMapPropagator(telemetry.NewPropagator())
 	group, running := errgroup.WithContext(ctx)
+	listening, stopListening := context.WithCancel(running)
+	defer stopListening()
 	n := direct.New(settings, logger, group)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	group.Go(func() error {
-		for {
-			select {
-			case <-hangups:
-				n.Reload("signal")
-			case <-running.Done():
-				return nil
-			}
-		}
+		onHangup(listening, hangups, func() { n.Reload("signal") })
+		return nil
 	})
 	if err := n.Run(running); err != nil {
 		return settingsError{err}
 	}
+	stopListening()
 	err = group.Wait()
 	_ = tracers.Shutdown(context.WithoutCancel(ctx))
 	_ = level.Info(logger).Log("step", "exit", "err", err)
