allotments: have a leaving owner hand over to its successor

Cause: an owner that stops as planned kept its shares until their leases ended (1.5 s), and nobody else could be lent to before what they backed had ended (0.7 s), though the owner knew that it left and was gone 0.7 s later. While the owners of both parts stopped in a row, callers that used a third of their allotment got 429.

Change: the leaving owner asks its successor for a stamp, closes its accounts and hands over credit, portions outstanding and what is left of the leases (optional call HandOver, feature "handover": off beside earlier builds). Once it has a confirmation it names the successor in its replies, and lenders lend there at once. The successor counts leases from its own older stamp, and drops credit whose leases ended on the way, so the sum stays within the bound.

Weighed: release of the shares by the owner, so that lenders go on 0.7 s later. It leaves a gap that portions, which live for 0.7 s, can't quite bridge.

--- a/internal/core/allotment/accounts.go
+++ b/internal/core/allotment/accounts.go
@@ -28,6 +28,7 @@
 	accrued float64
 	at      time.Duration
 	lastID  uint64
+	closed  bool // it has handed over
 }
 
 type lentShare struct {
@@ -94,7 +95,7 @@
 func (b *Accounts) Lend(now time.Duration, o Offer) {
 	b.advance(now)
 	until := o.Stamp.At + LeaseTime
-	if o.Share <= 0 || o.Stamp.Incarnation != b.incarnation || o.Stamp.At > now || until <= max(now, b.lent[o.Lender].until) {
+	if b.closed || o.Share <= 0 || o.Stamp.Incarnation != b.incarnation || o.Stamp.At > now || until <= max(now, b.lent[o.Lender].until) {
 		return
 	}
 	before := b.usable()
@@ -186,7 +187,7 @@
 // which the caller must have checked by the incarnation.
 func (b *Accounts) Grant(now time.Duration, from fleet.Instance, w Want) Grant {
 	b.advance(now)
-	if _, ok := b.limits[w.Workspace]; !ok {
+	if _, ok := b.limits[w.Workspace]; !ok || b.closed {
 		return Grant{Workspace: w.Workspace}
 	}
 	a := b.account(w.Workspace)
--- a/internal/core/allotment/bound_test.go
+++ b/internal/core/allotment/bound_test.go
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	switch rapid.SampledFrom([]string{"freeze", "kill", "cut", "one way"}).Draw(t, "kind") {
+	switch rapid.SampledFrom([]string{"freeze", "kill", "leave", "cut", "one way"}).Draw(t, "kind") {
 	case "freeze":
 		s.at(at, func() { each(func(n *node) { s.freeze(n, lasts) }) })
 	case "kill":
@@ -118,6 +118,16 @@
 				}
 			})
 		})
+	case "leave":
+		gone := time.Duration(rapid.IntRange(0, 3000).Draw(t, "gone after")) * ms
+		s.at(at, func() { each(func(n *node) { s.leave(n, gone) }) })
+		s.at(at+gone+lasts, func() {
+			each(func(n *node) {
+				if n.down {
+					s.restart(n)
+				}
+			})
+		})
 	case "cut":
 		s.at(at, func() { s.separated = func(a, b int) bool { return hit(a) != hit(b) } })
 		s.at(at+lasts, func() { s.separated = func(int, int) bool { return false } })
--- a/internal/core/allotment/clone.go
+++ b/internal/core/allotment/clone.go
@@ -48,7 +48,7 @@
 // must have been used at this time.
 func (b *Accounts) Fingerprint(now time.Duration) string {
 	var text strings.Builder
-	fmt.Fprint(&text, b.incarnation)
+	fmt.Fprint(&text, b.incarnation, b.closed)
 	for _, lender := range slices.Sorted(maps.Keys(b.lent)) {
 		fmt.Fprint(&text, " ", lender, b.lent[lender].share, b.lent[lender].until-now)
 	}
--- a/internal/core/allotment/sim_test.go
+++ b/internal/core/allotment/sim_test.go
@@ -92,6 +92,8 @@
 	name        fleet.Instance
 	incarnation int
 	down        bool
+	leaving     bool
+	successors  []*allotment.Successor // of the parts that it has handed over
 	frozenUntil time.Duration
 	changedAt   time.Duration // when it went down or came up
 	lenders     []*allotment.Lender
@@ -120,6 +122,7 @@
 func (s *sim) start(n *node) {
 	n.incarnation++
 	n.lenders, n.accounts, n.credits = nil, nil, make(map[string]*allotment.Credit)
+	n.leaving, n.successors = false, make([]*allotment.Successor, s.parts)
 	for range s.parts {
 		n.lenders = append(n.lenders, allotment.NewLender(s.now, n.name))
 		n.accounts = append(n.accounts, allotment.NewAccounts(s.now, fmt.Sprint(n.name, "/", n.incarnation)))
@@ -181,12 +184,53 @@
 	s.tick(n, s.now+time.Duration(s.random.Int64N(int64(allotment.AskInterval))))
 }
 
+// leave has an instance stop as planned: others hear of it, owners hand over, and after a while it is gone.
+func (s *sim) leave(n *node, gone time.Duration) {
+	s.on(n, s.now, func() {
+		n.leaving = true
+		for part := range s.parts {
+			s.handOver(n, part)
+		}
+		s.on(n, s.now+gone, func() { s.kill(n) })
+	})
+}
+
+// handOver asks the successor for a stamp, and hands over to it.
+func (s *sim) handOver(n *node, part int) {
+	to := s.nodes[s.candidate(n, part)]
+	if to == n {
+		return
+	}
+	s.send(n, to, func() {
+		stamp := to.accounts[part].Stamp(s.now)
+		s.send(to, n, func() {
+			if !n.accounts[part].Lent(s.now) {
+				return
+			}
+			h := n.accounts[part].HandOver(s.now, stamp)
+			s.send(n, to, func() {
+				if b := to.accounts[part]; b.TakeOver(s.now, &h) {
+					stamp := b.Stamp(s.now)
+					s.send(to, n, func() { n.successors[part] = &allotment.Successor{Instance: to.name, Stamp: stamp} })
+				}
+			})
+		})
+	})
+}
+
+// send has an instance do something with a message of another, if it arrives.
+func (s *sim) send(from, to *node, do func()) {
+	if !s.separated(from.id, to.id) && s.random.Float64() >= s.loss {
+		s.on(to, s.now+s.latency(from, to), do)
+	}
+}
+
 func (s *sim) freeze(n *node, d time.Duration) { n.frozenUntil, n.changedAt = s.now+d, s.now }
 
 // live reports whether one instance takes another for live.
 func (s *sim) live(from, to *node) bool {
-	if from == to {
-		return true
+	if to.leaving || from == to {
+		return !to.leaving
 	}
 	if s.separated(from.id, to.id) {
 		return false
@@ -266,12 +310,24 @@
 			s.answered(to, part)
 		}
 		stamp, grants := answer(to.accounts[part], s.now, offer, wants)
+		successor := to.successors[part]
 		s.count(n, to, stamp, grants)
 		if !reach(to, n) {
 			return
 		}
 		s.on(n, s.now+s.latency(to, n), func() {
 			l.Received(s.now, to.name, stamp)
+			if successor != nil {
+				l.Moved(s.now, to.name, stamp.Incarnation, *successor)
+				for i := range wants {
+					wants[i].Returns = nil
+				}
+				if next, _ := l.Offer(s.now, s.nodes[s.candidate(n, part)].name, len(s.nodes)); next != owner {
+					s.ask(n, part, wants, done)
+					finished = true
+					return
+				}
+			}
 			for i, g := range grants {
 				n.credit(s, g.Workspace).Receive(s.now, askedAt, part, stamp.Incarnation, wants[i], g)
 			}
--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -19,10 +19,12 @@
 	// Watchers: those that watch the store are chosen over regions and data centres, not by name, and
 	// all instances confirm to each other how recent their configuration is.
 	Watchers Feature = "watchers"
+	// Handover: a leaving owner of a part of the allotments hands over to its successor.
+	Handover Feature = "handover"
 )
 
 // Announced returns the features of this build.
-func Announced() []Feature { return []Feature{Backlog, Queue, Watchers} }
+func Announced() []Feature { return []Feature{Backlog, Queue, Watchers, Handover} }
 
 // Announcement is what is known of another instance.
 type Announcement struct {
--- a/internal/direct/allotment.go
+++ b/internal/direct/allotment.go
@@ -12,6 +12,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -41,6 +42,8 @@
 	credits  map[string]*allotment.Credit
 	limits   map[string]allotment.Limit
 	rounds   int
+	// successors are those to whom this instance has handed over the parts that it owned.
+	successors [allotmentParts]*allotment.Successor
 	// silentUntil is until when requests don't wait for the owner of a part.
 	silentUntil [allotmentParts]time.Duration
 }
@@ -159,7 +162,7 @@
 		return &gossip.PortionsReply{}
 	}
 	b, now := s.allotments.accounts[q.Part], s.uptime()
-	reply := &gossip.PortionsReply{Stamp: b.Stamp(now)}
+	reply := &gossip.PortionsReply{Stamp: b.Stamp(now), Successor: s.allotments.successors[q.Part]}
 	b.Lend(now, q.Offer)
 	for _, w := range q.Wants {
 		if q.Offer.Stamp.Incarnation != reply.Stamp.Incarnation {
@@ -184,18 +187,71 @@
 	return s.uptime() < s.allotments.silentUntil[part]
 }
 
-// receivePortions applies the reply to a call.
-func (s *state) receivePortions(c *portionsCall, r *gossip.PortionsReply) {
+// receivePortions applies the reply to a call. again is set if the owner has handed over to another, which
+// the next call asks the same.
+func (s *state) receivePortions(c *portionsCall, r *gossip.PortionsReply) (next portionsCall, again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, now, part := s.allotments, s.uptime(), c.question.Part
 	a.lenders[part].Received(now, c.owner, r.Stamp)
+	if r.Successor != nil {
+		a.lenders[part].Moved(now, c.owner, r.Stamp.Incarnation, *r.Successor)
+		wants := slices.Clone(c.question.Wants)
+		for i := range wants {
+			wants[i].Returns = nil // another owner granted them
+		}
+		next, known := s.portionsCall(now, part, wants)
+		return next, known && next.owner != c.owner
+	}
 	for i := range min(len(r.Grants), len(c.question.Wants)) {
 		want := c.question.Wants[i]
 		if _, ok := a.limits[want.Workspace]; ok {
 			a.credit(want.Workspace).Receive(now, c.askedAt, part, r.Stamp.Incarnation, want, r.Grants[i])
 		}
 	}
+	return portionsCall{}, false
+}
+
+// handOver returns what the successor of a part goes on with, once it has sent a stamp. ok is false if nothing
+// is lent to this instance.
+func (s *state) handOver(part int, successor allotment.Stamp) (question *gossip.HandOver, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, now := s.allotments.accounts[part], s.uptime()
+	if successor.Incarnation == "" || !b.Lent(now) {
+		return nil, false
+	}
+	return &gossip.HandOver{Part: part, Handover: b.HandOver(now, successor)}, true
+}
+
+// successor returns who goes on with a part that this instance owns, as it leaves.
+func (s *state) successor(part int) (p member.Peer, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	agreed := feature.Agreed(feature.Handover, s.loadFeatures.announced, s.loadFeatures.othersKnown, s.announcements())
+	if !agreed || !s.allotments.accounts[part].Lent(s.uptime()) {
+		return member.Peer{}, false // lenders of an earlier build would ask this instance until their leases end
+	}
+	p, ok = s.view.Get(s.allotmentOwner(part))
+	return p, ok && p.Instance != s.view.Self().Instance
+}
+
+// handedOver records that a successor has taken over a part.
+func (s *state) handedOver(part int, to allotment.Successor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allotments.successors[part] = &to
+}
+
+// takeOver answers a leaving owner.
+func (s *state) takeOver(q *gossip.HandOver) *gossip.HandOverReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q.Part < 0 || q.Part >= allotmentParts {
+		return &gossip.HandOverReply{}
+	}
+	b, now := s.allotments.accounts[q.Part], s.uptime()
+	return &gossip.HandOverReply{Stamp: b.Stamp(now), Taken: b.TakeOver(now, &q.Handover)}
 }
 
 // charge takes the cost of a request from the credit of its workspace at this instance.
@@ -297,12 +353,27 @@
 	return r, g.refuseCharge(w, cost), gateway.ErrOverAllotment
 }
 
-// askForPortions makes a call to the owner of a part, and applies its reply.
+// askForPortions asks the owner of a part, and the one to which it has handed over, and applies the replies.
 func (n *Node) askForPortions(ctx context.Context, c *portionsCall, timeout time.Duration) error {
-	if c.address == "" {
-		n.state.receivePortions(c, n.state.answerPortions(c.question))
+	reply, err := n.callOwner(ctx, c, timeout)
+	if err != nil {
+		return err
+	}
+	next, again := n.state.receivePortions(c, reply)
+	if !again {
 		return nil
 	}
+	if reply, err = n.callOwner(ctx, &next, timeout); err == nil {
+		n.state.receivePortions(&next, reply)
+	}
+	return err
+}
+
+// callOwner makes a call to the owner of a part.
+func (n *Node) callOwner(ctx context.Context, c *portionsCall, timeout time.Duration) (*gossip.PortionsReply, error) {
+	if c.address == "" {
+		return n.state.answerPortions(c.question), nil
+	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := n.gossip.Portions(limited, c.address, c.question)
@@ -311,9 +382,47 @@
 			n.state.ownerFailed(c.question.Part)
 		}
 		_ = level.Warn(n.logger).Log("step", "portions", "part", c.question.Part, "peer", c.owner, "wants", len(c.question.Wants), "err", err)
+	}
+	return reply, err
+}
+
+// handOverAllotments has other instances go on with the parts of the allotments that this one owns.
+func (n *Node) handOverAllotments(ctx context.Context) {
+	var group errgroup.Group
+	for part := range allotmentParts {
+		group.Go(func() error {
+			if err := n.handOverPart(ctx, part); err != nil {
+				_ = level.Warn(n.logger).Log("step", "hand over", "part", part, "err", err) // what was lent ends with its lease
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (n *Node) handOverPart(ctx context.Context, part int) error {
+	p, ok := n.state.successor(part)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, portionsTimeout)
+	defer cancel()
+	reply, err := n.gossip.HandOver(ctx, p.Address, &gossip.HandOver{Part: part})
+	if err != nil {
+		return err
+	}
+	question, ok := n.state.handOver(part, reply.Stamp)
+	if !ok {
+		return nil
+	}
+	if reply, err = n.gossip.HandOver(ctx, p.Address, question); err != nil {
 		return err
 	}
-	n.state.receivePortions(c, reply)
+	if !reply.Taken {
+		return fmt.Errorf("peer %s has not taken over", p.Instance)
+	}
+	n.state.handedOver(part, allotment.Successor{Instance: p.Instance, Stamp: reply.Stamp})
+	_ = level.Info(n.logger).Log("step", "hand over", "part", part, "peer", p.Instance)
 	return nil
 }
 
@@ -334,3 +443,8 @@
 func (n *Node) Portions(_ context.Context, q *gossip.Portions) (*gossip.PortionsReply, error) {
 	return n.state.answerPortions(q), nil
 }
+
+// HandOver goes on as the owner of a part of the allotments for an instance that leaves.
+func (n *Node) HandOver(_ context.Context, q *gossip.HandOver) (*gossip.HandOverReply, error) {
+	return n.state.takeOver(q), nil
+}
--- a/internal/direct/allotment_test.go
+++ b/internal/direct/allotment_test.go
@@ -11,9 +11,12 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"github.com/chiveramp/chiveramp/internal/core/allotment"
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/feature"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/gateway"
@@ -77,7 +80,9 @@
 // call makes a call of an instance.
 func (f *allottedFleet) call(s *state, c *portionsCall) {
 	if owner := f.states[c.owner]; owner != nil {
-		s.receivePortions(c, owner.answerPortions(c.question))
+		if next, again := s.receivePortions(c, owner.answerPortions(c.question)); again {
+			f.call(s, &next)
+		}
 	}
 }
 
@@ -202,6 +207,74 @@
 	assert.Empty(t, s.answerPortions(&gossip.Portions{Part: allotmentParts}).Grants)
 }
 
+// A leaving owner hands over its parts, so that requests of others find the credit at the successor. Beside
+// an earlier build it goes on.
+func TestLeavingOwnerHandsOver(t *testing.T) {
+	tests := []struct {
+		name     string
+		features []feature.Feature // of the others
+		earlier  bool              // the successor has no such call
+	}{
+		{name: "one build", features: feature.Announced()},
+		{name: "beside an earlier build", features: []feature.Feature{feature.Backlog}},
+		{name: "successor of an earlier build", features: feature.Announced(), earlier: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newAllottedFleet(4, true)
+			f.run(6*time.Second, allottedRate/2, rand.New(rand.NewPCG(1, 2)))
+			owner := f.states["i0"].allotmentOwner(0)
+			leaving := f.states[owner]
+			leaving.view.Leave()
+			left := leaving.view.Self()
+			for _, s := range f.states {
+				s.view.Observe(f.clock.now(), left)
+			}
+			successor := leaving.allotmentOwner(0)
+			var lc net.ListenConfig
+			l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := gossip.NewServer(&Node{state: f.states[successor]})
+			if tt.earlier {
+				server = grpc.NewServer()
+			}
+			var group errgroup.Group
+			group.Go(func() error { return server.Serve(l) })
+			t.Cleanup(func() {
+				server.Stop()
+				assert.NoError(t, group.Wait())
+			})
+			p, _ := leaving.view.Get(successor)
+			p.Sequence, p.Address = 2, l.Addr().String()
+			leaving.view.Observe(f.clock.now(), p)
+			leaving.loadFeatures.othersKnown = true
+			for _, other := range leaving.view.All() {
+				leaving.peers[other.Instance] = &peer{heartbeat: gossip.Heartbeat{Peer: other, Features: tt.features}}
+			}
+			n := &Node{state: leaving, logger: log.NewNopLogger(), gossip: gossip.NewClient()}
+			t.Cleanup(n.gossip.Close)
+			before := leaving.allotments.accounts[0].Credit(leaving.uptime(), "w")
+			require.Positive(t, before)
+			n.handOverAllotments(t.Context())
+			at := owner
+			if tt.name == tests[0].name {
+				at = successor
+			}
+			assert.InDelta(t, before, f.states[at].allotments.accounts[0].Credit(leaving.uptime(), "w"), 1e-6)
+			asker := f.states[f.names[0]]
+			for i := 0; asker == leaving || asker == f.states[successor]; i++ {
+				asker = f.states[f.names[i]]
+			}
+			c, ok := asker.portionsCall(asker.uptime(), 0, []allotment.Want{{Workspace: "w", Amount: 5, Min: 5, Urgent: true}})
+			require.True(t, ok)
+			held := asker.allotments.credit("w").Credit(asker.uptime())
+			f.call(asker, &c)
+			assert.InDelta(t, held+5, asker.allotments.credit("w").Credit(asker.uptime()), 1e-6)
+			assert.InDelta(t, before-5, f.states[at].allotments.accounts[0].Credit(leaving.uptime(), "w"), 1e-6)
+		})
+	}
+}
+
 // While an owner is silent, requests that lack credit don't wait for it one after the other.
 func TestSilentOwnersAreNotAskedByEachRequest(t *testing.T) {
 	f := newAllottedFleet(2, true)
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -343,6 +343,7 @@
 	finish := time.Duration(float64(limits.Grace) * drainShare)
 	n.state.leave(started.Add(finish))
 	n.sendHeartbeats(ctx)
+	n.handOverAllotments(ctx)
 	n.orderLease.release(ctx)
 	sleep(ctx, min(addressCacheFactor*limits.Keep, finish/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(time.Duration(float64(limits.Grace)*closeShare)))
--- a/internal/explore/models/allotments.go
+++ b/internal/explore/models/allotments.go
@@ -21,6 +21,10 @@
 	mechanismAnother  = "another"
 	mechanismAsked    = "asked"
 	mechanismGivenOut = "given-out"
+
+	mechanismClosed         = "closed"
+	mechanismHandedLease    = "handed-lease"
+	mechanismHandedPortions = "handed-portions"
 )
 
 const (
@@ -32,6 +36,7 @@
 	maxAllotmentsFaults = 2
 	allotmentsWarmUp    = 12 // ticks until the first owner has all the credit that it can have
 	allotmentsRounding  = 1e-6
+	noOwner             = -1
 )
 
 var (
@@ -54,7 +59,21 @@
 			{mechanismAsked, "a portion's time counts from the question, not from its reply"},
 			{mechanismGivenOut, "credit in portions counts as unspent until they end"},
 		},
-		Start: func(disabled string) explore.State { return newAllotmentsState(disabled) },
+		Start: func(disabled string) explore.State { return newAllotmentsState(disabled, false) },
+	}
+}
+
+func handoverModel() Model {
+	return Model{
+		Name:          "handover",
+		Promise:       "the same while owners leave and hand over to each other",
+		CodeUnderTest: "internal/core/allotment, Lender, Accounts and Credit",
+		Mechanisms: []Mechanism{
+			{mechanismClosed, "an owner that has handed over grants nothing any more"},
+			{mechanismHandedLease, "what is left of a lease that is handed over counts from the successor's stamp"},
+			{mechanismHandedPortions, "a successor counts what the owner before it has in portions"},
+		},
+		Start: func(disabled string) explore.State { return newAllotmentsState(disabled, true) },
 	}
 }
 
@@ -63,6 +82,7 @@
 // answered at once. The share has been lent to the first owner for a while.
 type allotmentsState struct {
 	disabled   string
+	leaving    bool // owners may leave and hand over
 	warm       bool // the first owner has credit, and a mechanism may be off
 	ticks      int
 	faultsLeft int
@@ -72,6 +92,14 @@
 	accounts   [2]*allotment.Accounts
 	starts     [2]int
 	delayed    *portionsCall
+	successors [2]*allotment.Successor // to whom the owners have handed over
+	handed     *handedOver
+}
+
+// handedOver is what an owner hands over to the other, on its way.
+type handedOver struct {
+	from    int
+	content allotment.Handover
 }
 
 // portionsCall is a call to an owner.
@@ -84,10 +112,12 @@
 	want     allotment.Want
 	stamp    allotment.Stamp
 	grant    allotment.Grant
+	// successor is to whom the owner had handed over.
+	successor *allotment.Successor
 }
 
-func newAllotmentsState(disabled string) *allotmentsState {
-	s := &allotmentsState{disabled: disabled, faultsLeft: maxAllotmentsFaults, credit: allotment.NewCredit(allotmentsWorkspace, 1)}
+func newAllotmentsState(disabled string, leaving bool) *allotmentsState {
+	s := &allotmentsState{disabled: disabled, leaving: leaving, faultsLeft: maxAllotmentsFaults, credit: allotment.NewCredit(allotmentsWorkspace, 1)}
 	s.lender = s.newLender(true)
 	for i := range s.accounts {
 		s.accounts[i] = s.newAccounts(i)
@@ -152,9 +182,25 @@
 	if s.delayed != nil {
 		b.WriteString("|" + s.delayed.key(now, newest))
 	}
+	for _, one := range s.successors {
+		b.WriteString("|" + successorKey(now, one))
+	}
+	if h := s.handed; h != nil {
+		fmt.Fprint(&b, "|", h.from, h.content.Stamp.Incarnation, min(now-h.content.Stamp.At, allotment.LeaseTime), h.content.Shares)
+		for _, one := range h.content.Accounts {
+			fmt.Fprintf(&b, " %.4f %.4f", one.Level, one.Outstanding)
+		}
+	}
 	return b.String()
 }
 
+func successorKey(now time.Duration, s *allotment.Successor) string {
+	if s == nil {
+		return ""
+	}
+	return fmt.Sprint(s.Instance, s.Stamp.Incarnation, min(now-s.Stamp.At, allotment.LeaseTime))
+}
+
 func (c *portionsCall) key(now time.Duration, newest func(string) uint64) string {
 	age := func(stamp allotment.Stamp) time.Duration { return min(now-stamp.At, allotment.LeaseTime) }
 	var b strings.Builder
@@ -166,6 +212,7 @@
 		}
 		return b.String()
 	}
+	b.WriteString(successorKey(now, c.successor))
 	fmt.Fprintf(&b, "%s %s %.4f %d", c.stamp.Incarnation, age(c.stamp), c.grant.Amount, newest(c.stamp.Incarnation)-c.grant.ID)
 	return b.String()
 }
@@ -217,13 +264,17 @@
 		s.receive(c)
 	})
 	s.delayedSteps(add)
+	s.handOverSteps(add)
 	if s.faultsLeft > 0 {
 		add("instance restarts", (*allotmentsState).restart)
 		for i := range s.accounts {
 			add(fmt.Sprintf("owner %s restarts", allotmentsOwner(i)), func(s *allotmentsState) {
 				s.faultsLeft--
 				s.starts[i]++
-				s.accounts[i] = s.newAccounts(i)
+				s.accounts[i], s.successors[i] = s.newAccounts(i), nil
+				if s.handed != nil && s.handed.from == i {
+					s.handed.from = noOwner
+				}
 			})
 		}
 	}
@@ -252,6 +303,47 @@
 	add("the delayed call is lost", func(s *allotmentsState) { s.delayed = nil })
 }
 
+// handOverSteps adds the steps of an owner that leaves and hands over to the other.
+func (s *allotmentsState) handOverSteps(add func(string, func(*allotmentsState))) {
+	if s.handed != nil {
+		add("what was handed over arrives", (*allotmentsState).takeOver)
+		add("what was handed over is lost", func(s *allotmentsState) { s.handed = nil })
+		return
+	}
+	for i, b := range s.accounts {
+		if s.leaving && s.successors[i] == nil && b.Clone().Lent(s.now()) {
+			add(fmt.Sprintf("owner %s hands over", allotmentsOwner(i)), func(s *allotmentsState) {
+				from := s.accounts[i]
+				if s.off(mechanismClosed) {
+					from = from.Clone()
+				}
+				s.handed = &handedOver{i, from.HandOver(s.now(), s.accounts[1-i].Stamp(s.now()))}
+			})
+		}
+	}
+}
+
+func (s *allotmentsState) takeOver() {
+	now, content, from := s.now(), s.handed.content, s.handed.from
+	to := slices.IndexFunc(s.accounts[:], func(b *allotment.Accounts) bool { return b.Stamp(now).Incarnation == content.Stamp.Incarnation })
+	s.handed = nil
+	if to < 0 {
+		return
+	}
+	if s.off(mechanismHandedLease) {
+		content.Stamp.At = now
+	}
+	if s.off(mechanismHandedPortions) {
+		content.Accounts = slices.Clone(content.Accounts)
+		for i := range content.Accounts {
+			content.Accounts[i].Outstanding = 0
+		}
+	}
+	if s.accounts[to].TakeOver(now, &content) && from != noOwner {
+		s.successors[from] = &allotment.Successor{Instance: allotmentsOwner(to), Stamp: s.accounts[to].Stamp(now)}
+	}
+}
+
 // pass lets a tick pass. Owners that accrue credit at each one accrue the most.
 func (s *allotmentsState) pass() {
 	s.ticks++
@@ -267,6 +359,10 @@
 		c := *s.delayed
 		next.delayed = &c
 	}
+	if s.handed != nil {
+		h := *s.handed
+		next.handed = &h
+	}
 	for i, b := range s.accounts {
 		next.accounts[i] = b.Clone()
 	}
@@ -293,6 +389,7 @@
 	if offer.Stamp.Incarnation != b.Stamp(now).Incarnation {
 		want.Returns = nil
 	}
+	c.successor = s.successors[c.owner]
 	c.grant, c.stamp, c.answered = b.Grant(now, allotmentsLender, want), b.Stamp(now), true
 	if s.off(mechanismGivenOut) && c.grant.Amount > 0 {
 		b.Grant(now, allotmentsLender, allotment.Want{Workspace: allotmentsWorkspace, Returns: []allotment.Return{{ID: c.grant.ID, Amount: c.grant.Amount}}})
@@ -305,6 +402,10 @@
 		askedAt = now
 	}
 	s.lender.Received(now, allotmentsOwner(c.owner), c.stamp)
+	if c.successor != nil {
+		s.lender.Moved(now, allotmentsOwner(c.owner), c.stamp.Incarnation, *c.successor)
+		return
+	}
 	s.credit.Receive(now, askedAt, 0, c.stamp.Incarnation, c.want, c.grant)
 }
 
--- a/internal/explore/models/models.go
+++ b/internal/explore/models/models.go
@@ -36,7 +36,7 @@
 
 // All returns every model, sorted by name.
 func All() []Model {
-	return []Model{allotmentsModel(), claimsModel(), documentModel(), leavingModel(), memoryModel(), ordersModel(), repeatsModel(), residenceModel(), returnsModel()}
+	return []Model{allotmentsModel(), claimsModel(), documentModel(), handoverModel(), leavingModel(), memoryModel(), ordersModel(), repeatsModel(), residenceModel(), returnsModel()}
 }
 
 // Find returns a model by name.
--- a/internal/gossip/compat_test.go
+++ b/internal/gossip/compat_test.go
@@ -35,6 +35,8 @@
 	gossip.EnsureReply{},
 	gossip.Portions{},
 	gossip.PortionsReply{},
+	gossip.HandOver{},
+	gossip.HandOverReply{},
 	gossip.Origins{},
 	gossip.OriginsReply{},
 	gossip.FindOrigin{},
--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -60,7 +60,7 @@
 		{"portions", &gossip.Portions{Part: 1, Offer: allotment.Offer{Lender: "one", Share: 0.25, Stamp: stamp}, Wants: []allotment.Want{{
 			Workspace: "w", Amount: 3.5, Min: 1.5, Urgent: true, Refused: 2.5, Returns: []allotment.Return{{ID: 9, Amount: 0.5}},
 		}}}},
-		{"portions-reply", &gossip.PortionsReply{Stamp: stamp, Grants: []allotment.Grant{{Workspace: "w", ID: 9, Amount: 3.5, Wait: 13 * time.Millisecond, Askers: 2}}}},
+		{"portions-reply", &gossip.PortionsReply{Stamp: stamp, Grants: []allotment.Grant{{Workspace: "w", ID: 9, Amount: 3.5, Wait: 13 * time.Millisecond, Askers: 2}}, Successor: &allotment.Successor{Instance: "two", Stamp: stamp}}},
 		{"origins", &gossip.Origins{Streams: []origin.Stream{{Service: "s", ID: "r1", Software: "v1"}}}},
 		{"origins-reply", &gossip.OriginsReply{}},
 		{"find-origin", &gossip.FindOrigin{Service: "s", ID: "r1"}},
@@ -79,6 +79,11 @@
 		}},
 		{"relay-open", &gossip.RelayFrame{Open: &gossip.Relay{Endpoint: "p-1", Born: 17}}},
 		{"relay-data", &gossip.RelayFrame{Outcome: "connected", Data: []byte("data")}},
+		{"hand-over", &gossip.HandOver{Part: 1, Handover: allotment.Handover{
+			Stamp: stamp, Shares: []allotment.HandedShare{{Lender: "one", Share: 0.25, Left: 51 * time.Millisecond}},
+			Accounts: []allotment.HandedAccount{{Workspace: "w", Level: 5.5, Outstanding: 6.5}},
+		}}},
+		{"hand-over-reply", &gossip.HandOverReply{Stamp: stamp, Taken: true}},
 	}
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -58,6 +58,10 @@
 	return reply, nil
 }
 
+func (handler) HandOver(_ context.Context, h *gossip.HandOver) (*gossip.HandOverReply, error) {
+	return &gossip.HandOverReply{Stamp: h.Handover.Stamp, Taken: len(h.Handover.Shares) == 1}, nil
+}
+
 func (handler) Origins(_ context.Context, o *gossip.Origins) (*gossip.OriginsReply, error) {
 	return &gossip.OriginsReply{}, nil
 }
@@ -120,6 +124,9 @@
 	portions, err := client.Portions(ctx, l.Addr().String(), &gossip.Portions{Offer: allotment.Offer{Stamp: stamp}, Wants: []allotment.Want{{Workspace: "w", Amount: 0.25}}})
 	require.NoError(t, err)
 	assert.Equal(t, &gossip.PortionsReply{Stamp: stamp, Grants: []allotment.Grant{{Workspace: "w", ID: 1 << 63, Amount: 0.25}}}, portions)
+	handed, err := client.HandOver(ctx, l.Addr().String(), &gossip.HandOver{Handover: allotment.Handover{Stamp: stamp, Shares: []allotment.HandedShare{{Share: 1}}}})
+	require.NoError(t, err)
+	assert.Equal(t, &gossip.HandOverReply{Stamp: stamp, Taken: true}, handed)
 	_, err = client.Origins(ctx, l.Addr().String(), &gossip.Origins{Streams: []origin.Stream{{Service: "s", ID: "r1", Software: "1"}}})
 	require.NoError(t, err)
 	found, err := client.FindOrigin(ctx, l.Addr().String(), &gossip.FindOrigin{Service: "s", ID: "r1"})
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -276,6 +276,21 @@
 type PortionsReply struct {
 	Stamp  allotment.Stamp   `cbor:"s"`
 	Grants []allotment.Grant `cbor:"g,omitempty"`
+	// Successor is set if the owner has handed over and grants nothing any more.
+	Successor *allotment.Successor `cbor:"u,omitempty"`
+}
+
+// HandOver has the receiver go on as the owner of a part of the allotments. Without a stamp in it, it
+// asks for one.
+type HandOver struct {
+	Part     int                `cbor:"p"`
+	Handover allotment.Handover `cbor:"h"`
+}
+
+// HandOverReply answers a HandOver.
+type HandOverReply struct {
+	Stamp allotment.Stamp `cbor:"s"`
+	Taken bool            `cbor:"t,omitempty"`
 }
 
 // Origins names streams to an instance that keeps which version of an endpoint's software began them.
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -47,6 +47,7 @@
 	Ensure(ctx context.Context, e *Ensure) (*EnsureReply, error)
 	Admit(ctx context.Context, a *Admit) (*AdmitReply, error)
 	Portions(ctx context.Context, p *Portions) (*PortionsReply, error)
+	HandOver(ctx context.Context, h *HandOver) (*HandOverReply, error)
 	Origins(ctx context.Context, o *Origins) (*OriginsReply, error)
 	FindOrigin(ctx context.Context, f *FindOrigin) (*FindOriginReply, error)
 	// Relay connects to an endpoint for a peer. The context ends with the relayed connection.
@@ -71,6 +72,7 @@
 			unaryMethod("Ensure", Handler.Ensure),
 			unaryMethod("Admit", Handler.Admit),
 			unaryMethod("Portions", Handler.Portions),
+			unaryMethod("HandOver", Handler.HandOver),
 			unaryMethod("Origins", Handler.Origins),
 			unaryMethod("FindOrigin", Handler.FindOrigin),
 		},
@@ -247,6 +249,12 @@
 	return invoke[Portions, PortionsReply](ctx, c, address, "Portions", p)
 }
 
+// HandOver has a peer go on as the owner of a part of the allotments. The error has status Unimplemented
+// if the peer runs an earlier build.
+func (c *Client) HandOver(ctx context.Context, address string, h *HandOver) (*HandOverReply, error) {
+	return invoke[HandOver, HandOverReply](ctx, c, address, "HandOver", h)
+}
+
 // Origins names streams to a peer that keeps their origins.
 func (c *Client) Origins(ctx context.Context, address string, o *Origins) (*OriginsReply, error) {
 	return invoke[Origins, OriginsReply](ctx, c, address, "Origins", o)
