allotments: lend as soon as the owner's stamp is known

Cause: an instance without demand asks the owners every 600 ms. The first question after its start, or after a change of owner, brings the stamp, and only the next one lends, so that a share could be lent up to 1.2 s late. Stops that follow soon found parts with a third of the shares.

Change: an instance that lends nothing asks in every round, and asks again at once when a reply lets it lend.

--- a/internal/core/allotment/handover_test.go
+++ b/internal/core/allotment/handover_test.go
@@ -32,3 +32,16 @@
 		assert.Zero(t, refused, "seed %d", seed)
 	}
 }
+
+// Instances lend their shares as soon as they may after their start.
+func TestSharesAreLentSoonAfterTheStart(t *testing.T) {
+	const from = allotment.LeaseTime + allotment.PortionTime + allotment.AskInterval + 50*ms
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, parts, map[string]allotment.Limit{"w": {Rate: 60, Burst: 20}})
+		s.run(from)
+		for part := range parts {
+			owner := s.nodes[s.candidate(s.nodes[0], part)]
+			assert.InDelta(t, 1, owner.accounts[part].Usable(s.now), 1e-9, "seed %d, part %d", seed, part)
+		}
+	}
+}
--- a/internal/core/allotment/lender.go
+++ b/internal/core/allotment/lender.go
@@ -17,6 +17,7 @@
 	// share may be lent to the present owner.
 	promisedUntil, lendFrom time.Duration
 	hold                    time.Duration
+	lending                 bool // the newest offer lent the share
 }
 
 // LenderOption configures a Lender under construction.
@@ -44,7 +45,8 @@
 		l.owner, l.stamp = candidate, Stamp{}
 	}
 	offer := Offer{Lender: l.self, Stamp: l.stamp}
-	if candidate == l.owner && l.stamp != (Stamp{}) && now >= l.lendFrom && now < l.stampedAt+LeaseTime {
+	l.lending = candidate == l.owner && l.stamp != (Stamp{}) && now >= l.lendFrom && now < l.stampedAt+LeaseTime
+	if l.lending {
 		offer.Share = 1 / float64(max(1, members))
 		l.promisedUntil = max(l.promisedUntil, l.stampedAt+LeaseTime+l.hold)
 	}
@@ -65,5 +67,8 @@
 	l.stamp, l.stampedAt = s, now
 }
 
+// Lending reports whether the newest offer lent the share.
+func (l *Lender) Lending() bool { return l.lending }
+
 // Incarnation returns the incarnation of the present owner, empty if it isn't known yet.
 func (l *Lender) Incarnation() string { return l.stamp.Incarnation }
--- a/internal/core/allotment/sim_test.go
+++ b/internal/core/allotment/sim_test.go
@@ -283,6 +283,11 @@
 
 // ask sends the wants of a part to its owner. The reply is handled before done is called.
 func (s *sim) ask(n *node, part int, wants []allotment.Want, done func()) {
+	s.askOnce(n, part, wants, false, done)
+}
+
+// askOnce asks, and unless it is asked again, lends at once when the reply lets it.
+func (s *sim) askOnce(n *node, part int, wants []allotment.Want, again bool, done func()) {
 	l := n.lenders[part]
 	askedAt := s.now
 	owner, offer := l.Offer(askedAt, s.nodes[s.candidate(n, part)].name, len(s.nodes))
@@ -331,6 +336,11 @@
 			for i, g := range grants {
 				n.credit(s, g.Workspace).Receive(s.now, askedAt, part, stamp.Incarnation, wants[i], g)
 			}
+			if offer.Share == 0 && !again {
+				if _, next := l.Offer(s.now, s.nodes[s.candidate(n, part)].name, len(s.nodes)); next.Share > 0 {
+					s.askOnce(n, part, nil, true, func() {})
+				}
+			}
 			finish()
 		})
 	})
@@ -382,7 +392,7 @@
 					wants = append(wants, want)
 				}
 			}
-			if len(wants) > 0 || n.rounds%2 == 0 {
+			if len(wants) > 0 || n.rounds%2 == 0 || !n.lenders[part].Lending() {
 				s.ask(n, part, wants, func() {})
 			}
 		}
--- a/internal/direct/allotment.go
+++ b/internal/direct/allotment.go
@@ -110,7 +110,7 @@
 				wants = append(wants, want)
 			}
 		}
-		if len(wants) == 0 && a.rounds%renewalRounds != 0 {
+		if len(wants) == 0 && a.rounds%renewalRounds != 0 && a.lenders[part].Lending() {
 			continue
 		}
 		if c, ok := s.portionsCall(now, part, wants); ok {
@@ -188,7 +188,7 @@
 }
 
 // receivePortions applies the reply to a call. again is set if the owner has handed over to another, which
-// the next call asks the same.
+// the next call asks the same, or if the share can be lent now that the owner's stamp is known.
 func (s *state) receivePortions(c *portionsCall, r *gossip.PortionsReply) (next portionsCall, again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,7 +209,11 @@
 			a.credit(want.Workspace).Receive(now, c.askedAt, part, r.Stamp.Incarnation, want, r.Grants[i])
 		}
 	}
-	return portionsCall{}, false
+	if c.question.Offer.Share > 0 {
+		return portionsCall{}, false
+	}
+	next, known := s.portionsCall(now, part, nil)
+	return next, known && next.question.Offer.Share > 0
 }
 
 // handOver returns what the successor of a part goes on with, once it has sent a stamp. ok is false if nothing
