--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -350,6 +350,7 @@
 	announcing, announced := context.WithDeadline(ctx, started.Add(min(addressCacheFactor*limits.Keep, finish/2)))
 	defer announced()
 	n.sendHeartbeats(announcing)
+	n.handOverAllotments(announcing)
 	n.orderLease.release(announcing)
 	<-announcing.Done()
 	ctx, cancel := context.WithDeadline(ctx, started.Add(time.Duration(float64(limits.Grace)*closeShare)))
