fix(entry): report a request as not run only if none of its attempts may have run

What callers saw: the answer to a repeatable request whose first attempt broke off and whose second was refused says 'not-run', though the first may have run. The README promises that such a request did not run.

Cause: the end of the last attempt was passed on, whatever those before had come to.

Now the end of the newest attempt that may have run is passed on in place of a refusal.

--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -81,3 +81,41 @@
 	require.Empty(t, send(1), "the requests since then earned one retry")
 	require.Equal(t, dispatch.CodeLost, send(1), "that retry is used up")
 }
+
+// scriptedDispatcher answers with one end after another, the last one again and again.
+type scriptedDispatcher struct {
+	Dispatcher
+	ends []*peerpb.End
+}
+
+func (s *scriptedDispatcher) Serve(context.Context, peer.Request, peer.Sink) *peerpb.End {
+	end := s.ends[0]
+	if len(s.ends) > 1 {
+		s.ends = s.ends[1:]
+	}
+	return end
+}
+
+// A request is reported as not run only if none of its attempts may have run.
+func TestRefusedRetryDoesNotHideAnEarlierRun(t *testing.T) {
+	lost, refused := dispatch.Fail(dispatch.CodeLost, "answer", ""), dispatch.Refuse(dispatch.CodeOverload, "queue", "", time.Second)
+	tests := []struct {
+		name      string
+		endpoints []directory.Report
+		ends      []*peerpb.End
+		want      *peerpb.End
+	}{
+		{name: "refused after a loss", endpoints: []directory.Report{{Endpoint: "e1"}, {Endpoint: "e2"}}, ends: []*peerpb.End{lost, refused}, want: lost},
+		{name: "no other endpoint after a loss", endpoints: []directory.Report{{Endpoint: "e1"}}, ends: []*peerpb.End{lost}, want: lost},
+		{name: "refused", endpoints: []directory.Report{{Endpoint: "e1"}, {Endpoint: "e2"}}, ends: []*peerpb.End{refused}, want: refused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGateway(&clock{time.Now()}, tt.endpoints...)
+			g.dispatcher, g.documents = &scriptedDispatcher{ends: tt.ends}, staticDocument{retryDocument}
+			g.budget = retry.New(retry.Burst(9), retry.Share(1), retry.Backoff(0))
+			request := peer.Request{Submit: &peerpb.Submit{Profile: "p", Model: "a"}, Body: strings.NewReader(`{"model":"a","messages":[]}`)}
+			require.Equal(t, tt.want, g.Serve(t.Context(), request, &recordingSink{}))
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,22 +124,36 @@
 }
 
 func (g *Gateway) run(ctx context.Context, p *plan, t *answerTracker) *peerpb.End {
-	var last *peerpb.End
+	var last, mayHaveRun *peerpb.End
 	for {
 		end := g.runAttempt(ctx, p, t)
 		if end.Code == dispatch.CodeNoEndpoint && last != nil {
-			return last
+			return wholeEnd(last, mayHaveRun)
 		}
 		if end.Code != "" && t.complete(p, end) {
 			return dispatch.Complete(t.assembly.Next())
 		}
 		if end.Code == "" || !g.shouldRetry(ctx, p, t, end) {
-			return end
+			return wholeEnd(end, mayHaveRun)
 		}
 		last = end
+		if !isNotRun(end) {
+			mayHaveRun = end
+		}
 	}
 }
 
+// wholeEnd returns the end of a request whose last attempt has ended, and of which an earlier one may have
+// run unless mayHaveRun is nil.
+func wholeEnd(end, mayHaveRun *peerpb.End) *peerpb.End {
+	if mayHaveRun != nil && isNotRun(end) {
+		return mayHaveRun
+	}
+	return end
+}
+
+func isNotRun(end *peerpb.End) bool { return fleet.Outcome(end.Outcome) == fleet.OutcomeNotRun }
+
 // runAttempt sends the request to one endpoint and relays its answer until it ends.
 func (g *Gateway) runAttempt(ctx context.Context, p *plan, t *answerTracker) *peerpb.End {
 	target, ok := g.choose(p)
