fix(heap): collect from 160 MB on, whatever the percentage allows

TestBytesWithoutEndAreBorne fails beside load: an instance goes over its 284 MB, which ends it with the requests of all callers.

The percentage that the pacer sets is adjusted by a cleanup that runs some time after the collection. Until then the goal is the live heap that was found, times the percentage of the one before. With gctrace (a trial, load average 50): a collection found 91 MB where the one before had found 19 MB; the next one began 0.6 s later, at 253 MB, and found 16 MB.

The runtime now has a memory limit, [limits] memory, 160 MB by default. It bounds the goal at the collection itself. It limits nothing that requests hold, and GOMEMLIMIT goes before it.

TestMemoryLimitBoundsGarbage: a goal of 338 MB for a live heap of 64 MB with the limit off, within 160 MB with it. Largest peak of TestBytesWithoutEndAreBorne: 209, 252, 229 and 246 MB in four runs and 286 and 206 MB in two trials with gctrace before, at load averages of 4 to 76; 175, 171 and 176 MB in three runs since and 172 MB in a trial with GOMEMLIMIT, at load averages of 33 to 41. Processor time was not measured.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -47,6 +47,7 @@
 func runGateway(ctx context.Context, settings *reload.Value[config.Gateway], w io.Writer) error {
 	c := settings.Get()
 	heap.SetIdlePercent()
+	heap.SetMemoryLimit(c.Limits.Memory)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	common := config.Config{Instance: c.Instance, Log: c.Log, Trace: c.Trace}
--- a/internal/heap/heap.go
+++ b/internal/heap/heap.go
@@ -35,6 +35,15 @@
 // SetIdlePercent sets the percentage of an idle process, unless GOGC is set in the environment.
 func SetIdlePercent() { percentSetter()(minPercent) }
 
+// SetMemoryLimit sets the memory from which on the process collects garbage whatever the percentage allows,
+// unless GOMEMLIMIT is set in the environment. The percentage follows a live heap that has grown only after
+// the collection that found it, late on a busy machine.
+func SetMemoryLimit(bytes int64) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(bytes)
+	}
+}
+
 // Pacer adjusts the garbage collection percentage to the load. It is safe for concurrent use.
 type Pacer struct {
 	timers     Timers
--- a/internal/heap/heap_test.go
+++ b/internal/heap/heap_test.go
@@ -78,6 +78,23 @@
 	runtime.KeepAlive(kept)
 }
 
+// A live heap that has grown must not be multiplied by the percentage of a small one before that is adjusted.
+func TestMemoryLimitBoundsGarbage(t *testing.T) {
+	const live, piece, limit = 64 * mib, 64 << 10, 160 * mib
+	defer debug.SetGCPercent(debug.SetGCPercent(maxPercent))
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	SetMemoryLimit(limit)
+	var kept [][]byte
+	for range live / piece {
+		kept = append(kept, make([]byte, piece))
+	}
+	runtime.GC()
+	sample := []metrics.Sample{{Name: "/gc/heap/goal:bytes"}}
+	metrics.Read(sample)
+	require.LessOrEqual(t, sample[0].Value.Uint64(), uint64(limit), "goal of the next collection")
+	runtime.KeepAlive(kept)
+}
+
 // The percentage follows collections while requests arrive, and not once the process is idle.
 func TestPercentFollowsCollections(t *testing.T) {
 	clock := timer.NewVirtual(time.Unix(1_000_000, 0))
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -92,6 +92,8 @@
 	Held int64
 	// Bodies is the memory in bytes of the bodies of all requests that are served at once.
 	Bodies int64
+	// Memory is the memory in bytes of the process from which on garbage is collected at once.
+	Memory int64
 }
 
 // GatewayDrain configures the graceful shutdown of an instance.
@@ -131,10 +133,11 @@
 	gatewayWatchWait    = time.Second
 	gatewayLease        = 9 * time.Second
 	gatewayAnswerTTL    = time.Second
-	gatewayMaxAnswer    = 16 << 20 // bytes
-	gatewayHeldAnswers  = 24 << 20 // bytes
-	gatewayBodies       = 32 << 20 // bytes
-	minAnswerLimit      = 1 << 20  // bytes
+	gatewayMaxAnswer    = 16 << 20  // bytes
+	gatewayHeldAnswers  = 24 << 20  // bytes
+	gatewayBodies       = 32 << 20  // bytes
+	gatewayMemory       = 160 << 20 // bytes
+	minAnswerLimit      = 1 << 20   // bytes
 	gatewayRevoke       = 5 * time.Second
 	gatewayFollow       = 12 // loads a second
 	gatewayEven         = 80 // endpoints
@@ -148,7 +151,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
-		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Memory: gatewayMemory},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
@@ -242,6 +245,7 @@
 			inifile.Size("answer", &c.Limits.Answer, minAnswerLimit),
 			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
 			inifile.Size("bodies", &c.Limits.Bodies, minAnswerLimit),
+			inifile.Size("memory", &c.Limits.Memory, minAnswerLimit),
 		}},
 		{"drain", []inifile.Field{
 			inifile.Duration("grace", &c.Drain.Grace, time.Second),
