fix(roster): keep a held removal when its entry is repeated from before it

An endpoint that has left goes on getting requests until the instance restarts.

A removal that an instance can't trust is held back. Holding one, it asks peers for all changes from before it. With two removals held, the answer has the entry of the second one's endpoint, from before its removal. That entry ended the hold as if the endpoint had registered again. The removal was never put in force, and nobody asked again.

That the entry came with the peers' changes is read in the code, not logged.

An entry now ends a hold only if the store had it after the removal.

TestHeldRemovalOutlastsEntriesFromBeforeIt: the two cases with an entry from before the removal failed before.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -236,7 +236,7 @@
 // Apply applies changes, in the store's order, up to a revision.
 func (r *Roster) Apply(now time.Time, records []Record, revision int64) {
 	for i := range records {
-		r.apply(now, &records[i])
+		r.apply(now, &records[i], records[i].Revision)
 	}
 	r.revision = max(r.revision, revision)
 }
@@ -253,7 +253,7 @@
 	listed := make(map[fleet.Endpoint]bool, len(records))
 	for i := range records {
 		listed[records[i].ID] = true
-		r.apply(now, &records[i])
+		r.apply(now, &records[i], revision)
 	}
 	for id, e := range r.endpoints {
 		if !listed[id] && e.Revision <= revision {
@@ -263,7 +263,8 @@
 	r.revision = revision
 }
 
-func (r *Roster) apply(now time.Time, c *Record) {
+// apply applies a change. The store had it as of a revision.
+func (r *Roster) apply(now time.Time, c *Record, asOf int64) {
 	known := r.endpoints[c.ID]
 	if c.Removed {
 		switch {
@@ -293,15 +294,15 @@
 	case c.Entry.Born < known.Born || c.Revision < known.Revision:
 		return
 	default:
-		if known.update(c) {
+		if known.update(c, asOf) {
 			r.changedAt = max(r.changedAt, c.Revision)
 		}
 	}
 }
 
 // update applies a newer entry and reports whether it affects where requests go, here or at a peer that
-// trusted a removal.
-func (e *Endpoint) update(c *Record) bool {
+// trusted a removal. An entry from before a removal that is held back is no sign that the endpoint is back.
+func (e *Endpoint) update(c *Record, asOf int64) bool {
 	returned := !e.missingSince.IsZero() && c.Revision > e.missingRevision
 	if returned {
 		e.Leaving = e.Leaving && e.reportedAt.IsZero()
@@ -313,7 +314,10 @@
 	}
 	leaving := e.Leaving || c.Entry.Leaving
 	e.Entry, e.listedLeaving = c.Entry, c.Entry.Leaving
-	e.Leaving, e.missingSince = leaving, time.Time{}
+	e.Leaving = leaving
+	if asOf > e.missingRevision {
+		e.missingSince = time.Time{}
+	}
 	if c.Entry.Leaving {
 		e.reportedAt = time.Time{}
 	}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -177,6 +177,34 @@
 	}
 }
 
+// A removal that is held back stays so when a peer repeats what was listed before it. A list from after it
+// shows that the endpoint is there.
+func TestHeldRemovalOutlastsEntriesFromBeforeIt(t *testing.T) {
+	tests := []struct {
+		name string
+		then func(r *roster.Roster)
+		kept bool
+	}{
+		{name: "the same entry", then: func(r *roster.Roster) { r.Apply(at(1200), []roster.Record{entry("a", 1, 1, false)}, 6) }},
+		{name: "a later one", then: func(r *roster.Roster) { r.Apply(at(1200), []roster.Record{entry("a", 1, 4, false)}, 6) }},
+		{name: "registered again", kept: true, then: func(r *roster.Roster) { r.Apply(at(1200), []roster.Record{entry("a", 1, 6, false)}, 6) }},
+		{name: "in a list", kept: true, then: func(r *roster.Roster) { r.Replace(at(1200), []roster.Record{entry("a", 1, 1, false)}, 6) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.New()
+			r.Apply(at(0), []roster.Record{entry("a", 1, 1, false)}, 1)
+			r.RecordStoreFailure(at(0))
+			r.RecordStoreSuccess(at(1000))
+			r.Apply(at(1100), []roster.Record{removed("a", 5)}, 5)
+			tt.then(r)
+			assert.Equal(t, !tt.kept, r.HoldsRemovals())
+			r.RemoveMissing(at(3300))
+			assert.Equal(t, tt.kept, r.Get("a") != nil)
+		})
+	}
+}
+
 func TestLeavingEndpointsAreRemovedDuringStoreOutage(t *testing.T) {
 	r := roster.New()
 	r.Replace(at(0), []roster.Record{entry("a", 1, 1, true)}, 1)
