Close idle connections as soon as a stopping instance serves nothing more

Cause, as far as known: from 0.9 of the grace time on nothing is served, but idle connections stayed open until the last answers had been written, at most to 0.94. A request sent in this time waits for a process that may not be scheduled, to be refused at best.

Idle connections are closed at 0.9 (http.Server.SetKeepAlivesEnabled): a later request finds its connection closed at once.

TestIdleConnectionsAreClosedBeforeTheLastAnswersEnd failed before (still open after 2 s), passes 5 of 5 with -race; TestRequestsLateInAPlannedStopAreCut, TestStopEndsWithinTheGraceTime and the tests of stops of others pass (one run).

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -66,12 +66,13 @@
 // Stop stops accepting connections, and stops the server once no request runs. At the end of serving, and
 // before idle connections are closed, lastAnswers has the handler answer all requests that have no answer
 // yet, and all that come later: Server.Shutdown alone drops requests that it reads after it was called, without
-// an answer. Answers have until the end of closing to be written.
+// an answer. Answers have until the end of closing to be written, while idle connections are closed.
 func Stop(serving, closing context.Context, l net.Listener, s *http.Server, c *Connections, lastAnswers func()) error {
 	err := l.Close()
 	sleep(serving, acceptTime)
 	c.awaitIdle(serving)
 	lastAnswers()
+	s.SetKeepAlivesEnabled(false) // closes idle connections: a request that is sent later is refused anyway
 	c.awaitIdle(closing)
 	if err != nil {
 		err = fmt.Errorf("close listener: %w", err)
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -137,3 +137,44 @@
 	_ = response.Body.Close()
 	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
 }
+
+// Once nothing more is served, an idle connection isn't kept open for as long as the last answers take: its
+// caller would send a request that waits for nothing.
+func TestIdleConnectionsAreClosedBeforeTheLastAnswersEnd(t *testing.T) {
+	var connections Connections
+	server := &http.Server{ConnState: connections.Observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			<-r.Context().Done()
+		}
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	send := func(path string) (net.Conn, *bufio.Reader) {
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = caller.Close() })
+		require.NoError(t, caller.SetDeadline(time.Now().Add(2*time.Second)))
+		_, err = io.WriteString(caller, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		return caller, bufio.NewReader(caller)
+	}
+	_, idle := send("/short")
+	response, err := http.ReadResponse(idle, nil)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	send("/long")
+	closing, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	serving, end := context.WithTimeout(closing, 300*time.Millisecond)
+	defer end()
+	group.Go(func() error {
+		err := Stop(serving, closing, listener, server, &connections, func() {})
+		return errors.Join(err, server.Close())
+	})
+	_, err = idle.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	cancel()
+	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
+}
