--- a/internal/core/allotment/handover.go
+++ b/internal/core/allotment/handover.go
@@ -8,7 +8,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 )
 
-// Handover is all that a leaving owner may still use, for its successor to go on with.
+// Handover is the state that a leaving owner passes to its successor: the shares lent to it and its credit.
 type Handover struct {
 	// Stamp is the successor's, as the owner had received it before.
 	Stamp    Stamp           `cbor:"t"`
@@ -30,7 +30,7 @@
 	Outstanding float64 `cbor:"o,omitempty"`
 }
 
-// Successor is the start of an instance that goes on with the accounts of a leaving owner.
+// Successor is the instance, at one incarnation, that has taken over the accounts of a leaving owner.
 type Successor struct {
 	Instance fleet.Instance `cbor:"i"`
 	Stamp    Stamp          `cbor:"t"`
@@ -42,8 +42,8 @@
 	return len(b.lent) > 0
 }
 
-// HandOver returns what the start of a successor that has sent a stamp goes on with. From now on the owner
-// grants and takes nothing.
+// HandOver closes the accounts and returns their state for the successor that has sent a stamp. The owner
+// neither grants nor takes anything afterwards.
 func (b *Accounts) HandOver(now time.Duration, successor Stamp) Handover {
 	b.advance(now)
 	h := Handover{Stamp: successor}
@@ -63,7 +63,8 @@
 	return h
 }
 
-// TakeOver goes on with what a leaving owner hands over. It reports false if it can't.
+// TakeOver adds the shares and the credit of a leaving owner to the accounts. It reports false if the
+// handover is for another incarnation, or these accounts are closed.
 func (b *Accounts) TakeOver(now time.Duration, h *Handover) bool {
 	b.advance(now)
 	if b.closed || h.Stamp.Incarnation != b.incarnation || h.Stamp.At > now {
@@ -99,8 +100,8 @@
 	return true
 }
 
-// Moved records that the start of the owner to which was lent has handed over to a successor, which may be
-// lent to at once: it counts what the shares have backed.
+// Moved records that the owner, at the incarnation that the share was lent to, has handed over to a successor.
+// The share may be lent there at once, since the successor counts the credit that it has backed.
 func (l *Lender) Moved(now time.Duration, owner fleet.Instance, incarnation string, to Successor) {
 	if owner != l.owner || incarnation != l.stamp.Incarnation || to.Instance == "" || to.Stamp.Incarnation == "" {
 		return
--- a/internal/core/allotment/sim_test.go
+++ b/internal/core/allotment/sim_test.go
@@ -184,7 +184,7 @@
 	s.tick(n, s.now+time.Duration(s.random.Int64N(int64(allotment.AskInterval))))
 }
 
-// leave has an instance stop as planned: others hear of it, owners hand over, and after a while it is gone.
+// leave has an instance stop as planned: it announces that, hands over what it owns, and ends after a while.
 func (s *sim) leave(n *node, gone time.Duration) {
 	s.on(n, s.now, func() {
 		n.leaving = true
--- a/internal/direct/allotment.go
+++ b/internal/direct/allotment.go
@@ -216,8 +216,8 @@
 	return next, known && next.question.Offer.Share > 0
 }
 
-// handOver returns what the successor of a part goes on with, once it has sent a stamp. ok is false if nothing
-// is lent to this instance.
+// handOver closes the accounts of a part for a successor that has sent a stamp. ok is false if nothing is lent
+// to this instance.
 func (s *state) handOver(part int, successor allotment.Stamp) (question *gossip.HandOver, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,7 +228,7 @@
 	return &gossip.HandOver{Part: part, Handover: b.HandOver(now, successor)}, true
 }
 
-// successor returns who goes on with a part that this instance owns, as it leaves.
+// successor returns the instance that takes over a part which this instance owns, as it leaves.
 func (s *state) successor(part int) (p member.Peer, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -390,7 +390,7 @@
 	return reply, err
 }
 
-// handOverAllotments has other instances go on with the parts of the allotments that this one owns.
+// handOverAllotments has other instances take over the parts of the allotments that this one owns.
 func (n *Node) handOverAllotments(ctx context.Context) {
 	var group errgroup.Group
 	for part := range allotmentParts {
@@ -448,7 +448,7 @@
 	return n.state.answerPortions(q), nil
 }
 
-// HandOver goes on as the owner of a part of the allotments for an instance that leaves.
+// HandOver takes over a part of the allotments from an instance that leaves.
 func (n *Node) HandOver(_ context.Context, q *gossip.HandOver) (*gossip.HandOverReply, error) {
 	return n.state.takeOver(q), nil
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -280,8 +280,8 @@
 	Successor *allotment.Successor `cbor:"u,omitempty"`
 }
 
-// HandOver has the receiver go on as the owner of a part of the allotments. Without a stamp in it, it
-// asks for one.
+// HandOver has the receiver take over a part of the allotments as its owner. One without a stamp asks for the
+// receiver's.
 type HandOver struct {
 	Part     int                `cbor:"p"`
 	Handover allotment.Handover `cbor:"h"`
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -249,7 +249,7 @@
 	return invoke[Portions, PortionsReply](ctx, c, address, "Portions", p)
 }
 
-// HandOver has a peer go on as the owner of a part of the allotments. The error has status Unimplemented
+// HandOver has a peer take over a part of the allotments as its owner. The error has status Unimplemented
 // if the peer runs an earlier build.
 func (c *Client) HandOver(ctx context.Context, address string, h *HandOver) (*HandOverReply, error) {
 	return invoke[HandOver, HandOverReply](ctx, c, address, "HandOver", h)
