fix(gateway): hold requests that are read late in a stop to their time limit

Cause: whether a request is passed on was decided by how long others took lately, also when callers could no longer have the address; endpoints that become slower meanwhile make the estimate wrong. Change: a request that was read after callers' addresses have expired is passed on only if its time limit ends before connections are closed. This can't be wrong: such a request has an answer, or reaches its limit, in time. Earlier ones are estimated as before.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
@@ -194,12 +195,11 @@
 	s.view.ApplyList(now, peers)
 }
 
-// leave marks this instance as leaving, which is irreversible. It closes its callers' connections at the
-// given time.
-func (s *state) leave(closes time.Time) {
+// leave marks this instance as leaving, which is irreversible.
+func (s *state) leave(plan shutdown.Plan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving, s.closes = true, closes
+	s.leaving, s.shutdown = true, plan
 	s.view.Leave()
 }
 
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -20,6 +20,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/balance"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/core/tenure"
 	"github.com/chiveramp/chiveramp/internal/core/transfer"
 	"github.com/chiveramp/chiveramp/internal/drain"
@@ -346,8 +347,9 @@
 	started, limits := n.clock(), n.settings.Get().Drain
 	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace)
 	finish := time.Duration(float64(limits.Grace) * drainShare)
-	n.state.leave(started.Add(finish))
-	announcing, announced := context.WithDeadline(ctx, started.Add(min(addressCacheFactor*limits.Keep, finish/2)))
+	expired := started.Add(min(addressCacheFactor*limits.Keep, finish/2))
+	n.state.leave(shutdown.Plan{Expired: expired, Closes: started.Add(finish)})
+	announcing, announced := context.WithDeadline(ctx, expired)
 	defer announced()
 	n.sendHeartbeats(announcing)
 	n.handOverAllotments(announcing)
--- a/internal/direct/path_test.go
+++ b/internal/direct/path_test.go
@@ -15,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 )
 
@@ -158,7 +159,7 @@
 	n.dialDirect = func(context.Context, fleet.Endpoint, int64, string) (net.Conn, error) { return near, nil }
 	conn, err := n.Relay(t.Context(), &gossip.Relay{Endpoint: "p", Born: 3})
 	require.NoError(t, err)
-	n.state.leave(n.clock().Add(time.Second))
+	n.state.leave(shutdown.Plan{Closes: n.clock().Add(time.Second)})
 	_, err = n.Relay(t.Context(), &gossip.Relay{Endpoint: "p", Born: 3})
 	require.ErrorIs(t, err, gossip.ErrRelayBusy)
 	assert.EqualValues(t, 1, n.relayed.Load(), "the connection that was open before stays")
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -27,6 +27,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/path"
 	"github.com/chiveramp/chiveramp/internal/core/recency"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
@@ -117,7 +118,7 @@
 	departures  []departure
 	departed    map[incarnation]bool
 	leaving     bool
-	closes      time.Time // when callers' connections are closed, while leaving
+	shutdown    shutdown.Plan // while leaving
 	mayOrder    bool
 	fence       fleet.Fence
 	retirements []retirement
@@ -502,11 +503,11 @@
 	s.roster.RecordPresence(s.clock(), id, adapter, present)
 }
 
-// Leaving reports whether this instance is shutting down, and when it closes its callers' connections.
-func (s *state) Leaving() (closes time.Time, leaving bool) {
+// Leaving reports whether this instance is shutting down, and its plan for that.
+func (s *state) Leaving() (plan shutdown.Plan, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closes, s.leaving
+	return s.shutdown, s.leaving
 }
 
 // updateMeanWork adds a request to the moving average of the work of its rank and returns
--- a/internal/direct/state_test.go
+++ b/internal/direct/state_test.go
@@ -17,6 +17,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
@@ -337,7 +338,7 @@
 	}
 	assert.Empty(t, s.addresses(fleet.Place{Region: "south"}, "a:2", false))
 	assert.Equal(t, []string{"a:2"}, s.addresses(fleet.Place{Region: "south"}, "a:2", true))
-	s.leave(s.clock())
+	s.leave(shutdown.Plan{})
 	assert.Empty(t, s.addresses(fleet.Place{Region: "south"}, "a:2", true))
 }
 
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
@@ -27,7 +28,7 @@
 	codec      Codec
 	clock      Clock
 	arrived    time.Time
-	leaving    func() (closes time.Time, leaving bool) // whether the instance is shutting down
+	leaving    func() (plan shutdown.Plan, leaving bool) // whether the instance is shutting down
 
 	mu       sync.Mutex
 	attempts []*attempt // in flight, those that were superseded too
@@ -171,7 +172,7 @@
 
 // closeIfLeaving has the connection closed after the answer if the instance is shutting down, so that the
 // caller uses it for no further request.
-func closeIfLeaving(w http.ResponseWriter, leaving func() (closes time.Time, leaving bool)) {
+func closeIfLeaving(w http.ResponseWriter, leaving func() (plan shutdown.Plan, leaving bool)) {
 	if _, leaves := leaving(); leaves {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,7 @@
 		g.refuseRead(w, r, request, err)
 		return
 	}
+	read := g.clock()
 	route, version, err := g.fleet.Route(request.Host, request.Path)
 	if err != nil {
 		g.refuseRoute(w, request, err)
@@ -158,7 +159,7 @@
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
 	j := &job{
-		gateway: g, request: request, route: route, version: version, arrived: arrived, active: active, connection: connectionOf(r.Context()),
+		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: connectionOf(r.Context()),
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, leaving: g.fleet.Leaving, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/origin"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/timer"
@@ -59,7 +60,7 @@
 	prefill                          time.Duration          // of each prompt at an endpoint
 	lostFrom                         map[fleet.Endpoint]int // the check from which on an endpoint can't take requests
 	targetChecks                     map[fleet.Endpoint]int
-	closes                           time.Time // when the instance closes its callers' connections, 0 if it isn't shutting down
+	shutdown                         shutdown.Plan // empty if the instance isn't shutting down
 }
 
 type question struct {
@@ -267,10 +268,10 @@
 
 func (f *fakeFleet) Missing(gateway.Target, fleet.Model, fleet.Adapter) {}
 
-func (f *fakeFleet) Leaving() (time.Time, bool) {
+func (f *fakeFleet) Leaving() (shutdown.Plan, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.closes, !f.closes.IsZero()
+	return f.shutdown, !f.shutdown.Closes.IsZero()
 }
 
 func (f *fakeFleet) Limits() catalog.Limits { return catalog.Limits{MaxBodyBytes: 1 << 10} }
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -16,7 +16,10 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
 	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 )
 
 // The beginning of an answer must not be taken for the whole, and what was read must not be lost
@@ -141,7 +144,7 @@
 		t.Run(fmt.Sprint("complete ", complete), func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			caller := &stuckCaller{ResponseWriter: httptest.NewRecorder(), takes: 300 << 10}
-			d := &delivery{writer: caller, controller: http.NewResponseController(caller), codec: noHeaders{}, clock: func() time.Time { return now }, leaving: func() (time.Time, bool) { return time.Time{}, false }}
+			d := &delivery{writer: caller, controller: http.NewResponseController(caller), codec: noHeaders{}, clock: func() time.Time { return now }, leaving: func() (shutdown.Plan, bool) { return shutdown.Plan{}, false }}
 			h := newHeldAnswer(&heldMemory{limit: 2 << 20})
 			defer h.release()
 			_, err := h.fill(strings.NewReader(strings.Repeat("x", 1<<20)), 2<<20)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -37,6 +37,7 @@
 	service  catalog.Service
 	query    balance.Request
 	arrived  time.Time
+	read     time.Time // when its body was read whole
 	active   *activeRequest
 	delivery *delivery
 	// connection is the caller's.
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -16,6 +16,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/credential"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
 )
 
@@ -314,9 +315,8 @@
 	// Missing records that the endpoint doesn't have the model or adapter that Choose expected
 	// there.
 	Missing(t Target, m fleet.Model, a fleet.Adapter)
-	// Leaving reports whether the instance is shutting down, and when it closes the connections of
-	// its callers.
-	Leaving() (closes time.Time, leaving bool)
+	// Leaving reports whether the instance is shutting down, and its plan for that.
+	Leaving() (plan shutdown.Plan, leaving bool)
 	// Limits returns the limits on callers' requests.
 	Limits() catalog.Limits
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -19,11 +19,11 @@
 // checkShutdown returns ErrShutdown if the instance is shutting down and would cut the request. One whose
 // answer has begun goes on, since its rest may still be in time.
 func (j *job) checkShutdown(ctx context.Context) error {
-	closes, leaving := j.gateway.fleet.Leaving()
+	plan, leaving := j.gateway.fleet.Leaving()
 	if !leaving || j.delivery.begun() || switches.Off(switches.ShutdownCheck) {
 		return nil
 	}
-	if now := j.gateway.clock(); now.Add(j.needs(ctx, now)).After(closes) {
+	if now := j.gateway.clock(); now.Add(j.needs(ctx, plan, now)).After(plan.Closes) {
 		return ErrShutdown
 	}
 	return nil
@@ -31,8 +31,11 @@
 
 // needs returns how long the request may take once it is sent: at most until its caller has waited long
 // enough.
-func (j *job) needs(ctx context.Context, now time.Time) time.Duration {
+func (j *job) needs(ctx context.Context, plan shutdown.Plan, now time.Time) time.Duration {
 	need := j.timeLeft(ctx)
+	if !plan.Estimates(j.read) {
+		return need
+	}
 	if allowance, ok := j.gateway.allowance(now, j); ok {
 		need = min(need, allowance+j.connection.readTime())
 	}
@@ -41,12 +44,12 @@
 
 // waitBeforeShutdown limits how long the request may wait, so that it can end before the instance does.
 func (j *job) waitBeforeShutdown(ctx context.Context, wait time.Duration) time.Duration {
-	closes, leaving := j.gateway.fleet.Leaving()
+	plan, leaving := j.gateway.fleet.Leaving()
 	if !leaving {
 		return wait
 	}
 	now := j.gateway.clock()
-	return min(wait, closes.Sub(now)-j.needs(ctx, now))
+	return min(wait, plan.Closes.Sub(now)-j.needs(ctx, plan, now))
 }
 
 // EndUnanswered answers the requests that have no part of an answer, and all that come later, before their
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -14,16 +14,20 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/core/shutdown"
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/platform"
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
-// shutDownIn has the instance close its callers' connections after a time.
-func (f *fakeFleet) shutDownIn(d time.Duration) {
+// shutDownIn has the instance close its callers' connections after a time, and callers' addresses expire then.
+func (f *fakeFleet) shutDownIn(d time.Duration) { f.shutDown(d, d) }
+
+// shutDown has callers' addresses expire and the instance close its callers' connections after some time.
+func (f *fakeFleet) shutDown(expired, closes time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.closes = time.Now().Add(d)
+	f.shutdown = shutdown.Plan{Expired: time.Now().Add(expired), Closes: time.Now().Add(closes)}
 }
 
 // An instance that is shutting down refuses a request that it would cut, before an endpoint gets it, and
@@ -38,8 +42,11 @@
 		served     int // requests before the signal
 		closes     time.Duration
 		wait       string // the caller's
+		expired    bool   // callers' addresses have expired
 		wantStatus int
 	}{
+		{name: "short, addresses have expired", kind: catalog.KindSafe, served: 2, closes: 1400 * ms, expired: true, wantStatus: http.StatusServiceUnavailable},
+		{name: "short, its caller waits for less, addresses have expired", kind: catalog.KindSafe, closes: 1400 * ms, wait: "1000", expired: true, wantStatus: http.StatusOK},
 		{name: "short, none before", kind: catalog.KindSafe, closes: 1400 * ms, wantStatus: http.StatusServiceUnavailable},
 		{name: "short, its caller waits for less", kind: catalog.KindSafe, closes: 1400 * ms, wait: "1000", wantStatus: http.StatusOK},
 		{name: "short, some before", kind: catalog.KindSafe, served: 2, closes: 500 * ms, wantStatus: http.StatusOK},
@@ -57,7 +64,11 @@
 				require.NoError(t, err)
 				require.Equal(t, http.StatusOK, r.status)
 			}
-			f.shutDownIn(tt.closes)
+			expired := tt.closes
+			if tt.expired {
+				expired = 0
+			}
+			f.shutDown(expired, tt.closes)
 			if tt.wait != "" {
 				header[standin.Wait] = tt.wait
 			}
