fix(gateway): no empty 200 to a body that a planned stop ends in its trailer

Callers whose body in chunks had arrived up to its last chunk, but not its very end, as a planned stop answered all that had no answer, got "200 OK" with an empty body that no endpoint had sent.

EndUnanswered ends a body that is arriving by a read deadline in the past. Within the trailer net/http returns an error of its own ("unexpected EOF reading trailer") instead of that of the deadline, so the gateway took the caller for disconnected and returned without an answer, for which net/http writes a 200. Each error of a connection cancels the request's context; together with the stop that is what is asked now: such a request is refused with 503 and Retry-After.

Looked at beside it, and ruled out: a stop between the last byte of a body and the beginning of its request (the deadline meets net/http's background read and cancels the context) ends with 503 on the former code too, 20 of 20 runs with bodies of a length, in chunks and none (TestStopAfterTheEndOfABody stays).

TestStopAtTheEndOfABody failed in the three cases within the trailer (200, no Retry-After) and passes 20 of 20 times.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -237,7 +236,7 @@
 		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, defaultRetryAfter
 		defer discardBody(w, r)
 	case errors.Is(err, ErrMalformed):
-	case errors.Is(err, ErrShutdown), errors.Is(err, os.ErrDeadlineExceeded) && g.active.hasEnded():
+	case errors.Is(err, ErrShutdown), r.Context().Err() != nil && g.active.hasEnded(): // net/http has other errors for the end of a body
 		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, ErrShutdown.Error(), shutdownRetryAfter
 	case r.Context().Err() != nil:
 		return // the caller has disconnected
