fix(gateway): no 200 to a caller whose body breaks off

A caller that ended its side of the connection within a body, and still read, got "200 OK" with an empty body that no endpoint had sent: the gateway returned without an answer, for which net/http writes a success. The connection is closed without an answer now.

TestBrokenOffBodyIsNoSuccess failed for a body of a length and one in chunks.

--- a/internal/gateway/broken_body_test.go
+++ b/internal/gateway/broken_body_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// A caller that ends its side of the connection within a body gets no success.
+func TestBrokenOffBodyIsNoSuccess(t *testing.T) {
+	for _, text := range []string{"Content-Length: 2\r\n\r\na", "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n"} {
+		f := newFleet(t, catalog.KindUnsafe, standin.BehaviourNone)
+		g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now)
+		conn := open(t, g, "POST /x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: r1\r\n"+text)
+		require.NoError(t, conn.CloseWrite())
+		answer, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		assert.Empty(t, string(answer))
+	}
+}
+
 // open sends a text to a gateway on a new connection.
 func open(t *testing.T, g *gateway.Gateway, text string) *net.TCPConn {
 	t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,8 +238,8 @@
 	case errors.Is(err, ErrMalformed):
 	case errors.Is(err, ErrShutdown), r.Context().Err() != nil && g.active.hasEnded(): // net/http has other errors for the end of a body
 		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, ErrShutdown.Error(), shutdownRetryAfter
-	case r.Context().Err() != nil:
-		return // the caller has disconnected
+	case r.Context().Err() != nil: // the caller has disconnected, perhaps only its side for sending
+		panic(http.ErrAbortHandler) // else net/http writes a success
 	}
 	_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "err", err)
 	g.refuse(w, refusal)
