feat(gateway): log why a failed request is not sent to another endpoint

Callers saw all of five streams end as their endpoint closed its connections, though the route may be resumed and another endpoint has the model. The log didn't say why: step=end has the failure of the attempt only.

Cause: the retry budget. With the defaults (share 0.1, extra 10, three instances) an instance has no allowance in the first window after its start, and 0.6 x (0.1 x requests + 10/3) retries later.

The budget stays as it is: its bound is over all instances, and holds through a restart. step=end names the reason in 'denied'.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -61,6 +61,7 @@
 	predictedWait time.Duration // predicted wait with which the request was refused
 	adapterOrders int           // number of adapter loads ordered for the request
 	failure       error
+	denied        retryDenial // of the last failed attempt
 
 	queueing queueing
 
@@ -114,7 +115,7 @@
 	if r.askAgain > 0 {
 		j.awaitTurn(ctx, r)
 	}
-	if !j.mayRetry(ctx) {
+	if j.denied = j.denyRetry(ctx); j.denied != "" {
 		j.giveUp(ctx, j.failure)
 		return true
 	}
@@ -265,24 +266,44 @@
 	j.giveUp(ctx, err)
 }
 
-// mayRetry decides whether a failed request may be sent to another endpoint.
-func (j *job) mayRetry(ctx context.Context) bool {
+// retryDenial is why a failed request is not sent to another endpoint.
+type retryDenial string
+
+const (
+	deniedTime       retryDenial = "time"       // the caller has left or too little time is left
+	deniedKey        retryDenial = "key"        // its key is no longer valid
+	deniedOnce       retryDenial = "once"       // it may have run, and may run once only
+	deniedUnnumbered retryDenial = "unnumbered" // its stream has events without ids
+	deniedTries      retryDenial = "tries"      // enough endpoints were chosen
+	deniedCrash      retryDenial = "crash"      // it may crash endpoints
+	deniedAttempts   retryDenial = "attempts"   // it was sent as often as its route allows
+	deniedBudget     retryDenial = "budget"     // no retry is left in the budget
+)
+
+// denyRetry returns why a failed request may not be sent to another endpoint, empty if it may.
+func (j *job) denyRetry(ctx context.Context) retryDenial {
 	timeLeft := j.timeLeft(ctx)
 	switch {
-	case ctx.Err() != nil || timeLeft < minTimeLeft || errors.Is(j.failure, ErrKeyLapsed) || errors.Is(j.failure, ErrTooLate):
-		return false
+	case ctx.Err() != nil || timeLeft < minTimeLeft || errors.Is(j.failure, ErrTooLate):
+		return deniedTime
+	case errors.Is(j.failure, ErrKeyLapsed):
+		return deniedKey
 	case j.mayHaveRun && !j.route.Repeatable() && !switches.Off(switches.AtMostOnce):
-		return false
+		return deniedOnce
 	case !j.delivery.mayContinue():
-		return false
-	case j.tries >= j.maxTries(), mayCrash(j.failure):
-		return false
+		return deniedUnnumbered
+	case j.tries >= j.maxTries():
+		return deniedTries
+	case mayCrash(j.failure):
+		return deniedCrash
 	case j.sent.Load() == 0:
-		return true // no endpoint has received the request yet
+		return "" // no endpoint has received the request yet
 	case !j.maySend():
-		return false
+		return deniedAttempts
+	case !j.takeRetry():
+		return deniedBudget
 	default:
-		return j.takeRetry()
+		return ""
 	}
 }
 
@@ -364,5 +385,5 @@
 	}
 	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter, "resumes", j.request.Resumes,
 		"status", d.status, "endpoint", j.target.ID, "software", j.target.Software, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
-		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "yields", j.queueing.yields, "return", j.queueing.comeBack, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "err", j.failure)
+		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "yields", j.queueing.yields, "return", j.queueing.comeBack, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "denied", string(j.denied), "err", j.failure)
 }
