fix(telemetry): end beside a log reader that has stopped

An instance whose log goes to a pipe that nothing reads did not end after a planned stop: the last lines are written with a write that blocks, and the daemon waited for it until it was killed.

The wait has a limit of 200 ms now, of which the queued lines have 150 (200 before).

TestBoundedWriterEndsBesideAStoppedReader failed before (waited 10 s).

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -13,8 +13,10 @@
 const (
 	// maxQueuedLines is how many lines are queued for a slow writer.
 	maxQueuedLines = 4096
-	// flushTimeout limits how long the queued lines are written after the context ends.
-	flushTimeout = 200 * time.Millisecond
+	// flushTimeout limits how long the queued lines are written after the context ends, endTimeout how
+	// long that is waited for if a write blocks.
+	flushTimeout = 150 * time.Millisecond
+	endTimeout   = 200 * time.Millisecond
 )
 
 // BoundedWriter is a line writer that never blocks. It queues lines, and drops and counts them
@@ -22,15 +24,29 @@
 type BoundedWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	writing errgroup.Group
 }
 
-// NewBoundedWriter returns a writer that copies its lines to w until the context ends.
+// NewBoundedWriter returns a writer that copies its lines to w until the context ends. The group waits for
+// the queued lines for a limited time.
 func NewBoundedWriter(ctx context.Context, w io.Writer, group *errgroup.Group) *BoundedWriter {
 	b := &BoundedWriter{lines: make(chan []byte, maxQueuedLines)}
-	group.Go(func() error {
+	ended := make(chan struct{})
+	b.writing.Go(func() error {
+		defer close(ended)
 		b.run(ctx, w)
 		return nil
 	})
+	group.Go(func() error {
+		<-ctx.Done()
+		timeout, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+		defer cancel()
+		select {
+		case <-ended:
+		case <-timeout.Done(): // a write blocks
+		}
+		return nil
+	})
 	return b
 }
 
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -52,3 +52,22 @@
 	assert.Equal(t, "one\ntwo\n", out.String())
 	assert.Zero(t, b.Dropped())
 }
+
+// A reader that has stopped does not keep the process from ending.
+func TestBoundedWriterEndsBesideAStoppedReader(t *testing.T) {
+	reader, writer := io.Pipe() // never read from
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	b := telemetry.NewBoundedWriter(ctx, writer, &group)
+	_, _ = b.Write([]byte("line\n"))
+	cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(10 * time.Second):
+		t.Error("the end waits for the reader")
+	}
+	require.NoError(t, reader.Close())
+}
