fix(telemetry): keep warnings and the newest lines of a full log

What was dropped was reported only once the queue was empty, at the exit never.

A full queue drops its older half now, ordinary lines before warnings. At the exit warnings and the 32 newest lines go before the others, and what is left after 150 ms is counted in a last line.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -1,9 +1,12 @@
 package telemetry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,24 +16,40 @@
 const (
 	// maxQueuedLines is how many lines are queued for a slow writer.
 	maxQueuedLines = 4096
+	// newestLines is how many lines at the end of the queue are among those written first after the
+	// context ends.
+	newestLines = 32
 	// flushTimeout limits how long the queued lines are written after the context ends, endTimeout how
 	// long that is waited for if a write blocks.
 	flushTimeout = 150 * time.Millisecond
 	endTimeout   = 200 * time.Millisecond
 )
 
-// BoundedWriter is a line writer that never blocks. It queues lines, and drops and counts them
-// when the queue is full.
+// Lines of warnings and errors begin with one of warningStarts in logfmt, and contain one of warningFields in
+// JSON, which escapes the quotes in values.
+var (
+	warningStarts = [][]byte{[]byte("level=warn "), []byte("level=error ")}
+	warningFields = [][]byte{[]byte(`"level":"warn"`), []byte(`"level":"error"`)}
+)
+
+// BoundedWriter is a line writer that never blocks. It queues lines, and when the queue is full it drops
+// and counts some: the oldest, and warnings last.
 type BoundedWriter struct {
-	lines   chan []byte
+	queued  chan struct{} // has an element if a line was queued
 	dropped atomic.Int64
-	writing errgroup.Group
+
+	mu    sync.Mutex
+	lines [][]byte
+	next  int // of the lines to be written
+
+	writing  errgroup.Group
+	reported int64 // of the dropped lines; belongs to the goroutine that writes
 }
 
 // NewBoundedWriter returns a writer that copies its lines to w until the context ends. The group waits for
 // the queued lines for a limited time.
 func NewBoundedWriter(ctx context.Context, w io.Writer, group *errgroup.Group) *BoundedWriter {
-	b := &BoundedWriter{lines: make(chan []byte, maxQueuedLines)}
+	b := &BoundedWriter{queued: make(chan struct{}, 1)}
 	ended := make(chan struct{})
 	b.writing.Go(func() error {
 		defer close(ended)
@@ -50,12 +69,17 @@
 	return b
 }
 
-// Write queues one line, or drops it if the queue is full. It never returns an error.
+// Write queues one line. It never returns an error.
 func (b *BoundedWriter) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.lines)-b.next >= maxQueuedLines {
+		b.makeRoom()
+	}
+	b.lines = append(b.lines, bytes.Clone(line))
 	select {
-	case b.lines <- append([]byte(nil), line...):
+	case b.queued <- struct{}{}:
 	default:
-		b.dropped.Add(1)
 	}
 	return len(line), nil
 }
@@ -63,32 +87,97 @@
 // Dropped returns the number of dropped lines.
 func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
 
+// makeRoom drops half of the queue.
+func (b *BoundedWriter) makeRoom() {
+	excess := maxQueuedLines / 2
+	b.dropped.Add(int64(excess))
+	lines := slices.DeleteFunc(b.lines[b.next:], func(line []byte) bool {
+		if excess == 0 || isWarning(line) {
+			return false
+		}
+		excess--
+		return true
+	})
+	b.lines, b.next = lines, excess
+}
+
+// isWarning reports whether a line is one of a warning or an error.
+func isWarning(line []byte) bool {
+	return slices.ContainsFunc(warningStarts, func(mark []byte) bool { return bytes.HasPrefix(line, mark) }) ||
+		slices.ContainsFunc(warningFields, func(mark []byte) bool { return bytes.Contains(line, mark) })
+}
+
 func (b *BoundedWriter) run(ctx context.Context, w io.Writer) {
-	reported := int64(0)
-	for {
+	for ctx.Err() == nil {
 		select {
-		case line := <-b.lines:
-			_, _ = w.Write(line) // a failed log write can't be reported anywhere else
+		case <-b.queued:
+			b.writeUntilEnd(ctx, w)
 		case <-ctx.Done():
-			b.flush(w)
-			return
-		}
-		if n := b.Dropped(); n > reported && len(b.lines) == 0 {
-			_, _ = fmt.Fprintf(w, "level=warn step=log dropped=%d\n", n-reported)
-			reported = n
 		}
 	}
+	b.flush(w)
 }
 
+// flush writes the queued lines for a limited time, and how many are left.
 func (b *BoundedWriter) flush(w io.Writer) {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
+	b.putImportantFirst()
+	b.writeUntilEnd(ctx, w)
+	b.mu.Lock()
+	b.dropped.Add(int64(len(b.lines) - b.next))
+	b.lines, b.next = nil, 0
+	b.mu.Unlock()
+	b.reportDropped(w)
+}
+
+// putImportantFirst moves the warnings and the newest lines before the others.
+func (b *BoundedWriter) putImportantFirst() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lines := b.lines[b.next:]
+	first, others := make([][]byte, 0, len(lines)), make([][]byte, 0, len(lines))
+	for i, line := range lines {
+		if i >= len(lines)-newestLines || isWarning(line) {
+			first = append(first, line)
+		} else {
+			others = append(others, line)
+		}
+	}
+	b.lines, b.next = slices.Concat(first, others), 0
+}
+
+// writeUntilEnd writes the queued lines until the context ends.
+func (b *BoundedWriter) writeUntilEnd(ctx context.Context, w io.Writer) {
 	for ctx.Err() == nil {
-		select {
-		case line := <-b.lines:
-			_, _ = w.Write(line)
-		default:
+		line, ok := b.take()
+		if !ok {
 			return
 		}
+		b.reportDropped(w)
+		_, _ = w.Write(line) // a failed log write can't be reported anywhere else
+	}
+}
+
+// take removes the next line from the queue. ok is false if there is none.
+func (b *BoundedWriter) take() (line []byte, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next == len(b.lines) {
+		b.lines, b.next = b.lines[:0], 0
+		return nil, false
+	}
+	line, b.lines[b.next] = b.lines[b.next], nil
+	if b.next++; b.next == maxQueuedLines {
+		b.lines, b.next = slices.Delete(b.lines, 0, b.next), 0
+	}
+	return line, true
+}
+
+// reportDropped writes how many lines were dropped since it was last reported.
+func (b *BoundedWriter) reportDropped(w io.Writer) {
+	if n := b.Dropped(); n > b.reported {
+		_, _ = fmt.Fprintf(w, "level=warn step=log dropped=%d\n", n-b.reported)
+		b.reported = n
 	}
 }
