fix(gateway): the rest of a refused body is read for a limited time

Callers whose request was refused while its body was arriving kept the connection and its goroutine for as long as they liked: for want of memory the gateway read up to 4 MB more without a limit in time; for a malformed head net/http read the rest before it sent the 400, which came only after that. And net/http panicked ("invalid concurrent Body.Read call", recovered, 16 lines of log each) where a caller closed its connection while its body was discarded: in full duplex a body that is closed after a failed read can start a second read of the connection.

Such a rest is read for 5 s and 4 MB at most now, by a read deadline which also binds net/http. A body over the limit gets its 413 the same way. The connection is closed afterwards, so that nothing is read from it again. A planned stop is left as it was.

TestRestOfARefusedBodyIsReadForALimitedTime failed in all five cases: two without an answer within 5 s, two with a connection that stayed open, all without "Connection: close".

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 )
 
 // defaultBodyBytes limits the memory of the bodies of all requests.
@@ -13,12 +14,18 @@
 // firstBodyBytes is what is taken for a body before any of it has arrived.
 const firstBodyBytes = 16 << 10
 
+// defaultDiscardTime limits for how long the rest of a refused body is read.
+const defaultDiscardTime = 5 * time.Second
+
 // errNoBodyMemory is returned if the memory for bodies is used up.
 var errNoBodyMemory = errors.New("no memory left to hold the body")
 
 // WithBodyMemory limits the memory of the bodies of all requests that are served at once.
 func WithBodyMemory(bytes int64) Option { return func(g *Gateway) { g.bodies.limit = bytes } }
 
+// WithDiscardTime limits for how long the rest of a refused body is read, so that its caller sees the answer.
+func WithDiscardTime(d time.Duration) Option { return func(g *Gateway) { g.discardTime = d } }
+
 // readBody reads a body of a length, negative if it isn't known, up to a limit. It takes memory as the bytes
 // arrive, so that callers which state a long body and send nothing keep out nobody. It reads nothing of
 // a body that there is no memory for at present.
@@ -57,7 +64,8 @@
 }
 
 // discardBody sends a refusal, and then reads the body without holding it: many callers read nothing
-// before they have sent everything, and would see a connection that is reset.
+// before they have sent everything, and would see a connection that is reset. The connection is closed
+// afterwards, since net/http may read beyond a body that it closes in full duplex.
 func discardBody(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Expect") != "" {
 		return // the caller sends no body after the refusal
@@ -68,3 +76,8 @@
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
 }
+
+// limitDiscard limits for how long the rest of a refused body is read, by the gateway or by net/http.
+func (g *Gateway) limitDiscard(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(g.clock().Add(g.discardTime)) // it can't fail for a server's connection
+}
--- a/internal/gateway/broken_body_test.go
+++ b/internal/gateway/broken_body_test.go
@@ -41,9 +41,9 @@
 			require.Eventually(t, func() bool { return len(g.Active()) == 1 }, time.Second, time.Millisecond)
 			time.Sleep(20 * time.Millisecond) // until its body is being read
 			g.EndUnanswered()
-			status, header := readAnswer(t, conn)
-			assert.Equal(t, http.StatusServiceUnavailable, status)
-			assert.NotEmpty(t, header.Get("Retry-After"))
+			got := readAnswer(t, conn)
+			assert.Equal(t, http.StatusServiceUnavailable, got.status)
+			assert.NotEmpty(t, got.header.Get("Retry-After"))
 			assert.Zero(t, f.runs())
 		})
 	}
@@ -68,8 +68,7 @@
 		g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now)
 		f.end = g.EndUnanswered
 		conn := open(t, g, "POST /x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: r1\r\n"+text)
-		status, _ := readAnswer(t, conn)
-		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Equal(t, http.StatusServiceUnavailable, readAnswer(t, conn).status)
 		assert.Zero(t, f.runs())
 	}
 }
@@ -101,11 +100,18 @@
 	return conn.(*net.TCPConn)
 }
 
+// answerHead is the head of an answer. closes is set if its connection takes no further request.
+type answerHead struct {
+	status int
+	header http.Header
+	closes bool
+}
+
 // readAnswer reads an answer whose body doesn't matter.
-func readAnswer(t *testing.T, conn net.Conn) (status int, header http.Header) {
+func readAnswer(t *testing.T, conn net.Conn) answerHead {
 	t.Helper()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
-	return response.StatusCode, response.Header
+	return answerHead{response.StatusCode, response.Header, response.Close}
 }
--- /dev/null
+++ b/internal/gateway/discard_test.go
@@ -0,0 +1,51 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/core/catalog"
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/gateway"
+	"github.com/chiveramp/chiveramp/platform"
+	"github.com/chiveramp/chiveramp/platform/standin"
+)
+
+// A caller whose request is refused gets the whole answer at once. What it still sends is read for a limited
+// time, which a caller that sends nothing more can't stretch.
+func TestRestOfARefusedBodyIsReadForALimitedTime(t *testing.T) {
+	const id = "Request-Id: r1\r\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<20+1, strings.Repeat("b", 1<<20+1))
+	tests := []struct {
+		name, text string
+		wantStatus int
+	}{
+		{name: "no memory", text: id + "Content-Length: 900000\r\n\r\nb", wantStatus: http.StatusServiceUnavailable},
+		{name: "no memory, in chunks", text: id + "Transfer-Encoding: chunked\r\n\r\n" + chunk[:900000], wantStatus: http.StatusServiceUnavailable},
+		{name: "too large", text: id + "Content-Length: 9000000\r\n\r\nb", wantStatus: http.StatusRequestEntityTooLarge},
+		{name: "malformed", text: "Content-Length: 9\r\n\r\nb", wantStatus: http.StatusBadRequest},
+		{name: "malformed, in chunks", text: "Transfer-Encoding: chunked\r\n\r\n1\r\n", wantStatus: http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindUnsafe, standin.BehaviourNone)
+			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), largeBodies{f}, time.Now,
+				gateway.WithBodyMemory(1<<20), gateway.WithDiscardTime(100*time.Millisecond))
+			conn := open(t, g, "POST /x HTTP/1.1\r\nHost: board.example\r\n"+tt.text)
+			got := readAnswer(t, conn)
+			assert.Equal(t, tt.wantStatus, got.status)
+			assert.True(t, got.closes)
+			assert.NotEmpty(t, got.header.Get("Content-Length"), "the answer is whole")
+			_, err := io.Copy(io.Discard, conn)
+			require.NoError(t, err, "the connection is closed")
+			assert.Zero(t, f.runs())
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	maxAnswerBytes int64 // of an answer other than a stream
 	held           *heldMemory
 	bodies         *heldMemory
+	discardTime    time.Duration
 	waiting        waitingMemory
 	active         activeRequests
 	durations      shutdown.Durations // guarded by the lock of active
@@ -111,6 +112,7 @@
 		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
 		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{}, pacer: noPacer{},
 		maxAnswerBytes: defaultMaxAnswerBytes, held: &heldMemory{limit: defaultHeldBytes}, bodies: &heldMemory{limit: defaultBodyBytes},
+		discardTime: defaultDiscardTime,
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -229,18 +231,25 @@
 	if request != nil {
 		refusal.Request = request.ID
 	}
+	discards := false // sends the refusal before the body has arrived
 	switch {
 	case errors.Is(err, ErrTooLarge):
-		refusal.Status = http.StatusRequestEntityTooLarge
+		refusal.Status, discards = http.StatusRequestEntityTooLarge, true
 	case errors.Is(err, errNoBodyMemory):
-		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, defaultRetryAfter
-		defer discardBody(w, r)
+		refusal.Status, refusal.RetryAfter, discards = http.StatusServiceUnavailable, defaultRetryAfter, true
 	case errors.Is(err, ErrMalformed):
 	case errors.Is(err, ErrShutdown), r.Context().Err() != nil && g.active.hasEnded(): // net/http has other errors for the end of a body
 		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, ErrShutdown.Error(), shutdownRetryAfter
 	case r.Context().Err() != nil: // the caller has disconnected, perhaps only its side for sending
 		panic(http.ErrAbortHandler) // else net/http writes a success
 	}
+	if r.ContentLength != 0 && !g.active.hasEnded() {
+		g.limitDiscard(w)
+	}
+	if discards {
+		w.Header().Set("Connection", "close")
+		defer discardBody(w, r)
+	}
 	_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "err", err)
 	g.refuse(w, refusal)
 }
