feat(direct): count requests by phase at each step of a planned stop

The record of LOST around SIGTERM names requests that no line of their instance names. The log couldn't tell whether they were cut, had ended before or were never read: a stop logged the number of active requests once, as its listener closes; the counter cut_requests dies with the process; a request whose body was arriving was cut without its id; one whose caller left meanwhile ended without a line.

step=drain counts requests that have ended and those that have not, by phase, and the busy connections, when the instance announces that it leaves, when its listener closes, when the last answers are due and when connections are closed. step=cut has the id in each phase, and step=gone is logged for callers that leave before their body is read.

TestActiveRequestsHaveAPhase expects the id of a request whose body is arriving, which was empty.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -346,6 +346,7 @@
 	started, limits := n.clock(), n.settings.Get().Drain
 	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace)
 	finish := time.Duration(float64(limits.Grace) * drainShare)
+	n.logDrain("announcing")
 	n.state.leave(started.Add(finish))
 	announcing, announced := context.WithDeadline(ctx, started.Add(min(addressCacheFactor*limits.Keep, finish/2)))
 	defer announced()
@@ -357,10 +358,15 @@
 	defer cancel()
 	serving, end := context.WithDeadline(ctx, started.Add(finish))
 	defer end()
-	_ = level.Info(n.logger).Log("step", "drain", "now", "closing listener", "active", len(n.gateway.Active()))
-	if err := drain.Stop(serving, ctx, listener, callers, &n.callers, n.gateway.EndUnanswered); err != nil {
+	n.logDrain("closing listener")
+	lastAnswers := func() {
+		n.logDrain("answering the rest")
+		n.gateway.EndUnanswered()
+	}
+	if err := drain.Stop(serving, ctx, listener, callers, &n.callers, lastAnswers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
+	n.logDrain("closing connections")
 	n.reportCut()
 	for n.relayed.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPause) // peers close the idle connections through this instance
@@ -368,6 +374,18 @@
 	_ = level.Info(n.logger).Log("step", "stop", "took", n.clock().Sub(started))
 }
 
+// logDrain logs what a planned stop does now, how many requests have ended by then, and how many have not,
+// by their phase. Connections that are busy beyond those are about to send a request.
+func (n *Node) logDrain(now string) {
+	active, phases := n.gateway.Active(), make(map[gateway.Phase]int)
+	for _, r := range active {
+		phases[r.Phase]++
+	}
+	_ = level.Info(n.logger).Log("step", "drain", "now", now, "ended", n.gateway.Ended(), "active", len(active),
+		"reading", phases[gateway.PhaseReading], "waiting", phases[gateway.PhaseWaiting], "sent", phases[gateway.PhaseSent],
+		"answering", phases[gateway.PhaseAnswering], "busy", n.callers.Count(n.clock()))
+}
+
 // reportCut logs and counts the requests whose connections are closed before they have ended.
 func (n *Node) reportCut() {
 	for _, r := range n.gateway.Active() {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -52,15 +52,19 @@
 }
 
 // busy reports whether a request runs or is about to.
-func (c *Connections) busy(now time.Time) bool {
+func (c *Connections) busy(now time.Time) bool { return c.Count(now) > 0 }
+
+// Count returns on how many connections a request runs or is about to.
+func (c *Connections) Count(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	busy := 0
 	for _, conn := range c.conns {
 		if conn.state == http.StateActive || now.Sub(conn.since) < newConnectionTime {
-			return true
+			busy++
 		}
 	}
-	return false
+	return busy
 }
 
 // Stop stops accepting connections, and stops the server once no request runs. At the end of serving, and
--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	all   map[*activeRequest]struct{}
 	ended bool // no further request is taken
+	// removed is how many requests have ended.
+	removed int64
 	// agesRecordedAt is when the ages of the requests that run were last recorded.
 	agesRecordedAt time.Time
 }
@@ -63,13 +65,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.all, r)
+	s.removed++
+}
+
+// decoded records the id of a request once its head was read.
+func (s *activeRequests) decoded(r *activeRequest, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.id = id
 }
 
 // begin records the job that serves a request, and what ends it.
 func (s *activeRequests) begin(r *activeRequest, j *job, end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.id, r.job, r.end = j.request.ID, j, end
+	r.job, r.end = j, end
 	if s.ended {
 		end()
 	}
@@ -114,6 +124,13 @@
 	}
 }
 
+// Ended returns how many requests have ended.
+func (g *Gateway) Ended() int64 {
+	g.active.mu.Lock()
+	defer g.active.mu.Unlock()
+	return g.active.removed
+}
+
 // Active returns the requests that have not ended, the oldest first.
 func (g *Gateway) Active() []Active {
 	now := g.clock()
--- a/internal/gateway/active_test.go
+++ b/internal/gateway/active_test.go
@@ -28,7 +28,7 @@
 		open      bool // the body has no end
 		want      gateway.Active
 	}{
-		{name: "body is arriving", open: true, want: gateway.Active{Phase: gateway.PhaseReading}},
+		{name: "body is arriving", open: true, want: gateway.Active{ID: "r1", Phase: gateway.PhaseReading}},
 		{name: "waits for its turn", replies: []gateway.Admission{full}, want: gateway.Active{ID: "r1", Route: "r", Phase: gateway.PhaseWaiting, Endpoint: "i-0"}},
 		{name: "no answer", behaviour: standin.BehaviourMute, want: gateway.Active{ID: "r1", Route: "r", Phase: gateway.PhaseSent, Endpoint: "i-0"}},
 		{name: "part of an answer", behaviour: standin.BehaviourTrickle, want: gateway.Active{ID: "r1", Route: "r", Phase: gateway.PhaseAnswering, Endpoint: "i-0"}},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 	closeIfLeaving(w, g.fleet.Leaving)
 	memory := reservation{memory: g.bodies}
 	defer memory.release()
-	request, err := g.read(w, r, &memory)
+	request, err := g.read(w, r, active, &memory)
 	if err != nil {
 		g.refuseRead(w, r, request, err)
 		return
@@ -192,11 +192,12 @@
 
 // read decodes a request and reads its whole body, so that nothing of it stays on the
 // connection and the request can be sent again.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request, memory *reservation) (*Request, error) {
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, active *activeRequest, memory *reservation) (*Request, error) {
 	request, err := g.codec.Decode(r)
 	if err != nil {
 		return request, err
 	}
+	g.active.decoded(active, request.ID)
 	if g.active.hasEnded() {
 		return request, ErrShutdown
 	}
@@ -240,7 +241,8 @@
 	case errors.Is(err, ErrShutdown), errors.Is(err, os.ErrDeadlineExceeded) && g.active.hasEnded():
 		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, ErrShutdown.Error(), shutdownRetryAfter
 	case r.Context().Err() != nil:
-		return // the caller has disconnected
+		_ = g.logger.Log("step", "gone", "id", refusal.Request, "err", err) // the caller has disconnected
+		return
 	}
 	_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "err", err)
 	g.refuse(w, refusal)
