test(gateway): a stand-in that closes its connection says so

TestTakenUpStreamsHaveNoGap failed once in the review ('expected id 4, actual 3, 4').

The two answers name the close now, and the test expects the same as before.

--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -328,14 +328,15 @@
 
 // A stream that a caller takes up goes on without a gap where streams of its service have none.
 func TestTakenUpStreamsHaveNoGap(t *testing.T) {
+	const closes = "Connection: close\r\n" // a raw answer closes its connection, over which the next request must not be sent
 	for _, seen := range []string{events("1", "2", "3"), events("1", "5", "9")} {
 		f := newFleet(t, catalog.KindStream, standin.BehaviourNone, standin.BehaviourNone)
 		url := serve(t, f)
-		f.runners[0].SetRaw(standin.RawAnswer{Text: streamHead + chunked(seen, true)})
+		f.runners[0].SetRaw(standin.RawAnswer{Text: streamHead + closes + chunked(seen, true)})
 		answer, err := send(t, url, http.MethodPost, map[string]string{"Model": "m"}, "")
 		require.NoError(t, err)
 		assert.Equal(t, seen, answer.body)
-		f.runners[0].SetRaw(standin.RawAnswer{Text: streamHead + chunked(events("4"), true)})
+		f.runners[0].SetRaw(standin.RawAnswer{Text: streamHead + closes + chunked(events("4"), true)})
 		answer, err = send(t, url, http.MethodPost, map[string]string{"Model": "m", "Last-Event-Id": "2"}, "")
 		require.NoError(t, err)
 		if seen == events("1", "2", "3") {
