test(claim): hold the first commit until the second write was cancelled

TestGroupWithdrawsCancelledWrites failed once beside load and kept no log. By a trial: its first commit takes 50 ms; where the test gets to its second write later than that, no commit is in progress, so that the write is not queued but sent, and ends as uncertain ('context deadline exceeded' in place of 'store unavailable'). With a pause of 60 ms before the second write it failed 1 of 1 times; without, 0 of 1,600 (load about 24), so that this was the cause of the one failure is not proved.

The first commit is held until the second write has returned, instead of for 50 ms. With the same pause 50 of 50 pass, 50 of 50 with the race detector without it; it fails if cancelled writes are not withdrawn.

--- a/internal/claim/group_test.go
+++ b/internal/claim/group_test.go
@@ -21,6 +21,7 @@
 type slowStore struct {
 	*platformtest.Fake
 	delay      time.Duration
+	held       chan struct{} // writes wait until it is closed, unless it is nil
 	faultEvery int64
 	fault      error
 	writes     atomic.Int64
@@ -29,6 +30,9 @@
 // fails delays a write and reports whether it is one that fails.
 func (s *slowStore) fails() bool {
 	time.Sleep(s.delay)
+	if s.held != nil {
+		<-s.held
+	}
 	return s.faultEvery > 0 && s.writes.Add(1)%s.faultEvery == 0
 }
 
@@ -117,7 +121,9 @@
 
 // A write that is cancelled before it is part of a commit is never stored.
 func TestGroupWithdrawsCancelledWrites(t *testing.T) {
-	store := &slowStore{Fake: platformtest.New(), delay: 50 * time.Millisecond}
+	store := &slowStore{Fake: platformtest.New(), held: make(chan struct{})}
+	release := sync.OnceFunc(func() { close(store.held) })
+	defer time.AfterFunc(10*time.Second, release).Stop() // for a write that waits though it is cancelled
 	g := newGroupWriter(store, 1)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -132,6 +138,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
 	_, err := g.Swap(ctx, platform.Write{Key: "b"})
+	release()
 	require.ErrorIs(t, err, platform.ErrUnavailable)
 	require.NoError(t, group.Wait())
 	_, err = store.Get(context.Background(), "b")
