fix(gateway): a body that doesn't arrive in time is refused

A caller could take as long as it liked for its body: nothing limits that time, as the request's deadline begins only once the body was read. It kept a goroutine, a connection and its memory for bodies.

A body now has until its caller has waited long enough (Deadline-Ms, from the head), and [limits] upload at most, 30 s unless set: twice the longest time limit on the users' sites (15 s). Then it is refused with 408, which promises that it has not run, and its connection is closed. A read deadline does it, which net/http lifts when the body has ended (TestBodyTimeEndsWithTheBody).

TestBodyThatArrivesTooLateIsRefused failed without the deadline in all five cases of a late body: no answer within 5 s.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -141,7 +141,7 @@
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
 		gateway.WithLogger(logger), gateway.WithStats(counts), gateway.WithTimers(n.timers),
 		gateway.WithPacer(heap.New(n.timers)), gateway.WithAnswerLimits(n.config.Limits.Answer, n.config.Limits.Held),
-		gateway.WithBodyMemory(n.config.Limits.Bodies))
+		gateway.WithBodyMemory(n.config.Limits.Bodies), gateway.WithBodyTime(n.config.Limits.Upload))
 	return n
 }
 
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -14,15 +14,25 @@
 // firstBodyBytes is what is taken for a body before any of it has arrived.
 const firstBodyBytes = 16 << 10
 
+// defaultBodyTime limits how long a body may take to arrive.
+const defaultBodyTime = 30 * time.Second
+
 // defaultDiscardTime limits for how long the rest of a refused body is read.
 const defaultDiscardTime = 5 * time.Second
 
-// errNoBodyMemory is returned if the memory for bodies is used up.
-var errNoBodyMemory = errors.New("no memory left to hold the body")
+var (
+	// errNoBodyMemory is returned if the memory for bodies is used up.
+	errNoBodyMemory = errors.New("no memory left to hold the body")
+	// errLateBody is returned for a body that hasn't arrived in time.
+	errLateBody = errors.New("the body has not arrived in time")
+)
 
 // WithBodyMemory limits the memory of the bodies of all requests that are served at once.
 func WithBodyMemory(bytes int64) Option { return func(g *Gateway) { g.bodies.limit = bytes } }
 
+// WithBodyTime limits how long a body may take to arrive after its head, unless its caller waits for less.
+func WithBodyTime(d time.Duration) Option { return func(g *Gateway) { g.bodyTime = d } }
+
 // WithDiscardTime limits for how long the rest of a refused body is read, so that its caller sees the answer.
 func WithDiscardTime(d time.Duration) Option { return func(g *Gateway) { g.discardTime = d } }
 
@@ -77,7 +87,19 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
 }
 
+// limitBody limits how long a body may take to arrive, and returns until when. The limit ends with the body:
+// net/http then lifts it.
+func (g *Gateway) limitBody(w http.ResponseWriter, arrived time.Time, wait time.Duration) time.Time {
+	limit := g.bodyTime
+	if wait > 0 {
+		limit = min(limit, wait)
+	}
+	deadline := arrived.Add(limit)
+	_ = http.NewResponseController(w).SetReadDeadline(deadline) // it can't fail for a server's connection
+	return deadline
+}
+
 // limitDiscard limits for how long the rest of a refused body is read, by the gateway or by net/http.
 func (g *Gateway) limitDiscard(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(g.clock().Add(g.discardTime)) // it can't fail for a server's connection
+	_ = http.NewResponseController(w).SetReadDeadline(g.clock().Add(g.discardTime))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	maxAnswerBytes int64 // of an answer other than a stream
 	held           *heldMemory
 	bodies         *heldMemory
+	bodyTime       time.Duration
 	discardTime    time.Duration
 	waiting        waitingMemory
 	active         activeRequests
@@ -112,7 +113,7 @@
 		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
 		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{}, pacer: noPacer{},
 		maxAnswerBytes: defaultMaxAnswerBytes, held: &heldMemory{limit: defaultHeldBytes}, bodies: &heldMemory{limit: defaultBodyBytes},
-		discardTime: defaultDiscardTime,
+		bodyTime: defaultBodyTime, discardTime: defaultDiscardTime,
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -130,7 +131,7 @@
 	closeIfLeaving(w, g.fleet.Leaving)
 	memory := reservation{memory: g.bodies}
 	defer memory.release()
-	request, err := g.read(w, r, &memory)
+	request, err := g.read(w, r, arrived, &memory)
 	if err != nil {
 		g.refuseRead(w, r, request, err)
 		return
@@ -193,11 +194,15 @@
 
 // read decodes a request and reads its whole body, so that nothing of it stays on the
 // connection and the request can be sent again.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request, memory *reservation) (*Request, error) {
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, arrived time.Time, memory *reservation) (*Request, error) {
 	request, err := g.codec.Decode(r)
 	if err != nil {
 		return request, err
 	}
+	var deadline time.Time
+	if r.ContentLength != 0 {
+		deadline = g.limitBody(w, arrived, request.Wait) // before a stop may end the body by an earlier deadline
+	}
 	if g.active.hasEnded() {
 		return request, ErrShutdown
 	}
@@ -214,8 +219,11 @@
 	body := http.MaxBytesReader(w, r.Body, int64(limit))
 	request.Body, err = readBody(body, r.ContentLength, int64(limit), memory)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return request, ErrTooLarge
+	case err != nil && r.Context().Err() != nil && !g.clock().Before(deadline) && !g.active.hasEnded():
+		return request, errLateBody
 	}
 	return request, err
 }
@@ -235,6 +243,8 @@
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		refusal.Status, discards = http.StatusRequestEntityTooLarge, true
+	case errors.Is(err, errLateBody):
+		refusal.Status, discards = http.StatusRequestTimeout, true
 	case errors.Is(err, errNoBodyMemory):
 		refusal.Status, refusal.RetryAfter, discards = http.StatusServiceUnavailable, defaultRetryAfter, true
 	case errors.Is(err, ErrMalformed):
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -84,7 +84,7 @@
 	Over   float64
 }
 
-// GatewayLimits limits the memory of requests and the answers of endpoints.
+// GatewayLimits limits the memory of requests and the answers of endpoints, and the time of bodies.
 type GatewayLimits struct {
 	// Answer is the size in bytes up to which an answer other than a stream is passed on.
 	Answer int64
@@ -92,6 +92,8 @@
 	Held int64
 	// Bodies is the memory in bytes of the bodies of all requests that are served at once.
 	Bodies int64
+	// Upload is how long a body may take to arrive, unless its caller waits for less.
+	Upload time.Duration
 	// Memory is the memory in bytes of the process from which on garbage is collected at once.
 	Memory int64
 }
@@ -133,9 +135,10 @@
 	gatewayWatchWait    = time.Second
 	gatewayLease        = 9 * time.Second
 	gatewayAnswerTTL    = time.Second
-	gatewayMaxAnswer    = 16 << 20  // bytes
-	gatewayHeldAnswers  = 24 << 20  // bytes
-	gatewayBodies       = 32 << 20  // bytes
+	gatewayMaxAnswer    = 16 << 20 // bytes
+	gatewayHeldAnswers  = 24 << 20 // bytes
+	gatewayBodies       = 32 << 20 // bytes
+	gatewayUpload       = 30 * time.Second
 	gatewayMemory       = 160 << 20 // bytes
 	minAnswerLimit      = 1 << 20   // bytes
 	gatewayRevoke       = 5 * time.Second
@@ -151,7 +154,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
-		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Memory: gatewayMemory},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Upload: gatewayUpload, Memory: gatewayMemory},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
@@ -245,6 +248,7 @@
 			inifile.Size("answer", &c.Limits.Answer, minAnswerLimit),
 			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
 			inifile.Size("bodies", &c.Limits.Bodies, minAnswerLimit),
+			inifile.Duration("upload", &c.Limits.Upload, time.Second),
 			inifile.Size("memory", &c.Limits.Memory, minAnswerLimit),
 		}},
 		{"drain", []inifile.Field{
