fix(gateway): the slowest body gives way when the memory for bodies is used up

Ordinary callers with bodies of 100 KB were refused with 503 for as long as 97 others liked: each of those had sent 256 KB of a body and not its end, and nothing took the memory for bodies ([limits] bodies, 32 MB) from them.

Where that memory is used up, requests whose bodies are still arriving now give way to one that lacks it: those that have had 0.5 s at least, the one with the fewest bytes in the time since its head first, and of those the one that holds most. Who gives way is refused with 503, Retry-After and "Connection: close"; it and the end of its body are settled by one atomic flag, so that it is either read and served, or refused and never sent to an endpoint. A stated length counts what could give way before anything is read. A refused request also gives its memory back before the rest of its body is discarded, for which it kept it up to 5 s.

Nothing is added for bodies that find memory but one atomic addition for each read.

--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -30,6 +30,7 @@
 
 // activeRequests are the requests that have not ended. They are safe for concurrent use.
 type activeRequests struct {
+	clock Clock
 	mu    sync.Mutex
 	all   map[*activeRequest]struct{}
 	ended bool // no further request is taken
@@ -37,10 +38,12 @@
 	agesRecordedAt time.Time
 }
 
-// activeRequest is one of them. Its fields belong to the set.
+// activeRequest is one of them. Its fields belong to the set, except for its body.
 type activeRequest struct {
 	id       string
+	set      *activeRequests
 	arrived  time.Time
+	body     arrivingBody
 	end      func() // ends the request with a refusal, unless its answer has begun
 	job      *job   // nil until the request was read and has a route
 	endpoint fleet.Endpoint
@@ -54,7 +57,7 @@
 	if s.all == nil {
 		s.all = make(map[*activeRequest]struct{})
 	}
-	r := &activeRequest{arrived: arrived, end: end}
+	r := &activeRequest{set: s, arrived: arrived, end: end}
 	s.all[r] = struct{}{}
 	return r
 }
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -9,11 +9,13 @@
 func BenchmarkReadBody(b *testing.B) {
 	text := bytes.Repeat([]byte("b"), 1000)
 	memory, source := heldMemory{limit: defaultBodyBytes}, bytes.NewReader(text)
+	request := new(activeRequest)
+	request.body.source = source
 	b.ReportAllocs()
 	for b.Loop() {
 		source.Reset(text)
-		taken := reservation{memory: &memory}
-		if _, err := readBody(source, int64(len(text)), 4<<20, &taken); err != nil {
+		taken := reservation{memory: &memory, request: request}
+		if _, err := readBody(&request.body, int64(len(text)), 4<<20, &taken); err != nil {
 			b.Fatal(err)
 		}
 		taken.release()
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -23,6 +23,8 @@
 var (
 	// errNoBodyMemory is returned if the memory for bodies is used up.
 	errNoBodyMemory = errors.New("no memory left to hold the body")
+	// errGaveWay is returned for a body that arrived too slowly for the memory that it held.
+	errGaveWay = errors.New("gave way to another request, as its body arrived slowly and memory is used up")
 	// errLateBody is returned for a body that hasn't arrived in time.
 	errLateBody = errors.New("the body has not arrived in time")
 )
@@ -44,6 +46,7 @@
 		return readLength(body, int(length), memory)
 	}
 	held := newHeldAnswer(memory.memory)
+	held.request = memory.request
 	defer held.release()
 	complete, err := held.fill(body, limit)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,7 @@
 		place: place, codec: codec, sender: sender, fleet: f, clock: clock,
 		logger: log.NewNopLogger(), random: rand.Float64, tracer: otel.Tracer("gateway"), stats: noStats{}, pacer: noPacer{},
 		maxAnswerBytes: defaultMaxAnswerBytes, held: &heldMemory{limit: defaultHeldBytes}, bodies: &heldMemory{limit: defaultBodyBytes},
-		bodyTime: defaultBodyTime, discardTime: defaultDiscardTime,
+		active: activeRequests{clock: clock}, bodyTime: defaultBodyTime, discardTime: defaultDiscardTime,
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -129,10 +129,12 @@
 	active := g.active.add(arrived, func() { _ = controller.SetReadDeadline(arrived) }) // it can't fail for a server's connection
 	defer g.active.remove(active)
 	closeIfLeaving(w, g.fleet.Leaving)
-	memory := reservation{memory: g.bodies}
+	memory := reservation{memory: g.bodies, request: active}
 	defer memory.release()
-	request, err := g.read(w, r, arrived, &memory)
+	request, err := g.read(w, r, active, &memory)
 	if err != nil {
+		memory.release()
+		g.active.releaseBody(active)
 		g.refuseRead(w, r, request, err)
 		return
 	}
@@ -194,14 +196,14 @@
 
 // read decodes a request and reads its whole body, so that nothing of it stays on the
 // connection and the request can be sent again.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request, arrived time.Time, memory *reservation) (*Request, error) {
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, active *activeRequest, memory *reservation) (*Request, error) {
 	request, err := g.codec.Decode(r)
 	if err != nil {
 		return request, err
 	}
 	var deadline time.Time
 	if r.ContentLength != 0 {
-		deadline = g.limitBody(w, arrived, request.Wait) // before a stop may end the body by an earlier deadline
+		deadline = g.limitBody(w, active.arrived, request.Wait) // before a stop may end the body by an earlier deadline
 	}
 	if g.active.hasEnded() {
 		return request, ErrShutdown
@@ -216,10 +218,12 @@
 	if r.ContentLength == 0 {
 		return request, nil
 	}
-	body := http.MaxBytesReader(w, r.Body, int64(limit))
-	request.Body, err = readBody(body, r.ContentLength, int64(limit), memory)
+	active.body.source = http.MaxBytesReader(w, r.Body, int64(limit))
+	request.Body, err = readBody(&active.body, r.ContentLength, int64(limit), memory)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !active.body.settle():
+		return request, errGaveWay
 	case errors.As(err, &tooLarge):
 		return request, ErrTooLarge
 	case err != nil && r.Context().Err() != nil && !g.clock().Before(deadline) && !g.active.hasEnded():
@@ -245,7 +249,7 @@
 		refusal.Status, discards = http.StatusRequestEntityTooLarge, true
 	case errors.Is(err, errLateBody):
 		refusal.Status, discards = http.StatusRequestTimeout, true
-	case errors.Is(err, errNoBodyMemory):
+	case errors.Is(err, errNoBodyMemory), errors.Is(err, errGaveWay):
 		refusal.Status, refusal.RetryAfter, discards = http.StatusServiceUnavailable, defaultRetryAfter, true
 	case errors.Is(err, ErrMalformed):
 	case errors.Is(err, ErrShutdown), r.Context().Err() != nil && g.active.hasEnded(): // net/http has other errors for the end of a body
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -69,6 +69,8 @@
 type reservation struct {
 	memory *heldMemory
 	taken  int64
+	// request is the one whose body it is, to which others may give way; nil for an answer.
+	request *activeRequest
 }
 
 // resize takes what the message needs in order to hold a number of bytes, and reports whether
@@ -78,24 +80,43 @@
 	if more <= 0 {
 		return true
 	}
-	if !r.memory.take(more, r.taken) {
+	if !r.memory.take(more, r.taken) && !r.makeRoom(more) {
 		return false
 	}
-	r.taken += more
+	r.add(more)
 	return true
 }
 
-// fits reports whether a message of a number of bytes could be held now. It takes nothing.
+// makeRoom takes memory that others give up, and reports whether it was enough.
+func (r *reservation) makeRoom(bytes int64) bool {
+	if r.request == nil {
+		return false
+	}
+	return r.request.set.makeRoom(r.request, func() bool { return r.memory.take(bytes, r.taken) })
+}
+
+func (r *reservation) add(bytes int64) {
+	r.taken += bytes
+	if r.request != nil {
+		r.request.body.held.Add(bytes)
+	}
+}
+
+// fits reports whether a message of a number of bytes could be held now, if others give way. It takes nothing.
 func (r *reservation) fits(bytes int) bool {
 	size := int64(bytes) - freeHeldBytes
-	return size <= r.taken || r.memory.used.Load()+size-r.taken <= r.memory.limitOf(size)
+	lacking := r.memory.used.Load() + size - r.taken - r.memory.limitOf(size)
+	if size <= r.taken || lacking <= 0 {
+		return true
+	}
+	return r.request != nil && r.request.set.yieldingBytes(r.request) >= lacking
 }
 
 // release returns all memory.
 func (r *reservation) release() {
 	if r.taken > 0 {
 		r.memory.used.Add(-r.taken)
-		r.taken = 0
+		r.add(-r.taken)
 	}
 }
 
