test(process): crowds of callers at the listeners of the product's own daemon

Callers, operators and readers of metrics that send heads or chunks without end, or keep idle connections, in real processes built without the race detector. Bounds: the process lives, at most 284 MB resident (the memory of a machine), and one ordinary request answered 200 beside the crowd.

newSerialDeployment is newDeployment without t.Parallel.

--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -66,6 +66,7 @@
 	instances     []*instance
 	engines       []*engine.Server
 	slots         int                // requests in flight at one endpoint; zero means the default
+	daemon        string             // path of the daemon's binary; empty means daemonPath
 	traceEndpoint string             // OTLP endpoint for spans; empty turns tracing off
 	drain         string             // limit on the shutdown of instances; empty means the default
 	disabled      switches.Mechanism // mechanism turned off in instances that are started later
@@ -108,11 +109,17 @@
 }
 
 func newDeployment(t *testing.T, services ...string) *deployment {
+	t.Helper()
+	t.Parallel()
+	return newSerialDeployment(t, services...)
+}
+
+// newSerialDeployment returns a deployment for a test that runs beside no other one.
+func newSerialDeployment(t *testing.T, services ...string) *deployment {
 	t.Helper()
 	server := standin.NewServer()
 	web := httptest.NewServer(server.Handler())
 	t.Cleanup(web.Close)
-	t.Parallel()
 	return &deployment{t: t, platform: server, address: web.URL, services: services}
 }
 
@@ -176,7 +183,7 @@
 	file := filepath.Join(dp.t.TempDir(), n.name+".ini")
 	require.NoError(dp.t, os.WriteFile(file, []byte(dp.settings(n)), 0o600))
 	n.log, n.exited = &logBuffer{}, make(chan struct{})
-	n.process = exec.Command(daemonPath, "--config", file)
+	n.process = exec.Command(cmp.Or(dp.daemon, daemonPath), "--config", file)
 	n.process.Stderr = n.log
 	n.process.Env = append(os.Environ(), "CHIVERAMP_OFF="+string(dp.disabled))
 	require.NoError(dp.t, n.process.Start())
