node: send no request late in a stop unless its deadline is in time

Callers that kept a connection to a leaving instance had streams cut when the engines became slower after the signal: whether a request was passed on was decided by how long others like it took before. Retries of what may have run keep the estimate. The entry asks too, since hops to other dispatchers had no check at all.

TestRequestsLateInAStopAreNotCut has bodies in two chunks, and a case in which streams known to take 0.4 s take 3 s from 2 s after the signal on. Its bound for early refusals is 1.5 s after the signal as before; [caller] keep is 1.6 s there, so that the listener is open until then.

--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -55,6 +55,7 @@
 type shutdownState struct {
 	mu            sync.Mutex
 	began, finish time.Time // zero while the instance doesn't leave
+	bounded       bool      // only requests whose deadline is before finish are sent
 	ended         bool      // nothing more is sent to an endpoint
 	waiting       map[*run]waitingRun
 	durations     shutdown.Durations
@@ -74,6 +75,23 @@
 	s.began, s.finish = p.timers.Now(), finish
 }
 
+// RequireDeadlines refuses the requests that have not run and whose deadline is after the instance has left,
+// however short others of their kind were: their callers can send them to other instances.
+func (p *Pool) RequireDeadlines() {
+	s := &p.shutdown
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bounded = true
+}
+
+// Refuses reports whether a request with this deadline that has not run is refused by RequireDeadlines.
+func (p *Pool) Refuses(deadline time.Time) bool {
+	s := &p.shutdown
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bounded && deadline.After(s.finish)
+}
+
 // EndUnanswered ends the requests that have no part of an answer, and all that come later: with a refusal
 // if they have not run.
 func (p *Pool) EndUnanswered() {
@@ -166,6 +184,9 @@
 	if s.finish.IsZero() {
 		return false
 	}
+	if s.bounded && !r.request.Rerun {
+		return r.request.Deadline == 0 || time.UnixMilli(r.request.Deadline).After(s.finish)
+	}
 	need, known := s.durations.Allowance(now, durationKind(r.request), durationSize(r.request))
 	if !known {
 		need = UnknownAllowance(s.began, s.finish)
--- a/internal/dispatch/shutdown_test.go
+++ b/internal/dispatch/shutdown_test.go
@@ -57,6 +57,39 @@
 	}
 }
 
+// Once deadlines are required, how long others took doesn't decide, except for what may have run.
+func TestRequireDeadlines(t *testing.T) {
+	const drain, s = 10 * time.Second, time.Second
+	tests := []struct {
+		name     string
+		deadline time.Duration // 0 for none
+		rerun    bool
+		refused  bool
+	}{
+		{name: "no deadline", refused: true},
+		{name: "it ends in time", deadline: drain - s},
+		{name: "it ends late", deadline: drain + s, refused: true},
+		{name: "rerun", rerun: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			timers := newFakeTimers()
+			p := New("s-1", &errgroup.Group{}, timers, echoEngine{}, oneEndpoint{})
+			defer p.Close()
+			now := timers.Now()
+			request := serviceRequest("r", "e-1")
+			p.shutdown.recordDuration(now, &run{request: request, admitted: now.Add(-s)})
+			if request.Rerun = tt.rerun; tt.deadline > 0 {
+				request.Deadline = now.Add(tt.deadline).UnixMilli()
+			}
+			p.Leave(now.Add(drain))
+			require.Nil(t, p.shutdown.check(now, &run{request: request}))
+			p.RequireDeadlines()
+			require.Equal(t, tt.refused, p.shutdown.check(now, &run{request: request}) != nil)
+		})
+	}
+}
+
 // EndUnanswered refuses what waits, and nothing is sent from then on.
 func TestEndUnansweredRefusesWhatWaits(t *testing.T) {
 	p := newSingleSlotPool(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	suspects   Suspects
 	observer   Observer
 	pacer      Pacer
+	shutdown   Shutdown
 	clock      func() time.Time
 
 	mu            sync.Mutex
@@ -70,6 +71,7 @@
 		suspects:      noop{},
 		observer:      noop{},
 		pacer:         noop{},
+		shutdown:      noop{},
 		clock:         time.Now,
 		router:        route.New(),
 		budget:        retry.New(),
@@ -126,6 +128,9 @@
 func (g *Gateway) run(ctx context.Context, p *plan, t *answerTracker) *peerpb.End {
 	var last, mayHaveRun *peerpb.End
 	for {
+		if mayHaveRun == nil && g.shutdown.Refuses(p.deadline) {
+			return dispatch.RefuseForShutdown()
+		}
 		end := g.runAttempt(ctx, p, t)
 		if end.Code == dispatch.CodeNoEndpoint && last != nil {
 			return wholeEnd(last, mayHaveRun)
@@ -139,6 +144,7 @@
 		last = end
 		if !isNotRun(end) {
 			mayHaveRun = end
+			p.request.Rerun = true
 		}
 	}
 }
@@ -165,7 +171,7 @@
 	t.begin(submit.Attempt, target.Endpoint)
 	dispatcher, ok := g.members.Dispatcher(target.Endpoint, target.Place)
 	if !ok || dispatcher.Instance == g.members.Self().Instance {
-		return g.dispatcher.Serve(ctx, peer.Request{Submit: submit, Body: p.body()}, t)
+		return g.dispatcher.Serve(ctx, peer.Request{Submit: submit, Body: p.body(), Rerun: p.request.Rerun}, t)
 	}
 	g.decisions.Note(submit.Request, "hop", string(dispatcher.Instance), "endpoint "+submit.Endpoint)
 	end := g.hop(ctx, p, t, dispatcher, submit)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -31,6 +31,9 @@
 // WithPacer sets the pacer that is called for each incoming request.
 func WithPacer(p Pacer) Option { return func(g *Gateway) { g.pacer = p } }
 
+// WithShutdown sets which requests are refused while the instance leaves.
+func WithShutdown(s Shutdown) Option { return func(g *Gateway) { g.shutdown = s } }
+
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.clock = now } }
 
@@ -44,6 +47,7 @@
 
 func (noop) Note(_, _, _, _ string)                {}
 func (noop) Request()                              {}
+func (noop) Refuses(time.Time) bool                { return false }
 func (noop) Ended(Report)                          {}
 func (noop) Check(uint64) (suspected, poison bool) { return false, false }
 func (noop) Drains(fleet.Model) []fleet.Endpoint   { return nil }
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -65,6 +65,11 @@
 	Request()
 }
 
+// Shutdown decides which requests that have run nowhere yet are refused while the instance leaves.
+type Shutdown interface {
+	Refuses(deadline time.Time) bool
+}
+
 // Observer is called at the end of each request.
 type Observer interface {
 	Ended(Report)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,6 +201,7 @@
 		entry.WithObserver(n.attainment),
 		entry.WithClock(n.clock),
 		entry.WithPacer(heap.New(n.timers)),
+		entry.WithShutdown(n.pool),
 	)
 	n.guard = newShutdownGuard(n.gateway, n.clock)
 	n.placer = n.newPlacer()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -231,6 +231,7 @@
 	n.members.update((*member.View).Leave)
 	n.sendHeartbeats(ctx, n.clock())
 	sleep(ctx, min(n.config.Caller.Keep, limit/2))
+	n.pool.RequireDeadlines()
 	_ = level.Info(n.logger).Log("step", "drain", "now", "closing listener", "active", len(n.guard.active()))
 	lastAnswers := func() {
 		if serving.Err() != nil {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -21,6 +21,8 @@
 type Request struct {
 	*peerpb.Submit
 	Body io.Reader
+	// Rerun is set if an earlier attempt may have run. It is not sent to peers.
+	Rerun bool
 }
 
 // Sink receives the answer of a request as a stream of messages, in order.
--- a/test/process/deployment_test.go
+++ b/test/process/deployment_test.go
@@ -69,6 +69,7 @@
 	daemon        string             // path of the daemon's binary; empty means daemonPath
 	traceEndpoint string             // OTLP endpoint for spans; empty turns tracing off
 	drain         string             // limit on the shutdown of instances; empty means the default
+	keep          string             // how long callers may keep addresses; empty means 1s
 	disabled      switches.Mechanism // mechanism turned off in instances that are started later
 	orders        *service.Server
 	operatorTLS   config.TLS // client certificate of operators; empty means no TLS
@@ -225,7 +226,7 @@
 datacentre = %s
 [caller]
 listen = %s
-keep = 1s
+keep = %s
 [peer]
 listen = %s
 advertise = %s
@@ -245,7 +246,7 @@
 drain = %s
 [log]
 level = debug
-%s`, n.name, n.region, n.dataCentre, n.caller, n.peer, n.advertise, strings.Join(peers, ","), tlsSettings(n.peerTLS), n.operator, operatorToken, tlsSettings(n.operatorTLS),
+%s`, n.name, n.region, n.dataCentre, n.caller, cmp.Or(dp.keep, "1s"), n.peer, n.advertise, strings.Join(peers, ","), tlsSettings(n.peerTLS), n.operator, operatorToken, tlsSettings(n.operatorTLS),
 		n.platform, strings.Join(dp.services, ","), n.metrics, cmp.Or(dp.drain, "10s"), dp.traceSettings()+dp.endpointSettings())
 }
 
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -161,74 +161,103 @@
 
 // Guards against requests that a stopping instance takes though it can't end them: callers go on to use the
 // connections that they keep until the process is gone. A request that reaches an engine is answered whole,
-// the others are refused.
+// the others are refused, also if the engines become slower than they were.
 func TestRequestsLateInAStopAreNotCut(t *testing.T) {
 	const (
-		drain, interval, takes = 4 * time.Second, 100 * time.Millisecond, time.Second // takes: at most
-		connections, warm      = 60, 6
+		drain, keep, interval = 4 * time.Second, 1600 * time.Millisecond, 100 * time.Millisecond
+		connections, warm     = 60, 6
 	)
-	b := newSouthDeployment(t, "")
-	n := b.instances[0]
-	n.signal(t, syscall.SIGTERM)
-	<-n.exited
-	b.drain = drain.String()
-	b.start(n)
-	b.waitReady()
-	var whole, cut, refused, unread atomic.Int32
-	var early atomic.Int32 // refused though there was time
-	send := func(c net.Conn, id int, signalled time.Time) {
-		body := chatBody("matcher-a", fmt.Sprint("kept ", id), true, int(takes/longStep))
-		_, _ = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nChiveramp-Profile: chat\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		sent := time.Now()
-		response, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			unread.Add(1)
-			return
-		}
-		defer func() { _ = response.Body.Close() }()
-		text, err := io.ReadAll(response.Body)
-		switch {
-		case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
-			refused.Add(1)
-			if !signalled.IsZero() && sent.Sub(signalled) < drain-2*takes-500*time.Millisecond {
-				early.Add(1)
-			}
-		case response.StatusCode == http.StatusOK && err == nil && strings.Contains(string(text), "[DONE]"):
-			whole.Add(1)
-		default:
-			cut.Add(1)
-		}
-	}
-	open := make([]net.Conn, connections)
-	var callers errgroup.Group
-	for i := range open {
-		c, err := net.Dial("tcp", n.caller)
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = c.Close() })
-		open[i] = c
-		require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
-		if i < warm {
-			callers.Go(func() error { send(c, i, time.Time{}); return nil })
-		}
+	tests := []struct {
+		name        string
+		takes       time.Duration // at most
+		slowerAfter time.Duration // the signal, 0 for never
+		slower      time.Duration // for each token
+	}{
+		{name: "steady", takes: time.Second},
+		{name: "engines become slower", takes: 400 * time.Millisecond, slowerAfter: 2 * time.Second, slower: 75 * time.Millisecond},
 	}
-	_ = callers.Wait()
-	require.EqualValues(t, warm, whole.Load())
-	n.signal(t, syscall.SIGTERM)
-	signalled := time.Now()
-	for i := warm; i < connections; i++ {
-		callers.Go(func() error { send(open[i], i, signalled); return nil })
-		time.Sleep(interval)
-	}
-	_ = callers.Wait()
-	<-n.exited
-	runs := 0
-	for _, e := range b.engines {
-		runs += len(e.Counts().Requests)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newSouthDeployment(t, "")
+			n := b.instances[0]
+			n.signal(t, syscall.SIGTERM)
+			<-n.exited
+			b.drain, b.keep = drain.String(), keep.String()
+			b.start(n)
+			b.waitReady()
+			var whole, cut, refused, unread atomic.Int32
+			var early atomic.Int32 // refused though callers may still have the address
+			send := func(c net.Conn, id int, signalled time.Time) {
+				sent := time.Now()
+				response, err := sendInChunks(c, chatBody("matcher-a", fmt.Sprint("kept ", id), true, int(tt.takes/longStep)))
+				if err != nil {
+					unread.Add(1)
+					return
+				}
+				defer func() { _ = response.Body.Close() }()
+				text, err := io.ReadAll(response.Body)
+				switch {
+				case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
+					refused.Add(1)
+					if !signalled.IsZero() && sent.Sub(signalled) < keep-2*chunkPause {
+						early.Add(1)
+					}
+				case response.StatusCode == http.StatusOK && err == nil && strings.Contains(string(text), "[DONE]"):
+					whole.Add(1)
+				default:
+					t.Logf("cut: sent %s after the signal", sent.Sub(signalled))
+					cut.Add(1)
+				}
+			}
+			open := make([]net.Conn, connections)
+			var callers errgroup.Group
+			for i := range open {
+				c, err := net.Dial("tcp", n.caller)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+				open[i] = c
+				require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+				if i < warm {
+					callers.Go(func() error { send(c, i, time.Time{}); return nil })
+				}
+			}
+			_ = callers.Wait()
+			require.EqualValues(t, warm, whole.Load())
+			n.signal(t, syscall.SIGTERM)
+			signalled := time.Now()
+			if tt.slowerAfter > 0 {
+				for _, e := range b.engines {
+					time.AfterFunc(tt.slowerAfter, func() { e.SetFaults(engine.Faults{SlowMillis: int(tt.slower.Milliseconds())}) })
+				}
+			}
+			for i := warm; i < connections; i++ {
+				callers.Go(func() error { send(open[i], i, signalled); return nil })
+				time.Sleep(interval)
+			}
+			_ = callers.Wait()
+			<-n.exited
+			runs := 0
+			for _, e := range b.engines {
+				runs += len(e.Counts().Requests)
+			}
+			t.Logf("%d whole, %d cut, %d refused, %d unread; %d runs", whole.Load(), cut.Load(), refused.Load(), unread.Load(), runs)
+			require.Zero(t, cut.Load())
+			require.Zero(t, early.Load())
+			require.EqualValues(t, whole.Load(), runs, "what has run is answered whole")
+		})
 	}
-	t.Logf("%d whole, %d cut, %d refused, %d unread; %d runs", whole.Load(), cut.Load(), refused.Load(), unread.Load(), runs)
-	require.Zero(t, cut.Load())
-	require.Zero(t, early.Load())
-	require.EqualValues(t, whole.Load(), runs, "what has run is answered whole")
+}
+
+// chunkPause is the time between the two chunks of sendInChunks.
+const chunkPause = 50 * time.Millisecond
+
+// sendInChunks sends a chat request whose body comes in two chunks, and reads the head of its answer.
+func sendInChunks(c net.Conn, body string) (*http.Response, error) {
+	half := len(body) / 2
+	_, _ = fmt.Fprintf(c, "%s%s\r\n%x\r\n%s\r\n", chatHead, chunksHead, half, body[:half])
+	time.Sleep(chunkPause)
+	_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(body)-half, body[half:])
+	return http.ReadResponse(bufio.NewReader(c), nil)
 }
 
 // Guards against requests lost in a rolling restart: instances are stopped with SIGTERM and
