caller: answer requests whose body is still arriving as the instance stops

A caller that was still sending the body of its request when the drain time ended had its connection closed without an answer: the handler was reading the body, and nothing ended that read.

TestBodiesThatArriveInAStopAreAnswered: before, reading the answer to a chat request with half a body failed as the connection was closed; now it and two requests to a service, one of them with an idempotency key, get 503 and not run.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
@@ -72,6 +73,9 @@
 	if errors.As(err, &large) {
 		return nil, parsed, refusal(CodeTooLarge, "read body", fmt.Sprintf("body is over %d bytes", large.Limit))
 	}
+	if errors.Is(err, errBodiesEnded) {
+		return nil, parsed, dispatch.RefuseForShutdown()
+	}
 	if err != nil {
 		return nil, parsed, refusal(CodeBadJSON, "read body", err.Error())
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -66,6 +66,7 @@
 	fleet   Fleet
 	limits  Limits
 	slots   chan struct{}
+	bodies  bodies
 	tracer  trace.Tracer
 	carrier propagation.TraceContext
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -56,7 +56,7 @@
 	n.mu.Unlock()
 	defer n.endLifetime()
 	n.timers.Start(n.lifetime, n.group)
-	callerServer := n.serveCallers(open.caller)
+	callerAPI, callerServer := n.serveCallers(open.caller)
 	peerServer := n.servePeers(open.peer)
 	operatorServer := n.serveOperators(open.operator)
 	metricsServer := n.serveMetrics(open.metrics)
@@ -65,7 +65,7 @@
 	<-ctx.Done()
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.config.Limits.Drain)
 	defer cancel()
-	n.drain(limit, open.caller, callerServer)
+	n.drain(limit, open.caller, callerServer, callerAPI)
 	n.endLifetime()
 	stop := context.AfterFunc(limit, peerServer.Stop)
 	peerServer.GracefulStop()
@@ -147,7 +147,7 @@
 	}
 }
 
-func (n *Node) serveCallers(l net.Listener) *http.Server {
+func (n *Node) serveCallers(l net.Listener) (*caller.Server, *http.Server) {
 	c := n.config.Caller
 	handler := caller.New(n.members.Self().Instance, n.guard, n, caller.Limits{
 		MaxBody: c.Body, MaxInFlight: n.config.Limits.Streams, WriteTimeout: c.Idle, EntriesMaxAge: c.Keep,
@@ -160,7 +160,7 @@
 		ConnState:         n.callers.Observe,
 	}
 	n.group.Go(func() error { return serveError("callers", server.Serve(netutil.LimitListener(l, c.Connections))) })
-	return server
+	return handler, server
 }
 
 func serveError(server string, err error) error {
@@ -214,7 +214,7 @@
 // drain shuts down gracefully: it announces the shutdown to callers and peers, keeps serving
 // callers that use a cached address until that expires, and waits for requests in flight. Those that
 // have no part of an answer shortly before the context ends are answered.
-func (n *Node) drain(ctx context.Context, listener net.Listener, callerServer *http.Server) {
+func (n *Node) drain(ctx context.Context, listener net.Listener, callerServer *http.Server, callerAPI *caller.Server) {
 	limit := n.config.Limits.Drain
 	if switches.Off(switches.Drain) {
 		_ = callerServer.Close()
@@ -239,6 +239,7 @@
 			sleep(closing, time.Duration(float64(limit)*settleShare))
 		}
 		n.guard.endCallers()
+		callerAPI.EndBodies()
 	}
 	if err := drain.Stop(serving, closing, listener, callerServer, &n.callers, lastAnswers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -362,3 +362,41 @@
 	require.Len(t, b.engines[0].Counts().Requests, 1)
 	require.Contains(t, stopped.log.String(), "step=cut")
 }
+
+// Guards against requests that end without an answer since their bodies are still arriving as the instance
+// stops: they have not run.
+func TestBodiesThatArriveInAStopAreAnswered(t *testing.T) {
+	tests := []struct{ name, head string }{
+		{"chat", chatHead},
+		{"service", "POST /services/order/kits HTTP/1.1\r\nHost: a\r\nChiveramp-Profile: orders\r\n"},
+		{"service, with a key", "POST /services/order/kits HTTP/1.1\r\nHost: a\r\nChiveramp-Profile: orders\r\nIdempotency-Key: k\r\n"},
+	}
+	b := newDeployment(t, "matcher", "order")
+	b.drain = "3s"
+	b.startSouth()
+	n := b.instances[0]
+	open := make([]net.Conn, len(tests))
+	for i, tt := range tests {
+		c, err := net.Dial("tcp", n.caller)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		open[i] = c
+		require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+		_, err = io.WriteString(c, tt.head+chunksHead+"\r\n1\r\n{")
+		require.NoError(t, err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	n.signal(t, syscall.SIGTERM)
+	for i, tt := range tests {
+		response, err := http.ReadResponse(bufio.NewReader(open[i]), nil)
+		require.NoError(t, err, tt.name)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err, tt.name)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, tt.name)
+		require.Equal(t, string(fleet.OutcomeNotRun), response.Header.Get("Chiveramp-Outcome"), tt.name)
+		require.Equal(t, "leaving", reply{body: text}.errorCode(), tt.name)
+	}
+	<-n.exited
+	require.Empty(t, b.orders.Counts().Keys)
+}
