--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	@status=0; \
 	$(GO) test $$($(GO) list ./... | grep -vE '/(test|platform/process)(/|$$)') || status=1; \
 	$(GO) test -count=1 -parallel 4 -skip '^TestCrowd' ./test/... ./platform/process || status=1; \
-	$(GO) test -count=1 -p 1 -run '^TestCrowd' ./platform/process || status=1; \
+	$(GO) test -count=1 -p 1 -run '^TestCrowd' ./test/process ./platform/process || status=1; \
 	exit $$status
 
 # slopes measures how resource use grows with the fleet, and prints an extrapolation for the
