--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -133,7 +133,8 @@
 	_, _ = b.Write([]byte("line\n"))
 	cancel()
 	ended := make(chan error, 1)
-	go func() { ended <- group.Wait() }()
+	var waiting errgroup.Group
+	waiting.Go(func() error { ended <- group.Wait(); return nil })
 	select {
 	case err := <-ended:
 		require.NoError(t, err)
