ingress: half heads cost no more than their bytes, within one budget

Callers saw: an instance that is killed for its memory (284 MB) by clients that send heads of 15.5 KB of short lines without their end, at any of its HTTP addresses.

Cause: net/http parses a head as it arrives into maps that take some 30 times the bytes, keeps what it has of an incomplete one for 10 s, and nothing bounds all connections together.

Change: internal/ingress wraps the listeners of callers, directory, ready and metrics. Its connections pass a head on once it is whole, which must be within 64 KB and 10 s of its first byte, not of its last (those of net/http until now; the platform's clients keep 16 KB and 3 s). All connections together have a budget ([limits] heads, 64 MiB: 16 KiB a connection and what is read of heads; 2,000 connections with ordinary requests take half of it). When it is used up, connections without a whole request are closed, those first that hold most for longest, counted in closed_connections and logged once a second a cause. The accounts are in internal/core/intake, without input and output.

A connection whose next head was read is no longer closed as idle by net/http while it stops.

--- /dev/null
+++ b/internal/core/intake/ledger.go
@@ -0,0 +1,164 @@
+// Package intake decides how much memory the connections of callers may hold, and which of them are closed
+// when it is used up.
+package intake
+
+import "time"
+
+// Phase is what a connection does.
+type Phase string
+
+// The phases of a connection.
+const (
+	// PhaseIdle: no request runs, and nothing of the next one has been read.
+	PhaseIdle Phase = "idle"
+	// PhaseHead: a request's head is arriving.
+	PhaseHead Phase = "head"
+	// PhaseBody: a request runs while its body is arriving.
+	PhaseBody Phase = "body"
+	// PhaseRunning: a request runs that has been read whole. Such a connection is never closed.
+	PhaseRunning Phase = "running"
+	// PhaseRefused: the connection is closed as soon as its client has read the refusal.
+	PhaseRefused Phase = "refused"
+)
+
+// connectionCost is the memory in bytes of a connection without a request: its buffers and goroutine.
+const connectionCost = 16 << 10
+
+// Conn is the account of a connection.
+type Conn struct {
+	phase  Phase
+	since  time.Time // when the phase began
+	held   int64     // memory in bytes beyond connectionCost
+	served bool      // a request has ended
+	index  int       // in the ledger, negative if it isn't there
+}
+
+// Phase returns what the connection does.
+func (c *Conn) Phase() Phase { return c.phase }
+
+func (c *Conn) cost() int64 { return connectionCost + c.held }
+
+// Ledger keeps the accounts of all connections within a limit. It is not safe for concurrent use.
+//
+// Methods that take memory return the connections that must be closed for it; their accounts have ended.
+type Ledger struct {
+	limit, used int64
+	conns       []*Conn
+}
+
+// NewLedger returns a ledger without connections, with a limit of memory in bytes.
+func NewLedger(limit int64) *Ledger { return &Ledger{limit: limit} }
+
+// Used returns the memory in bytes that all connections hold.
+func (l *Ledger) Used() int64 { return l.used }
+
+// Open opens the account of a new connection. Without room for it, it returns nil.
+func (l *Ledger) Open(now time.Time) (*Conn, []*Conn) {
+	c := &Conn{phase: PhaseIdle, since: now}
+	closed, ok := l.makeRoom(c, connectionCost, now)
+	if !ok {
+		return nil, closed
+	}
+	c.index = len(l.conns)
+	l.conns = append(l.conns, c)
+	l.used += c.cost()
+	return c, closed
+}
+
+// Close ends an account. It may have ended before.
+func (l *Ledger) Close(c *Conn) {
+	if c.index < 0 {
+		return
+	}
+	last := len(l.conns) - 1
+	l.conns[c.index] = l.conns[last]
+	l.conns[c.index].index = c.index
+	l.conns[last] = nil
+	l.conns = l.conns[:last]
+	l.used -= c.cost()
+	c.index = -1
+}
+
+// Enter begins a phase. The connection goes on to hold what it holds.
+func (l *Ledger) Enter(c *Conn, p Phase, now time.Time) {
+	c.phase, c.since = p, now
+}
+
+// End ends a request: the connection holds nothing more.
+func (l *Ledger) End(c *Conn, p Phase, now time.Time) {
+	l.set(c, 0)
+	c.served = true
+	l.Enter(c, p, now)
+}
+
+// Hold sets the memory in bytes that a connection holds, and reports whether there is room for it. If not,
+// the connection holds as much as before.
+func (l *Ledger) Hold(c *Conn, bytes int64, now time.Time) ([]*Conn, bool) {
+	closed, ok := l.makeRoom(c, bytes-c.held, now)
+	if ok {
+		l.set(c, bytes)
+	}
+	return closed, ok
+}
+
+func (l *Ledger) set(c *Conn, bytes int64) {
+	if c.index >= 0 {
+		l.used += bytes - c.held
+	}
+	c.held = bytes
+}
+
+// makeRoom ends accounts until there is room for a number of bytes.
+func (l *Ledger) makeRoom(c *Conn, bytes int64, now time.Time) ([]*Conn, bool) {
+	var closed []*Conn
+	for bytes > 0 && l.used+bytes > l.limit {
+		victim := l.leastUseful(c, c.held+bytes, now)
+		if victim == nil {
+			return closed, false
+		}
+		l.Close(victim)
+		closed = append(closed, victim)
+	}
+	return closed, true
+}
+
+// leastUseful returns the connection other than c that is closed first for a number of bytes, nil if none may
+// be: many connections with little memory aren't closed for one that needs much.
+func (l *Ledger) leastUseful(c *Conn, bytes int64, now time.Time) *Conn {
+	var found *Conn
+	var foundRank int
+	var foundWaste float64
+	for _, candidate := range l.conns {
+		rank := candidate.rank()
+		if rank == rankKept || candidate == c || rank != rankRefused && 2*candidate.cost() < bytes {
+			continue
+		}
+		waste := float64(candidate.cost()) * (now.Sub(candidate.since) + time.Millisecond).Seconds()
+		if found == nil || rank < foundRank || rank == foundRank && waste > foundWaste {
+			found, foundRank, foundWaste = candidate, rank, waste
+		}
+	}
+	return found
+}
+
+// The ranks of connections in the order in which they are closed for memory. Idle ones hold little, and
+// their callers may send at any time.
+const (
+	rankRefused = iota
+	rankArriving
+	rankIdle
+	rankKept
+)
+
+func (c *Conn) rank() int {
+	switch c.phase {
+	case PhaseRefused:
+		return rankRefused
+	case PhaseHead, PhaseBody:
+		return rankArriving
+	case PhaseIdle:
+		return rankIdle
+	default:
+		return rankKept
+	}
+}
--- /dev/null
+++ b/internal/core/intake/ledger_test.go
@@ -0,0 +1,64 @@
+package intake
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var start = time.Unix(0, 0)
+
+func TestLedgerClosesTheLeastUseful(t *testing.T) {
+	type open struct {
+		name  string
+		phase Phase
+		held  int64
+		age   time.Duration
+	}
+	tests := []struct {
+		name   string
+		conns  []open
+		need   int64
+		closed []string
+		room   bool
+	}{
+		{name: "room", conns: []open{{"a", PhaseHead, 100 << 10, time.Second}}, need: 4 << 10, room: true},
+		{name: "the largest", conns: []open{{"a", PhaseHead, 300 << 10, time.Second}, {"b", PhaseHead, 600 << 10, time.Second}}, need: 200 << 10, closed: []string{"b"}, room: true},
+		{name: "the oldest", conns: []open{{"a", PhaseBody, 440 << 10, 2 * time.Second}, {"b", PhaseHead, 440 << 10, time.Second}}, need: 200 << 10, closed: []string{"a"}, room: true},
+		{name: "no running one", conns: []open{{"a", PhaseRunning, 900 << 10, time.Hour}}, need: 200 << 10},
+		{name: "idle ones last", conns: []open{{"a", PhaseIdle, 0, time.Hour}, {"b", PhaseHead, 900 << 10, time.Second}}, need: 200 << 10, closed: []string{"b"}, room: true},
+		{name: "refused ones first", conns: []open{{"a", PhaseRefused, 0, 0}, {"b", PhaseHead, 900 << 10, time.Second}}, need: 80 << 10, closed: []string{"a"}, room: true},
+		{name: "no small ones for a large one", conns: []open{{"a", PhaseHead, 8 << 10, time.Hour}, {"b", PhaseRunning, 900 << 10, 0}}, need: 200 << 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := NewLedger(1 << 20)
+			names := make(map[*Conn]string)
+			newcomer, _ := l.Open(start)
+			for _, o := range tt.conns {
+				c, _ := l.Open(start)
+				l.Hold(c, o.held, start)
+				l.Enter(c, o.phase, start.Add(-o.age))
+				names[c] = o.name
+			}
+			before := l.Used()
+			closed, ok := l.Hold(newcomer, tt.need, start)
+			assert.Equal(t, tt.room, ok)
+			var got []string
+			for _, c := range closed {
+				got = append(got, names[c])
+			}
+			assert.Equal(t, tt.closed, got)
+			assert.LessOrEqual(t, l.Used(), int64(1<<20))
+			if !ok {
+				assert.Equal(t, before, l.Used())
+			}
+			for _, c := range append(slices.Clone(l.conns), closed...) {
+				l.Close(c)
+			}
+			assert.Zero(t, l.Used())
+		})
+	}
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -26,6 +26,7 @@
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/heap"
+	"github.com/chiveramp/chiveramp/internal/ingress"
 	"github.com/chiveramp/chiveramp/internal/loader"
 	"github.com/chiveramp/chiveramp/internal/reload"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
@@ -43,9 +44,9 @@
 	cleanUpInterval      = 500 * time.Millisecond // limits how long an expired entry stays
 	reloadInterval       = time.Second            // picks up changed settings also without a signal
 	instanceListInterval = 3 * time.Second        // heartbeats of new instances usually arrive sooner
-	headerTimeout        = 10 * time.Second       // for a caller's header; exceeds the operators' limits
+	headerTimeout        = 10 * time.Second       // for a client's header; exceeds the operators' limits
 	idleTimeout          = 75 * time.Second       // exceeds the time for which callers reuse connections
-	maxHeaderBytes       = 64 << 10               // size of a caller's header
+	maxHeaderBytes       = 64 << 10               // size of a client's header; exceeds the operators' limits
 	drainPause           = 50 * time.Millisecond
 	orderMargin          = 500 * time.Millisecond // from the decision to send an order to its arrival
 	handoverMargin       = 200 * time.Millisecond // for orders in transit while the lease changes hands
@@ -80,6 +81,7 @@
 	verdictRecords    *verdictRecords
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
+	ingress           *ingress.Gate
 	callers           drain.Connections // of callers' connections
 	registrationLease platform.Lease    // store lease of this instance's registration
 	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
@@ -136,6 +138,8 @@
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
+	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout},
+		ingress.WithLogger(logger), ingress.WithRegistry(n.registry))
 	counts := newStats(n.registry)
 	n.state.counts = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
@@ -252,7 +256,8 @@
 		o(s)
 	}
 	if l != nil {
-		n.group.Go(func() error { return serveError(side, s.Serve(l)) })
+		guarded := n.ingress.Guard(s, l, side)
+		n.group.Go(func() error { return serveError(side, s.Serve(guarded)) })
 	}
 	return s
 }
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,242 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/chiveramp/chiveramp/internal/core/intake"
+)
+
+const (
+	// refusalTime is how long a client may take to read a refusal before its connection is closed.
+	refusalTime = 500 * time.Millisecond
+	// maxRead bounds what is read at once, and so what is kept of bytes that belong to the next request.
+	maxRead = 32 << 10
+)
+
+// conn is a connection that passes on the head of a request once it is whole. Its server reads on one
+// goroutine at a time.
+type conn struct {
+	net.Conn
+	gate    *Gate
+	name    string // of the server
+	account *intake.Conn
+
+	// The rest is used by the server's goroutine for the connection, and by its reads.
+
+	head    []byte // what has arrived of a head, or what of a whole one the server has yet to read
+	rest    []byte // bytes that were read and come after what was passed on
+	scanner intake.HeadScanner
+	timed   bool               // the head's deadline is set
+	running bool               // a request's head was passed on, and the request has not ended
+	body    intake.BodyScanner // nil outside a body
+
+	// whole is set from a whole head until its request ends, active once the server counts the connection as
+	// busy.
+	whole, active atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	switch {
+	case len(p) == 0:
+		return 0, nil
+	case c.running && len(c.head) > 0:
+		return c.passHead(p), nil
+	case c.running && c.body != nil:
+		return c.readBody(p)
+	case c.running:
+		return c.readByte(p)
+	default:
+		return c.readHead(p)
+	}
+}
+
+// read returns bytes that were read before, or else reads some.
+func (c *conn) read(p []byte) (int, error) {
+	if len(c.rest) > 0 {
+		n := copy(p, c.rest)
+		if c.rest = c.rest[n:]; len(c.rest) == 0 {
+			c.rest = nil
+		}
+		return n, nil
+	}
+	return c.Conn.Read(p[:min(len(p), maxRead)])
+}
+
+// unread keeps bytes that were read too far.
+func (c *conn) unread(text []byte) {
+	if len(text) > 0 {
+		c.rest = slices.Concat(text, c.rest)
+	}
+}
+
+// readHead reads a head up to its end, and passes on as much of it as there is room for.
+func (c *conn) readHead(p []byte) (int, error) {
+	for {
+		n, err := c.read(p)
+		used, whole := c.scanner.Scan(p[:n])
+		switch {
+		case c.scanner.Size() > c.gate.limits.Head:
+			return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge, CauseHeadSize)
+		case whole:
+			c.unread(p[used:n])
+			return c.takeHead(p, used)
+		case n > 0:
+			if err := c.keepHead(p[:n]); err != nil {
+				return 0, err
+			}
+		}
+		if err != nil {
+			if c.timed && errors.Is(err, os.ErrDeadlineExceeded) {
+				c.gate.report(c.name, CauseHeadTime)
+			}
+			return 0, err
+		}
+	}
+}
+
+// keepHead keeps a part of a head.
+func (c *conn) keepHead(part []byte) error {
+	if c.account.Phase() != intake.PhaseHead {
+		c.gate.enter(c, intake.PhaseHead)
+	}
+	c.head = append(c.head, part...)
+	if !c.gate.hold(c, c.held()) {
+		return c.refuse(http.StatusServiceUnavailable, CauseMemory)
+	}
+	if c.timed {
+		return nil
+	}
+	c.timed = true
+	return c.SetReadDeadline(c.gate.clock().Add(c.gate.limits.HeadTime))
+}
+
+// held is the memory in bytes of what was read and not passed on.
+func (c *conn) held() int64 { return int64(cap(c.head) + cap(c.rest)) }
+
+// takeHead begins a request whose head ends with the first bytes of p, and passes on as much of it as p holds.
+func (c *conn) takeHead(p []byte, used int) (int, error) {
+	c.whole.Store(true)
+	c.gate.enter(c, intake.PhaseRunning)
+	c.running, c.timed, c.scanner = true, false, intake.HeadScanner{}
+	if len(c.head) == 0 {
+		return used, nil
+	}
+	c.head = append(c.head, p[:used]...)
+	return c.passHead(p), nil
+}
+
+func (c *conn) passHead(p []byte) int {
+	n := copy(p, c.head)
+	if c.head = c.head[n:]; len(c.head) == 0 {
+		c.head = nil
+	}
+	return n
+}
+
+// readByte reads one byte after a request that still runs, by which the server notices that the client has
+// left. The head that begins with it is read when the request has ended.
+func (c *conn) readByte(p []byte) (int, error) {
+	n, err := c.read(p[:1])
+	_, _ = c.scanner.Scan(p[:n])
+	return n, err
+}
+
+// readBody reads up to the end of a body.
+func (c *conn) readBody(p []byte) (int, error) {
+	n, err := c.read(p)
+	used, whole := c.body.Scan(p[:n])
+	c.unread(p[used:n])
+	if whole {
+		c.body = nil
+		c.gate.enter(c, intake.PhaseRunning)
+	}
+	return used, err
+}
+
+// begin is called as the handler gets a request: from the server's own parser it is known where the body ends.
+func (c *conn) begin(r *http.Request) {
+	switch length := intake.LengthScanner(r.ContentLength); {
+	case length > 0:
+		c.body = &length
+	case length < 0:
+		c.body = intake.NewChunkScanner()
+	default:
+		return
+	}
+	c.gate.enter(c, intake.PhaseBody)
+}
+
+// observe is called as the server's state of the connection changes.
+func (c *conn) observe(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		c.active.Store(true)
+	case http.StateIdle:
+		c.endRequest()
+	case http.StateClosed:
+		_ = c.shut()
+	default:
+	}
+}
+
+// endRequest ends the request that runs. The next one may have begun to arrive.
+func (c *conn) endRequest() {
+	c.running, c.body = false, nil
+	c.whole.Store(false)
+	c.active.Store(false)
+	phase := intake.PhaseIdle
+	if c.scanner.Size() > 0 || len(c.rest) > 0 {
+		phase = intake.PhaseHead
+	}
+	c.gate.end(c, phase)
+}
+
+// Close implements net.Conn. While its server stops, it closes connections that it counts as idle, though
+// the head of a request may have been read: such a connection is closed after that request.
+func (c *conn) Close() error {
+	if c.whole.Load() && !c.active.Load() {
+		return nil
+	}
+	return c.shut()
+}
+
+func (c *conn) shut() error {
+	c.gate.forget(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the answers on the connection, so that its client can read the last one.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// refusals are the answers to requests whose head isn't passed on.
+var refusals = map[int]string{
+	http.StatusRequestHeaderFieldsTooLarge: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	http.StatusServiceUnavailable:          "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+}
+
+// refuse answers a request that isn't passed on. Its error ends the connection.
+func (c *conn) refuse(status int, cause Cause) error {
+	c.head, c.rest = nil, nil
+	c.gate.end(c, intake.PhaseRefused)
+	c.gate.report(c.name, cause)
+	_ = c.SetDeadline(c.gate.clock().Add(refusalTime))
+	if _, err := io.WriteString(c.Conn, refusals[status]); err != nil {
+		return err
+	}
+	_ = c.CloseWrite()
+	_, _ = io.Copy(io.Discard, c.Conn) // closing with unread bytes would reset the connection and drop the answer
+	return io.EOF
+}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -92,6 +92,8 @@
 	Held int64
 	// Bodies is the memory in bytes of the bodies of all requests that are served at once.
 	Bodies int64
+	// Heads is the memory in bytes of all callers' connections with the heads of their requests.
+	Heads int64
 	// Memory is the memory in bytes of the process from which on garbage is collected at once.
 	Memory int64
 }
@@ -136,6 +138,7 @@
 	gatewayMaxAnswer    = 16 << 20  // bytes
 	gatewayHeldAnswers  = 24 << 20  // bytes
 	gatewayBodies       = 32 << 20  // bytes
+	gatewayHeads        = 64 << 20  // bytes
 	gatewayMemory       = 160 << 20 // bytes
 	minAnswerLimit      = 1 << 20   // bytes
 	gatewayRevoke       = 5 * time.Second
@@ -151,7 +154,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
-		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Memory: gatewayMemory},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Heads: gatewayHeads, Memory: gatewayMemory},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
@@ -245,6 +248,7 @@
 			inifile.Size("answer", &c.Limits.Answer, minAnswerLimit),
 			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
 			inifile.Size("bodies", &c.Limits.Bodies, minAnswerLimit),
+			inifile.Size("heads", &c.Limits.Heads, minAnswerLimit),
 			inifile.Size("memory", &c.Limits.Memory, minAnswerLimit),
 		}},
 		{"drain", []inifile.Field{
