ingress: requests hold their parsed heads within the budget

Callers saw: an instance that is killed for its memory by 1,000 requests with heads of 15.5 KB of short lines whose bodies stay open.

Cause: a whole head of such lines costs 500 KB parsed, with the copy of its fields for the endpoint (177 to 223 bytes a line for many names, measured with 200 requests held in the decoder; 13 KB an idle connection, 20 KB an ordinary request of 1 KB), one more copy at each attempt, and nothing counted it.

Change: before a head is passed on to net/http, 8 bytes for each of its bytes and 320 for each of its lines are taken from the budget until the request has ended; trailers count too. A request with more than 64 KiB may use three quarters of it, so that ordinary ones still get in. Without room, connections whose heads or bodies are arriving are closed if they hold half as much or more, and else the request is refused with 503, Retry-After, Connection: close and its Request-Id, and never reaches the handler. Requests that were read whole are left alone.

--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -21,8 +21,19 @@
 	PhaseRefused Phase = "refused"
 )
 
-// connectionCost is the memory in bytes of a connection without a request: its buffers and goroutine.
-const connectionCost = 16 << 10
+const (
+	// connectionCost is the memory in bytes of a connection without a request: its buffers and goroutine.
+	connectionCost = 12 << 10
+	// byteCost and lineCost are the memory in bytes of a request for each byte and each line of its head, with
+	// the copies of its fields for an endpoint.
+	byteCost, lineCost = 8, 320
+	// ordinaryCost is what a connection may hold beyond connectionCost to use all of the memory. Those that
+	// hold more leave a quarter of it to the others.
+	ordinaryCost = 64 << 10
+)
+
+// RequestCost returns the memory in bytes of a request from the size of its head and the number of its lines.
+func RequestCost(size, lines int) int64 { return int64(size)*byteCost + int64(lines)*lineCost }
 
 // Conn is the account of a connection.
 type Conn struct {
@@ -111,7 +122,11 @@
 // makeRoom ends accounts until there is room for a number of bytes.
 func (l *Ledger) makeRoom(c *Conn, bytes int64, now time.Time) ([]*Conn, bool) {
 	var closed []*Conn
-	for bytes > 0 && l.used+bytes > l.limit {
+	limit := l.limit
+	if c.held+bytes > ordinaryCost {
+		limit -= limit / 4
+	}
+	for bytes > 0 && l.used+bytes > limit {
 		victim := l.leastUseful(c, c.held+bytes, now)
 		if victim == nil {
 			return closed, false
--- a/internal/core/intake/scan.go
+++ b/internal/core/intake/scan.go
@@ -101,6 +101,7 @@
 	digits    int    // of the size
 	extension bool   // of the size's line has begun
 	line      lineScanner
+	trailers  int
 }
 
 // NewChunkScanner returns a scanner at the beginning of a body.
@@ -122,6 +123,9 @@
 			read, empty, end := s.line.next(part[n:])
 			n += read
 			whole = end && empty
+			if end && !empty {
+				s.trailers++
+			}
 		case chunkBroken:
 			n = len(part)
 		}
@@ -129,6 +133,9 @@
 	return n, whole
 }
 
+// Trailers is the number of lines after the last chunk so far.
+func (s *ChunkScanner) Trailers() int { return s.trailers }
+
 func (s *ChunkScanner) endPart() {
 	switch {
 	case s.left > 0:
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -139,7 +139,7 @@
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
 	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout},
-		ingress.WithLogger(logger), ingress.WithRegistry(n.registry))
+		ingress.WithLogger(logger), ingress.WithRegistry(n.registry), ingress.WithEcho(platform.HeaderID))
 	counts := newStats(n.registry)
 	n.state.counts = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,12 +1,15 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +21,10 @@
 	refusalTime = 500 * time.Millisecond
 	// maxRead bounds what is read at once, and so what is kept of bytes that belong to the next request.
 	maxRead = 32 << 10
+	// retryAfter is when a refused client should try again, in seconds.
+	retryAfter = "1"
+	// maxEchoed bounds the value of a field that refusals repeat.
+	maxEchoed = 256
 )
 
 // conn is a connection that passes on the head of a request once it is whole. Its server reads on one
@@ -35,6 +42,7 @@
 	scanner intake.HeadScanner
 	timed   bool               // the head's deadline is set
 	running bool               // a request's head was passed on, and the request has not ended
+	cost    int64              // memory in bytes that is held for the request
 	body    intake.BodyScanner // nil outside a body
 
 	// whole is set from a whole head until its request ends, active once the server counts the connection as
@@ -122,7 +130,13 @@
 func (c *conn) held() int64 { return int64(cap(c.head) + cap(c.rest)) }
 
 // takeHead begins a request whose head ends with the first bytes of p, and passes on as much of it as p holds.
+// What the server will need for the request is taken before it reads any of it.
 func (c *conn) takeHead(p []byte, used int) (int, error) {
+	c.cost = intake.RequestCost(c.scanner.Size(), c.scanner.Lines()) + int64(cap(c.rest))
+	if !c.gate.hold(c, c.cost) {
+		c.head = append(c.head, p[:used]...)
+		return 0, c.refuse(http.StatusServiceUnavailable, CauseMemory)
+	}
 	c.whole.Store(true)
 	c.gate.enter(c, intake.PhaseRunning)
 	c.running, c.timed, c.scanner = true, false, intake.HeadScanner{}
@@ -154,10 +168,16 @@
 	n, err := c.read(p)
 	used, whole := c.body.Scan(p[:n])
 	c.unread(p[used:n])
-	if whole {
-		c.body = nil
-		c.gate.enter(c, intake.PhaseRunning)
+	if !whole {
+		return used, err
+	}
+	if chunks, ok := c.body.(*intake.ChunkScanner); ok && !c.gate.hold(c, c.cost+intake.RequestCost(0, chunks.Trailers())) {
+		c.gate.report(c.name, CauseMemory)
+		_ = c.shut()
+		return 0, net.ErrClosed
 	}
+	c.body = nil
+	c.gate.enter(c, intake.PhaseRunning)
 	return used, err
 }
 
@@ -221,22 +241,39 @@
 	return nil
 }
 
-// refusals are the answers to requests whose head isn't passed on.
-var refusals = map[int]string{
-	http.StatusRequestHeaderFieldsTooLarge: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-	http.StatusServiceUnavailable:          "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-}
-
 // refuse answers a request that isn't passed on. Its error ends the connection.
 func (c *conn) refuse(status int, cause Cause) error {
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
+	if status == http.StatusServiceUnavailable {
+		answer += "Retry-After: " + retryAfter + "\r\n"
+	}
+	if value := fieldValue(c.head, c.gate.echoed); value != "" {
+		answer += c.gate.echoed + ": " + value + "\r\n"
+	}
 	c.head, c.rest = nil, nil
 	c.gate.end(c, intake.PhaseRefused)
 	c.gate.report(c.name, cause)
 	_ = c.SetDeadline(c.gate.clock().Add(refusalTime))
-	if _, err := io.WriteString(c.Conn, refusals[status]); err != nil {
+	if _, err := io.WriteString(c.Conn, answer+"\r\n"); err != nil {
 		return err
 	}
 	_ = c.CloseWrite()
 	_, _ = io.Copy(io.Discard, c.Conn) // closing with unread bytes would reset the connection and drop the answer
 	return io.EOF
 }
+
+// fieldValue returns the value of a field in a head, empty if there is none that is short and plain.
+func fieldValue(head []byte, name string) string {
+	for line := range bytes.Lines(head) {
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		if name == "" || !strings.EqualFold(string(field), name) {
+			continue
+		}
+		value = bytes.TrimSpace(value)
+		if len(value) > maxEchoed || bytes.ContainsFunc(value, func(r rune) bool { return r <= ' ' || r > '~' }) {
+			return ""
+		}
+		return string(value)
+	}
+	return ""
+}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -57,6 +57,7 @@
 	clock    Clock
 	logger   log.Logger
 	registry metrics.Registry
+	echoed   string // the field that refusals repeat, empty for none
 
 	mu      sync.Mutex
 	ledger  *intake.Ledger
@@ -82,6 +83,9 @@
 // WithClock sets the clock.
 func WithClock(c Clock) Option { return func(g *Gate) { g.clock = c } }
 
+// WithEcho sets the header field of a request that refusals repeat.
+func WithEcho(field string) Option { return func(g *Gate) { g.echoed = field } }
+
 // New returns a gate without connections.
 func New(l Limits, options ...Option) *Gate {
 	g := &Gate{
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -168,6 +168,49 @@
 	assert.LessOrEqual(t, g.used(), limits.Memory)
 }
 
+// Whole heads beyond the memory are refused, ordinary ones still get in, and requests that run are left alone.
+func TestWholeHeadsBeyondTheMemoryAreRefused(t *testing.T) {
+	large := "GET /large HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n" + strings.Repeat("a:\r\n", 3500) + "\r\n"
+	limits := testLimits
+	limits.Memory = 4 << 20
+	g := New(limits, WithEcho("Request-Id"))
+	entered, end := make(chan struct{}, 10), make(chan struct{})
+	address := serve(t, g, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			entered <- struct{}{}
+			<-end
+		}
+	})
+	send := func(conn net.Conn, text string) (int, http.Header) {
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		return response.StatusCode, response.Header
+	}
+	var group errgroup.Group
+	for i := range 2 {
+		conn := dial(t, address)
+		group.Go(func() error {
+			status, _ := send(conn, fmt.Sprintf(large, i))
+			assert.Equal(t, http.StatusOK, status)
+			return nil
+		})
+		<-entered
+	}
+	status, header := send(dial(t, address), fmt.Sprintf(large, 2))
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	assert.Equal(t, "2", header.Get("Request-Id"))
+	assert.NotEmpty(t, header.Get("Retry-After"))
+	status, _ = send(dial(t, address), "GET /ordinary HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Equal(t, http.StatusOK, status)
+	close(end)
+	require.NoError(t, group.Wait())
+	status, _ = send(dial(t, address), fmt.Sprintf(large, 3))
+	assert.Equal(t, http.StatusOK, status)
+}
+
 func BenchmarkRequest(b *testing.B) {
 	text := "POST /hand/1 HTTP/1.1\r\nHost: board.example\r\n" + strings.Repeat("Name-Of-A-Header: and some value of it\r\n", 18) + "Content-Length: 100\r\n\r\n" + strings.Repeat("b", 100)
 	for _, bb := range []struct {
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -92,7 +92,7 @@
 	Held int64
 	// Bodies is the memory in bytes of the bodies of all requests that are served at once.
 	Bodies int64
-	// Heads is the memory in bytes of all callers' connections with the heads of their requests.
+	// Heads is the memory in bytes of all connections of HTTP clients with the heads of their requests.
 	Heads int64
 	// Memory is the memory in bytes of the process from which on garbage is collected at once.
 	Memory int64
