ingress: connections of clients leave descriptors to endpoints and peers

Callers saw: an instance that accepts no new connection, and reaches no endpoint that it has no connection to, while clients keep idle connections open at its callers' or its directory's address.

Cause: nothing limits how many of the process's descriptors the connections of a listener take.

Change: callers' connections take at most half of the descriptors, the directory's a sixteenth, those for readiness checks and metrics a thirty-second each. For a new connection beyond that the longest idle one is closed, those without a request so far first, then the slowest head or body; never one whose request runs. If the process has no descriptor left to accept with, the same is done over all listeners. The number is [limits] descriptors (4,100, what the platform gives an instance: 2,050 callers' connections), or the system's limit if that is lower, read at each connection since it may change. deploy/gateway.ini doesn't name it: the production build wouldn't start with a key that it doesn't know (TestProductionReadsSettings).

--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -1,5 +1,5 @@
-// Package intake decides how much memory the connections of callers may hold, and which of them are closed
-// when it is used up.
+// Package intake decides how many connections clients may have and how much memory these may hold, and which of
+// them are closed when either is used up.
 package intake
 
 import "time"
@@ -35,8 +35,15 @@
 // RequestCost returns the memory in bytes of a request from the size of its head and the number of its lines.
 func RequestCost(size, lines int) int64 { return int64(size)*byteCost + int64(lines)*lineCost }
 
+// Server is a server with a number of connections of its own.
+type Server struct{ count int }
+
+// Connections is the number of its connections.
+func (s *Server) Connections() int { return s.count }
+
 // Conn is the account of a connection.
 type Conn struct {
+	server *Server
 	phase  Phase
 	since  time.Time // when the phase began
 	held   int64     // memory in bytes beyond connectionCost
@@ -63,19 +70,48 @@
 // Used returns the memory in bytes that all connections hold.
 func (l *Ledger) Used() int64 { return l.used }
 
-// Open opens the account of a new connection. Without room for it, it returns nil.
-func (l *Ledger) Open(now time.Time) (*Conn, []*Conn) {
-	c := &Conn{phase: PhaseIdle, since: now}
-	closed, ok := l.makeRoom(c, connectionCost, now)
+// Open opens the account of a new connection to a server, which may have a number of them. Without room for
+// it, it returns nil.
+func (l *Ledger) Open(s *Server, limit int, now time.Time) (*Conn, []*Conn) {
+	var closed []*Conn
+	for s.count >= limit {
+		victim := l.Yield(s)
+		if victim == nil {
+			return nil, closed
+		}
+		closed = append(closed, victim)
+	}
+	c := &Conn{server: s, phase: PhaseIdle, since: now}
+	closedForMemory, ok := l.makeRoom(c, connectionCost, now)
+	closed = append(closed, closedForMemory...)
 	if !ok {
 		return nil, closed
 	}
 	c.index = len(l.conns)
 	l.conns = append(l.conns, c)
 	l.used += c.cost()
+	s.count++
 	return c, closed
 }
 
+// Yield ends the account of the connection to a server, or to any if it is nil, that has been unused for
+// longest, and returns it. It returns nil if requests run on all of them.
+func (l *Ledger) Yield(s *Server) *Conn {
+	var found *Conn
+	for _, c := range l.conns {
+		if s != nil && c.server != s || c.phase == PhaseRunning {
+			continue
+		}
+		if found == nil || c.unusedRank() < found.unusedRank() || c.unusedRank() == found.unusedRank() && c.since.Before(found.since) {
+			found = c
+		}
+	}
+	if found != nil {
+		l.Close(found)
+	}
+	return found
+}
+
 // Close ends an account. It may have ended before.
 func (l *Ledger) Close(c *Conn) {
 	if c.index < 0 {
@@ -87,6 +123,7 @@
 	l.conns[last] = nil
 	l.conns = l.conns[:last]
 	l.used -= c.cost()
+	c.server.count--
 	c.index = -1
 }
 
@@ -144,7 +181,7 @@
 	var foundRank int
 	var foundWaste float64
 	for _, candidate := range l.conns {
-		rank := candidate.rank()
+		rank := candidate.memoryRank()
 		if rank == rankKept || candidate == c || rank != rankRefused && 2*candidate.cost() < bytes {
 			continue
 		}
@@ -156,24 +193,37 @@
 	return found
 }
 
-// The ranks of connections in the order in which they are closed for memory. Idle ones hold little, and
-// their callers may send at any time.
+// The ranks of connections in the order in which they are closed.
 const (
 	rankRefused = iota
 	rankArriving
+	rankNew // idle since they were opened
 	rankIdle
+	rankIncomplete
 	rankKept
 )
 
-func (c *Conn) rank() int {
-	switch c.phase {
-	case PhaseRefused:
+// memoryRank is the rank of a connection among those that are closed for memory: idle ones hold little, and
+// their clients may send at any time.
+func (c *Conn) memoryRank() int {
+	switch {
+	case c.phase == PhaseRefused:
 		return rankRefused
-	case PhaseHead, PhaseBody:
+	case c.phase == PhaseHead || c.phase == PhaseBody:
 		return rankArriving
-	case PhaseIdle:
+	case c.phase == PhaseIdle && !c.served:
+		return rankNew
+	case c.phase == PhaseIdle:
 		return rankIdle
 	default:
 		return rankKept
 	}
 }
+
+// unusedRank is the rank of a connection among those that are closed for another one.
+func (c *Conn) unusedRank() int {
+	if rank := c.memoryRank(); rank != rankArriving {
+		return rank
+	}
+	return rankIncomplete
+}
--- a/internal/core/intake/ledger_test.go
+++ b/internal/core/intake/ledger_test.go
@@ -37,10 +37,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			l := NewLedger(limit)
+			var server Server
 			names := make(map[*Conn]string)
-			newcomer, _ := l.Open(start)
+			newcomer, _ := l.Open(&server, len(tt.conns)+1, start)
 			for _, o := range tt.conns {
-				c, _ := l.Open(start)
+				c, _ := l.Open(&server, len(tt.conns)+1, start)
 				l.Hold(c, o.held, start)
 				l.Enter(c, o.phase, start.Add(-o.age))
 				names[c] = o.name
@@ -61,6 +62,47 @@
 				l.Close(c)
 			}
 			assert.Zero(t, l.Used())
+			assert.Zero(t, server.Connections())
 		})
 	}
 }
+
+func TestLedgerClosesTheLongestUnused(t *testing.T) {
+	conns := []struct {
+		name  string
+		phase Phase
+		used  bool
+		age   time.Duration
+	}{ // in the order in which they are closed
+		{"refused", PhaseRefused, false, 0},
+		{"new and old", PhaseIdle, false, 2 * time.Second},
+		{"new", PhaseIdle, false, time.Second},
+		{"idle", PhaseIdle, true, time.Hour},
+		{"slow head", PhaseHead, true, 2 * time.Second},
+		{"body", PhaseBody, true, time.Second},
+		{"running", PhaseRunning, true, time.Hour},
+	}
+	l, other := NewLedger(1<<30), new(Server)
+	kept, _ := l.Open(other, 1, start)
+	var server Server
+	names := make(map[*Conn]string)
+	for _, o := range slices.Backward(conns) {
+		c, _ := l.Open(&server, len(conns), start)
+		if o.used {
+			l.End(c, PhaseIdle, start)
+		}
+		l.Enter(c, o.phase, start.Add(-o.age))
+		names[c] = o.name
+	}
+	for _, o := range conns[:len(conns)-1] {
+		c, closed := l.Open(&server, len(conns), start)
+		if assert.Len(t, closed, 1) {
+			assert.Equal(t, o.name, names[closed[0]])
+		}
+		l.Enter(c, PhaseRunning, start)
+	}
+	c, closed := l.Open(&server, len(conns), start)
+	assert.Nil(t, c)
+	assert.Empty(t, closed)
+	assert.Equal(t, kept, l.Yield(nil))
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -55,6 +55,14 @@
 	addressCacheFactor   = 3                      // some callers cache addresses longer than they should
 )
 
+// The servers with their shares of the descriptors. What is left is for endpoints, peers and the store.
+var (
+	callersSide   = ingress.Side{Name: "callers", Share: 1.0 / 2}
+	directorySide = ingress.Side{Name: "directory", Share: 1.0 / 16}
+	readySide     = ingress.Side{Name: "ready", Share: 1.0 / 32}
+	metricsSide   = ingress.Side{Name: "metrics", Share: 1.0 / 32}
+)
+
 var (
 	errLeaving        = errors.New("leaving")
 	errNoEndpointList = errors.New("no list of endpoints yet")
@@ -138,7 +146,7 @@
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
-	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout},
+	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout, Descriptors: c.Limits.Descriptors},
 		ingress.WithLogger(logger), ingress.WithRegistry(n.registry), ingress.WithEcho(platform.HeaderID))
 	counts := newStats(n.registry)
 	n.state.counts = counts
@@ -205,12 +213,12 @@
 	n.tasks = timer.NewTasks(lifetime, n.timers, n.group)
 	peerServer := gossip.NewServer(n)
 	n.group.Go(func() error { return serveError("peers", peerServer.Serve(listeners.peer)) })
-	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) {
+	callerServer := n.serveHTTP(callersSide, listeners.caller, n.gateway, func(s *http.Server) {
 		s.ConnState, s.ConnContext = n.callers.Observe, gateway.ConnContext
 	})
-	directoryServer := n.serveHTTP("directory", listeners.directory, platform.Directory(n.addresses))
-	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
-	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
+	directoryServer := n.serveHTTP(directorySide, listeners.directory, platform.Directory(n.addresses))
+	readyServer := n.serveHTTP(readySide, listeners.ready, platform.Readiness(n.state.ready))
+	metricsServer := n.serveHTTP(metricsSide, listeners.metrics, telemetry.MetricsHandler(n.registry))
 	n.startTasks(lifetime)
 	_ = level.Info(n.logger).Log("step", "start", "build", n.state.build, "features", fmt.Sprint(n.state.loadFeatures.announced), "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
 	<-ctx.Done()
@@ -250,14 +258,14 @@
 	return open, nil
 }
 
-func (n *Node) serveHTTP(side string, l net.Listener, h http.Handler, options ...func(*http.Server)) *http.Server {
+func (n *Node) serveHTTP(side ingress.Side, l net.Listener, h http.Handler, options ...func(*http.Server)) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	for _, o := range options {
 		o(s)
 	}
 	if l != nil {
 		guarded := n.ingress.Guard(s, l, side)
-		n.group.Go(func() error { return serveError(side, s.Serve(guarded)) })
+		n.group.Go(func() error { return serveError(side.Name, s.Serve(guarded)) })
 	}
 	return s
 }
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -1,16 +1,18 @@
 // Package ingress bounds what the clients of HTTP servers may hold: it reads the head of each request up to
 // its end before net/http parses it, and keeps the connections of all servers of an instance within one
-// budget of memory.
+// budget of memory, and those of each server within its share of the descriptors.
 //
 //	gate := ingress.New(ingress.Limits{...})
 //	server := &http.Server{...}
-//	server.Serve(gate.Guard(server, listener, "callers"))
+//	server.Serve(gate.Guard(server, listener, ingress.Side{Name: "callers", Share: 0.5}))
 //
 // Requests that run are never closed: of the others, those go first that hold most for longest.
 package ingress
 
 import (
 	"context"
+	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +21,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 
 	"github.com/chiveramp/chiveramp/internal/core/intake"
 )
@@ -33,6 +36,8 @@
 const (
 	// CauseMemory: the memory for connections is used up.
 	CauseMemory Cause = "memory"
+	// CauseDescriptors: the server has as many connections as it may.
+	CauseDescriptors Cause = "descriptors"
 	// CauseHeadSize: a head is larger than allowed.
 	CauseHeadSize Cause = "head size"
 	// CauseHeadTime: a head has taken too long to arrive.
@@ -46,6 +51,17 @@
 	// Head is the largest size of a head in bytes, HeadTime how long it may take from its first to its last byte.
 	Head     int
 	HeadTime time.Duration
+	// Descriptors is how many descriptors the process may open, unless the system's limit is lower. At 0 only
+	// that one counts.
+	Descriptors int
+}
+
+// Side is one of the servers behind a gate.
+type Side struct {
+	// Name is its name in logs and metrics.
+	Name string
+	// Share is the share of the process's descriptors that its connections may take.
+	Share float64
 }
 
 // Clock returns the current time.
@@ -105,9 +121,8 @@
 	return g.ledger.Used()
 }
 
-// Guard prepares a server whose handler and hooks are set, and returns the listener that it must serve. The
-// name is that of the server in logs and metrics.
-func (g *Gate) Guard(s *http.Server, l net.Listener, name string) net.Listener {
+// Guard prepares a server whose handler and hooks are set, and returns the listener that it must serve.
+func (g *Gate) Guard(s *http.Server, l net.Listener, side Side) net.Listener {
 	handler, state, contextOf := s.Handler, s.ConnState, s.ConnContext
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
@@ -130,7 +145,7 @@
 		}
 		return context.WithValue(ctx, connKey{}, nc)
 	}
-	return &listener{Listener: l, gate: g, name: name}
+	return &listener{Listener: l, gate: g, side: side}
 }
 
 // connKey is the key of a request's connection.
@@ -139,18 +154,22 @@
 // listener passes on connections that are within the limits.
 type listener struct {
 	net.Listener
-	gate *Gate
-	name string
+	gate    *Gate
+	side    Side
+	account intake.Server
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
+		if errors.Is(err, unix.EMFILE) && l.gate.yield() {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
-		if c := l.gate.open(raw, l.name); c != nil {
+		if c := l.gate.open(raw, l); c != nil {
 			return c, nil
 		}
 		_ = raw.Close()
@@ -158,23 +177,50 @@
 }
 
 // open opens the account of a connection. Without room for it, it returns nil.
-func (g *Gate) open(raw net.Conn, name string) *conn {
+func (g *Gate) open(raw net.Conn, l *listener) *conn {
+	limit := int(l.side.Share * float64(g.descriptors()))
 	g.mu.Lock()
-	account, closed := g.ledger.Open(g.clock())
+	cause := CauseMemory
+	if l.account.Connections() >= limit {
+		cause = CauseDescriptors
+	}
+	account, closed := g.ledger.Open(&l.account, limit, g.clock())
 	victims := g.remove(closed)
 	var c *conn
 	if account != nil {
-		c = &conn{Conn: raw, gate: g, name: name, account: account}
+		c = &conn{Conn: raw, gate: g, name: l.side.Name, account: account}
 		g.conns[account] = c
 	}
 	g.mu.Unlock()
-	g.closeAll(victims, CauseMemory)
+	g.closeAll(victims, cause)
 	if c == nil {
-		g.report(name, CauseMemory)
+		g.report(l.side.Name, cause)
 	}
 	return c
 }
 
+// descriptors returns how many descriptors the process may open. The system's limit may change while it runs.
+func (g *Gate) descriptors() int {
+	var limit unix.Rlimit
+	most := g.limits.Descriptors
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && (most <= 0 || limit.Cur < uint64(most)) {
+		most = int(min(limit.Cur, math.MaxInt32))
+	}
+	return most
+}
+
+// yield closes a connection for another part of the process, and reports whether there was one.
+func (g *Gate) yield() bool {
+	g.mu.Lock()
+	var victims []*conn
+	if c := g.ledger.Yield(nil); c != nil {
+		victims = g.remove([]*intake.Conn{c})
+	}
+	g.mu.Unlock()
+	g.closeAll(victims, CauseDescriptors)
+	return len(victims) > 0
+}
+
 // hold sets what a connection holds, and reports whether there is room for it.
 func (g *Gate) hold(c *conn, bytes int64) bool {
 	g.mu.Lock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -28,7 +28,7 @@
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout, MaxHeaderBytes: 64 << 10}
 	address := l.Addr().String()
 	if g != nil {
-		l = g.Guard(s, l, "test")
+		l = g.Guard(s, l, Side{Name: "test", Share: 0.5})
 	}
 	var group errgroup.Group
 	group.Go(func() error { return s.Serve(l) })
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -94,6 +94,8 @@
 	Bodies int64
 	// Heads is the memory in bytes of all connections of HTTP clients with the heads of their requests.
 	Heads int64
+	// Descriptors is how many descriptors the process may open. At 0 the system's limit counts.
+	Descriptors int
 	// Memory is the memory in bytes of the process from which on garbage is collected at once.
 	Memory int64
 }
@@ -135,10 +137,11 @@
 	gatewayWatchWait    = time.Second
 	gatewayLease        = 9 * time.Second
 	gatewayAnswerTTL    = time.Second
-	gatewayMaxAnswer    = 16 << 20  // bytes
-	gatewayHeldAnswers  = 24 << 20  // bytes
-	gatewayBodies       = 32 << 20  // bytes
-	gatewayHeads        = 64 << 20  // bytes
+	gatewayMaxAnswer    = 16 << 20 // bytes
+	gatewayHeldAnswers  = 24 << 20 // bytes
+	gatewayBodies       = 32 << 20 // bytes
+	gatewayHeads        = 64 << 20 // bytes
+	gatewayDescriptors  = 4100
 	gatewayMemory       = 160 << 20 // bytes
 	minAnswerLimit      = 1 << 20   // bytes
 	gatewayRevoke       = 5 * time.Second
@@ -154,7 +157,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
-		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Heads: gatewayHeads, Memory: gatewayMemory},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Heads: gatewayHeads, Descriptors: gatewayDescriptors, Memory: gatewayMemory},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
@@ -249,6 +252,7 @@
 			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
 			inifile.Size("bodies", &c.Limits.Bodies, minAnswerLimit),
 			inifile.Size("heads", &c.Limits.Heads, minAnswerLimit),
+			inifile.Count("descriptors", &c.Limits.Descriptors, 0, maxCount),
 			inifile.Size("memory", &c.Limits.Memory, minAnswerLimit),
 		}},
 		{"drain", []inifile.Field{
