--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxQueuedLines is how many lines are queued for a slow writer.
+	// maxQueuedLines and maxQueuedBytes limit the lines that are queued for a slow writer.
 	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
 	// flushTimeout limits how long the queued lines are written after the context ends.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -21,6 +22,7 @@
 // when the queue is full.
 type BoundedWriter struct {
 	lines   chan []byte
+	queued  atomic.Int64 // bytes
 	dropped atomic.Int64
 }
 
@@ -36,14 +38,30 @@
 
 // Write queues one line, or drops it if the queue is full. It never returns an error.
 func (b *BoundedWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if b.queued.Add(size) > maxQueuedBytes {
+		b.drop(size)
+		return len(line), nil
+	}
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
-		b.dropped.Add(1)
+		b.drop(size)
 	}
 	return len(line), nil
 }
 
+func (b *BoundedWriter) drop(size int64) {
+	b.queued.Add(-size)
+	b.dropped.Add(1)
+}
+
+// writeLine writes a queued line. A failed log write can't be reported anywhere else.
+func (b *BoundedWriter) writeLine(w io.Writer, line []byte) {
+	_, _ = w.Write(line)
+	b.queued.Add(-int64(len(line)))
+}
+
 // Dropped returns the number of dropped lines.
 func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
 
@@ -52,7 +70,7 @@
 	for {
 		select {
 		case line := <-b.lines:
-			_, _ = w.Write(line) // a failed log write can't be reported anywhere else
+			b.writeLine(w, line)
 		case <-ctx.Done():
 			b.flush(w)
 			return
@@ -70,7 +88,7 @@
 	for ctx.Err() == nil {
 		select {
 		case line := <-b.lines:
-			_, _ = w.Write(line)
+			b.writeLine(w, line)
 		default:
 			return
 		}
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -39,6 +39,22 @@
 	require.NoError(t, group.Wait())
 }
 
+// Long lines take no more memory than many short ones.
+func TestBoundedWriterHoldsFewLongLines(t *testing.T) {
+	const lines, length, most = 10_000, 15 << 10, 4 << 20
+	ctx, cancel := context.WithCancel(t.Context())
+	reader, writer := io.Pipe() // never read from
+	var group errgroup.Group
+	b := telemetry.NewBoundedWriter(ctx, writer, &group)
+	for range lines {
+		_, _ = b.Write(make([]byte, length))
+	}
+	assert.Less(t, (lines-b.Dropped())*length, int64(most))
+	cancel()
+	require.NoError(t, reader.Close())
+	require.NoError(t, group.Wait())
+}
+
 // Lines that were written before the context ended are flushed in order.
 func TestBoundedWriterFlushesAtEnd(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,6 +53,16 @@
 	}
 }
 
+func TestLoggerCutsLongValues(t *testing.T) {
+	var b bytes.Buffer
+	var none *net.OpError
+	long := strings.Repeat("p", 15<<10)
+	require.NoError(t, NewLogger(&b, testConfig()).Log("path", long, "err", errors.New(long), "none", none, "id", 7))
+	assert.Less(t, b.Len(), 2<<10)
+	assert.Contains(t, b.String(), "path=ppp")
+	assert.Contains(t, b.String(), "id=7")
+}
+
 func TestMetricsHandler(t *testing.T) {
 	r := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("requests;rank=urgent", r).Inc(3)
