ingress: answers that a client doesn't read end within a time

Callers could have seen: an instance that takes no new connection, since clients send requests in a row, read no answer and keep their connections, which are never closed as long as their requests run.

Cause: only writes of endpoints' answers have a deadline (5 s). Refusals, and the answers of directory, readiness checks and metrics, block for good once the client's window is full.

Change: a write for which the server has set no deadline may take 10 s.

TestUnreadAnswersEndTheirConnection failed before (the connection was held 5 s after its limit of 100 ms).

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -45,6 +45,7 @@
 	reloadInterval       = time.Second            // picks up changed settings also without a signal
 	instanceListInterval = 3 * time.Second        // heartbeats of new instances usually arrive sooner
 	headerTimeout        = 10 * time.Second       // for a client's header; exceeds the operators' limits
+	writeTimeout         = 10 * time.Second       // for a write to a client that doesn't read, where the gateway sets none
 	idleTimeout          = 75 * time.Second       // exceeds the time for which callers reuse connections
 	maxHeaderBytes       = 64 << 10               // size of a client's header; exceeds the operators' limits
 	drainPause           = 50 * time.Millisecond
@@ -146,7 +147,7 @@
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
-	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout, Descriptors: c.Limits.Descriptors},
+	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout, WriteTime: writeTimeout, Descriptors: c.Limits.Descriptors},
 		ingress.WithLogger(logger), ingress.WithRegistry(n.registry), ingress.WithEcho(platform.HeaderID))
 	counts := newStats(n.registry)
 	n.state.counts = counts
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -48,6 +48,8 @@
 	// whole is set from a whole head until its request ends, active once the server counts the connection as
 	// busy.
 	whole, active atomic.Bool
+	// writeTimed is set while the server has set a deadline for writes.
+	writeTimed atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -219,6 +221,28 @@
 	c.gate.end(c, phase)
 }
 
+// Write implements net.Conn. A client that reads nothing blocks it until the deadline.
+func (c *conn) Write(p []byte) (int, error) {
+	if !c.writeTimed.Load() {
+		if err := c.Conn.SetWriteDeadline(c.gate.clock().Add(c.gate.limits.WriteTime)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.writeTimed.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.writeTimed.Store(!t.IsZero())
+	return c.Conn.SetDeadline(t)
+}
+
 // Close implements net.Conn. While its server stops, it closes connections that it counts as idle, though
 // the head of a request may have been read: such a connection is closed after that request.
 func (c *conn) Close() error {
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -51,6 +51,8 @@
 	// Head is the largest size of a head in bytes, HeadTime how long it may take from its first to its last byte.
 	Head     int
 	HeadTime time.Duration
+	// WriteTime is how long a write may take for which the server has set no deadline.
+	WriteTime time.Duration
 	// Descriptors is how many descriptors the process may open, unless the system's limit is lower. At 0 only
 	// that one counts.
 	Descriptors int
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -18,7 +18,7 @@
 
 const testTimeout = 10 * time.Second
 
-var testLimits = Limits{Memory: 64 << 20, Head: 64 << 10, HeadTime: testTimeout}
+var testLimits = Limits{Memory: 64 << 20, Head: 64 << 10, HeadTime: testTimeout, WriteTime: testTimeout}
 
 // serve starts a server, behind a gate if there is one, and returns its address.
 func serve(tb testing.TB, g *Gate, handler http.HandlerFunc) string {
@@ -168,6 +168,21 @@
 	assert.LessOrEqual(t, g.used(), limits.Memory)
 }
 
+// A client that sends requests and reads no answers loses its connection.
+func TestUnreadAnswersEndTheirConnection(t *testing.T) {
+	limits := testLimits
+	limits.WriteTime = 100 * time.Millisecond
+	g := New(limits)
+	address := serve(t, g, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 2000)) })
+	conn := dial(t, address)
+	for range 100 {
+		if _, err := io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1000)); err != nil {
+			break
+		}
+	}
+	require.Eventually(t, func() bool { return g.used() == 0 }, testTimeout/2, 10*time.Millisecond)
+}
+
 // Whole heads beyond the memory are refused, ordinary ones still get in, and requests that run are left alone.
 func TestWholeHeadsBeyondTheMemoryAreRefused(t *testing.T) {
 	large := "GET /large HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n" + strings.Repeat("a:\r\n", 3500) + "\r\n"
