ingress: bytes of a next request and trailers hold memory too; docs

By reading: bytes that a client sends on behind a body, up to 32 KiB, and the fields after a body in chunks were kept while the request ran without being counted.

docs/OPERATIONS.md names the log line and the metrics; its test also reads internal/ingress now.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -80,7 +80,7 @@
 func operationsSource(t *testing.T) string {
 	t.Helper()
 	source := ""
-	for _, dir := range []string{"gateway", "direct", "loader", "daemon", "telemetry"} {
+	for _, dir := range []string{"gateway", "direct", "ingress", "loader", "daemon", "telemetry"} {
 		files, err := filepath.Glob("../internal/" + dir + "/*.go")
 		require.NoError(t, err)
 		for _, file := range files {
--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -35,6 +35,14 @@
 // RequestCost returns the memory in bytes of a request from the size of its head and the number of its lines.
 func RequestCost(size, lines int) int64 { return int64(size)*byteCost + int64(lines)*lineCost }
 
+// TrailerCost returns the memory in bytes of the fields after a body.
+func TrailerCost(s BodyScanner) int64 {
+	if chunks, ok := s.(*ChunkScanner); ok {
+		return int64(chunks.trailers) * lineCost
+	}
+	return 0
+}
+
 // Server is a server with a number of connections of its own.
 type Server struct{ count int }
 
--- a/internal/core/intake/scan.go
+++ b/internal/core/intake/scan.go
@@ -101,7 +101,7 @@
 	digits    int    // of the size
 	extension bool   // of the size's line has begun
 	line      lineScanner
-	trailers  int
+	trailers  int // lines after the last chunk
 }
 
 // NewChunkScanner returns a scanner at the beginning of a body.
@@ -133,9 +133,6 @@
 	return n, whole
 }
 
-// Trailers is the number of lines after the last chunk so far.
-func (s *ChunkScanner) Trailers() int { return s.trailers }
-
 func (s *ChunkScanner) endPart() {
 	switch {
 	case s.left > 0:
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -173,7 +173,7 @@
 	if !whole {
 		return used, err
 	}
-	if chunks, ok := c.body.(*intake.ChunkScanner); ok && !c.gate.hold(c, c.cost+intake.RequestCost(0, chunks.Trailers())) {
+	if !c.gate.hold(c, c.cost+intake.TrailerCost(c.body)+int64(cap(c.rest))) {
 		c.gate.report(c.name, CauseMemory)
 		_ = c.shut()
 		return 0, net.ErrClosed
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -168,6 +168,27 @@
 	assert.LessOrEqual(t, g.used(), limits.Memory)
 }
 
+// A server that stops closes connections that it counts as idle, though it is about to read a request.
+func TestConnectionWithAWholeHeadIsNotClosedAsIdle(t *testing.T) {
+	g := New(testLimits)
+	client, raw := net.Pipe()
+	c := g.open(raw, &listener{side: Side{Share: 1}})
+	c.observe(http.StateIdle)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		return err
+	})
+	_, err := c.Read(make([]byte, 4096))
+	require.NoError(t, err)
+	require.NoError(t, group.Wait())
+	require.NoError(t, c.Close())
+	assert.Positive(t, g.used(), "closed before the request has run")
+	c.observe(http.StateActive)
+	require.NoError(t, c.Close())
+	assert.Zero(t, g.used())
+}
+
 // A client that sends requests and reads no answers loses its connection.
 func TestUnreadAnswersEndTheirConnection(t *testing.T) {
 	limits := testLimits
