--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// maxQueuedLines is how many lines are queued for a slow writer.
+	// maxQueuedLines and maxQueuedBytes limit the lines that are queued for a slow writer.
 	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
 	// newestLines is how many lines at the end of the queue are among those written first after the
 	// context ends.
 	newestLines = 32
@@ -41,6 +42,7 @@
 	mu    sync.Mutex
 	lines [][]byte
 	next  int // of the lines to be written
+	bytes int // of the lines that are queued
 
 	writing  errgroup.Group
 	reported int64 // of the dropped lines; belongs to the goroutine that writes
@@ -73,10 +75,11 @@
 func (b *BoundedWriter) Write(line []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.lines)-b.next >= maxQueuedLines {
+	for n := len(b.lines) - b.next; n > 0 && (n >= maxQueuedLines || b.bytes+len(line) > maxQueuedBytes); n = len(b.lines) - b.next {
 		b.makeRoom()
 	}
 	b.lines = append(b.lines, bytes.Clone(line))
+	b.bytes += len(line)
 	select {
 	case b.queued <- struct{}{}:
 	default:
@@ -89,15 +92,19 @@
 
 // makeRoom drops half of the queue.
 func (b *BoundedWriter) makeRoom() {
-	excess := maxQueuedLines / 2
+	excess := (len(b.lines) - b.next + 1) / 2
 	b.dropped.Add(int64(excess))
 	lines := slices.DeleteFunc(b.lines[b.next:], func(line []byte) bool {
 		if excess == 0 || isWarning(line) {
 			return false
 		}
 		excess--
+		b.bytes -= len(line)
 		return true
 	})
+	for _, line := range lines[:excess] {
+		b.bytes -= len(line)
+	}
 	b.lines, b.next = lines, excess
 }
 
@@ -126,7 +133,7 @@
 	b.writeUntilEnd(ctx, w)
 	b.mu.Lock()
 	b.dropped.Add(int64(len(b.lines) - b.next))
-	b.lines, b.next = nil, 0
+	b.lines, b.next, b.bytes = nil, 0, 0
 	b.mu.Unlock()
 	b.reportDropped(w)
 }
@@ -168,6 +175,7 @@
 		return nil, false
 	}
 	line, b.lines[b.next] = b.lines[b.next], nil
+	b.bytes -= len(line)
 	if b.next++; b.next == maxQueuedLines {
 		b.lines, b.next = slices.Delete(b.lines, 0, b.next), 0
 	}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -94,6 +94,10 @@
 	Bodies int64
 	// Upload is how long a body may take to arrive, unless its caller waits for less.
 	Upload time.Duration
+	// Heads is the memory in bytes of all connections of HTTP clients with the heads of their requests.
+	Heads int64
+	// Descriptors is how many descriptors the process may open. At 0 the system's limit counts.
+	Descriptors int
 	// Memory is the memory in bytes of the process from which on garbage is collected at once.
 	Memory int64
 }
@@ -139,6 +143,8 @@
 	gatewayHeldAnswers  = 24 << 20 // bytes
 	gatewayBodies       = 32 << 20 // bytes
 	gatewayUpload       = 30 * time.Second
+	gatewayHeads        = 64 << 20 // bytes
+	gatewayDescriptors  = 4100
 	gatewayMemory       = 160 << 20 // bytes
 	minAnswerLimit      = 1 << 20   // bytes
 	gatewayRevoke       = 5 * time.Second
@@ -154,7 +160,7 @@
 		Store:  GatewayStore{Timeout: gatewayStoreTimeout, Wait: gatewayWatchWait},
 		Retry:  GatewayRetry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Orders: GatewayOrders{Apart: 3 * time.Second, Lease: gatewayLease, Window: 5 * time.Second, Over: 1},
-		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Upload: gatewayUpload, Memory: gatewayMemory},
+		Limits: GatewayLimits{Answer: gatewayMaxAnswer, Held: gatewayHeldAnswers, Bodies: gatewayBodies, Upload: gatewayUpload, Heads: gatewayHeads, Descriptors: gatewayDescriptors, Memory: gatewayMemory},
 		Drain:  GatewayDrain{Grace: 8 * time.Second, Keep: gatewayAnswerTTL},
 
 		Workspaces: GatewayWorkspaces{Revoke: gatewayRevoke},
@@ -249,6 +255,8 @@
 			inifile.Size("held", &c.Limits.Held, minAnswerLimit),
 			inifile.Size("bodies", &c.Limits.Bodies, minAnswerLimit),
 			inifile.Duration("upload", &c.Limits.Upload, time.Second),
+			inifile.Size("heads", &c.Limits.Heads, minAnswerLimit),
+			inifile.Count("descriptors", &c.Limits.Descriptors, 0, maxCount),
 			inifile.Size("memory", &c.Limits.Memory, minAnswerLimit),
 		}},
 		{"drain", []inifile.Field{
