--- a/internal/direct/stats.go
+++ b/internal/direct/stats.go
@@ -65,6 +65,11 @@
 	metrics.GetOrRegisterCounter("key_refusals;status="+strconv.Itoa(status), s.registry).Inc(1)
 }
 
+// BodyRefused counts a request refused for its body.
+func (s *stats) BodyRefused(fault gateway.BodyFault) {
+	metrics.GetOrRegisterCounter("refused_bodies;fault="+string(fault), s.registry).Inc(1)
+}
+
 // EventRejected counts a part of a stream that was not passed on.
 func (s *stats) EventRejected(fault gateway.EventFault) {
 	metrics.GetOrRegisterCounter("rejected_events;fault="+string(fault), s.registry).Inc(1)
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -29,6 +29,32 @@
 	errLateBody = errors.New("the body has not arrived in time")
 )
 
+// BodyFault is why a request was refused for its body.
+type BodyFault string
+
+// The faults of bodies.
+const (
+	BodyTooLarge BodyFault = "large"
+	BodyLate     BodyFault = "late"
+	BodyGaveWay  BodyFault = "yielded"
+	BodyNoMemory BodyFault = "memory"
+)
+
+// bodyFault returns the fault of a body that was not read, empty for another error.
+func bodyFault(err error) BodyFault {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return BodyTooLarge
+	case errors.Is(err, errLateBody):
+		return BodyLate
+	case errors.Is(err, errGaveWay):
+		return BodyGaveWay
+	case errors.Is(err, errNoBodyMemory):
+		return BodyNoMemory
+	}
+	return ""
+}
+
 // WithBodyMemory limits the memory of the bodies of all requests that are served at once.
 func WithBodyMemory(bytes int64) Option { return func(g *Gateway) { g.bodies.limit = bytes } }
 
@@ -76,6 +102,17 @@
 	}
 }
 
+// refuseBody refuses a request before its body has arrived.
+func (g *Gateway) refuseBody(w http.ResponseWriter, r *http.Request, refusal Refusal, fault BodyFault, err error) {
+	g.stats.BodyRefused(fault)
+	if omitted, ok := g.bodyLines.next(g.clock()); ok {
+		_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "omitted", omitted, "err", err)
+	}
+	w.Header().Set("Connection", "close")
+	g.refuse(w, refusal)
+	discardBody(w, r)
+}
+
 // discardBody sends a refusal, and then reads the body without holding it: many callers read nothing
 // before they have sent everything, and would see a connection that is reset. The connection is closed
 // afterwards, since net/http may read beyond a body that it closes in full duplex.
--- a/internal/gateway/discard_test.go
+++ b/internal/gateway/discard_test.go
@@ -18,6 +18,14 @@
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
+// bodyCounts takes the faults of bodies.
+type bodyCounts struct {
+	gateway.Stats
+	faults chan gateway.BodyFault
+}
+
+func (c *bodyCounts) BodyRefused(fault gateway.BodyFault) { c.faults <- fault }
+
 // A caller whose request is refused gets the whole answer at once. What it still sends is read for a limited
 // time, which a caller that sends nothing more can't stretch.
 func TestRestOfARefusedBodyIsReadForALimitedTime(t *testing.T) {
@@ -26,18 +34,20 @@
 	tests := []struct {
 		name, text string
 		wantStatus int
+		wantFault  gateway.BodyFault
 	}{
-		{name: "no memory", text: id + "Content-Length: 900000\r\n\r\nb", wantStatus: http.StatusServiceUnavailable},
-		{name: "no memory, in chunks", text: id + "Transfer-Encoding: chunked\r\n\r\n" + chunk[:900000], wantStatus: http.StatusServiceUnavailable},
-		{name: "too large", text: id + "Content-Length: 9000000\r\n\r\nb", wantStatus: http.StatusRequestEntityTooLarge},
+		{name: "no memory", text: id + "Content-Length: 900000\r\n\r\nb", wantStatus: http.StatusServiceUnavailable, wantFault: gateway.BodyNoMemory},
+		{name: "no memory, in chunks", text: id + "Transfer-Encoding: chunked\r\n\r\n" + chunk[:900000], wantStatus: http.StatusServiceUnavailable, wantFault: gateway.BodyNoMemory},
+		{name: "too large", text: id + "Content-Length: 9000000\r\n\r\nb", wantStatus: http.StatusRequestEntityTooLarge, wantFault: gateway.BodyTooLarge},
 		{name: "malformed", text: "Content-Length: 9\r\n\r\nb", wantStatus: http.StatusBadRequest},
 		{name: "malformed, in chunks", text: "Transfer-Encoding: chunked\r\n\r\n1\r\n", wantStatus: http.StatusBadRequest},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, catalog.KindUnsafe, standin.BehaviourNone)
+			counts := &bodyCounts{faults: make(chan gateway.BodyFault, 1)}
 			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), largeBodies{f}, time.Now,
-				gateway.WithBodyMemory(1<<20), gateway.WithDiscardTime(100*time.Millisecond))
+				gateway.WithBodyMemory(1<<20), gateway.WithDiscardTime(100*time.Millisecond), gateway.WithStats(counts))
 			conn := open(t, g, "POST /x HTTP/1.1\r\nHost: board.example\r\n"+tt.text)
 			got := readAnswer(t, conn)
 			assert.Equal(t, tt.wantStatus, got.status)
@@ -46,6 +56,8 @@
 			_, err := io.Copy(io.Discard, conn)
 			require.NoError(t, err, "the connection is closed")
 			assert.Zero(t, f.runs())
+			close(counts.faults)
+			assert.Equal(t, tt.wantFault, <-counts.faults)
 		})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	bodies         *heldMemory
 	bodyTime       time.Duration
 	discardTime    time.Duration
+	bodyLines      lineLimit
 	waiting        waitingMemory
 	active         activeRequests
 	durations      shutdown.Durations // guarded by the lock of active
@@ -243,14 +244,14 @@
 	if request != nil {
 		refusal.Request = request.ID
 	}
-	discards := false // sends the refusal before the body has arrived
+	fault := bodyFault(err)
 	switch {
-	case errors.Is(err, ErrTooLarge):
-		refusal.Status, discards = http.StatusRequestEntityTooLarge, true
-	case errors.Is(err, errLateBody):
-		refusal.Status, discards = http.StatusRequestTimeout, true
-	case errors.Is(err, errNoBodyMemory), errors.Is(err, errGaveWay):
-		refusal.Status, refusal.RetryAfter, discards = http.StatusServiceUnavailable, defaultRetryAfter, true
+	case fault == BodyTooLarge:
+		refusal.Status = http.StatusRequestEntityTooLarge
+	case fault == BodyLate:
+		refusal.Status = http.StatusRequestTimeout
+	case fault != "":
+		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, defaultRetryAfter
 	case errors.Is(err, ErrMalformed):
 	case errors.Is(err, ErrShutdown), r.Context().Err() != nil && g.active.hasEnded(): // net/http has other errors for the end of a body
 		refusal.Status, refusal.Reason, refusal.RetryAfter = http.StatusServiceUnavailable, ErrShutdown.Error(), shutdownRetryAfter
@@ -260,9 +261,9 @@
 	if r.ContentLength != 0 && !g.active.hasEnded() {
 		g.limitDiscard(w)
 	}
-	if discards {
-		w.Header().Set("Connection", "close")
-		defer discardBody(w, r)
+	if fault != "" {
+		g.refuseBody(w, r, refusal, fault, err)
+		return
 	}
 	_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "err", err)
 	g.refuse(w, refusal)
@@ -355,6 +356,8 @@
 	Workspace(name string, status int)
 	// KeyRefused records a request refused for its key.
 	KeyRefused(status int)
+	// BodyRefused records a request refused for its body.
+	BodyRefused(fault BodyFault)
 	// EventRejected records a part of a stream that was not passed on.
 	EventRejected(fault EventFault)
 }
@@ -365,4 +368,5 @@
 func (noStats) Waited(*catalog.Route, int, time.Duration)                   {}
 func (noStats) Workspace(string, int)                                       {}
 func (noStats) KeyRefused(int)                                              {}
+func (noStats) BodyRefused(BodyFault)                                       {}
 func (noStats) EventRejected(EventFault)                                    {}
