fix(gateway): a caller that still sends chunks gets the refusal of its body

A caller whose body in chunks was ended as it came too late, or gave way, had its connection reset while it sent, and could lose the answer: net/http reads nothing more of such a body once a read has failed, so that the rest wasn't discarded.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -110,13 +110,14 @@
 	}
 	w.Header().Set("Connection", "close")
 	g.refuse(w, refusal)
-	discardBody(w, r)
+	interrupted := fault == BodyLate || fault == BodyGaveWay
+	g.discardBody(w, r, interrupted)
 }
 
 // discardBody sends a refusal, and then reads the body without holding it: many callers read nothing
 // before they have sent everything, and would see a connection that is reset. The connection is closed
 // afterwards, since net/http may read beyond a body that it closes in full duplex.
-func discardBody(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) discardBody(w http.ResponseWriter, r *http.Request, interrupted bool) {
 	if r.Header.Get("Expect") != "" {
 		return // the caller sends no body after the refusal
 	}
@@ -124,7 +125,19 @@
 	if c.EnableFullDuplex() != nil || c.Flush() != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
+	if !interrupted || r.ContentLength >= 0 {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
+		return
+	}
+	// net/http reads no more of a body in chunks after an interrupted read.
+	conn, _, err := c.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if conn.SetReadDeadline(g.clock().Add(g.discardTime)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, defaultMaxBodyBytes))
+	}
 }
 
 // limitBody limits how long a body may take to arrive, and returns until when. The limit ends with the body:
--- a/internal/gateway/discard_test.go
+++ b/internal/gateway/discard_test.go
@@ -61,3 +61,28 @@
 		})
 	}
 }
+
+// A caller that reads only after it has sent everything gets the refusal, though it came while it sent.
+func TestCallerThatStillSendsGetsTheRefusal(t *testing.T) {
+	const pieces = 50
+	piece := strings.Repeat("b", 1<<10)
+	tests := []struct {
+		name, framing, piece string
+	}{
+		{name: "with a length", framing: fmt.Sprintf("Content-Length: %d", pieces<<10), piece: piece},
+		{name: "in chunks", framing: "Transfer-Encoding: chunked", piece: fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, catalog.KindUnsafe, standin.BehaviourNone)
+			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), largeBodies{f}, time.Now, gateway.WithBodyTime(100*time.Millisecond))
+			conn := open(t, g, "POST /x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: r1\r\n"+tt.framing+"\r\n\r\n")
+			for range pieces {
+				_, err := io.WriteString(conn, tt.piece)
+				require.NoError(t, err)
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Equal(t, http.StatusRequestTimeout, readAnswer(t, conn).status)
+		})
+	}
+}
