--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -29,6 +29,32 @@
 	errLateBody = errors.New("the body has not arrived in time")
 )
 
+// BodyFault is why a request was refused for its body.
+type BodyFault string
+
+// The faults of bodies.
+const (
+	BodyTooLarge BodyFault = "large"
+	BodyLate     BodyFault = "late"
+	BodyGaveWay  BodyFault = "yielded"
+	BodyNoMemory BodyFault = "memory"
+)
+
+// bodyFault returns the fault of a body that was not read, empty for another error.
+func bodyFault(err error) BodyFault {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return BodyTooLarge
+	case errors.Is(err, errLateBody):
+		return BodyLate
+	case errors.Is(err, errGaveWay):
+		return BodyGaveWay
+	case errors.Is(err, errNoBodyMemory):
+		return BodyNoMemory
+	}
+	return ""
+}
+
 // WithBodyMemory limits the memory of the bodies of all requests that are served at once.
 func WithBodyMemory(bytes int64) Option { return func(g *Gateway) { g.bodies.limit = bytes } }
 
@@ -76,10 +102,22 @@
 	}
 }
 
+// refuseBody refuses a request before its body has arrived.
+func (g *Gateway) refuseBody(w http.ResponseWriter, r *http.Request, refusal Refusal, fault BodyFault, err error) {
+	g.stats.BodyRefused(fault)
+	if omitted, ok := g.bodyLines.next(g.clock()); ok {
+		_ = g.logger.Log("step", "refuse", "id", refusal.Request, "status", refusal.Status, "omitted", omitted, "err", err)
+	}
+	w.Header().Set("Connection", "close")
+	g.refuse(w, refusal)
+	interrupted := fault == BodyLate || fault == BodyGaveWay
+	g.discardBody(w, r, interrupted)
+}
+
 // discardBody sends a refusal, and then reads the body without holding it: many callers read nothing
 // before they have sent everything, and would see a connection that is reset. The connection is closed
 // afterwards, since net/http may read beyond a body that it closes in full duplex.
-func discardBody(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) discardBody(w http.ResponseWriter, r *http.Request, interrupted bool) {
 	if r.Header.Get("Expect") != "" {
 		return // the caller sends no body after the refusal
 	}
@@ -87,7 +125,19 @@
 	if c.EnableFullDuplex() != nil || c.Flush() != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
+	if !interrupted || r.ContentLength >= 0 {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, defaultMaxBodyBytes)) // the caller has its answer
+		return
+	}
+	// net/http reads no more of a body in chunks after an interrupted read.
+	conn, _, err := c.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if conn.SetReadDeadline(g.clock().Add(g.discardTime)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, defaultMaxBodyBytes))
+	}
 }
 
 // limitBody limits how long a body may take to arrive, and returns until when. The limit ends with the body:
