fix(direct): count the grace time of a planned stop from before a pause

What callers saw: an instance that is paused as SIGTERM is sent, and runs again 1.5 or 2.5 s later, is killed at the end of the grace time. Requests in flight end with status 200 and some of their events, and no line of the log names them.

Cause: drain counted the grace time from when the process handles the signal, the platform from when it sends it. The close of connections came after the kill.

Change: the task that runs every 100 ms records that the process runs. If the signal is handled within 200 ms after a gap of more than 200 ms between two records, the grace time begins at the record before the gap. CLOCK_BOOTTIME also counts while the machine is suspended and can't be set. If the time for requests has passed by then, what has no part of an answer is answered at once, with the usual time to write it.

--- /dev/null
+++ b/internal/core/shutdown/activity.go
@@ -0,0 +1,44 @@
+package shutdown
+
+import (
+	"sync"
+	"time"
+)
+
+// maxGap is the longest time between two records of a process that runs, and for how long after a pause
+// the process is handling what arrived meanwhile.
+const maxGap = 200 * time.Millisecond
+
+// Activity finds the pauses of a process, such as those of a frozen machine. Times are those of a clock that
+// also runs during them. It is safe for concurrent use.
+type Activity struct {
+	mu              sync.Mutex
+	last            time.Duration // of the records
+	paused, resumed time.Duration
+}
+
+// Record records that the process runs. It is called more often than each maxGap.
+func (a *Activity) Record(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.record(now)
+}
+
+func (a *Activity) record(now time.Duration) {
+	if a.last > 0 && now-a.last > maxGap {
+		a.paused, a.resumed = a.last, now
+	}
+	a.last = now
+}
+
+// Lag returns how long ago a signal that is handled now may have been sent: the time since the process last
+// ran before a pause that has just ended, 0 if there was none.
+func (a *Activity) Lag(now time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.record(now)
+	if a.resumed == 0 || now-a.resumed > maxGap {
+		return 0
+	}
+	return now - a.paused
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -40,7 +40,7 @@
 	probeTimeout         = 400 * time.Millisecond // two round trips between regions plus a short pause
 	placementInterval    = 200 * time.Millisecond // determines how soon placement follows demand
 	orderLeaseInterval   = 400 * time.Millisecond // several renewals per lease
-	holdInterval         = 100 * time.Millisecond // how late a removal that is held back may take effect
+	holdInterval         = 100 * time.Millisecond // how late a removal that is held back may take effect; also finds pauses
 	cleanUpInterval      = 500 * time.Millisecond // limits how long an expired entry stays
 	reloadInterval       = time.Second            // picks up changed settings also without a signal
 	instanceListInterval = 3 * time.Second        // heartbeats of new instances usually arrive sooner
@@ -82,7 +82,8 @@
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
 	callers           drain.Connections // of callers' connections
-	registrationLease platform.Lease    // store lease of this instance's registration
+	activity          shutdown.Activity
+	registrationLease platform.Lease // store lease of this instance's registration
 	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
 	// "catalog".
 	incomingCatalog  transfer.Assembly
@@ -279,7 +280,10 @@
 	every("right", orderLeaseInterval, n.maintainOrderLease)
 	every("place", placementInterval, n.placeModels)
 	every("tidy", cleanUpInterval, n.cleanUp)
-	every("held", holdInterval, n.endHolds)
+	every("held", holdInterval, func(ctx context.Context) {
+		n.activity.Record(uptime())
+		n.endHolds(ctx)
+	})
 	every("list", instanceListInterval, n.refreshInstances)
 	every("history", historyInterval, n.streamRecords.updateHistory)
 	every("verdicts", verdictInterval, n.verdictRecords.update)
@@ -342,10 +346,12 @@
 
 // drain shuts down gracefully: it announces to peers that this instance leaves, releases the
 // order lease, keeps serving callers that use cached addresses, and lets requests in flight
-// finish.
+// finish. After a pause the grace period counts from when this process last ran, since the signal may have
+// been sent then.
 func (n *Node) drain(ctx context.Context, listener net.Listener, callers *http.Server) {
-	started, limits := n.clock(), n.settings.Get().Drain
-	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace)
+	limits, lag := n.settings.Get().Drain, n.activity.Lag(uptime())
+	started := n.clock().Add(-lag)
+	_ = level.Info(n.logger).Log("step", "drain", "grace", limits.Grace, "lag", lag)
 	finish := time.Duration(float64(limits.Grace) * drainShare)
 	expired := started.Add(min(addressCacheFactor*limits.Keep, finish/2))
 	n.state.leave(shutdown.Plan{Expired: expired, Closes: started.Add(finish)})
@@ -355,7 +361,8 @@
 	n.handOverAllotments(announcing)
 	n.orderLease.release(announcing)
 	<-announcing.Done()
-	ctx, cancel := context.WithDeadline(ctx, started.Add(time.Duration(float64(limits.Grace)*closeShare)))
+	closes := time.Duration(float64(limits.Grace) * closeShare)
+	ctx, cancel := context.WithTimeout(ctx, max(closes-n.clock().Sub(started), closes-finish)) // the last answers take some time to write
 	defer cancel()
 	serving, end := context.WithDeadline(ctx, started.Add(finish))
 	defer end()
