fix(drain): serve a request that begins as the last one has ended

Change: once idle, a stop first refuses new requests, waits once more for those that have begun, and only then has the rest answered. The line of the log that counted in between comes afterwards. TestRequestThatBeginsAsTheLastOneEndsIsServed fails by its construction before: nothing waits for a request that begins there. The product's own daemon does the same.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -50,11 +50,11 @@
 	idleTimeout          = 75 * time.Second       // exceeds the time for which callers reuse connections
 	maxHeaderBytes       = 64 << 10               // size of a client's header; exceeds the operators' limits
 	drainPause           = 50 * time.Millisecond
-	orderMargin          = 500 * time.Millisecond // from the decision to send an order to its arrival
-	handoverMargin       = 200 * time.Millisecond // for orders in transit while the lease changes hands
-	drainShare           = 0.9                    // of the grace period, for requests in flight
-	closeShare           = 0.94                   // of the grace period, until connections are closed; the rest is for the exit
-	addressCacheFactor   = 3                      // some callers cache addresses longer than they should
+	orderMargin          = 500 * time.Millisecond  // from the decision to send an order to its arrival
+	handoverMargin       = 200 * time.Millisecond  // for orders in transit while the lease changes hands
+	drainShare           = 0.9                     // of the grace period, for requests in flight
+	closeShare           = 0.94                    // of the grace period, until connections are closed; the rest is for the exit
+	addressCacheFactor   = 3                       // some callers cache addresses longer than they should
 )
 
 // The servers with their shares of the descriptors. What is left is for endpoints, peers and the store.
@@ -383,10 +383,10 @@
 	defer end()
 	n.logDrain("closing listener")
 	lastAnswers := func() {
-		n.logDrain("answering the rest")
 		n.gateway.EndUnanswered()
+		n.logDrain("answered the rest")
 	}
-	if err := drain.Stop(serving, ctx, listener, callers, &n.callers, lastAnswers); err != nil {
+	if err := drain.Stop(serving, ctx, listener, callers, &n.callers, n.gateway.RefuseNew, lastAnswers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
 	n.logDrain("closing connections")
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -67,14 +67,17 @@
 	return busy
 }
 
-// Stop stops accepting connections, and stops the server once no request runs. At the end of serving, and
-// before idle connections are closed, lastAnswers has the handler answer all requests that have no answer
-// yet, and all that come later: Server.Shutdown alone drops requests that it reads after it was called, without
-// an answer. Answers have until the end of closing to be written, while idle connections are closed.
-func Stop(serving, closing context.Context, l net.Listener, s *http.Server, c *Connections, lastAnswers func()) error {
+// Stop stops accepting connections, and stops the server once no request runs. Then, or at the end of serving,
+// refuseNew has the handler refuse all requests that come later: Server.Shutdown alone drops requests that it
+// reads after it was called, without an answer. Those that came before may end until the end of serving, when
+// lastAnswers has the handler answer all that have no answer yet. Answers have until the end of closing to be
+// written, while idle connections are closed.
+func Stop(serving, closing context.Context, l net.Listener, s *http.Server, c *Connections, refuseNew, lastAnswers func()) error {
 	err := l.Close()
 	sleep(serving, acceptTime)
 	c.awaitIdle(serving)
+	refuseNew()
+	c.awaitIdle(serving)
 	lastAnswers()
 	s.SetKeepAlivesEnabled(false) // closes idle connections: a request that is sent later is refused anyway
 	c.awaitIdle(closing)
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	<-listener.accepting
 	group.Go(func() error {
-		err := Stop(ctx, ctx, listener, server, &connections, func() {})
+		err := Stop(ctx, ctx, listener, server, &connections, func() {}, func() {})
 		return errors.Join(err, server.Close())
 	})
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
@@ -128,7 +128,7 @@
 	serving, end := context.WithTimeout(closing, 300*time.Millisecond)
 	defer end()
 	group.Go(func() error {
-		err := Stop(serving, closing, listener, server, &connections, func() { close(ending) })
+		err := Stop(serving, closing, listener, server, &connections, func() {}, func() { close(ending) })
 		return errors.Join(err, server.Close())
 	})
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
@@ -170,7 +170,7 @@
 	serving, end := context.WithTimeout(closing, 300*time.Millisecond)
 	defer end()
 	group.Go(func() error {
-		err := Stop(serving, closing, listener, server, &connections, func() {})
+		err := Stop(serving, closing, listener, server, &connections, func() {}, func() {})
 		return errors.Join(err, server.Close())
 	})
 	_, err = idle.ReadByte()
@@ -178,3 +178,39 @@
 	cancel()
 	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
 }
+
+// A request that begins as the last one has ended is cut off by the last answers, though there is time for it.
+func TestRequestThatBeginsAsTheLastOneEndsIsServed(t *testing.T) {
+	var connections Connections
+	begun, last := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnState: connections.Observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		select {
+		case <-last:
+			w.WriteHeader(http.StatusBadGateway)
+		case <-time.After(100 * time.Millisecond):
+		}
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	group.Go(func() error {
+		refuseNew := func() {
+			_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			<-begun
+		}
+		err := Stop(ctx, ctx, listener, server, &connections, refuseNew, func() { close(last) })
+		return errors.Join(err, server.Close())
+	})
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+	assert.ErrorIs(t, group.Wait(), net.ErrClosed)
+}
--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -95,6 +95,13 @@
 	return s.ended
 }
 
+// refuseNew has no further request taken.
+func (s *activeRequests) refuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
+
 // endUnanswered ends the requests whose answers have not begun, and all that come later.
 func (s *activeRequests) endUnanswered() {
 	s.mu.Lock()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -52,6 +52,9 @@
 	return min(wait, plan.Closes.Sub(now)-j.needs(ctx, plan, now))
 }
 
+// RefuseNew refuses all requests that begin later.
+func (g *Gateway) RefuseNew() { g.active.refuseNew() }
+
 // EndUnanswered answers the requests that have no part of an answer, and all that come later, before their
 // connections are closed: with a refusal if they have not run.
 func (g *Gateway) EndUnanswered() { g.active.endUnanswered() }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -241,7 +241,7 @@
 		n.guard.endCallers()
 		callerAPI.EndBodies()
 	}
-	if err := drain.Stop(serving, closing, listener, callerServer, &n.callers, lastAnswers); err != nil {
+	if err := drain.Stop(serving, closing, listener, callerServer, &n.callers, n.guard.refuseCallers, lastAnswers); err != nil {
 		_ = level.Warn(n.logger).Log("step", "drain", "err", err)
 	}
 	n.awaitIdle(serving)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -197,6 +197,13 @@
 	delete(g.running, r)
 }
 
+// refuseCallers refuses all callers' requests that come later.
+func (g *shutdownGuard) refuseCallers() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+}
+
 // endCallers ends the callers' requests that have no part of an answer, and all that come later.
 func (g *shutdownGuard) endCallers() {
 	g.mu.Lock()
