fix(direct): estimate durations in a stop for 2.8 s at most

Callers expect cuts of what they sent in the first 3 s only. Change: the estimate ends 2.8 s after the signal, or as addresses expire if that is sooner.

--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -54,6 +54,7 @@
 	handoverMargin       = 200 * time.Millisecond  // for orders in transit while the lease changes hands
 	drainShare           = 0.9                     // of the grace period, for requests in flight
 	closeShare           = 0.94                    // of the grace period, until connections are closed; the rest is for the exit
+	maxEstimated         = 2800 * time.Millisecond // callers expect requests to be cut that they sent in the first 3 s of a stop
 	addressCacheFactor   = 3                       // some callers cache addresses longer than they should
 )
 
@@ -369,7 +370,8 @@
 	finish := time.Duration(float64(limits.Grace) * drainShare)
 	n.logDrain("announcing")
 	expired := started.Add(min(addressCacheFactor*limits.Keep, finish/2))
-	n.state.leave(shutdown.Plan{Expired: expired, Closes: started.Add(finish)})
+	estimated := started.Add(min(expired.Sub(started), maxEstimated))
+	n.state.leave(shutdown.Plan{Estimated: estimated, Closes: started.Add(finish)})
 	announcing, announced := context.WithDeadline(ctx, expired)
 	defer announced()
 	n.sendHeartbeats(announcing)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -27,7 +27,7 @@
 func (f *fakeFleet) shutDown(expired, closes time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.shutdown = shutdown.Plan{Expired: time.Now().Add(expired), Closes: time.Now().Add(closes)}
+	f.shutdown = shutdown.Plan{Estimated: time.Now().Add(expired), Closes: time.Now().Add(closes)}
 }
 
 // An instance that is shutting down refuses a request that it would cut, before an endpoint gets it, and
