gateway: a request that waits for memory can't be left waiting

The memory of a request that gives way is reported as free also if its handler ends another way than by refusing it. Names and the design note are made plainer.

--- a/internal/core/arrival/arrival.go
+++ b/internal/core/arrival/arrival.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// FairTime is how long a body may arrive before its request gives way.
-const FairTime = 500 * time.Millisecond
+// fairTime is how long a body may arrive before its request gives way.
+const fairTime = 500 * time.Millisecond
 
 // Body is a body that is arriving.
 type Body struct {
@@ -26,10 +26,10 @@
 // YieldsTo reports whether the body gives way to another one that lacks memory: to any one in its fair time,
 // and to a faster one.
 func (b Body) YieldsTo(other Body) bool {
-	if b.held == 0 || b.age < FairTime {
+	if b.held == 0 || b.age < fairTime {
 		return false
 	}
-	return other.age < FairTime || b.compareRate(other) < 0
+	return other.age < fairTime || b.compareRate(other) < 0
 }
 
 // YieldsBefore reports whether the body gives way before another one: the slower of the two, or the one that
--- a/internal/core/arrival/arrival_test.go
+++ b/internal/core/arrival/arrival_test.go
@@ -16,7 +16,7 @@
 	}{
 		{name: "stalled", body: New(time.Second, 0, 12<<10), other: newcomer, want: true},
 		{name: "trickles", body: New(time.Minute, 257<<10, 512<<10), other: newcomer, want: true},
-		{name: "in its fair time", body: New(FairTime-1, 0, 256<<10), other: newcomer},
+		{name: "in its fair time", body: New(fairTime-1, 0, 256<<10), other: newcomer},
 		{name: "holds nothing", body: New(time.Minute, 100, 0), other: newcomer},
 		{name: "to a faster one that is as old", body: New(time.Second, 100, 256<<10), other: New(time.Second, 200, 256<<10), want: true},
 		{name: "to a slower one", body: New(time.Second, 200, 256<<10), other: New(time.Second, 100, 256<<10)},
--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -66,6 +66,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.all, r)
+	r.body.signalRelease()
 }
 
 // begin records the job that serves a request, and what ends it.
--- a/internal/gateway/arriving.go
+++ b/internal/gateway/arriving.go
@@ -11,9 +11,9 @@
 // arrivingBody is the body of a request that is being read. It counts what has arrived.
 type arrivingBody struct {
 	source         io.Reader
-	received, held atomic.Int64 // bytes
-	settled        atomic.Bool
-	released       chan struct{} // closed once the memory of a body that gave way is free, nil for others
+	received, held atomic.Int64  // bytes
+	settled        atomic.Bool   // it was read, or it gives way
+	released       chan struct{} // closed once the memory of a body that gave way is free, else nil; guarded by the set's lock
 }
 
 func (b *arrivingBody) Read(p []byte) (int, error) {
@@ -22,8 +22,8 @@
 	return n, err
 }
 
-// settle decides whether the request gives way or not, and reports whether that was open. A body that was
-// read gives way no more, one that gives way is not served.
+// settle records that the body was read, or gives way, and reports whether neither was recorded before: a
+// body that was read doesn't give way, and a request that gives way isn't served.
 func (b *arrivingBody) settle() bool { return b.settled.CompareAndSwap(false, true) }
 
 // arrival returns the state of a request's body.
@@ -62,7 +62,7 @@
 		if released == nil {
 			return take()
 		}
-		<-released // comes: a request that gives way ends no other, so none wait for each other in a circle
+		<-released // doesn't deadlock: a request that gives way ends no other one
 		if take() {
 			return true
 		}
@@ -98,7 +98,12 @@
 func (s *activeRequests) releaseBody(r *activeRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.body.released != nil {
-		close(r.body.released)
+	r.body.signalRelease()
+}
+
+func (b *arrivingBody) signalRelease() {
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
 	}
 }
