--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -68,6 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.all, r)
+<<<<<<< HEAD
 	s.removed++
 }
 
@@ -76,6 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.id = id
+=======
+	r.body.signalRelease()
+>>>>>>> 4bc58a9
 }
 
 // begin records the job that serves a request, and what ends it.
--- a/internal/gateway/late_body_test.go
+++ b/internal/gateway/late_body_test.go
@@ -26,12 +26,12 @@
 		wantStatus int
 		wantRuns   int
 	}{
-		{name: "the caller waits no longer", limit: long, text: "Deadline-Ms: 100\r\nContent-Length: 2\r\n\r\na", wantStatus: http.StatusRequestTimeout},
+		{name: "the caller waits no longer", limit: long, text: standin.Wait + ": 100\r\nContent-Length: 2\r\n\r\na", wantStatus: http.StatusRequestTimeout},
 		{name: "nothing stated", limit: short, text: "Content-Length: 2\r\n\r\na", wantStatus: http.StatusRequestTimeout},
-		{name: "the caller waits for longer than the limit", limit: short, text: "Deadline-Ms: 60000\r\nContent-Length: 2\r\n\r\na", wantStatus: http.StatusRequestTimeout},
+		{name: "the caller waits for longer than the limit", limit: short, text: standin.Wait + ": 60000\r\nContent-Length: 2\r\n\r\na", wantStatus: http.StatusRequestTimeout},
 		{name: "in chunks", limit: short, text: "Transfer-Encoding: chunked\r\n\r\n2\r\na", wantStatus: http.StatusRequestTimeout},
 		{name: "no trailer", limit: short, text: "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", wantStatus: http.StatusRequestTimeout},
-		{name: "in time", limit: long, text: "Deadline-Ms: 4000\r\nContent-Length: 2\r\n\r\na", ends: "b", wantStatus: http.StatusOK, wantRuns: 1},
+		{name: "in time", limit: long, text: standin.Wait + ": 4000\r\nContent-Length: 2\r\n\r\na", ends: "b", wantStatus: http.StatusOK, wantRuns: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
