node: take back what waits at other dispatchers as the entry leaves

A request that waited in the queue of another instance's dispatcher while its own entry left ended with outcome unknown (endpoint-lost), though it had not run: the entry could only break off the stream between them. It now asks the dispatcher, when the listener is closed and again at 0.9 of the drain time, to refuse those attempts that are still in a queue. The question is the Cancel message, which nothing used, after Resume on a stream of its own.

--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -65,6 +65,8 @@
 type waitingRun struct {
 	cancel context.CancelCauseFunc
 	queued bool // it is not claimed
+	// withdrawn is set if its entry leaves and wants it back.
+	withdrawn bool
 }
 
 // Leave announces when the requests have to have ended. Those that can't end by then are refused.
@@ -92,6 +94,19 @@
 	return s.bounded && deadline.After(s.finish)
 }
 
+// Withdraw refuses an attempt that waits in a queue, since the instance that it came from leaves.
+func (p *Pool) Withdraw(attempt string) {
+	s := &p.shutdown
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r, w := range s.waiting {
+		if r.id == attempt && w.queued {
+			s.waiting[r] = waitingRun{cancel: w.cancel, queued: true, withdrawn: true}
+			w.cancel(ErrShutdown)
+		}
+	}
+}
+
 // EndUnanswered ends the requests that have no part of an answer, and all that come later: with a refusal
 // if they have not run.
 func (p *Pool) EndUnanswered() {
@@ -157,7 +172,7 @@
 func (s *shutdownState) leaveQueue(now time.Time, r *run) *peerpb.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isLate(now, r) {
+	if s.waiting[r].withdrawn || s.isLate(now, r) {
 		return RefuseForShutdown()
 	}
 	s.waiting[r] = waitingRun{cancel: s.waiting[r].cancel}
--- a/internal/dispatch/shutdown_test.go
+++ b/internal/dispatch/shutdown_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// A request is withdrawn while it waits, not once its endpoint has it.
+func TestWithdraw(t *testing.T) {
+	p := newSingleSlotPool(t)
+	p.send(t.Context(), "first", fleet.RankStandard)
+	require.Equal(t, "first", <-p.started)
+	p.send(t.Context(), "queued", fleet.RankStandard)
+	p.waitQueued(t, 1)
+	p.Withdraw("first")
+	p.Withdraw("queued")
+	require.True(t, HandedBack(<-p.ends["queued"]))
+	p.release <- struct{}{}
+	require.Empty(t, (<-p.ends["first"]).Code)
+	require.Empty(t, p.started)
+}
+
 // EndUnanswered refuses what waits, and nothing is sent from then on.
 func TestEndUnansweredRefusesWhatWaits(t *testing.T) {
 	p := newSingleSlotPool(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,7 @@
 	pacer      Pacer
 	shutdown   Shutdown
 	clock      func() time.Time
+	hops       hops
 
 	mu            sync.Mutex
 	router        *route.Router
@@ -188,6 +189,9 @@
 }
 
 func (g *Gateway) hop(ctx context.Context, p *plan, t *answerTracker, to member.Peer, submit *peerpb.Submit) *peerpb.End {
+	if submit.Endpoint != "" && !p.request.Rerun {
+		defer g.hops.add(to.Address, submit, p.deadline)()
+	}
 	end, err := g.peers.Serve(ctx, to.Address, peer.Request{Submit: submit, Body: p.body()}, t)
 	if err == nil {
 		return end
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -32,6 +32,8 @@
 type Peers interface {
 	Serve(ctx context.Context, address string, r peer.Request, sink peer.Sink) (*peerpb.End, error)
 	Resume(ctx context.Context, address string, r *peerpb.Resume, sink peer.Sink) (*peerpb.End, error)
+	// Withdraw has an attempt refused that waits in a queue.
+	Withdraw(ctx context.Context, address string, r *peerpb.Resume) error
 }
 
 // Documents provides the profile document in force.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -33,6 +33,9 @@
 	})
 }
 
+// Withdraw implements peer.Handler.
+func (n *Node) Withdraw(attempt string) { n.pool.Withdraw(attempt) }
+
 // Document implements peer.Handler.
 func (n *Node) Document(_ context.Context, r *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	raw, err := n.documents.Pack(r.Revision)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -232,11 +232,15 @@
 	n.sendHeartbeats(ctx, n.clock())
 	sleep(ctx, min(n.config.Caller.Keep, limit/2))
 	n.pool.RequireDeadlines()
+	n.group.Go(func() error { n.gateway.TakeBack(ctx); return nil })
 	_ = level.Info(n.logger).Log("step", "drain", "now", "closing listener", "active", len(n.guard.active()))
 	lastAnswers := func() {
 		if serving.Err() != nil {
 			n.pool.EndUnanswered()
-			sleep(closing, time.Duration(float64(limit)*settleShare))
+			settling, stop := context.WithTimeout(closing, time.Duration(float64(limit)*settleShare))
+			defer stop()
+			n.gateway.TakeBack(settling)
+			<-settling.Done()
 		}
 		n.guard.endCallers()
 		callerAPI.EndBodies()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -220,6 +220,24 @@
 	return receive(stream, address, sink)
 }
 
+// Withdraw has a peer refuse an attempt that waits in a queue there. The attempt's own stream then ends.
+func (c *Client) Withdraw(ctx context.Context, address string, r *peerpb.Resume) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.open(ctx, address, &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Resume{Resume: r}})
+	if err != nil {
+		return err
+	}
+	err = stream.Send(&peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Cancel{Cancel: &peerpb.Cancel{}}})
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	if err != nil {
+		return fmt.Errorf("withdraw from peer %s: %w", address, err)
+	}
+	return nil
+}
+
 type dispatchStream = grpc.BidiStreamingClient[peerpb.DispatchUp, peerpb.DispatchDown]
 
 func (c *Client) open(ctx context.Context, address string, first *peerpb.DispatchUp) (dispatchStream, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,6 +27,8 @@
 	Serve(context.Context, Request, Sink) *peerpb.End
 	// Resume streams an attempt's answer after an offset.
 	Resume(context.Context, *peerpb.Resume, Sink) *peerpb.End
+	// Withdraw refuses an attempt that waits in a queue.
+	Withdraw(attempt string)
 }
 
 // Server adapts a Handler to the generated gRPC service.
@@ -103,6 +105,10 @@
 		kind.Submit.Body = nil
 		return s.Serve(stream.Context(), request, out), nil
 	case *peerpb.DispatchUp_Resume:
+		if next, err := stream.Recv(); err == nil && next.GetCancel() != nil {
+			s.Withdraw(kind.Resume.Attempt)
+			return &peerpb.End{}, nil
+		}
 		return s.Resume(stream.Context(), kind.Resume, out), nil
 	default:
 		return nil, status.Errorf(codes.InvalidArgument, "first message is %T, want submit or resume", kind)
--- a/test/process/leave_test.go
+++ b/test/process/leave_test.go
@@ -335,6 +335,50 @@
 	require.Positive(t, seen["stopped not-run leaving false"])
 }
 
+// Guards against requests that wait at the dispatcher of another instance as their own entry leaves, and end
+// with an unknown outcome though they have not run.
+func TestRequestsThatWaitElsewhereInAStopAreTakenBack(t *testing.T) {
+	const takes, callers = time.Second, 24
+	b := newDeployment(t, "matcher")
+	b.slots, b.drain = 2, "4s"
+	b.addEngine("m1", "matcher", "south", "south-1", engine.WithModels("matcher-a"), engine.WithStepTime(longStep))
+	b.addInstance("s1a", "south", "south-1")
+	b.addInstance("s1b", "south", "south-1")
+	b.applyDocument(b.instances[0], 0, oneModelDocument)
+	b.waitReady()
+	dispatcher, stopped := b.dispatcherOf("m1")
+	var mu sync.Mutex
+	seen := make(map[string]int)
+	var group errgroup.Group
+	for i := range callers {
+		group.Go(func() error {
+			key := fmt.Sprint("k", i)
+			r, err := sendRequest(t.Context(), stopped.caller, "/v1/chat/completions",
+				chatBody("matcher-a", fmt.Sprint("wait ", i), i%4 < 2, int(takes/longStep)), "Chiveramp-Profile", "chat", "Idempotency-Key", key)
+			mu.Lock()
+			defer mu.Unlock()
+			seen[r.outcome+" "+r.errorCode()]++
+			if r.outcome == string(fleet.OutcomeNotRun) && b.engines[0].Counts().Keys[key] > 0 {
+				seen["run though refused"]++
+			}
+			return err
+		})
+	}
+	time.Sleep(takes / 2)
+	stopped.signal(t, syscall.SIGTERM)
+	err := group.Wait()
+	<-stopped.exited
+	t.Log(seen)
+	require.NoError(t, err)
+	require.Equal(t, callers, seen["ran "]+seen["not-run leaving"])
+	require.Zero(t, seen["run though refused"])
+	b.eventually("what was taken back doesn't wait at the dispatcher", func() bool {
+		status, err := b.operatorClient(dispatcher).Status(t.Context())
+		return err == nil && len(status.Dispatchers) == 1 && status.Dispatchers[0].Running+status.Dispatchers[0].Queued == 0
+	})
+	require.Len(t, b.engines[0].Counts().Keys, seen["ran "])
+}
+
 // Guards against a stop that waits for a peer's stream without end: the stream goes on through another
 // dispatcher.
 func TestStreamOfAPeerOutlastsAStop(t *testing.T) {
