--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -26,6 +26,7 @@
 	"github.com/chiveramp/chiveramp/internal/gateway"
 	"github.com/chiveramp/chiveramp/internal/gossip"
 	"github.com/chiveramp/chiveramp/internal/heap"
+	"github.com/chiveramp/chiveramp/internal/ingress"
 	"github.com/chiveramp/chiveramp/internal/loader"
 	"github.com/chiveramp/chiveramp/internal/reload"
 	"github.com/chiveramp/chiveramp/internal/telemetry"
@@ -43,9 +44,9 @@
 	cleanUpInterval      = 500 * time.Millisecond // limits how long an expired entry stays
 	reloadInterval       = time.Second            // picks up changed settings also without a signal
 	instanceListInterval = 3 * time.Second        // heartbeats of new instances usually arrive sooner
-	headerTimeout        = 10 * time.Second       // for a caller's header; exceeds the operators' limits
+	headerTimeout        = 10 * time.Second       // for a client's header; exceeds the operators' limits
 	idleTimeout          = 75 * time.Second       // exceeds the time for which callers reuse connections
-	maxHeaderBytes       = 64 << 10               // size of a caller's header
+	maxHeaderBytes       = 64 << 10               // size of a client's header; exceeds the operators' limits
 	drainPause           = 50 * time.Millisecond
 	orderMargin          = 500 * time.Millisecond // from the decision to send an order to its arrival
 	handoverMargin       = 200 * time.Millisecond // for orders in transit while the lease changes hands
@@ -54,6 +55,14 @@
 	addressCacheFactor   = 3                      // some callers cache addresses longer than they should
 )
 
+// The servers with their shares of the descriptors. What is left is for endpoints, peers and the store.
+var (
+	callersSide   = ingress.Side{Name: "callers", Share: 1.0 / 2}
+	directorySide = ingress.Side{Name: "directory", Share: 1.0 / 16}
+	readySide     = ingress.Side{Name: "ready", Share: 1.0 / 32}
+	metricsSide   = ingress.Side{Name: "metrics", Share: 1.0 / 32}
+)
+
 var (
 	errLeaving        = errors.New("leaving")
 	errNoEndpointList = errors.New("no list of endpoints yet")
@@ -80,6 +89,7 @@
 	verdictRecords    *verdictRecords
 	gateway           *gateway.Gateway
 	tasks             *timer.Tasks
+	ingress           *ingress.Gate
 	callers           drain.Connections // of callers' connections
 	registrationLease platform.Lease    // store lease of this instance's registration
 	// incomingCatalog is the configuration that a peer is sending. It belongs to the task
@@ -136,6 +146,8 @@
 	}, loader.WithLogger(logger), loader.WithGroup(group), loader.WithRegistry(n.registry))
 	n.streamRecords = newStreamRecords(n.store, n.state, c.Instance.Name, c.Store.Timeout, n.registry, logger)
 	n.verdictRecords = newVerdictRecords(n.store, n.state, c.Store.Timeout, logger)
+	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: maxHeaderBytes, HeadTime: headerTimeout, Descriptors: c.Limits.Descriptors},
+		ingress.WithLogger(logger), ingress.WithRegistry(n.registry), ingress.WithEcho(platform.HeaderID))
 	counts := newStats(n.registry)
 	n.state.counts = counts
 	n.gateway = gateway.New(place, platform.CallerCodec{}, n.endpoints, gatewayFleet{n.state, n}, clock.Now,
@@ -201,12 +213,12 @@
 	n.tasks = timer.NewTasks(lifetime, n.timers, n.group)
 	peerServer := gossip.NewServer(n)
 	n.group.Go(func() error { return serveError("peers", peerServer.Serve(listeners.peer)) })
-	callerServer := n.serveHTTP("callers", listeners.caller, n.gateway, func(s *http.Server) {
+	callerServer := n.serveHTTP(callersSide, listeners.caller, n.gateway, func(s *http.Server) {
 		s.ConnState, s.ConnContext = n.callers.Observe, gateway.ConnContext
 	})
-	directoryServer := n.serveHTTP("directory", listeners.directory, platform.Directory(n.addresses))
-	readyServer := n.serveHTTP("ready", listeners.ready, platform.Readiness(n.state.ready))
-	metricsServer := n.serveHTTP("metrics", listeners.metrics, telemetry.MetricsHandler(n.registry))
+	directoryServer := n.serveHTTP(directorySide, listeners.directory, platform.Directory(n.addresses))
+	readyServer := n.serveHTTP(readySide, listeners.ready, platform.Readiness(n.state.ready))
+	metricsServer := n.serveHTTP(metricsSide, listeners.metrics, telemetry.MetricsHandler(n.registry))
 	n.startTasks(lifetime)
 	_ = level.Info(n.logger).Log("step", "start", "build", n.state.build, "features", fmt.Sprint(n.state.loadFeatures.announced), "caller", n.config.Listen.Caller, "peer", n.config.Listen.Peer)
 	<-ctx.Done()
@@ -246,13 +258,14 @@
 	return open, nil
 }
 
-func (n *Node) serveHTTP(side string, l net.Listener, h http.Handler, options ...func(*http.Server)) *http.Server {
+func (n *Node) serveHTTP(side ingress.Side, l net.Listener, h http.Handler, options ...func(*http.Server)) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	for _, o := range options {
 		o(s)
 	}
 	if l != nil {
-		n.group.Go(func() error { return serveError(side, s.Serve(l)) })
+		guarded := n.ingress.Guard(s, l, side)
+		n.group.Go(func() error { return serveError(side.Name, s.Serve(guarded)) })
 	}
 	return s
 }
