node: one budget for the heads and connections of all listeners

An instance of the own daemon was killed for its memory by callers that send large heads of short lines, or heads without an end, at the callers' or the metrics address; and no caller or operator got an answer while others kept idle connections: newcomers waited behind these for a place.

The listeners of callers, operators and metrics are behind an ingress gate with one budget, [limits] heads (64 MiB). Beyond [caller] connections (or 64 of operators, or a share of the descriptors) the connection that has been idle for longest is closed for a new one; ingress.Side has a number of connections for that. TLS of operators is below the gate, which reads heads, so operators' connections are HTTP/1.1 (net/http can't serve HTTP/2 on them). Idle connections of metrics readers end after 2 minutes.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -136,7 +136,7 @@
 	}
 	return configPerConnection(func() *tls.Config {
 		t := r.serverConfig()
-		t.NextProtos = []string{"h2", "http/1.1"}
+		t.NextProtos = []string{"http/1.1"}
 		return t
 	})
 }
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -62,6 +62,8 @@
 	Name string
 	// Share is the share of the process's descriptors that its connections may take.
 	Share float64
+	// Connections is how many connections it may have, 0 for as many as its share allows.
+	Connections int
 }
 
 // Clock returns the current time.
@@ -179,6 +181,9 @@
 // open opens the account of a connection. Without room for it, it returns nil.
 func (g *Gate) open(raw net.Conn, l *listener) *conn {
 	limit := int(l.side.Share * float64(g.descriptors()))
+	if l.side.Connections > 0 {
+		limit = min(limit, l.side.Connections)
+	}
 	g.mu.Lock()
 	cause := CauseMemory
 	if l.account.Connections() >= limit {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chiveramp/chiveramp/internal/caller"
 	"github.com/chiveramp/chiveramp/internal/claim"
 	"github.com/chiveramp/chiveramp/internal/core/admit"
 	"github.com/chiveramp/chiveramp/internal/core/directory"
@@ -28,6 +29,7 @@
 	"github.com/chiveramp/chiveramp/internal/endpoint"
 	"github.com/chiveramp/chiveramp/internal/entry"
 	"github.com/chiveramp/chiveramp/internal/heap"
+	"github.com/chiveramp/chiveramp/internal/ingress"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/placer"
 	"github.com/chiveramp/chiveramp/internal/platform"
@@ -52,6 +54,7 @@
 	group     *errgroup.Group
 	timers    *timer.Service
 	callers   drain.Connections
+	ingress   *ingress.Gate
 	clock     func() time.Time
 	started   time.Time
 	store     platform.Store
@@ -106,6 +109,8 @@
 		decisions:    trail.New(clock.Now),
 		degradations: make(map[string]seenTimes),
 	}
+	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: int(c.Caller.Header), HeadTime: headerTimeout},
+		ingress.WithLogger(logger), ingress.WithRegistry(n.registry), ingress.WithEcho(caller.HeaderRequest))
 	n.lifetime, n.endLifetime = context.WithCancel(context.Background())
 	n.tasks = timer.NewTasks(n.lifetime, n.timers, n.group)
 	if err := n.initClients(); err != nil {
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 
-	"golang.org/x/net/netutil"
-
+	"github.com/chiveramp/chiveramp/internal/ingress"
 	"github.com/chiveramp/chiveramp/internal/operator"
 )
 
@@ -33,13 +33,11 @@
 	}
 	handler := operator.NewServer(backend{n}, options...)
 	server := operator.NewHTTPServer(n.config.Operator.Listen, n.credentials.operator.Server(), handler)
-	l = netutil.LimitListener(l, operatorConnections)
-	n.group.Go(func() error {
-		if server.TLSConfig != nil {
-			return serveError("operators", server.ServeTLS(l, "", ""))
-		}
-		return serveError("operators", server.Serve(l))
-	})
+	if server.TLSConfig != nil {
+		l = tls.NewListener(l, server.TLSConfig) // below the gate, which reads heads
+	}
+	l = n.ingress.Guard(server, l, ingress.Side{Name: "operators", Share: operatorsShare, Connections: operatorConnections})
+	n.group.Go(func() error { return serveError("operators", server.Serve(l)) })
 	return server
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 
 	"github.com/chiveramp/chiveramp/internal/caller"
 	"github.com/chiveramp/chiveramp/internal/claim/claimpb"
 	"github.com/chiveramp/chiveramp/internal/core/member"
 	"github.com/chiveramp/chiveramp/internal/drain"
+	"github.com/chiveramp/chiveramp/internal/ingress"
 	"github.com/chiveramp/chiveramp/internal/listing"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/switches"
@@ -23,9 +23,10 @@
 )
 
 const (
-	headerTimeout     = 10 * time.Second
-	drainPollInterval = 50 * time.Millisecond
-	sweepInterval     = time.Minute
+	headerTimeout      = 10 * time.Second
+	metricsIdleTimeout = 2 * time.Minute
+	drainPollInterval  = 50 * time.Millisecond
+	sweepInterval      = time.Minute
 
 	// drainShare is the part of the drain time after which requests without a part of an answer are
 	// answered, settleShare the part that dispatchers then have to find out which of them have run, and
@@ -33,6 +34,12 @@
 	drainShare  = 0.9
 	settleShare = 0.03
 	closeShare  = 0.96
+
+	// The shares of the process's descriptors for connections of callers, operators and readers of metrics. What
+	// is left is for endpoints, peers and the platform.
+	callersShare   = 1.0 / 2
+	operatorsShare = 1.0 / 16
+	metricsShare   = 1.0 / 32
 )
 
 // listeners holds the listening sockets of an instance.
@@ -159,7 +166,8 @@
 		MaxHeaderBytes:    int(c.Header),
 		ConnState:         n.callers.Observe,
 	}
-	n.group.Go(func() error { return serveError("callers", server.Serve(netutil.LimitListener(l, c.Connections))) })
+	l = n.ingress.Guard(server, l, ingress.Side{Name: "callers", Share: callersShare, Connections: c.Connections})
+	n.group.Go(func() error { return serveError("callers", server.Serve(l)) })
 	return handler, server
 }
 
@@ -204,8 +212,9 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: metricsIdleTimeout}
 	if l != nil {
+		l = n.ingress.Guard(server, l, ingress.Side{Name: "metrics", Share: metricsShare})
 		n.group.Go(func() error { return serveError("metrics", server.Serve(l)) })
 	}
 	return server
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -141,6 +141,9 @@
 	Drain time.Duration
 	// Resume is how long an answer can be resumed after its caller disconnected.
 	Resume time.Duration
+	// Heads is the memory in bytes of all connections of callers, operators and readers of metrics with the
+	// heads of their requests.
+	Heads int64
 	// Replay is the maximum number of bytes of one answer that are buffered for resuming.
 	Replay int64
 }
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -24,6 +24,7 @@
 			Retries: 2,
 			Drain:   30 * time.Second,
 			Resume:  time.Minute,
+			Heads:   64 << 20,
 			Replay:  1 << 20,
 		},
 		Log:   Log{Level: LevelInfo, Format: FormatLogfmt},
