gossip: the metadata of a call is bounded at the peers' address

Callers could have seen: an instance that is killed for its memory by 100 connections to its peers' address, each with an HTTP/2 header block of 512 KB in short fields that doesn't end.

Cause: a gRPC server takes up to 16 MB of metadata a call by HTTP/2's count, and a field of 5 bytes takes some 70.

Change: 16 KiB; instances send a few fields.

--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -20,6 +20,8 @@
 	serviceName = "chiveramp.gossip.v1.Gossip"
 	// maxMessageBytes bounds a message; the largest is a configuration with many routes.
 	maxMessageBytes = 16 << 20
+	// maxHeadBytes bounds the metadata of a call by HTTP/2's count, which adds 32 bytes for each field.
+	maxHeadBytes = 16 << 10
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	bufferBytes = 4 << 10
 	// windowBytes is the fixed flow-control window. Estimating the window dynamically
@@ -57,7 +59,7 @@
 // NewServer returns a gRPC server for a handler.
 func NewServer(h Handler) *grpc.Server {
 	s := grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeadBytes), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	)
