--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 		decisions:    trail.New(clock.Now),
 		degradations: make(map[string]seenTimes),
 	}
-	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: int(c.Caller.Header), HeadTime: headerTimeout},
+	n.ingress = ingress.New(ingress.Limits{Memory: c.Limits.Heads, Head: int(c.Caller.Header), HeadTime: headerTimeout, WriteTime: c.Caller.Idle},
 		ingress.WithLogger(logger), ingress.WithRegistry(n.registry), ingress.WithEcho(caller.HeaderRequest))
 	n.lifetime, n.endLifetime = context.WithCancel(context.Background())
 	n.tasks = timer.NewTasks(n.lifetime, n.timers, n.group)
