caller: one budget for the bodies of all requests

An instance of the own daemon was killed for its memory by callers that send large parts of bodies and not their ends: each body was read up to [caller] body without a look at the others.

Bodies are held within [limits] bodies (32 MiB, as at the gateway) until their requests end; of one to a service without an idempotency key 64 KiB count, since the rest is streamed.

TestSlowestBodyGivesWay is new; without a budget nobody gives way.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
@@ -28,7 +27,9 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, requestID string) {
-	body, parsed, end := s.readChat(w, r)
+	guard := s.guardStalls(w, r, s.limits.MaxBody)
+	defer s.bodies.release(guard)
+	body, parsed, end := s.readChat(w, guard)
 	if end != nil {
 		writeError(w, requestID, end)
 		return
@@ -66,15 +67,15 @@
 }
 
 // readChat reads and checks the request body. A non-nil end is the error to return.
-func (s *Server) readChat(w http.ResponseWriter, r *http.Request) ([]byte, chatRequest, *peerpb.End) {
+func (s *Server) readChat(w http.ResponseWriter, guard *stallGuard) ([]byte, chatRequest, *peerpb.End) {
 	var parsed chatRequest
-	body, err := io.ReadAll(http.MaxBytesReader(w, s.guardStalls(w, r), s.limits.MaxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, guard, s.limits.MaxBody))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, parsed, refusal(CodeTooLarge, "read body", fmt.Sprintf("body is over %d bytes", large.Limit))
 	}
-	if errors.Is(err, errBodiesEnded) {
-		return nil, parsed, dispatch.RefuseForShutdown()
+	if end := s.bodies.refusal(guard); end != nil {
+		return nil, parsed, end
 	}
 	if err != nil {
 		return nil, parsed, refusal(CodeBadJSON, "read body", err.Error())
--- a/internal/caller/progress_test.go
+++ b/internal/caller/progress_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chiveramp/chiveramp/internal/core/arrival"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
@@ -73,3 +75,35 @@
 		})
 	}
 }
+
+// A body that has stopped to arrive must not keep the memory that another one needs.
+func TestSlowestBodyGivesWay(t *testing.T) {
+	const memory = 1000
+	server := New("i1", onePieceGateway{}, emptyFleet{}, Limits{MaxBody: 1 << 20, Bodies: memory, MaxInFlight: 3, WriteTimeout: 10 * time.Second})
+	web := httptest.NewServer(server.Handler())
+	defer web.Close()
+	send := func(text string) (status func() int) {
+		conn, err := net.Dial("tcp", web.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", memory, text)
+		require.NoError(t, err)
+		return func() int {
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			return response.StatusCode
+		}
+	}
+	whole := `{"model":"m","messages":[{}]}`
+	whole += strings.Repeat(" ", memory-len(whole))
+	stuck := send(whole[:memory/2])
+	time.Sleep(arrival.FairTime / 2)
+	require.Equal(t, http.StatusTooManyRequests, send(whole)(), "the other body is in its fair time")
+	time.Sleep(arrival.FairTime)
+	require.Equal(t, http.StatusOK, send(whole)())
+	require.Equal(t, http.StatusTooManyRequests, stuck())
+	require.Eventually(t, func() bool { return len(server.slots) == 0 }, time.Second, time.Millisecond)
+	require.Zero(t, server.bodies.used)
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -50,6 +50,8 @@
 type Limits struct {
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// Bodies is the memory of the bodies of all requests in bytes, 0 for no limit.
+	Bodies int64
 	// MaxInFlight is the maximum number of concurrent requests to the instance.
 	MaxInFlight int
 	// WriteTimeout is the maximum duration of one write to a caller, and of one read of
@@ -79,6 +81,7 @@
 		fleet:   f,
 		limits:  limits,
 		slots:   make(chan struct{}, limits.MaxInFlight),
+		bodies:  bodies{limit: limits.Bodies},
 		tracer:  otel.Tracer("github.com/chiveramp/chiveramp/internal/caller"),
 	}
 }
@@ -154,9 +157,7 @@
 		case s.slots <- struct{}{}:
 			defer func() { <-s.slots }()
 		default:
-			end := refusal(CodeBusy, "accept", "the instance is at its limit of requests in flight")
-			end.Retry = uint32(time.Second.Milliseconds())
-			writeError(w, requestID, end)
+			writeError(w, requestID, refuseBusy("accept", "the instance is at its limit of requests in flight"))
 			return
 		}
 		ctx := s.carrier.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
@@ -31,9 +32,19 @@
 		Headers:  forwardedHeaders(r.Header),
 		Deadline: deadline,
 	}
-	body := http.MaxBytesReader(w, s.guardStalls(w, r), s.limits.MaxBody)
+	held := int64(streamedAfter)
+	if submit.Key != "" {
+		held = s.limits.MaxBody
+	}
+	guard := s.guardStalls(w, r, held)
+	defer s.bodies.release(guard)
+	body := http.MaxBytesReader(w, guard, s.limits.MaxBody)
 	sink := &serviceSink{w: w, control: http.NewResponseController(w), writeTimeout: s.limits.WriteTimeout}
-	sink.finish(requestID, s.gateway.Serve(r.Context(), peer.Request{Submit: submit, Body: body}, sink))
+	end = s.gateway.Serve(r.Context(), peer.Request{Submit: submit, Body: body}, sink)
+	if refused := s.bodies.refusal(guard); refused != nil && fleet.Outcome(end.Outcome) == fleet.OutcomeNotRun {
+		end = refused
+	}
+	sink.finish(requestID, end)
 }
 
 // forwardedHeaders returns the headers without the hop-by-hop ones.
--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -103,6 +103,13 @@
 	_ = json.NewEncoder(w).Encode(newProblem(requestID, end))
 }
 
+// refuseBusy returns the end of a request for which the instance has no room now.
+func refuseBusy(step, message string) *peerpb.End {
+	end := refusal(CodeBusy, step, message)
+	end.Retry = uint32(time.Second.Milliseconds())
+	return end
+}
+
 // refusal returns the end of a request that was refused without running.
 func refusal(code, step, message string) *peerpb.End {
 	return &peerpb.End{Outcome: string(fleet.OutcomeNotRun), Code: code, Step: step, Message: message}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -157,7 +157,7 @@
 func (n *Node) serveCallers(l net.Listener) (*caller.Server, *http.Server) {
 	c := n.config.Caller
 	handler := caller.New(n.members.Self().Instance, n.guard, n, caller.Limits{
-		MaxBody: c.Body, MaxInFlight: n.config.Limits.Streams, WriteTimeout: c.Idle, EntriesMaxAge: c.Keep,
+		MaxBody: c.Body, Bodies: n.config.Limits.Bodies, MaxInFlight: n.config.Limits.Streams, WriteTimeout: c.Idle, EntriesMaxAge: c.Keep,
 	})
 	server := &http.Server{
 		Handler:           n.closeWhenLeaving(handler.Handler()),
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -141,6 +141,8 @@
 	Drain time.Duration
 	// Resume is how long an answer can be resumed after its caller disconnected.
 	Resume time.Duration
+	// Bodies is the memory in bytes of the bodies of all requests.
+	Bodies int64
 	// Heads is the memory in bytes of all connections of callers, operators and readers of metrics with the
 	// heads of their requests.
 	Heads int64
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -24,6 +24,7 @@
 			Retries: 2,
 			Drain:   30 * time.Second,
 			Resume:  time.Minute,
+			Bodies:  32 << 20,
 			Heads:   64 << 20,
 			Replay:  1 << 20,
 		},
--- a/pkg/config/fields.go
+++ b/pkg/config/fields.go
@@ -18,7 +18,7 @@
 	minTimeout     = 10 * time.Millisecond
 	minTokenTime   = time.Microsecond
 	minRequestSize = 1 << 10
-	minHeads       = 1 << 20
+	minIntake      = 1 << 20
 	maxCount       = 1 << 20
 	wantToken      = "a secret of 16 bytes or more, or file:PATH of one"
 )
@@ -121,7 +121,8 @@
 		inifile.Count("retries", &l.Retries, 0, 100),
 		inifile.Duration("drain", &l.Drain, 0),
 		inifile.Duration("resume", &l.Resume, 0),
-		inifile.Size("heads", &l.Heads, minHeads),
+		inifile.Size("bodies", &l.Bodies, minIntake),
+		inifile.Size("heads", &l.Heads, minIntake),
 		inifile.Size("replay", &l.Replay, 0),
 	}
 }
