ingress: connections of clients at the peers' address leave descriptors too

Callers could have seen: an instance that accepts no new connection and reaches no endpoint while clients keep idle connections open at its peers' address.

Cause: nothing limits how many of the process's descriptors they take.

--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -17,6 +17,8 @@
 	PhaseBody Phase = "body"
 	// PhaseRunning: a request runs that has been read whole. Such a connection is never closed.
 	PhaseRunning Phase = "running"
+	// PhaseStanding: the connection stands for many requests. It is closed for another one only.
+	PhaseStanding Phase = "standing"
 	// PhaseRefused: the connection is closed as soon as its client has read the refusal.
 	PhaseRefused Phase = "refused"
 )
@@ -107,7 +109,7 @@
 func (l *Ledger) Yield(s *Server) *Conn {
 	var found *Conn
 	for _, c := range l.conns {
-		if s != nil && c.server != s || c.phase == PhaseRunning {
+		if s != nil && c.server != s || c.phase == PhaseRunning || s == nil && c.phase == PhaseStanding {
 			continue
 		}
 		if found == nil || c.unusedRank() < found.unusedRank() || c.unusedRank() == found.unusedRank() && c.since.Before(found.since) {
@@ -230,8 +232,12 @@
 
 // unusedRank is the rank of a connection among those that are closed for another one.
 func (c *Conn) unusedRank() int {
-	if rank := c.memoryRank(); rank != rankArriving {
-		return rank
+	switch {
+	case c.phase == PhaseStanding:
+		return rankIdle
+	case c.memoryRank() == rankArriving:
+		return rankIncomplete
+	default:
+		return c.memoryRank()
 	}
-	return rankIncomplete
 }
--- a/internal/core/intake/ledger_test.go
+++ b/internal/core/intake/ledger_test.go
@@ -78,12 +78,15 @@
 		{"new and old", PhaseIdle, false, 2 * time.Second},
 		{"new", PhaseIdle, false, time.Second},
 		{"idle", PhaseIdle, true, time.Hour},
+		{"standing", PhaseStanding, true, time.Minute},
 		{"slow head", PhaseHead, true, 2 * time.Second},
 		{"body", PhaseBody, true, time.Second},
 		{"running", PhaseRunning, true, time.Hour},
 	}
 	l, other := NewLedger(1<<30), new(Server)
-	kept, _ := l.Open(other, 1, start)
+	kept, _ := l.Open(other, 2, start)
+	standing, _ := l.Open(other, 2, start)
+	l.Enter(standing, PhaseStanding, start)
 	var server Server
 	names := make(map[*Conn]string)
 	for _, o := range slices.Backward(conns) {
@@ -105,4 +108,5 @@
 	assert.Nil(t, c)
 	assert.Empty(t, closed)
 	assert.Equal(t, kept, l.Yield(nil))
+	assert.Nil(t, l.Yield(nil))
 }
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -56,9 +56,11 @@
 	addressCacheFactor   = 3                      // some callers cache addresses longer than they should
 )
 
-// The servers with their shares of the descriptors. What is left is for endpoints, peers and the store.
+// The servers with their shares of the descriptors. What is left is for connections that the instance opens
+// itself: to endpoints, peers and the store.
 var (
 	callersSide   = ingress.Side{Name: "callers", Share: 1.0 / 2}
+	peersSide     = ingress.Side{Name: "peers", Share: 1.0 / 4}
 	directorySide = ingress.Side{Name: "directory", Share: 1.0 / 16}
 	readySide     = ingress.Side{Name: "ready", Share: 1.0 / 32}
 	metricsSide   = ingress.Side{Name: "metrics", Share: 1.0 / 32}
@@ -213,7 +215,7 @@
 	n.timers.Start(lifetime, n.group)
 	n.tasks = timer.NewTasks(lifetime, n.timers, n.group)
 	peerServer := gossip.NewServer(n)
-	n.group.Go(func() error { return serveError("peers", peerServer.Serve(listeners.peer)) })
+	n.group.Go(func() error { return serveError("peers", peerServer.Serve(n.ingress.Limit(listeners.peer, peersSide))) })
 	callerServer := n.serveHTTP(callersSide, listeners.caller, n.gateway, func(s *http.Server) {
 		s.ConnState, s.ConnContext = n.callers.Observe, gateway.ConnContext
 	})
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -150,6 +150,12 @@
 	return &listener{Listener: l, gate: g, side: side}
 }
 
+// Limit returns a listener for a server of another protocol, which keeps its connections within their share: for
+// a new one, the one that has sent nothing for longest is closed.
+func (g *Gate) Limit(l net.Listener, side Side) net.Listener {
+	return &listener{Listener: l, gate: g, side: side, standing: true}
+}
+
 // connKey is the key of a request's connection.
 type connKey struct{}
 
@@ -159,6 +165,8 @@
 	gate    *Gate
 	side    Side
 	account intake.Server
+	// standing is set if its connections are not those of an HTTP/1 server.
+	standing bool
 }
 
 // Accept implements net.Listener.
@@ -171,7 +179,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.gate.open(raw, l); c != nil {
+		c := l.gate.open(raw, l)
+		switch {
+		case c != nil && l.standing:
+			return newStandingConn(c), nil
+		case c != nil:
 			return c, nil
 		}
 		_ = raw.Close()
--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -44,14 +44,30 @@
 
 // control returns a function that sets for how long data of a new socket may stay unacknowledged.
 func control(userTimeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var errOption error
-		err := raw.Control(func(fd uintptr) {
-			errOption = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return errOption
+	return func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) }
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var errOption error
+	err := raw.Control(func(fd uintptr) {
+		errOption = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return errOption
+}
+
+// SetUserTimeout sets for how long data of a connection may stay unacknowledged. Other connections than those
+// of TCP are left as they are.
+func SetUserTimeout(c net.Conn, d time.Duration) error {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return setUserTimeout(raw, d)
 }
