--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -140,7 +140,7 @@
 	gatewayMaxAnswer    = 16 << 20 // bytes
 	gatewayHeldAnswers  = 24 << 20 // bytes
 	gatewayBodies       = 32 << 20 // bytes
-	gatewayHeads        = 64 << 20 // bytes
+	gatewayHeads        = 48 << 20 // bytes
 	gatewayDescriptors  = 4100
 	gatewayMemory       = 160 << 20 // bytes
 	minAnswerLimit      = 1 << 20   // bytes
