--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -68,8 +68,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.all, r)
-<<<<<<< HEAD
 	s.removed++
+	r.body.signalRelease()
 }
 
 // decoded records the id of a request once its head was read.
@@ -77,9 +77,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.id = id
-=======
-	r.body.signalRelease()
->>>>>>> 4bc58a9
 }
 
 // begin records the job that serves a request, and what ends it.
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -64,6 +64,8 @@
 	Name string
 	// Share is the share of the process's descriptors that its connections may take.
 	Share float64
+	// Connections is how many connections it may have, 0 for as many as its share allows.
+	Connections int
 }
 
 // Clock returns the current time.
@@ -150,6 +152,12 @@
 	return &listener{Listener: l, gate: g, side: side}
 }
 
+// Limit returns a listener for a server of another protocol, which keeps its connections within their share: for
+// a new one, the one that has sent nothing for longest is closed.
+func (g *Gate) Limit(l net.Listener, side Side) net.Listener {
+	return &listener{Listener: l, gate: g, side: side, standing: true}
+}
+
 // connKey is the key of a request's connection.
 type connKey struct{}
 
@@ -159,6 +167,8 @@
 	gate    *Gate
 	side    Side
 	account intake.Server
+	// standing is set if its connections are not those of an HTTP/1 server.
+	standing bool
 }
 
 // Accept implements net.Listener.
@@ -171,7 +181,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.gate.open(raw, l); c != nil {
+		c := l.gate.open(raw, l)
+		switch {
+		case c != nil && l.standing:
+			return newStandingConn(c), nil
+		case c != nil:
 			return c, nil
 		}
 		_ = raw.Close()
@@ -181,6 +195,9 @@
 // open opens the account of a connection. Without room for it, it returns nil.
 func (g *Gate) open(raw net.Conn, l *listener) *conn {
 	limit := int(l.side.Share * float64(g.descriptors()))
+	if l.side.Connections > 0 {
+		limit = min(limit, l.side.Connections)
+	}
 	g.mu.Lock()
 	cause := CauseMemory
 	if l.account.Connections() >= limit {
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -24,6 +24,8 @@
 			Retries: 2,
 			Drain:   30 * time.Second,
 			Resume:  time.Minute,
+			Bodies:  32 << 20,
+			Heads:   64 << 20,
 			Replay:  1 << 20,
 		},
 		Log:   Log{Level: LevelInfo, Format: FormatLogfmt},
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -143,7 +143,7 @@
 	gatewayHeldAnswers  = 24 << 20 // bytes
 	gatewayBodies       = 32 << 20 // bytes
 	gatewayUpload       = 30 * time.Second
-	gatewayHeads        = 64 << 20 // bytes
+	gatewayHeads        = 48 << 20 // bytes
 	gatewayDescriptors  = 4100
 	gatewayMemory       = 160 << 20 // bytes
 	minAnswerLimit      = 1 << 20   // bytes
