caller: a request whose body doesn't arrive gives its place to a new one

Callers got 429 for up to [caller] idle (2 minutes) while others held all of [limits] streams with requests whose bodies they didn't send. Over the limit, the slowest request whose body has been arriving for half a second is refused now (429, Retry-After, not run), and the new one takes its place.

--- a/internal/caller/bodies.go
+++ b/internal/caller/bodies.go
@@ -10,6 +10,9 @@
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
 
+// slotCost has a body count that holds no memory: its request has a place.
+const slotCost = 1
+
 // streamedAfter is how much of the body of a request to a service is held if it has no idempotency key. What
 // follows is streamed.
 const streamedAfter = 64 << 10
@@ -19,6 +22,8 @@
 	errBodiesEnded = errors.New("the instance shuts down before the body has arrived")
 	// errBodyMemory ends the reads of bodies for which there is no memory.
 	errBodyMemory = errors.New("the memory for bodies is used up")
+	// errBodySlot ends the reads of a body whose request gives its place to another one.
+	errBodySlot = errors.New("the instance is at its limit of requests in flight, and the body arrives slowly")
 )
 
 // bodies are the request bodies that callers send, and their memory. It is safe for concurrent use.
@@ -113,7 +118,7 @@
 // take takes memory for a body, if need be from slower ones. The bodies must be locked.
 func (b *bodies) take(g *stallGuard, more int64) bool {
 	for b.limit > 0 && more > 0 && b.used+more > b.limit {
-		slowest := b.slowest(g)
+		slowest := b.slowest(g.arrival(time.Now()), 0)
 		if slowest == nil {
 			return false
 		}
@@ -124,15 +129,27 @@
 	return true
 }
 
-// slowest returns the body that gives way to another one, nil if none does. The bodies must be locked.
-func (b *bodies) slowest(to *stallGuard) *stallGuard {
+// yieldSlot refuses the slowest request whose body is arriving, for a new one, and reports whether there was one.
+func (b *bodies) yieldSlot() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slowest := b.slowest(arrival.Body{}, slotCost)
+	if slowest == nil {
+		return false
+	}
+	b.refuse(slowest, errBodySlot)
+	return true
+}
+
+// slowest returns the body that gives way to another one, nil if none does. Each is taken to hold some more bytes
+// than its memory. The bodies must be locked.
+func (b *bodies) slowest(newcomer arrival.Body, more int64) *stallGuard {
 	now := time.Now()
-	newcomer := to.arrival(now)
 	var found *stallGuard
 	var foundBody arrival.Body
 	for g := range b.arriving {
-		body := g.arrival(now)
-		if g != to && !g.complete && body.YieldsTo(newcomer) && (found == nil || body.YieldsBefore(foundBody)) {
+		body := arrival.New(now.Sub(g.since), g.received, g.held+more)
+		if !g.complete && body.YieldsTo(newcomer) && (found == nil || body.YieldsBefore(foundBody)) {
 			found, foundBody = g, body
 		}
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -46,6 +46,9 @@
 	Models(profile string) []string
 }
 
+// slotTimeout is how long a request that gives way to another one may take to end.
+const slotTimeout = time.Second
+
 // Limits bounds the resources that callers may use.
 type Limits struct {
 	// MaxBody is the maximum size of a request body in bytes.
@@ -143,8 +146,29 @@
 	_ = json.NewEncoder(w).Encode(list)
 }
 
+// takeSlot reports whether a request may run. Over the limit of concurrent requests, one whose body is arriving
+// slowly gives way to it.
+func (s *Server) takeSlot() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if !s.bodies.yieldSlot() {
+		return false
+	}
+	timeout := time.NewTimer(slotTimeout)
+	defer timeout.Stop()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
 // admit returns a handler that assigns the request id, refuses requests over the limit of
-// concurrent requests without waiting, and starts the request's span.
+// concurrent requests, and starts the request's span.
 func (s *Server) admit(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderInstance, string(s.self))
@@ -153,13 +177,11 @@
 			writeError(w, requestID, end)
 			return
 		}
-		select {
-		case s.slots <- struct{}{}:
-			defer func() { <-s.slots }()
-		default:
+		if !s.takeSlot() {
 			writeError(w, requestID, refuseBusy("accept", "the instance is at its limit of requests in flight"))
 			return
 		}
+		defer func() { <-s.slots }()
 		ctx := s.carrier.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := s.tracer.Start(ctx, "caller.request", trace.WithSpanKind(trace.SpanKindServer),
 			trace.WithAttributes(attribute.String("chiveramp.request", requestID)))
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -212,6 +212,11 @@
 	requireCrowdBorne(t, callers, crowd{size: 1000, text: chatHead + chunksHead + "\r\n" + chunk})
 }
 
+// More requests than [limits] streams whose bodies don't arrive.
+func TestCrowdWithOpenBodies(t *testing.T) {
+	requireCrowdBorne(t, callers, crowd{size: 3000, text: chatHead + chunksHead + "\r\n"})
+}
+
 func TestCrowdOfIdleCallers(t *testing.T) {
 	size := config.Default().Caller.Connections + 100
 	requireCrowdBorne(t, callers, crowd{size: size, answers: true, text: "GET /v1/entries?profile=chat HTTP/1.1\r\nHost: a\r\n\r\n"})
