peer: the metadata of a call is bounded

An instance of the own daemon was killed for its memory by connections to its peers' address that send the head of a call without its end: gRPC takes 16 MB of metadata unless told otherwise. Peers send trace contexts only, so 16 KiB, as at the gateway's peers' address.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,9 @@
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
 )
 
+// maxHeadBytes bounds the metadata of a call by HTTP/2's count, which adds 32 bytes for each field.
+const maxHeadBytes = 16 << 10
+
 // Handler implements the calls that an instance serves to its peers.
 type Handler interface {
 	// Beats receives the heartbeats of one peer until next returns an error.
@@ -41,7 +44,7 @@
 // client.
 func NewServer(opts ...grpc.ServerOption) *grpc.Server {
 	return grpc.NewServer(append(opts,
-		grpc.InitialWindowSize(flowControlWindow), grpc.InitialConnWindowSize(flowControlWindow), grpc.ReadBufferSize(readBufferSize))...)
+		grpc.MaxHeaderListSize(maxHeadBytes), grpc.InitialWindowSize(flowControlWindow), grpc.InitialConnWindowSize(flowControlWindow), grpc.ReadBufferSize(readBufferSize))...)
 }
 
 // Register registers a handler's service with a gRPC server.
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -233,3 +233,19 @@
 func TestCrowdWithHalfHeadsAtOperators(t *testing.T) {
 	requireCrowdBorne(t, operators, crowd{size: 1000, text: "GET /v1/status HTTP/1.1\r\nHost: a\r\n" + manyFields(15500)})
 }
+
+// frame returns an HTTP/2 frame of a type without flags.
+func frame(kind, stream byte, payload string) string {
+	length := len(payload)
+	return string([]byte{byte(length >> 16), byte(length >> 8), byte(length), kind, 0, 0, 0, 0, stream}) + payload
+}
+
+// Peers speak HTTP/2: their half heads are frames of short fields.
+func TestCrowdWithHalfHeadsAtPeers(t *testing.T) {
+	const headers, settings, continuation, frames = 1, 4, 9, 32
+	fields := strings.Repeat("\x00\x01a\x01b", 16<<10/5)
+	text := "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settings, 0, "") + frame(headers, 1, fields) +
+		strings.Repeat(frame(continuation, 1, fields), frames-1)
+	peers := listener{address: func(n *instance) string { return n.peer }, send: callers.send}
+	requireCrowdBorne(t, peers, crowd{size: 100, text: text})
+}
