ingress: a connection that is closed for another one begins no request

By reading: between the last byte of a head and the mark that a request runs, another connection could end the account of this one and close it; the request then ran at an endpoint, and its answer had nowhere to go.

Change: taking the memory and the mark are one step of the ledger, which fails if the account has ended; the same at the last byte of a body, whose reading then fails, so that the request isn't sent.

--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -2,7 +2,10 @@
 // them are closed when either is used up.
 package intake
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // Phase is what a connection does.
 type Phase string
@@ -149,14 +152,34 @@
 	l.Enter(c, p, now)
 }
 
-// Hold sets the memory in bytes that a connection holds, and reports whether there is room for it. If not,
-// the connection holds as much as before.
-func (l *Ledger) Hold(c *Conn, bytes int64, now time.Time) ([]*Conn, bool) {
+// Errors of accounts that can't hold more.
+var (
+	// ErrEnded: the account has ended, as its connection was closed for another one.
+	ErrEnded = errors.New("the connection was closed for another one")
+	// ErrNoMemory: there is no room.
+	ErrNoMemory = errors.New("no memory left for the connection")
+)
+
+// Hold sets the memory in bytes that a connection holds. With an error, it holds as much as before.
+func (l *Ledger) Hold(c *Conn, bytes int64, now time.Time) ([]*Conn, error) {
+	if c.index < 0 {
+		return nil, ErrEnded
+	}
 	closed, ok := l.makeRoom(c, bytes-c.held, now)
-	if ok {
-		l.set(c, bytes)
+	if !ok {
+		return closed, ErrNoMemory
+	}
+	l.set(c, bytes)
+	return closed, nil
+}
+
+// Run does as Hold does, and without an error begins PhaseRunning, from when on the connection isn't closed.
+func (l *Ledger) Run(c *Conn, bytes int64, now time.Time) ([]*Conn, error) {
+	closed, err := l.Hold(c, bytes, now)
+	if err == nil {
+		l.Enter(c, PhaseRunning, now)
 	}
-	return closed, ok
+	return closed, err
 }
 
 func (l *Ledger) set(c *Conn, bytes int64) {
--- a/internal/core/intake/ledger_test.go
+++ b/internal/core/intake/ledger_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 var start = time.Unix(0, 0)
@@ -42,20 +43,21 @@
 			newcomer, _ := l.Open(&server, len(tt.conns)+1, start)
 			for _, o := range tt.conns {
 				c, _ := l.Open(&server, len(tt.conns)+1, start)
-				l.Hold(c, o.held, start)
+				_, err := l.Hold(c, o.held, start)
+				require.NoError(t, err)
 				l.Enter(c, o.phase, start.Add(-o.age))
 				names[c] = o.name
 			}
 			before := l.Used()
-			closed, ok := l.Hold(newcomer, tt.need, start)
-			assert.Equal(t, tt.room, ok)
+			closed, err := l.Hold(newcomer, tt.need, start)
+			assert.Equal(t, tt.room, err == nil)
 			var got []string
 			for _, c := range closed {
 				got = append(got, names[c])
 			}
 			assert.Equal(t, tt.closed, got)
 			assert.LessOrEqual(t, l.Used(), int64(limit))
-			if !ok {
+			if err != nil {
 				assert.Equal(t, before, l.Used())
 			}
 			for _, c := range append(slices.Clone(l.conns), closed...) {
@@ -108,5 +110,7 @@
 	assert.Nil(t, c)
 	assert.Empty(t, closed)
 	assert.Equal(t, kept, l.Yield(nil))
+	_, err := l.Run(kept, 1, start)
+	require.ErrorIs(t, err, ErrEnded)
 	assert.Nil(t, l.Yield(nil))
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -118,8 +118,8 @@
 		c.gate.enter(c, intake.PhaseHead)
 	}
 	c.head = append(c.head, part...)
-	if !c.gate.hold(c, c.held()) {
-		return c.refuse(http.StatusServiceUnavailable, CauseMemory)
+	if err := c.gate.hold(c, c.held()); err != nil {
+		return c.refuseFor(err)
 	}
 	if c.timed {
 		return nil
@@ -135,12 +135,11 @@
 // What the server will need for the request is taken before it reads any of it.
 func (c *conn) takeHead(p []byte, used int) (int, error) {
 	c.cost = intake.RequestCost(c.scanner.Size(), c.scanner.Lines()) + int64(cap(c.rest))
-	if !c.gate.hold(c, c.cost) {
+	if err := c.gate.run(c, c.cost); err != nil {
 		c.head = append(c.head, p[:used]...)
-		return 0, c.refuse(http.StatusServiceUnavailable, CauseMemory)
+		return 0, c.refuseFor(err)
 	}
 	c.whole.Store(true)
-	c.gate.enter(c, intake.PhaseRunning)
 	c.running, c.timed, c.scanner = true, false, intake.HeadScanner{}
 	if len(c.head) == 0 {
 		return used, nil
@@ -173,13 +172,11 @@
 	if !whole {
 		return used, err
 	}
-	if !c.gate.hold(c, c.cost+intake.TrailerCost(c.body)+int64(cap(c.rest))) {
-		c.gate.report(c.name, CauseMemory)
+	if full := c.gate.run(c, c.cost+intake.TrailerCost(c.body)+int64(cap(c.rest))); full != nil {
 		_ = c.shut()
-		return 0, net.ErrClosed
+		return 0, full // before the handler has the whole body: the request doesn't run
 	}
 	c.body = nil
-	c.gate.enter(c, intake.PhaseRunning)
 	return used, err
 }
 
@@ -265,6 +262,14 @@
 	return nil
 }
 
+// refuseFor ends a connection that can't hold more.
+func (c *conn) refuseFor(err error) error {
+	if errors.Is(err, intake.ErrEnded) {
+		return net.ErrClosed
+	}
+	return c.refuse(http.StatusServiceUnavailable, CauseMemory)
+}
+
 // refuse answers a request that isn't passed on. Its error ends the connection.
 func (c *conn) refuse(status int, cause Cause) error {
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -123,7 +123,8 @@
 	return g.ledger.Used()
 }
 
-// Guard prepares a server whose handler and hooks are set, and returns the listener that it must serve.
+// Guard prepares a server of HTTP/1 without TLS, whose handler and hooks are set, and returns the listener that it
+// must serve.
 func (g *Gate) Guard(s *http.Server, l net.Listener, side Side) net.Listener {
 	handler, state, contextOf := s.Handler, s.ConnState, s.ConnContext
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -235,14 +236,19 @@
 	return len(victims) > 0
 }
 
-// hold sets what a connection holds, and reports whether there is room for it.
-func (g *Gate) hold(c *conn, bytes int64) bool {
+// hold sets what a connection holds.
+func (g *Gate) hold(c *conn, bytes int64) error { return g.take(g.ledger.Hold, c, bytes) }
+
+// run sets what a connection holds, from now on for a request that was read whole.
+func (g *Gate) run(c *conn, bytes int64) error { return g.take(g.ledger.Run, c, bytes) }
+
+func (g *Gate) take(hold func(*intake.Conn, int64, time.Time) ([]*intake.Conn, error), c *conn, bytes int64) error {
 	g.mu.Lock()
-	closed, ok := g.ledger.Hold(c.account, bytes, g.clock())
+	closed, err := hold(c.account, bytes, g.clock())
 	victims := g.remove(closed)
 	g.mu.Unlock()
 	g.closeAll(victims, CauseMemory)
-	return ok
+	return err
 }
 
 // enter begins a phase of a connection.
