gossip: clients that leave calls open at the peers' address don't fill the memory

Callers could have seen: an instance that is killed for its memory by 20 connections to its peers' address with 2,000 calls each that never send their message.

Cause: a gRPC server runs any number of calls at once, at some 11 KB each.

It is decided before the server spends anything on the call.

--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -59,7 +59,7 @@
 // NewServer returns a gRPC server for a handler.
 func NewServer(h Handler) *grpc.Server {
 	s := grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeadBytes), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeadBytes), grpc.InTapHandle(newCallLimit().admit), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	)
