ingress: callers leave memory to peers, directory, readiness checks and metrics

By reading: ordinary requests that run are never closed, so that callers could fill the budget with them; a readiness check was then refused with 503, and a peer's connection closed as it was opened.

Change: callers leave an eighth of the budget to the others. TestLedgerLeavesAReserveToOtherServers failed before (no account for a connection to another server).

--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -49,7 +49,12 @@
 }
 
 // Server is a server with a number of connections of its own.
-type Server struct{ count int }
+type Server struct {
+	// Reserve is the share of the memory that its connections leave to those of other servers.
+	Reserve float64
+
+	count int
+}
 
 // Connections is the number of its connections.
 func (s *Server) Connections() int { return s.count }
@@ -192,7 +197,7 @@
 // makeRoom ends accounts until there is room for a number of bytes.
 func (l *Ledger) makeRoom(c *Conn, bytes int64, now time.Time) ([]*Conn, bool) {
 	var closed []*Conn
-	limit := l.limit
+	limit := l.limit - int64(c.server.Reserve*float64(l.limit))
 	if c.held+bytes > ordinaryCost {
 		limit -= limit / 4
 	}
--- a/internal/core/intake/ledger_test.go
+++ b/internal/core/intake/ledger_test.go
@@ -114,3 +114,20 @@
 	require.ErrorIs(t, err, ErrEnded)
 	assert.Nil(t, l.Yield(nil))
 }
+
+// Requests of callers that fill the memory don't keep out those of other servers.
+func TestLedgerLeavesAReserveToOtherServers(t *testing.T) {
+	l, callers, ready := NewLedger(1<<20), &Server{Reserve: 1.0 / 8}, new(Server)
+	for {
+		c, _ := l.Open(callers, 1000, start)
+		if c == nil {
+			break
+		}
+		_, _ = l.Run(c, 4<<10, start)
+		l.Enter(c, PhaseRunning, start)
+	}
+	c, _ := l.Open(ready, 1000, start)
+	require.NotNil(t, c)
+	_, err := l.Run(c, 4<<10, start)
+	require.NoError(t, err)
+}
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -56,10 +56,10 @@
 	addressCacheFactor   = 3                      // some callers cache addresses longer than they should
 )
 
-// The servers with their shares of the descriptors. What is left is for connections that the instance opens
+// The servers with their shares of the descriptors. Callers leave some memory to the others. What is left is for connections that the instance opens
 // itself: to endpoints, peers and the store.
 var (
-	callersSide   = ingress.Side{Name: "callers", Share: 1.0 / 2}
+	callersSide   = ingress.Side{Name: "callers", Share: 1.0 / 2, Reserve: 1.0 / 8}
 	peersSide     = ingress.Side{Name: "peers", Share: 1.0 / 4}
 	directorySide = ingress.Side{Name: "directory", Share: 1.0 / 16}
 	readySide     = ingress.Side{Name: "ready", Share: 1.0 / 32}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -64,6 +64,8 @@
 	Name string
 	// Share is the share of the process's descriptors that its connections may take.
 	Share float64
+	// Reserve is the share of the memory that its connections leave to those of other sides.
+	Reserve float64
 }
 
 // Clock returns the current time.
@@ -148,13 +150,15 @@
 		}
 		return context.WithValue(ctx, connKey{}, nc)
 	}
-	return &listener{Listener: l, gate: g, side: side}
+	return newListener(g, l, side)
 }
 
 // Limit returns a listener for a server of another protocol, which keeps its connections within their share: for
 // a new one, the one that has sent nothing for longest is closed.
 func (g *Gate) Limit(l net.Listener, side Side) net.Listener {
-	return &listener{Listener: l, gate: g, side: side, standing: true}
+	limited := newListener(g, l, side)
+	limited.standing = true
+	return limited
 }
 
 // connKey is the key of a request's connection.
@@ -170,6 +174,10 @@
 	standing bool
 }
 
+func newListener(g *Gate, l net.Listener, side Side) *listener {
+	return &listener{Listener: l, gate: g, side: side, account: intake.Server{Reserve: side.Reserve}}
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
