--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -66,6 +66,8 @@
 	Share float64
 	// Connections is how many connections it may have, 0 for as many as its share allows.
 	Connections int
+	// Reserve is the share of the memory that its connections leave to those of other sides.
+	Reserve float64
 }
 
 // Clock returns the current time.
@@ -150,13 +152,15 @@
 		}
 		return context.WithValue(ctx, connKey{}, nc)
 	}
-	return &listener{Listener: l, gate: g, side: side}
+	return newListener(g, l, side)
 }
 
 // Limit returns a listener for a server of another protocol, which keeps its connections within their share: for
 // a new one, the one that has sent nothing for longest is closed.
 func (g *Gate) Limit(l net.Listener, side Side) net.Listener {
-	return &listener{Listener: l, gate: g, side: side, standing: true}
+	limited := newListener(g, l, side)
+	limited.standing = true
+	return limited
 }
 
 // connKey is the key of a request's connection.
@@ -172,6 +176,10 @@
 	standing bool
 }
 
+func newListener(g *Gate, l net.Listener, side Side) *listener {
+	return &listener{Listener: l, gate: g, side: side, account: intake.Server{Reserve: side.Reserve}}
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
