--- a/internal/core/shutdown/activity.go
+++ b/internal/core/shutdown/activity.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// maxGap is the longest time between two records of a process that runs, and for how long after a pause
-// the process is handling what arrived meanwhile.
+// maxGap is the longest time between two records of a process that runs, and the longest time after a pause
+// until a signal that arrived in it is handled.
 const maxGap = 200 * time.Millisecond
 
 // Activity finds the pauses of a process, such as those of a frozen machine. Times are those of a clock that
 // also runs during them. It is safe for concurrent use.
 type Activity struct {
 	mu              sync.Mutex
-	last            time.Duration // of the records
+	last            time.Duration // record
 	paused, resumed time.Duration
 }
 
-// Record records that the process runs. It is called more often than each maxGap.
+// Record records that the process runs. Longer than maxGap without a call counts as a pause.
 func (a *Activity) Record(now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
