ingress: large heads replace each other once a second, not at once

Seen: in TestCrowdOfHeadsOfManyNames the peak was 139 to 181 MB, twice what the budget explains, and most beside other load.

Cause: each of 1,000 large heads was taken and closed one that had just been taken, whose 850 KB stay until the garbage is collected.

Change: a connection with a head or body that arrives stays a second before it is closed for a request of more than 64 KiB; such a request is refused with 503 until then. Ordinary requests still close any of them.

--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -35,6 +35,9 @@
 	// ordinaryCost is what a connection may hold beyond connectionCost to use all of the memory. Those that
 	// hold more leave a quarter of it to the others.
 	ordinaryCost = 64 << 10
+	// largeStay is how long a connection that isn't idle stays before it is closed for one that holds more than
+	// ordinaryCost: as many that replace each other at once cost the memory of all until it is collected.
+	largeStay = time.Second
 )
 
 // RequestCost returns the memory in bytes of a request from the size of its head and the number of its lines.
@@ -212,15 +215,14 @@
 	return closed, true
 }
 
-// leastUseful returns the connection other than c that is closed first for a number of bytes, nil if none may
-// be: many connections with little memory aren't closed for one that needs much.
+// leastUseful returns the connection other than c that is closed first for a number of bytes, nil if none may be.
 func (l *Ledger) leastUseful(c *Conn, bytes int64, now time.Time) *Conn {
 	var found *Conn
 	var foundRank int
 	var foundWaste float64
 	for _, candidate := range l.conns {
 		rank := candidate.memoryRank()
-		if rank == rankKept || candidate == c || rank != rankRefused && 2*candidate.cost() < bytes {
+		if rank == rankKept || candidate == c || rank != rankRefused && !candidate.givesWay(bytes, now) {
 			continue
 		}
 		waste := float64(candidate.cost()) * (now.Sub(candidate.since) + time.Millisecond).Seconds()
@@ -231,6 +233,12 @@
 	return found
 }
 
+// givesWay reports whether a connection may be closed for one that needs a number of bytes: many with little
+// memory aren't closed for one that needs much.
+func (c *Conn) givesWay(bytes int64, now time.Time) bool {
+	return 2*c.cost() >= bytes && (bytes <= ordinaryCost || now.Sub(c.since) >= largeStay)
+}
+
 // The ranks of connections in the order in which they are closed.
 const (
 	rankRefused = iota
--- a/internal/core/intake/ledger_test.go
+++ b/internal/core/intake/ledger_test.go
@@ -33,6 +33,8 @@
 		{name: "idle ones last", conns: []open{{"a", PhaseIdle, 0, time.Hour}, {"b", PhaseHead, 900 << 10, time.Second}}, need: 200 << 10, closed: []string{"b"}, room: true},
 		{name: "refused ones first", conns: []open{{"a", PhaseRefused, 0, 0}, {"b", PhaseHead, 900 << 10, time.Second}}, need: 95 << 10, closed: []string{"a"}, room: true},
 		{name: "a part is left for ordinary ones", conns: []open{{"a", PhaseRunning, 1000 << 10, 0}}, need: 60 << 10, room: true},
+		{name: "no young ones for a large one", conns: []open{{"a", PhaseBody, 900 << 10, time.Second / 2}}, need: 200 << 10},
+		{name: "young ones for an ordinary one", conns: []open{{"a", PhaseBody, 960 << 10, time.Second / 2}, {"b", PhaseRunning, 60 << 10, 0}, {"c", PhaseRunning, 60 << 10, 0}, {"d", PhaseRunning, 60 << 10, 0}, {"e", PhaseRunning, 60 << 10, 0}, {"f", PhaseRunning, 60 << 10, 0}}, need: 60 << 10, closed: []string{"a"}, room: true},
 		{name: "no small ones for a large one", conns: []open{{"a", PhaseHead, 8 << 10, time.Hour}, {"b", PhaseRunning, 900 << 10, 0}}, need: 200 << 10},
 	}
 	for _, tt := range tests {
