--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -268,7 +268,7 @@
 func (c *conn) linger() error {
 	c.lingering.Store(true)
 	c.gate.end(c, intake.PhaseRefused)
-	_ = c.Conn.SetReadDeadline(c.gate.clock().Add(refusalTime))
+	_ = c.SetReadDeadline(c.gate.clock().Add(refusalTime))
 	if err := c.CloseWrite(); err != nil {
 		return c.shut()
 	}
