--- a/internal/core/intake/ledger.go
+++ b/internal/core/intake/ledger.go
@@ -148,7 +148,7 @@
 	c.index = -1
 }
 
-// Enter begins a phase. The connection goes on to hold what it holds.
+// Enter begins a phase. What the connection holds stays.
 func (l *Ledger) Enter(c *Conn, p Phase, now time.Time) {
 	c.phase, c.since = p, now
 }
