--- a/review/_stand2/kill.go
+++ b/review/_stand2/kill.go
@@ -34,7 +34,7 @@
 	var runners []*process
 	for i := range killRunners {
 		unframed := killUnframed * (1 - i%2)
-		p, err := s.runner(fmt.Sprint("i-", i+1), "matcher", "-model", "m", "-unframed", fmt.Sprint(unframed), "-events", fmt.Sprint(killEvents))
+		p, err := s.runner(fmt.Sprint("i-", i+1), "matcher", "-models", "m", "-unframed", fmt.Sprint(unframed), "-events", fmt.Sprint(killEvents))
 		if err != nil {
 			return false, err
 		}
--- a/review/_stand2/runner.go
+++ b/review/_stand2/runner.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,17 +21,20 @@
 // runner is a stand-in of a runner. What arrives and runs there goes to its log, a line each.
 type runner struct {
 	id, service, address, control string
-	model                         string
-	unframed                      int64 // one stream in so many has no length and ends with its connection, 0 for none
+	load                          time.Duration // how long a load from the weight store takes
+	unframed                      int64         // one stream in so many has no length and ends with its connection, 0 for none
 	streams                       atomic.Int64
 	events                        int
 	interval                      time.Duration
 	born                          int64
-	seq                           atomic.Int64
 	running                       atomic.Int64
 
-	mu  sync.Mutex
-	log *os.File
+	mu       sync.Mutex
+	log      *os.File
+	held     []string // models
+	atHand   []string // models whose weights are on its disk
+	seq      int64    // orders accepted
+	ordering bool     // an order is being carried out
 }
 
 func serveRunner(args []string) error {
@@ -40,7 +44,8 @@
 	flags.StringVar(&r.service, "service", "", "")
 	flags.StringVar(&r.address, "listen", "", "")
 	flags.StringVar(&r.control, "control", "", "the store's control address")
-	flags.StringVar(&r.model, "model", "", "the model that it holds, empty for a plain service")
+	flags.DurationVar(&r.load, "load", 4*time.Second, "how long a load from the weight store takes")
+	models := flags.String("models", "", "the models that it holds at first, with commas between them")
 	flags.Int64Var(&r.unframed, "unframed", 0, "one stream in so many has no length and ends with its connection")
 	flags.IntVar(&r.events, "events", 10, "events of a stream")
 	flags.DurationVar(&r.interval, "interval", 100*time.Millisecond, "time between two events")
@@ -48,6 +53,10 @@
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
+	if *models != "" {
+		r.held = strings.Split(*models, ",")
+		r.atHand = slices.Clone(r.held)
+	}
 	var err error
 	if r.log, err = os.OpenFile(*log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
@@ -65,25 +74,28 @@
 }
 
 func (r *runner) write(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.log, "%s %s %s\n", time.Now().Format(timeForm), r.id, fmt.Sprintf(format, args...))
 }
 
-func (r *runner) models() []map[string]any {
-	if r.model == "" {
-		return []map[string]any{}
+// describe adds what the runner says of itself to a report or an entry.
+func (r *runner) describe(text map[string]any) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	models := []map[string]any{}
+	for _, m := range r.held {
+		models = append(models, map[string]any{"name": m, "version": 1, "adapters": []string{}})
 	}
-	return []map[string]any{{"name": r.model, "version": 1, "adapters": []string{}}}
+	text["models"], text["seq"], text["born"], text["state"] = models, r.seq, r.born, "ready"
+	text["atHand"] = map[string]any{"inMemory": []string{}, "onDisk": slices.Clone(r.atHand)}
+	text["busy"] = r.ordering
+	encoded, _ := json.Marshal(text)
+	return encoded
 }
 
 // register writes the runner's entry at each heartbeat.
 func (r *runner) register() {
 	for ; ; time.Sleep(heartbeat) {
-		entry, _ := json.Marshal(map[string]any{
-			"service": r.service, "address": r.address, "zone": "a", "version": "v1", "slots": 64, "state": "ready",
-			"coldLeftMs": 0, "seq": r.seq.Load(), "born": r.born, "models": r.models(),
-		})
+		entry := r.describe(map[string]any{"service": r.service, "address": r.address, "zone": "a", "version": "v1", "slots": 64, "coldLeftMs": 0})
 		response, err := http.Post("http://"+r.control+"/set?key="+url.QueryEscape("servers/"+r.id), "application/json", bytes.NewReader(entry))
 		if err == nil {
 			_ = response.Body.Close()
@@ -93,17 +105,70 @@
 
 func (r *runner) report(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"stage": "both", "models": r.models(), "busy": false, "seq": r.seq.Load(), "born": r.born, "queued": 0,
-		"running": r.running.Load(), "kvUsed": 0, "kvTotal": 250000, "handles": 0, "state": "ready",
-	})
+	_, _ = w.Write(r.describe(map[string]any{
+		"stage": "both", "queued": 0, "running": r.running.Load(), "kvUsed": 0, "kvTotal": 250000, "handles": 0,
+	}))
 }
 
-// order takes no order: each runner holds what it has been given.
+// order carries out an order to load or unload a model, as the pages tell.
 func (r *runner) order(w http.ResponseWriter, q *http.Request) {
-	text, _ := io.ReadAll(q.Body)
-	r.write("order %s", text)
-	w.WriteHeader(http.StatusConflict)
+	var o struct {
+		Op       string `json:"opType"`
+		Model    string `json:"model"`
+		Expected *int64 `json:"expected"`
+		Holder   string `json:"holder"`
+	}
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	holds := slices.Contains(r.held, o.Model)
+	expected := q.Header.Get("Expect-Instance")
+	status := http.StatusAccepted
+	switch {
+	case expected != "" && expected != r.id:
+		w.Header().Set("Instance-Id", r.id)
+		status = http.StatusMisdirectedRequest
+	case r.ordering || o.Expected != nil && *o.Expected != r.seq:
+		status = http.StatusConflict
+	case holds == (o.Op == "load"):
+		status = http.StatusOK
+	default:
+		r.seq++
+		r.ordering = true
+		go r.carryOut(o.Op, o.Model)
+	}
+	if status == http.StatusAccepted {
+		store := o.Op == "load" && !slices.Contains(r.atHand, o.Model)
+		r.write("order %s %s from %s, from the weight store %t", o.Op, o.Model, o.Holder, store)
+	}
+	w.WriteHeader(status)
+}
+
+func (r *runner) carryOut(op, model string) {
+	r.mu.Lock()
+	wait := r.load
+	switch {
+	case op == "unload":
+		wait = 0
+	case slices.Contains(r.atHand, model):
+		wait /= 5
+	}
+	r.mu.Unlock()
+	time.Sleep(wait)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ordering = false
+	if op == "unload" {
+		r.held = slices.DeleteFunc(r.held, func(m string) bool { return m == model })
+		return
+	}
+	r.held = append(r.held, model)
+	if !slices.Contains(r.atHand, model) {
+		r.atHand = append(r.atHand, model)
+	}
 }
 
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
@@ -118,11 +183,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if strings.HasSuffix(q.URL.Path, "/boom") {
-		r.write("run %s boom", id)
-		time.Sleep(10 * time.Millisecond)
-		os.Exit(3)
-	}
 	r.running.Add(1)
 	defer r.running.Add(-1)
 	r.write("run %s after=%q bytes=%d", id, q.Header.Get("Last-Event-Id"), len(body))
