--- a/review/_stand2/runner.go
+++ b/review/_stand2/runner.go
@@ -193,7 +193,7 @@
 		return
 	}
 	time.Sleep(20 * time.Millisecond)
-	_, _ = fmt.Fprintf(w, "done %s", id)
+	_, _ = fmt.Fprintf(w, "done %s by %s", id, r.service)
 	r.write("end %s", id)
 }
 
--- a/review/_stand2/site.go
+++ b/review/_stand2/site.go
@@ -20,6 +20,8 @@
 const (
 	timeForm  = "15:04:05.000"
 	readyTime = 30 * time.Second
+	// maxSeeds is how many instances the settings name.
+	maxSeeds = 3
 )
 
 // site is a small deployment: a store, instances of the system and runners, each a process on loopback.
@@ -143,8 +145,8 @@
 // settings are those of deploy/gateway.ini as the platform fills them in for a small installation.
 const settings = `[instance]
 name = %s
-region = south
-datacentre = a
+region = %s
+datacentre = %s
 [listen]
 caller = %s
 directory = %s
@@ -153,7 +155,7 @@
 metrics = %s
 [peer]
 seeds = %s
-places = a:south
+places = a:south,b:south,c:north
 [store]
 address = %s
 [retry]
@@ -171,17 +173,24 @@
 revoke = 0ms
 `
 
-// startInstances starts instances of the system, and waits until all are ready.
+// startInstances starts instances of the system in one data centre, and waits until all are ready.
 func (s *site) startInstances(count int) error {
-	peers := make([]string, count)
+	return s.startInstancesIn(strings.Split(strings.Repeat("a", count), ""), func(int) string { return s.store })
+}
+
+// startInstancesIn starts an instance in each of the data centres, which reaches the store at its own address.
+func (s *site) startInstancesIn(dataCentres []string, store func(i int) string) error {
+	peers := make([]string, len(dataCentres))
 	for i := range peers {
 		peers[i] = freeAddress()
 	}
+	seeds := strings.Join(peers[:min(len(peers), maxSeeds)], ",")
+	regions := map[string]string{"a": "south", "b": "south", "c": "north"}
 	for i, peer := range peers {
 		name := fmt.Sprint("front-", i+1)
 		caller, ready := freeAddress(), freeAddress()
 		file := filepath.Join(s.folder, name+".ini")
-		text := fmt.Sprintf(settings, name, caller, freeAddress(), ready, peer, freeAddress(), strings.Join(peers, ","), s.store)
+		text := fmt.Sprintf(settings, name, regions[dataCentres[i]], dataCentres[i], caller, freeAddress(), ready, peer, freeAddress(), seeds, store(i))
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return err
 		}
