--- a/review/_stand2/caller.go
+++ b/review/_stand2/caller.go
@@ -41,9 +41,9 @@
 	if method == http.MethodPost {
 		body = "body of " + path
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: board.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n", method, path, a.id, wait.Milliseconds(), len(body))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: board.example\r\nRequest-Id: %s\r\n%s: %d\r\nContent-Length: %d\r\n", method, path, a.id, names["deadline"], wait.Milliseconds(), len(body))
 	if model != "" {
-		head += "Model: " + model + "\r\nToken-Count: 100,50\r\nPrompt-Prefix: 5c1e07a2:60," + a.id + ":40\r\n"
+		head += "Model: " + model + "\r\n" + names["tokens"] + ": 100,50\r\n" + names["parts"] + ": 5c1e07a2:60," + a.id + ":40\r\n"
 	}
 	if _, a.err = io.WriteString(conn, head+"\r\n"+body); a.err != nil {
 		return a
@@ -56,6 +56,6 @@
 	defer func() { _ = response.Body.Close() }()
 	var text strings.Builder
 	_, a.err = io.Copy(&text, response.Body)
-	a.code, a.sealed, a.body, a.whole, a.ended = response.StatusCode, response.Header.Get("Server-Seal") != "", text.String(), a.err == nil, time.Now()
+	a.code, a.sealed, a.body, a.whole, a.ended = response.StatusCode, response.Header.Get(names["seal"]) != "", text.String(), a.err == nil, time.Now()
 	return a
 }
--- a/review/_stand2/ceiling.go
+++ b/review/_stand2/ceiling.go
@@ -18,21 +18,10 @@
 	ceilingPlaces  = 3 // models that a runner holds
 	ceilingShare   = 3 // runners that fall silent at once: 0.15 of them, rounded
 	ceilingWindow  = 5 * time.Second
-	// ceilingMost is loadsPerS x ceilingWindowS x ceilingOver + 3.
+	// ceilingMost is the limit of the rule with the figures of the site; claim.txt has the sum.
 	ceilingMost = 14
 )
 
-func ceilingConfiguration() string {
-	var models []string
-	for i := range ceilingModels {
-		models = append(models, fmt.Sprintf(`{"name":"m%d","weightsMb":72700,"loadS":4,"adapters":0,"adapterMb":12}`, i))
-	}
-	return `{"version":1,"routes":[
- {"name":"chat","host":"board.example","pathPrefix":"/chat/","kind":"stream","timeoutMs":15000,"targetLatencyMs":1500,"priority":1,"service":"matcher","maxAttempts":2,"resumable":true,"gapAimMs":300}],
- "services":[{"name":"matcher","engine":{"slots":64,"kvCapacity":250000,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2.1,"models":[` + strings.Join(models, ",") + `]}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-}
-
 // ceilingModelAt returns which model has a place at first: each has one copy, and a few busy ones have the other places.
 func ceilingModelAt(place int) int {
 	if place < ceilingModels {
@@ -44,16 +33,20 @@
 // playCeiling has runners fall silent for good, some at a time, each of which a new one without weights replaces. The
 // last ones fall silent while they load. It counts the loads from the weight store.
 func playCeiling(s *site, trouble bool) (bool, error) {
-	if err := s.set("op/config", ceilingConfiguration()); err != nil {
+	var models []string
+	for i := range ceilingModels {
+		models = append(models, fmt.Sprint("m", i))
+	}
+	if err := s.set(names["config"], configuration(models...)); err != nil {
 		return false, err
 	}
 	var runners []*process
 	for i := range ceilingRunners {
-		var models []string
+		var held []string
 		for place := range ceilingPlaces {
-			models = append(models, fmt.Sprint("m", ceilingModelAt(len(runners)*ceilingPlaces+place)))
+			held = append(held, fmt.Sprint("m", ceilingModelAt(len(runners)*ceilingPlaces+place)))
 		}
-		p, err := s.runner(fmt.Sprint("i-", i+1), "matcher", "-models", strings.Join(models, ","))
+		p, err := s.runner(fmt.Sprint("i-", i+1), "matcher", "-models", strings.Join(held, ","))
 		if err != nil {
 			return false, err
 		}
--- a/review/_stand2/kill.go
+++ b/review/_stand2/kill.go
@@ -11,12 +11,6 @@
 
 func init() { cases[6] = playKill }
 
-const killConfiguration = `{"version":1,"routes":[
- {"name":"chat","host":"board.example","pathPrefix":"/chat/","kind":"stream","timeoutMs":15000,"targetLatencyMs":1500,"priority":1,"service":"matcher","maxAttempts":2,"resumable":true,"gapAimMs":300}],
- "services":[{"name":"matcher","engine":{"slots":64,"kvCapacity":250000,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,
-  "models":[{"name":"m","weightsMb":65000,"loadS":3.8,"adapters":0,"adapterMb":12}]}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-
 const (
 	killRunners  = 6
 	killUnframed = 34 // under three in a hundred streams
@@ -28,7 +22,7 @@
 // playKill sends streams to runners of which half leave out the length of three in a hundred answers, and kills one runner
 // while it writes such a stream. A stream that looks complete must have its last piece.
 func playKill(s *site, trouble bool) (bool, error) {
-	if err := s.set("op/config", killConfiguration); err != nil {
+	if err := s.set(names["config"], configuration("m")); err != nil {
 		return false, err
 	}
 	var runners []*process
--- a/review/_stand2/runner.go
+++ b/review/_stand2/runner.go
@@ -96,7 +96,7 @@
 func (r *runner) register() {
 	for ; ; time.Sleep(heartbeat) {
 		entry := r.describe(map[string]any{"service": r.service, "address": r.address, "zone": "a", "version": "v1", "slots": 64, "coldLeftMs": 0})
-		response, err := http.Post("http://"+r.control+"/set?key="+url.QueryEscape("servers/"+r.id), "application/json", bytes.NewReader(entry))
+		response, err := http.Post("http://"+r.control+"/set?key="+url.QueryEscape(names["entries"]+r.id), "application/json", bytes.NewReader(entry))
 		if err == nil {
 			_ = response.Body.Close()
 		}
@@ -113,19 +113,21 @@
 // order carries out an order to load or unload a model, as the pages tell.
 func (r *runner) order(w http.ResponseWriter, q *http.Request) {
 	var o struct {
-		Op       string `json:"opType"`
 		Model    string `json:"model"`
 		Expected *int64 `json:"expected"`
 		Holder   string `json:"holder"`
 	}
-	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+	fields := make(map[string]any)
+	text, err := io.ReadAll(q.Body)
+	if err != nil || json.Unmarshal(text, &o) != nil || json.Unmarshal(text, &fields) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	op, _ := fields[names["op"]].(string)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	holds := slices.Contains(r.held, o.Model)
-	expected := q.Header.Get("Expect-Instance")
+	expected := q.Header.Get(names["expect"])
 	status := http.StatusAccepted
 	switch {
 	case expected != "" && expected != r.id:
@@ -133,16 +135,16 @@
 		status = http.StatusMisdirectedRequest
 	case r.ordering || o.Expected != nil && *o.Expected != r.seq:
 		status = http.StatusConflict
-	case holds == (o.Op == "load"):
+	case holds == (op == "load"):
 		status = http.StatusOK
 	default:
 		r.seq++
 		r.ordering = true
-		go r.carryOut(o.Op, o.Model)
+		go r.carryOut(op, o.Model)
 	}
 	if status == http.StatusAccepted {
-		store := o.Op == "load" && !slices.Contains(r.atHand, o.Model)
-		r.write("order %s %s from %s, from the weight store %t", o.Op, o.Model, o.Holder, store)
+		store := op == "load" && !slices.Contains(r.atHand, o.Model)
+		r.write("order %s %s from %s, from the weight store %t", op, o.Model, o.Holder, store)
 	}
 	w.WriteHeader(status)
 }
@@ -174,7 +176,7 @@
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
 	body, err := io.ReadAll(q.Body)
 	id := q.Header.Get("Request-Id")
-	switch expected := q.Header.Get("Expect-Instance"); {
+	switch expected := q.Header.Get(names["expect"]); {
 	case err != nil:
 		return
 	case expected != "" && expected != r.id:
@@ -187,7 +189,7 @@
 	defer r.running.Add(-1)
 	r.write("run %s after=%q bytes=%d", id, q.Header.Get("Last-Event-Id"), len(body))
 	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Seal", r.id+"."+id)
+	w.Header().Set(names["seal"], r.id+"."+id)
 	if strings.HasPrefix(q.URL.Path, "/chat/") {
 		r.stream(w, q, id)
 		return
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -36,7 +36,7 @@
 		key := r.URL.Query().Get("key")
 		mu.Lock()
 		defer mu.Unlock()
-		if strings.HasPrefix(key, "servers/") {
+		if strings.HasPrefix(key, names["entries"]) {
 			beats[key] = time.Now()
 		}
 		store.Set(key, value)
