--- a/review/_stand2/caller.go
+++ b/review/_stand2/caller.go
@@ -15,7 +15,7 @@
 	id, status, body string
 	code             int
 	sealed           bool // it bears a runner's receipt
-	whole            bool // it looks complete
+	whole            bool // it looks complete: it ended with its length or a last chunk
 	err              error
 	sent, ended      time.Time
 }
@@ -43,7 +43,7 @@
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: board.example\r\nRequest-Id: %s\r\n%s: %d\r\nContent-Length: %d\r\n", method, path, a.id, names["deadline"], wait.Milliseconds(), len(body))
 	if model != "" {
-		head += "Model: " + model + "\r\n" + names["tokens"] + ": 100,50\r\n" + names["parts"] + ": 5c1e07a2:60," + a.id + ":40\r\n"
+		head += "Model: " + model + "\r\n" + names["tokens"] + ": 100,500\r\n" + names["parts"] + ": 5c1e07a2:60," + a.id + ":40\r\n"
 	}
 	if _, a.err = io.WriteString(conn, head+"\r\n"+body); a.err != nil {
 		return a
@@ -56,6 +56,6 @@
 	defer func() { _ = response.Body.Close() }()
 	var text strings.Builder
 	_, a.err = io.Copy(&text, response.Body)
-	a.code, a.sealed, a.body, a.whole, a.ended = response.StatusCode, response.Header.Get(names["seal"]) != "", text.String(), a.err == nil, time.Now()
+	a.code, a.sealed, a.body, a.whole, a.ended = response.StatusCode, response.Header.Get(names["seal"]) != "", text.String(), a.err == nil && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0), time.Now()
 	return a
 }
