fix(httpconn): an answer that is reset during its upload isn't complete

Seen by callers: a part of an answer without a length as the whole (200), where the endpoint had reset the connection while the upload was still being written; a stream ended as complete after its first event. Cause: the kernel reports a reset once, to a read or to a write of the socket. A blocked write of the upload gets it, and the next read of the net.TCPConn ends with io.EOF, which ends a body without a length. net/http closes the connection only afterwards, so the read mostly comes first. Change: httpconn.WithOrderlyEnd waits, at io.EOF, for the writes in progress (their deadline ends those that are blocked) and ends the read with a failure that one of them has met. EPIPE isn't one, since the other side had closed in order before it, nor are deadlines and a close on this side. So what ends in order is complete as before, also while the endpoint reads no more of the upload. The same cause elsewhere: a peer that relays a connection passed the reset on as an end in order; plain services of the product's own daemon and the callers' client took the part for the whole. All of them use it now. Not affected: the stores and the operators' client, whose JSON bodies show their ends, and polls and orders, which are short.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 	outdated    bool
 	limited     bool // the endpoints have asked for a limit
 	retryBudget int
+	maxBody     int // of a request, in bytes, 1 KiB if it is less
 	err         error
 	wait        time.Duration
 
@@ -274,7 +275,9 @@
 	return f.shutdown, !f.shutdown.Closes.IsZero()
 }
 
-func (f *fakeFleet) Limits() catalog.Limits { return catalog.Limits{MaxBodyBytes: 1 << 10} }
+func (f *fakeFleet) Limits() catalog.Limits {
+	return catalog.Limits{MaxBodyBytes: max(f.maxBody, 1<<10)}
+}
 
 func newFleet(t *testing.T, kind catalog.Kind, behaviours ...standin.Behaviour) *fakeFleet {
 	t.Helper()
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 // relayBufferBytes is the size of the parts in which a relayed connection's bytes are sent on.
@@ -87,10 +88,11 @@
 	if first.Open == nil {
 		return status.Error(codes.InvalidArgument, "no endpoint is named")
 	}
-	conn, err := h.Relay(stream.Context(), first.Open)
+	dialled, err := h.Relay(stream.Context(), first.Open)
 	if err != nil {
 		return stream.SendMsg(&relayFrame{Outcome: relayOutcomeOf(err)})
 	}
+	conn := httpconn.WithOrderlyEnd(dialled)
 	defer func() { _ = conn.Close() }()
 	if err := stream.SendMsg(&relayFrame{Outcome: relayConnected}); err != nil {
 		return err
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,3 +132,34 @@
 	_, err = conn.Read(make([]byte, 1))
 	require.Error(t, err)
 }
+
+// An endpoint that resets its connection while the peer still writes to it must not look as if it had closed
+// it in order.
+func TestEndpointResetDuringAWriteIsNoEnd(t *testing.T) {
+	const uploads = 4 // as the peer's write doesn't always meet the reset before its read does
+	dial, server, _ := relaySite(t, func(c net.Conn) {
+		_, _ = c.Write([]byte("part"))
+		time.Sleep(20 * time.Millisecond) // until the peer's write is blocked
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	})
+	for range uploads {
+		conn, err := dial(t.Context(), server)
+		require.NoError(t, err)
+		var group errgroup.Group
+		group.Go(func() error {
+			for {
+				if _, err := conn.Write(make([]byte, 1<<20)); err != nil {
+					return nil
+				}
+			}
+		})
+		text, err := io.ReadAll(conn)
+		assert.Equal(t, "part", string(text))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		require.NoError(t, conn.Close())
+		require.NoError(t, group.Wait())
+	}
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -29,7 +29,7 @@
 
 // New wraps a connection that no request has used.
 func New(c net.Conn) *Conn {
-	wrapped := &Conn{Conn: c}
+	wrapped := &Conn{Conn: WithOrderlyEnd(c)}
 	wrapped.changed = sync.NewCond(&wrapped.mu)
 	return wrapped
 }
--- a/pkg/client/entries.go
+++ b/pkg/client/entries.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/bounded"
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 const (
@@ -180,5 +181,12 @@
 }
 
 func dialContext(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: timeout}).DialContext
+	dialer := &net.Dialer{Timeout: timeout}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return httpconn.WithOrderlyEnd(conn), nil
+	}
 }
