fix: answers whose status is 000 aren't read as answers of stores and instances

Seen by callers: with the callers' client (pkg/client), an answer whose status was 000 as the answer, and a stream with that status as complete. Operators: an edit that was answered so as not made ("conflict"), though it may have been. The store of the product's own platform: a write that was answered so counts as not made (ErrUnavailable); that of the users' platform: as refused, and the era in such a head was believed. Cause: net/http returns responses with any three characters that are a number as their status, and these clients took all that were no error for a success, or all others for a refusal. Change: httpconn.CheckedClient fails with ErrMalformed on a status outside the classes 2 to 5.

--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -262,6 +262,7 @@
 // A head whose status no answer may have is a cut: what follows it is no answer either.
 func TestStatusesOfNoAnswerAreInterruptions(t *testing.T) {
 	for _, head := range []string{
+		"HTTP/1.1 000 odd\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 012 odd\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 101 switch\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\n",
 		"HTTP/1.1 600 odd\r\nContent-Length: 0\r\n\r\n",
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/chiveramp/chiveramp/internal/bounded"
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 // ErrUnreachable means that no instance could be reached, or that a read got no response.
@@ -56,6 +57,7 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.http = httpconn.CheckedClient(c.http)
 	return c
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/chiveramp/chiveramp/internal/bounded"
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 const (
@@ -73,6 +74,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.client = httpconn.CheckedClient(h.client)
 	return h
 }
 
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -40,3 +40,27 @@
 		})
 	}
 }
+
+// A response with the status of no answer must not be read as one: the write may have taken effect.
+func TestStatusesOfNoAnswerLeaveWritesUncertain(t *testing.T) {
+	for _, status := range []string{"000 Odd", "012 Odd", "101 Odd\r\nConnection: upgrade\r\nUpgrade: odd", "600 Odd"} {
+		t.Run(status[:3], func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				connection, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(connection, "HTTP/1.1 "+status+"\r\n\r\ntrue")
+				_ = connection.Close()
+			}))
+			defer server.Close()
+			h := NewHTTP(server.URL)
+			defer h.Close()
+			_, err := h.List(t.Context(), "a/")
+			require.ErrorIs(t, err, ErrUnavailable)
+			_, err = h.Swap(t.Context(), Write{Key: "k", Value: []byte("1")})
+			require.ErrorIs(t, err, ErrUncertain)
+		})
+	}
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 // Headers of requests and responses.
@@ -113,6 +115,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http = httpconn.CheckedClient(c.http)
 	return c
 }
 
