fix(httpconn): an answer with a field whose name isn't a token is no answer

Seen by callers: an answer of an endpoint with 200 and a body that wasn't the endpoint's (the sizes and ends of its chunks after "Transfer-Encoding : chunked", bytes beyond its end after "Content-Length : 4", fields of its head after a LF), or with the line passed on as a part of the field before it (" X-Note: 1", "\tContent-Length: 4"). Cause: net/http takes a blank as a part of a field's name, joins lines that begin with a blank or a tab to the one before, and ends lines at a LF without a CR. Such a name is not that of a known field, so the body is framed in another way. Change: httpconn.Conn looks at the head of each answer as it arrives and withholds the end of one in which a name holds a byte that no token has (golang.org/x/net/http/httpguts, a dependency before) or a line ends with LF alone where the first one ends with CRLF. The attempt fails as by any other malformed head. Sound heads, interim ones and those with LF in all lines pass (TestHeadScannerFindsMalformedHeads, cut at every size). The same cause elsewhere: polls and orders, plain services and engines of the own daemon, relayed connections (their other end has a Conn), and the clients of both stores, of operators and of callers, which use Conn now too. With TLS or a transport of the user's own, names are checked after net/http has read them.

--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -43,3 +44,35 @@
 		}
 	}
 }
+
+// A field whose name isn't a token must not be passed on, nor may it decide where the answer's body ends.
+func TestMalformedFieldNamesReachNoCaller(t *testing.T) {
+	const length, chunked, body = "Content-Length: 4", "Transfer-Encoding: chunked", "\r\n14\r\nid: 1\ndata: piece 1\n\n\r\n0\r\n\r\n"
+	tests := []struct{ name, line, body string }{
+		{name: "blank", line: "X Note: 1"},
+		{name: "blank before the colon", line: "X-Note : 1"},
+		{name: "blank before the colon of the length", line: "Content-Length : 4"},
+		{name: "blank before the colon of the coding", line: "Transfer-Encoding : chunked", body: body},
+		{name: "blank in front", line: " X-Note: 1"},
+		{name: "blank in front of the length", line: " " + length},
+		{name: "blank in front of the coding", line: " " + chunked, body: body},
+		{name: "tab in front of the length", line: "\t" + length},
+		{name: "blank only", line: " : 1"},
+		{name: "empty", line: ": 1"},
+	}
+	for _, c := range append([]byte("\x7f"), []byte("\x00\x01\x02\x03\x04\x05\x06\x07\x08\t\n\v\f\r\x0e\x0f\x10\x11\x12\x13\x14\x15\x16\x17\x18\x19\x1a\x1b\x1c\x1d\x1e\x1f")...) {
+		for n, line := range []string{"%s" + length, "Content%sLength: 4", "Content-Length%s: 4"} {
+			tests = append(tests, struct{ name, line, body string }{name: fmt.Sprintf("byte %d, %d", c, n), line: strings.Replace(line, "%s", string(c), 1)})
+		}
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.body == "" {
+				tt.body = "\r\nid: 1\ndata: piece 1\n\n"
+			}
+			first, rest, _ := strings.Cut(streamHead, "\r\n")
+			assertNoAnswer(t, standin.RawAnswer{Text: first + "\r\n" + tt.line + "\r\n" + rest + tt.body})
+			assertNoAnswer(t, standin.RawAnswer{Text: streamHead + tt.line + "\r\n" + tt.body})
+		})
+	}
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -25,11 +25,12 @@
 	unsolicited bool // bytes arrived after the newest request had chosen the connection and before it was written
 	retired     bool // no further request may use it
 	closed      bool
+	head        headScanner // of the answers to the newest request
 }
 
 // New wraps a connection that no request has used.
 func New(c net.Conn) *Conn {
-	wrapped := &Conn{Conn: WithOrderlyEnd(c)}
+	wrapped := &Conn{Conn: WithOrderlyEnd(c), head: headScanner{part: partBody}}
 	wrapped.changed = sync.NewCond(&wrapped.mu)
 	return wrapped
 }
@@ -45,18 +46,25 @@
 	for !c.reading && !c.closed && !c.retired {
 		c.changed.Wait()
 	}
-	c.written, c.unsolicited = false, false
+	c.written, c.unsolicited, c.head = false, false, newHeadScanner()
 	return before
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It withholds the end of a malformed head, so that the transport can't take it for
+// an answer.
 func (c *Conn) Read(b []byte) (int, error) {
 	c.setReading()
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	c.unsolicited = c.unsolicited || n > 0 && !c.written
+	if !c.written {
+		c.unsolicited = c.unsolicited || n > 0
+		return n, err
+	}
+	if malformed := c.head.scan(b[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -46,14 +46,14 @@
 func WithTLS(t *tls.Config) ClientOption {
 	return func(c *Client) {
 		c.scheme = "https"
-		c.http.Transport = &http.Transport{TLSClientConfig: t, MaxResponseHeaderBytes: maxHeadBytes}
+		c.http.Transport = newTransport(t)
 	}
 }
 
 // NewClient returns a client for instances at addresses of the form host:port, which
 // are tried in order.
 func NewClient(addresses []string, options ...ClientOption) *Client {
-	c := &Client{addresses: addresses, scheme: "http", http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
+	c := &Client{addresses: addresses, scheme: "http", http: &http.Client{Transport: newTransport(nil)}}
 	for _, o := range options {
 		o(c)
 	}
@@ -61,6 +61,15 @@
 	return c
 }
 
+// newTransport returns a transport that uses TLS if settings are given.
+func newTransport(t *tls.Config) *http.Transport {
+	return &http.Transport{
+		DialContext:            httpconn.Dialer(new(net.Dialer).DialContext),
+		TLSClientConfig:        t,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -65,6 +65,7 @@
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = maxHeadBytes
+	transport.DialContext = httpconn.Dialer(transport.DialContext)
 	h := &HTTP{
 		address:       strings.TrimSuffix(address, "/"),
 		client:        &http.Client{Transport: transport},
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -41,26 +41,35 @@
 	}
 }
 
-// A response with the status of no answer must not be read as one: the write may have taken effect.
+// assertUncertain checks that a response with a head isn't read as one: the write may have taken effect.
+func assertUncertain(t *testing.T, head string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 "+head+"\r\n\r\n{}")
+		_ = connection.Close()
+	}))
+	defer server.Close()
+	h := NewHTTP(server.URL)
+	defer h.Close()
+	_, err := h.List(t.Context(), "a/")
+	require.ErrorIs(t, err, ErrUnavailable)
+	_, err = h.Swap(t.Context(), Write{Key: "k", Value: []byte("1")})
+	require.ErrorIs(t, err, ErrUncertain)
+}
+
 func TestStatusesOfNoAnswerLeaveWritesUncertain(t *testing.T) {
 	for _, status := range []string{"000 Odd", "012 Odd", "101 Odd\r\nConnection: upgrade\r\nUpgrade: odd", "600 Odd"} {
-		t.Run(status[:3], func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				connection, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(connection, "HTTP/1.1 "+status+"\r\n\r\ntrue")
-				_ = connection.Close()
-			}))
-			defer server.Close()
-			h := NewHTTP(server.URL)
-			defer h.Close()
-			_, err := h.List(t.Context(), "a/")
-			require.ErrorIs(t, err, ErrUnavailable)
-			_, err = h.Swap(t.Context(), Write{Key: "k", Value: []byte("1")})
-			require.ErrorIs(t, err, ErrUncertain)
-		})
+		t.Run(status[:3], func(t *testing.T) { assertUncertain(t, status) })
+	}
+}
+
+func TestMalformedFieldNamesLeaveWritesUncertain(t *testing.T) {
+	for _, head := range []string{"200 OK\r\nX-Note : 1", "409 Conflict\r\nX Note: 1", "409 Conflict\r\nX-First: 1\r\n X-Note: 1", "409 Conflict\r\nX-First: 1\r\n\nX-Note: 1"} {
+		t.Run(head, func(t *testing.T) { assertUncertain(t, head) })
 	}
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -125,7 +126,7 @@
 func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            dialContext(dialTimeout),
+			DialContext:            httpconn.Dialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			MaxIdleConnsPerHost:    maxIdleConnections,
 			IdleConnTimeout:        defaultMaxWait,
 			DisableCompression:     true,
--- a/pkg/client/entries.go
+++ b/pkg/client/entries.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -14,7 +13,6 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/bounded"
-	"github.com/chiveramp/chiveramp/internal/httpconn"
 )
 
 const (
@@ -179,14 +177,3 @@
 	}
 	return list, nil
 }
-
-func dialContext(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: timeout}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return httpconn.WithOrderlyEnd(conn), nil
-	}
-}
--- a/pkg/client/malformed_test.go
+++ b/pkg/client/malformed_test.go
@@ -63,3 +63,13 @@
 		})
 	}
 }
+
+// A response with a field whose name isn't a token must not reach the caller.
+func TestMalformedFieldNamesAreCuts(t *testing.T) {
+	for _, line := range []string{"X-Note : 1", "X Note: 1", "X-First: 1\r\n X-Note: 1", "X-First: 1\r\n\nX-Note: 1", "X\x01Note: 1"} {
+		t.Run(line, func(t *testing.T) {
+			assertCut(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n", "data: [DONE]\n\n")
+		})
+	}
+	assertCut(t, "HTTP/1.1 200 OK\r\nX-Note : 1\r\n", "data: [DONE]\n\n", WithHTTPClient(&http.Client{}))
+}
