--- a/internal/endpoint/malformed_test.go
+++ b/internal/endpoint/malformed_test.go
@@ -1,26 +1,19 @@
 package endpoint
 
 import (
-	"io"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn/httpconntest"
 )
 
 // An answer with a field whose name isn't a token is a cut: its other fields may not be those that were sent.
 func TestMalformedFieldNamesAreInterruptions(t *testing.T) {
 	for _, line := range []string{"X-Note : 1", "X Note: 1", "X-First: 1\r\n Content-Length: 2", "X-First: 1\r\n\nX-Note: 1", "X\x01Note: 1"} {
 		t.Run(line, func(t *testing.T) {
-			addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				connection, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n{}")
-				_ = connection.Close()
-			})
+			addr := serve(t, httpconntest.Raw("HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n{}"))
 			client := New()
 			defer client.Close()
 			response, err := client.Forward(t.Context(), addr, ForwardCall{Method: http.MethodPost, Path: "/x"})
--- a/internal/endpoint/reset_upload_test.go
+++ b/internal/endpoint/reset_upload_test.go
@@ -2,32 +2,21 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn/httpconntest"
 )
 
 // An answer without a length must not look complete if the service resets the connection while the upload is
 // still being written.
 func TestAnswersResetDuringTheirUploadAreInterrupted(t *testing.T) {
 	const uploads = 4 // as the write of an upload doesn't always meet the reset before the read of the answer does
-	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
-		connection, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\npart")
-		time.Sleep(20 * time.Millisecond) // until the write of the upload is blocked
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = connection.Close()
-	})
+	addr := serve(t, httpconntest.Reset("HTTP/1.1 200 OK\r\n\r\npart"))
 	client := New()
 	defer client.Close()
 	for range uploads {
--- a/internal/operator/malformed_test.go
+++ b/internal/operator/malformed_test.go
@@ -2,27 +2,19 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn/httpconntest"
 )
 
 // assertUncertain checks that a response with a head isn't read as one: the edit may have taken effect.
 func assertUncertain(t *testing.T, head string) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		connection, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, "HTTP/1.1 "+head+"\r\n\r\n"+`{"code":"conflict"}`)
-		_ = connection.Close()
-	}))
+	server := httptest.NewServer(httpconntest.Raw("HTTP/1.1 " + head + "\r\n\r\n" + `{"code":"conflict"}`))
 	defer server.Close()
 	c := NewClient([]string{strings.TrimPrefix(server.URL, "http://")}, WithBearerToken(token))
 	defer c.Close()
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn/httpconntest"
 )
 
 // A list must not be read from the beginning of a reply that goes on.
@@ -44,15 +46,7 @@
 // assertUncertain checks that a response with a head isn't read as one: the write may have taken effect.
 func assertUncertain(t *testing.T, head string) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		connection, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, "HTTP/1.1 "+head+"\r\n\r\n{}")
-		_ = connection.Close()
-	}))
+	server := httptest.NewServer(httpconntest.Raw("HTTP/1.1 " + head + "\r\n\r\n{}"))
 	defer server.Close()
 	h := NewHTTP(server.URL)
 	defer h.Close()
--- a/pkg/client/malformed_test.go
+++ b/pkg/client/malformed_test.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,11 +8,12 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/chiveramp/chiveramp/internal/httpconn/httpconntest"
 )
 
-// newTextSystem is a system of one instance that lists itself and answers all other requests with a text, after
-// which it closes the connection.
-func newTextSystem(t *testing.T, text string) *fakeSystem {
+// newRawSystem is a system of one instance that lists itself, and gives all other requests to a handler.
+func newRawSystem(t *testing.T, handler http.HandlerFunc) *fakeSystem {
 	t.Helper()
 	s := newFakeSystem(t, 0)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -21,13 +21,7 @@
 			s.serveEntries(w)
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		connection, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, text)
-		_ = connection.Close()
+		handler(w, r)
 	}))
 	t.Cleanup(server.Close)
 	s.addresses = []string{strings.TrimPrefix(server.URL, "http://")}
@@ -37,7 +31,7 @@
 // assertCut checks that an answer of an instance is reported as a cut.
 func assertCut(t *testing.T, head, event string, opts ...Option) {
 	t.Helper()
-	c := newTextSystem(t, head+"Chiveramp-Outcome: ran\r\n\r\n"+event).client(opts...)
+	c := newRawSystem(t, httpconntest.Raw(head+"Chiveramp-Outcome: ran\r\n\r\n"+event)).client(opts...)
 	response, err := c.Do(t.Context(), Request{Method: http.MethodPost, Path: "/services/orders/new"})
 	if err == nil {
 		_ = response.Body.Close()
