--- a/internal/gateway/reset_upload_test.go
+++ b/internal/gateway/reset_upload_test.go
@@ -25,7 +25,7 @@
 		kind   catalog.Kind
 		method string
 		begun  string // the first endpoint's answer
-		whole  string // what it gets in the end
+		whole  string // what the caller gets in the end
 		sound  bool   // the answer ends in order
 	}{
 		{name: "safe: retried elsewhere", kind: catalog.KindSafe, method: http.MethodPut, begun: jsonHead + "\r\npart", whole: "done r1"},
