observe when callers leave, when their requests are forwarded, and stalls

No decision changes.

Measured: tests of gateway and core/shutdown pass; Active tests 5 of 5 with -race.

--- a/internal/core/shutdown/activity.go
+++ b/internal/core/shutdown/activity.go
@@ -17,18 +17,23 @@
 	paused, resumed time.Duration
 }
 
-// Record records that the process runs. Longer than maxGap without a call counts as a pause.
-func (a *Activity) Record(now time.Duration) {
+// Record records that the process runs. Longer than maxGap without a call counts as a pause: if one has just
+// ended, it returns how long it was.
+func (a *Activity) Record(now time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.record(now)
+	return a.record(now)
 }
 
-func (a *Activity) record(now time.Duration) {
-	if a.last > 0 && now-a.last > maxGap {
+func (a *Activity) record(now time.Duration) time.Duration {
+	pause := now - a.last
+	if a.last == 0 || pause <= maxGap {
+		pause = 0
+	} else {
 		a.paused, a.resumed = a.last, now
 	}
 	a.last = now
+	return pause
 }
 
 // Lag returns how long ago a signal that is handled now may have been sent: the time since the process last
--- a/internal/direct/node.go
+++ b/internal/direct/node.go
@@ -298,7 +298,7 @@
 	every("place", placementInterval, n.placeModels)
 	every("tidy", cleanUpInterval, n.cleanUp)
 	every("held", holdInterval, func(ctx context.Context) {
-		n.activity.Record(uptime())
+		n.recordActivity()
 		n.endHolds(ctx)
 	})
 	every("list", instanceListInterval, n.refreshInstances)
@@ -308,6 +308,14 @@
 	every("reload", reloadInterval, func(context.Context) { n.Reload("look") })
 }
 
+// recordActivity records that the process runs, and logs for how long it didn't.
+func (n *Node) recordActivity() {
+	if stall := n.activity.Record(uptime()); stall > 0 {
+		n.state.counts.Stalled(stall)
+		_ = level.Warn(n.logger).Log("step", "stall", "for", stall)
+	}
+}
+
 // Reload applies changed settings that can change at run time: the limits on retries and
 // orders, how soon revoked keys stop, and the limits of the graceful shutdown.
 func (n *Node) Reload(cause string) {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -177,6 +177,7 @@
 	RemovalHeld()
 	RemovalInForce(held time.Duration)
 	CatalogActivated(behind time.Duration)
+	Stalled(d time.Duration)
 }
 
 // departure is an endpoint whose entry the store has removed, or has with the word that it leaves.
--- a/internal/direct/stats.go
+++ b/internal/direct/stats.go
@@ -70,6 +70,14 @@
 	metrics.GetOrRegisterCounter("refused_bodies;fault="+string(fault), s.registry).Inc(1)
 }
 
+// Abandoned counts a request whose caller has left before its answer was complete.
+func (s *stats) Abandoned(in gateway.Phase) {
+	metrics.GetOrRegisterCounter("abandoned_requests;phase="+string(in), s.registry).Inc(1)
+}
+
+// Stalled records for how long the process did nothing.
+func (s *stats) Stalled(d time.Duration) { s.delay("stalls", d) }
+
 // EventRejected counts a part of a stream that was not passed on.
 func (s *stats) EventRejected(fault gateway.EventFault) {
 	metrics.GetOrRegisterCounter("rejected_events;fault="+string(fault), s.registry).Inc(1)
--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,7 @@
 	job      *job   // nil until the request was read and has a route
 	endpoint fleet.Endpoint
 	sentAt   time.Time // when it was first sent to an endpoint, 0 before
+	leftAt   time.Time // when its caller was seen to have left, 0 before
 }
 
 // add adds a request whose body is arriving. end ends that.
@@ -79,6 +81,33 @@
 	r.id = id
 }
 
+// watch records when the caller of a request leaves, and counts the phase in which it does, until the returned
+// function is called.
+func (g *Gateway) watch(ctx context.Context, r *activeRequest) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		now := g.clock()
+		g.active.mu.Lock()
+		r.leftAt = now
+		phase := r.phase()
+		g.active.mu.Unlock()
+		g.stats.Abandoned(phase)
+	})
+}
+
+// times returns how long after its arrival a request was first sent to an endpoint, and how long after it its
+// caller was seen to have left, 0 if that hasn't happened.
+func (s *activeRequests) times(r *activeRequest) (sent, left time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !r.sentAt.IsZero() {
+		sent = r.sentAt.Sub(r.arrived)
+	}
+	if !r.leftAt.IsZero() {
+		left = r.leftAt.Sub(r.arrived)
+	}
+	return sent, left
+}
+
 // begin records the job that serves a request, and what ends it.
 func (s *activeRequests) begin(r *activeRequest, j *job, end func()) {
 	s.mu.Lock()
--- a/internal/gateway/active_test.go
+++ b/internal/gateway/active_test.go
@@ -18,6 +18,20 @@
 	"github.com/chiveramp/chiveramp/platform/standin"
 )
 
+// abandoned receives the phases in which callers left. It counts nothing else.
+type abandoned struct{ phases chan gateway.Phase }
+
+func newAbandoned() abandoned { return abandoned{make(chan gateway.Phase, 1)} }
+
+func (a abandoned) Abandoned(in gateway.Phase) { a.phases <- in }
+
+func (abandoned) Done(*catalog.Route, int, int, time.Duration, time.Duration) {}
+func (abandoned) Waited(*catalog.Route, int, time.Duration)                   {}
+func (abandoned) Workspace(string, int)                                       {}
+func (abandoned) KeyRefused(int)                                              {}
+func (abandoned) BodyRefused(gateway.BodyFault)                               {}
+func (abandoned) EventRejected(gateway.EventFault)                            {}
+
 // A request that has not ended is known with how far it has got.
 func TestActiveRequestsHaveAPhase(t *testing.T) {
 	full := gateway.Admission{Refused: true, Wait: time.Second, AskAgain: time.Second}
@@ -37,7 +51,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, catalog.KindStream, tt.behaviour)
 			f.replies = tt.replies
-			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now)
+			counts := newAbandoned()
+			g := gateway.New(fleet.Place{}, platform.CallerCodec{}, platform.NewEndpointClient(), f, time.Now, gateway.WithStats(counts))
 			server := httptest.NewServer(g)
 			t.Cleanup(server.Close)
 			t.Cleanup(server.CloseClientConnections)
@@ -71,6 +86,16 @@
 				active[0].Age = 0
 				assert.Equal(t, tt.want, active[0])
 			}
+			if tt.want.Phase == gateway.PhaseSent {
+				require.Eventually(t, func() bool { return f.runs() == 1 }, time.Second, time.Millisecond) // else it may be withdrawn unsent
+			}
+			server.CloseClientConnections()
+			select {
+			case phase := <-counts.phases:
+				assert.Equal(t, tt.want.Phase, phase, "in which its caller left")
+			case <-time.After(3 * time.Second):
+				assert.Fail(t, "its caller's departure wasn't seen")
+			}
 			assert.Eventually(t, func() bool { server.CloseClientConnections(); return len(g.Active()) == 0 }, 3*time.Second, 10*time.Millisecond)
 			_ = end.Close()
 			_ = caller.Wait() // the server closes the connection
--- a/internal/gateway/discard_test.go
+++ b/internal/gateway/discard_test.go
@@ -26,6 +26,8 @@
 
 func (c *bodyCounts) BodyRefused(fault gateway.BodyFault) { c.faults <- fault }
 
+func (*bodyCounts) Abandoned(gateway.Phase) {}
+
 // A caller whose request is refused gets the whole answer at once. What it still sends is read for a limited
 // time, which a caller that sends nothing more can't stretch.
 func TestRestOfARefusedBodyIsReadForALimitedTime(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 	controller := http.NewResponseController(w)
 	active := g.active.add(arrived, func() { _ = controller.SetReadDeadline(arrived) }) // it can't fail for a server's connection
 	defer g.active.remove(active)
+	defer g.watch(r.Context(), active)()
 	closeIfLeaving(w, g.fleet.Leaving)
 	memory := reservation{memory: g.bodies, request: active}
 	defer memory.release()
@@ -361,6 +362,8 @@
 	KeyRefused(status int)
 	// BodyRefused records a request refused for its body.
 	BodyRefused(fault BodyFault)
+	// Abandoned records that a caller has left before the answer to its request was complete.
+	Abandoned(in Phase)
 	// EventRejected records a part of a stream that was not passed on.
 	EventRejected(fault EventFault)
 }
@@ -372,4 +375,5 @@
 func (noStats) Workspace(string, int)                                       {}
 func (noStats) KeyRefused(int)                                              {}
 func (noStats) BodyRefused(BodyFault)                                       {}
+func (noStats) Abandoned(Phase)                                             {}
 func (noStats) EventRejected(EventFault)                                    {}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -380,11 +380,12 @@
 func (j *job) report(ctx context.Context) {
 	d := j.delivery
 	total, sent := j.gateway.clock().Sub(j.arrived), int(j.sent.Load())
+	forwarded, left := j.gateway.active.times(j.active)
 	j.gateway.stats.Done(j.route, d.status, sent, d.firstByte, total)
 	if j.queueing.asks > 0 {
 		j.gateway.stats.Waited(j.route, d.status, j.queueing.waited)
 	}
 	j.log("step", "end", "request", j.identity.Request, "route", j.route.Name, "version", j.version, "model", j.request.Model, "adapter", j.request.Adapter, "resumes", j.request.Resumes,
 		"status", d.status, "endpoint", j.target.ID, "software", j.target.Software, "tries", j.tries, "sent", sent, "predicted", j.target.Wait, "wait", j.predictedWait, "age", j.target.Age,
-		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "yields", j.queueing.yields, "return", j.queueing.comeBack, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "workspace", j.request.Workspace, "denied", string(j.denied), "err", j.failure)
+		"adapters", j.adapterOrders, "admission", time.Duration(j.admissionWait.Load()), "asks", j.queueing.asks, "waited", j.queueing.waited, "yields", j.queueing.yields, "return", j.queueing.comeBack, "first", d.firstByte, "pause", d.longestPause, "whole", total, "broken", j.abortConnection, "gone", ctx.Err(), "forwarded", forwarded, "left", left, "workspace", j.request.Workspace, "denied", string(j.denied), "err", j.failure)
 }
