fix: a request whose caller has left is sent to no endpoint

Callers saw nothing, they had left; endpoints got their requests up to a second later and dropped them when the cancellation followed, 10 ms behind.

Cause: net/http learns of the end of a caller's connection on a goroutine of its own, which starts once the body was read, and a request goes on meanwhile. An instance that reads late, or whose wait for a charge, an origin, an adapter, an admission, a connect or another endpoint's refusal ends as the news comes, has both in hand at once, and nothing asked for the news before the request was sent. The class: news that comes on another way than what it concerns, and a check that asks what was heard, not what is so.

Now the kernel is asked (a peek that neither waits nor reads): before a request is charged, before each further attempt, before an attempt is sent, and by the connection to the endpoint immediately before the first byte, which covers all that holds a request in between. Bytes of a next request that were read early count as a caller that stays.

--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -84,14 +84,22 @@
 // watch records when the caller of a request leaves, and counts the phase in which it does, until the returned
 // function is called.
 func (g *Gateway) watch(ctx context.Context, r *activeRequest) (stop func() bool) {
-	return context.AfterFunc(ctx, func() {
-		now := g.clock()
-		g.active.mu.Lock()
+	return context.AfterFunc(ctx, func() { g.left(r) })
+}
+
+// left records that the caller of a request has left.
+func (g *Gateway) left(r *activeRequest) {
+	now := g.clock()
+	g.active.mu.Lock()
+	known := !r.leftAt.IsZero()
+	if !known {
 		r.leftAt = now
-		phase := r.phase()
-		g.active.mu.Unlock()
+	}
+	phase := r.phase()
+	g.active.mu.Unlock()
+	if !known {
 		g.stats.Abandoned(phase)
-	})
+	}
 }
 
 // times returns how long after its arrival a request was first sent to an endpoint, and how long after it its
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,6 +129,9 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	if j.abandoned() {
+		return ErrAbandoned
+	}
 	if err := j.checkShutdown(ctx); err != nil {
 		return err
 	}
@@ -157,6 +160,7 @@
 	message := &Attempt{
 		Request: j.request, Endpoint: a.target.ID, Born: a.target.Born, Address: a.target.Address,
 		Level: a.level(), Late: a.admittedLate, After: a.after,
+		Wanted: func() bool { return !j.abandoned() },
 	}
 	if j.request.Wait > 0 {
 		message.TimeLeft = max(time.Millisecond, j.request.Wait-g.clock().Sub(j.arrived))
--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -82,6 +82,7 @@
 	require.NoError(s.t, err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
 	require.Equal(s.t, http.StatusOK, response.StatusCode)
 	_, err = io.Copy(io.Discard, response.Body)
 	require.NoError(s.t, err)
@@ -166,6 +167,7 @@
 					assert.Equal(t, http.StatusOK, response.StatusCode)
 					_, err = io.Copy(io.Discard, response.Body)
 					require.NoError(t, err)
+					require.NoError(t, response.Body.Close())
 				}
 				assert.Equal(t, leavingCallers, f.arrivals())
 			})
@@ -173,6 +175,31 @@
 	}
 }
 
+// A caller that has closed its side for sending only can't be told from one that has left. It learns that its
+// request has not run.
+func TestCallersThatCloseTheirSideForSendingAreRefused(t *testing.T) {
+	f := newLargeFleet(t, catalog.KindUnsafe, 0)
+	s := listen(t, f, platform.NewEndpointClient())
+	var conns []*net.TCPConn
+	for i := range leavingCallers {
+		conn := s.dial()
+		_, err := io.WriteString(conn, text(catalog.KindUnsafe, i, 0))
+		require.NoError(t, err)
+		require.NoError(t, conn.CloseWrite())
+		conns = append(conns, conn)
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.accept()
+	for _, conn := range conns {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		require.NoError(t, response.Body.Close())
+	}
+	assert.Zero(t, f.arrivals())
+}
+
 // hold is where a request is held.
 type hold string
 
@@ -262,7 +289,7 @@
 				default: // the caller stays
 				}
 			}
-			f.loadsAdapter = true
+			f.loadsAdapter, f.retryBudget = true, leavingCallers*leavingCallers
 			if tt.hold == holdRefused {
 				without := standin.NewRunner("i-0", "s", "z", 2)
 				t.Cleanup(without.Close)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,11 @@
 		g.refuseRead(w, r, request, err)
 		return
 	}
-	read := g.clock()
+	read, caller := g.clock(), connectionOf(r.Context())
+	if caller.ended() {
+		g.refuseAbandoned(w, request, active)
+		return
+	}
 	route, version, err := g.fleet.Route(request.Host, request.Path)
 	if err != nil {
 		g.refuseRoute(w, request, err)
@@ -165,7 +169,7 @@
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
 	j := &job{
-		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: connectionOf(r.Context()),
+		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: caller, end: end,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, leaving: g.fleet.Leaving, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
@@ -273,6 +277,14 @@
 	g.refuse(w, refusal)
 }
 
+// refuseAbandoned ends a request whose caller has left. A caller that has closed only its side for sending learns
+// that it has not run.
+func (g *Gateway) refuseAbandoned(w http.ResponseWriter, request *Request, active *activeRequest) {
+	g.left(active)
+	_ = g.logger.Log("step", "gone", "id", request.ID, "err", ErrAbandoned)
+	g.refuse(w, Refusal{Status: http.StatusServiceUnavailable, Reason: ErrAbandoned.Error(), RetryAfter: defaultRetryAfter, Request: request.ID})
+}
+
 func (g *Gateway) refuseRoute(w http.ResponseWriter, request *Request, err error) {
 	refusal := Refusal{Status: http.StatusNotFound, Reason: err.Error(), Request: request.ID}
 	if errors.Is(err, ErrNoCatalog) || errors.Is(err, ErrOutdated) || errors.Is(err, ErrMayBeOutdated) {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -40,8 +40,9 @@
 	read     time.Time // when its body was read whole
 	active   *activeRequest
 	delivery *delivery
-	// connection is the caller's.
+	// connection is the caller's, end ends the request.
 	connection *connection
+	end        context.CancelCauseFunc
 
 	// identity is the same for every attempt at the request.
 	identity suspect.Identity
@@ -168,6 +169,9 @@
 
 // start begins an attempt at another endpoint, beside a silent one if that is set.
 func (j *job) start(ctx context.Context, beside *silence) error {
+	if j.tries > 0 && j.abandoned() {
+		return ErrAbandoned
+	}
 	if err := j.checkShutdown(ctx); err != nil {
 		return err
 	}
@@ -246,6 +250,16 @@
 	j.log("step", "silent", "endpoint", first.target.ID, "second", j.target.ID, "try", j.tries, "err", err)
 }
 
+// abandoned reports whether the caller has left, and if so ends the request.
+func (j *job) abandoned() bool {
+	if !j.connection.ended() {
+		return false
+	}
+	j.gateway.left(j.active)
+	j.end(ErrAbandoned)
+	return true
+}
+
 // takeRetry takes a retry from the budget, unless one that was taken has not been used.
 func (j *job) takeRetry() bool {
 	if j.unusedRetry {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -74,6 +74,8 @@
 	ErrShutdown = errors.New("the instance shuts down before the request could end")
 	// ErrTooLate is returned for a request whose answer can't begin before its caller has waited long enough.
 	ErrTooLate = errors.New("too little time is left for an answer to begin")
+	// ErrAbandoned is returned for a request whose caller has left.
+	ErrAbandoned = errors.New("the caller has left")
 	// ErrNoAdapter is returned if endpoints have the model, but none can load the adapter now.
 	ErrNoAdapter = errors.New("no endpoint can load the adapter now")
 )
@@ -140,6 +142,9 @@
 	Late  bool
 	// After is the id of the last event already passed on to the caller.
 	After string
+	// Wanted reports whether the request is still to be sent. The sender asks it immediately before the first
+	// byte, since its caller may have left while a connection was made.
+	Wanted func() bool
 }
 
 // Answer is an endpoint's answer. The receiver must close the body.
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -11,7 +11,10 @@
 // ErrUnsolicited is the error of a request whose connection had a response before the request was sent.
 var ErrUnsolicited = errors.New("a response came before the request")
 
-var errUnusable = errors.New("connection is not used for this request")
+var (
+	errUnusable  = errors.New("connection is not used for this request")
+	errWithdrawn = errors.New("the request is withdrawn")
+)
 
 // Conn is a connection of an http.Transport.
 type Conn struct {
@@ -26,6 +29,7 @@
 	retired     bool // no further request may use it
 	closed      bool
 	head        headScanner // of the answers to the newest request
+	wanted      func() bool // whether the newest request is still to be written, nil if it is
 }
 
 // New wraps a connection that no request has used.
@@ -38,7 +42,7 @@
 // begin makes the connection ready for a request and returns the number of requests before it.
 // Once it has returned, no byte received before is left: the transport closes an idle connection
 // with bytes in its buffer, but not if a request chooses it before the transport has looked.
-func (c *Conn) begin() (before int) {
+func (c *Conn) begin(wanted func() bool) (before int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before = c.requests
@@ -46,7 +50,7 @@
 	for !c.reading && !c.closed && !c.retired {
 		c.changed.Wait()
 	}
-	c.written, c.unsolicited, c.head = false, false, newHeadScanner()
+	c.written, c.unsolicited, c.head, c.wanted = false, false, newHeadScanner(), wanted
 	return before
 }
 
@@ -76,21 +80,34 @@
 }
 
 // Write implements net.Conn. It writes nothing of a request whose answer could not be told apart
-// from bytes received before.
+// from bytes received before, or which is no longer wanted.
 func (c *Conn) Write(b []byte) (int, error) {
+	if wanted := c.question(); wanted != nil && !wanted() {
+		return 0, errWithdrawn
+	}
 	if !c.mayWrite() {
 		return 0, errUnusable
 	}
 	return c.Conn.Write(b)
 }
 
+// question returns what to ask before the first byte of the newest request is written, nil for nothing.
+func (c *Conn) question() func() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.written {
+		return nil
+	}
+	return c.wanted
+}
+
 func (c *Conn) mayWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || !c.written && (c.unsolicited || c.retired) {
 		return false
 	}
-	c.written = true
+	c.written, c.wanted = true, nil
 	return true
 }
 
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -21,7 +21,7 @@
 			defer func() { _ = c.Close() }()
 			var group errgroup.Group
 			begun := false
-			group.Go(func() error { c.begin(); begun = true; return nil })
+			group.Go(func() error { c.begin(nil); begun = true; return nil })
 			synctest.Wait()
 			require.False(t, begun, "the transport has not read what came before")
 			group.Go(func() error { _, _ = c.Read(make([]byte, 1)); return nil })
@@ -50,7 +50,7 @@
 		defer func() { _ = far.Close() }()
 		c := New(near)
 		var group errgroup.Group
-		group.Go(func() error { c.begin(); return nil })
+		group.Go(func() error { c.begin(nil); return nil })
 		synctest.Wait()
 		require.NoError(t, c.Close())
 		require.NoError(t, group.Wait())
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -11,6 +11,7 @@
 // Exchange is one request of an http.Transport whose connections are of type *Conn, and its answer.
 // The transport must not be allowed to send the request twice.
 type Exchange struct {
+	wanted  func() bool
 	mu      sync.Mutex
 	conn    *Conn // the newest that the transport has chosen, nil before the first
 	before  int   // requests that used it before
@@ -18,6 +19,10 @@
 	written bool  // the transport has written the whole request
 }
 
+// NewExchange returns an exchange. Immediately before the first byte of its request is written, wanted tells whether
+// that is still to be done; nil if it always is.
+func NewExchange(wanted func() bool) *Exchange { return &Exchange{wanted: wanted} }
+
 // WithTrace returns a context for the request.
 func (x *Exchange) WithTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -36,7 +41,7 @@
 // Use records that the transport has chosen a connection for the request. The trace calls it unless
 // another type wraps the Conn.
 func (x *Exchange) Use(conn *Conn) {
-	before := conn.begin()
+	before := conn.begin(x.wanted)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sent = x.sent || x.conn != nil && !x.conn.abandonUnwritten(x.before)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -11,9 +11,11 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/intake"
+	"github.com/chiveramp/chiveramp/internal/tcp"
 )
 
 const (
@@ -50,6 +52,8 @@
 	// whole is set from a whole head until its request ends, active once the server counts the connection as
 	// busy, ahead once a byte after a request was read that has not ended.
 	whole, active, ahead atomic.Bool
+	// buffered is set while bytes were read that were not passed on.
+	buffered atomic.Bool
 	// lingering is set once the connection is closed except for what its client still sends.
 	lingering atomic.Bool
 	// writeTimed is set while the server has set a deadline for writes.
@@ -78,6 +82,7 @@
 		n := copy(p, c.rest)
 		if c.rest = c.rest[n:]; len(c.rest) == 0 {
 			c.rest = nil
+			c.buffered.Store(false)
 		}
 		return n, nil
 	}
@@ -88,6 +93,7 @@
 func (c *conn) unread(text []byte) {
 	if len(text) > 0 {
 		c.rest = slices.Concat(text, c.rest)
+		c.buffered.Store(true)
 	}
 }
 
@@ -200,6 +206,14 @@
 	c.gate.enter(c, intake.PhaseBody)
 }
 
+// Ended reports whether the client has left, at least for sending, without another request: what a read beside the
+// handler would find, without the wait for that read. It is called between the end of a request's body and the end
+// of its handler.
+func (c *conn) Ended() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	return ok && !c.ahead.Load() && !c.buffered.Load() && tcp.Ended(socket)
+}
+
 // observe is called as the server's state of the connection changes.
 func (c *conn) observe(s http.ConnState) {
 	switch s {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -126,6 +126,42 @@
 	<-left
 }
 
+// A client that has sent its next request early has not left, though nothing more comes from it.
+func TestEndedClients(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	tests := []struct {
+		name, text string
+		stays      bool
+		want       bool
+	}{
+		{name: "stays", text: head, stays: true},
+		{name: "left", text: head, want: true},
+		{name: "left after a body", text: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", want: true},
+		{name: "next request", text: head + head},
+		{name: "next request after a body", text: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab" + head},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			gone, ended := make(chan struct{}), make(chan bool, 2)
+			address := serve(t, New(testLimits), func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-gone
+				c, ok := r.Context().Value(connKey{}).(*conn)
+				ended <- ok && c.Ended()
+			})
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, tt.text)
+			require.NoError(t, err)
+			if !tt.stays {
+				require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			}
+			time.Sleep(20 * time.Millisecond)
+			close(gone)
+			assert.Equal(t, tt.want, <-ended)
+		})
+	}
+}
+
 func TestHeadsThatAreTooLargeOrTooSlowAreNotPassedOn(t *testing.T) {
 	limits := testLimits
 	limits.HeadTime = 100 * time.Millisecond
