--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -105,6 +105,9 @@
 			if err := stream.RecvMsg(&f); err != nil {
 				return err
 			}
+			if err := stream.Context().Err(); err != nil {
+				return err // the peer has closed since: what it sent before is not wanted any more
+			}
 			if _, err := conn.Write(f.Data); err != nil {
 				return err
 			}
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -18,7 +20,8 @@
 )
 
 // relaySite is a peer that relays connections to a server, which handles each with serve.
-func relaySite(t *testing.T, serve func(net.Conn)) (dial func(ctx context.Context, endpoint fleet.Endpoint) (net.Conn, error), server fleet.Endpoint, stopPeer func()) {
+// If stalls are given, the peer reads nothing while they are locked.
+func relaySite(t *testing.T, serve func(net.Conn), stalls ...sync.Locker) (dial func(ctx context.Context, endpoint fleet.Endpoint) (net.Conn, error), server fleet.Endpoint, stopPeer func()) {
 	t.Helper()
 	var lc net.ListenConfig
 	endpoint, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -36,7 +39,7 @@
 		}
 	})
 	s := gossip.NewServer(handler{})
-	group.Go(func() error { return s.Serve(peer) })
+	group.Go(func() error { return s.Serve(stallingListener{peer, stalls}) })
 	client := gossip.NewClient()
 	t.Cleanup(func() {
 		client.Close()
@@ -49,6 +52,61 @@
 	}, fleet.Endpoint(endpoint.Addr().String()), s.Stop
 }
 
+// stallingListener is the listener of an instance that stands still at times.
+type stallingListener struct {
+	net.Listener
+	stalls []sync.Locker
+}
+
+func (l stallingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return stallingConn{conn, l.stalls}, err
+}
+
+type stallingConn struct {
+	net.Conn
+	stalls []sync.Locker
+}
+
+// Read reads and waits then, so that what has come is found with what comes meanwhile.
+func (c stallingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for _, stall := range c.stalls {
+		stall.Lock()
+		if err == nil && n < len(p) && c.SetReadDeadline(time.Now().Add(time.Millisecond)) == nil {
+			more, _ := c.Conn.Read(p[n:])
+			n += more
+			err = c.SetReadDeadline(time.Time{})
+		}
+		stall.Unlock()
+	}
+	return n, err
+}
+
+// A peer that stands still finds a request together with the word that its caller has left.
+func TestRelayedRequestOfACallerThatLeftReachesNoEndpoint(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 20 {
+		var stall sync.Mutex
+		received := make(chan int64, 1)
+		dial, server, _ := relaySite(t, func(c net.Conn) {
+			n, _ := io.Copy(io.Discard, c)
+			received <- n
+			_ = c.Close()
+		}, &stall)
+		conn, err := dial(t.Context(), server)
+		require.NoError(t, err)
+		stall.Lock()
+		_, err = conn.Write(make([]byte, 1<<10))
+		require.NoError(t, err)
+		time.Sleep(5 * time.Millisecond) // until it is written
+		require.NoError(t, conn.Close())
+		time.Sleep(5 * time.Millisecond)
+		stall.Unlock()
+		require.Zero(t, <-received, "bytes that reached the endpoint")
+	}
+}
+
 func TestRelayedConnectionCarriesBothWays(t *testing.T) {
 	dial, server, _ := relaySite(t, func(c net.Conn) {
 		_, _ = io.Copy(c, io.LimitReader(c, 1<<20))
