fix: the own daemon sends no request of a caller that has left

A turn in the queue of a dispatcher may come together with the news that the caller has left, and select then takes either; a request that waits out the pause before a retry goes on without asking; and the news of the caller's connection is late there, too. Now the entry asks before each attempt, and the dispatcher immediately before a request starts: the context and, by package presence, the connection itself. A request that has a key or answers a caller that may come back goes on as before once it was sent.

The gateway takes the same package in place of an interface of its own.

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -49,6 +49,11 @@
 	}
 }
 
+// RefuseAbandoned returns the end of a request whose caller has left before it was sent.
+func RefuseAbandoned(step string) *peerpb.End {
+	return Refuse(CodeCancelled, step, "the caller has left", 0)
+}
+
 // Fail returns the end of a request that may have run.
 func Fail(code, step, message string) *peerpb.End {
 	return &peerpb.End{
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -15,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/once"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/presence"
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
@@ -141,11 +142,13 @@
 
 // cancelledInQueue returns the end of a request that was cancelled or timed out in the queue.
 func cancelledInQueue(ctx context.Context) *peerpb.End {
-	if errors.Is(context.Cause(ctx), ErrShutdown) {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrShutdown):
 		return RefuseForShutdown()
-	}
-	if ctx.Err() != nil {
+	case ctx.Err() != nil:
 		return Refuse(CodeCancelled, "queue", ctx.Err().Error(), 0)
+	case presence.Left(ctx):
+		return RefuseAbandoned("queue")
 	}
 	return Refuse(CodeDeadline, "queue", "the deadline passed while the request was queued", queueRetryAfter)
 }
@@ -191,6 +194,9 @@
 	if p.draining.Draining(entry.Endpoint, fleet.Model(r.request.Model)) {
 		return Refuse(CodeLeaving, "start", "model "+r.request.Model+" is being drained on endpoint "+r.endpoint, 0)
 	}
+	if presence.Left(ctx) { // a turn may come together with the news
+		return cancelledInQueue(ctx)
+	}
 	r.entry = entry
 	if r.request.Key == "" || switches.Off(switches.Claim) {
 		return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/dispatch"
 	"github.com/chiveramp/chiveramp/internal/peer"
 	"github.com/chiveramp/chiveramp/internal/peer/peerpb"
+	"github.com/chiveramp/chiveramp/internal/presence"
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
@@ -132,6 +133,9 @@
 		if mayHaveRun == nil && g.shutdown.Refuses(p.deadline) {
 			return dispatch.RefuseForShutdown()
 		}
+		if presence.Left(ctx) {
+			return wholeEnd(dispatch.RefuseAbandoned("route"), mayHaveRun)
+		}
 		end := g.runAttempt(ctx, p, t)
 		if end.Code == dispatch.CodeNoEndpoint && last != nil {
 			return wholeEnd(last, mayHaveRun)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/shutdown"
+	"github.com/chiveramp/chiveramp/internal/presence"
 )
 
 const (
@@ -140,8 +141,8 @@
 		g.refuseRead(w, r, request, err)
 		return
 	}
-	read, caller := g.clock(), connectionOf(r.Context())
-	if caller.ended() {
+	read, callerLeft := g.clock(), presence.Of(r.Context())
+	if callerLeft() {
 		g.refuseAbandoned(w, request, active)
 		return
 	}
@@ -169,7 +170,7 @@
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
 	j := &job{
-		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: caller, end: end,
+		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: connectionOf(r.Context()), callerLeft: callerLeft, end: end,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, leaving: g.fleet.Leaving, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -40,8 +40,9 @@
 	read     time.Time // when its body was read whole
 	active   *activeRequest
 	delivery *delivery
-	// connection is the caller's, end ends the request.
+	// connection is the caller's, callerLeft reports whether the caller has left, and end ends the request.
 	connection *connection
+	callerLeft func() bool
 	end        context.CancelCauseFunc
 
 	// identity is the same for every attempt at the request.
@@ -252,7 +253,7 @@
 
 // abandoned reports whether the caller has left, and if so ends the request.
 func (j *job) abandoned() bool {
-	if !j.connection.ended() {
+	if !j.callerLeft() {
 		return false
 	}
 	j.gateway.left(j.active)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -206,10 +206,9 @@
 	c.gate.enter(c, intake.PhaseBody)
 }
 
-// Ended reports whether the client has left, at least for sending, without another request: what a read beside the
-// handler would find, without the wait for that read. It is called between the end of a request's body and the end
-// of its handler.
-func (c *conn) Ended() bool {
+// ended reports whether the client has left, at least for sending, without another request: what a read beside the
+// handler would find, without the wait for that read.
+func (c *conn) ended() bool {
 	socket, ok := c.Conn.(syscall.Conn)
 	return ok && !c.ahead.Load() && !c.buffered.Load() && tcp.Ended(socket)
 }
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/chiveramp/chiveramp/internal/core/intake"
+	"github.com/chiveramp/chiveramp/internal/presence"
 )
 
 // reportInterval is the shortest time between two log lines with the same cause.
@@ -153,6 +154,9 @@
 		if contextOf != nil {
 			ctx = contextOf(ctx, nc)
 		}
+		if c, ok := nc.(*conn); ok {
+			ctx = presence.With(ctx, c.ended)
+		}
 		return context.WithValue(ctx, connKey{}, nc)
 	}
 	return newListener(g, l, side)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/chiveramp/chiveramp/internal/presence"
 )
 
 const testTimeout = 10 * time.Second
@@ -146,8 +148,7 @@
 			address := serve(t, New(testLimits), func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				<-gone
-				c, ok := r.Context().Value(connKey{}).(*conn)
-				ended <- ok && c.Ended()
+				ended <- presence.Of(r.Context())()
 			})
 			conn := dial(t, address)
 			_, err := io.WriteString(conn, tt.text)
