fix: what is still to be sent of an abandoned request is dropped

Once a caller had left, the connection to the endpoint was closed in order: bytes of its request that lay in the socket's buffer, as on a full link or before an endpoint that reads slowly, followed all the same, and the endpoint got a whole request with an orderly end behind it. Now a connection whose request has no part of an answer yet is reset, here and at a peer that relays it; what was not on its way is dropped, and the news comes before the rest.

--- a/internal/direct/path.go
+++ b/internal/direct/path.go
@@ -19,6 +19,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/path"
 	"github.com/chiveramp/chiveramp/internal/core/roster"
 	"github.com/chiveramp/chiveramp/internal/gossip"
+	"github.com/chiveramp/chiveramp/internal/tcp"
 )
 
 const (
@@ -410,6 +411,14 @@
 	closed func()
 }
 
+// SetLinger implements tcp.Lingerer.
+func (c *countedConn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(tcp.Lingerer); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.once.Do(c.closed)
--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -338,3 +339,33 @@
 	require.Eventually(t, func() bool { return s.closed.Load() == leavingCallers }, 10*time.Second, time.Millisecond)
 	assert.Equal(t, leavingCallers, f.arrivals())
 }
+
+// Of a request that an endpoint hasn't read yet, what is still to be sent must not follow once its caller has left:
+// the endpoint would run it.
+func TestRestOfAnAbandonedRequestIsDropped(t *testing.T) {
+	const size = 300 << 10
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = endpoint.Close() })
+	f := newLargeFleet(t, catalog.KindUnsafe, size)
+	s := listen(t, f, platform.NewEndpointClient(platform.WithEndpointDialer(func(ctx context.Context, id fleet.Endpoint, born int64, _ string) (net.Conn, error) {
+		conn, err := platform.DialEndpoint(ctx, id, born, endpoint.Addr().String())
+		if err == nil {
+			err = conn.(*net.TCPConn).SetWriteBuffer(1 << 20)
+		}
+		return conn, err
+	})))
+	s.accept()
+	caller := s.dial()
+	_, err = io.WriteString(caller, text(catalog.KindUnsafe, 1, size))
+	require.NoError(t, err)
+	conn, err := endpoint.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	time.Sleep(50 * time.Millisecond) // until the buffers are full
+	require.NoError(t, caller.Close())
+	require.Eventually(t, func() bool { return s.gateway.Ended() == 1 }, 10*time.Second, time.Millisecond)
+	n, err := io.Copy(io.Discard, conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Less(t, n, int64(size))
+}
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -17,6 +17,7 @@
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/httpconn"
+	"github.com/chiveramp/chiveramp/internal/tcp"
 )
 
 // relayBufferBytes is the size of the parts in which a relayed connection's bytes are sent on.
@@ -102,11 +103,13 @@
 		defer func() { _ = conn.Close() }()
 		for {
 			var f relayFrame
-			if err := stream.RecvMsg(&f); err != nil {
-				return err
+			err := stream.RecvMsg(&f)
+			if err == nil {
+				err = stream.Context().Err() // the peer may have closed since
 			}
-			if err := stream.Context().Err(); err != nil {
-				return err // the peer has closed since: what it sent before is not wanted any more
+			if err != nil {
+				reset(dialled)
+				return err
 			}
 			if _, err := conn.Write(f.Data); err != nil {
 				return err
@@ -130,6 +133,13 @@
 	}
 }
 
+// reset has a connection whose peer has closed it dropped with what was not sent yet: nobody waits for that.
+func reset(c net.Conn) {
+	if socket, ok := c.(tcp.Lingerer); ok {
+		_ = socket.SetLinger(0) // fails if the connection has failed
+	}
+}
+
 // Relay connects to an endpoint through a peer. The error is ErrRelayRefused, ErrRelayUnreachable or
 // ErrRelayBusy if the peer says so. The context limits connecting only.
 func (c *Client) Relay(ctx context.Context, address string, r *Relay) (net.Conn, error) {
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -107,6 +107,30 @@
 	}
 }
 
+// What a peer has yet to send to an endpoint that reads late must not follow once the caller has left.
+func TestRestOfAnAbandonedRelayIsDropped(t *testing.T) {
+	const size = 256 << 10
+	left, received, ended := make(chan struct{}), make(chan int64, 1), make(chan error, 1)
+	dial, server, _ := relaySite(t, func(c net.Conn) {
+		<-left
+		n, err := io.Copy(io.Discard, c)
+		received <- n
+		ended <- err
+		_ = c.Close()
+	})
+	conn, err := dial(t.Context(), server)
+	require.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error { _, err := conn.Write(make([]byte, size)); return err })
+	time.Sleep(100 * time.Millisecond) // until the buffers are full
+	require.NoError(t, conn.Close())
+	_ = group.Wait() // the write may have ended before
+	time.Sleep(50 * time.Millisecond)
+	close(left)
+	assert.Less(t, <-received, int64(size))
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
+
 func TestRelayedConnectionCarriesBothWays(t *testing.T) {
 	dial, server, _ := relaySite(t, func(c net.Conn) {
 		_, _ = io.Copy(c, io.LimitReader(c, 1<<20))
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"github.com/chiveramp/chiveramp/internal/tcp"
 )
 
 // ErrUnsolicited is the error of a request whose connection had a response before the request was sent.
@@ -19,12 +21,14 @@
 // Conn is a connection of an http.Transport.
 type Conn struct {
 	net.Conn
+	socket tcp.Lingerer // nil if it can't be reset
 
 	mu          sync.Mutex
 	changed     *sync.Cond
 	requests    int  // requests for which the connection was chosen
 	reading     bool // a read waits for bytes, all received before were consumed
 	written     bool // a byte of the newest request may have been written
+	answered    bool // a byte of its answer was received
 	unsolicited bool // bytes arrived after the newest request had chosen the connection and before it was written
 	retired     bool // no further request may use it
 	closed      bool
@@ -35,6 +39,7 @@
 // New wraps a connection that no request has used.
 func New(c net.Conn) *Conn {
 	wrapped := &Conn{Conn: WithOrderlyEnd(c), head: headScanner{part: partBody}}
+	wrapped.socket, _ = c.(tcp.Lingerer)
 	wrapped.changed = sync.NewCond(&wrapped.mu)
 	return wrapped
 }
@@ -50,7 +55,7 @@
 	for !c.reading && !c.closed && !c.retired {
 		c.changed.Wait()
 	}
-	c.written, c.unsolicited, c.head, c.wanted = false, false, newHeadScanner(), wanted
+	c.written, c.answered, c.unsolicited, c.head, c.wanted = false, false, false, newHeadScanner(), wanted
 	return before
 }
 
@@ -66,6 +71,7 @@
 		c.unsolicited = c.unsolicited || n > 0
 		return n, err
 	}
+	c.answered = c.answered || n > 0
 	if malformed := c.head.scan(b[:n]); malformed != nil {
 		return 0, malformed
 	}
@@ -111,12 +117,17 @@
 	return true
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. While a request has no part of an answer, it resets the connection: what is not on
+// its way yet of a request that nobody waits for would follow it in order else.
 func (c *Conn) Close() error {
 	c.mu.Lock()
+	abandoned := c.written && !c.answered && !c.closed
 	c.closed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	if abandoned && c.socket != nil {
+		_ = c.socket.SetLinger(0) // fails if the connection has failed
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/tcp/ended.go
+++ b/internal/tcp/ended.go
@@ -32,3 +32,6 @@
 	}
 	return slices.Contains(failures, failure)
 }
+
+// Lingerer is a connection whose Close can drop what was not sent yet: after SetLinger(0) it resets the connection.
+type Lingerer interface{ SetLinger(seconds int) error }
