fix: time limits count from the arrival of a request, not from its reading

A request that lay on the machine until the instance got to it was given its whole time from then on, so that it was queued, sent and run for a caller whose time was over, also where no end of the connection tells. The clock was that of the reading; now it is the kernel's: when the last byte of the connection came (TCP_INFO), asked as the handler begins.

TestTimeLimitsCountFromTheArrivalOfARequest failed before (a request whose time was over by 0.1 s got 200; one with 0.7 s left was passed on with 1.399 s) and passes, 3 of 3.

--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -25,7 +25,7 @@
 		t.Run(by, func(t *testing.T) {
 			var group errgroup.Group
 			left := false
-			ctx, cancel := context.WithCancel(presence.With(t.Context(), func() bool { return left }))
+			ctx, cancel := context.WithCancel(presence.With(t.Context(), presence.Func(func() bool { return left })))
 			defer cancel()
 			leave := func() { left = true }
 			if by == "context" {
--- a/internal/entry/departure_test.go
+++ b/internal/entry/departure_test.go
@@ -49,7 +49,7 @@
 			g.dispatcher, g.documents = dispatcher, staticDocument{retryDocument}
 			g.budget = retry.New(retry.Burst(9), retry.Share(1), retry.Backoff(0))
 			request := peer.Request{Submit: &peerpb.Submit{Profile: "p", Model: "a"}, Body: strings.NewReader(`{"model":"a","messages":[]}`)}
-			end := g.Serve(presence.With(t.Context(), func() bool { return left }), request, &recordingSink{})
+			end := g.Serve(presence.With(t.Context(), presence.Func(func() bool { return left })), request, &recordingSink{})
 			require.Equal(t, string(tt.outcome), end.Outcome)
 			require.Equal(t, tt.calls, dispatcher.calls)
 		})
--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -369,3 +370,40 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 	assert.Less(t, n, int64(size))
 }
+
+// The time limit of a request that lay unread counts from its arrival, not from when the instance got to read it.
+func TestTimeLimitsCountFromTheArrivalOfARequest(t *testing.T) {
+	const unread = 700 * time.Millisecond
+	tests := []struct {
+		name   string
+		limit  time.Duration
+		status int
+	}{
+		{name: "over by then", limit: unread - 100*time.Millisecond, status: http.StatusServiceUnavailable},
+		{name: "not over", limit: 1400 * time.Millisecond, status: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newLargeFleet(t, catalog.KindSafe, 0)
+			s := listen(t, f, platform.NewEndpointClient())
+			conn := s.dial()
+			request := strings.Replace(text(catalog.KindSafe, 1, 0), "Deadline-Ms: 1000", fmt.Sprintf("Deadline-Ms: %d", tt.limit.Milliseconds()), 1)
+			_, err := io.WriteString(conn, request)
+			require.NoError(t, err)
+			time.Sleep(unread)
+			s.accept()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, tt.status, response.StatusCode)
+			if tt.status != http.StatusOK {
+				require.Zero(t, f.arrivals())
+				return
+			}
+			left, err := strconv.Atoi(f.runners[0].Runs()[0].Header.Get("Deadline-Ms"))
+			require.NoError(t, err)
+			assert.LessOrEqual(t, left, int((tt.limit-unread)/time.Millisecond)+50)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,8 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := g.clock()
+	caller := presence.Of(r.Context())
+	arrived := g.clock().Add(-caller.Unread())
 	g.pacer.Request()
 	controller := http.NewResponseController(w)
 	active := g.active.add(arrived, func() { _ = controller.SetReadDeadline(arrived) }) // it can't fail for a server's connection
@@ -141,8 +142,8 @@
 		g.refuseRead(w, r, request, err)
 		return
 	}
-	read, callerLeft := g.clock(), presence.Of(r.Context())
-	if callerLeft() {
+	read := g.clock()
+	if caller.Left() {
 		g.refuseAbandoned(w, request, active)
 		return
 	}
@@ -170,7 +171,7 @@
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(timeout))
 	defer cancel()
 	j := &job{
-		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: connectionOf(r.Context()), callerLeft: callerLeft, end: end,
+		gateway: g, request: request, route: route, version: version, arrived: arrived, read: read, active: active, connection: connectionOf(r.Context()), caller: caller, end: end,
 		service: route.Service(g.share(route, request)), identity: request.Identity(),
 		delivery: &delivery{writer: w, controller: controller, codec: g.codec, clock: g.clock, arrived: arrived, leaving: g.fleet.Leaving, events: newSequence(request.After)},
 		ended:    make(chan result, maxTries), silent: make(chan silence, maxTries), stopInsisting: func() {},
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -15,6 +15,7 @@
 	"github.com/chiveramp/chiveramp/internal/core/catalog"
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
 	"github.com/chiveramp/chiveramp/internal/core/suspect"
+	"github.com/chiveramp/chiveramp/internal/presence"
 	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
@@ -40,9 +41,9 @@
 	read     time.Time // when its body was read whole
 	active   *activeRequest
 	delivery *delivery
-	// connection is the caller's, callerLeft reports whether the caller has left, and end ends the request.
+	// connection is the caller's, end ends the request.
 	connection *connection
-	callerLeft func() bool
+	caller     presence.Caller
 	end        context.CancelCauseFunc
 
 	// identity is the same for every attempt at the request.
@@ -253,7 +254,7 @@
 
 // abandoned reports whether the caller has left, and if so ends the request.
 func (j *job) abandoned() bool {
-	if !j.callerLeft() {
+	if !j.caller.Left() {
 		return false
 	}
 	j.gateway.left(j.active)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -48,6 +48,8 @@
 	running bool               // a request's head was passed on, and the request has not ended
 	cost    int64              // memory in bytes that is held for the request
 	body    intake.BodyScanner // nil outside a body
+	early   bool               // a byte of the request was read before the one before it had ended
+	waited  time.Duration      // for how long the request lay on this machine unread
 
 	// whole is set from a whole head until its request ends, active once the server counts the connection as
 	// busy, ahead once a byte after a request was read that has not ended.
@@ -195,6 +197,10 @@
 
 // begin is called as the handler gets a request: from the server's own parser it is known where the body ends.
 func (c *conn) begin(r *http.Request) {
+	c.waited = 0
+	if socket, ok := c.Conn.(syscall.Conn); ok && !c.early {
+		c.waited = tcp.SinceReceived(socket)
+	}
 	switch length := intake.LengthScanner(r.ContentLength); {
 	case length > 0:
 		c.body = &length
@@ -206,9 +212,12 @@
 	c.gate.enter(c, intake.PhaseBody)
 }
 
-// ended reports whether the client has left, at least for sending, without another request: what a read beside the
+// Unread implements presence.Caller. It is called by the handler.
+func (c *conn) Unread() time.Duration { return c.waited }
+
+// Left implements presence.Caller. It reports whether the client has left, at least for sending, without another request: what a read beside the
 // handler would find, without the wait for that read.
-func (c *conn) ended() bool {
+func (c *conn) Left() bool {
 	socket, ok := c.Conn.(syscall.Conn)
 	return ok && !c.ahead.Load() && !c.buffered.Load() && tcp.Ended(socket)
 }
@@ -235,7 +244,7 @@
 	c.active.Store(false)
 	c.ahead.Store(false)
 	phase := intake.PhaseIdle
-	if c.scanner.Size() > 0 || len(c.rest) > 0 {
+	if c.early = c.scanner.Size() > 0 || len(c.rest) > 0; c.early {
 		phase = intake.PhaseHead
 	}
 	c.gate.end(c, phase)
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -155,7 +155,7 @@
 			ctx = contextOf(ctx, nc)
 		}
 		if c, ok := nc.(*conn); ok {
-			ctx = presence.With(ctx, c.ended)
+			ctx = presence.With(ctx, c)
 		}
 		return context.WithValue(ctx, connKey{}, nc)
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -148,7 +148,7 @@
 			address := serve(t, New(testLimits), func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				<-gone
-				ended <- presence.Of(r.Context())()
+				ended <- presence.Of(r.Context()).Left()
 			})
 			conn := dial(t, address)
 			_, err := io.WriteString(conn, tt.text)
--- a/internal/tcp/ended.go
+++ b/internal/tcp/ended.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -33,5 +34,23 @@
 	return slices.Contains(failures, failure)
 }
 
+// SinceReceived returns how long ago the kernel received the last data of a connection, 0 if that is not known.
+func SinceReceived(c syscall.Conn) time.Duration {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var since time.Duration
+	err = raw.Control(func(fd uintptr) {
+		if info, failure := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); failure == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return since
+}
+
 // Lingerer is a connection whose Close can drop what was not sent yet: after SetLinger(0) it resets the connection.
 type Lingerer interface{ SetLinger(seconds int) error }
