--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -171,7 +171,7 @@
 
 // start begins an attempt at another endpoint, beside a silent one if that is set.
 func (j *job) start(ctx context.Context, beside *silence) error {
-	if j.tries > 0 && j.abandoned() {
+	if j.abandoned() {
 		return ErrAbandoned
 	}
 	if err := j.checkShutdown(ctx); err != nil {
