--- a/internal/gateway/active.go
+++ b/internal/gateway/active.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/chiveramp/chiveramp/internal/core/fleet"
+	"github.com/chiveramp/chiveramp/internal/presence"
+	"github.com/chiveramp/chiveramp/internal/switches"
 )
 
 // Phase is how far a request has got.
@@ -87,6 +89,11 @@
 	return context.AfterFunc(ctx, func() { g.left(r) })
 }
 
+// hasLeft reports whether a caller has left.
+func (*Gateway) hasLeft(c presence.Caller) bool {
+	return c.Left() && !switches.Off(switches.Departure)
+}
+
 // left records that the caller of a request has left.
 func (g *Gateway) left(r *activeRequest) {
 	now := g.clock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,7 @@
 		return
 	}
 	read := g.clock()
-	if caller.Left() {
+	if g.hasLeft(caller) {
 		g.refuseAbandoned(w, request, active)
 		return
 	}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -254,7 +254,7 @@
 
 // abandoned reports whether the caller has left, and if so ends the request.
 func (j *job) abandoned() bool {
-	if !j.caller.Left() {
+	if !j.gateway.hasLeft(j.caller) {
 		return false
 	}
 	j.gateway.left(j.active)
--- a/internal/switches/switches.go
+++ b/internal/switches/switches.go
@@ -49,6 +49,8 @@
 	StreamVersion Mechanism = "version"
 	// StreamRecords records in the store which version began a stream.
 	StreamRecords Mechanism = "records"
+	// Departure asks whether callers have left before their requests are sent.
+	Departure Mechanism = "departure"
 	// ShutdownCheck refuses requests that a planned stop would cut.
 	ShutdownCheck Mechanism = "shutdown"
 )
