fix(peer): deadlines of forwarded requests are counted on the receiver's clock

In the product's own daemon a request's deadline travels as a time of day. On an instance whose clock is behind it was worked on for as much longer; on one that is ahead it was refused with time left. Now the call says how much time is left, and the receiver counts from there; calls of earlier builds, without that, are read as before.

TestDeadlinesAreCountedOnTheReceiversClock failed before with clocks 5 s ahead and behind.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"golang.org/x/sync/errgroup"
@@ -44,10 +45,14 @@
 	return func(p *Client) { p.dialOptions = append(p.dialOptions, opts...) }
 }
 
+// WithClock sets the time of day.
+func WithClock(clock func() time.Time) Option { return func(p *Client) { p.clock = clock } }
+
 // Client calls peers over one connection for each address. It is safe for concurrent use.
 type Client struct {
 	credentials credentials.TransportCredentials
 	dialOptions []grpc.DialOption
+	clock       func() time.Time
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -55,7 +60,7 @@
 
 // NewClient returns a client without connections; each one is opened on first use.
 func NewClient(opts ...Option) *Client {
-	c := &Client{credentials: insecure.NewCredentials(), conns: make(map[string]*grpc.ClientConn)}
+	c := &Client{credentials: insecure.NewCredentials(), clock: time.Now, conns: make(map[string]*grpc.ClientConn)}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -171,7 +176,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("submit to peer %s: %w: %w", address, ErrNotSent, err)
 	}
-	stream, err := c.open(ctx, address, &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Submit{Submit: r.Submit}})
+	stream, err := c.open(withTimeLeft(ctx, c.clock(), r.Deadline), address, &peerpb.DispatchUp{Kind: &peerpb.DispatchUp_Submit{Submit: r.Submit}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -34,16 +34,16 @@
 func (discardSink) Data(*peerpb.Data) error { return nil }
 
 // newTestClient returns a client that connects every address to the handler.
-func newTestClient(t *testing.T, serve func(context.Context, Request, Sink) *peerpb.End) *Client {
+func newTestClient(t *testing.T, serve func(context.Context, Request, Sink) *peerpb.End, options ...Option) *Client {
 	t.Helper()
 	listener := bufconn.Listen(1 << 20)
 	server := grpc.NewServer()
 	Register(server, fakeHandler{serve: serve})
 	var group errgroup.Group
 	group.Go(func() error { return server.Serve(listener) })
-	client := NewClient(WithDialOptions(grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+	client := NewClient(append(options, WithDialOptions(grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
 		return listener.DialContext(ctx)
-	})))
+	})))...)
 	t.Cleanup(func() {
 		assert.NoError(t, client.Close())
 		server.Stop()
@@ -52,6 +52,27 @@
 	return client
 }
 
+// The machine that forwards a request and the one that runs it may differ in their time of day.
+func TestDeadlinesAreCountedOnTheReceiversClock(t *testing.T) {
+	const left = 2 * time.Second
+	for _, ahead := range []time.Duration{0, 5 * time.Second, -5 * time.Second} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			clock := func() time.Time { return time.Now().Add(ahead) }
+			deadlines := make(chan int64, 2)
+			client := newTestClient(t, func(_ context.Context, r Request, _ Sink) *peerpb.End {
+				deadlines <- r.Deadline
+				return &peerpb.End{}
+			}, WithClock(clock))
+			for _, deadline := range []int64{clock().Add(left).UnixMilli(), 0} {
+				_, err := client.Serve(t.Context(), "peer", Request{Submit: &peerpb.Submit{Deadline: deadline}}, discardSink{})
+				require.NoError(t, err)
+			}
+			assert.WithinDuration(t, time.Now().Add(left), time.UnixMilli(<-deadlines), time.Second)
+			assert.Zero(t, <-deadlines, "no deadline")
+		})
+	}
+}
+
 func TestServePassesRequestBody(t *testing.T) {
 	long := strings.Repeat("0123456789", chunkSize/4)
 	errReset := errors.New("connection reset")
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -106,6 +107,7 @@
 	case *peerpb.DispatchUp_Submit:
 		request := Request{Submit: kind.Submit, Body: &bodyReader{stream: stream, buffered: kind.Submit.Body, complete: kind.Submit.Whole}}
 		kind.Submit.Body = nil
+		kind.Submit.Deadline = localDeadline(stream.Context(), time.Now(), kind.Submit.Deadline)
 		return s.Serve(stream.Context(), request, out), nil
 	case *peerpb.DispatchUp_Resume:
 		if next, err := stream.Recv(); err == nil && next.GetCancel() != nil {
