--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -97,11 +97,11 @@
 	return c.Conn.Write(b)
 }
 
-// question returns what to ask before the first byte of the newest request is written, nil for nothing.
+// question returns the function to call before the first byte of the newest request is written, nil for nothing.
 func (c *Conn) question() func() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.written {
+	if c.written || c.closed {
 		return nil
 	}
 	return c.wanted
@@ -117,8 +117,8 @@
 	return true
 }
 
-// Close implements net.Conn. While a request has no part of an answer, it resets the connection: what is not on
-// its way yet of a request that nobody waits for would follow it in order else.
+// Close implements net.Conn. While a request has no part of an answer, it resets the connection: closed in order,
+// it would still send what it holds of a request that nobody waits for.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	abandoned := c.written && !c.answered && !c.closed
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -215,8 +215,8 @@
 // Unread implements presence.Caller. It is called by the handler.
 func (c *conn) Unread() time.Duration { return c.waited }
 
-// Left implements presence.Caller. It reports whether the client has left, at least for sending, without another request: what a read beside the
-// handler would find, without the wait for that read.
+// Left implements presence.Caller. A client that has closed its side for sending counts as one that has left, as for
+// net/http, unless it has sent another request.
 func (c *conn) Left() bool {
 	socket, ok := c.Conn.(syscall.Conn)
 	return ok && !c.ahead.Load() && !c.buffered.Load() && tcp.Ended(socket)
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -9,11 +9,12 @@
 	"time"
 )
 
-// Caller is the caller of a request. It is safe for concurrent use, and its methods don't block.
+// Caller is the caller of a request. Its methods don't block.
 type Caller interface {
-	// Left reports whether the caller has left by now.
+	// Left reports whether the caller has left by now. It is safe for concurrent use.
 	Left() bool
-	// Unread returns for how long the request had lain on this machine when it was read, 0 if that is not known.
+	// Unread returns for how long the request had lain on this machine when its handler was called, 0 if that is
+	// not known.
 	Unread() time.Duration
 }
 
