--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -139,8 +139,11 @@
 }
 
 // text returns a request with a body of a size.
-func text(kind catalog.Kind, id, size int) string {
-	head := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: r%d\r\nDeadline-Ms: 1000\r\n", id)
+func text(kind catalog.Kind, id, size int) string { return textWithin(time.Second, kind, id, size) }
+
+// textWithin returns a request with a time limit.
+func textWithin(limit time.Duration, kind catalog.Kind, id, size int) string {
+	head := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: r%d\r\n%s: %d\r\n", id, standin.Wait, limit.Milliseconds())
 	if kind == catalog.KindStream {
 		head += "Model: m\r\n"
 	}
@@ -429,7 +432,7 @@
 			t.Parallel()
 			f := newLargeFleet(t, catalog.KindSafe, 0)
 			s := listen(t, f, platform.NewEndpointClient())
-			conn := s.call(strings.Replace(text(catalog.KindSafe, 1, 0), "Deadline-Ms: 1000", fmt.Sprintf("Deadline-Ms: %d", tt.limit.Milliseconds()), 1))
+			conn := s.call(textWithin(tt.limit, catalog.KindSafe, 1, 0))
 			time.Sleep(unread)
 			s.accept()
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -440,7 +443,7 @@
 				require.Zero(t, f.arrivals())
 				return
 			}
-			left, err := strconv.Atoi(f.runners[0].Runs()[0].Header.Get("Deadline-Ms"))
+			left, err := strconv.Atoi(f.runners[0].Runs()[0].Header.Get(standin.Wait))
 			require.NoError(t, err)
 			assert.LessOrEqual(t, left, int((tt.limit-unread)/time.Millisecond)+50)
 		})
