Review case 14: unfinished messages at the peers' address exceed an instance's memory

The stand-ins take ports below those of connections: one run of case 14 before that couldn't start an instance.

--- a/review/_stand3/crowd.go
+++ b/review/_stand3/crowd.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// machineMemory is the memory of 130 of the site's 142 machines in KiB. The platform kills a process that exceeds it.
-	machineMemory = 136 << 10
 	// bodyLimit and headLimit are limits of the configuration.
 	bodyLimit, headLimit = 4 << 20, 16 << 10
 	// crowdTime is how long the crowd is there.
@@ -24,8 +22,8 @@
 )
 
 const crowdConfig = `{"version":1,"routes":[
- {"name":"register","host":"` + host + `","pathPrefix":"/register/","kind":"unsafe","timeoutMs":6000,"targetLatencyMs":400,"priority":2,"service":"arende","maxAttempts":1}],
- "services":[{"name":"arende","healthPath":"/health","maxConns":941}],
+ {"name":"register","host":"` + host + `","pathPrefix":"/register/","kind":"unsafe","timeoutMs":6000,"targetLatencyMs":400,"priority":2,"service":"board","maxAttempts":1}],
+ "services":[{"name":"board","healthPath":"/health","maxConns":110}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 // memory returns a value of an instance's memory in KiB, 0 if its process has ended.
@@ -40,14 +38,14 @@
 	return 0
 }
 
-// limitMemory ends an instance that exceeds the memory of its machine, as the platform does, and closes killed.
-func (n *instance) limitMemory() (killed <-chan struct{}) {
+// limitMemory ends an instance that exceeds the memory of its machine in KiB, as the platform does, and closes killed.
+func (n *instance) limitMemory(machine int64) (killed <-chan struct{}) {
 	over := make(chan struct{})
 	go func() {
 		for range time.Tick(2 * time.Millisecond) {
-			if m := n.memory("VmRSS"); m > machineMemory {
+			if m := n.memory("VmRSS"); m > machine {
 				_ = n.process.Process.Kill()
-				note("%s has %d KiB resident, its machine has %d KiB: the platform kills it", n.name, m, machineMemory)
+				note("%s has %d KiB resident, its machine has %d KiB: the platform kills it", n.name, m, machine)
 				close(over)
 				return
 			}
@@ -109,48 +107,64 @@
 	return text.String()
 }
 
-// crowd has clients come that don't behave, while others send ordinary requests.
+// crowd has clients come at callers' address that don't behave. 130 of the site's 142 machines have 136 MB.
 func crowd() {
+	bear(136<<10, func(n *instance) (leave func()) {
+		var conns []net.Conn
+		come := func(count int, what string, send func(net.Conn)) {
+			note("%d clients come: %s", count, what)
+			for range count {
+				conn, err := net.DialTimeout("tcp", n.caller, time.Second)
+				if err != nil {
+					return
+				}
+				conns = append(conns, conn)
+				_ = conn.SetDeadline(time.Now().Add(2 * crowdTime))
+				go send(conn)
+			}
+		}
+		if plays("bodies") {
+			body := make([]byte, bodyLimit-1)
+			come(60, "a body of the largest size in one chunk, which stops one byte short of its end", func(c net.Conn) {
+				_, _ = fmt.Fprintf(c, "POST /register/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", host, c.LocalAddr(), bodyLimit)
+				_, _ = c.Write(body)
+			})
+		}
+		if plays("heads") {
+			come(1500, "a head of 15.5 KiB of short lines, without the last", func(c net.Conn) {
+				text := fmt.Sprintf("POST /register/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", host, c.LocalAddr())
+				_, _ = io.WriteString(c, text+fields(headLimit-512-len(text)))
+			})
+		}
+		return func() {
+			for _, c := range conns {
+				_ = c.Close()
+			}
+		}
+	})
+}
+
+// bear has a crowd come to an instance whose machine has a memory in KiB, while others send ordinary requests.
+func bear(machine int64, come func(n *instance) (leave func())) {
 	s := newStore()
 	s.put(configKey, []byte(crowdConfig))
 	rs := &runners{store: s}
-	rs.start("i-1", "arende", "a")
-	rs.start("i-2", "arende", "c")
+	rs.start("i-1", "board", "a")
+	rs.start("i-2", "board", "b")
+	rs.start("i-3", "board", "c")
 	startSite(s, "")
 	n, done := site[0], make(chan struct{})
-	killed := n.limitMemory()
+	killed := n.limitMemory(machine)
 	var group sync.WaitGroup
-	callers := make([]kept, 8)
+	callers := make([]kept, 16)
 	for i := range callers {
 		group.Go(func() { callers[i].run(fmt.Sprintf("%04x", i+1), n, done) })
 	}
 	time.Sleep(2 * time.Second)
 	note("%s has %d KiB resident, of these %d anonymous", n.name, n.memory("VmRSS"), n.memory("RssAnon"))
-	var conns []net.Conn
-	come := func(count int, what string, send func(net.Conn)) {
-		note("%d clients come: %s", count, what)
-		for range count {
-			conn, err := net.DialTimeout("tcp", n.caller, time.Second)
-			if err != nil {
-				return
-			}
-			conns = append(conns, conn)
-			_ = conn.SetDeadline(time.Now().Add(2 * crowdTime))
-			go send(conn)
-		}
-	}
-	if plays("bodies") {
-		body := make([]byte, bodyLimit-1)
-		come(60, "a body of the largest size in one chunk, which stops one byte short of its end", func(c net.Conn) {
-			_, _ = fmt.Fprintf(c, "POST /register/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", host, c.LocalAddr(), bodyLimit)
-			_, _ = c.Write(body)
-		})
-	}
-	if plays("heads") {
-		come(1500, "a head of 15.5 KiB of short lines, without the last", func(c net.Conn) {
-			text := fmt.Sprintf("POST /register/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", host, c.LocalAddr())
-			_, _ = io.WriteString(c, text+fields(headLimit-512-len(text)))
-		})
+	leave := func() {}
+	if trouble {
+		leave = come(n)
 	}
 	select {
 	case <-killed:
@@ -159,9 +173,7 @@
 		note("%s has had %d KiB resident at most", n.name, n.memory("VmHWM"))
 	}
 	close(done)
-	for _, c := range conns {
-		_ = c.Close()
-	}
+	leave()
 	group.Wait()
 	var lost []string
 	answered, statuses := 0, map[int]int{}
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -84,13 +85,27 @@
 	process                              *exec.Cmd
 }
 
+// lowestPort and ports give the ports of the instances' addresses, below those that the kernel gives to connections.
+const lowestPort, ports = 12000, 18000
+
+var taken = make(map[string]bool)
+
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("listen: %v", err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if taken[address] {
+			continue
+		}
+		taken[address] = true
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	fail("no free address")
+	return ""
 }
 
 // startSite starts three instances with the settings that deploy/gateway.ini gives a small deployment, and waits
@@ -224,7 +239,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	cases := map[string]func(){"slashes": slashes, "encoded": encoded, "revoked": revoked, "crowd": crowd}
+	cases := map[string]func(){"slashes": slashes, "encoded": encoded, "revoked": revoked, "crowd": crowd, "peers": peers}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("no case %q", os.Args[1])
