--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -11,10 +12,7 @@
 // ends in a slash with a path. The only route has the prefix "/".
 func slashes() {
 	s := newStore()
-	s.put(configKey, []byte(`{"version":1,"routes":[
- {"name":"all","host":"`+host+`","pathPrefix":"/","kind":"unsafe","timeoutMs":2000,"targetLatencyMs":200,"priority":2,"service":"board","maxAttempts":1}],
- "services":[{"name":"board","healthPath":"/health","maxConns":110}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`))
+	s.put(wire("configuration"), configuration("slashes"))
 	rs := &runners{store: s}
 	rs.start("i-1", "board", "a")
 	rs.start("i-2", "board", "c")
@@ -45,11 +43,7 @@
 // belong to the other route, of another service.
 func encoded() {
 	s := newStore()
-	s.put(configKey, []byte(`{"version":1,"routes":[
- {"name":"files","host":"`+host+`","pathPrefix":"/files/","kind":"safe","timeoutMs":2000,"targetLatencyMs":200,"priority":2,"service":"lobby","maxAttempts":2},
- {"name":"all","host":"`+host+`","pathPrefix":"/","kind":"unsafe","timeoutMs":2000,"targetLatencyMs":200,"priority":2,"service":"board","maxAttempts":1}],
- "services":[{"name":"lobby","healthPath":"/health","maxConns":110},{"name":"board","healthPath":"/health","maxConns":110}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`))
+	s.put(wire("configuration"), configuration("encoded"))
 	rs := &runners{store: s}
 	rs.start("i-1", "lobby", "a")
 	rs.start("i-2", "board", "c")
@@ -75,19 +69,16 @@
 
 const revocation = 5 * time.Second
 
+// keyed returns a configuration in which a workspace has keys.
 func keyed(version int, keys string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[
- {"name":"look","host":"%s","pathPrefix":"/look/","kind":"safe","timeoutMs":2000,"targetLatencyMs":200,"priority":2,"service":"board","maxAttempts":2}],
- "services":[{"name":"board","healthPath":"/health","maxConns":110}],
- "tenants":[{"name":"alpha","apiKeys":[%s],"unit":"tokens","ratePerS":0,"burst":0,"plainTokens":100}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, host, keys)
+	return configuration("keyed", "VERSION", strconv.Itoa(version), "KEYS", keys)
 }
 
 // revoked takes a key away while watches hear nothing for a second; then the history is dropped, the watches are cut,
 // and the store is down for 4.5 s.
 func revoked() {
 	s := newStore()
-	s.put(configKey, keyed(1, `"k-old","k-new"`))
+	s.put(wire("configuration"), keyed(1, `"k-old","k-new"`))
 	rs := &runners{store: s}
 	rs.start("i-1", "board", "a")
 	rs.start("i-2", "board", "c")
@@ -102,7 +93,7 @@
 		note("the store's watches hear nothing for 1 s")
 	}
 	time.Sleep(20 * time.Millisecond)
-	s.put(configKey, keyed(2, `"k-new"`))
+	s.put(wire("configuration"), keyed(2, `"k-new"`))
 	acknowledged := time.Now()
 	note("version 2, which takes the key k-old away, is acknowledged")
 	time.AfterFunc(980*time.Millisecond, func() {
--- a/review/_stand3/crowd.go
+++ b/review/_stand3/crowd.go
@@ -21,11 +21,6 @@
 	crowdTime = 8 * time.Second
 )
 
-const crowdConfig = `{"version":1,"routes":[
- {"name":"register","host":"` + host + `","pathPrefix":"/register/","kind":"unsafe","timeoutMs":6000,"targetLatencyMs":400,"priority":2,"service":"board","maxAttempts":1}],
- "services":[{"name":"board","healthPath":"/health","maxConns":110}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-
 // memory returns a value of an instance's memory in KiB, 0 if its process has ended.
 func (n *instance) memory(name string) int64 {
 	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
@@ -77,7 +72,7 @@
 		}
 		id := fmt.Sprintf("%s%012x", name, i)
 		_ = conn.SetDeadline(time.Now().Add(7 * time.Second))
-		_, _ = fmt.Fprintf(conn, "POST /register/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\ncase", i, host, id)
+		_, _ = fmt.Fprintf(conn, "POST /register/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: 6000\r\nContent-Length: 4\r\n\r\ncase", i, host, id, wire("deadline"))
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
@@ -147,7 +142,7 @@
 // bear has a crowd come to an instance whose machine has a memory in KiB, while others send ordinary requests.
 func bear(machine int64, come func(n *instance) (leave func())) {
 	s := newStore()
-	s.put(configKey, []byte(crowdConfig))
+	s.put(wire("configuration"), configuration("crowd"))
 	rs := &runners{store: s}
 	rs.start("i-1", "board", "a")
 	rs.start("i-2", "board", "b")
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -24,8 +24,6 @@
 	"time"
 )
 
-const configKey = "op/config"
-
 var (
 	record  *os.File
 	started = time.Now()
@@ -212,7 +210,7 @@
 	if method == http.MethodPost {
 		body = "body of " + a.id
 	}
-	lines := []string{method + " " + target + " HTTP/1.1", "Host: " + host, "Request-Id: " + a.id, "Deadline-Ms: 2000"}
+	lines := []string{method + " " + target + " HTTP/1.1", "Host: " + host, "Request-Id: " + a.id, wire("deadline") + ": 2000"}
 	lines = append(lines, header...)
 	if body != "" {
 		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -38,14 +38,14 @@
 		"service": service, "address": l.Addr().String(), "zone": zone, "version": "v1", "slots": 6,
 		"state": "ready", "coldLeftMs": 0, "seq": 0, "born": born,
 	})
-	rs.store.put("servers/"+id, entry)
+	rs.store.put(wire("entries")+id, entry)
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
 			rs.store.mu.Lock()
 			busy := rs.store.busy
 			rs.store.mu.Unlock()
 			if !busy {
-				rs.store.put("servers/"+id, entry)
+				rs.store.put(wire("entries")+id, entry)
 			}
 		}
 	}()
@@ -58,14 +58,14 @@
 	}
 	request := r.Header.Get("Request-Id")
 	if request == "" {
-		w.Header().Set("Not-Run", "1")
+		w.Header().Set(wire("not-run"), "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	w.Header().Set("Request-Id", request)
-	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != id {
+	if expect := r.Header.Get(wire("expect")); expect != "" && expect != id {
 		w.Header().Set("Instance-Id", id)
-		w.Header().Set("Not-Run", "1")
+		w.Header().Set(wire("not-run"), "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -76,7 +76,7 @@
 	})
 	rs.mu.Unlock()
 	time.Sleep(15 * time.Millisecond)
-	w.Header().Set("Server-Seal", id+"."+request)
+	w.Header().Set(wire("seal"), id+"."+request)
 	_, _ = fmt.Fprintf(w, "done %s", request)
 }
 
--- a/review/_stand3/store.go
+++ b/review/_stand3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -15,7 +16,7 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
 	Revision int64  `json:"revision"`
-	Created  int64  `json:"createdRev,omitempty"`
+	Created  int64  `json:"created,omitempty"` // its name on the wire is in names.txt
 	Lease    int64  `json:"lease,omitempty"`
 	Removed  bool   `json:"removed,omitempty"`
 }
@@ -56,13 +57,13 @@
 		changed: make(chan struct{}), cut: make(chan struct{}), onWatch: func() {},
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.get)
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
-	mux.HandleFunc("POST /kv-txn", s.commit)
-	mux.HandleFunc("POST /kv-lease", s.grant)
-	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.endLease)
+	mux.HandleFunc("GET "+wire("get"), s.get)
+	mux.HandleFunc("GET "+wire("list"), s.list)
+	mux.HandleFunc("GET "+wire("watch"), s.watch)
+	mux.HandleFunc("POST "+wire("write"), s.commit)
+	mux.HandleFunc("POST "+wire("grant"), s.grant)
+	mux.HandleFunc("POST "+wire("keep")+"{id}", s.keep)
+	mux.HandleFunc("DELETE "+wire("end-lease")+"{id}", s.endLease)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		busy := s.busy
@@ -171,7 +172,7 @@
 	defer s.mu.Unlock()
 	items := []item{}
 	for key, i := range s.items {
-		if strings.HasPrefix(key, r.URL.Query().Get("pathPrefix")) {
+		if strings.HasPrefix(key, r.URL.Query().Get(wire("prefix"))) {
 			items = append(items, i)
 		}
 	}
@@ -183,7 +184,7 @@
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	over := time.After(time.Duration(wait) * time.Millisecond)
-	if q.Get("pathPrefix") == configKey {
+	if q.Get(wire("prefix")) == wire("configuration") {
 		s.onWatch()
 	}
 	s.mu.Lock()
@@ -196,7 +197,7 @@
 			asOf = s.heard
 		}
 		for _, i := range s.history {
-			if i.Revision > after && i.Revision <= asOf && strings.HasPrefix(i.Key, q.Get("pathPrefix")) {
+			if i.Revision > after && i.Revision <= asOf && strings.HasPrefix(i.Key, q.Get(wire("prefix"))) {
 				events = append(events, i)
 			}
 		}
@@ -298,6 +299,10 @@
 }
 
 func reply(w http.ResponseWriter, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		fail("encode an answer: %v", err)
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(bytes.ReplaceAll(text, []byte(`"created":`), []byte(`"`+wire("created")+`":`)))
 }
