--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -1,4 +1,4 @@
-// Command stand3 plays the cases of review/11 and up: it starts the instances of a small deployment with the
+// Command stand3 plays the cases of review/11 and review/12: it starts the instances of a small deployment with the
 // command of the deploy file, and plays the store, the runners and the requesters.
 //
 //	stand3 CASE FOLDER    writes FOLDER/record.txt
@@ -30,14 +30,10 @@
 	mu      sync.Mutex
 	site    []*instance
 	folder  string // of the settings
-	// trouble is unset without the disruption. Of several, "only" names the one that is played, empty for all.
+	// trouble is unset without the requests in question.
 	trouble = os.Getenv("TROUBLE") != "0"
-	only    = os.Getenv("ONLY")
 )
 
-// plays reports whether a disruption is played.
-func plays(disruption string) bool { return trouble && (only == "" || only == disruption) }
-
 // note writes a line to the record, with the time since the start.
 func note(format string, args ...any) {
 	mu.Lock()
@@ -107,8 +103,8 @@
 }
 
 // startSite starts three instances with the settings that deploy/gateway.ini gives a small deployment, and waits
-// until they are ready. More is what the settings have beside.
-func startSite(s *store, more string) {
+// until they are ready.
+func startSite(s *store) {
 	var err error
 	if folder, err = os.MkdirTemp("", "review"); err != nil {
 		fail("temporary folder: %v", err)
@@ -149,7 +145,7 @@
 over = 1.1
 [drain]
 grace = 8s
-%s`, n.name, region, zones[i], n.caller, n.directory, n.ready, n.peer, strings.Join(seeds, ","), s.address, more)
+`, n.name, region, zones[i], n.caller, n.directory, n.ready, n.peer, strings.Join(seeds, ","), s.address)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			fail("settings: %v", err)
 		}
@@ -237,12 +233,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	cases := map[string]func(){"slashes": slashes, "encoded": encoded, "revoked": revoked, "crowd": crowd, "peers": peers}
+	cases := map[string]func(){"slashes": slashes, "encoded": encoded}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("no case %q", os.Args[1])
 	}
-	note("case %s, trouble %v %s", os.Args[1], trouble, only)
+	note("case %s, trouble %v", os.Args[1], trouble)
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -11,10 +11,8 @@
 
 // run is a request that a runner has begun to work on.
 type run struct {
-	at                       time.Time
 	runner, service          string
 	id, method, target, host string // as on the request line and in the Host header that it got
-	key, tenant              string
 }
 
 // runners are the runners of all services, and what they have run.
@@ -41,12 +39,7 @@
 	rs.store.put(wire("entries")+id, entry)
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
-			rs.store.mu.Lock()
-			busy := rs.store.busy
-			rs.store.mu.Unlock()
-			if !busy {
-				rs.store.put(wire("entries")+id, entry)
-			}
+			rs.store.put(wire("entries")+id, entry)
 		}
 	}()
 }
@@ -71,8 +64,7 @@
 	}
 	rs.mu.Lock()
 	rs.runs = append(rs.runs, run{
-		at: time.Now(), runner: id, service: service, id: request, method: r.Method, target: r.RequestURI, host: r.Host,
-		key: r.Header.Get("Key"), tenant: r.Header.Get("Tenant"),
+		runner: id, service: service, id: request, method: r.Method, target: r.RequestURI, host: r.Host,
 	})
 	rs.mu.Unlock()
 	time.Sleep(15 * time.Millisecond)
--- a/review/_stand3/store.go
+++ b/review/_stand3/store.go
@@ -34,17 +34,10 @@
 
 	mu       sync.Mutex
 	revision int64
-	compact  int64 // history up to this revision is dropped
 	items    map[string]item
 	history  []item
 	leases   map[int64]lease
-	busy     bool          // all calls get 503, nothing is done
-	deaf     bool          // watches hear nothing of changes after heard
-	heard    int64         // revision
 	changed  chan struct{} // closed at each change
-	cut      chan struct{} // closed when pending watches are cut
-	// onWatch is called as a watch of the configuration arrives.
-	onWatch func()
 }
 
 func newStore() *store {
@@ -54,7 +47,7 @@
 	}
 	s := &store{
 		address: l.Addr().String(), listener: l, revision: 100, items: make(map[string]item), leases: make(map[int64]lease),
-		changed: make(chan struct{}), cut: make(chan struct{}), onWatch: func() {},
+		changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+wire("get"), s.get)
@@ -65,13 +58,6 @@
 	mux.HandleFunc("POST "+wire("keep")+"{id}", s.keep)
 	mux.HandleFunc("DELETE "+wire("end-lease")+"{id}", s.endLease)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		busy := s.busy
-		s.mu.Unlock()
-		if busy {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		time.Sleep(4 * time.Millisecond) // an answer takes as long
 		mux.ServeHTTP(w, r)
 	})}
@@ -84,7 +70,7 @@
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
-			if !s.busy && time.Now().After(l.end) { // leases pause while the store is down
+			if time.Now().After(l.end) {
 				s.dropLease(id)
 			}
 		}
@@ -126,33 +112,6 @@
 	s.changed = make(chan struct{})
 }
 
-// setDeaf makes watches hear nothing of what changes from now on.
-func (s *store) setDeaf() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deaf, s.heard = true, s.revision
-}
-
-// dropHistory ends that: the history is dropped, and the pending watches are cut.
-func (s *store) dropHistory() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deaf, s.compact, s.history = false, s.revision, nil
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
-// setBusy makes the store answer all calls with 503, and cuts the pending watches.
-func (s *store) setBusy(busy bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy = busy
-	if busy {
-		close(s.cut)
-		s.cut = make(chan struct{})
-	}
-}
-
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,29 +143,16 @@
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	over := time.After(time.Duration(wait) * time.Millisecond)
-	if q.Get(wire("prefix")) == wire("configuration") {
-		s.onWatch()
-	}
-	s.mu.Lock()
-	cut := s.cut
-	s.mu.Unlock()
 	for ended := false; ; {
 		s.mu.Lock()
-		events, asOf, gone, changed := []item{}, s.revision, after < s.compact, s.changed
-		if s.deaf {
-			asOf = s.heard
-		}
+		events, asOf, changed := []item{}, s.revision, s.changed
 		for _, i := range s.history {
-			if i.Revision > after && i.Revision <= asOf && strings.HasPrefix(i.Key, q.Get(wire("prefix"))) {
+			if i.Revision > after && strings.HasPrefix(i.Key, q.Get(wire("prefix"))) {
 				events = append(events, i)
 			}
 		}
 		s.mu.Unlock()
-		switch {
-		case gone:
-			w.WriteHeader(http.StatusGone)
-			return
-		case len(events) > 0 || ended:
+		if len(events) > 0 || ended {
 			reply(w, map[string]any{"events": events, "asOf": asOf})
 			return
 		}
@@ -214,8 +160,6 @@
 		case <-changed:
 		case <-over:
 			ended = true
-		case <-cut:
-			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
